The whole path, thin: resources to a streamed answer and one order

Cause: nothing existed. Change: workspaces, shared types, the programs and decision packages in a first form, stand-ins for platform, engine and service, one end-to-end test over loopback. Conclusion: the path stands; decisions are to be deepened package by package.

--- /dev/null
+++ b/.ci/summary.mjs
@@ -0,0 +1,25 @@
+// Reads TAP output and KNOWN-RED.txt; prints failures, then the count. Only failures listed as `test: <title>` are let pass.
+import fs from 'node:fs'
+
+const [file, exitCode] = process.argv.slice(2)
+const text = fs.readFileSync(file, 'utf8')
+const lines = text.split('\n')
+const passed = lines.filter(line => /^ok \d+/.test(line) && !/# (SKIP|TODO)/i.test(line)).map(nameOf)
+const failed = lines.filter(line => /^not ok \d+/.test(line)).map(nameOf)
+const known = fs.existsSync('KNOWN-RED.txt')
+  ? fs.readFileSync('KNOWN-RED.txt', 'utf8').split('\n').filter(line => line.startsWith('test: ')).map(line => line.slice('test: '.length).trim())
+  : []
+const knownRed = failed.filter(name => known.includes(name))
+const broken = failed.filter(name => !known.includes(name))
+const crashed = exitCode !== '0' && failed.length === 0
+
+if (broken.length > 0 || crashed) console.log(text)
+for (const name of knownRed) console.log(`known red: ${name}`)
+for (const name of broken) console.log(`failed: ${name}`)
+if (crashed) console.log('failed: the test command ended badly')
+console.log(`${passed.length} passed, ${broken.length + (crashed ? 1 : 0)} failed`)
+process.exit(broken.length > 0 || crashed || passed.length === 0 ? 1 : 0)
+
+function nameOf (line) {
+  return line.replace(/^(not )?ok \d+ - /, '').trim()
+}
--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,5 @@
+import neostandard from 'neostandard'
+
+export default [
+  ...neostandard({ ts: true, ignores: ['**/lib/**', '**/node_modules/**', 'reports/**'] })
+]
--- /dev/null
+++ b/packages/knapweedshunt-admin/src/index.ts
@@ -0,0 +1,5 @@
+/** The resource interface program. */
+export * from './adminOptions.ts'
+export * from './operatorKey.ts'
+export * from './settings.ts'
+export * from './startAdmin.ts'
--- /dev/null
+++ b/packages/knapweedshunt-admission/src/index.ts
@@ -0,0 +1,3 @@
+/** Limits, fair queues, priorities, deadlines, load shedding. */
+export * from './admission.ts'
+export * from './admissionTypes.ts'
--- /dev/null
+++ b/packages/knapweedshunt-attempts/src/index.ts
@@ -0,0 +1,3 @@
+/** Retries, budgets, hedges, cancel, stream resume, suspect requests. */
+export * from './attemptMachine.ts'
+export * from './attemptTypes.ts'
--- /dev/null
+++ b/packages/knapweedshunt-cli/src/index.ts
@@ -0,0 +1,7 @@
+/** The operators' command line, as functions. */
+export * from './adminClient.ts'
+export * from './applyResources.ts'
+export * from './cliError.ts'
+export * from './listResources.ts'
+export * from './readResourceFiles.ts'
+export * from './waitInForce.ts'
--- /dev/null
+++ b/packages/knapweedshunt-fakes/src/engineRequest.ts
@@ -0,0 +1,23 @@
+import { z } from 'zod'
+
+const message = z.object({ role: z.string(), content: z.string() })
+
+/** What the engine stand-in reads of a completion call. */
+export const engineRequestSchema = z.object({
+  prompt: z.string().optional(),
+  messages: z.array(message).optional(),
+  max_tokens: z.number().int().positive().default(16),
+  seed: z.number().int().default(0),
+  priority: z.number().int().default(0),
+  cache_salt: z.string().default(''),
+  resume_from: z.number().int().nonnegative().default(0)
+})
+
+/** A checked completion call. */
+export type EngineRequest = z.output<typeof engineRequestSchema>
+
+/** Whole prompt text of a call. */
+export function joinPrompt (request: EngineRequest): string {
+  if (request.prompt !== undefined) return request.prompt
+  return (request.messages ?? []).map(part => `${part.role}: ${part.content}\n`).join('')
+}
--- /dev/null
+++ b/packages/knapweedshunt-fakes/src/serveCompletion.ts
@@ -0,0 +1,63 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { hashText, parseJson, readBody, sendJson, sleep } from 'knapweedshunt-utils'
+import { BLOCK_TOKENS, cutBlocks, cutTokens } from './cutBlocks.ts'
+import { engineRequestSchema, joinPrompt } from './engineRequest.ts'
+import type { EngineRequest } from './engineRequest.ts'
+import type { EngineState } from './engineState.ts'
+
+const MAX_BODY_BYTES = 16 * 1024 * 1024
+const WORDS = ['lift', 'floor', 'room', 'towel', 'door', 'panel', 'labour', 'code']
+
+/** Runs one completion as an event stream: numbered token events, a usage event, `[DONE]`. */
+export async function serveCompletion (state: EngineState, request: IncomingMessage, response: ServerResponse, crash: () => void): Promise<void> {
+  const body = engineRequestSchema.safeParse(parseJson(await readBody(request, MAX_BODY_BYTES)))
+  if (!body.success) return sendJson(response, 400, { error: { message: body.error.issues[0].message } })
+  const prompt = joinPrompt(body.data)
+  if (state.faults.crashOnText !== '' && prompt.includes(state.faults.crashOnText)) return crash()
+  if (state.faults.hang) return
+  state.started++
+  state.running++
+  const born = state.incarnation
+  try {
+    await streamCompletion(state, body.data, prompt, request, response)
+  } finally {
+    if (state.incarnation === born) state.running--
+  }
+}
+
+async function streamCompletion (state: EngineState, body: EngineRequest, prompt: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
+  const attempt = String(request.headers['x-attempt-id'] ?? '')
+  const tokens = cutTokens(prompt)
+  const cachedTokens = await computePrompt(state, body, tokens)
+  if (response.destroyed) return
+  response.writeHead(200, {
+    'content-type': 'text/event-stream',
+    'x-endpoint-incarnation': state.incarnation,
+    'x-weights-version': state.weightsVersion
+  })
+  const digest = hashText(prompt, String(body.seed))
+  for (let n = body.resume_from; n < body.max_tokens; n++) {
+    await sleep(state.options.tokenMs + state.faults.slowMs)
+    if (response.destroyed || state.cancelled.delete(attempt)) return response.destroy() as unknown as void
+    if (n - body.resume_from === state.faults.resetAfterTokens) return response.destroy() as unknown as void
+    const text = `${WORDS[parseInt(digest.slice(n % 60, n % 60 + 2), 16) % WORDS.length]}${n} `
+    response.write(`id: ${n}\ndata: ${JSON.stringify({ text })}\n\n`)
+  }
+  const usage = { prompt_tokens: tokens.length, completion_tokens: body.max_tokens, prompt_tokens_details: { cached_tokens: cachedTokens } }
+  response.end(`data: ${JSON.stringify({ finish_reason: 'stop', usage })}\n\ndata: [DONE]\n\n`)
+}
+
+async function computePrompt (state: EngineState, body: EngineRequest, tokens: string[]): Promise<number> {
+  const keys = cutBlocks(hashText(body.cache_salt, state.weightsVersion), tokens)
+  const cachedTokens = state.cache.countPrefix(keys) * BLOCK_TOKENS
+  const missing = tokens.length - cachedTokens
+  const born = state.incarnation
+  state.queuedTokens += missing
+  await sleep(missing * state.options.prefillMsPerToken)
+  if (state.incarnation === born) {
+    state.queuedTokens -= missing
+    state.computedTokens += missing
+    state.storeBlocks(keys)
+  }
+  return cachedTokens
+}
--- /dev/null
+++ b/packages/knapweedshunt-fakes/src/tables.ts
@@ -0,0 +1,48 @@
+import type { Row, ScanRequest, Transaction, TransactionCheck, TransactionResult } from 'knapweedshunt-platform'
+
+/** Tables in memory with transactions over expected versions. Versions of deleted rows are not reused. */
+export class Tables {
+  readonly #rows = new Map<string, Map<string, Row>>()
+  #lastVersion = 0
+
+  /** Reads one row. */
+  read (table: string, key: string): Row | null {
+    return this.#rows.get(table)?.get(key) ?? null
+  }
+
+  /** Lists rows in key order. */
+  scan (request: ScanRequest): Row[] {
+    const rows = [...this.#rows.get(request.table)?.values() ?? []]
+    return rows
+      .filter(row => row.key > (request.after ?? '') && row.key.startsWith(request.prefix ?? ''))
+      .sort((a, b) => a.key < b.key ? -1 : 1)
+      .slice(0, request.limit)
+  }
+
+  /** Applies all writes when all checks hold, else none. */
+  transact (transaction: Transaction): TransactionResult {
+    const failed = transaction.checks.filter(check => this.#readVersion(check) !== check.version)
+    if (failed.length > 0) return { type: 'conflict', rows: failed.map(check => this.#readPresent(check)) }
+    for (const write of transaction.writes) {
+      const table = this.#openTable(write.table)
+      if (write.type === 'delete') table.delete(write.key)
+      else table.set(write.key, { key: write.key, version: ++this.#lastVersion, value: structuredClone(write.value) })
+    }
+    return { type: 'committed' }
+  }
+
+  #openTable (name: string): Map<string, Row> {
+    const table = this.#rows.get(name) ?? new Map<string, Row>()
+    this.#rows.set(name, table)
+    return table
+  }
+
+  #readVersion (check: TransactionCheck): number {
+    return this.read(check.table, check.key)?.version ?? 0
+  }
+
+  #readPresent (check: TransactionCheck): Row & { table: string } {
+    const row = this.read(check.table, check.key) ?? { key: check.key, version: 0, value: null }
+    return { ...row, table: check.table }
+  }
+}
--- /dev/null
+++ b/packages/knapweedshunt-load/src/callCompletion.ts
@@ -0,0 +1,87 @@
+import http from 'node:http'
+import { createParser } from 'eventsource-parser'
+import { HttpError, readBody } from 'knapweedshunt-utils'
+
+/** One streamed completion to ask for. */
+export interface CompletionCall {
+  url: string
+  accessKey: string
+  model: string
+  prompt: string
+  /** Character offsets at which nested levels end. */
+  marks: number[]
+  maxTokens: number
+  headers?: Record<string, string>
+  agent?: http.Agent
+}
+
+/** What came back. */
+export type CompletionResult =
+  | { type: 'answered', texts: string[], firstTokenMs: number, promptTokens: number, cachedTokens: number }
+  | { type: 'refused', status: number, code: string }
+  /** The stream ended without its end mark. */
+  | { type: 'cut', texts: string[] }
+
+interface Chunk {
+  choices?: Array<{ text: string }>
+  usage?: { prompt_tokens: number, prompt_tokens_details: { cached_tokens: number } } | null
+  error?: { code: string }
+}
+
+const MAX_ERROR_BYTES = 65_536
+
+/** Makes the call. Throws HttpError when the router is not reached. */
+export async function callCompletion (call: CompletionCall): Promise<CompletionResult> {
+  const startedAtMs = performance.now()
+  const message = await sendCall(call)
+  if (message.statusCode !== 200) {
+    const body = JSON.parse(await readBody(message, MAX_ERROR_BYTES)) as Chunk
+    return { type: 'refused', status: message.statusCode ?? 0, code: body.error?.code ?? '' }
+  }
+  return readStream(message, startedAtMs)
+}
+
+function sendCall (call: CompletionCall): Promise<http.IncomingMessage> {
+  const body = JSON.stringify({ model: call.model, prompt: call.prompt, stream: true, max_tokens: call.maxTokens })
+  const headers: Record<string, string> = {
+    authorization: `Bearer ${call.accessKey}`,
+    'content-type': 'application/json',
+    'content-length': String(Buffer.byteLength(body)),
+    ...call.headers
+  }
+  if (call.marks.length > 0) headers['x-prefix-marks'] = call.marks.join(',')
+  return new Promise((resolve, reject) => {
+    const request = http.request(`${call.url}/v1/completions`, { method: 'POST', headers, agent: call.agent })
+    request.once('response', resolve)
+    request.once('error', cause => reject(new HttpError('The router was not reached.', { cause })))
+    request.end(body)
+  })
+}
+
+async function readStream (message: http.IncomingMessage, startedAtMs: number): Promise<CompletionResult> {
+  const texts: string[] = []
+  let firstTokenMs = 0
+  const chunks: Chunk[] = []
+  let ended = false
+  const parser = createParser({
+    onEvent ({ data }) {
+      if (data === '[DONE]') {
+        ended = true
+        return
+      }
+      const chunk = JSON.parse(data) as Chunk
+      const text = chunk.choices?.[0]?.text ?? ''
+      if (text !== '' && texts.push(text) === 1) firstTokenMs = performance.now() - startedAtMs
+      if (chunk.usage) chunks.push(chunk)
+    }
+  })
+  message.setEncoding('utf8')
+  try {
+    for await (const piece of message) parser.feed(piece as string)
+  } catch {
+    return { type: 'cut', texts }
+  }
+  if (!ended) return { type: 'cut', texts }
+  const usage = chunks.at(-1)?.usage
+  return { type: 'answered', texts, firstTokenMs, promptTokens: usage?.prompt_tokens ?? 0, cachedTokens: usage?.prompt_tokens_details.cached_tokens ?? 0 }
+}
--- /dev/null
+++ b/packages/knapweedshunt-load/src/index.ts
@@ -0,0 +1,3 @@
+/** Load and experiment tool. */
+export * from './buildPrompt.ts'
+export * from './callCompletion.ts'
--- /dev/null
+++ b/packages/knapweedshunt-logger/src/index.ts
@@ -0,0 +1,2 @@
+/** Structured logs with a fixed prefix per part. */
+export * from './createLogger.ts'
--- /dev/null
+++ b/packages/knapweedshunt-orders/src/index.ts
@@ -0,0 +1,3 @@
+/** At-most-once execution of orders. */
+export * from './orderStore.ts'
+export * from './orderTypes.ts'
--- /dev/null
+++ b/packages/knapweedshunt-placement/src/cutLevels.ts
@@ -0,0 +1,40 @@
+import type { PrefixLevel } from 'knapweedshunt-types'
+import { hashText } from 'knapweedshunt-utils'
+
+/** What must be equal for cached blocks to be shared. */
+export interface LevelSalt {
+  organisation: string
+  model: string
+  adapter: string
+  weightsVersion: string
+}
+
+/** Characters per token, for estimates. */
+const CHARS_PER_TOKEN = 4
+
+/** Longest text of one level before it is cut, in characters. */
+const MAX_LEVEL_CHARS = 16_384
+
+/** Cuts a prompt given as parts (messages, or pieces between the caller's marks) into levels with chained salted keys. */
+export function cutLevels (salt: LevelSalt, parts: string[]): PrefixLevel[] {
+  const levels: PrefixLevel[] = []
+  let parent = hashSalt(salt)
+  let chars = 0
+  for (const piece of parts.flatMap(cutLong)) {
+    parent = hashText(parent, piece)
+    chars += piece.length
+    levels.push({ key: parent, tokens: Math.ceil(chars / CHARS_PER_TOKEN) })
+  }
+  return levels
+}
+
+/** Salt that an engine mixes into its own cache keys. */
+export function hashSalt (salt: LevelSalt): string {
+  return hashText(salt.organisation, salt.model, salt.adapter, salt.weightsVersion)
+}
+
+function cutLong (part: string): string[] {
+  const pieces: string[] = []
+  for (let start = 0; start < part.length; start += MAX_LEVEL_CHARS) pieces.push(part.slice(start, start + MAX_LEVEL_CHARS))
+  return pieces
+}
--- /dev/null
+++ b/packages/knapweedshunt-platform/src/createPlatformClient.ts
@@ -0,0 +1,49 @@
+import http from 'node:http'
+import type { VmListEntry } from 'knapweedshunt-types'
+import { callJson } from 'knapweedshunt-utils'
+import type { JsonAnswer, JsonCall } from 'knapweedshunt-utils'
+import type { Platform } from './platform.ts'
+import { PlatformRefusedError, PlatformUnreachableError } from './platformError.ts'
+import type { Row } from './row.ts'
+import type { TransactionResult } from './transaction.ts'
+
+/** Options of the platform client. */
+export interface PlatformClientOptions {
+  /** Base URL, with an IP number. */
+  url: string
+  /** Longest wait for one answer, in milliseconds. */
+  timeoutMs: number
+}
+
+/** Timeout of one platform call. */
+export const DEFAULT_PLATFORM_TIMEOUT_MS = 2_000
+
+const FIRST_SERVER_ERROR = 500
+const FIRST_CLIENT_ERROR = 400
+
+/** Creates a client of the platform's HTTP services. */
+export function createPlatformClient (options: PlatformClientOptions): Platform {
+  const agent = new http.Agent({ keepAlive: true })
+  async function call (method: JsonCall['method'], path: string, body?: unknown): Promise<JsonAnswer> {
+    let answer: JsonAnswer
+    try {
+      answer = await callJson({ method, url: options.url + path, body, timeoutMs: options.timeoutMs, agent })
+    } catch (cause) {
+      throw new PlatformUnreachableError('The platform did not answer.', { cause })
+    }
+    if (answer.status >= FIRST_SERVER_ERROR) throw new PlatformUnreachableError(`The platform answered ${answer.status}.`)
+    if (answer.status >= FIRST_CLIENT_ERROR && answer.status !== 404) throw new PlatformRefusedError(`The platform refused ${path}: ${answer.status}.`)
+    return answer
+  }
+  return {
+    read: async (table, key) => (await call('POST', '/tables/read', { table, key })).body as Row | null,
+    scan: async request => (await call('POST', '/tables/scan', request)).body as Row[],
+    transact: async transaction => (await call('POST', '/tables/transact', transaction)).body as TransactionResult,
+    getObject: async name => {
+      const answer = await call('GET', `/objects/${encodeURIComponent(name)}`)
+      return answer.status === 404 ? null : (answer.body as { text: string }).text
+    },
+    putObject: async (name, text) => { await call('PUT', `/objects/${encodeURIComponent(name)}`, { text }) },
+    listVms: async () => (await call('GET', '/vms')).body as VmListEntry[]
+  }
+}
--- /dev/null
+++ b/packages/knapweedshunt-platform/src/platformError.ts
@@ -0,0 +1,10 @@
+import ModernError from 'modern-errors'
+
+/** A platform call failed. */
+export const PlatformError = ModernError.subclass('PlatformError')
+
+/** The platform was not reached, timed out, or its answer was lost; a write may have taken effect. */
+export const PlatformUnreachableError = PlatformError.subclass('PlatformUnreachableError')
+
+/** The platform refused the call as malformed. */
+export const PlatformRefusedError = PlatformError.subclass('PlatformRefusedError')
--- /dev/null
+++ b/packages/knapweedshunt-quickstart/src/index.ts
@@ -0,0 +1,2 @@
+/** All parts as tasks in one process. */
+export * from './startDeployment.ts'
--- /dev/null
+++ b/packages/knapweedshunt-quickstart/src/main.ts
@@ -0,0 +1,11 @@
+#!/usr/bin/env node
+import { runProgram } from 'knapweedshunt-settings'
+import { runQuickstart } from './runQuickstart.ts'
+
+/** Runs all parts in one process until SIGINT or SIGTERM. */
+await runProgram({
+  name: 'knapweedshunt-quickstart',
+  description: 'All parts as tasks in one process, with example resources and a small load',
+  settings: {},
+  run: (_values, signal) => runQuickstart(signal)
+})
--- /dev/null
+++ b/packages/knapweedshunt-resources/src/applyOps.ts
@@ -0,0 +1,11 @@
+import type { Resource, ResourceOp, Revision } from 'knapweedshunt-types'
+
+/** Applies the operations of one change to a list of resources; each written resource gets the revision. */
+export function applyOps (resources: Resource[], ops: ResourceOp[], revision: Revision): Resource[] {
+  const byKey = new Map(resources.map(resource => [`${resource.kind}/${resource.name}`, resource]))
+  for (const op of ops) {
+    if (op.type === 'put') byKey.set(`${op.resource.kind}/${op.resource.name}`, { ...op.resource, revision })
+    else byKey.delete(`${op.kind}/${op.name}`)
+  }
+  return [...byKey.values()]
+}
--- /dev/null
+++ b/packages/knapweedshunt-resources/src/checkReferences.ts
@@ -0,0 +1,38 @@
+import type { Resource, ResourceKind } from 'knapweedshunt-types'
+import { match } from 'ts-pattern'
+import { ResourceInvalidError } from './resourceErrors.ts'
+
+/** A resource that another one names. */
+interface Reference {
+  kind: ResourceKind
+  name: string
+  field: string
+}
+
+/** Checks that every named resource is there. Throws ResourceInvalidError. */
+export function checkReferences (resources: Resource[]): void {
+  const present = new Set(resources.map(resource => `${resource.kind}/${resource.name}`))
+  for (const resource of resources) {
+    for (const reference of listReferences(resource)) {
+      if (present.has(`${reference.kind}/${reference.name}`)) continue
+      throw new ResourceInvalidError(`${resource.kind} ${resource.name}: ${reference.field} is "${reference.name}", but there is no ${reference.kind} of that name: apply it in the same change, or remove what refers to it.`)
+    }
+  }
+}
+
+function listReferences (resource: Resource): Reference[] {
+  return match(resource)
+    .with({ kind: 'AccessKey' }, { kind: 'Limit' }, ({ spec }) => [organisationReference(spec.organisation)])
+    .with({ kind: 'Endpoint' }, { kind: 'WeightsRollout' }, ({ spec }) => [poolReference(spec.pool)])
+    .with({ kind: 'Route' }, ({ spec }) => [poolReference(spec.pool), { kind: 'PriorityClass' as const, name: spec.priorityClass, field: 'spec.priorityClass' }])
+    .with({ kind: 'Organisation' }, { kind: 'EndpointPool' }, { kind: 'PriorityClass' }, () => [])
+    .exhaustive()
+}
+
+function organisationReference (name: string): Reference {
+  return { kind: 'Organisation', name, field: 'spec.organisation' }
+}
+
+function poolReference (name: string): Reference {
+  return { kind: 'EndpointPool', name, field: 'spec.pool' }
+}
--- /dev/null
+++ b/packages/knapweedshunt-router/src/callerError.ts
@@ -0,0 +1,44 @@
+import ModernError from 'modern-errors'
+import type { ErrorBody, Ran } from 'knapweedshunt-types'
+
+/** Stable codes of answers to callers, with HTTP status and class. */
+export const CALLER_CODES = {
+  bad_request: { status: 400, type: 'invalid_request_error' },
+  body_too_large: { status: 413, type: 'invalid_request_error' },
+  header_invalid: { status: 400, type: 'invalid_request_error' },
+  key_missing: { status: 401, type: 'authentication_error' },
+  key_unknown: { status: 401, type: 'authentication_error' },
+  route_unknown: { status: 404, type: 'invalid_request_error' },
+  order_unknown: { status: 404, type: 'invalid_request_error' },
+  method_not_allowed: { status: 405, type: 'invalid_request_error' },
+  idempotency_key_required: { status: 400, type: 'invalid_request_error' },
+  idempotency_key_reused: { status: 422, type: 'invalid_request_error' },
+  order_in_progress: { status: 409, type: 'invalid_request_error' },
+  order_may_have_run: { status: 409, type: 'server_error' },
+  order_store_unreadable: { status: 503, type: 'server_error' },
+  queue_full: { status: 429, type: 'rate_limit_error' },
+  limit_exceeded: { status: 429, type: 'rate_limit_error' },
+  deadline_unreachable: { status: 503, type: 'server_error' },
+  deadline_exceeded: { status: 504, type: 'server_error' },
+  no_endpoint: { status: 503, type: 'server_error' },
+  endpoint_failed: { status: 502, type: 'server_error' },
+  not_ready: { status: 503, type: 'server_error' },
+  internal: { status: 500, type: 'server_error' }
+} as const satisfies Record<string, { status: number, type: ErrorBody['error']['type'] }>
+
+/** One of {@link CALLER_CODES}. */
+export type CallerCode = keyof typeof CALLER_CODES
+
+/** Error that is answered to a caller. */
+export class CallerError extends ModernError {
+  readonly code: CallerCode
+  readonly ran: Ran
+  readonly retryAfterMs: number | null
+
+  constructor (code: CallerCode, message: string, ran: Ran = 'not-run', retryAfterMs: number | null = null) {
+    super(message)
+    this.code = code
+    this.ran = ran
+    this.retryAfterMs = retryAfterMs
+  }
+}
--- /dev/null
+++ b/packages/knapweedshunt-router/src/index.ts
@@ -0,0 +1,6 @@
+/** The data path program. */
+export * from './callerError.ts'
+export * from './figures.ts'
+export * from './routerOptions.ts'
+export * from './settings.ts'
+export * from './startRouter.ts'
--- /dev/null
+++ b/packages/knapweedshunt-router/src/parseCallerRequest.ts
@@ -0,0 +1,105 @@
+import type { IncomingMessage } from 'node:http'
+import { cutLevels, hashSalt } from 'knapweedshunt-placement'
+import type { ModelPoolSpec, OrganisationName, ResourceOf } from 'knapweedshunt-types'
+import { BodyTooLargeError, createIncarnation, hashText, parseJson, readBody } from 'knapweedshunt-utils'
+import type { z } from 'zod'
+import { authenticate } from './authenticate.ts'
+import { CallerError } from './callerError.ts'
+import type { CallerRequest, CallerWork } from './callerRequest.ts'
+import { chatCompletionSchema, completionSchema } from './completionSchema.ts'
+import { readHeaders } from './readHeaders.ts'
+import type { CallerHeaders } from './readHeaders.ts'
+import type { ResourceIndex } from './resourceIndex.ts'
+
+/** Path below which plain services are routed. */
+export const SERVICES_PATH = '/v1/services'
+
+const SEED_HEX_DIGITS = 7
+
+/** Reads, authenticates, routes and checks a request. Throws CallerError. */
+export async function parseCallerRequest (message: IncomingMessage, index: ResourceIndex, maxBodyBytes: number): Promise<CallerRequest> {
+  const organisation = authenticate(message.headers, index)
+  const headers = readHeaders(message.headers)
+  const text = await readCallerBody(message, maxBodyBytes)
+  const path = (message.url ?? '/').split('?')[0]
+  if (path === '/v1/completions' || path === '/v1/chat/completions') return parseCompletion(organisation, headers, path, text, index)
+  if (path.startsWith(SERVICES_PATH + '/')) return parseService(organisation, headers, message, text, index)
+  throw new CallerError('route_unknown', `There is no ${path}: see the callers' guide for the paths.`)
+}
+
+async function readCallerBody (message: IncomingMessage, maxBodyBytes: number): Promise<string> {
+  try {
+    return await readBody(message, maxBodyBytes)
+  } catch (error) {
+    const code = error instanceof BodyTooLargeError ? 'body_too_large' : 'bad_request'
+    throw new CallerError(code, (error as Error).message)
+  }
+}
+
+function parseCompletion (organisation: OrganisationName, headers: CallerHeaders, path: '/v1/completions' | '/v1/chat/completions', text: string, index: ResourceIndex): CallerRequest {
+  if (path === '/v1/completions') {
+    const body = checkBody(completionSchema, text)
+    return buildCompletion(organisation, headers, path, body, cutAtMarks(body.prompt, headers.prefixMarks), index)
+  }
+  const body = checkBody(chatCompletionSchema, text)
+  return buildCompletion(organisation, headers, path, body, body.messages.map(part => JSON.stringify(part)), index)
+}
+
+function buildCompletion (organisation: OrganisationName, headers: CallerHeaders, path: '/v1/completions' | '/v1/chat/completions', body: { model: string, stream: boolean, seed?: number }, parts: string[], index: ResourceIndex): CallerRequest {
+  const route = index.findModelRoute(body.model)
+  if (route === undefined) throw new CallerError('route_unknown', `There is no route for the model "${body.model}": check the name.`)
+  const pool = index.findPool(route.spec.pool) as ModelPoolSpec
+  const salt = { organisation, model: pool.model, adapter: pool.adapter ?? '', weightsVersion: pool.weightsVersion }
+  const digest = hashText(path, JSON.stringify(body))
+  const seed = body.seed ?? parseInt(digest.slice(0, SEED_HEX_DIGITS), 16)
+  const work: CallerWork = { type: 'completion', path, body, stream: body.stream, salt: hashSalt(salt), seed }
+  return { ...buildCommon(organisation, headers, route, index), levels: cutLevels(salt, parts), digest, work }
+}
+
+function parseService (organisation: OrganisationName, headers: CallerHeaders, message: IncomingMessage, text: string, index: ResourceIndex): CallerRequest {
+  const path = (message.url ?? '').slice(SERVICES_PATH.length)
+  const route = index.findPathRoute(path)
+  if (route === undefined) throw new CallerError('route_unknown', `There is no route for the service path "${path}": check it.`)
+  const method = message.method ?? 'GET'
+  const work: CallerWork = { type: 'service', method, path, contentType: message.headers['content-type'] ?? 'application/octet-stream', body: text }
+  return { ...buildCommon(organisation, headers, route, index), levels: [], digest: hashText(method, path, text), work }
+}
+
+function buildCommon (organisation: OrganisationName, headers: CallerHeaders, route: ResourceOf<'Route'>, index: ResourceIndex): Omit<CallerRequest, 'levels' | 'digest' | 'work'> {
+  const priorityClass = headers.priorityClass ?? route.spec.priorityClass
+  const spec = index.findClass(priorityClass)
+  if (spec === undefined) throw new CallerError('header_invalid', `The header x-priority-class is "${priorityClass}": send the name of a declared priority class.`)
+  return {
+    requestId: createIncarnation(),
+    organisation,
+    pool: route.spec.pool,
+    route: route.name,
+    priorityClass,
+    enginePriority: spec.enginePriority,
+    job: route.spec.job,
+    repeatable: route.spec.repeatable && !headers.once,
+    deadlineAtMs: performance.now() + Math.min(headers.timeoutMs ?? route.spec.timeoutMs, route.spec.timeoutMs),
+    idempotencyKey: headers.idempotencyKey,
+    resumeFrom: headers.lastToken + 1
+  }
+}
+
+function checkBody<S extends z.ZodType> (schema: S, text: string): z.output<S> {
+  const result = schema.safeParse(parseBody(text))
+  if (result.success) return result.data
+  const issue = result.error.issues[0]
+  throw new CallerError('bad_request', `The body's ${issue.path.join('.') || 'value'} is wrong: ${issue.message}.`)
+}
+
+function parseBody (text: string): unknown {
+  try {
+    return parseJson(text)
+  } catch (error) {
+    throw new CallerError('bad_request', (error as Error).message)
+  }
+}
+
+function cutAtMarks (prompt: string, marks: number[]): string[] {
+  const bounds = [0, ...marks.filter(mark => mark < prompt.length), prompt.length]
+  return bounds.slice(1).map((end, i) => prompt.slice(bounds[i], end))
+}
--- /dev/null
+++ b/packages/knapweedshunt-router/src/readHeaders.ts
@@ -0,0 +1,60 @@
+import type { IncomingHttpHeaders } from 'node:http'
+import { CallerError } from './callerError.ts'
+
+const MAX_KEY_CHARS = 255
+const MAX_MARKS = 16
+const KEY_PATTERN = /^[\x21-\x7e]+$/
+
+/** What callers may say in headers. */
+export interface CallerHeaders {
+  priorityClass: string | null
+  /** Time the caller waits at most, in milliseconds. */
+  timeoutMs: number | null
+  /** Character offsets in a completion prompt at which nested levels end, ascending. */
+  prefixMarks: number[]
+  idempotencyKey: string | null
+  /** The caller forbids running the request twice. */
+  once: boolean
+  /** Last token the caller has, -1 for none. */
+  lastToken: number
+}
+
+/** Reads and checks the headers. Throws CallerError that names header and value. */
+export function readHeaders (headers: IncomingHttpHeaders): CallerHeaders {
+  return {
+    priorityClass: readText(headers, 'x-priority-class'),
+    timeoutMs: readInteger(headers, 'x-timeout-ms', 1),
+    prefixMarks: readMarks(headers),
+    idempotencyKey: readKey(headers),
+    once: readText(headers, 'x-repeatable') === 'false',
+    lastToken: readInteger(headers, 'last-event-id', 0) ?? -1
+  }
+}
+
+function readText (headers: IncomingHttpHeaders, name: string): string | null {
+  const value = headers[name]
+  return typeof value === 'string' && value !== '' ? value : null
+}
+
+function readInteger (headers: IncomingHttpHeaders, name: string, least: number): number | null {
+  const text = readText(headers, name)
+  if (text === null) return null
+  const value = Number(text)
+  if (Number.isSafeInteger(value) && value >= least) return value
+  throw new CallerError('header_invalid', `The header ${name} is "${text}": send a whole number of at least ${least}.`)
+}
+
+function readMarks (headers: IncomingHttpHeaders): number[] {
+  const text = readText(headers, 'x-prefix-marks')
+  if (text === null) return []
+  const marks = text.split(',').map(Number)
+  const isAscending = marks.every((mark, i) => Number.isSafeInteger(mark) && mark > (marks[i - 1] ?? 0))
+  if (isAscending && marks.length <= MAX_MARKS) return marks
+  throw new CallerError('header_invalid', `The header x-prefix-marks is "${text}": send up to ${MAX_MARKS} ascending character offsets, such as "1200,3400".`)
+}
+
+function readKey (headers: IncomingHttpHeaders): string | null {
+  const text = readText(headers, 'idempotency-key')
+  if (text === null || (text.length <= MAX_KEY_CHARS && KEY_PATTERN.test(text))) return text
+  throw new CallerError('header_invalid', `The header idempotency-key has ${text.length} characters: send 1 to ${MAX_KEY_CHARS} visible ASCII characters.`)
+}
--- /dev/null
+++ b/packages/knapweedshunt-router/src/routerOptions.ts
@@ -0,0 +1,35 @@
+import type { ListenOptions } from 'knapweedshunt-utils'
+
+/** Options of the router. */
+export interface RouterOptions {
+  vm: string
+  dataCentre: string
+  /** Where callers connect. */
+  caller: ListenOptions
+  /** Where the local control and peer routers connect. */
+  peer: ListenOptions
+  platformUrl: string
+  /** Shared key of the system's own processes. */
+  peerKey: string
+  /** Longest request body, in bytes. */
+  maxBodyBytes: number
+  /** Most requests in flight per endpoint. */
+  endpointWindow: number
+  /** StatsD address; empty for none. */
+  statsdHost: string
+  statsdPort: number
+}
+
+/** Options for loopback. */
+export const DEFAULT_ROUTER_OPTIONS: RouterOptions = {
+  vm: 'vm-1',
+  dataCentre: 'dc-1',
+  caller: { host: '127.0.0.1', port: 0 },
+  peer: { host: '127.0.0.1', port: 0 },
+  platformUrl: 'http://127.0.0.1:7000',
+  peerKey: '',
+  maxBodyBytes: 4 * 1024 * 1024,
+  endpointWindow: 32,
+  statsdHost: '',
+  statsdPort: 8125
+}
--- /dev/null
+++ b/packages/knapweedshunt-router/src/startRouter.ts
@@ -0,0 +1,57 @@
+import http from 'node:http'
+import { createLogger } from 'knapweedshunt-logger'
+import { OrderStore } from 'knapweedshunt-orders'
+import { createPlatformClient, DEFAULT_PLATFORM_TIMEOUT_MS } from 'knapweedshunt-platform'
+import { createRpcHandler } from 'knapweedshunt-rpc'
+import type { RouterSnapshot } from 'knapweedshunt-types'
+import { closeServer, createIncarnation, listen, sendJson } from 'knapweedshunt-utils'
+import { DataPath } from './dataPath.ts'
+import type { RouterOptions } from './routerOptions.ts'
+import { serveCaller } from './serveCaller.ts'
+
+/** A running router. */
+export interface RunningRouter {
+  callerUrl: string
+  peerUrl: string
+  path: DataPath
+  /** Takes no new work, finishes what runs, then closes. */
+  stop (): Promise<void>
+}
+
+/** Starts a router; it is ready when control has handed it a snapshot. */
+export async function startRouter (options: RouterOptions): Promise<RunningRouter> {
+  const incarnation = createIncarnation()
+  const log = createLogger('router')
+  const platform = createPlatformClient({ url: options.platformUrl, timeoutMs: DEFAULT_PLATFORM_TIMEOUT_MS })
+  const path = new DataPath(options, new OrderStore(platform, incarnation), log)
+  let stopping = false
+
+  const callerServer = http.createServer((message, response) => {
+    if (message.url === '/healthz') return sendJson(response, 200, { ok: true })
+    if (message.url === '/readyz') return answerReady(response, path.index !== null && !stopping)
+    if (stopping) response.setHeader('connection', 'close')
+    return serveCaller(path, options.maxBodyBytes, message, response)
+  })
+  const rpc = createRpcHandler({
+    'router.snapshot': params => ({ incarnation, appliedRevision: path.takeSnapshot(params as RouterSnapshot) }),
+    'router.figures': () => path.figures.listRows()
+  }, options.peerKey)
+  const peerServer = http.createServer((message, response) => rpc(message, response))
+
+  const callerUrl = await listen(callerServer, options.caller)
+  const peerUrl = await listen(peerServer, options.peer)
+  log.info('Router listens.', { callerUrl, peerUrl })
+
+  async function stop () {
+    stopping = true
+    await closeServer(callerServer)
+    await closeServer(peerServer)
+    await path.close()
+    log.info('Router stopped.')
+  }
+  return { callerUrl, peerUrl, path, stop }
+}
+
+function answerReady (response: http.ServerResponse, ready: boolean): void {
+  sendJson(response, ready ? 200 : 503, { ready })
+}
--- /dev/null
+++ b/packages/knapweedshunt-router/src/streamSink.ts
@@ -0,0 +1,88 @@
+import type { ServerResponse } from 'node:http'
+import type { Usage, WholeAnswer } from 'knapweedshunt-attempts'
+import { sendJson } from 'knapweedshunt-utils'
+import type { CallerError } from './callerError.ts'
+import type { CallerRequest } from './callerRequest.ts'
+import type { CallerSink } from './callerSink.ts'
+import { buildErrorBody, sendCallerError } from './sendCallerError.ts'
+
+/** Writes a result to the caller: numbered server-sent events, or one whole body. Every stream ends with `[DONE]` or an error event. */
+export class StreamSink implements CallerSink {
+  readonly #response: ServerResponse
+  readonly #request: CallerRequest
+  readonly #stream: boolean
+  readonly #texts: string[] = []
+  #usage: Usage | null = null
+
+  constructor (response: ServerResponse, request: CallerRequest) {
+    this.#response = response
+    this.#request = request
+    this.#stream = request.work.type === 'completion' && request.work.stream
+  }
+
+  deliver (n: number, text: string): void {
+    if (!this.#stream) {
+      this.#texts.push(text)
+      return
+    }
+    this.#open()
+    this.#write(`id: ${n}\ndata: ${JSON.stringify(this.#buildChunk(text, null))}\n\n`)
+  }
+
+  deliverAnswer (answer: WholeAnswer): void {
+    this.#response.writeHead(answer.status, { 'content-type': answer.contentType, 'x-request-id': this.#request.requestId, 'x-ran': 'ran' })
+    this.#response.end(answer.body)
+  }
+
+  finish (usage: Usage | null): void {
+    this.#usage = usage
+    if (this.#request.work.type === 'service' || this.#response.writableEnded) return
+    if (!this.#stream) return sendJson(this.#response, 200, this.#buildWhole(), { 'x-request-id': this.#request.requestId })
+    this.#open()
+    this.#write(`data: ${JSON.stringify(this.#buildChunk('', 'stop'))}\n\n`)
+    this.#response.end('data: [DONE]\n\n')
+  }
+
+  fail (error: CallerError): void {
+    if (!this.#response.headersSent) return sendCallerError(this.#response, error, this.#request.requestId)
+    this.#response.end(`event: error\ndata: ${JSON.stringify(buildErrorBody(error, this.#request.requestId))}\n\n`)
+  }
+
+  #open (): void {
+    if (this.#response.headersSent) return
+    this.#response.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-store', 'x-request-id': this.#request.requestId })
+  }
+
+  #write (text: string): void {
+    if (!this.#response.destroyed) this.#response.write(text)
+  }
+
+  #buildChunk (text: string, finishReason: string | null): object {
+    const isChat = this.#isChat()
+    const choice = isChat ? { index: 0, delta: { content: text }, finish_reason: finishReason } : { index: 0, text, finish_reason: finishReason }
+    const usage = finishReason === null ? {} : { usage: this.#describeUsage() }
+    return { id: this.#request.requestId, object: isChat ? 'chat.completion.chunk' : 'text_completion', choices: [choice], ...usage }
+  }
+
+  #buildWhole (): object {
+    const text = this.#texts.join('')
+    const isChat = this.#isChat()
+    const choice = isChat ? { index: 0, message: { role: 'assistant', content: text }, finish_reason: 'stop' } : { index: 0, text, finish_reason: 'stop' }
+    return { id: this.#request.requestId, object: isChat ? 'chat.completion' : 'text_completion', choices: [choice], usage: this.#describeUsage() }
+  }
+
+  #isChat (): boolean {
+    return this.#request.work.type === 'completion' && this.#request.work.path === '/v1/chat/completions'
+  }
+
+  #describeUsage (): object | null {
+    if (this.#usage === null) return null
+    const { promptTokens, completionTokens, cachedTokens } = this.#usage
+    return {
+      prompt_tokens: promptTokens,
+      completion_tokens: completionTokens,
+      total_tokens: promptTokens + completionTokens,
+      prompt_tokens_details: { cached_tokens: cachedTokens }
+    }
+  }
+}
--- /dev/null
+++ b/packages/knapweedshunt-types/src/loadReport.ts
@@ -0,0 +1,15 @@
+import type { EndpointName, Incarnation, WeightsVersion } from './ids.ts'
+
+/** What an endpoint reports of itself (GET /load). */
+export interface LoadReport {
+  endpoint: EndpointName
+  incarnation: Incarnation
+  /** Null for plain services and engines without weights. */
+  weightsVersion: WeightsVersion | null
+  running: number
+  queued: number
+  /** Prompt tokens waiting to be computed. */
+  queuedTokens: number
+  /** Endpoint's own clock, milliseconds; only for ordering reports of one incarnation. */
+  atMs: number
+}
--- /dev/null
+++ b/packages/knapweedshunt-types/src/priorityClassSpec.ts
@@ -0,0 +1,9 @@
+/** A class of requests in the queues and at the engines. */
+export interface PriorityClassSpec {
+  /** 0 is served first. */
+  rank: number
+  /** Time in queue after which a request counts one rank better, in milliseconds. */
+  ageingMs: number
+  /** Priority number passed to engines; lower runs first. */
+  enginePriority: number
+}
--- /dev/null
+++ b/packages/knapweedshunt-types/src/resourceSnapshot.ts
@@ -0,0 +1,8 @@
+import type { Resource } from './resource.ts'
+import type { Revision } from './ids.ts'
+
+/** All resources at one revision. */
+export interface ResourceSnapshot {
+  revision: Revision
+  resources: Resource[]
+}
--- /dev/null
+++ b/packages/knapweedshunt-utils/src/sendJson.ts
@@ -0,0 +1,9 @@
+import type { OutgoingHttpHeaders, ServerResponse } from 'node:http'
+
+/** Ends a response with a JSON body. */
+export function sendJson (response: ServerResponse, status: number, value: unknown, headers: OutgoingHttpHeaders = {}): void {
+  if (response.destroyed || response.writableEnded) return
+  const body = JSON.stringify(value)
+  response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), ...headers })
+  response.end(body)
+}
