--- /dev/null
+++ b/packages/knapweedshunt-admission/src/waitingRequest.ts
@@ -0,0 +1,9 @@
+import type { AdmissionRequest } from './admissionTypes.ts'
+
+/** A request in a queue. */
+export interface WaitingRequest {
+  request: AdmissionRequest
+  weight: number
+  /** By the monotonic clock, milliseconds. */
+  offeredAtMs: number
+}
--- a/packages/knapweedshunt-attempts/src/attemptMachine.ts
+++ b/packages/knapweedshunt-attempts/src/attemptMachine.ts
@@ -1,95 +1,227 @@
-import type { AttemptId, EndpointName } from 'knapweedshunt-types'
+import type { AttemptId, EndpointName, Ran, WeightsVersion } from 'knapweedshunt-types'
+import { createRng } from 'knapweedshunt-utils'
+import type { Rng } from 'knapweedshunt-utils'
 import { match } from 'ts-pattern'
-import type { AttemptAction, AttemptEvent, FailureCode, Usage } from './attemptTypes.ts'
-
-/** Options of one request. */
-export interface AttemptOptions {
-  requestId: string
-  /** Whether the request may be sent again after a byte of it was sent. */
-  repeatable: boolean
-  /** First token the caller wants. */
-  resumeFrom: number
-  maxAttempts: number
-}
+import type { AttemptOptions } from './attemptOptions.ts'
+import type { AttemptAction, AttemptEvent, BreakReason, FailureCode, Usage } from './attemptTypes.ts'
+import type { LiveAttempt } from './liveAttempt.ts'
+import type { RetryPermit } from './retryPermit.ts'
+
+type EventOf<T extends AttemptEvent['type']> = Extract<AttemptEvent, { type: T }>
+
+/** Statuses by which an engine says that it did not start. */
+const NOT_STARTED_STATUSES = [429, 503]
 
-/** Attempts of one request on successive endpoints. Opens nothing; one action list per event. */
+/**
+ * Attempts of one request on successive endpoints. Opens nothing; one action list per event.
+ * Each token is delivered once and in order, whatever attempts bring; after the result every event is dropped.
+ */
 export class AttemptMachine {
   readonly #options: AttemptOptions
-  readonly #excluded: EndpointName[] = []
-  #present: AttemptId | null = null
-  #attempts = 0
+  readonly #takePermit: RetryPermit
+  readonly #rng: Rng
+  readonly #live = new Map<AttemptId, LiveAttempt>()
+  readonly #excluded = new Set<EndpointName>()
+  #opened = 0
+  #placed = 0
+  #retries = 0
   #sent = false
   #next: number
+  #weightsVersion: WeightsVersion = ''
   #usage: Usage | null = null
   #over = false
 
-  constructor (options: AttemptOptions) {
+  constructor (options: AttemptOptions, takePermit: RetryPermit) {
     this.#options = options
+    this.#takePermit = takePermit
+    this.#rng = createRng(options.seed)
     this.#next = options.resumeFrom
   }
 
-  /** First action. */
+  /** First actions. */
   start (): AttemptAction[] {
-    return this.#placeNext()
+    const { hedgeAfterMs, repeatable } = this.#options
+    const hedge: AttemptAction[] = hedgeAfterMs !== null && repeatable ? [{ type: 'hedgeAfter', ms: hedgeAfterMs }] : []
+    return [...this.#placeNext(), ...hedge]
   }
 
-  /** Takes an event; events of superseded attempts are dropped. */
+  /** Takes an event; those of attempts that are over are dropped. */
   take (event: AttemptEvent): AttemptAction[] {
     if (this.#over) return []
-    if ('attempt' in event && event.attempt !== this.#present) return []
+    if ('attempt' in event && !this.#live.has(event.attempt)) return []
     return match(event)
-      .with({ type: 'placed' }, ({ endpoint }) => {
-        this.#excluded.push(endpoint)
-        return []
-      })
-      .with({ type: 'unplaceable' }, () => this.#fail('no_endpoint'))
-      .with({ type: 'refused' }, () => this.#placeNext())
-      .with({ type: 'head' }, () => {
-        this.#sent = true
-        return []
-      })
-      .with({ type: 'token' }, ({ n, text }) => this.#deliver(n, text))
-      .with({ type: 'usage' }, ({ usage }) => {
-        this.#usage = usage
-        return []
-      })
+      .with({ type: 'placed' }, placed => this.#notePlaced(placed))
+      .with({ type: 'unplaceable' }, ({ attempt, reason }) => this.#skip(attempt, reason))
+      .with({ type: 'quarantined' }, ({ retryAfterMs }) => this.#fail('request_quarantined', retryAfterMs))
+      .with({ type: 'refused' }, ({ attempt }) => this.#moveOn(attempt, 'endpoint_failed'))
+      .with({ type: 'head' }, head => this.#noteHead(head))
+      .with({ type: 'token' }, token => this.#deliver(token))
+      .with({ type: 'usage' }, ({ usage }) => this.#noteUsage(usage))
       .with({ type: 'answer' }, ({ answer }) => this.#close([{ type: 'deliverAnswer', answer }, { type: 'finish', usage: null }]))
-      .with({ type: 'end' }, () => this.#close([{ type: 'finish', usage: this.#usage }]))
-      .with({ type: 'broken' }, () => this.#retryBroken())
-      .with({ type: 'callerGone' }, () => this.#close(this.#cancelPresent()))
-      .with({ type: 'deadline' }, () => [...this.#cancelPresent(), ...this.#fail('deadline_exceeded')])
+      .with({ type: 'end' }, ({ attempt }) => this.#finish(attempt))
+      .with({ type: 'rejected' }, rejected => this.#noteRejected(rejected))
+      .with({ type: 'broken' }, ({ attempt, reason }) => this.#noteBroken(attempt, reason))
+      .with({ type: 'stalled' }, ({ attempt }) => this.#noteLost(attempt, [{ type: 'cancel', attempt }]))
+      .with({ type: 'waited' }, ({ attempt }) => [this.#place(attempt)])
+      .with({ type: 'hedgeDue' }, () => this.#hedge())
+      .with({ type: 'callerGone' }, () => this.#close([]))
+      .with({ type: 'deadline' }, () => this.#fail('deadline_exceeded'))
       .exhaustive()
   }
 
-  #deliver (n: number, text: string): AttemptAction[] {
+  #notePlaced ({ attempt, endpoint, incarnation }: EventOf<'placed'>): AttemptAction[] {
+    this.#live.set(attempt, { attempt, endpoint, incarnation, weightsVersion: '' })
+    this.#excluded.add(endpoint)
+    this.#placed++
+    return []
+  }
+
+  /** Tokens of other weights do not continue those already delivered. */
+  #noteHead ({ attempt, incarnation, weightsVersion }: EventOf<'head'>): AttemptAction[] {
+    this.#sent = true
+    const live = this.#live.get(attempt)!
+    this.#live.set(attempt, { ...live, incarnation: incarnation || live.incarnation, weightsVersion })
+    const isOther = this.#weightsVersion !== '' && weightsVersion !== '' && weightsVersion !== this.#weightsVersion
+    if (!isOther || !this.#hasDelivered()) return []
+    return [{ type: 'cancel', attempt }, ...this.#moveOn(attempt, 'weights_changed')]
+  }
+
+  #deliver ({ attempt, n, text }: EventOf<'token'>): AttemptAction[] {
     if (n < this.#next) return []
-    if (n > this.#next) return [...this.#cancelPresent(), ...this.#retryBroken()]
+    if (n > this.#next || !Number.isSafeInteger(n)) return this.#noteLost(attempt, [{ type: 'cancel', attempt }])
     this.#next++
-    return [{ type: 'deliver', n, text }]
+    this.#weightsVersion = this.#live.get(attempt)!.weightsVersion
+    return [...this.#cancelOthers(attempt), { type: 'deliver', n, text }]
+  }
+
+  #noteUsage (usage: Usage): AttemptAction[] {
+    this.#usage = usage
+    return []
   }
 
-  #retryBroken (): AttemptAction[] {
+  /** An end without usage, or with fewer tokens than it counts, is not the whole stream. */
+  #finish (attempt: AttemptId): AttemptAction[] {
+    const isWhole = this.#usage !== null && this.#usage.completionTokens <= this.#next
+    if (!isWhole) return this.#noteLost(attempt, [])
+    return this.#close([{ type: 'finish', usage: this.#usage }])
+  }
+
+  #noteRejected ({ attempt, status, retryAfterMs, message }: EventOf<'rejected'>): AttemptAction[] {
+    if (NOT_STARTED_STATUSES.includes(status)) return this.#moveOnWithin(attempt, retryAfterMs)
+    if (status >= 400 && status < 500) return this.#passOn(attempt, message)
+    return this.#noteLost(attempt, [])
+  }
+
+  /** The engine's verdict on the request itself, which another endpoint would repeat. */
+  #passOn (attempt: AttemptId, message: string): AttemptAction[] {
+    this.#live.delete(attempt)
+    return this.#close([{ type: 'fail', code: 'endpoint_rejected', ran: this.#nameRan(), retryAfterMs: null, message }])
+  }
+
+  #moveOnWithin (attempt: AttemptId, retryAfterMs: number | null): AttemptAction[] {
+    if (this.#takePermit()) return this.#moveOn(attempt, 'endpoint_overloaded')
+    return this.#drop(attempt, () => this.#fail('endpoint_overloaded', retryAfterMs ?? undefined))
+  }
+
+  #noteBroken (attempt: AttemptId, reason: BreakReason): AttemptAction[] {
+    const { endpoint } = this.#live.get(attempt)!
+    const isCrash = endpoint !== null && (reason === 'reset' || reason === 'lost')
+    return this.#noteLost(attempt, isCrash ? [{ type: 'crashed', attempt, endpoint }] : [{ type: 'cancel', attempt }])
+  }
+
+  /** Bytes of the request were sent and its result will not come. */
+  #noteLost (attempt: AttemptId, before: AttemptAction[]): AttemptAction[] {
     this.#sent = true
-    return this.#options.repeatable ? this.#placeNext() : this.#fail('endpoint_failed')
+    return [...before, ...this.#drop(attempt, () => this.#retry())]
+  }
+
+  #retry (): AttemptAction[] {
+    if (!this.#options.repeatable) return this.#fail('endpoint_failed')
+    if (!this.#hasAttempts()) return this.#fail('endpoint_failed')
+    return this.#takePermit() ? this.#placeLater('endpoint_failed') : this.#fail('retry_budget_spent')
+  }
+
+  /** Nothing of this attempt ran, so any request may go to another endpoint. */
+  #moveOn (attempt: AttemptId, code: FailureCode): AttemptAction[] {
+    return this.#drop(attempt, () => this.#hasAttempts() ? this.#placeNext() : this.#fail(code))
+  }
+
+  #skip (attempt: AttemptId, reason: 'no-endpoint' | 'all-excluded'): AttemptAction[] {
+    return this.#drop(attempt, () => {
+      if (reason === 'no-endpoint' || this.#excluded.size === 0 || !this.#hasAttempts()) return this.#fail('no_endpoint')
+      this.#excluded.clear()
+      return this.#placeLater('no_endpoint')
+    })
+  }
+
+  /** Ends an attempt; what follows is left to another one that is under way. */
+  #drop (attempt: AttemptId, follow: () => AttemptAction[]): AttemptAction[] {
+    this.#live.delete(attempt)
+    return this.#live.size > 0 ? [] : follow()
+  }
+
+  #hedge (): AttemptAction[] {
+    const [only] = this.#live.values()
+    const isWaiting = this.#live.size === 1 && only.endpoint !== null && !this.#hasDelivered() && this.#retries === 0
+    if (!isWaiting || !this.#hasAttempts() || !this.#takePermit()) return []
+    return this.#placeNext()
   }
 
   #placeNext (): AttemptAction[] {
-    if (this.#attempts >= this.#options.maxAttempts) return this.#fail('endpoint_failed')
-    this.#attempts++
-    this.#present = `${this.#options.requestId}-${this.#attempts}`
-    return [{ type: 'place', attempt: this.#present, excluded: [...this.#excluded], resumeFrom: this.#next }]
+    return [this.#place(this.#open())]
+  }
+
+  /** Waits with jitter before the next attempt; a wait past the deadline is a failure at once. */
+  #placeLater (code: FailureCode): AttemptAction[] {
+    const { backOffMs, maxBackOffMs, deadlineAtMs } = this.#options
+    const base = Math.min(maxBackOffMs, backOffMs * 2 ** this.#retries)
+    const ms = Math.round(base * (0.5 + this.#rng.float()))
+    this.#retries++
+    if (performance.now() + ms >= deadlineAtMs) return this.#fail(code)
+    return [{ type: 'wait', attempt: this.#open(), ms }]
+  }
+
+  #open (): AttemptId {
+    this.#opened++
+    const attempt = `${this.#options.requestId}-${this.#opened}`
+    this.#live.set(attempt, { attempt, endpoint: null, incarnation: '', weightsVersion: '' })
+    return attempt
+  }
+
+  #place (attempt: AttemptId): AttemptAction {
+    return { type: 'place', attempt, excluded: [...this.#excluded], resumeFrom: this.#next }
+  }
+
+  #hasAttempts (): boolean {
+    return this.#placed < this.#options.maxAttempts
+  }
+
+  #hasDelivered (): boolean {
+    return this.#next > this.#options.resumeFrom
+  }
+
+  #cancelOthers (winner: AttemptId): AttemptAction[] {
+    const others = [...this.#live.keys()].filter(attempt => attempt !== winner)
+    for (const attempt of others) this.#live.delete(attempt)
+    return others.map(attempt => ({ type: 'cancel', attempt }))
   }
 
-  #cancelPresent (): AttemptAction[] {
-    return this.#present === null ? [] : [{ type: 'cancel', attempt: this.#present }]
+  /** Bytes may have been sent as soon as an attempt was placed, until the endpoint is known not to have started. */
+  #nameRan (): Ran {
+    const isUnderWay = [...this.#live.values()].some(live => live.endpoint !== null)
+    return this.#sent || isUnderWay ? 'may-have-run' : 'not-run'
   }
 
-  #fail (code: FailureCode): AttemptAction[] {
-    return this.#close([{ type: 'fail', code, ran: this.#sent ? 'may-have-run' : 'not-run' }])
+  #fail (code: FailureCode, retryAfterMs: number = this.#options.retryAfterMs): AttemptAction[] {
+    const jittered = Math.round(retryAfterMs * (1 + this.#rng.float()))
+    return this.#close([{ type: 'fail', code, ran: this.#nameRan(), retryAfterMs: jittered, message: null }])
   }
 
+  /** Ends the request; whatever is under way is cancelled first. */
   #close (actions: AttemptAction[]): AttemptAction[] {
     this.#over = true
-    return actions
+    const cancels = [...this.#live.keys()].map<AttemptAction>(attempt => ({ type: 'cancel', attempt }))
+    this.#live.clear()
+    return [...cancels, ...actions]
   }
 }
--- a/packages/knapweedshunt-fakes/src/serveCompletion.ts
+++ b/packages/knapweedshunt-fakes/src/serveCompletion.ts
@@ -4,28 +4,31 @@
 import { engineRequestSchema, joinPrompt } from './engineRequest.ts'
 import type { EngineRequest } from './engineRequest.ts'
 import type { EngineState } from './engineState.ts'
+import { writeTokens } from './writeTokens.ts'
 
 const MAX_BODY_BYTES = 16 * 1024 * 1024
-const WORDS = ['lift', 'floor', 'room', 'towel', 'door', 'panel', 'labour', 'code']
 
 /** Runs one completion as an event stream: numbered token events, a usage event, `[DONE]`. */
 export async function serveCompletion (state: EngineState, request: IncomingMessage, response: ServerResponse, crash: () => void): Promise<void> {
   const body = engineRequestSchema.safeParse(parseJson(await readBody(request, MAX_BODY_BYTES)))
   if (!body.success) return sendJson(response, 400, { error: { message: body.error.issues[0].message } })
   const prompt = joinPrompt(body.data)
-  if (state.faults.crashOnText !== '' && prompt.includes(state.faults.crashOnText)) return crash()
-  if (state.faults.hang) return
+  const { faults } = state
+  if (faults.crashOnText !== '' && prompt.includes(faults.crashOnText)) return crash()
+  if (faults.rejectStatus !== 0) return sendJson(response, faults.rejectStatus, { error: { message: 'refused by the stand-in' } })
   state.started++
+  if (faults.hang) return
+  if (faults.plainAnswer) return sendJson(response, 200, { text: 'whole' })
   state.running++
   const born = state.incarnation
   try {
-    await streamCompletion(state, body.data, prompt, request, response)
+    await streamCompletion(state, body.data, prompt, request, response, crash)
   } finally {
     if (state.incarnation === born) state.running--
   }
 }
 
-async function streamCompletion (state: EngineState, body: EngineRequest, prompt: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
+async function streamCompletion (state: EngineState, body: EngineRequest, prompt: string, request: IncomingMessage, response: ServerResponse, crash: () => void): Promise<void> {
   const attempt = String(request.headers['x-attempt-id'] ?? '')
   const tokens = cutTokens(prompt)
   const cachedTokens = await computePrompt(state, body, tokens)
@@ -35,14 +38,8 @@
     'x-endpoint-incarnation': state.incarnation,
     'x-weights-version': state.weightsVersion
   })
-  const digest = hashText(prompt, String(body.seed))
-  for (let n = body.resume_from; n < body.max_tokens; n++) {
-    await sleep(state.options.tokenMs + state.faults.slowMs)
-    if (response.destroyed || state.cancelled.delete(attempt)) return response.destroy() as unknown as void
-    if (n - body.resume_from === state.faults.resetAfterTokens) return response.destroy() as unknown as void
-    const text = `${WORDS[parseInt(digest.slice(n % 60, n % 60 + 2), 16) % WORDS.length]}${n} `
-    response.write(`id: ${n}\ndata: ${JSON.stringify({ text })}\n\n`)
-  }
+  const whole = await writeTokens(state, { attempt, body, digest: hashText(prompt, String(body.seed)), crash }, response)
+  if (!whole) return
   const usage = { prompt_tokens: tokens.length, completion_tokens: body.max_tokens, prompt_tokens_details: { cached_tokens: cachedTokens } }
   response.end(`data: ${JSON.stringify({ finish_reason: 'stop', usage })}\n\ndata: [DONE]\n\n`)
 }
--- a/packages/knapweedshunt-router/src/admissionGate.ts
+++ b/packages/knapweedshunt-router/src/admissionGate.ts
@@ -1,28 +1,56 @@
-import { Admission } from 'knapweedshunt-admission'
-import type { AdmissionAction, AdmissionEvent } from 'knapweedshunt-admission'
-import type { RequestId, RouterSnapshot } from 'knapweedshunt-types'
+import { Admission, DEFAULT_ADMISSION_OPTIONS } from 'knapweedshunt-admission'
+import type { AdmissionAction, AdmissionEvent, Demand, RefusalCode } from 'knapweedshunt-admission'
+import type { AttemptId, EndpointName, PoolName, RequestId, RouterSnapshot } from 'knapweedshunt-types'
 import { match } from 'ts-pattern'
 import { CallerError } from './callerError.ts'
+import type { CallerCode } from './callerError.ts'
 import type { CallerRequest } from './callerRequest.ts'
+import type { EndpointTable } from './endpointTable.ts'
+import { countVms, listClasses, listRules } from './readRules.ts'
 
 interface Waiter {
   admit (): void
   refuse (error: CallerError): void
 }
 
+/** Options of the gate. */
+export interface GateOptions {
+  vm: string
+  seed: number
+  /** Most requests in flight per endpoint. */
+  endpointWindow: number
+}
+
+const CODES: Record<RefusalCode, CallerCode> = {
+  no_capacity: 'no_endpoint',
+  queue_full: 'queue_full',
+  deadline_unreachable: 'deadline_unreachable',
+  limit_exceeded: 'limit_exceeded'
+}
+
+const MESSAGES: Record<RefusalCode, string> = {
+  no_capacity: 'No endpoint can take requests now; the request was not started: try again later.',
+  queue_full: 'The queue is full; the request was not started: try again later.',
+  deadline_unreachable: 'The request cannot start before its deadline and was not started: try again later, or with more time.',
+  limit_exceeded: 'The organisation\'s limit is used up; the request was not started: try again later.'
+}
+
 /** Holds requests until the admission decides. */
 export class AdmissionGate {
-  readonly #admission = new Admission()
+  readonly #admission: Admission
   readonly #waiters = new Map<RequestId, Waiter>()
-  readonly #endpointWindow: number
+  #pools: PoolName[] = []
+  #timer: NodeJS.Timeout | undefined
 
-  constructor (endpointWindow: number) {
-    this.#endpointWindow = endpointWindow
+  constructor ({ vm, seed, endpointWindow }: GateOptions) {
+    const { window } = DEFAULT_ADMISSION_OPTIONS
+    const initial = Math.min(window.initial, endpointWindow)
+    this.#admission = new Admission({ ...DEFAULT_ADMISSION_OPTIONS, vm, seed, window: { ...window, initial, max: endpointWindow } })
   }
 
   /** Resolves when the request may start; rejects with CallerError when refused or the caller left. */
   async enter (request: CallerRequest, signal: AbortSignal): Promise<void> {
-    const { requestId, organisation, pool, priorityClass, deadlineAtMs } = request
+    const { requestId, organisation, pool, priorityClass, deadlineAtMs, levels } = request
     const leave = () => {
       this.#take({ type: 'left', requestId })
       this.#waiters.get(requestId)?.refuse(new CallerError('deadline_unreachable', 'The caller left.'))
@@ -31,7 +59,7 @@
     try {
       await new Promise<void>((resolve, reject) => {
         this.#waiters.set(requestId, { admit: resolve, refuse: reject })
-        this.#take({ type: 'offered', request: { requestId, organisation, pool, priorityClass, deadlineAtMs } })
+        this.#take({ type: 'offered', request: { requestId, organisation, pool, priorityClass, deadlineAtMs, tokens: levels.at(-1)?.tokens ?? 0 } })
         if (signal.aborted) leave()
       })
     } finally {
@@ -45,24 +73,78 @@
     this.#take({ type: 'released', requestId })
   }
 
-  /** Takes the pools' capacity from a snapshot. */
-  takeSnapshot (snapshot: RouterSnapshot): void {
-    const counts = new Map<string, number>()
-    for (const resource of snapshot.resources.resources) {
-      if (resource.kind === 'Endpoint') counts.set(resource.spec.pool, (counts.get(resource.spec.pool) ?? 0) + this.#endpointWindow)
-    }
-    for (const [pool, concurrent] of counts) this.#take({ type: 'capacity', pool, concurrent })
+  /** An attempt went to an endpoint. */
+  noteStarted (attempt: AttemptId, endpoint: EndpointName): void {
+    this.#take({ type: 'attemptStarted', attempt, endpoint })
+  }
+
+  /** An attempt is over. */
+  noteFinished (attempt: AttemptId): void {
+    this.#take({ type: 'attemptFinished', attempt })
+  }
+
+  /** Takes the delay to an attempt's first token. */
+  noteDelay (endpoint: EndpointName, firstTokenMs: number, tokens: number): void {
+    this.#take({ type: 'delay', endpoint, firstTokenMs, tokens })
+  }
+
+  /** An endpoint has too much work or gave nothing in time. */
+  noteOverloaded (endpoint: EndpointName): void {
+    this.#take({ type: 'overloaded', endpoint })
+  }
+
+  /** Takes a peer's demand. */
+  noteDemand (vm: string, demands: Demand[]): void {
+    this.#take({ type: 'demand', vm, demands })
+  }
+
+  /** This VM's demand of limited organisations. */
+  listDemands (): Demand[] {
+    return this.#admission.listDemands()
+  }
+
+  /** Endpoints of a pool that have all they should have. */
+  listFull (pool: PoolName): EndpointName[] {
+    return this.#admission.listFull(pool)
+  }
+
+  /** Requests running and waiting, and attempts in flight. */
+  countRequests (): { running: number, waiting: number, attempts: number } {
+    return this.#admission.countRequests()
+  }
+
+  /** Takes rules and usable endpoints; `silentMs` is the time after which an unheard VM counts as silent. */
+  takeSnapshot (snapshot: RouterSnapshot, table: EndpointTable, silentMs: number): void {
+    const { resources } = snapshot.resources
+    this.#take({ type: 'classes', classes: listClasses(resources) })
+    this.#take({ type: 'rules', rules: listRules(resources) })
+    this.#take({ type: 'vms', count: countVms(snapshot), silentMs })
+    const pools = new Set([...this.#pools, ...table.listPools()])
+    this.#pools = table.listPools()
+    for (const pool of pools) this.#take({ type: 'endpoints', pool, endpoints: table.listUsable(pool) })
+  }
+
+  /** Stops the clock. */
+  close (): void {
+    clearTimeout(this.#timer)
   }
 
   #take (event: AdmissionEvent): void {
     for (const action of this.#admission.take(event)) this.#perform(action)
+    this.#setTimer()
+  }
+
+  #setTimer (): void {
+    clearTimeout(this.#timer)
+    const nextMs = this.#admission.findNextTick()
+    if (nextMs !== Infinity) this.#timer = setTimeout(() => this.#take({ type: 'tick' }), Math.max(1, Math.ceil(nextMs - performance.now())))
   }
 
   #perform (action: AdmissionAction): void {
     match(action)
       .with({ type: 'admit' }, ({ requestId }) => this.#waiters.get(requestId)?.admit())
       .with({ type: 'refuse' }, ({ requestId, code, retryAfterMs }) => {
-        this.#waiters.get(requestId)?.refuse(new CallerError(code, 'The request was not started: try again later.', 'not-run', retryAfterMs))
+        this.#waiters.get(requestId)?.refuse(new CallerError(CODES[code], MESSAGES[code], 'not-run', retryAfterMs))
       })
       .exhaustive()
   }
--- /dev/null
+++ b/packages/knapweedshunt-router/src/answerClientError.ts
@@ -0,0 +1,38 @@
+import type { Duplex } from 'node:stream'
+import { createIncarnation } from 'knapweedshunt-utils'
+import { CALLER_CODES, CallerError } from './callerError.ts'
+import { buildErrorBody } from './sendCallerError.ts'
+
+const REASONS: Record<number, string> = { 400: 'Bad Request', 408: 'Request Timeout', 431: 'Request Header Fields Too Large' }
+
+/** Answers a request that Node's parser gave up on, when no answer was begun, and closes the connection. */
+export function answerClientError (error: NodeJS.ErrnoException, socket: Duplex, isAnswering: boolean): void {
+  if (!socket.writable || isAnswering || error.code === 'ECONNRESET') {
+    socket.destroy()
+    return
+  }
+  const shown = describeClientError(error.code)
+  const { status } = CALLER_CODES[shown.code]
+  const requestId = createIncarnation()
+  const body = JSON.stringify(buildErrorBody(shown, requestId))
+  const head = [
+    `HTTP/1.1 ${status} ${REASONS[status]}`,
+    'content-type: application/json',
+    `content-length: ${Buffer.byteLength(body)}`,
+    `x-request-id: ${requestId}`,
+    'x-ran: not-run',
+    'connection: close'
+  ]
+  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`)
+}
+
+function describeClientError (code: string | undefined): CallerError {
+  switch (code) {
+    case 'HPE_HEADER_OVERFLOW':
+      return new CallerError('headers_too_large', 'The headers are too large: send fewer or shorter ones.')
+    case 'ERR_HTTP_REQUEST_TIMEOUT':
+      return new CallerError('request_too_slow', 'The request did not arrive whole in time: send it faster.')
+    default:
+      return new CallerError('request_unreadable', 'The request is not valid HTTP, or ended early: send all of it.')
+  }
+}
--- a/packages/knapweedshunt-router/src/buildEndpointCall.ts
+++ b/packages/knapweedshunt-router/src/buildEndpointCall.ts
@@ -16,7 +16,7 @@
   const common: Record<string, string> = { 'x-attempt-id': attempt, 'x-request-id': request.requestId, 'x-timeout-ms': String(timeoutMs) }
   return match(request.work)
     .with({ type: 'completion' }, work => {
-      const body = JSON.stringify({ ...work.body, stream: true, cache_salt: work.salt, priority: request.enginePriority, seed: work.seed, resume_from: resumeFrom })
+      const body = JSON.stringify({ ...work.body, stream: true, cache_salt: call.salt, priority: request.enginePriority, seed: work.seed, resume_from: resumeFrom })
       return { method: 'POST', path: work.path, headers: addLength({ ...common, 'content-type': 'application/json' }, body), body }
     })
     .with({ type: 'service' }, work => {
--- /dev/null
+++ b/packages/knapweedshunt-router/src/buildFailure.ts
@@ -0,0 +1,19 @@
+import type { AttemptAction, FailureCode } from 'knapweedshunt-attempts'
+import { CallerError } from './callerError.ts'
+
+const MESSAGES: Record<FailureCode, string> = {
+  no_endpoint: 'No endpoint can take the request now: try again later.',
+  endpoint_failed: 'The endpoint failed while it had the request.',
+  endpoint_rejected: 'The endpoint refused the request',
+  endpoint_overloaded: 'The endpoints have too much work: try again later.',
+  retry_budget_spent: 'The endpoint failed, and the organisation\'s retries are used up: try again later.',
+  request_quarantined: 'The request was in flight at two endpoint crashes and is not run for now: change it, or try again later.',
+  weights_changed: 'The model\'s weights changed while the answer was being sent: ask again from the start.',
+  deadline_exceeded: 'The deadline passed.'
+}
+
+/** Builds the caller's error of a failed request. */
+export function buildFailure ({ code, ran, retryAfterMs, message }: Extract<AttemptAction, { type: 'fail' }>): CallerError {
+  const text = message === null ? MESSAGES[code] : `${MESSAGES[code]}: ${message}`
+  return new CallerError(code, text, ran, retryAfterMs)
+}
--- a/packages/knapweedshunt-router/src/callerError.ts
+++ b/packages/knapweedshunt-router/src/callerError.ts
@@ -1,4 +1,3 @@
-import ModernError from 'modern-errors'
 import type { ErrorBody, Ran } from 'knapweedshunt-types'
 
 /** Stable codes of answers to callers, with HTTP status and class. */
@@ -22,6 +21,15 @@
   deadline_exceeded: { status: 504, type: 'server_error' },
   no_endpoint: { status: 503, type: 'server_error' },
   endpoint_failed: { status: 502, type: 'server_error' },
+  endpoint_rejected: { status: 400, type: 'invalid_request_error' },
+  endpoint_overloaded: { status: 503, type: 'server_error' },
+  retry_budget_spent: { status: 503, type: 'server_error' },
+  request_quarantined: { status: 422, type: 'invalid_request_error' },
+  weights_changed: { status: 503, type: 'server_error' },
+  shutting_down: { status: 503, type: 'server_error' },
+  request_unreadable: { status: 400, type: 'invalid_request_error' },
+  request_too_slow: { status: 408, type: 'invalid_request_error' },
+  headers_too_large: { status: 431, type: 'invalid_request_error' },
   not_ready: { status: 503, type: 'server_error' },
   internal: { status: 500, type: 'server_error' }
 } as const satisfies Record<string, { status: number, type: ErrorBody['error']['type'] }>
@@ -29,14 +37,15 @@
 /** One of {@link CALLER_CODES}. */
 export type CallerCode = keyof typeof CALLER_CODES
 
-/** Error that is answered to a caller. */
-export class CallerError extends ModernError {
+/** Error that is answered to a caller. A plain class, since modern-errors lets no class demand fields of its own from the constructor. */
+export class CallerError extends Error {
   readonly code: CallerCode
   readonly ran: Ran
   readonly retryAfterMs: number | null
 
   constructor (code: CallerCode, message: string, ran: Ran = 'not-run', retryAfterMs: number | null = null) {
     super(message)
+    this.name = 'CallerError'
     this.code = code
     this.ran = ran
     this.retryAfterMs = retryAfterMs
--- a/packages/knapweedshunt-router/src/callerRequest.ts
+++ b/packages/knapweedshunt-router/src/callerRequest.ts
@@ -1,8 +1,9 @@
+import type { LevelSalt } from 'knapweedshunt-placement'
 import type { OrganisationName, PoolName, PrefixLevel, RequestId } from 'knapweedshunt-types'
 
 /** What the endpoint is to do. */
 export type CallerWork =
-  | { type: 'completion', path: '/v1/completions' | '/v1/chat/completions', body: Record<string, unknown>, stream: boolean, salt: string, seed: number }
+  | { type: 'completion', path: '/v1/completions' | '/v1/chat/completions', body: Record<string, unknown>, stream: boolean, salt: LevelSalt, seed: number }
   | { type: 'service', method: string, path: string, contentType: string, body: string }
 
 /** A checked request of a caller. */
@@ -17,6 +18,8 @@
   /** May run more than once. */
   repeatable: boolean
   /** By the monotonic clock, milliseconds. */
+  receivedAtMs: number
+  /** By the monotonic clock, milliseconds. */
   deadlineAtMs: number
   /** Empty for services. */
   levels: PrefixLevel[]
--- a/packages/knapweedshunt-router/src/callerSink.ts
+++ b/packages/knapweedshunt-router/src/callerSink.ts
@@ -7,4 +7,6 @@
   deliverAnswer (answer: WholeAnswer): void
   finish (usage: Usage | null): void
   fail (error: CallerError): void
+  /** Resolves when the caller has taken what was delivered, or `signal` aborted; null when there is nothing to wait for. */
+  waitDrain? (signal: AbortSignal): Promise<void> | null
 }
--- a/packages/knapweedshunt-router/src/dataPath.ts
+++ b/packages/knapweedshunt-router/src/dataPath.ts
@@ -1,12 +1,24 @@
 import http from 'node:http'
+import { RetryBudget } from 'knapweedshunt-attempts'
 import type { Logger } from 'knapweedshunt-logger'
 import type { OrderStore } from 'knapweedshunt-orders'
 import { Placement } from 'knapweedshunt-placement'
 import type { RouterSnapshot } from 'knapweedshunt-types'
+import { createIncarnation, createRng } from 'knapweedshunt-utils'
 import { AdmissionGate } from './admissionGate.ts'
+import type { StallLimits } from './attemptCall.ts'
+import { EndpointTable } from './endpointTable.ts'
 import { Figures } from './figures.ts'
+import { HedgeDelays } from './hedgeDelays.ts'
+import { PeerExchange } from './peerExchange.ts'
 import { ResourceIndex } from './resourceIndex.ts'
 import type { RouterOptions } from './routerOptions.ts'
+import { RunningAttempts } from './runningAttempts.ts'
+import { parseSnapshot } from './snapshotSchema.ts'
+import { SuspectGuard } from './suspectGuard.ts'
+
+const MAX_SEED = 2 ** 31 - 1
+const SEED_HEX_DIGITS = 7
 
 /** Parts of the data path that all requests of one router share. */
 export class DataPath {
@@ -16,14 +28,27 @@
   readonly agent = new http.Agent({ keepAlive: true })
   readonly orders: OrderStore
   readonly log: Logger
+  readonly budget = new RetryBudget()
+  readonly hedges = new HedgeDelays()
+  readonly running = new RunningAttempts()
+  readonly suspects: SuspectGuard
+  readonly peers: PeerExchange
+  readonly stall: StallLimits
+  readonly #rng = createRng(parseInt(createIncarnation().slice(0, SEED_HEX_DIGITS), 16))
   #index: ResourceIndex | null = null
+  #snapshot: RouterSnapshot | null = null
+  #endpoints = new EndpointTable(null)
 
   constructor (options: RouterOptions, orders: OrderStore, log: Logger) {
+    const { vm, peerKey, endpointWindow } = options
     this.placement = new Placement(options.dataCentre)
-    this.gate = new AdmissionGate(options.endpointWindow)
+    this.gate = new AdmissionGate({ vm, seed: this.drawSeed(), endpointWindow })
     this.figures = new Figures(options.statsdHost, options.statsdPort)
     this.orders = orders
     this.log = log
+    this.stall = { firstTokenMs: options.firstTokenTimeoutMs, betweenTokensMs: options.tokenTimeoutMs }
+    this.suspects = new SuspectGuard(mark => this.peers.announce(mark))
+    this.peers = new PeerExchange({ vm, peerKey, gate: this.gate, registry: this.suspects.registry, log })
   }
 
   /** Resources in use, null before the first snapshot. */
@@ -31,18 +56,37 @@
     return this.#index
   }
 
-  /** Takes a snapshot of control; an older revision than the one in use is refused. Returns the revision in use. */
-  takeSnapshot (snapshot: RouterSnapshot): number {
+  /** Endpoints of the last snapshot. */
+  get endpoints (): EndpointTable {
+    return this.#endpoints
+  }
+
+  /** Draws a seed for the jitter of one part. */
+  drawSeed (): number {
+    return this.#rng.int(MAX_SEED)
+  }
+
+  /** Takes a snapshot of control; an older revision than the one in use is refused. Returns the revision in use. Throws ZodError on wrong params. */
+  takeSnapshot (params: unknown): number {
+    const snapshot = parseSnapshot(params, this.#snapshot)
     const present = this.#index?.revision ?? 0
-    if (snapshot.resources.revision < present) return present
-    if (this.#index === null || snapshot.resources.revision > present) this.#index = new ResourceIndex(snapshot.resources)
+    const { revision } = snapshot.resources
+    if (revision < present) return present
+    if (this.#index === null || revision > present) this.#index = new ResourceIndex(snapshot.resources)
+    this.#snapshot = snapshot
+    const last = this.#endpoints
+    this.#endpoints = new EndpointTable(snapshot)
+    this.peers.takeVms(snapshot.vms)
     this.placement.take({ type: 'snapshot', snapshot })
-    this.gate.takeSnapshot(snapshot)
-    return snapshot.resources.revision
+    this.gate.takeSnapshot(snapshot, this.#endpoints, this.peers.silentMs)
+    this.running.takeTable(this.#endpoints, last)
+    return revision
   }
 
   /** Frees sockets. */
   async close (): Promise<void> {
+    this.gate.close()
+    await this.peers.close()
     this.agent.destroy()
     await this.figures.close()
   }
--- a/packages/knapweedshunt-router/src/parseCallerRequest.ts
+++ b/packages/knapweedshunt-router/src/parseCallerRequest.ts
@@ -1,12 +1,13 @@
 import type { IncomingMessage } from 'node:http'
-import { cutLevels, hashSalt } from 'knapweedshunt-placement'
+import { cutLevels } from 'knapweedshunt-placement'
 import type { ModelPoolSpec, OrganisationName, ResourceOf } from 'knapweedshunt-types'
-import { BodyTooLargeError, createIncarnation, hashText, parseJson, readBody } from 'knapweedshunt-utils'
+import { createIncarnation, hashText, parseJson } from 'knapweedshunt-utils'
 import type { z } from 'zod'
 import { authenticate } from './authenticate.ts'
 import { CallerError } from './callerError.ts'
 import type { CallerRequest, CallerWork } from './callerRequest.ts'
 import { chatCompletionSchema, completionSchema } from './completionSchema.ts'
+import { readCallerBody } from './readCallerBody.ts'
 import { readHeaders } from './readHeaders.ts'
 import type { CallerHeaders } from './readHeaders.ts'
 import type { ResourceIndex } from './resourceIndex.ts'
@@ -27,15 +28,6 @@
   throw new CallerError('route_unknown', `There is no ${path}: see the callers' guide for the paths.`)
 }
 
-async function readCallerBody (message: IncomingMessage, maxBodyBytes: number): Promise<string> {
-  try {
-    return await readBody(message, maxBodyBytes)
-  } catch (error) {
-    const code = error instanceof BodyTooLargeError ? 'body_too_large' : 'bad_request'
-    throw new CallerError(code, (error as Error).message)
-  }
-}
-
 function parseCompletion (organisation: OrganisationName, headers: CallerHeaders, path: '/v1/completions' | '/v1/chat/completions', text: string, index: ResourceIndex): CallerRequest {
   if (path === '/v1/completions') {
     const body = checkBody(completionSchema, text)
@@ -52,7 +44,7 @@
   const salt = { organisation, model: pool.model, adapter: pool.adapter ?? '', weightsVersion: pool.weightsVersion }
   const digest = hashText(path, JSON.stringify(body))
   const seed = body.seed ?? parseInt(digest.slice(0, SEED_HEX_DIGITS), 16)
-  const work: CallerWork = { type: 'completion', path, body, stream: body.stream, salt: hashSalt(salt), seed }
+  const work: CallerWork = { type: 'completion', path, body, stream: body.stream, salt, seed }
   return { ...buildCommon(organisation, headers, route, index), levels: cutLevels(salt, parts), digest, work }
 }
 
@@ -69,8 +61,9 @@
   const priorityClass = headers.priorityClass ?? route.spec.priorityClass
   const spec = index.findClass(priorityClass)
   if (spec === undefined) throw new CallerError('header_invalid', `The header x-priority-class is "${priorityClass}": send the name of a declared priority class.`)
+  const receivedAtMs = performance.now()
   return {
-    requestId: createIncarnation(),
+    requestId: headers.requestId === null ? createIncarnation() : `${headers.requestId}.${createIncarnation()}`,
     organisation,
     pool: route.spec.pool,
     route: route.name,
@@ -78,7 +71,8 @@
     enginePriority: spec.enginePriority,
     job: route.spec.job,
     repeatable: route.spec.repeatable && !headers.once,
-    deadlineAtMs: performance.now() + Math.min(headers.timeoutMs ?? route.spec.timeoutMs, route.spec.timeoutMs),
+    receivedAtMs,
+    deadlineAtMs: receivedAtMs + Math.min(headers.timeoutMs ?? route.spec.timeoutMs, route.spec.timeoutMs),
     idempotencyKey: headers.idempotencyKey,
     resumeFrom: headers.lastToken + 1
   }
--- /dev/null
+++ b/packages/knapweedshunt-router/src/peerMessages.ts
@@ -0,0 +1,22 @@
+import type { SuspectMark } from 'knapweedshunt-attempts'
+import { z } from 'zod'
+
+/** Most entries of one message. */
+export const MAX_DEMANDS = 16
+export const MAX_MARKS = 256
+
+const text = z.string().min(1).max(255)
+const amount = z.number().nonnegative()
+const demand = z.object({ organisation: text, requestsPerSecond: amount, concurrent: amount })
+const crash = z.object({ endpoint: text, startedAgeMs: amount, crashedAgeMs: amount })
+const mark = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('crashed'), fingerprint: text, crashes: z.array(crash).max(MAX_MARKS) }),
+  z.object({ type: z.literal('quarantined'), fingerprint: text, forMs: amount }),
+  z.object({ type: z.literal('cleared'), fingerprint: text })
+]) satisfies z.ZodType<SuspectMark>
+
+/** Params and result of `router.demand`: what a VM was asked for by limited organisations. */
+export const demandMessageSchema = z.object({ vm: text, demands: z.array(demand).max(MAX_DEMANDS) })
+
+/** Params of `router.marks`: requests that were in flight at a crash, or are clear again. */
+export const marksMessageSchema = z.object({ vm: text, marks: z.array(mark).max(MAX_MARKS) })
--- a/packages/knapweedshunt-router/src/readHeaders.ts
+++ b/packages/knapweedshunt-router/src/readHeaders.ts
@@ -3,10 +3,13 @@
 
 const MAX_KEY_CHARS = 255
 const MAX_MARKS = 16
+const REQUEST_ID_PATTERN = /^[\w.-]{1,64}$/
 const KEY_PATTERN = /^[\x21-\x7e]+$/
 
 /** What callers may say in headers. */
 export interface CallerHeaders {
+  /** The caller's own id of the request, for logs. */
+  requestId: string | null
   priorityClass: string | null
   /** Time the caller waits at most, in milliseconds. */
   timeoutMs: number | null
@@ -22,6 +25,7 @@
 /** Reads and checks the headers. Throws CallerError that names header and value. */
 export function readHeaders (headers: IncomingHttpHeaders): CallerHeaders {
   return {
+    requestId: readRequestId(headers),
     priorityClass: readText(headers, 'x-priority-class'),
     timeoutMs: readInteger(headers, 'x-timeout-ms', 1),
     prefixMarks: readMarks(headers),
@@ -36,6 +40,12 @@
   return typeof value === 'string' && value !== '' ? value : null
 }
 
+function readRequestId (headers: IncomingHttpHeaders): string | null {
+  const text = readText(headers, 'x-request-id')
+  if (text === null || REQUEST_ID_PATTERN.test(text)) return text
+  throw new CallerError('header_invalid', 'The header x-request-id is wrong: send 1 to 64 letters, digits, dots, hyphens or underscores.')
+}
+
 function readInteger (headers: IncomingHttpHeaders, name: string, least: number): number | null {
   const text = readText(headers, name)
   if (text === null) return null
--- /dev/null
+++ b/packages/knapweedshunt-router/src/readRejection.ts
@@ -0,0 +1,30 @@
+import type { IncomingMessage } from 'node:http'
+import type { AttemptEvent } from 'knapweedshunt-attempts'
+import type { AttemptId } from 'knapweedshunt-types'
+import { readBody } from 'knapweedshunt-utils'
+import { z } from 'zod'
+
+const MAX_REJECTION_BYTES = 65_536
+const MAX_MESSAGE_CHARS = 500
+const MS_PER_SECOND = 1_000
+const errorBody = z.object({ error: z.object({ message: z.string() }) })
+
+/** Reads an engine's answer other than 200. */
+export async function readRejection (attempt: AttemptId, message: IncomingMessage): Promise<AttemptEvent> {
+  const status = message.statusCode ?? 0
+  const text = await readBody(message, MAX_REJECTION_BYTES)
+  return { type: 'rejected', attempt, status, retryAfterMs: readRetryAfter(message), message: findMessage(text, status) }
+}
+
+function readRetryAfter (message: IncomingMessage): number | null {
+  const seconds = Number(message.headers['retry-after'])
+  return Number.isFinite(seconds) && seconds >= 0 ? seconds * MS_PER_SECOND : null
+}
+
+function findMessage (text: string, status: number): string {
+  try {
+    return errorBody.parse(JSON.parse(text)).error.message.slice(0, MAX_MESSAGE_CHARS)
+  } catch {
+    return `status ${status}`
+  }
+}
--- a/packages/knapweedshunt-router/src/requestTask.ts
+++ b/packages/knapweedshunt-router/src/requestTask.ts
@@ -1,38 +1,34 @@
-import { AttemptMachine } from 'knapweedshunt-attempts'
-import type { AttemptAction, AttemptEvent, FailureCode, Usage } from 'knapweedshunt-attempts'
-import type { AttemptId, Ran } from 'knapweedshunt-types'
+import { AttemptMachine, DEFAULT_ATTEMPT_OPTIONS } from 'knapweedshunt-attempts'
+import type { AttemptAction, AttemptEvent, Usage } from 'knapweedshunt-attempts'
+import type { EndpointName } from 'knapweedshunt-types'
 import { match } from 'ts-pattern'
-import { runAttempt } from './attemptCall.ts'
-import { CallerError } from './callerError.ts'
+import { AttemptLauncher } from './attemptLauncher.ts'
+import { buildFailure } from './buildFailure.ts'
 import type { CallerRequest } from './callerRequest.ts'
 import type { CallerSink } from './callerSink.ts'
 import type { DataPath } from './dataPath.ts'
 
-const MAX_ATTEMPTS = 4
-const RETRY_AFTER_MS = 1_000
-const MESSAGES: Record<FailureCode, string> = {
-  no_endpoint: 'No endpoint can take the request now: try again later.',
-  endpoint_failed: 'The endpoint failed while it had the request.',
-  deadline_exceeded: 'The deadline passed.'
-}
-
 /** Drives one admitted request to its end: turns actions into calls and calls' events into actions. */
 export class RequestTask {
   readonly #path: DataPath
   readonly #request: CallerRequest
   readonly #sink: CallerSink
   readonly #machine: AttemptMachine
-  readonly #aborts = new Map<AttemptId, AbortController>()
-  readonly #startedAtMs = performance.now()
+  readonly #launcher: AttemptLauncher
+  readonly #timers = new Set<NodeJS.Timeout>()
   readonly #done: Promise<void>
   #resolveDone = () => {}
-  #usage: Usage | null = null
 
   constructor (path: DataPath, request: CallerRequest, sink: CallerSink) {
+    const { requestId, organisation, pool, repeatable, resumeFrom, deadlineAtMs } = request
     this.#path = path
     this.#request = request
     this.#sink = sink
-    this.#machine = new AttemptMachine({ requestId: request.requestId, repeatable: request.repeatable, resumeFrom: request.resumeFrom, maxAttempts: MAX_ATTEMPTS })
+    const isSuspect = path.suspects.check(request).type !== 'clear'
+    const hedgeAfterMs = isSuspect ? null : path.hedges.read(request)
+    const options = { ...DEFAULT_ATTEMPT_OPTIONS, requestId, repeatable, resumeFrom, deadlineAtMs, hedgeAfterMs, seed: path.drawSeed() }
+    this.#machine = new AttemptMachine(options, () => path.budget.take(organisation, pool))
+    this.#launcher = new AttemptLauncher(path, request, sink, event => this.#take(event))
     this.#done = new Promise(resolve => { this.#resolveDone = resolve })
   }
 
@@ -42,62 +38,69 @@
       this.#take({ type: 'callerGone' })
       this.#resolveDone()
     }
-    const timer = setTimeout(() => this.#take({ type: 'deadline' }), Math.max(0, this.#request.deadlineAtMs - performance.now()))
+    this.#takeAfter(Math.max(0, this.#request.deadlineAtMs - performance.now()), { type: 'deadline' })
     signal.addEventListener('abort', onGone, { once: true })
     this.#perform(this.#machine.start())
     if (signal.aborted) onGone()
     await this.#done
-    clearTimeout(timer)
     signal.removeEventListener('abort', onGone)
-    for (const abort of this.#aborts.values()) abort.abort()
+    for (const timer of this.#timers) clearTimeout(timer)
   }
 
   #take (event: AttemptEvent): void {
-    if (event.type === 'usage') this.#usage = event.usage
     this.#perform(this.#machine.take(event))
   }
 
+  #takeAfter (ms: number, event: AttemptEvent): void {
+    const timer = setTimeout(() => {
+      this.#timers.delete(timer)
+      this.#take(event)
+    }, ms)
+    this.#timers.add(timer)
+  }
+
   #perform (actions: AttemptAction[]): void {
     for (const action of actions) this.#performOne(action)
   }
 
   #performOne (action: AttemptAction): void {
     match(action)
-      .with({ type: 'place' }, place => this.#place(place))
-      .with({ type: 'cancel' }, ({ attempt }) => this.#aborts.get(attempt)?.abort())
-      .with({ type: 'deliver' }, ({ n, text }) => {
-        if (n === this.#request.resumeFrom) this.#path.figures.recordFirstToken(this.#request, performance.now() - this.#startedAtMs)
-        this.#sink.deliver(n, text)
-      })
+      .with({ type: 'place' }, place => this.#launcher.place(place))
+      .with({ type: 'wait' }, ({ attempt, ms }) => this.#takeAfter(ms, { type: 'waited', attempt }))
+      .with({ type: 'hedgeAfter' }, ({ ms }) => this.#takeAfter(ms, { type: 'hedgeDue' }))
+      .with({ type: 'cancel' }, ({ attempt }) => this.#launcher.cancel(attempt))
+      .with({ type: 'crashed' }, ({ attempt, endpoint }) => this.#noteCrash(attempt, endpoint))
+      .with({ type: 'deliver' }, ({ n, text }) => this.#deliver(n, text))
       .with({ type: 'deliverAnswer' }, ({ answer }) => this.#sink.deliverAnswer(answer))
-      .with({ type: 'finish' }, ({ usage }) => {
-        this.#path.figures.recordUsage(this.#request, usage)
-        this.#sink.finish(usage)
-        this.#resolveDone()
-      })
-      .with({ type: 'fail' }, ({ code, ran }) => this.#fail(code, ran))
+      .with({ type: 'finish' }, ({ usage }) => this.#finish(usage))
+      .with({ type: 'fail' }, fail => this.#fail(fail))
       .exhaustive()
   }
 
-  #place ({ attempt, excluded, resumeFrom }: Extract<AttemptAction, { type: 'place' }>): void {
-    const { levels, pool } = this.#request
-    const decision = this.#path.placement.place({ pool, levels, excluded })
-    if (decision.type === 'unplaceable') return this.#take({ type: 'unplaceable', attempt })
-    this.#take({ type: 'placed', attempt, endpoint: decision.endpoint })
-    const abort = new AbortController()
-    this.#aborts.set(attempt, abort)
-    this.#path.placement.take({ type: 'started', attempt, endpoint: decision.endpoint, tokens: levels.at(-1)?.tokens ?? 0 })
-    const emit = (event: AttemptEvent) => this.#take(event)
-    runAttempt({ attempt, url: decision.url, request: this.#request, resumeFrom, agent: this.#path.agent, signal: abort.signal, emit })
-      .finally(() => {
-        this.#aborts.delete(attempt)
-        this.#path.placement.take({ type: 'finished', attempt, cachedTokens: this.#usage?.cachedTokens ?? null })
-      })
-      .catch(error => this.#path.log.error('Attempt task failed.', { requestId: this.#request.requestId, reason: String(error) }))
+  #deliver (n: number, text: string): void {
+    if (n === this.#request.resumeFrom) this.#path.figures.recordFirstToken(this.#request, performance.now() - this.#request.receivedAtMs)
+    this.#sink.deliver(n, text)
+  }
+
+  #noteCrash (attempt: string, endpoint: EndpointName): void {
+    const startedAtMs = this.#path.running.find(attempt)?.startedAtMs ?? performance.now()
+    this.#path.log.warn('Endpoint failed under a request.', { requestId: this.#request.requestId, attempt, endpoint })
+    this.#path.suspects.noteCrash(this.#request, endpoint, startedAtMs)
+  }
+
+  #finish (usage: Usage | null): void {
+    const { organisation, pool } = this.#request
+    this.#path.budget.noteSuccess(organisation, pool)
+    this.#path.suspects.noteSuccess(this.#request)
+    this.#path.figures.recordUsage(this.#request, usage)
+    this.#sink.finish(usage)
+    this.#resolveDone()
   }
 
-  #fail (code: FailureCode, ran: Ran): void {
-    this.#sink.fail(new CallerError(code, MESSAGES[code], ran, RETRY_AFTER_MS))
+  #fail (fail: Extract<AttemptAction, { type: 'fail' }>): void {
+    this.#path.figures.recordRefusal(this.#request, fail.code)
+    this.#path.log.info('Request failed.', { requestId: this.#request.requestId, code: fail.code, ran: fail.ran })
+    this.#sink.fail(buildFailure(fail))
     this.#resolveDone()
   }
 }
--- a/packages/knapweedshunt-router/src/routerOptions.ts
+++ b/packages/knapweedshunt-router/src/routerOptions.ts
@@ -15,6 +15,14 @@
   maxBodyBytes: number
   /** Most requests in flight per endpoint. */
   endpointWindow: number
+  /** Longest silence before the first token of a request that may be repeated, in milliseconds. */
+  firstTokenTimeoutMs: number
+  /** Longest silence between tokens of such a request, in milliseconds. */
+  tokenTimeoutMs: number
+  /** Longest time in which a caller's request must arrive whole, in milliseconds. */
+  requestTimeoutMs: number
+  /** Time in which a stopping router still answers on open connections before it closes idle ones, in milliseconds. */
+  drainGraceMs: number
   /** StatsD address; empty for none. */
   statsdHost: string
   statsdPort: number
@@ -30,6 +38,10 @@
   peerKey: '',
   maxBodyBytes: 4 * 1024 * 1024,
   endpointWindow: 32,
+  firstTokenTimeoutMs: 10_000,
+  tokenTimeoutMs: 5_000,
+  requestTimeoutMs: 30_000,
+  drainGraceMs: 500,
   statsdHost: '',
   statsdPort: 8125
 }
--- /dev/null
+++ b/packages/knapweedshunt-router/src/runAttempt.ts
@@ -0,0 +1,45 @@
+import http from 'node:http'
+import { readBody } from 'knapweedshunt-utils'
+import type { AttemptCall } from './attemptCall.ts'
+import { buildEndpointCall } from './buildEndpointCall.ts'
+import { isRefusal, nameBreak } from './endpointError.ts'
+import { readEngineStream } from './readEngineStream.ts'
+import { readRejection } from './readRejection.ts'
+import { StallTimer } from './stallTimer.ts'
+
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024
+const STATUS_OK = 200
+
+/** Sends the request and turns what comes back into events. Never throws. */
+export async function runAttempt (call: AttemptCall): Promise<void> {
+  const { attempt, emit } = call
+  const timer = new StallTimer(call.stall, kind => emit({ type: 'stalled', attempt, kind }))
+  timer.start('first-token')
+  try {
+    const message = await sendAttempt(call)
+    if (call.request.work.type === 'service') await readAnswer(call, message)
+    else if (message.statusCode !== STATUS_OK) emit(await readRejection(attempt, message))
+    else await readEngineStream(call, message, timer)
+  } catch (error) {
+    if (isRefusal(error)) emit({ type: 'refused', attempt })
+    else emit({ type: 'broken', attempt, reason: nameBreak(error) })
+  } finally {
+    timer.stop()
+  }
+}
+
+function sendAttempt (call: AttemptCall): Promise<http.IncomingMessage> {
+  const { path, method, headers, body } = buildEndpointCall(call)
+  return new Promise((resolve, reject) => {
+    const request = http.request(call.url + path, { method, headers, agent: call.agent, signal: call.signal })
+    request.once('response', resolve)
+    request.on('error', reject)
+    request.end(body)
+  })
+}
+
+async function readAnswer (call: AttemptCall, message: http.IncomingMessage): Promise<void> {
+  const body = await readBody(message, MAX_ANSWER_BYTES)
+  const contentType = message.headers['content-type'] ?? 'application/octet-stream'
+  call.emit({ type: 'answer', attempt: call.attempt, answer: { status: message.statusCode ?? 0, contentType, body } })
+}
--- a/packages/knapweedshunt-router/src/serveCaller.ts
+++ b/packages/knapweedshunt-router/src/serveCaller.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { createIncarnation, sendJson } from 'knapweedshunt-utils'
 import { authenticate } from './authenticate.ts'
+import { buildFailure } from './buildFailure.ts'
 import { CallerError } from './callerError.ts'
 import type { CallerRequest } from './callerRequest.ts'
 import type { DataPath } from './dataPath.ts'
@@ -11,6 +12,7 @@
 import { sendCallerError } from './sendCallerError.ts'
 import { StreamSink } from './streamSink.ts'
 
+const RETRY_AFTER_MS = 1_000
 const ORDERS_PATH = '/v1/orders/'
 
 /** Serves one caller request to its end. Never throws. */
@@ -18,7 +20,7 @@
   let requestId = createIncarnation()
   try {
     const index = path.index
-    if (index === null) throw new CallerError('not_ready', 'The router has no resources yet: try again later.')
+    if (index === null) throw new CallerError('not_ready', 'The router has no resources yet: try again later.', 'not-run', RETRY_AFTER_MS)
     if (message.url?.startsWith(ORDERS_PATH)) return await answerOrder(path, index, message, response)
     const request = await parseCallerRequest(message, index, maxBodyBytes)
     requestId = request.requestId
@@ -33,7 +35,7 @@
 async function runRequest (path: DataPath, request: CallerRequest, response: ServerResponse): Promise<void> {
   const gone = new AbortController()
   response.once('close', () => { if (!response.writableFinished) gone.abort() })
-  await path.gate.enter(request, gone.signal)
+  await admitRequest(path, request, gone.signal)
   try {
     const sink = new StreamSink(response, request)
     if (request.repeatable) await new RequestTask(path, request, sink).run(gone.signal)
@@ -43,6 +45,19 @@
   }
 }
 
+/** Refuses a quarantined request, and waits for the admission. Throws CallerError. */
+async function admitRequest (path: DataPath, request: CallerRequest, signal: AbortSignal): Promise<void> {
+  const state = path.suspects.check(request)
+  try {
+    if (state.type === 'quarantined') throw buildFailure({ type: 'fail', code: 'request_quarantined', ran: 'not-run', retryAfterMs: state.retryAfterMs, message: null })
+    await path.gate.enter(request, signal)
+  } catch (error) {
+    if (error instanceof CallerError) path.figures.recordRefusal(request, error.code)
+    throw error
+  }
+  path.figures.recordQueueTime(request, performance.now() - request.receivedAtMs)
+}
+
 async function answerOrder (path: DataPath, index: ResourceIndex, message: IncomingMessage, response: ServerResponse): Promise<void> {
   const organisation = authenticate(message.headers, index)
   const key = decodeURIComponent((message.url ?? '').slice(ORDERS_PATH.length))
--- a/packages/knapweedshunt-router/src/settings.ts
+++ b/packages/knapweedshunt-router/src/settings.ts
@@ -3,6 +3,7 @@
 import { DEFAULT_ROUTER_OPTIONS } from './routerOptions.ts'
 
 const port = z.coerce.number().int().min(0).max(65_535)
+const milliseconds = z.coerce.number().int().positive()
 const MIN_KEY_CHARS = 16
 
 /** Settings of `knapweedshunt-router`. */
@@ -17,6 +18,10 @@
   peerKey: { schema: z.string().min(MIN_KEY_CHARS), describe: `a shared key of at least ${MIN_KEY_CHARS} characters`, secret: true },
   maxBodyBytes: { schema: z.coerce.number().int().positive(), describe: 'the longest request body in bytes', fallback: String(DEFAULT_ROUTER_OPTIONS.maxBodyBytes) },
   endpointWindow: { schema: z.coerce.number().int().positive(), describe: 'the most requests in flight per endpoint', fallback: String(DEFAULT_ROUTER_OPTIONS.endpointWindow) },
+  firstTokenTimeoutMs: { schema: milliseconds, describe: 'the longest silence before the first token of a repeatable request, in milliseconds', fallback: String(DEFAULT_ROUTER_OPTIONS.firstTokenTimeoutMs) },
+  tokenTimeoutMs: { schema: milliseconds, describe: 'the longest silence between tokens of a repeatable request, in milliseconds', fallback: String(DEFAULT_ROUTER_OPTIONS.tokenTimeoutMs) },
+  requestTimeoutMs: { schema: milliseconds, describe: 'the time in which a request must arrive whole, in milliseconds', fallback: String(DEFAULT_ROUTER_OPTIONS.requestTimeoutMs) },
+  drainGraceMs: { schema: z.coerce.number().int().min(0), describe: 'the time a stopping router answers on open connections, in milliseconds', fallback: String(DEFAULT_ROUTER_OPTIONS.drainGraceMs) },
   statsdHost: { schema: z.union([z.literal(''), z.ipv4()]), describe: 'the IPv4 number of a StatsD server, empty for none', fallback: '' },
   statsdPort: { schema: port, describe: 'the StatsD server\'s port', fallback: String(DEFAULT_ROUTER_OPTIONS.statsdPort) }
 } as const satisfies SettingTable
--- /dev/null
+++ b/packages/knapweedshunt-router/src/snapshotSchema.ts
@@ -0,0 +1,47 @@
+import { resourceSchema } from 'knapweedshunt-resources'
+import { LIVENESS } from 'knapweedshunt-types'
+import type { Resource, RouterSnapshot } from 'knapweedshunt-types'
+import { z } from 'zod'
+
+const liveness = z.enum(LIVENESS)
+const count = z.number().nonnegative()
+const loadReport = z.looseObject({
+  endpoint: z.string(),
+  incarnation: z.string(),
+  weightsVersion: z.string().nullable(),
+  running: count,
+  queued: count,
+  queuedTokens: count,
+  atMs: z.number()
+})
+const endpointView = z.looseObject({
+  endpoint: z.string(),
+  incarnation: z.string(),
+  state: liveness,
+  weightsVersion: z.string().nullable(),
+  load: loadReport.nullable(),
+  loadAgeMs: count
+})
+const vmView = z.looseObject({
+  vm: z.string(),
+  incarnation: z.string(),
+  dataCentre: z.string(),
+  controlUrl: z.string(),
+  routerUrl: z.string(),
+  state: liveness,
+  appliedRevision: z.number()
+})
+const snapshot = z.looseObject({
+  resources: z.object({ revision: z.number().int().nonnegative(), resources: z.array(z.unknown()) }),
+  vms: z.array(vmView),
+  endpoints: z.array(endpointView)
+})
+const resources = z.array(resourceSchema)
+
+/** Checks a snapshot; resources are checked only when their revision differs from the one in use, `known`. Throws ZodError. */
+export function parseSnapshot (params: unknown, known: RouterSnapshot | null): RouterSnapshot {
+  const parsed = snapshot.parse(params)
+  const { revision } = parsed.resources
+  if (known !== null && revision === known.resources.revision) return { ...parsed, resources: known.resources }
+  return { ...parsed, resources: { revision, resources: resources.parse(parsed.resources.resources) as Resource[] } }
+}
--- a/packages/knapweedshunt-router/src/startRouter.ts
+++ b/packages/knapweedshunt-router/src/startRouter.ts
@@ -3,8 +3,8 @@
 import { OrderStore } from 'knapweedshunt-orders'
 import { createPlatformClient, DEFAULT_PLATFORM_TIMEOUT_MS } from 'knapweedshunt-platform'
 import { createRpcHandler } from 'knapweedshunt-rpc'
-import type { RouterSnapshot } from 'knapweedshunt-types'
 import { closeServer, createIncarnation, listen, sendJson } from 'knapweedshunt-utils'
+import { CallerServer } from './callerServer.ts'
 import { DataPath } from './dataPath.ts'
 import type { RouterOptions } from './routerOptions.ts'
 import { serveCaller } from './serveCaller.ts'
@@ -24,27 +24,30 @@
   const log = createLogger('router')
   const platform = createPlatformClient({ url: options.platformUrl, timeoutMs: DEFAULT_PLATFORM_TIMEOUT_MS })
   const path = new DataPath(options, new OrderStore(platform, incarnation), log)
-  let stopping = false
-
-  const callerServer = http.createServer((message, response) => {
-    if (message.url === '/healthz') return sendJson(response, 200, { ok: true })
-    if (message.url === '/readyz') return answerReady(response, path.index !== null && !stopping)
-    if (stopping) response.setHeader('connection', 'close')
-    return serveCaller(path, options.maxBodyBytes, message, response)
+  const callerServer: CallerServer = new CallerServer({
+    requestTimeoutMs: options.requestTimeoutMs,
+    drainGraceMs: options.drainGraceMs,
+    serve: async (message, response): Promise<void> => {
+      if (message.url === '/healthz') return sendJson(response, 200, { ok: true })
+      if (message.url === '/readyz') return answerReady(response, path.index !== null && !callerServer.stopping)
+      return serveCaller(path, options.maxBodyBytes, message, response)
+    }
   })
   const rpc = createRpcHandler({
-    'router.snapshot': params => ({ incarnation, appliedRevision: path.takeSnapshot(params as RouterSnapshot) }),
+    'router.snapshot': params => ({ incarnation, appliedRevision: path.takeSnapshot(params) }),
+    'router.marks': params => path.peers.answerMarks(params),
+    'router.demand': params => path.peers.answerDemand(params),
     'router.figures': () => path.figures.listRows()
   }, options.peerKey)
   const peerServer = http.createServer((message, response) => rpc(message, response))
 
-  const callerUrl = await listen(callerServer, options.caller)
+  const callerUrl = await callerServer.listen(options.caller)
   const peerUrl = await listen(peerServer, options.peer)
   log.info('Router listens.', { callerUrl, peerUrl })
 
   async function stop () {
-    stopping = true
-    await closeServer(callerServer)
+    log.info('Router stops.')
+    await callerServer.stop()
     await closeServer(peerServer)
     await path.close()
     log.info('Router stopped.')
--- a/packages/knapweedshunt-router/src/streamSink.ts
+++ b/packages/knapweedshunt-router/src/streamSink.ts
@@ -6,6 +6,8 @@
 import type { CallerSink } from './callerSink.ts'
 import { buildErrorBody, sendCallerError } from './sendCallerError.ts'
 
+const SLOW_CALLER_MS = 2_000
+
 /** Writes a result to the caller: numbered server-sent events, or one whole body. Every stream ends with `[DONE]` or an error event. */
 export class StreamSink implements CallerSink {
   readonly #response: ServerResponse
@@ -43,7 +45,24 @@
     this.#response.end('data: [DONE]\n\n')
   }
 
+  waitDrain (signal: AbortSignal): Promise<void> | null {
+    const response = this.#response
+    if (response.destroyed || !response.writableNeedDrain) return null
+    return new Promise(resolve => {
+      const finish = () => {
+        response.off('drain', finish)
+        response.off('close', finish)
+        signal.removeEventListener('abort', finish)
+        resolve()
+      }
+      response.once('drain', finish)
+      response.once('close', finish)
+      signal.addEventListener('abort', finish, { once: true })
+    })
+  }
+
   fail (error: CallerError): void {
+    if (this.#response.writableNeedDrain) this.#closeLater()
     if (!this.#response.headersSent) return sendCallerError(this.#response, error, this.#request.requestId)
     this.#response.end(`event: error\ndata: ${JSON.stringify(buildErrorBody(error, this.#request.requestId))}\n\n`)
   }
@@ -53,6 +72,12 @@
     this.#response.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-store', 'x-request-id': this.#request.requestId })
   }
 
+  /** A caller that takes nothing gets no more time than this after its request is over. */
+  #closeLater (): void {
+    const timer = setTimeout(() => this.#response.destroy(), SLOW_CALLER_MS)
+    this.#response.once('close', () => clearTimeout(timer))
+  }
+
   #write (text: string): void {
     if (!this.#response.destroyed) this.#response.write(text)
   }
