--- a/packages/knapweedshunt-admission/src/peerDemands.ts
+++ b/packages/knapweedshunt-admission/src/peerDemands.ts
@@ -49,11 +49,11 @@
   return total === 0 ? pot / split.heard : pot * split.demands[0].demand / total
 }
 
-/** Places that this VM (the first of the split) may use, by largest remainder: the heard VMs' places never add up to more than their safe shares. */
+/** Places that this VM (the first of the split) may use, by largest remainder: the heard VMs' places add up to their safe shares, and to one at least so that a VM that hears nobody serves still. */
 export function splitPlaces (limit: number, vms: number, split: DemandSplit): number {
-  const pot = Math.floor(limit * Math.min(1, split.heard / Math.max(1, vms)))
+  const pot = Math.max(1, Math.floor(limit * Math.min(1, split.heard / Math.max(1, vms))))
   const total = split.demands.reduce((sum, one) => sum + one.demand, 0)
-  if (total === 0) return Math.floor(pot / split.heard)
+  if (total === 0) return Math.max(1, Math.floor(pot / split.heard))
   const own = split.demands[0]
   const exact = split.demands.map(one => ({ vm: one.vm, exact: pot * one.demand / total }))
   const left = pot - exact.reduce((sum, one) => sum + Math.floor(one.exact), 0)
--- a/packages/knapweedshunt-attempts/src/attemptMachine.ts
+++ b/packages/knapweedshunt-attempts/src/attemptMachine.ts
@@ -163,7 +163,7 @@
   #hedge (): AttemptAction[] {
     const [only] = this.#live.values()
     const isWaiting = this.#live.size === 1 && only.endpoint !== null && !this.#hasDelivered() && this.#retries === 0
-    if (!isWaiting || !this.#hasAttempts() || !this.#takePermit()) return []
+    if (!this.#options.repeatable || !isWaiting || !this.#hasAttempts() || !this.#takePermit()) return []
     return this.#placeNext()
   }
 
