--- a/packages/knapweedshunt-quickstart/src/__tests__/dataPathFaults.test.ts
+++ b/packages/knapweedshunt-quickstart/src/__tests__/dataPathFaults.test.ts
@@ -133,24 +133,24 @@
   })
 })
 
-test('a stopping router cuts nothing', async t => {
-  await withRig({ engines: 2, engine: { tokenMs: 10 }, router: { drainGraceMs: 2_000 } }, async rig => {
+test('a stopping router cuts nothing, whatever its requests are at', async t => {
+  await withRig({ engines: 2, engine: { tokenMs: 10, prefillMsPerToken: 10 }, router: { drainGraceMs: 2_000, endpointWindow: 2 } }, async rig => {
     const url = rig.routers[0].callerUrl
     const kept = new http.Agent({ keepAlive: true, maxSockets: 1 })
     t.is((await callJson({ method: 'GET', url: `${url}/readyz`, timeoutMs: TIMEOUT_MS, agent: kept })).status, 200)
-    const long = rig.complete(PROMPT, 0, { maxTokens: 60 })
-    await waitUntil(() => rig.engines.some(engine => engine.state.running === 1))
+    const running = Array.from({ length: 8 }, (_, i) => rig.complete(`${PROMPT}${'word '.repeat(20 * i)}`, 0, { maxTokens: 20 + 20 * i }))
+    await waitUntil(() => rig.routers[0].path.gate.countRequests().waiting === 4 && rig.engines.some(engine => engine.state.running > 0))
     const stopped = rig.routers[0].stop()
     const [onKept, ready, onNew] = await Promise.all([
       rig.complete(PROMPT, 0, { agent: kept }),
       callJson({ method: 'GET', url: `${url}/readyz`, timeoutMs: TIMEOUT_MS }),
       rig.complete(PROMPT)
     ])
-    const result = await long
-    t.is(ready.status, 503)
-    t.is(result.type === 'answered' && result.texts.length, 60)
+    const results = await Promise.all(running)
+    t.deepEqual(results.map(result => result.type === 'answered' && result.texts.length), results.map((_, i) => 20 + 20 * i))
     t.is(onKept.type === 'answered' && onKept.texts.length, 12)
     t.is(onNew.type === 'refused' && onNew.code, 'shutting_down')
+    t.is(ready.status, 503)
     await stopped
     kept.destroy()
   })
--- a/packages/knapweedshunt-router/src/attemptLauncher.ts
+++ b/packages/knapweedshunt-router/src/attemptLauncher.ts
@@ -6,8 +6,6 @@
 import type { CallerSink } from './callerSink.ts'
 import type { DataPath } from './dataPath.ts'
 import { nameSalt } from './nameSalt.ts'
-import { runAttempt } from './runAttempt.ts'
-import { sendCancel } from './sendCancel.ts'
 
 type PlaceAction = Extract<AttemptAction, { type: 'place' }>
 
@@ -55,7 +53,7 @@
     const launched = this.#launched.get(attempt)
     if (launched === undefined) return
     launched.abort.abort()
-    if (this.#request.work.type === 'completion') sendCancel(launched.url, attempt, this.#path.agent)
+    if (this.#request.work.type === 'completion') this.#path.client.cancel(launched.url, attempt, this.#path.agent)
   }
 
   #placeNormal (action: PlaceAction): void {
@@ -102,7 +100,7 @@
   }
 
   #start ({ attempt, resumeFrom }: PlaceAction, { endpoint, url, incarnation }: Target): void {
-    const { agent, placement, gate, suspects, running } = this.#path
+    const { agent, client, placement, gate, suspects, running } = this.#path
     const abort = new AbortController()
     this.#launched.set(attempt, { url, abort })
     this.#take({ type: 'placed', attempt, endpoint, incarnation })
@@ -116,7 +114,7 @@
       this.#observe(attempt, endpoint, event)
       this.#take(event)
     }
-    runAttempt({
+    client.run({
       attempt,
       url,
       request: this.#request,
--- a/packages/knapweedshunt-router/src/dataPath.ts
+++ b/packages/knapweedshunt-router/src/dataPath.ts
@@ -7,6 +7,8 @@
 import { createIncarnation, createRng } from 'knapweedshunt-utils'
 import { AdmissionGate } from './admissionGate.ts'
 import type { StallLimits } from './attemptCall.ts'
+import { HTTP_ENDPOINT_CLIENT } from './endpointClient.ts'
+import type { EndpointClient } from './endpointClient.ts'
 import { EndpointTable } from './endpointTable.ts'
 import { Figures } from './figures.ts'
 import { HedgeDelays } from './hedgeDelays.ts'
@@ -28,6 +30,7 @@
   readonly agent = new http.Agent({ keepAlive: true })
   readonly orders: OrderStore
   readonly log: Logger
+  readonly client: EndpointClient
   readonly budget = new RetryBudget()
   readonly hedges = new HedgeDelays()
   readonly running = new RunningAttempts()
@@ -39,13 +42,14 @@
   #snapshot: RouterSnapshot | null = null
   #endpoints = new EndpointTable(null)
 
-  constructor (options: RouterOptions, orders: OrderStore, log: Logger) {
+  constructor (options: RouterOptions, orders: OrderStore, log: Logger, client: EndpointClient = HTTP_ENDPOINT_CLIENT) {
     const { vm, peerKey, endpointWindow } = options
     this.placement = new Placement(options.dataCentre)
     this.gate = new AdmissionGate({ vm, seed: this.drawSeed(), endpointWindow })
     this.figures = new Figures(options.statsdHost, options.statsdPort)
     this.orders = orders
     this.log = log
+    this.client = client
     this.stall = { firstTokenMs: options.firstTokenTimeoutMs, betweenTokensMs: options.tokenTimeoutMs }
     this.suspects = new SuspectGuard(mark => this.peers.announce(mark))
     this.peers = new PeerExchange({ vm, peerKey, gate: this.gate, registry: this.suspects.registry, log })
