--- /dev/null
+++ b/packages/knapweedshunt-cli/src/commands/hashKey.ts
@@ -0,0 +1,13 @@
+import { createHash } from 'node:crypto'
+import { createCommand } from 'knapweedshunt-settings'
+import { z } from 'zod'
+
+/** `hash-key KEY`: prints what an AccessKey resource or the operator key setting holds in place of a key. */
+export const hashKeyCommand = createCommand({
+  name: 'hash-key',
+  description: 'Print the SHA-256 of an access key or operator key',
+  settings: { key: { schema: z.string().min(1), describe: 'the key', positional: true, secret: true } },
+  async run (values) {
+    console.log(createHash('sha256').update(values.key).digest('hex'))
+  }
+})
--- a/packages/knapweedshunt-cli/src/index.ts
+++ b/packages/knapweedshunt-cli/src/index.ts
@@ -2,6 +2,7 @@
 export * from './adminClient.ts'
 export * from './applyResources.ts'
 export * from './cliError.ts'
+export * from './drainEndpoint.ts'
 export * from './listResources.ts'
 export * from './readResourceFiles.ts'
 export * from './waitInForce.ts'
--- a/packages/knapweedshunt-load/src/buildPrompt.ts
+++ b/packages/knapweedshunt-load/src/buildPrompt.ts
@@ -1,6 +1,6 @@
 import type { Rng } from 'knapweedshunt-utils'
 
-/** Shape of nested prompts: `sections` per manual, `cases` per section, with skewed use. */
+/** Shape of nested prompts: `sections` per manual, cases of their own, with skewed use. */
 export interface PromptShape {
   manuals: number
   sections: number
@@ -11,20 +11,33 @@
   skew: number
 }
 
-/** A prompt with the character offsets of its levels. */
+/** A prompt with its nested levels. */
 export interface NestedPrompt {
   text: string
+  /** Character offsets at which the outer levels end. */
   marks: number[]
+  /** Name of each shared level, outermost first; equal names have equal text. */
+  levels: PromptLevel[]
+}
+
+/** One shared level. */
+export interface PromptLevel {
+  name: string
+  words: number
 }
 
 /** Draws a prompt: a manual, one of its sections, a case of its own. */
 export function buildPrompt (shape: PromptShape, organisation: string, rng: Rng): NestedPrompt {
-  const manual = drawSkewed(shape.manuals, shape.skew, rng)
-  const section = drawSkewed(shape.sections, shape.skew, rng)
-  const outer = repeatWords(`${organisation}-m${manual}`, shape.manualWords)
-  const middle = repeatWords(`s${manual}.${section}`, shape.sectionWords)
-  const inner = repeatWords(`c${rng.int(2 ** 30)}`, shape.caseWords)
-  return { text: outer + middle + inner, marks: [outer.length, outer.length + middle.length] }
+  const manual = `${organisation}.${shape.manualWords}.${drawSkewed(shape.manuals, shape.skew, rng)}`
+  const section = `${manual}.${shape.sectionWords}.${drawSkewed(shape.sections, shape.skew, rng)}`
+  const outer = repeatWords(manual, shape.manualWords)
+  const middle = repeatWords(section, shape.sectionWords)
+  const inner = repeatWords(`case-${rng.int(2 ** 30)}`, shape.caseWords)
+  return {
+    text: outer + middle + inner,
+    marks: [outer.length, outer.length + middle.length],
+    levels: [{ name: manual, words: shape.manualWords }, { name: section, words: shape.sectionWords }]
+  }
 }
 
 function drawSkewed (count: number, skew: number, rng: Rng): number {
@@ -32,5 +45,5 @@
 }
 
 function repeatWords (stem: string, words: number): string {
-  return Array.from({ length: words }, (_, i) => `${stem}w${i} `).join('')
+  return Array.from({ length: words }, (_, i) => `${stem}/${i} `).join('')
 }
--- a/packages/knapweedshunt-settings/src/readSettings.ts
+++ b/packages/knapweedshunt-settings/src/readSettings.ts
@@ -38,7 +38,7 @@
 }
 
 function findUnknownFlags (table: SettingTable, flags: ParsedFlags): string[] {
-  const known = new Set(Object.keys(table).flatMap(key => [key, nameFlag(key)]))
+  const known = new Set(Object.entries(table).flatMap(([key, setting]) => [key, nameFlag(key), setting.alias ?? key]))
   return Object.keys(flags)
     .filter(flag => flag !== '_' && !known.has(flag))
     .map(flag => `--${flag} is not a setting: see --help for those there are.`)
--- /dev/null
+++ b/packages/knapweedshunt-settings/src/runProgram.ts
@@ -0,0 +1,24 @@
+import { defineCommand, runMain } from 'citty'
+import type { CommandDef } from 'citty'
+import { createCommand } from './createCommand.ts'
+import type { Program } from './program.ts'
+import type { SettingTable } from './setting.ts'
+
+/** A program with several commands. */
+export interface ProgramWithCommands {
+  name: string
+  description: string
+  /** By the word that selects each. */
+  commands: Record<string, CommandDef>
+}
+
+/** Runs a program from the command line of this process. */
+export async function runProgram<T extends SettingTable> (program: Program<T>): Promise<void> {
+  await runMain(createCommand(program))
+}
+
+/** Runs the command that the command line names. */
+export async function runCommands (program: ProgramWithCommands): Promise<void> {
+  const { name, description, commands } = program
+  await runMain(defineCommand({ meta: { name, description }, subCommands: commands }))
+}
--- a/packages/knapweedshunt-settings/src/setting.ts
+++ b/packages/knapweedshunt-settings/src/setting.ts
@@ -8,6 +8,10 @@
   fallback?: string
   /** The value is never printed. */
   secret?: boolean
+  /** Given by place instead of by flag. */
+  positional?: boolean
+  /** One-letter flag. */
+  alias?: string
 }
 
 /** Settings of a program, by camel-case name. */
--- a/packages/knapweedshunt-utils/src/index.ts
+++ b/packages/knapweedshunt-utils/src/index.ts
@@ -2,6 +2,7 @@
 export * from './callJson.ts'
 export * from './closeServer.ts'
 export * from './createIncarnation.ts'
+export * from './groupBy.ts'
 export * from './hashText.ts'
 export * from './httpErrors.ts'
 export * from './isSameSecret.ts'
