--- a/packages/knapweedshunt-router/src/admissionGate.ts
+++ b/packages/knapweedshunt-router/src/admissionGate.ts
@@ -2,15 +2,15 @@
 import type { AdmissionAction, AdmissionEvent, Demand, RefusalCode } from 'knapweedshunt-admission'
 import type { AttemptId, EndpointName, PoolName, RequestId, RouterSnapshot } from 'knapweedshunt-types'
 import { match } from 'ts-pattern'
-import { CallerError } from './callerError.ts'
-import type { CallerCode } from './callerError.ts'
+import { createCallerError } from './callerError.ts'
+import type { CallerErrorInstance, CallerCode } from './callerError.ts'
 import type { CallerRequest } from './callerRequest.ts'
 import type { EndpointTable } from './endpointTable.ts'
 import { countVms, listClasses, listRules } from './readRules.ts'
 
 interface Waiter {
   admit (): void
-  refuse (error: CallerError): void
+  refuse (error: CallerErrorInstance): void
 }
 
 /** Options of the gate. */
@@ -53,7 +53,7 @@
     const { requestId, organisation, pool, priorityClass, deadlineAtMs, levels } = request
     const leave = () => {
       this.#take({ type: 'left', requestId })
-      this.#waiters.get(requestId)?.refuse(new CallerError('deadline_unreachable', 'The caller left.'))
+      this.#waiters.get(requestId)?.refuse(createCallerError('deadline_unreachable', 'The caller left.'))
     }
     signal.addEventListener('abort', leave, { once: true })
     try {
@@ -144,7 +144,7 @@
     match(action)
       .with({ type: 'admit' }, ({ requestId }) => this.#waiters.get(requestId)?.admit())
       .with({ type: 'refuse' }, ({ requestId, code, retryAfterMs }) => {
-        this.#waiters.get(requestId)?.refuse(new CallerError(CODES[code], MESSAGES[code], 'not-run', retryAfterMs))
+        this.#waiters.get(requestId)?.refuse(createCallerError(CODES[code], MESSAGES[code], 'not-run', retryAfterMs))
       })
       .exhaustive()
   }
--- a/packages/knapweedshunt-router/src/answerClientError.ts
+++ b/packages/knapweedshunt-router/src/answerClientError.ts
@@ -1,6 +1,7 @@
 import type { Duplex } from 'node:stream'
 import { createIncarnation } from 'knapweedshunt-utils'
-import { CALLER_CODES, CallerError } from './callerError.ts'
+import { CALLER_CODES, createCallerError } from './callerError.ts'
+import type { CallerErrorInstance } from './callerError.ts'
 import { buildErrorBody } from './sendCallerError.ts'
 
 const REASONS: Record<number, string> = { 400: 'Bad Request', 408: 'Request Timeout', 431: 'Request Header Fields Too Large' }
@@ -26,13 +27,13 @@
   socket.end(`${head.join('\r\n')}\r\n\r\n${body}`)
 }
 
-function describeClientError (code: string | undefined): CallerError {
+function describeClientError (code: string | undefined): CallerErrorInstance {
   switch (code) {
     case 'HPE_HEADER_OVERFLOW':
-      return new CallerError('headers_too_large', 'The headers are too large: send fewer or shorter ones.')
+      return createCallerError('headers_too_large', 'The headers are too large: send fewer or shorter ones.')
     case 'ERR_HTTP_REQUEST_TIMEOUT':
-      return new CallerError('request_too_slow', 'The request did not arrive whole in time: send it faster.')
+      return createCallerError('request_too_slow', 'The request did not arrive whole in time: send it faster.')
     default:
-      return new CallerError('request_unreadable', 'The request is not valid HTTP, or ended early: send all of it.')
+      return createCallerError('request_unreadable', 'The request is not valid HTTP, or ended early: send all of it.')
   }
 }
--- a/packages/knapweedshunt-router/src/buildFailure.ts
+++ b/packages/knapweedshunt-router/src/buildFailure.ts
@@ -1,5 +1,6 @@
 import type { AttemptAction, FailureCode } from 'knapweedshunt-attempts'
-import { CallerError } from './callerError.ts'
+import { createCallerError } from './callerError.ts'
+import type { CallerErrorInstance } from './callerError.ts'
 
 const MESSAGES: Record<FailureCode, string> = {
   no_endpoint: 'No endpoint can take the request now: try again later.',
@@ -13,7 +14,7 @@
 }
 
 /** Builds the caller's error of a failed request. */
-export function buildFailure ({ code, ran, retryAfterMs, message }: Extract<AttemptAction, { type: 'fail' }>): CallerError {
+export function buildFailure ({ code, ran, retryAfterMs, message }: Extract<AttemptAction, { type: 'fail' }>): CallerErrorInstance {
   const text = message === null ? MESSAGES[code] : `${MESSAGES[code]}: ${message}`
-  return new CallerError(code, text, ran, retryAfterMs)
+  return createCallerError(code, text, ran, retryAfterMs)
 }
--- a/packages/knapweedshunt-router/src/callerServer.ts
+++ b/packages/knapweedshunt-router/src/callerServer.ts
@@ -4,7 +4,7 @@
 import { closeServer, createIncarnation, listen, sleep } from 'knapweedshunt-utils'
 import type { ListenOptions } from 'knapweedshunt-utils'
 import { answerClientError } from './answerClientError.ts'
-import { CallerError } from './callerError.ts'
+import { createCallerError } from './callerError.ts'
 import { sendCallerError } from './sendCallerError.ts'
 
 /** Serves one request to its end; never throws. */
@@ -72,7 +72,7 @@
     response.once('close', () => this.#answering.delete(message.socket))
     if (this.#known !== null) response.setHeader('connection', 'close')
     if (this.#known?.has(message.socket) === false && message.url !== '/healthz' && message.url !== '/readyz') {
-      return sendCallerError(response, new CallerError('shutting_down', 'The router is stopping: connect again.', 'not-run', RETRY_AFTER_MS), createIncarnation())
+      return sendCallerError(response, createCallerError('shutting_down', 'The router is stopping: connect again.', 'not-run', RETRY_AFTER_MS), createIncarnation())
     }
     const serving = this.#options.serve(message, response).finally(() => this.#serving.delete(serving))
     this.#serving.add(serving)
--- a/packages/knapweedshunt-router/src/dataPath.ts
+++ b/packages/knapweedshunt-router/src/dataPath.ts
@@ -70,12 +70,12 @@
     return this.#rng.int(MAX_SEED)
   }
 
-  /** Takes a snapshot of control; an older revision than the one in use is refused. Returns the revision in use. Throws ZodError on wrong params. */
+  /** Takes a snapshot of control; an older revision than the one in use is refused, and so is one without resources. Returns the revision in use. Throws ZodError on wrong params. */
   takeSnapshot (params: unknown): number {
     const snapshot = parseSnapshot(params, this.#snapshot)
     const present = this.#index?.revision ?? 0
     const { revision } = snapshot.resources
-    if (revision < present) return present
+    if (revision === 0 || revision < present) return present
     if (this.#index === null || revision > present) this.#index = new ResourceIndex(snapshot.resources)
     this.#snapshot = snapshot
     const last = this.#endpoints
--- a/packages/knapweedshunt-router/src/readCallerBody.ts
+++ b/packages/knapweedshunt-router/src/readCallerBody.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from 'node:http'
-import { CallerError } from './callerError.ts'
+import { createCallerError } from './callerError.ts'
 import type { CallerCode } from './callerError.ts'
 
 /** Reads a whole body as UTF-8 text. Throws CallerError when it is too large or ends early; what follows an error is read and dropped, so that the answer can be sent. */
@@ -10,7 +10,7 @@
     let size = 0
     const fail = (code: CallerCode, text: string) => {
       chunks.length = 0
-      reject(new CallerError(code, text))
+      reject(createCallerError(code, text))
     }
     if (Number(message.headers['content-length'] ?? 0) > maxBytes) size = Infinity
     message.on('data', (chunk: Buffer) => {
