Switch on events that come with each token

Cause: the machine's pattern match tried its branches one after another for each token event, 5.4 us a token; at 7,750 tokens a second and node that is 4% of a core. Change: a plain exhaustive switch in the machine, the admission and the request task, and no list of other attempts where there is one. Conclusion: kept for the token path.

--- a/packages/knapweedshunt-admission/src/admission.ts
+++ b/packages/knapweedshunt-admission/src/admission.ts
@@ -1,10 +1,9 @@
 import type { EndpointName, PoolName, RequestId } from 'knapweedshunt-types'
 import { createRng } from 'knapweedshunt-utils'
 import type { Rng } from 'knapweedshunt-utils'
-import { match } from 'ts-pattern'
 import { DEFAULT_ADMISSION_OPTIONS } from './admissionOptions.ts'
 import type { AdmissionOptions } from './admissionOptions.ts'
-import type { AdmissionAction, AdmissionEvent, AdmissionRequest, ClassWeight, Demand, RefusalCode } from './admissionTypes.ts'
+import type { AdmissionAction, AdmissionEvent, AdmissionRequest, ClassWeight, Demand, RefusalCode, WindowEndpoint } from './admissionTypes.ts'
 import { EndpointWindows } from './endpointWindows.ts'
 import { OrganisationLimits } from './organisationLimits.ts'
 import { PoolQueue } from './poolQueue.ts'
@@ -26,25 +25,22 @@
     this.#limits = new OrganisationLimits(options.vm)
   }
 
-  /** Takes an event and returns what follows from it. */
+  /** Takes an event and returns what follows from it. A plain switch, since this runs several times for each request. */
   take (event: AdmissionEvent): AdmissionAction[] {
-    return match(event)
-      .with({ type: 'offered' }, ({ request }) => this.#offer(request))
-      .with({ type: 'released' }, { type: 'left' }, ({ requestId }) => this.#release(requestId))
-      .with({ type: 'endpoints' }, ({ pool, endpoints }) => {
-        this.#windows.setEndpoints(pool, endpoints)
-        return this.#drain(pool)
-      })
-      .with({ type: 'classes' }, ({ classes }) => this.#setClasses(classes))
-      .with({ type: 'rules' }, ({ rules }) => this.#note(() => this.#limits.setRules(rules)))
-      .with({ type: 'vms' }, ({ count, silentMs }) => this.#note(() => this.#limits.setVms(count, silentMs)))
-      .with({ type: 'demand' }, ({ vm, demands }) => this.#note(() => this.#limits.noteDemand(vm, demands, performance.now())))
-      .with({ type: 'attemptStarted' }, ({ attempt, endpoint }) => this.#note(() => this.#windows.noteStarted(attempt, endpoint)))
-      .with({ type: 'attemptFinished' }, ({ attempt }) => this.#note(() => this.#windows.noteFinished(attempt)))
-      .with({ type: 'delay' }, ({ endpoint, firstTokenMs, tokens }) => this.#drain(this.#windows.noteDelay(endpoint, firstTokenMs, tokens)))
-      .with({ type: 'overloaded' }, ({ endpoint }) => this.#drain(this.#windows.noteOverloaded(endpoint)))
-      .with({ type: 'tick' }, () => [...this.#pools.values()].flatMap(queue => this.#refuseExpired(queue)))
-      .exhaustive()
+    switch (event.type) {
+      case 'offered': return this.#offer(event.request)
+      case 'released': case 'left': return this.#release(event.requestId)
+      case 'attemptStarted': return this.#note(() => this.#windows.noteStarted(event.attempt, event.endpoint))
+      case 'attemptFinished': return this.#note(() => this.#windows.noteFinished(event.attempt))
+      case 'delay': return this.#drain(this.#windows.noteDelay(event.endpoint, event.firstTokenMs, event.tokens))
+      case 'overloaded': return this.#drain(this.#windows.noteOverloaded(event.endpoint))
+      case 'tick': return [...this.#pools.values()].flatMap(queue => this.#refuseExpired(queue))
+      case 'endpoints': return this.#setEndpoints(event.pool, event.endpoints)
+      case 'classes': return this.#setClasses(event.classes)
+      case 'rules': return this.#note(() => this.#limits.setRules(event.rules))
+      case 'vms': return this.#note(() => this.#limits.setVms(event.count, event.silentMs))
+      case 'demand': return this.#note(() => this.#limits.noteDemand(event.vm, event.demands, performance.now()))
+    }
   }
 
   /** Requests running and waiting, and attempts in flight. */
@@ -150,6 +146,11 @@
     this.#limits.release(request.organisation, request.requestId)
   }
 
+  #setEndpoints (pool: PoolName, endpoints: WindowEndpoint[]): AdmissionAction[] {
+    this.#windows.setEndpoints(pool, endpoints)
+    return this.#drain(pool)
+  }
+
   #setClasses (classes: ClassWeight[]): AdmissionAction[] {
     this.#classes = new Map(classes.map(one => [one.name, one]))
     for (const queue of this.#pools.values()) queue.queues.setClasses(this.#classes)
--- a/packages/knapweedshunt-attempts/src/attemptMachine.ts
+++ b/packages/knapweedshunt-attempts/src/attemptMachine.ts
@@ -1,7 +1,6 @@
 import type { AttemptId, EndpointName, Ran, WeightsVersion } from 'knapweedshunt-types'
 import { createRng } from 'knapweedshunt-utils'
 import type { Rng } from 'knapweedshunt-utils'
-import { match } from 'ts-pattern'
 import type { AttemptOptions } from './attemptOptions.ts'
 import type { AttemptAction, AttemptEvent, BreakReason, FailureCode, Usage } from './attemptTypes.ts'
 import type { LiveAttempt } from './liveAttempt.ts'
@@ -49,24 +48,29 @@
   take (event: AttemptEvent): AttemptAction[] {
     if (this.#over) return []
     if ('attempt' in event && !this.#live.has(event.attempt)) return []
-    return match(event)
-      .with({ type: 'placed' }, placed => this.#notePlaced(placed))
-      .with({ type: 'unplaceable' }, ({ attempt, reason }) => this.#skip(attempt, reason))
-      .with({ type: 'quarantined' }, ({ retryAfterMs }) => this.#fail('request_quarantined', retryAfterMs))
-      .with({ type: 'refused' }, ({ attempt }) => this.#moveOn(attempt, 'endpoint_failed'))
-      .with({ type: 'head' }, head => this.#noteHead(head))
-      .with({ type: 'token' }, token => this.#deliver(token))
-      .with({ type: 'usage' }, ({ usage }) => this.#noteUsage(usage))
-      .with({ type: 'answer' }, ({ answer }) => this.#close([{ type: 'deliverAnswer', answer }, { type: 'finish', usage: null }]))
-      .with({ type: 'end' }, ({ attempt }) => this.#finish(attempt))
-      .with({ type: 'rejected' }, rejected => this.#noteRejected(rejected))
-      .with({ type: 'broken' }, ({ attempt, reason }) => this.#noteBroken(attempt, reason))
-      .with({ type: 'stalled' }, ({ attempt }) => this.#noteLost(attempt, [{ type: 'cancel', attempt }]))
-      .with({ type: 'waited' }, ({ attempt }) => [this.#place(attempt)])
-      .with({ type: 'hedgeDue' }, () => this.#hedge())
-      .with({ type: 'callerGone' }, () => this.#close([]))
-      .with({ type: 'deadline' }, () => this.#fail('deadline_exceeded'))
-      .exhaustive()
+    return this.#step(event)
+  }
+
+  /** A plain switch, since this runs for each token. */
+  #step (event: AttemptEvent): AttemptAction[] {
+    switch (event.type) {
+      case 'token': return this.#deliver(event)
+      case 'placed': return this.#notePlaced(event)
+      case 'unplaceable': return this.#skip(event.attempt, event.reason)
+      case 'quarantined': return this.#fail('request_quarantined', event.retryAfterMs)
+      case 'refused': return this.#moveOn(event.attempt, 'endpoint_failed')
+      case 'head': return this.#noteHead(event)
+      case 'usage': return this.#noteUsage(event.usage)
+      case 'answer': return this.#close([{ type: 'deliverAnswer', answer: event.answer }, { type: 'finish', usage: null }])
+      case 'end': return this.#finish(event.attempt)
+      case 'rejected': return this.#noteRejected(event)
+      case 'broken': return this.#noteBroken(event.attempt, event.reason)
+      case 'stalled': return this.#noteLost(event.attempt, [{ type: 'cancel', attempt: event.attempt }])
+      case 'waited': return [this.#place(event.attempt)]
+      case 'hedgeDue': return this.#hedge()
+      case 'callerGone': return this.#close([])
+      case 'deadline': return this.#fail('deadline_exceeded')
+    }
   }
 
   #notePlaced ({ attempt, endpoint, incarnation }: EventOf<'placed'>): AttemptAction[] {
@@ -201,6 +205,7 @@
   }
 
   #cancelOthers (winner: AttemptId): AttemptAction[] {
+    if (this.#live.size === 1) return []
     const others = [...this.#live.keys()].filter(attempt => attempt !== winner)
     for (const attempt of others) this.#live.delete(attempt)
     return others.map(attempt => ({ type: 'cancel', attempt }))
--- a/packages/knapweedshunt-router/src/__tests__/stage.ts
+++ b/packages/knapweedshunt-router/src/__tests__/stage.ts
@@ -1,7 +1,7 @@
 import type { AttemptEvent, Usage } from 'knapweedshunt-attempts'
 import type { OrderStore } from 'knapweedshunt-orders'
 import type { AttemptCall } from '../attemptCall.ts'
-import type { CallerError } from '../callerError.ts'
+import type { CallerErrorInstance } from '../callerError.ts'
 import type { CallerRequest } from '../callerRequest.ts'
 import type { CallerSink } from '../callerSink.ts'
 import { DataPath } from '../dataPath.ts'
@@ -62,7 +62,7 @@
 /** What the caller got. */
 export class RecordedSink implements CallerSink {
   readonly texts: string[] = []
-  result: 'none' | 'finished' | CallerError = 'none'
+  result: 'none' | 'finished' | CallerErrorInstance = 'none'
 
   deliver (n: number, text: string): void {
     this.texts.push(text)
@@ -74,7 +74,7 @@
     this.#close('finished')
   }
 
-  fail (error: CallerError): void {
+  fail (error: CallerErrorInstance): void {
     this.#close(error)
   }
 
--- a/packages/knapweedshunt-router/src/requestTask.ts
+++ b/packages/knapweedshunt-router/src/requestTask.ts
@@ -1,7 +1,6 @@
 import { AttemptMachine, DEFAULT_ATTEMPT_OPTIONS } from 'knapweedshunt-attempts'
 import type { AttemptAction, AttemptEvent, Usage } from 'knapweedshunt-attempts'
 import type { EndpointName } from 'knapweedshunt-types'
-import { match } from 'ts-pattern'
 import { AttemptLauncher } from './attemptLauncher.ts'
 import { buildFailure } from './buildFailure.ts'
 import type { CallerRequest } from './callerRequest.ts'
@@ -63,18 +62,19 @@
     for (const action of actions) this.#performOne(action)
   }
 
+  /** A plain switch, since this runs for each token. */
   #performOne (action: AttemptAction): void {
-    match(action)
-      .with({ type: 'place' }, place => this.#launcher.place(place))
-      .with({ type: 'wait' }, ({ attempt, ms }) => this.#takeAfter(ms, { type: 'waited', attempt }))
-      .with({ type: 'hedgeAfter' }, ({ ms }) => this.#takeAfter(ms, { type: 'hedgeDue' }))
-      .with({ type: 'cancel' }, ({ attempt }) => this.#launcher.cancel(attempt))
-      .with({ type: 'crashed' }, ({ attempt, endpoint }) => this.#noteCrash(attempt, endpoint))
-      .with({ type: 'deliver' }, ({ n, text }) => this.#deliver(n, text))
-      .with({ type: 'deliverAnswer' }, ({ answer }) => this.#sink.deliverAnswer(answer))
-      .with({ type: 'finish' }, ({ usage }) => this.#finish(usage))
-      .with({ type: 'fail' }, fail => this.#fail(fail))
-      .exhaustive()
+    switch (action.type) {
+      case 'deliver': return this.#deliver(action.n, action.text)
+      case 'place': return this.#launcher.place(action)
+      case 'wait': return this.#takeAfter(action.ms, { type: 'waited', attempt: action.attempt })
+      case 'hedgeAfter': return this.#takeAfter(action.ms, { type: 'hedgeDue' })
+      case 'cancel': return this.#launcher.cancel(action.attempt)
+      case 'crashed': return this.#noteCrash(action.attempt, action.endpoint)
+      case 'deliverAnswer': return this.#sink.deliverAnswer(action.answer)
+      case 'finish': return this.#finish(action.usage)
+      case 'fail': return this.#fail(action)
+    }
   }
 
   #deliver (n: number, text: string): void {
