Split limits by demand that all VMs know

Cause: each VM split an organisation's limit by its own present demand and peers' last one, so demand that rose on many VMs at once gave the whole limit to each. Seen: 18 requests at once under a limit of 12 (six VMs, three heard). Change: a VM keeps to its safe share until it has told its demand, and splits by what it told. Also: a stall timer that only tokens reset, and a connection of its own for each request that may not be repeated.

--- a/packages/knapweedshunt-admission/src/demandMeter.ts
+++ b/packages/knapweedshunt-admission/src/demandMeter.ts
@@ -1,5 +1,5 @@
 /** Time constant of the measured rate, in milliseconds. */
-const DECAY_MS = 2_000
+const DECAY_MS = 1_000
 const MS_PER_SECOND = 1_000
 
 /** Rate of events, decaying exponentially. */
--- a/packages/knapweedshunt-admission/src/organisationLimits.ts
+++ b/packages/knapweedshunt-admission/src/organisationLimits.ts
@@ -2,6 +2,7 @@
 import type { Demand, OrganisationRule } from './admissionTypes.ts'
 import { DemandMeter } from './demandMeter.ts'
 import { PeerDemands, splitPlaces, splitRate } from './peerDemands.ts'
+import type { DemandFigure, DemandSplit } from './peerDemands.ts'
 import { TokenBucket } from './tokenBucket.ts'
 
 interface Usage {
@@ -10,6 +11,8 @@
   missed: DemandMeter
   bucket: TokenBucket | null
   held: Set<RequestId>
+  /** Demand last told to peers; shares are split by it, so that all VMs split the same figures. Null before the first telling. */
+  told: Demand | null
 }
 
 /** Result of asking for a place. */
@@ -71,7 +74,7 @@
     this.#peers.sweep(nowMs, this.#silentMs)
     const usage = this.#open(organisation, nowMs)
     usage.meter.add(nowMs)
-    if (rule.concurrent !== null && usage.held.size >= this.#countPlaces(rule.concurrent, organisation, usage, nowMs)) {
+    if (rule.concurrent !== null && usage.held.size >= this.#countPlaces(rule.concurrent, organisation, usage)) {
       usage.missed.add(nowMs)
       return { type: 'limited', waitMs: PLACE_WAIT_MS }
     }
@@ -92,21 +95,25 @@
     for (const [organisation, usage] of this.#usages) {
       const requestsPerSecond = usage.meter.read(nowMs)
       if (requestsPerSecond < IDLE_RATE && usage.held.size === 0) this.#usages.delete(organisation)
-      else demands.push({ organisation, requestsPerSecond, concurrent: this.#countWanted(usage, nowMs) })
+      else demands.push(usage.told = { organisation, requestsPerSecond, concurrent: this.#countWanted(usage, nowMs) })
     }
     return demands.sort((a, b) => b.requestsPerSecond - a.requestsPerSecond)
   }
 
   #takeToken (limit: number, organisation: OrganisationName, usage: Usage, nowMs: number): number {
-    const own = { vm: this.#vm, demand: usage.meter.read(nowMs) }
-    const rate = splitRate(limit, this.#vms, this.#peers.split(organisation, 'requestsPerSecond', own))
+    const rate = splitRate(limit, this.#vms, this.#split(organisation, 'requestsPerSecond', usage))
     usage.bucket ??= new TokenBucket(rate, nowMs)
     return usage.bucket.take(rate, nowMs) ? 0 : Math.max(1, usage.bucket.countWaitMs(rate))
   }
 
-  #countPlaces (limit: number, organisation: OrganisationName, usage: Usage, nowMs: number): number {
-    const own = { vm: this.#vm, demand: Math.max(1, this.#countWanted(usage, nowMs)) }
-    return splitPlaces(limit, this.#vms, this.#peers.split(organisation, 'concurrent', own))
+  #countPlaces (limit: number, organisation: OrganisationName, usage: Usage): number {
+    return splitPlaces(limit, this.#vms, this.#split(organisation, 'concurrent', usage))
+  }
+
+  /** Until its demand was told to peers a VM has its safe share: demand that rises on many VMs at once must not give the whole limit to each. */
+  #split (organisation: OrganisationName, figure: DemandFigure, { told }: Usage): DemandSplit {
+    if (told === null) return { heard: 1, demands: [{ vm: this.#vm, demand: 1 }] }
+    return this.#peers.split(organisation, figure, { vm: this.#vm, demand: told[figure] })
   }
 
   #countWanted (usage: Usage, nowMs: number): number {
@@ -116,7 +123,7 @@
   #open (organisation: OrganisationName, nowMs: number): Usage {
     const known = this.#usages.get(organisation)
     if (known !== undefined) return known
-    const usage: Usage = { meter: new DemandMeter(nowMs), missed: new DemandMeter(nowMs), bucket: null, held: new Set() }
+    const usage: Usage = { meter: new DemandMeter(nowMs), missed: new DemandMeter(nowMs), bucket: null, held: new Set(), told: null }
     this.#usages.set(organisation, usage)
     return usage
   }
--- a/packages/knapweedshunt-router/src/readEngineStream.ts
+++ b/packages/knapweedshunt-router/src/readEngineStream.ts
@@ -35,10 +35,10 @@
   else call.emit({ type: 'broken', attempt, reason: 'reset' })
 }
 
-/** Returns whether the end mark came. */
+/** Returns whether the end mark came. Only a token is a sign of life; other events leave the timer running. */
 async function readEvents (call: AttemptCall, message: IncomingMessage, timer: StallTimer): Promise<boolean> {
   let ended = false
-  let hasToken = false
+  let tokens = 0
   const parser = createParser({
     maxBufferSize: MAX_EVENT_CHARS,
     onError (error) {
@@ -47,15 +47,17 @@
     onEvent (event) {
       if (ended) return
       if (event.data === END_OF_STREAM) ended = true
-      else if (emitEvent(call, event)) hasToken = true
+      else if (emitEvent(call, event)) tokens++
     }
   })
   message.setEncoding('utf8')
   for await (const chunk of message) {
+    const before = tokens
     parser.feed(chunk as string)
+    if (tokens === before) continue
     timer.stop()
     await call.waitDrain()
-    if (!ended) timer.start(hasToken ? 'between-tokens' : 'first-token')
+    if (!ended) timer.start('between-tokens')
   }
   return ended
 }
--- a/packages/knapweedshunt-router/src/runAttempt.ts
+++ b/packages/knapweedshunt-router/src/runAttempt.ts
@@ -28,10 +28,11 @@
   }
 }
 
+/** A request that may not be repeated gets a connection of its own: a kept one may be closed by the endpoint just as it is used, and nobody could tell whether it was read. */
 function sendAttempt (call: AttemptCall): Promise<http.IncomingMessage> {
   const { path, method, headers, body } = buildEndpointCall(call)
   return new Promise((resolve, reject) => {
-    const request = http.request(call.url + path, { method, headers, agent: call.agent, signal: call.signal })
+    const request = http.request(call.url + path, { method, headers, agent: call.request.repeatable ? call.agent : false, signal: call.signal })
     request.once('response', resolve)
     request.on('error', reject)
     request.end(body)
--- a/packages/knapweedshunt-router/src/serveCaller.ts
+++ b/packages/knapweedshunt-router/src/serveCaller.ts
@@ -52,7 +52,7 @@
     if (state.type === 'quarantined') throw buildFailure({ type: 'fail', code: 'request_quarantined', ran: 'not-run', retryAfterMs: state.retryAfterMs, message: null })
     await path.gate.enter(request, signal)
   } catch (error) {
-    if (error instanceof CallerError) path.figures.recordRefusal(request, error.code)
+    if (error instanceof CallerError && !signal.aborted) path.figures.recordRefusal(request, error.code)
     throw error
   }
   path.figures.recordQueueTime(request, performance.now() - request.receivedAtMs)
