--- a/packages/knapweedshunt-admission/src/__tests__/limits.test.ts
+++ b/packages/knapweedshunt-admission/src/__tests__/limits.test.ts
@@ -67,7 +67,7 @@
 }
 
 function exchange (vms: Admission[]): void {
-  const demands = vms.map(vm => vm.listDemands())
+  const demands = vms.map(vm => vm.listDemands(8))
   vms.forEach((vm, i) => demands.forEach((demand, j) => { if (i !== j) vm.take({ type: 'demand', vm: `vm-${j}`, demands: demand }) }))
 }
 
--- a/packages/knapweedshunt-admission/src/admission.ts
+++ b/packages/knapweedshunt-admission/src/admission.ts
@@ -70,9 +70,9 @@
     return this.#windows.listFull(pool)
   }
 
-  /** This VM's demand of limited organisations, the largest first. */
-  listDemands (): Demand[] {
-    return this.#limits.listDemands(performance.now())
+  /** This VM's `most` largest demands of limited organisations, to be told to peers: shares are split by them from now on. */
+  listDemands (most: number): Demand[] {
+    return this.#limits.listDemands(most, performance.now())
   }
 
   #offer (request: AdmissionRequest): AdmissionAction[] {
--- a/packages/knapweedshunt-admission/src/admissionOptions.ts
+++ b/packages/knapweedshunt-admission/src/admissionOptions.ts
@@ -28,6 +28,8 @@
   lateShare: number
   /** Factor by which a window shrinks, 0 to 1. */
   shrink: number
+  /** The same when more than half of the delays were late. */
+  fastShrink: number
 }
 
 /** Options for a first token within 0.74 s for 95 in 100. */
@@ -38,5 +40,5 @@
   retryAfterMs: 500,
   maxRetryAfterMs: 30_000,
   agedEvery: 4,
-  window: { min: 1, initial: 32, max: 256, targetMs: 500, tokenMs: 0.2, lateShare: 0.05, shrink: 0.85 }
+  window: { min: 1, initial: 32, max: 256, targetMs: 500, tokenMs: 0.2, lateShare: 0.05, shrink: 0.85, fastShrink: 0.5 }
 }
--- a/packages/knapweedshunt-admission/src/delayWindow.ts
+++ b/packages/knapweedshunt-admission/src/delayWindow.ts
@@ -4,7 +4,7 @@
 const MIN_SAMPLES = 16
 
 /**
- * Concurrency window of one endpoint. After a window's worth of delays it shrinks by a factor when too many were late,
+ * Concurrency window of one endpoint. After a window's worth of delays it shrinks by a factor when too many were late (by a stronger one when most were),
  * and grows by one when none of them was and the window was in use.
  */
 export class DelayWindow {
@@ -56,18 +56,19 @@
 
   /** The endpoint said that it has too much, or gave nothing in time. */
   noteOverloaded (): void {
-    this.#shrink()
+    this.#shrink(this.#options.shrink)
     this.#restart()
   }
 
   #decide (): void {
-    if (this.#late > this.#samples * this.#options.lateShare) this.#shrink()
+    if (this.#late > this.#samples / 2) this.#shrink(this.#options.fastShrink)
+    else if (this.#late > this.#samples * this.#options.lateShare) this.#shrink(this.#options.shrink)
     else if (this.#peak >= this.size) this.#size = Math.min(this.#options.max, this.#size + 1)
     this.#restart()
   }
 
-  #shrink (): void {
-    this.#size = Math.max(this.#options.min, this.#size * this.#options.shrink)
+  #shrink (factor: number): void {
+    this.#size = Math.max(this.#options.min, this.#size * factor)
   }
 
   #restart (): void {
--- a/packages/knapweedshunt-admission/src/organisationLimits.ts
+++ b/packages/knapweedshunt-admission/src/organisationLimits.ts
@@ -89,15 +89,18 @@
     this.#usages.get(organisation)?.held.delete(requestId)
   }
 
-  /** This VM's demand, the largest first, for peers; drops the state of idle organisations. */
-  listDemands (nowMs: number): Demand[] {
+  /** This VM's `most` largest demands, for peers; drops the state of idle organisations. What is not told leaves the VM its safe share. */
+  listDemands (most: number, nowMs: number): Demand[] {
     const demands: Demand[] = []
     for (const [organisation, usage] of this.#usages) {
-      const requestsPerSecond = usage.meter.read(nowMs)
+      const requestsPerSecond = roundDemand(usage.meter.read(nowMs))
+      usage.told = null
       if (requestsPerSecond < IDLE_RATE && usage.held.size === 0) this.#usages.delete(organisation)
-      else demands.push(usage.told = { organisation, requestsPerSecond, concurrent: this.#countWanted(usage, nowMs) })
+      else demands.push({ organisation, requestsPerSecond, concurrent: roundDemand(usage.held.size + usage.missed.read(nowMs)) })
     }
-    return demands.sort((a, b) => b.requestsPerSecond - a.requestsPerSecond)
+    const told = demands.sort((a, b) => b.requestsPerSecond - a.requestsPerSecond).slice(0, most)
+    for (const demand of told) this.#usages.get(demand.organisation)!.told = demand
+    return told
   }
 
   #takeToken (limit: number, organisation: OrganisationName, usage: Usage, nowMs: number): number {
@@ -116,10 +119,6 @@
     return this.#peers.split(organisation, figure, { vm: this.#vm, demand: told[figure] })
   }
 
-  #countWanted (usage: Usage, nowMs: number): number {
-    return usage.held.size + usage.missed.read(nowMs)
-  }
-
   #open (organisation: OrganisationName, nowMs: number): Usage {
     const known = this.#usages.get(organisation)
     if (known !== undefined) return known
@@ -128,3 +127,8 @@
     return usage
   }
 }
+
+/** Two decimals, since demands travel. */
+function roundDemand (value: number): number {
+  return Math.round(value * 100) / 100
+}
--- a/packages/knapweedshunt-router/src/admissionGate.ts
+++ b/packages/knapweedshunt-router/src/admissionGate.ts
@@ -98,9 +98,9 @@
     this.#take({ type: 'demand', vm, demands })
   }
 
-  /** This VM's demand of limited organisations. */
-  listDemands (): Demand[] {
-    return this.#admission.listDemands()
+  /** This VM's `most` largest demands of limited organisations, to be told to peers. */
+  listDemands (most: number): Demand[] {
+    return this.#admission.listDemands(most)
   }
 
   /** Endpoints of a pool that have all they should have. */
--- a/packages/knapweedshunt-router/src/peerExchange.ts
+++ b/packages/knapweedshunt-router/src/peerExchange.ts
@@ -123,7 +123,7 @@
   }
 
   #buildDemand (): { vm: VmId, demands: ReturnType<AdmissionGate['listDemands']> } {
-    return { vm: this.#options.vm, demands: this.#options.gate.listDemands().slice(0, MAX_DEMANDS) }
+    return { vm: this.#options.vm, demands: this.#options.gate.listDemands(MAX_DEMANDS) }
   }
 
   #open (view: VmView): void {
--- a/packages/knapweedshunt-router/src/peerMessages.ts
+++ b/packages/knapweedshunt-router/src/peerMessages.ts
@@ -2,7 +2,7 @@
 import { z } from 'zod'
 
 /** Most entries of one message. */
-export const MAX_DEMANDS = 16
+export const MAX_DEMANDS = 8
 export const MAX_MARKS = 256
 
 const text = z.string().min(1).max(255)
