--- a/packages/knapweedshunt-cli/src/index.ts
+++ b/packages/knapweedshunt-cli/src/index.ts
@@ -1,5 +1,6 @@
 /** The operators' command line, as functions. */
 export * from './adminClient.ts'
+export * from './addressSettings.ts'
 export * from './applyResources.ts'
 export * from './cliError.ts'
 export * from './drainEndpoint.ts'
--- a/packages/knapweedshunt-cli/src/readResourceFiles.ts
+++ b/packages/knapweedshunt-cli/src/readResourceFiles.ts
@@ -1,5 +1,6 @@
 import { readFile } from 'node:fs/promises'
 import { parseAllDocuments } from 'yaml'
+import type { Document } from 'yaml'
 import { CliError } from './cliError.ts'
 
 /** Reads declared resources from YAML or JSON files; a file may hold several documents, a document may be a list. Throws CliError that names file and place. */
@@ -21,7 +22,16 @@
   if ('empty' in documents) return []
   return documents.flatMap(document => {
     if (document.errors.length > 0) throw new CliError(`${path}: ${document.errors[0].message}`)
-    const value: unknown = document.toJS()
+    const value = convertDocument(path, document)
     return Array.isArray(value) ? value : [value]
   })
 }
+
+/** An alias without its anchor shows only here. */
+function convertDocument (path: string, document: Document.Parsed): unknown {
+  try {
+    return document.toJS()
+  } catch (cause) {
+    throw new CliError(`${path}: ${(cause as Error).message}`, { cause })
+  }
+}
--- /dev/null
+++ b/packages/knapweedshunt-quickstart/src/__tests__/inputs.test.ts
@@ -0,0 +1,159 @@
+import test from 'ava'
+import { createHash } from 'node:crypto'
+import fc from 'fast-check'
+import http from 'node:http'
+import net from 'node:net'
+import { applyResources, CliError, parseResourceText, waitInForce } from 'knapweedshunt-cli'
+import { startFakeEngine } from 'knapweedshunt-fakes'
+import type { FakeEngine } from 'knapweedshunt-fakes'
+import { callCompletion } from 'knapweedshunt-load'
+import { parseResource, ResourceInvalidError } from 'knapweedshunt-resources'
+import { callJson, closeServer, listen } from 'knapweedshunt-utils'
+import { startDeployment } from '../startDeployment.ts'
+import type { RunningDeployment } from '../startDeployment.ts'
+
+const SEED = 20_261_203
+const RUNS = 150
+const WAIT_MS = 60_000
+const KEY = 'front-desk-key'
+const HOST = '127.0.0.1'
+const JSON_VALUE = fc.jsonValue({ maxDepth: 3 })
+let deployment: RunningDeployment
+let engine: FakeEngine
+let garbage: http.Server
+let garbageText = ''
+
+test.before(async () => {
+  engine = await startFakeEngine({ endpoint: 'good-1' })
+  garbage = http.createServer((request, response) => {
+    response.writeHead(200, { 'content-type': 'text/event-stream' })
+    response.end(garbageText)
+  })
+  const garbageUrl = await listen(garbage, { host: HOST, port: 0 })
+  deployment = await startDeployment([{ vm: 'vm-1', dataCentre: 'dc-1' }])
+  const address = { url: deployment.vms[0].admin.url, operatorKey: deployment.operatorKey }
+  await applyResources(address, buildResources(engine.url, garbageUrl))
+  await waitInForce(address, null, null, WAIT_MS)
+})
+test.after.always(async () => {
+  await deployment?.stop()
+  await engine?.stop()
+  await closeServer(garbage)
+})
+
+function buildResources (goodUrl: string, garbageUrl: string): unknown[] {
+  const model = { type: 'model', weightsVersion: 'w1', objective: 'tail' }
+  return [
+    { kind: 'Organisation', name: 'harbour-hotel', spec: {} },
+    { kind: 'AccessKey', name: 'front-desk', spec: { organisation: 'harbour-hotel', keyHash: createHash('sha256').update(KEY).digest('hex') } },
+    { kind: 'PriorityClass', name: 'interactive', spec: { rank: 0, enginePriority: 0 } },
+    { kind: 'EndpointPool', name: 'good', spec: { ...model, model: 'good' } },
+    { kind: 'EndpointPool', name: 'garbage', spec: { ...model, model: 'garbage' } },
+    { kind: 'Endpoint', name: 'good-1', spec: { pool: 'good', url: goodUrl, dataCentre: 'dc-1' } },
+    { kind: 'Endpoint', name: 'garbage-1', spec: { pool: 'garbage', url: garbageUrl, dataCentre: 'dc-1' } },
+    { kind: 'Route', name: 'good', spec: { match: { type: 'model', model: 'good' }, pool: 'good', repeatable: true, priorityClass: 'interactive' } },
+    { kind: 'Route', name: 'garbage', spec: { match: { type: 'model', model: 'garbage' }, pool: 'garbage', repeatable: false, priorityClass: 'interactive', timeoutMs: 5_000 } }
+  ]
+}
+
+function callerUrl (): string {
+  return deployment.vms[0].router.callerUrl
+}
+
+async function isServing (): Promise<boolean> {
+  const result = await callCompletion({ url: callerUrl(), accessKey: KEY, model: 'good', prompt: 'hello there', marks: [], maxTokens: 2 })
+  return result.type === 'answered' && result.texts.length === 2
+}
+
+/** Sends raw bytes and resolves to what came back before the other side closed. */
+function sendBytes (url: string, bytes: Uint8Array): Promise<string> {
+  return new Promise(resolve => {
+    const { hostname, port } = new URL(url)
+    const socket = net.connect(Number(port), hostname)
+    let text = ''
+    socket.on('data', chunk => { text += chunk.toString('latin1') })
+    socket.on('error', () => {})
+    socket.on('close', () => resolve(text))
+    socket.end(bytes)
+  })
+}
+
+test.serial('raw bytes', async t => {
+  await fc.assert(fc.asyncProperty(fc.uint8Array({ maxLength: 400 }), async bytes => {
+    const text = await sendBytes(callerUrl(), bytes)
+    return text === '' || /^HTTP\/1\.1 4/.test(text)
+  }), { seed: SEED, numRuns: RUNS })
+  t.true(await isServing())
+})
+
+test.serial('bodies', async t => {
+  const started = engine.state.started
+  const body = fc.oneof(JSON_VALUE, fc.record({ model: fc.constantFrom('good', 'nowhere'), prompt: JSON_VALUE, max_tokens: JSON_VALUE, stream: JSON_VALUE }))
+  const path = fc.constantFrom('/v1/completions', '/v1/chat/completions', '/v1/services/x', '/v1/none')
+  const headers = { authorization: `Bearer ${KEY}` }
+  await fc.assert(fc.asyncProperty(path, body, async (at, value) => {
+    const answer = await callJson({ method: 'POST', url: callerUrl() + at, body: value, headers, timeoutMs: WAIT_MS })
+    const { error } = answer.body as { error?: { code: string, ran: string } }
+    return answer.status >= 400 && answer.status < 500 && error?.ran === 'not-run' && error.code !== ''
+  }), { seed: SEED, numRuns: RUNS })
+  t.is(engine.state.started, started)
+  t.true(await isServing())
+})
+
+test.serial('headers', async t => {
+  const value = fc.stringMatching(/^[\x20-\x7e]{0,40}$/)
+  const name = fc.constantFrom('authorization', 'x-prefix-marks', 'x-timeout-ms', 'x-priority-class', 'last-event-id', 'idempotency-key', 'x-repeatable')
+  await fc.assert(fc.asyncProperty(name, value, async (header, text) => {
+    const headers = { authorization: `Bearer ${KEY}`, [header]: text }
+    const answer = await callJson({ method: 'POST', url: `${callerUrl()}/v1/completions`, body: { model: 'good', prompt: 'hello', max_tokens: 1 }, headers, timeoutMs: WAIT_MS })
+    return answer.status === 200 || (answer.status >= 400 && answer.status < 500)
+  }), { seed: SEED, numRuns: RUNS })
+  t.true(await isServing())
+})
+
+test.serial('event streams', async t => {
+  const line = fc.oneof(
+    fc.string({ maxLength: 30 }),
+    JSON_VALUE.map(value => `data: ${JSON.stringify(value)}\n\n`),
+    fc.nat(3).map(n => `id: ${n}\ndata: {"text":"a"}\n\n`)
+  )
+  await fc.assert(fc.asyncProperty(fc.array(line, { maxLength: 6 }), async lines => {
+    garbageText = lines.join('')
+    const headers = { 'idempotency-key': createHash('sha256').update(garbageText).digest('hex') }
+    const result = await callCompletion({ url: callerUrl(), accessKey: KEY, model: 'garbage', prompt: 'hello', marks: [], maxTokens: 4, headers })
+    return result.type !== 'answered'
+  }), { seed: SEED, numRuns: 40 })
+  t.true(await isServing())
+})
+
+test.serial('peer calls', async t => {
+  const { router, control } = deployment.vms[0]
+  const method = fc.constantFrom('router.snapshot', 'router.figures', 'control.exchange', 'control.status', 'nothing')
+  const url = fc.constantFrom(router.peerUrl, control.url)
+  const call = fc.oneof(JSON_VALUE, fc.record({ jsonrpc: fc.constant('2.0'), id: fc.nat(), method, params: JSON_VALUE }))
+  const headers = { authorization: `Bearer ${deployment.peerKey}` }
+  const revision = control.state.replica.snapshot.revision
+  await fc.assert(fc.asyncProperty(url, call, async (at, body) => {
+    const answer = await callJson({ method: 'POST', url: `${at}/rpc`, body, headers, timeoutMs: WAIT_MS })
+    return [200, 204, 400].includes(answer.status)
+  }), { seed: SEED, numRuns: RUNS })
+  t.is(control.state.replica.snapshot.revision, revision)
+  t.true(await isServing())
+})
+
+test.serial('peer calls without the key', async t => {
+  const answer = await callJson({ method: 'POST', url: `${deployment.vms[0].router.peerUrl}/rpc`, body: { jsonrpc: '2.0', id: 1, method: 'router.figures' }, headers: { authorization: 'Bearer wrong' }, timeoutMs: WAIT_MS })
+  t.is(answer.status, 401)
+})
+
+test('resource files', t => {
+  fc.assert(fc.property(fc.oneof(fc.string(), JSON_VALUE.map(value => JSON.stringify(value))), text => {
+    try {
+      parseResourceText('file.yaml', text).forEach(parseResource)
+    } catch (error) {
+      return error instanceof CliError || error instanceof ResourceInvalidError
+    }
+    return true
+  }), { seed: SEED, numRuns: 500 })
+  t.pass()
+})
