Leases as a pure machine, roll-outs planned from durable slots, orders as wished state

The lease decision takes typed events and returns reads and writes; its driver holds no logic. A roll-out's parallel loads are slots in one row per pool, claimed before an endpoint is drained. Endpoints that lost their weights are brought back also while the store is away.

--- /dev/null
+++ b/packages/knapweedshunt-control/src/fleet/startFleetTasks.ts
@@ -0,0 +1,45 @@
+import { DEFAULT_FLEET_OPTIONS, FleetTask, LeaseTask, nameFleetLease, RecoveryTask } from 'knapweedshunt-fleet'
+import type { FleetOptions, FleetPorts } from 'knapweedshunt-fleet'
+import type { Logger } from 'knapweedshunt-logger'
+import type { Platform } from 'knapweedshunt-platform'
+import type { ResourceStore } from 'knapweedshunt-resources'
+import type { EndpointView, ResourceSnapshot, VmView } from 'knapweedshunt-types'
+import { commitWeights } from './commitWeights.ts'
+import { readRank } from './readRank.ts'
+import { sendOrder } from './sendOrder.ts'
+
+/** What the fleet tasks need of control. */
+export interface FleetContext {
+  /** This VM. */
+  self: Pick<VmView, 'vm' | 'incarnation' | 'dataCentre'>
+  platform: Platform
+  store: ResourceStore
+  readResources (): ResourceSnapshot
+  listViews (): EndpointView[]
+  listVms (): VmView[]
+  log: Logger
+  signal: AbortSignal
+  /** Differences from {@link DEFAULT_FLEET_OPTIONS}. */
+  options?: Partial<FleetOptions>
+}
+
+/** Starts the lease, the fleet and the recovery of this VM's data centre; resolves when all have ended after the abort. */
+export async function startFleetTasks (context: FleetContext): Promise<void> {
+  const { self, platform, store, log, signal } = context
+  const options: FleetOptions = { ...DEFAULT_FLEET_OPTIONS, ...context.options, dataCentre: self.dataCentre }
+  const ports: FleetPorts = {
+    platform,
+    readResources: () => context.readResources(),
+    listViews: () => context.listViews(),
+    sendOrder,
+    commitWeights: (goal, revision) => commitWeights(store, context.readResources(), goal, revision, log),
+    readRank: () => readRank(self, context.listVms()),
+    log
+  }
+  const lease = new LeaseTask(platform, nameFleetLease(self.dataCentre), self.incarnation, options.lease)
+  await Promise.all([
+    lease.run(signal, () => ports.readRank() < options.contenders),
+    new FleetTask(options, ports, lease).run(signal),
+    new RecoveryTask(options, ports).run(signal)
+  ])
+}
--- a/packages/knapweedshunt-control/src/startControl.ts
+++ b/packages/knapweedshunt-control/src/startControl.ts
@@ -8,6 +8,7 @@
 import type { ControlOptions } from './controlOptions.ts'
 import { ControlState } from './controlState.ts'
 import { exchangePeers } from './exchangePeers.ts'
+import { startFleetTasks } from './fleet/startFleetTasks.ts'
 import { followPlatform } from './followPlatform.ts'
 import { PeerClients } from './peerClients.ts'
 import { pollLoads } from './pollLoads.ts'
@@ -29,9 +30,10 @@
   const stopping = new AbortController()
   const server = http.createServer((message, response) => rpc(message, response))
   const url = await listen(server, options.listen)
+  const incarnation = createIncarnation()
   const state = new ControlState({
     vm: options.vm,
-    incarnation: createIncarnation(),
+    incarnation,
     dataCentre: options.dataCentre,
     controlUrl: url,
     routerUrl: options.routerUrl,
@@ -56,7 +58,8 @@
     runEvery(options.platformIntervalMs, stopping.signal, () => followPlatform(state, platform, store, log)),
     runEvery(options.exchangeIntervalMs, stopping.signal, () => exchangePeers(state, clients)),
     runEvery(options.loadIntervalMs, stopping.signal, () => pollLoads(state, options.dataCentre)),
-    runEvery(options.routerIntervalMs, stopping.signal, pushRouter)
+    runEvery(options.routerIntervalMs, stopping.signal, pushRouter),
+    startFleetTasks({ self: { ...options, incarnation }, platform, store, readResources: () => state.replica.snapshot, listViews: () => state.endpoints.listEndpoints(), listVms: () => state.vms.listVms(), log: createLogger('fleet'), signal: stopping.signal })
   ]
   log.info('Control listens.', { url })
 
--- a/packages/knapweedshunt-fakes/src/engineOptions.ts
+++ b/packages/knapweedshunt-fakes/src/engineOptions.ts
@@ -11,6 +11,8 @@
   tokenMs: number
   /** Time to load new weights, in milliseconds. */
   loadWeightsMs: number
+  /** Come back without weights after a crash, and not with the first ones. */
+  restartsEmpty: boolean
   /** Refuse management orders with an old fencing number. */
   checksFencing: boolean
 }
@@ -25,5 +27,6 @@
   prefillMsPerToken: 0.01,
   tokenMs: 1,
   loadWeightsMs: 500,
+  restartsEmpty: false,
   checksFencing: true
 }
--- a/packages/knapweedshunt-fakes/src/engineState.ts
+++ b/packages/knapweedshunt-fakes/src/engineState.ts
@@ -1,5 +1,5 @@
-import type { LoadReport } from 'knapweedshunt-types'
-import { createIncarnation } from 'knapweedshunt-utils'
+import type { EndpointRole, LoadReport } from 'knapweedshunt-types'
+import { createIncarnation, sleep } from 'knapweedshunt-utils'
 import { BlockCache } from './blockCache.ts'
 import { DEFAULT_ENGINE_FAULTS } from './engineFaults.ts'
 import type { EngineFaults } from './engineFaults.ts'
@@ -21,9 +21,15 @@
   readonly cache: BlockCache
   readonly cancelled = new Set<string>()
   incarnation = createIncarnation()
+  /** Empty without weights. */
   weightsVersion: string
-  role = 'serve'
+  adapter = ''
+  role: EndpointRole = 'serve'
   fencing = 0
+  /** Loads in progress; a newer order makes the older one void. */
+  loads = 0
+  /** Weight loads started over all incarnations, by version. */
+  readonly loadedVersions: string[] = []
   running = 0
   queuedTokens = 0
   /** Completions started over all incarnations. */
@@ -32,6 +38,7 @@
   computedTokens = 0
   events: CacheEvent[] = []
   #lastEvent = 0
+  #lastLoad = 0
   #frozen: LoadReport | null = null
 
   constructor (options: EngineOptions) {
@@ -53,7 +60,9 @@
     const report: LoadReport = {
       endpoint: this.options.endpoint,
       incarnation: this.incarnation,
-      weightsVersion: this.weightsVersion,
+      weightsVersion: this.weightsVersion === '' ? null : this.weightsVersion,
+      adapter: this.adapter,
+      role: this.role,
       running: this.running,
       queued: 0,
       queuedTokens: Math.round(this.queuedTokens),
@@ -63,10 +72,15 @@
     return this.#frozen ?? report
   }
 
-  /** Comes back empty with the first weights, as a new incarnation. */
+  /** Comes back with nothing cached, as a new incarnation that knows no fencing number. */
   restart (): void {
     this.incarnation = createIncarnation()
-    this.weightsVersion = this.options.weightsVersion
+    this.weightsVersion = this.options.restartsEmpty ? '' : this.options.weightsVersion
+    this.adapter = ''
+    this.role = 'serve'
+    this.fencing = 0
+    this.loads = 0
+    this.#lastLoad++
     this.cache.clear()
     this.cancelled.clear()
     this.events = []
@@ -75,9 +89,22 @@
     this.queuedTokens = 0
   }
 
-  /** Takes new weights; the cache of the old ones goes. */
-  takeWeights (version: string): void {
+  /** Loads weights unless a crash or a newer order comes in between; the cache of the old ones goes. */
+  async loadWeights (version: string, adapter: string): Promise<void> {
+    if (this.loads === 0 && this.weightsVersion === version && this.adapter === adapter) return
+    const load = ++this.#lastLoad
+    const born = this.incarnation
+    this.loads++
+    this.loadedVersions.push(version)
+    await sleep(this.options.loadWeightsMs)
+    if (this.incarnation !== born) return
+    this.loads--
+    if (load === this.#lastLoad) this.#takeWeights(version, adapter)
+  }
+
+  #takeWeights (version: string, adapter: string): void {
     this.weightsVersion = version
+    this.adapter = adapter
     this.cache.clear()
   }
 
--- a/packages/knapweedshunt-fakes/src/serveManagement.ts
+++ b/packages/knapweedshunt-fakes/src/serveManagement.ts
@@ -1,11 +1,13 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { parseJson, readBody, sendJson, sleep } from 'knapweedshunt-utils'
+import { ENDPOINT_ROLES } from 'knapweedshunt-types'
+import { parseJson, readBody, sendJson } from 'knapweedshunt-utils'
 import { z } from 'zod'
 import type { EngineState } from './engineState.ts'
 
 const MAX_BODY_BYTES = 16 * 1024 * 1024
-const weightsOrder = z.object({ weightsVersion: z.string(), fencing: z.number().int() })
-const roleOrder = z.object({ role: z.string(), fencing: z.number().int() })
+const orderHead = z.object({ fencing: z.number().int(), incarnation: z.string().optional() })
+const weightsOrder = orderHead.extend({ weightsVersion: z.string().min(1), adapter: z.string().default('') })
+const roleOrder = orderHead.extend({ role: z.enum(ENDPOINT_ROLES) })
 const cancelOrder = z.object({ attempt: z.string() })
 const kvOrder = z.object({ keys: z.array(z.string()) })
 
@@ -28,7 +30,7 @@
       return loadWeights(state, response, weightsOrder.parse(body))
     case 'POST /manage/role': {
       const order = roleOrder.parse(body)
-      if (!takeFencing(state, response, order.fencing)) return
+      if (!takeHead(state, response, order)) return
       state.role = order.role
       return sendJson(response, 200, { role: state.role })
     }
@@ -46,20 +48,22 @@
 }
 
 async function loadWeights (state: EngineState, response: ServerResponse, order: z.output<typeof weightsOrder>): Promise<void> {
-  if (!takeFencing(state, response, order.fencing)) return
-  const born = state.incarnation
-  if (state.weightsVersion !== order.weightsVersion) {
-    await sleep(state.options.loadWeightsMs)
-    if (state.incarnation === born) state.takeWeights(order.weightsVersion)
-  }
+  if (!takeHead(state, response, order)) return
+  await state.loadWeights(order.weightsVersion, order.adapter)
   sendJson(response, 200, { weightsVersion: state.weightsVersion, incarnation: state.incarnation })
 }
 
-function takeFencing (state: EngineState, response: ServerResponse, fencing: number): boolean {
-  if (state.options.checksFencing && fencing < state.fencing) {
+/** Refuses an order to an earlier incarnation, or with an old fencing number; else keeps the number. */
+function takeHead (state: EngineState, response: ServerResponse, order: z.output<typeof orderHead>): boolean {
+  if (!state.options.checksFencing) return true
+  if (order.incarnation !== undefined && order.incarnation !== state.incarnation) {
+    sendJson(response, 409, { error: 'The order is for an earlier incarnation.', incarnation: state.incarnation })
+    return false
+  }
+  if (order.fencing < state.fencing) {
     sendJson(response, 409, { error: 'The fencing number is old.', fencing: state.fencing })
     return false
   }
-  state.fencing = Math.max(state.fencing, fencing)
+  state.fencing = order.fencing
   return true
 }
--- /dev/null
+++ b/packages/knapweedshunt-fleet/src/fleetTask.ts
@@ -0,0 +1,162 @@
+import type { Row } from 'knapweedshunt-platform'
+import type { EndpointName, EndpointView, PoolName, ResourceOf, ResourceSnapshot } from 'knapweedshunt-types'
+import { runEvery } from 'knapweedshunt-utils'
+import { EndpointWatch } from './endpointWatch.ts'
+import type { FleetOptions } from './fleetOptions.ts'
+import type { FleetPorts, Lease } from './fleetPorts.ts'
+import { FLEET_LEASE_PREFIX, LEASE_TABLE } from './leaseState.ts'
+import { isWished } from './listServingWeights.ts'
+import { OrderDesk } from './orderDesk.ts'
+import { PeerLeases } from './peerLeases.ts'
+import { planPool } from './planPool.ts'
+import type { PlannedEndpoint, PoolInput } from './plannerTypes.ts'
+import { listPoolGoals, settleGoal } from './poolGoal.ts'
+import type { PoolGoal } from './poolGoal.ts'
+import { EMPTY_ROLLOUT_ROW, nameRollout, ROLLOUT_TABLE } from './rolloutState.ts'
+import type { RolloutRow } from './rolloutState.ts'
+import { isSameTarget } from './weightsTarget.ts'
+
+const SCAN_LIMIT = 1_000
+
+/** One pool as of a step. */
+interface PoolStep {
+  goal: PoolGoal
+  endpoints: Array<ResourceOf<'Endpoint'>>
+}
+
+/** Brings one data centre's endpoints to what the resources ask, while this VM holds the data centre's lease. */
+export class FleetTask {
+  readonly #options: FleetOptions
+  readonly #ports: FleetPorts
+  readonly #lease: Lease
+  readonly #desk: OrderDesk
+  readonly #watch = new EndpointWatch()
+  readonly #peers: PeerLeases
+  /** Rows of the last read, so that a pool at rest costs no read; empty after the lease was lost. */
+  #lastRows = new Map<PoolName, RolloutRow>()
+
+  constructor (options: FleetOptions, ports: FleetPorts, lease: Lease) {
+    this.#options = options
+    this.#ports = ports
+    this.#lease = lease
+    this.#desk = new OrderDesk(ports, options.lease.longestOrderMs)
+    this.#peers = new PeerLeases(options.lease)
+  }
+
+  /** Runs until the signal aborts. */
+  async run (signal: AbortSignal): Promise<void> {
+    await runEvery(this.#options.stepMs, signal, () => this.#step())
+  }
+
+  async #step (): Promise<void> {
+    const snapshot = this.#ports.readResources()
+    const views = this.#readViews()
+    const steps = this.#listSteps(snapshot)
+    for (const { endpoints } of steps) this.#watchEndpoints(endpoints, views)
+    if (this.#lease.readFencing(true) === null) {
+      this.#lastRows.clear()
+      return
+    }
+    const busy = steps.filter(step => this.#needsWork(step, views))
+    if (busy.length === 0) return
+    try {
+      await this.#runSteps(busy, snapshot)
+    } catch (error) {
+      this.#ports.log.warn('Plan not made.', { reason: (error as Error).message })
+    }
+  }
+
+  /** Views age: they are read anew after every wait. */
+  #readViews (): Map<EndpointName, EndpointView> {
+    return new Map(this.#ports.listViews().map(view => [view.endpoint, view]))
+  }
+
+  #listSteps (snapshot: ResourceSnapshot): PoolStep[] {
+    const endpoints = snapshot.resources.filter(resource => resource.kind === 'Endpoint')
+    return listPoolGoals(snapshot.resources)
+      .map(goal => ({ goal, endpoints: endpoints.filter(endpoint => endpoint.spec.pool === goal.pool) }))
+      .filter(step => step.endpoints.some(endpoint => this.#isOwn(endpoint)))
+  }
+
+  #isOwn (endpoint: ResourceOf<'Endpoint'>): boolean {
+    return endpoint.spec.dataCentre === this.#options.dataCentre
+  }
+
+  #watchEndpoints (endpoints: Array<ResourceOf<'Endpoint'>>, views: Map<EndpointName, EndpointView>): void {
+    for (const endpoint of endpoints) this.#watch.take(endpoint.name, views.get(endpoint.name) ?? null)
+  }
+
+  /** A pool is at rest when its row was read, holds no slot, and every endpoint serves with the pool's weights. */
+  #needsWork ({ goal, endpoints }: PoolStep, views: Map<EndpointName, EndpointView>): boolean {
+    const row = this.#lastRows.get(goal.pool)
+    if (row === undefined || row.slots.length > 0) return true
+    const settled = settleGoal(goal, row.completedKey)
+    if (settled.rollout !== null && !isSameTarget(settled.target, settled.inForce)) return true
+    if (settled.rollout !== null && row.dataCentres.find(entry => entry.dataCentre === this.#options.dataCentre)?.goalKey !== settled.key) return true
+    return endpoints.filter(endpoint => this.#isOwn(endpoint)).some(({ name }) => {
+      const view = views.get(name)
+      return view?.state === 'live' && (!isWished(settled, view) || view.load?.role === 'drain')
+    })
+  }
+
+  async #runSteps (steps: PoolStep[], snapshot: ResourceSnapshot): Promise<void> {
+    const { platform } = this.#ports
+    const leases = await platform.scan({ table: LEASE_TABLE, prefix: FLEET_LEASE_PREFIX, limit: SCAN_LIMIT })
+    for (const step of steps) await this.#runPool(step, leases, snapshot)
+  }
+
+  async #runPool (step: PoolStep, leases: Row[], snapshot: ResourceSnapshot): Promise<void> {
+    const read = await this.#ports.platform.read(ROLLOUT_TABLE, nameRollout(step.goal.pool))
+    const row = read === null ? EMPTY_ROLLOUT_ROW : read.value as RolloutRow
+    this.#lastRows.set(step.goal.pool, row)
+    const input = this.#buildInput(step, row, leases, this.#readViews())
+    const plan = planPool(input, this.#options.planner)
+    for (const order of plan.orders) {
+      const spec = step.endpoints.find(endpoint => endpoint.name === order.endpoint)?.spec
+      if (spec) this.#desk.send(order, spec, checks => this.#lease.readFencing(checks))
+    }
+    if (plan.row !== null) await this.#writeRow(step.goal.pool, read?.version ?? 0, plan.row)
+    else if (plan.isComplete) await this.#complete(input, read?.version ?? 0, snapshot)
+  }
+
+  #buildInput ({ goal, endpoints }: PoolStep, row: RolloutRow, leases: Row[], views: Map<EndpointName, EndpointView>): PoolInput {
+    const { dataCentre } = this.#options
+    const others = new Set(endpoints.map(endpoint => endpoint.spec.dataCentre).filter(name => name !== dataCentre))
+    return {
+      goal: settleGoal(goal, row.completedKey),
+      dataCentre,
+      endpoints: endpoints.filter(endpoint => this.#isOwn(endpoint)).map(endpoint => this.#buildEndpoint(endpoint, views.get(endpoint.name) ?? null)),
+      peers: this.#peers.take(leases, [...others]),
+      row
+    }
+  }
+
+  #buildEndpoint ({ name, spec }: ResourceOf<'Endpoint'>, view: EndpointView | null): PlannedEndpoint {
+    return {
+      endpoint: name,
+      draining: spec.draining,
+      view,
+      isGone: this.#watch.isGone(name, view, this.#options.planner.slotSilenceMs),
+      drainedForMs: this.#watch.readDrainedMs(name),
+      isBusy: this.#desk.isBusy(name, view)
+    }
+  }
+
+  /** A lost answer needs no care: the next step reads the row again. */
+  async #writeRow (pool: PoolName, version: number, row: RolloutRow): Promise<boolean> {
+    if (this.#lease.readFencing(true) === null) return false
+    const key = nameRollout(pool)
+    const result = await this.#ports.platform.transact({
+      checks: [{ table: ROLLOUT_TABLE, key, version }],
+      writes: [{ type: 'put', table: ROLLOUT_TABLE, key, value: row }]
+    })
+    return result.type === 'committed'
+  }
+
+  async #complete (input: PoolInput, version: number, snapshot: ResourceSnapshot): Promise<void> {
+    if (this.#lease.readFencing(true) === null) return
+    if (!await this.#ports.commitWeights(input.goal, snapshot.revision)) return
+    this.#ports.log.info('Roll-out complete.', { pool: input.goal.pool, weightsVersion: input.goal.target.weightsVersion })
+    await this.#writeRow(input.goal.pool, version, { ...input.row, completedKey: input.goal.key })
+  }
+}
--- /dev/null
+++ b/packages/knapweedshunt-fleet/src/keepSlots.ts
@@ -0,0 +1,48 @@
+import type { EndpointView } from 'knapweedshunt-types'
+import type { PlannedEndpoint, PlannerOptions, PoolInput } from './plannerTypes.ts'
+import type { LoadSlot } from './rolloutState.ts'
+import { readWeights } from './listServingWeights.ts'
+import { readWished } from './readWished.ts'
+import { isSameTarget } from './weightsTarget.ts'
+
+/** Slots that stay taken, and how many loads of this goal have failed one after another. */
+export interface KeptSlots {
+  slots: LoadSlot[]
+  failuresInRow: number
+}
+
+type SlotState = 'kept' | 'done' | 'failed' | 'dropped'
+
+/** Frees the slots that ended: verified by the endpoint's own report, failed, or left by a data centre that is gone. */
+export function keepSlots (input: PoolInput, options: PlannerOptions): KeptSlots {
+  const { failures } = input.row
+  const kept: KeptSlots = { slots: [], failuresInRow: failures.goalKey === input.goal.key ? failures.inRow : 0 }
+  for (const slot of input.row.slots) {
+    const state = readSlotState(input, slot, options)
+    if (state === 'kept') kept.slots.push(slot)
+    if (state === 'done' && slot.purpose === 'move') kept.failuresInRow = 0
+    if (state === 'failed' && slot.purpose === 'move') kept.failuresInRow++
+  }
+  return kept
+}
+
+function readSlotState (input: PoolInput, slot: LoadSlot, options: PlannerOptions): SlotState {
+  if (slot.dataCentre !== input.dataCentre) return isLeft(input, slot) ? 'dropped' : 'kept'
+  const planned = input.endpoints.find(entry => entry.endpoint === slot.endpoint)
+  if (planned === undefined) return 'dropped'
+  if (planned.isBusy) return 'kept'
+  return planned.view === null ? 'kept' : readOwnState(input, slot, planned, planned.view, options)
+}
+
+function readOwnState (input: PoolInput, slot: LoadSlot, planned: PlannedEndpoint, view: EndpointView, options: PlannerOptions): SlotState {
+  if (view.incarnation !== slot.incarnation) return 'failed'
+  if (view.state === 'dead') return view.loadAgeMs >= options.slotSilenceMs ? 'failed' : 'kept'
+  const weights = readWeights(view)
+  const isLoaded = weights !== null && isSameTarget(weights, readWished(input.goal, slot.purpose))
+  return isLoaded && planned.drainedForMs === 0 && view.load?.role !== 'drain' ? 'done' : 'kept'
+}
+
+function isLeft (input: PoolInput, slot: LoadSlot): boolean {
+  const peer = input.peers.find(entry => entry.dataCentre === slot.dataCentre)
+  return peer === undefined || peer.lease === 'gone'
+}
--- a/packages/knapweedshunt-fleet/src/leaseTask.ts
+++ b/packages/knapweedshunt-fleet/src/leaseTask.ts
@@ -1,66 +1,71 @@
-import type { Platform, Row } from 'knapweedshunt-platform'
+import { PlatformUnreachableError } from 'knapweedshunt-platform'
+import type { Platform } from 'knapweedshunt-platform'
 import type { FencingNumber, Incarnation } from 'knapweedshunt-types'
-import { createIncarnation } from 'knapweedshunt-utils'
+import { sleep } from 'knapweedshunt-utils'
+import { match } from 'ts-pattern'
+import { LeaseMachine } from './leaseMachine.ts'
+import type { LeaseOptions } from './leaseOptions.ts'
+import { LEASE_TABLE } from './leaseState.ts'
 import type { LeaseRow } from './leaseState.ts'
+import type { LeaseAction, LeaseEvent } from './leaseTypes.ts'
 
-const TABLE = 'leases'
+const TICK_MS = 250
 
-/** Options of a lease. */
-export interface LeaseOptions {
-  name: string
-  holder: Incarnation
-  /** How long a renewal lasts, in milliseconds. */
-  durationMs: number
-  /** The holder stops acting this long before the end, in milliseconds. */
-  guardMs: number
-}
-
-/** One contender for a lease in the table service. Times are by the monotonic clock of each VM alone. */
+/** Carries a {@link LeaseMachine}'s actions out on the table service. */
 export class LeaseTask {
   readonly #platform: Platform
-  readonly #options: LeaseOptions
-  #held: { fencing: FencingNumber, untilMs: number } | null = null
-  #seen: { nonce: string, atMs: number } | null = null
+  readonly #name: string
+  readonly #machine: LeaseMachine
 
-  constructor (platform: Platform, options: LeaseOptions) {
+  constructor (platform: Platform, name: string, holder: Incarnation, options: LeaseOptions) {
     this.#platform = platform
-    this.#options = options
+    this.#name = name
+    this.#machine = new LeaseMachine(holder, options)
   }
 
-  /** Fencing number while the lease may be acted on, else null. Ask again after every wait. */
-  get fencing (): FencingNumber | null {
-    if (this.#held === null || performance.now() >= this.#held.untilMs - this.#options.guardMs) return null
-    return this.#held.fencing
+  /** Fencing number while orders may be sent to an endpoint, else null. Ask again after every wait. */
+  readFencing (checksFencing: boolean): FencingNumber | null {
+    return this.#machine.readFencing(checksFencing)
   }
 
-  /** Renews the lease, or takes it when its holder let it lapse. Throws PlatformError. */
-  async renew (): Promise<void> {
-    const startedAtMs = performance.now()
-    const row = await this.#platform.read(TABLE, this.#options.name)
-    const present = row === null ? null : row.value as LeaseRow
-    if (present !== null && present.holder !== this.#options.holder && !this.#hasLapsed(present)) {
-      this.#held = null
-      return
+  /** Contends until the signal aborts, then releases; `isContender` is asked at each tick while the lease is not held. */
+  async run (signal: AbortSignal, isContender: () => boolean): Promise<void> {
+    while (!signal.aborted) {
+      if (this.readFencing(true) !== null || isContender()) await this.#take({ type: 'tick' })
+      await sleep(TICK_MS, signal)
     }
-    await this.#write(row, present, startedAtMs)
+    if (this.readFencing(true) !== null) await this.#take({ type: 'release' })
+  }
+
+  async #take (event: LeaseEvent): Promise<void> {
+    for (const action of this.#machine.take(event)) await this.#take(await this.#carryOut(action))
   }
 
-  async #write (row: Row | null, present: LeaseRow | null, startedAtMs: number): Promise<void> {
-    const isOwn = present?.holder === this.#options.holder && this.#held !== null
-    const fencing = isOwn ? present.fencing : (present?.fencing ?? 0) + 1
-    const value: LeaseRow = { holder: this.#options.holder, fencing, durationMs: this.#options.durationMs, nonce: createIncarnation() }
-    const check = { table: TABLE, key: this.#options.name, version: row?.version ?? 0 }
-    const result = await this.#platform.transact({ checks: [check], writes: [{ type: 'put', table: TABLE, key: this.#options.name, value }] })
-    this.#held = result.type === 'committed' ? { fencing, untilMs: startedAtMs + this.#options.durationMs } : null
+  #carryOut (action: LeaseAction): Promise<LeaseEvent> {
+    return match(action)
+      .with({ type: 'read' }, () => this.#read())
+      .with({ type: 'write' }, ({ version, row }) => this.#write(version, row))
+      .exhaustive()
+  }
+
+  async #read (): Promise<LeaseEvent> {
+    try {
+      const row = await this.#platform.read(LEASE_TABLE, this.#name)
+      return { type: 'rowRead', seen: { version: row?.version ?? 0, row: row === null ? null : row.value as LeaseRow } }
+    } catch {
+      return { type: 'rowUnread' }
+    }
   }
 
-  /** A lease has lapsed when its row did not change for its whole duration, as seen from here. */
-  #hasLapsed (present: LeaseRow): boolean {
-    const now = performance.now()
-    if (this.#seen?.nonce !== present.nonce) {
-      this.#seen = { nonce: present.nonce, atMs: now }
-      return false
+  async #write (version: number, row: LeaseRow): Promise<LeaseEvent> {
+    try {
+      const result = await this.#platform.transact({
+        checks: [{ table: LEASE_TABLE, key: this.#name, version }],
+        writes: [{ type: 'put', table: LEASE_TABLE, key: this.#name, value: row }]
+      })
+      return { type: result.type === 'committed' ? 'writeCommitted' : 'writeRefused' }
+    } catch (error) {
+      return { type: error instanceof PlatformUnreachableError ? 'writeLost' : 'writeRefused' }
     }
-    return now - this.#seen.atMs >= present.durationMs
   }
 }
--- /dev/null
+++ b/packages/knapweedshunt-fleet/src/leaseTypes.ts
@@ -0,0 +1,44 @@
+import type { LeaseRow } from './leaseState.ts'
+
+/** What is known of a lease row: its table version (0 when absent) and value. */
+export interface SeenLease {
+  version: number
+  row: LeaseRow | null
+}
+
+/** What happens to a contender. */
+export type LeaseEvent =
+  /** Time passed. */
+  | { type: 'tick' }
+  /** A read was answered. */
+  | { type: 'rowRead', seen: SeenLease }
+  /** A read was not answered. */
+  | { type: 'rowUnread' }
+  | { type: 'writeCommitted' }
+  /** Another write came first. */
+  | { type: 'writeRefused' }
+  /** No answer: the write may have taken effect, or may yet. */
+  | { type: 'writeLost' }
+  /** The VM leaves. */
+  | { type: 'release' }
+
+/** What a contender wants done. */
+export type LeaseAction =
+  | { type: 'read' }
+  /** Write the row if it still has this version. */
+  | { type: 'write', version: number, row: LeaseRow }
+
+/** A write whose answer has not settled. */
+export interface PendingWrite {
+  row: LeaseRow
+  sentAtMs: number
+}
+
+/** A lease as its holder knows it. */
+export interface HeldLease {
+  fencing: number
+  /** Monotonic time of the taking. */
+  takenAtMs: number
+  /** Monotonic end, counted from the moment the last settled write was sent. */
+  untilMs: number
+}
--- /dev/null
+++ b/packages/knapweedshunt-fleet/src/recoveryTask.ts
@@ -0,0 +1,88 @@
+import type { EndpointName, EndpointView, Incarnation, ResourceOf } from 'knapweedshunt-types'
+import { runEvery } from 'knapweedshunt-utils'
+import type { FleetOptions } from './fleetOptions.ts'
+import { RECOVERY_FENCING } from './fleetPorts.ts'
+import type { FleetPorts } from './fleetPorts.ts'
+import { LEASE_TABLE, nameFleetLease } from './leaseState.ts'
+import { isWished } from './listServingWeights.ts'
+import { OrderDesk } from './orderDesk.ts'
+import { listPoolGoals } from './poolGoal.ts'
+import type { PoolGoal } from './poolGoal.ts'
+
+interface LostWeights {
+  incarnation: Incarnation
+  sinceMs: number
+}
+
+/**
+ * Brings endpoints that lost their weights back to those in force while the platform's store is away.
+ *
+ * No lease can be renewed then. The order repeats what was decided before, so that two VMs may give it; their rank makes
+ * that rare. Nothing is moved and nothing is drained.
+ */
+export class RecoveryTask {
+  readonly #options: FleetOptions
+  readonly #ports: FleetPorts
+  readonly #desk: OrderDesk
+  readonly #lost = new Map<EndpointName, LostWeights>()
+
+  constructor (options: FleetOptions, ports: FleetPorts) {
+    this.#options = options
+    this.#ports = ports
+    this.#desk = new OrderDesk(ports, options.lease.longestOrderMs)
+  }
+
+  /** Runs until the signal aborts. */
+  async run (signal: AbortSignal): Promise<void> {
+    await runEvery(this.#options.stepMs, signal, () => this.#step())
+  }
+
+  async #step (): Promise<void> {
+    const { resources } = this.#ports.readResources()
+    const views = new Map(this.#ports.listViews().map(view => [view.endpoint, view]))
+    const endpoints = resources.filter(resource => resource.kind === 'Endpoint').filter(endpoint => endpoint.spec.dataCentre === this.#options.dataCentre)
+    for (const goal of listPoolGoals(resources)) {
+      const due = endpoints.filter(endpoint => endpoint.spec.pool === goal.pool && this.#isDue(goal, endpoint, views.get(endpoint.name)))
+      if (due.length > 0 && await this.#isStoreAway()) this.#recover(goal, due, views)
+    }
+  }
+
+  #isDue (goal: PoolGoal, endpoint: ResourceOf<'Endpoint'>, view: EndpointView | undefined): boolean {
+    if (view === undefined || !hasLostWeights(goal, view) || endpoint.spec.draining) {
+      this.#lost.delete(endpoint.name)
+      return false
+    }
+    const known = this.#lost.get(endpoint.name)
+    const isKnown = known?.incarnation === view.incarnation
+    const lost = isKnown ? known : { incarnation: view.incarnation, sinceMs: performance.now() }
+    this.#lost.set(endpoint.name, lost)
+    const delayMs = this.#options.recoveryDelayMs + this.#ports.readRank() * this.#options.recoveryRankMs
+    return performance.now() - lost.sinceMs >= delayMs && !this.#desk.isBusy(endpoint.name, view)
+  }
+
+  /** While the store answers, the lease's holder sees to it, within the pool's parallel loads. */
+  async #isStoreAway (): Promise<boolean> {
+    try {
+      await this.#ports.platform.read(LEASE_TABLE, nameFleetLease(this.#options.dataCentre))
+      return false
+    } catch {
+      return true
+    }
+  }
+
+  #recover (goal: PoolGoal, due: Array<ResourceOf<'Endpoint'>>, views: Map<EndpointName, EndpointView>): void {
+    const room = Math.max(0, goal.spec.maxParallelLoads - this.#desk.inFlight)
+    for (const endpoint of due.slice(0, room)) {
+      const incarnation = views.get(endpoint.name)?.incarnation ?? ''
+      this.#ports.log.info('Weights brought back without a lease.', { endpoint: endpoint.name, weightsVersion: goal.inForce.weightsVersion })
+      this.#desk.send({ type: 'weights', endpoint: endpoint.name, incarnation, weights: goal.inForce }, endpoint.spec, () => RECOVERY_FENCING)
+    }
+  }
+}
+
+/** Live, without weights; or with weights nobody asked for and nothing in flight. */
+function hasLostWeights (goal: PoolGoal, view: EndpointView): boolean {
+  if (view.state !== 'live') return false
+  if (view.weightsVersion === null) return true
+  return !isWished(goal, view) && view.load?.running === 0 && view.load.queued === 0
+}
--- a/packages/knapweedshunt-types/src/index.ts
+++ b/packages/knapweedshunt-types/src/index.ts
@@ -1,6 +1,7 @@
 /** Shared types and messages of all packages. */
 export * from './accessKeySpec.ts'
 export * from './endpointPoolSpec.ts'
+export * from './endpointRole.ts'
 export * from './endpointSpec.ts'
 export * from './endpointView.ts'
 export * from './errorBody.ts'
--- a/packages/knapweedshunt-types/src/loadReport.ts
+++ b/packages/knapweedshunt-types/src/loadReport.ts
@@ -1,3 +1,4 @@
+import type { EndpointRole } from './endpointRole.ts'
 import type { EndpointName, Incarnation, WeightsVersion } from './ids.ts'
 
 /** What an endpoint reports of itself (GET /load). */
@@ -6,6 +7,10 @@
   incarnation: Incarnation
   /** Null for plain services and engines without weights. */
   weightsVersion: WeightsVersion | null
+  /** Adapter in use; left out or empty without one. */
+  adapter?: string
+  /** Left out by endpoints that do not change role; they serve. */
+  role?: EndpointRole
   running: number
   queued: number
   /** Prompt tokens waiting to be computed. */
