Fuzz leases and roll-outs over one platform; mend what it found

Several controls over one platform in memory under the fake clock: paused, cut, read-only and killed holders, lost and late writes, lost orders, crashes, racing operators.

--- a/packages/knapweedshunt-fakes/src/engineState.ts
+++ b/packages/knapweedshunt-fakes/src/engineState.ts
@@ -12,6 +12,11 @@
   key: string
 }
 
+interface WeightsLoad {
+  name: string
+  done: Promise<void>
+}
+
 const MAX_EVENTS = 10_000
 
 /** State of one engine stand-in over its incarnations. */
@@ -26,8 +31,6 @@
   adapter = ''
   role: EndpointRole = 'serve'
   fencing = 0
-  /** Loads in progress; a newer order makes the older one void. */
-  loads = 0
   /** Weight loads started over all incarnations, by version. */
   readonly loadedVersions: string[] = []
   running = 0
@@ -38,7 +41,7 @@
   computedTokens = 0
   events: CacheEvent[] = []
   #lastEvent = 0
-  #lastLoad = 0
+  #load: WeightsLoad | null = null
   #frozen: LoadReport | null = null
 
   constructor (options: EngineOptions) {
@@ -47,6 +50,11 @@
     this.weightsVersion = options.weightsVersion
   }
 
+  /** Whether weights are being loaded. */
+  get isLoading (): boolean {
+    return this.#load !== null
+  }
+
   /** Stores prompt blocks and publishes what changed. */
   storeBlocks (keys: string[]): void {
     const fresh = keys.filter(key => !this.cache.has(key))
@@ -79,8 +87,7 @@
     this.adapter = ''
     this.role = 'serve'
     this.fencing = 0
-    this.loads = 0
-    this.#lastLoad++
+    this.#load = null
     this.cache.clear()
     this.cancelled.clear()
     this.events = []
@@ -89,17 +96,22 @@
     this.queuedTokens = 0
   }
 
-  /** Loads weights unless a crash or a newer order comes in between; the cache of the old ones goes. */
+  /** Loads weights and drops the cache of the old ones. The same order again joins the load; another one, or a crash, ends it. */
   async loadWeights (version: string, adapter: string): Promise<void> {
-    if (this.loads === 0 && this.weightsVersion === version && this.adapter === adapter) return
-    const load = ++this.#lastLoad
-    const born = this.incarnation
-    this.loads++
+    const name = JSON.stringify([version, adapter])
+    if (this.#load?.name === name) return await this.#load.done
+    this.#load = null
+    if (this.weightsVersion === version && this.adapter === adapter) return
     this.loadedVersions.push(version)
-    await sleep(this.options.loadWeightsMs)
-    if (this.incarnation !== born) return
-    this.loads--
-    if (load === this.#lastLoad) this.#takeWeights(version, adapter)
+    const load: WeightsLoad = { name, done: sleep(this.options.loadWeightsMs).then(() => this.#finishLoad(load, version, adapter)) }
+    this.#load = load
+    await load.done
+  }
+
+  #finishLoad (load: WeightsLoad, version: string, adapter: string): void {
+    if (this.#load !== load) return
+    this.#load = null
+    this.#takeWeights(version, adapter)
   }
 
   #takeWeights (version: string, adapter: string): void {
--- /dev/null
+++ b/packages/knapweedshunt-fleet/src/__tests__/rolloutFuzz.test.ts
@@ -0,0 +1,138 @@
+import { install } from '@sinonjs/fake-timers'
+import test from 'ava'
+import fc from 'fast-check'
+import { describeRollout } from '../describeRollout.ts'
+import { DEFAULT_PLANNER_OPTIONS } from '../plannerTypes.ts'
+import { listPoolGoals } from '../poolGoal.ts'
+import type { RolloutRow } from '../rolloutState.ts'
+import { nameRollout } from '../rolloutState.ts'
+import { SimWorld } from './simWorld.ts'
+import type { Variant } from './simWorld.ts'
+
+const SEED = 20_261_203
+const RUNS = 100
+const HEAL_MS = 240_000
+const SLOTS = ['a-0', 'a-1', 'b-0', 'b-1']
+const ENDPOINTS = ['a1', 'a2', 'a3', 'b1', 'b2', 'b3']
+
+const slot = fc.constantFrom(...SLOTS)
+const ms = fc.constantFrom(1_000, 2_000, 4_000, 9_000, 14_000, 30_000)
+const stepArbitrary = fc.oneof(
+  { weight: 4, arbitrary: fc.record({ type: fc.constant('wait' as const), ms }) },
+  { weight: 9, arbitrary: fc.record({ type: fc.constant('pause' as const), slot, ms: fc.constantFrom(500, 8_500, 9_000, 9_500, 14_000, 30_000) }) },
+  fc.record({ type: fc.constant('cut' as const), slot, ms }),
+  { weight: 2, arbitrary: fc.record({ type: fc.constant('readOnly' as const), slot, ms }) },
+  fc.record({ type: fc.constant('kill' as const), slot }),
+  fc.record({ type: fc.constant('crash' as const), endpoint: fc.constantFrom(...ENDPOINTS), ms }),
+  fc.record({ type: fc.constant('down' as const), ms }),
+  fc.record({ type: fc.constant('slow' as const), ms: fc.constantFrom(200, 1_500) }),
+  fc.record({ type: fc.constant('loseAnswers' as const), count: fc.integer({ min: 1, max: 4 }) }),
+  fc.record({ type: fc.constant('applyLate' as const), count: fc.integer({ min: 1, max: 3 }), ms }),
+  fc.record({ type: fc.constant('loseOrders' as const), count: fc.integer({ min: 1, max: 3 }) }),
+  { weight: 3, arbitrary: fc.record({ type: fc.constant('rollout' as const), name: fc.constantFrom('r1', 'r2'), spec: fc.record({ weightsVersion: fc.constantFrom('w2', 'w3'), paused: fc.boolean(), undo: fc.boolean() }, { requiredKeys: [] }) }) },
+  fc.record({ type: fc.constant('delete' as const), name: fc.constantFrom('r1', 'r2') }),
+  fc.record({ type: fc.constant('pool' as const), weightsVersion: fc.constantFrom('w1', 'w4') }),
+  fc.record({ type: fc.constant('drain' as const), endpoint: fc.constantFrom(...ENDPOINTS), draining: fc.boolean() })
+)
+type Step = typeof stepArbitrary extends fc.Arbitrary<infer S> ? S : never
+
+function applyStep (world: SimWorld, step: Step): void {
+  const { faults } = world.platform
+  const control = 'slot' in step ? world.controls.get(step.slot) : undefined
+  const now = performance.now()
+  switch (step.type) {
+    case 'wait': return
+    case 'pause': return set(control, { pausedUntilMs: now + step.ms })
+    case 'cut': return set(control, { cutUntilMs: now + step.ms })
+    case 'readOnly': return set(control, { readOnlyUntilMs: now + step.ms })
+    case 'kill': return world.start(step.slot)
+    case 'crash': return world.endpoints.find(entry => entry.name === step.endpoint)?.crash(step.ms)
+    case 'down':
+      setTimeout(() => { faults.down = false }, step.ms)
+      return set(faults, { down: true })
+    case 'slow': return set(faults, { delayMs: step.ms })
+    case 'loseAnswers': return set(faults, { loseAnswers: step.count })
+    case 'applyLate': return set(faults, { applyLate: step.count, lateMs: step.ms })
+    case 'loseOrders': return set(world, { loseOrders: step.count })
+    case 'rollout': return world.putRollout(step.name, step.spec)
+    case 'delete': return world.put([], [`WeightsRollout/${step.name}`])
+    case 'pool': return world.put([{ ...world.pool, spec: { ...world.pool.spec, weightsVersion: step.weightsVersion } }])
+    case 'drain': {
+      const resource = world.resources.get(`Endpoint/${step.endpoint}`)
+      if (resource?.kind === 'Endpoint') world.put([{ ...resource, spec: { ...resource.spec, draining: step.draining } }])
+    }
+  }
+}
+
+function set<T extends object> (target: T | undefined, change: Partial<T>): void {
+  Object.assign(target ?? {}, change)
+}
+
+/** All faults end and the operators ask for w5, with no endpoint drained. */
+async function heal (world: SimWorld, tick: (ms: number) => Promise<unknown>): Promise<void> {
+  Object.assign(world.platform.faults, { down: false, delayMs: 0, loseAnswers: 0, applyLate: 0 })
+  world.loseOrders = 0
+  for (const control of world.controls.values()) Object.assign(control, { pausedUntilMs: 0, cutUntilMs: 0, readOnlyUntilMs: 0 })
+  await tick(31_000)
+  for (const endpoint of ENDPOINTS) applyStep(world, { type: 'drain', endpoint, draining: false })
+  world.putRollout('r1', { weightsVersion: 'w5', paused: false, undo: false })
+  await tick(HEAL_MS)
+}
+
+async function runSteps (steps: Step[], seed: number, variant: Variant): Promise<{ world: SimWorld, violations: string[] }> {
+  const clock = install()
+  try {
+    const world = new SimWorld(seed, variant)
+    await clock.tickAsync(30_000)
+    world.putRollout('r1', {})
+    await clock.tickAsync(3_000)
+    for (const step of steps) {
+      applyStep(world, step)
+      await clock.tickAsync(step.type === 'wait' ? step.ms : 700)
+    }
+    if (variant === 'whole') await heal(world, time => clock.tickAsync(time))
+    world.stop()
+    await clock.tickAsync(40_000)
+    return { world, violations: world.oracle.violations }
+  } finally {
+    clock.uninstall()
+  }
+}
+
+const plan = fc.tuple(fc.array(stepArbitrary, { minLength: 4, maxLength: 16 }), fc.integer({ min: 0, max: 1_000_000 }))
+
+test.serial('roll-outs under faults', async t => {
+  let orders = 0
+  const details = await fc.check(fc.asyncProperty(plan, async ([steps, seed]) => {
+    const { world, violations } = await runSteps(steps, seed, 'whole')
+    orders += world.oracle.orders
+    if (violations.length > 0) throw new Error(violations.join('\n'))
+    const left = world.endpoints.filter(entry => entry.weights !== 'w5' || entry.role !== 'serve')
+    if (left.length > 0) throw new Error(`not moved: ${left.map(entry => `${entry.name} ${entry.weights} ${entry.role}`).join(', ')}; ${JSON.stringify(world.platform.tables.read('rollouts', nameRollout('language')))}`)
+    if (world.pool.spec.weightsVersion !== 'w5') throw new Error('w5 is not in force')
+    if (new Set(world.commits.map(commit => commit.key)).size !== world.commits.length) throw new Error('a roll-out was committed twice')
+    const goal = listPoolGoals([...world.resources.values()])[0]
+    const row = world.platform.tables.read('rollouts', nameRollout('language'))?.value as RolloutRow
+    const { reason } = describeRollout(goal, row, DEFAULT_PLANNER_OPTIONS)
+    if (reason !== 'Complete') throw new Error(`the progress says ${reason}`)
+  }), { seed: SEED, numRuns: RUNS, endOnFailure: true })
+  t.false(details.failed, `${(details.errorInstance as Error | null)?.message} ${JSON.stringify(details.counterexample)}`)
+  t.log(`${RUNS} runs, ${orders} orders`)
+  t.true(orders > RUNS)
+})
+
+const BROKEN: Array<Exclude<Variant, 'whole'>> = ['no guard', 'no re-check', 'no fencing bump']
+const MAX_RUNS = 400
+
+for (const variant of BROKEN) {
+  test.serial(`the oracle sees: ${variant}`, async t => {
+    let seen: string[] = []
+    const property = fc.asyncProperty(plan, async ([steps, seed]) => {
+      seen = (await runSteps(steps, seed, variant)).violations
+      return seen.length === 0
+    })
+    const details = await fc.check(property, { seed: SEED, numRuns: MAX_RUNS, endOnFailure: true })
+    t.true(details.failed)
+    t.log(`seen in run ${details.numRuns}: ${seen[0]}`)
+  })
+}
--- /dev/null
+++ b/packages/knapweedshunt-fleet/src/__tests__/simEndpoint.ts
@@ -0,0 +1,67 @@
+import type { EndpointRole, EndpointView } from 'knapweedshunt-types'
+import { sleep } from 'knapweedshunt-utils'
+import type { OrderResult } from '../endpointOrder.ts'
+import type { OrderCall } from '../fleetPorts.ts'
+
+/** An endpoint in memory that keeps the management interface's promises. */
+export class SimEndpoint {
+  readonly name: string
+  readonly dataCentre: string
+  readonly checksFencing: boolean
+  life = 1
+  isUp = true
+  weights: string | null = 'w1'
+  role: EndpointRole = 'serve'
+  fencing = 0
+  loading: { version: string, done: Promise<void> } | null = null
+  running = 0
+  drainedAtMs = 0
+  /** When it was last up with weights. */
+  healthyAtMs = 0
+
+  constructor (name: string, dataCentre: string, checksFencing: boolean) {
+    this.name = name
+    this.dataCentre = dataCentre
+    this.checksFencing = checksFencing
+  }
+
+  get incarnation (): string {
+    return `${this.name}#${this.life}`
+  }
+
+  crash (downMs: number): void {
+    this.healthyAtMs = performance.now()
+    Object.assign(this, { isUp: false, weights: null, role: 'serve', fencing: 0, loading: null, running: 0, life: this.life + 1 })
+    setTimeout(() => { this.isUp = true }, downMs)
+  }
+
+  accepts ({ order, fencing }: OrderCall): boolean {
+    if (!this.isUp) return false
+    return !this.checksFencing || (order.incarnation === this.incarnation && fencing >= this.fencing)
+  }
+
+  async run ({ order, fencing }: OrderCall, loadMs: number): Promise<OrderResult> {
+    this.fencing = Math.max(this.fencing, fencing)
+    if (order.type === 'role') {
+      if (order.role === 'drain' && this.role !== 'drain') this.drainedAtMs = performance.now()
+      this.role = order.role
+      return 'taken'
+    }
+    const { weightsVersion } = order.weights
+    if (this.loading?.version !== weightsVersion) this.loading = weightsVersion === this.weights ? null : { version: weightsVersion, done: this.#load(weightsVersion, loadMs) }
+    await this.loading?.done
+    return 'taken'
+  }
+
+  async #load (version: string, loadMs: number): Promise<void> {
+    await sleep(loadMs)
+    if (this.loading?.version !== version) return
+    this.loading = null
+    this.weights = version
+  }
+
+  buildView (): EndpointView {
+    const load = { endpoint: this.name, incarnation: this.incarnation, weightsVersion: this.weights, role: this.role, running: this.running, queued: 0, queuedTokens: 0, atMs: 0 }
+    return { endpoint: this.name, incarnation: this.incarnation, state: 'live', weightsVersion: this.weights, load, loadAgeMs: 0 }
+  }
+}
--- /dev/null
+++ b/packages/knapweedshunt-fleet/src/__tests__/simOracle.ts
@@ -0,0 +1,92 @@
+import type { OrderCall } from '../fleetPorts.ts'
+import { listPoolGoals } from '../poolGoal.ts'
+import type { ResourceSnapshot } from 'knapweedshunt-types'
+import type { SimEndpoint } from './simEndpoint.ts'
+
+/** Longest time between a change and the last order that may still follow what it replaced. */
+const STALE_MS = 25_000
+/** Longest time between a crash and its being seen. */
+const UNSEEN_MS = 8_000
+
+interface Running { control: string, untilMs: number }
+
+/** What must hold whenever an endpoint accepts an order. */
+export class SimOracle {
+  readonly violations: string[] = []
+  readonly #endpoints: SimEndpoint[]
+  readonly #history: Array<{ atMs: number, snapshot: ResourceSnapshot }> = []
+  readonly #holders = new Map<string, string>()
+  readonly #lastControl = new Map<string, string>()
+  readonly #past = new Map<string, Set<string>>()
+  readonly #running = new Map<string, Running[]>()
+  orders = 0
+
+  constructor (endpoints: SimEndpoint[]) {
+    this.#endpoints = endpoints
+  }
+
+  noteSnapshot (snapshot: ResourceSnapshot): void {
+    this.#history.push({ atMs: performance.now(), snapshot })
+  }
+
+  /** An order arrives and is accepted; `untilMs` is when it ends. */
+  noteOrder (control: string, call: OrderCall, endpoint: SimEndpoint, untilMs: number): void {
+    this.orders++
+    if (call.order.type === 'weights') this.#checkWeights(call, endpoint)
+    if (call.fencing === 0) return
+    this.#checkHolder(control, call, endpoint, untilMs)
+    if (call.order.type === 'role' && call.order.role === 'drain' && endpoint.role !== 'drain') this.#checkFloor(endpoint)
+  }
+
+  #checkWeights ({ order, fencing }: OrderCall, endpoint: SimEndpoint): void {
+    if (order.type !== 'weights') return
+    const now = performance.now()
+    const recent = this.#history.filter((_, n) => (this.#history[n + 1]?.atMs ?? Infinity) >= now - STALE_MS)
+    const allowed = recent.flatMap(entry => listPoolGoals(entry.snapshot.resources)).flatMap(goal => [goal.inForce, goal.target])
+    if (!allowed.some(target => target.weightsVersion === order.weights.weightsVersion)) this.#fail(`${endpoint.name}: weights ${order.weights.weightsVersion} nobody asked for`)
+    if (fencing === 0 || endpoint.weights === null || endpoint.weights === order.weights.weightsVersion) return
+    if (endpoint.role !== 'drain') this.#fail(`${endpoint.name}: loads in service`)
+    const isBounded = now - endpoint.drainedAtMs >= 30_000
+    if (endpoint.running > 0 && !isBounded) this.#fail(`${endpoint.name}: loads with ${endpoint.running} requests in flight`)
+    const loading = this.#endpoints.filter(entry => entry !== endpoint && entry.loading !== null).length + 1
+    if (loading > this.#readPool().maxParallelLoads) this.#fail(`${loading} loads at once`)
+  }
+
+  #checkHolder (control: string, { fencing }: OrderCall, endpoint: SimEndpoint, untilMs: number): void {
+    const now = performance.now()
+    const number = `${endpoint.dataCentre}/${fencing}`
+    if ((this.#holders.get(number) ?? control) !== control) this.#fail(`${number}: two holders with one number`)
+    this.#holders.set(number, control)
+    const name = endpoint.checksFencing ? endpoint.incarnation : endpoint.name
+    const past = this.#past.get(name) ?? new Set()
+    const last = this.#lastControl.get(name)
+    if (last !== undefined && last !== control) past.add(`${last}`)
+    if (past.has(control) && last !== control && !this.#isAgain(control, endpoint, fencing)) this.#fail(`${name}: ${control} commands after ${last}`)
+    this.#past.set(name, past)
+    this.#lastControl.set(name, control)
+    const running = (this.#running.get(name) ?? []).filter(entry => entry.untilMs > now)
+    if (running.some(entry => entry.control !== control) && !endpoint.checksFencing) this.#fail(`${name}: two holders command at once`)
+    this.#running.set(name, [...running, { control, untilMs }])
+  }
+
+  /** A VM may hold the lease again later, under a number that is greater than all before. */
+  #isAgain (control: string, endpoint: SimEndpoint, fencing: number): boolean {
+    const numbers = [...this.#holders.keys()].filter(key => key.startsWith(`${endpoint.dataCentre}/`)).map(key => Number(key.split('/')[1]))
+    return fencing >= Math.max(...numbers) && this.#holders.get(`${endpoint.dataCentre}/${fencing}`) === control
+  }
+
+  #checkFloor (drained: SimEndpoint): void {
+    const now = performance.now()
+    const left = this.#endpoints.filter(entry => entry !== drained && entry.role === 'serve' && entry.loading === null)
+    const inService = left.filter(entry => (entry.isUp && entry.weights !== null) || entry.healthyAtMs >= now - UNSEEN_MS).length
+    if (inService < this.#readPool().floor) this.#fail(`${drained.name}: drained, ${inService} left in service`)
+  }
+
+  #readPool () {
+    return listPoolGoals(this.#history.at(-1)?.snapshot.resources ?? [])[0].spec
+  }
+
+  #fail (text: string): void {
+    this.violations.push(`${Math.round(performance.now())} ms: ${text}`)
+  }
+}
--- /dev/null
+++ b/packages/knapweedshunt-fleet/src/__tests__/simWorld.ts
@@ -0,0 +1,224 @@
+import { MemoryPlatform } from 'knapweedshunt-fakes'
+import type { Platform } from 'knapweedshunt-platform'
+import { PlatformUnreachableError } from 'knapweedshunt-platform'
+import type { EndpointView, Resource, ResourceSnapshot, WeightsRolloutSpec } from 'knapweedshunt-types'
+import { createRng, sleep } from 'knapweedshunt-utils'
+import type { OrderResult } from '../endpointOrder.ts'
+import { DEFAULT_FLEET_OPTIONS } from '../fleetOptions.ts'
+import type { FleetOptions } from '../fleetOptions.ts'
+import type { FleetPorts, Lease, OrderCall } from '../fleetPorts.ts'
+import { FleetTask } from '../fleetTask.ts'
+import { nameFleetLease } from '../leaseState.ts'
+import { LeaseTask } from '../leaseTask.ts'
+import { RecoveryTask } from '../recoveryTask.ts'
+import type { PoolGoal } from '../poolGoal.ts'
+import { SimEndpoint } from './simEndpoint.ts'
+import { SimOracle } from './simOracle.ts'
+
+/** Deliberate faults of the fleet code, to show that the oracle sees them. */
+export type Variant = 'whole' | 'no guard' | 'no re-check' | 'no fencing bump'
+
+const POLL_MS = 500
+const DEAD_AFTER_MS = 5_000
+const POOL = 'language'
+
+/** One VM's fleet tasks with its own pauses and cuts. */
+export class SimControl {
+  readonly name: string
+  readonly abort = new AbortController()
+  readonly views = new Map<string, { view: EndpointView, heardAtMs: number }>()
+  snapshot: ResourceSnapshot = { revision: 0, resources: [] }
+  pausedUntilMs = 0
+  cutUntilMs = 0
+  /** Until then reads are answered and writes are not. */
+  readOnlyUntilMs = 0
+  isKilled = false
+
+  constructor (name: string) {
+    this.name = name
+  }
+
+  /** Holds a VM's code back after each wait while it is paused, for ever once it is killed. */
+  async pass (): Promise<void> {
+    if (this.isKilled) await new Promise(() => {})
+    while (performance.now() < this.pausedUntilMs) await sleep(this.pausedUntilMs - performance.now())
+    if (this.isKilled) await new Promise(() => {})
+  }
+}
+
+/** Two data centres, a few VMs and endpoints, one platform, under the fake clock. */
+export class SimWorld {
+  readonly platform = new MemoryPlatform()
+  readonly endpoints = ['a', 'b'].flatMap(dataCentre => [1, 2, 3].map(n => new SimEndpoint(`${dataCentre}${n}`, dataCentre, n === 1)))
+  readonly oracle = new SimOracle(this.endpoints)
+  readonly controls = new Map<string, SimControl>()
+  readonly commits: Array<{ key: string, revision: number }> = []
+  loseOrders = 0
+  resources = new Map<string, Resource>()
+  revision = 0
+  readonly #rng
+  readonly #variant: Variant
+  #born = 0
+
+  constructor (seed: number, variant: Variant = 'whole') {
+    this.#rng = createRng(seed)
+    this.#variant = variant
+    const pool = { type: 'model' as const, model: 'm', weightsVersion: 'w1', objective: 'tail' as const, floor: 4, maxParallelLoads: 2 }
+    const rest = { url: '', weight: 1, cacheBlocks: 1, checksIdempotencyKeys: false, draining: false }
+    this.put([
+      { kind: 'EndpointPool', name: POOL, revision: 0, spec: pool },
+      ...this.endpoints.map((entry): Resource => ({ kind: 'Endpoint', name: entry.name, revision: 0, spec: { ...rest, pool: POOL, dataCentre: entry.dataCentre, checksFencing: entry.checksFencing } }))
+    ])
+    for (const slot of ['a-0', 'a-1', 'b-0', 'b-1']) this.start(slot)
+    this.#runRequests().catch(() => {})
+  }
+
+  get pool () {
+    const pool = this.resources.get(`EndpointPool/${POOL}`)
+    if (pool?.kind !== 'EndpointPool' || pool.spec.type !== 'model') throw new Error('There is no pool.')
+    return { ...pool, spec: pool.spec }
+  }
+
+  /** An accepted change; VMs hear of it within two seconds. */
+  put (resources: Resource[], deleted: string[] = []): void {
+    this.revision++
+    for (const resource of resources) this.resources.set(`${resource.kind}/${resource.name}`, { ...resource, revision: this.revision })
+    for (const key of deleted) this.resources.delete(key)
+    const snapshot = { revision: this.revision, resources: [...this.resources.values()] }
+    this.oracle.noteSnapshot(snapshot)
+    for (const control of this.controls.values()) setTimeout(() => this.#deliver(control, snapshot), this.#rng.int(2_000))
+  }
+
+  putRollout (name: string, spec: Partial<WeightsRolloutSpec>): void {
+    const present = this.resources.get(`WeightsRollout/${name}`)
+    const base = present?.kind === 'WeightsRollout' ? present.spec : { pool: POOL, weightsVersion: 'w2', paused: false, undo: false }
+    this.put([{ kind: 'WeightsRollout', name, revision: 0, spec: { ...base, ...spec } }])
+  }
+
+  /** Starts a VM in a slot named data centre-number; the one before is killed. */
+  start (slot: string): void {
+    const before = this.controls.get(slot)
+    if (before) before.isKilled = true
+    const control = new SimControl(`${slot}/${++this.#born}`)
+    this.controls.set(slot, control)
+    control.snapshot = { revision: this.revision, resources: [...this.resources.values()] }
+    const options: FleetOptions = { ...DEFAULT_FLEET_OPTIONS, dataCentre: slot[0] }
+    const ports = this.#buildPorts(control, Number(slot[2]))
+    const lease = this.#buildLease(ports, control, options)
+    const tasks = [lease.run(control.abort.signal, () => true), new FleetTask(options, ports, lease).run(control.abort.signal), new RecoveryTask(options, ports).run(control.abort.signal), this.#poll(control, slot[0])]
+    Promise.all(tasks).catch(error => this.oracle.violations.push(String(error)))
+  }
+
+  /** Ends every VM's tasks. */
+  stop (): void {
+    for (const control of this.controls.values()) control.abort.abort()
+  }
+
+  #deliver (control: SimControl, snapshot: ResourceSnapshot): void {
+    if (snapshot.revision > control.snapshot.revision) control.snapshot = snapshot
+  }
+
+  #buildLease (ports: FleetPorts, control: SimControl, options: FleetOptions): Lease {
+    const timing = this.#variant === 'no guard' ? { ...options.lease, guardMs: 0, longestOrderMs: 0 } : options.lease
+    const lease = new LeaseTask(ports.platform, nameFleetLease(options.dataCentre), control.name, timing)
+    if (this.#variant !== 'no re-check') return lease
+    const last = new Map<boolean, number>()
+    const readFencing = (checks: boolean): number | null => {
+      const fencing = lease.readFencing(checks)
+      if (fencing !== null) last.set(checks, fencing)
+      return last.get(checks) ?? null
+    }
+    return { run: (signal, isContender) => lease.run(signal, isContender), readFencing }
+  }
+
+  #buildPorts (control: SimControl, rank: number): FleetPorts {
+    return {
+      platform: this.#buildPlatform(control),
+      readResources: () => control.snapshot,
+      listViews: () => [...control.views.values()].map(({ view, heardAtMs }) => ({ ...view, loadAgeMs: performance.now() - heardAtMs, state: performance.now() - heardAtMs >= DEAD_AFTER_MS ? 'dead' : 'live' })),
+      sendOrder: call => this.#sendOrder(control, call),
+      commitWeights: (goal, revision) => this.#commit(control, goal, revision),
+      readRank: () => rank,
+      log: { debug () {}, info () {}, warn () {}, error () {} }
+    }
+  }
+
+  #buildPlatform (control: SimControl): Platform {
+    const wrap = async <T>(call: () => Promise<T>): Promise<T> => {
+      await control.pass()
+      if (performance.now() < control.cutUntilMs) throw new PlatformUnreachableError('Cut.')
+      const outcome = await (async () => await call())().then(value => ({ value }), (error: unknown) => ({ error }))
+      await control.pass()
+      if ('error' in outcome) throw outcome.error
+      return outcome.value
+    }
+    const { platform } = this
+    return {
+      read: (table, key) => wrap(() => platform.read(table, key)),
+      scan: request => wrap(() => platform.scan(request)),
+      transact: transaction => wrap(() => {
+        if (performance.now() < control.readOnlyUntilMs) throw new PlatformUnreachableError('Writes are cut.')
+        return platform.transact(transaction)
+      }),
+      getObject: name => wrap(() => platform.getObject(name)),
+      putObject: (name, text) => wrap(() => platform.putObject(name, text)),
+      listVms: () => wrap(() => platform.listVms())
+    }
+  }
+
+  async #sendOrder (control: SimControl, call: OrderCall): Promise<OrderResult> {
+    if (control.isKilled || performance.now() < control.pausedUntilMs) return 'lost'
+    const fencing = this.#variant === 'no fencing bump' ? Math.min(1, call.fencing) : call.fencing
+    const endpoint = this.endpoints.find(entry => entry.name === call.order.endpoint)
+    if (endpoint === undefined) throw new Error(`There is no ${call.order.endpoint}.`)
+    await sleep(this.#rng.int(100))
+    const sent = { ...call, fencing }
+    if (!endpoint.isUp) return 'lost'
+    if (!endpoint.accepts(sent)) return 'refused'
+    const loadMs = 300 + this.#rng.int(9_500)
+    const { role, weights } = endpoint
+    const isLoad = call.order.type === 'weights' && weights !== call.order.weights.weightsVersion
+    this.oracle.noteOrder(control.name, sent, endpoint, performance.now() + (isLoad ? loadMs : 0))
+    if (role === 'serve' && call.order.type === 'role') endpoint.running = this.#rng.int(3)
+    const result = endpoint.run(sent, loadMs)
+    if (this.loseOrders > 0) {
+      this.loseOrders--
+      await sleep(this.#rng.int(1_000))
+      return 'lost'
+    }
+    const taken = await result
+    await control.pass()
+    return taken
+  }
+
+  async #commit (control: SimControl, goal: PoolGoal, revision: number): Promise<number | null> {
+    await control.pass()
+    if (this.platform.faults.down || performance.now() < control.cutUntilMs) return null
+    const known = this.commits.find(entry => entry.key === goal.key)
+    if (known) return known.revision
+    if (revision !== this.revision) return null
+    this.commits.push({ key: goal.key, revision: revision + 1 })
+    this.put([{ ...this.pool, spec: { ...this.pool.spec, weightsVersion: goal.target.weightsVersion } }])
+    await sleep(this.#rng.int(500))
+    await control.pass()
+    return this.#rng.int(3) > 0 ? revision + 1 : null
+  }
+
+  async #poll (control: SimControl, dataCentre: string): Promise<void> {
+    while (!control.abort.signal.aborted && !control.isKilled) {
+      await sleep(POLL_MS, control.abort.signal)
+      for (const endpoint of this.endpoints.filter(entry => entry.dataCentre === dataCentre && entry.isUp)) {
+        const view = endpoint.buildView()
+        setTimeout(() => control.views.set(endpoint.name, { view, heardAtMs: performance.now() }), this.#rng.int(200))
+      }
+    }
+  }
+
+  /** Requests in flight at a drained endpoint end one by one. */
+  async #runRequests (): Promise<void> {
+    for (;;) {
+      await sleep(700)
+      for (const endpoint of this.endpoints) if (endpoint.role === 'drain') endpoint.running = Math.max(0, endpoint.running - 1)
+    }
+  }
+}
--- a/packages/knapweedshunt-fleet/src/claimSlots.ts
+++ b/packages/knapweedshunt-fleet/src/claimSlots.ts
@@ -1,6 +1,7 @@
 import type { EndpointView } from 'knapweedshunt-types'
+import { countInService, listServing } from './countInService.ts'
 import type { KeptSlots } from './keepSlots.ts'
-import { isWished, listServingWeights, readWeights } from './listServingWeights.ts'
+import { isWished, readWeights } from './listServingWeights.ts'
 import type { PlannerOptions, PoolInput } from './plannerTypes.ts'
 import type { LoadSlot, SlotPurpose } from './rolloutState.ts'
 import { isSameTarget } from './weightsTarget.ts'
@@ -10,7 +11,7 @@
   const taken = new Set(kept.slots.map(slot => slot.endpoint))
   const free = listCandidates(input).filter(view => !taken.has(view.endpoint))
   const serving = listServing(input, taken)
-  let inService = serving.size + countPeersInService(input)
+  let inService = countInService(input, taken)
   let room = input.goal.spec.maxParallelLoads - kept.slots.length
   const claimed: LoadSlot[] = []
   for (const purpose of listPurposes(input, kept, options)) {
@@ -25,13 +26,6 @@
   return claimed
 }
 
-/** Names of this data centre's live endpoints that serve and are not in a slot. */
-export function listServing (input: PoolInput, taken: ReadonlySet<string>): ReadonlySet<string> {
-  const views = input.endpoints.flatMap(entry => entry.view === null || entry.draining || taken.has(entry.endpoint) ? [] : [entry.view])
-  const live = new Set(views.filter(view => view.state === 'live').map(view => view.endpoint))
-  return new Set(listServingWeights(input.goal, views).filter(entry => entry.serves && live.has(entry.endpoint)).map(entry => entry.endpoint))
-}
-
 function listCandidates (input: PoolInput): EndpointView[] {
   return input.endpoints.flatMap(entry => entry.view?.state === 'live' && !entry.draining && !entry.isBusy ? [entry.view] : [])
 }
@@ -47,11 +41,3 @@
   if (purpose === 'recover') return !isWished(input.goal, view)
   return weights !== null && isWished(input.goal, view) && !isSameTarget(weights, input.goal.target)
 }
-
-/** Only counts of a fresh lease and of this goal hold; a data centre that reports nothing counts as none in service. */
-function countPeersInService (input: PoolInput): number {
-  const fresh = new Set(input.peers.filter(peer => peer.lease === 'fresh').map(peer => peer.dataCentre))
-  return input.row.dataCentres
-    .filter(entry => fresh.has(entry.dataCentre) && entry.goalKey === input.goal.key)
-    .reduce((sum, entry) => sum + entry.inService, 0)
-}
--- a/packages/knapweedshunt-fleet/src/countProgress.ts
+++ b/packages/knapweedshunt-fleet/src/countProgress.ts
@@ -1,4 +1,4 @@
-import { listServing } from './claimSlots.ts'
+import { listServing } from './countInService.ts'
 import { readWeights } from './listServingWeights.ts'
 import type { PlannedEndpoint, PoolInput } from './plannerTypes.ts'
 import type { DataCentreProgress, LoadSlot } from './rolloutState.ts'
--- a/packages/knapweedshunt-fleet/src/fleetOptions.ts
+++ b/packages/knapweedshunt-fleet/src/fleetOptions.ts
@@ -11,6 +11,8 @@
   planner: PlannerOptions
   /** Time between two plans, in milliseconds. */
   stepMs: number
+  /** Longest time from an endpoint's making a load report to its being in a view, in milliseconds. */
+  reportLagMs: number
   /** VMs of a data centre that contend for its lease. */
   contenders: number
   /** How long an endpoint is without weights before the first VM brings them back without a lease, in milliseconds. */
@@ -25,6 +27,7 @@
   lease: DEFAULT_LEASE_OPTIONS,
   planner: DEFAULT_PLANNER_OPTIONS,
   stepMs: 500,
+  reportLagMs: 1_000,
   contenders: 3,
   recoveryDelayMs: 3_000,
   recoveryRankMs: 3_000
--- a/packages/knapweedshunt-fleet/src/fleetPorts.ts
+++ b/packages/knapweedshunt-fleet/src/fleetPorts.ts
@@ -31,8 +31,8 @@
   listViews (): EndpointView[]
   /** Never throws. */
   sendOrder (call: OrderCall): Promise<OrderResult>
-  /** Makes a roll-out's weights the pool's own if no resource changed since the revision. True when that is settled. */
-  commitWeights (goal: PoolGoal, revision: Revision): Promise<boolean>
+  /** Makes a roll-out's weights the pool's own if no resource changed since the revision. Returns the revision that did, null when it is not settled. */
+  commitWeights (goal: PoolGoal, revision: Revision): Promise<Revision | null>
   /** Place of this VM among the live ones of its data centre, 0 first. */
   readRank (): number
   log: Logger
--- a/packages/knapweedshunt-fleet/src/fleetTask.ts
+++ b/packages/knapweedshunt-fleet/src/fleetTask.ts
@@ -1,6 +1,7 @@
 import type { Row } from 'knapweedshunt-platform'
-import type { EndpointName, EndpointView, PoolName, ResourceOf, ResourceSnapshot } from 'knapweedshunt-types'
+import type { EndpointName, EndpointView, PoolName, ResourceOf, ResourceSnapshot, Revision } from 'knapweedshunt-types'
 import { runEvery } from 'knapweedshunt-utils'
+import type { EndpointOrder } from './endpointOrder.ts'
 import { EndpointWatch } from './endpointWatch.ts'
 import type { FleetOptions } from './fleetOptions.ts'
 import type { FleetPorts, Lease } from './fleetPorts.ts'
@@ -39,7 +40,7 @@
     this.#options = options
     this.#ports = ports
     this.#lease = lease
-    this.#desk = new OrderDesk(ports, options.lease.longestOrderMs)
+    this.#desk = new OrderDesk(ports, options)
     this.#peers = new PeerLeases(options.lease)
   }
 
@@ -55,12 +56,13 @@
     for (const { endpoints } of steps) this.#watchEndpoints(endpoints, views)
     if (this.#lease.readFencing(true) === null) {
       this.#lastRows.clear()
+      this.#desk.clearConfirmed()
       return
     }
     const busy = steps.filter(step => this.#needsWork(step, views))
     if (busy.length === 0) return
     try {
-      await this.#runSteps(busy, snapshot)
+      await this.#runPools(busy.map(step => step.goal.pool))
     } catch (error) {
       this.#ports.log.warn('Plan not made.', { reason: (error as Error).message })
     }
@@ -99,35 +101,45 @@
     })
   }
 
-  async #runSteps (steps: PoolStep[], snapshot: ResourceSnapshot): Promise<void> {
+  async #runPools (pools: PoolName[]): Promise<void> {
     const { platform } = this.#ports
     const leases = await platform.scan({ table: LEASE_TABLE, prefix: FLEET_LEASE_PREFIX, limit: SCAN_LIMIT })
-    for (const step of steps) await this.#runPool(step, leases, snapshot)
+    for (const pool of pools) await this.#runPool(pool, leases)
   }
 
-  async #runPool (step: PoolStep, leases: Row[], snapshot: ResourceSnapshot): Promise<void> {
-    const read = await this.#ports.platform.read(ROLLOUT_TABLE, nameRollout(step.goal.pool))
+  async #runPool (pool: PoolName, leases: Row[]): Promise<void> {
+    const read = await this.#ports.platform.read(ROLLOUT_TABLE, nameRollout(pool))
+    const version = read?.version ?? 0
     const row = read === null ? EMPTY_ROLLOUT_ROW : read.value as RolloutRow
-    this.#lastRows.set(step.goal.pool, row)
-    const input = this.#buildInput(step, row, leases, this.#readViews())
+    const snapshot = this.#ports.readResources()
+    const step = this.#listSteps(snapshot).find(entry => entry.goal.pool === pool)
+    if (step === undefined || snapshot.revision < row.revision) return
+    this.#lastRows.set(pool, row)
+    const input = this.#buildInput(step, row, leases, snapshot.revision)
     const plan = planPool(input, this.#options.planner)
-    for (const order of plan.orders) {
-      const spec = step.endpoints.find(endpoint => endpoint.name === order.endpoint)?.spec
+    this.#sendOrders(plan.orders, step.endpoints)
+    if (plan.row !== null) await this.#writeRow(pool, version, plan.row)
+    else if (plan.isComplete) await this.#complete(input, version)
+  }
+
+  #sendOrders (orders: EndpointOrder[], endpoints: Array<ResourceOf<'Endpoint'>>): void {
+    for (const order of orders) {
+      const spec = endpoints.find(endpoint => endpoint.name === order.endpoint)?.spec
       if (spec) this.#desk.send(order, spec, checks => this.#lease.readFencing(checks))
     }
-    if (plan.row !== null) await this.#writeRow(step.goal.pool, read?.version ?? 0, plan.row)
-    else if (plan.isComplete) await this.#complete(input, read?.version ?? 0, snapshot)
   }
 
-  #buildInput ({ goal, endpoints }: PoolStep, row: RolloutRow, leases: Row[], views: Map<EndpointName, EndpointView>): PoolInput {
+  #buildInput ({ goal, endpoints }: PoolStep, row: RolloutRow, leases: Row[], revision: Revision): PoolInput {
     const { dataCentre } = this.#options
+    const views = this.#readViews()
     const others = new Set(endpoints.map(endpoint => endpoint.spec.dataCentre).filter(name => name !== dataCentre))
     return {
       goal: settleGoal(goal, row.completedKey),
       dataCentre,
       endpoints: endpoints.filter(endpoint => this.#isOwn(endpoint)).map(endpoint => this.#buildEndpoint(endpoint, views.get(endpoint.name) ?? null)),
       peers: this.#peers.take(leases, [...others]),
-      row
+      row,
+      revision
     }
   }
 
@@ -138,25 +150,27 @@
       view,
       isGone: this.#watch.isGone(name, view, this.#options.planner.slotSilenceMs),
       drainedForMs: this.#watch.readDrainedMs(name),
-      isBusy: this.#desk.isBusy(name, view)
+      isBusy: this.#desk.isBusy(name, view),
+      confirmed: this.#desk.readConfirmed(name, view?.incarnation ?? '')
     }
   }
 
   /** A lost answer needs no care: the next step reads the row again. */
-  async #writeRow (pool: PoolName, version: number, row: RolloutRow): Promise<boolean> {
-    if (this.#lease.readFencing(true) === null) return false
+  async #writeRow (pool: PoolName, version: number, row: RolloutRow): Promise<void> {
+    if (this.#lease.readFencing(true) === null) return
     const key = nameRollout(pool)
-    const result = await this.#ports.platform.transact({
+    await this.#ports.platform.transact({
       checks: [{ table: ROLLOUT_TABLE, key, version }],
       writes: [{ type: 'put', table: ROLLOUT_TABLE, key, value: row }]
     })
-    return result.type === 'committed'
   }
 
-  async #complete (input: PoolInput, version: number, snapshot: ResourceSnapshot): Promise<void> {
+  async #complete (input: PoolInput, version: number): Promise<void> {
     if (this.#lease.readFencing(true) === null) return
-    if (!await this.#ports.commitWeights(input.goal, snapshot.revision)) return
-    this.#ports.log.info('Roll-out complete.', { pool: input.goal.pool, weightsVersion: input.goal.target.weightsVersion })
-    await this.#writeRow(input.goal.pool, version, { ...input.row, completedKey: input.goal.key })
+    const { goal, row } = input
+    const revision = await this.#ports.commitWeights(goal, input.revision)
+    if (revision === null) return
+    this.#ports.log.info('Roll-out complete.', { pool: goal.pool, weightsVersion: goal.target.weightsVersion })
+    await this.#writeRow(goal.pool, version, { ...row, completedKey: goal.key, revision: Math.max(revision, row.revision) })
   }
 }
--- a/packages/knapweedshunt-fleet/src/keepSlots.ts
+++ b/packages/knapweedshunt-fleet/src/keepSlots.ts
@@ -1,5 +1,6 @@
 import type { EndpointView } from 'knapweedshunt-types'
-import type { PlannedEndpoint, PlannerOptions, PoolInput } from './plannerTypes.ts'
+import { countInService, listServing } from './countInService.ts'
+import type { PlannerOptions, PoolInput } from './plannerTypes.ts'
 import type { LoadSlot } from './rolloutState.ts'
 import { readWeights } from './listServingWeights.ts'
 import { readWished } from './readWished.ts'
@@ -31,15 +32,23 @@
   const planned = input.endpoints.find(entry => entry.endpoint === slot.endpoint)
   if (planned === undefined) return 'dropped'
   if (planned.isBusy) return 'kept'
-  return planned.view === null ? 'kept' : readOwnState(input, slot, planned, planned.view, options)
+  return planned.view === null ? 'kept' : readOwnState(input, slot, planned.view, options)
 }
 
-function readOwnState (input: PoolInput, slot: LoadSlot, planned: PlannedEndpoint, view: EndpointView, options: PlannerOptions): SlotState {
+function readOwnState (input: PoolInput, slot: LoadSlot, view: EndpointView, options: PlannerOptions): SlotState {
   if (view.incarnation !== slot.incarnation) return 'failed'
   if (view.state === 'dead') return view.loadAgeMs >= options.slotSilenceMs ? 'failed' : 'kept'
   const weights = readWeights(view)
-  const isLoaded = weights !== null && isSameTarget(weights, readWished(input.goal, slot.purpose))
-  return isLoaded && planned.drainedForMs === 0 && view.load?.role !== 'drain' ? 'done' : 'kept'
+  if (weights === null || view.load?.role === 'drain') return 'kept'
+  if (isSameTarget(weights, readWished(input.goal, slot.purpose))) return 'done'
+  return isBelowFloor(input, view) ? 'dropped' : 'kept'
+}
+
+/** Since the slot was claimed others may have crashed: an endpoint not drained yet then stays in service. */
+function isBelowFloor (input: PoolInput, view: EndpointView): boolean {
+  const others = new Set(input.row.slots.map(slot => slot.endpoint).filter(name => name !== view.endpoint))
+  if (!listServing(input, others).has(view.endpoint)) return false
+  return countInService(input, others) - 1 < input.goal.spec.floor
 }
 
 function isLeft (input: PoolInput, slot: LoadSlot): boolean {
--- a/packages/knapweedshunt-fleet/src/orderDesk.ts
+++ b/packages/knapweedshunt-fleet/src/orderDesk.ts
@@ -1,7 +1,11 @@
 import { isDeepStrictEqual } from 'node:util'
-import type { EndpointName, EndpointSpec, EndpointView, FencingNumber } from 'knapweedshunt-types'
+import type { EndpointName, EndpointSpec, EndpointView, FencingNumber, Incarnation } from 'knapweedshunt-types'
 import type { EndpointOrder } from './endpointOrder.ts'
+import type { FleetOptions } from './fleetOptions.ts'
 import type { FleetPorts } from './fleetPorts.ts'
+import type { WeightsTarget } from './weightsTarget.ts'
+
+type WeightsOrder = Extract<EndpointOrder, { type: 'weights' }>
 
 interface SentOrder {
   order: EndpointOrder
@@ -15,11 +19,14 @@
 export class OrderDesk {
   readonly #ports: FleetPorts
   readonly #longestOrderMs: number
+  readonly #reportLagMs: number
   readonly #sent = new Map<EndpointName, SentOrder>()
+  readonly #confirmed = new Map<EndpointName, WeightsOrder>()
 
-  constructor (ports: FleetPorts, longestOrderMs: number) {
+  constructor (ports: FleetPorts, options: FleetOptions) {
     this.#ports = ports
-    this.#longestOrderMs = longestOrderMs
+    this.#longestOrderMs = options.lease.longestOrderMs
+    this.#reportLagMs = options.reportLagMs
   }
 
   /** Orders on their way. */
@@ -27,12 +34,23 @@
     return [...this.#sent.values()].filter(sent => sent.answeredAtMs === null).length
   }
 
-  /** Whether an order is on its way, or the view is older than the last answer. */
+  /** Forgets what was confirmed, as another holder may have given orders since. */
+  clearConfirmed (): void {
+    this.#confirmed.clear()
+  }
+
+  /** Whether an order is on its way, or the view may be older than the last answer. */
   isBusy (endpoint: EndpointName, view: EndpointView | null): boolean {
     const sent = this.#sent.get(endpoint)
     if (sent === undefined) return false
     if (sent.answeredAtMs === null) return true
-    return view !== null && performance.now() - view.loadAgeMs <= sent.answeredAtMs
+    return view !== null && performance.now() - view.loadAgeMs <= sent.answeredAtMs + this.#reportLagMs
+  }
+
+  /** Weights of the last order taken by an incarnation, null when none is known or another one was sent since. */
+  readConfirmed (endpoint: EndpointName, incarnation: Incarnation): WeightsTarget | null {
+    const confirmed = this.#confirmed.get(endpoint)
+    return confirmed?.incarnation === incarnation ? confirmed.weights : null
   }
 
   /** Sends an order under the number that `readFencing` gives at this moment; without one nothing is sent. */
@@ -42,9 +60,11 @@
     if (fencing === null) return
     const sent: SentOrder = { order, sentAtMs: performance.now(), answeredAtMs: null, isLost: false }
     this.#sent.set(order.endpoint, sent)
+    if (order.type === 'weights') this.#confirmed.delete(order.endpoint)
     const result = await this.#ports.sendOrder({ order, spec, fencing, timeoutMs: this.#longestOrderMs })
     sent.answeredAtMs = performance.now()
     sent.isLost = result === 'lost'
+    if (result === 'taken' && order.type === 'weights') this.#confirmed.set(order.endpoint, order)
     if (result !== 'taken') this.#ports.log.warn('Order not taken.', { endpoint: order.endpoint, type: order.type, result })
   }
 
--- a/packages/knapweedshunt-fleet/src/planPool.ts
+++ b/packages/knapweedshunt-fleet/src/planPool.ts
@@ -20,9 +20,9 @@
   const progress = countProgress(input, slots)
   const others = input.row.dataCentres.filter(entry => entry.dataCentre !== input.dataCentre)
   const dataCentres = [...others, progress].sort((a, b) => a.dataCentre < b.dataCentre ? -1 : 1)
-  const row: RolloutRow = { slots, failures, dataCentres, completedKey: readCompletedKey(input) }
+  const row: RolloutRow = { slots, failures, dataCentres, completedKey: readCompletedKey(input), revision: input.row.revision }
   return {
-    row: isDeepStrictEqual(row, input.row) ? null : row,
+    row: isDeepStrictEqual(row, input.row) ? null : { ...row, revision: input.revision },
     orders: planOrders(input, kept.slots, options),
     isComplete: isComplete(input, row)
   }
--- a/packages/knapweedshunt-fleet/src/plannerTypes.ts
+++ b/packages/knapweedshunt-fleet/src/plannerTypes.ts
@@ -1,7 +1,8 @@
-import type { DataCentreId, EndpointName, EndpointView } from 'knapweedshunt-types'
+import type { DataCentreId, EndpointName, EndpointView, Revision } from 'knapweedshunt-types'
 import type { EndpointOrder } from './endpointOrder.ts'
 import type { PoolGoal } from './poolGoal.ts'
 import type { RolloutRow } from './rolloutState.ts'
+import type { WeightsTarget } from './weightsTarget.ts'
 
 /** Bounds of the planner. */
 export interface PlannerOptions {
@@ -31,6 +32,8 @@
   drainedForMs: number
   /** An order is on its way, or was answered after the view was made. */
   isBusy: boolean
+  /** Weights of the last order that this holder knows to be taken by this incarnation; null before the first. */
+  confirmed: WeightsTarget | null
 }
 
 /** State of another data centre's lease, as seen from here. */
@@ -55,6 +58,8 @@
   endpoints: PlannedEndpoint[]
   peers: PeerDataCentre[]
   row: RolloutRow
+  /** Resource revision of the goal. */
+  revision: Revision
 }
 
 /** What is to happen next. */
--- a/packages/knapweedshunt-fleet/src/recoveryTask.ts
+++ b/packages/knapweedshunt-fleet/src/recoveryTask.ts
@@ -9,9 +9,12 @@
 import { listPoolGoals } from './poolGoal.ts'
 import type { PoolGoal } from './poolGoal.ts'
 
-interface LostWeights {
+interface Watched {
   incarnation: Incarnation
-  sinceMs: number
+  /** The incarnation replaced another one and has not had the weights it is to have yet. */
+  isReturned: boolean
+  /** Since when it is without these weights, null while it needs nothing. */
+  lostSinceMs: number | null
 }
 
 /**
@@ -24,12 +27,12 @@
   readonly #options: FleetOptions
   readonly #ports: FleetPorts
   readonly #desk: OrderDesk
-  readonly #lost = new Map<EndpointName, LostWeights>()
+  readonly #watched = new Map<EndpointName, Watched>()
 
   constructor (options: FleetOptions, ports: FleetPorts) {
     this.#options = options
     this.#ports = ports
-    this.#desk = new OrderDesk(ports, options.lease.longestOrderMs)
+    this.#desk = new OrderDesk(ports, options)
   }
 
   /** Runs until the signal aborts. */
@@ -48,16 +51,22 @@
   }
 
   #isDue (goal: PoolGoal, endpoint: ResourceOf<'Endpoint'>, view: EndpointView | undefined): boolean {
-    if (view === undefined || !hasLostWeights(goal, view) || endpoint.spec.draining) {
-      this.#lost.delete(endpoint.name)
-      return false
-    }
-    const known = this.#lost.get(endpoint.name)
-    const isKnown = known?.incarnation === view.incarnation
-    const lost = isKnown ? known : { incarnation: view.incarnation, sinceMs: performance.now() }
-    this.#lost.set(endpoint.name, lost)
+    if (view === undefined) return false
+    const watched = this.#watchEndpoint(goal, view)
+    if (watched.lostSinceMs === null || endpoint.spec.draining) return false
     const delayMs = this.#options.recoveryDelayMs + this.#ports.readRank() * this.#options.recoveryRankMs
-    return performance.now() - lost.sinceMs >= delayMs && !this.#desk.isBusy(endpoint.name, view)
+    return performance.now() - watched.lostSinceMs >= delayMs && !this.#desk.isBusy(endpoint.name, view)
+  }
+
+  #watchEndpoint (goal: PoolGoal, view: EndpointView): Watched {
+    const known = this.#watched.get(view.endpoint)
+    const isSame = known?.incarnation === view.incarnation
+    const isReturned = (known !== undefined && !isSame) || (isSame && known.isReturned)
+    const isLost = hasLostWeights(goal, view, isReturned)
+    const lostSinceMs = isLost ? (isSame ? known.lostSinceMs : null) ?? performance.now() : null
+    const watched: Watched = { incarnation: view.incarnation, isReturned: isReturned && !isWished(goal, view), lostSinceMs }
+    this.#watched.set(view.endpoint, watched)
+    return watched
   }
 
   /** While the store answers, the lease's holder sees to it, within the pool's parallel loads. */
@@ -80,9 +89,9 @@
   }
 }
 
-/** Live, without weights; or with weights nobody asked for and nothing in flight. */
-function hasLostWeights (goal: PoolGoal, view: EndpointView): boolean {
+/** Live and without weights; or returned from a crash with weights nobody asked for, and nothing in flight. */
+function hasLostWeights (goal: PoolGoal, view: EndpointView, isReturned: boolean): boolean {
   if (view.state !== 'live') return false
   if (view.weightsVersion === null) return true
-  return !isWished(goal, view) && view.load?.running === 0 && view.load.queued === 0
+  return isReturned && !isWished(goal, view) && view.load?.running === 0 && view.load.queued === 0
 }
--- a/packages/knapweedshunt-fleet/src/rolloutState.ts
+++ b/packages/knapweedshunt-fleet/src/rolloutState.ts
@@ -1,4 +1,4 @@
-import type { DataCentreId, EndpointName, Incarnation, PoolName } from 'knapweedshunt-types'
+import type { DataCentreId, EndpointName, Incarnation, PoolName, Revision } from 'knapweedshunt-types'
 
 /** Table with one row per pool. */
 export const ROLLOUT_TABLE = 'rollouts'
@@ -40,10 +40,12 @@
   dataCentres: DataCentreProgress[]
   /** Key of the last goal whose roll-out is complete; it decides no more, whatever the pool is changed to later. */
   completedKey: string
+  /** Newest resource revision that decided this row; a holder whose replica is older waits. */
+  revision: Revision
 }
 
 /** Row of a pool that never loaded anything. */
-export const EMPTY_ROLLOUT_ROW: RolloutRow = { slots: [], failures: { goalKey: '', inRow: 0 }, dataCentres: [], completedKey: '' }
+export const EMPTY_ROLLOUT_ROW: RolloutRow = { slots: [], failures: { goalKey: '', inRow: 0 }, dataCentres: [], completedKey: '', revision: 0 }
 
 /** Key of a pool's row. */
 export function nameRollout (pool: PoolName): string {
