--- a/packages/knapweedshunt-fakes/src/engineState.ts
+++ b/packages/knapweedshunt-fakes/src/engineState.ts
@@ -1,5 +1,5 @@
-import type { LoadReport } from 'knapweedshunt-types'
-import { createIncarnation } from 'knapweedshunt-utils'
+import type { EndpointRole, LoadReport } from 'knapweedshunt-types'
+import { createIncarnation, sleep } from 'knapweedshunt-utils'
 import { BlockCache } from './blockCache.ts'
 import { DEFAULT_ENGINE_FAULTS } from './engineFaults.ts'
 import type { EngineFaults } from './engineFaults.ts'
@@ -12,6 +12,11 @@
   key: string
 }
 
+interface WeightsLoad {
+  name: string
+  done: Promise<void>
+}
+
 const MAX_EVENTS = 10_000
 
 /** State of one engine stand-in over its incarnations. */
@@ -21,9 +26,13 @@
   readonly cache: BlockCache
   readonly cancelled = new Set<string>()
   incarnation = createIncarnation()
+  /** Empty without weights. */
   weightsVersion: string
-  role = 'serve'
+  adapter = ''
+  role: EndpointRole = 'serve'
   fencing = 0
+  /** Weight loads started over all incarnations, by version. */
+  readonly loadedVersions: string[] = []
   running = 0
   queuedTokens = 0
   /** Completions started over all incarnations. */
@@ -32,6 +41,7 @@
   computedTokens = 0
   events: CacheEvent[] = []
   #lastEvent = 0
+  #load: WeightsLoad | null = null
   #frozen: LoadReport | null = null
 
   constructor (options: EngineOptions) {
@@ -40,6 +50,11 @@
     this.weightsVersion = options.weightsVersion
   }
 
+  /** Whether weights are being loaded. */
+  get isLoading (): boolean {
+    return this.#load !== null
+  }
+
   /** Stores prompt blocks and publishes what changed. */
   storeBlocks (keys: string[]): void {
     const fresh = keys.filter(key => !this.cache.has(key))
@@ -53,7 +68,9 @@
     const report: LoadReport = {
       endpoint: this.options.endpoint,
       incarnation: this.incarnation,
-      weightsVersion: this.weightsVersion,
+      weightsVersion: this.weightsVersion === '' ? null : this.weightsVersion,
+      adapter: this.adapter,
+      role: this.role,
       running: this.running,
       queued: 0,
       queuedTokens: Math.round(this.queuedTokens),
@@ -63,10 +80,14 @@
     return this.#frozen ?? report
   }
 
-  /** Comes back empty with the first weights, as a new incarnation. */
+  /** Comes back with nothing cached, as a new incarnation that knows no fencing number. */
   restart (): void {
     this.incarnation = createIncarnation()
-    this.weightsVersion = this.options.weightsVersion
+    this.weightsVersion = this.options.restartsEmpty ? '' : this.options.weightsVersion
+    this.adapter = ''
+    this.role = 'serve'
+    this.fencing = 0
+    this.#load = null
     this.cache.clear()
     this.cancelled.clear()
     this.events = []
@@ -75,9 +96,27 @@
     this.queuedTokens = 0
   }
 
-  /** Takes new weights; the cache of the old ones goes. */
-  takeWeights (version: string): void {
+  /** Loads weights and drops the cache of the old ones. The same order again joins the load; another one, or a crash, ends it. */
+  async loadWeights (version: string, adapter: string): Promise<void> {
+    const name = JSON.stringify([version, adapter])
+    if (this.#load?.name === name) return await this.#load.done
+    this.#load = null
+    if (this.weightsVersion === version && this.adapter === adapter) return
+    this.loadedVersions.push(version)
+    const load: WeightsLoad = { name, done: sleep(this.options.loadWeightsMs).then(() => this.#finishLoad(load, version, adapter)) }
+    this.#load = load
+    await load.done
+  }
+
+  #finishLoad (load: WeightsLoad, version: string, adapter: string): void {
+    if (this.#load !== load) return
+    this.#load = null
+    this.#takeWeights(version, adapter)
+  }
+
+  #takeWeights (version: string, adapter: string): void {
     this.weightsVersion = version
+    this.adapter = adapter
     this.cache.clear()
   }
 
