--- a/packages/knapweedshunt-admin/src/listStatus.ts
+++ b/packages/knapweedshunt-admin/src/listStatus.ts
@@ -1,7 +1,9 @@
 import { describeStatus } from 'knapweedshunt-resources'
-import type { Resource, ResourceStatus, RouterSnapshot } from 'knapweedshunt-types'
+import type { Resource, ResourceStatus } from 'knapweedshunt-types'
 import type { AdminContext } from './adminContext.ts'
+import { isVisible } from './isVisible.ts'
 import type { OperatorRole } from './operatorKey.ts'
+import { readEvidence } from './readEvidence.ts'
 
 /** A resource with its status. */
 export interface ResourceWithStatus {
@@ -15,20 +17,13 @@
   name: string | null
 }
 
-/** Lists the resources that the role may see, with status. */
+/** Lists the resources that the role may see, with status. While the platform does not answer they come from the local control, whose `InForce` is then never true. */
 export async function listStatus (context: AdminContext, role: OperatorRole, filter: ListFilter): Promise<ResourceWithStatus[]> {
-  const snapshot = await context.store.readSnapshot()
-  const view = await context.control.call('control.status', {}) as RouterSnapshot
+  const { evidence, held } = await readEvidence(context)
+  const snapshot = evidence.listed === null ? held : await context.store.readSnapshot()
   return snapshot.resources
     .filter(resource => filter.kind === null || resource.kind === filter.kind)
     .filter(resource => filter.name === null || resource.name === filter.name)
     .filter(resource => isVisible(role, resource))
-    .map(resource => ({ resource, status: describeStatus(resource, view.vms) }))
-}
-
-function isVisible (role: OperatorRole, resource: Resource): boolean {
-  if (role.type !== 'organisation') return true
-  if (resource.kind === 'Organisation') return resource.name === role.organisation
-  if (resource.kind === 'AccessKey' || resource.kind === 'Limit') return resource.spec.organisation === role.organisation
-  return resource.kind === 'Route' || resource.kind === 'PriorityClass'
+    .map(resource => ({ resource, status: describeStatus(resource, evidence) }))
 }
--- a/packages/knapweedshunt-admin/src/startAdmin.ts
+++ b/packages/knapweedshunt-admin/src/startAdmin.ts
@@ -22,7 +22,7 @@
   const { peerKey: sharedKey } = options
   const control = createRpcClient({ url: options.controlUrl, sharedKey, timeoutMs: RPC_TIMEOUT_MS })
   const router = createRpcClient({ url: options.routerUrl, sharedKey, timeoutMs: RPC_TIMEOUT_MS })
-  const context = { store: new ResourceStore(platform), control, router }
+  const context = { platform, store: new ResourceStore(platform), control, router }
   const server = http.createServer((message, response) => {
     if (message.url === '/healthz') return sendHealth(response)
     return serveAdmin(context, options.operatorKeys, message, response)
--- /dev/null
+++ b/packages/knapweedshunt-control/src/controlNode.ts
@@ -0,0 +1,313 @@
+import { DataCentreDirectory, EndpointMembership, rankVms, VmMembership } from 'knapweedshunt-membership'
+import type { MembershipEvent, MembershipOptions } from 'knapweedshunt-membership'
+import { ResourceReplica } from 'knapweedshunt-resources'
+import type { Incarnation, Revision, RouterSnapshot, VmListEntry, VmView } from 'knapweedshunt-types'
+import type { Rng } from 'knapweedshunt-utils'
+import { match } from 'ts-pattern'
+import type { ControlAction, ControlEvent, PlatformRead } from './controlEvents.ts'
+import type { Caller, ChangesAnswer, ControlStatus, ExchangeAnswer, ExchangeRequest, PushRequest } from './controlMessages.ts'
+import { GossipPlan } from './gossipPlan.ts'
+import { Join } from './joinSteps.ts'
+import { LoadPlan } from './loadPlan.ts'
+import { DEFAULT_NODE_OPTIONS } from './nodeOptions.ts'
+import type { NodeOptions } from './nodeOptions.ts'
+import { PlatformPlan } from './platformPlan.ts'
+
+/** What a node starts with. */
+export interface NodeSetup {
+  self: VmView
+  rng: Rng
+  drawIncarnation: () => Incarnation
+  /** Control URLs of peers to ask while the platform does not answer. */
+  seeds: string[]
+  options?: NodeOptions
+  membership?: MembershipOptions
+}
+
+/** Most operations that are pushed along with a revision; with more, the receiver asks. */
+const PUSHED_OPS = 50
+const SNAPSHOT_LOST_AFTER_MS = 5_000
+
+/** Time after a new revision in which summaries travel with every exchange, since operators wait for it to be in force. */
+const HOT_MS = 4_000
+
+/** Decisions of one VM's control: events in, actions out. Opens nothing. */
+export class ControlNode {
+  readonly vms: VmMembership
+  readonly endpoints = new EndpointMembership()
+  readonly centres: DataCentreDirectory
+  readonly replica = new ResourceReplica()
+  readonly join: Join
+  readonly #options: NodeOptions
+  readonly #gossip: GossipPlan
+  readonly #platform: PlatformPlan
+  readonly #loads: LoadPlan
+  readonly #acquainted = new Set<string>()
+  #listed: VmListEntry[] = []
+  #ticks = 0
+  #newestHeard: Revision = 0
+  #snapshotAskedAtMs: number | null = null
+  #downBefore = ''
+  #hotUntilMs = 0
+  #floorBefore: Revision = 0
+
+  constructor (setup: NodeSetup) {
+    this.#options = setup.options ?? DEFAULT_NODE_OPTIONS
+    this.vms = new VmMembership(setup.self, setup.drawIncarnation, setup.membership)
+    this.centres = new DataCentreDirectory(setup.self.dataCentre)
+    this.join = new Join(this.#options.joinWaitMs)
+    this.#gossip = new GossipPlan(this.#options, setup.rng, setup.seeds)
+    this.#platform = new PlatformPlan(this.#options, setup.rng)
+    this.#loads = new LoadPlan(this.endpoints, this.#options.loadTicks)
+  }
+
+  /** Whether the VM may serve. */
+  get isReady (): boolean {
+    return this.join.isReady && this.replica.snapshot.revision > 0 && !this.vms.isSuperseded
+  }
+
+  /** Takes an event. */
+  take (event: ControlEvent): ControlAction[] {
+    return match<ControlEvent, ControlAction[]>(event)
+      .with({ type: 'tick' }, () => this.#tick())
+      .with({ type: 'answered' }, ({ url, answer }) => this.#takeAnswer(url, answer))
+      .with({ type: 'unanswered' }, ({ url }) => this.#noteUnanswered(url))
+      .with({ type: 'pushed' }, ({ push }) => this.#takePush(push))
+      .with({ type: 'snapshotRead' }, ({ snapshot }) => this.#growBy(false, () => this.replica.takeSnapshot(snapshot)))
+      .with({ type: 'platformRead' }, ({ read }) => this.#takePlatform(read))
+      .with({ type: 'platformSilent' }, () => this.#noteSilentPlatform())
+      .with({ type: 'loadRead' }, ({ load }) => this.#noteLoad(() => this.endpoints.takeLoad(this.vms.self, load)))
+      .with({ type: 'loadSilent' }, ({ endpoint, isRefused }) => this.#noteLoad(() => this.endpoints.takeSilence(endpoint, isRefused)))
+      .with({ type: 'routerAcked' }, ({ revision }) => this.#noteAck(revision))
+      .with({ type: 'observed' }, ({ endpoint, outcome }) => this.endpoints.takeOutcome(endpoint, outcome) ? this.#pushRouter() : [])
+      .with({ type: 'stopped' }, () => this.#leave())
+      .exhaustive()
+  }
+
+  /** Answers a peer. */
+  answerExchange (request: ExchangeRequest): { answer: ExchangeAnswer, actions: ControlAction[] } {
+    if (request.own) this.vms.takeDeltas([request.own])
+    const { revision } = this.replica.snapshot
+    const answer: ExchangeAnswer = { revision }
+    if (request.known) {
+      answer.deltas = this.vms.buildDeltas(request.known)
+      answer.knows = this.vms.findState(request.from.vm) !== undefined
+    }
+    if (request.centres) answer.centres = this.centres.buildDeltas(request.centres)
+    if (request.revision < revision) answer.changes = this.replica.listChangesAfter(request.revision) ?? undefined
+    return { answer, actions: request.revision > revision ? this.#exchangeAhead(request.from) : [] }
+  }
+
+  /** Answers a watch. */
+  answerChanges (after: Revision): ChangesAnswer {
+    const { snapshot } = this.replica
+    const changes = this.replica.listChangesAfter(after)
+    return { revision: snapshot.revision, changes, snapshot: changes === null ? snapshot : null }
+  }
+
+  /** What the router gets. */
+  buildRouterSnapshot (): RouterSnapshot {
+    return { resources: this.replica.snapshot, vms: this.#listVms(), endpoints: this.endpoints.listEndpoints(this.vms.self, this.vms.listTellers()) }
+  }
+
+  /** What the local admin gets. */
+  buildStatus (): ControlStatus {
+    return { ...this.buildRouterSnapshot(), isReady: this.isReady }
+  }
+
+  #tick (): ControlAction[] {
+    this.#ticks++
+    const noted = this.vms.tick().flatMap(event => this.#noteOwn(event))
+    if (this.vms.isSuperseded) return noted
+    this.join.tick()
+    this.endpoints.writeDown(this.vms.self)
+    return [...noted, ...this.#askPlatform(), ...this.#exchangeNear(), ...this.#exchangeFar(), ...this.#askLoads(), ...this.#pushRouterSometimes()]
+  }
+
+  #noteOwn (event: MembershipEvent): ControlAction[] {
+    this.#acquainted.clear()
+    this.#platform.wake()
+    return match<MembershipEvent, ControlAction[]>(event)
+      .with({ type: 'reincarnated' }, ({ former, incarnation }) => [{ type: 'log', message: `Goes on as ${incarnation}; ${former} was dead for others or paused too long.` }])
+      .with({ type: 'superseded' }, ({ by }) => [{ type: 'log', message: `Stops: ${by} runs under the same name.` }])
+      .exhaustive()
+  }
+
+  #askPlatform (): ControlAction[] {
+    const look = this.#platform.find(this.vms, !this.join.isReady)
+    return look === null ? [] : [{ type: 'readPlatform', after: this.replica.snapshot.revision, withList: look.withList }]
+  }
+
+  #exchangeNear (): ControlAction[] {
+    if (this.join.step.type === 'announcing') return []
+    const url = this.#gossip.choosePeer(this.vms, this.#listed)
+    return url === null ? [] : [this.#buildExchange(url, this.#isTurn(this.#options.centreTicks))]
+  }
+
+  #exchangeFar (): ControlAction[] {
+    if (!this.#gossip.isGateway(this.vms)) return []
+    this.#writeSummary()
+    if (!this.#isTurn(this.#options.gatewayTicks)) return []
+    const url = this.#gossip.chooseRemote(this.vms, this.centres, this.#listed)
+    if (url === null) return []
+    const request: ExchangeRequest = { from: this.#describeCaller(), revision: this.replica.snapshot.revision, centres: this.centres.buildVersions() }
+    return [{ type: 'exchange', url, request }]
+  }
+
+  /** Writes the summary in turn, and at once when the data centre's floor rose. */
+  #writeSummary (): void {
+    const vms = this.vms.listVms()
+    const floor = vms.reduce((least, view) => view.state === 'live' ? Math.min(least, view.appliedRevision) : least, Infinity)
+    if (this.#ticks % this.#options.summaryTicks !== 0 && floor === this.#floorBefore) return
+    this.#floorBefore = floor
+    const views = this.endpoints.listEndpoints(this.vms.self, this.vms.listTellers())
+    this.centres.writeOwn(vms, views.filter(view => view.state !== 'live').map(view => view.endpoint))
+  }
+
+  #isTurn (everyTicks: number): boolean {
+    return this.#ticks % everyTicks === 0 || performance.now() < this.#hotUntilMs
+  }
+
+  #askLoads (): ControlAction[] {
+    const due = this.#loads.listDue(this.vms, this.#ticks)
+    return due.map(({ endpoint, url }) => ({ type: 'readLoad', endpoint, url }))
+  }
+
+  #pushRouterSometimes (): ControlAction[] {
+    const down = this.vms.self.board.down.value.join()
+    const isUrgent = down !== this.#downBefore
+    this.#downBefore = down
+    return isUrgent || this.#ticks % this.#options.routerTicks === 0 ? this.#pushRouter() : []
+  }
+
+  #pushRouter (): ControlAction[] {
+    return this.isReady ? [{ type: 'pushRouter' }] : []
+  }
+
+  #takeAnswer (url: string, answer: ExchangeAnswer): ControlAction[] {
+    if (answer.knows === true) this.#acquainted.add(url)
+    if (answer.knows === false) this.#acquainted.delete(url)
+    if (answer.deltas) this.vms.takeDeltas(answer.deltas)
+    if (answer.centres) this.centres.takeDeltas(answer.centres)
+    this.#newestHeard = Math.max(this.#newestHeard, answer.revision)
+    const actions = this.#growBy(false, () => this.replica.takeChanges(answer.changes ?? []))
+    this.join.takeAnswer(url, true)
+    return [...actions, ...this.#askSnapshot(url, answer.revision)]
+  }
+
+  #noteUnanswered (url: string): ControlAction[] {
+    this.#acquainted.delete(url)
+    this.join.takeAnswer(url, false)
+    return []
+  }
+
+  #takePush (push: PushRequest): ControlAction[] {
+    const actions = this.#growBy(false, () => this.replica.takeChanges(push.changes ?? []))
+    const isBehind = this.replica.snapshot.revision < push.revision
+    return isBehind ? [...actions, ...this.#exchangeAhead(push.from)] : actions
+  }
+
+  #takePlatform (read: PlatformRead): ControlAction[] {
+    this.#platform.takeEnd(true)
+    this.vms.setPlatformAnswers(true)
+    if (read.list) this.#listed = read.list
+    const actions = this.#growBy(true, () => {
+      const isGrown = read.changes !== null && this.replica.takeChanges(read.changes)
+      return (read.snapshot !== null && this.replica.takeSnapshot(read.snapshot)) || isGrown
+    })
+    const { step } = this.join
+    if (step.type === 'looking') return [...actions, ...this.#announce()]
+    if (step.type === 'checking' && this.replica.snapshot.revision >= read.revision) this.join.finish()
+    return [...actions, ...this.#pushRouter()]
+  }
+
+  #noteSilentPlatform (): ControlAction[] {
+    this.#platform.takeEnd(false)
+    this.vms.setPlatformAnswers(false)
+    const { step } = this.join
+    const { revision } = this.replica.snapshot
+    const hasPeers = this.vms.listLive().length > 1 || this.#newestHeard > 0
+    if (step.type === 'looking' && hasPeers) return this.#announce()
+    if (step.type === 'checking' && revision > 0 && revision >= this.#newestHeard) this.join.finish()
+    return this.#pushRouter()
+  }
+
+  #announce (): ControlAction[] {
+    const urls = this.#gossip.listPeers(this.vms, this.#listed)
+    this.join.announce(urls)
+    return urls.map(url => this.#buildExchange(url, false))
+  }
+
+  #noteLoad (take: () => void): ControlAction[] {
+    take()
+    return []
+  }
+
+  #noteAck (revision: Revision): ControlAction[] {
+    this.vms.setAppliedRevision(revision)
+    return []
+  }
+
+  #leave (): ControlAction[] {
+    this.vms.setLeaving()
+    const { order } = this.vms.self
+    const urls = this.#gossip.listPeers(this.vms, [])
+    this.#acquainted.clear()
+    return [{ type: 'log', message: `Leaves as order ${order}.` }, ...urls.map(url => this.#buildExchange(url, false))]
+  }
+
+  /** Runs a step that may bring a newer revision, and passes what it brought on. */
+  #growBy (isFromPlatform: boolean, step: () => boolean): ControlAction[] {
+    const before = this.replica.snapshot.revision
+    if (!step()) return []
+    this.#snapshotAskedAtMs = null
+    this.#hotUntilMs = performance.now() + HOT_MS
+    this.#loads.takeResources(this.replica.snapshot, this.vms.self.view.dataCentre)
+    return [...this.#passOn(before, isFromPlatform), ...this.#pushRouter()]
+  }
+
+  #passOn (before: Revision, isFromPlatform: boolean): ControlAction[] {
+    const { revision } = this.replica.snapshot
+    const ranked = rankVms(String(revision), this.vms.listLive())
+    const at = ranked.indexOf(this.vms.self.view.vm)
+    const { fanOut } = this.#options
+    const children = at === -1 ? [] : ranked.slice(fanOut * at + 1, fanOut * at + 1 + fanOut)
+    const receivers = isFromPlatform && at > 0 ? [ranked[0], ...children] : children
+    const changes = this.replica.listChangesAfter(before)
+    const isSmall = changes !== null && changes.reduce((sum, change) => sum + change.ops.length, 0) <= PUSHED_OPS
+    const push: PushRequest = { from: this.#describeCaller(), revision, changes: isSmall ? changes : null }
+    const urls = new Map(this.vms.listVms().map(view => [view.vm, view.controlUrl]))
+    return receivers.filter(vm => vm !== this.vms.self.view.vm).map(vm => ({ type: 'push', url: urls.get(vm)!, push }))
+  }
+
+  #exchangeAhead (from: Caller): ControlAction[] {
+    this.#newestHeard = Math.max(this.#newestHeard, this.replica.snapshot.revision)
+    return [from.dataCentre === this.vms.self.view.dataCentre
+      ? this.#buildExchange(from.url, false)
+      : { type: 'exchange', url: from.url, request: { from: this.#describeCaller(), revision: this.replica.snapshot.revision } }]
+  }
+
+  #askSnapshot (url: string, revision: Revision): ControlAction[] {
+    const now = performance.now()
+    if (revision <= this.replica.snapshot.revision) return []
+    if (this.#snapshotAskedAtMs !== null && now - this.#snapshotAskedAtMs < SNAPSHOT_LOST_AFTER_MS) return []
+    this.#snapshotAskedAtMs = now
+    return [{ type: 'readSnapshot', url }]
+  }
+
+  #buildExchange (url: string, withCentres: boolean): ControlAction {
+    const request: ExchangeRequest = { from: this.#describeCaller(), revision: this.replica.snapshot.revision, known: this.vms.buildVersions() }
+    if (!this.#acquainted.has(url)) request.own = this.vms.buildOwnDelta(undefined) ?? undefined
+    if (withCentres) request.centres = this.centres.buildVersions()
+    return { type: 'exchange', url, request }
+  }
+
+  #describeCaller (): Caller {
+    const { vm, dataCentre, controlUrl } = this.vms.self.view
+    return { vm, dataCentre, url: controlUrl }
+  }
+
+  #listVms (): VmView[] {
+    return [...this.vms.listVms(), ...this.centres.listOtherVms()]
+  }
+}
--- a/packages/knapweedshunt-control/src/controlOptions.ts
+++ b/packages/knapweedshunt-control/src/controlOptions.ts
@@ -13,12 +13,14 @@
   peerKey: string
   /** Time between two looks at the platform's head revision, in milliseconds. */
   platformIntervalMs: number
-  /** Time between two exchanges with each peer, in milliseconds. */
+  /** Time between two exchanges with a peer, in milliseconds. */
   exchangeIntervalMs: number
   /** Time between two load reports of an endpoint, in milliseconds. */
   loadIntervalMs: number
-  /** Time between two snapshots to the router, in milliseconds. */
+  /** Time between two views to the router when nothing urgent happened, in milliseconds. */
   routerIntervalMs: number
+  /** Control URLs of some peers, to start from while the platform does not answer. */
+  peerUrls: string[]
 }
 
 /** Options for loopback. */
@@ -31,6 +33,7 @@
   peerKey: '',
   platformIntervalMs: 1_000,
   exchangeIntervalMs: 500,
-  loadIntervalMs: 500,
-  routerIntervalMs: 250
+  loadIntervalMs: 1_000,
+  routerIntervalMs: 1_000,
+  peerUrls: []
 }
--- /dev/null
+++ b/packages/knapweedshunt-control/src/messageSchemas.ts
@@ -0,0 +1,55 @@
+import { z } from 'zod'
+
+const count = z.number().int().nonnegative()
+const incarnation = z.string().max(64)
+const caller = z.object({ vm: z.string().min(1), dataCentre: z.string().min(1), url: z.url({ protocol: /^http$/ }) })
+const view = z.object({
+  vm: z.string().min(1),
+  incarnation: z.string().min(8),
+  dataCentre: z.string().min(1),
+  controlUrl: z.string(),
+  routerUrl: z.string(),
+  state: z.enum(['live', 'suspect', 'leaving', 'dead']),
+  appliedRevision: count,
+  order: count.optional()
+})
+const columns = z.object({ i: z.array(count), n: z.array(count), q: z.array(count), t: z.array(count) })
+  .refine(loads => [loads.n, loads.q, loads.t].every(column => column.length === loads.i.length), 'columns must be of one length')
+const boot = z.object({ i: count, incarnation, weightsVersion: z.string().nullable() })
+const board = z.object({ set: z.string(), loads: columns.optional(), boots: z.array(boot).optional(), down: z.array(count).optional(), dead: z.array(count).optional() })
+const claims = z.object({ suspects: z.array(z.string()), dead: z.array(z.object({ vm: z.string(), order: count })) })
+const delta = z.object({
+  k: z.string().min(1),
+  v: count,
+  s: count.optional(),
+  view: view.optional(),
+  r: count.optional(),
+  p: z.boolean().optional(),
+  c: claims.optional(),
+  e: board.optional()
+})
+
+/** Params of `control.exchange`. */
+export const exchangeSchema = z.object({
+  from: caller,
+  revision: count,
+  known: z.record(z.string(), count).optional(),
+  own: delta.optional(),
+  centres: z.record(z.string(), z.string()).optional()
+})
+
+const resource = z.looseObject({ kind: z.string(), name: z.string(), revision: count })
+const op = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('put'), resource }),
+  z.object({ type: z.literal('delete'), kind: z.string(), name: z.string() })
+])
+const change = z.object({ revision: count, changeId: z.string(), ops: z.array(op) })
+
+/** Params of `control.push`. */
+export const pushSchema = z.object({ from: caller, revision: count, changes: z.array(change).nullable() })
+
+/** Params of `control.changes`. */
+export const changesSchema = z.object({ after: count })
+
+/** Params of `control.observe`: what the local router saw of an endpoint. */
+export const observeSchema = z.object({ endpoint: z.string().min(1), outcome: z.enum(['answered', 'failed', 'refused']) })
--- /dev/null
+++ b/packages/knapweedshunt-control/src/readLoad.ts
@@ -0,0 +1,25 @@
+import type http from 'node:http'
+import type { LoadReport } from 'knapweedshunt-types'
+import { callJson } from 'knapweedshunt-utils'
+import { z } from 'zod'
+import type { ControlEvent } from './controlEvents.ts'
+
+const TIMEOUT_MS = 1_000
+const count = z.number().nonnegative()
+const loadSchema = z.object({ incarnation: z.string().min(1), weightsVersion: z.string().nullable(), running: count, queued: count, queuedTokens: count, atMs: z.number() })
+
+/** Asks an endpoint for its load. */
+export async function readLoad (endpoint: string, url: string, agent: http.Agent): Promise<ControlEvent> {
+  try {
+    const answer = await callJson({ method: 'GET', url: `${url}/manage/load`, timeoutMs: TIMEOUT_MS, agent })
+    const load: LoadReport = { ...loadSchema.parse(answer.body), endpoint }
+    return { type: 'loadRead', load }
+  } catch (error) {
+    return { type: 'loadSilent', endpoint, isRefused: isRefused(error) }
+  }
+}
+
+function isRefused (error: unknown): boolean {
+  const cause = (error as { cause?: { code?: string } }).cause
+  return cause?.code === 'ECONNREFUSED'
+}
--- /dev/null
+++ b/packages/knapweedshunt-control/src/readPlatform.ts
@@ -0,0 +1,15 @@
+import type { Platform } from 'knapweedshunt-platform'
+import type { ResourceStore } from 'knapweedshunt-resources'
+import type { Revision } from 'knapweedshunt-types'
+import type { PlatformRead } from './controlEvents.ts'
+
+/** Reads the head and what is newer than a revision; with the VM list when asked. Throws PlatformError. */
+export async function readPlatform (platform: Platform, store: ResourceStore, after: Revision, withList: boolean): Promise<PlatformRead> {
+  const list = withList ? await platform.listVms() : null
+  const head = await store.readHead()
+  if (head <= after) return { revision: head, changes: null, snapshot: null, list }
+  const changes = after === 0 ? null : await store.readChangesAfter(after)
+  if (changes !== null && changes.length > 0) return { revision: changes.at(-1)!.revision, changes, snapshot: null, list }
+  const snapshot = await store.readSnapshot()
+  return { revision: snapshot.revision, changes: null, snapshot, list }
+}
--- a/packages/knapweedshunt-control/src/settings.ts
+++ b/packages/knapweedshunt-control/src/settings.ts
@@ -5,6 +5,7 @@
 const port = z.coerce.number().int().min(0).max(65_535)
 const interval = z.coerce.number().int().min(10)
 const url = z.url({ protocol: /^http$/ })
+const urls = z.string().transform(text => text === '' ? [] : text.split(',')).pipe(z.array(url))
 const MIN_KEY_CHARS = 16
 
 /** Settings of `knapweedshunt-control`. */
@@ -19,5 +20,6 @@
   platformIntervalMs: { schema: interval, describe: 'milliseconds between looks at the platform', fallback: String(DEFAULT_CONTROL_OPTIONS.platformIntervalMs) },
   exchangeIntervalMs: { schema: interval, describe: 'milliseconds between exchanges with peers', fallback: String(DEFAULT_CONTROL_OPTIONS.exchangeIntervalMs) },
   loadIntervalMs: { schema: interval, describe: 'milliseconds between load reports', fallback: String(DEFAULT_CONTROL_OPTIONS.loadIntervalMs) },
-  routerIntervalMs: { schema: interval, describe: 'milliseconds between snapshots to the router', fallback: String(DEFAULT_CONTROL_OPTIONS.routerIntervalMs) }
+  routerIntervalMs: { schema: interval, describe: 'milliseconds between views to the router', fallback: String(DEFAULT_CONTROL_OPTIONS.routerIntervalMs) },
+  peerUrls: { schema: urls, describe: 'control URLs of some peers parted by commas, to start from while the platform does not answer', fallback: '' }
 } as const satisfies SettingTable
--- a/packages/knapweedshunt-membership/src/endpointMembership.ts
+++ b/packages/knapweedshunt-membership/src/endpointMembership.ts
@@ -1,34 +1,149 @@
-import type { EndpointName, EndpointView, LoadReport } from 'knapweedshunt-types'
+import type { EndpointName, EndpointView, Liveness, LoadReport, VmId } from 'knapweedshunt-types'
+import { DEFAULT_ENDPOINT_OPTIONS } from './endpointOptions.ts'
+import type { EndpointOptions } from './endpointOptions.ts'
+import { EndpointEvidence } from './endpointEvidence.ts'
+import type { DataPathOutcome } from './endpointEvidence.ts'
+import type { KnownVm } from './knownVm.ts'
+import { findFirstVm, hashNumber } from './rankVms.ts'
 
-/** Silence after which an endpoint is dead, in milliseconds. */
-const DEAD_AFTER_MS = 5_000
+/** Tellers other than the one that polls an endpoint which must doubt it before it is suspect. */
+const DOUBTS = 2
 
-/** Silence after which an endpoint is suspect, in milliseconds. */
-const SUSPECT_AFTER_MS = 2_000
+/** Which endpoints of the data centre live; the VMs share the polling and tell each other the reports. Opens nothing. */
+export class EndpointMembership {
+  readonly #options: EndpointOptions
+  readonly #evidence = new Map<EndpointName, EndpointEvidence>()
+  #names: EndpointName[] = []
+  #indexes = new Map<EndpointName, number>()
+  #set = ''
+  #owners: VmId[] = []
+  #assigned: EndpointName[] = []
+  #assignedFor = ''
 
-interface KnownEndpoint {
-  load: LoadReport
-  heardAtMs: number
-}
+  constructor (options: EndpointOptions = DEFAULT_ENDPOINT_OPTIONS) {
+    this.#options = options
+  }
 
-/** Which endpoints live, from their load reports. */
-export class EndpointMembership {
-  readonly #known = new Map<EndpointName, KnownEndpoint>()
+  /** Sets which endpoints the data centre has. */
+  setEndpoints (names: EndpointName[]): void {
+    this.#names = [...names].sort()
+    this.#indexes = new Map(this.#names.map((name, index) => [name, index]))
+    this.#set = `${this.#names.length}-${hashNumber(this.#names.join()).toString(36)}`
+    this.#assignedFor = ''
+    for (const name of this.#evidence.keys()) if (!this.#indexes.has(name)) this.#evidence.delete(name)
+  }
+
+  /** Shares the endpoints out by rank among the live VMs. Returns those that this VM polls. */
+  listAssigned (self: KnownVm, live: VmId[]): EndpointName[] {
+    self.board.openSet(this.#set)
+    const key = `${this.#set}|${self.view.incarnation}|${live.join()}`
+    if (key === this.#assignedFor) return this.#assigned
+    this.#assignedFor = key
+    const { vm } = self.view
+    this.#owners = this.#names.map(name => findFirstVm(name, live) ?? vm)
+    this.#assigned = this.#names.filter((_, index) => this.#owners[index] === vm)
+    this.#names.forEach((name, index) => {
+      if (this.#owners[index] !== vm) this.#releaseOne(self, name, index)
+    })
+    return this.#assigned
+  }
+
+  /** Takes an answer to a poll. */
+  takeLoad (self: KnownVm, load: LoadReport): void {
+    const index = this.#indexes.get(load.endpoint)
+    if (index === undefined) return
+    const evidence = this.#open(load.endpoint)
+    evidence.takeLoad(load)
+    self.board.openSet(this.#set)
+    self.board.setBoot(index, evidence.incarnation, load.weightsVersion, self.version + 1)
+    self.board.setLoad(index, load, self.version + 1)
+  }
+
+  /** Takes that a poll was not answered. */
+  takeSilence (endpoint: EndpointName, isRefused: boolean): void {
+    if (this.#indexes.has(endpoint)) this.#open(endpoint).takeSilence(isRefused)
+  }
+
+  /** Takes what the data path saw. Returns whether the endpoint's state changed. */
+  takeOutcome (endpoint: EndpointName, outcome: DataPathOutcome): boolean {
+    if (!this.#indexes.has(endpoint)) return false
+    const evidence = this.#open(endpoint)
+    const before = evidence.judge()
+    evidence.takeOutcome(outcome)
+    return evidence.judge() !== before
+  }
 
-  /** Takes a load report. */
-  takeLoad (load: LoadReport): void {
-    this.#known.set(load.endpoint, { load, heardAtMs: performance.now() })
+  /** Writes to this VM's board which endpoints it holds for suspect or dead. */
+  writeDown (self: KnownVm): void {
+    const down: number[] = []
+    const dead: number[] = []
+    for (const [name, evidence] of this.#evidence) {
+      const index = this.#indexes.get(name)
+      const state = evidence.judge()
+      if (index !== undefined && state !== 'live') down.push(index)
+      if (index !== undefined && state === 'dead') dead.push(index)
+    }
+    self.board.openSet(this.#set)
+    self.board.setDown(down.sort(compareNumbers), dead.sort(compareNumbers), self.version + 1)
   }
 
-  /** All endpoints heard so far. */
-  listEndpoints (): EndpointView[] {
-    const now = performance.now()
-    return [...this.#known].map(([endpoint, known]) => describeEndpoint(endpoint, known, now))
+  /** All endpoints of the data centre that were polled, by this VM or another. */
+  listEndpoints (self: KnownVm, tellers: KnownVm[]): EndpointView[] {
+    const others = new Map(tellers.filter(one => one !== self && one.board.set === this.#set).map(one => [one.view.vm, one]))
+    const doubts = countDoubts([...others.values()])
+    return this.#names.map((name, index) => this.#describe(name, index, others, doubts)).filter(view => view !== null)
+  }
+
+  #describe (name: EndpointName, index: number, others: Map<VmId, KnownVm>, doubts: Map<number, number>): EndpointView | null {
+    const own = this.#evidence.get(name)
+    if (own?.isPolled) return this.#describeOwn(name, own)
+    const owner = others.get(this.#owners[index])
+    const teller = owner?.board.boots.has(index) ? owner : [...others.values()].find(one => one.board.boots.has(index))
+    if (teller) return this.#describeTold(name, index, teller, own, doubts.get(index) ?? 0)
+    const isDown = own !== undefined || owner?.board.down.value.includes(index)
+    return isDown ? { endpoint: name, incarnation: '', state: own?.judge() ?? 'suspect', weightsVersion: null, load: null, loadAgeMs: 0 } : null
+  }
+
+  #describeOwn (endpoint: EndpointName, own: EndpointEvidence): EndpointView {
+    const { load, incarnation, silentMs } = own
+    return { endpoint, incarnation, state: own.judge(), weightsVersion: load?.weightsVersion ?? null, load, loadAgeMs: silentMs }
+  }
+
+  #describeTold (endpoint: EndpointName, index: number, teller: KnownVm, own: EndpointEvidence | undefined, doubts: number): EndpointView {
+    const { boots, loads, down, dead } = teller.board
+    const { incarnation, weightsVersion } = boots.get(index)!.value
+    const ageMs = performance.now() - teller.heardAtMs
+    const isStale = ageMs >= this.#options.deadAfterMs
+    const isDoubted = own !== undefined && own.judge() !== 'live'
+    const isSuspect = down.value.includes(index) || doubts >= DOUBTS || isStale || isDoubted
+    const state: Liveness = dead.value.includes(index) ? 'dead' : isSuspect ? 'suspect' : 'live'
+    const told = loads.get(index)?.value
+    const load: LoadReport | null = told ? { endpoint, incarnation, weightsVersion, ...told, atMs: 0 } : null
+    return { endpoint, incarnation, state, weightsVersion, load, loadAgeMs: ageMs }
+  }
+
+  #releaseOne (self: KnownVm, name: EndpointName, index: number): void {
+    self.board.release(index)
+    this.#evidence.delete(name)
+  }
+
+  #open (name: EndpointName): EndpointEvidence {
+    const known = this.#evidence.get(name)
+    if (known) return known
+    const evidence = new EndpointEvidence(this.#options)
+    this.#evidence.set(name, evidence)
+    return evidence
+  }
+}
+
+function countDoubts (tellers: KnownVm[]): Map<number, number> {
+  const counts = new Map<number, number>()
+  for (const teller of tellers) {
+    for (const index of teller.board.down.value) counts.set(index, (counts.get(index) ?? 0) + 1)
   }
+  return counts
 }
 
-function describeEndpoint (endpoint: EndpointName, known: KnownEndpoint, now: number): EndpointView {
-  const silentMs = now - known.heardAtMs
-  const state = silentMs >= DEAD_AFTER_MS ? 'dead' : silentMs >= SUSPECT_AFTER_MS ? 'suspect' : 'live'
-  return { endpoint, incarnation: known.load.incarnation, state, weightsVersion: known.load.weightsVersion, load: known.load, loadAgeMs: silentMs }
+function compareNumbers (a: number, b: number): number {
+  return a - b
 }
--- a/packages/knapweedshunt-membership/src/index.ts
+++ b/packages/knapweedshunt-membership/src/index.ts
@@ -1,5 +1,13 @@
-/** VMs and endpoints: live, suspect, leaving, dead; incarnations; digests. */
+/** VMs and endpoints: live, suspect, leaving, dead; incarnations; deltas. */
+export * from './dataCentreDirectory.ts'
+export * from './dataCentreSummary.ts'
+export * from './endpointBoard.ts'
+export * from './endpointBoardDelta.ts'
+export * from './endpointEvidence.ts'
 export * from './endpointMembership.ts'
+export * from './endpointOptions.ts'
+export * from './knownVm.ts'
 export * from './membershipOptions.ts'
-export * from './vmDigest.ts'
+export * from './rankVms.ts'
+export * from './vmDelta.ts'
 export * from './vmMembership.ts'
--- a/packages/knapweedshunt-resources/src/index.ts
+++ b/packages/knapweedshunt-resources/src/index.ts
@@ -1,5 +1,6 @@
 /** Resource kinds, validation, revisions, distribution, in-force status. */
 export * from './applyOps.ts'
+export * from './checkDeletes.ts'
 export * from './checkReferences.ts'
 export * from './describeStatus.ts'
 export * from './parseResource.ts'
@@ -7,3 +8,4 @@
 export * from './resourceReplica.ts'
 export * from './resourceSchema.ts'
 export * from './resourceStore.ts'
+export * from './storeOptions.ts'
--- a/packages/knapweedshunt-resources/src/resourceReplica.ts
+++ b/packages/knapweedshunt-resources/src/resourceReplica.ts
@@ -1,7 +1,9 @@
 import type { ResourceChange, ResourceSnapshot, Revision } from 'knapweedshunt-types'
 import { applyOps } from './applyOps.ts'
 
-/** One VM's copy of the resources; its revision only grows. */
+const KEPT_CHANGES = 200
+
+/** One VM's copy of the resources; its revision only grows and each revision takes effect as a whole. */
 export class ResourceReplica {
   #snapshot: ResourceSnapshot = { revision: 0, resources: [] }
   #changes: ResourceChange[] = []
@@ -27,6 +29,7 @@
       this.#snapshot = { revision: change.revision, resources: applyOps(this.#snapshot.resources, change.ops, change.revision) }
       this.#changes.push(change)
     }
+    if (this.#changes.length > KEPT_CHANGES) this.#changes = this.#changes.slice(-KEPT_CHANGES)
     return this.#snapshot.revision > before
   }
 
--- a/packages/knapweedshunt-types/src/resourceStatus.ts
+++ b/packages/knapweedshunt-types/src/resourceStatus.ts
@@ -11,6 +11,8 @@
   reached: boolean
   /** Live VMs that do not apply the revision yet. */
   waitingFor: VmId[]
+  /** VMs that are listed by the platform or were heard once, but not lately: whether they apply the revision is not known. */
+  notHeard?: VmId[]
 }
 
 /** One condition of a resource. */
--- a/packages/knapweedshunt-types/src/vmView.ts
+++ b/packages/knapweedshunt-types/src/vmView.ts
@@ -13,4 +13,6 @@
   state: Liveness
   /** Revision the VM applies. */
   appliedRevision: Revision
+  /** Orders the incarnations of one VM name: the greatest is the present one. */
+  order?: number
 }
