--- /dev/null
+++ b/packages/knapweedshunt-placement/src/attemptTable.ts
@@ -0,0 +1,63 @@
+import type { AttemptId } from 'knapweedshunt-types'
+import type { EndpointState } from './endpointState.ts'
+
+/** An attempt that runs. */
+export interface RunningAttempt {
+  state: EndpointState
+  /** Keys of the levels it brings into the cache. */
+  keys: string[]
+  atMs: number
+}
+
+/** Ended attempts remembered, so that a late start is not counted. */
+const MAX_ENDED = 4_096
+
+/** Attempts started and not ended. Counts stay right when events are lost, doubled or reordered. */
+export class AttemptTable {
+  readonly #running = new Map<AttemptId, RunningAttempt>()
+  readonly #ended = new Set<AttemptId>()
+  readonly #maxMs: number
+
+  constructor (maxMs: number) {
+    this.#maxMs = maxMs
+  }
+
+  /** Attempts that run. */
+  get size (): number {
+    return this.#running.size
+  }
+
+  /** Adds an attempt; false if it runs already or ended before. */
+  start (attempt: AttemptId, running: RunningAttempt): boolean {
+    if (this.#running.has(attempt) || this.#ended.has(attempt)) return false
+    this.#running.set(attempt, running)
+    return true
+  }
+
+  /** An attempt that runs. */
+  find (attempt: AttemptId): RunningAttempt | undefined {
+    return this.#running.get(attempt)
+  }
+
+  /** Ends an attempt; undefined if it does not run. */
+  finish (attempt: AttemptId): RunningAttempt | undefined {
+    const running = this.#running.get(attempt)
+    this.#running.delete(attempt)
+    this.#noteEnded(attempt)
+    running?.state.noteEnd()
+    return running
+  }
+
+  /** Ends attempts whose end was never heard. They are held in the order of their starts. */
+  dropExpired (nowMs: number): void {
+    for (const [attempt, running] of this.#running) {
+      if (nowMs - running.atMs < this.#maxMs) return
+      this.finish(attempt)
+    }
+  }
+
+  #noteEnded (attempt: AttemptId): void {
+    this.#ended.add(attempt)
+    if (this.#ended.size > MAX_ENDED) this.#ended.delete(this.#ended.values().next().value as AttemptId)
+  }
+}
--- /dev/null
+++ b/packages/knapweedshunt-placement/src/groupChooser.ts
@@ -0,0 +1,100 @@
+import type { PrefixLevel } from 'knapweedshunt-types'
+import type { Rng } from 'knapweedshunt-utils'
+import { chooseCandidate } from './chooseCandidate.ts'
+import type { Candidate } from './chooseCandidate.ts'
+import type { EndpointGroup } from './endpointGroup.ts'
+import type { EndpointState } from './endpointState.ts'
+import { findCacheExpectation } from './expectCache.ts'
+import type { KeptTable } from './keptTable.ts'
+import type { KeyTable } from './keyTable.ts'
+import { listCandidates } from './listCandidates.ts'
+import type { ObjectiveWeights } from './objectiveWeights.ts'
+import type { PeerDemands } from './peerDemands.ts'
+import type { PlacementOptions } from './placementOptions.ts'
+import type { PlacedDecision } from './placementTypes.ts'
+import type { PoolState } from './poolState.ts'
+import { buildChain } from './prefixChain.ts'
+import type { ChainLink } from './prefixChain.ts'
+
+/** What a choice looks at. */
+export interface ChooserParts {
+  options: PlacementOptions
+  keys: KeyTable
+  peers: PeerDemands
+  kept: KeptTable
+  rng: Rng
+}
+
+/** A request that is being placed. */
+export interface Choice {
+  pool: PoolState
+  /** Followed levels; empty for plain services. */
+  levels: PrefixLevel[]
+  excluded: string[]
+  weights: ObjectiveWeights
+  nowMs: number
+}
+
+/** Best candidate of one group. */
+export interface GroupChoice {
+  group: EndpointGroup
+  chain: ChainLink[]
+  candidate: Candidate
+}
+
+/** Chooses within the endpoints of one data centre. */
+export class GroupChooser {
+  readonly #parts: ChooserParts
+
+  constructor (parts: ChooserParts) {
+    this.#parts = parts
+  }
+
+  /** Builds the nested subsets of followed levels. */
+  buildChain (levels: PrefixLevel[], group: EndpointGroup, nowMs: number): ChainLink[] {
+    const { keys, peers, options } = this.#parts
+    return buildChain(levels, group, keys, peers, options, nowMs)
+  }
+
+  /** Chooses an endpoint of the group; undefined if all are excluded. */
+  choose (group: EndpointGroup, choice: Choice): GroupChoice | undefined {
+    const { options, rng } = this.#parts
+    const chain = this.buildChain(choice.levels, group, choice.nowMs)
+    const states = listCandidates(chain, group, choice.excluded, rng)
+    if (states.length === 0) return undefined
+    const candidates = states.map(state => this.#weigh(state, chain, choice))
+    const { spillFactor, spillFloorMs } = choice.weights
+    const boundTokens = group.countMeanWaitTokens(choice.nowMs) * spillFactor + spillFloorMs * options.prefillTokensPerS / 1_000
+    const candidate = chooseCandidate(candidates, boundTokens, options.slackTokens, rng)
+    return { group, chain, candidate }
+  }
+
+  /** Describes a choice to the caller. */
+  describe ({ group, chain, candidate }: GroupChoice): PlacedDecision {
+    const { state, cachedTokens, waitTokens, plan } = candidate
+    return {
+      type: 'placed',
+      endpoint: state.endpoint,
+      incarnation: state.incarnation,
+      url: state.spec.url,
+      dataCentre: state.spec.dataCentre,
+      rank: chain.length === 0 ? group.members.indexOf(state) : chain[0].key.rankWithin(group.members).indexOf(state),
+      expectedCachedTokens: cachedTokens,
+      expectedWaitMs: Math.round(waitTokens / this.#parts.options.prefillTokensPerS * 1_000),
+      kvImport: plan?.kvImport ?? null
+    }
+  }
+
+  #weigh (state: EndpointState, chain: ChainLink[], { pool, weights, nowMs }: Choice): Candidate {
+    const { options, kept } = this.#parts
+    const hasWeights = pool.hasWeights(state)
+    const { cachedTokens, sharedTokens } = findCacheExpectation(chain, state, hasWeights, { nowMs, evidenceMs: options.evidenceMs })
+    const plan = hasWeights ? kept.findImport(chain, state, cachedTokens) : null
+    const heldTokens = plan?.kvImport.tokens ?? cachedTokens
+    const totalTokens = chain.at(-1)?.tokens ?? 0
+    const waitTokens = state.countWaitTokens(nowMs)
+    const computed = (totalTokens - heldTokens) / state.weight + (plan?.costTokens ?? 0)
+    const cost = computed + waitTokens * weights.wait - sharedTokens * weights.shared / state.weight
+    return { state, cachedTokens, waitTokens, cost, plan }
+  }
+}
--- a/packages/knapweedshunt-placement/src/index.ts
+++ b/packages/knapweedshunt-placement/src/index.ts
@@ -1,5 +1,7 @@
 /** Prefix levels to ranked endpoints. */
 export * from './cutLevels.ts'
 export * from './placement.ts'
+export * from './placementError.ts'
+export * from './placementOptions.ts'
 export * from './placementTypes.ts'
 export * from './rankEndpoints.ts'
--- /dev/null
+++ b/packages/knapweedshunt-placement/src/keyState.ts
@@ -0,0 +1,77 @@
+import { DemandRate } from './demandRate.ts'
+import type { EndpointState } from './endpointState.ts'
+import type { Evidence } from './evidence.ts'
+import { readKeySeed } from './hashSeed.ts'
+import type { HashSeed } from './hashSeed.ts'
+import { rankBySeed } from './rankEndpoints.ts'
+
+/** Pieces of evidence kept per key. */
+const MAX_EVIDENCE = 32
+
+/** Hex characters by which peers name a key. */
+const SHORT_KEY_CHARS = 16
+
+/** Ranking of a key within one parent's endpoints; valid while the parent's array is the same object. */
+interface Ranking {
+  parent: readonly EndpointState[]
+  ranked: readonly EndpointState[]
+  subset: readonly EndpointState[]
+}
+
+/** What is remembered of one level key. */
+export class KeyState {
+  readonly shortKey: string
+  readonly demand: DemandRate
+  /** Endpoints that share the key. */
+  size = 1
+  readonly #seed: HashSeed
+  #evidence: Evidence[] = []
+  #ranking: Ranking | null = null
+
+  constructor (key: string, nowMs: number) {
+    this.shortKey = key.slice(0, SHORT_KEY_CHARS)
+    this.#seed = readKeySeed(key)
+    this.demand = new DemandRate(nowMs)
+  }
+
+  /** Whole ranking within the parent's endpoints. */
+  rankWithin (parent: readonly EndpointState[]): readonly EndpointState[] {
+    return this.#findRanking(parent).ranked
+  }
+
+  /** First endpoints of the ranking; the same array as long as nothing changed. */
+  chooseSubset (parent: readonly EndpointState[]): readonly EndpointState[] {
+    if (this.size >= parent.length) return parent
+    const ranking = this.#findRanking(parent)
+    if (ranking.subset.length !== this.size) ranking.subset = ranking.ranked.slice(0, this.size)
+    return ranking.subset
+  }
+
+  /** What is known of the key on an endpoint, unless it is too old. */
+  findEvidence (state: EndpointState, oldestMs: number): Evidence | undefined {
+    for (const one of this.#evidence) {
+      if (one.state === state) return one.atMs < oldestMs || (one.attempt === null && one.atMs < state.followedSinceMs) ? undefined : one
+    }
+    return undefined
+  }
+
+  /** Notes evidence, unless newer evidence is known. */
+  noteEvidence (evidence: Evidence): void {
+    const at = this.#evidence.findIndex(one => one.state === evidence.state)
+    if (at >= 0 && this.#evidence[at].atMs > evidence.atMs) return
+    if (at >= 0) this.#evidence.splice(at, 1)
+    this.#evidence.push(evidence)
+    if (this.#evidence.length > MAX_EVIDENCE) this.#evidence.shift()
+  }
+
+  /** Forgets what an attempt was to bring. */
+  dropAttempt (attempt: string): void {
+    this.#evidence = this.#evidence.filter(one => one.attempt !== attempt)
+  }
+
+  #findRanking (parent: readonly EndpointState[]): Ranking {
+    if (this.#ranking?.parent === parent) return this.#ranking
+    this.#ranking = { parent, ranked: rankBySeed(this.#seed, parent), subset: [] }
+    return this.#ranking
+  }
+}
--- /dev/null
+++ b/packages/knapweedshunt-placement/src/objectiveWeights.ts
@@ -0,0 +1,25 @@
+import type { PoolObjective } from 'knapweedshunt-types'
+
+/** How the parts of a cost weigh against each other. */
+export interface ObjectiveWeights {
+  /** Weight of the wait; 1 is that of tokens to compute. */
+  wait: number
+  /** Worth of computing a prefix where later requests will look for it, as a share of its tokens. */
+  shared: number
+  /** Wait above the mean that is borne before a request spills, as a multiple of the mean. */
+  spillFactor: number
+  /** Wait that is always borne, in milliseconds. */
+  spillFloorMs: number
+  /** Local wait at which another data centre is looked at, in milliseconds. */
+  remoteMs: number
+}
+
+const TAIL: ObjectiveWeights = { wait: 1, shared: 0.25, spillFactor: 1.5, spillFloorMs: 500, remoteMs: 1_000 }
+const REUSE_SHORT: ObjectiveWeights = { wait: 0.7, shared: 0.5, spillFactor: 2, spillFloorMs: 2_000, remoteMs: 4_000 }
+const REUSE_LONG: ObjectiveWeights = { wait: 0.3, shared: 0.5, spillFactor: 3, spillFloorMs: 6_000, remoteMs: 10_000 }
+
+/** Finds the weights for a pool's objective and a request's job. */
+export function findObjectiveWeights (objective: PoolObjective, job: 'short' | 'long'): ObjectiveWeights {
+  if (objective === 'tail') return TAIL
+  return job === 'long' ? REUSE_LONG : REUSE_SHORT
+}
--- a/packages/knapweedshunt-placement/src/placement.ts
+++ b/packages/knapweedshunt-placement/src/placement.ts
@@ -1,103 +1,160 @@
-import type { AttemptId, DataCentreId, EndpointName, EndpointSpec, EndpointView, RouterSnapshot } from 'knapweedshunt-types'
+import type { DataCentreId, EndpointName } from 'knapweedshunt-types'
+import { createRng } from 'knapweedshunt-utils'
 import { match } from 'ts-pattern'
-import { rankEndpoints } from './rankEndpoints.ts'
-import type { PlaceDecision, PlaceRequest, PlacementEvent } from './placementTypes.ts'
+import { AttemptTable } from './attemptTable.ts'
+import { takeCacheEvents } from './cacheFollower.ts'
+import { EndpointDirectory } from './endpointDirectory.ts'
+import { GroupChooser } from './groupChooser.ts'
+import type { Choice, GroupChoice } from './groupChooser.ts'
+import { KeptTable } from './keptTable.ts'
+import { KeyTable } from './keyTable.ts'
+import { listHotKeys } from './listHotKeys.ts'
+import { findObjectiveWeights } from './objectiveWeights.ts'
+import { PeerDemands } from './peerDemands.ts'
+import { checkPlacementOptions } from './placementOptions.ts'
+import type { PlacementOptions } from './placementOptions.ts'
+import type { KeyDemand, PlaceDecision, PlaceRequest, PlacementEvent } from './placementTypes.ts'
+import { listFollowed, noteDemand } from './prefixChain.ts'
+import { isClearlyFreer, rankGroups } from './rankGroups.ts'
 
-/** An endpoint may carry this many times the mean load of its pool before requests spill to the next. */
-const SPILL_FACTOR = 1.25
-
-interface Candidate {
-  endpoint: EndpointName
-  weight: number
-  spec: EndpointSpec
-  view: EndpointView | undefined
-}
-
-interface InFlight {
-  endpoint: EndpointName
-  tokens: number
-}
+/** Time between searches for what has grown too old, in milliseconds. */
+const SWEEP_MS = 1_000
 
 /** Chooses endpoints. Opens nothing; the caller reports what happened as events. */
 export class Placement {
   readonly #dataCentre: DataCentreId
-  readonly #inFlight = new Map<AttemptId, InFlight>()
-  readonly #pools = new Map<string, Candidate[]>()
+  readonly #options: PlacementOptions
+  readonly #directory: EndpointDirectory
+  readonly #attempts: AttemptTable
+  readonly #keys: KeyTable
+  readonly #kept: KeptTable
+  readonly #peers = new PeerDemands()
+  readonly #chooser: GroupChooser
+  #sweptAtMs = -Infinity
 
-  constructor (dataCentre: DataCentreId) {
+  /** Throws PlacementError for an option that cannot be used. */
+  constructor (dataCentre: DataCentreId, options: Partial<PlacementOptions> = {}) {
     this.#dataCentre = dataCentre
+    this.#options = checkPlacementOptions(options)
+    this.#directory = new EndpointDirectory(this.#options)
+    this.#attempts = new AttemptTable(this.#options.attemptMs)
+    this.#keys = new KeyTable(this.#options.keyCapacity)
+    this.#kept = new KeptTable(this.#options)
+    const rng = createRng(this.#options.seed)
+    this.#chooser = new GroupChooser({ options: this.#options, keys: this.#keys, peers: this.#peers, kept: this.#kept, rng })
   }
 
   /** Takes an event. */
   take (event: PlacementEvent): void {
+    const nowMs = performance.now()
+    this.#sweep(nowMs)
     match(event)
-      .with({ type: 'snapshot' }, ({ snapshot }) => this.#takeSnapshot(snapshot))
-      .with({ type: 'started' }, ({ attempt, endpoint, tokens }) => { this.#inFlight.set(attempt, { endpoint, tokens }) })
-      .with({ type: 'finished' }, ({ attempt }) => { this.#inFlight.delete(attempt) })
+      .with({ type: 'snapshot' }, ({ snapshot }) => this.#directory.takeSnapshot(snapshot, nowMs))
+      .with({ type: 'started' }, started => this.#takeStarted(started, nowMs))
+      .with({ type: 'answered' }, answered => this.#takeAnswered(answered, nowMs))
+      .with({ type: 'finished' }, finished => this.#takeFinished(finished))
+      .with({ type: 'cacheEvents' }, events => this.#takeCacheEvents(events, nowMs))
+      .with({ type: 'peerDemand' }, demand => { if (demand.dataCentre === this.#dataCentre) this.#peers.take(demand, nowMs) })
+      .with({ type: 'kept' }, ({ entries }) => this.#kept.take(entries))
       .exhaustive()
   }
 
   /** Attempts started and not finished. */
   get inFlight (): number {
-    return this.#inFlight.size
+    return this.#attempts.size
+  }
+
+  /** Attempts started and not finished on the endpoint's present incarnation. */
+  countInFlight (endpoint: EndpointName): number {
+    return this.#directory.findRecord(endpoint)?.state.running ?? 0
+  }
+
+  /** Own hot keys, hottest first, for peers of the same data centre. */
+  listHotKeys (): KeyDemand[] {
+    return listHotKeys(this.#keys, this.#options, performance.now())
   }
 
-  /** Chooses an endpoint, of this data centre if one can take the request. */
+  /** Chooses an endpoint: of this data centre unless its endpoints cannot take the request. */
   place (request: PlaceRequest): PlaceDecision {
-    const usable = (this.#pools.get(request.pool) ?? []).filter(isUsable)
-    if (usable.length === 0) return { type: 'unplaceable', reason: 'no-endpoint' }
-    const open = usable.filter(candidate => !request.excluded.includes(candidate.endpoint))
-    if (open.length === 0) return { type: 'unplaceable', reason: 'all-excluded' }
-    const local = open.filter(candidate => candidate.spec.dataCentre === this.#dataCentre)
-    return this.#choose(request, local.length > 0 ? local : open)
+    const nowMs = performance.now()
+    this.#sweep(nowMs)
+    const pool = this.#directory.findPool(request.pool)
+    if (pool === undefined || !pool.hasUsable) return { type: 'unplaceable', reason: 'no-endpoint' }
+    const levels = listFollowed(request.levels)
+    if (levels.length > 0) noteDemand(levels, this.#keys, this.#options, nowMs)
+    const weights = findObjectiveWeights(pool.spec?.type === 'model' ? pool.spec.objective : 'tail', request.job ?? 'short')
+    const chosen = this.#choose({ pool, levels, excluded: request.excluded, weights, nowMs })
+    return chosen === undefined ? { type: 'unplaceable', reason: 'all-excluded' } : this.#chooser.describe(chosen)
   }
 
-  #choose (request: PlaceRequest, candidates: Candidate[]): PlaceDecision {
-    const key = request.levels[0]?.key
-    const ranked = key === undefined ? this.#sortByLoad(candidates) : rankEndpoints(key, candidates)
-    const bound = this.#boundLoad(candidates)
-    const rank = Math.max(0, ranked.findIndex(candidate => this.#countLoad(candidate) < bound * candidate.weight))
-    const chosen = ranked[rank]
-    return {
-      type: 'placed',
-      endpoint: chosen.endpoint,
-      incarnation: chosen.view?.incarnation ?? '',
-      url: chosen.spec.url,
-      dataCentre: chosen.spec.dataCentre,
-      rank
+  /** Usable endpoints of this data centre in the order in which a prefix uses them; equal on all routers with equal snapshots and demand. */
+  rank (request: Pick<PlaceRequest, 'pool' | 'levels'>): EndpointName[] {
+    const group = this.#directory.findPool(request.pool)?.findGroup(this.#dataCentre)
+    if (group === undefined) return []
+    const chain = this.#chooser.buildChain(listFollowed(request.levels), group, performance.now())
+    const outermost = chain.length === 0 ? group.members : chain[0].key.rankWithin(group.members)
+    const ordered = [...chain.toReversed().flatMap(link => link.subset), ...outermost]
+    return [...new Set(ordered)].map(state => state.endpoint)
+  }
+
+  #choose (choice: Choice): GroupChoice | undefined {
+    const group = choice.pool.findGroup(this.#dataCentre)
+    const local = group && this.#chooser.choose(group, choice)
+    const remoteTokens = choice.weights.remoteMs * this.#options.prefillTokensPerS / 1_000
+    if (local !== undefined && local.candidate.waitTokens <= remoteTokens) return local
+    return this.#chooseRemote(choice, local) ?? local
+  }
+
+  /** Without a local choice any data centre will do; else only one whose reports show clearly less load. */
+  #chooseRemote (choice: Choice, local: GroupChoice | undefined): GroupChoice | undefined {
+    const key = choice.levels[0]?.key ?? choice.pool.pool
+    for (const group of rankGroups(key, choice.pool.listGroups())) {
+      if (group.dataCentre === this.#dataCentre) continue
+      if (local !== undefined && !isClearlyFreer(group, local, choice.nowMs)) continue
+      const remote = this.#chooser.choose(group, choice)
+      if (remote !== undefined && (local === undefined || remote.candidate.cost < local.candidate.cost)) return remote
     }
+    return undefined
   }
 
-  #sortByLoad (candidates: Candidate[]): Candidate[] {
-    return candidates.toSorted((a, b) => this.#countLoad(a) / a.weight - this.#countLoad(b) / b.weight)
+  #takeStarted (event: Extract<PlacementEvent, { type: 'started' }>, nowMs: number): void {
+    const state = this.#directory.findRecord(event.endpoint)?.state
+    if (state === undefined) return
+    const isPresent = event.decision === undefined || event.decision.incarnation === state.incarnation
+    const levels = isPresent ? listFollowed(event.levels ?? []) : []
+    const keys = levels.map(level => level.key)
+    if (!this.#attempts.start(event.attempt, { state, keys, atMs: nowMs })) return
+    state.noteStart(countTokens(event), nowMs)
+    for (const key of keys) this.#keys.take(key, nowMs).noteEvidence({ state, present: true, atMs: nowMs, attempt: event.attempt })
   }
 
-  #boundLoad (candidates: Candidate[]): number {
-    const load = candidates.reduce((sum, candidate) => sum + this.#countLoad(candidate), 0)
-    const weight = candidates.reduce((sum, candidate) => sum + candidate.weight, 0)
-    return Math.ceil(SPILL_FACTOR * (load + 1) / weight)
+  #takeAnswered ({ attempt, incarnation, weightsVersion }: Extract<PlacementEvent, { type: 'answered' }>, nowMs: number): void {
+    const running = this.#attempts.find(attempt)
+    if (running !== undefined) this.#directory.takeIdentity(running.state.endpoint, incarnation, weightsVersion ?? running.state.weightsVersion, nowMs)
   }
 
-  #countLoad (candidate: Candidate): number {
-    const own = [...this.#inFlight.values()].filter(one => one.endpoint === candidate.endpoint).length
-    const reported = candidate.view?.load
-    return Math.max(own, reported ? reported.running + reported.queued : 0)
+  /** An attempt that ended without its usage may not have filled the cache. */
+  #takeFinished ({ attempt, cachedTokens }: Extract<PlacementEvent, { type: 'finished' }>): void {
+    const running = this.#attempts.finish(attempt)
+    if (running === undefined || cachedTokens !== null) return
+    for (const key of running.keys) this.#keys.find(key)?.dropAttempt(attempt)
   }
 
-  #takeSnapshot (snapshot: RouterSnapshot): void {
-    const views = new Map(snapshot.endpoints.map(view => [view.endpoint, view]))
-    this.#pools.clear()
-    for (const resource of snapshot.resources.resources) {
-      if (resource.kind !== 'Endpoint') continue
-      const pool = this.#pools.get(resource.spec.pool) ?? []
-      pool.push({ endpoint: resource.name, weight: resource.spec.weight, spec: resource.spec, view: views.get(resource.name) })
-      this.#pools.set(resource.spec.pool, pool)
-    }
+  #takeCacheEvents (event: Extract<PlacementEvent, { type: 'cacheEvents' }>, nowMs: number): void {
+    const state = this.#directory.findRecord(event.endpoint)?.state
+    if (state === undefined || state.incarnation !== event.incarnation || state.weightsVersion !== event.weightsVersion) return
+    takeCacheEvents(event, state, this.#keys, nowMs)
+  }
+
+  #sweep (nowMs: number): void {
+    if (nowMs - this.#sweptAtMs < SWEEP_MS) return
+    this.#sweptAtMs = nowMs
+    this.#attempts.dropExpired(nowMs)
+    this.#peers.dropSilent(nowMs)
   }
 }
 
-function isUsable (candidate: Candidate): boolean {
-  if (candidate.spec.draining) return false
-  const state = candidate.view?.state ?? 'live'
-  return state === 'live' || state === 'suspect'
+function countTokens ({ tokens, decision }: Extract<PlacementEvent, { type: 'started' }>): number {
+  const heldTokens = decision?.kvImport?.tokens ?? decision?.expectedCachedTokens ?? 0
+  return Math.max(0, tokens - heldTokens)
 }
--- /dev/null
+++ b/packages/knapweedshunt-placement/src/placementError.ts
@@ -0,0 +1,4 @@
+import ModernError from 'modern-errors'
+
+/** Error of the placement. */
+export const PlacementError = ModernError.subclass('PlacementError')
--- /dev/null
+++ b/packages/knapweedshunt-placement/src/placementOptions.ts
@@ -0,0 +1,55 @@
+import { PlacementError } from './placementError.ts'
+
+/** What the placement is tuned by. Cost is counted in prompt tokens that an endpoint of weight 1 would compute. */
+export interface PlacementOptions {
+  /** Seed of the choice among near-equal endpoints; routers should differ in it. */
+  seed: number
+  /** Prompt tokens per second that an endpoint of weight 1 computes. */
+  prefillTokensPerS: number
+  /** Share of an endpoint's prefill rate that one key may fill before its subset grows. */
+  carriedShare: number
+  /** Work beside the prompt that one request brings, in prompt tokens. */
+  requestTokens: number
+  /** Work that one running stream adds to what comes after it, in prompt tokens. */
+  runningTokens: number
+  /** Difference of cost within which endpoints count as equal, in prompt tokens. */
+  slackTokens: number
+  /** Age at which evidence is forgotten, in milliseconds. */
+  evidenceMs: number
+  /** Keys remembered. */
+  keyCapacity: number
+  /** Kept KV caches remembered. */
+  keptCapacity: number
+  /** Start-up cost of an import, in milliseconds. */
+  importStartMs: number
+  /** Prompt tokens per second that an import brings. */
+  importTokensPerS: number
+  /** Age at which an attempt without an end is forgotten, in milliseconds. */
+  attemptMs: number
+}
+
+/** Defaults of {@link PlacementOptions}. */
+export const DEFAULT_PLACEMENT_OPTIONS: PlacementOptions = {
+  seed: 1,
+  prefillTokensPerS: 8_000,
+  carriedShare: 0.4,
+  requestTokens: 100,
+  runningTokens: 10,
+  slackTokens: 100,
+  evidenceMs: 30_000,
+  keyCapacity: 8_192,
+  keptCapacity: 4_096,
+  importStartMs: 20,
+  importTokensPerS: 100_000,
+  attemptMs: 600_000
+}
+
+/** Joins given options with the defaults. Throws PlacementError for a value that cannot be used. */
+export function checkPlacementOptions (given: Partial<PlacementOptions>): PlacementOptions {
+  const options = { ...DEFAULT_PLACEMENT_OPTIONS, ...given }
+  for (const [name, value] of Object.entries(options)) {
+    const least = name === 'seed' ? -Infinity : 0
+    if (!Number.isFinite(value) || value <= least) throw new PlacementError(`The placement option ${name} is ${value}: give a finite number greater than ${least}.`)
+  }
+  return options
+}
--- /dev/null
+++ b/packages/knapweedshunt-placement/src/poolState.ts
@@ -0,0 +1,55 @@
+import type { DataCentreId, EndpointPoolSpec, PoolName } from 'knapweedshunt-types'
+import { EndpointGroup } from './endpointGroup.ts'
+import type { EndpointRecord } from './endpointRecord.ts'
+import type { EndpointState } from './endpointState.ts'
+
+/** One pool's usable endpoints, grouped by data centre. */
+export class PoolState {
+  readonly pool: PoolName
+  /** Null while no pool of the name is declared. */
+  spec: EndpointPoolSpec | null = null
+  records: EndpointRecord[] = []
+  #groups = new Map<DataCentreId, EndpointGroup>()
+
+  constructor (pool: PoolName) {
+    this.pool = pool
+  }
+
+  /** Group of a data centre, if any endpoint there is usable. */
+  findGroup (dataCentre: DataCentreId): EndpointGroup | undefined {
+    return this.#groups.get(dataCentre)
+  }
+
+  /** Whether any endpoint may get new work. */
+  get hasUsable (): boolean {
+    return this.#groups.size > 0
+  }
+
+  /** All groups. */
+  listGroups (): EndpointGroup[] {
+    return [...this.#groups.values()]
+  }
+
+  /** Whether the endpoint's cache can hold what the pool's present keys name. */
+  hasWeights (state: EndpointState): boolean {
+    return this.spec?.type === 'model' && state.incarnation !== '' && state.weightsVersion === this.spec.weightsVersion
+  }
+
+  /** Groups the usable endpoints anew; groups that did not change stay the same objects. */
+  buildGroups (): void {
+    const members = new Map<DataCentreId, EndpointState[]>()
+    for (const { state } of this.records) {
+      if (!state.isUsable) continue
+      const { dataCentre } = state.spec
+      const group = members.get(dataCentre)
+      if (group === undefined) members.set(dataCentre, [state])
+      else group.push(state)
+    }
+    const before = this.#groups
+    this.#groups = new Map([...members].map(([dataCentre, states]) => [dataCentre, keepGroup(before.get(dataCentre), dataCentre, states)]))
+  }
+}
+
+function keepGroup (before: EndpointGroup | undefined, dataCentre: DataCentreId, states: EndpointState[]): EndpointGroup {
+  return before?.isSame(states) ? before : new EndpointGroup(dataCentre, states)
+}
--- a/packages/knapweedshunt-placement/src/rankEndpoints.ts
+++ b/packages/knapweedshunt-placement/src/rankEndpoints.ts
@@ -1,25 +1,38 @@
-import { createHash } from 'node:crypto'
 import type { EndpointName } from 'knapweedshunt-types'
+import { hashSeeds, readKeySeed } from './hashSeed.ts'
+import type { HashSeed } from './hashSeed.ts'
 
 /** An endpoint that can be ranked. */
 export interface RankedEndpoint {
   endpoint: EndpointName
   /** Relative capacity, > 0. */
   weight: number
+  /** Hash of the endpoint's name, see {@link readKeySeed}. */
+  seed: HashSeed
 }
 
-const SCORE_STEPS = 2 ** 48
+interface Scored<E> {
+  endpoint: E
+  score: number
+}
 
 /** Ranks endpoints for a key by weighted rendezvous hashing, best first. Equal input gives equal ranking on every VM. */
-export function rankEndpoints<E extends RankedEndpoint> (key: string, endpoints: E[]): E[] {
-  return endpoints
-    .map(endpoint => ({ endpoint, score: scoreEndpoint(key, endpoint) }))
-    .sort((a, b) => b.score - a.score)
-    .map(scored => scored.endpoint)
+export function rankEndpoints<E extends RankedEndpoint> (key: string, endpoints: readonly E[]): E[] {
+  return rankBySeed(readKeySeed(key), endpoints)
+}
+
+/** Like {@link rankEndpoints}, for a key whose seed was read before. */
+export function rankBySeed<E extends RankedEndpoint> (seed: HashSeed, endpoints: readonly E[]): E[] {
+  const scored = new Array<Scored<E>>(endpoints.length)
+  for (let i = 0; i < endpoints.length; i++) scored[i] = { endpoint: endpoints[i], score: scoreEndpoint(seed, endpoints[i]) }
+  scored.sort(compareScored)
+  return scored.map(one => one.endpoint)
+}
+
+function scoreEndpoint (seed: HashSeed, endpoint: RankedEndpoint): number {
+  return -endpoint.weight / Math.log(hashSeeds(seed, endpoint.seed))
 }
 
-function scoreEndpoint (key: string, endpoint: RankedEndpoint): number {
-  const digest = createHash('sha256').update(key).update('\0').update(endpoint.endpoint).digest()
-  const uniform = (digest.readUIntBE(0, 6) + 1) / (SCORE_STEPS + 1)
-  return -endpoint.weight / Math.log(uniform)
+function compareScored (a: Scored<RankedEndpoint>, b: Scored<RankedEndpoint>): number {
+  return b.score - a.score || (a.endpoint.endpoint < b.endpoint.endpoint ? -1 : 1)
 }
