--- a/packages/knapweedshunt-placement/src/cacheFollower.ts
+++ b/packages/knapweedshunt-placement/src/cacheFollower.ts
@@ -8,8 +8,8 @@
   for (const { n, type, key } of event.entries) {
     const last = state.lastCacheEvent
     if (last !== null && n <= last) continue
-    if (last !== null && n > last + 1) state.followedSinceMs = atMs
+    if (last !== null && n > last + 1) state.followEpoch++
     state.lastCacheEvent = n
-    table.find(key)?.noteEvidence({ state, present: type === 'stored', atMs, attempt: null })
+    table.find(key)?.noteEvidence({ state, present: type === 'stored', atMs, attempt: null, followEpoch: state.followEpoch })
   }
 }
--- a/packages/knapweedshunt-placement/src/endpointDirectory.ts
+++ b/packages/knapweedshunt-placement/src/endpointDirectory.ts
@@ -1,16 +1,19 @@
 import type { EndpointName, EndpointView, Incarnation, PoolName, ResourceSnapshot, RouterSnapshot, WeightsVersion } from 'knapweedshunt-types'
 import { EndpointRecord } from './endpointRecord.ts'
+import type { NearDataCentres } from './nearDataCentres.ts'
 import type { PlacementOptions } from './placementOptions.ts'
 import { PoolState } from './poolState.ts'
 
 /** Endpoints and pools, arranged when news comes so that requests need not search. */
 export class EndpointDirectory {
+  readonly #near: NearDataCentres
   readonly #options: PlacementOptions
   readonly #records = new Map<EndpointName, EndpointRecord>()
   readonly #pools = new Map<PoolName, PoolState>()
   #revision = -1
 
-  constructor (options: PlacementOptions) {
+  constructor (near: NearDataCentres, options: PlacementOptions) {
+    this.#near = near
     this.#options = options
   }
 
@@ -29,7 +32,7 @@
     const changed = new Set<PoolState>()
     if (snapshot.resources.revision > this.#revision) this.#takeResources(snapshot.resources, changed)
     for (const view of snapshot.endpoints) this.#takeView(view, nowMs, changed)
-    for (const pool of changed) pool.buildGroups()
+    for (const pool of changed) pool.buildGroups(this.#near)
   }
 
   /** Takes what an endpoint itself said of who serves. */
@@ -38,7 +41,7 @@
     if (record === undefined) return
     const before = record.state
     record.takeIdentity(incarnation, weightsVersion, nowMs)
-    if (record.state !== before) this.#pools.get(record.state.spec.pool)?.buildGroups()
+    if (record.state !== before) this.#pools.get(record.state.spec.pool)?.buildGroups(this.#near)
   }
 
   #takeView (view: EndpointView, nowMs: number, changed: Set<PoolState>): void {
--- a/packages/knapweedshunt-placement/src/endpointState.ts
+++ b/packages/knapweedshunt-placement/src/endpointState.ts
@@ -39,8 +39,8 @@
   running = 0
   /** Number of the last cache event taken, null if none is followed. */
   lastCacheEvent: number | null = null
-  /** Cache events before this time say nothing any more, since entries after them were lost. */
-  followedSinceMs = -Infinity
+  /** Grows at each gap in the cache event stream: what was followed before the gap is unknown after it. */
+  followEpoch = 0
   /** Own attempts that were sent since the report. */
   #starts: StartNote[] = []
   #startedTokens = 0
--- a/packages/knapweedshunt-placement/src/evidence.ts
+++ b/packages/knapweedshunt-placement/src/evidence.ts
@@ -8,4 +8,6 @@
   atMs: number
   /** Attempt that is to bring the key, null for a cache event. */
   attempt: AttemptId | null
+  /** Cache events only count while no later entry of their stream was lost, see {@link EndpointState.followEpoch}. */
+  followEpoch: number
 }
--- a/packages/knapweedshunt-placement/src/groupChooser.ts
+++ b/packages/knapweedshunt-placement/src/groupChooser.ts
@@ -8,6 +8,7 @@
 import type { KeptTable } from './keptTable.ts'
 import type { KeyTable } from './keyTable.ts'
 import { listCandidates } from './listCandidates.ts'
+import type { NearDataCentres } from './nearDataCentres.ts'
 import type { ObjectiveWeights } from './objectiveWeights.ts'
 import type { PeerDemands } from './peerDemands.ts'
 import type { PlacementOptions } from './placementOptions.ts'
@@ -22,6 +23,7 @@
   keys: KeyTable
   peers: PeerDemands
   kept: KeptTable
+  near: NearDataCentres
   rng: Rng
 }
 
@@ -86,7 +88,7 @@
   }
 
   #weigh (state: EndpointState, chain: ChainLink[], { pool, weights, nowMs }: Choice): Candidate {
-    const { options, kept } = this.#parts
+    const { options, kept, near } = this.#parts
     const hasWeights = pool.hasWeights(state)
     const { cachedTokens, sharedTokens } = findCacheExpectation(chain, state, hasWeights, { nowMs, evidenceMs: options.evidenceMs })
     const plan = hasWeights ? kept.findImport(chain, state, cachedTokens) : null
@@ -94,7 +96,8 @@
     const totalTokens = chain.at(-1)?.tokens ?? 0
     const waitTokens = state.countWaitTokens(nowMs)
     const computed = (totalTokens - heldTokens) / state.weight + (plan?.costTokens ?? 0)
-    const cost = computed + waitTokens * weights.wait - sharedTokens * weights.shared / state.weight
+    const farTokens = state.spec.dataCentre === near.own ? 0 : options.nearTokens
+    const cost = computed + farTokens + waitTokens * weights.wait - sharedTokens * weights.shared / state.weight
     return { state, cachedTokens, waitTokens, cost, plan }
   }
 }
--- a/packages/knapweedshunt-placement/src/keyState.ts
+++ b/packages/knapweedshunt-placement/src/keyState.ts
@@ -49,16 +49,14 @@
 
   /** What is known of the key on an endpoint, unless it is too old. */
   findEvidence (state: EndpointState, oldestMs: number): Evidence | undefined {
-    for (const one of this.#evidence) {
-      if (one.state === state) return one.atMs < oldestMs || (one.attempt === null && one.atMs < state.followedSinceMs) ? undefined : one
-    }
-    return undefined
+    const known = this.#evidence.find(one => one.state === state)
+    return known === undefined || known.atMs < oldestMs || isLost(known) ? undefined : known
   }
 
   /** Notes evidence, unless newer evidence is known. */
   noteEvidence (evidence: Evidence): void {
     const at = this.#evidence.findIndex(one => one.state === evidence.state)
-    if (at >= 0 && this.#evidence[at].atMs > evidence.atMs) return
+    if (at >= 0 && this.#evidence[at].atMs > evidence.atMs && !isLost(this.#evidence[at])) return
     if (at >= 0) this.#evidence.splice(at, 1)
     this.#evidence.push(evidence)
     if (this.#evidence.length > MAX_EVIDENCE) this.#evidence.shift()
@@ -75,3 +73,8 @@
     return this.#ranking
   }
 }
+
+/** Whether entries after a cache event were lost. */
+function isLost ({ attempt, state, followEpoch }: Evidence): boolean {
+  return attempt === null && followEpoch !== state.followEpoch
+}
--- a/packages/knapweedshunt-placement/src/placement.ts
+++ b/packages/knapweedshunt-placement/src/placement.ts
@@ -10,6 +10,7 @@
 import { KeyTable } from './keyTable.ts'
 import { listHotKeys } from './listHotKeys.ts'
 import { findObjectiveWeights } from './objectiveWeights.ts'
+import { NearDataCentres } from './nearDataCentres.ts'
 import { PeerDemands } from './peerDemands.ts'
 import { checkPlacementOptions } from './placementOptions.ts'
 import type { PlacementOptions } from './placementOptions.ts'
@@ -22,7 +23,7 @@
 
 /** Chooses endpoints. Opens nothing; the caller reports what happened as events. */
 export class Placement {
-  readonly #dataCentre: DataCentreId
+  readonly #near: NearDataCentres
   readonly #options: PlacementOptions
   readonly #directory: EndpointDirectory
   readonly #attempts: AttemptTable
@@ -34,14 +35,14 @@
 
   /** Throws PlacementError for an option that cannot be used. */
   constructor (dataCentre: DataCentreId, options: Partial<PlacementOptions> = {}) {
-    this.#dataCentre = dataCentre
     this.#options = checkPlacementOptions(options)
-    this.#directory = new EndpointDirectory(this.#options)
+    this.#near = new NearDataCentres(dataCentre, this.#options.nearDataCentres)
+    this.#directory = new EndpointDirectory(this.#near, this.#options)
     this.#attempts = new AttemptTable(this.#options.attemptMs)
     this.#keys = new KeyTable(this.#options.keyCapacity)
     this.#kept = new KeptTable(this.#options)
     const rng = createRng(this.#options.seed)
-    this.#chooser = new GroupChooser({ options: this.#options, keys: this.#keys, peers: this.#peers, kept: this.#kept, rng })
+    this.#chooser = new GroupChooser({ options: this.#options, keys: this.#keys, peers: this.#peers, kept: this.#kept, near: this.#near, rng })
   }
 
   /** Takes an event. */
@@ -54,7 +55,7 @@
       .with({ type: 'answered' }, answered => this.#takeAnswered(answered, nowMs))
       .with({ type: 'finished' }, finished => this.#takeFinished(finished))
       .with({ type: 'cacheEvents' }, events => this.#takeCacheEvents(events, nowMs))
-      .with({ type: 'peerDemand' }, demand => { if (demand.dataCentre === this.#dataCentre) this.#peers.take(demand, nowMs) })
+      .with({ type: 'peerDemand' }, demand => { if (this.#near.has(demand.dataCentre)) this.#peers.take(demand, nowMs) })
       .with({ type: 'kept' }, ({ entries }) => this.#kept.take(entries))
       .exhaustive()
   }
@@ -89,7 +90,7 @@
 
   /** Usable endpoints of this data centre in the order in which a prefix uses them; equal on all routers with equal snapshots and demand. */
   rank (request: Pick<PlaceRequest, 'pool' | 'levels'>): EndpointName[] {
-    const group = this.#directory.findPool(request.pool)?.findGroup(this.#dataCentre)
+    const group = this.#directory.findPool(request.pool)?.findGroup(this.#near.own)
     if (group === undefined) return []
     const chain = this.#chooser.buildChain(listFollowed(request.levels), group, performance.now())
     const outermost = chain.length === 0 ? group.members : chain[0].key.rankWithin(group.members)
@@ -98,7 +99,7 @@
   }
 
   #choose (choice: Choice): GroupChoice | undefined {
-    const group = choice.pool.findGroup(this.#dataCentre)
+    const group = choice.pool.findGroup(this.#near.own)
     const local = group && this.#chooser.choose(group, choice)
     const remoteTokens = choice.weights.remoteMs * this.#options.prefillTokensPerS / 1_000
     if (local !== undefined && local.candidate.waitTokens <= remoteTokens) return local
@@ -109,7 +110,7 @@
   #chooseRemote (choice: Choice, local: GroupChoice | undefined): GroupChoice | undefined {
     const key = choice.levels[0]?.key ?? choice.pool.pool
     for (const group of rankGroups(key, choice.pool.listGroups())) {
-      if (group.dataCentre === this.#dataCentre) continue
+      if (group.dataCentre === this.#near.own) continue
       if (local !== undefined && !isClearlyFreer(group, local, choice.nowMs)) continue
       const remote = this.#chooser.choose(group, choice)
       if (remote !== undefined && (local === undefined || remote.candidate.cost < local.candidate.cost)) return remote
@@ -125,7 +126,7 @@
     const keys = levels.map(level => level.key)
     if (!this.#attempts.start(event.attempt, { state, keys, atMs: nowMs })) return
     state.noteStart(countTokens(event), nowMs)
-    for (const key of keys) this.#keys.take(key, nowMs).noteEvidence({ state, present: true, atMs: nowMs, attempt: event.attempt })
+    for (const key of keys) this.#keys.take(key, nowMs).noteEvidence({ state, present: true, atMs: nowMs, attempt: event.attempt, followEpoch: state.followEpoch })
   }
 
   #takeAnswered ({ attempt, incarnation, weightsVersion }: Extract<PlacementEvent, { type: 'answered' }>, nowMs: number): void {
--- a/packages/knapweedshunt-placement/src/placementOptions.ts
+++ b/packages/knapweedshunt-placement/src/placementOptions.ts
@@ -1,9 +1,14 @@
+import type { DataCentreId } from 'knapweedshunt-types'
 import { PlacementError } from './placementError.ts'
 
 /** What the placement is tuned by. Cost is counted in prompt tokens that an endpoint of weight 1 would compute. */
 export interface PlacementOptions {
   /** Seed of the choice among near-equal endpoints; routers should differ in it. */
   seed: number
+  /** Data centres so near that they count as the router's own; their endpoints hold one cache between them. */
+  nearDataCentres: DataCentreId[]
+  /** Cost of leaving the router's own data centre for a near one, in prompt tokens. */
+  nearTokens: number
   /** Prompt tokens per second that an endpoint of weight 1 computes. */
   prefillTokensPerS: number
   /** Share of an endpoint's prefill rate that one key may fill before its subset grows. */
@@ -31,6 +36,8 @@
 /** Defaults of {@link PlacementOptions}. */
 export const DEFAULT_PLACEMENT_OPTIONS: PlacementOptions = {
   seed: 1,
+  nearDataCentres: [],
+  nearTokens: 40,
   prefillTokensPerS: 8_000,
   carriedShare: 0.4,
   requestTokens: 100,
@@ -48,6 +55,7 @@
 export function checkPlacementOptions (given: Partial<PlacementOptions>): PlacementOptions {
   const options = { ...DEFAULT_PLACEMENT_OPTIONS, ...given }
   for (const [name, value] of Object.entries(options)) {
+    if (Array.isArray(value)) continue
     const least = name === 'seed' ? -Infinity : 0
     if (!Number.isFinite(value) || value <= least) throw new PlacementError(`The placement option ${name} is ${value}: give a finite number greater than ${least}.`)
   }
--- a/packages/knapweedshunt-placement/src/poolState.ts
+++ b/packages/knapweedshunt-placement/src/poolState.ts
@@ -1,9 +1,10 @@
 import type { DataCentreId, EndpointPoolSpec, PoolName } from 'knapweedshunt-types'
 import { EndpointGroup } from './endpointGroup.ts'
 import type { EndpointRecord } from './endpointRecord.ts'
+import type { NearDataCentres } from './nearDataCentres.ts'
 import type { EndpointState } from './endpointState.ts'
 
-/** One pool's usable endpoints, grouped by data centre. */
+/** One pool's usable endpoints, grouped by data centre; near data centres are one group. */
 export class PoolState {
   readonly pool: PoolName
   /** Null while no pool of the name is declared. */
@@ -36,11 +37,11 @@
   }
 
   /** Groups the usable endpoints anew; groups that did not change stay the same objects. */
-  buildGroups (): void {
+  buildGroups (near: NearDataCentres): void {
     const members = new Map<DataCentreId, EndpointState[]>()
     for (const { state } of this.records) {
       if (!state.isUsable) continue
-      const { dataCentre } = state.spec
+      const dataCentre = near.findGroup(state.spec.dataCentre)
       const group = members.get(dataCentre)
       if (group === undefined) members.set(dataCentre, [state])
       else group.push(state)
