Size subsets by the tokens really computed, and learn how long caches last

Cause: demand counted every level below as missing, so outer prefixes were copied to too many endpoints and pushed sections out. Change: demand is what is left to compute where the request goes, corrected by the answer's cached tokens; evidence counts only as long as answers show that prefixes stay cached.

--- a/packages/knapweedshunt-placement/src/attemptTable.ts
+++ b/packages/knapweedshunt-placement/src/attemptTable.ts
@@ -1,11 +1,21 @@
-import type { AttemptId } from 'knapweedshunt-types'
+import type { AttemptId, PrefixLevel } from 'knapweedshunt-types'
 import type { EndpointState } from './endpointState.ts'
 
+/** A level that an endpoint should hold from an earlier use. */
+export interface ReusedLevel {
+  tokens: number
+  ageMs: number
+}
+
 /** An attempt that runs. */
 export interface RunningAttempt {
   state: EndpointState
-  /** Keys of the levels it brings into the cache. */
-  keys: string[]
+  /** Followed levels, which it brings into the cache. */
+  levels: PrefixLevel[]
+  /** Prompt tokens that were expected to be cached. */
+  expectedTokens: number
+  /** Levels that were used before on the endpoint, by which the cache's life is learned. */
+  reused: ReusedLevel[]
   atMs: number
 }
 
--- a/packages/knapweedshunt-placement/src/demandRate.ts
+++ b/packages/knapweedshunt-placement/src/demandRate.ts
@@ -15,9 +15,9 @@
     this.#bornMs = nowMs
   }
 
-  /** Adds tokens. */
+  /** Adds tokens, or takes off what was added too much. */
   add (tokens: number, nowMs: number): void {
-    this.#sum = this.#sum * Math.exp((this.#atMs - nowMs) / MEAN_MS) + tokens
+    this.#sum = Math.max(0, this.#sum * Math.exp((this.#atMs - nowMs) / MEAN_MS) + tokens)
     this.#atMs = nowMs
   }
 
--- a/packages/knapweedshunt-placement/src/endpointDirectory.ts
+++ b/packages/knapweedshunt-placement/src/endpointDirectory.ts
@@ -75,7 +75,7 @@
   }
 
   #openPool (name: PoolName): PoolState {
-    const pool = this.#pools.get(name) ?? new PoolState(name)
+    const pool = this.#pools.get(name) ?? new PoolState(name, this.#options.evidenceMs)
     this.#pools.set(name, pool)
     return pool
   }
--- a/packages/knapweedshunt-placement/src/groupChooser.ts
+++ b/packages/knapweedshunt-placement/src/groupChooser.ts
@@ -90,7 +90,7 @@
   #weigh (state: EndpointState, chain: ChainLink[], { pool, weights, nowMs }: Choice): Candidate {
     const { options, kept, near } = this.#parts
     const hasWeights = pool.hasWeights(state)
-    const { cachedTokens, sharedTokens } = findCacheExpectation(chain, state, hasWeights, { nowMs, evidenceMs: options.evidenceMs })
+    const { cachedTokens, sharedTokens } = findCacheExpectation(chain, state, hasWeights, { nowMs, evidenceMs: pool.cacheLife.lifeMs })
     const plan = hasWeights ? kept.findImport(chain, state, cachedTokens) : null
     const heldTokens = Math.max(cachedTokens, plan?.kvImport.tokens ?? 0)
     const totalTokens = chain.at(-1)?.tokens ?? 0
--- a/packages/knapweedshunt-placement/src/placement.ts
+++ b/packages/knapweedshunt-placement/src/placement.ts
@@ -1,9 +1,11 @@
-import type { DataCentreId, EndpointName } from 'knapweedshunt-types'
+import type { DataCentreId, EndpointName, PrefixLevel } from 'knapweedshunt-types'
 import { createRng } from 'knapweedshunt-utils'
 import { match } from 'ts-pattern'
 import { AttemptTable } from './attemptTable.ts'
+import type { ReusedLevel, RunningAttempt } from './attemptTable.ts'
 import { takeCacheEvents } from './cacheFollower.ts'
 import { EndpointDirectory } from './endpointDirectory.ts'
+import type { EndpointState } from './endpointState.ts'
 import { GroupChooser } from './groupChooser.ts'
 import type { Choice, GroupChoice } from './groupChooser.ts'
 import { KeptTable } from './keptTable.ts'
@@ -15,12 +17,15 @@
 import { checkPlacementOptions } from './placementOptions.ts'
 import type { PlacementOptions } from './placementOptions.ts'
 import type { KeyDemand, PlaceDecision, PlaceRequest, PlacementEvent } from './placementTypes.ts'
-import { listFollowed, noteDemand } from './prefixChain.ts'
+import { correctDemand, listFollowed, noteDemand } from './prefixChain.ts'
 import { isClearlyFreer, rankGroups } from './rankGroups.ts'
 
 /** Time between searches for what has grown too old, in milliseconds. */
 const SWEEP_MS = 1_000
 
+/** Share of a level's estimated tokens from which on it counts as cached. */
+const FULL_SHARE = 0.8
+
 /** Chooses endpoints. Opens nothing; the caller reports what happened as events. */
 export class Placement {
   readonly #near: NearDataCentres
@@ -53,7 +58,7 @@
       .with({ type: 'snapshot' }, ({ snapshot }) => this.#directory.takeSnapshot(snapshot, nowMs))
       .with({ type: 'started' }, started => this.#takeStarted(started, nowMs))
       .with({ type: 'answered' }, answered => this.#takeAnswered(answered, nowMs))
-      .with({ type: 'finished' }, finished => this.#takeFinished(finished))
+      .with({ type: 'finished' }, finished => this.#takeFinished(finished, nowMs))
       .with({ type: 'cacheEvents' }, events => this.#takeCacheEvents(events, nowMs))
       .with({ type: 'peerDemand' }, demand => { if (this.#near.has(demand.dataCentre)) this.#peers.take(demand, nowMs) })
       .with({ type: 'kept' }, ({ entries }) => this.#kept.take(entries))
@@ -82,10 +87,11 @@
     const pool = this.#directory.findPool(request.pool)
     if (pool === undefined || !pool.hasUsable) return { type: 'unplaceable', reason: 'no-endpoint' }
     const levels = listFollowed(request.levels)
-    if (levels.length > 0) noteDemand(levels, this.#keys, this.#options, nowMs)
     const weights = findObjectiveWeights(pool.spec?.type === 'model' ? pool.spec.objective : 'tail', request.job ?? 'short')
     const chosen = this.#choose({ pool, levels, excluded: request.excluded, weights, nowMs })
-    return chosen === undefined ? { type: 'unplaceable', reason: 'all-excluded' } : this.#chooser.describe(chosen)
+    if (chosen === undefined) return { type: 'unplaceable', reason: 'all-excluded' }
+    if (levels.length > 0) noteDemand(levels, chosen.candidate.cachedTokens, this.#keys, this.#options, nowMs)
+    return this.#chooser.describe(chosen)
   }
 
   /** Usable endpoints of this data centre in the order in which a prefix uses them; equal on all routers with equal snapshots and demand. */
@@ -123,10 +129,18 @@
     if (state === undefined) return
     const isPresent = event.decision === undefined || event.decision.incarnation === state.incarnation
     const levels = isPresent ? listFollowed(event.levels ?? []) : []
-    const keys = levels.map(level => level.key)
-    if (!this.#attempts.start(event.attempt, { state, keys, atMs: nowMs })) return
+    const expectedTokens = event.decision?.expectedCachedTokens ?? 0
+    const reused = this.#listReused(levels, state, nowMs)
+    if (!this.#attempts.start(event.attempt, { state, levels, expectedTokens, reused, atMs: nowMs })) return
     state.noteStart(countTokens(event), nowMs)
-    for (const key of keys) this.#keys.take(key, nowMs).noteEvidence({ state, present: true, atMs: nowMs, attempt: event.attempt, followEpoch: state.followEpoch })
+    for (const { key } of levels) this.#keys.take(key, nowMs).noteEvidence({ state, present: true, atMs: nowMs, attempt: event.attempt, followEpoch: state.followEpoch })
+  }
+
+  #listReused (levels: PrefixLevel[], state: EndpointState, nowMs: number): ReusedLevel[] {
+    return levels.flatMap(({ key, tokens }) => {
+      const evidence = this.#keys.find(key)?.findEvidence(state, nowMs - this.#options.evidenceMs)
+      return evidence?.present ? [{ tokens, ageMs: nowMs - evidence.atMs }] : []
+    })
   }
 
   #takeAnswered ({ attempt, incarnation, weightsVersion }: Extract<PlacementEvent, { type: 'answered' }>, nowMs: number): void {
@@ -135,10 +149,19 @@
   }
 
   /** An attempt that ended without its usage may not have filled the cache. */
-  #takeFinished ({ attempt, cachedTokens }: Extract<PlacementEvent, { type: 'finished' }>): void {
+  #takeFinished ({ attempt, cachedTokens }: Extract<PlacementEvent, { type: 'finished' }>, nowMs: number): void {
     const running = this.#attempts.finish(attempt)
-    if (running === undefined || cachedTokens !== null) return
-    for (const key of running.keys) this.#keys.find(key)?.dropAttempt(attempt)
+    if (running === undefined) return
+    for (const { key } of cachedTokens === null ? running.levels : []) this.#keys.find(key)?.dropAttempt(attempt)
+    if (cachedTokens === null) return
+    this.#learnLife(running, cachedTokens)
+    correctDemand(running.levels, running.expectedTokens, cachedTokens, this.#keys, nowMs)
+  }
+
+  /** Counts of tokens are estimates, so that a little less than a level still is the level. */
+  #learnLife ({ state, reused }: RunningAttempt, cachedTokens: number): void {
+    const life = this.#directory.findPool(state.spec.pool)?.cacheLife
+    for (const { tokens, ageMs } of reused) life?.note(ageMs, cachedTokens >= tokens * FULL_SHARE)
   }
 
   #takeCacheEvents (event: Extract<PlacementEvent, { type: 'cacheEvents' }>, nowMs: number): void {
--- a/packages/knapweedshunt-placement/src/poolState.ts
+++ b/packages/knapweedshunt-placement/src/poolState.ts
@@ -1,4 +1,5 @@
 import type { DataCentreId, EndpointPoolSpec, PoolName } from 'knapweedshunt-types'
+import { CacheLife } from './cacheLife.ts'
 import { EndpointGroup } from './endpointGroup.ts'
 import type { EndpointRecord } from './endpointRecord.ts'
 import type { NearDataCentres } from './nearDataCentres.ts'
@@ -10,10 +11,13 @@
   /** Null while no pool of the name is declared. */
   spec: EndpointPoolSpec | null = null
   records: EndpointRecord[] = []
+  /** How long a prefix stays cached. */
+  readonly cacheLife: CacheLife
   #groups = new Map<DataCentreId, EndpointGroup>()
 
-  constructor (pool: PoolName) {
+  constructor (pool: PoolName, evidenceMs: number) {
     this.pool = pool
+    this.cacheLife = new CacheLife(evidenceMs)
   }
 
   /** Group of a data centre, if any endpoint there is usable. */
--- a/packages/knapweedshunt-placement/src/prefixChain.ts
+++ b/packages/knapweedshunt-placement/src/prefixChain.ts
@@ -26,10 +26,20 @@
   return levels.length <= MAX_LEVELS ? levels : [...levels.slice(0, MAX_LEVELS - 1), levels[levels.length - 1]]
 }
 
-/** Adds a request's demand to its levels: at each level what is left to compute once that level is cached. */
-export function noteDemand (levels: PrefixLevel[], table: KeyTable, options: PlacementOptions, nowMs: number): void {
+/** Adds a request's demand to its levels: what is left to compute where it goes, once the level itself is cached. */
+export function noteDemand (levels: PrefixLevel[], cachedTokens: number, table: KeyTable, options: PlacementOptions, nowMs: number): void {
   const total = levels[levels.length - 1].tokens
-  for (const level of levels) table.take(level.key, nowMs).demand.add(total - level.tokens + options.requestTokens, nowMs)
+  for (const level of levels) {
+    const left = total - Math.max(level.tokens, cachedTokens)
+    table.take(level.key, nowMs).demand.add(left + options.requestTokens, nowMs)
+  }
+}
+
+/** Corrects a request's demand once its answer told what was cached: prefixes that get lost need more endpoints. */
+export function correctDemand (levels: PrefixLevel[], expectedTokens: number, cachedTokens: number, table: KeyTable, nowMs: number): void {
+  for (const { key, tokens } of levels) {
+    table.find(key)?.demand.add(Math.max(tokens, expectedTokens) - Math.max(tokens, cachedTokens), nowMs)
+  }
 }
 
 /** Builds the nested subsets of a request in one group. */
