Let subsets grow earlier where the tail counts

Cause: with demand counted as computed, tail pools packed prefixes so densely that sections evicted each other and queues grew. Change: the share of an endpoint that one key may fill goes with the objective, 0.15 for the tail and 0.4 for reuse.

--- a/packages/knapweedshunt-placement/src/__tests__/placementMatrix.test.ts
+++ b/packages/knapweedshunt-placement/src/__tests__/placementMatrix.test.ts
@@ -1,7 +1,9 @@
 import { install } from '@sinonjs/fake-timers'
 import test from 'ava'
 import type { PrefixLevel } from 'knapweedshunt-types'
+import { findCarriedShare } from '../objectiveWeights.ts'
 import { Placement } from '../placement.ts'
+import { DEFAULT_PLACEMENT_OPTIONS } from '../placementOptions.ts'
 import type { PlacedDecision } from '../placementTypes.ts'
 import { buildSnapshot, createEndpoints, cutRequest, placeOn } from './placementHarness.ts'
 import type { TrueEndpoint } from './placementHarness.ts'
@@ -103,7 +105,7 @@
   }
 }
 
-function sayDemand ({ placement, levels }: Scene, n = 1, tokensPerS = 9_600): void {
+function sayDemand ({ placement, levels }: Scene, n = 1, tokensPerS = 3 * findCarriedShare('tail') * DEFAULT_PLACEMENT_OPTIONS.prefillTokensPerS): void {
   placement.take({ type: 'peerDemand', vm: 'peer', incarnation: 'p', dataCentre: 'a', n, demands: [{ key: levels[0].key.slice(0, 16), tokensPerS }] })
 }
 
--- a/packages/knapweedshunt-placement/src/groupChooser.ts
+++ b/packages/knapweedshunt-placement/src/groupChooser.ts
@@ -9,6 +9,7 @@
 import type { KeyTable } from './keyTable.ts'
 import { listCandidates } from './listCandidates.ts'
 import type { NearDataCentres } from './nearDataCentres.ts'
+import { findCarriedShare } from './objectiveWeights.ts'
 import type { ObjectiveWeights } from './objectiveWeights.ts'
 import type { PeerDemands } from './peerDemands.ts'
 import type { PlacementOptions } from './placementOptions.ts'
@@ -53,15 +54,16 @@
   }
 
   /** Builds the nested subsets of followed levels. */
-  buildChain (levels: PrefixLevel[], group: EndpointGroup, nowMs: number): ChainLink[] {
+  buildChain (levels: PrefixLevel[], group: EndpointGroup, pool: PoolState, nowMs: number): ChainLink[] {
     const { keys, peers, options } = this.#parts
-    return buildChain(levels, group, keys, peers, options, nowMs)
+    const carriedTokensPerS = findCarriedShare(pool.objective) * options.prefillTokensPerS
+    return buildChain(levels, group, keys, peers, carriedTokensPerS, nowMs)
   }
 
   /** Chooses an endpoint of the group; undefined if all are excluded. */
   choose (group: EndpointGroup, choice: Choice): GroupChoice | undefined {
     const { options, rng } = this.#parts
-    const chain = this.buildChain(choice.levels, group, choice.nowMs)
+    const chain = this.buildChain(choice.levels, group, choice.pool, choice.nowMs)
     const states = listCandidates(chain, group, choice.excluded, rng)
     if (states.length === 0) return undefined
     const candidates = states.map(state => this.#weigh(state, chain, choice))
--- a/packages/knapweedshunt-placement/src/listHotKeys.ts
+++ b/packages/knapweedshunt-placement/src/listHotKeys.ts
@@ -5,12 +5,12 @@
 /** Most keys that a router tells its peers of. */
 const MAX_HOT_KEYS = 64
 
-/** Share of what one endpoint carries from which on a key's own demand is told; what many routers see a little of adds up. */
-const HOT_SHARE = 0.02
+/** Share of what one endpoint computes from which on a key's own demand is told; what many routers see a little of adds up. */
+const HOT_SHARE = 0.005
 
 /** Lists the keys with the most demand, hottest first. */
 export function listHotKeys (table: KeyTable, options: PlacementOptions, nowMs: number): KeyDemand[] {
-  const least = options.prefillTokensPerS * options.carriedShare * HOT_SHARE
+  const least = options.prefillTokensPerS * HOT_SHARE
   const demands: KeyDemand[] = []
   for (const key of table.list()) {
     const tokensPerS = Math.round(key.demand.countTokensPerS(nowMs))
--- a/packages/knapweedshunt-placement/src/objectiveWeights.ts
+++ b/packages/knapweedshunt-placement/src/objectiveWeights.ts
@@ -2,6 +2,8 @@
 
 /** How the parts of a cost weigh against each other. */
 export interface ObjectiveWeights {
+  /** Share of an endpoint's prefill rate that one key may fill before its subset grows. */
+  carriedShare: number
   /** Weight of the wait; 1 is that of tokens to compute. */
   wait: number
   /** Worth of computing a prefix where later requests will look for it, as a share of its tokens. */
@@ -14,12 +16,17 @@
   remoteMs: number
 }
 
-const TAIL: ObjectiveWeights = { wait: 1, shared: 0.25, spillFactor: 1.5, spillFloorMs: 500, remoteMs: 1_000 }
-const REUSE_SHORT: ObjectiveWeights = { wait: 0.7, shared: 0.5, spillFactor: 2, spillFloorMs: 2_000, remoteMs: 4_000 }
-const REUSE_LONG: ObjectiveWeights = { wait: 0.3, shared: 0.5, spillFactor: 3, spillFloorMs: 6_000, remoteMs: 10_000 }
+const TAIL: ObjectiveWeights = { carriedShare: 0.15, wait: 1, shared: 0.25, spillFactor: 1.5, spillFloorMs: 500, remoteMs: 1_000 }
+const REUSE_SHORT: ObjectiveWeights = { carriedShare: 0.4, wait: 0.7, shared: 0.5, spillFactor: 2, spillFloorMs: 2_000, remoteMs: 4_000 }
+const REUSE_LONG: ObjectiveWeights = { carriedShare: 0.4, wait: 0.3, shared: 0.5, spillFactor: 3, spillFloorMs: 6_000, remoteMs: 10_000 }
 
 /** Finds the weights for a pool's objective and a request's job. */
 export function findObjectiveWeights (objective: PoolObjective, job: 'short' | 'long'): ObjectiveWeights {
   if (objective === 'tail') return TAIL
   return job === 'long' ? REUSE_LONG : REUSE_SHORT
 }
+
+/** Finds the share for a pool's objective; the same for all its jobs, so that they agree on subsets. */
+export function findCarriedShare (objective: PoolObjective): number {
+  return findObjectiveWeights(objective, 'short').carriedShare
+}
--- a/packages/knapweedshunt-placement/src/placement.ts
+++ b/packages/knapweedshunt-placement/src/placement.ts
@@ -87,7 +87,7 @@
     const pool = this.#directory.findPool(request.pool)
     if (pool === undefined || !pool.hasUsable) return { type: 'unplaceable', reason: 'no-endpoint' }
     const levels = listFollowed(request.levels)
-    const weights = findObjectiveWeights(pool.spec?.type === 'model' ? pool.spec.objective : 'tail', request.job ?? 'short')
+    const weights = findObjectiveWeights(pool.objective, request.job ?? 'short')
     const chosen = this.#choose({ pool, levels, excluded: request.excluded, weights, nowMs })
     if (chosen === undefined) return { type: 'unplaceable', reason: 'all-excluded' }
     if (levels.length > 0) noteDemand(levels, chosen.candidate.cachedTokens, this.#keys, this.#options, nowMs)
@@ -96,9 +96,10 @@
 
   /** Usable endpoints of this data centre in the order in which a prefix uses them; equal on all routers with equal snapshots and demand. */
   rank (request: Pick<PlaceRequest, 'pool' | 'levels'>): EndpointName[] {
-    const group = this.#directory.findPool(request.pool)?.findGroup(this.#near.own)
-    if (group === undefined) return []
-    const chain = this.#chooser.buildChain(listFollowed(request.levels), group, performance.now())
+    const pool = this.#directory.findPool(request.pool)
+    const group = pool?.findGroup(this.#near.own)
+    if (pool === undefined || group === undefined) return []
+    const chain = this.#chooser.buildChain(listFollowed(request.levels), group, pool, performance.now())
     const outermost = chain.length === 0 ? group.members : chain[0].key.rankWithin(group.members)
     const ordered = [...chain.toReversed().flatMap(link => link.subset), ...outermost]
     return [...new Set(ordered)].map(state => state.endpoint)
--- a/packages/knapweedshunt-placement/src/placementOptions.ts
+++ b/packages/knapweedshunt-placement/src/placementOptions.ts
@@ -11,8 +11,6 @@
   nearTokens: number
   /** Prompt tokens per second that an endpoint of weight 1 computes. */
   prefillTokensPerS: number
-  /** Share of an endpoint's prefill rate that one key may fill before its subset grows. */
-  carriedShare: number
   /** Work beside the prompt that one request brings, in prompt tokens. */
   requestTokens: number
   /** Work that one running stream adds to what comes after it, in prompt tokens. */
@@ -39,7 +37,6 @@
   nearDataCentres: [],
   nearTokens: 40,
   prefillTokensPerS: 8_000,
-  carriedShare: 0.4,
   requestTokens: 100,
   runningTokens: 10,
   slackTokens: 100,
--- a/packages/knapweedshunt-placement/src/poolState.ts
+++ b/packages/knapweedshunt-placement/src/poolState.ts
@@ -1,4 +1,4 @@
-import type { DataCentreId, EndpointPoolSpec, PoolName } from 'knapweedshunt-types'
+import type { DataCentreId, EndpointPoolSpec, PoolName, PoolObjective } from 'knapweedshunt-types'
 import { CacheLife } from './cacheLife.ts'
 import { EndpointGroup } from './endpointGroup.ts'
 import type { EndpointRecord } from './endpointRecord.ts'
@@ -25,6 +25,11 @@
     return this.#groups.get(dataCentre)
   }
 
+  /** What the pool weighs most; plain services go by the tail. */
+  get objective (): PoolObjective {
+    return this.spec?.type === 'model' ? this.spec.objective : 'tail'
+  }
+
   /** Whether any endpoint may get new work. */
   get hasUsable (): boolean {
     return this.#groups.size > 0
--- a/packages/knapweedshunt-placement/src/prefixChain.ts
+++ b/packages/knapweedshunt-placement/src/prefixChain.ts
@@ -43,8 +43,8 @@
 }
 
 /** Builds the nested subsets of a request in one group. */
-export function buildChain (levels: PrefixLevel[], group: EndpointGroup, table: KeyTable, peers: PeerDemands, options: PlacementOptions, nowMs: number): ChainLink[] {
-  const carried = options.carriedShare * options.prefillTokensPerS * group.meanWeight
+export function buildChain (levels: PrefixLevel[], group: EndpointGroup, table: KeyTable, peers: PeerDemands, carriedTokensPerS: number, nowMs: number): ChainLink[] {
+  const carried = carriedTokensPerS * group.meanWeight
   const chain: ChainLink[] = []
   let parent = group.members
   for (const level of levels) {
