Watch resources as server-sent events; bind organisation keys to what is theirs

Every error of admin crashed the process: modern-errors refuses a class that is extended by hand, and no test asked for an error. Found by the table of bad resources. A key bound to one organisation could also overwrite another's access key by its name; the owner of what is there is now checked inside the transaction's read.

--- a/packages/knapweedshunt-admin/src/adminError.ts
+++ b/packages/knapweedshunt-admin/src/adminError.ts
@@ -1,15 +1,22 @@
 import ModernError from 'modern-errors'
 
-/** Error that is answered to an operator, with its HTTP status. */
-export class AdminError extends ModernError {
-  readonly status: number
-  readonly code: string
-  readonly details: Record<string, unknown>
-
-  constructor (status: number, code: string, message: string, details: Record<string, unknown> = {}) {
-    super(message)
-    this.status = status
-    this.code = code
-    this.details = details
-  }
+/** What an operator is answered beside the message. */
+interface AdminErrorProps {
+  /** HTTP status. */
+  status: number
+  /** Stable code, for example `revision_raced`. */
+  code: string
+  details: Record<string, unknown>
+}
+
+/** Error that is answered to an operator. Made by {@link createAdminError}. */
+export const AdminError = ModernError.subclass('AdminError', { props: { status: 500, code: 'internal', details: {} } as AdminErrorProps })
+
+/** An instance of {@link AdminError}. */
+export type AdminErrorInstance = ReturnType<typeof createAdminError>
+
+/** Creates an error with its HTTP status. */
+export function createAdminError (status: number, code: string, message: string, details: Record<string, unknown> = {}) {
+  const props: AdminErrorProps = { status, code, details }
+  return new AdminError(message, { props })
 }
--- a/packages/knapweedshunt-admin/src/serveAdmin.ts
+++ b/packages/knapweedshunt-admin/src/serveAdmin.ts
@@ -1,27 +1,29 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { HttpError, parseJson, readBody, sendJson } from 'knapweedshunt-utils'
 import type { AdminContext } from './adminContext.ts'
-import { AdminError } from './adminError.ts'
+import { AdminError, createAdminError } from './adminError.ts'
+import type { AdminErrorInstance } from './adminError.ts'
 import { applyChange } from './applyChange.ts'
 import { listStatus } from './listStatus.ts'
 import { findRole } from './operatorKey.ts'
 import type { OperatorKey, OperatorRole } from './operatorKey.ts'
+import { watchChanges } from './watchChanges.ts'
 
 const MAX_BODY_BYTES = 16 * 1024 * 1024
 
 /** Serves one operator call. Never throws. */
-export async function serveAdmin (context: AdminContext, keys: OperatorKey[], message: IncomingMessage, response: ServerResponse): Promise<void> {
+export async function serveAdmin (context: AdminContext, keys: OperatorKey[], message: IncomingMessage, response: ServerResponse, stopping: AbortSignal): Promise<void> {
   try {
     const role = findRole(message.headers, keys)
-    if (role === null) throw new AdminError(401, 'key_unknown', 'The operator key is missing or not known: send "Authorization: Bearer <key>".')
-    await dispatch(context, role, message, response)
+    if (role === null) throw createAdminError(401, 'key_unknown', 'The operator key is missing or not known: send "Authorization: Bearer <key>".')
+    await dispatch(context, role, message, response, stopping)
   } catch (error) {
     const shown = describeError(error)
     sendJson(response, shown.status, { error: { code: shown.code, message: shown.message, ...shown.details } })
   }
 }
 
-async function dispatch (context: AdminContext, role: OperatorRole, message: IncomingMessage, response: ServerResponse): Promise<void> {
+async function dispatch (context: AdminContext, role: OperatorRole, message: IncomingMessage, response: ServerResponse, stopping: AbortSignal): Promise<void> {
   const url = new URL(message.url ?? '/', 'http://admin')
   switch (`${message.method} ${url.pathname}`) {
     case 'GET /v1/resources': {
@@ -32,16 +34,18 @@
       const body = parseJson(await readBody(message, MAX_BODY_BYTES))
       return sendJson(response, 200, { revision: await applyChange(context, role, body) })
     }
+    case 'GET /v1/watch':
+      return watchChanges(context, role, message, response, stopping)
     case 'GET /v1/figures':
-      if (role.type === 'organisation') throw new AdminError(403, 'role_forbids', 'Figures are for viewers and editors.')
+      if (role.type === 'organisation') throw createAdminError(403, 'role_forbids', 'Figures are for viewers and editors.')
       return sendJson(response, 200, { rows: await context.router.call('router.figures', {}) })
     default:
-      throw new AdminError(404, 'path_unknown', `There is no ${message.method} ${url.pathname}.`)
+      throw createAdminError(404, 'path_unknown', `There is no ${message.method} ${url.pathname}.`)
   }
 }
 
-function describeError (error: unknown): AdminError {
-  if (error instanceof AdminError) return error
-  if (error instanceof HttpError) return new AdminError(400, 'body_invalid', error.message)
-  return new AdminError(503, 'unavailable', `The call could not be served now: ${(error as Error).message}`)
+function describeError (error: unknown): AdminErrorInstance {
+  if (error instanceof AdminError) return error as AdminErrorInstance
+  if (error instanceof HttpError) return createAdminError(400, 'body_invalid', error.message)
+  return createAdminError(503, 'unavailable', `The call could not be served now: ${(error as Error).message}`)
 }
--- a/packages/knapweedshunt-admin/src/startAdmin.ts
+++ b/packages/knapweedshunt-admin/src/startAdmin.ts
@@ -23,13 +23,15 @@
   const control = createRpcClient({ url: options.controlUrl, sharedKey, timeoutMs: RPC_TIMEOUT_MS })
   const router = createRpcClient({ url: options.routerUrl, sharedKey, timeoutMs: RPC_TIMEOUT_MS })
   const context = { platform, store: new ResourceStore(platform), control, router }
+  const stopping = new AbortController()
   const server = http.createServer((message, response) => {
     if (message.url === '/healthz') return sendHealth(response)
-    return serveAdmin(context, options.operatorKeys, message, response)
+    return serveAdmin(context, options.operatorKeys, message, response, stopping.signal)
   })
   const url = await listen(server, options.listen)
   log.info('Admin listens.', { url })
   async function stop () {
+    stopping.abort()
     await closeServer(server)
     control.close()
     router.close()
--- a/packages/knapweedshunt-control/src/controlMessages.ts
+++ b/packages/knapweedshunt-control/src/controlMessages.ts
@@ -1,5 +1,5 @@
 import type { SummaryDelta, SummaryVersions, VmDelta, VmVersions } from 'knapweedshunt-membership'
-import type { DataCentreId, ResourceChange, ResourceSnapshot, Revision, RouterSnapshot, VmId } from 'knapweedshunt-types'
+import type { DataCentreId, ResourceChange, Revision, RouterSnapshot, VmId } from 'knapweedshunt-types'
 
 /** Who calls, and where its control listens. */
 export interface Caller {
@@ -54,12 +54,3 @@
 export interface ChangesRequest {
   after: Revision
 }
-
-/** Answer to a {@link ChangesRequest}. */
-export interface ChangesAnswer {
-  revision: Revision
-  /** Null when they are no longer all kept. */
-  changes: ResourceChange[] | null
-  /** All resources, only when `changes` is null. */
-  snapshot: ResourceSnapshot | null
-}
--- a/packages/knapweedshunt-resources/src/resourceStore.ts
+++ b/packages/knapweedshunt-resources/src/resourceStore.ts
@@ -21,6 +21,8 @@
   ops: ResourceOp[]
   /** The newest revision the operator knows; null when any will do. */
   expectedRevision: Revision | null
+  /** Throws when the operator may not change what is there. */
+  check?: (present: Resource[]) => void
 }
 
 /** Outcome of a {@link ChangeRequest}. */
@@ -115,6 +117,7 @@
   async #commit (request: ChangeRequest, head: Head): Promise<ChangeResult> {
     const revision = head.revision + 1
     const rows = await this.#readRows()
+    request.check?.(rows)
     checkDeletes(rows, request.ops)
     checkReferences(applyOps(rows, request.ops, revision))
     try {
--- a/packages/knapweedshunt-types/src/index.ts
+++ b/packages/knapweedshunt-types/src/index.ts
@@ -1,5 +1,6 @@
 /** Shared types and messages of all packages. */
 export * from './accessKeySpec.ts'
+export * from './changesAnswer.ts'
 export * from './endpointPoolSpec.ts'
 export * from './endpointSpec.ts'
 export * from './endpointView.ts'
