--- /dev/null
+++ b/packages/knapweedshunt-control/src/__tests__/fleet.test.ts
@@ -0,0 +1,115 @@
+import test from 'ava'
+import { startFakeEngine, startFakePlatform } from 'knapweedshunt-fakes'
+import type { FakeEngine } from 'knapweedshunt-fakes'
+import { DEFAULT_PLANNER_OPTIONS, nameFleetLease } from 'knapweedshunt-fleet'
+import type { FleetOptions, LeaseRow } from 'knapweedshunt-fleet'
+import { createLogger } from 'knapweedshunt-logger'
+import { EndpointMembership } from 'knapweedshunt-membership'
+import { createPlatformClient } from 'knapweedshunt-platform'
+import type { Platform } from 'knapweedshunt-platform'
+import { ResourceReplica, ResourceStore } from 'knapweedshunt-resources'
+import type { LoadReport, Resource } from 'knapweedshunt-types'
+import { callJson, runEvery, sleep } from 'knapweedshunt-utils'
+import { startFleetTasks } from '../fleet/startFleetTasks.ts'
+
+const DATA_CENTRE = 'dc-1'
+const FLOOR = 2
+const STEP_MS = 50
+const HOST = '127.0.0.1'
+const OPTIONS: Partial<FleetOptions> = {
+  lease: { durationMs: 2_000, guardMs: 400, intervalMs: 200, longestOrderMs: 2_000 },
+  planner: { ...DEFAULT_PLANNER_OPTIONS, drainSettleMs: 200 },
+  stepMs: STEP_MS,
+  reportLagMs: 200
+}
+
+interface Vm { incarnation: string, abort: AbortController, isKilled: boolean }
+
+/** A VM's fleet tasks with their own replica and load reports; once killed it calls nobody. */
+function startVm (vm: string, platformUrl: string): Vm {
+  const abort = new AbortController()
+  const running: Vm = { incarnation: `${vm}-1`, abort, isKilled: false }
+  const client = createPlatformClient({ url: platformUrl, timeoutMs: 1_000 })
+  const hold = <T>(run: () => Promise<T>): Promise<T> => running.isKilled ? new Promise(() => {}) : run()
+  const platform: Platform = {
+    ...client,
+    read: (table, key) => hold(() => client.read(table, key)),
+    scan: request => hold(() => client.scan(request)),
+    transact: transaction => hold(() => client.transact(transaction))
+  }
+  const store = new ResourceStore(platform)
+  const replica = new ResourceReplica()
+  const endpoints = new EndpointMembership()
+  runEvery(STEP_MS, abort.signal, async () => { replica.takeSnapshot(await store.readSnapshot()) })
+  runEvery(STEP_MS, abort.signal, async () => {
+    for (const resource of replica.snapshot.resources) {
+      if (resource.kind !== 'Endpoint') continue
+      const answer = await callJson({ method: 'GET', url: `${resource.spec.url}/manage/load`, timeoutMs: 1_000 })
+      endpoints.takeLoad({ ...answer.body as LoadReport, endpoint: resource.name })
+    }
+  })
+  startFleetTasks({
+    self: { vm, incarnation: running.incarnation, dataCentre: DATA_CENTRE },
+    platform,
+    store,
+    readResources: () => replica.snapshot,
+    listViews: () => endpoints.listEndpoints(),
+    listVms: () => [],
+    log: createLogger('fleet'),
+    signal: abort.signal,
+    options: OPTIONS
+  })
+  return running
+}
+
+function buildResources (engines: FakeEngine[]): Resource[] {
+  const endpoint = { pool: 'language', dataCentre: DATA_CENTRE, weight: 1, cacheBlocks: 100, checksIdempotencyKeys: false, draining: false }
+  const pool = { type: 'model' as const, model: 'm', weightsVersion: 'w1', objective: 'tail' as const, floor: FLOOR, maxParallelLoads: 2 }
+  return [
+    { kind: 'EndpointPool', name: 'language', revision: 0, spec: pool },
+    { kind: 'WeightsRollout', name: 'to-w2', revision: 0, spec: { pool: 'language', weightsVersion: 'w2', paused: false, undo: false } },
+    ...engines.map(({ url, state }): Resource => ({ kind: 'Endpoint', name: state.options.endpoint, revision: 0, spec: { ...endpoint, url, checksFencing: state.options.checksFencing } }))
+  ]
+}
+
+test('roll-out survives its holder', async t => {
+  const platform = await startFakePlatform({ host: HOST, port: 0 })
+  const engines = await Promise.all([1, 2, 3].map(n => startFakeEngine({ endpoint: `language-${n}`, loadWeightsMs: 100, checksFencing: n !== 3 })))
+  const store = new ResourceStore(createPlatformClient({ url: platform.url, timeoutMs: 1_000 }))
+  const vms = ['vm-1', 'vm-2'].map(vm => startVm(vm, platform.url))
+  const readHolder = () => (platform.memory.tables.read('leases', nameFleetLease(DATA_CENTRE))?.value as LeaseRow | undefined)
+  let leastServing = engines.length
+  const countServing = () => engines.filter(({ state }) => state.role === 'serve' && !state.isLoading).length
+  const watching = new AbortController()
+  runEvery(1, watching.signal, () => { leastServing = Math.min(leastServing, countServing()) })
+  try {
+    await store.change({ changeId: 'first', expectedRevision: null, ops: buildResources(engines).map(resource => ({ type: 'put', resource })) })
+    while (!engines.some(({ state }) => state.weightsVersion === 'w2')) await sleep(1)
+    const first = readHolder()
+    const killed = vms.find(vm => vm.incarnation === first?.holder)
+    if (killed) killed.isKilled = true
+    t.true(engines.some(({ state }) => state.weightsVersion === 'w1'))
+
+    for (;;) {
+      const { resources } = await store.readSnapshot()
+      const pool = resources.find(resource => resource.kind === 'EndpointPool')
+      if (pool?.kind === 'EndpointPool' && pool.spec.type === 'model' && pool.spec.weightsVersion === 'w2') break
+      await sleep(STEP_MS)
+    }
+    t.deepEqual(engines.map(({ state }) => `${state.weightsVersion} ${state.role}`), engines.map(() => 'w2 serve'))
+    t.is(leastServing, FLOOR)
+    t.not(readHolder()?.holder, first?.holder)
+    t.true((readHolder()?.fencing ?? 0) > (first?.fencing ?? 0))
+    t.is(await store.readHead(), 2)
+
+    const commanded = engines.find(({ state }) => state.options.checksFencing && state.fencing > (first?.fencing ?? 0))
+    const old = { fencing: first?.fencing, incarnation: commanded?.state.incarnation, weightsVersion: 'w1' }
+    const refused = await callJson({ method: 'POST', url: `${commanded?.url}/manage/weights`, body: old, timeoutMs: 1_000 })
+    t.is(refused.status, 409)
+  } finally {
+    watching.abort()
+    for (const vm of vms) vm.abort.abort()
+    await Promise.all(engines.map(engine => engine.stop()))
+    await platform.stop()
+  }
+})
--- a/packages/knapweedshunt-fleet/src/__tests__/simWorld.ts
+++ b/packages/knapweedshunt-fleet/src/__tests__/simWorld.ts
@@ -1,5 +1,5 @@
 import { MemoryPlatform } from 'knapweedshunt-fakes'
-import type { Platform } from 'knapweedshunt-platform'
+import type { Platform, Transaction } from 'knapweedshunt-platform'
 import { PlatformUnreachableError } from 'knapweedshunt-platform'
 import type { EndpointView, Resource, ResourceSnapshot, WeightsRolloutSpec } from 'knapweedshunt-types'
 import { createRng, sleep } from 'knapweedshunt-utils'
@@ -12,12 +12,20 @@
 import { LeaseTask } from '../leaseTask.ts'
 import { RecoveryTask } from '../recoveryTask.ts'
 import type { PoolGoal } from '../poolGoal.ts'
+import { ROLLOUT_TABLE } from '../rolloutState.ts'
+import type { RolloutRow } from '../rolloutState.ts'
 import { SimEndpoint } from './simEndpoint.ts'
 import { SimOracle } from './simOracle.ts'
 
 /** Deliberate faults of the fleet code, to show that the oracle sees them. */
 export type Variant = 'whole' | 'no guard' | 'no re-check' | 'no fencing bump'
 
+/** Steps of a roll-out at which a test can bring a fault about. */
+export const ROLLOUT_STEPS = ['claim', 'drain', 'load', 'serve', 'free', 'commit', 'complete'] as const
+
+/** One of {@link ROLLOUT_STEPS}. */
+export type RolloutStep = typeof ROLLOUT_STEPS[number]
+
 const POLL_MS = 500
 const DEAD_AFTER_MS = 5_000
 const POOL = 'language'
@@ -54,6 +62,8 @@
   readonly controls = new Map<string, SimControl>()
   readonly commits: Array<{ key: string, revision: number }> = []
   loseOrders = 0
+  /** Told of each step of a roll-out before it takes effect. */
+  onStep: (step: RolloutStep, control: SimControl, endpoint: SimEndpoint | null) => void = () => {}
   resources = new Map<string, Resource>()
   revision = 0
   readonly #rng
@@ -157,6 +167,7 @@
       read: (table, key) => wrap(() => platform.read(table, key)),
       scan: request => wrap(() => platform.scan(request)),
       transact: transaction => wrap(() => {
+        this.#noteWrite(control, transaction)
         if (performance.now() < control.readOnlyUntilMs) throw new PlatformUnreachableError('Writes are cut.')
         return platform.transact(transaction)
       }),
@@ -166,11 +177,23 @@
     }
   }
 
+  #noteWrite (control: SimControl, { writes }: Transaction): void {
+    const write = writes[0]
+    if (write.type !== 'put' || write.table !== ROLLOUT_TABLE) return
+    const next = write.value as RolloutRow
+    const present = this.platform.tables.read(ROLLOUT_TABLE, write.key)?.value as RolloutRow | undefined
+    const change = next.slots.length - (present?.slots.length ?? 0)
+    if (change > 0) this.onStep('claim', control, null)
+    if (change < 0) this.onStep('free', control, null)
+    if (next.completedKey !== (present?.completedKey ?? '')) this.onStep('complete', control, null)
+  }
+
   async #sendOrder (control: SimControl, call: OrderCall): Promise<OrderResult> {
     if (control.isKilled || performance.now() < control.pausedUntilMs) return 'lost'
     const fencing = this.#variant === 'no fencing bump' ? Math.min(1, call.fencing) : call.fencing
     const endpoint = this.endpoints.find(entry => entry.name === call.order.endpoint)
     if (endpoint === undefined) throw new Error(`There is no ${call.order.endpoint}.`)
+    this.onStep(call.order.type === 'weights' ? 'load' : call.order.role, control, endpoint)
     await sleep(this.#rng.int(100))
     const sent = { ...call, fencing }
     if (!endpoint.isUp) return 'lost'
@@ -197,6 +220,7 @@
     const known = this.commits.find(entry => entry.key === goal.key)
     if (known) return known.revision
     if (revision !== this.revision) return null
+    this.onStep('commit', control, null)
     this.commits.push({ key: goal.key, revision: revision + 1 })
     this.put([{ ...this.pool, spec: { ...this.pool.spec, weightsVersion: goal.target.weightsVersion } }])
     await sleep(this.#rng.int(500))
