Orders: claims in groups, a table-driven run, tickets for outages

The order path decided nothing while the tables were slow or silent: a claim took one transaction, its lost answer was read back once, and every refusal said 'not-run'. Claims and outcomes of many orders now share transactions under one budget per process with timeouts, back-off and a breaker; one run of an order is a table of states and events; tickets are durable while the tables answer and pinned to their minter while they do not. CallerError could not be constructed (modern-errors wants a subclass call), so every error answer ended in an unhandled rejection; it is made by createCallerError.

--- a/packages/knapweedshunt-fakes/src/memoryPlatform.ts
+++ b/packages/knapweedshunt-fakes/src/memoryPlatform.ts
@@ -6,6 +6,8 @@
 import type { PlatformFaults } from './platformFaults.ts'
 import { Tables } from './tables.ts'
 
+const MS_PER_SECOND = 1_000
+
 /** How often each kind of call was made. */
 export interface PlatformCounts {
   reads: number
@@ -19,6 +21,7 @@
   readonly faults: PlatformFaults = { ...DEFAULT_PLATFORM_FAULTS }
   readonly counts: PlatformCounts = { reads: 0, writes: 0 }
   vms: VmListEntry[] = []
+  #writeFreeAtMs = 0
 
   async read (table: string, key: string): Promise<Row | null> {
     await this.#admitRead()
@@ -31,8 +34,7 @@
   }
 
   async transact (transaction: Transaction): Promise<TransactionResult> {
-    await this.#admit()
-    this.counts.writes++
+    await this.#admitWrite()
     if (this.faults.applyLate > 0) {
       this.faults.applyLate--
       setTimeout(() => this.tables.transact(transaction), this.faults.lateMs)
@@ -52,8 +54,7 @@
   }
 
   async putObject (name: string, text: string): Promise<void> {
-    await this.#admit()
-    this.counts.writes++
+    await this.#admitWrite()
     this.objects.set(name, text)
   }
 
@@ -67,6 +68,15 @@
     this.counts.reads++
   }
 
+  async #admitWrite (): Promise<void> {
+    await this.#admit()
+    this.counts.writes++
+    if (this.faults.writesPerS === 0) return
+    const startMs = Math.max(performance.now(), this.#writeFreeAtMs)
+    this.#writeFreeAtMs = startMs + MS_PER_SECOND / this.faults.writesPerS
+    if (startMs > performance.now()) await sleep(startMs - performance.now())
+  }
+
   async #admit (): Promise<void> {
     if (this.faults.delayMs > 0) await sleep(this.faults.delayMs)
     if (this.faults.down) throw new PlatformUnreachableError('The platform is down.')
--- /dev/null
+++ b/packages/knapweedshunt-orders/src/statusReader.ts
@@ -0,0 +1,97 @@
+import { PlatformError } from 'knapweedshunt-platform'
+import { BOOKS_TABLE } from './bookKeeper.ts'
+import type { BookKeeper } from './bookKeeper.ts'
+import { callForward } from './callForward.ts'
+import { isSerialUsed } from './runSet.ts'
+import type { ClosedBook } from './closedBook.ts'
+import type { ForwardTicket } from './orderPorts.ts'
+import type { OrderReply } from './orderReply.ts'
+import type { OrderRequest } from './orderRequest.ts'
+import { nameTicketKey } from './orderRequest.ts'
+import type { OrderServiceOptions } from './orderServiceOptions.ts'
+import { convertOutcome } from './orderTable.ts'
+import type { TableLedger } from './tableLedger.ts'
+import type { Ticket } from './ticket.ts'
+import { namePinnedId, PINNED_NONCE } from './ticketBook.ts'
+import type { TicketBook } from './ticketBook.ts'
+import type { UnwrittenOutcomes } from './unwrittenOutcomes.ts'
+
+type OrderKey = Pick<OrderRequest, 'organisation' | 'key'>
+
+/** Tells what became of orders without running any. */
+export class StatusReader {
+  readonly #options: OrderServiceOptions
+  readonly #tables: TableLedger
+  readonly #book: TicketBook
+  readonly #keeper: BookKeeper
+  readonly #unwritten: UnwrittenOutcomes
+
+  constructor (options: OrderServiceOptions, tables: TableLedger, book: TicketBook, keeper: BookKeeper, unwritten: UnwrittenOutcomes) {
+    this.#options = options
+    this.#tables = tables
+    this.#book = book
+    this.#keeper = keeper
+    this.#unwritten = unwritten
+  }
+
+  /** Order that any router may run. */
+  async readTables (order: OrderKey): Promise<OrderReply> {
+    const held = this.#unwritten.find(order)
+    if (held !== null) return convertOutcome(held.outcome)
+    try {
+      const entry = await this.#tables.readEntry(order.organisation, order.key)
+      if (entry.type === 'absent' || entry.present.claim.state === 'released') return { type: 'unknown' }
+      if (entry.expired) return { type: 'expired' }
+      return entry.outcome === null ? { type: 'in-progress' } : convertOutcome(entry.outcome)
+    } catch (error) {
+      if (error instanceof PlatformError) return { type: 'unreadable' }
+      throw error
+    }
+  }
+
+  /** Order under a ticket. */
+  async readTicket (ticket: Ticket, forward?: ForwardTicket): Promise<OrderReply> {
+    const { organisation } = ticket
+    if (ticket.type === 'durable') return this.readTables({ organisation, key: nameTicketKey(ticket.id) })
+    const order = { organisation, key: nameTicketKey(namePinnedId(ticket.minter, ticket.id)) }
+    if (ticket.minter === this.#options.incarnation) return this.#readOwnBook(ticket, order)
+    return await callForward(ticket, forward) ?? await this.readClosed(ticket, order, null) ?? { type: 'may-have-run' }
+  }
+
+  /** Pinned ticket of a minter that can't be asked: known only when it has closed, or recorded the outcome. Null when unknown. A digest is compared with the recorded one. */
+  async readClosed (ticket: Ticket, order: OrderKey, digest: string | null): Promise<OrderReply | null> {
+    try {
+      const outcome = await this.#tables.readOutcome(order, PINNED_NONCE)
+      if (outcome !== null && digest !== null && outcome.digest !== digest) return { type: 'mismatch' }
+      if (outcome !== null) return convertOutcome(outcome)
+    } catch (error) {
+      if (!(error instanceof PlatformError)) throw error
+    }
+    const book = await this.#findBook(ticket.minter)
+    return book === null || isSerialUsed(book.used, Number(ticket.id)) ? null : { type: 'not-run', reason: 'refused' }
+  }
+
+  async #readOwnBook (ticket: Ticket, order: OrderKey): Promise<OrderReply> {
+    const entry = this.#book.find(Number(ticket.id))
+    switch (entry.type) {
+      case 'unused':
+        return { type: 'unknown' }
+      case 'used':
+        return entry.outcome === null ? { type: 'in-progress' } : convertOutcome(entry.outcome)
+      case 'forgotten':
+        return await this.readClosed(ticket, order, null) ?? { type: 'expired' }
+    }
+  }
+
+  async #findBook (minter: string): Promise<ClosedBook | null> {
+    const taken = this.#keeper.find(minter)
+    if (taken !== null) return taken
+    try {
+      const row = await this.#options.platform.read(BOOKS_TABLE, minter)
+      if (row !== null) return row.value as ClosedBook
+    } catch (error) {
+      if (!(error instanceof PlatformError)) throw error
+    }
+    return this.#options.peers.findBook(minter)
+  }
+}
--- /dev/null
+++ b/packages/knapweedshunt-orders/src/tableLedger.ts
@@ -0,0 +1,144 @@
+import { Backoff, GroupCommitter, PlatformError, PlatformRefusedError, PlatformUnreachableError, PlatformUnsentError } from 'knapweedshunt-platform'
+import type { Platform, RowChange, RowChangeResult } from 'knapweedshunt-platform'
+import type { Incarnation, OrganisationName } from 'knapweedshunt-types'
+import { sleep } from 'knapweedshunt-utils'
+import type { Rng } from 'knapweedshunt-utils'
+import type { ClaimRow, VersionedClaim } from './claimRow.ts'
+import type { ClaimResult, OrderLedger } from './orderLedger.ts'
+import type { OrderOptions } from './orderOptions.ts'
+import type { OrderRequest } from './orderRequest.ts'
+import type { OutcomeRow, RunOutcome } from './outcomeRow.ts'
+
+/** Table of {@link ClaimRow}. */
+export const CLAIMS_TABLE = 'orders'
+
+/** Table of {@link OutcomeRow}, by order and nonce. */
+export const OUTCOMES_TABLE = 'order-outcomes'
+
+/** What the tables hold of an order. */
+export type LedgerEntry =
+  | { type: 'absent' }
+  | { type: 'present', present: VersionedClaim, outcome: RunOutcome | null, expired: boolean }
+
+/** Claims and outcomes in the table service. Writes of all orders share transactions. */
+export class TableLedger implements OrderLedger {
+  readonly #platform: Platform
+  readonly #committer: GroupCommitter
+  readonly #owner: Incarnation
+  readonly #options: OrderOptions
+  readonly #rng: Rng
+
+  constructor (platform: Platform, owner: Incarnation, options: OrderOptions, rng: Rng) {
+    this.#platform = platform
+    this.#committer = new GroupCommitter(platform)
+    this.#owner = owner
+    this.#options = options
+    this.#rng = rng
+  }
+
+  async claim (order: OrderRequest, nonce: string, version: number): Promise<ClaimResult> {
+    try {
+      const change = { table: CLAIMS_TABLE, key: nameClaim(order), version, value: this.#buildClaim('claimed', order.digest, nonce) }
+      const result = await this.#committer.commit(change, 0)
+      if (result.type === 'committed') return { type: 'claimed' }
+      if (result.row === null) return { type: 'lost' }
+      const claim = result.row.value as ClaimRow
+      if (claim.nonce === nonce && claim.state === 'claimed') return { type: 'claimed' }
+      return { type: 'known', ...await this.#readKnown(order, { claim, version: result.row.version }) }
+    } catch (error) {
+      return { type: convertFailure(error) }
+    }
+  }
+
+  async record (order: OrderRequest, nonce: string, outcome: RunOutcome, signal: AbortSignal): Promise<void> {
+    const value: OutcomeRow = { ...outcome, digest: order.digest, owner: this.#owner, recordedAtMs: Date.now() }
+    await this.insert({ table: OUTCOMES_TABLE, key: nameOutcome(order, nonce), version: 0, value }, signal)
+  }
+
+  /** Inserts a row of this process's own, again and again until the tables have it or `signal` aborted. */
+  async insert (change: RowChange, signal: AbortSignal): Promise<void> {
+    await this.#retry(signal, async () => {
+      await this.#committer.commit(change, this.#options.outcomeLingerMs)
+      return true
+    })
+  }
+
+  async release (order: OrderRequest, nonce: string, signal: AbortSignal): Promise<void> {
+    await this.#retry(signal, async () => {
+      const row = await this.#platform.read(CLAIMS_TABLE, nameClaim(order))
+      const claim = row?.value as ClaimRow | undefined
+      if (claim !== undefined && isOvertaken(claim, nonce)) return true
+      const value = this.#buildClaim('released', order.digest, nonce)
+      const result: RowChangeResult = await this.#committer.commit({ table: CLAIMS_TABLE, key: nameClaim(order), version: row?.version ?? 0, value }, 0)
+      return result.type === 'committed'
+    })
+  }
+
+  /** Reads an order. Throws PlatformUnreachableError. */
+  async readEntry (organisation: OrganisationName, key: string): Promise<LedgerEntry> {
+    const row = await this.#platform.read(CLAIMS_TABLE, nameClaim({ organisation, key }))
+    if (row === null) return { type: 'absent' }
+    const present = { claim: row.value as ClaimRow, version: row.version }
+    return { type: 'present', ...await this.#readKnown({ organisation, key }, present) }
+  }
+
+  /** Reads a recorded outcome. Throws PlatformUnreachableError. */
+  async readOutcome (order: Pick<OrderRequest, 'organisation' | 'key'>, nonce: string): Promise<OutcomeRow | null> {
+    const row = await this.#platform.read(OUTCOMES_TABLE, nameOutcome(order, nonce))
+    return row === null ? null : row.value as OutcomeRow
+  }
+
+  async #readKnown (order: Pick<OrderRequest, 'organisation' | 'key'>, present: VersionedClaim): Promise<{ present: VersionedClaim, outcome: RunOutcome | null, expired: boolean }> {
+    const ageMs = Date.now() - present.claim.claimedAtMs
+    if (ageMs > this.#options.retentionMs) return { present, outcome: null, expired: true }
+    if (present.claim.state === 'released') return { present, outcome: null, expired: false }
+    const row = await this.#readOutcomeIfAnswering(order, present.claim.nonce)
+    const assumed: RunOutcome | null = ageMs > this.#options.maxRunMs ? { ran: 'may-have-run', answer: null } : null
+    return { present, outcome: row ?? assumed, expired: false }
+  }
+
+  /** The claim is known to stand, so an unread outcome is no reason to claim again. */
+  async #readOutcomeIfAnswering (order: Pick<OrderRequest, 'organisation' | 'key'>, nonce: string): Promise<RunOutcome | null> {
+    try {
+      return await this.readOutcome(order, nonce)
+    } catch (error) {
+      if (error instanceof PlatformUnreachableError) return null
+      throw error
+    }
+  }
+
+  async #retry (signal: AbortSignal, tryOnce: () => Promise<boolean>): Promise<void> {
+    const backoff = new Backoff(this.#options.backoff, this.#rng)
+    while (!signal.aborted) {
+      try {
+        if (await tryOnce()) return
+      } catch (error) {
+        if (!(error instanceof PlatformError)) throw error
+      }
+      await sleep(backoff.drawDelay(), signal)
+    }
+  }
+
+  #buildClaim (state: ClaimRow['state'], digest: string, nonce: string): ClaimRow {
+    return { state, digest, nonce, owner: this.#owner, claimedAtMs: Date.now() }
+  }
+}
+
+/** A row that another claim replaced, or that is released by this one, can't be changed by a late write of the claim. */
+function isOvertaken (claim: ClaimRow, nonce: string): boolean {
+  return claim.nonce === nonce ? claim.state === 'released' : claim.state === 'claimed'
+}
+
+function convertFailure (error: unknown): 'unsent' | 'lost' {
+  if (error instanceof PlatformUnsentError || error instanceof PlatformRefusedError) return 'unsent'
+  if (error instanceof PlatformUnreachableError) return 'lost'
+  throw error
+}
+
+function nameClaim ({ organisation, key }: Pick<OrderRequest, 'organisation' | 'key'>): string {
+  return `${encodeURIComponent(organisation)}/${encodeURIComponent(key)}`
+}
+
+function nameOutcome (order: Pick<OrderRequest, 'organisation' | 'key'>, nonce: string): string {
+  return `${nameClaim(order)}/${nonce}`
+}
--- a/packages/knapweedshunt-platform/src/index.ts
+++ b/packages/knapweedshunt-platform/src/index.ts
@@ -1,6 +1,12 @@
 /** Client of the table service, the object store and the VM list. */
+export * from './backoff.ts'
+export * from './circuitBreaker.ts'
 export * from './createPlatformClient.ts'
+export * from './groupCommitter.ts'
+export * from './guardedPlatform.ts'
 export * from './platform.ts'
 export * from './platformError.ts'
 export * from './row.ts'
+export * from './rowChange.ts'
+export * from './tokenBucket.ts'
 export * from './transaction.ts'
--- a/packages/knapweedshunt-platform/src/platformError.ts
+++ b/packages/knapweedshunt-platform/src/platformError.ts
@@ -8,3 +8,6 @@
 
 /** The platform refused the call as malformed. */
 export const PlatformRefusedError = PlatformError.subclass('PlatformRefusedError')
+
+/** The call never left this VM (no budget, or the breaker is open): nothing took effect and nothing will. */
+export const PlatformUnsentError = PlatformUnreachableError.subclass('PlatformUnsentError')
--- a/packages/knapweedshunt-router/src/admissionGate.ts
+++ b/packages/knapweedshunt-router/src/admissionGate.ts
@@ -2,12 +2,13 @@
 import type { AdmissionAction, AdmissionEvent } from 'knapweedshunt-admission'
 import type { RequestId, RouterSnapshot } from 'knapweedshunt-types'
 import { match } from 'ts-pattern'
-import { CallerError } from './callerError.ts'
+import { createCallerError } from './callerError.ts'
+import type { CallerErrorInstance } from './callerError.ts'
 import type { CallerRequest } from './callerRequest.ts'
 
 interface Waiter {
   admit (): void
-  refuse (error: CallerError): void
+  refuse (error: CallerErrorInstance): void
 }
 
 /** Holds requests until the admission decides. */
@@ -25,7 +26,7 @@
     const { requestId, organisation, pool, priorityClass, deadlineAtMs } = request
     const leave = () => {
       this.#take({ type: 'left', requestId })
-      this.#waiters.get(requestId)?.refuse(new CallerError('deadline_unreachable', 'The caller left.'))
+      this.#waiters.get(requestId)?.refuse(createCallerError('deadline_unreachable', 'The caller left.'))
     }
     signal.addEventListener('abort', leave, { once: true })
     try {
@@ -62,7 +63,7 @@
     match(action)
       .with({ type: 'admit' }, ({ requestId }) => this.#waiters.get(requestId)?.admit())
       .with({ type: 'refuse' }, ({ requestId, code, retryAfterMs }) => {
-        this.#waiters.get(requestId)?.refuse(new CallerError(code, 'The request was not started: try again later.', 'not-run', retryAfterMs))
+        this.#waiters.get(requestId)?.refuse(createCallerError(code, 'The request was not started: try again later.', 'not-run', retryAfterMs))
       })
       .exhaustive()
   }
--- a/packages/knapweedshunt-router/src/callerError.ts
+++ b/packages/knapweedshunt-router/src/callerError.ts
@@ -1,4 +1,5 @@
 import ModernError from 'modern-errors'
+import type { InstanceOptions } from 'modern-errors'
 import type { ErrorBody, Ran } from 'knapweedshunt-types'
 
 /** Stable codes of answers to callers, with HTTP status and class. */
@@ -15,6 +16,10 @@
   idempotency_key_reused: { status: 422, type: 'invalid_request_error' },
   order_in_progress: { status: 409, type: 'invalid_request_error' },
   order_may_have_run: { status: 409, type: 'server_error' },
+  order_not_run: { status: 409, type: 'server_error' },
+  order_ran: { status: 409, type: 'server_error' },
+  order_key_expired: { status: 410, type: 'invalid_request_error' },
+  ticket_invalid: { status: 400, type: 'invalid_request_error' },
   order_store_unreadable: { status: 503, type: 'server_error' },
   queue_full: { status: 429, type: 'rate_limit_error' },
   limit_exceeded: { status: 429, type: 'rate_limit_error' },
@@ -29,16 +34,34 @@
 /** One of {@link CALLER_CODES}. */
 export type CallerCode = keyof typeof CALLER_CODES
 
-/** Error that is answered to a caller. */
-export class CallerError extends ModernError {
-  readonly code: CallerCode
-  readonly ran: Ran
-  readonly retryAfterMs: number | null
+/** What a {@link CallerError} carries beside its message. */
+export interface CallerErrorOptions extends InstanceOptions {
+  code?: CallerCode
+  ran?: Ran
+  /** When to come back, in milliseconds; null when coming back does not help. */
+  retryAfterMs?: number | null
+}
+
+/** Error that is answered to a caller; made by {@link createCallerError}. */
+export const CallerError = ModernError.subclass('CallerError', {
+  custom: class extends ModernError {
+    readonly code: CallerCode
+    readonly ran: Ran
+    readonly retryAfterMs: number | null
 
-  constructor (code: CallerCode, message: string, ran: Ran = 'not-run', retryAfterMs: number | null = null) {
-    super(message)
-    this.code = code
-    this.ran = ran
-    this.retryAfterMs = retryAfterMs
+    constructor (message: string, options?: CallerErrorOptions) {
+      super(message, options)
+      this.code = options?.code ?? 'internal'
+      this.ran = options?.ran ?? 'may-have-run'
+      this.retryAfterMs = options?.retryAfterMs ?? null
+    }
   }
+})
+
+/** Instance of {@link CallerError}. */
+export type CallerErrorInstance = InstanceType<typeof CallerError>
+
+/** Creates the error of a code; `retryAfterMs` is null when coming back does not help. */
+export function createCallerError (code: CallerCode, message: string, ran: Ran = 'not-run', retryAfterMs: number | null = null): CallerErrorInstance {
+  return new CallerError(message, { code, ran, retryAfterMs })
 }
--- a/packages/knapweedshunt-router/src/callerRequest.ts
+++ b/packages/knapweedshunt-router/src/callerRequest.ts
@@ -21,6 +21,8 @@
   /** Empty for services. */
   levels: PrefixLevel[]
   idempotencyKey: string | null
+  /** Ticket of `POST /v1/tickets`, in place of a key. */
+  orderTicket: string | null
   /** First token wanted; greater than 0 after a reconnect. */
   resumeFrom: number
   /** Digest of what was asked; equal for a repeated request. */
--- a/packages/knapweedshunt-router/src/callerSink.ts
+++ b/packages/knapweedshunt-router/src/callerSink.ts
@@ -1,10 +1,10 @@
 import type { Usage, WholeAnswer } from 'knapweedshunt-attempts'
-import type { CallerError } from './callerError.ts'
+import type { CallerErrorInstance } from './callerError.ts'
 
 /** Where a request's result goes: a caller's connection, or a record that outlives it. */
 export interface CallerSink {
   deliver (n: number, text: string): void
   deliverAnswer (answer: WholeAnswer): void
   finish (usage: Usage | null): void
-  fail (error: CallerError): void
+  fail (error: CallerErrorInstance): void
 }
--- a/packages/knapweedshunt-router/src/dataPath.ts
+++ b/packages/knapweedshunt-router/src/dataPath.ts
@@ -1,10 +1,10 @@
 import http from 'node:http'
 import type { Logger } from 'knapweedshunt-logger'
-import type { OrderStore } from 'knapweedshunt-orders'
 import { Placement } from 'knapweedshunt-placement'
 import type { RouterSnapshot } from 'knapweedshunt-types'
 import { AdmissionGate } from './admissionGate.ts'
 import { Figures } from './figures.ts'
+import type { RouterOrders } from './orders/routerOrders.ts'
 import { ResourceIndex } from './resourceIndex.ts'
 import type { RouterOptions } from './routerOptions.ts'
 
@@ -14,11 +14,11 @@
   readonly gate: AdmissionGate
   readonly figures: Figures
   readonly agent = new http.Agent({ keepAlive: true })
-  readonly orders: OrderStore
+  readonly orders: RouterOrders
   readonly log: Logger
   #index: ResourceIndex | null = null
 
-  constructor (options: RouterOptions, orders: OrderStore, log: Logger) {
+  constructor (options: RouterOptions, orders: RouterOrders, log: Logger) {
     this.placement = new Placement(options.dataCentre)
     this.gate = new AdmissionGate(options.endpointWindow)
     this.figures = new Figures(options.statsdHost, options.statsdPort)
@@ -38,6 +38,7 @@
     if (this.#index === null || snapshot.resources.revision > present) this.#index = new ResourceIndex(snapshot.resources)
     this.placement.take({ type: 'snapshot', snapshot })
     this.gate.takeSnapshot(snapshot)
+    this.orders.takeSnapshot(snapshot)
     return snapshot.resources.revision
   }
 
--- /dev/null
+++ b/packages/knapweedshunt-router/src/orders/orderRpc.ts
@@ -0,0 +1,22 @@
+import type { BookHandover } from 'knapweedshunt-orders'
+import type { RpcMethods } from 'knapweedshunt-rpc'
+import type { DataPath } from '../dataPath.ts'
+import { parseForwardedOrder, parseForwardedStatus } from './forwardedOrder.ts'
+import { runForwarded } from './runOrder.ts'
+
+/** Methods that peer routers call for tickets. */
+export function createOrderRpc (path: DataPath): RpcMethods {
+  const { service } = path.orders
+  return {
+    'router.runTicket': params => runForwarded(path, parseForwardedOrder(params)),
+    'router.readTicket': params => {
+      const { organisation, ticket } = parseForwardedStatus(params)
+      return service.readTicket(organisation, ticket)
+    },
+    'router.takeBook': params => {
+      service.takeBook(params as BookHandover)
+      return {}
+    },
+    'router.findBook': params => ({ book: service.findBook((params as { minter: string }).minter) })
+  }
+}
--- a/packages/knapweedshunt-router/src/parseCallerRequest.ts
+++ b/packages/knapweedshunt-router/src/parseCallerRequest.ts
@@ -4,7 +4,7 @@
 import { BodyTooLargeError, createIncarnation, hashText, parseJson, readBody } from 'knapweedshunt-utils'
 import type { z } from 'zod'
 import { authenticate } from './authenticate.ts'
-import { CallerError } from './callerError.ts'
+import { createCallerError } from './callerError.ts'
 import type { CallerRequest, CallerWork } from './callerRequest.ts'
 import { chatCompletionSchema, completionSchema } from './completionSchema.ts'
 import { readHeaders } from './readHeaders.ts'
@@ -24,7 +24,7 @@
   const path = (message.url ?? '/').split('?')[0]
   if (path === '/v1/completions' || path === '/v1/chat/completions') return parseCompletion(organisation, headers, path, text, index)
   if (path.startsWith(SERVICES_PATH + '/')) return parseService(organisation, headers, message, text, index)
-  throw new CallerError('route_unknown', `There is no ${path}: see the callers' guide for the paths.`)
+  throw createCallerError('route_unknown', `There is no ${path}: see the callers' guide for the paths.`)
 }
 
 async function readCallerBody (message: IncomingMessage, maxBodyBytes: number): Promise<string> {
@@ -32,7 +32,7 @@
     return await readBody(message, maxBodyBytes)
   } catch (error) {
     const code = error instanceof BodyTooLargeError ? 'body_too_large' : 'bad_request'
-    throw new CallerError(code, (error as Error).message)
+    throw createCallerError(code, (error as Error).message)
   }
 }
 
@@ -47,7 +47,7 @@
 
 function buildCompletion (organisation: OrganisationName, headers: CallerHeaders, path: '/v1/completions' | '/v1/chat/completions', body: { model: string, stream: boolean, seed?: number }, parts: string[], index: ResourceIndex): CallerRequest {
   const route = index.findModelRoute(body.model)
-  if (route === undefined) throw new CallerError('route_unknown', `There is no route for the model "${body.model}": check the name.`)
+  if (route === undefined) throw createCallerError('route_unknown', `There is no route for the model "${body.model}": check the name.`)
   const pool = index.findPool(route.spec.pool) as ModelPoolSpec
   const salt = { organisation, model: pool.model, adapter: pool.adapter ?? '', weightsVersion: pool.weightsVersion }
   const digest = hashText(path, JSON.stringify(body))
@@ -59,7 +59,7 @@
 function parseService (organisation: OrganisationName, headers: CallerHeaders, message: IncomingMessage, text: string, index: ResourceIndex): CallerRequest {
   const path = (message.url ?? '').slice(SERVICES_PATH.length)
   const route = index.findPathRoute(path)
-  if (route === undefined) throw new CallerError('route_unknown', `There is no route for the service path "${path}": check it.`)
+  if (route === undefined) throw createCallerError('route_unknown', `There is no route for the service path "${path}": check it.`)
   const method = message.method ?? 'GET'
   const work: CallerWork = { type: 'service', method, path, contentType: message.headers['content-type'] ?? 'application/octet-stream', body: text }
   return { ...buildCommon(organisation, headers, route, index), levels: [], digest: hashText(method, path, text), work }
@@ -68,7 +68,7 @@
 function buildCommon (organisation: OrganisationName, headers: CallerHeaders, route: ResourceOf<'Route'>, index: ResourceIndex): Omit<CallerRequest, 'levels' | 'digest' | 'work'> {
   const priorityClass = headers.priorityClass ?? route.spec.priorityClass
   const spec = index.findClass(priorityClass)
-  if (spec === undefined) throw new CallerError('header_invalid', `The header x-priority-class is "${priorityClass}": send the name of a declared priority class.`)
+  if (spec === undefined) throw createCallerError('header_invalid', `The header x-priority-class is "${priorityClass}": send the name of a declared priority class.`)
   return {
     requestId: createIncarnation(),
     organisation,
@@ -77,9 +77,10 @@
     priorityClass,
     enginePriority: spec.enginePriority,
     job: route.spec.job,
-    repeatable: route.spec.repeatable && !headers.once,
+    repeatable: route.spec.repeatable && !headers.once && headers.orderTicket === null,
     deadlineAtMs: performance.now() + Math.min(headers.timeoutMs ?? route.spec.timeoutMs, route.spec.timeoutMs),
     idempotencyKey: headers.idempotencyKey,
+    orderTicket: headers.orderTicket,
     resumeFrom: headers.lastToken + 1
   }
 }
@@ -88,14 +89,14 @@
   const result = schema.safeParse(parseBody(text))
   if (result.success) return result.data
   const issue = result.error.issues[0]
-  throw new CallerError('bad_request', `The body's ${issue.path.join('.') || 'value'} is wrong: ${issue.message}.`)
+  throw createCallerError('bad_request', `The body's ${issue.path.join('.') || 'value'} is wrong: ${issue.message}.`)
 }
 
 function parseBody (text: string): unknown {
   try {
     return parseJson(text)
   } catch (error) {
-    throw new CallerError('bad_request', (error as Error).message)
+    throw createCallerError('bad_request', (error as Error).message)
   }
 }
 
--- a/packages/knapweedshunt-router/src/readHeaders.ts
+++ b/packages/knapweedshunt-router/src/readHeaders.ts
@@ -1,8 +1,9 @@
 import type { IncomingHttpHeaders } from 'node:http'
-import { CallerError } from './callerError.ts'
+import { createCallerError } from './callerError.ts'
 
 const MAX_KEY_CHARS = 255
 const MAX_MARKS = 16
+const MAX_TICKET_CHARS = 2_048
 const KEY_PATTERN = /^[\x21-\x7e]+$/
 
 /** What callers may say in headers. */
@@ -13,6 +14,8 @@
   /** Character offsets in a completion prompt at which nested levels end, ascending. */
   prefixMarks: number[]
   idempotencyKey: string | null
+  /** In place of an idempotency key. */
+  orderTicket: string | null
   /** The caller forbids running the request twice. */
   once: boolean
   /** Last token the caller has, -1 for none. */
@@ -26,7 +29,8 @@
     timeoutMs: readInteger(headers, 'x-timeout-ms', 1),
     prefixMarks: readMarks(headers),
     idempotencyKey: readKey(headers),
-    once: readText(headers, 'x-repeatable') === 'false',
+    orderTicket: readTicket(headers),
+    once: readOnce(headers),
     lastToken: readInteger(headers, 'last-event-id', 0) ?? -1
   }
 }
@@ -41,7 +45,7 @@
   if (text === null) return null
   const value = Number(text)
   if (Number.isSafeInteger(value) && value >= least) return value
-  throw new CallerError('header_invalid', `The header ${name} is "${text}": send a whole number of at least ${least}.`)
+  throw createCallerError('header_invalid', `The header ${name} is "${text}": send a whole number of at least ${least}.`)
 }
 
 function readMarks (headers: IncomingHttpHeaders): number[] {
@@ -50,11 +54,26 @@
   const marks = text.split(',').map(Number)
   const isAscending = marks.every((mark, i) => Number.isSafeInteger(mark) && mark > (marks[i - 1] ?? 0))
   if (isAscending && marks.length <= MAX_MARKS) return marks
-  throw new CallerError('header_invalid', `The header x-prefix-marks is "${text}": send up to ${MAX_MARKS} ascending character offsets, such as "1200,3400".`)
+  throw createCallerError('header_invalid', `The header x-prefix-marks is "${text}": send up to ${MAX_MARKS} ascending character offsets, such as "1200,3400".`)
 }
 
 function readKey (headers: IncomingHttpHeaders): string | null {
   const text = readText(headers, 'idempotency-key')
   if (text === null || (text.length <= MAX_KEY_CHARS && KEY_PATTERN.test(text))) return text
-  throw new CallerError('header_invalid', `The header idempotency-key has ${text.length} characters: send 1 to ${MAX_KEY_CHARS} visible ASCII characters.`)
+  throw createCallerError('header_invalid', `The header idempotency-key has ${text.length} characters: send 1 to ${MAX_KEY_CHARS} visible ASCII characters.`)
+}
+
+function readTicket (headers: IncomingHttpHeaders): string | null {
+  const text = readText(headers, 'x-order-ticket')
+  if (text === null) return null
+  if (headers['idempotency-key'] !== undefined) throw createCallerError('header_invalid', 'The headers idempotency-key and x-order-ticket were both sent: send one of them.')
+  if (text.length <= MAX_TICKET_CHARS) return text
+  throw createCallerError('header_invalid', `The header x-order-ticket has ${text.length} characters: send the ticket as POST /v1/tickets gave it.`)
+}
+
+function readOnce (headers: IncomingHttpHeaders): boolean {
+  const text = readText(headers, 'x-repeatable')
+  if (text === null) return false
+  if (text.toLowerCase() === 'false') return true
+  throw createCallerError('header_invalid', `The header x-repeatable is "${text}": send "false" or leave it out; only the route can allow repeats.`)
 }
--- a/packages/knapweedshunt-router/src/requestTask.ts
+++ b/packages/knapweedshunt-router/src/requestTask.ts
@@ -3,7 +3,7 @@
 import type { AttemptId, Ran } from 'knapweedshunt-types'
 import { match } from 'ts-pattern'
 import { runAttempt } from './attemptCall.ts'
-import { CallerError } from './callerError.ts'
+import { createCallerError } from './callerError.ts'
 import type { CallerRequest } from './callerRequest.ts'
 import type { CallerSink } from './callerSink.ts'
 import type { DataPath } from './dataPath.ts'
@@ -97,7 +97,7 @@
   }
 
   #fail (code: FailureCode, ran: Ran): void {
-    this.#sink.fail(new CallerError(code, MESSAGES[code], ran, RETRY_AFTER_MS))
+    this.#sink.fail(createCallerError(code, MESSAGES[code], ran, RETRY_AFTER_MS))
     this.#resolveDone()
   }
 }
--- a/packages/knapweedshunt-router/src/sendCallerError.ts
+++ b/packages/knapweedshunt-router/src/sendCallerError.ts
@@ -2,17 +2,17 @@
 import type { ErrorBody, RequestId } from 'knapweedshunt-types'
 import { sendJson } from 'knapweedshunt-utils'
 import { CALLER_CODES } from './callerError.ts'
-import type { CallerError } from './callerError.ts'
+import type { CallerErrorInstance } from './callerError.ts'
 
 const MS_PER_SECOND = 1_000
 
 /** Builds the body of an error answer. */
-export function buildErrorBody (error: CallerError, requestId: RequestId): ErrorBody {
+export function buildErrorBody (error: CallerErrorInstance, requestId: RequestId): ErrorBody {
   return { error: { code: error.code, message: error.message, type: CALLER_CODES[error.code].type, ran: error.ran, request_id: requestId } }
 }
 
 /** Answers with status, JSON body and `Retry-After` (whole seconds) where the error has one. */
-export function sendCallerError (response: ServerResponse, error: CallerError, requestId: RequestId): void {
+export function sendCallerError (response: ServerResponse, error: CallerErrorInstance, requestId: RequestId): void {
   const headers: Record<string, string> = { 'x-request-id': requestId, 'x-ran': error.ran }
   if (error.retryAfterMs !== null) headers['retry-after'] = String(Math.ceil(error.retryAfterMs / MS_PER_SECOND))
   sendJson(response, CALLER_CODES[error.code].status, buildErrorBody(error, requestId), headers)
--- a/packages/knapweedshunt-router/src/serveCaller.ts
+++ b/packages/knapweedshunt-router/src/serveCaller.ts
@@ -1,52 +1,42 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { createIncarnation, sendJson } from 'knapweedshunt-utils'
-import { authenticate } from './authenticate.ts'
-import { CallerError } from './callerError.ts'
+import { createIncarnation } from 'knapweedshunt-utils'
+import { CallerError, createCallerError } from './callerError.ts'
 import type { CallerRequest } from './callerRequest.ts'
 import type { DataPath } from './dataPath.ts'
+import { describeUnstarted } from './orders/describeUnstarted.ts'
+import { runOrder } from './orders/runOrder.ts'
+import { serveOrderPaths } from './orders/serveOrderPaths.ts'
 import { parseCallerRequest } from './parseCallerRequest.ts'
 import { RequestTask } from './requestTask.ts'
-import type { ResourceIndex } from './resourceIndex.ts'
-import { runOrder } from './runOrder.ts'
 import { sendCallerError } from './sendCallerError.ts'
 import { StreamSink } from './streamSink.ts'
 
-const ORDERS_PATH = '/v1/orders/'
-
 /** Serves one caller request to its end. Never throws. */
 export async function serveCaller (path: DataPath, maxBodyBytes: number, message: IncomingMessage, response: ServerResponse): Promise<void> {
   let requestId = createIncarnation()
   try {
     const index = path.index
-    if (index === null) throw new CallerError('not_ready', 'The router has no resources yet: try again later.')
-    if (message.url?.startsWith(ORDERS_PATH)) return await answerOrder(path, index, message, response)
+    if (index === null) throw createCallerError('not_ready', 'The router has no resources yet: try again later.')
+    if (await serveOrderPaths(path, index, message, response)) return
     const request = await parseCallerRequest(message, index, maxBodyBytes)
     requestId = request.requestId
     await runRequest(path, request, response)
   } catch (error) {
     if (!(error instanceof CallerError)) path.log.error('Request failed inside.', { requestId, reason: String(error) })
-    const shown = error instanceof CallerError ? error : new CallerError('internal', 'The router failed inside.', 'may-have-run')
-    sendCallerError(response, shown, requestId)
+    const shown = error instanceof CallerError ? error : createCallerError('internal', 'The router failed inside.', 'may-have-run')
+    sendCallerError(response, describeUnstarted(message.headers, shown), requestId)
   }
 }
 
 async function runRequest (path: DataPath, request: CallerRequest, response: ServerResponse): Promise<void> {
   const gone = new AbortController()
   response.once('close', () => { if (!response.writableFinished) gone.abort() })
+  const sink = new StreamSink(response, request)
+  if (!request.repeatable) return await runOrder(path, request, sink)
   await path.gate.enter(request, gone.signal)
   try {
-    const sink = new StreamSink(response, request)
-    if (request.repeatable) await new RequestTask(path, request, sink).run(gone.signal)
-    else await runOrder(path, request, sink)
+    await new RequestTask(path, request, sink).run(gone.signal)
   } finally {
     path.gate.leave(request.requestId)
   }
 }
-
-async function answerOrder (path: DataPath, index: ResourceIndex, message: IncomingMessage, response: ServerResponse): Promise<void> {
-  const organisation = authenticate(message.headers, index)
-  const key = decodeURIComponent((message.url ?? '').slice(ORDERS_PATH.length))
-  const outcome = await path.orders.readOutcome(organisation, key)
-  if (outcome === null) throw new CallerError('order_unknown', `There is no order under the key "${key}".`)
-  sendJson(response, 200, outcome)
-}
--- a/packages/knapweedshunt-router/src/startRouter.ts
+++ b/packages/knapweedshunt-router/src/startRouter.ts
@@ -1,11 +1,12 @@
 import http from 'node:http'
 import { createLogger } from 'knapweedshunt-logger'
-import { OrderStore } from 'knapweedshunt-orders'
-import { createPlatformClient, DEFAULT_PLATFORM_TIMEOUT_MS } from 'knapweedshunt-platform'
+import { createPlatformClient, DEFAULT_GUARD_OPTIONS, DEFAULT_PLATFORM_TIMEOUT_MS, GuardedPlatform } from 'knapweedshunt-platform'
 import { createRpcHandler } from 'knapweedshunt-rpc'
 import type { RouterSnapshot } from 'knapweedshunt-types'
 import { closeServer, createIncarnation, listen, sendJson } from 'knapweedshunt-utils'
 import { DataPath } from './dataPath.ts'
+import { createOrderRpc } from './orders/orderRpc.ts'
+import { RouterOrders } from './orders/routerOrders.ts'
 import type { RouterOptions } from './routerOptions.ts'
 import { serveCaller } from './serveCaller.ts'
 
@@ -22,8 +23,9 @@
 export async function startRouter (options: RouterOptions): Promise<RunningRouter> {
   const incarnation = createIncarnation()
   const log = createLogger('router')
-  const platform = createPlatformClient({ url: options.platformUrl, timeoutMs: DEFAULT_PLATFORM_TIMEOUT_MS })
-  const path = new DataPath(options, new OrderStore(platform, incarnation), log)
+  const platform = new GuardedPlatform(createPlatformClient({ url: options.platformUrl, timeoutMs: DEFAULT_PLATFORM_TIMEOUT_MS }), DEFAULT_GUARD_OPTIONS)
+  const orders = new RouterOrders({ incarnation, platform, sharedKey: options.peerKey, getPeerUrl: () => peerUrl })
+  const path = new DataPath(options, orders, log)
   let stopping = false
 
   const callerServer = http.createServer((message, response) => {
@@ -34,7 +36,8 @@
   })
   const rpc = createRpcHandler({
     'router.snapshot': params => ({ incarnation, appliedRevision: path.takeSnapshot(params as RouterSnapshot) }),
-    'router.figures': () => path.figures.listRows()
+    'router.figures': () => path.figures.listRows(),
+    ...createOrderRpc(path)
   }, options.peerKey)
   const peerServer = http.createServer((message, response) => rpc(message, response))
 
@@ -45,6 +48,7 @@
   async function stop () {
     stopping = true
     await closeServer(callerServer)
+    await orders.close()
     await closeServer(peerServer)
     await path.close()
     log.info('Router stopped.')
--- a/packages/knapweedshunt-router/src/streamSink.ts
+++ b/packages/knapweedshunt-router/src/streamSink.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from 'node:http'
 import type { Usage, WholeAnswer } from 'knapweedshunt-attempts'
 import { sendJson } from 'knapweedshunt-utils'
-import type { CallerError } from './callerError.ts'
+import type { CallerErrorInstance } from './callerError.ts'
 import type { CallerRequest } from './callerRequest.ts'
 import type { CallerSink } from './callerSink.ts'
 import { buildErrorBody, sendCallerError } from './sendCallerError.ts'
@@ -43,7 +43,7 @@
     this.#response.end('data: [DONE]\n\n')
   }
 
-  fail (error: CallerError): void {
+  fail (error: CallerErrorInstance): void {
     if (!this.#response.headersSent) return sendCallerError(this.#response, error, this.#request.requestId)
     this.#response.end(`event: error\ndata: ${JSON.stringify(buildErrorBody(error, this.#request.requestId))}\n\n`)
   }
