--- /dev/null
+++ b/packages/knapweedshunt-orders/fuzz/runMatrix.ts
@@ -0,0 +1,43 @@
+import { ORDER_TABLE } from 'knapweedshunt-orders'
+import { FAULTS, STEPS } from './faults.ts'
+import type { Fault, Step } from './faults.ts'
+import { runSeed } from './runSeed.ts'
+import type { Scenario } from './runSeed.ts'
+
+const SCENARIOS: Scenario[] = ['own', 'durable', 'pinned']
+
+/** One cell of the fault matrix. */
+export interface MatrixCell {
+  fault: Fault
+  step: Step
+  runs: number
+  /** Runs in which the step was taken, so that the fault struck. */
+  struck: number
+  /** Last replies to the orders after healing, with their counts. */
+  ends: Record<string, number>
+  violations: string[]
+}
+
+/** Strikes the fault at the first taking of the step, for each way to name an order. */
+export async function runCell (fault: Fault, step: Step, seeds: number): Promise<MatrixCell> {
+  const cell: MatrixCell = { fault, step, runs: 0, struck: 0, ends: {}, violations: [] }
+  for (const scenario of SCENARIOS) {
+    for (let seed = 1; seed <= seeds; seed++) {
+      const report = await runSeed(seed, [{ fault, step, nth: 1 }], ORDER_TABLE, scenario)
+      cell.runs++
+      if (report.struck.length > 0) cell.struck++
+      for (const end of report.ends) cell.ends[end] = (cell.ends[end] ?? 0) + 1
+      cell.violations.push(...report.violations.map(violation => `${scenario} ${seed}: ${violation}`))
+    }
+  }
+  return cell
+}
+
+/** Every fault at every step. */
+export async function runMatrix (seeds: number): Promise<MatrixCell[]> {
+  const cells: MatrixCell[] = []
+  for (const fault of FAULTS) {
+    for (const step of STEPS) cells.push(await runCell(fault, step, seeds))
+  }
+  return cells
+}
--- /dev/null
+++ b/packages/knapweedshunt-orders/src/__tests__/orders.test.ts
@@ -0,0 +1,50 @@
+import test from 'ava'
+import { ORDER_TABLE } from 'knapweedshunt-orders'
+import { createRng } from 'knapweedshunt-utils'
+import { drawPlan, listCombinations } from '../../fuzz/drawPlan.ts'
+import { FAULTS, STEPS } from '../../fuzz/faults.ts'
+import { findMutation } from '../../fuzz/findMutation.ts'
+import { MUTATIONS } from '../../fuzz/mutations.ts'
+import { runCell } from '../../fuzz/runMatrix.ts'
+import { runOutage } from '../../fuzz/runOutage.ts'
+import { runSeed } from '../../fuzz/runSeed.ts'
+
+const MUTATION_RUNS = 500
+
+for (const fault of FAULTS) {
+  test.serial(`every step: ${fault}`, async t => {
+    for (const step of STEPS) {
+      const cell = await runCell(fault, step, 1)
+      t.deepEqual(cell.violations, [], `${fault} at ${step}`)
+      t.true(cell.struck > 0, `${fault} at ${step} struck in no run`)
+    }
+  })
+}
+
+test.serial('faults alone and in pairs', async t => {
+  const combinations = listCombinations()
+  for (const [i, faults] of combinations.entries()) {
+    for (const seed of [i, i + combinations.length]) {
+      const plan = drawPlan(faults, createRng(seed))
+      const { violations } = await runSeed(seed, plan, ORDER_TABLE)
+      t.deepEqual(violations, [], JSON.stringify({ seed, plan }))
+    }
+  }
+})
+
+for (const [name, table] of Object.entries(MUTATIONS)) {
+  test.serial(`mutation found: ${name}`, async t => {
+    t.truthy(await findMutation(table, 1, MUTATION_RUNS))
+  })
+}
+
+test.serial('tickets serve a whole outage', async t => {
+  const { orders, servedOwnKey, servedTicket, violations } = await runOutage(1, false)
+  t.deepEqual({ servedOwnKey, servedTicket, violations }, { servedOwnKey: 0, servedTicket: orders, violations: [] })
+})
+
+test.serial('tickets of a dead minter are not run elsewhere', async t => {
+  const { orders, servedTicket, minterDied, violations } = await runOutage(1, true)
+  t.true(minterDied > 0)
+  t.deepEqual({ servedTicket, violations }, { servedTicket: orders - minterDied, violations: [] })
+})
--- a/packages/knapweedshunt-orders/src/orderPorts.ts
+++ b/packages/knapweedshunt-orders/src/orderPorts.ts
@@ -5,8 +5,9 @@
 
 /** Sends attempts of one order to endpoints. */
 export interface OrderDispatcher {
-  /** Sends; reports `placed` before any byte may leave, then `refused`, `unplaceable`, `broken` or `answered`. */
+  /** Sends; reports `placed` in the same turn in which bytes may start to leave, then `refused`, `unplaceable`, `broken` or `answered`. */
   send (attempt: AttemptId, again: boolean, emit: (event: OrderEvent) => void): void
+  /** Ends the attempt. One that was not `placed` yet sends nothing. */
   cancel (attempt: AttemptId): void
 }
 
--- a/packages/knapweedshunt-orders/src/orderRun.ts
+++ b/packages/knapweedshunt-orders/src/orderRun.ts
@@ -28,6 +28,8 @@
   signal: AbortSignal
   /** Hears of an outcome before it is written, and again when it is. */
   noteOutcome (outcome: RunOutcome, written: boolean): void
+  /** Hears that the claim is given up, and again when its tombstone is written. */
+  noteAbandoned (written: boolean): void
 }
 
 /** Drives one {@link OrderMachine}: actions into calls, what comes back into events. */
@@ -78,7 +80,7 @@
   }
 
   #perform (action: OrderAction): void {
-    const { ports, order, nonce, signal, bounds } = this.#options
+    const { ports, bounds } = this.#options
     match(action)
       .with({ type: 'claim' }, ({ version }) => this.#track(this.#claim(version)))
       .with({ type: 'delay' }, () => this.#track(this.#delay()))
@@ -89,7 +91,7 @@
         this.#recorded = this.#record(outcome)
         this.#track(this.#recorded)
       })
-      .with({ type: 'release' }, () => this.#track(ports.ledger.release(order, nonce, signal)))
+      .with({ type: 'release' }, () => this.#track(this.#release()))
       .with({ type: 'forward' }, () => this.#track(this.#forward()))
       .with({ type: 'answer' }, ({ reply }) => this.#answer(reply))
       .exhaustive()
@@ -126,6 +128,13 @@
     if (!signal.aborted) noteOutcome(outcome, true)
   }
 
+  async #release (): Promise<void> {
+    const { ports, order, nonce, signal, noteAbandoned } = this.#options
+    noteAbandoned(false)
+    await ports.ledger.release(order, nonce, signal)
+    if (!signal.aborted) noteAbandoned(true)
+  }
+
   async #forward (): Promise<void> {
     const reply = await this.#options.ports.forward()
     this.#take(reply === null ? { type: 'unforwarded' } : { type: 'forwarded', reply })
--- a/packages/knapweedshunt-orders/src/orderService.ts
+++ b/packages/knapweedshunt-orders/src/orderService.ts
@@ -1,6 +1,7 @@
+import { setMaxListeners } from 'node:events'
 import { createIncarnation, createRng } from 'knapweedshunt-utils'
 import type { Rng } from 'knapweedshunt-utils'
-import type { BookHandover, ClosedBook } from './closedBook.ts'
+import type { AbandonedClaim, BookHandover, TicketQuery } from './closedBook.ts'
 import { BookKeeper } from './bookKeeper.ts'
 import { callForward } from './callForward.ts'
 import { readKeyDate } from './keyDate.ts'
@@ -31,6 +32,7 @@
   readonly #keeper: BookKeeper
   readonly #mint: TicketMint
   readonly #status: StatusReader
+  readonly #abandoned = new Map<string, AbandonedClaim>()
   readonly #unwritten = new UnwrittenOutcomes()
   readonly #runs = new Set<OrderRun>()
   readonly #ending = new AbortController()
@@ -39,6 +41,7 @@
   constructor (options: OrderServiceOptions) {
     this.#options = options
     this.#rng = createRng(options.bounds.seed)
+    setMaxListeners(0, this.#ending.signal)
     this.#tables = new TableLedger(options.platform, options.incarnation, options.bounds, this.#rng)
     this.#book = new TicketBook(options.incarnation, this.#tables, options.bounds.ticketMs)
     this.#keeper = new BookKeeper(options, this.#tables, this.#ending.signal)
@@ -89,9 +92,9 @@
     this.#keeper.take(handover)
   }
 
-  /** Book that a closed peer handed to this process; null when there is none. */
-  findBook (minter: string): ClosedBook | null {
-    return this.#keeper.find(minter)
+  /** Answers a peer from a book that was handed to this process; null when none tells. */
+  answerTicket (query: TicketQuery): OrderReply | null {
+    return this.#keeper.answer(query)
   }
 
   /** Whether new orders are refused. */
@@ -101,7 +104,7 @@
 
   /** Orders and outcomes held in memory. */
   countHeld (): { running: number, unwritten: number } {
-    return { running: this.#runs.size, unwritten: this.#unwritten.size }
+    return { running: this.#runs.size, unwritten: this.#unwritten.size + this.#abandoned.size }
   }
 
   /** Takes no new order, waits for the running ones, and passes on what the tables don't have. */
@@ -111,7 +114,7 @@
     await Promise.all(runs.map(run => run.waitClosed()))
     const timer = setTimeout(() => this.#ending.abort(), this.#options.bounds.closeMs)
     await Promise.all(runs.map(run => run.waitSettled()))
-    await this.#keeper.close(this.#book, this.#unwritten)
+    await this.#keeper.close(this.#book, this.#unwritten.list(), [...this.#abandoned.values()])
     clearTimeout(timer)
     this.#ending.abort()
   }
@@ -136,7 +139,8 @@
       rng: this.#rng,
       holdMs: isPinned ? 0 : bounds.recordHoldMs,
       signal: this.#ending.signal,
-      noteOutcome: (outcome, written) => written ? this.#unwritten.delete(order) : this.#unwritten.add({ order, nonce: recordNonce, outcome })
+      noteOutcome: (outcome, written) => written ? this.#unwritten.delete(order) : this.#unwritten.add({ order, nonce: recordNonce, outcome }),
+      noteAbandoned: written => written ? this.#abandoned.delete(nonce) : this.#abandoned.set(nonce, { order, nonce })
     })
     this.#runs.add(run)
     const reply = await run.start()
--- a/packages/knapweedshunt-orders/src/orderServiceOptions.ts
+++ b/packages/knapweedshunt-orders/src/orderServiceOptions.ts
@@ -1,7 +1,8 @@
 import type { Platform } from 'knapweedshunt-platform'
 import type { Incarnation } from 'knapweedshunt-types'
-import type { BookHandover, ClosedBook } from './closedBook.ts'
+import type { BookHandover, TicketQuery } from './closedBook.ts'
 import type { OrderOptions } from './orderOptions.ts'
+import type { OrderReply } from './orderReply.ts'
 import type { OrderTable } from './orderTable.ts'
 
 /** What the order service of one router is made of. */
@@ -23,6 +24,6 @@
 export interface OrderPeers {
   /** Hands a closing book over. Resolves to whether a peer took it. */
   passBook (handover: BookHandover): Promise<boolean>
-  /** Asks the peers that would have been handed the book. Null when none has it. */
-  findBook (minter: Incarnation): Promise<ClosedBook | null>
+  /** Asks the peers that would have been handed the minter's book. Null when none can tell. */
+  findTicket (query: TicketQuery): Promise<OrderReply | null>
 }
--- a/packages/knapweedshunt-orders/src/statusReader.ts
+++ b/packages/knapweedshunt-orders/src/statusReader.ts
@@ -1,9 +1,8 @@
 import { PlatformError } from 'knapweedshunt-platform'
-import { BOOKS_TABLE } from './bookKeeper.ts'
+import { BOOKS_TABLE, readBook } from './bookKeeper.ts'
 import type { BookKeeper } from './bookKeeper.ts'
 import { callForward } from './callForward.ts'
-import { isSerialUsed } from './runSet.ts'
-import type { ClosedBook } from './closedBook.ts'
+import type { ClosedBook, TicketQuery } from './closedBook.ts'
 import type { ForwardTicket } from './orderPorts.ts'
 import type { OrderReply } from './orderReply.ts'
 import type { OrderRequest } from './orderRequest.ts'
@@ -67,8 +66,7 @@
     } catch (error) {
       if (!(error instanceof PlatformError)) throw error
     }
-    const book = await this.#findBook(ticket.minter)
-    return book === null || isSerialUsed(book.used, Number(ticket.id)) ? null : { type: 'not-run', reason: 'refused' }
+    return this.#readBooks({ minter: ticket.minter, serial: Number(ticket.id), order, digest })
   }
 
   async #readOwnBook (ticket: Ticket, order: OrderKey): Promise<OrderReply> {
@@ -83,15 +81,15 @@
     }
   }
 
-  async #findBook (minter: string): Promise<ClosedBook | null> {
-    const taken = this.#keeper.find(minter)
+  async #readBooks (query: TicketQuery): Promise<OrderReply | null> {
+    const taken = this.#keeper.answer(query)
     if (taken !== null) return taken
     try {
-      const row = await this.#options.platform.read(BOOKS_TABLE, minter)
-      if (row !== null) return row.value as ClosedBook
+      const row = await this.#options.platform.read(BOOKS_TABLE, query.minter)
+      if (row !== null) return readBook(row.value as ClosedBook, query.serial)
     } catch (error) {
       if (!(error instanceof PlatformError)) throw error
     }
-    return this.#options.peers.findBook(minter)
+    return this.#options.peers.findTicket(query)
   }
 }
--- /dev/null
+++ b/packages/knapweedshunt-router/src/__tests__/orders.test.ts
@@ -0,0 +1,173 @@
+import test from 'ava'
+import { createHash } from 'node:crypto'
+import http from 'node:http'
+import { startFakeEngine, startFakePlatform, startFakeService } from 'knapweedshunt-fakes'
+import type { FakePlatform, FakeService } from 'knapweedshunt-fakes'
+import type { ResourceSnapshot, VmView } from 'knapweedshunt-types'
+import { callJson } from 'knapweedshunt-utils'
+import type { JsonAnswer } from 'knapweedshunt-utils'
+import { DEFAULT_ROUTER_OPTIONS, startRouter } from '../index.ts'
+import type { RunningRouter } from '../index.ts'
+
+const TIMEOUT_MS = 20_000
+const HOST = { host: '127.0.0.1', port: 0 }
+const PEER_KEY = 'a shared key of the test'
+const KEYS = { 'harbour-hotel': 'hotel-key', 'rival-chain': 'rival-key' }
+
+interface Bed {
+  platform: FakePlatform
+  service: FakeService
+  routers: RunningRouter[]
+  stop (): Promise<void>
+}
+
+function buildSnapshot (serviceUrl: string, engineUrl: string, checksIdempotencyKeys: boolean): ResourceSnapshot {
+  const endpoint = { dataCentre: 'dc-1', weight: 1, cacheBlocks: 0, checksFencing: false, checksIdempotencyKeys, draining: false }
+  const route = { repeatable: false, job: 'short', priorityClass: 'now', timeoutMs: 5_000 }
+  const keys = Object.entries(KEYS).map(([organisation, key]) => ({ kind: 'AccessKey', name: organisation, spec: { organisation, keyHash: createHash('sha256').update(key).digest('hex') } }))
+  const resources = [
+    ...Object.keys(KEYS).map(name => ({ kind: 'Organisation', name, spec: { weight: 1 } })),
+    ...keys,
+    { kind: 'PriorityClass', name: 'now', spec: { rank: 0, enginePriority: 0 } },
+    { kind: 'EndpointPool', name: 'dispatch', spec: { type: 'service', floor: 0 } },
+    { kind: 'EndpointPool', name: 'language', spec: { type: 'model', model: 'house-rules', weightsVersion: 'w1', objective: 'tail', floor: 0, maxParallelLoads: 1 } },
+    { kind: 'Endpoint', name: 'dispatch-1', spec: { ...endpoint, pool: 'dispatch', url: serviceUrl } },
+    { kind: 'Endpoint', name: 'language-1', spec: { ...endpoint, pool: 'language', url: engineUrl, cacheBlocks: 4_000 } },
+    { kind: 'Route', name: 'dispatch', spec: { ...route, match: { type: 'path', prefix: '/dispatch' }, pool: 'dispatch' } },
+    { kind: 'Route', name: 'language', spec: { ...route, match: { type: 'model', model: 'house-rules' }, pool: 'language', repeatable: true } }
+  ]
+  return { revision: 1, resources: resources.map(resource => ({ ...resource, revision: 1 })) } as unknown as ResourceSnapshot
+}
+
+async function startBed (checksIdempotencyKeys = false): Promise<Bed> {
+  const platform = await startFakePlatform(HOST)
+  const service = await startFakeService({ endpoint: 'dispatch-1', checksIdempotencyKeys })
+  const engine = await startFakeEngine({ endpoint: 'language-1' })
+  const routers: RunningRouter[] = []
+  for (const vm of ['vm-1', 'vm-2']) routers.push(await startRouter({ ...DEFAULT_ROUTER_OPTIONS, vm, dataCentre: 'dc-1', caller: HOST, peer: HOST, platformUrl: platform.url, peerKey: PEER_KEY }))
+  const vms: VmView[] = routers.map((router, i) => ({ vm: `vm-${i + 1}`, incarnation: `${i}`, dataCentre: 'dc-1', controlUrl: '', routerUrl: router.peerUrl, state: 'live', appliedRevision: 1 }))
+  for (const router of routers) router.path.takeSnapshot({ resources: buildSnapshot(service.url, engine.url, checksIdempotencyKeys), vms, endpoints: [] })
+  async function stop () {
+    await Promise.all(routers.map(router => router.stop()))
+    await Promise.all([platform.stop(), service.stop(), engine.stop()])
+  }
+  return { platform, service, routers, stop }
+}
+
+function place (router: RunningRouter, headers: Record<string, string>, path = '/v1/services/dispatch', body: unknown = { towels: 2 }): Promise<JsonAnswer> {
+  return callJson({ method: 'POST', url: router.callerUrl + path, body, headers: { authorization: `Bearer ${KEYS['harbour-hotel']}`, ...headers }, timeoutMs: TIMEOUT_MS })
+}
+
+function readStatus (router: RunningRouter, key: string, accessKey = KEYS['harbour-hotel']): Promise<JsonAnswer> {
+  return callJson({ method: 'GET', url: `${router.callerUrl}/v1/orders/${encodeURIComponent(key)}`, headers: { authorization: `Bearer ${accessKey}` }, timeoutMs: TIMEOUT_MS })
+}
+
+function countRuns (service: FakeService): number {
+  return [...service.executions.values()].reduce((sum, runs) => sum + runs, 0)
+}
+
+function readCode (answer: JsonAnswer): string {
+  return (answer.body as { error: { code: string } }).error.code
+}
+
+test('a key answers alike on every VM, and only its organisation', async t => {
+  const bed = await startBed()
+  try {
+    const [first, second] = bed.routers
+    const answer = await place(first, { 'idempotency-key': 'order-1' })
+    const again = await place(second, { 'idempotency-key': 'order-1' })
+    t.deepEqual([again.status, again.body], [200, answer.body])
+    t.is(readCode(await place(second, { 'idempotency-key': 'order-1' }, undefined, { towels: 3 })), 'idempotency_key_reused')
+    t.is((await readStatus(second, 'order-1')).status, 200)
+    t.is(readCode(await readStatus(second, 'order-1', KEYS['rival-chain'])), 'order_unknown')
+    const completion = { model: 'house-rules', prompt: 'rule '.repeat(20), max_tokens: 4 }
+    const headers = { 'idempotency-key': 'note-1', 'x-repeatable': 'false' }
+    const note = await place(first, headers, '/v1/completions', completion) as JsonAnswer & { body: { choices: unknown } }
+    const noteAgain = await place(second, headers, '/v1/completions', completion) as JsonAnswer & { body: { choices: unknown } }
+    t.deepEqual(noteAgain.body.choices, note.body.choices)
+    t.is(readCode(await place(first, { 'x-repeatable': 'true' }, '/v1/completions', completion)), 'header_invalid')
+    t.is(countRuns(bed.service), 1)
+  } finally {
+    await bed.stop()
+  }
+})
+
+test('a ticket of an outage runs once, from any VM, and its outcome outlives its minter', async t => {
+  const bed = await startBed()
+  try {
+    const [minter, other] = bed.routers
+    bed.platform.memory.faults.down = true
+    const used = (await place(minter, {}, '/v1/tickets')).body as { ticket: string, type: string }
+    const unused = (await place(minter, {}, '/v1/tickets')).body as { ticket: string, type: string }
+    t.is(used.type, 'pinned')
+    const own = await place(other, { 'idempotency-key': 'order-2' })
+    t.deepEqual([readCode(own), own.headers['x-ran']], ['order_store_unreadable', 'may-have-run'])
+    const forwarded = await place(other, { 'x-order-ticket': used.ticket })
+    const direct = await place(minter, { 'x-order-ticket': used.ticket })
+    t.deepEqual([forwarded.status, direct.body], [200, forwarded.body])
+    t.is(readCode(await place(other, { 'x-order-ticket': used.ticket, authorization: `Bearer ${KEYS['rival-chain']}` })), 'ticket_invalid')
+    t.is(readCode(await place(other, { 'x-order-ticket': used.ticket.replace(/.$/, '!') })), 'ticket_invalid')
+    await minter.stop()
+    t.like((await readStatus(other, used.ticket)).body, { ran: 'ran' })
+    t.like((await readStatus(other, unused.ticket)).body, { ran: 'not-run' })
+    t.is((await place(other, { 'x-order-ticket': unused.ticket })).headers['x-ran'], 'not-run')
+    t.is(countRuns(bed.service), 1)
+  } finally {
+    await bed.stop()
+  }
+})
+
+test('an endpoint that breaks: once, or again under the same key where it checks keys', async t => {
+  for (const checksKeys of [false, true]) {
+    const bed = await startBed(checksKeys)
+    try {
+      bed.service.faults.resetAfter = true
+      const answer = await place(bed.routers[0], { 'idempotency-key': 'order-3' })
+      t.deepEqual([answer.status, answer.headers['x-ran']], checksKeys ? [200, 'ran'] : [409, 'may-have-run'])
+      t.is(countRuns(bed.service), 1)
+    } finally {
+      await bed.stop()
+    }
+  }
+})
+
+test('a refused connection is not run, and a new key runs', async t => {
+  const bed = await startBed()
+  try {
+    const { service, routers: [first, second] } = bed
+    const port = Number(new URL(service.url).port)
+    await service.stop()
+    const refused = await place(first, { 'idempotency-key': 'order-4' })
+    t.deepEqual([refused.status, refused.headers['x-ran']], [503, 'not-run'])
+    t.truthy(refused.headers['retry-after'])
+    const healed = await startFakeService({ port })
+    t.is((await place(second, { 'idempotency-key': 'order-4' })).headers['x-ran'], 'not-run')
+    t.is((await place(second, { 'idempotency-key': 'order-5' })).status, 200)
+    t.is(countRuns(healed), 1)
+    await healed.stop()
+  } finally {
+    await bed.stop()
+  }
+})
+
+test('a caller that hangs up finds its outcome, also after a shutdown', async t => {
+  const bed = await startBed()
+  try {
+    const [first, second] = bed.routers
+    const body = JSON.stringify({ towels: 2 })
+    const headers = { authorization: `Bearer ${KEYS['harbour-hotel']}`, 'idempotency-key': 'order-6', 'content-length': body.length }
+    await new Promise<void>(resolve => {
+      const request = http.request(`${first.callerUrl}/v1/services/dispatch`, { method: 'POST', headers })
+      request.once('error', () => resolve())
+      request.once('close', () => resolve())
+      request.end(body, () => { request.destroy() })
+    })
+    await place(first, { 'idempotency-key': 'order-7' })
+    await first.stop()
+    const status = await readStatus(second, 'order-6')
+    const ran = countRuns(bed.service)
+    t.true(status.status === 200 ? (status.body as { ran: string }).ran === 'ran' && ran === 2 : ran === 1)
+  } finally {
+    await bed.stop()
+  }
+})
--- a/packages/knapweedshunt-router/src/orders/orderRpc.ts
+++ b/packages/knapweedshunt-router/src/orders/orderRpc.ts
@@ -1,4 +1,4 @@
-import type { BookHandover } from 'knapweedshunt-orders'
+import type { BookHandover, TicketQuery } from 'knapweedshunt-orders'
 import type { RpcMethods } from 'knapweedshunt-rpc'
 import type { DataPath } from '../dataPath.ts'
 import { parseForwardedOrder, parseForwardedStatus } from './forwardedOrder.ts'
@@ -17,6 +17,6 @@
       service.takeBook(params as BookHandover)
       return {}
     },
-    'router.findBook': params => ({ book: service.findBook((params as { minter: string }).minter) })
+    'router.findTicket': params => ({ reply: service.answerTicket(params as TicketQuery) })
   }
 }
--- a/packages/knapweedshunt-router/src/orders/rpcOrderPeers.ts
+++ b/packages/knapweedshunt-router/src/orders/rpcOrderPeers.ts
@@ -1,4 +1,4 @@
-import type { BookHandover, ClosedBook, OrderPeers, OrderReply } from 'knapweedshunt-orders'
+import type { BookHandover, OrderPeers, OrderReply, TicketQuery } from 'knapweedshunt-orders'
 import { createRpcClient, RpcError } from 'knapweedshunt-rpc'
 import type { RpcClient } from 'knapweedshunt-rpc'
 import type { Incarnation, VmView } from 'knapweedshunt-types'
@@ -47,10 +47,10 @@
     return false
   }
 
-  async findBook (minter: Incarnation): Promise<ClosedBook | null> {
-    for (const url of this.#rankUrls(minter)) {
-      const book = await this.#tryCall(url, 'router.findBook', { minter })
-      if (book !== null) return (book as { book: ClosedBook | null }).book
+  async findTicket (query: TicketQuery): Promise<OrderReply | null> {
+    for (const url of this.#rankUrls(query.minter)) {
+      const answer = await this.#tryCall(url, 'router.findTicket', query) as { reply: OrderReply | null } | null
+      if (answer !== null && answer.reply !== null) return answer.reply
     }
     return null
   }
