--- a/packages/knapweedshunt-router/src/callerError.ts
+++ b/packages/knapweedshunt-router/src/callerError.ts
@@ -27,6 +27,15 @@
   deadline_exceeded: { status: 504, type: 'server_error' },
   no_endpoint: { status: 503, type: 'server_error' },
   endpoint_failed: { status: 502, type: 'server_error' },
+  endpoint_rejected: { status: 400, type: 'invalid_request_error' },
+  endpoint_overloaded: { status: 503, type: 'server_error' },
+  retry_budget_spent: { status: 503, type: 'server_error' },
+  request_quarantined: { status: 422, type: 'invalid_request_error' },
+  weights_changed: { status: 503, type: 'server_error' },
+  shutting_down: { status: 503, type: 'server_error' },
+  request_unreadable: { status: 400, type: 'invalid_request_error' },
+  request_too_slow: { status: 408, type: 'invalid_request_error' },
+  headers_too_large: { status: 431, type: 'invalid_request_error' },
   not_ready: { status: 503, type: 'server_error' },
   internal: { status: 500, type: 'server_error' }
 } as const satisfies Record<string, { status: number, type: ErrorBody['error']['type'] }>
--- a/packages/knapweedshunt-router/src/orders/orderDispatch.ts
+++ b/packages/knapweedshunt-router/src/orders/orderDispatch.ts
@@ -2,7 +2,8 @@
 import type { OrderDispatcher, OrderEvent } from 'knapweedshunt-orders'
 import type { AttemptId, EndpointName, RecordedAnswer } from 'knapweedshunt-types'
 import { match } from 'ts-pattern'
-import { runAttempt } from '../attemptCall.ts'
+import { AttemptLauncher } from '../attemptLauncher.ts'
+import { buildFailure } from '../buildFailure.ts'
 import { CallerError } from '../callerError.ts'
 import type { CallerErrorInstance } from '../callerError.ts'
 import type { CallerRequest } from '../callerRequest.ts'
@@ -12,22 +13,25 @@
 
 const FIRST_SERVER_ERROR = 500
 
-interface Target {
-  endpoint: EndpointName
-  url: string
-}
-
 type Emit = (event: OrderEvent) => void
 
-/** Sends the attempts of one order; tokens go to the caller as they come. */
+/** One attempt that is out. */
+interface Sent {
+  attempt: AttemptId
+  startedAtMs: number
+  emit: Emit
+  abort: AbortController
+}
+
+/** Sends the attempts of one order, one at a time; tokens go to the caller as they come. */
 export class OrderDispatch implements OrderDispatcher {
   readonly #path: DataPath
   readonly #request: CallerRequest
+  readonly #launcher: AttemptLauncher
   readonly #texts: string[] = []
   readonly #tried: EndpointName[] = []
-  readonly #aborts = new Map<AttemptId, AbortController>()
+  readonly #sent = new Map<AttemptId, Sent>()
   #sink: CallerSink | null
-  #target: Target | null = null
   #usage: Usage | null = null
   #refusal: CallerErrorInstance | null = null
   #answer: RecordedAnswer | null = null
@@ -36,9 +40,11 @@
     this.#path = path
     this.#request = { ...request, repeatable: false, resumeFrom: 0 }
     this.#sink = sink
+    const drain = { deliver () {}, deliverAnswer () {}, finish () {}, fail () {}, waitDrain: (signal: AbortSignal) => this.#sink?.waitDrain?.(signal) ?? null }
+    this.#launcher = new AttemptLauncher(path, this.#request, drain, event => this.#take(event))
   }
 
-  /** Why admission refused the order, if it did. */
+  /** Why the order was refused before it was sent, if it was. */
   get refusal (): CallerErrorInstance | null {
     return this.#refusal
   }
@@ -59,55 +65,71 @@
   }
 
   send (attempt: AttemptId, again: boolean, emit: Emit): void {
-    const abort = new AbortController()
-    this.#aborts.set(attempt, abort)
-    this.#send(attempt, again, emit, abort.signal)
-      .catch(error => {
-        this.#path.log.error('Order attempt failed inside.', { requestId: this.#request.requestId, reason: String(error) })
-        emit({ type: 'broken', attempt })
-      })
-      .finally(() => this.#aborts.delete(attempt))
+    const sent = { attempt, startedAtMs: performance.now(), emit, abort: new AbortController() }
+    this.#sent.set(attempt, sent)
+    this.#send(sent, again).catch(error => {
+      this.#path.log.error('Order attempt failed inside.', { requestId: this.#request.requestId, reason: String(error) })
+      this.#end(sent, { type: 'broken', attempt })
+    })
   }
 
   cancel (attempt: AttemptId): void {
-    this.#aborts.get(attempt)?.abort()
+    this.#sent.get(attempt)?.abort.abort()
+    this.#launcher.cancel(attempt)
   }
 
-  async #send (attempt: AttemptId, again: boolean, emit: Emit, signal: AbortSignal): Promise<void> {
-    const admitted = { ...this.#request, requestId: attempt }
+  async #send (sent: Sent, again: boolean): Promise<void> {
+    const { attempt, abort } = sent
     try {
-      await this.#path.gate.enter(admitted, signal)
+      await this.#path.gate.enter({ ...this.#request, requestId: attempt }, abort.signal)
     } catch (error) {
       if (!(error instanceof CallerError)) throw error
       this.#refusal = error
-      return emit({ type: 'unplaceable', attempt })
-    }
-    try {
-      await this.#sendAdmitted(attempt, again, emit, signal)
-    } finally {
-      this.#path.gate.leave(attempt)
+      this.#sent.delete(attempt)
+      return sent.emit({ type: 'unplaceable', attempt })
     }
+    if (abort.signal.aborted) return this.#end(sent, { type: 'unplaceable', attempt })
+    this.#launcher.place({ type: 'place', attempt, excluded: again ? this.#listOthers() : [...this.#tried], resumeFrom: this.#texts.length })
   }
 
-  async #sendAdmitted (attempt: AttemptId, again: boolean, emit: Emit, signal: AbortSignal): Promise<void> {
-    const target = again ? this.#target : this.#place()
-    if (target === null || signal.aborted) return emit({ type: 'unplaceable', attempt })
-    const { endpoint, url } = target
-    const { placement, agent } = this.#path
-    emit({ type: 'placed', attempt, safeAgain: this.#isSafeAgain(endpoint) })
-    placement.take({ type: 'started', attempt, endpoint, tokens: this.#request.levels.at(-1)?.tokens ?? 0 })
-    const take = (event: AttemptEvent) => this.#take(event, emit)
-    await runAttempt({ attempt, url, request: this.#request, resumeFrom: this.#texts.length, agent, signal, emit: take })
-    placement.take({ type: 'finished', attempt, cachedTokens: this.#usage?.cachedTokens ?? null })
+  /** All endpoints but the last one tried. */
+  #listOthers (): EndpointName[] {
+    const last = this.#tried.at(-1)
+    return this.#path.endpoints.listUsable(this.#request.pool).map(entry => entry.endpoint).filter(endpoint => endpoint !== last)
   }
 
-  #place (): Target | null {
-    const { levels, pool } = this.#request
-    const decision = this.#path.placement.place({ pool, levels, excluded: this.#tried })
-    if (decision.type === 'unplaceable') return null
-    this.#tried.push(decision.endpoint)
-    this.#target = { endpoint: decision.endpoint, url: decision.url }
-    return this.#target
+  #take (event: AttemptEvent): void {
+    const sent = 'attempt' in event ? this.#sent.get(event.attempt) : undefined
+    if (sent === undefined) return
+    const { attempt } = sent
+    match(event)
+      .with({ type: 'placed' }, ({ endpoint }) => this.#notePlaced(sent, endpoint))
+      .with({ type: 'token' }, ({ n, text }) => this.#takeToken(n, text, attempt))
+      .with({ type: 'usage' }, ({ usage }) => { this.#usage = usage })
+      .with({ type: 'answer' }, ({ answer }) => {
+        if (answer.status >= FIRST_SERVER_ERROR) this.#end(sent, { type: 'broken', attempt })
+        else this.#finish(sent, answer)
+      })
+      .with({ type: 'end' }, () => this.#finish(sent, buildCompletionRecord(this.#texts, this.#usage)))
+      .with({ type: 'quarantined' }, ({ retryAfterMs }) => {
+        this.#refusal = buildFailure({ type: 'fail', code: 'request_quarantined', ran: 'not-run', retryAfterMs, message: null })
+        this.#end(sent, { type: 'unplaceable', attempt })
+      })
+      .with({ type: 'unplaceable' }, () => this.#end(sent, { type: 'unplaceable', attempt }))
+      .with({ type: 'refused' }, () => this.#end(sent, { type: 'refused', attempt }))
+      .with({ type: 'broken' }, ({ reason }) => {
+        if (reason === 'reset' || reason === 'lost') this.#noteCrash(sent)
+        this.#end(sent, { type: 'broken', attempt })
+      })
+      .with({ type: 'rejected' }, { type: 'stalled' }, () => this.#end(sent, { type: 'broken', attempt }))
+      .otherwise(() => {})
+  }
+
+  /** An attempt that was cancelled before it had an endpoint sends nothing. */
+  #notePlaced ({ attempt, abort, emit }: Sent, endpoint: EndpointName): void {
+    if (abort.signal.aborted) return this.#launcher.cancel(attempt)
+    this.#tried.push(endpoint)
+    emit({ type: 'placed', attempt, safeAgain: this.#isSafeAgain(endpoint) })
   }
 
   /** Only calls of services carry the key to the endpoint. */
@@ -115,30 +137,30 @@
     return this.#request.work.type === 'service' && this.#path.orders.checksKeys(endpoint)
   }
 
-  #take (event: AttemptEvent, emit: Emit): void {
-    match(event)
-      .with({ type: 'token' }, ({ n, text, attempt }) => this.#takeToken(n, text, attempt))
-      .with({ type: 'usage' }, ({ usage }) => { this.#usage = usage })
-      .with({ type: 'answer' }, ({ attempt, answer }) => {
-        if (answer.status >= FIRST_SERVER_ERROR) return emit({ type: 'broken', attempt })
-        this.#finish(attempt, answer, emit)
-      })
-      .with({ type: 'end' }, ({ attempt }) => this.#finish(attempt, buildCompletionRecord(this.#texts, this.#usage), emit))
-      .with({ type: 'refused' }, { type: 'broken' }, ending => emit(ending))
-      .otherwise(() => {})
-  }
-
   /** A gap ends the attempt: the rest could not be told in order. */
   #takeToken (n: number, text: string, attempt: AttemptId): void {
     if (n < this.#texts.length) return
-    if (n > this.#texts.length) return this.cancel(attempt)
+    if (n > this.#texts.length) return this.#launcher.cancel(attempt)
     this.#texts.push(text)
     this.#sink?.deliver(n, text)
   }
 
-  #finish (attempt: AttemptId, answer: RecordedAnswer, emit: Emit): void {
+  #noteCrash ({ startedAtMs }: Sent): void {
+    const endpoint = this.#tried.at(-1)
+    if (endpoint !== undefined) this.#path.suspects.noteCrash(this.#request, endpoint, startedAtMs)
+  }
+
+  #finish (sent: Sent, answer: RecordedAnswer): void {
+    const { attempt } = sent
     this.#answer = answer
+    this.#path.suspects.noteSuccess(this.#request)
     const isKept = answer.body.length <= this.#path.orders.maxAnswerChars
-    emit({ type: 'answered', attempt, answer: isKept ? answer : null })
+    this.#end(sent, { type: 'answered', attempt, answer: isKept ? answer : null })
+  }
+
+  #end (sent: Sent, event: OrderEvent): void {
+    if (!this.#sent.delete(sent.attempt)) return
+    this.#path.gate.leave(sent.attempt)
+    sent.emit(event)
   }
 }
--- a/packages/knapweedshunt-router/src/orders/runOrder.ts
+++ b/packages/knapweedshunt-router/src/orders/runOrder.ts
@@ -13,9 +13,11 @@
   const dispatch = new OrderDispatch(path, nameForEndpoint(request), sink)
   const reply = await startRun(path, request, dispatch)
   dispatch.detach()
-  if (reply.type === 'ran' && dispatch.answer !== null) return finishLive(sink, dispatch)
+  if (reply.type === 'ran' && dispatch.answer !== null) return finishLive(path, request, sink, dispatch)
   if (reply.type === 'ran' && reply.answer !== null) return deliverRecord(sink, reply.answer, request.resumeFrom)
-  sink.fail(buildReplyError(reply, dispatch.refusal))
+  const error = buildReplyError(reply, dispatch.refusal)
+  path.figures.recordRefusal(request, error.code)
+  sink.fail(error)
 }
 
 /** Runs a forwarded ticket; the reply carries the whole answer. */
@@ -43,7 +45,8 @@
 }
 
 /** Tokens were delivered as they came; a service's answer comes whole. */
-function finishLive (sink: CallerSink, dispatch: OrderDispatch): void {
+function finishLive (path: DataPath, request: CallerRequest, sink: CallerSink, dispatch: OrderDispatch): void {
+  path.figures.recordUsage(request, dispatch.usage)
   if (dispatch.answer !== null && dispatch.answer.contentType !== COMPLETION_TYPE) sink.deliverAnswer(dispatch.answer)
   sink.finish(dispatch.usage)
 }
