--- a/packages/knapweedshunt-router/src/startRouter.ts
+++ b/packages/knapweedshunt-router/src/startRouter.ts
@@ -1,11 +1,12 @@
 import http from 'node:http'
 import { createLogger } from 'knapweedshunt-logger'
-import { OrderStore } from 'knapweedshunt-orders'
-import { createPlatformClient, DEFAULT_PLATFORM_TIMEOUT_MS } from 'knapweedshunt-platform'
+import { createPlatformClient, DEFAULT_GUARD_OPTIONS, DEFAULT_PLATFORM_TIMEOUT_MS, GuardedPlatform } from 'knapweedshunt-platform'
 import { createRpcHandler } from 'knapweedshunt-rpc'
 import { closeServer, createIncarnation, listen, sendJson } from 'knapweedshunt-utils'
 import { CallerServer } from './callerServer.ts'
 import { DataPath } from './dataPath.ts'
+import { createOrderRpc } from './orders/orderRpc.ts'
+import { RouterOrders } from './orders/routerOrders.ts'
 import type { RouterOptions } from './routerOptions.ts'
 import { serveCaller } from './serveCaller.ts'
 
@@ -22,8 +23,9 @@
 export async function startRouter (options: RouterOptions): Promise<RunningRouter> {
   const incarnation = createIncarnation()
   const log = createLogger('router')
-  const platform = createPlatformClient({ url: options.platformUrl, timeoutMs: DEFAULT_PLATFORM_TIMEOUT_MS })
-  const path = new DataPath(options, new OrderStore(platform, incarnation), log)
+  const platform = new GuardedPlatform(createPlatformClient({ url: options.platformUrl, timeoutMs: DEFAULT_PLATFORM_TIMEOUT_MS }), DEFAULT_GUARD_OPTIONS)
+  const orders = new RouterOrders({ incarnation, platform, sharedKey: options.peerKey, getPeerUrl: () => peerUrl })
+  const path = new DataPath(options, orders, log)
   const callerServer: CallerServer = new CallerServer({
     requestTimeoutMs: options.requestTimeoutMs,
     drainGraceMs: options.drainGraceMs,
@@ -37,7 +39,8 @@
     'router.snapshot': params => ({ incarnation, appliedRevision: path.takeSnapshot(params) }),
     'router.marks': params => path.peers.answerMarks(params),
     'router.demand': params => path.peers.answerDemand(params),
-    'router.figures': () => path.figures.listRows()
+    'router.figures': () => path.figures.listRows(),
+    ...createOrderRpc(path)
   }, options.peerKey)
   const peerServer = http.createServer((message, response) => rpc(message, response))
 
@@ -48,6 +51,7 @@
   async function stop () {
     log.info('Router stops.')
     await callerServer.stop()
+    await orders.close()
     await closeServer(peerServer)
     await path.close()
     log.info('Router stopped.')
