--- a/packages/knapweedshunt-quickstart/src/runQuickstart.ts
+++ b/packages/knapweedshunt-quickstart/src/runQuickstart.ts
@@ -16,9 +16,9 @@
   await Promise.all(examples.map(example => example.stop()))
 }
 
-function summariseExample ({ name, report: { totals } }: RunningExample): object {
+function summariseExample ({ name, report: { totals, refusals } }: RunningExample): object {
   const { calls, answered, ordered, refused, cut, wastedTokens, firstTokenP50Ms, firstTokenP99Ms } = totals
-  return { name, calls, answered, ordered, refused, cut, hitRate: totals.hitRate.toFixed(3), wastedTokens, firstTokenP50Ms, firstTokenP99Ms }
+  return { name, calls, answered, ordered, refused, refusals: refusals.map(one => `${one.code} ${one.calls}`).join(', '), cut, hitRate: totals.hitRate.toFixed(3), wastedTokens, firstTokenP50Ms, firstTokenP99Ms }
 }
 
 function printHints ({ name, deployment }: RunningExample): void {
--- a/packages/knapweedshunt-quickstart/src/startDeployment.ts
+++ b/packages/knapweedshunt-quickstart/src/startDeployment.ts
@@ -21,6 +21,16 @@
   stop (): Promise<void>
 }
 
+/** What the programs of one VM share. */
+interface VmIdentity {
+  vm: string
+  dataCentre: string
+  /** Data centres about a millisecond away. */
+  nearDataCentres: string[]
+  platformUrl: string
+  peerKey: string
+}
+
 /** A platform stand-in and entry VMs in one process. */
 export interface RunningDeployment {
   platform: FakePlatform
@@ -38,9 +48,10 @@
   const operatorKey = createIncarnation()
   const peerKey = createIncarnation()
   const running: RunningVm[] = []
+  const nearDataCentres = [...new Set(vms.map(one => one.dataCentre))]
 
   async function addVm (vm: string, dataCentre: string): Promise<RunningVm> {
-    const started = await startVm(vm, dataCentre, platform.url, peerKey, operatorKey)
+    const started = await startVm({ vm, dataCentre, nearDataCentres, platformUrl: platform.url, peerKey }, operatorKey)
     running.push(started)
     platform.memory.vms.push({ vm, dataCentre, controlUrl: started.control.url, routerUrl: started.router.peerUrl, state: 'live' })
     return started
@@ -54,9 +65,10 @@
   return { platform, vms: running, operatorKey, peerKey, addVm, stop }
 }
 
-async function startVm (vm: string, dataCentre: string, platformUrl: string, peerKey: string, operatorKey: string): Promise<RunningVm> {
+async function startVm (identity: VmIdentity, operatorKey: string): Promise<RunningVm> {
+  const { vm, dataCentre, platformUrl, peerKey } = identity
   const listen = { host: HOST, port: 0 }
-  const router = await startRouter({ ...DEFAULT_ROUTER_OPTIONS, vm, dataCentre, caller: listen, peer: listen, platformUrl, peerKey })
+  const router = await startRouter({ ...DEFAULT_ROUTER_OPTIONS, ...identity, caller: listen, peer: listen })
   const control = await startControl({ ...DEFAULT_CONTROL_OPTIONS, vm, dataCentre, listen, routerUrl: router.peerUrl, platformUrl, peerKey })
   const keyHash = createHash('sha256').update(operatorKey).digest('hex')
   const operatorKeys = [{ keyHash, role: { type: 'editor' as const } }]
--- a/packages/knapweedshunt-router/src/dataPath.ts
+++ b/packages/knapweedshunt-router/src/dataPath.ts
@@ -44,7 +44,7 @@
 
   constructor (options: RouterOptions, orders: RouterOrders, log: Logger, client: EndpointClient = HTTP_ENDPOINT_CLIENT) {
     const { vm, peerKey, endpointWindow } = options
-    this.placement = new Placement(options.dataCentre)
+    this.placement = new Placement(options.dataCentre, { seed: this.drawSeed(), nearDataCentres: options.nearDataCentres })
     this.gate = new AdmissionGate({ vm, seed: this.drawSeed(), endpointWindow })
     this.figures = new Figures(options.statsdHost, options.statsdPort)
     this.orders = orders
--- a/packages/knapweedshunt-router/src/routerOptions.ts
+++ b/packages/knapweedshunt-router/src/routerOptions.ts
@@ -4,6 +4,8 @@
 export interface RouterOptions {
   vm: string
   dataCentre: string
+  /** Data centres so near that their endpoints hold one cache with this one's. */
+  nearDataCentres: string[]
   /** Where callers connect. */
   caller: ListenOptions
   /** Where the local control and peer routers connect. */
@@ -32,6 +34,7 @@
 export const DEFAULT_ROUTER_OPTIONS: RouterOptions = {
   vm: 'vm-1',
   dataCentre: 'dc-1',
+  nearDataCentres: [],
   caller: { host: '127.0.0.1', port: 0 },
   peer: { host: '127.0.0.1', port: 0 },
   platformUrl: 'http://127.0.0.1:7000',
