--- a/packages/knapweedshunt-control/src/__tests__/fuzzCommands.ts
+++ b/packages/knapweedshunt-control/src/__tests__/fuzzCommands.ts
@@ -166,7 +166,7 @@
     if (known !== undefined && known !== revision) this.sim.problems.push(`${changeId} became ${known} and ${revision}`)
     this.#accepted.set(changeId, revision)
     const isCalm = performance.now() - this.#disturbedAtMs >= SETTLE_MS
-    const wanted = this.#listReachable()
+    const wanted = this.sim.listReachable()
     const acceptedAtMs = performance.now()
     if (!isCalm) return
     setTimeout(() => {
@@ -176,21 +176,6 @@
     }, IN_FORCE_MS)
   }
 
-  /** Serving VMs to which a path leads from the platform, over data centres with a serving VM. */
-  #listReachable (): string[] {
-    const { sim } = this
-    if (sim.platform.faults.down || sim.bus.lossShare > 0.1) return []
-    const serving = [...sim.running.values()].filter(one => !one.paused && !one.isolated && one.routerRevision > 0)
-    const reached = new Set(['platform'])
-    for (let hop = 0; hop < CENTRES.length; hop++) {
-      for (const dc of CENTRES) {
-        const isServing = serving.some(one => one.dataCentre === dc)
-        if (isServing && [...reached].some(from => !sim.isCut(from, dc))) reached.add(dc)
-      }
-    }
-    return serving.filter(one => reached.has(one.dataCentre)).map(one => one.vm)
-  }
-
   #restart (index: number): void {
     const { vm, dataCentre } = VMS[index]
     this.sim.kill(vm, null)
--- a/packages/knapweedshunt-control/src/__tests__/herds.test.ts
+++ b/packages/knapweedshunt-control/src/__tests__/herds.test.ts
@@ -1,25 +1,89 @@
 import FakeTimers from '@sinonjs/fake-timers'
+import type { Clock } from '@sinonjs/fake-timers'
 import test from 'ava'
 import { buildOrganisation, Simulation } from './simulation.ts'
 
-const CENTRES = ['dc-1', 'dc-2', 'dc-3']
+const VMS = ['dc-1', 'dc-2', 'dc-3'].flatMap(dc => [0, 1, 2, 3].map(i => ({ vm: `${dc}-vm-${i}`, dataCentre: dc })))
+const IN_FORCE_MS = 5_000
+const LEAVING_MS = 3_000
+const JOIN_MS = 10_000
 
-test.serial('calm: in force on every VM', async t => {
+async function withSimulation (run: (sim: Simulation, clock: Clock) => Promise<void>): Promise<void> {
   const clock = FakeTimers.install()
   try {
     const sim = new Simulation(1)
-    for (const dc of CENTRES) for (let i = 0; i < 4; i++) sim.start(`${dc}-vm-${i}`, dc)
+    for (const { vm, dataCentre } of VMS) sim.start(vm, dataCentre)
+    await clock.tickAsync(3_000)
+    await change(sim, 1)
     await clock.tickAsync(10_000)
-    for (let n = 0; n < 5; n++) {
-      const result = await sim.store.change({ changeId: `change-${n}`, ops: [{ type: 'put', resource: buildOrganisation('a', n + 1) }], expectedRevision: n })
-      t.is(result.type, 'accepted')
-      let ms = 0
-      while ([...sim.running.values()].some(one => one.routerRevision < n + 1) && ms < 20_000) { await clock.tickAsync(100); ms += 100 }
-      let force = 0
-      while ((await sim.checkInForce('dc-1-vm-0', n + 1))?.status !== 'true' && force < 20_000) { await clock.tickAsync(100); force += 100 }
-    }
-    t.deepEqual(sim.problems, [])
+    await run(sim, clock)
   } finally {
     clock.uninstall()
   }
-})
+}
+
+async function change (sim: Simulation, revision: number): Promise<void> {
+  await sim.store.change({ changeId: `change-${revision}`, ops: [{ type: 'put', resource: buildOrganisation('a', revision) }], expectedRevision: null })
+}
+
+function listBehind (sim: Simulation, revision: number): string[] {
+  return [...sim.running.values()].filter(one => one.routerRevision < revision).map(one => one.vm)
+}
+
+/** A draining mark is a change like any other: it must be with every router in time. */
+test.serial('a leaving endpoint gets no new work', t => withSimulation(async (sim, clock) => {
+  for (let revision = 2; revision < 12; revision++) {
+    await change(sim, revision)
+    await clock.tickAsync(LEAVING_MS)
+    t.deepEqual(listBehind(sim, revision), [])
+  }
+}))
+
+test.serial('half of the VMs restart together', t => withSimulation(async (sim, clock) => {
+  for (const { vm } of VMS.filter((_, i) => i % 2 === 0)) sim.kill(vm, null)
+  const before = sim.platform.counts.reads
+  for (const { vm, dataCentre } of VMS.filter((_, i) => i % 2 === 0)) sim.start(vm, dataCentre)
+  await change(sim, 2)
+  await clock.tickAsync(JOIN_MS)
+  t.deepEqual(listBehind(sim, 2), [])
+  t.is((await sim.checkInForce('dc-1-vm-1', 2))?.status, 'true')
+  t.deepEqual(sim.problems, [])
+  t.true(sim.platform.counts.reads - before < VMS.length * JOIN_MS / 1_000)
+}))
+
+test.serial('a rack fails', t => withSimulation(async (sim, clock) => {
+  for (const vm of ['dc-1-vm-0', 'dc-1-vm-1']) sim.kill(vm, 20_000)
+  await change(sim, 2)
+  await clock.tickAsync(IN_FORCE_MS)
+  t.deepEqual(listBehind(sim, 2), [])
+  t.not((await sim.checkInForce('dc-2-vm-0', 2))?.status, 'true')
+  await clock.tickAsync(30_000)
+  t.is((await sim.checkInForce('dc-2-vm-0', 2))?.status, 'true')
+}))
+
+test.serial('the platform is away for long', t => withSimulation(async (sim, clock) => {
+  sim.platform.faults.down = true
+  await clock.tickAsync(60_000)
+  t.is((await sim.checkInForce('dc-1-vm-0', 1))?.reason, 'PlatformNotReached')
+  sim.kill('dc-1-vm-0', null)
+  sim.start('dc-1-vm-0', 'dc-1')
+  await clock.tickAsync(JOIN_MS)
+  t.deepEqual(listBehind(sim, 1), [], 'a VM that restarts at its address is found by its peers and served by them')
+  sim.platform.faults.down = false
+  await clock.tickAsync(JOIN_MS)
+  await change(sim, 2)
+  await clock.tickAsync(IN_FORCE_MS)
+  t.deepEqual(listBehind(sim, 2), [])
+}))
+
+test.serial('reads do not grow with the VMs', t => withSimulation(async (sim, clock) => {
+  const count = async () => {
+    const before = sim.platform.counts.reads
+    await clock.tickAsync(20_000)
+    return sim.platform.counts.reads - before
+  }
+  const few = await count()
+  for (let i = 4; i < 12; i++) sim.start(`dc-1-vm-${i}`, 'dc-1')
+  await clock.tickAsync(JOIN_MS)
+  t.true(await count() <= few * 1.2)
+}))
--- a/packages/knapweedshunt-control/src/__tests__/simulation.ts
+++ b/packages/knapweedshunt-control/src/__tests__/simulation.ts
@@ -17,6 +17,9 @@
 const CALL_TIMEOUT_MS = 1_000
 const ROUTER_MS = 20
 
+/** Loss under which no bound is kept. */
+const HEAVY_LOSS = 0.1
+
 /** Parts that a broken variant replaces. */
 export interface Variant {
   createNode: (setup: NodeSetup) => ControlNode
@@ -121,6 +124,18 @@
     return a.isolated || b.isolated || this.isCut(a.dataCentre, b.dataCentre)
   }
 
+  /** Serving VMs to which a path leads from the platform, over data centres with a serving VM. */
+  listReachable (): string[] {
+    if (this.platform.faults.down || this.bus.lossShare > HEAVY_LOSS) return []
+    const serving = [...this.running.values()].filter(one => !one.paused && !one.isolated && one.routerRevision > 0)
+    const centres = [...new Set(serving.map(one => one.dataCentre))]
+    const reached = new Set(['platform'])
+    for (let hop = 0; hop < centres.length; hop++) {
+      for (const dc of centres) if ([...reached].some(from => !this.isCut(from, dc))) reached.add(dc)
+    }
+    return serving.filter(one => reached.has(one.dataCentre)).map(one => one.vm)
+  }
+
   /** Asks one VM whether a revision is in force, and checks a yes against the truth. */
   async checkInForce (vm: string, revision: Revision): Promise<StatusCondition | null> {
     const process = this.running.get(vm)
