--- a/packages/knapweedshunt-control/bench/benchCluster.ts
+++ b/packages/knapweedshunt-control/bench/benchCluster.ts
@@ -35,6 +35,8 @@
   /** Decisions and codecs, in microseconds. */
   cpuUs: Record<Mechanism, number>
   calls: Record<Mechanism, number>
+  /** Heap of one node without the resources, which the nodes of a run share, in bytes. */
+  nodeHeapBytes: number
   /** Of the whole deployment. */
   platformReadsPerSecond: number
 }
@@ -50,13 +52,17 @@
 
 /** Runs nodes under the fake clock with the real codecs and counts. */
 export function runCluster (size: ClusterSize, http: HttpCosts): ClusterFigures {
+  global.gc?.()
+  const heapBefore = process.memoryUsage().heapUsed
   const clock = FakeTimers.install({ toFake: ['Date', 'performance', 'setTimeout', 'clearTimeout'] })
   try {
     const cluster = new Cluster(size, http, clock)
     cluster.run(WARM_UP_S)
     cluster.reset()
     cluster.run(MEASURED_S)
-    return cluster.describe(MEASURED_S)
+    global.gc?.()
+    const nodeHeapBytes = (process.memoryUsage().heapUsed - heapBefore) / size.vms
+    return { ...cluster.describe(MEASURED_S), nodeHeapBytes }
   } finally {
     clock.uninstall()
   }
@@ -98,7 +104,7 @@
     }
   }
 
-  describe (seconds: number): ClusterFigures {
+  describe (seconds: number): Omit<ClusterFigures, 'nodeHeapBytes'> {
     const { bytes, near, ns, calls, reads } = this.#figures
     const perNode = (total: number) => total / seconds / this.#size.vms
     const { rpcRequestBytes, rpcAnswerBytes } = this.#http
--- a/packages/knapweedshunt-control/bench/control.ts
+++ b/packages/knapweedshunt-control/bench/control.ts
@@ -9,34 +9,35 @@
 
 const BUDGET = { cpuShare: 0.016, memoryBytes: 32 * 1024 * 1024, bytesPerSecond: 9_000, platformReadsPerSecond: 2_000 }
 const TARGET: ClusterSize = { vms: 400, dataCentres: 15, endpointsPerCentre: 460, organisations: 2_500, changesPerDay: 6_600 }
+const SMALL: ClusterSize = { ...TARGET, vms: 100 }
 const SIZES: ClusterSize[] = [
   { vms: 8, dataCentres: 3, endpointsPerCentre: 6, organisations: 8, changesPerDay: 200 },
   { ...TARGET, vms: 30, dataCentres: 3 },
-  { ...TARGET, vms: 100, dataCentres: 15 },
-  { ...TARGET, vms: 200, dataCentres: 15 },
-  { ...TARGET, endpointsPerCentre: 115 },
-  { ...TARGET, organisations: 500 },
-  { ...TARGET, changesPerDay: 50_000 },
+  SMALL,
+  { ...SMALL, endpointsPerCentre: 115 },
+  { ...SMALL, organisations: 500 },
+  { ...SMALL, changesPerDay: 50_000 },
+  { ...TARGET, vms: 200 },
   TARGET
 ]
 const HTTP_CALLS: Mechanism[] = ['near', 'far', 'push', 'router']
 
+const memory = measureMemory()
 const http = await measureHttp()
 const rows = SIZES.map(size => describeRow(runCluster(size, http), http))
-console.table(rows.map(({ size, ...row }) => ({ ...size, cpu: row.cpuShare.toFixed(4), bytes: Math.round(row.bytesPerSecond), maxNode: Math.round(row.maxNodeBytes), reads: row.platformReadsPerSecond.toFixed(1) })))
+console.table(rows.map(({ size, ...row }) => ({ ...size, cpu: row.cpuShare.toFixed(4), bytes: Math.round(row.bytesPerSecond), maxNode: Math.round(row.maxNodeBytes), heap: Math.round(row.nodeHeapBytes / 1024), reads: row.platformReadsPerSecond.toFixed(1) })))
 const last = rows.at(-1)!
 console.table(MECHANISMS.map(name => ({ mechanism: name, bytes: Math.round(last.bytes[name]), decisionUs: Math.round(last.cpuUs[name]), calls: last.calls[name].toFixed(2) })))
 console.table([last.nearBytes])
-const memory = measureMemory()
 console.log({ http, memory, budget: BUDGET })
 const slopes = {
   bytesPerVm: findSlope('vms', 2, 7, 'bytesPerSecond'),
   cpuSharePerVm: findSlope('vms', 2, 7, 'cpuShare'),
-  bytesPerEndpointOfCentre: findSlope('endpointsPerCentre', 4, 7, 'bytesPerSecond'),
-  cpuSharePerEndpointOfCentre: findSlope('endpointsPerCentre', 4, 7, 'cpuShare'),
-  bytesPerOrganisation: findSlope('organisations', 5, 7, 'bytesPerSecond'),
-  bytesPerChangeADay: findSlope('changesPerDay', 7, 6, 'bytesPerSecond'),
-  cpuSharePerChangeADay: findSlope('changesPerDay', 7, 6, 'cpuShare'),
+  bytesPerEndpointOfCentre: findSlope('endpointsPerCentre', 3, 2, 'bytesPerSecond'),
+  cpuSharePerEndpointOfCentre: findSlope('endpointsPerCentre', 3, 2, 'cpuShare'),
+  bytesPerOrganisation: findSlope('organisations', 4, 2, 'bytesPerSecond'),
+  bytesPerChangeADay: findSlope('changesPerDay', 2, 5, 'bytesPerSecond'),
+  cpuSharePerChangeADay: findSlope('changesPerDay', 2, 5, 'cpuShare'),
   platformReadsPerVm: findSlope('vms', 2, 7, 'platformReadsPerSecond')
 }
 console.log(slopes)
@@ -59,6 +60,7 @@
 function measureMemory () {
   const text = JSON.stringify({ revision: 1, resources: buildResources(TARGET) })
   global.gc?.()
+  global.gc?.()
   const before = process.memoryUsage().heapUsed
   const replica = new ResourceReplica()
   replica.takeSnapshot(JSON.parse(text))
--- a/packages/knapweedshunt-control/src/controlNode.ts
+++ b/packages/knapweedshunt-control/src/controlNode.ts
@@ -154,11 +154,12 @@
     return [{ type: 'exchange', url, request }]
   }
 
-  /** Writes the summary in turn, and at once when the data centre's floor rose. */
+  /** Writes the summary when it is old, whoever wrote it, and at once when the data centre's floor rose. */
   #writeSummary (): void {
     const vms = this.vms.listVms()
     const floor = vms.reduce((least, view) => view.state === 'live' ? Math.min(least, view.appliedRevision) : least, Infinity)
-    if (this.#ticks % this.#options.summaryTicks !== 0 && floor === this.#floorBefore) return
+    const isStale = this.centres.ownAgeMs >= this.#options.summaryTicks * this.#options.tickMs
+    if (!isStale && floor === this.#floorBefore) return
     this.#floorBefore = floor
     const views = this.endpoints.listEndpoints(this.vms.self, this.vms.listTellers())
     this.centres.writeOwn(vms, views.filter(view => view.state !== 'live').map(view => view.endpoint))
--- a/packages/knapweedshunt-control/src/messageSchemas.ts
+++ b/packages/knapweedshunt-control/src/messageSchemas.ts
@@ -35,7 +35,7 @@
   revision: count,
   known: z.record(z.string(), count).optional(),
   own: delta.optional(),
-  centres: z.record(z.string(), z.string()).optional()
+  centres: z.object({ seqs: z.record(z.string(), count), rosters: z.record(z.string(), z.string()) }).optional()
 })
 
 const resource = z.looseObject({ kind: z.string(), name: z.string(), revision: count })
--- a/packages/knapweedshunt-membership/src/dataCentreDirectory.ts
+++ b/packages/knapweedshunt-membership/src/dataCentreDirectory.ts
@@ -6,7 +6,6 @@
 interface KnownDataCentre {
   summary: DataCentreSummary
   rosterHash: string
-  stateHash: string
   heardAtMs: number
 }
 
@@ -18,17 +17,28 @@
 const LAGGING_LIMIT = 5
 const RADIX = 36
 
+/** Unit of sequence numbers, in milliseconds. */
+const SEQ_MS = 100
+
 /** The data centres' summaries, this one's included. Opens nothing. */
 export class DataCentreDirectory {
   readonly #own: DataCentreId
   readonly #notReachedAfterMs: number
   readonly #known = new Map<DataCentreId, KnownDataCentre>()
+  /** Newer summaries whose roster is not at hand; not used until it is. */
+  readonly #wanted = new Set<DataCentreId>()
 
   constructor (own: DataCentreId, notReachedAfterMs: number = DEFAULT_MEMBERSHIP_OPTIONS.notReachedAfterMs) {
     this.#own = own
     this.#notReachedAfterMs = notReachedAfterMs
   }
 
+  /** Age of this data centre's summary, in milliseconds. */
+  get ownAgeMs (): number {
+    const known = this.#known.get(this.#own)
+    return known === undefined ? Infinity : performance.now() - known.heardAtMs
+  }
+
   /** Writes this data centre's summary anew. Done by the VMs that speak for it. */
   writeOwn (vms: VmView[], down: EndpointName[]): void {
     const roster = vms.map(view => ({ ...view, appliedRevision: 0 })).sort((a, b) => a.vm < b.vm ? -1 : 1)
@@ -36,28 +46,27 @@
     const floor = counted.length === 0 ? 0 : Math.min(...counted.map(view => view.appliedRevision))
     const behind = counted.filter(view => view.appliedRevision === floor).map(view => view.vm)
     const lagging = behind.length === counted.length ? [] : behind.slice(0, LAGGING_LIMIT)
-    const seq = Math.max(Date.now(), (this.#known.get(this.#own)?.summary.seq ?? 0) + 1)
-    this.#store({ dataCentre: this.#own, seq, floor, lagging, down, roster })
+    const seq = Math.max(Math.floor(Date.now() / SEQ_MS), (this.#known.get(this.#own)?.summary.seq ?? 0) + 1)
+    this.#store({ dataCentre: this.#own, seq, floor, lagging, down, roster }, hashRoster(roster))
   }
 
   /** What this VM has. */
   buildVersions (): SummaryVersions {
-    const versions: SummaryVersions = {}
-    for (const [name, { summary, rosterHash, stateHash }] of this.#known) versions[name] = `${summary.seq.toString(RADIX)}.${rosterHash}.${stateHash}`
+    const versions: SummaryVersions = { seqs: {}, rosters: {} }
+    for (const [name, { summary }] of this.#known) versions.seqs[name] = summary.seq
+    for (const name of this.#wanted) versions.rosters[name] = this.#known.get(name)?.rosterHash ?? ''
     return versions
   }
 
   /** What a peer with these versions lacks. */
   buildDeltas (versions: SummaryVersions): SummaryDelta[] {
     const deltas: SummaryDelta[] = []
-    for (const [name, known] of this.#known) {
-      const [seq, rosterHash, stateHash] = (versions[name] ?? '').split('.')
-      const { summary } = known
-      if (seq && parseInt(seq, RADIX) >= summary.seq) continue
-      const delta: SummaryDelta = { d: name, q: summary.seq, h: `${known.rosterHash}.${known.stateHash}` }
-      if (stateHash !== known.stateHash) delta.state = { floor: summary.floor, lagging: summary.lagging, down: summary.down }
-      if (rosterHash !== known.rosterHash) delta.roster = summary.roster
-      deltas.push(delta)
+    for (const [name, { summary, rosterHash }] of this.#known) {
+      const seq = versions.seqs[name]
+      const hash = versions.rosters[name]
+      if (seq !== undefined && seq >= summary.seq) continue
+      const isWanted = seq === undefined || (hash !== undefined && hash !== rosterHash)
+      deltas.push(buildDelta(summary, rosterHash, isWanted))
     }
     return deltas
   }
@@ -84,24 +93,29 @@
   #takeDelta (delta: SummaryDelta): boolean {
     const known = this.#known.get(delta.d)
     if (known && known.summary.seq >= delta.q) return false
-    const [rosterHash, stateHash] = delta.h.split('.')
-    const roster = delta.roster ?? (known?.rosterHash === rosterHash ? known.summary.roster : undefined)
-    const state = delta.state ?? (known?.stateHash === stateHash ? known.summary : undefined)
-    if (roster === undefined || state === undefined) return false
-    const { floor, lagging, down } = state
-    this.#store({ dataCentre: delta.d, seq: delta.q, floor, lagging, down, roster })
-    return known?.rosterHash !== rosterHash || known.stateHash !== stateHash
+    const roster = delta.roster?.map(entry => ({ ...entry, dataCentre: delta.d, appliedRevision: 0 })) ?? (known?.rosterHash === delta.h ? known.summary.roster : undefined)
+    if (roster === undefined) {
+      this.#wanted.add(delta.d)
+      return false
+    }
+    this.#wanted.delete(delta.d)
+    this.#store({ dataCentre: delta.d, seq: delta.q, floor: delta.f, lagging: delta.l ?? [], down: delta.x ?? [], roster }, delta.h)
+    return known?.rosterHash !== delta.h || known.summary.floor !== delta.f
   }
 
-  #store (summary: DataCentreSummary): void {
-    const known = this.#known.get(summary.dataCentre)
-    const { roster, floor, lagging, down } = summary
-    const rosterHash = known?.summary.roster === roster ? known.rosterHash : hashRoster(roster)
-    const stateHash = hashNumber(`${floor}/${lagging.join()}/${down.join()}`).toString(RADIX)
-    this.#known.set(summary.dataCentre, { summary, rosterHash, stateHash, heardAtMs: performance.now() })
+  #store (summary: DataCentreSummary, rosterHash: string): void {
+    this.#known.set(summary.dataCentre, { summary, rosterHash, heardAtMs: performance.now() })
   }
 }
 
+function buildDelta (summary: DataCentreSummary, rosterHash: string, withRoster: boolean): SummaryDelta {
+  const delta: SummaryDelta = { d: summary.dataCentre, q: summary.seq, h: rosterHash, f: summary.floor }
+  if (summary.lagging.length > 0) delta.l = summary.lagging
+  if (summary.down.length > 0) delta.x = summary.down
+  if (withRoster) delta.roster = summary.roster.map(({ vm, incarnation, order, controlUrl, routerUrl, state }) => ({ vm, incarnation, order, controlUrl, routerUrl, state }))
+  return delta
+}
+
 function hashRoster (roster: VmView[]): string {
   const text = roster.map(view => `${view.vm}/${view.incarnation}/${view.state}/${view.controlUrl}/${view.routerUrl}`).join()
   return hashNumber(text).toString(RADIX)
--- a/packages/knapweedshunt-membership/src/dataCentreSummary.ts
+++ b/packages/knapweedshunt-membership/src/dataCentreSummary.ts
@@ -1,4 +1,4 @@
-import type { DataCentreId, EndpointName, Revision, VmId, VmView } from 'knapweedshunt-types'
+import type { DataCentreId, EndpointName, Incarnation, Liveness, Revision, VmId, VmView } from 'knapweedshunt-types'
 
 /** What one data centre tells the others of itself. */
 export interface DataCentreSummary {
@@ -15,17 +15,38 @@
   roster: VmView[]
 }
 
-/** What is new of a data centre; parts that the receiver has are left out. Field names are short since they travel often. */
+/** A VM of another data centre, as it travels. */
+export interface RosterEntry {
+  vm: VmId
+  incarnation: Incarnation
+  order?: number
+  controlUrl: string
+  routerUrl: string
+  state: Liveness
+}
+
+/** What is new of a data centre. Field names are short since they travel often. */
 export interface SummaryDelta {
   /** Data centre. */
   d: DataCentreId
   /** Sequence number. */
   q: number
-  /** Hashes of roster and state. */
+  /** Hash of the roster. */
   h: string
-  state?: Pick<DataCentreSummary, 'floor' | 'lagging' | 'down'>
-  roster?: VmView[]
+  /** Floor. */
+  f: Revision
+  /** Lagging VMs, left out when there are none. */
+  l?: VmId[]
+  /** Endpoints that are suspect or dead, left out when there are none. */
+  x?: EndpointName[]
+  /** Only when asked for. */
+  roster?: RosterEntry[]
 }
 
-/** What a VM has of each data centre: `seq.rosterHash.stateHash`, the number in base 36. */
-export type SummaryVersions = Record<DataCentreId, string>
+/** What a VM has of the data centres. */
+export interface SummaryVersions {
+  /** Sequence number of each data centre. */
+  seqs: Record<DataCentreId, number>
+  /** Data centres whose roster is asked for, with the hash that is at hand. */
+  rosters: Record<DataCentreId, string>
+}
--- a/packages/knapweedshunt-membership/src/endpointBoard.ts
+++ b/packages/knapweedshunt-membership/src/endpointBoard.ts
@@ -97,12 +97,15 @@
 /** Share by which a count must move before it is told again. */
 const MOVE_SHARE = 0.25
 
+/** Least move of requests and of tokens that is told. */
+const MOVE_REQUESTS = 1
+const MOVE_TOKENS = 2_048
+
 function isMoved (before: BoardLoad, after: BoardLoad): boolean {
-  if (isFar(before.running, after.running, 1) || isFar(before.queued, after.queued, 1)) return true
-  return isFar(before.queuedTokens, after.queuedTokens, TOKENS_UNIT)
+  if (isFar(before.running, after.running, MOVE_REQUESTS) || isFar(before.queued, after.queued, MOVE_REQUESTS)) return true
+  return isFar(before.queuedTokens, after.queuedTokens, MOVE_TOKENS)
 }
 
 function isFar (before: number, after: number, least: number): boolean {
-  if ((before === 0) !== (after === 0)) return true
   return Math.abs(after - before) > Math.max(least, before * MOVE_SHARE)
 }
