--- a/packages/knapweedshunt-control/src/startControl.ts
+++ b/packages/knapweedshunt-control/src/startControl.ts
@@ -1,6 +1,7 @@
 import http from 'node:http'
 import { createLogger } from 'knapweedshunt-logger'
 import { createPlatformClient, DEFAULT_PLATFORM_TIMEOUT_MS } from 'knapweedshunt-platform'
+import { ResourceStore } from 'knapweedshunt-resources'
 import { createRpcHandler } from 'knapweedshunt-rpc'
 import type { RpcHandler } from 'knapweedshunt-rpc'
 import { closeServer, createIncarnation, createRng, listen, runEvery, sendJson, sleep } from 'knapweedshunt-utils'
@@ -8,6 +9,7 @@
 import { ControlNode } from './controlNode.ts'
 import type { ControlOptions } from './controlOptions.ts'
 import { createControlMethods } from './controlMethods.ts'
+import { startFleetTasks } from './fleet/startFleetTasks.ts'
 import { DEFAULT_NODE_OPTIONS } from './nodeOptions.ts'
 import type { NodeOptions } from './nodeOptions.ts'
 import { PeerClients } from './peerClients.ts'
@@ -36,11 +38,21 @@
   rpc = createRpcHandler(createControlMethods(node, io), options.peerKey)
 
   const ticking = tickUntil(stopping.signal, options.exchangeIntervalMs, io)
+  const fleet = startFleetTasks({
+    self: node.vms.self.view,
+    platform,
+    store: new ResourceStore(platform),
+    readResources: () => node.replica.snapshot,
+    listViews: () => node.buildRouterSnapshot().endpoints,
+    listVms: () => node.buildRouterSnapshot().vms,
+    log: createLogger('fleet'),
+    signal: stopping.signal
+  })
   log.info('Control listens.', { url })
 
   async function stop () {
     stopping.abort()
-    await ticking
+    await Promise.all([ticking, fleet])
     await io.take({ type: 'stopped' })
     clients.close()
     io.close()
--- a/packages/knapweedshunt-router/src/readHeaders.ts
+++ b/packages/knapweedshunt-router/src/readHeaders.ts
@@ -1,12 +1,15 @@
 import type { IncomingHttpHeaders } from 'node:http'
-import { CallerError } from './callerError.ts'
+import { createCallerError } from './callerError.ts'
 
 const MAX_KEY_CHARS = 255
 const MAX_MARKS = 16
+const REQUEST_ID_PATTERN = /^[\w.-]{1,64}$/
 const KEY_PATTERN = /^[\x21-\x7e]+$/
 
 /** What callers may say in headers. */
 export interface CallerHeaders {
+  /** The caller's own id of the request, for logs. */
+  requestId: string | null
   priorityClass: string | null
   /** Time the caller waits at most, in milliseconds. */
   timeoutMs: number | null
@@ -22,6 +25,7 @@
 /** Reads and checks the headers. Throws CallerError that names header and value. */
 export function readHeaders (headers: IncomingHttpHeaders): CallerHeaders {
   return {
+    requestId: readRequestId(headers),
     priorityClass: readText(headers, 'x-priority-class'),
     timeoutMs: readInteger(headers, 'x-timeout-ms', 1),
     prefixMarks: readMarks(headers),
@@ -36,12 +40,18 @@
   return typeof value === 'string' && value !== '' ? value : null
 }
 
+function readRequestId (headers: IncomingHttpHeaders): string | null {
+  const text = readText(headers, 'x-request-id')
+  if (text === null || REQUEST_ID_PATTERN.test(text)) return text
+  throw createCallerError('header_invalid', 'The header x-request-id is wrong: send 1 to 64 letters, digits, dots, hyphens or underscores.')
+}
+
 function readInteger (headers: IncomingHttpHeaders, name: string, least: number): number | null {
   const text = readText(headers, name)
   if (text === null) return null
   const value = Number(text)
   if (Number.isSafeInteger(value) && value >= least) return value
-  throw new CallerError('header_invalid', `The header ${name} is "${text}": send a whole number of at least ${least}.`)
+  throw createCallerError('header_invalid', `The header ${name} is "${text}": send a whole number of at least ${least}.`)
 }
 
 function readMarks (headers: IncomingHttpHeaders): number[] {
@@ -50,11 +60,11 @@
   const marks = text.split(',').map(Number)
   const isAscending = marks.every((mark, i) => Number.isSafeInteger(mark) && mark > (marks[i - 1] ?? 0))
   if (isAscending && marks.length <= MAX_MARKS) return marks
-  throw new CallerError('header_invalid', `The header x-prefix-marks is "${text}": send up to ${MAX_MARKS} ascending character offsets, such as "1200,3400".`)
+  throw createCallerError('header_invalid', `The header x-prefix-marks is "${text}": send up to ${MAX_MARKS} ascending character offsets, such as "1200,3400".`)
 }
 
 function readKey (headers: IncomingHttpHeaders): string | null {
   const text = readText(headers, 'idempotency-key')
   if (text === null || (text.length <= MAX_KEY_CHARS && KEY_PATTERN.test(text))) return text
-  throw new CallerError('header_invalid', `The header idempotency-key has ${text.length} characters: send 1 to ${MAX_KEY_CHARS} visible ASCII characters.`)
+  throw createCallerError('header_invalid', `The header idempotency-key has ${text.length} characters: send 1 to ${MAX_KEY_CHARS} visible ASCII characters.`)
 }
--- a/packages/knapweedshunt-types/src/index.ts
+++ b/packages/knapweedshunt-types/src/index.ts
@@ -2,6 +2,7 @@
 export * from './accessKeySpec.ts'
 export * from './changesAnswer.ts'
 export * from './endpointPoolSpec.ts'
+export * from './endpointRole.ts'
 export * from './endpointSpec.ts'
 export * from './endpointView.ts'
 export * from './errorBody.ts'
