--- a/packages/knapweedshunt-control/src/controlNode.ts
+++ b/packages/knapweedshunt-control/src/controlNode.ts
@@ -1,4 +1,4 @@
-import { DataCentreDirectory, EndpointMembership, rankVms, VmMembership } from 'knapweedshunt-membership'
+import { DataCentreDirectory, EndpointMembership, VmMembership } from 'knapweedshunt-membership'
 import type { MembershipEvent, MembershipOptions } from 'knapweedshunt-membership'
 import { ResourceReplica } from 'knapweedshunt-resources'
 import type { ChangesAnswer, Incarnation, Revision, RouterSnapshot, VmListEntry, VmView } from 'knapweedshunt-types'
@@ -11,7 +11,9 @@
 import { LoadPlan } from './loadPlan.ts'
 import { DEFAULT_NODE_OPTIONS } from './nodeOptions.ts'
 import type { NodeOptions } from './nodeOptions.ts'
+import { planPushes } from './planPushes.ts'
 import { PlatformPlan } from './platformPlan.ts'
+import { SummaryPlan } from './summaryPlan.ts'
 
 /** What a node starts with. */
 export interface NodeSetup {
@@ -24,8 +26,6 @@
   membership?: MembershipOptions
 }
 
-/** Most operations that are pushed along with a revision; with more, the receiver asks. */
-const PUSHED_OPS = 50
 const SNAPSHOT_LOST_AFTER_MS = 5_000
 
 /** Time after a new revision in which summaries travel with every exchange, since operators wait for it to be in force. */
@@ -42,6 +42,7 @@
   readonly #gossip: GossipPlan
   readonly #platform: PlatformPlan
   readonly #loads: LoadPlan
+  readonly #summary: SummaryPlan
   readonly #acquainted = new Set<string>()
   #listed: VmListEntry[] = []
   #ticks = 0
@@ -49,7 +50,6 @@
   #snapshotAskedAtMs: number | null = null
   #downBefore = ''
   #hotUntilMs = 0
-  #floorBefore: Revision = 0
 
   constructor (setup: NodeSetup) {
     this.#options = setup.options ?? DEFAULT_NODE_OPTIONS
@@ -58,6 +58,7 @@
     this.join = new Join(this.#options.joinWaitMs)
     this.#gossip = new GossipPlan(this.#options, setup.rng, setup.seeds)
     this.#platform = new PlatformPlan(this.#options, setup.rng)
+    this.#summary = new SummaryPlan(this.#options.summaryTicks * this.#options.tickMs)
     this.#loads = new LoadPlan(this.endpoints, this.#options.loadTicks)
   }
 
@@ -146,7 +147,7 @@
 
   #exchangeFar (): ControlAction[] {
     if (!this.#gossip.isGateway(this.vms)) return []
-    this.#writeSummary()
+    this.#summary.write(this.vms, this.endpoints, this.centres)
     if (!this.#isTurn(this.#options.gatewayTicks)) return []
     const url = this.#gossip.chooseRemote(this.vms, this.centres, this.#listed)
     if (url === null) return []
@@ -154,17 +155,6 @@
     return [{ type: 'exchange', url, request }]
   }
 
-  /** Writes the summary when it is old, whoever wrote it, and at once when the data centre's floor rose. */
-  #writeSummary (): void {
-    const vms = this.vms.listVms()
-    const floor = vms.reduce((least, view) => view.state === 'live' ? Math.min(least, view.appliedRevision) : least, Infinity)
-    const isStale = this.centres.ownAgeMs >= this.#options.summaryTicks * this.#options.tickMs
-    if (!isStale && floor === this.#floorBefore) return
-    this.#floorBefore = floor
-    const views = this.endpoints.listEndpoints(this.vms.self, this.vms.listTellers())
-    this.centres.writeOwn(vms, views.filter(view => view.state !== 'live').map(view => view.endpoint))
-  }
-
   #isTurn (everyTicks: number): boolean {
     return this.#ticks % everyTicks === 0 || performance.now() < this.#hotUntilMs
   }
@@ -264,21 +254,8 @@
     this.#snapshotAskedAtMs = null
     this.#hotUntilMs = performance.now() + HOT_MS
     this.#loads.takeResources(this.replica.snapshot, this.vms.self.view.dataCentre)
-    return [...this.#passOn(before, isFromPlatform), ...this.#pushRouter()]
-  }
-
-  #passOn (before: Revision, isFromPlatform: boolean): ControlAction[] {
-    const { revision } = this.replica.snapshot
-    const ranked = rankVms(String(revision), this.vms.listLive())
-    const at = ranked.indexOf(this.vms.self.view.vm)
-    const { fanOut } = this.#options
-    const children = at === -1 ? [] : ranked.slice(fanOut * at + 1, fanOut * at + 1 + fanOut)
-    const receivers = isFromPlatform && at > 0 ? [ranked[0], ...children] : children
-    const changes = this.replica.listChangesAfter(before)
-    const isSmall = changes !== null && changes.reduce((sum, change) => sum + change.ops.length, 0) <= PUSHED_OPS
-    const push: PushRequest = { from: this.#describeCaller(), revision, changes: isSmall ? changes : null }
-    const urls = new Map(this.vms.listVms().map(view => [view.vm, view.controlUrl]))
-    return receivers.filter(vm => vm !== this.vms.self.view.vm).map(vm => ({ type: 'push', url: urls.get(vm)!, push }))
+    const pushes = planPushes({ vms: this.vms, replica: this.replica, caller: this.#describeCaller(), before, isFromPlatform, fanOut: this.#options.fanOut })
+    return [...pushes, ...this.#pushRouter()]
   }
 
   #exchangeAhead (from: Caller): ControlAction[] {
--- /dev/null
+++ b/packages/knapweedshunt-control/src/summaryPlan.ts
@@ -0,0 +1,22 @@
+import type { DataCentreDirectory, EndpointMembership, VmMembership } from 'knapweedshunt-membership'
+import type { Revision } from 'knapweedshunt-types'
+
+/** When the data centre's summary is written. Opens nothing. */
+export class SummaryPlan {
+  readonly #everyMs: number
+  #floor: Revision = 0
+
+  constructor (everyMs: number) {
+    this.#everyMs = everyMs
+  }
+
+  /** Writes the summary when it is old, whoever wrote it, and at once when the data centre's floor rose. */
+  write (vms: VmMembership, endpoints: EndpointMembership, centres: DataCentreDirectory): void {
+    const views = vms.listVms()
+    const floor = views.reduce((least, view) => view.state === 'live' ? Math.min(least, view.appliedRevision) : least, Infinity)
+    if (centres.ownAgeMs < this.#everyMs && floor === this.#floor) return
+    this.#floor = floor
+    const known = endpoints.listEndpoints(vms.self, vms.listTellers())
+    centres.writeOwn(views, known.filter(view => view.state !== 'live').map(view => view.endpoint))
+  }
+}
