--- a/packages/knapweedshunt-router/src/__tests__/stage.ts
+++ b/packages/knapweedshunt-router/src/__tests__/stage.ts
@@ -1,10 +1,10 @@
 import type { AttemptEvent, Usage } from 'knapweedshunt-attempts'
-import type { OrderStore } from 'knapweedshunt-orders'
 import type { AttemptCall } from '../attemptCall.ts'
 import type { CallerErrorInstance } from '../callerError.ts'
 import type { CallerRequest } from '../callerRequest.ts'
 import type { CallerSink } from '../callerSink.ts'
 import { DataPath } from '../dataPath.ts'
+import type { RouterOrders } from '../orders/routerOrders.ts'
 import { RequestTask } from '../requestTask.ts'
 import { DEFAULT_ROUTER_OPTIONS } from '../routerOptions.ts'
 
@@ -109,7 +109,7 @@
     }
     const log = { debug: quiet, info: quiet, warn: quiet, error: quiet }
     const options = { ...DEFAULT_ROUTER_OPTIONS, endpointWindow: 1, peerKey: 'k' }
-    this.path = new DataPath(options, {} as OrderStore, log, client)
+    this.path = new DataPath(options, { takeSnapshot: quiet } as unknown as RouterOrders, log, client)
     this.request = buildRequest('r', repeatable)
     this.push()
   }
@@ -168,6 +168,7 @@
     deadlineAtMs: performance.now() + 30_000,
     levels: [{ key: 'a', tokens: 10 }],
     idempotencyKey: null,
+    orderTicket: null,
     resumeFrom: 0,
     digest: requestId,
     work: { type: 'completion', path: '/v1/completions', body: {}, stream: true, salt, seed: 1 }
--- a/packages/knapweedshunt-router/src/readHeaders.ts
+++ b/packages/knapweedshunt-router/src/readHeaders.ts
@@ -3,6 +3,7 @@
 
 const MAX_KEY_CHARS = 255
 const MAX_MARKS = 16
+const MAX_TICKET_CHARS = 2_048
 const REQUEST_ID_PATTERN = /^[\w.-]{1,64}$/
 const KEY_PATTERN = /^[\x21-\x7e]+$/
 
@@ -16,6 +17,8 @@
   /** Character offsets in a completion prompt at which nested levels end, ascending. */
   prefixMarks: number[]
   idempotencyKey: string | null
+  /** In place of an idempotency key. */
+  orderTicket: string | null
   /** The caller forbids running the request twice. */
   once: boolean
   /** Last token the caller has, -1 for none. */
@@ -30,7 +33,8 @@
     timeoutMs: readInteger(headers, 'x-timeout-ms', 1),
     prefixMarks: readMarks(headers),
     idempotencyKey: readKey(headers),
-    once: readText(headers, 'x-repeatable') === 'false',
+    orderTicket: readTicket(headers),
+    once: readOnce(headers),
     lastToken: readInteger(headers, 'last-event-id', 0) ?? -1
   }
 }
@@ -68,3 +72,18 @@
   if (text === null || (text.length <= MAX_KEY_CHARS && KEY_PATTERN.test(text))) return text
   throw createCallerError('header_invalid', `The header idempotency-key has ${text.length} characters: send 1 to ${MAX_KEY_CHARS} visible ASCII characters.`)
 }
+
+function readTicket (headers: IncomingHttpHeaders): string | null {
+  const text = readText(headers, 'x-order-ticket')
+  if (text === null) return null
+  if (headers['idempotency-key'] !== undefined) throw createCallerError('header_invalid', 'The headers idempotency-key and x-order-ticket were both sent: send one of them.')
+  if (text.length <= MAX_TICKET_CHARS) return text
+  throw createCallerError('header_invalid', `The header x-order-ticket has ${text.length} characters: send the ticket as POST /v1/tickets gave it.`)
+}
+
+function readOnce (headers: IncomingHttpHeaders): boolean {
+  const text = readText(headers, 'x-repeatable')
+  if (text === null) return false
+  if (text.toLowerCase() === 'false') return true
+  throw createCallerError('header_invalid', `The header x-repeatable is "${text}": send "false" or leave it out; only the route can allow repeats.`)
+}
