Rank only what a new key needs, and bear more wait for reuse

Change: the first 16 are selected without sorting the rest, bounded tables keep two generations, the backlog drains as a queue does, reuse weighs the wait less.

--- /dev/null
+++ b/packages/knapweedshunt-placement/bench/cost.ts
@@ -0,0 +1,154 @@
+import { mkdirSync, writeFileSync } from 'node:fs'
+import type { PrefixLevel, Resource, RouterSnapshot } from 'knapweedshunt-types'
+import { createRng, hashText } from 'knapweedshunt-utils'
+import { Placement } from '../src/index.ts'
+
+const OUT = new URL('../../../docs/figures/', import.meta.url)
+const POOL = 'pool'
+const DATA_CENTRES = 15
+const CALLS = 20_000
+const ROUNDS = 5
+const TARGET_US = 50
+const REAL_DATA_CENTRE = 460
+
+interface Cost {
+  endpoints: number
+  localEndpoints: number
+  organisations: number
+  hotKeys: number
+  /** Microseconds per decision whose outer keys are known. */
+  warmUs: number
+  /** Microseconds per decision whose keys are all new, ranking included. */
+  coldUs: number
+  /** Microseconds per start and end of an attempt together. */
+  eventsUs: number
+  /** Heap bytes allocated per warm decision with its events. */
+  allocatedBytes: number
+  /** Heap bytes held after all calls, over those held before. */
+  heldBytes: number
+  /** Microseconds to take a snapshot without a change of resources. */
+  snapshotUs: number
+}
+
+/** Measures one size; `local` of the endpoints are in the router's data centre. */
+function measureCost (endpoints: number, local: number, organisations: number, hotKeys: number): Cost {
+  const before = countHeap()
+  const placement = new Placement('dc-0')
+  const snapshot = buildSnapshot(endpoints, local)
+  placement.take({ type: 'snapshot', snapshot })
+  const hot = Array.from({ length: hotKeys }, (_, i) => buildLevels(`org-${i % organisations}`, `section-${i}`))
+  const cold = Array.from({ length: 4_000 }, (_, i) => buildLevels(`new-${i}`, `section-${i}`))
+  const rng = createRng(1)
+  const warm = () => hot[rng.int(hot.length)]
+  for (let i = 0; i < CALLS; i++) placeOne(placement, warm())
+  const warmUs = timeCalls(CALLS, () => placeOne(placement, warm()))
+  let n = 0
+  const eventsUs = timeCalls(CALLS, () => runAttempt(placement, n++, warm())) - warmUs
+  const allocatedBytes = countAllocated(() => runAttempt(placement, n++, warm()))
+  const heldBytes = countHeap() - before
+  let c = 0
+  const coldUs = timeCalls(cold.length / ROUNDS, () => placeOne(placement, cold[c++ % cold.length]))
+  const snapshotUs = timeCalls(50, () => placement.take({ type: 'snapshot', snapshot }))
+  return { endpoints, localEndpoints: local, organisations, hotKeys, warmUs, coldUs, eventsUs, allocatedBytes, heldBytes, snapshotUs }
+}
+
+function placeOne (placement: Placement, levels: PrefixLevel[]) {
+  return placement.place({ pool: POOL, levels, excluded: [] })
+}
+
+function runAttempt (placement: Placement, n: number, levels: PrefixLevel[]): void {
+  const decision = placeOne(placement, levels)
+  if (decision.type === 'unplaceable') return
+  const attempt = `attempt-${n}`
+  placement.take({ type: 'started', attempt, endpoint: decision.endpoint, tokens: 1_000, levels, decision })
+  placement.take({ type: 'finished', attempt, cachedTokens: 900 })
+}
+
+/** Least mean of several rounds, in microseconds. */
+function timeCalls (calls: number, run: () => void): number {
+  let least = Infinity
+  for (let round = 0; round < ROUNDS; round++) {
+    const start = process.hrtime.bigint()
+    for (let i = 0; i < calls; i++) run()
+    least = Math.min(least, Number(process.hrtime.bigint() - start) / 1_000 / calls)
+  }
+  return least
+}
+
+function countHeap (): number {
+  globalThis.gc?.()
+  return process.memoryUsage().heapUsed
+}
+
+/** Heap growth per call over calls so few that nothing is collected meanwhile. */
+function countAllocated (run: () => void): number {
+  const calls = 500
+  const before = countHeap()
+  for (let i = 0; i < calls; i++) run()
+  return (process.memoryUsage().heapUsed - before) / calls
+}
+
+function buildLevels (organisation: string, section: string): PrefixLevel[] {
+  const rules = hashText(organisation)
+  const inner = hashText(rules, section)
+  return [{ key: rules, tokens: 6_000 }, { key: inner, tokens: 7_200 }, { key: hashText(inner, 'case'), tokens: 7_500 }]
+}
+
+function buildSnapshot (endpoints: number, local: number): RouterSnapshot {
+  const names = Array.from({ length: endpoints }, (_, i) => ({ name: `engine-${i}`, dataCentre: i < local ? 'dc-0' : `dc-${1 + i % (DATA_CENTRES - 1)}` }))
+  const resources: Resource[] = [
+    { kind: 'EndpointPool', name: POOL, revision: 1, spec: { type: 'model', model: 'model', weightsVersion: 'w1', objective: 'tail', floor: 1, maxParallelLoads: 1 } },
+    ...names.map(({ name, dataCentre }): Resource => ({
+      kind: 'Endpoint',
+      name,
+      revision: 1,
+      spec: { pool: POOL, url: 'http://127.0.0.1:1', dataCentre, weight: 1, cacheBlocks: 4_000, checksFencing: true, checksIdempotencyKeys: false, draining: false }
+    }))
+  ]
+  const views = names.slice(0, local).map(({ name }) => ({
+    endpoint: name,
+    incarnation: 'one',
+    state: 'live' as const,
+    weightsVersion: 'w1',
+    load: { endpoint: name, incarnation: 'one', weightsVersion: 'w1', running: 1, queued: 0, queuedTokens: 100, atMs: 1 },
+    loadAgeMs: 0
+  }))
+  return { resources: { revision: 1, resources }, vms: [], endpoints: views }
+}
+
+function countSlope (rows: Cost[], x: (row: Cost) => number): number {
+  const [first, last] = [rows[0], rows[rows.length - 1]]
+  return (last.warmUs - first.warmUs) / (x(last) - x(first))
+}
+
+function printRows (title: string, rows: Cost[]): void {
+  console.log(`\n${title}`)
+  console.log('  endpoints  local  orgs  hot keys  warm us  cold us  events us  bytes/request  held KB  snapshot us')
+  for (const row of rows) {
+    const cells = [row.endpoints, row.localEndpoints, row.organisations, row.hotKeys, row.warmUs.toFixed(2), row.coldUs.toFixed(2), row.eventsUs.toFixed(2), row.allocatedBytes.toFixed(0), (row.heldBytes / 1_024).toFixed(0), row.snapshotUs.toFixed(0)]
+    console.log('  ' + cells.map((cell, i) => String(cell).padStart([9, 6, 5, 9, 8, 8, 10, 14, 8, 12][i])).join(' '))
+  }
+}
+
+measureCost(100, 100, 100, 200)
+const byLocal = [10, 50, 100, 200, 460, 920].map(local => measureCost(local, local, 100, 200))
+const byAll = [460, 1_000, 3_000, 6_900].map(all => measureCost(all, REAL_DATA_CENTRE, 100, 200))
+const byKeys = [100, 400, 1_600].map(keys => measureCost(REAL_DATA_CENTRE, REAL_DATA_CENTRE, 100, keys))
+const byOrganisations = [25, 100, 500, 2_500].map(count => measureCost(REAL_DATA_CENTRE, REAL_DATA_CENTRE, count, 2_500))
+printRows('by endpoints of one data centre', byLocal)
+printRows('by endpoints of all data centres, 460 of them in the own one', byAll)
+printRows('by hot keys', byKeys)
+printRows('by organisations, at 2,500 hot keys', byOrganisations)
+const slopes = {
+  warmUsPerLocalEndpoint: countSlope(byLocal, row => row.localEndpoints),
+  warmUsPerEndpointElsewhere: countSlope(byAll, row => row.endpoints),
+  warmUsPerHotKey: countSlope(byKeys, row => row.hotKeys),
+  warmUsPerOrganisation: countSlope(byOrganisations, row => row.organisations)
+}
+const real = byAll[byAll.length - 1]
+const spread = real.warmUs / byAll[0].warmUs
+console.log('\nslopes', slopes)
+console.log(`${Math.max(real.warmUs, real.coldUs) < TARGET_US ? 'met    ' : 'NOT MET'}  a placement over 460 local of 6,900 endpoints under ${TARGET_US} us: known keys ${real.warmUs.toFixed(2)}, new keys ${real.coldUs.toFixed(2)}`)
+console.log(`${spread <= 1.5 ? 'met    ' : 'NOT MET'}  no growth with all endpoints: 6,900 cost ${spread.toFixed(2)} times what 460 cost`)
+mkdirSync(OUT, { recursive: true })
+writeFileSync(new URL('placementCost.json', OUT), JSON.stringify({ byLocal, byAll, byKeys, byOrganisations, slopes }, null, 1) + '\n')
--- a/packages/knapweedshunt-placement/src/attemptTable.ts
+++ b/packages/knapweedshunt-placement/src/attemptTable.ts
@@ -19,13 +19,14 @@
   atMs: number
 }
 
-/** Ended attempts remembered, so that a late start is not counted. */
+/** Ended attempts remembered at least, so that a late start is not counted. */
 const MAX_ENDED = 4_096
 
 /** Attempts started and not ended. Counts stay right when events are lost, doubled or reordered. */
 export class AttemptTable {
   readonly #running = new Map<AttemptId, RunningAttempt>()
-  readonly #ended = new Set<AttemptId>()
+  #ended = new Set<AttemptId>()
+  #endedBefore = new Set<AttemptId>()
   readonly #maxMs: number
 
   constructor (maxMs: number) {
@@ -39,7 +40,7 @@
 
   /** Adds an attempt; false if it runs already or ended before. */
   start (attempt: AttemptId, running: RunningAttempt): boolean {
-    if (this.#running.has(attempt) || this.#ended.has(attempt)) return false
+    if (this.#running.has(attempt) || this.#hasEnded(attempt)) return false
     this.#running.set(attempt, running)
     return true
   }
@@ -66,8 +67,14 @@
     }
   }
 
+  #hasEnded (attempt: AttemptId): boolean {
+    return this.#ended.has(attempt) || this.#endedBefore.has(attempt)
+  }
+
   #noteEnded (attempt: AttemptId): void {
     this.#ended.add(attempt)
-    if (this.#ended.size > MAX_ENDED) this.#ended.delete(this.#ended.values().next().value as AttemptId)
+    if (this.#ended.size < MAX_ENDED) return
+    this.#endedBefore = this.#ended
+    this.#ended = new Set()
   }
 }
--- a/packages/knapweedshunt-placement/src/endpointState.ts
+++ b/packages/knapweedshunt-placement/src/endpointState.ts
@@ -8,6 +8,9 @@
   tokens: number
 }
 
+/** Own attempts remembered between two reports. */
+const MAX_STARTS = 256
+
 /** What makes an endpoint's cache that cache and no other. */
 export interface EndpointIdentity {
   endpoint: EndpointName
@@ -41,13 +44,13 @@
   lastCacheEvent: number | null = null
   /** Grows at each gap in the cache event stream: what was followed before the gap is unknown after it. */
   followEpoch = 0
-  /** Own attempts that were sent since the report. */
+  /** Latest own attempts, so that a report older than they are does not hide them. */
   #starts: StartNote[] = []
-  #startedTokens = 0
-  #reportAtMs = -Infinity
+  #backlogTokens = 0
+  #backlogAtMs = -Infinity
   #reportClock = -Infinity
-  #reportedTokens = 0
   #reportedRequests = 0
+  #runningAtReport = 0
   readonly #tokensPerMs: number
   readonly #runningTokens: number
 
@@ -68,7 +71,7 @@
 
   /** Whether a load report was heard. */
   get isReported (): boolean {
-    return this.#reportAtMs > -Infinity
+    return this.#reportClock > -Infinity
   }
 
   /** May get new work. */
@@ -86,8 +89,9 @@
   /** Notes an own attempt with `tokens` to compute. */
   noteStart (tokens: number, nowMs: number): void {
     this.running++
+    this.#addWork(tokens, nowMs)
     this.#starts.push({ atMs: nowMs, tokens })
-    this.#startedTokens += tokens
+    if (this.#starts.length > MAX_STARTS) this.#starts.shift()
   }
 
   /** Notes the end of an own attempt. */
@@ -95,32 +99,34 @@
     this.running--
   }
 
-  /** Requests expected there. */
+  /** Requests expected there: the report, and what own attempts changed since. */
   countRequests (): number {
-    return Math.max(this.running, this.#reportedRequests + this.#starts.length)
+    return Math.max(this.running, this.#reportedRequests + this.running - this.#runningAtReport)
   }
 
   /** Work ahead of a new request, in prompt tokens at weight 1: the report, aged, and own attempts since. */
   countWaitTokens (nowMs: number): number {
-    const sinceMs = nowMs - (this.isReported ? this.#reportAtMs : this.#starts[0]?.atMs ?? nowMs)
-    const drained = sinceMs * this.#tokensPerMs * this.weight
-    const queued = Math.max(0, this.#reportedTokens + this.#startedTokens - drained)
-    if (!this.isReported && queued === 0) this.#clearStarts()
     const silent = this.liveness === 'suspect' ? SUSPECT_WAIT_MS * this.#tokensPerMs : 0
-    return (queued + this.countRequests() * this.#runningTokens) / this.weight + silent
+    return (this.#countBacklog(nowMs) + this.countRequests() * this.#runningTokens) / this.weight + silent
   }
 
   #takeReport (load: LoadReport, atMs: number): void {
     this.#reportClock = load.atMs
-    this.#reportAtMs = atMs
-    this.#reportedTokens = load.queuedTokens
     this.#reportedRequests = load.running + load.queued
+    this.#runningAtReport = this.running
+    this.#backlogTokens = load.queuedTokens
+    this.#backlogAtMs = atMs
     this.#starts = this.#starts.filter(start => start.atMs > atMs)
-    this.#startedTokens = this.#starts.reduce((sum, start) => sum + start.tokens, 0)
+    for (const start of this.#starts) this.#addWork(start.tokens, start.atMs)
+  }
+
+  #addWork (tokens: number, atMs: number): void {
+    this.#backlogTokens = this.#countBacklog(atMs) + tokens
+    this.#backlogAtMs = atMs
   }
 
-  #clearStarts (): void {
-    this.#starts = []
-    this.#startedTokens = 0
+  #countBacklog (nowMs: number): number {
+    if (this.#backlogTokens === 0) return 0
+    return Math.max(0, this.#backlogTokens - (nowMs - this.#backlogAtMs) * this.#tokensPerMs * this.weight)
   }
 }
--- a/packages/knapweedshunt-placement/src/expectCache.ts
+++ b/packages/knapweedshunt-placement/src/expectCache.ts
@@ -15,15 +15,17 @@
   evidenceMs: number
 }
 
-/** Finds what is expected: computed placement first, corrected by what was learned of this incarnation. */
-export function findCacheExpectation (chain: ChainLink[], state: EndpointState, hasWeights: boolean, window: CacheWindow): CacheExpectation {
+/** Finds what is expected of one of the group's `members`: computed placement first, corrected by what was learned of this incarnation. */
+export function findCacheExpectation (chain: ChainLink[], members: readonly EndpointState[], state: EndpointState, hasWeights: boolean, window: CacheWindow): CacheExpectation {
   const oldestMs = window.nowMs - window.evidenceMs
   const isFilled = hasWeights && state.emptySinceMs < oldestMs
   const expectation = { cachedTokens: 0, sharedTokens: 0 }
   let isShared = true
   let isOpen = hasWeights
+  let outer = members
   for (const { key, tokens, subset } of chain) {
-    isShared &&= subset.includes(state)
+    isShared &&= subset === outer || subset.includes(state)
+    outer = subset
     if (isShared) expectation.sharedTokens = tokens
     const evidence = isOpen ? key.findEvidence(state, oldestMs) : undefined
     if (evidence?.present === false) isOpen = false
--- a/packages/knapweedshunt-placement/src/groupChooser.ts
+++ b/packages/knapweedshunt-placement/src/groupChooser.ts
@@ -66,7 +66,7 @@
     const chain = this.buildChain(choice.levels, group, choice.pool, choice.nowMs)
     const states = listCandidates(chain, group, choice.excluded, rng)
     if (states.length === 0) return undefined
-    const candidates = states.map(state => this.#weigh(state, chain, choice))
+    const candidates = states.map(state => this.#weigh(state, chain, group, choice))
     const { spillFactor, spillFloorMs } = choice.weights
     const boundTokens = group.countMeanWaitTokens(choice.nowMs) * spillFactor + spillFloorMs * options.prefillTokensPerS / 1_000
     const candidate = chooseCandidate(candidates, boundTokens, options.slackTokens, rng)
@@ -82,17 +82,17 @@
       incarnation: state.incarnation,
       url: state.spec.url,
       dataCentre: state.spec.dataCentre,
-      rank: chain.length === 0 ? group.members.indexOf(state) : chain[0].key.rankWithin(group.members).indexOf(state),
+      rank: findRank(chain.length === 0 ? group.members : chain[0].key.rankWithin(group.members), state),
       expectedCachedTokens: cachedTokens,
       expectedWaitMs: Math.round(waitTokens / this.#parts.options.prefillTokensPerS * 1_000),
       kvImport: plan?.kvImport ?? null
     }
   }
 
-  #weigh (state: EndpointState, chain: ChainLink[], { pool, weights, nowMs }: Choice): Candidate {
+  #weigh (state: EndpointState, chain: ChainLink[], group: EndpointGroup, { pool, weights, nowMs }: Choice): Candidate {
     const { options, kept, near } = this.#parts
     const hasWeights = pool.hasWeights(state)
-    const { cachedTokens, sharedTokens } = findCacheExpectation(chain, state, hasWeights, { nowMs, evidenceMs: pool.cacheLife.lifeMs })
+    const { cachedTokens, sharedTokens } = findCacheExpectation(chain, group.members, state, hasWeights, { nowMs, evidenceMs: pool.cacheLife.lifeMs })
     const plan = hasWeights ? kept.findImport(chain, state, cachedTokens) : null
     const heldTokens = Math.max(cachedTokens, plan?.kvImport.tokens ?? 0)
     const totalTokens = chain.at(-1)?.tokens ?? 0
@@ -103,3 +103,9 @@
     return { state, cachedTokens, waitTokens, cost, plan }
   }
 }
+
+/** Position in a ranking; its length for an endpoint beyond its end. */
+function findRank (ranked: readonly EndpointState[], state: EndpointState): number {
+  const rank = ranked.indexOf(state)
+  return rank === -1 ? ranked.length : rank
+}
--- a/packages/knapweedshunt-placement/src/keyState.ts
+++ b/packages/knapweedshunt-placement/src/keyState.ts
@@ -3,11 +3,14 @@
 import type { Evidence } from './evidence.ts'
 import { readKeySeed } from './hashSeed.ts'
 import type { HashSeed } from './hashSeed.ts'
-import { rankBySeed } from './rankEndpoints.ts'
+import { rankBySeed, rankFirst } from './rankEndpoints.ts'
 
 /** Pieces of evidence kept per key. */
 const MAX_EVIDENCE = 32
 
+/** Endpoints ranked for a key that fewer share. */
+const MAX_RANKED = 16
+
 /** Hex characters by which peers name a key. */
 const SHORT_KEY_CHARS = 16
 
@@ -34,11 +37,16 @@
     this.demand = new DemandRate(nowMs)
   }
 
-  /** Whole ranking within the parent's endpoints. */
+  /** First endpoints of the ranking within the parent's, at least as many as share the key. */
   rankWithin (parent: readonly EndpointState[]): readonly EndpointState[] {
     return this.#findRanking(parent).ranked
   }
 
+  /** Whole ranking; not remembered. */
+  rankAll (parent: readonly EndpointState[]): EndpointState[] {
+    return rankBySeed(this.#seed, parent)
+  }
+
   /** First endpoints of the ranking; the same array as long as nothing changed. */
   chooseSubset (parent: readonly EndpointState[]): readonly EndpointState[] {
     if (this.size >= parent.length) return parent
@@ -68,8 +76,10 @@
   }
 
   #findRanking (parent: readonly EndpointState[]): Ranking {
-    if (this.#ranking?.parent === parent) return this.#ranking
-    this.#ranking = { parent, ranked: rankBySeed(this.#seed, parent), subset: [] }
+    const known = this.#ranking
+    if (known?.parent === parent && known.ranked.length >= Math.min(this.size, parent.length)) return known
+    const count = this.size <= MAX_RANKED ? MAX_RANKED : parent.length
+    this.#ranking = { parent, ranked: rankFirst(this.#seed, parent, count), subset: [] }
     return this.#ranking
   }
 }
--- a/packages/knapweedshunt-placement/src/keyTable.ts
+++ b/packages/knapweedshunt-placement/src/keyTable.ts
@@ -1,36 +1,40 @@
 import { KeyState } from './keyState.ts'
 
-/** Most recently used keys, bounded. */
+/** Recently used keys, bounded. Two generations in place of an ordered list: a key that is used again before a whole generation of others stays. */
 export class KeyTable {
-  readonly #capacity: number
-  readonly #keys = new Map<string, KeyState>()
+  readonly #generationSize: number
+  #young = new Map<string, KeyState>()
+  #old = new Map<string, KeyState>()
 
+  /** At most `capacity` keys are remembered, at least half as many. */
   constructor (capacity: number) {
-    this.#capacity = capacity
+    this.#generationSize = Math.ceil(capacity / 2)
   }
 
-  /** Number of keys remembered. */
-  get size (): number {
-    return this.#keys.size
-  }
-
-  /** A key's state, created when missing, now the most recent one. */
+  /** A key's state, created when missing, now among the most recent ones. */
   take (key: string, nowMs: number): KeyState {
-    const known = this.#keys.get(key)
-    const state = known ?? new KeyState(key, nowMs)
-    if (known !== undefined) this.#keys.delete(key)
-    this.#keys.set(key, state)
-    if (this.#keys.size > this.#capacity) this.#keys.delete(this.#keys.keys().next().value as string)
+    const young = this.#young.get(key)
+    if (young !== undefined) return young
+    const state = this.#old.get(key) ?? new KeyState(key, nowMs)
+    this.#young.set(key, state)
+    this.#old.delete(key)
+    if (this.#young.size >= this.#generationSize) this.#startGeneration()
     return state
   }
 
   /** A key's state if it is remembered. */
   find (key: string): KeyState | undefined {
-    return this.#keys.get(key)
+    return this.#young.get(key) ?? this.#old.get(key)
+  }
+
+  /** All remembered keys. */
+  * list (): Iterable<KeyState> {
+    yield * this.#young.values()
+    yield * this.#old.values()
   }
 
-  /** All remembered keys, least recent first. */
-  list (): Iterable<KeyState> {
-    return this.#keys.values()
+  #startGeneration (): void {
+    this.#old = this.#young
+    this.#young = new Map()
   }
 }
--- a/packages/knapweedshunt-placement/src/objectiveWeights.ts
+++ b/packages/knapweedshunt-placement/src/objectiveWeights.ts
@@ -17,8 +17,8 @@
 }
 
 const TAIL: ObjectiveWeights = { carriedShare: 0.15, wait: 1, shared: 0.25, spillFactor: 1.5, spillFloorMs: 500, remoteMs: 1_000 }
-const REUSE_SHORT: ObjectiveWeights = { carriedShare: 0.4, wait: 0.7, shared: 0.5, spillFactor: 2, spillFloorMs: 2_000, remoteMs: 4_000 }
-const REUSE_LONG: ObjectiveWeights = { carriedShare: 0.4, wait: 0.3, shared: 0.5, spillFactor: 3, spillFloorMs: 6_000, remoteMs: 10_000 }
+const REUSE_SHORT: ObjectiveWeights = { carriedShare: 1, wait: 0.4, shared: 0.5, spillFactor: 4, spillFloorMs: 2_000, remoteMs: 4_000 }
+const REUSE_LONG: ObjectiveWeights = { carriedShare: 1, wait: 0.1, shared: 0.5, spillFactor: 6, spillFloorMs: 6_000, remoteMs: 10_000 }
 
 /** Finds the weights for a pool's objective and a request's job. */
 export function findObjectiveWeights (objective: PoolObjective, job: 'short' | 'long'): ObjectiveWeights {
--- a/packages/knapweedshunt-placement/src/placement.ts
+++ b/packages/knapweedshunt-placement/src/placement.ts
@@ -100,7 +100,7 @@
     const group = pool?.findGroup(this.#near.own)
     if (pool === undefined || group === undefined) return []
     const chain = this.#chooser.buildChain(listFollowed(request.levels), group, pool, performance.now())
-    const outermost = chain.length === 0 ? group.members : chain[0].key.rankWithin(group.members)
+    const outermost = chain.length === 0 ? group.members : chain[0].key.rankAll(group.members)
     const ordered = [...chain.toReversed().flatMap(link => link.subset), ...outermost]
     return [...new Set(ordered)].map(state => state.endpoint)
   }
--- a/packages/knapweedshunt-placement/src/placementTypes.ts
+++ b/packages/knapweedshunt-placement/src/placementTypes.ts
@@ -27,7 +27,7 @@
   incarnation: Incarnation
   url: string
   dataCentre: DataCentreId
-  /** Position in the outermost key's ranking of that data centre, 0 first. */
+  /** Position in the outermost key's ranking of that data centre, 0 first; at least 16 stands for any later one. */
   rank: number
   /** Prompt tokens expected in this incarnation's cache; an estimate, never relied on. */
   expectedCachedTokens?: number
--- a/packages/knapweedshunt-placement/src/rankEndpoints.ts
+++ b/packages/knapweedshunt-placement/src/rankEndpoints.ts
@@ -29,6 +29,25 @@
   return scored.map(one => one.endpoint)
 }
 
+/** First `count` of the ranking, found without sorting the rest. */
+export function rankFirst<E extends RankedEndpoint> (seed: HashSeed, endpoints: readonly E[], count: number): E[] {
+  if (endpoints.length <= count) return rankBySeed(seed, endpoints)
+  const first: Array<Scored<E>> = []
+  for (const endpoint of endpoints) {
+    const score = scoreEndpoint(seed, endpoint)
+    if (first.length === count && score < first[count - 1].score) continue
+    addScored(first, { endpoint, score })
+    if (first.length > count) first.pop()
+  }
+  return first.map(one => one.endpoint)
+}
+
+function addScored<E extends RankedEndpoint> (sorted: Array<Scored<E>>, one: Scored<E>): void {
+  let i = sorted.push(one) - 1
+  for (; i > 0 && compareScored(one, sorted[i - 1]) < 0; i--) sorted[i] = sorted[i - 1]
+  sorted[i] = one
+}
+
 function scoreEndpoint (seed: HashSeed, endpoint: RankedEndpoint): number {
   return -endpoint.weight / Math.log(hashSeeds(seed, endpoint.seed))
 }
