--- a/packages/knapweedshunt-router/src/routerOptions.ts
+++ b/packages/knapweedshunt-router/src/routerOptions.ts
@@ -4,6 +4,8 @@
 export interface RouterOptions {
   vm: string
   dataCentre: string
+  /** Data centres so near that their endpoints hold one cache with this one's. */
+  nearDataCentres: string[]
   /** Where callers connect. */
   caller: ListenOptions
   /** Where the local control and peer routers connect. */
@@ -15,6 +17,14 @@
   maxBodyBytes: number
   /** Most requests in flight per endpoint. */
   endpointWindow: number
+  /** Longest silence before the first token of a request that may be repeated, in milliseconds. */
+  firstTokenTimeoutMs: number
+  /** Longest silence between tokens of such a request, in milliseconds. */
+  tokenTimeoutMs: number
+  /** Longest time in which a caller's request must arrive whole, in milliseconds. */
+  requestTimeoutMs: number
+  /** Time in which a stopping router still answers on open connections before it closes idle ones, in milliseconds. */
+  drainGraceMs: number
   /** StatsD address; empty for none. */
   statsdHost: string
   statsdPort: number
@@ -24,12 +34,17 @@
 export const DEFAULT_ROUTER_OPTIONS: RouterOptions = {
   vm: 'vm-1',
   dataCentre: 'dc-1',
+  nearDataCentres: [],
   caller: { host: '127.0.0.1', port: 0 },
   peer: { host: '127.0.0.1', port: 0 },
   platformUrl: 'http://127.0.0.1:7000',
   peerKey: '',
   maxBodyBytes: 4 * 1024 * 1024,
   endpointWindow: 32,
+  firstTokenTimeoutMs: 10_000,
+  tokenTimeoutMs: 5_000,
+  requestTimeoutMs: 30_000,
+  drainGraceMs: 500,
   statsdHost: '',
   statsdPort: 8125
 }
