--- a/packages/knapweedshunt-router/src/__tests__/faultMatrix.test.ts
+++ b/packages/knapweedshunt-router/src/__tests__/faultMatrix.test.ts
@@ -45,10 +45,12 @@
   slow: { apply: async (_stage, _step, clock) => { await clock.tickAsync(2_000) } },
   leaving: { apply: stage => stage.push({ states: { [nameEndpoint(stage.latest)]: 'leaving' } }) },
   'stale load': { apply: stage => stage.push({ loadAgeMs: 60_000 }) },
-  'evidence doubled and wrong': {
+  'cache events lost, doubled, reordered': {
     apply (stage) {
       const attempt = stage.latest?.call.attempt ?? 'other'
       for (const cachedTokens of [1e9, 0, null]) stage.path.placement.take({ type: 'finished', attempt: `${attempt}-late`, cachedTokens })
+      const stored = [7, 3, 3, 9, 8].map(n => ({ n, type: 'stored' as const, key: 'a' }))
+      for (const endpoint of ['e1', 'e2']) stage.path.placement.take({ type: 'cacheEvents', endpoint, incarnation: `${endpoint}-1`, weightsVersion: 'w1', entries: stored, lagMs: 5_000 })
     }
   },
   'caller gone': { apply: stage => stage.gone.abort() },
@@ -84,7 +86,7 @@
   slow: ALL_WHOLE,
   leaving: ALL_WHOLE,
   'stale load': ALL_WHOLE,
-  'evidence doubled and wrong': ALL_WHOLE,
+  'cache events lost, doubled, reordered': ALL_WHOLE,
   'caller gone': Object.fromEntries(STEPS.map(step => [step, 'gone'])) as Record<Step, Outcome>,
   'weights changed': ALL_WHOLE,
   'peer silent': ALL_WHOLE,
--- a/packages/knapweedshunt-router/src/attemptLauncher.ts
+++ b/packages/knapweedshunt-router/src/attemptLauncher.ts
@@ -1,21 +1,16 @@
 import type { AttemptAction, AttemptEvent } from 'knapweedshunt-attempts'
-import type { PlaceDecision } from 'knapweedshunt-placement'
-import type { AttemptId, EndpointName, Incarnation } from 'knapweedshunt-types'
+import type { PlacedDecision, PlaceDecision } from 'knapweedshunt-placement'
+import type { AttemptId, EndpointName } from 'knapweedshunt-types'
 import { match } from 'ts-pattern'
 import type { CallerRequest } from './callerRequest.ts'
 import type { CallerSink } from './callerSink.ts'
 import type { DataPath } from './dataPath.ts'
+import type { EndpointEntry } from './endpointTable.ts'
 import { nameSalt } from './nameSalt.ts'
+import type { RunningAttempt } from './runningAttempts.ts'
 
 type PlaceAction = Extract<AttemptAction, { type: 'place' }>
 
-/** Where an attempt goes. */
-interface Target {
-  endpoint: EndpointName
-  url: string
-  incarnation: Incarnation
-}
-
 interface Launched {
   url: string
   abort: AbortController
@@ -64,15 +59,15 @@
 
   /** Full endpoints are left out, unless no others are left; then those set aside for suspects are used too. */
   #choose (tried: EndpointName[]): PlaceDecision {
-    const { pool, levels } = this.#request
+    const { pool, levels, job } = this.#request
     const reserved = this.#path.suspects.listReserved(pool)
     const full = this.#path.gate.listFull(pool)
     const wider = [[...tried, ...reserved, ...full], [...tried, ...reserved]]
     for (const excluded of wider) {
-      const decision = this.#path.placement.place({ pool, levels, excluded })
+      const decision = this.#path.placement.place({ pool, levels, excluded, job })
       if (decision.type === 'placed') return decision
     }
-    return this.#path.placement.place({ pool, levels, excluded: tried })
+    return this.#path.placement.place({ pool, levels, excluded: tried, job })
   }
 
   #placeAlone (action: PlaceAction): void {
@@ -99,12 +94,13 @@
     else this.#take({ type: 'unplaceable', attempt, reason: 'all-excluded' })
   }
 
-  #start ({ attempt, resumeFrom }: PlaceAction, { endpoint, url, incarnation }: Target): void {
+  #start ({ attempt, resumeFrom }: PlaceAction, target: EndpointEntry | PlacedDecision): void {
+    const { endpoint, url, incarnation } = target
     const { agent, client, placement, gate, suspects, running } = this.#path
     const abort = new AbortController()
     this.#launched.set(attempt, { url, abort })
     this.#take({ type: 'placed', attempt, endpoint, incarnation })
-    placement.take({ type: 'started', attempt, endpoint, tokens: this.#countTokens() })
+    placement.take({ type: 'started', attempt, endpoint, tokens: this.#countTokens(), levels: this.#request.levels, decision: 'type' in target ? target : undefined })
     gate.noteStarted(attempt, endpoint)
     suspects.lane.noteStarted(attempt, endpoint)
     running.add({ attempt, endpoint, incarnation: '', startedAtMs: performance.now(), hasToken: false, lose: () => this.#lose(attempt) })
@@ -145,13 +141,18 @@
   #observe (attempt: AttemptId, endpoint: EndpointName, event: AttemptEvent): void {
     const running = this.#path.running.find(attempt)
     if (running === undefined) return
-    if (event.type === 'head') running.incarnation = event.incarnation
+    if (event.type === 'head') this.#noteHead(running, event)
     const isOverload = event.type === 'stalled' || (event.type === 'rejected' && event.status >= 429)
     if (isOverload) this.#path.gate.noteOverloaded(endpoint)
     if (event.type === 'token' && !running.hasToken) this.#noteFirstToken(running.startedAtMs, endpoint)
     if (event.type === 'token') running.hasToken = true
   }
 
+  #noteHead (running: RunningAttempt, { attempt, incarnation, weightsVersion }: Extract<AttemptEvent, { type: 'head' }>): void {
+    running.incarnation = incarnation
+    this.#path.placement.take({ type: 'answered', attempt, incarnation, weightsVersion: weightsVersion || null })
+  }
+
   #noteFirstToken (startedAtMs: number, endpoint: EndpointName): void {
     const delayMs = performance.now() - startedAtMs
     this.#path.gate.noteDelay(endpoint, delayMs, this.#countTokens())
--- a/packages/knapweedshunt-router/src/dataPath.ts
+++ b/packages/knapweedshunt-router/src/dataPath.ts
@@ -43,7 +43,7 @@
   #endpoints = new EndpointTable(null)
 
   constructor (options: RouterOptions, orders: OrderStore, log: Logger, client: EndpointClient = HTTP_ENDPOINT_CLIENT) {
-    const { vm, peerKey, endpointWindow } = options
+    const { vm, dataCentre, peerKey, endpointWindow } = options
     this.placement = new Placement(options.dataCentre)
     this.gate = new AdmissionGate({ vm, seed: this.drawSeed(), endpointWindow })
     this.figures = new Figures(options.statsdHost, options.statsdPort)
@@ -52,7 +52,7 @@
     this.client = client
     this.stall = { firstTokenMs: options.firstTokenTimeoutMs, betweenTokensMs: options.tokenTimeoutMs }
     this.suspects = new SuspectGuard(mark => this.peers.announce(mark))
-    this.peers = new PeerExchange({ vm, peerKey, gate: this.gate, registry: this.suspects.registry, log })
+    this.peers = new PeerExchange({ vm, dataCentre, peerKey, placement: this.placement, gate: this.gate, registry: this.suspects.registry, log })
   }
 
   /** Resources in use, null before the first snapshot. */
--- a/packages/knapweedshunt-router/src/peerExchange.ts
+++ b/packages/knapweedshunt-router/src/peerExchange.ts
@@ -2,17 +2,19 @@
 import type { Logger } from 'knapweedshunt-logger'
 import { createRpcClient } from 'knapweedshunt-rpc'
 import type { RpcClient } from 'knapweedshunt-rpc'
-import type { Liveness, VmId, VmView } from 'knapweedshunt-types'
-import { runEvery } from 'knapweedshunt-utils'
+import type { Placement } from 'knapweedshunt-placement'
+import type { DataCentreId, Liveness, VmId, VmView } from 'knapweedshunt-types'
+import { createIncarnation, runEvery } from 'knapweedshunt-utils'
 import type { AdmissionGate } from './admissionGate.ts'
-import { demandMessageSchema, marksMessageSchema, MAX_DEMANDS } from './peerMessages.ts'
+import { demandMessageSchema, marksMessageSchema, MAX_DEMANDS, MAX_HOT_KEYS } from './peerMessages.ts'
+import type { DemandMessage } from './peerMessages.ts'
 import { PeerMarks } from './peerMarks.ts'
 
 /** Time between exchanges of demand, in milliseconds. */
 const INTERVAL_MS = 2_000
 
-/** Peers asked in one round; the rest follow in turn, so that traffic does not grow with the number of VMs. */
-const PEERS_PER_ROUND = 3
+/** Peers of this data centre, and of others, asked in one round; the rest follow in turn, so that traffic does not grow with the number of VMs. */
+const PEERS_PER_ROUND = 2
 
 /** Full rounds without a word after which a peer counts as silent. */
 const SILENT_ROUNDS = 3
@@ -29,7 +31,9 @@
 /** What the exchange works on. */
 export interface PeerExchangeOptions {
   vm: VmId
+  dataCentre: DataCentreId
   peerKey: string
+  placement: Placement
   gate: AdmissionGate
   registry: SuspectRegistry
   log: Logger
@@ -41,7 +45,9 @@
   readonly #peers = new Map<VmId, Peer>()
   readonly #stopping = new AbortController()
   readonly #rounds: Promise<void>
-  #turn = 0
+  readonly #incarnation = createIncarnation()
+  #round = 0
+  #sent = 0
 
   constructor (options: PeerExchangeOptions) {
     this.#options = options
@@ -50,7 +56,8 @@
 
   /** Time after which an unheard peer counts as silent, in milliseconds. */
   get silentMs (): number {
-    return SILENT_ROUNDS * INTERVAL_MS * Math.max(1, Math.ceil(this.#peers.size / PEERS_PER_ROUND))
+    const { near, far } = this.#listPeers()
+    return SILENT_ROUNDS * INTERVAL_MS * Math.max(1, Math.ceil(Math.max(near.length, far.length) / PEERS_PER_ROUND))
   }
 
   /** Takes the VMs of a snapshot. A new incarnation hears all marks, since it starts with none. */
@@ -77,8 +84,7 @@
 
   /** Answers `router.demand` with this VM's own. Throws ZodError on wrong params. */
   answerDemand (params: unknown): object {
-    const { vm, demands } = demandMessageSchema.parse(params)
-    this.#options.gate.noteDemand(vm, demands)
+    this.#takeDemand(demandMessageSchema.parse(params))
     return this.#buildDemand()
   }
 
@@ -90,18 +96,16 @@
   }
 
   async #runRound (): Promise<void> {
-    const peers = [...this.#peers.values()]
-    const first = this.#turn
-    this.#turn = (first + PEERS_PER_ROUND) % Math.max(1, peers.length)
-    const chosen = [...peers.slice(first), ...peers.slice(0, first)].slice(0, PEERS_PER_ROUND)
+    const { near, far } = this.#listPeers()
+    const chosen = [...chooseTurn(near, this.#round), ...chooseTurn(far, this.#round)]
+    this.#round++
     await Promise.all(chosen.map(peer => this.#exchangeDemand(peer)))
-    for (const peer of peers) this.#sendMarks(peer)
+    for (const peer of this.#peers.values()) this.#sendMarks(peer)
   }
 
   async #exchangeDemand (peer: Peer): Promise<void> {
     try {
-      const { vm, demands } = demandMessageSchema.parse(await peer.client.call('router.demand', this.#buildDemand()))
-      this.#options.gate.noteDemand(vm, demands)
+      this.#takeDemand(demandMessageSchema.parse(await peer.client.call('router.demand', this.#buildDemand())))
     } catch (error) {
       this.#options.log.debug('Peer not reached.', { peer: peer.view.vm, reason: (error as Error).message })
     }
@@ -122,8 +126,21 @@
     }
   }
 
-  #buildDemand (): { vm: VmId, demands: ReturnType<AdmissionGate['listDemands']> } {
-    return { vm: this.#options.vm, demands: this.#options.gate.listDemands(MAX_DEMANDS) }
+  #takeDemand ({ vm, incarnation, dataCentre, n, demands, hotKeys }: DemandMessage): void {
+    this.#options.gate.noteDemand(vm, demands)
+    this.#options.placement.take({ type: 'peerDemand', vm, incarnation, dataCentre, n, demands: hotKeys })
+  }
+
+  #buildDemand (): DemandMessage {
+    const { vm, dataCentre, gate, placement } = this.#options
+    const hotKeys = placement.listHotKeys().slice(0, MAX_HOT_KEYS)
+    return { vm, incarnation: this.#incarnation, dataCentre, n: this.#sent++, demands: gate.listDemands(MAX_DEMANDS), hotKeys }
+  }
+
+  #listPeers (): { near: Peer[], far: Peer[] } {
+    const peers = [...this.#peers.values()]
+    const isNear = (peer: Peer) => peer.view.dataCentre === this.#options.dataCentre
+    return { near: peers.filter(isNear), far: peers.filter(peer => !isNear(peer)) }
   }
 
   #open (view: VmView): void {
@@ -142,3 +159,9 @@
     this.#peers.delete(vm)
   }
 }
+
+/** Peers whose turn it is in a round. */
+function chooseTurn (peers: Peer[], round: number): Peer[] {
+  const first = round * PEERS_PER_ROUND % Math.max(1, peers.length)
+  return [...peers.slice(first), ...peers.slice(0, first)].slice(0, PEERS_PER_ROUND)
+}
--- a/packages/knapweedshunt-router/src/peerMessages.ts
+++ b/packages/knapweedshunt-router/src/peerMessages.ts
@@ -3,6 +3,7 @@
 
 /** Most entries of one message. */
 export const MAX_DEMANDS = 8
+export const MAX_HOT_KEYS = 16
 export const MAX_MARKS = 256
 
 const text = z.string().min(1).max(255)
@@ -15,8 +16,19 @@
   z.object({ type: z.literal('cleared'), fingerprint: text })
 ]) satisfies z.ZodType<SuspectMark>
 
-/** Params and result of `router.demand`: what a VM was asked for by limited organisations. */
-export const demandMessageSchema = z.object({ vm: text, demands: z.array(demand).max(MAX_DEMANDS) })
+/** Params and result of `router.demand`: what a VM was asked for by limited organisations and, in its own data centre, under hot keys. */
+export const demandMessageSchema = z.object({
+  vm: text,
+  incarnation: text,
+  dataCentre: text,
+  /** Grows with each message of an incarnation. */
+  n: z.number().int().nonnegative(),
+  demands: z.array(demand).max(MAX_DEMANDS),
+  hotKeys: z.array(z.object({ key: text, tokensPerS: amount })).max(MAX_HOT_KEYS)
+})
+
+/** See {@link demandMessageSchema}. */
+export type DemandMessage = z.output<typeof demandMessageSchema>
 
 /** Params of `router.marks`: requests that were in flight at a crash, or are clear again. */
 export const marksMessageSchema = z.object({ vm: text, marks: z.array(mark).max(MAX_MARKS) })
