--- a/packages/knapweedshunt-router/src/admissionGate.ts
+++ b/packages/knapweedshunt-router/src/admissionGate.ts
@@ -1,6 +1,6 @@
 import { Admission, DEFAULT_ADMISSION_OPTIONS } from 'knapweedshunt-admission'
 import type { AdmissionAction, AdmissionEvent, Demand, RefusalCode } from 'knapweedshunt-admission'
-import type { AttemptId, EndpointName, PoolName, RequestId, RouterSnapshot } from 'knapweedshunt-types'
+import type { AttemptId, EndpointName, PoolName, RequestId, ResourceSnapshot, RouterSnapshot } from 'knapweedshunt-types'
 import { match } from 'ts-pattern'
 import { createCallerError } from './callerError.ts'
 import type { CallerErrorInstance, CallerCode } from './callerError.ts'
@@ -40,6 +40,7 @@
   readonly #admission: Admission
   readonly #waiters = new Map<RequestId, Waiter>()
   #pools: PoolName[] = []
+  #revision = -1
   #timer: NodeJS.Timeout | undefined
 
   constructor ({ vm, seed, endpointWindow }: GateOptions) {
@@ -115,9 +116,7 @@
 
   /** Takes rules and usable endpoints; `silentMs` is the time after which an unheard VM counts as silent. */
   takeSnapshot (snapshot: RouterSnapshot, table: EndpointTable, silentMs: number): void {
-    const { resources } = snapshot.resources
-    this.#take({ type: 'classes', classes: listClasses(resources) })
-    this.#take({ type: 'rules', rules: listRules(resources) })
+    this.#takeResources(snapshot.resources)
     this.#take({ type: 'vms', count: countVms(snapshot), silentMs })
     const pools = new Set([...this.#pools, ...table.listPools()])
     this.#pools = table.listPools()
@@ -129,6 +128,13 @@
     clearTimeout(this.#timer)
   }
 
+  #takeResources ({ revision, resources }: ResourceSnapshot): void {
+    if (revision === this.#revision) return
+    this.#revision = revision
+    this.#take({ type: 'classes', classes: listClasses(resources) })
+    this.#take({ type: 'rules', rules: listRules(resources) })
+  }
+
   #take (event: AdmissionEvent): void {
     for (const action of this.#admission.take(event)) this.#perform(action)
     this.#setTimer()
