--- /dev/null
+++ b/packages/knapweedshunt-router/bench/snapshot.ts
@@ -0,0 +1,75 @@
+/** Cost of one snapshot from control for a router, against the number of endpoints and VMs. */
+import fs from 'node:fs'
+import type { OrderStore } from 'knapweedshunt-orders'
+import type { RouterSnapshot } from 'knapweedshunt-types'
+import { DataPath, DEFAULT_ROUTER_OPTIONS } from 'knapweedshunt-router'
+import { EndpointTable } from '../src/endpointTable.ts'
+import { parseSnapshot } from '../src/snapshotSchema.ts'
+
+const SIZES = [{ endpoints: 30, vms: 8 }, { endpoints: 460, vms: 27 }, { endpoints: 2_300, vms: 135 }, { endpoints: 6_900, vms: 400 }]
+const ORGANISATIONS = 2_500
+const POOLS = 4
+const DATA_CENTRES = 15
+const ROUNDS = 12
+const FIGURES = 'docs/figures/routerSnapshot.json'
+
+interface Row {
+  endpoints: number
+  vms: number
+  /** Milliseconds to check a snapshot whose resources are known. */
+  parseMs: number
+  tableMs: number
+  /** Milliseconds for a whole snapshot with nothing new in it. */
+  wholeMs: number
+}
+
+function buildSnapshot (endpoints: number, vms: number): unknown {
+  const names = Array.from({ length: endpoints }, (_, i) => `e${i}`)
+  const resources = [
+    ...Array.from({ length: ORGANISATIONS }, (_, i) => ({ kind: 'Organisation', name: `o${i}`, spec: { weight: 1 } })),
+    ...Array.from({ length: POOLS }, (_, i) => ({ kind: 'EndpointPool', name: `p${i}`, spec: { type: 'model', model: `m${i}`, weightsVersion: 'w1', objective: 'tail' } })),
+    ...names.map((name, i) => ({ kind: 'Endpoint', name, spec: { pool: `p${i % POOLS}`, url: `http://10.0.${i >> 8}.${i & 255}:80`, dataCentre: `dc-${i % DATA_CENTRES}`, cacheBlocks: 4_000 } }))
+  ]
+  const views = names.map(endpoint => {
+    const common = { endpoint, incarnation: `i-${endpoint}`, weightsVersion: 'w1' }
+    return { ...common, state: 'live', load: { ...common, running: 1, queued: 0, queuedTokens: 5, atMs: 1 }, loadAgeMs: 10 }
+  })
+  const vmViews = Array.from({ length: vms }, (_, i) => ({ vm: `vm-${i}`, incarnation: 'i', dataCentre: `dc-${i % DATA_CENTRES}`, controlUrl: '', routerUrl: 'http://127.0.0.1:9', state: 'live', appliedRevision: 1 }))
+  return { resources: { revision: 1, resources }, vms: vmViews, endpoints: views }
+}
+
+function time (step: () => void): number {
+  let best = Infinity
+  for (let round = 0; round < ROUNDS; round++) {
+    const startedAtMs = performance.now()
+    step()
+    best = Math.min(best, performance.now() - startedAtMs)
+  }
+  return best
+}
+
+function measure (endpoints: number, vms: number): Row {
+  const quiet = () => {}
+  const log = { debug: quiet, info: quiet, warn: quiet, error: quiet }
+  const path = new DataPath({ ...DEFAULT_ROUTER_OPTIONS, peerKey: 'bench' }, {} as OrderStore, log)
+  const snapshot = buildSnapshot(endpoints, vms)
+  const parsed: RouterSnapshot = parseSnapshot(snapshot, null)
+  path.takeSnapshot(snapshot)
+  const row = {
+    endpoints,
+    vms,
+    parseMs: time(() => parseSnapshot(snapshot, parsed)),
+    tableMs: time(() => new EndpointTable(parsed)),
+    wholeMs: time(() => path.takeSnapshot(snapshot))
+  }
+  path.close()
+  return row
+}
+
+const rows = SIZES.map(({ endpoints, vms }) => measure(endpoints, vms))
+const [first, last] = [rows[1], rows.at(-1)!]
+const microsecondsPerEndpoint = (last.wholeMs - first.wholeMs) * 1_000 / (last.endpoints - first.endpoints)
+console.table(rows)
+console.log(`${microsecondsPerEndpoint.toFixed(2)} us per endpoint`)
+fs.writeFileSync(FIGURES, JSON.stringify({ rows, microsecondsPerEndpoint }, null, 2) + '\n')
+process.exit(0)
