--- a/packages/knapweedshunt-admin/src/serveAdmin.ts
+++ b/packages/knapweedshunt-admin/src/serveAdmin.ts
@@ -7,22 +7,23 @@
 import { listStatus } from './listStatus.ts'
 import { findRole } from './operatorKey.ts'
 import type { OperatorKey, OperatorRole } from './operatorKey.ts'
+import { watchChanges } from './watchChanges.ts'
 
 const MAX_BODY_BYTES = 16 * 1024 * 1024
 
 /** Serves one operator call. Never throws. */
-export async function serveAdmin (context: AdminContext, keys: OperatorKey[], message: IncomingMessage, response: ServerResponse): Promise<void> {
+export async function serveAdmin (context: AdminContext, keys: OperatorKey[], message: IncomingMessage, response: ServerResponse, stopping: AbortSignal): Promise<void> {
   try {
     const role = findRole(message.headers, keys)
     if (role === null) throw createAdminError(401, 'key_unknown', 'The operator key is missing or not known: send "Authorization: Bearer <key>".')
-    await dispatch(context, role, message, response)
+    await dispatch(context, role, message, response, stopping)
   } catch (error) {
     const shown = describeError(error)
     sendJson(response, shown.status, { error: { code: shown.code, message: shown.message, ...shown.details } })
   }
 }
 
-async function dispatch (context: AdminContext, role: OperatorRole, message: IncomingMessage, response: ServerResponse): Promise<void> {
+async function dispatch (context: AdminContext, role: OperatorRole, message: IncomingMessage, response: ServerResponse, stopping: AbortSignal): Promise<void> {
   const url = new URL(message.url ?? '/', 'http://admin')
   switch (`${message.method} ${url.pathname}`) {
     case 'GET /v1/resources': {
@@ -33,6 +34,8 @@
       const body = parseJson(await readBody(message, MAX_BODY_BYTES))
       return sendJson(response, 200, { revision: await applyChange(context, role, body) })
     }
+    case 'GET /v1/watch':
+      return watchChanges(context, role, message, response, stopping)
     case 'GET /v1/figures':
       if (role.type === 'organisation') throw createAdminError(403, 'role_forbids', 'Figures are for viewers and editors.')
       return sendJson(response, 200, { rows: await context.router.call('router.figures', {}) })
@@ -42,7 +45,7 @@
 }
 
 function describeError (error: unknown): AdminErrorInstance {
-  if (error instanceof AdminError) return error
+  if (error instanceof AdminError) return error as AdminErrorInstance
   if (error instanceof HttpError) return createAdminError(400, 'body_invalid', error.message)
   return createAdminError(503, 'unavailable', `The call could not be served now: ${(error as Error).message}`)
 }
--- a/packages/knapweedshunt-router/bench/snapshot.ts
+++ b/packages/knapweedshunt-router/bench/snapshot.ts
@@ -1,8 +1,8 @@
 /** Cost of one snapshot from control for a router, against the number of endpoints and VMs. */
 import fs from 'node:fs'
-import type { OrderStore } from 'knapweedshunt-orders'
 import type { RouterSnapshot } from 'knapweedshunt-types'
 import { DataPath, DEFAULT_ROUTER_OPTIONS } from 'knapweedshunt-router'
+import type { RouterOrders } from '../src/orders/routerOrders.ts'
 import { EndpointTable } from '../src/endpointTable.ts'
 import { parseSnapshot } from '../src/snapshotSchema.ts'
 
@@ -51,7 +51,7 @@
 function measure (endpoints: number, vms: number): Row {
   const quiet = () => {}
   const log = { debug: quiet, info: quiet, warn: quiet, error: quiet }
-  const path = new DataPath({ ...DEFAULT_ROUTER_OPTIONS, peerKey: 'bench' }, {} as OrderStore, log)
+  const path = new DataPath({ ...DEFAULT_ROUTER_OPTIONS, peerKey: 'bench' }, {} as RouterOrders, log)
   const snapshot = buildSnapshot(endpoints, vms)
   const parsed: RouterSnapshot = parseSnapshot(snapshot, null)
   path.takeSnapshot(snapshot)
--- a/packages/knapweedshunt-router/src/parseCallerRequest.ts
+++ b/packages/knapweedshunt-router/src/parseCallerRequest.ts
@@ -70,10 +70,11 @@
     priorityClass,
     enginePriority: spec.enginePriority,
     job: route.spec.job,
-    repeatable: route.spec.repeatable && !headers.once,
+    repeatable: route.spec.repeatable && !headers.once && headers.orderTicket === null,
     receivedAtMs,
     deadlineAtMs: receivedAtMs + Math.min(headers.timeoutMs ?? route.spec.timeoutMs, route.spec.timeoutMs),
     idempotencyKey: headers.idempotencyKey,
+    orderTicket: headers.orderTicket,
     resumeFrom: headers.lastToken + 1
   }
 }
