--- a/packages/knapweedshunt-fleet/src/fleetTask.ts
+++ b/packages/knapweedshunt-fleet/src/fleetTask.ts
@@ -1,5 +1,5 @@
 import type { Row } from 'knapweedshunt-platform'
-import type { EndpointName, EndpointView, PoolName, ResourceOf, ResourceSnapshot, Revision } from 'knapweedshunt-types'
+import type { EndpointName, EndpointView, PoolName, ResourceOf, Revision } from 'knapweedshunt-types'
 import { runEvery } from 'knapweedshunt-utils'
 import type { EndpointOrder } from './endpointOrder.ts'
 import { EndpointWatch } from './endpointWatch.ts'
@@ -11,20 +11,15 @@
 import { PeerLeases } from './peerLeases.ts'
 import { planPool } from './planPool.ts'
 import type { PlannedEndpoint, PoolInput } from './plannerTypes.ts'
-import { listPoolGoals, settleGoal } from './poolGoal.ts'
-import type { PoolGoal } from './poolGoal.ts'
+import { settleGoal } from './poolGoal.ts'
+import { PoolIndex } from './poolIndex.ts'
+import type { PoolStep } from './poolIndex.ts'
 import { EMPTY_ROLLOUT_ROW, nameRollout, ROLLOUT_TABLE } from './rolloutState.ts'
 import type { RolloutRow } from './rolloutState.ts'
 import { isSameTarget } from './weightsTarget.ts'
 
 const SCAN_LIMIT = 1_000
 
-/** One pool as of a step. */
-interface PoolStep {
-  goal: PoolGoal
-  endpoints: Array<ResourceOf<'Endpoint'>>
-}
-
 /** Brings one data centre's endpoints to what the resources ask, while this VM holds the data centre's lease. */
 export class FleetTask {
   readonly #options: FleetOptions
@@ -32,6 +27,7 @@
   readonly #lease: Lease
   readonly #desk: OrderDesk
   readonly #watch = new EndpointWatch()
+  readonly #index: PoolIndex
   readonly #peers: PeerLeases
   /** Rows of the last read, so that a pool at rest costs no read; empty after the lease was lost. */
   #lastRows = new Map<PoolName, RolloutRow>()
@@ -42,6 +38,7 @@
     this.#lease = lease
     this.#desk = new OrderDesk(ports, options)
     this.#peers = new PeerLeases(options.lease)
+    this.#index = new PoolIndex(options.dataCentre)
   }
 
   /** Runs until the signal aborts. */
@@ -52,8 +49,8 @@
   async #step (): Promise<void> {
     const snapshot = this.#ports.readResources()
     const views = this.#readViews()
-    const steps = this.#listSteps(snapshot)
-    for (const { endpoints } of steps) this.#watchEndpoints(endpoints, views)
+    const steps = this.#index.listSteps(snapshot)
+    for (const { own } of steps) this.#watchEndpoints(own, views)
     if (this.#lease.readFencing(true) === null) {
       this.#lastRows.clear()
       this.#desk.clearConfirmed()
@@ -73,29 +70,18 @@
     return new Map(this.#ports.listViews().map(view => [view.endpoint, view]))
   }
 
-  #listSteps (snapshot: ResourceSnapshot): PoolStep[] {
-    const endpoints = snapshot.resources.filter(resource => resource.kind === 'Endpoint')
-    return listPoolGoals(snapshot.resources)
-      .map(goal => ({ goal, endpoints: endpoints.filter(endpoint => endpoint.spec.pool === goal.pool) }))
-      .filter(step => step.endpoints.some(endpoint => this.#isOwn(endpoint)))
-  }
-
-  #isOwn (endpoint: ResourceOf<'Endpoint'>): boolean {
-    return endpoint.spec.dataCentre === this.#options.dataCentre
-  }
-
   #watchEndpoints (endpoints: Array<ResourceOf<'Endpoint'>>, views: Map<EndpointName, EndpointView>): void {
     for (const endpoint of endpoints) this.#watch.take(endpoint.name, views.get(endpoint.name) ?? null)
   }
 
   /** A pool is at rest when its row was read, holds no slot, and every endpoint serves with the pool's weights. */
-  #needsWork ({ goal, endpoints }: PoolStep, views: Map<EndpointName, EndpointView>): boolean {
+  #needsWork ({ goal, own }: PoolStep, views: Map<EndpointName, EndpointView>): boolean {
     const row = this.#lastRows.get(goal.pool)
     if (row === undefined || row.slots.length > 0) return true
     const settled = settleGoal(goal, row.completedKey)
     if (settled.rollout !== null && !isSameTarget(settled.target, settled.inForce)) return true
     if (settled.rollout !== null && row.dataCentres.find(entry => entry.dataCentre === this.#options.dataCentre)?.goalKey !== settled.key) return true
-    return endpoints.filter(endpoint => this.#isOwn(endpoint)).some(({ name }) => {
+    return own.some(({ name }) => {
       const view = views.get(name)
       return view?.state === 'live' && (!isWished(settled, view) || view.load?.role === 'drain')
     })
@@ -112,12 +98,12 @@
     const version = read?.version ?? 0
     const row = read === null ? EMPTY_ROLLOUT_ROW : read.value as RolloutRow
     const snapshot = this.#ports.readResources()
-    const step = this.#listSteps(snapshot).find(entry => entry.goal.pool === pool)
+    const step = this.#index.listSteps(snapshot).find(entry => entry.goal.pool === pool)
     if (step === undefined || snapshot.revision < row.revision) return
     this.#lastRows.set(pool, row)
     const input = this.#buildInput(step, row, leases, snapshot.revision)
     const plan = planPool(input, this.#options.planner)
-    this.#sendOrders(plan.orders, step.endpoints)
+    this.#sendOrders(plan.orders, step.own)
     if (plan.row !== null) await this.#writeRow(pool, version, plan.row)
     else if (plan.isComplete) await this.#complete(input, version)
   }
@@ -129,15 +115,14 @@
     }
   }
 
-  #buildInput ({ goal, endpoints }: PoolStep, row: RolloutRow, leases: Row[], revision: Revision): PoolInput {
+  #buildInput ({ goal, own, others }: PoolStep, row: RolloutRow, leases: Row[], revision: Revision): PoolInput {
     const { dataCentre } = this.#options
     const views = this.#readViews()
-    const others = new Set(endpoints.map(endpoint => endpoint.spec.dataCentre).filter(name => name !== dataCentre))
     return {
       goal: settleGoal(goal, row.completedKey),
       dataCentre,
-      endpoints: endpoints.filter(endpoint => this.#isOwn(endpoint)).map(endpoint => this.#buildEndpoint(endpoint, views.get(endpoint.name) ?? null)),
-      peers: this.#peers.take(leases, [...others]),
+      endpoints: own.map(endpoint => this.#buildEndpoint(endpoint, views.get(endpoint.name) ?? null)),
+      peers: this.#peers.take(leases, others),
       row,
       revision
     }
--- a/packages/knapweedshunt-fleet/src/recoveryTask.ts
+++ b/packages/knapweedshunt-fleet/src/recoveryTask.ts
@@ -6,8 +6,8 @@
 import { LEASE_TABLE, nameFleetLease } from './leaseState.ts'
 import { isWished } from './listServingWeights.ts'
 import { OrderDesk } from './orderDesk.ts'
-import { listPoolGoals } from './poolGoal.ts'
 import type { PoolGoal } from './poolGoal.ts'
+import { PoolIndex } from './poolIndex.ts'
 
 interface Watched {
   incarnation: Incarnation
@@ -27,12 +27,14 @@
   readonly #options: FleetOptions
   readonly #ports: FleetPorts
   readonly #desk: OrderDesk
+  readonly #index: PoolIndex
   readonly #watched = new Map<EndpointName, Watched>()
 
   constructor (options: FleetOptions, ports: FleetPorts) {
     this.#options = options
     this.#ports = ports
     this.#desk = new OrderDesk(ports, options)
+    this.#index = new PoolIndex(options.dataCentre)
   }
 
   /** Runs until the signal aborts. */
@@ -41,11 +43,10 @@
   }
 
   async #step (): Promise<void> {
-    const { resources } = this.#ports.readResources()
+    const steps = this.#index.listSteps(this.#ports.readResources())
     const views = new Map(this.#ports.listViews().map(view => [view.endpoint, view]))
-    const endpoints = resources.filter(resource => resource.kind === 'Endpoint').filter(endpoint => endpoint.spec.dataCentre === this.#options.dataCentre)
-    for (const goal of listPoolGoals(resources)) {
-      const due = endpoints.filter(endpoint => endpoint.spec.pool === goal.pool && this.#isDue(goal, endpoint, views.get(endpoint.name)))
+    for (const { goal, own } of steps) {
+      const due = own.filter(endpoint => this.#isDue(goal, endpoint, views.get(endpoint.name)))
       if (due.length > 0 && await this.#isStoreAway()) this.#recover(goal, due, views)
     }
   }
