Ask endpoints in slots themselves; carry role and adapter with an endpoint's start; record every completion

Reports now reach a VM through others and are seconds old, and carried neither role nor adapter, so that a lease's holder that does not poll an endpoint would never have seen it drained. The holder asks the few endpoints in slots itself; role and adapter travel with the incarnation and the weights, and the control's schemas keep them.

--- a/packages/knapweedshunt-control/src/fleet/startFleetTasks.ts
+++ b/packages/knapweedshunt-control/src/fleet/startFleetTasks.ts
@@ -5,6 +5,7 @@
 import type { ResourceStore } from 'knapweedshunt-resources'
 import type { EndpointView, ResourceSnapshot, VmView } from 'knapweedshunt-types'
 import { commitWeights } from './commitWeights.ts'
+import { readReport } from './readReport.ts'
 import { readRank } from './readRank.ts'
 import { sendOrder } from './sendOrder.ts'
 
@@ -31,6 +32,7 @@
     platform,
     readResources: () => context.readResources(),
     listViews: () => context.listViews(),
+    readReport,
     sendOrder,
     commitWeights: (goal, revision) => commitWeights(store, context.readResources(), goal, revision, log),
     readRank: () => readRank(self, context.listVms()),
--- a/packages/knapweedshunt-control/src/messageSchemas.ts
+++ b/packages/knapweedshunt-control/src/messageSchemas.ts
@@ -1,3 +1,4 @@
+import { ENDPOINT_ROLES } from 'knapweedshunt-types'
 import { z } from 'zod'
 
 const count = z.number().int().nonnegative()
@@ -15,7 +16,7 @@
 })
 const columns = z.object({ i: z.array(count), n: z.array(count), q: z.array(count), t: z.array(count) })
   .refine(loads => [loads.n, loads.q, loads.t].every(column => column.length === loads.i.length), 'columns must be of one length')
-const boot = z.object({ i: count, incarnation, weightsVersion: z.string().nullable() })
+const boot = z.object({ i: count, incarnation, weightsVersion: z.string().nullable(), adapter: z.string().optional(), role: z.enum(ENDPOINT_ROLES).optional() })
 const board = z.object({ set: z.string(), loads: columns.optional(), boots: z.array(boot).optional(), down: z.array(count).optional(), dead: z.array(count).optional() })
 const claims = z.object({ suspects: z.array(z.string()), dead: z.array(z.object({ vm: z.string(), order: count })) })
 const delta = z.object({
--- a/packages/knapweedshunt-control/src/readLoad.ts
+++ b/packages/knapweedshunt-control/src/readLoad.ts
@@ -1,4 +1,5 @@
 import type http from 'node:http'
+import { ENDPOINT_ROLES } from 'knapweedshunt-types'
 import type { LoadReport } from 'knapweedshunt-types'
 import { callJson } from 'knapweedshunt-utils'
 import { z } from 'zod'
@@ -6,7 +7,7 @@
 
 const TIMEOUT_MS = 1_000
 const count = z.number().nonnegative()
-const loadSchema = z.object({ incarnation: z.string().min(1), weightsVersion: z.string().nullable(), running: count, queued: count, queuedTokens: count, atMs: z.number() })
+const loadSchema = z.object({ incarnation: z.string().min(1), weightsVersion: z.string().nullable(), running: count, queued: count, queuedTokens: count, atMs: z.number(), adapter: z.string().optional(), role: z.enum(ENDPOINT_ROLES).optional() })
 
 /** Asks an endpoint for its load. */
 export async function readLoad (endpoint: string, url: string, agent: http.Agent): Promise<ControlEvent> {
--- a/packages/knapweedshunt-fleet/bench/planner.ts
+++ b/packages/knapweedshunt-fleet/bench/planner.ts
@@ -84,6 +84,7 @@
     platform: new MemoryPlatform(),
     readResources: () => snapshot,
     listViews: () => views,
+    readReport: async () => null,
     sendOrder: async () => 'taken',
     commitWeights: async () => null,
     readRank: () => CONTENDERS,
--- a/packages/knapweedshunt-fleet/src/__tests__/simOracle.ts
+++ b/packages/knapweedshunt-fleet/src/__tests__/simOracle.ts
@@ -5,8 +5,10 @@
 
 /** Longest time between a change and the last order that may still follow what it replaced. */
 const STALE_MS = 25_000
-/** Longest time between a crash and its being seen. */
+/** Longest time between a crash and its being seen in its own data centre. */
 const UNSEEN_MS = 8_000
+/** Longest time for which another data centre's counts are believed after its holder stopped: its lease and the guard. */
+const TOLD_MS = 12_000
 
 interface Running { control: string, untilMs: number }
 
@@ -78,7 +80,8 @@
   #checkFloor (drained: SimEndpoint): void {
     const now = performance.now()
     const left = this.#endpoints.filter(entry => entry !== drained && entry.role === 'serve' && entry.loading === null)
-    const inService = left.filter(entry => (entry.isUp && entry.weights !== null) || entry.healthyAtMs >= now - UNSEEN_MS).length
+    const isUnseen = (entry: SimEndpoint) => entry.healthyAtMs >= now - UNSEEN_MS - (entry.dataCentre === drained.dataCentre ? 0 : TOLD_MS)
+    const inService = left.filter(entry => (entry.isUp && entry.weights !== null) || isUnseen(entry)).length
     if (inService < this.#readPool().floor) this.#fail(`${drained.name}: drained, ${inService} left in service`)
   }
 
--- a/packages/knapweedshunt-fleet/src/__tests__/simWorld.ts
+++ b/packages/knapweedshunt-fleet/src/__tests__/simWorld.ts
@@ -27,6 +27,7 @@
 export type RolloutStep = typeof ROLLOUT_STEPS[number]
 
 const POLL_MS = 500
+const MAX_LAG_MS = 2_000
 const DEAD_AFTER_MS = 5_000
 const POOL = 'language'
 
@@ -146,6 +147,12 @@
       platform: this.#buildPlatform(control),
       readResources: () => control.snapshot,
       listViews: () => [...control.views.values()].map(({ view, heardAtMs }) => ({ ...view, loadAgeMs: performance.now() - heardAtMs, state: performance.now() - heardAtMs >= DEAD_AFTER_MS ? 'dead' : 'live' })),
+      readReport: async name => {
+        await sleep(this.#rng.int(50))
+        await control.pass()
+        const endpoint = this.endpoints.find(entry => entry.name === name)
+        return endpoint?.isUp ? endpoint.buildView().load : null
+      },
       sendOrder: call => this.#sendOrder(control, call),
       commitWeights: (goal, revision) => this.#commit(control, goal, revision),
       readRank: () => rank,
@@ -233,7 +240,7 @@
       await sleep(POLL_MS, control.abort.signal)
       for (const endpoint of this.endpoints.filter(entry => entry.dataCentre === dataCentre && entry.isUp)) {
         const view = endpoint.buildView()
-        setTimeout(() => control.views.set(endpoint.name, { view, heardAtMs: performance.now() }), this.#rng.int(200))
+        setTimeout(() => control.views.set(endpoint.name, { view, heardAtMs: performance.now() }), this.#rng.int(MAX_LAG_MS))
       }
     }
   }
--- a/packages/knapweedshunt-fleet/src/fleetOptions.ts
+++ b/packages/knapweedshunt-fleet/src/fleetOptions.ts
@@ -11,7 +11,7 @@
   planner: PlannerOptions
   /** Time between two plans, in milliseconds. */
   stepMs: number
-  /** Longest time from an endpoint's making a load report to its being in a view, in milliseconds. */
+  /** Longest time by which a view made from gossip is older than its age says: poll, timeout and hops; in milliseconds. */
   reportLagMs: number
   /** VMs of a data centre that contend for its lease. */
   contenders: number
@@ -27,7 +27,7 @@
   lease: DEFAULT_LEASE_OPTIONS,
   planner: DEFAULT_PLANNER_OPTIONS,
   stepMs: 500,
-  reportLagMs: 1_000,
+  reportLagMs: 4_000,
   contenders: 3,
   recoveryDelayMs: 3_000,
   recoveryRankMs: 3_000
--- a/packages/knapweedshunt-fleet/src/fleetPorts.ts
+++ b/packages/knapweedshunt-fleet/src/fleetPorts.ts
@@ -1,6 +1,6 @@
 import type { Logger } from 'knapweedshunt-logger'
 import type { Platform } from 'knapweedshunt-platform'
-import type { EndpointSpec, EndpointView, FencingNumber, ResourceSnapshot, Revision } from 'knapweedshunt-types'
+import type { EndpointName, EndpointSpec, EndpointView, FencingNumber, LoadReport, ResourceSnapshot, Revision } from 'knapweedshunt-types'
 import type { EndpointOrder, OrderResult } from './endpointOrder.ts'
 import type { PoolGoal } from './poolGoal.ts'
 
@@ -29,6 +29,8 @@
   platform: Platform
   readResources (): ResourceSnapshot
   listViews (): EndpointView[]
+  /** Asks an endpoint itself for its report; null when none came. Never throws. */
+  readReport (endpoint: EndpointName, spec: EndpointSpec): Promise<LoadReport | null>
   /** Never throws. */
   sendOrder (call: OrderCall): Promise<OrderResult>
   /** Makes a roll-out's weights the pool's own if no resource changed since the revision. Returns the revision that did, null when it is not settled. */
--- a/packages/knapweedshunt-fleet/src/fleetTask.ts
+++ b/packages/knapweedshunt-fleet/src/fleetTask.ts
@@ -1,5 +1,5 @@
 import type { Row } from 'knapweedshunt-platform'
-import type { EndpointName, EndpointView, PoolName, ResourceOf, Revision } from 'knapweedshunt-types'
+import type { EndpointName, EndpointView, LoadReport, PoolName, ResourceOf, Revision } from 'knapweedshunt-types'
 import { runEvery } from 'knapweedshunt-utils'
 import type { EndpointOrder } from './endpointOrder.ts'
 import { EndpointWatch } from './endpointWatch.ts'
@@ -16,7 +16,6 @@
 import type { PoolStep } from './poolIndex.ts'
 import { EMPTY_ROLLOUT_ROW, nameRollout, ROLLOUT_TABLE } from './rolloutState.ts'
 import type { RolloutRow } from './rolloutState.ts'
-import { isSameTarget } from './weightsTarget.ts'
 
 const SCAN_LIMIT = 1_000
 
@@ -36,7 +35,7 @@
     this.#options = options
     this.#ports = ports
     this.#lease = lease
-    this.#desk = new OrderDesk(ports, options)
+    this.#desk = new OrderDesk(ports, options.lease.longestOrderMs)
     this.#peers = new PeerLeases(options.lease)
     this.#index = new PoolIndex(options.dataCentre)
   }
@@ -74,12 +73,12 @@
     for (const endpoint of endpoints) this.#watch.take(endpoint.name, views.get(endpoint.name) ?? null)
   }
 
-  /** A pool is at rest when its row was read, holds no slot, and every endpoint serves with the pool's weights. */
+  /** A pool is at rest when its row was read, holds no slot, its roll-out is recorded as complete, and every endpoint serves with the pool's weights. */
   #needsWork ({ goal, own }: PoolStep, views: Map<EndpointName, EndpointView>): boolean {
     const row = this.#lastRows.get(goal.pool)
     if (row === undefined || row.slots.length > 0) return true
     const settled = settleGoal(goal, row.completedKey)
-    if (settled.rollout !== null && !isSameTarget(settled.target, settled.inForce)) return true
+    if (settled.rollout !== null && !settled.rollout.undo) return true
     if (settled.rollout !== null && row.dataCentres.find(entry => entry.dataCentre === this.#options.dataCentre)?.goalKey !== settled.key) return true
     return own.some(({ name }) => {
       const view = views.get(name)
@@ -97,17 +96,28 @@
     const read = await this.#ports.platform.read(ROLLOUT_TABLE, nameRollout(pool))
     const version = read?.version ?? 0
     const row = read === null ? EMPTY_ROLLOUT_ROW : read.value as RolloutRow
+    const reports = await this.#readReports(row)
     const snapshot = this.#ports.readResources()
     const step = this.#index.listSteps(snapshot).find(entry => entry.goal.pool === pool)
     if (step === undefined || snapshot.revision < row.revision) return
     this.#lastRows.set(pool, row)
-    const input = this.#buildInput(step, row, leases, snapshot.revision)
+    const input = this.#buildInput(step, row, leases, snapshot.revision, reports)
     const plan = planPool(input, this.#options.planner)
     this.#sendOrders(plan.orders, step.own)
     if (plan.row !== null) await this.#writeRow(pool, version, plan.row)
     else if (plan.isComplete) await this.#complete(input, version)
   }
 
+  /** Endpoints in slots are asked themselves: what others tell of them is seconds old. */
+  async #readReports (row: RolloutRow): Promise<Map<EndpointName, EndpointView>> {
+    const endpoints = this.#ports.readResources().resources.filter(resource => resource.kind === 'Endpoint')
+    const names = new Set(row.slots.filter(slot => slot.dataCentre === this.#options.dataCentre).map(slot => slot.endpoint))
+    const asked = endpoints.filter(endpoint => names.has(endpoint.name))
+    const askedAtMs = performance.now()
+    const loads = await Promise.all(asked.map(endpoint => this.#ports.readReport(endpoint.name, endpoint.spec)))
+    return new Map(loads.filter(load => load !== null).map(load => [load.endpoint, buildView(load, askedAtMs)]))
+  }
+
   #sendOrders (orders: EndpointOrder[], endpoints: Array<ResourceOf<'Endpoint'>>): void {
     for (const order of orders) {
       const spec = endpoints.find(endpoint => endpoint.name === order.endpoint)?.spec
@@ -115,27 +125,31 @@
     }
   }
 
-  #buildInput ({ goal, own, others }: PoolStep, row: RolloutRow, leases: Row[], revision: Revision): PoolInput {
+  #buildInput ({ goal, own, others }: PoolStep, row: RolloutRow, leases: Row[], revision: Revision, reports: Map<EndpointName, EndpointView>): PoolInput {
     const { dataCentre } = this.#options
     const views = this.#readViews()
+    this.#watchEndpoints(own.filter(endpoint => reports.has(endpoint.name)), reports)
     return {
       goal: settleGoal(goal, row.completedKey),
       dataCentre,
-      endpoints: own.map(endpoint => this.#buildEndpoint(endpoint, views.get(endpoint.name) ?? null)),
+      endpoints: own.map(endpoint => this.#buildEndpoint(endpoint, reports.get(endpoint.name) ?? null, views.get(endpoint.name) ?? null)),
       peers: this.#peers.take(leases, others),
       row,
       revision
     }
   }
 
-  #buildEndpoint ({ name, spec }: ResourceOf<'Endpoint'>, view: EndpointView | null): PlannedEndpoint {
+  /** An endpoint's own report goes before what others tell of it. */
+  #buildEndpoint ({ name, spec }: ResourceOf<'Endpoint'>, report: EndpointView | null, told: EndpointView | null): PlannedEndpoint {
+    const view = report ?? told
+    const lagMs = report === null ? this.#options.reportLagMs : 0
     return {
       endpoint: name,
       draining: spec.draining,
       view,
       isGone: this.#watch.isGone(name, view, this.#options.planner.slotSilenceMs),
       drainedForMs: this.#watch.readDrainedMs(name),
-      isBusy: this.#desk.isBusy(name, view),
+      isBusy: this.#desk.isBusy(name, view, lagMs),
       confirmed: this.#desk.readConfirmed(name, view?.incarnation ?? '')
     }
   }
@@ -159,3 +173,9 @@
     await this.#writeRow(goal.pool, version, { ...row, completedKey: goal.key, revision: Math.max(revision, row.revision) })
   }
 }
+
+/** The view that a report asked for at a time gives; it can be no older than that. */
+function buildView (load: LoadReport, askedAtMs: number): EndpointView {
+  const { endpoint, incarnation, weightsVersion } = load
+  return { endpoint, incarnation, state: 'live', weightsVersion, load, loadAgeMs: performance.now() - askedAtMs }
+}
--- a/packages/knapweedshunt-fleet/src/orderDesk.ts
+++ b/packages/knapweedshunt-fleet/src/orderDesk.ts
@@ -1,7 +1,6 @@
 import { isDeepStrictEqual } from 'node:util'
 import type { EndpointName, EndpointSpec, EndpointView, FencingNumber, Incarnation } from 'knapweedshunt-types'
 import type { EndpointOrder } from './endpointOrder.ts'
-import type { FleetOptions } from './fleetOptions.ts'
 import type { FleetPorts } from './fleetPorts.ts'
 import type { WeightsTarget } from './weightsTarget.ts'
 
@@ -19,14 +18,12 @@
 export class OrderDesk {
   readonly #ports: FleetPorts
   readonly #longestOrderMs: number
-  readonly #reportLagMs: number
   readonly #sent = new Map<EndpointName, SentOrder>()
   readonly #confirmed = new Map<EndpointName, WeightsOrder>()
 
-  constructor (ports: FleetPorts, options: FleetOptions) {
+  constructor (ports: FleetPorts, longestOrderMs: number) {
     this.#ports = ports
-    this.#longestOrderMs = options.lease.longestOrderMs
-    this.#reportLagMs = options.reportLagMs
+    this.#longestOrderMs = longestOrderMs
   }
 
   /** Orders on their way. */
@@ -39,12 +36,12 @@
     this.#confirmed.clear()
   }
 
-  /** Whether an order is on its way, or the view may be older than the last answer. */
-  isBusy (endpoint: EndpointName, view: EndpointView | null): boolean {
+  /** Whether an order is on its way, or the view may be older than the last answer; `lagMs` is how much older it may be than its age says. */
+  isBusy (endpoint: EndpointName, view: EndpointView | null, lagMs: number): boolean {
     const sent = this.#sent.get(endpoint)
     if (sent === undefined) return false
     if (sent.answeredAtMs === null) return true
-    return view !== null && performance.now() - view.loadAgeMs <= sent.answeredAtMs + this.#reportLagMs
+    return view !== null && performance.now() - view.loadAgeMs <= sent.answeredAtMs + lagMs
   }
 
   /** Weights of the last order taken by an incarnation, null when none is known or another one was sent since. */
--- a/packages/knapweedshunt-fleet/src/recoveryTask.ts
+++ b/packages/knapweedshunt-fleet/src/recoveryTask.ts
@@ -33,7 +33,7 @@
   constructor (options: FleetOptions, ports: FleetPorts) {
     this.#options = options
     this.#ports = ports
-    this.#desk = new OrderDesk(ports, options)
+    this.#desk = new OrderDesk(ports, options.lease.longestOrderMs)
     this.#index = new PoolIndex(options.dataCentre)
   }
 
@@ -56,7 +56,7 @@
     const watched = this.#watchEndpoint(goal, view)
     if (watched.lostSinceMs === null || endpoint.spec.draining) return false
     const delayMs = this.#options.recoveryDelayMs + this.#ports.readRank() * this.#options.recoveryRankMs
-    return performance.now() - watched.lostSinceMs >= delayMs && !this.#desk.isBusy(endpoint.name, view)
+    return performance.now() - watched.lostSinceMs >= delayMs && !this.#desk.isBusy(endpoint.name, view, this.#options.reportLagMs)
   }
 
   #watchEndpoint (goal: PoolGoal, view: EndpointView): Watched {
--- a/packages/knapweedshunt-membership/src/endpointBoard.ts
+++ b/packages/knapweedshunt-membership/src/endpointBoard.ts
@@ -1,4 +1,4 @@
-import type { Incarnation, WeightsVersion } from 'knapweedshunt-types'
+import { isDeepStrictEqual } from 'node:util'
 import { TOKENS_UNIT } from './endpointBoardDelta.ts'
 import type { EndpointBoardDelta, EndpointBoot } from './endpointBoardDelta.ts'
 
@@ -39,11 +39,11 @@
     this.loads.set(index, { version, value: load })
   }
 
-  /** Records the start of an endpoint. */
-  setBoot (index: number, incarnation: Incarnation, weightsVersion: WeightsVersion | null, version: number): void {
-    const known = this.boots.get(index)?.value
-    if (known && known.incarnation === incarnation && known.weightsVersion === weightsVersion) return
-    this.boots.set(index, { version, value: { i: index, incarnation, weightsVersion } })
+  /** Records an endpoint's start, weights and role. */
+  setBoot (boot: EndpointBoot, version: number): void {
+    const known = this.boots.get(boot.i)?.value
+    if (known !== undefined && isDeepStrictEqual(known, boot)) return
+    this.boots.set(boot.i, { version, value: boot })
   }
 
   /** Forgets an endpoint that this VM polls no longer. */
--- a/packages/knapweedshunt-membership/src/endpointBoardDelta.ts
+++ b/packages/knapweedshunt-membership/src/endpointBoardDelta.ts
@@ -1,11 +1,13 @@
-import type { Incarnation, WeightsVersion } from 'knapweedshunt-types'
+import type { EndpointRole, Incarnation, WeightsVersion } from 'knapweedshunt-types'
 
-/** Start of an endpoint: what seldom changes. */
+/** Start, weights and role of an endpoint: what seldom changes. */
 export interface EndpointBoot {
   /** Index of the endpoint in the sorted names of the data centre. */
   i: number
   incarnation: Incarnation
   weightsVersion: WeightsVersion | null
+  adapter?: string
+  role?: EndpointRole
 }
 
 /** Load of some endpoints, by column. Field names are short since they travel often. */
--- a/packages/knapweedshunt-membership/src/endpointMembership.ts
+++ b/packages/knapweedshunt-membership/src/endpointMembership.ts
@@ -1,4 +1,5 @@
-import type { EndpointName, EndpointView, Liveness, LoadReport, VmId } from 'knapweedshunt-types'
+import type { EndpointName, EndpointView, Incarnation, Liveness, LoadReport, VmId } from 'knapweedshunt-types'
+import type { EndpointBoot } from './endpointBoardDelta.ts'
 import { DEFAULT_ENDPOINT_OPTIONS } from './endpointOptions.ts'
 import type { EndpointOptions } from './endpointOptions.ts'
 import { EndpointEvidence } from './endpointEvidence.ts'
@@ -55,7 +56,7 @@
     const evidence = this.#open(load.endpoint)
     evidence.takeLoad(load)
     self.board.openSet(this.#set)
-    self.board.setBoot(index, evidence.incarnation, load.weightsVersion, self.version + 1)
+    self.board.setBoot(buildBoot(index, evidence.incarnation, load), self.version + 1)
     self.board.setLoad(index, load, self.version + 1)
   }
 
@@ -111,14 +112,15 @@
 
   #describeTold (endpoint: EndpointName, index: number, teller: KnownVm, own: EndpointEvidence | undefined, doubts: number): EndpointView {
     const { boots, loads, down, dead } = teller.board
-    const { incarnation, weightsVersion } = boots.get(index)!.value
+    const { i: _, ...boot } = boots.get(index)!.value
+    const { incarnation, weightsVersion } = boot
     const ageMs = performance.now() - teller.heardAtMs
     const isStale = ageMs >= this.#options.deadAfterMs
     const isDoubted = own !== undefined && own.judge() !== 'live'
     const isSuspect = down.value.includes(index) || doubts >= DOUBTS || isStale || isDoubted
     const state: Liveness = dead.value.includes(index) ? 'dead' : isSuspect ? 'suspect' : 'live'
     const told = loads.get(index)?.value
-    const load: LoadReport | null = told ? { endpoint, incarnation, weightsVersion, ...told, atMs: 0 } : null
+    const load: LoadReport | null = told ? { endpoint, ...boot, ...told, atMs: 0 } : null
     return { endpoint, incarnation, state, weightsVersion, load, loadAgeMs: ageMs }
   }
 
@@ -136,6 +138,10 @@
   }
 }
 
+function buildBoot (i: number, incarnation: Incarnation, { weightsVersion, adapter, role }: LoadReport): EndpointBoot {
+  return { i, incarnation, weightsVersion, ...(adapter ? { adapter } : {}), ...(role && role !== 'serve' ? { role } : {}) }
+}
+
 function countDoubts (tellers: KnownVm[]): Map<number, number> {
   const counts = new Map<number, number>()
   for (const teller of tellers) {
