--- a/packages/knapweedshunt-admin/src/listStatus.ts
+++ b/packages/knapweedshunt-admin/src/listStatus.ts
@@ -3,6 +3,7 @@
 import type { AdminContext } from './adminContext.ts'
 import { isVisible } from './isVisible.ts'
 import type { OperatorRole } from './operatorKey.ts'
+import { readProgress } from './readProgress.ts'
 import { readEvidence } from './readEvidence.ts'
 
 /** A resource with its status. */
@@ -19,11 +20,15 @@
 
 /** Lists the resources that the role may see, with status. While the platform does not answer they come from the local control, whose `InForce` is then never true. */
 export async function listStatus (context: AdminContext, role: OperatorRole, filter: ListFilter): Promise<ResourceWithStatus[]> {
-  const { evidence, held } = await readEvidence(context)
+  const { evidence, held, endpoints } = await readEvidence(context)
   const snapshot = evidence.listed === null ? held : await context.store.readSnapshot()
-  return snapshot.resources
+  const wanted = snapshot.resources
     .filter(resource => filter.kind === null || resource.kind === filter.kind)
     .filter(resource => filter.name === null || resource.name === filter.name)
     .filter(resource => isVisible(role, resource))
-    .map(resource => ({ resource, status: describeStatus(resource, evidence) }))
+  return await Promise.all(wanted.map(async resource => {
+    const status = describeStatus(resource, evidence)
+    const progress = await readProgress(context, resource, snapshot.resources, endpoints)
+    return { resource, status: progress === null ? status : { ...status, conditions: [...status.conditions, progress] } }
+  }))
 }
