--- a/packages/knapweedshunt-router/src/dataPath.ts
+++ b/packages/knapweedshunt-router/src/dataPath.ts
@@ -1,7 +1,6 @@
 import http from 'node:http'
 import { RetryBudget } from 'knapweedshunt-attempts'
 import type { Logger } from 'knapweedshunt-logger'
-import type { OrderStore } from 'knapweedshunt-orders'
 import { Placement } from 'knapweedshunt-placement'
 import type { RouterSnapshot } from 'knapweedshunt-types'
 import { createIncarnation, createRng } from 'knapweedshunt-utils'
@@ -12,6 +11,7 @@
 import { EndpointTable } from './endpointTable.ts'
 import { Figures } from './figures.ts'
 import { HedgeDelays } from './hedgeDelays.ts'
+import type { RouterOrders } from './orders/routerOrders.ts'
 import { PeerExchange } from './peerExchange.ts'
 import { ResourceIndex } from './resourceIndex.ts'
 import type { RouterOptions } from './routerOptions.ts'
@@ -28,7 +28,7 @@
   readonly gate: AdmissionGate
   readonly figures: Figures
   readonly agent = new http.Agent({ keepAlive: true })
-  readonly orders: OrderStore
+  readonly orders: RouterOrders
   readonly log: Logger
   readonly client: EndpointClient
   readonly budget = new RetryBudget()
@@ -42,7 +42,7 @@
   #snapshot: RouterSnapshot | null = null
   #endpoints = new EndpointTable(null)
 
-  constructor (options: RouterOptions, orders: OrderStore, log: Logger, client: EndpointClient = HTTP_ENDPOINT_CLIENT) {
+  constructor (options: RouterOptions, orders: RouterOrders, log: Logger, client: EndpointClient = HTTP_ENDPOINT_CLIENT) {
     const { vm, peerKey, endpointWindow } = options
     this.placement = new Placement(options.dataCentre)
     this.gate = new AdmissionGate({ vm, seed: this.drawSeed(), endpointWindow })
@@ -83,6 +83,7 @@
     this.peers.takeVms(snapshot.vms)
     this.placement.take({ type: 'snapshot', snapshot })
     this.gate.takeSnapshot(snapshot, this.#endpoints, this.peers.silentMs)
+    this.orders.takeSnapshot(snapshot)
     this.running.takeTable(this.#endpoints, last)
     return revision
   }
