--- a/packages/knapweedshunt-orders/src/bookKeeper.ts
+++ b/packages/knapweedshunt-orders/src/bookKeeper.ts
@@ -56,8 +56,9 @@
 
   /** Outcomes before the book: what a reader finds used, it can look up. */
   async #writeTaken ({ book, outcomes, abandoned }: BookHandover): Promise<void> {
-    await Promise.all(outcomes.map(({ order, nonce, outcome }) => this.#tables.record(order, nonce, outcome, this.#signal)))
+    for (const { order, nonce, outcome } of outcomes) this.#tables.record(order, nonce, outcome)
     await Promise.all(abandoned.map(({ order, nonce }) => this.#tables.release(order, nonce, this.#signal)))
+    await this.#tables.writer.waitEmpty()
     await this.#writeBook(book)
     if (!this.#signal.aborted) this.#taken.delete(book.minter)
   }
--- a/packages/knapweedshunt-orders/src/orderLedger.ts
+++ b/packages/knapweedshunt-orders/src/orderLedger.ts
@@ -13,8 +13,10 @@
 export interface OrderLedger {
   /** Never throws PlatformError. */
   claim (order: OrderRequest, nonce: string, version: number): Promise<ClaimResult>
-  /** Resolves when the outcome is kept for good, or `signal` aborted. */
-  record (order: OrderRequest, nonce: string, outcome: RunOutcome, signal: AbortSignal): Promise<void>
+  /** Keeps the outcome, and sees to it that the tables get it. */
+  record (order: OrderRequest, nonce: string, outcome: RunOutcome): void
+  /** Resolves when a retry on any router finds the outcome, or after `maxMs`. */
+  waitRecorded (order: OrderRequest, maxMs: number): Promise<void>
   /** Resolves when the claim can no longer take effect, or `signal` aborted. */
   release (order: OrderRequest, nonce: string, signal: AbortSignal): Promise<void>
 }
--- a/packages/knapweedshunt-orders/src/orderRun.ts
+++ b/packages/knapweedshunt-orders/src/orderRun.ts
@@ -9,7 +9,6 @@
 import type { OrderPorts } from './orderPorts.ts'
 import type { OrderReply } from './orderReply.ts'
 import type { OrderRequest } from './orderRequest.ts'
-import type { RunOutcome } from './outcomeRow.ts'
 
 /** One run of an order. */
 export interface OrderRunOptions {
@@ -22,12 +21,8 @@
   ports: OrderPorts
   bounds: OrderOptions
   rng: Rng
-  /** Longest time an answer waits for its record. */
-  holdMs: number
   /** Ends background writes. */
   signal: AbortSignal
-  /** Hears of an outcome before it is written, and again when it is. */
-  noteOutcome (outcome: RunOutcome, written: boolean): void
   /** Hears that the claim is given up, and again when its tombstone is written. */
   noteAbandoned (written: boolean): void
 }
@@ -40,7 +35,6 @@
   readonly #timers: Array<ReturnType<typeof setTimeout>> = []
   readonly #background = new Set<Promise<void>>()
   readonly #closed: Promise<void>
-  #recorded: Promise<void> = Promise.resolve()
   #resolveReply: (reply: OrderReply) => void = () => {}
   #resolveClosed: () => void = () => {}
 
@@ -80,17 +74,14 @@
   }
 
   #perform (action: OrderAction): void {
-    const { ports, bounds } = this.#options
+    const { ports, order, nonce, bounds } = this.#options
     match(action)
       .with({ type: 'claim' }, ({ version }) => this.#track(this.#claim(version)))
       .with({ type: 'delay' }, () => this.#track(this.#delay()))
       .with({ type: 'send' }, ({ attempt, again }) => ports.dispatcher.send(attempt, again, event => this.#take(event)))
       .with({ type: 'cancel' }, ({ attempt }) => ports.dispatcher.cancel(attempt))
       .with({ type: 'linger' }, () => this.#addTimer(bounds.lingerMs, { type: 'lingered' }))
-      .with({ type: 'record' }, ({ outcome }) => {
-        this.#recorded = this.#record(outcome)
-        this.#track(this.#recorded)
-      })
+      .with({ type: 'record' }, ({ outcome }) => ports.ledger.record(order, nonce, outcome))
       .with({ type: 'release' }, () => this.#track(this.#release()))
       .with({ type: 'forward' }, () => this.#track(this.#forward()))
       .with({ type: 'answer' }, ({ reply }) => this.#answer(reply))
@@ -112,20 +103,9 @@
 
   /** Only an answer waits for its record; whoever is refused hears it at once. */
   #answer (reply: OrderReply): void {
-    const { holdMs } = this.#options
-    if (reply.type !== 'ran' || holdMs === 0) return this.#resolveReply(reply)
-    const held = new AbortController()
-    Promise.race([this.#recorded, sleep(holdMs, held.signal)]).then(() => {
-      held.abort()
-      this.#resolveReply(reply)
-    })
-  }
-
-  async #record (outcome: RunOutcome): Promise<void> {
-    const { ports, order, nonce, signal, noteOutcome } = this.#options
-    noteOutcome(outcome, false)
-    await ports.ledger.record(order, nonce, outcome, signal)
-    if (!signal.aborted) noteOutcome(outcome, true)
+    if (reply.type !== 'ran') return this.#resolveReply(reply)
+    const { ports, order, bounds } = this.#options
+    ports.ledger.waitRecorded(order, bounds.recordHoldMs).then(() => this.#resolveReply(reply))
   }
 
   async #release (): Promise<void> {
--- a/packages/knapweedshunt-orders/src/orderService.ts
+++ b/packages/knapweedshunt-orders/src/orderService.ts
@@ -19,9 +19,8 @@
 import { StatusReader } from './statusReader.ts'
 import { TableLedger } from './tableLedger.ts'
 import type { MintedTicket, Ticket } from './ticket.ts'
-import { namePinnedId, PINNED_NONCE, TicketBook } from './ticketBook.ts'
+import { namePinnedId, TicketBook } from './ticketBook.ts'
 import { TicketMint } from './ticketMint.ts'
-import { UnwrittenOutcomes } from './unwrittenOutcomes.ts'
 
 /** Orders of one router: runs them at most once, mints tickets, tells outcomes. */
 export class OrderService {
@@ -33,7 +32,6 @@
   readonly #mint: TicketMint
   readonly #status: StatusReader
   readonly #abandoned = new Map<string, AbandonedClaim>()
-  readonly #unwritten = new UnwrittenOutcomes()
   readonly #runs = new Set<OrderRun>()
   readonly #ending = new AbortController()
   #closing = false
@@ -42,11 +40,11 @@
     this.#options = options
     this.#rng = createRng(options.bounds.seed)
     setMaxListeners(0, this.#ending.signal)
-    this.#tables = new TableLedger(options.platform, options.incarnation, options.bounds, this.#rng)
+    this.#tables = new TableLedger(options.platform, options.incarnation, options.bounds, this.#rng, this.#ending.signal)
     this.#book = new TicketBook(options.incarnation, this.#tables, options.bounds.ticketMs)
     this.#keeper = new BookKeeper(options, this.#tables, this.#ending.signal)
     this.#mint = new TicketMint(options, this.#book)
-    this.#status = new StatusReader(options, this.#tables, this.#book, this.#keeper, this.#unwritten)
+    this.#status = new StatusReader(options, this.#tables, this.#book, this.#keeper)
   }
 
   /** Runs an order under the caller's own key, or tells what became of it. */
@@ -104,7 +102,7 @@
 
   /** Orders and outcomes held in memory. */
   countHeld (): { running: number, unwritten: number } {
-    return { running: this.#runs.size, unwritten: this.#unwritten.size + this.#abandoned.size }
+    return { running: this.#runs.size, unwritten: this.#tables.writer.size + this.#abandoned.size }
   }
 
   /** Takes no new order, waits for the running ones, and passes on what the tables don't have. */
@@ -114,20 +112,19 @@
     await Promise.all(runs.map(run => run.waitClosed()))
     const timer = setTimeout(() => this.#ending.abort(), this.#options.bounds.closeMs)
     await Promise.all(runs.map(run => run.waitSettled()))
-    await this.#keeper.close(this.#book, this.#unwritten.list(), [...this.#abandoned.values()])
+    await this.#tables.writer.waitEmpty()
+    await this.#keeper.close(this.#book, this.#tables.writer.list(), [...this.#abandoned.values()])
     clearTimeout(timer)
     this.#ending.abort()
   }
 
   async #run (order: OrderRequest, place: OrderPlace, deadlineAtMs: number, ports: OrderPorts): Promise<OrderReply> {
-    const held = this.#unwritten.find(order)
+    const held = this.#tables.writer.find(order)
     if (held !== null) return held.order.digest === order.digest ? convertOutcome(held.outcome) : { type: 'mismatch' }
     if (this.#closing) return { type: 'unreadable' }
     const nonce = createIncarnation()
     const { bounds, table } = this.#options
     const machine = new OrderMachine(table, { nonce, digest: order.digest, maxAttempts: bounds.maxAttempts, maxResends: bounds.maxResends })
-    const isPinned = ports.ledger instanceof TicketBook
-    const recordNonce = isPinned ? PINNED_NONCE : nonce
     const run = new OrderRun({
       order,
       nonce,
@@ -137,9 +134,7 @@
       ports,
       bounds,
       rng: this.#rng,
-      holdMs: isPinned ? 0 : bounds.recordHoldMs,
       signal: this.#ending.signal,
-      noteOutcome: (outcome, written) => written ? this.#unwritten.delete(order) : this.#unwritten.add({ order, nonce: recordNonce, outcome }),
       noteAbandoned: written => written ? this.#abandoned.delete(nonce) : this.#abandoned.set(nonce, { order, nonce })
     })
     this.#runs.add(run)
--- a/packages/knapweedshunt-orders/src/statusReader.ts
+++ b/packages/knapweedshunt-orders/src/statusReader.ts
@@ -13,7 +13,6 @@
 import type { Ticket } from './ticket.ts'
 import { namePinnedId, PINNED_NONCE } from './ticketBook.ts'
 import type { TicketBook } from './ticketBook.ts'
-import type { UnwrittenOutcomes } from './unwrittenOutcomes.ts'
 
 type OrderKey = Pick<OrderRequest, 'organisation' | 'key'>
 
@@ -23,19 +22,17 @@
   readonly #tables: TableLedger
   readonly #book: TicketBook
   readonly #keeper: BookKeeper
-  readonly #unwritten: UnwrittenOutcomes
 
-  constructor (options: OrderServiceOptions, tables: TableLedger, book: TicketBook, keeper: BookKeeper, unwritten: UnwrittenOutcomes) {
+  constructor (options: OrderServiceOptions, tables: TableLedger, book: TicketBook, keeper: BookKeeper) {
     this.#options = options
     this.#tables = tables
     this.#book = book
     this.#keeper = keeper
-    this.#unwritten = unwritten
   }
 
   /** Order that any router may run. */
   async readTables (order: OrderKey): Promise<OrderReply> {
-    const held = this.#unwritten.find(order)
+    const held = this.#tables.writer.find(order)
     if (held !== null) return convertOutcome(held.outcome)
     try {
       const entry = await this.#tables.readEntry(order.organisation, order.key)
--- a/packages/knapweedshunt-orders/src/tableLedger.ts
+++ b/packages/knapweedshunt-orders/src/tableLedger.ts
@@ -4,10 +4,12 @@
 import { sleep } from 'knapweedshunt-utils'
 import type { Rng } from 'knapweedshunt-utils'
 import type { ClaimRow, VersionedClaim } from './claimRow.ts'
+import type { UnwrittenOutcome } from './closedBook.ts'
 import type { ClaimResult, OrderLedger } from './orderLedger.ts'
 import type { OrderOptions } from './orderOptions.ts'
 import type { OrderRequest } from './orderRequest.ts'
 import type { OutcomeRow, RunOutcome } from './outcomeRow.ts'
+import { OutcomeWriter } from './outcomeWriter.ts'
 
 /** Table of {@link ClaimRow}. */
 export const CLAIMS_TABLE = 'orders'
@@ -22,18 +24,22 @@
 
 /** Claims and outcomes in the table service. Writes of all orders share transactions. */
 export class TableLedger implements OrderLedger {
+  /** Outcomes that are not written yet. */
+  readonly writer: OutcomeWriter
   readonly #platform: Platform
   readonly #committer: GroupCommitter
   readonly #owner: Incarnation
   readonly #options: OrderOptions
   readonly #rng: Rng
 
-  constructor (platform: Platform, owner: Incarnation, options: OrderOptions, rng: Rng) {
+  constructor (platform: Platform, owner: Incarnation, options: OrderOptions, rng: Rng, signal: AbortSignal) {
     this.#platform = platform
     this.#committer = new GroupCommitter(platform, options.group)
     this.#owner = owner
     this.#options = options
     this.#rng = rng
+    const write = (outcome: UnwrittenOutcome) => this.#writeOutcome(outcome)
+    this.writer = new OutcomeWriter({ write, backoff: options.backoff, rng, signal, maxTries: options.group.maxChanges })
   }
 
   async claim (order: OrderRequest, nonce: string, version: number): Promise<ClaimResult> {
@@ -50,9 +56,12 @@
     }
   }
 
-  async record (order: OrderRequest, nonce: string, outcome: RunOutcome, signal: AbortSignal): Promise<void> {
-    const value: OutcomeRow = { ...outcome, digest: order.digest, owner: this.#owner, recordedAtMs: Date.now() }
-    await this.insert({ table: OUTCOMES_TABLE, key: nameOutcome(order, nonce), version: 0, value }, signal)
+  record (order: OrderRequest, nonce: string, outcome: RunOutcome): void {
+    this.writer.add({ order, nonce, outcome })
+  }
+
+  waitRecorded (order: OrderRequest, maxMs: number): Promise<void> {
+    return this.writer.waitWritten(order, maxMs)
   }
 
   /** Inserts a row of this process's own, again and again until the tables have it or `signal` aborted. */
@@ -63,6 +72,11 @@
     })
   }
 
+  async #writeOutcome ({ order, nonce, outcome }: UnwrittenOutcome): Promise<void> {
+    const value: OutcomeRow = { ...outcome, digest: order.digest, owner: this.#owner, recordedAtMs: Date.now() }
+    await this.#committer.commit({ table: OUTCOMES_TABLE, key: nameOutcome(order, nonce), version: 0, value }, this.#options.outcomeLingerMs)
+  }
+
   async release (order: OrderRequest, nonce: string, signal: AbortSignal): Promise<void> {
     await this.#retry(signal, async () => {
       const row = await this.#platform.read(CLAIMS_TABLE, nameClaim(order))
--- a/packages/knapweedshunt-orders/src/ticketBook.ts
+++ b/packages/knapweedshunt-orders/src/ticketBook.ts
@@ -56,15 +56,18 @@
     return { type: 'known', present: { claim, version: 1 }, outcome: run?.outcome ?? null, expired: run === undefined }
   }
 
-  async record (order: OrderRequest, _nonce: string, outcome: RunOutcome, signal: AbortSignal): Promise<void> {
+  record (order: OrderRequest, _nonce: string, outcome: RunOutcome): void {
     const run = this.#runs.get(readSerial(order.key))
     if (run !== undefined) run.outcome = outcome
-    await this.#tables.record(order, PINNED_NONCE, outcome, signal)
+    this.#tables.record(order, PINNED_NONCE, outcome)
   }
 
+  /** Every router asks this one. */
+  async waitRecorded (): Promise<void> {}
+
   /** Memory answers at once, so a claim is never in doubt: the ticket did not run. */
-  async release (order: OrderRequest, nonce: string, signal: AbortSignal): Promise<void> {
-    await this.record(order, nonce, { ran: 'not-run', answer: null }, signal)
+  async release (order: OrderRequest, nonce: string): Promise<void> {
+    this.record(order, nonce, { ran: 'not-run', answer: null })
   }
 
   /** What became of a serial of this minter. */
