--- a/packages/knapweedshunt-quickstart/src/__tests__/dataPathFaults.test.ts
+++ b/packages/knapweedshunt-quickstart/src/__tests__/dataPathFaults.test.ts
@@ -6,7 +6,8 @@
 import { ACCESS_KEY, MODEL, startRig, waitUntil } from './startRig.ts'
 import type { Rig, RigShape } from './startRig.ts'
 
-const PROMPT = 'The lift rules of the house. '
+/** Long enough that its cached tokens decide where it goes. */
+const PROMPT = 'The lift rules of the house. '.repeat(60)
 const TIMEOUT_MS = 20_000
 /** Silence that counts as a hang; long enough that a busy computer is none. */
 const SILENCE_MS = 2_000
