Send loads as flat rows and bare heartbeats as one record

Cause: every teller's loads carried four column names and the hash of the names, up to 27 times an exchange; a heartbeat alone carried two field names. The hash now travels only when it changes.

--- a/packages/knapweedshunt-control/bench/benchCluster.ts
+++ b/packages/knapweedshunt-control/bench/benchCluster.ts
@@ -219,6 +219,7 @@
     const { near } = this.#figures
     near.versions += measure(request.known)
     near.centres += measure(request.centres) + measure(answer.centres)
+    near.heartbeats += measure(answer.beats)
     for (const delta of answer.deltas ?? []) {
       near.loads += measure(delta.e)
       near.heartbeats += measure({ k: delta.k, v: delta.v })
--- a/packages/knapweedshunt-control/src/controlMessages.ts
+++ b/packages/knapweedshunt-control/src/controlMessages.ts
@@ -25,6 +25,8 @@
 export interface ExchangeAnswer {
   revision: Revision
   deltas?: VmDelta[]
+  /** VMs of which nothing but the version is new. */
+  beats?: VmVersions
   /** Whether the peer knows the caller's VM; when it does not, the caller sends itself along next time. */
   knows?: boolean
   centres?: SummaryDelta[]
--- a/packages/knapweedshunt-control/src/controlNode.ts
+++ b/packages/knapweedshunt-control/src/controlNode.ts
@@ -5,7 +5,9 @@
 import type { Rng } from 'knapweedshunt-utils'
 import { match } from 'ts-pattern'
 import type { ControlAction, ControlEvent, PlatformRead } from './controlEvents.ts'
-import type { Caller, ControlStatus, ExchangeAnswer, ExchangeRequest, PushRequest } from './controlMessages.ts'
+import type { ControlStatus, ExchangeAnswer, ExchangeRequest, PushRequest } from './controlMessages.ts'
+import { joinBeats, splitBeats } from './beats.ts'
+import { ExchangePlan } from './exchangePlan.ts'
 import { GossipPlan } from './gossipPlan.ts'
 import { Join } from './joinSteps.ts'
 import { LoadPlan } from './loadPlan.ts'
@@ -43,7 +45,7 @@
   readonly #platform: PlatformPlan
   readonly #loads: LoadPlan
   readonly #summary: SummaryPlan
-  readonly #acquainted = new Set<string>()
+  readonly #exchanges: ExchangePlan
   #listed: VmListEntry[] = []
   #ticks = 0
   #newestHeard: Revision = 0
@@ -55,6 +57,7 @@
     this.#options = setup.options ?? DEFAULT_NODE_OPTIONS
     this.vms = new VmMembership(setup.self, setup.drawIncarnation, setup.membership)
     this.centres = new DataCentreDirectory(setup.self.dataCentre)
+    this.#exchanges = new ExchangePlan(this.vms, this.centres, this.replica)
     this.join = new Join(this.#options.joinWaitMs)
     this.#gossip = new GossipPlan(this.#options, setup.rng, setup.seeds)
     this.#platform = new PlatformPlan(this.#options, setup.rng)
@@ -91,12 +94,14 @@
     const { revision } = this.replica.snapshot
     const answer: ExchangeAnswer = { revision }
     if (request.known) {
-      answer.deltas = this.vms.buildDeltas(request.known)
+      const { deltas, beats } = splitBeats(this.vms.buildDeltas(request.known))
+      answer.deltas = deltas
+      answer.beats = beats
       answer.knows = this.vms.findState(request.from.vm) !== undefined
     }
     if (request.centres) answer.centres = this.centres.buildDeltas(request.centres)
     if (request.revision < revision) answer.changes = this.replica.listChangesAfter(request.revision) ?? undefined
-    return { answer, actions: request.revision > revision ? this.#exchangeAhead(request.from) : [] }
+    return { answer, actions: request.revision > revision ? [this.#exchanges.buildBehind(request.from)] : [] }
   }
 
   /** Answers a watch. */
@@ -126,7 +131,7 @@
   }
 
   #noteOwn (event: MembershipEvent): ControlAction[] {
-    this.#acquainted.clear()
+    this.#exchanges.reset()
     this.#platform.wake()
     return match<MembershipEvent, ControlAction[]>(event)
       .with({ type: 'reincarnated' }, ({ former, incarnation }) => [{ type: 'log', message: `Goes on as ${incarnation}; ${former} was dead for others or paused too long.` }])
@@ -142,7 +147,7 @@
   #exchangeNear (): ControlAction[] {
     if (this.join.step.type === 'announcing') return []
     const url = this.#gossip.choosePeer(this.vms, this.#listed)
-    return url === null ? [] : [this.#buildExchange(url, this.#isTurn(this.#options.centreTicks))]
+    return url === null ? [] : [this.#exchanges.buildNear(url, this.#isTurn(this.#options.centreTicks))]
   }
 
   #exchangeFar (): ControlAction[] {
@@ -151,8 +156,7 @@
     if (!this.#isTurn(this.#options.gatewayTicks)) return []
     const url = this.#gossip.chooseRemote(this.vms, this.centres, this.#listed)
     if (url === null) return []
-    const request: ExchangeRequest = { from: this.#describeCaller(), revision: this.replica.snapshot.revision, centres: this.centres.buildVersions() }
-    return [{ type: 'exchange', url, request }]
+    return [this.#exchanges.buildFar(url)]
   }
 
   #isTurn (everyTicks: number): boolean {
@@ -176,9 +180,8 @@
   }
 
   #takeAnswer (url: string, answer: ExchangeAnswer): ControlAction[] {
-    if (answer.knows === true) this.#acquainted.add(url)
-    if (answer.knows === false) this.#acquainted.delete(url)
-    if (answer.deltas) this.vms.takeDeltas(answer.deltas)
+    if (answer.knows !== undefined) this.#exchanges.note(url, answer.knows)
+    this.vms.takeDeltas(joinBeats(answer.deltas ?? [], answer.beats ?? {}))
     if (answer.centres) this.centres.takeDeltas(answer.centres)
     this.#newestHeard = Math.max(this.#newestHeard, answer.revision)
     const actions = this.#growBy(false, () => this.replica.takeChanges(answer.changes ?? []))
@@ -187,7 +190,7 @@
   }
 
   #noteUnanswered (url: string): ControlAction[] {
-    this.#acquainted.delete(url)
+    this.#exchanges.note(url, false)
     this.join.takeAnswer(url, false)
     return []
   }
@@ -195,7 +198,7 @@
   #takePush (push: PushRequest): ControlAction[] {
     const actions = this.#growBy(false, () => this.replica.takeChanges(push.changes ?? []))
     const isBehind = this.replica.snapshot.revision < push.revision
-    return isBehind ? [...actions, ...this.#exchangeAhead(push.from)] : actions
+    return isBehind ? [...actions, this.#exchanges.buildBehind(push.from)] : actions
   }
 
   #takePlatform (read: PlatformRead): ControlAction[] {
@@ -226,7 +229,7 @@
   #announce (): ControlAction[] {
     const urls = this.#gossip.listPeers(this.vms, this.#listed)
     this.join.announce(urls)
-    return urls.map(url => this.#buildExchange(url, false))
+    return urls.map(url => this.#exchanges.buildNear(url, false))
   }
 
   #noteLoad (take: () => void): ControlAction[] {
@@ -243,8 +246,8 @@
     this.vms.setLeaving()
     const { order } = this.vms.self
     const urls = this.#gossip.listPeers(this.vms, [])
-    this.#acquainted.clear()
-    return [{ type: 'log', message: `Leaves as order ${order}.` }, ...urls.map(url => this.#buildExchange(url, false))]
+    this.#exchanges.reset()
+    return [{ type: 'log', message: `Leaves as order ${order}.` }, ...urls.map(url => this.#exchanges.buildNear(url, false))]
   }
 
   /** Runs a step that may bring a newer revision, and passes what it brought on. */
@@ -254,17 +257,10 @@
     this.#snapshotAskedAtMs = null
     this.#hotUntilMs = performance.now() + HOT_MS
     this.#loads.takeResources(this.replica.snapshot, this.vms.self.view.dataCentre)
-    const pushes = planPushes({ vms: this.vms, replica: this.replica, caller: this.#describeCaller(), before, isFromPlatform, fanOut: this.#options.fanOut })
+    const pushes = planPushes({ vms: this.vms, replica: this.replica, caller: this.#exchanges.caller, before, isFromPlatform, fanOut: this.#options.fanOut })
     return [...pushes, ...this.#pushRouter()]
   }
 
-  #exchangeAhead (from: Caller): ControlAction[] {
-    this.#newestHeard = Math.max(this.#newestHeard, this.replica.snapshot.revision)
-    return [from.dataCentre === this.vms.self.view.dataCentre
-      ? this.#buildExchange(from.url, false)
-      : { type: 'exchange', url: from.url, request: { from: this.#describeCaller(), revision: this.replica.snapshot.revision } }]
-  }
-
   #askSnapshot (url: string, revision: Revision): ControlAction[] {
     const now = performance.now()
     if (revision <= this.replica.snapshot.revision) return []
@@ -273,18 +269,6 @@
     return [{ type: 'readSnapshot', url }]
   }
 
-  #buildExchange (url: string, withCentres: boolean): ControlAction {
-    const request: ExchangeRequest = { from: this.#describeCaller(), revision: this.replica.snapshot.revision, known: this.vms.buildVersions() }
-    if (!this.#acquainted.has(url)) request.own = this.vms.buildOwnDelta(undefined) ?? undefined
-    if (withCentres) request.centres = this.centres.buildVersions()
-    return { type: 'exchange', url, request }
-  }
-
-  #describeCaller (): Caller {
-    const { vm, dataCentre, controlUrl } = this.vms.self.view
-    return { vm, dataCentre, url: controlUrl }
-  }
-
   #listVms (): VmView[] {
     return [...this.vms.listVms(), ...this.centres.listOtherVms()]
   }
--- a/packages/knapweedshunt-control/src/messageSchemas.ts
+++ b/packages/knapweedshunt-control/src/messageSchemas.ts
@@ -1,3 +1,4 @@
+import { ROW_NUMBERS } from 'knapweedshunt-membership'
 import { z } from 'zod'
 
 const count = z.number().int().nonnegative()
@@ -13,10 +14,9 @@
   appliedRevision: count,
   order: count.optional()
 })
-const columns = z.object({ i: z.array(count), n: z.array(count), q: z.array(count), t: z.array(count) })
-  .refine(loads => [loads.n, loads.q, loads.t].every(column => column.length === loads.i.length), 'columns must be of one length')
+const rows = z.array(count).refine(numbers => numbers.length % ROW_NUMBERS === 0, `must be rows of ${ROW_NUMBERS} numbers`)
 const boot = z.object({ i: count, incarnation, weightsVersion: z.string().nullable() })
-const board = z.object({ set: z.string(), loads: columns.optional(), boots: z.array(boot).optional(), down: z.array(count).optional(), dead: z.array(count).optional() })
+const board = z.object({ set: z.string().optional(), rows: rows.optional(), boots: z.array(boot).optional(), down: z.array(count).optional(), dead: z.array(count).optional() })
 const claims = z.object({ suspects: z.array(z.string()), dead: z.array(z.object({ vm: z.string(), order: count })) })
 const delta = z.object({
   k: z.string().min(1),
--- a/packages/knapweedshunt-membership/src/endpointBoard.ts
+++ b/packages/knapweedshunt-membership/src/endpointBoard.ts
@@ -1,5 +1,5 @@
 import type { Incarnation, WeightsVersion } from 'knapweedshunt-types'
-import { TOKENS_UNIT } from './endpointBoardDelta.ts'
+import { ROW_NUMBERS, TOKENS_UNIT } from './endpointBoardDelta.ts'
 import type { EndpointBoardDelta, EndpointBoot } from './endpointBoardDelta.ts'
 
 /** Load of one endpoint as it travels. */
@@ -21,11 +21,13 @@
   readonly boots = new Map<number, Stamped<EndpointBoot>>()
   down: Stamped<number[]> = { version: 0, value: [] }
   dead: Stamped<number[]> = { version: 0, value: [] }
+  #setAt = 0
 
   /** Starts anew for another set of endpoints. */
-  openSet (set: string): void {
+  openSet (set: string, version: number): void {
     if (set === this.set) return
     this.set = set
+    this.#setAt = version
     this.loads.clear()
     this.boots.clear()
     this.down = { version: 0, value: [] }
@@ -66,28 +68,23 @@
     const hasDown = isWanted(this.down)
     const hasDead = isWanted(this.dead)
     if (loads.length + boots.length === 0 && !hasDown && !hasDead) return undefined
-    const delta: EndpointBoardDelta = { set: this.set }
+    const delta: EndpointBoardDelta = {}
+    if (this.#setAt > after) delta.set = this.set
     if (boots.length > 0) delta.boots = boots
     if (hasDown) delta.down = this.down.value
     if (hasDead) delta.dead = this.dead.value
-    if (loads.length === 0) return delta
-    delta.loads = {
-      i: loads.map(([index]) => index),
-      n: loads.map(([, one]) => one.value.running),
-      q: loads.map(([, one]) => one.value.queued),
-      t: loads.map(([, one]) => Math.ceil(one.value.queuedTokens / TOKENS_UNIT))
-    }
+    if (loads.length > 0) delta.rows = loads.flatMap(([index, { value }]) => [index, value.running, value.queued, Math.ceil(value.queuedTokens / TOKENS_UNIT)])
     return delta
   }
 
   /** Takes what a teller sent. */
   takeDelta (delta: EndpointBoardDelta, version: number): void {
-    this.openSet(delta.set)
-    const { loads } = delta
-    loads?.i.forEach((index, at) => {
-      const value = { running: loads.n[at], queued: loads.q[at], queuedTokens: loads.t[at] * TOKENS_UNIT }
-      this.loads.set(index, { version, value })
-    })
+    if (delta.set !== undefined) this.openSet(delta.set, version)
+    const { rows = [] } = delta
+    for (let at = 0; at < rows.length; at += ROW_NUMBERS) {
+      const [index, running, queued, tokens] = rows.slice(at, at + ROW_NUMBERS)
+      this.loads.set(index, { version, value: { running, queued, queuedTokens: tokens * TOKENS_UNIT } })
+    }
     for (const boot of delta.boots ?? []) this.boots.set(boot.i, { version, value: boot })
     if (delta.down) this.down = { version, value: delta.down }
     if (delta.dead) this.dead = { version, value: delta.dead }
--- a/packages/knapweedshunt-membership/src/endpointBoardDelta.ts
+++ b/packages/knapweedshunt-membership/src/endpointBoardDelta.ts
@@ -8,26 +8,18 @@
   weightsVersion: WeightsVersion | null
 }
 
-/** Load of some endpoints, by column. Field names are short since they travel often. */
-export interface LoadColumns {
-  /** Indexes of the endpoints in the sorted names of the data centre. */
-  i: number[]
-  /** Running requests. */
-  n: number[]
-  /** Queued requests. */
-  q: number[]
-  /** Queued prompt tokens, in units of {@link TOKENS_UNIT}. */
-  t: number[]
-}
+/** Numbers of one row of {@link EndpointBoardDelta.rows}: index in the sorted names, running, queued, queued tokens in units of {@link TOKENS_UNIT}. */
+export const ROW_NUMBERS = 4
 
 /** Unit of queued prompt tokens in messages. */
 export const TOKENS_UNIT = 256
 
 /** What is new of the endpoints that one VM polls. */
 export interface EndpointBoardDelta {
-  /** Hash of the sorted names; rows of another set are dropped. */
-  set: string
-  loads?: LoadColumns
+  /** Hash of the sorted names, left out when it did not change; a reader with other names drops the rows. */
+  set?: string
+  /** Loads, one row after the other. */
+  rows?: number[]
   boots?: EndpointBoot[]
   /** Indexes of the endpoints that are suspect or dead for the teller, all of them. */
   down?: number[]
--- a/packages/knapweedshunt-membership/src/endpointMembership.ts
+++ b/packages/knapweedshunt-membership/src/endpointMembership.ts
@@ -35,7 +35,7 @@
 
   /** Shares the endpoints out by rank among the live VMs. Returns those that this VM polls. */
   listAssigned (self: KnownVm, live: VmId[]): EndpointName[] {
-    self.board.openSet(this.#set)
+    self.board.openSet(this.#set, self.version + 1)
     const key = `${this.#set}|${self.view.incarnation}|${live.join()}`
     if (key === this.#assignedFor) return this.#assigned
     this.#assignedFor = key
@@ -54,7 +54,7 @@
     if (index === undefined) return
     const evidence = this.#open(load.endpoint)
     evidence.takeLoad(load)
-    self.board.openSet(this.#set)
+    self.board.openSet(this.#set, self.version + 1)
     self.board.setBoot(index, evidence.incarnation, load.weightsVersion, self.version + 1)
     self.board.setLoad(index, load, self.version + 1)
   }
@@ -83,7 +83,7 @@
       if (index !== undefined && state !== 'live') down.push(index)
       if (index !== undefined && state === 'dead') dead.push(index)
     }
-    self.board.openSet(this.#set)
+    self.board.openSet(this.#set, self.version + 1)
     self.board.setDown(down.sort(compareNumbers), dead.sort(compareNumbers), self.version + 1)
   }
 
