--- a/packages/knapweedshunt-control/src/messageSchemas.ts
+++ b/packages/knapweedshunt-control/src/messageSchemas.ts
@@ -1,4 +1,5 @@
 import { ROW_NUMBERS } from 'knapweedshunt-membership'
+import { ENDPOINT_ROLES } from 'knapweedshunt-types'
 import { z } from 'zod'
 
 const count = z.number().int().nonnegative()
@@ -15,7 +16,7 @@
   order: count.optional()
 })
 const rows = z.array(count).refine(numbers => numbers.length % ROW_NUMBERS === 0, `must be rows of ${ROW_NUMBERS} numbers`)
-const boot = z.object({ i: count, incarnation, weightsVersion: z.string().nullable() })
+const boot = z.object({ i: count, incarnation, weightsVersion: z.string().nullable(), adapter: z.string().optional(), role: z.enum(ENDPOINT_ROLES).optional() })
 const board = z.object({ set: z.string().optional(), rows: rows.optional(), boots: z.array(boot).optional(), down: z.array(count).optional(), dead: z.array(count).optional() })
 const claims = z.object({ suspects: z.array(z.string()), dead: z.array(z.object({ vm: z.string(), order: count })) })
 const delta = z.object({
