Free a slot only when routers have heard that the endpoint is back

Cause: a slot was freed at the endpoint's own report, while the counts for the floor came from what VMs tell each other, up to 4 s older; the next endpoint was claimed and dropped again, and routers saw one endpoint fewer than the floor says. Now the told view must show it too.

--- a/packages/knapweedshunt-fleet/bench/planner.ts
+++ b/packages/knapweedshunt-fleet/bench/planner.ts
@@ -37,7 +37,7 @@
   const weightsVersion = n < count / 2 ? 'w2' : 'w1'
   const load = { endpoint, incarnation: `i${n}`, weightsVersion, role: 'serve' as const, running: 3, queued: 0, queuedTokens: 0, atMs: 0 }
   const view: EndpointView = { endpoint, incarnation: `i${n}`, state: 'live', weightsVersion, load, loadAgeMs: 100 }
-  return { endpoint, draining: false, view, isGone: false, drainedForMs: 0, isBusy: false, confirmed: null }
+  return { endpoint, draining: false, view, told: view, isGone: false, drainedForMs: 0, isBusy: false, confirmed: null }
 }
 
 function buildInput (count: number): PoolInput {
--- a/packages/knapweedshunt-fleet/src/fleetTask.ts
+++ b/packages/knapweedshunt-fleet/src/fleetTask.ts
@@ -147,6 +147,7 @@
       endpoint: name,
       draining: spec.draining,
       view,
+      told,
       isGone: this.#watch.isGone(name, view, this.#options.planner.slotSilenceMs),
       drainedForMs: this.#watch.readDrainedMs(name),
       isBusy: this.#desk.isBusy(name, view, lagMs),
--- a/packages/knapweedshunt-fleet/src/keepSlots.ts
+++ b/packages/knapweedshunt-fleet/src/keepSlots.ts
@@ -5,6 +5,7 @@
 import { readWeights } from './listServingWeights.ts'
 import { readWished } from './readWished.ts'
 import { isSameTarget } from './weightsTarget.ts'
+import type { WeightsTarget } from './weightsTarget.ts'
 
 /** Slots that stay taken, and how many loads of this goal have failed one after another. */
 export interface KeptSlots {
@@ -32,18 +33,24 @@
   const planned = input.endpoints.find(entry => entry.endpoint === slot.endpoint)
   if (planned === undefined) return 'dropped'
   if (planned.isBusy) return 'kept'
-  return planned.view === null ? 'kept' : readOwnState(input, slot, planned.view, options)
+  return planned.view === null ? 'kept' : readOwnState(input, slot, planned.view, planned.told, options)
 }
 
-function readOwnState (input: PoolInput, slot: LoadSlot, view: EndpointView, options: PlannerOptions): SlotState {
+function readOwnState (input: PoolInput, slot: LoadSlot, view: EndpointView, told: EndpointView | null, options: PlannerOptions): SlotState {
   if (view.incarnation !== slot.incarnation) return 'failed'
   if (view.state === 'dead') return view.loadAgeMs >= options.slotSilenceMs ? 'failed' : 'kept'
-  const weights = readWeights(view)
-  if (weights === null || view.load?.role === 'drain') return 'kept'
-  if (isSameTarget(weights, readWished(input.goal, slot.purpose))) return 'done'
+  const wished = readWished(input.goal, slot.purpose)
+  if (view.weightsVersion === null || view.load?.role === 'drain') return 'kept'
+  if (isBack(slot, view, wished)) return told !== null && isBack(slot, told, wished) ? 'done' : 'kept'
   return isBelowFloor(input, view) ? 'dropped' : 'kept'
 }
 
+/** In service with the wished weights. Routers must have heard of it too before another endpoint goes out. */
+function isBack (slot: LoadSlot, view: EndpointView, wished: WeightsTarget): boolean {
+  const weights = readWeights(view)
+  return view.incarnation === slot.incarnation && view.load?.role !== 'drain' && weights !== null && isSameTarget(weights, wished)
+}
+
 /** Since the slot was claimed others may have crashed: an endpoint not drained yet then stays in service. */
 function isBelowFloor (input: PoolInput, view: EndpointView): boolean {
   const others = new Set(input.row.slots.map(slot => slot.endpoint).filter(name => name !== view.endpoint))
--- a/packages/knapweedshunt-fleet/src/plannerTypes.ts
+++ b/packages/knapweedshunt-fleet/src/plannerTypes.ts
@@ -26,6 +26,8 @@
   draining: boolean
   /** Null until it was first heard. */
   view: EndpointView | null
+  /** What the VMs tell each other, and so what routers go by; the same as `view` for an endpoint that was not asked itself. */
+  told: EndpointView | null
   /** Not heard for so long that nothing waits for it. */
   isGone: boolean
   /** How long it has been seen in role `drain`, in milliseconds; 0 when it is not. */
