--- a/packages/knapweedshunt-admin/src/adminError.ts
+++ b/packages/knapweedshunt-admin/src/adminError.ts
@@ -1,22 +1,36 @@
 import ModernError from 'modern-errors'
+import type { InstanceOptions } from 'modern-errors'
 
-/** What an operator is answered beside the message. */
-interface AdminErrorProps {
+/** What an {@link AdminError} carries beside its message. */
+export interface AdminErrorOptions extends InstanceOptions {
   /** HTTP status. */
-  status: number
+  status?: number
   /** Stable code, for example `revision_raced`. */
-  code: string
-  details: Record<string, unknown>
+  code?: string
+  /** Further fields of the answer's `error`. */
+  details?: Record<string, unknown>
 }
 
-/** Error that is answered to an operator. Made by {@link createAdminError}. */
-export const AdminError = ModernError.subclass('AdminError', { props: { status: 500, code: 'internal', details: {} } as AdminErrorProps })
+/** Error that is answered to an operator; made by {@link createAdminError}. */
+export const AdminError = ModernError.subclass('AdminError', {
+  custom: class extends ModernError {
+    readonly status: number
+    readonly code: string
+    readonly details: Record<string, unknown>
 
-/** An instance of {@link AdminError}. */
-export type AdminErrorInstance = ReturnType<typeof createAdminError>
+    constructor (message: string, options?: AdminErrorOptions) {
+      super(message, options)
+      this.status = options?.status ?? 500
+      this.code = options?.code ?? 'internal'
+      this.details = options?.details ?? {}
+    }
+  }
+})
 
-/** Creates an error with its HTTP status. */
-export function createAdminError (status: number, code: string, message: string, details: Record<string, unknown> = {}) {
-  const props: AdminErrorProps = { status, code, details }
-  return new AdminError(message, { props })
+/** Instance of {@link AdminError}. */
+export type AdminErrorInstance = InstanceType<typeof AdminError>
+
+/** Creates the error with HTTP status and stable code. */
+export function createAdminError (status: number, code: string, message: string, details: Record<string, unknown> = {}): AdminErrorInstance {
+  return new AdminError(message, { status, code, details })
 }
--- a/packages/knapweedshunt-membership/src/endpointBoard.ts
+++ b/packages/knapweedshunt-membership/src/endpointBoard.ts
@@ -1,4 +1,4 @@
-import type { Incarnation, WeightsVersion } from 'knapweedshunt-types'
+import { isDeepStrictEqual } from 'node:util'
 import { TOKENS_UNIT } from './endpointBoardDelta.ts'
 import type { EndpointBoardDelta, EndpointBoot } from './endpointBoardDelta.ts'
 
@@ -39,11 +39,11 @@
     this.loads.set(index, { version, value: load })
   }
 
-  /** Records the start of an endpoint. */
-  setBoot (index: number, incarnation: Incarnation, weightsVersion: WeightsVersion | null, version: number): void {
-    const known = this.boots.get(index)?.value
-    if (known && known.incarnation === incarnation && known.weightsVersion === weightsVersion) return
-    this.boots.set(index, { version, value: { i: index, incarnation, weightsVersion } })
+  /** Records an endpoint's start, weights and role. */
+  setBoot (boot: EndpointBoot, version: number): void {
+    const known = this.boots.get(boot.i)?.value
+    if (known !== undefined && isDeepStrictEqual(known, boot)) return
+    this.boots.set(boot.i, { version, value: boot })
   }
 
   /** Forgets an endpoint that this VM polls no longer. */
@@ -97,12 +97,15 @@
 /** Share by which a count must move before it is told again. */
 const MOVE_SHARE = 0.25
 
+/** Least move of requests and of tokens that is told. */
+const MOVE_REQUESTS = 1
+const MOVE_TOKENS = 2_048
+
 function isMoved (before: BoardLoad, after: BoardLoad): boolean {
-  if (isFar(before.running, after.running, 1) || isFar(before.queued, after.queued, 1)) return true
-  return isFar(before.queuedTokens, after.queuedTokens, TOKENS_UNIT)
+  if (isFar(before.running, after.running, MOVE_REQUESTS) || isFar(before.queued, after.queued, MOVE_REQUESTS)) return true
+  return isFar(before.queuedTokens, after.queuedTokens, MOVE_TOKENS)
 }
 
 function isFar (before: number, after: number, least: number): boolean {
-  if ((before === 0) !== (after === 0)) return true
   return Math.abs(after - before) > Math.max(least, before * MOVE_SHARE)
 }
