--- a/packages/knapweedshunt-placement/src/__tests__/placementHarness.ts
+++ b/packages/knapweedshunt-placement/src/__tests__/placementHarness.ts
@@ -1,4 +1,4 @@
-import type { EndpointView, Liveness, PrefixLevel, Resource, RouterSnapshot } from 'knapweedshunt-types'
+import type { EndpointRole, EndpointView, Liveness, PrefixLevel, Resource, RouterSnapshot } from 'knapweedshunt-types'
 import { cutLevels } from '../cutLevels.ts'
 import type { Placement } from '../placement.ts'
 import type { PlacedDecision, PlaceRequest } from '../placementTypes.ts'
@@ -13,6 +13,8 @@
   weightsVersion: string
   state: Liveness
   queuedTokens: number
+  role?: EndpointRole
+  adapter?: string
 }
 
 export function createEndpoints (count: number, dataCentre = 'a'): TrueEndpoint[] {
@@ -32,8 +34,8 @@
   return { resources: { revision, resources }, vms: [], endpoints: views.map(endpoint => buildView(endpoint, atMs)) }
 }
 
-function buildView ({ name, incarnation, state, weightsVersion, queuedTokens }: TrueEndpoint, atMs: number): EndpointView {
-  const load = { endpoint: name, incarnation, weightsVersion, running: 0, queued: 0, queuedTokens, atMs }
+function buildView ({ name, incarnation, state, weightsVersion, queuedTokens, role, adapter }: TrueEndpoint, atMs: number): EndpointView {
+  const load = { endpoint: name, incarnation, weightsVersion, running: 0, queued: 0, queuedTokens, role, adapter, atMs }
   return { endpoint: name, incarnation, state, weightsVersion, load, loadAgeMs: 0 }
 }
 
--- a/packages/knapweedshunt-placement/src/endpointDirectory.ts
+++ b/packages/knapweedshunt-placement/src/endpointDirectory.ts
@@ -1,5 +1,6 @@
-import type { EndpointName, EndpointView, Incarnation, PoolName, ResourceSnapshot, RouterSnapshot, WeightsVersion } from 'knapweedshunt-types'
+import type { EndpointName, EndpointView, PoolName, ResourceSnapshot, RouterSnapshot } from 'knapweedshunt-types'
 import { EndpointRecord } from './endpointRecord.ts'
+import type { ServingIdentity } from './endpointRecord.ts'
 import type { NearDataCentres } from './nearDataCentres.ts'
 import type { PlacementOptions } from './placementOptions.ts'
 import { PoolState } from './poolState.ts'
@@ -36,11 +37,11 @@
   }
 
   /** Takes what an endpoint itself said of who serves. */
-  takeIdentity (endpoint: EndpointName, incarnation: Incarnation, weightsVersion: WeightsVersion | null, nowMs: number): void {
+  takeIdentity (endpoint: EndpointName, identity: ServingIdentity, nowMs: number): void {
     const record = this.#records.get(endpoint)
     if (record === undefined) return
     const before = record.state
-    record.takeIdentity(incarnation, weightsVersion, nowMs)
+    record.takeIdentity(identity, nowMs)
     if (record.state !== before) this.#pools.get(record.state.spec.pool)?.buildGroups(this.#near)
   }
 
--- a/packages/knapweedshunt-placement/src/endpointState.ts
+++ b/packages/knapweedshunt-placement/src/endpointState.ts
@@ -1,4 +1,4 @@
-import type { EndpointName, EndpointSpec, EndpointView, Incarnation, Liveness, LoadReport, WeightsVersion } from 'knapweedshunt-types'
+import type { EndpointName, EndpointRole, EndpointSpec, EndpointView, Incarnation, Liveness, LoadReport, WeightsVersion } from 'knapweedshunt-types'
 import type { HashSeed } from './hashSeed.ts'
 import type { PlacementOptions } from './placementOptions.ts'
 import type { RankedEndpoint } from './rankEndpoints.ts'
@@ -19,23 +19,28 @@
   /** Empty until the endpoint was first heard. */
   incarnation: Incarnation
   weightsVersion: WeightsVersion | null
+  /** Empty without one. */
+  adapter: string
 }
 
 /** Work that counts as ahead of a request on an endpoint that fell silent, in milliseconds. */
 const SUSPECT_WAIT_MS = 1_000
 
 /**
- * One incarnation of an endpoint at one weights version.
+ * One incarnation of an endpoint with one weights version and adapter.
  * Evidence and counts refer to this object; a new incarnation or other weights get a new object, so nothing known of the old one can apply to it.
  */
 export class EndpointState implements RankedEndpoint {
   readonly endpoint: EndpointName
   readonly incarnation: Incarnation
   readonly weightsVersion: WeightsVersion | null
+  readonly adapter: string
   readonly seed: HashSeed
   spec: EndpointSpec
   /** Liveness of this incarnation as last heard; `live` before it was first heard. */
   liveness: Liveness = 'live'
+  /** What the engine does by its last report. */
+  role: EndpointRole = 'serve'
   /** When this router saw the endpoint come up empty, -Infinity if it was there before. */
   readonly emptySinceMs: number
   /** Own attempts started and not ended. */
@@ -59,6 +64,7 @@
     this.seed = identity.seed
     this.incarnation = identity.incarnation
     this.weightsVersion = identity.weightsVersion
+    this.adapter = identity.adapter
     this.spec = spec
     this.emptySinceMs = emptySinceMs
     this.#tokensPerMs = options.prefillTokensPerS / 1_000
@@ -76,7 +82,7 @@
 
   /** May get new work. */
   get isUsable (): boolean {
-    return !this.spec.draining && (this.liveness === 'live' || this.liveness === 'suspect')
+    return !this.spec.draining && this.role === 'serve' && (this.liveness === 'live' || this.liveness === 'suspect')
   }
 
   /** Takes a view of this incarnation: leaving is final, and a report older than the last one is ignored. */
@@ -111,6 +117,7 @@
   }
 
   #takeReport (load: LoadReport, atMs: number): void {
+    this.role = load.role ?? 'serve'
     this.#reportClock = load.atMs
     this.#reportedRequests = load.running + load.queued
     this.#runningAtReport = this.running
--- a/packages/knapweedshunt-placement/src/placement.ts
+++ b/packages/knapweedshunt-placement/src/placement.ts
@@ -146,7 +146,10 @@
 
   #takeAnswered ({ attempt, incarnation, weightsVersion }: Extract<PlacementEvent, { type: 'answered' }>, nowMs: number): void {
     const running = this.#attempts.find(attempt)
-    if (running !== undefined) this.#directory.takeIdentity(running.state.endpoint, incarnation, weightsVersion ?? running.state.weightsVersion, nowMs)
+    if (running === undefined) return
+    const { state } = running
+    const identity = { incarnation, weightsVersion: weightsVersion ?? state.weightsVersion, adapter: state.adapter }
+    this.#directory.takeIdentity(state.endpoint, identity, nowMs)
   }
 
   /** An attempt that ended without its usage may not have filled the cache. */
--- a/packages/knapweedshunt-placement/src/poolState.ts
+++ b/packages/knapweedshunt-placement/src/poolState.ts
@@ -42,7 +42,8 @@
 
   /** Whether the endpoint's cache can hold what the pool's present keys name. */
   hasWeights (state: EndpointState): boolean {
-    return this.spec?.type === 'model' && state.incarnation !== '' && state.weightsVersion === this.spec.weightsVersion
+    if (this.spec?.type !== 'model' || state.incarnation === '') return false
+    return state.weightsVersion === this.spec.weightsVersion && state.adapter === (this.spec.adapter ?? '')
   }
 
   /** Groups the usable endpoints anew; groups that did not change stay the same objects. */
