--- a/packages/knapweedshunt-control/src/__tests__/fleet.test.ts
+++ b/packages/knapweedshunt-control/src/__tests__/fleet.test.ts
@@ -7,8 +7,9 @@
 import { createPlatformClient } from 'knapweedshunt-platform'
 import type { Platform } from 'knapweedshunt-platform'
 import { ResourceReplica, ResourceStore } from 'knapweedshunt-resources'
-import type { EndpointView, LoadReport, Resource } from 'knapweedshunt-types'
+import type { LoadReport, Resource } from 'knapweedshunt-types'
 import { callJson, runEvery, sleep } from 'knapweedshunt-utils'
+import { readReport } from '../fleet/readReport.ts'
 import { startFleetTasks } from '../fleet/startFleetTasks.ts'
 
 const DATA_CENTRE = 'dc-1'
@@ -38,7 +39,7 @@
   }
   const store = new ResourceStore(platform)
   const replica = new ResourceReplica()
-  const views = new Map<string, EndpointView>()
+  const views = new Map<string, { load: LoadReport, heardAtMs: number }>()
   runEvery(STEP_MS, abort.signal, async () => {
     const snapshot = await store.readSnapshot().catch(() => null)
     if (snapshot !== null) replica.takeSnapshot(snapshot)
@@ -46,10 +47,8 @@
   runEvery(STEP_MS, abort.signal, async () => {
     for (const resource of replica.snapshot.resources) {
       if (resource.kind !== 'Endpoint') continue
-      const answer = await callJson({ method: 'GET', url: `${resource.spec.url}/manage/load`, timeoutMs: 1_000 }).catch(() => null)
-      if (answer === null) continue
-      const load = answer.body as LoadReport
-      views.set(resource.name, { endpoint: resource.name, incarnation: load.incarnation, state: 'live', weightsVersion: load.weightsVersion, load, loadAgeMs: 0 })
+      const load = await readReport(resource.name, resource.spec)
+      if (load !== null) views.set(resource.name, { load, heardAtMs: performance.now() })
     }
   })
   startFleetTasks({
@@ -57,7 +56,7 @@
     platform,
     store,
     readResources: () => replica.snapshot,
-    listViews: () => [...views.values()],
+    listViews: () => [...views.values()].map(({ load, heardAtMs }) => ({ ...load, state: 'live', load, loadAgeMs: performance.now() - heardAtMs })),
     listVms: () => [],
     log: createLogger('fleet'),
     signal: abort.signal,
