--- a/packages/knapweedshunt-quickstart/src/__tests__/dataPathFaults.test.ts
+++ b/packages/knapweedshunt-quickstart/src/__tests__/dataPathFaults.test.ts
@@ -66,11 +66,15 @@
 
 test('a dead endpoint that hangs is left at once', async t => {
   await withRig({ engines: 3 }, async rig => {
-    const { texts, home } = await learn(rig)
-    rig.engines[home].state.faults.hangAfterTokens = 4
+    const { texts } = await learn(rig)
+    for (const engine of rig.engines) engine.state.faults.hangAfterTokens = 4
+    const before = rig.engines.map(engine => engine.state.started)
     const pending = rig.complete(PROMPT)
-    await waitUntil(() => rig.engines[home].state.started === 2)
-    rig.push({ [`language-${home + 1}`]: 'dead' })
+    const findHung = () => rig.engines.findIndex((engine, i) => engine.state.started > before[i])
+    await waitUntil(() => findHung() !== -1)
+    const hung = findHung()
+    for (const [i, engine] of rig.engines.entries()) if (i !== hung) engine.state.faults.hangAfterTokens = -1
+    rig.push({ [`language-${hung + 1}`]: 'dead' })
     const result = await pending
     t.deepEqual(result.type === 'answered' && result.texts, texts)
   })
--- a/packages/knapweedshunt-router/src/endpointTable.ts
+++ b/packages/knapweedshunt-router/src/endpointTable.ts
@@ -66,6 +66,6 @@
     incarnation: view?.incarnation ?? '',
     weightsVersion: view?.weightsVersion ?? null,
     state,
-    usable: !draining && SERVING.includes(state)
+    usable: !draining && view?.load?.role !== 'drain' && SERVING.includes(state)
   }
 }
