--- a/packages/knapweedshunt-placement/bench/cost.ts
+++ b/packages/knapweedshunt-placement/bench/cost.ts
@@ -31,7 +31,7 @@
 }
 
 /** Measures one size; `local` of the endpoints are in the router's data centre. */
-function measureCost (endpoints: number, local: number, organisations: number, hotKeys: number): Cost {
+function runSize (endpoints: number, local: number, organisations: number, hotKeys: number): Cost {
   const before = countHeap()
   const placement = new Placement('dc-0')
   const snapshot = buildSnapshot(endpoints, local)
@@ -41,14 +41,14 @@
   const rng = createRng(1)
   const warm = () => hot[rng.int(hot.length)]
   for (let i = 0; i < CALLS; i++) placeOne(placement, warm())
-  const warmUs = timeCalls(CALLS, () => placeOne(placement, warm()))
+  const warmUs = countMicroseconds(CALLS, () => placeOne(placement, warm()))
   let n = 0
-  const eventsUs = timeCalls(CALLS, () => runAttempt(placement, n++, warm())) - warmUs
+  const eventsUs = countMicroseconds(CALLS, () => runAttempt(placement, n++, warm())) - warmUs
   const allocatedBytes = countAllocated(() => runAttempt(placement, n++, warm()))
   const heldBytes = countHeap() - before
   let c = 0
-  const coldUs = timeCalls(cold.length / ROUNDS, () => placeOne(placement, cold[c++ % cold.length]))
-  const snapshotUs = timeCalls(50, () => placement.take({ type: 'snapshot', snapshot }))
+  const coldUs = countMicroseconds(cold.length / ROUNDS, () => placeOne(placement, cold[c++ % cold.length]))
+  const snapshotUs = countMicroseconds(50, () => placement.take({ type: 'snapshot', snapshot }))
   return { endpoints, localEndpoints: local, organisations, hotKeys, warmUs, coldUs, eventsUs, allocatedBytes, heldBytes, snapshotUs }
 }
 
@@ -65,7 +65,7 @@
 }
 
 /** Least mean of several rounds, in microseconds. */
-function timeCalls (calls: number, run: () => void): number {
+function countMicroseconds (calls: number, run: () => void): number {
   let least = Infinity
   for (let round = 0; round < ROUNDS; round++) {
     const start = process.hrtime.bigint()
@@ -130,11 +130,11 @@
   }
 }
 
-measureCost(100, 100, 100, 200)
-const byLocal = [10, 50, 100, 200, 460, 920].map(local => measureCost(local, local, 100, 200))
-const byAll = [460, 1_000, 3_000, 6_900].map(all => measureCost(all, REAL_DATA_CENTRE, 100, 200))
-const byKeys = [100, 400, 1_600].map(keys => measureCost(REAL_DATA_CENTRE, REAL_DATA_CENTRE, 100, keys))
-const byOrganisations = [25, 100, 500, 2_500].map(count => measureCost(REAL_DATA_CENTRE, REAL_DATA_CENTRE, count, 2_500))
+runSize(100, 100, 100, 200)
+const byLocal = [10, 50, 100, 200, 460, 920].map(local => runSize(local, local, 100, 200))
+const byAll = [460, 1_000, 3_000, 6_900].map(all => runSize(all, REAL_DATA_CENTRE, 100, 200))
+const byKeys = [100, 400, 1_600].map(keys => runSize(REAL_DATA_CENTRE, REAL_DATA_CENTRE, 100, keys))
+const byOrganisations = [25, 100, 500, 2_500].map(count => runSize(REAL_DATA_CENTRE, REAL_DATA_CENTRE, count, 2_500))
 printRows('by endpoints of one data centre', byLocal)
 printRows('by endpoints of all data centres, 460 of them in the own one', byAll)
 printRows('by hot keys', byKeys)
--- a/packages/knapweedshunt-placement/src/endpointRecord.ts
+++ b/packages/knapweedshunt-placement/src/endpointRecord.ts
@@ -45,11 +45,11 @@
     const { incarnation } = identity
     if (incarnation === '') return state.incarnation === ''
     if (this.#retired.includes(incarnation)) return false
-    if (!isSame(state, identity)) this.#replaceState(identity, nowMs)
+    if (!isSame(state, identity)) this.#setState(identity, nowMs)
     return true
   }
 
-  #replaceState (identity: ServingIdentity, nowMs: number): void {
+  #setState (identity: ServingIdentity, nowMs: number): void {
     const before = this.state
     const isFirst = before.incarnation === ''
     this.state = this.#buildState(identity, before.spec, isFirst ? -Infinity : nowMs)
--- a/packages/knapweedshunt-placement/src/groupChooser.ts
+++ b/packages/knapweedshunt-placement/src/groupChooser.ts
@@ -66,7 +66,7 @@
     const chain = this.buildChain(choice.levels, group, choice.pool, choice.nowMs)
     const states = listCandidates(chain, group, choice.excluded, rng)
     if (states.length === 0) return undefined
-    const candidates = states.map(state => this.#weigh(state, chain, group, choice))
+    const candidates = states.map(state => this.#scoreEndpoint(state, chain, group, choice))
     const { spillFactor, spillFloorMs } = choice.weights
     const boundTokens = group.countMeanWaitTokens(choice.nowMs) * spillFactor + spillFloorMs * options.prefillTokensPerS / 1_000
     const candidate = chooseCandidate(candidates, boundTokens, options.slackTokens, rng)
@@ -89,7 +89,7 @@
     }
   }
 
-  #weigh (state: EndpointState, chain: ChainLink[], group: EndpointGroup, { pool, weights, nowMs }: Choice): Candidate {
+  #scoreEndpoint (state: EndpointState, chain: ChainLink[], group: EndpointGroup, { pool, weights, nowMs }: Choice): Candidate {
     const { options, kept, near } = this.#parts
     const hasWeights = pool.hasWeights(state)
     const { cachedTokens, sharedTokens } = findCacheExpectation(chain, group.members, state, hasWeights, { nowMs, evidenceMs: pool.cacheLife.lifeMs })
--- a/packages/knapweedshunt-placement/src/placement.ts
+++ b/packages/knapweedshunt-placement/src/placement.ts
@@ -17,7 +17,7 @@
 import { checkPlacementOptions } from './placementOptions.ts'
 import type { PlacementOptions } from './placementOptions.ts'
 import type { KeyDemand, PlaceDecision, PlaceRequest, PlacementEvent } from './placementTypes.ts'
-import { correctDemand, listFollowed, noteDemand } from './prefixChain.ts'
+import { recordCachedTokens, listFollowed, noteDemand } from './prefixChain.ts'
 import { isClearlyFreer, rankGroups } from './rankGroups.ts'
 
 /** Time between searches for what has grown too old, in milliseconds. */
@@ -158,12 +158,12 @@
     if (running === undefined) return
     for (const { key } of cachedTokens === null ? running.levels : []) this.#keys.find(key)?.dropAttempt(attempt)
     if (cachedTokens === null) return
-    this.#learnLife(running, cachedTokens)
-    correctDemand(running.levels, running.expectedTokens, cachedTokens, this.#keys, nowMs)
+    this.#noteLife(running, cachedTokens)
+    recordCachedTokens(running.levels, running.expectedTokens, cachedTokens, this.#keys, nowMs)
   }
 
   /** Counts of tokens are estimates, so that a little less than a level still is the level. */
-  #learnLife ({ state, reused }: RunningAttempt, cachedTokens: number): void {
+  #noteLife ({ state, reused }: RunningAttempt, cachedTokens: number): void {
     const life = this.#directory.findPool(state.spec.pool)?.cacheLife
     for (const { tokens, ageMs } of reused) life?.note(ageMs, cachedTokens >= tokens * FULL_SHARE)
   }
--- a/packages/knapweedshunt-placement/src/poolState.ts
+++ b/packages/knapweedshunt-placement/src/poolState.ts
@@ -57,10 +57,10 @@
       else group.push(state)
     }
     const before = this.#groups
-    this.#groups = new Map([...members].map(([dataCentre, states]) => [dataCentre, keepGroup(before.get(dataCentre), dataCentre, states)]))
+    this.#groups = new Map([...members].map(([dataCentre, states]) => [dataCentre, buildGroup(before.get(dataCentre), dataCentre, states)]))
   }
 }
 
-function keepGroup (before: EndpointGroup | undefined, dataCentre: DataCentreId, states: EndpointState[]): EndpointGroup {
+function buildGroup (before: EndpointGroup | undefined, dataCentre: DataCentreId, states: EndpointState[]): EndpointGroup {
   return before?.isSame(states) ? before : new EndpointGroup(dataCentre, states)
 }
--- a/packages/knapweedshunt-placement/src/prefixChain.ts
+++ b/packages/knapweedshunt-placement/src/prefixChain.ts
@@ -36,7 +36,7 @@
 }
 
 /** Corrects a request's demand once its answer told what was cached: prefixes that get lost need more endpoints. */
-export function correctDemand (levels: PrefixLevel[], expectedTokens: number, cachedTokens: number, table: KeyTable, nowMs: number): void {
+export function recordCachedTokens (levels: PrefixLevel[], expectedTokens: number, cachedTokens: number, table: KeyTable, nowMs: number): void {
   for (const { key, tokens } of levels) {
     table.find(key)?.demand.add(Math.max(tokens, expectedTokens) - Math.max(tokens, cachedTokens), nowMs)
   }
