--- a/packages/knapweedshunt-fakes/src/engineState.ts
+++ b/packages/knapweedshunt-fakes/src/engineState.ts
@@ -35,6 +35,8 @@
   readonly loadedVersions: string[] = []
   running = 0
   queuedTokens = 0
+  /** Completion calls that came in over all incarnations. */
+  received = 0
   /** Completions started over all incarnations. */
   started = 0
   /** Prompt tokens computed over all incarnations. */
--- a/packages/knapweedshunt-fakes/src/serveCompletion.ts
+++ b/packages/knapweedshunt-fakes/src/serveCompletion.ts
@@ -14,6 +14,7 @@
   if (!body.success) return sendJson(response, 400, { error: { message: body.error.issues[0].message } })
   const prompt = joinPrompt(body.data)
   const { faults } = state
+  state.received++
   if (faults.crashOnText !== '' && prompt.includes(faults.crashOnText)) return crash()
   if (faults.rejectStatus !== 0) return sendJson(response, faults.rejectStatus, { error: { message: 'refused by the stand-in' } })
   state.started++
--- a/packages/knapweedshunt-quickstart/src/__tests__/dataPathFaults.test.ts
+++ b/packages/knapweedshunt-quickstart/src/__tests__/dataPathFaults.test.ts
@@ -57,6 +57,7 @@
       const { texts, home } = await learn(rig)
       Object.assign(rig.engines[home].state.faults, faults)
       const result = await rig.complete(PROMPT)
+      t.is(rig.engines[home].state.received, 2)
       t.deepEqual(result.type === 'answered' && result.texts, texts)
       await waitUntil(() => rig.routers[0].path.running.size === 0)
       assertIdle(t, rig)
--- a/packages/knapweedshunt-router/src/attemptLauncher.ts
+++ b/packages/knapweedshunt-router/src/attemptLauncher.ts
@@ -141,6 +141,7 @@
   #observe (attempt: AttemptId, endpoint: EndpointName, event: AttemptEvent): void {
     const running = this.#path.running.find(attempt)
     if (running === undefined) return
+    this.#report(endpoint, event)
     if (event.type === 'head') this.#noteHead(running, event)
     const isOverload = event.type === 'stalled' || (event.type === 'rejected' && event.status >= 429)
     if (isOverload) this.#path.gate.noteOverloaded(endpoint)
@@ -148,6 +149,14 @@
     if (event.type === 'token') running.hasToken = true
   }
 
+  /** What control learns from an attempt; losses that control itself made known are not told back. */
+  #report (endpoint: EndpointName, event: AttemptEvent): void {
+    const { observer } = this.#path
+    if (event.type === 'head') observer.note(endpoint, 'answered')
+    if (event.type === 'refused') observer.note(endpoint, 'refused')
+    if (event.type === 'broken' && event.reason !== 'lost') observer.note(endpoint, 'failed')
+  }
+
   #noteHead (running: RunningAttempt, { attempt, incarnation, weightsVersion }: Extract<AttemptEvent, { type: 'head' }>): void {
     running.incarnation = incarnation
     this.#path.placement.take({ type: 'answered', attempt, incarnation, weightsVersion: weightsVersion || null })
--- a/packages/knapweedshunt-router/src/dataPath.ts
+++ b/packages/knapweedshunt-router/src/dataPath.ts
@@ -8,6 +8,7 @@
 import type { StallLimits } from './attemptCall.ts'
 import { HTTP_ENDPOINT_CLIENT } from './endpointClient.ts'
 import type { EndpointClient } from './endpointClient.ts'
+import { EndpointObserver } from './endpointObserver.ts'
 import { EndpointTable } from './endpointTable.ts'
 import { Figures } from './figures.ts'
 import { HedgeDelays } from './hedgeDelays.ts'
@@ -16,7 +17,7 @@
 import { ResourceIndex } from './resourceIndex.ts'
 import type { RouterOptions } from './routerOptions.ts'
 import { RunningAttempts } from './runningAttempts.ts'
-import { parseSnapshot } from './snapshotSchema.ts'
+import { parseSnapshot, parseViews } from './snapshotSchema.ts'
 import { SuspectGuard } from './suspectGuard.ts'
 
 const MAX_SEED = 2 ** 31 - 1
@@ -36,6 +37,7 @@
   readonly running = new RunningAttempts()
   readonly suspects: SuspectGuard
   readonly peers: PeerExchange
+  readonly observer: EndpointObserver
   readonly stall: StallLimits
   readonly #rng = createRng(parseInt(createIncarnation().slice(0, SEED_HEX_DIGITS), 16))
   #index: ResourceIndex | null = null
@@ -52,6 +54,7 @@
     this.client = client
     this.stall = { firstTokenMs: options.firstTokenTimeoutMs, betweenTokensMs: options.tokenTimeoutMs }
     this.suspects = new SuspectGuard(mark => this.peers.announce(mark))
+    this.observer = new EndpointObserver(vm, peerKey)
     this.peers = new PeerExchange({ vm, dataCentre, peerKey, placement: this.placement, gate: this.gate, registry: this.suspects.registry, log })
   }
 
@@ -72,7 +75,17 @@
 
   /** Takes a snapshot of control; an older revision than the one in use is refused, and so is one without resources. Returns the revision in use. Throws ZodError on wrong params. */
   takeSnapshot (params: unknown): number {
-    const snapshot = parseSnapshot(params, this.#snapshot)
+    return this.#applySnapshot(parseSnapshot(params, this.#snapshot))
+  }
+
+  /** Takes views that go with the resources in use; others change nothing. Returns the revision in use. Throws ZodError on wrong params. */
+  takeViews (params: unknown): number {
+    const { revision, vms, endpoints } = parseViews(params)
+    if (this.#snapshot === null || this.#index?.revision !== revision) return this.#index?.revision ?? 0
+    return this.#applySnapshot({ resources: this.#snapshot.resources, vms, endpoints })
+  }
+
+  #applySnapshot (snapshot: RouterSnapshot): number {
     const present = this.#index?.revision ?? 0
     const { revision } = snapshot.resources
     if (revision === 0 || revision < present) return present
@@ -81,6 +94,7 @@
     const last = this.#endpoints
     this.#endpoints = new EndpointTable(snapshot)
     this.peers.takeVms(snapshot.vms)
+    this.observer.takeVms(snapshot.vms)
     this.placement.take({ type: 'snapshot', snapshot })
     this.gate.takeSnapshot(snapshot, this.#endpoints, this.peers.silentMs)
     this.orders.takeSnapshot(snapshot)
@@ -92,6 +106,7 @@
   async close (): Promise<void> {
     this.gate.close()
     await this.peers.close()
+    this.observer.close()
     this.agent.destroy()
     await this.figures.close()
   }
--- a/packages/knapweedshunt-router/src/snapshotSchema.ts
+++ b/packages/knapweedshunt-router/src/snapshotSchema.ts
@@ -1,6 +1,6 @@
 import { resourceSchema } from 'knapweedshunt-resources'
 import { LIVENESS } from 'knapweedshunt-types'
-import type { Resource, RouterSnapshot } from 'knapweedshunt-types'
+import type { Resource, RouterSnapshot, RouterViews } from 'knapweedshunt-types'
 import { z } from 'zod'
 
 const liveness = z.enum(LIVENESS)
@@ -31,11 +31,10 @@
   state: liveness,
   appliedRevision: z.number()
 })
-const snapshot = z.looseObject({
-  resources: z.object({ revision: z.number().int().nonnegative(), resources: z.array(z.unknown()) }),
-  vms: z.array(vmView),
-  endpoints: z.array(endpointView)
-})
+const revision = z.number().int().nonnegative()
+const lists = { vms: z.array(vmView), endpoints: z.array(endpointView) }
+const snapshot = z.looseObject({ resources: z.object({ revision, resources: z.array(z.unknown()) }), ...lists })
+const views = z.looseObject({ revision, ...lists })
 const resources = z.array(resourceSchema)
 
 /** Checks a snapshot; resources are checked only when their revision differs from the one in use, `known`. Throws ZodError. */
@@ -45,3 +44,8 @@
   if (known !== null && revision === known.resources.revision) return { ...parsed, resources: known.resources }
   return { ...parsed, resources: { revision, resources: resources.parse(parsed.resources.resources) as Resource[] } }
 }
+
+/** Checks views. Throws ZodError. */
+export function parseViews (params: unknown): RouterViews {
+  return views.parse(params)
+}
--- a/packages/knapweedshunt-router/src/startRouter.ts
+++ b/packages/knapweedshunt-router/src/startRouter.ts
@@ -37,6 +37,7 @@
   })
   const rpc = createRpcHandler({
     'router.snapshot': params => ({ incarnation, appliedRevision: path.takeSnapshot(params) }),
+    'router.views': params => ({ incarnation, appliedRevision: path.takeViews(params) }),
     'router.marks': params => path.peers.answerMarks(params),
     'router.demand': params => path.peers.answerDemand(params),
     'router.figures': () => path.figures.listRows(),
