--- a/packages/knapweedshunt-quickstart/src/__tests__/startRig.ts
+++ b/packages/knapweedshunt-quickstart/src/__tests__/startRig.ts
@@ -7,10 +7,16 @@
 import { DEFAULT_ROUTER_OPTIONS, startRouter } from 'knapweedshunt-router'
 import type { RouterOptions, RunningRouter } from 'knapweedshunt-router'
 
+import { sleep } from 'knapweedshunt-utils'
+
 export const ACCESS_KEY = 'front-desk-key'
 export const MODEL = 'house-rules'
 const PEER_KEY = 'peer-key-of-the-rig'
 
+/** Longest wait for a condition, in milliseconds; no test asserts on time taken. */
+const WAIT_MS = 60_000
+const POLL_MS = 2
+
 /** Routers and engines without control and platform; snapshots are handed over by the test. */
 export interface Rig {
   engines: FakeEngine[]
@@ -73,7 +79,11 @@
   ]
 }
 
-/** Waits until the condition holds; the test's own timeout ends it otherwise. */
+/** Waits until the condition holds; a condition that never holds fails the test by name. */
 export async function waitUntil (isMet: () => boolean): Promise<void> {
-  while (!isMet()) await new Promise(resolve => setImmediate(resolve))
+  const endAtMs = performance.now() + WAIT_MS
+  while (!isMet()) {
+    if (performance.now() > endAtMs) throw new Error('The condition did not come to hold.')
+    await sleep(POLL_MS)
+  }
 }
