Routers avoid what other data centres hold for out of service; ctl explain

Control exchanged lists of endpoints that are down, and no one read them: a router kept sending to a dead engine a millisecond away. Ruled out: the membership of the own data centre (its views were right). Change: control hands its router the endpoints told as down or draining elsewhere, and all of a data centre that is not reached; placement leaves them out without ending what runs there. Explain goes from ctl through admin to the router and sends nothing.

--- a/packages/knapweedshunt-admin/src/serveAdmin.ts
+++ b/packages/knapweedshunt-admin/src/serveAdmin.ts
@@ -5,6 +5,7 @@
 import type { AdminErrorInstance } from './adminError.ts'
 import { applyChange } from './applyChange.ts'
 import { listStatus } from './listStatus.ts'
+import { explain } from './explain.ts'
 import { findRole } from './operatorKey.ts'
 import type { OperatorKey, OperatorRole } from './operatorKey.ts'
 import { watchChanges } from './watchChanges.ts'
@@ -34,6 +35,10 @@
       const body = parseJson(await readBody(message, MAX_BODY_BYTES))
       return sendJson(response, 200, { revision: await applyChange(context, role, body) })
     }
+    case 'POST /v1/explain': {
+      const body = parseJson(await readBody(message, MAX_BODY_BYTES))
+      return sendJson(response, 200, await explain(context, role, body))
+    }
     case 'GET /v1/watch':
       return watchChanges(context, role, message, response, stopping)
     case 'GET /v1/figures':
--- a/packages/knapweedshunt-cli/src/main.ts
+++ b/packages/knapweedshunt-cli/src/main.ts
@@ -2,6 +2,7 @@
 import { runCommands } from 'knapweedshunt-settings'
 import { applyCommand } from './commands/apply.ts'
 import { drainCommand } from './commands/drain.ts'
+import { explainCommand } from './commands/explain.ts'
 import { getCommand } from './commands/get.ts'
 import { hashKeyCommand } from './commands/hashKey.ts'
 import { deleteCommand } from './commands/remove.ts'
@@ -20,6 +21,7 @@
     wait: waitCommand,
     delete: deleteCommand,
     drain: drainCommand,
+    explain: explainCommand,
     top: topCommand,
     'hash-key': hashKeyCommand
   }
--- a/packages/knapweedshunt-control/src/controlNode.ts
+++ b/packages/knapweedshunt-control/src/controlNode.ts
@@ -10,6 +10,7 @@
 import { ExchangePlan } from './exchangePlan.ts'
 import { GossipPlan } from './gossipPlan.ts'
 import { Join } from './joinSteps.ts'
+import { listAvoided } from './listAvoided.ts'
 import { LoadPlan } from './loadPlan.ts'
 import { DEFAULT_NODE_OPTIONS } from './nodeOptions.ts'
 import type { NodeOptions } from './nodeOptions.ts'
@@ -113,7 +114,13 @@
 
   /** What the router gets. */
   buildRouterSnapshot (): RouterSnapshot {
-    return { resources: this.replica.snapshot, vms: this.#listVms(), endpoints: this.endpoints.listEndpoints(this.vms.self, this.vms.listTellers()) }
+    const resources = this.replica.snapshot
+    return {
+      resources,
+      vms: this.#listVms(),
+      endpoints: this.endpoints.listEndpoints(this.vms.self, this.vms.listTellers()),
+      avoided: listAvoided(this.centres.listOthers(), resources.resources)
+    }
   }
 
   /** What the local admin gets. */
--- a/packages/knapweedshunt-control/src/routerFeed.ts
+++ b/packages/knapweedshunt-control/src/routerFeed.ts
@@ -36,11 +36,11 @@
   }
 
   async #pushOnce (): Promise<void> {
-    const { resources, vms, endpoints } = this.#node.buildRouterSnapshot()
+    const { resources, ...views } = this.#node.buildRouterSnapshot()
     const withViews = this.#routerRevision === resources.revision && !this.#isViewsFailed()
-    const views: RouterViews = { revision: resources.revision, vms, endpoints }
+    const news: RouterViews = { revision: resources.revision, ...views }
     try {
-      const answer = withViews ? await this.#router.call('router.views', views) : await this.#router.call('router.snapshot', { resources, vms, endpoints })
+      const answer = withViews ? await this.#router.call('router.views', news) : await this.#router.call('router.snapshot', { resources, ...views })
       this.#routerRevision = (answer as RouterAck).appliedRevision
       this.#node.take({ type: 'routerAcked', revision: this.#routerRevision })
     } catch (error) {
--- a/packages/knapweedshunt-control/src/summaryPlan.ts
+++ b/packages/knapweedshunt-control/src/summaryPlan.ts
@@ -1,5 +1,5 @@
 import type { DataCentreDirectory, EndpointMembership, VmMembership } from 'knapweedshunt-membership'
-import type { Revision } from 'knapweedshunt-types'
+import type { EndpointView, Revision } from 'knapweedshunt-types'
 
 /** When the data centre's summary is written. Opens nothing. */
 export class SummaryPlan {
@@ -17,6 +17,10 @@
     if (centres.ownAgeMs < this.#everyMs && floor === this.#floor) return
     this.#floor = floor
     const known = endpoints.listEndpoints(vms.self, vms.listTellers())
-    centres.writeOwn(views, known.filter(view => view.state !== 'live').map(view => view.endpoint))
+    centres.writeOwn(views, known.filter(isOutOfService).map(view => view.endpoint))
   }
 }
+
+function isOutOfService (view: EndpointView): boolean {
+  return view.state !== 'live' || view.load?.role === 'drain'
+}
--- a/packages/knapweedshunt-membership/src/dataCentreSummary.ts
+++ b/packages/knapweedshunt-membership/src/dataCentreSummary.ts
@@ -9,7 +9,7 @@
   floor: Revision
   /** Some VMs at the floor while others are ahead. */
   lagging: VmId[]
-  /** Endpoints that are suspect or dead. */
+  /** Endpoints that are suspect, dead or draining. */
   down: EndpointName[]
   /** VMs with judged states; `appliedRevision` is not kept up, see `floor`. */
   roster: VmView[]
@@ -37,7 +37,7 @@
   f: Revision
   /** Lagging VMs, left out when there are none. */
   l?: VmId[]
-  /** Endpoints that are suspect or dead, left out when there are none. */
+  /** Endpoints that are suspect, dead or draining, left out when there are none. */
   x?: EndpointName[]
   /** Only when asked for. */
   roster?: RosterEntry[]
--- a/packages/knapweedshunt-placement/src/endpointDirectory.ts
+++ b/packages/knapweedshunt-placement/src/endpointDirectory.ts
@@ -12,6 +12,7 @@
   readonly #records = new Map<EndpointName, EndpointRecord>()
   readonly #pools = new Map<PoolName, PoolState>()
   #revision = -1
+  #avoided = new Set<EndpointName>()
 
   constructor (near: NearDataCentres, options: PlacementOptions) {
     this.#near = near
@@ -33,6 +34,7 @@
     const changed = new Set<PoolState>()
     if (snapshot.resources.revision > this.#revision) this.#takeResources(snapshot.resources, changed)
     for (const view of snapshot.endpoints) this.#takeView(view, nowMs, changed)
+    this.#takeAvoided(new Set(snapshot.avoided), changed)
     for (const pool of changed) pool.buildGroups(this.#near)
   }
 
@@ -55,6 +57,17 @@
     if (pool !== undefined && (record.state !== before || record.state.isUsable !== wasUsable)) changed.add(pool)
   }
 
+  #takeAvoided (avoided: Set<EndpointName>, changed: Set<PoolState>): void {
+    for (const name of new Set([...this.#avoided, ...avoided])) {
+      const record = this.#records.get(name)
+      if (record === undefined || record.state.isAvoided === avoided.has(name)) continue
+      record.state.isAvoided = avoided.has(name)
+      const pool = this.#pools.get(record.state.spec.pool)
+      if (pool !== undefined) changed.add(pool)
+    }
+    this.#avoided = avoided
+  }
+
   #takeResources ({ revision, resources }: ResourceSnapshot, changed: Set<PoolState>): void {
     this.#revision = revision
     const declared = new Set<EndpointName>()
--- a/packages/knapweedshunt-placement/src/endpointRecord.ts
+++ b/packages/knapweedshunt-placement/src/endpointRecord.ts
@@ -53,6 +53,7 @@
     const before = this.state
     const isFirst = before.incarnation === ''
     this.state = this.#buildState(identity, before.spec, isFirst ? -Infinity : nowMs)
+    this.state.isAvoided = before.isAvoided
     if (before.incarnation === identity.incarnation) {
       this.state.liveness = before.liveness
       this.state.role = before.role
--- a/packages/knapweedshunt-placement/src/endpointState.ts
+++ b/packages/knapweedshunt-placement/src/endpointState.ts
@@ -41,6 +41,8 @@
   liveness: Liveness = 'live'
   /** What the engine does by its last report. */
   role: EndpointRole = 'serve'
+  /** Left out by the snapshot, as an endpoint of another data centre that is out of service there. */
+  isAvoided = false
   /** When this router saw the endpoint come up empty, -Infinity if it was there before. */
   readonly emptySinceMs: number
   /** Own attempts started and not ended. */
@@ -82,7 +84,7 @@
 
   /** May get new work. */
   get isUsable (): boolean {
-    return !this.spec.draining && this.role === 'serve' && (this.liveness === 'live' || this.liveness === 'suspect')
+    return !this.spec.draining && !this.isAvoided && this.role === 'serve' && (this.liveness === 'live' || this.liveness === 'suspect')
   }
 
   /** Takes a view of this incarnation: leaving is final, and a report older than the last one is ignored. */
--- a/packages/knapweedshunt-router/src/dataPath.ts
+++ b/packages/knapweedshunt-router/src/dataPath.ts
@@ -63,6 +63,11 @@
     return this.#index
   }
 
+  /** Last snapshot, null before the first. */
+  get snapshot (): RouterSnapshot | null {
+    return this.#snapshot
+  }
+
   /** Endpoints of the last snapshot. */
   get endpoints (): EndpointTable {
     return this.#endpoints
@@ -80,9 +85,9 @@
 
   /** Takes views that go with the resources in use; others change nothing. Returns the revision in use. Throws ZodError on wrong params. */
   takeViews (params: unknown): number {
-    const { revision, vms, endpoints } = parseViews(params)
+    const { revision, ...views } = parseViews(params)
     if (this.#snapshot === null || this.#index?.revision !== revision) return this.#index?.revision ?? 0
-    return this.#applySnapshot({ resources: this.#snapshot.resources, vms, endpoints })
+    return this.#applySnapshot({ resources: this.#snapshot.resources, ...views })
   }
 
   #applySnapshot (snapshot: RouterSnapshot): number {
--- a/packages/knapweedshunt-router/src/endpointTable.ts
+++ b/packages/knapweedshunt-router/src/endpointTable.ts
@@ -22,11 +22,12 @@
 
   constructor (snapshot: RouterSnapshot | null) {
     const views = new Map(snapshot?.endpoints.map(view => [view.endpoint, view]))
+    const avoided = new Set(snapshot?.avoided)
     for (const resource of snapshot?.resources.resources ?? []) {
       if (resource.kind === 'EndpointPool') this.#openPool(resource.name)
       if (resource.kind !== 'Endpoint') continue
       const { pool, url, draining } = resource.spec
-      this.#add(buildEntry(resource.name, pool, url, draining, views.get(resource.name)))
+      this.#add(buildEntry(resource.name, pool, url, draining || avoided.has(resource.name), views.get(resource.name)))
     }
   }
 
@@ -57,7 +58,7 @@
   }
 }
 
-function buildEntry (endpoint: EndpointName, pool: PoolName, url: string, draining: boolean, view: EndpointView | undefined): EndpointEntry {
+function buildEntry (endpoint: EndpointName, pool: PoolName, url: string, isLeftOut: boolean, view: EndpointView | undefined): EndpointEntry {
   const state = view?.state ?? 'live'
   return {
     endpoint,
@@ -66,6 +67,6 @@
     incarnation: view?.incarnation ?? '',
     weightsVersion: view?.weightsVersion ?? null,
     state,
-    usable: !draining && view?.load?.role !== 'drain' && SERVING.includes(state)
+    usable: !isLeftOut && view?.load?.role !== 'drain' && SERVING.includes(state)
   }
 }
--- /dev/null
+++ b/packages/knapweedshunt-router/src/explainRequest.ts
@@ -0,0 +1,53 @@
+import { cutLevels } from 'knapweedshunt-placement'
+import type { EndpointView, ExplainedEndpoint, Explanation, ResourceOf, RouterSnapshot } from 'knapweedshunt-types'
+import { z } from 'zod'
+import { createCallerError } from './callerError.ts'
+import { cutAtMarks } from './cutAtMarks.ts'
+import type { DataPath } from './dataPath.ts'
+
+const KEY_CHARS = 12
+const explainSchema = z.object({ organisation: z.string(), model: z.string(), prompt: z.string().min(1), marks: z.array(z.number().int().positive()) })
+
+/** Explains where a completion would go now, without sending it. Throws CallerError when nothing can be said, ZodError on wrong params. */
+export function explainRequest (path: DataPath, params: unknown): Explanation {
+  const { organisation, model, prompt, marks } = explainSchema.parse(params)
+  const { index, snapshot } = path
+  if (index === null || snapshot === null) throw createCallerError('not_ready', 'The router has no resources yet: try again later.')
+  const route = index.findModelRoute(model)
+  const pool = route && index.findPool(route.spec.pool)
+  if (route === undefined || pool?.type !== 'model') throw createCallerError('route_unknown', `There is no route for the model "${model}": check the name.`)
+  const salt = { organisation, model: pool.model, adapter: pool.adapter ?? '', weightsVersion: pool.weightsVersion }
+  const levels = cutLevels(salt, cutAtMarks(prompt, marks))
+  return {
+    route: route.name,
+    pool: route.spec.pool,
+    objective: pool.objective,
+    repeatable: route.spec.repeatable,
+    priorityClass: route.spec.priorityClass,
+    levels: levels.map(({ key, tokens }) => ({ key: key.slice(0, KEY_CHARS), tokens })),
+    endpoints: listEndpoints(snapshot, route.spec.pool, path.placement.rank({ pool: route.spec.pool, levels }))
+  }
+}
+
+function listEndpoints (snapshot: RouterSnapshot, pool: string, ranking: string[]): ExplainedEndpoint[] {
+  const views = new Map(snapshot.endpoints.map(view => [view.endpoint, view]))
+  const ranks = new Map(ranking.map((endpoint, i) => [endpoint, i + 1]))
+  return snapshot.resources.resources
+    .filter(resource => resource.kind === 'Endpoint')
+    .filter(endpoint => endpoint.spec.pool === pool)
+    .map(endpoint => describeEndpoint(endpoint, views.get(endpoint.name), ranks.get(endpoint.name) ?? null))
+    .sort((a, b) => (a.rank ?? Infinity) - (b.rank ?? Infinity) || (a.endpoint < b.endpoint ? -1 : 1))
+}
+
+function describeEndpoint (endpoint: ResourceOf<'Endpoint'>, view: EndpointView | undefined, rank: number | null): ExplainedEndpoint {
+  return {
+    rank,
+    endpoint: endpoint.name,
+    dataCentre: endpoint.spec.dataCentre,
+    state: view?.state ?? 'live',
+    draining: endpoint.spec.draining || view?.load?.role === 'drain',
+    weightsVersion: view?.weightsVersion ?? null,
+    running: view?.load?.running ?? 0,
+    queuedTokens: view?.load?.queuedTokens ?? 0
+  }
+}
--- a/packages/knapweedshunt-router/src/parseCallerRequest.ts
+++ b/packages/knapweedshunt-router/src/parseCallerRequest.ts
@@ -8,6 +8,7 @@
 import type { CallerRequest, CallerWork } from './callerRequest.ts'
 import { chatCompletionSchema, completionSchema } from './completionSchema.ts'
 import { readCallerBody } from './readCallerBody.ts'
+import { cutAtMarks } from './cutAtMarks.ts'
 import { readHeaders } from './readHeaders.ts'
 import type { CallerHeaders } from './readHeaders.ts'
 import type { ResourceIndex } from './resourceIndex.ts'
@@ -93,8 +94,3 @@
     throw createCallerError('bad_request', (error as Error).message)
   }
 }
-
-function cutAtMarks (prompt: string, marks: number[]): string[] {
-  const bounds = [0, ...marks.filter(mark => mark < prompt.length), prompt.length]
-  return bounds.slice(1).map((end, i) => prompt.slice(bounds[i], end))
-}
--- a/packages/knapweedshunt-router/src/snapshotSchema.ts
+++ b/packages/knapweedshunt-router/src/snapshotSchema.ts
@@ -32,7 +32,7 @@
   appliedRevision: z.number()
 })
 const revision = z.number().int().nonnegative()
-const lists = { vms: z.array(vmView), endpoints: z.array(endpointView) }
+const lists = { vms: z.array(vmView), endpoints: z.array(endpointView), avoided: z.array(z.string()).optional() }
 const snapshot = z.looseObject({ resources: z.object({ revision, resources: z.array(z.unknown()) }), ...lists })
 const views = z.looseObject({ revision, ...lists })
 const resources = z.array(resourceSchema)
--- a/packages/knapweedshunt-router/src/startRouter.ts
+++ b/packages/knapweedshunt-router/src/startRouter.ts
@@ -5,6 +5,7 @@
 import { CallerServer } from './callerServer.ts'
 import { DataPath } from './dataPath.ts'
 import { createGuardedClient } from './orders/createGuardedClient.ts'
+import { explainRequest } from './explainRequest.ts'
 import { createOrderRpc } from './orders/orderRpc.ts'
 import { RouterOrders } from './orders/routerOrders.ts'
 import type { RouterOptions } from './routerOptions.ts'
@@ -40,6 +41,7 @@
     'router.views': params => ({ incarnation, appliedRevision: path.takeViews(params) }),
     'router.marks': params => path.peers.answerMarks(params),
     'router.demand': params => path.peers.answerDemand(params),
+    'router.explain': params => explainRequest(path, params),
     'router.figures': () => path.figures.listRows(),
     ...createOrderRpc(path)
   }, options.peerKey)
--- a/packages/knapweedshunt-types/src/routerSnapshot.ts
+++ b/packages/knapweedshunt-types/src/routerSnapshot.ts
@@ -1,4 +1,5 @@
 import type { EndpointView } from './endpointView.ts'
+import type { EndpointName } from './ids.ts'
 import type { ResourceSnapshot } from './resourceSnapshot.ts'
 import type { VmView } from './vmView.ts'
 
@@ -7,4 +8,6 @@
   resources: ResourceSnapshot
   vms: VmView[]
   endpoints: EndpointView[]
+  /** Endpoints of other data centres that get nothing new: held for down or draining there, or in a data centre that is not reached. */
+  avoided?: EndpointName[]
 }
--- a/packages/knapweedshunt-types/src/routerViews.ts
+++ b/packages/knapweedshunt-types/src/routerViews.ts
@@ -1,5 +1,5 @@
 import type { EndpointView } from './endpointView.ts'
-import type { Revision } from './ids.ts'
+import type { EndpointName, Revision } from './ids.ts'
 import type { VmView } from './vmView.ts'
 
 /** What control hands to a router that already has the resources: `router.views`. */
@@ -8,4 +8,6 @@
   revision: Revision
   vms: VmView[]
   endpoints: EndpointView[]
+  /** As in a snapshot. */
+  avoided?: EndpointName[]
 }
