Load prompts use words of usual length; prefill rate is a setting

Cause: the load's words had 17 characters, so a router took a prompt for four times its tokens, thought its keys hot and spread them. Ruled out: the exchange of hot keys (right, given the demand). An estimate from characters stays an estimate.

--- a/packages/knapweedshunt-load/src/buildPrompt.ts
+++ b/packages/knapweedshunt-load/src/buildPrompt.ts
@@ -1,5 +1,10 @@
+import { createRng, hashText } from 'knapweedshunt-utils'
 import type { Rng } from 'knapweedshunt-utils'
 
+const RADIX = 36
+const WORDS = RADIX ** 4
+const SEED_HEX_DIGITS = 7
+
 /** Shape of nested prompts: `sections` per manual, cases of their own, with skewed use. */
 export interface PromptShape {
   manuals: number
@@ -30,9 +35,9 @@
 export function buildPrompt (shape: PromptShape, organisation: string, rng: Rng): NestedPrompt {
   const manual = `${organisation}.${shape.manualWords}.${drawSkewed(shape.manuals, shape.skew, rng)}`
   const section = `${manual}.${shape.sectionWords}.${drawSkewed(shape.sections, shape.skew, rng)}`
-  const outer = repeatWords(manual, shape.manualWords)
-  const middle = repeatWords(section, shape.sectionWords)
-  const inner = repeatWords(`case-${rng.int(2 ** 30)}`, shape.caseWords)
+  const outer = drawWords(manual, shape.manualWords)
+  const middle = drawWords(section, shape.sectionWords)
+  const inner = drawWords(`case-${rng.int(2 ** 30)}`, shape.caseWords)
   return {
     text: outer + middle + inner,
     marks: [outer.length, outer.length + middle.length],
@@ -44,6 +49,8 @@
   return Math.min(count - 1, Math.floor(count * rng.float() ** (1 + skew)))
 }
 
-function repeatWords (stem: string, words: number): string {
-  return Array.from({ length: words }, (_, i) => `${stem}/${i} `).join('')
+/** Words of about the length of English ones, always the same for a name. */
+function drawWords (name: string, words: number): string {
+  const rng = createRng(parseInt(hashText(name).slice(0, SEED_HEX_DIGITS), 16))
+  return Array.from({ length: words }, () => `${rng.int(WORDS).toString(RADIX)} `).join('')
 }
--- a/packages/knapweedshunt-quickstart/src/startStandIns.ts
+++ b/packages/knapweedshunt-quickstart/src/startStandIns.ts
@@ -2,6 +2,9 @@
 import { parseResource } from 'knapweedshunt-resources'
 import type { EndpointPoolSpec, EndpointSpec, Resource } from 'knapweedshunt-types'
 
+/** Time to compute one prompt token: 8,000 tokens/s, as the router reckons by default. */
+const PREFILL_MS_PER_TOKEN = 0.125
+
 /** A stand-in that runs for one declared endpoint. */
 export interface StandIn {
   url: string
@@ -34,5 +37,5 @@
 
 function startStandIn (endpoint: string, spec: EndpointSpec, pool: EndpointPoolSpec | undefined): Promise<StandIn> {
   if (pool?.type !== 'model') return startFakeService({ endpoint, checksIdempotencyKeys: spec.checksIdempotencyKeys })
-  return startFakeEngine({ endpoint, cacheBlocks: spec.cacheBlocks, weightsVersion: pool.weightsVersion, checksFencing: spec.checksFencing })
+  return startFakeEngine({ endpoint, cacheBlocks: spec.cacheBlocks, weightsVersion: pool.weightsVersion, checksFencing: spec.checksFencing, prefillMsPerToken: PREFILL_MS_PER_TOKEN })
 }
--- a/packages/knapweedshunt-router/src/dataPath.ts
+++ b/packages/knapweedshunt-router/src/dataPath.ts
@@ -45,8 +45,8 @@
   #endpoints = new EndpointTable(null)
 
   constructor (options: RouterOptions, orders: RouterOrders, log: Logger, client: EndpointClient = HTTP_ENDPOINT_CLIENT) {
-    const { vm, dataCentre, nearDataCentres, peerKey, endpointWindow } = options
-    this.placement = new Placement(dataCentre, { seed: this.drawSeed(), nearDataCentres })
+    const { vm, dataCentre, nearDataCentres, prefillTokensPerS, peerKey, endpointWindow } = options
+    this.placement = new Placement(dataCentre, { seed: this.drawSeed(), nearDataCentres, prefillTokensPerS })
     this.gate = new AdmissionGate({ vm, seed: this.drawSeed(), endpointWindow })
     this.figures = new Figures(options.statsdHost, options.statsdPort)
     this.orders = orders
--- a/packages/knapweedshunt-router/src/routerOptions.ts
+++ b/packages/knapweedshunt-router/src/routerOptions.ts
@@ -7,6 +7,8 @@
   dataCentre: string
   /** Data centres so near that their endpoints hold one cache with this one's. */
   nearDataCentres: string[]
+  /** Prompt tokens per second that an engine of weight 1 computes; waits and shares are reckoned by it. */
+  prefillTokensPerS: number
   /** Where callers connect. */
   caller: ListenOptions
   /** Where the local control and peer routers connect. */
@@ -39,6 +41,7 @@
   vm: 'vm-1',
   dataCentre: 'dc-1',
   nearDataCentres: [],
+  prefillTokensPerS: 8_000,
   caller: { host: '127.0.0.1', port: 0 },
   peer: { host: '127.0.0.1', port: 0 },
   platformUrl: 'http://127.0.0.1:7000',
--- a/packages/knapweedshunt-router/src/settings.ts
+++ b/packages/knapweedshunt-router/src/settings.ts
@@ -11,6 +11,7 @@
   vm: { schema: z.string().min(1), describe: 'this VM\'s name as the platform lists it' },
   dataCentre: { schema: z.string().min(1), describe: 'this VM\'s data centre' },
   nearDataCentres: { schema: z.string().transform(text => text.split(',').filter(name => name !== '')), describe: 'data centres about a millisecond away, parted by commas; their endpoints count as one cache with this one\'s', fallback: '' },
+  prefillTokensPerS: { schema: z.coerce.number().positive(), describe: 'prompt tokens per second that an engine of weight 1 computes', fallback: String(DEFAULT_ROUTER_OPTIONS.prefillTokensPerS) },
   callerHost: { schema: z.ipv4(), describe: 'the IPv4 number callers connect to', fallback: '127.0.0.1' },
   callerPort: { schema: port, describe: 'a port from 0 to 65535 for callers', fallback: '8080' },
   peerHost: { schema: z.ipv4(), describe: 'the IPv4 number the system\'s own processes connect to', fallback: '127.0.0.1' },
