--- a/packages/knapweedshunt-fakes/src/serveManagement.ts
+++ b/packages/knapweedshunt-fakes/src/serveManagement.ts
@@ -23,6 +23,8 @@
       const after = Number(url.searchParams.get('after') ?? 0)
       return sendJson(response, 200, { incarnation: state.incarnation, events: state.events.filter(event => event.n > after) })
     }
+    case 'GET /manage/counts':
+      return sendJson(response, 200, { received: state.received, started: state.started, computedTokens: state.computedTokens })
     case 'POST /manage/cancel':
       state.cancelled.add(cancelOrder.parse(body).attempt)
       return sendJson(response, 200, {})
--- a/packages/knapweedshunt-quickstart/src/__tests__/processes.test.ts
+++ b/packages/knapweedshunt-quickstart/src/__tests__/processes.test.ts
@@ -1,11 +1,12 @@
 import test from 'ava'
 import { once } from 'node:events'
+import { applyResources, drainEndpoint, listResources, waitInForce } from 'knapweedshunt-cli'
 import { callCompletion } from 'knapweedshunt-load'
 import type { CompletionResult } from 'knapweedshunt-load'
 import { callJson } from 'knapweedshunt-utils'
 import type { JsonAnswer } from 'knapweedshunt-utils'
 import { runToEnd } from './programs.ts'
-import { ACCESS_KEY, MODEL, startSystem, WAIT_MS, waitReady, waitUntil } from './system.ts'
+import { ACCESS_KEY, MODEL, OPERATOR_KEY, startSystem, WAIT_MS, waitReady, waitUntil } from './system.ts'
 import type { System, VmPrograms } from './system.ts'
 
 const LONG_TOKENS = 400
@@ -15,8 +16,8 @@
 test.before(async () => { system = await startSystem() })
 test.after.always(() => system?.stop())
 
-function ask (vm: VmPrograms, maxTokens: number, headers: Record<string, string> = {}, onText?: (n: number) => void): Promise<CompletionResult> {
-  return callCompletion({ url: vm.router.context.callerUrl, accessKey: ACCESS_KEY, model: MODEL, prompt: PROMPT, marks: [500], maxTokens, headers, onText })
+function ask (vm: VmPrograms, maxTokens: number, headers: Record<string, string> = {}, onText?: (n: number) => void, prompt = PROMPT): Promise<CompletionResult> {
+  return callCompletion({ url: vm.router.context.callerUrl, accessKey: ACCESS_KEY, model: MODEL, prompt, marks: [500], maxTokens, headers, onText })
 }
 
 function order (vm: VmPrograms, key: string): Promise<JsonAnswer> {
@@ -29,6 +30,20 @@
   return (answer.body as Record<string, number>)[JSON.stringify({ order: key })] ?? 0
 }
 
+/** Completions that each engine began. */
+function countStarted (): Promise<number[]> {
+  return Promise.all(system.engines.map(async engine => {
+    const answer = await callJson({ method: 'GET', url: `${engine.context.url}/manage/counts`, timeoutMs: WAIT_MS })
+    return (answer.body as { started: number }).started
+  }))
+}
+
+async function killBusy (before: number[]): Promise<void> {
+  const present = await countStarted()
+  const busy = present.findIndex((count, i) => count > before[i])
+  system.engines[busy].child.kill('SIGKILL')
+}
+
 function textsOf (result: CompletionResult): string[] {
   return result.type === 'refused' ? [] : result.texts
 }
@@ -73,6 +88,7 @@
   await first.control.end('SIGKILL')
   const result = await ask(first, 8)
   t.is(result.type, 'answered')
+  await system.restartControl(first)
 })
 
 test.serial('platform down, streams run and orders are truthful', async t => {
@@ -102,6 +118,39 @@
   t.is(await countRuns('frozen'), 1)
 })
 
+test.serial('operators racing, one is told', async t => {
+  const addresses = system.vms.map(vm => ({ url: vm.admin.context.url, operatorKey: OPERATOR_KEY }))
+  const [{ resource }] = await listResources(addresses[0], 'Organisation', 'harbour-hotel')
+  const results = await Promise.allSettled(addresses.map((address, i) => applyResources(address, [{ kind: 'Organisation', name: 'harbour-hotel', spec: { weight: i + 2 } }], resource.revision)))
+  const refused = results.filter(result => result.status === 'rejected')
+  t.is(refused.length, 1)
+  t.regex(String(refused[0].reason), /revision_raced.*newest revision is 2/)
+})
+
+test.serial('drained engine gets nothing new', async t => {
+  const [, second] = system.vms
+  const address = { url: second.admin.context.url, operatorKey: OPERATOR_KEY }
+  await drainEndpoint(address, 'language-1', true)
+  await waitInForce(address, 'Endpoint', 'language-1', WAIT_MS)
+  const before = await countStarted()
+  for (let i = 0; i < 10; i++) t.is((await ask(second, 2, {}, undefined, `case ${i}`)).type, 'answered')
+  const after = await countStarted()
+  t.deepEqual(after.map((count, i) => count - before[i]), [0, 10])
+  await drainEndpoint(address, 'language-1', false)
+  await waitInForce(address, 'Endpoint', 'language-1', WAIT_MS)
+})
+
+test.serial('killed engine, stream goes on elsewhere', async t => {
+  const [, second] = system.vms
+  const whole = await ask(second, LONG_TOKENS)
+  const before = await countStarted()
+  let killed = Promise.resolve()
+  const result = await ask(second, LONG_TOKENS, {}, n => { if (n === 20) killed = killBusy(before) })
+  await killed
+  t.is(result.type, 'answered')
+  t.deepEqual(textsOf(result), textsOf(whole))
+})
+
 test.serial('wrong settings exit with 2', async t => {
   const result = await runToEnd('router', ['--vm', 'vm-9', '--data-centre', 'dc-1', '--platform-url', 'nowhere', '--peer-key', 'short'])
   t.is(result.code, 2)
--- a/packages/knapweedshunt-quickstart/src/__tests__/system.ts
+++ b/packages/knapweedshunt-quickstart/src/__tests__/system.ts
@@ -13,7 +13,8 @@
 /** Model with a route. */
 export const MODEL = 'house-rules'
 
-const OPERATOR_KEY = 'an-operators-key'
+/** Key of an editor. */
+export const OPERATOR_KEY = 'an-operators-key'
 const PEER_KEY = 'a-key-shared-by-processes'
 
 /** One entry VM as three processes. */
@@ -32,6 +33,8 @@
   vms: VmPrograms[]
   /** Starts the VM's router again on its old ports. */
   restartRouter (vm: VmPrograms): Promise<void>
+  /** Starts the VM's control again on its old port. */
+  restartControl (vm: VmPrograms): Promise<void>
   setPlatformFaults (faults: object): Promise<void>
   stop (): Promise<void>
 }
@@ -62,6 +65,9 @@
       const { callerUrl, peerUrl } = vm.router.context
       vm.router = await startRouter(vm.vm, platformUrl, new URL(callerUrl).port, new URL(peerUrl).port)
     },
+    async restartControl (vm) {
+      vm.control = await startControl(vm.vm, platformUrl, vm.router.context.peerUrl, new URL(vm.control.context.url).port)
+    },
     async setPlatformFaults (faults) {
       await callJson({ method: 'PUT', url: `${platformUrl}/faults`, body: faults, timeoutMs: WAIT_MS })
     },
@@ -90,12 +96,16 @@
   const router = await startRouter(vm, platformUrl, '0', '0')
   const routerUrl = router.context.peerUrl
   const common = { 'platform-url': platformUrl, 'peer-key': PEER_KEY, 'router-url': routerUrl }
-  const control = await startProgram('control', { ...common, vm, 'data-centre': 'dc-1', 'control-port': '0' })
+  const control = await startControl(vm, platformUrl, routerUrl, '0')
   const hash = createHash('sha256').update(OPERATOR_KEY).digest('hex')
   const admin = await startProgram('admin', { ...common, 'control-url': control.context.url, 'admin-port': '0', 'operator-keys': `${hash}:editor` })
   return { vm, router, control, admin }
 }
 
+function startControl (vm: string, platformUrl: string, routerUrl: string, port: string): Promise<RunningProgram> {
+  return startProgram('control', { vm, 'data-centre': 'dc-1', 'platform-url': platformUrl, 'peer-key': PEER_KEY, 'router-url': routerUrl, 'control-port': port })
+}
+
 function startRouter (vm: string, platformUrl: string, callerPort: string, peerPort: string): Promise<RunningProgram> {
   const flags = { vm, 'data-centre': 'dc-1', 'platform-url': platformUrl, 'peer-key': PEER_KEY, 'caller-port': callerPort, 'peer-port': peerPort }
   return startProgram('router', flags)
