Roll-outs: another data centre's counts hold for two renewals only

Cause: the roll-out fuzz's oracle had been widened by 12 s without a trace. Ruled out: own data centre's reports. Change: counts hold while the lease was renewed within two renewals; the oracle's widening is 7.5 s (two renewals and one look) in place of 12 s.

--- a/packages/knapweedshunt-fleet/src/__tests__/rolloutFuzz.test.ts
+++ b/packages/knapweedshunt-fleet/src/__tests__/rolloutFuzz.test.ts
@@ -9,8 +9,8 @@
 import { SimWorld } from './simWorld.ts'
 import type { Variant } from './simWorld.ts'
 
-const SEED = 20_261_203
-const RUNS = 60
+const SEED = Number(process.env.FUZZ_SEED ?? 20_261_203)
+const RUNS = Number(process.env.FUZZ_RUNS ?? 60)
 const HEAL_MS = 240_000
 const SLOTS = ['a-0', 'a-1', 'b-0', 'b-1']
 const ENDPOINTS = ['a1', 'a2', 'a3', 'b1', 'b2', 'b3']
--- a/packages/knapweedshunt-fleet/src/__tests__/simOracle.ts
+++ b/packages/knapweedshunt-fleet/src/__tests__/simOracle.ts
@@ -7,8 +7,8 @@
 const STALE_MS = 25_000
 /** Longest time between a crash and its being seen in its own data centre. */
 const UNSEEN_MS = 8_000
-/** Longest time for which another data centre's counts are believed after its holder stopped: its lease and the guard. */
-const TOLD_MS = 12_000
+/** Longest time for which another data centre's counts are believed after its holder stopped: two renewals and one look. */
+const TOLD_MS = 7_500
 
 interface Running { control: string, untilMs: number }
 
--- a/packages/knapweedshunt-fleet/src/peerLeases.ts
+++ b/packages/knapweedshunt-fleet/src/peerLeases.ts
@@ -6,6 +6,9 @@
 import { LeaseWatch } from './leaseWatch.ts'
 import type { PeerDataCentre, PeerLease } from './plannerTypes.ts'
 
+/** Renewals after whose absence another data centre's counts are no longer believed, well before its lease ends. */
+const MISSED_RENEWALS = 2
+
 /** Watches the leases of the other data centres by this VM's own clock. */
 export class PeerLeases {
   readonly #options: LeaseOptions
@@ -28,7 +31,7 @@
     const now = performance.now()
     const watch = this.#watches.get(dataCentre) ?? new LeaseWatch()
     this.#watches.set(dataCentre, watch)
-    if (!watch.hasLapsed(row, now, this.#options.guardMs)) return 'fresh'
+    if (watch.readSilentMs(row, now) < MISSED_RENEWALS * this.#options.intervalMs) return 'fresh'
     return watch.hasLapsed(row, now, this.#options.guardMs + this.#options.longestOrderMs) ? 'gone' : 'lapsed'
   }
 }
--- a/packages/knapweedshunt-fleet/src/plannerTypes.ts
+++ b/packages/knapweedshunt-fleet/src/plannerTypes.ts
@@ -40,9 +40,9 @@
 
 /** State of another data centre's lease, as seen from here. */
 export type PeerLease =
-  /** Its holder may act, and its counts hold. */
+  /** Its holder renews it, and its counts hold. */
   | 'fresh'
-  /** It lapsed; orders may still run. */
+  /** It is not renewed, so its counts may be old; its holder may still act, and its orders run. */
   | 'lapsed'
   /** It lapsed so long ago that no order runs; its slots are free. */
   | 'gone'
