--- a/packages/knapweedshunt-control/src/controlNode.ts
+++ b/packages/knapweedshunt-control/src/controlNode.ts
@@ -1,12 +1,13 @@
 import { DataCentreDirectory, EndpointMembership, VmMembership } from 'knapweedshunt-membership'
-import type { MembershipEvent, MembershipOptions } from 'knapweedshunt-membership'
+import type { MembershipEvent } from 'knapweedshunt-membership'
 import { ResourceReplica } from 'knapweedshunt-resources'
-import type { ChangesAnswer, Incarnation, Revision, RouterSnapshot, VmListEntry, VmView } from 'knapweedshunt-types'
-import type { Rng } from 'knapweedshunt-utils'
+import type { ChangesAnswer, EndpointView, Revision, RouterSnapshot, VmListEntry, VmView } from 'knapweedshunt-types'
 import { match } from 'ts-pattern'
+import { answerExchange } from './answerExchange.ts'
+import type { PeerAnswer } from './answerExchange.ts'
 import type { ControlAction, ControlEvent, PlatformRead } from './controlEvents.ts'
 import type { ControlStatus, ExchangeAnswer, ExchangeRequest, PushRequest } from './controlMessages.ts'
-import { joinBeats, splitBeats } from './beats.ts'
+import { joinBeats } from './beats.ts'
 import { ExchangePlan } from './exchangePlan.ts'
 import { GossipPlan } from './gossipPlan.ts'
 import { Join } from './joinSteps.ts'
@@ -14,21 +15,11 @@
 import { LoadPlan } from './loadPlan.ts'
 import { DEFAULT_NODE_OPTIONS } from './nodeOptions.ts'
 import type { NodeOptions } from './nodeOptions.ts'
+import type { NodeSetup } from './nodeSetup.ts'
 import { planPushes } from './planPushes.ts'
 import { PlatformPlan } from './platformPlan.ts'
 import { SummaryPlan } from './summaryPlan.ts'
 
-/** What a node starts with. */
-export interface NodeSetup {
-  self: VmView
-  rng: Rng
-  drawIncarnation: () => Incarnation
-  /** Control URLs of peers to ask while the platform does not answer. */
-  seeds: string[]
-  options?: NodeOptions
-  membership?: MembershipOptions
-}
-
 const SNAPSHOT_LOST_AFTER_MS = 5_000
 
 /** Time after a new revision in which summaries travel with every exchange, since operators wait for it to be in force. */
@@ -50,7 +41,7 @@
   #listed: VmListEntry[] = []
   #ticks = 0
   #newestHeard: Revision = 0
-  #snapshotAskedAtMs: number | null = null
+  #snapshotAskedAtMs = -Infinity
   #downBefore = ''
   #hotUntilMs = 0
 
@@ -90,19 +81,8 @@
   }
 
   /** Answers a peer. */
-  answerExchange (request: ExchangeRequest): { answer: ExchangeAnswer, actions: ControlAction[] } {
-    if (request.own) this.vms.takeDeltas([request.own])
-    const { revision } = this.replica.snapshot
-    const answer: ExchangeAnswer = { revision }
-    if (request.known) {
-      const { deltas, beats } = splitBeats(this.vms.buildDeltas(request.known))
-      answer.deltas = deltas
-      answer.beats = beats
-      answer.knows = this.vms.findState(request.from.vm) !== undefined
-    }
-    if (request.centres) answer.centres = this.centres.buildDeltas(request.centres)
-    if (request.revision < revision) answer.changes = this.replica.listChangesAfter(request.revision) ?? undefined
-    return { answer, actions: request.revision > revision ? [this.#exchanges.buildBehind(request.from)] : [] }
+  answerExchange (request: ExchangeRequest): PeerAnswer {
+    return answerExchange({ vms: this.vms, centres: this.centres, replica: this.replica, exchanges: this.#exchanges }, request)
   }
 
   /** Answers a watch. */
@@ -112,13 +92,18 @@
     return { revision: snapshot.revision, changes, snapshot: changes === null ? snapshot : null }
   }
 
+  /** Endpoints of the data centre, as this VM knows them. */
+  listEndpoints (): EndpointView[] {
+    return this.endpoints.listEndpoints(this.vms.self, this.vms.listTellers())
+  }
+
   /** What the router gets. */
   buildRouterSnapshot (): RouterSnapshot {
     const resources = this.replica.snapshot
     return {
       resources,
-      vms: this.#listVms(),
-      endpoints: this.endpoints.listEndpoints(this.vms.self, this.vms.listTellers()),
+      vms: this.listVms(),
+      endpoints: this.listEndpoints(),
       avoided: listAvoided(this.centres.listOthers(), resources.resources)
     }
   }
@@ -261,7 +246,7 @@
   #growBy (isFromPlatform: boolean, step: () => boolean): ControlAction[] {
     const before = this.replica.snapshot.revision
     if (!step()) return []
-    this.#snapshotAskedAtMs = null
+    this.#snapshotAskedAtMs = -Infinity
     this.#hotUntilMs = performance.now() + HOT_MS
     this.#loads.takeResources(this.replica.snapshot, this.vms.self.view.dataCentre)
     const pushes = planPushes({ vms: this.vms, replica: this.replica, caller: this.#exchanges.caller, before, isFromPlatform, fanOut: this.#options.fanOut })
@@ -269,14 +254,14 @@
   }
 
   #askSnapshot (url: string, revision: Revision): ControlAction[] {
-    const now = performance.now()
-    if (revision <= this.replica.snapshot.revision) return []
-    if (this.#snapshotAskedAtMs !== null && now - this.#snapshotAskedAtMs < SNAPSHOT_LOST_AFTER_MS) return []
-    this.#snapshotAskedAtMs = now
+    const isKnown = revision <= this.replica.snapshot.revision
+    if (isKnown || performance.now() - this.#snapshotAskedAtMs < SNAPSHOT_LOST_AFTER_MS) return []
+    this.#snapshotAskedAtMs = performance.now()
     return [{ type: 'readSnapshot', url }]
   }
 
-  #listVms (): VmView[] {
+  /** All VMs that this one knows. */
+  listVms (): VmView[] {
     return [...this.vms.listVms(), ...this.centres.listOtherVms()]
   }
 }
--- /dev/null
+++ b/packages/knapweedshunt-control/src/nodeSetup.ts
@@ -0,0 +1,15 @@
+import type { MembershipOptions } from 'knapweedshunt-membership'
+import type { Incarnation, VmView } from 'knapweedshunt-types'
+import type { Rng } from 'knapweedshunt-utils'
+import type { NodeOptions } from './nodeOptions.ts'
+
+/** What a node starts with. */
+export interface NodeSetup {
+  self: VmView
+  rng: Rng
+  drawIncarnation: () => Incarnation
+  /** Control URLs of peers to ask while the platform does not answer. */
+  seeds: string[]
+  options?: NodeOptions
+  membership?: MembershipOptions
+}
--- a/packages/knapweedshunt-control/src/startControl.ts
+++ b/packages/knapweedshunt-control/src/startControl.ts
@@ -43,8 +43,8 @@
     platform,
     store: new ResourceStore(platform),
     readResources: () => node.replica.snapshot,
-    listViews: () => node.buildRouterSnapshot().endpoints,
-    listVms: () => node.buildRouterSnapshot().vms,
+    listViews: () => node.listEndpoints(),
+    listVms: () => node.listVms(),
     log: createLogger('fleet'),
     signal: stopping.signal
   })
