Placement: an endpoint not heard of yet may hold what its rank says

Cause: a fresh clone's npm test had 'restarted router finds warm caches' red. 36 more runs of it, 24 under full processor load, were green; one of them showed the home engine without a load report. With the report missing, a fresh placement sent 102 of 200 short prompts (250 tokens) home, and 200 of 200 from 1,000 tokens on: nothing was expected in its cache, and the rest was within the slack. Ruled out: the slack alone (400 of 400 with reports), a queue of 50 tokens (200 of 200). Whether the red run itself was this was not seen. Change: the expectation counts for endpoints that nothing speaks against; imports still need known weights.

--- /dev/null
+++ b/packages/knapweedshunt-placement/src/__tests__/coldStart.test.ts
@@ -0,0 +1,24 @@
+import test from 'ava'
+import { cutLevels } from '../cutLevels.ts'
+import { Placement } from '../placement.ts'
+import { buildSnapshot, createEndpoints, placeOn } from './placementHarness.ts'
+
+const SALT = { organisation: 'o', model: 'm', adapter: '', weightsVersion: 'w1' }
+const KEYS = 200
+const CHARS = 500
+
+test('a restarted router goes to the home that was not heard of yet', t => {
+  const endpoints = createEndpoints(2)
+  for (let seed = 0; seed < KEYS; seed++) {
+    const levels = cutLevels(SALT, [`${seed}`.padEnd(CHARS), 'section'.padEnd(CHARS)])
+    const restart = (views = endpoints) => {
+      const placement = new Placement('a', { seed })
+      placement.take({ type: 'snapshot', snapshot: buildSnapshot(endpoints, 1, 1, 'w1', views) })
+      return placeOn(placement, { levels })
+    }
+    const home = restart().endpoint
+    const decision = restart(endpoints.filter(endpoint => endpoint.name !== home))
+    t.is(decision.endpoint, home)
+    t.is(decision.kvImport, null)
+  }
+})
--- a/packages/knapweedshunt-placement/src/groupChooser.ts
+++ b/packages/knapweedshunt-placement/src/groupChooser.ts
@@ -92,7 +92,7 @@
   #scoreEndpoint (state: EndpointState, chain: ChainLink[], group: EndpointGroup, { pool, weights, nowMs }: Choice): Candidate {
     const { options, kept, near } = this.#parts
     const hasWeights = pool.hasWeights(state)
-    const { cachedTokens, sharedTokens } = findCacheExpectation(chain, group.members, state, hasWeights, { nowMs, evidenceMs: pool.cacheLife.lifeMs })
+    const { cachedTokens, sharedTokens } = findCacheExpectation(chain, group.members, state, pool.mayHaveWeights(state), { nowMs, evidenceMs: pool.cacheLife.lifeMs })
     const plan = hasWeights ? kept.findImport(chain, state, cachedTokens) : null
     const heldTokens = Math.max(cachedTokens, plan?.kvImport.tokens ?? 0)
     const totalTokens = chain.at(-1)?.tokens ?? 0
--- a/packages/knapweedshunt-placement/src/poolState.ts
+++ b/packages/knapweedshunt-placement/src/poolState.ts
@@ -46,6 +46,11 @@
     return state.weightsVersion === this.spec.weightsVersion && state.adapter === (this.spec.adapter ?? '')
   }
 
+  /** Whether nothing speaks against the pool's weights there: an endpoint that was not heard of yet may hold what its rank says, so that a restarted router places as its peers do. */
+  mayHaveWeights (state: EndpointState): boolean {
+    return this.spec?.type === 'model' && (state.incarnation === '' || this.hasWeights(state))
+  }
+
   /** Groups the usable endpoints anew; groups that did not change stay the same objects. */
   buildGroups (near: NearDataCentres): void {
     const members = new Map<DataCentreId, EndpointState[]>()
