--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,5 +1,20 @@
+import jsdoc from 'eslint-plugin-jsdoc'
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['**/lib/**', '**/node_modules/**', 'reports/**'] })
+  ...neostandard({ ts: true, ignores: ['**/lib/**', '**/node_modules/**', 'reports/**'] }),
+  {
+    files: ['packages/*/src/**/*.ts'],
+    ignores: ['**/__tests__/**', '**/index.ts', '**/main.ts'],
+    plugins: { jsdoc },
+    rules: {
+      'jsdoc/require-jsdoc': ['error', {
+        publicOnly: true,
+        enableFixer: false,
+        require: { ClassDeclaration: true, FunctionDeclaration: true },
+        contexts: ['TSInterfaceDeclaration', 'TSTypeAliasDeclaration', 'ExportNamedDeclaration > VariableDeclaration']
+      }],
+      'jsdoc/require-description': 'error'
+    }
+  }
 ]
--- a/packages/knapweedshunt-admin/src/serveAdmin.ts
+++ b/packages/knapweedshunt-admin/src/serveAdmin.ts
@@ -17,14 +17,14 @@
   try {
     const role = findRole(message.headers, keys)
     if (role === null) throw createAdminError(401, 'key_unknown', 'The operator key is missing or not known: send "Authorization: Bearer <key>".')
-    await dispatch(context, role, message, response, stopping)
+    await serveCall(context, role, message, response, stopping)
   } catch (error) {
     const shown = describeError(error)
     sendJson(response, shown.status, { error: { code: shown.code, message: shown.message, ...shown.details } })
   }
 }
 
-async function dispatch (context: AdminContext, role: OperatorRole, message: IncomingMessage, response: ServerResponse, stopping: AbortSignal): Promise<void> {
+async function serveCall (context: AdminContext, role: OperatorRole, message: IncomingMessage, response: ServerResponse, stopping: AbortSignal): Promise<void> {
   const url = new URL(message.url ?? '/', 'http://admin')
   switch (`${message.method} ${url.pathname}`) {
     case 'GET /v1/resources': {
--- a/packages/knapweedshunt-cli/src/commands/get.ts
+++ b/packages/knapweedshunt-cli/src/commands/get.ts
@@ -4,7 +4,7 @@
 import { ADDRESS_SETTINGS, readAddress, readSelection, SELECTION_SETTINGS } from '../addressSettings.ts'
 import { CliError } from '../cliError.ts'
 import { listResources } from '../listResources.ts'
-import { summariseItem } from '../summariseItem.ts'
+import { describeItem } from '../describeItem.ts'
 
 /** `get [KIND] [NAME]`: lists resources. */
 export const getCommand = createCommand({
@@ -20,7 +20,7 @@
     const items = await listResources(readAddress(values), kind, name)
     if (items.length === 0 && name !== null) throw new CliError(`There is no ${kind} ${name}: see "get ${kind}" for those there are.`)
     switch (values.output) {
-      case 'table': return console.table(items.map(summariseItem))
+      case 'table': return console.table(items.map(describeItem))
       case 'yaml': return console.log(stringify(items))
       case 'json': return console.log(JSON.stringify(items, null, 2))
     }
--- a/packages/knapweedshunt-cli/src/commands/watch.ts
+++ b/packages/knapweedshunt-cli/src/commands/watch.ts
@@ -2,7 +2,7 @@
 import { sleep } from 'knapweedshunt-utils'
 import { ADDRESS_SETTINGS, readAddress, readSelection, SELECTION_SETTINGS } from '../addressSettings.ts'
 import { listResources } from '../listResources.ts'
-import { summariseItem } from '../summariseItem.ts'
+import { describeItem } from '../describeItem.ts'
 
 const POLL_MS = 500
 
@@ -16,7 +16,7 @@
     let before = new Map<string, string>()
     while (!signal.aborted) {
       const items = await listResources(readAddress(values), kind, name)
-      const present = new Map(items.map(item => [`${item.resource.kind}/${item.resource.name}`, JSON.stringify(summariseItem(item))]))
+      const present = new Map(items.map(item => [`${item.resource.kind}/${item.resource.name}`, JSON.stringify(describeItem(item))]))
       printChanges(before, present)
       before = present
       await sleep(POLL_MS, signal)
--- a/packages/knapweedshunt-cli/src/describeItem.ts
+++ b/packages/knapweedshunt-cli/src/describeItem.ts
@@ -10,7 +10,7 @@
 }
 
 /** Sums up a resource for a table. */
-export function summariseItem (item: ResourceItem): ItemSummary {
+export function describeItem (item: ResourceItem): ItemSummary {
   const inForce = item.status.conditions.find(condition => condition.type === 'InForce')
   const progress = item.status.conditions.find(condition => condition.type === 'Progress')
   return {
--- a/packages/knapweedshunt-control/src/startControl.ts
+++ b/packages/knapweedshunt-control/src/startControl.ts
@@ -37,7 +37,7 @@
   const io = new ControlIo({ node, platform, clients, feed, log })
   rpc = createRpcHandler(createControlMethods(node, io), options.peerKey)
 
-  const ticking = tickUntil(stopping.signal, options.exchangeIntervalMs, io)
+  const ticking = runTicks(stopping.signal, options.exchangeIntervalMs, io)
   const fleet = startFleetTasks({
     self: node.vms.self.view,
     platform,
@@ -74,7 +74,7 @@
 }
 
 /** Ticks do not wait for what they set off: a peer or endpoint that hangs must not slow the heartbeat. */
-async function tickUntil (signal: AbortSignal, intervalMs: number, io: ControlIo): Promise<void> {
+async function runTicks (signal: AbortSignal, intervalMs: number, io: ControlIo): Promise<void> {
   const running = new Set<Promise<void>>()
   await sleep(createRng(drawSeed()).int(intervalMs), signal)
   await runEvery(intervalMs, signal, () => {
--- a/packages/knapweedshunt-fakes/src/serveCompletion.ts
+++ b/packages/knapweedshunt-fakes/src/serveCompletion.ts
@@ -23,16 +23,16 @@
   state.running++
   const born = state.incarnation
   try {
-    await streamCompletion(state, body.data, prompt, request, response, crash)
+    await sendCompletion(state, body.data, prompt, request, response, crash)
   } finally {
     if (state.incarnation === born) state.running--
   }
 }
 
-async function streamCompletion (state: EngineState, body: EngineRequest, prompt: string, request: IncomingMessage, response: ServerResponse, crash: () => void): Promise<void> {
+async function sendCompletion (state: EngineState, body: EngineRequest, prompt: string, request: IncomingMessage, response: ServerResponse, crash: () => void): Promise<void> {
   const attempt = String(request.headers['x-attempt-id'] ?? '')
   const tokens = cutTokens(prompt)
-  const cachedTokens = await computePrompt(state, body, tokens)
+  const cachedTokens = await runPrompt(state, body, tokens)
   if (response.destroyed) return
   response.writeHead(200, {
     'content-type': 'text/event-stream',
@@ -45,7 +45,7 @@
   response.end(`data: ${JSON.stringify({ finish_reason: 'stop', usage })}\n\ndata: [DONE]\n\n`)
 }
 
-async function computePrompt (state: EngineState, body: EngineRequest, tokens: string[]): Promise<number> {
+async function runPrompt (state: EngineState, body: EngineRequest, tokens: string[]): Promise<number> {
   const keys = cutBlocks(hashText(body.cache_salt, state.weightsVersion), tokens)
   const cachedTokens = state.cache.countPrefix(keys) * BLOCK_TOKENS
   const missing = tokens.length - cachedTokens
--- a/packages/knapweedshunt-fakes/src/startFakePlatform.ts
+++ b/packages/knapweedshunt-fakes/src/startFakePlatform.ts
@@ -28,14 +28,14 @@
   try {
     const text = await readBody(request, MAX_BODY_BYTES)
     const body = text === '' ? undefined : parseJson(text)
-    await dispatch(memory, request, response, body)
+    await serveCall(memory, request, response, body)
   } catch (error) {
     if (error instanceof PlatformUnreachableError) sendJson(response, 503, { error: error.message })
     else sendJson(response, 400, { error: (error as Error).message })
   }
 }
 
-async function dispatch (memory: MemoryPlatform, request: IncomingMessage, response: ServerResponse, body: unknown): Promise<void> {
+async function serveCall (memory: MemoryPlatform, request: IncomingMessage, response: ServerResponse, body: unknown): Promise<void> {
   const path = request.url ?? '/'
   const call = `${request.method} ${path}`
   if (path.startsWith('/objects/')) return serveObject(memory, request, response, body)
--- a/packages/knapweedshunt-fleet/src/claimSlots.ts
+++ b/packages/knapweedshunt-fleet/src/claimSlots.ts
@@ -15,7 +15,7 @@
   let room = input.goal.spec.maxParallelLoads - kept.slots.length
   const claimed: LoadSlot[] = []
   for (const purpose of listPurposes(input, kept, options)) {
-    for (const view of free.filter(entry => needsSlot(input, entry, purpose))) {
+    for (const view of free.filter(entry => isSlotNeeded(input, entry, purpose))) {
       const isServing = serving.has(view.endpoint)
       if (room <= 0 || (isServing && inService - 1 < input.goal.spec.floor)) continue
       claimed.push({ endpoint: view.endpoint, incarnation: view.incarnation, dataCentre: input.dataCentre, purpose })
@@ -36,7 +36,7 @@
   return input.goal.rollout?.paused || isHalted ? ['recover'] : ['recover', 'move']
 }
 
-function needsSlot (input: PoolInput, view: EndpointView, purpose: SlotPurpose): boolean {
+function isSlotNeeded (input: PoolInput, view: EndpointView, purpose: SlotPurpose): boolean {
   const weights = readWeights(view)
   if (purpose === 'recover') return !isWished(input.goal, view)
   return weights !== null && isWished(input.goal, view) && !isSameTarget(weights, input.goal.target)
--- a/packages/knapweedshunt-load/src/buildReport.ts
+++ b/packages/knapweedshunt-load/src/buildReport.ts
@@ -15,7 +15,7 @@
     seed: plan.seed,
     requestsPerSecond: plan.requestsPerSecond,
     durationMs: plan.durationMs,
-    totals: summarise(records),
+    totals: describeRow(records),
     groups: listGroups(records),
     refusals: countRefusals(records)
   }
@@ -26,11 +26,11 @@
   return [...groups.keys()].sort().map(key => {
     const members = groups.get(key)!
     const { organisation, job } = members[0]
-    return { organisation, job, ...summarise(members), buckets: countBuckets(listAnswered(members)) }
+    return { organisation, job, ...describeRow(members), buckets: countBuckets(listAnswered(members)) }
   })
 }
 
-function summarise (records: LoadRecord[]): LoadRow {
+function describeRow (records: LoadRecord[]): LoadRow {
   const answered = listAnswered(records)
   const firstToken = build()
   for (const outcome of answered) firstToken.recordValue(Math.round(outcome.firstTokenMs))
--- a/packages/knapweedshunt-load/src/drawReport.ts
+++ b/packages/knapweedshunt-load/src/drawReport.ts
@@ -12,7 +12,7 @@
   return [
     '<!doctype html><html lang="en"><head><meta charset="utf-8"><title>Load report</title>',
     `<style>${STYLE}</style></head><body>`,
-    `<h1>Load report: ${escapeText(report.preset)}</h1>`,
+    `<h1>Load report: ${convertText(report.preset)}</h1>`,
     `<p>Seed ${report.seed}, ${report.requestsPerSecond} requests/s for ${report.durationMs / 1_000} s.</p>`,
     drawTable(['calls', 'answered', 'ordered', 'refused', 'cut', 'unreached', 'hit rate', 'wasted tokens', 'p50 ms', 'p95 ms', 'p99 ms'], [[
       totals.calls, totals.answered, totals.ordered, totals.refused, totals.cut, totals.unreached,
@@ -35,7 +35,7 @@
     type: 'bar' as const,
     data: edges.map((_, i) => groups.reduce((calls, group) => calls + group.buckets[i].calls, 0))
   }))
-  return renderChart({ legend: {}, xAxis: { type: 'category', data: edges, name: 'ms' }, yAxis: { type: 'value', name: 'calls' }, series })
+  return buildChart({ legend: {}, xAxis: { type: 'category', data: edges, name: 'ms' }, yAxis: { type: 'value', name: 'calls' }, series })
 }
 
 function drawBars (report: LoadReport, unit: string, read: (group: LoadGroup) => number): string {
@@ -46,10 +46,10 @@
     type: 'bar' as const,
     data: organisations.map(organisation => read(groups.find(group => group.organisation === organisation) ?? groups[0]))
   }))
-  return renderChart({ legend: {}, xAxis: { type: 'category', data: organisations }, yAxis: { type: 'value', name: unit }, series })
+  return buildChart({ legend: {}, xAxis: { type: 'category', data: organisations }, yAxis: { type: 'value', name: unit }, series })
 }
 
-function renderChart (option: echarts.EChartsCoreOption): string {
+function buildChart (option: echarts.EChartsCoreOption): string {
   const chart = echarts.init(null, null, { renderer: 'svg', ssr: true, width: WIDTH, height: HEIGHT })
   chart.setOption({ animation: false, ...option })
   const svg = chart.renderToSVGString()
@@ -58,10 +58,10 @@
 }
 
 function drawTable (head: string[], rows: Array<Array<string | number>>): string {
-  const cells = rows.map(row => `<tr>${row.map(cell => `<td>${escapeText(String(cell))}</td>`).join('')}</tr>`)
-  return `<table><tr>${head.map(cell => `<th>${escapeText(cell)}</th>`).join('')}</tr>${cells.join('')}</table>`
+  const cells = rows.map(row => `<tr>${row.map(cell => `<td>${convertText(String(cell))}</td>`).join('')}</tr>`)
+  return `<table><tr>${head.map(cell => `<th>${convertText(cell)}</th>`).join('')}</tr>${cells.join('')}</table>`
 }
 
-function escapeText (text: string): string {
+function convertText (text: string): string {
   return text.replaceAll('&', '&amp;').replaceAll('<', '&lt;').replaceAll('>', '&gt;')
 }
--- a/packages/knapweedshunt-load/src/runLoad.ts
+++ b/packages/knapweedshunt-load/src/runLoad.ts
@@ -30,7 +30,7 @@
     await sleep(startedAtMs + call.atMs - performance.now(), signal)
     if (signal.aborted) break
     const url = options.routerUrls[turn++ % options.routerUrls.length]
-    running.push(makeCall(options, call, url, agent, ledger).then(record => {
+    running.push(runPlanned(options, call, url, agent, ledger).then(record => {
       records.push(record)
       options.onRecord?.(record)
     }))
@@ -40,7 +40,7 @@
   return records
 }
 
-async function makeCall (options: LoadOptions, call: PlannedCall, url: string, agent: http.Agent, ledger: PrefixLedger): Promise<LoadRecord> {
+async function runPlanned (options: LoadOptions, call: PlannedCall, url: string, agent: http.Agent, ledger: PrefixLedger): Promise<LoadRecord> {
   const outcome = await runCall(options, call, url, agent, ledger).catch((): LoadOutcome => ({ type: 'unreached' }))
   return { organisation: call.organisation.name, job: call.job.name, outcome }
 }
--- a/packages/knapweedshunt-quickstart/src/runQuickstart.ts
+++ b/packages/knapweedshunt-quickstart/src/runQuickstart.ts
@@ -9,14 +9,14 @@
     console.log(`Starting ${example.name} and sending a small load.`)
     examples.push(await runExample(example, root, signal))
   }
-  console.table(examples.map(summariseExample))
+  console.table(examples.map(describeExample))
   for (const example of examples) printHints(example)
   console.log('Ctrl-C stops.')
   if (!signal.aborted) await new Promise<void>(resolve => signal.addEventListener('abort', () => resolve(), { once: true }))
   await Promise.all(examples.map(example => example.stop()))
 }
 
-function summariseExample ({ name, report: { totals, refusals } }: RunningExample): object {
+function describeExample ({ name, report: { totals, refusals } }: RunningExample): object {
   const { calls, answered, ordered, refused, cut, wastedTokens, firstTokenP50Ms, firstTokenP99Ms } = totals
   return { name, calls, answered, ordered, refused, refusals: refusals.map(one => `${one.code} ${one.calls}`).join(', '), cut, hitRate: totals.hitRate.toFixed(3), wastedTokens, firstTokenP50Ms, firstTokenP99Ms }
 }
--- a/packages/knapweedshunt-resources/src/checkReferences.ts
+++ b/packages/knapweedshunt-resources/src/checkReferences.ts
@@ -22,17 +22,17 @@
 
 function listReferences (resource: Resource): Reference[] {
   return match(resource)
-    .with({ kind: 'AccessKey' }, { kind: 'Limit' }, ({ spec }) => [organisationReference(spec.organisation)])
-    .with({ kind: 'Endpoint' }, { kind: 'WeightsRollout' }, ({ spec }) => [poolReference(spec.pool)])
-    .with({ kind: 'Route' }, ({ spec }) => [poolReference(spec.pool), { kind: 'PriorityClass' as const, name: spec.priorityClass, field: 'spec.priorityClass' }])
+    .with({ kind: 'AccessKey' }, { kind: 'Limit' }, ({ spec }) => [buildOrganisationReference(spec.organisation)])
+    .with({ kind: 'Endpoint' }, { kind: 'WeightsRollout' }, ({ spec }) => [buildPoolReference(spec.pool)])
+    .with({ kind: 'Route' }, ({ spec }) => [buildPoolReference(spec.pool), { kind: 'PriorityClass' as const, name: spec.priorityClass, field: 'spec.priorityClass' }])
     .with({ kind: 'Organisation' }, { kind: 'EndpointPool' }, { kind: 'PriorityClass' }, () => [])
     .exhaustive()
 }
 
-function organisationReference (name: string): Reference {
+function buildOrganisationReference (name: string): Reference {
   return { kind: 'Organisation', name, field: 'spec.organisation' }
 }
 
-function poolReference (name: string): Reference {
+function buildPoolReference (name: string): Reference {
   return { kind: 'EndpointPool', name, field: 'spec.pool' }
 }
--- a/packages/knapweedshunt-router/src/figures.ts
+++ b/packages/knapweedshunt-router/src/figures.ts
@@ -21,13 +21,13 @@
   /** Records the time that a request waited to be admitted, in milliseconds. */
   recordQueueTime (request: CallerRequest, ms: number): void {
     this.#open(request).queueTime.recordValue(Math.round(ms))
-    this.#client.histogram('queue_ms', ms, tagRequest(request))
+    this.#client.histogram('queue_ms', ms, buildTags(request))
   }
 
   /** Records time to first token, in milliseconds. */
   recordFirstToken (request: CallerRequest, ms: number): void {
     this.#open(request).firstToken.recordValue(Math.round(ms))
-    this.#client.histogram('first_token_ms', ms, tagRequest(request))
+    this.#client.histogram('first_token_ms', ms, buildTags(request))
   }
 
   /** Records a finished request. */
@@ -36,14 +36,14 @@
     series.requests++
     if (usage === null) return
     series.addUsage(usage)
-    this.#client.histogram('cached_share', usage.cachedTokens / Math.max(1, usage.promptTokens), tagRequest(request))
-    this.#client.histogram('recomputed_tokens', usage.promptTokens - usage.cachedTokens, tagRequest(request))
+    this.#client.histogram('cached_share', usage.cachedTokens / Math.max(1, usage.promptTokens), buildTags(request))
+    this.#client.histogram('recomputed_tokens', usage.promptTokens - usage.cachedTokens, buildTags(request))
   }
 
   /** Counts a request that was refused or failed. */
   recordRefusal (request: CallerRequest, code: string): void {
     this.#open(request).refused++
-    this.#client.increment('refused', 1, { ...tagRequest(request), code })
+    this.#client.increment('refused', 1, { ...buildTags(request), code })
   }
 
   /** Present figures. */
@@ -67,6 +67,6 @@
   }
 }
 
-function tagRequest (request: CallerRequest): Record<string, string> {
+function buildTags (request: CallerRequest): Record<string, string> {
   return { organisation: request.organisation, class: request.priorityClass }
 }
--- a/packages/knapweedshunt-router/src/peerMessages.ts
+++ b/packages/knapweedshunt-router/src/peerMessages.ts
@@ -1,9 +1,13 @@
 import type { SuspectMark } from 'knapweedshunt-attempts'
 import { z } from 'zod'
 
-/** Most entries of one message. */
+/** Most organisations in one message of demands. */
 export const MAX_DEMANDS = 8
+
+/** Most hot keys in one message of demands. */
 export const MAX_HOT_KEYS = 16
+
+/** Most marks in one message. */
 export const MAX_MARKS = 256
 
 const text = z.string().min(1).max(255)
--- a/packages/knapweedshunt-router/src/resourceIndex.ts
+++ b/packages/knapweedshunt-router/src/resourceIndex.ts
@@ -17,7 +17,7 @@
       if (resource.kind === 'PriorityClass') this.#classes.set(resource.name, resource.spec)
       if (resource.kind === 'Route') this.#addRoute(resource)
     }
-    this.#pathRoutes.sort((a, b) => prefixOf(b).length - prefixOf(a).length)
+    this.#pathRoutes.sort((a, b) => readPrefix(b).length - readPrefix(a).length)
   }
 
   /** Organisation of an access key's SHA-256. */
@@ -42,7 +42,7 @@
 
   /** Route with the longest prefix of the path. */
   findPathRoute (path: string): ResourceOf<'Route'> | undefined {
-    return this.#pathRoutes.find(route => path.startsWith(prefixOf(route)))
+    return this.#pathRoutes.find(route => path.startsWith(readPrefix(route)))
   }
 
   #addRoute (route: ResourceOf<'Route'>): void {
@@ -51,6 +51,6 @@
   }
 }
 
-function prefixOf (route: ResourceOf<'Route'>): string {
+function readPrefix (route: ResourceOf<'Route'>): string {
   return route.spec.match.type === 'path' ? route.spec.match.prefix : ''
 }
--- a/packages/knapweedshunt-settings/src/createCommand.ts
+++ b/packages/knapweedshunt-settings/src/createCommand.ts
@@ -32,12 +32,12 @@
     process.stderr.write(`${program.name}: ${(error as Error).message}\n`)
     process.exitCode = error instanceof SettingsError ? EXIT_SETTINGS : EXIT_FAILURE
   }
-  await endOutput()
+  await waitOutput()
   process.exit()
 }
 
 /** Text written to a pipe is lost by an exit before it has gone out. */
-function endOutput (): Promise<void> {
+function waitOutput (): Promise<void> {
   return new Promise(resolve => process.stdout.write('', () => process.stderr.write('', () => resolve())))
 }
 
