--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,9 +2,9 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['**/lib/**', '**/node_modules/**', 'reports/**'] }),
+  ...neostandard({ ts: true, ignores: ['**/lib/**', '**/node_modules/**', 'reports/**', 'target/**'] }),
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     ignores: ['**/__tests__/**', '**/index.ts', '**/main.ts'],
     plugins: { jsdoc },
     rules: {
--- a/packages/knapweedshunt-attempts/src/retryBudget.ts
+++ b/packages/knapweedshunt-attempts/src/retryBudget.ts
@@ -25,7 +25,7 @@
 
 /** Retry budgets per organisation and pool: a reserve that fills slowly, and a share of recent successes. */
 export class RetryBudget {
-  readonly #options: RetryBudgetOptions
+  #options: RetryBudgetOptions
   readonly #balances = new Map<string, Balance>()
   #sweepSize = SWEEP_SIZE
 
@@ -33,6 +33,11 @@
     this.#options = options
   }
 
+  /** Takes other options; balances over a new maximum shrink at their next use. */
+  setOptions (options: RetryBudgetOptions): void {
+    this.#options = options
+  }
+
   /** Balances held. */
   get size (): number {
     return this.#balances.size
@@ -66,7 +71,7 @@
   #refill (balance: Balance, nowMs: number): void {
     const { reserve, refillMs } = this.#options
     const step = Math.max(0, nowMs - balance.atMs) / refillMs * reserve
-    balance.permits = balance.permits < reserve ? Math.min(reserve, balance.permits + step) : Math.max(reserve, balance.permits - step)
+    balance.permits = balance.permits < reserve ? Math.min(reserve, balance.permits + step) : Math.min(this.#options.max, Math.max(reserve, balance.permits - step))
     balance.atMs = nowMs
   }
 
--- a/packages/knapweedshunt-fleet/src/leaseMachine.ts
+++ b/packages/knapweedshunt-fleet/src/leaseMachine.ts
@@ -1,5 +1,5 @@
 import type { FencingNumber, Incarnation } from 'knapweedshunt-types'
-import { createIncarnation } from 'knapweedshunt-utils'
+import { createIncarnation, readElapsedMs } from 'knapweedshunt-utils'
 import { match } from 'ts-pattern'
 import type { LeaseOptions } from './leaseOptions.ts'
 import type { LeaseRow } from './leaseState.ts'
@@ -9,10 +9,12 @@
 const MAX_PENDING = 16
 
 /**
- * One contender for a lease. Decides only: takes events, returns actions, reads the monotonic clock.
+ * One contender for a lease. Decides only: takes events, returns actions, reads the clocks.
  *
- * - A holder counts its time from when it sent a write, so a write that takes effect late gives no time.
- * - A contender counts from when it saw the row change, so it ends later than the holder whatever the clocks say.
+ * - A holder counts its time from when it sent a write, so a write that takes effect late gives no time; time in which
+ *   the VM was suspended counts too.
+ * - A contender counts from when it saw the row change, by the monotonic clock, which a step of the time of day does not
+ *   move: it ends later than the holder whatever the clocks say.
  * - Every write checks the version that was read, so of two writes after one read only one takes effect.
  */
 export class LeaseMachine {
@@ -24,6 +26,8 @@
   #isCalling = false
   #isReleasing = false
   #dueAtMs = 0
+  /** Whether the row last read leaves no other holder whose orders could still run. */
+  #isSuccessor = false
 
   constructor (holder: Incarnation, options: LeaseOptions) {
     this.#holder = holder
@@ -32,7 +36,7 @@
 
   /** Fencing number while orders may be sent to an endpoint, else null. Ask again after every wait. */
   readFencing (checksFencing: boolean): FencingNumber | null {
-    const now = performance.now()
+    const now = readElapsedMs()
     const held = this.#held
     if (held === null || this.#isReleasing || now >= held.untilMs - this.#options.guardMs) return null
     if (!checksFencing && now < held.takenAtMs + this.#options.longestOrderMs) return null
@@ -69,21 +73,22 @@
     const { row } = seen
     const isOwn = row?.holder === this.#holder
     if (!isOwn) this.#held = null
-    if (this.#isReleasing) return isOwn ? this.#write(seen.version, { ...row, durationMs: 0 }, now) : this.#finishCall(this.#options.intervalMs)
+    this.#isSuccessor = row !== null && !isOwn
+    if (this.#isReleasing) return isOwn ? this.#write(seen.version, { ...row, durationMs: 0 }) : this.#finishCall(this.#options.intervalMs)
     if (row !== null && !isOwn && !this.#watch.hasLapsed(row, now)) return this.#finishCall(this.#options.intervalMs)
-    return this.#write(seen.version, this.#buildRow(row, now), now)
+    return this.#write(seen.version, this.#buildRow(row))
   }
 
   /** A renewal keeps the number; a taking adds one, also when the last holder was this VM. */
-  #buildRow (row: LeaseRow | null, now: number): LeaseRow {
-    const isRenewal = this.#held !== null && now < this.#held.untilMs && row?.fencing === this.#held.fencing
+  #buildRow (row: LeaseRow | null): LeaseRow {
+    const isRenewal = this.#held !== null && readElapsedMs() < this.#held.untilMs && row?.fencing === this.#held.fencing
     const fencing = isRenewal ? row.fencing : (row?.fencing ?? 0) + 1
     return { holder: this.#holder, fencing, durationMs: this.#options.durationMs, nonce: '' }
   }
 
-  #write (version: number, row: LeaseRow, now: number): LeaseAction[] {
+  #write (version: number, row: LeaseRow): LeaseAction[] {
     const value: LeaseRow = { ...row, nonce: createIncarnation() }
-    this.#pending.push({ row: value, sentAtMs: now })
+    this.#pending.push({ row: value, sentAtMs: readElapsedMs() })
     this.#pending = this.#pending.slice(-MAX_PENDING)
     return [{ type: 'write', version, row: value }]
   }
@@ -99,7 +104,7 @@
     if (settled === undefined) return
     this.#pending = []
     const { fencing, durationMs } = settled.row
-    const takenAtMs = this.#held?.fencing === fencing ? this.#held.takenAtMs : performance.now()
+    const takenAtMs = this.#held?.fencing === fencing ? this.#held.takenAtMs : this.#isSuccessor ? readElapsedMs() : -Infinity
     this.#held = durationMs === 0 ? null : { fencing, takenAtMs, untilMs: settled.sentAtMs + durationMs }
   }
 
--- a/packages/knapweedshunt-fleet/src/leaseTask.ts
+++ b/packages/knapweedshunt-fleet/src/leaseTask.ts
@@ -34,6 +34,16 @@
       if (this.readFencing(true) !== null || isContender()) await this.#take({ type: 'tick' })
       await sleep(TICK_MS, signal)
     }
+    await this.release()
+  }
+
+  /** One look or renewal, if one is due. For those who need the lease only now and then. */
+  async step (): Promise<void> {
+    await this.#take({ type: 'tick' })
+  }
+
+  /** Gives the lease up. */
+  async release (): Promise<void> {
     if (this.readFencing(true) !== null) await this.#take({ type: 'release' })
   }
 
--- a/packages/knapweedshunt-fleet/src/leaseTypes.ts
+++ b/packages/knapweedshunt-fleet/src/leaseTypes.ts
@@ -37,8 +37,8 @@
 /** A lease as its holder knows it. */
 export interface HeldLease {
   fencing: number
-  /** Monotonic time of the taking. */
+  /** Time of the taking by `readElapsedMs`; -Infinity when no other holder's order can still run. */
   takenAtMs: number
-  /** Monotonic end, counted from the moment the last settled write was sent. */
+  /** End by the same clock, counted from the moment the last settled write was sent. */
   untilMs: number
 }
--- /dev/null
+++ b/packages/knapweedshunt-fleet/src/waves/planWave.ts
@@ -0,0 +1,36 @@
+import type { EndpointName } from 'knapweedshunt-types'
+import type { WaveEndpoint } from './waveTypes.ts'
+
+/** What a wave's next step is planned from. */
+export interface WaveInput {
+  endpoints: WaveEndpoint[]
+  target: number
+  /** Endpoints with an order under way. */
+  ordered: EndpointName[]
+  /** Endpoints that were given up for now. */
+  resting: EndpointName[]
+  parallelShare: number
+  aheadShare: number
+}
+
+/** A wave's next step. */
+export interface WavePlan {
+  /** Endpoints to be ordered now. */
+  order: EndpointName[]
+  /** Endpoints that get nothing new. */
+  loading: EndpointName[]
+  /** Endpoints that have the target already. */
+  reached: EndpointName[]
+}
+
+/** Plans the next step: as many loads as may run at once, the oldest weights and the fewest requests first. Pure. */
+export function planWave (input: WaveInput): WavePlan {
+  const { endpoints, target, ordered, resting } = input
+  const behind = endpoints.filter(one => one.version < target && !ordered.includes(one.endpoint) && !resting.includes(one.endpoint))
+  behind.sort((a, b) => a.version - b.version || a.running - b.running || (a.endpoint < b.endpoint ? -1 : 1))
+  const parallel = Math.max(1, Math.floor(endpoints.length * input.parallelShare))
+  const order = behind.slice(0, Math.max(0, parallel - ordered.length)).map(one => one.endpoint)
+  const ahead = behind.slice(order.length, order.length + Math.floor(endpoints.length * input.aheadShare)).map(one => one.endpoint)
+  const reached = endpoints.filter(one => one.version >= target).map(one => one.endpoint)
+  return { order, loading: [...ordered, ...order, ...ahead], reached }
+}
--- /dev/null
+++ b/packages/knapweedshunt-fleet/src/waves/waveTask.ts
@@ -0,0 +1,147 @@
+import { isDeepStrictEqual } from 'node:util'
+import type { Logger } from 'knapweedshunt-logger'
+import type { Platform } from 'knapweedshunt-platform'
+import type { EndpointName, FencingNumber, Incarnation, PoolName, VmId } from 'knapweedshunt-types'
+import { groupBy, sleep } from 'knapweedshunt-utils'
+import { LeaseTask } from '../leaseTask.ts'
+import { LoadingEndpoint } from './loadingEndpoint.ts'
+import { planWave } from './planWave.ts'
+import { DEFAULT_WAVE_OPTIONS } from './waveOptions.ts'
+import type { WaveOptions } from './waveOptions.ts'
+import type { WaveEndpoint, WaveGoal, WaveNotice, WavePorts } from './waveTypes.ts'
+
+/** Name of the lease on giving orders to endpoints. */
+export const WAVE_LEASE = 'waves'
+
+/** What the task is made of. */
+export interface WaveParts {
+  vm: VmId
+  incarnation: Incarnation
+  platform: Platform
+  ports: WavePorts
+  log: Logger
+  options?: WaveOptions
+}
+
+/**
+ * Brings endpoints to the weights wished, a part of each pool at a time. One VM does it: the holder of a lease that is
+ * taken only while there is something to do. A newer version goes before the rest of an older one.
+ */
+export class WaveTask {
+  readonly #parts: WaveParts
+  readonly #options: WaveOptions
+  readonly #lease: LeaseTask
+  readonly #loading = new Map<EndpointName, LoadingEndpoint>()
+  readonly #announced = new Map<PoolName, WaveNotice>()
+  #workSinceMs: number | null = null
+  #fencing: FencingNumber | null = null
+
+  constructor (parts: WaveParts) {
+    this.#parts = parts
+    this.#options = parts.options ?? DEFAULT_WAVE_OPTIONS
+    this.#lease = new LeaseTask(parts.platform, WAVE_LEASE, parts.incarnation, this.#options.lease)
+  }
+
+  /** Runs until the signal aborts, then gives the lease up. */
+  async run (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.#step()
+      await sleep(this.#options.stepMs, signal)
+    }
+    await this.#lease.release()
+  }
+
+  async #step (): Promise<void> {
+    const goals = this.#parts.ports.listGoals()
+    const endpoints = this.#parts.ports.listEndpoints()
+    const work = goals.filter(goal => endpoints.some(one => one.model === goal.model && one.version < goal.version))
+    this.#dropLoading(endpoints)
+    if (work.length === 0 && this.#loading.size === 0) {
+      this.#workSinceMs = null
+      this.#noteFencing(null)
+      return
+    }
+    this.#workSinceMs ??= performance.now()
+    if (this.#lease.readFencing(true) !== null || this.#isDue(endpoints)) this.#lease.step().catch(error => this.#parts.log.warn('Lease step failed.', { reason: (error as Error).message }))
+    this.#noteFencing(this.#lease.readFencing(false))
+    if (this.#fencing === null) return
+    for (const goal of work) await this.#stepGoal(goal, endpoints.filter(one => one.model === goal.model))
+  }
+
+  /** The VM that gave the last orders goes first, since its own orders are the only ones that may still run; the others follow by rank once it is silent. */
+  #isDue (endpoints: WaveEndpoint[]): boolean {
+    const { ports, vm } = this.#parts
+    const notices = [...groupBy(endpoints, one => one.pool).keys()].map(pool => ports.readNotice(pool)).filter(one => one !== null)
+    if (notices.some(one => one.notice.vm === vm)) return true
+    const sinceMs = performance.now() - (this.#workSinceMs ?? performance.now())
+    const silentMs = Math.min(sinceMs, ...notices.map(one => one.ageMs))
+    const place = ports.readRank() + (notices.length === 0 ? 0 : 1)
+    return silentMs >= place * this.#options.takeOverMs
+  }
+
+  #noteFencing (fencing: FencingNumber | null): void {
+    if (fencing === this.#fencing) return
+    if (fencing === null) {
+      this.#parts.log.info('Lease no longer used.', { decision: 'leaseLost', lease: WAVE_LEASE, fencing: this.#fencing })
+      for (const loading of this.#loading.values()) loading.stop()
+      this.#loading.clear()
+      this.#announced.clear()
+    } else this.#parts.log.info('Lease taken.', { decision: 'leaseTaken', lease: WAVE_LEASE, fencing })
+    this.#fencing = fencing
+  }
+
+  async #stepGoal (goal: WaveGoal, endpoints: WaveEndpoint[]): Promise<void> {
+    for (const [pool, members] of groupBy(endpoints, one => one.pool)) {
+      const nowMs = performance.now()
+      const own = [...this.#loading.values()].filter(one => members.some(member => member.endpoint === one.endpoint))
+      const plan = planWave({
+        endpoints: members,
+        target: goal.version,
+        ordered: own.filter(one => !one.isResting(nowMs)).map(one => one.endpoint),
+        resting: own.filter(one => one.isResting(nowMs)).map(one => one.endpoint),
+        parallelShare: this.#options.parallelShare,
+        aheadShare: this.#options.aheadShare
+      })
+      await this.#announce({ vm: this.#parts.vm, pool, model: goal.model, version: goal.version, loading: plan.loading, reached: plan.reached })
+      for (const name of plan.order) this.#startLoad(goal, members.find(member => member.endpoint === name))
+    }
+  }
+
+  /** Orders follow also when nobody hears of them: an endpoint that loads says so to each request. */
+  async #announce (notice: WaveNotice): Promise<void> {
+    const before = this.#announced.get(notice.pool)
+    if (before !== undefined && before.version === notice.version && isDeepStrictEqual(new Set(before.loading), new Set(notice.loading))) return
+    this.#announced.set(notice.pool, notice)
+    try {
+      await this.#parts.ports.announce(notice)
+    } catch (error) {
+      this.#parts.log.warn('Wave not announced.', { pool: notice.pool, reason: (error as Error).message })
+    }
+  }
+
+  #startLoad (goal: WaveGoal, endpoint: WaveEndpoint | undefined): void {
+    if (endpoint === undefined) return
+    const loading = new LoadingEndpoint({
+      goal,
+      endpoint,
+      options: this.#options,
+      ports: this.#parts.ports,
+      log: this.#parts.log,
+      readFencing: () => this.#lease.readFencing(false)
+    })
+    this.#loading.set(endpoint.endpoint, loading)
+    loading.run().catch(error => this.#parts.log.warn('Load failed inside.', { endpoint: endpoint.endpoint, reason: (error as Error).message }))
+  }
+
+  /** Endpoints that are done, gone, restarted or rested. */
+  #dropLoading (endpoints: WaveEndpoint[]): void {
+    const nowMs = performance.now()
+    for (const [name, loading] of this.#loading) {
+      const endpoint = endpoints.find(one => one.endpoint === name)
+      if (loading.isDone || loading.hasRested(nowMs) || endpoint?.incarnation !== loading.incarnation) {
+        loading.stop()
+        this.#loading.delete(name)
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/knapweedshunt-fleet/src/waves/waveTypes.ts
@@ -0,0 +1,67 @@
+import type { EndpointName, FencingNumber, Incarnation, PoolName, VmId } from 'knapweedshunt-types'
+
+/** An endpoint as the waves see it. */
+export interface WaveEndpoint {
+  endpoint: EndpointName
+  incarnation: Incarnation
+  pool: PoolName
+  model: string
+  /** Version of the model's weights. */
+  version: number
+  /** Requests expected to run there. */
+  running: number
+}
+
+/** Weights wished for a model. */
+export interface WaveGoal {
+  model: string
+  version: number
+}
+
+/** What a holder tells all VMs of a pool's wave. */
+export interface WaveNotice {
+  vm: VmId
+  pool: PoolName
+  model: string
+  version: number
+  /** Endpoints that load, or will next: they get nothing new. */
+  loading: EndpointName[]
+  /** Endpoints seen to run the version. */
+  reached: EndpointName[]
+}
+
+/** What an endpoint says when it is asked. */
+export interface WaveReport {
+  version: number | null
+  isBusy: boolean
+  /** Orders accepted since its start. */
+  ordersTaken: number
+}
+
+/** An order to load weights. */
+export interface WaveOrder {
+  endpoint: EndpointName
+  model: string
+  version: number
+  fencing: FencingNumber
+  /** Orders that the endpoint must have taken before. */
+  ordersTaken: number
+}
+
+/** What became of an order. */
+export type WaveOrderResult = 'taken' | 'holds' | 'conflict' | 'refused' | 'lost'
+
+/** What the waves need of their program. None of the methods throws, but for `announce`. */
+export interface WavePorts {
+  listEndpoints (): WaveEndpoint[]
+  listGoals (): WaveGoal[]
+  readReport (endpoint: EndpointName, timeoutMs: number): Promise<WaveReport | null>
+  sendOrder (order: WaveOrder, timeoutMs: number): Promise<WaveOrderResult>
+  announce (notice: WaveNotice): Promise<void>
+  /** The last notice of a pool, and how long ago it was heard, in milliseconds; null when there was none. */
+  readNotice (pool: PoolName): { notice: WaveNotice, ageMs: number } | null
+  /** Place of this VM in the order in which VMs contend, 0 first. */
+  readRank (): number
+  /** The endpoint runs the version. */
+  noteReached (endpoint: EndpointName, model: string, version: number): void
+}
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/directory/configState.ts
@@ -0,0 +1,45 @@
+import { hashText } from 'knapweedshunt-utils'
+import type { CallerIdentity } from '../ports/callerCall.ts'
+import type { GatewayConfig, GatewayPool } from '../ports/gatewayConfig.ts'
+import { RouteTable } from './routeTable.ts'
+
+/** The configuration in force on this VM, arranged for look-ups. Revisions only go up. */
+export class ConfigState {
+  #config: GatewayConfig | null = null
+  #routes = new RouteTable([])
+  #identities = new Map<string, CallerIdentity>()
+  #pools = new Map<string, GatewayPool>()
+
+  /** Configuration in force; null before the first. */
+  get config (): GatewayConfig | null {
+    return this.#config
+  }
+
+  /** Routes in force. */
+  get routes (): RouteTable {
+    return this.#routes
+  }
+
+  /** Takes a configuration; one that is not newer is ignored. Returns whether it is in force now. */
+  take (config: GatewayConfig): boolean {
+    if (this.#config !== null && config.revision <= this.#config.revision) return false
+    this.#config = config
+    this.#routes = new RouteTable(config.routes)
+    this.#pools = new Map(config.pools.map(pool => [pool.pool, pool]))
+    this.#identities = new Map()
+    for (const { organisation, keys, priority, isIsolated } of config.organisations ?? []) {
+      for (const key of keys) this.#identities.set(hashText(key), { organisation, priority, isIsolated })
+    }
+    return true
+  }
+
+  /** Finds who holds a key. */
+  findIdentity (key: string): CallerIdentity | undefined {
+    return this.#identities.get(hashText(key))
+  }
+
+  /** Finds a pool. */
+  findPool (pool: string): GatewayPool | undefined {
+    return this.#pools.get(pool)
+  }
+}
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
@@ -0,0 +1,123 @@
+import http from 'node:http'
+import type { Readable } from 'node:stream'
+import type { EndpointPort } from '../ports/endpointPort.ts'
+import type { AttemptOutcome, Loss } from './attemptOutcome.ts'
+import { LOSS } from './attemptOutcome.ts'
+
+/** Longest wait for a connection, in milliseconds; far above the way between data centres of a region, below the first repeat of a lost opening packet. */
+const CONNECT_TIMEOUT_MS = 300
+
+/** Body of a request: in memory, or the rest still arriving from the caller. */
+export type RequestBody =
+  | { type: 'none' }
+  | { type: 'whole', bytes: Buffer }
+  | { type: 'flowing', first: Buffer[], rest: Readable }
+
+/** One request on its way to one endpoint. */
+export interface AttemptCall {
+  method: string
+  target: string
+  /** IP number and port. */
+  address: string
+  /** Flat pairs; without those that concern one connection. */
+  headers: string[]
+  body: RequestBody
+  requestId: string
+}
+
+/** Sends a request to an endpoint once and reads the head of its answer. */
+export class Attempt {
+  readonly outcome: Promise<AttemptOutcome>
+  readonly #port: EndpointPort
+  readonly #call: AttemptCall
+  #request: http.ClientRequest | null = null
+  #isConnected = false
+  #loss: Loss | null = null
+  #settle: (outcome: AttemptOutcome) => void = () => {}
+  #connectTimer: NodeJS.Timeout | undefined
+
+  constructor (port: EndpointPort, agent: http.Agent, call: AttemptCall) {
+    this.#port = port
+    this.#call = call
+    this.outcome = new Promise(resolve => { this.#settle = resolve })
+    this.#send(agent)
+  }
+
+  /** Whether a byte may have left this VM. */
+  get isSent (): boolean {
+    return this.#isConnected
+  }
+
+  /** Ends the attempt and its connection. */
+  cancel (loss: Loss): void {
+    this.#loss ??= loss
+    this.#request?.destroy()
+  }
+
+  #send (agent: http.Agent): void {
+    const { method, target, address, headers } = this.#call
+    const [host, port] = address.split(':')
+    try {
+      this.#request = http.request({ host, port: Number(port), method, path: target, headers: this.#buildHeaders(headers), agent, setHost: false })
+    } catch (error) {
+      this.#settle({ type: 'unsent', reason: (error as Error).message })
+      return
+    }
+    this.#request.once('socket', socket => {
+      if (!socket.connecting) return this.#noteConnected()
+      this.#connectTimer = setTimeout(() => this.#request?.destroy(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`)), CONNECT_TIMEOUT_MS)
+      socket.once('connect', () => this.#noteConnected())
+    })
+    this.#request.once('response', message => this.#takeResponse(message))
+    this.#request.on('error', error => this.#noteError(error))
+    this.#request.once('close', () => this.#noteError(new Error('connection closed')))
+    this.#writeBody(this.#request)
+  }
+
+  #buildHeaders (headers: string[]): string[] {
+    const { body } = this.#call
+    if (body.type === 'whole') return [...headers, 'Content-Length', String(body.bytes.length)]
+    if (body.type === 'flowing') return [...headers, 'Transfer-Encoding', 'chunked']
+    return headers
+  }
+
+  #writeBody (request: http.ClientRequest): void {
+    const { body } = this.#call
+    if (body.type === 'none') request.end()
+    if (body.type === 'whole') request.end(body.bytes)
+    if (body.type !== 'flowing') return
+    for (const chunk of body.first) request.write(chunk)
+    body.rest.once('error', () => request.destroy())
+    body.rest.pipe(request)
+  }
+
+  #noteConnected (): void {
+    clearTimeout(this.#connectTimer)
+    this.#isConnected = true
+  }
+
+  #takeResponse (message: http.IncomingMessage): void {
+    const head = this.#port.readAnswer(message.headers)
+    const status = message.statusCode ?? 0
+    message.on('error', () => {}) // The reader of the body hears of it by its own end.
+    if (head.requestId !== null && head.requestId !== this.#call.requestId) return this.#dropAnswer(`answer to another request ${head.requestId}`)
+    if (head.isNotRun) {
+      message.resume()
+      return this.#settle({ type: 'notRun', head, status })
+    }
+    if (!head.isSigned) return this.#dropAnswer(`status ${status} without a signature`)
+    this.#settle({ type: 'answered', head, message })
+  }
+
+  #dropAnswer (reason: string): void {
+    this.#settle({ type: 'lost', loss: LOSS.garbled, reason })
+    this.#request?.destroy()
+  }
+
+  #noteError (error: Error): void {
+    clearTimeout(this.#connectTimer)
+    if (!this.#isConnected) return this.#settle({ type: 'unsent', reason: error.message })
+    const isUnreadable = (error as NodeJS.ErrnoException).code?.startsWith('HPE_') ?? false
+    this.#settle({ type: 'lost', loss: this.#loss ?? (isUnreadable ? LOSS.garbled : LOSS.reset), reason: error.message })
+  }
+}
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -0,0 +1,179 @@
+import { hashSalt, Placement } from 'knapweedshunt-placement'
+import type { PlacedDecision } from 'knapweedshunt-placement'
+import type { DataCentreId, EndpointName, PoolName, PrefixLevel, Resource, RouterSnapshot } from 'knapweedshunt-types'
+import { hashText } from 'knapweedshunt-utils'
+import type { GatewayConfig } from '../ports/gatewayConfig.ts'
+import type { CallerIdentity, Prompt } from '../ports/callerCall.ts'
+import type { EndpointBook } from './endpointBook.ts'
+import type { EndpointRecord } from './endpointRecord.ts'
+
+/** Share of an endpoint's connections that all VMs together use; the rest is left to VMs that are not in the table yet. */
+const CONNECTION_SHARE = 0.85
+
+/** Prompt tokens that an endpoint reads in a second before its own speed is known. */
+const PREFILL_TOKENS_PER_S = 45_000
+
+/** Time between two estimates of what other VMs are asked for, in milliseconds. */
+const DEMAND_MS = 1_000
+
+/** Where a request goes. */
+export type Choice =
+  | { type: 'chosen', record: EndpointRecord, decision: PlacedDecision }
+  /** Endpoints are there, but all are left out or full for now. */
+  | { type: 'busy' }
+  | { type: 'none' }
+
+/** What the chooser asks of its surroundings. */
+export interface ChooserParts {
+  dataCentre: DataCentreId
+  nearDataCentres: DataCentreId[]
+  seed: number
+  book: EndpointBook
+  readConfig (): GatewayConfig | null
+  countVms (): number
+  /** Endpoints that load weights, or are about to. */
+  listLoading (): Set<EndpointName>
+  /** Version wished for a model; null when none was named. */
+  findWished (model: string): number | null
+}
+
+/** Chooses an endpoint for each attempt: placement by prefix, less those that are out, full or loading. */
+export class EndpointChooser {
+  readonly #parts: ChooserParts
+  readonly #placement: Placement
+  #revision = 0
+  #demandAtMs = performance.now()
+  #demandNumber = 0
+  #reports = 0
+
+  constructor (parts: ChooserParts) {
+    this.#parts = parts
+    const { dataCentre, nearDataCentres, seed } = parts
+    this.#placement = new Placement(dataCentre, { seed, nearDataCentres, prefillTokensPerS: PREFILL_TOKENS_PER_S })
+  }
+
+  /** Placement that hears of attempts. */
+  get placement (): Placement {
+    return this.#placement
+  }
+
+  /** Arranges pools and endpoints anew after a change of either. */
+  rebuild (): void {
+    const { book } = this.#parts
+    const resources: Resource[] = (this.#parts.readConfig()?.pools ?? []).map(pool => this.#buildPool(pool.pool, pool.models))
+    for (const { entry } of book.list()) resources.push(buildEndpoint(entry.endpoint, entry))
+    const endpoints = book.list().map(record => this.#buildView(record))
+    this.#placement.take({ type: 'snapshot', snapshot: { resources: { revision: ++this.#revision, resources }, vms: [], endpoints } })
+  }
+
+  /** Cuts a prompt's parts to levels; organisations that share nothing get keys of their own. */
+  cutLevels (prompt: Prompt | null, identity: CallerIdentity | null): PrefixLevel[] {
+    if (prompt === null) return []
+    let key = hashText(nameWall(identity), prompt.model)
+    let tokens = 0
+    return prompt.parts.map(part => {
+      key = hashText(key, part.id)
+      tokens += part.tokens
+      return { key, tokens }
+    })
+  }
+
+  /** Salt under which an endpoint keeps a request's parts: equal for one wall, model and weights version only. */
+  nameSalt (prompt: Prompt, identity: CallerIdentity | null, record: EndpointRecord): string {
+    const weightsVersion = String(record.findVersion(prompt.model) ?? '')
+    return hashSalt({ organisation: nameWall(identity), model: prompt.model, adapter: '', weightsVersion }).slice(0, 32)
+  }
+
+  /** Chooses an endpoint of the pool outside those tried. */
+  choose (pool: PoolName, levels: PrefixLevel[], tried: EndpointName[], prompt: Prompt | null): Choice {
+    const records = this.#parts.book.list(pool)
+    const candidates = records.filter(record => !record.entry.isDraining && !tried.includes(record.entry.endpoint))
+    if (candidates.length === 0) return records.length === 0 ? { type: 'none' } : { type: 'busy' }
+    this.#shareDemand()
+    const usable = this.#listUsable(candidates, pool, prompt)
+    if (usable.length === 0) return { type: 'busy' }
+    const names = new Set(usable.map(record => record.entry.endpoint))
+    const excluded = records.filter(record => !names.has(record.entry.endpoint)).map(record => record.entry.endpoint)
+    const decision = this.#placement.place({ pool, levels, excluded })
+    if (decision.type !== 'placed') return { type: 'busy' }
+    const record = this.#parts.book.find(decision.endpoint)
+    return record === undefined ? { type: 'busy' } : { type: 'chosen', record, decision }
+  }
+
+  /** Tells the placement what an answer said of its endpoint's load. */
+  noteLoad (record: EndpointRecord): void {
+    this.#placement.take({ type: 'snapshot', snapshot: { resources: { revision: this.#revision, resources: [] }, vms: [], endpoints: [this.#buildView(record)] } })
+  }
+
+  /** Best set that is not empty: all well, then also those that failed, never those that are full or loading. */
+  #listUsable (candidates: EndpointRecord[], pool: PoolName, prompt: Prompt | null): EndpointRecord[] {
+    const loading = this.#parts.listLoading()
+    const share = this.#countShare(pool)
+    const open = candidates.filter(record => record.open < share && !loading.has(record.entry.endpoint) && isRunning(record, prompt))
+    const meanShare = open.reduce((sum, record) => sum + record.health.readFailedShare(), 0) / Math.max(1, open.length)
+    const well = open.filter(record => !record.health.isOut(meanShare))
+    return well.length > 0 ? this.#preferNewest(well, prompt) : open
+  }
+
+  /** Newer weights are worth more once enough endpoints have them to carry the load. */
+  #preferNewest (records: EndpointRecord[], prompt: Prompt | null): EndpointRecord[] {
+    if (prompt === null) return records
+    const wished = this.#parts.findWished(prompt.model)
+    if (wished === null) return records
+    const newest = records.filter(record => (record.findVersion(prompt.model) ?? 0) >= wished)
+    return newest.length * 3 >= records.length ? newest : records
+  }
+
+  #countShare (pool: PoolName): number {
+    const spec = this.#parts.readConfig()?.pools.find(one => one.pool === pool)
+    return Math.max(1, Math.floor((spec?.maxConnections ?? 1) * CONNECTION_SHARE / this.#parts.countVms()))
+  }
+
+  /** Callers are spread over VMs by chance, so each of them is asked for about the same prefixes. */
+  #shareDemand (): void {
+    const nowMs = performance.now()
+    if (nowMs - this.#demandAtMs < DEMAND_MS) return
+    this.#demandAtMs = nowMs
+    const others = this.#parts.countVms() - 1
+    const demands = this.#placement.listHotKeys().map(({ key, tokensPerS }) => ({ key, tokensPerS: tokensPerS * others }))
+    this.#placement.take({ type: 'peerDemand', vm: 'others', incarnation: '', dataCentre: this.#parts.dataCentre, n: ++this.#demandNumber, demands })
+  }
+
+  #buildPool (pool: PoolName, models: string[]): Resource {
+    if (models.length === 0) return { kind: 'EndpointPool', name: pool, revision: 0, spec: { type: 'service', floor: 0 } }
+    const wished = this.#parts.findWished(models[0])
+    const weightsVersion = String(wished ?? this.#findNewest(pool, models[0]))
+    return { kind: 'EndpointPool', name: pool, revision: 0, spec: { type: 'model', model: models[0], weightsVersion, objective: 'tail', floor: 0, maxParallelLoads: 1 } }
+  }
+
+  #findNewest (pool: PoolName, model: string): number {
+    return this.#parts.book.list(pool).reduce((newest, record) => Math.max(newest, record.findVersion(model) ?? 0), 0)
+  }
+
+  #buildView (record: EndpointRecord): RouterSnapshot['endpoints'][number] {
+    const { entry, load, loadAtMs } = record
+    const model = entry.models[0]
+    const weightsVersion = model === undefined ? null : String(model.version)
+    const report = load === null
+      ? null
+      : { endpoint: entry.endpoint, incarnation: entry.incarnation, weightsVersion, running: load.running, queued: load.waiting, queuedTokens: 0, atMs: ++this.#reports }
+    return { endpoint: entry.endpoint, incarnation: entry.incarnation, state: 'live', weightsVersion, load: report, loadAgeMs: report === null ? 0 : performance.now() - loadAtMs }
+  }
+}
+
+function nameWall (identity: CallerIdentity | null): string {
+  return identity?.isIsolated ? identity.organisation : ''
+}
+
+function isRunning (record: EndpointRecord, prompt: Prompt | null): boolean {
+  return prompt === null || record.entry.models.length === 0 || record.findVersion(prompt.model) !== null
+}
+
+function buildEndpoint (name: EndpointName, entry: EndpointRecord['entry']): Resource {
+  return {
+    kind: 'Endpoint',
+    name,
+    revision: 0,
+    spec: { pool: entry.pool, url: `http://${entry.address}`, dataCentre: entry.dataCentre, weight: 1, cacheBlocks: 0, checksFencing: false, checksIdempotencyKeys: false, draining: entry.isDraining }
+  }
+}
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointRecord.ts
@@ -0,0 +1,35 @@
+import type { EndpointEntry } from '../ports/endpointEntry.ts'
+import type { ToldLoad } from '../ports/endpointPort.ts'
+import { EndpointHealth } from './endpointHealth.ts'
+
+/** What this VM knows of one incarnation of an endpoint. */
+export class EndpointRecord {
+  entry: EndpointEntry
+  readonly health = new EndpointHealth()
+  /** Own attempts under way. */
+  open = 0
+  /** When a byte last came from it, by the monotonic clock. */
+  heardAtMs = performance.now()
+  load: ToldLoad | null = null
+  loadAtMs = -Infinity
+  /** Since when the row is missing although the store may only have lost it; null while it is there. */
+  missingSinceMs: number | null = null
+
+  constructor (entry: EndpointEntry) {
+    this.entry = entry
+  }
+
+  /** Version of a model's weights as last heard; null when it does not run the model. */
+  findVersion (model: string): number | null {
+    return this.entry.models.find(served => served.model === model)?.version ?? null
+  }
+
+  /** Notes that the endpoint runs a version, heard before its row said so. */
+  noteVersion (model: string, version: number): boolean {
+    const known = this.findVersion(model)
+    if (known === null || known >= version) return false
+    const models = this.entry.models.map(served => served.model === model ? { model, version } : served)
+    this.entry = { ...this.entry, models }
+    return true
+  }
+}
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/flow/flowParts.ts
@@ -0,0 +1,30 @@
+import type http from 'node:http'
+import type { Logger } from 'knapweedshunt-logger'
+import type { EndpointChooser } from '../endpoints/endpointChooser.ts'
+import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
+import type { EndpointWatch } from '../endpoints/endpointWatch.ts'
+import type { EndpointPort } from '../ports/endpointPort.ts'
+import type { DecisionLog } from '../records/decisionLog.ts'
+import type { Figures } from '../records/figures.ts'
+import type { OwnAnswer } from '../shared/callerError.ts'
+
+/** What the tasks of requests share. */
+export interface FlowParts {
+  port: EndpointPort
+  agent: http.Agent
+  chooser: EndpointChooser
+  watch: EndpointWatch
+  figures: Figures
+  decisions: DecisionLog
+  log: Logger
+  /** Takes one repeat from the budget of a pool. */
+  takeRetry (pool: string): boolean
+  noteSuccess (pool: string): void
+  /** Notes that an endpoint broke off while the request had not begun to be answered. */
+  noteCrash (fingerprint: string, record: EndpointRecord, startedAtMs: number): void
+  readKeysAgeMs (): number
+  /** Draws a time around a mean, in milliseconds. */
+  drawRetryMs (meanMs: number): number
+  sendOwnAnswer (answer: http.ServerResponse, requestId: string | null, own: OwnAnswer): void
+  sleep (ms: number): Promise<void>
+}
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -0,0 +1,430 @@
+import type http from 'node:http'
+import { match } from 'ts-pattern'
+import { REPEATABILITY } from '../ports/gatewayConfig.ts'
+import type { AnswerHead } from '../ports/endpointPort.ts'
+import { Attempt } from '../endpoints/attempt.ts'
+import type { AttemptOutcome } from '../endpoints/attemptOutcome.ts'
+import { LOSS } from '../endpoints/attemptOutcome.ts'
+import { EVIDENCE } from '../endpoints/endpointHealth.ts'
+import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
+import type { RefusalReason } from '../records/decision.ts'
+import type { OwnAnswer } from '../shared/callerError.ts'
+import { listEndToEndHeaders } from '../shared/endToEndHeaders.ts'
+import type { FlowParts } from './flowParts.ts'
+import { readAnswerBody } from './readAnswerBody.ts'
+import type { RequestPlan } from './requestPlan.ts'
+import { StreamRelay } from './streamRelay.ts'
+
+/** Statuses that promise that a request did not run and will not. */
+const NOT_RUN_STATUSES = [408, 421, 429, 503]
+
+/** Connections that fail before a byte was sent, after which no further endpoint is tried. */
+const MAX_UNSENT = 3
+
+/** Share of the objective after which another endpoint is tried for a request that may be repeated. */
+const STALL_SHARE = 0.6
+
+/** Pauses that long, as a multiple of the wished longest one, end an endpoint's stream when it can go on elsewhere. */
+const PAUSE_FACTOR = 2
+
+/** Wished longest pause of a stream whose route names none, in milliseconds. */
+const DEFAULT_PAUSE_MS = 500
+
+/** Longest wait for an endpoint that is full or loads weights, as a share of the objective. */
+const FREE_WAIT_SHARE = 0.5
+
+/** Time between two looks for a free endpoint, in milliseconds. */
+const FREE_LOOK_MS = 15
+
+/** Mean time after which a refused caller may come again, in milliseconds. */
+const RETRY_AFTER_MS = 200
+
+const FIRST_SERVER_ERROR = 500
+
+/** One attempt that is under way. */
+interface Running {
+  attempt: Attempt
+  record: EndpointRecord
+  number: number
+  startedAtMs: number
+  id: string
+}
+
+type Step = { type: 'done' } | { type: 'again' }
+const DONE: Step = { type: 'done' }
+const AGAIN: Step = { type: 'again' }
+
+/** Carries one checked request to its final answer. */
+export class RequestTask {
+  readonly #parts: FlowParts
+  readonly #plan: RequestPlan
+  readonly #answer: http.ServerResponse
+  readonly #relay: StreamRelay
+  readonly #tried: string[] = []
+  #running: Running | null = null
+  #attempts = 0
+  #unsent = 0
+  #sentTo = 0
+  #mayHaveRun = false
+  #isOver = false
+  #deadline: NodeJS.Timeout | undefined
+
+  constructor (parts: FlowParts, plan: RequestPlan, answer: http.ServerResponse) {
+    this.#parts = parts
+    this.#plan = plan
+    this.#answer = answer
+    this.#relay = new StreamRelay(answer, plan.route.repeatability === REPEATABILITY.resumed, plan.call.lastEventId)
+  }
+
+  /** Runs until the request has its final answer or its caller left. */
+  async run (): Promise<void> {
+    const { deadlineAtMs, route } = this.#plan
+    this.#deadline = setTimeout(() => this.#expire(), Math.max(0, deadlineAtMs - performance.now()))
+    this.#answer.once('close', () => this.#noteClosed())
+    try {
+      let step: Step = AGAIN
+      while (step.type === 'again' && !this.#isOver) step = await this.#tryNext()
+    } catch (error) {
+      this.#parts.log.warn('Request failed inside.', { requestId: this.#plan.call.requestId, route: route.name, reason: (error as Error).message })
+      this.#running?.attempt.cancel(LOSS.cancelled)
+      this.#refuse('internal', this.#mayHaveRun ? 502 : 503, (error as Error).message)
+    } finally {
+      clearTimeout(this.#deadline)
+      this.#isOver = true
+    }
+  }
+
+  get #canRepeat (): boolean {
+    return this.#plan.route.repeatability !== REPEATABILITY.never
+  }
+
+  /** Endpoints are left, and the budget of all repeats allows one more. */
+  #mayTryAnother (): boolean {
+    if (this.#sentTo >= this.#plan.route.maxEndpoints || this.#plan.body.type === 'flowing') return false
+    if (performance.now() >= this.#plan.deadlineAtMs) return false
+    return this.#sentTo === 0 || this.#parts.takeRetry(this.#plan.pool)
+  }
+
+  async #tryNext (): Promise<Step> {
+    const record = await this.#waitEndpoint()
+    if (record === null || this.#isOver) return DONE
+    const running = this.#start(record)
+    const outcome = await this.#waitOutcome(running)
+    if (this.#isOver) return DONE
+    const step = await this.#takeOutcome(running, outcome)
+    return step
+  }
+
+  async #waitEndpoint (): Promise<EndpointRecord | null> {
+    const { pool, levels, call, route } = this.#plan
+    const untilMs = Math.min(this.#plan.deadlineAtMs, performance.now() + route.objectiveMs * FREE_WAIT_SHARE)
+    for (;;) {
+      const choice = this.#parts.chooser.choose(pool, levels, this.#tried, route.usesPrefixes ? call.prompt : null)
+      if (choice.type === 'chosen') {
+        this.#noteChoice(choice.record, choice.decision.rank, choice.decision.expectedCachedTokens ?? 0)
+        return choice.record
+      }
+      if (choice.type === 'none' || performance.now() >= untilMs) {
+        this.#fail(choice.type === 'none' ? 'no_endpoint' : 'no_free_endpoint', 'no endpoint may take the request now')
+        return null
+      }
+      await this.#parts.sleep(FREE_LOOK_MS)
+      if (this.#isOver) return null
+    }
+  }
+
+  #noteChoice (record: EndpointRecord, rank: number, expectedCachedTokens: number): void {
+    const { call, configRevision, deadlineAtMs, pool } = this.#plan
+    const promptTokens = call.prompt?.tokens ?? 0
+    if (promptTokens > 0) this.#parts.figures.recordPrompt(promptTokens, expectedCachedTokens)
+    this.#parts.decisions.record({
+      type: 'sent',
+      requestId: call.requestId,
+      attempt: this.#attempts + 1,
+      pool,
+      endpoint: record.entry.endpoint,
+      incarnation: record.entry.incarnation,
+      rank,
+      expectedCachedTokens,
+      promptTokens,
+      open: record.open,
+      loadAgeMs: Math.round(Math.min(performance.now() - record.loadAtMs, Number.MAX_SAFE_INTEGER)),
+      configRevision,
+      keysAgeMs: Math.round(Math.min(this.#parts.readKeysAgeMs(), Number.MAX_SAFE_INTEGER)),
+      timeLeftMs: Math.round(deadlineAtMs - performance.now())
+    })
+  }
+
+  #start (record: EndpointRecord): Running {
+    const { call, route, identity, levels, body } = this.#plan
+    const number = ++this.#attempts
+    const headers = this.#parts.port.buildAttemptHeaders(this.#plan.headers, {
+      endpoint: record.entry.endpoint,
+      timeLeftMs: Math.max(1, Math.floor(this.#plan.deadlineAtMs - performance.now())),
+      organisation: identity?.organisation ?? null,
+      cacheSalt: route.usesPrefixes && call.prompt !== null ? this.#parts.chooser.nameSalt(call.prompt, identity, record) : null,
+      priority: route.usesPrefixes ? identity?.priority ?? route.priority : null,
+      lastEventId: this.#relay.lastEventId
+    })
+    const attempt = new Attempt(this.#parts.port, this.#parts.agent, { method: call.method, target: call.target, address: record.entry.address, headers, body, requestId: call.requestId })
+    const id = `${call.requestId}-${number}`
+    record.open++
+    this.#tried.push(record.entry.endpoint)
+    this.#parts.chooser.placement.take({ type: 'started', attempt: id, endpoint: record.entry.endpoint, tokens: call.prompt?.tokens ?? 0, levels })
+    this.#running = { attempt, record, number, startedAtMs: performance.now(), id }
+    this.#parts.watch.noteStart(record, this.#running.startedAtMs)
+    return this.#running
+  }
+
+  #end (running: Running): void {
+    if (this.#running !== running) return
+    const { record, id, startedAtMs } = running
+    record.open--
+    this.#running = null
+    this.#parts.watch.noteEnd(record, startedAtMs)
+    this.#parts.chooser.placement.take({ type: 'finished', attempt: id, cachedTokens: null })
+  }
+
+  /** Waits for the answer's head; a request that may go elsewhere does not wait for it longer than a share of its objective. */
+  async #waitOutcome ({ attempt }: Running): Promise<AttemptOutcome> {
+    const { route } = this.#plan
+    const mayMove = this.#canRepeat && this.#sentTo + 1 < route.maxEndpoints
+    if (!mayMove) return await attempt.outcome
+    const timer = setTimeout(() => attempt.cancel(LOSS.silent), route.objectiveMs * STALL_SHARE)
+    try {
+      return await attempt.outcome
+    } finally {
+      clearTimeout(timer)
+    }
+  }
+
+  async #takeOutcome (running: Running, outcome: AttemptOutcome): Promise<Step> {
+    if (outcome.type !== 'unsent') this.#sentTo++
+    return await match(outcome)
+      .with({ type: 'unsent' }, ({ reason }) => this.#takeUnsent(running, reason))
+      .with({ type: 'notRun' }, ({ head, status }) => this.#takeNotRun(running, head, status))
+      .with({ type: 'lost' }, ({ loss, reason }) => this.#takeLost(running, loss, reason))
+      .with({ type: 'answered' }, ({ head, message }) => this.#takeAnswer(running, head, message))
+      .exhaustive()
+  }
+
+  #takeUnsent (running: Running, reason: string): Step {
+    this.#parts.watch.note(running.record, EVIDENCE.down, reason)
+    this.#end(running)
+    this.#unsent++
+    const isRetried = this.#unsent < MAX_UNSENT && performance.now() < this.#plan.deadlineAtMs
+    this.#noteEnded(running, 'unsent', reason, isRetried)
+    if (isRetried) return AGAIN
+    this.#fail('no_free_endpoint', reason)
+    return DONE
+  }
+
+  #takeNotRun (running: Running, head: AnswerHead, status: number): Step {
+    this.#noteHead(running.record, head)
+    this.#end(running)
+    const isRetried = this.#mayTryAnother()
+    this.#noteEnded(running, 'notRun', `status ${status}`, isRetried)
+    if (isRetried) return this.#retry()
+    this.#fail('endpoint_refused', `status ${status}`)
+    return DONE
+  }
+
+  #takeLost (running: Running, loss: typeof LOSS[keyof typeof LOSS], reason: string): Step {
+    this.#mayHaveRun = true
+    const evidence = loss === LOSS.reset ? EVIDENCE.down : EVIDENCE.failed
+    this.#parts.watch.note(running.record, evidence, reason)
+    if (loss === LOSS.reset) this.#parts.noteCrash(this.#plan.fingerprint, running.record, running.startedAtMs)
+    this.#end(running)
+    const isRetried = this.#canRepeat && this.#mayTryAnother()
+    this.#noteEnded(running, loss, reason, isRetried)
+    if (isRetried) return this.#retry()
+    this.#fail('endpoint_lost', `${loss}: ${reason}`)
+    return DONE
+  }
+
+  #retry (): Step {
+    this.#parts.figures.recordRetry(this.#plan.pool)
+    return AGAIN
+  }
+
+  async #takeAnswer (running: Running, head: AnswerHead, message: http.IncomingMessage): Promise<Step> {
+    this.#noteHead(running.record, head)
+    this.#parts.watch.noteHeard(running.record)
+    const status = message.statusCode ?? 0
+    this.#mayHaveRun = true
+    const isStream = this.#plan.route.isStream && status < 300
+    return isStream ? await this.#passStream(running, message) : await this.#passWhole(running, message, status)
+  }
+
+  async #passWhole (running: Running, message: http.IncomingMessage, status: number): Promise<Step> {
+    const body = await readAnswerBody(message)
+    if (this.#isOver) {
+      this.#end(running)
+      return DONE
+    }
+    if (body.type === 'cut') return this.#takeLost(running, LOSS.garbled, body.reason)
+    const isFailure = status >= FIRST_SERVER_ERROR
+    this.#parts.watch.note(running.record, isFailure ? EVIDENCE.failed : EVIDENCE.served, `status ${status}`)
+    if (isFailure && this.#canRepeat && this.#mayTryAnother()) {
+      message.destroy()
+      this.#end(running)
+      this.#noteEnded(running, 'failed', `status ${status}`, true)
+      return this.#retry()
+    }
+    if (NOT_RUN_STATUSES.includes(status) && !this.#canRepeat) {
+      // The endpoint did not say that the request did not run, so its status must not say so either.
+      message.destroy()
+      this.#end(running)
+      this.#refuse('endpoint_refused', 502, `status ${status} without a word that the request did not run`)
+      return DONE
+    }
+    const firstByteMs = performance.now() - this.#plan.arrivedAtMs
+    this.#writeHead(message, status, body.type === 'whole' ? body.bytes.length : null)
+    if (body.type === 'whole') this.#answer.end(body.bytes)
+    else await this.#passRest(message, body.first)
+    this.#end(running)
+    this.#noteAnswered(running, status, firstByteMs, body.type === 'whole' ? body.bytes.length : this.#relay.bytes)
+    return DONE
+  }
+
+  /** A long answer flows through; one that breaks off ends the caller's connection, so that it does not look whole. */
+  async #passRest (message: http.IncomingMessage, first: Buffer[]): Promise<void> {
+    for (const chunk of first) this.#answer.write(chunk)
+    const end = await this.#relay.pass(message, { stallMs: null, onChunk: () => {} })
+    if (end.type === 'complete') this.#answer.end()
+    else this.#answer.destroy()
+  }
+
+  async #passStream (running: Running, message: http.IncomingMessage): Promise<Step> {
+    const { route } = this.#plan
+    if (!this.#answer.headersSent) this.#writeHead(message, message.statusCode ?? 0, null)
+    const mayMove = route.repeatability === REPEATABILITY.resumed && this.#sentTo < route.maxEndpoints
+    const firstStallMs = route.objectiveMs * STALL_SHARE
+    const stallMs = mayMove ? Math.max(firstStallMs, (route.pauseObjectiveMs ?? DEFAULT_PAUSE_MS) * PAUSE_FACTOR) : null
+    const end = await this.#relay.pass(message, { stallMs, onChunk: () => this.#parts.watch.noteHeard(running.record) })
+    if (this.#isOver || end.type === 'callerLeft') {
+      running.attempt.cancel(LOSS.cancelled)
+      this.#end(running)
+      return DONE
+    }
+    if (end.type === 'complete') {
+      this.#parts.watch.note(running.record, EVIDENCE.served, 'stream')
+      this.#answer.end()
+      this.#end(running)
+      const firstAtMs = this.#relay.firstAtMs ?? performance.now()
+      this.#noteAnswered(running, message.statusCode ?? 0, firstAtMs - this.#plan.arrivedAtMs, this.#relay.bytes)
+      return DONE
+    }
+    return this.#takeCut(running, end.reason)
+  }
+
+  #takeCut (running: Running, reason: string): Step {
+    running.attempt.cancel(LOSS.cancelled)
+    this.#parts.watch.note(running.record, EVIDENCE.failed, reason)
+    this.#end(running)
+    const isRetried = this.#plan.route.repeatability === REPEATABILITY.resumed && this.#mayTryAnother()
+    this.#noteEnded(running, 'cut', reason, isRetried)
+    if (!isRetried) {
+      this.#refuse('stream_cut', 0, reason)
+      return DONE
+    }
+    this.#parts.decisions.record({ type: 'resumed', requestId: this.#plan.call.requestId, endpoint: running.record.entry.endpoint, lastEventId: this.#relay.lastEventId ?? '', afterMs: this.#readAgeMs() })
+    return this.#retry()
+  }
+
+  #writeHead (message: http.IncomingMessage, status: number, length: number | null): void {
+    const headers = listEndToEndHeaders(message.rawHeaders)
+    const isBodiless = this.#plan.call.method === 'HEAD' || status === 204 || status === 304
+    if (length !== null && !isBodiless) headers.push('Content-Length', String(length))
+    this.#answer.sendDate = false
+    this.#answer.writeHead(status, message.statusMessage ?? '', headers)
+  }
+
+  #noteHead (record: EndpointRecord, head: AnswerHead): void {
+    const model = this.#plan.call.prompt?.model
+    if (head.weightsVersion !== null && model !== undefined && record.noteVersion(model, head.weightsVersion)) this.#parts.chooser.rebuild()
+    if (head.load === null) return
+    record.load = head.load
+    record.loadAtMs = performance.now()
+    this.#parts.chooser.noteLoad(record)
+  }
+
+  /** The caller's patience or the route's time is over. */
+  #expire (): void {
+    if (this.#isOver) return
+    const running = this.#running
+    running?.attempt.cancel(LOSS.silent)
+    if (running !== null) {
+      this.#parts.watch.note(running.record, EVIDENCE.failed, 'no answer in time')
+      this.#end(running)
+    }
+    const isSent = running?.attempt.isSent ?? false
+    this.#mayHaveRun ||= isSent
+    this.#refuse('timeout', this.#mayHaveRun ? 504 : 503, 'the time was over')
+  }
+
+  /** An order goes on without its caller; what may be repeated, and streams, end at the endpoint too. */
+  #noteClosed (): void {
+    if (this.#isOver || this.#answer.writableFinished) return
+    const running = this.#running
+    if (!this.#canRepeat && !this.#plan.route.isStream && running !== null) return
+    this.#isOver = true
+    clearTimeout(this.#deadline)
+    running?.attempt.cancel(LOSS.cancelled)
+    if (running !== null) this.#end(running)
+    this.#noteRefused('caller_left', 0, this.#mayHaveRun || running !== null, '')
+  }
+
+  #fail (reason: RefusalReason, detail: string): void {
+    this.#refuse(reason, this.#mayHaveRun ? 502 : 503, detail)
+  }
+
+  #refuse (reason: RefusalReason, status: number, detail: string): void {
+    if (this.#isOver) return
+    this.#isOver = true
+    clearTimeout(this.#deadline)
+    this.#noteRefused(reason, status, this.#mayHaveRun, detail)
+    if (this.#answer.headersSent) {
+      this.#answer.destroy()
+      return
+    }
+    const answer: OwnAnswer = { status: status || 502, code: reason, retryAfterMs: status === 503 ? this.#parts.drawRetryMs(RETRY_AFTER_MS) : null, closes: false }
+    this.#parts.sendOwnAnswer(this.#answer, this.#plan.call.requestId, answer)
+  }
+
+  #noteRefused (reason: RefusalReason, status: number, mayHaveRun: boolean, detail: string): void {
+    const { call, route, identity } = this.#plan
+    this.#parts.figures.recordRefusal(reason)
+    this.#parts.decisions.record({
+      type: 'refused',
+      requestId: call.requestId,
+      route: route.name,
+      organisation: identity?.organisation ?? '',
+      status,
+      reason,
+      ran: mayHaveRun ? 'may-have-run' : 'not-run',
+      attempts: this.#attempts,
+      totalMs: this.#readAgeMs(),
+      retryAfterMs: status === 503 ? RETRY_AFTER_MS : 0,
+      detail
+    })
+  }
+
+  #noteEnded (running: Running, outcome: string, reason: string, isRetried: boolean): void {
+    const { call } = this.#plan
+    this.#parts.decisions.record({ type: 'attemptEnded', requestId: call.requestId, attempt: running.number, endpoint: running.record.entry.endpoint, outcome, reason, isRetried, afterMs: Math.round(performance.now() - running.startedAtMs) })
+  }
+
+  #noteAnswered (running: Running, status: number, firstByteMs: number, bytes: number): void {
+    const { call, route, identity } = this.#plan
+    const organisation = identity?.organisation ?? ''
+    const totalMs = this.#readAgeMs()
+    if (status < FIRST_SERVER_ERROR) this.#parts.noteSuccess(this.#plan.pool)
+    this.#parts.figures.recordAnswer({ route: route.name, organisation, priority: String(identity?.priority ?? route.priority) }, firstByteMs, totalMs)
+    this.#parts.decisions.record({ type: 'answered', requestId: call.requestId, route: route.name, organisation, endpoint: running.record.entry.endpoint, status, attempts: this.#attempts, firstByteMs: Math.round(firstByteMs), totalMs, bytes })
+  }
+
+  #readAgeMs (): number {
+    return Math.round(performance.now() - this.#plan.arrivedAtMs)
+  }
+}
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -0,0 +1,348 @@
+import type http from 'node:http'
+import { RetryBudget, SuspectRegistry } from 'knapweedshunt-attempts'
+import type { RetryBudgetOptions, SuspectMark } from 'knapweedshunt-attempts'
+import { DEFAULT_WAVE_OPTIONS, WaveTask } from 'knapweedshunt-fleet'
+import type { Logger } from 'knapweedshunt-logger'
+import { DEFAULT_FOLLOWER_OPTIONS, TableFollower } from 'knapweedshunt-platform'
+import type { Platform, Row, TableFeed, TableNews } from 'knapweedshunt-platform'
+import { createIncarnation, createRng, runEvery, sleep } from 'knapweedshunt-utils'
+import { match } from 'ts-pattern'
+import { CallerServer } from './callers/callerServer.ts'
+import { closeSideServer, startMetricsServer, startReadinessServer } from './callers/sideServers.ts'
+import { ConfigState } from './directory/configState.ts'
+import { KeyFreshness } from './directory/keyFreshness.ts'
+import { ROSTER_TABLE, VmRoster } from './directory/vmRoster.ts'
+import { EndpointAgent } from './endpoints/endpointAgent.ts'
+import { EndpointBook } from './endpoints/endpointBook.ts'
+import { EndpointChooser } from './endpoints/endpointChooser.ts'
+import type { EndpointRecord } from './endpoints/endpointRecord.ts'
+import { EndpointWatch } from './endpoints/endpointWatch.ts'
+import type { FlowParts } from './flow/flowParts.ts'
+import { RequestGate } from './flow/requestGate.ts'
+import { RequestTask } from './flow/requestTask.ts'
+import type { DirectoryPort } from './ports/directoryPort.ts'
+import type { EndpointPort } from './ports/endpointPort.ts'
+import type { ManagementPort } from './ports/managementPort.ts'
+import type { VmSettings } from './ports/vmSettings.ts'
+import type { RefusalReason } from './records/decision.ts'
+import { DecisionLog } from './records/decisionLog.ts'
+import { Figures } from './records/figures.ts'
+import { CallerError } from './shared/callerError.ts'
+import type { OwnAnswer } from './shared/callerError.ts'
+import { WeightsState } from './weights/weightsState.ts'
+
+/** How long the store holds a poll of the operator's rows, in milliseconds: twice that is below the age at which keys are no longer used. */
+const RESOURCE_WAIT_MS = 1_500
+
+/** The same for endpoints and for what VMs tell each other. */
+const ENDPOINT_WAIT_MS = 5_000
+const ROSTER_WAIT_MS = 10_000
+
+/** Time between two looks for endpoints that did not come back, and at readiness, in milliseconds. */
+const SWEEP_MS = 250
+
+/** Share of the allowed repeats that this VM's part is cut from; the rest covers VMs that come and go. */
+const BUDGET_SHARE = 0.8
+
+/** Crashes after which a request is refused; one that was running by chance is seldom there three times. */
+const MAX_CRASHES = 3
+
+const SUSPECT_OPTIONS = { maxCrashes: MAX_CRASHES, suspectMs: 60_000, quarantineMs: 600_000, maxEntries: 10_000 }
+
+/** Time from the stop signal until callers' balancers have stopped sending new connections, in milliseconds: two missed questions and the way. */
+const LEAVE_MS = 2_600
+
+/** Share of the time for an orderly stop after which requests under way are cut. */
+const GRACE_SHARE = 0.93
+
+const DRAIN_LOOK_MS = 50
+
+/** What a gateway is made of; the ports are the deployment's. */
+export interface GatewayParts {
+  settings: VmSettings
+  platform: Platform
+  feed: TableFeed
+  directory: DirectoryPort
+  endpointPort: EndpointPort
+  management: ManagementPort
+  log: Logger
+}
+
+/** The whole data path of one VM. */
+export class Gateway {
+  readonly #parts: GatewayParts
+  readonly #incarnation = createIncarnation()
+  readonly #rng
+  readonly #decisions: DecisionLog
+  readonly #figures = new Figures()
+  readonly #agent = new EndpointAgent()
+  readonly #config = new ConfigState()
+  readonly #suspects = new SuspectRegistry(SUSPECT_OPTIONS)
+  readonly #budgets: RetryBudget
+  readonly #book: EndpointBook
+  readonly #roster: VmRoster
+  readonly #weights: WeightsState
+  readonly #chooser: EndpointChooser
+  readonly #watch: EndpointWatch
+  readonly #resources: TableFollower
+  readonly #endpoints: TableFollower
+  readonly #rosterFollower: TableFollower
+  readonly #keys: KeyFreshness
+  readonly #gate: RequestGate
+  readonly #flow: FlowParts
+  readonly #server: CallerServer
+  #inFlight = 0
+  #hasEndpoints = false
+  #isStopping = false
+  #wasReady: boolean | null = null
+
+  constructor (parts: GatewayParts) {
+    this.#parts = parts
+    const { settings, log, management } = parts
+    const seed = parseInt(this.#incarnation.slice(0, 8), 16)
+    this.#rng = createRng(seed)
+    this.#decisions = new DecisionLog(log)
+    this.#book = new EndpointBook(log, () => this.#chooser.rebuild())
+    this.#roster = new VmRoster({
+      platform: parts.platform,
+      self: { vm: settings.vm, incarnation: this.#incarnation, dataCentre: settings.dataCentre },
+      log,
+      onMark: mark => this.#suspects.takeMark(mark),
+      onWave: notice => this.#weights.noteReached(notice.reached, notice.model, notice.version)
+    })
+    this.#weights = new WeightsState({ holder: settings.vm, book: this.#book, roster: this.#roster, port: management, onReached: () => this.#chooser.rebuild() })
+    this.#chooser = new EndpointChooser({
+      dataCentre: settings.dataCentre,
+      nearDataCentres: settings.nearDataCentres,
+      seed,
+      book: this.#book,
+      readConfig: () => this.#config.config,
+      countVms: () => this.#roster.countVms(),
+      listLoading: () => this.#weights.listLoading(),
+      findWished: model => this.#weights.findWished(model)
+    })
+    this.#watch = new EndpointWatch({
+      port: management,
+      decisions: this.#decisions,
+      findPool: pool => this.#config.findPool(pool) ?? null,
+      isKnown: record => this.#book.find(record.entry.endpoint) === record
+    })
+    this.#resources = this.#follow(parts.directory.resourceTable, RESOURCE_WAIT_MS, news => this.#takeResources(news))
+    this.#endpoints = this.#follow(parts.directory.endpointTable, ENDPOINT_WAIT_MS, news => this.#takeEndpoints(news))
+    this.#rosterFollower = this.#follow(ROSTER_TABLE, ROSTER_WAIT_MS, news => {
+      this.#roster.takeNews(news)
+      this.#budgets.setOptions(this.#shareBudget())
+    })
+    this.#keys = new KeyFreshness(this.#resources, settings.revokeMs)
+    this.#gate = new RequestGate({ config: this.#config, keys: this.#keys, chooser: this.#chooser, suspects: this.#suspects })
+    this.#budgets = new RetryBudget(this.#shareBudget())
+    this.#flow = this.#buildFlow()
+    this.#server = new CallerServer((message, answer) => { this.#serve(message, answer) })
+    this.#addGauges()
+  }
+
+  /** Whether this VM wants callers. */
+  get isReady (): boolean {
+    return this.#explainUnready() === ''
+  }
+
+  /** Runs until the signal aborts, then stops in order. */
+  async run (signal: AbortSignal): Promise<void> {
+    const { settings, platform, log } = this.#parts
+    this.#decisions.record({ type: 'started', vm: settings.vm, incarnation: this.#incarnation, dataCentre: settings.dataCentre })
+    const readiness = await startReadinessServer(settings.readiness, () => this.isReady)
+    const metrics = settings.metrics === null ? null : await startMetricsServer(settings.metrics, this.#figures)
+    await this.#server.start(settings.callers)
+    const tasks = new AbortController()
+    const lease = { ...DEFAULT_WAVE_OPTIONS.lease, longestOrderMs: settings.leaseMs + DEFAULT_WAVE_OPTIONS.lease.guardMs }
+    const waves = new WaveTask({ vm: settings.vm, incarnation: this.#incarnation, platform, ports: this.#weights.buildPorts(), log, options: { ...DEFAULT_WAVE_OPTIONS, lease } })
+    const running = [
+      this.#resources.run(tasks.signal),
+      this.#endpoints.run(tasks.signal),
+      this.#rosterFollower.run(tasks.signal),
+      this.#roster.announceSelf(tasks.signal),
+      this.#watch.run(tasks.signal),
+      waves.run(signal),
+      runEvery(SWEEP_MS, tasks.signal, () => this.#sweep())
+    ]
+    await sleep(2 ** 30, signal)
+    await this.#stop()
+    tasks.abort()
+    await Promise.all(running)
+    await this.#roster.leave()
+    this.#server.close()
+    await closeSideServer(readiness)
+    await closeSideServer(metrics)
+    this.#agent.destroy()
+    this.#decisions.record({ type: 'stopped', vm: settings.vm, inFlight: this.#inFlight })
+  }
+
+  /** Not ready at once, but serving until callers have gone elsewhere and all requests are answered. */
+  async #stop (): Promise<void> {
+    const { settings } = this.#parts
+    const startedAtMs = performance.now()
+    this.#isStopping = true
+    this.#decisions.record({ type: 'stopping', vm: settings.vm, inFlight: this.#inFlight })
+    this.#server.startStop()
+    await sleep(Math.min(LEAVE_MS, settings.graceMs / 2))
+    const untilMs = startedAtMs + settings.graceMs * GRACE_SHARE
+    for (;;) {
+      this.#server.closeIdle()
+      if (this.#inFlight === 0 || performance.now() >= untilMs) return
+      await sleep(DRAIN_LOOK_MS)
+    }
+  }
+
+  #serve (message: http.IncomingMessage, answer: http.ServerResponse): void {
+    this.#inFlight++
+    this.#handle(message, answer).finally(() => { this.#inFlight-- }).catch(error => {
+      this.#parts.log.error('Request failed inside.', { reason: (error as Error).message })
+      answer.destroy()
+    })
+  }
+
+  async #handle (message: http.IncomingMessage, answer: http.ServerResponse): Promise<void> {
+    const arrivedAtMs = performance.now()
+    let requestId: string | null = null
+    try {
+      const call = this.#parts.endpointPort.readCall(message)
+      requestId = call.requestId
+      const plan = await this.#gate.check(message, call, arrivedAtMs)
+      await new RequestTask(this.#flow, plan, answer).run()
+    } catch (error) {
+      if (!(error instanceof CallerError)) throw error
+      const own = error.answer
+      this.#figures.recordRefusal(own.code)
+      this.#decisions.record({
+        type: 'refused',
+        requestId: requestId ?? '',
+        route: '',
+        organisation: '',
+        status: own.status,
+        reason: own.code as RefusalReason,
+        ran: 'not-run',
+        attempts: 0,
+        totalMs: Math.round(performance.now() - arrivedAtMs),
+        retryAfterMs: own.retryAfterMs ?? 0,
+        detail: error.message
+      })
+      this.#sendOwnAnswer(answer, requestId, own)
+    }
+  }
+
+  #sendOwnAnswer (answer: http.ServerResponse, requestId: string | null, own: OwnAnswer): void {
+    if (answer.headersSent || answer.destroyed) {
+      answer.destroy()
+      return
+    }
+    const text = JSON.stringify({ error: { code: own.code } })
+    if (own.closes) answer.shouldKeepAlive = false
+    answer.writeHead(own.status, [...this.#parts.endpointPort.buildOwnHeaders(requestId, own.retryAfterMs), 'Content-Type', 'application/json', 'Content-Length', String(Buffer.byteLength(text))])
+    answer.end(text)
+  }
+
+  #buildFlow (): FlowParts {
+    return {
+      port: this.#parts.endpointPort,
+      agent: this.#agent,
+      chooser: this.#chooser,
+      watch: this.#watch,
+      figures: this.#figures,
+      decisions: this.#decisions,
+      log: this.#parts.log,
+      takeRetry: pool => this.#budgets.take('', pool),
+      noteSuccess: pool => this.#budgets.noteSuccess('', pool),
+      noteCrash: (fingerprint, record, startedAtMs) => this.#noteCrash(fingerprint, record, startedAtMs),
+      readKeysAgeMs: () => this.#keys.ageMs,
+      drawRetryMs: meanMs => Math.round(meanMs * (0.5 + this.#rng.float())),
+      sendOwnAnswer: (answer, requestId, own) => this.#sendOwnAnswer(answer, requestId, own),
+      sleep
+    }
+  }
+
+  /** Each VM's part: a share of its own successes, and its part of the repeats allowed beside. */
+  #shareBudget (): RetryBudgetOptions {
+    const { retrySlack, retryShare, retryWindowMs } = this.#parts.settings
+    const reserve = retrySlack * BUDGET_SHARE / 2 / this.#roster.countVms()
+    return { reserve, share: retryShare * BUDGET_SHARE, max: reserve * 2, refillMs: retryWindowMs }
+  }
+
+  #noteCrash (fingerprint: string, record: EndpointRecord, startedAtMs: number): void {
+    const mark: SuspectMark = this.#suspects.noteCrash(fingerprint, record.entry.endpoint, startedAtMs)
+    this.#decisions.record({ type: 'crashMarked', requests: 1, endpoint: record.entry.endpoint })
+    this.#roster.announceMark(mark).catch(error => this.#parts.log.warn('Crash not told.', { reason: (error as Error).message }))
+  }
+
+  #follow (table: string, waitMs: number, onNews: (news: TableNews) => void): TableFollower {
+    return new TableFollower(this.#parts.feed, { ...DEFAULT_FOLLOWER_OPTIONS, table, waitMs, seed: this.#rng.int(2 ** 30) }, this.#parts.log, onNews)
+  }
+
+  #takeResources (news: TableNews): void {
+    for (const row of news.rows) {
+      if ('isDeleted' in row && row.isDeleted) continue
+      match(this.#parts.directory.readResource(row))
+        .with({ type: 'config' }, ({ config }) => {
+          if (!this.#config.take(config)) return
+          this.#server.takeLimits(config.limits)
+          this.#chooser.rebuild()
+          this.#decisions.record({ type: 'configTaken', revision: config.revision, routes: config.routes.length, organisations: config.organisations?.length ?? 0 })
+        })
+        .with({ type: 'weights' }, ({ weights }) => {
+          if (!this.#weights.takeWished(weights)) return
+          this.#chooser.rebuild()
+          this.#decisions.record({ type: 'weightsWished', ...weights })
+        })
+        .with({ type: 'unreadable' }, ({ reason }) => this.#noteUnreadable(this.#parts.directory.resourceTable, row, reason))
+        .with({ type: 'other' }, () => {})
+        .exhaustive()
+    }
+  }
+
+  #takeEndpoints (news: TableNews): void {
+    const { directory } = this.#parts
+    this.#hasEndpoints = true
+    const read = news.rows.map(row => ({ row, result: 'isDeleted' in row && row.isDeleted ? null : directory.readEndpoint(row) }))
+    for (const { row, result } of read) if (result?.type === 'unreadable') this.#noteUnreadable(directory.endpointTable, row, result.reason)
+    if (news.type === 'rows') {
+      this.#book.takeAll(read.flatMap(({ result }) => result?.type === 'endpoint' ? [result.entry] : []), news.isReturn)
+      return
+    }
+    for (const { row, result } of read) {
+      if (result?.type === 'endpoint') this.#book.take(result.entry)
+      else this.#book.drop(row.key)
+    }
+  }
+
+  #noteUnreadable (table: string, { key }: Row, reason: string): void {
+    this.#decisions.record({ type: 'rowUnreadable', table, key, reason })
+  }
+
+  #sweep (): void {
+    this.#book.sweep()
+    const reason = this.#explainUnready()
+    const isReady = reason === ''
+    if (isReady === this.#wasReady) return
+    this.#wasReady = isReady
+    this.#decisions.record({ type: 'readiness', isReady, reason })
+  }
+
+  /** Why this VM wants no callers; empty when it does. */
+  #explainUnready (): string {
+    if (this.#isStopping) return 'stopping'
+    if (this.#config.config === null) return 'no configuration'
+    if (!this.#hasEndpoints) return 'no endpoints read'
+    if (this.#rosterFollower.ageMs === null) return 'no VMs read'
+    if (!this.#keys.isFresh) return 'keys unconfirmed'
+    return ''
+  }
+
+  #addGauges (): void {
+    this.#figures.addGauge('requests_in_flight', 'Requests under way.', () => this.#inFlight)
+    this.#figures.addGauge('endpoints', 'Endpoints known.', () => this.#book.size)
+    this.#figures.addGauge('endpoints_out', 'Endpoints left out because they do not answer.', () => this.#watch.outCount)
+    this.#figures.addGauge('endpoints_loading', 'Endpoints that load weights.', () => this.#weights.listLoading().size)
+    this.#figures.addGauge('keys_age_seconds', 'Age of the operator\'s rows.', () => Math.min(this.#keys.ageMs, Number.MAX_SAFE_INTEGER) / 1_000)
+    this.#figures.addGauge('vms', 'VMs that may be running.', () => this.#roster.countVms())
+    this.#figures.addGauge('ready', 'Whether this VM wants callers.', () => this.isReady ? 1 : 0)
+  }
+}
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/index.ts
@@ -0,0 +1,11 @@
+/** Pass-through data path of a VM; the deployment's protocol comes in by ports. */
+export * from './gateway.ts'
+export * from './ports/callerCall.ts'
+export * from './ports/directoryPort.ts'
+export * from './ports/endpointEntry.ts'
+export * from './ports/endpointPort.ts'
+export * from './ports/gatewayConfig.ts'
+export * from './ports/managementPort.ts'
+export * from './ports/vmSettings.ts'
+export * from './records/outputGuard.ts'
+export { createCallerError } from './shared/callerError.ts'
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/ports/managementPort.ts
@@ -0,0 +1,46 @@
+import type { EndpointName, FencingNumber } from 'knapweedshunt-types'
+import type { EndpointEntry, ServedModel } from './endpointEntry.ts'
+import type { GatewayPool } from './gatewayConfig.ts'
+
+/** What an endpoint says when it is asked. */
+export interface EndpointReport {
+  models: ServedModel[]
+  /** An order is being carried out. */
+  isBusy: boolean
+  /** Orders accepted since its start. */
+  ordersTaken: number
+  running: number
+  queued: number
+}
+
+/** An order to load weights. */
+export interface LoadOrder {
+  endpoint: EndpointName
+  address: string
+  model: string
+  version: number
+  holder: string
+  fencing: FencingNumber
+  /** Orders that the endpoint must have taken before; a late copy of the order is refused by it. */
+  ordersTaken: number | null
+}
+
+/** What became of an order. */
+export type LoadOrderResult =
+  | { type: 'taken' }
+  /** The endpoint runs these weights already. */
+  | { type: 'holds' }
+  /** Another order is under way, or others were taken in between. */
+  | { type: 'conflict' }
+  | { type: 'refused', status: number }
+  /** No answer: it may run, now or later. */
+  | { type: 'lost' }
+
+/** Management calls of an endpoint. None of the methods throws. */
+export interface ManagementPort {
+  /** Whether the endpoint answers at all, and is the one meant. */
+  probe (entry: EndpointEntry, pool: GatewayPool | null, timeoutMs: number): Promise<boolean>
+  /** Null when no report came, or another endpoint has the address. */
+  readReport (entry: EndpointEntry, timeoutMs: number): Promise<EndpointReport | null>
+  sendLoadOrder (order: LoadOrder, timeoutMs: number): Promise<LoadOrderResult>
+}
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -0,0 +1,44 @@
+import type { EndpointName, OrganisationName, PoolName, RequestId, VmId } from 'knapweedshunt-types'
+
+/** Why a request got no endpoint's answer. */
+export type RefusalReason =
+  | 'bad_request' | 'header_too_large' | 'body_too_large' | 'body_too_slow' | 'no_route' | 'no_key' | 'unknown_key'
+  | 'no_config' | 'keys_unconfirmed' | 'quarantined' | 'no_endpoint' | 'no_free_endpoint' | 'endpoint_refused' | 'retry_budget'
+  | 'memory' | 'timeout' | 'endpoint_lost' | 'stream_cut' | 'caller_left' | 'internal'
+
+/** A decision that touches one request; times in milliseconds. */
+export type RequestDecision =
+  /** Sent to an endpoint. */
+  | { type: 'sent', requestId: RequestId, attempt: number, pool: PoolName, endpoint: EndpointName, incarnation: string, rank: number, expectedCachedTokens: number, promptTokens: number, open: number, loadAgeMs: number, configRevision: number, keysAgeMs: number, timeLeftMs: number }
+  /** An attempt brought no answer; `isRetried` when another endpoint is tried. */
+  | { type: 'attemptEnded', requestId: RequestId, attempt: number, endpoint: EndpointName, outcome: string, reason: string, isRetried: boolean, afterMs: number }
+  /** A stream goes on at another endpoint. */
+  | { type: 'resumed', requestId: RequestId, endpoint: EndpointName, lastEventId: string, afterMs: number }
+  /** An endpoint's answer was passed on whole. */
+  | { type: 'answered', requestId: RequestId, route: string, organisation: OrganisationName, endpoint: EndpointName, status: number, attempts: number, firstByteMs: number, totalMs: number, bytes: number }
+  /** The router's own answer, or a connection ended without one. */
+  | { type: 'refused', requestId: RequestId, route: string, organisation: OrganisationName, status: number, reason: RefusalReason, ran: 'not-run' | 'may-have-run', attempts: number, totalMs: number, retryAfterMs: number, detail: string }
+
+/** A decision that changes what the process believes or does. */
+export type ProcessDecision =
+  | { type: 'started', vm: VmId, incarnation: string, dataCentre: string }
+  | { type: 'stopping', vm: VmId, inFlight: number }
+  | { type: 'stopped', vm: VmId, inFlight: number }
+  | { type: 'reloaded', vm: VmId }
+  | { type: 'configTaken', revision: number, routes: number, organisations: number }
+  | { type: 'readiness', isReady: boolean, reason: string }
+  | { type: 'keysFresh', isFresh: boolean, ageMs: number }
+  | { type: 'endpointOut', endpoint: EndpointName, reason: string }
+  | { type: 'endpointBack', endpoint: EndpointName }
+  | { type: 'rowUnreadable', table: string, key: string, reason: string }
+  | { type: 'weightsWished', model: string, version: number }
+  | { type: 'leaseTaken', lease: string, fencing: number }
+  | { type: 'leaseLost', lease: string }
+  | { type: 'orderSent', endpoint: EndpointName, model: string, version: number, fencing: number, ordersTaken: number }
+  | { type: 'orderAnswered', endpoint: EndpointName, version: number, result: string }
+  | { type: 'weightsReached', endpoint: EndpointName, model: string, version: number }
+  | { type: 'crashMarked', requests: number, endpoint: EndpointName }
+  | { type: 'linesLeftOut', kind: string, count: number }
+
+/** A line of the structured log. */
+export type Decision = RequestDecision | ProcessDecision
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/weights/weightsState.ts
@@ -0,0 +1,96 @@
+import type { WaveEndpoint, WaveGoal, WavePorts } from 'knapweedshunt-fleet'
+import type { EndpointName } from 'knapweedshunt-types'
+import type { VmRoster } from '../directory/vmRoster.ts'
+import type { EndpointBook } from '../endpoints/endpointBook.ts'
+import type { ManagementPort } from '../ports/managementPort.ts'
+import type { WishedWeights } from '../ports/directoryPort.ts'
+
+/** Age of a wave's notice from which on its endpoints are used again, in milliseconds: its holder is gone. */
+const NOTICE_MS = 4_000
+
+/** What the state is made of. */
+export interface WeightsParts {
+  holder: string
+  book: EndpointBook
+  roster: VmRoster
+  port: ManagementPort
+  /** Called when an endpoint is known to run a newer version. */
+  onReached (): void
+}
+
+/** Weights wished and reached, and the calls by which waves bring endpoints there. */
+export class WeightsState {
+  readonly #parts: WeightsParts
+  readonly #wished = new Map<string, number>()
+
+  constructor (parts: WeightsParts) {
+    this.#parts = parts
+  }
+
+  /** Takes wished weights; an older version is ignored. Returns whether it is wished now. */
+  takeWished ({ model, version }: WishedWeights): boolean {
+    if ((this.#wished.get(model) ?? 0) >= version) return false
+    this.#wished.set(model, version)
+    return true
+  }
+
+  /** Version wished for a model; null when none was named. */
+  findWished (model: string): number | null {
+    return this.#wished.get(model) ?? null
+  }
+
+  /** Endpoints that load weights or will next, less those known to have them. */
+  listLoading (): Set<EndpointName> {
+    const loading = new Set<EndpointName>()
+    for (const notice of this.#parts.roster.listWaves()) {
+      const heard = this.#parts.roster.findWave(notice.pool)
+      if (heard === null || heard.ageMs > NOTICE_MS || (this.findWished(notice.model) ?? 0) > notice.version + 1) continue
+      for (const name of notice.loading) if ((this.#parts.book.find(name)?.findVersion(notice.model) ?? 0) < notice.version) loading.add(name)
+    }
+    return loading
+  }
+
+  /** Notes that endpoints run a version. */
+  noteReached (endpoints: EndpointName[], model: string, version: number): void {
+    let isNew = false
+    for (const name of endpoints) if (this.#parts.book.find(name)?.noteVersion(model, version)) isNew = true
+    if (isNew) this.#parts.onReached()
+  }
+
+  /** Ports of the waves. */
+  buildPorts (): WavePorts {
+    const { book, roster, port, holder } = this.#parts
+    return {
+      listEndpoints: () => this.#listEndpoints(),
+      listGoals: () => [...this.#wished].map(([model, version]): WaveGoal => ({ model, version })),
+      readReport: async (name, timeoutMs) => {
+        const entry = book.find(name)?.entry
+        const report = entry === undefined ? null : await port.readReport(entry, timeoutMs)
+        if (report === null) return null
+        const model = entry?.models[0]?.model
+        return { version: report.models.find(served => served.model === model)?.version ?? null, isBusy: report.isBusy, ordersTaken: report.ordersTaken }
+      },
+      sendOrder: async (order, timeoutMs) => {
+        const address = book.find(order.endpoint)?.entry.address
+        if (address === undefined) return 'refused'
+        const result = await port.sendLoadOrder({ ...order, address, holder }, timeoutMs)
+        return result.type
+      },
+      announce: notice => roster.announceWave(notice),
+      readNotice: pool => roster.findWave(pool),
+      readRank: () => roster.readRank(),
+      noteReached: (name, model, version) => this.noteReached([name], model, version)
+    }
+  }
+
+  #listEndpoints (): WaveEndpoint[] {
+    return this.#parts.book.list().filter(record => !record.entry.isDraining && record.missingSinceMs === null).flatMap(({ entry, load, open }) => entry.models.map(({ model, version }) => ({
+      endpoint: entry.endpoint,
+      incarnation: entry.incarnation,
+      pool: entry.pool,
+      model,
+      version,
+      running: load?.running ?? open
+    })))
+  }
+}
