--- a/packages/knapweedshunt-fleet/src/waves/loadingEndpoint.ts
+++ b/packages/knapweedshunt-fleet/src/waves/loadingEndpoint.ts
@@ -24,6 +24,7 @@
   #isDone = false
   #restUntilMs: number | null = null
   #isStopped = false
+  #orderedAtMs = -Infinity
 
   constructor (parts: LoadingParts) {
     this.#parts = parts
@@ -69,7 +70,8 @@
       silent = report === null ? silent + 1 : 0
       if (silent >= options.maxSilent) return this.#rest('no report')
       if (report !== null && this.#isReached(report)) return
-      if (report !== null && !report.isBusy && !await this.#order(report)) return
+      const isOld = performance.now() - this.#orderedAtMs < options.reportLagMs
+      if (report !== null && !report.isBusy && !isOld && !await this.#order(report)) return
       await sleep(options.askMs)
     }
   }
@@ -92,6 +94,10 @@
     log.info('Order sent.', { decision: 'orderSent', ...order })
     const result = await ports.sendOrder(order, options.callMs)
     log.info('Order answered.', { decision: 'orderAnswered', endpoint: endpoint.endpoint, version: goal.version, result })
+    if (result === 'taken') {
+      this.#orderedAtMs = performance.now()
+      await sleep(options.firstAskMs)
+    }
     if (result !== 'refused') return true
     this.#rest('refused')
     return false
--- a/packages/knapweedshunt-fleet/src/waves/planWave.ts
+++ b/packages/knapweedshunt-fleet/src/waves/planWave.ts
@@ -15,9 +15,9 @@
 
 /** A wave's next step. */
 export interface WavePlan {
-  /** Endpoints to be ordered now. */
+  /** Endpoints to be ordered now; none while most of the last ones still load, so that few notices are needed. */
   order: EndpointName[]
-  /** Endpoints that get nothing new. */
+  /** Endpoints that get nothing new, told together with an order. */
   loading: EndpointName[]
   /** Endpoints that have the target already. */
   reached: EndpointName[]
@@ -28,9 +28,11 @@
   const { endpoints, target, ordered, resting } = input
   const behind = endpoints.filter(one => one.version < target && !ordered.includes(one.endpoint) && !resting.includes(one.endpoint))
   behind.sort((a, b) => a.version - b.version || a.running - b.running || (a.endpoint < b.endpoint ? -1 : 1))
-  const parallel = Math.max(1, Math.floor(endpoints.length * input.parallelShare))
-  const order = behind.slice(0, Math.max(0, parallel - ordered.length)).map(one => one.endpoint)
-  const ahead = behind.slice(order.length, order.length + Math.floor(endpoints.length * input.aheadShare)).map(one => one.endpoint)
+  const parallel = Math.max(1, Math.ceil(endpoints.length * input.parallelShare))
+  const free = parallel - ordered.length
+  const order = free >= parallel / 2 ? behind.slice(0, free).map(one => one.endpoint) : []
+  const aheadCount = order.length === 0 ? 0 : Math.ceil(endpoints.length * input.aheadShare)
+  const ahead = behind.slice(order.length, order.length + aheadCount).map(one => one.endpoint)
   const reached = endpoints.filter(one => one.version >= target).map(one => one.endpoint)
   return { order, loading: [...ordered, ...order, ...ahead], reached }
 }
--- a/packages/knapweedshunt-fleet/src/waves/waveOptions.ts
+++ b/packages/knapweedshunt-fleet/src/waves/waveOptions.ts
@@ -11,6 +11,10 @@
   aheadShare: number
   /** Longest wait for an answer to an order or a question. */
   callMs: number
+  /** Time from an order that was taken to the first question. */
+  firstAskMs: number
+  /** How old a report may be when it comes: one that does not tell of an order yet is no reason to give it again. */
+  reportLagMs: number
   /** Time between two questions to an endpoint that loads. */
   askMs: number
   /** Unanswered questions in a row after which an endpoint that loads is given up for now. */
@@ -25,9 +29,11 @@
 export const DEFAULT_WAVE_OPTIONS: WaveOptions = {
   lease: { durationMs: 2_000, guardMs: 300, intervalMs: 500, longestOrderMs: 3_200 },
   stepMs: 60,
-  parallelShare: 0.25,
-  aheadShare: 0.25,
+  parallelShare: 0.2,
+  aheadShare: 0,
   callMs: 400,
+  firstAskMs: 300,
+  reportLagMs: 1_000,
   askMs: 100,
   maxSilent: 4,
   restMs: 1_000,
--- a/packages/knapweedshunt-fleet/src/waves/waveTask.ts
+++ b/packages/knapweedshunt-fleet/src/waves/waveTask.ts
@@ -1,7 +1,6 @@
-import { isDeepStrictEqual } from 'node:util'
 import type { Logger } from 'knapweedshunt-logger'
 import type { Platform } from 'knapweedshunt-platform'
-import type { EndpointName, FencingNumber, Incarnation, PoolName, VmId } from 'knapweedshunt-types'
+import type { EndpointName, FencingNumber, Incarnation, VmId } from 'knapweedshunt-types'
 import { groupBy, sleep } from 'knapweedshunt-utils'
 import { LeaseTask } from '../leaseTask.ts'
 import { LoadingEndpoint } from './loadingEndpoint.ts'
@@ -32,7 +31,6 @@
   readonly #options: WaveOptions
   readonly #lease: LeaseTask
   readonly #loading = new Map<EndpointName, LoadingEndpoint>()
-  readonly #announced = new Map<PoolName, WaveNotice>()
   #workSinceMs: number | null = null
   #fencing: FencingNumber | null = null
 
@@ -56,11 +54,7 @@
     const endpoints = this.#parts.ports.listEndpoints()
     const work = goals.filter(goal => endpoints.some(one => one.model === goal.model && one.version < goal.version))
     this.#dropLoading(endpoints)
-    if (work.length === 0 && this.#loading.size === 0) {
-      this.#workSinceMs = null
-      this.#noteFencing(null)
-      return
-    }
+    if (work.length === 0 && this.#loading.size === 0) return await this.#rest(goals, endpoints)
     this.#workSinceMs ??= performance.now()
     if (this.#lease.readFencing(true) !== null || this.#isDue(endpoints)) this.#lease.step().catch(error => this.#parts.log.warn('Lease step failed.', { reason: (error as Error).message }))
     this.#noteFencing(this.#lease.readFencing(false))
@@ -68,6 +62,17 @@
     for (const goal of work) await this.#stepGoal(goal, endpoints.filter(one => one.model === goal.model))
   }
 
+  /** Nothing is to be done: all VMs hear that all endpoints may be used again, and the lease lapses. */
+  async #rest (goals: WaveGoal[], endpoints: WaveEndpoint[]): Promise<void> {
+    this.#workSinceMs = null
+    if (this.#fencing === null) return
+    this.#noteFencing(null)
+    for (const goal of goals) {
+      const pools = groupBy(endpoints.filter(one => one.model === goal.model), one => one.pool)
+      for (const [pool, members] of pools) await this.#announce({ vm: this.#parts.vm, pool, ...goal, loading: [], reached: members.map(one => one.endpoint) })
+    }
+  }
+
   /** The VM that gave the last orders goes first, since its own orders are the only ones that may still run; the others follow by rank once it is silent. */
   #isDue (endpoints: WaveEndpoint[]): boolean {
     const { ports, vm } = this.#parts
@@ -85,7 +90,6 @@
       this.#parts.log.info('Lease no longer used.', { decision: 'leaseLost', lease: WAVE_LEASE, fencing: this.#fencing })
       for (const loading of this.#loading.values()) loading.stop()
       this.#loading.clear()
-      this.#announced.clear()
     } else this.#parts.log.info('Lease taken.', { decision: 'leaseTaken', lease: WAVE_LEASE, fencing })
     this.#fencing = fencing
   }
@@ -102,16 +106,13 @@
         parallelShare: this.#options.parallelShare,
         aheadShare: this.#options.aheadShare
       })
-      await this.#announce({ vm: this.#parts.vm, pool, model: goal.model, version: goal.version, loading: plan.loading, reached: plan.reached })
+      if (plan.order.length > 0) await this.#announce({ vm: this.#parts.vm, pool, model: goal.model, version: goal.version, loading: plan.loading, reached: plan.reached })
       for (const name of plan.order) this.#startLoad(goal, members.find(member => member.endpoint === name))
     }
   }
 
   /** Orders follow also when nobody hears of them: an endpoint that loads says so to each request. */
   async #announce (notice: WaveNotice): Promise<void> {
-    const before = this.#announced.get(notice.pool)
-    if (before !== undefined && before.version === notice.version && isDeepStrictEqual(new Set(before.loading), new Set(notice.loading))) return
-    this.#announced.set(notice.pool, notice)
     try {
       await this.#parts.ports.announce(notice)
     } catch (error) {
--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -47,14 +47,18 @@
     this.#isStopping = true
   }
 
+  /** Accepts no more connections. */
+  closeListener (): void {
+    this.#server.close()
+  }
+
   /** Closes connections without a request under way. */
   closeIdle (): void {
     this.#server.closeIdleConnections()
   }
 
-  /** Stops accepting and closes what is open. */
-  close (): void {
-    this.#server.close()
+  /** Closes what is open. */
+  closeAll (): void {
     this.#server.closeAllConnections()
   }
 }
--- a/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
+++ b/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
@@ -106,7 +106,7 @@
 
   /** Tells all VMs of a wave. Throws PlatformError. */
   async announceWave (notice: WaveNotice): Promise<void> {
-    this.#waves.set(notice.pool, { notice, atMs: performance.now() })
+    this.#takeWave(notice)
     await this.#parts.platform.transact({ checks: [], writes: [{ type: 'put', table: ROSTER_TABLE, key: WAVE_PREFIX + notice.pool, value: notice }] })
   }
 
--- a/packages/knapweedshunt-gateway/src/endpoints/attemptOutcome.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/attemptOutcome.ts
@@ -8,7 +8,9 @@
   silent: 'silent',
   /** What came is no answer to this request. */
   garbled: 'garbled',
-  cancelled: 'cancelled'
+  cancelled: 'cancelled',
+  /** The endpoint is about to load weights; the stream goes on elsewhere. */
+  moved: 'moved'
 } as const
 
 /** One of {@link LOSS}. */
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -1,5 +1,5 @@
 import { hashSalt, Placement } from 'knapweedshunt-placement'
-import type { PlacedDecision } from 'knapweedshunt-placement'
+import type { ObjectiveWeights, PlacedDecision } from 'knapweedshunt-placement'
 import type { DataCentreId, EndpointName, PoolName, PrefixLevel, Resource, RouterSnapshot } from 'knapweedshunt-types'
 import { hashText } from 'knapweedshunt-utils'
 import type { GatewayConfig } from '../ports/gatewayConfig.ts'
@@ -13,6 +13,12 @@
 /** Prompt tokens that an endpoint reads in a second before its own speed is known. */
 const PREFILL_TOKENS_PER_S = 45_000
 
+/**
+ * Engines here compute tens of thousands of prompt tokens a second, so waits are short and a shared part read twice costs
+ * its users more than the wait beside the endpoint that holds it: subsets grow late, and a prefix pulls strongly.
+ */
+const OBJECTIVE: ObjectiveWeights = { carriedShare: 0.4, wait: 1, shared: 1.5, spillFactor: 2, spillFloorMs: 150, remoteMs: 1_000 }
+
 /** Time between two estimates of what other VMs are asked for, in milliseconds. */
 const DEMAND_MS = 1_000
 
@@ -49,7 +55,7 @@
   constructor (parts: ChooserParts) {
     this.#parts = parts
     const { dataCentre, nearDataCentres, seed } = parts
-    this.#placement = new Placement(dataCentre, { seed, nearDataCentres, prefillTokensPerS: PREFILL_TOKENS_PER_S })
+    this.#placement = new Placement(dataCentre, { seed, nearDataCentres, prefillTokensPerS: PREFILL_TOKENS_PER_S, objectives: { tail: OBJECTIVE, reuseShort: OBJECTIVE, reuseLong: OBJECTIVE } })
   }
 
   /** Placement that hears of attempts. */
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -41,6 +41,9 @@
 
 const FIRST_SERVER_ERROR = 500
 
+/** Characters of a level's key that a log line shows. */
+const PREFIX_CHARS = 6
+
 /** One attempt that is under way. */
 interface Running {
   attempt: Attempt
@@ -67,6 +70,7 @@
   #sentTo = 0
   #mayHaveRun = false
   #isOver = false
+  #isMoved = false
   #deadline: NodeJS.Timeout | undefined
 
   constructor (parts: FlowParts, plan: RequestPlan, answer: http.ServerResponse) {
@@ -94,6 +98,15 @@
     }
   }
 
+  /** Lets a stream that can go on elsewhere leave one of these endpoints, so that nothing waits for its end. */
+  leave (endpoints: ReadonlySet<string>): void {
+    const running = this.#running
+    const isStream = this.#answer.headersSent && this.#plan.route.repeatability === REPEATABILITY.resumed
+    if (running === null || !isStream || !endpoints.has(running.record.entry.endpoint) || !this.#mayTryAnother()) return
+    this.#isMoved = true
+    running.attempt.cancel(LOSS.moved)
+  }
+
   get #canRepeat (): boolean {
     return this.#plan.route.repeatability !== REPEATABILITY.never
   }
@@ -145,6 +158,7 @@
       endpoint: record.entry.endpoint,
       incarnation: record.entry.incarnation,
       rank,
+      prefix: this.#plan.levels.map(level => level.key.slice(0, PREFIX_CHARS)).join('>'),
       expectedCachedTokens,
       promptTokens,
       open: record.open,
@@ -319,11 +333,13 @@
   }
 
   #takeCut (running: Running, reason: string): Step {
+    const isMoved = this.#isMoved
+    this.#isMoved = false
     running.attempt.cancel(LOSS.cancelled)
-    this.#parts.watch.note(running.record, EVIDENCE.failed, reason)
+    if (!isMoved) this.#parts.watch.note(running.record, EVIDENCE.failed, reason)
     this.#end(running)
-    const isRetried = this.#plan.route.repeatability === REPEATABILITY.resumed && this.#mayTryAnother()
-    this.#noteEnded(running, 'cut', reason, isRetried)
+    const isRetried = isMoved || (this.#plan.route.repeatability === REPEATABILITY.resumed && this.#mayTryAnother())
+    this.#noteEnded(running, isMoved ? LOSS.moved : 'cut', reason, isRetried)
     if (!isRetried) {
       this.#refuse('stream_cut', 0, reason)
       return DONE
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -91,6 +91,7 @@
   readonly #gate: RequestGate
   readonly #flow: FlowParts
   readonly #server: CallerServer
+  readonly #tasks = new Set<RequestTask>()
   #inFlight = 0
   #hasEndpoints = false
   #isStopping = false
@@ -108,7 +109,11 @@
       self: { vm: settings.vm, incarnation: this.#incarnation, dataCentre: settings.dataCentre },
       log,
       onMark: mark => this.#suspects.takeMark(mark),
-      onWave: notice => this.#weights.noteReached(notice.reached, notice.model, notice.version)
+      onWave: notice => {
+        this.#weights.noteReached(notice.reached, notice.model, notice.version)
+        const loading = this.#weights.listLoading()
+        for (const task of this.#tasks) task.leave(loading)
+      }
     })
     this.#weights = new WeightsState({ holder: settings.vm, book: this.#book, roster: this.#roster, port: management, onReached: () => this.#chooser.rebuild() })
     this.#chooser = new EndpointChooser({
@@ -170,7 +175,7 @@
     tasks.abort()
     await Promise.all(running)
     await this.#roster.leave()
-    this.#server.close()
+    this.#server.closeAll()
     await closeSideServer(readiness)
     await closeSideServer(metrics)
     this.#agent.destroy()
@@ -185,6 +190,7 @@
     this.#decisions.record({ type: 'stopping', vm: settings.vm, inFlight: this.#inFlight })
     this.#server.startStop()
     await sleep(Math.min(LEAVE_MS, settings.graceMs / 2))
+    this.#server.closeListener()
     const untilMs = startedAtMs + settings.graceMs * GRACE_SHARE
     for (;;) {
       this.#server.closeIdle()
@@ -208,7 +214,9 @@
       const call = this.#parts.endpointPort.readCall(message)
       requestId = call.requestId
       const plan = await this.#gate.check(message, call, arrivedAtMs)
-      await new RequestTask(this.#flow, plan, answer).run()
+      const task = new RequestTask(this.#flow, plan, answer)
+      this.#tasks.add(task)
+      await task.run().finally(() => this.#tasks.delete(task))
     } catch (error) {
       if (!(error instanceof CallerError)) throw error
       const own = error.answer
--- a/packages/knapweedshunt-placement/src/__tests__/placementMatrix.test.ts
+++ b/packages/knapweedshunt-placement/src/__tests__/placementMatrix.test.ts
@@ -108,7 +108,7 @@
   }
 }
 
-function sayDemand ({ placement, levels }: Scene, n = 1, tokensPerS = 3 * findCarriedShare('tail') * DEFAULT_PLACEMENT_OPTIONS.prefillTokensPerS): void {
+function sayDemand ({ placement, levels }: Scene, n = 1, tokensPerS = 3 * findCarriedShare(DEFAULT_PLACEMENT_OPTIONS.objectives, 'tail') * DEFAULT_PLACEMENT_OPTIONS.prefillTokensPerS): void {
   placement.take({ type: 'peerDemand', vm: 'peer', incarnation: 'p', dataCentre: 'a', n, demands: [{ key: levels[0].key.slice(0, 16), tokensPerS }] })
 }
 
--- a/packages/knapweedshunt-placement/src/groupChooser.ts
+++ b/packages/knapweedshunt-placement/src/groupChooser.ts
@@ -56,7 +56,7 @@
   /** Builds the nested subsets of followed levels. */
   buildChain (levels: PrefixLevel[], group: EndpointGroup, pool: PoolState, nowMs: number): ChainLink[] {
     const { keys, peers, options } = this.#parts
-    const carriedTokensPerS = findCarriedShare(pool.objective) * options.prefillTokensPerS
+    const carriedTokensPerS = findCarriedShare(options.objectives, pool.objective) * options.prefillTokensPerS
     return buildChain(levels, group, keys, peers, carriedTokensPerS, nowMs)
   }
 
--- a/packages/knapweedshunt-placement/src/index.ts
+++ b/packages/knapweedshunt-placement/src/index.ts
@@ -1,5 +1,6 @@
 /** Prefix levels to ranked endpoints. */
 export * from './cutLevels.ts'
+export * from './objectiveWeights.ts'
 export * from './placement.ts'
 export * from './placementError.ts'
 export * from './placementOptions.ts'
--- a/packages/knapweedshunt-placement/src/placementOptions.ts
+++ b/packages/knapweedshunt-placement/src/placementOptions.ts
@@ -1,4 +1,6 @@
 import type { DataCentreId } from 'knapweedshunt-types'
+import { DEFAULT_OBJECTIVES } from './objectiveWeights.ts'
+import type { ObjectiveTable } from './objectiveWeights.ts'
 import { PlacementError } from './placementError.ts'
 
 /** What the placement is tuned by. Cost is counted in prompt tokens that an endpoint of weight 1 would compute. */
@@ -7,6 +9,8 @@
   seed: number
   /** Data centres so near that they count as the router's own; their endpoints hold one cache between them. */
   nearDataCentres: DataCentreId[]
+  /** How the parts of a cost weigh against each other, by objective. */
+  objectives: ObjectiveTable
   /** Cost of leaving the router's own data centre for a near one, in prompt tokens. */
   nearTokens: number
   /** Prompt tokens per second that an endpoint of weight 1 computes. */
@@ -35,6 +39,7 @@
 export const DEFAULT_PLACEMENT_OPTIONS: PlacementOptions = {
   seed: 1,
   nearDataCentres: [],
+  objectives: DEFAULT_OBJECTIVES,
   nearTokens: 40,
   prefillTokensPerS: 8_000,
   requestTokens: 100,
@@ -52,7 +57,7 @@
 export function checkPlacementOptions (given: Partial<PlacementOptions>): PlacementOptions {
   const options = { ...DEFAULT_PLACEMENT_OPTIONS, ...given }
   for (const [name, value] of Object.entries(options)) {
-    if (Array.isArray(value)) continue
+    if (typeof value === 'object') continue
     const least = name === 'seed' ? -Infinity : 0
     if (!Number.isFinite(value) || value <= least) throw new PlacementError(`The placement option ${name} is ${value}: give a finite number greater than ${least}.`)
   }
