Prefixes kept in and brought from the store of kept cache; home by the longest shared level

Also: a stalled request moves only with a permit taken before it is cancelled (31 requests had failed for want of one); endpoint rows are read at most twice a second. Open: the store of kept cache may be down; its health is not watched yet.

--- a/packages/knapweedshunt-fleet/src/waves/loadingEndpoint.ts
+++ b/packages/knapweedshunt-fleet/src/waves/loadingEndpoint.ts
@@ -25,6 +25,7 @@
   #restUntilMs: number | null = null
   #isStopped = false
   #orderedAtMs = -Infinity
+  #isDraining = false
 
   constructor (parts: LoadingParts) {
     this.#parts = parts
@@ -45,6 +46,11 @@
     return this.#isDone
   }
 
+  /** Whether the endpoint took the order and still runs requests that came before it. */
+  get isDraining (): boolean {
+    return this.#isDraining
+  }
+
   /** Whether the endpoint was given up for now. */
   isResting (nowMs: number): boolean {
     return this.#restUntilMs !== null && nowMs < this.#restUntilMs
@@ -69,6 +75,7 @@
       if (this.#isStopped) return
       silent = report === null ? silent + 1 : 0
       if (silent >= options.maxSilent) return this.#rest('no report')
+      if (report !== null) this.#isDraining = report.isBusy && report.running > 0
       if (report !== null && this.#isReached(report)) return
       const isOld = performance.now() - this.#orderedAtMs < options.reportLagMs
       if (report !== null && !report.isBusy && !isOld && !await this.#order(report)) return
--- a/packages/knapweedshunt-fleet/src/waves/planWave.ts
+++ b/packages/knapweedshunt-fleet/src/waves/planWave.ts
@@ -7,6 +7,10 @@
   target: number
   /** Endpoints with an order under way. */
   ordered: EndpointName[]
+  /** Those of them that still wait for requests to end, and so load nothing yet. */
+  draining: EndpointName[]
+  /** Time since the last order, in milliseconds. */
+  sinceOrderMs: number
   /** Endpoints that were given up for now. */
   resting: EndpointName[]
   parallelShare: number
@@ -23,14 +27,19 @@
   reached: EndpointName[]
 }
 
+/** Time after which single free places are filled, in milliseconds; before, endpoints are ordered several at once, so that few notices are needed. */
+const GATHER_MS = 300
+
 /** Plans the next step: as many loads as may run at once, the oldest weights and the fewest requests first. Pure. */
 export function planWave (input: WaveInput): WavePlan {
   const { endpoints, target, ordered, resting } = input
   const behind = endpoints.filter(one => one.version < target && !ordered.includes(one.endpoint) && !resting.includes(one.endpoint))
   behind.sort((a, b) => a.version - b.version || a.running - b.running || (a.endpoint < b.endpoint ? -1 : 1))
   const parallel = Math.max(1, Math.ceil(endpoints.length * input.parallelShare))
-  const free = parallel - ordered.length
-  const order = free >= parallel / 2 ? behind.slice(0, free).map(one => one.endpoint) : []
+  const loads = ordered.length - input.draining.length
+  const free = Math.min(parallel - loads, 2 * parallel - ordered.length)
+  const isGathered = free >= parallel / 2 || input.sinceOrderMs >= GATHER_MS
+  const order = isGathered && free > 0 ? behind.slice(0, free).map(one => one.endpoint) : []
   const aheadCount = order.length === 0 ? 0 : Math.ceil(endpoints.length * input.aheadShare)
   const ahead = behind.slice(order.length, order.length + aheadCount).map(one => one.endpoint)
   const reached = endpoints.filter(one => one.version >= target).map(one => one.endpoint)
--- a/packages/knapweedshunt-fleet/src/waves/waveTask.ts
+++ b/packages/knapweedshunt-fleet/src/waves/waveTask.ts
@@ -33,6 +33,7 @@
   readonly #loading = new Map<EndpointName, LoadingEndpoint>()
   #workSinceMs: number | null = null
   #fencing: FencingNumber | null = null
+  #orderedAtMs = -Infinity
 
   constructor (parts: WaveParts) {
     this.#parts = parts
@@ -102,11 +103,14 @@
         endpoints: members,
         target: goal.version,
         ordered: own.filter(one => !one.isResting(nowMs)).map(one => one.endpoint),
+        draining: own.filter(one => !one.isResting(nowMs) && one.isDraining).map(one => one.endpoint),
+        sinceOrderMs: nowMs - this.#orderedAtMs,
         resting: own.filter(one => one.isResting(nowMs)).map(one => one.endpoint),
         parallelShare: this.#options.parallelShare,
         aheadShare: this.#options.aheadShare
       })
       if (plan.order.length > 0) await this.#announce({ vm: this.#parts.vm, pool, model: goal.model, version: goal.version, loading: plan.loading, reached: plan.reached })
+      if (plan.order.length > 0) this.#orderedAtMs = performance.now()
       for (const name of plan.order) this.#startLoad(goal, members.find(member => member.endpoint === name))
     }
   }
--- a/packages/knapweedshunt-fleet/src/waves/waveTypes.ts
+++ b/packages/knapweedshunt-fleet/src/waves/waveTypes.ts
@@ -36,6 +36,8 @@
   isBusy: boolean
   /** Orders accepted since its start. */
   ordersTaken: number
+  /** Requests running there. */
+  running: number
 }
 
 /** An order to load weights. */
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -6,6 +6,7 @@
 import type { CallerIdentity, Prompt } from '../ports/callerCall.ts'
 import type { EndpointBook } from './endpointBook.ts'
 import type { EndpointRecord } from './endpointRecord.ts'
+import { PrefixHolders } from './prefixHolders.ts'
 
 /** Share of an endpoint's connections that all VMs together use; the rest is left to VMs that are not in the table yet. */
 const CONNECTION_SHARE = 0.85
@@ -19,6 +20,9 @@
  */
 const OBJECTIVE: ObjectiveWeights = { carriedShare: 0.4, wait: 1, shared: 1.5, spillFactor: 2, spillFloorMs: 150, remoteMs: 1_000 }
 
+/** One endpoint of so many with newer weights is enough to carry the load of all. */
+const NEWEST_SHARE = 3
+
 /** Time between two estimates of what other VMs are asked for, in milliseconds. */
 const DEMAND_MS = 1_000
 
@@ -47,6 +51,7 @@
 export class EndpointChooser {
   readonly #parts: ChooserParts
   readonly #placement: Placement
+  readonly #holders = new PrefixHolders(record => this.#isSource(record))
   #revision = 0
   #demandAtMs = performance.now()
   #demandNumber = 0
@@ -84,6 +89,20 @@
     })
   }
 
+  /**
+   * The level by which an endpoint is chosen. The last part belongs to one request or session, so the level before it is
+   * the longest that others share: it has one home among all endpoints, which spreads the load. Outer levels are brought
+   * there from wherever they were read.
+   */
+  findHomeLevels (levels: PrefixLevel[]): PrefixLevel[] {
+    return levels.length > 1 ? levels.slice(-2, -1) : levels
+  }
+
+  /** Address of the store of kept prefixes, null without one. */
+  findKeptStore (): string | null {
+    return this.#parts.readConfig()?.keptStores[0]?.address ?? null
+  }
+
   /** Salt under which an endpoint keeps a request's parts: equal for one wall, model and weights version only. */
   nameSalt (prompt: Prompt, identity: CallerIdentity | null, record: EndpointRecord): string {
     const weightsVersion = String(record.findVersion(prompt.model) ?? '')
@@ -92,11 +111,12 @@
 
   /** Chooses an endpoint of the pool outside those tried. */
   choose (pool: PoolName, levels: PrefixLevel[], tried: EndpointName[], prompt: Prompt | null): Choice {
+    const isMoving = tried.length > 0
     const records = this.#parts.book.list(pool)
     const candidates = records.filter(record => !record.entry.isDraining && !tried.includes(record.entry.endpoint))
     if (candidates.length === 0) return records.length === 0 ? { type: 'none' } : { type: 'busy' }
     this.#shareDemand()
-    const usable = this.#listUsable(candidates, pool, prompt)
+    const usable = this.#listUsable(candidates, pool, prompt, isMoving)
     if (usable.length === 0) return { type: 'busy' }
     const names = new Set(usable.map(record => record.entry.endpoint))
     const excluded = records.filter(record => !names.has(record.entry.endpoint)).map(record => record.entry.endpoint)
@@ -106,28 +126,39 @@
     return record === undefined ? { type: 'busy' } : { type: 'chosen', record, decision }
   }
 
+  /** Endpoints that read a prefix lately. */
+  get holders (): PrefixHolders {
+    return this.#holders
+  }
+
   /** Tells the placement what an answer said of its endpoint's load. */
   noteLoad (record: EndpointRecord): void {
     this.#placement.take({ type: 'snapshot', snapshot: { resources: { revision: this.#revision, resources: [] }, vms: [], endpoints: [this.#buildView(record)] } })
   }
 
   /** Best set that is not empty: all well, then also those that failed, never those that are full or loading. */
-  #listUsable (candidates: EndpointRecord[], pool: PoolName, prompt: Prompt | null): EndpointRecord[] {
+  #listUsable (candidates: EndpointRecord[], pool: PoolName, prompt: Prompt | null, isMoving: boolean): EndpointRecord[] {
     const loading = this.#parts.listLoading()
     const share = this.#countShare(pool)
     const open = candidates.filter(record => record.open < share && !loading.has(record.entry.endpoint) && isRunning(record, prompt))
     const meanShare = open.reduce((sum, record) => sum + record.health.readFailedShare(), 0) / Math.max(1, open.length)
     const well = open.filter(record => !record.health.isOut(meanShare))
-    return well.length > 0 ? this.#preferNewest(well, prompt) : open
+    return well.length > 0 ? this.#preferNewest(well, prompt, isMoving) : open
   }
 
-  /** Newer weights are worth more once enough endpoints have them to carry the load. */
-  #preferNewest (records: EndpointRecord[], prompt: Prompt | null): EndpointRecord[] {
+  /** Newer weights are worth more once enough endpoints have them to carry the load; a request that moves goes where it need not move again. */
+  #preferNewest (records: EndpointRecord[], prompt: Prompt | null, isMoving: boolean): EndpointRecord[] {
     if (prompt === null) return records
     const wished = this.#parts.findWished(prompt.model)
     if (wished === null) return records
     const newest = records.filter(record => (record.findVersion(prompt.model) ?? 0) >= wished)
-    return newest.length * 3 >= records.length ? newest : records
+    return newest.length * NEWEST_SHARE >= records.length || (isMoving && newest.length > 0) ? newest : records
+  }
+
+  #isSource (record: EndpointRecord): boolean {
+    const { entry, health, missingSinceMs } = record
+    if (this.#parts.book.find(entry.endpoint) !== record || missingSinceMs !== null || entry.isDraining) return false
+    return !health.isOut(0) && !this.#parts.listLoading().has(entry.endpoint)
   }
 
   #countShare (pool: PoolName): number {
--- a/packages/knapweedshunt-gateway/src/flow/requestGate.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestGate.ts
@@ -48,6 +48,7 @@
     const route = this.#findRoute(call)
     const pool = choosePool(route.shares, call.requestId)
     if (pool === undefined) throw createCallerError(404, 'no_route', `The route ${route.name} names no pool.`)
+    const levels = route.usesPrefixes ? this.#parts.chooser.cutLevels(call.prompt, identity) : []
     const fingerprint = nameFingerprint(identity?.organisation ?? '', hashText(call.method, call.target, hashBody(body)))
     if (this.#parts.suspects.check(fingerprint).type === 'quarantined') throw createCallerError(503, 'quarantined', 'The request was running when several endpoints crashed.', { retryAfterMs: QUARANTINE_RETRY_MS })
     return {
@@ -56,7 +57,7 @@
       identity,
       body,
       headers: listEndToEndHeaders(message.rawHeaders),
-      levels: route.usesPrefixes ? this.#parts.chooser.cutLevels(call.prompt, identity) : [],
+      levels,
       pool,
       fingerprint,
       arrivedAtMs,
--- a/packages/knapweedshunt-gateway/src/flow/requestPlan.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestPlan.ts
@@ -11,6 +11,7 @@
   body: RequestBody
   /** Caller's end-to-end headers, flat pairs. */
   headers: string[]
+  /** All levels of the prompt, outermost first; empty without a prompt. */
   levels: PrefixLevel[]
   pool: string
   /** Equal for each repetition by one caller. */
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -1,4 +1,5 @@
 import type http from 'node:http'
+import type { PrefixLevel } from 'knapweedshunt-types'
 import { match } from 'ts-pattern'
 import { REPEATABILITY } from '../ports/gatewayConfig.ts'
 import type { AnswerHead } from '../ports/endpointPort.ts'
@@ -6,6 +7,7 @@
 import type { AttemptOutcome } from '../endpoints/attemptOutcome.ts'
 import { LOSS } from '../endpoints/attemptOutcome.ts'
 import { EVIDENCE } from '../endpoints/endpointHealth.ts'
+import type { Choice } from '../endpoints/endpointChooser.ts'
 import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
 import type { RefusalReason } from '../records/decision.ts'
 import type { OwnAnswer } from '../shared/callerError.ts'
@@ -51,8 +53,13 @@
   number: number
   startedAtMs: number
   id: string
+  expectedCachedTokens: number
+  /** Salt under which the endpoint keeps the prompt, null without a prompt. */
+  salt: string | null
 }
 
+type Chosen = Extract<Choice, { type: 'chosen' }>
+
 type Step = { type: 'done' } | { type: 'again' }
 const DONE: Step = { type: 'done' }
 const AGAIN: Step = { type: 'again' }
@@ -65,12 +72,15 @@
   readonly #relay: StreamRelay
   readonly #tried: string[] = []
   #running: Running | null = null
+  #homeLevels: PrefixLevel[] = []
   #attempts = 0
   #unsent = 0
   #sentTo = 0
   #mayHaveRun = false
   #isOver = false
   #isMoved = false
+  /** A repeat was taken from the budget and not used yet. */
+  #hasPermit = false
   #deadline: NodeJS.Timeout | undefined
 
   constructor (parts: FlowParts, plan: RequestPlan, answer: http.ServerResponse) {
@@ -114,28 +124,37 @@
   /** Endpoints are left, and the budget of all repeats allows one more. */
   #mayTryAnother (): boolean {
     if (this.#sentTo >= this.#plan.route.maxEndpoints || this.#plan.body.type === 'flowing') return false
-    if (performance.now() >= this.#plan.deadlineAtMs) return false
-    return this.#sentTo === 0 || this.#parts.takeRetry(this.#plan.pool)
+    return this.#takePermit()
+  }
+
+  /** Takes one repeat from the budget, unless one was taken for this step already. */
+  #takePermit (): boolean {
+    if (performance.now() >= this.#plan.deadlineAtMs || this.#plan.body.type === 'flowing') return false
+    const hasPermit = this.#hasPermit
+    this.#hasPermit = false
+    return hasPermit || this.#parts.takeRetry(this.#plan.pool)
   }
 
   async #tryNext (): Promise<Step> {
-    const record = await this.#waitEndpoint()
-    if (record === null || this.#isOver) return DONE
-    const running = this.#start(record)
+    const chosen = await this.#waitEndpoint()
+    if (chosen === null || this.#isOver) return DONE
+    const running = this.#start(chosen)
     const outcome = await this.#waitOutcome(running)
     if (this.#isOver) return DONE
     const step = await this.#takeOutcome(running, outcome)
     return step
   }
 
-  async #waitEndpoint (): Promise<EndpointRecord | null> {
+  async #waitEndpoint (): Promise<Chosen | null> {
     const { pool, levels, call, route } = this.#plan
+    const prompt = route.usesPrefixes ? call.prompt : null
+    this.#homeLevels = this.#parts.chooser.findHomeLevels(levels)
     const untilMs = Math.min(this.#plan.deadlineAtMs, performance.now() + route.objectiveMs * FREE_WAIT_SHARE)
     for (;;) {
-      const choice = this.#parts.chooser.choose(pool, levels, this.#tried, route.usesPrefixes ? call.prompt : null)
+      const choice = this.#parts.chooser.choose(pool, this.#homeLevels, this.#tried, prompt)
       if (choice.type === 'chosen') {
         this.#noteChoice(choice.record, choice.decision.rank, choice.decision.expectedCachedTokens ?? 0)
-        return choice.record
+        return choice
       }
       if (choice.type === 'none' || performance.now() >= untilMs) {
         this.#fail(choice.type === 'none' ? 'no_endpoint' : 'no_free_endpoint', 'no endpoint may take the request now')
@@ -169,14 +188,21 @@
     })
   }
 
-  #start (record: EndpointRecord): Running {
+  #start ({ record, decision }: Chosen): Running {
     const { call, route, identity, levels, body } = this.#plan
     const number = ++this.#attempts
+    const { chooser } = this.#parts
+    const salt = route.usesPrefixes && call.prompt !== null ? chooser.nameSalt(call.prompt, identity, record) : null
+    const source = salt === null ? null : chooser.holders.findSource(levels, salt, record)
+    const kept = (levels.at(-2)?.tokens ?? 0) >= 1_000 ? chooser.findKeptStore() : null
     const headers = this.#parts.port.buildAttemptHeaders(this.#plan.headers, {
       endpoint: record.entry.endpoint,
       timeLeftMs: Math.max(1, Math.floor(this.#plan.deadlineAtMs - performance.now())),
       organisation: identity?.organisation ?? null,
-      cacheSalt: route.usesPrefixes && call.prompt !== null ? this.#parts.chooser.nameSalt(call.prompt, identity, record) : null,
+      cacheSalt: salt,
+      weightsVersion: salt === null || call.prompt === null ? null : record.findVersion(call.prompt.model),
+      prefixSource: source?.entry.address ?? kept,
+      prefixTarget: kept,
       priority: route.usesPrefixes ? identity?.priority ?? route.priority : null,
       lastEventId: this.#relay.lastEventId
     })
@@ -184,27 +210,33 @@
     const id = `${call.requestId}-${number}`
     record.open++
     this.#tried.push(record.entry.endpoint)
-    this.#parts.chooser.placement.take({ type: 'started', attempt: id, endpoint: record.entry.endpoint, tokens: call.prompt?.tokens ?? 0, levels })
-    this.#running = { attempt, record, number, startedAtMs: performance.now(), id }
+    this.#parts.chooser.placement.take({ type: 'started', attempt: id, endpoint: record.entry.endpoint, tokens: call.prompt?.tokens ?? 0, levels: this.#homeLevels, decision })
+    this.#running = { attempt, record, number, startedAtMs: performance.now(), id, salt, expectedCachedTokens: decision.expectedCachedTokens ?? 0 }
     this.#parts.watch.noteStart(record, this.#running.startedAtMs)
     return this.#running
   }
 
-  #end (running: Running): void {
+  /** Ends an attempt; `hasRead` when the endpoint read the whole prompt, and so holds it. */
+  #end (running: Running, hasRead = false): void {
     if (this.#running !== running) return
-    const { record, id, startedAtMs } = running
+    const { record, id, startedAtMs, expectedCachedTokens } = running
     record.open--
     this.#running = null
     this.#parts.watch.noteEnd(record, startedAtMs)
-    this.#parts.chooser.placement.take({ type: 'finished', attempt: id, cachedTokens: null })
+    this.#parts.chooser.placement.take({ type: 'finished', attempt: id, cachedTokens: hasRead ? expectedCachedTokens : null })
   }
 
   /** Waits for the answer's head; a request that may go elsewhere does not wait for it longer than a share of its objective. */
-  async #waitOutcome ({ attempt }: Running): Promise<AttemptOutcome> {
+  async #waitOutcome ({ attempt, record, startedAtMs }: Running): Promise<AttemptOutcome> {
     const { route } = this.#plan
-    const mayMove = this.#canRepeat && this.#sentTo + 1 < route.maxEndpoints
-    if (!mayMove) return await attempt.outcome
-    const timer = setTimeout(() => attempt.cancel(LOSS.silent), route.objectiveMs * STALL_SHARE)
+    if (!this.#canRepeat) return await attempt.outcome
+    const timer = setTimeout(() => {
+      // An engine that gives tokens to others is busy, not lost: it has read part of the prompt already.
+      if (route.usesPrefixes && record.heardAtMs > startedAtMs) return
+      if (this.#sentTo + 1 >= route.maxEndpoints || !this.#takePermit()) return
+      this.#hasPermit = true
+      attempt.cancel(LOSS.silent)
+    }, route.objectiveMs * STALL_SHARE)
     try {
       return await attempt.outcome
     } finally {
@@ -310,7 +342,8 @@
   }
 
   async #passStream (running: Running, message: http.IncomingMessage): Promise<Step> {
-    const { route } = this.#plan
+    const { route, levels } = this.#plan
+    if (running.salt !== null) this.#parts.chooser.holders.note(levels, running.salt, running.record)
     if (!this.#answer.headersSent) this.#writeHead(message, message.statusCode ?? 0, null)
     const mayMove = route.repeatability === REPEATABILITY.resumed && this.#sentTo < route.maxEndpoints
     const firstStallMs = route.objectiveMs * STALL_SHARE
@@ -324,7 +357,7 @@
     if (end.type === 'complete') {
       this.#parts.watch.note(running.record, EVIDENCE.served, 'stream')
       this.#answer.end()
-      this.#end(running)
+      this.#end(running, true)
       const firstAtMs = this.#relay.firstAtMs ?? performance.now()
       this.#noteAnswered(running, message.statusCode ?? 0, firstAtMs - this.#plan.arrivedAtMs, this.#relay.bytes)
       return DONE
@@ -337,7 +370,7 @@
     this.#isMoved = false
     running.attempt.cancel(LOSS.cancelled)
     if (!isMoved) this.#parts.watch.note(running.record, EVIDENCE.failed, reason)
-    this.#end(running)
+    this.#end(running, isMoved)
     const isRetried = isMoved || (this.#plan.route.repeatability === REPEATABILITY.resumed && this.#mayTryAnother())
     this.#noteEnded(running, isMoved ? LOSS.moved : 'cut', reason, isRetried)
     if (!isRetried) {
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -38,6 +38,9 @@
 const ENDPOINT_WAIT_MS = 5_000
 const ROSTER_WAIT_MS = 10_000
 
+/** Rest between two reads of endpoints that change, in milliseconds; far below the time in which a leaving endpoint must get nothing new. */
+const ENDPOINT_REST_MS = 500
+
 /** Time between two looks for endpoints that did not come back, and at readiness, in milliseconds. */
 const SWEEP_MS = 250
 
@@ -132,9 +135,9 @@
       findPool: pool => this.#config.findPool(pool) ?? null,
       isKnown: record => this.#book.find(record.entry.endpoint) === record
     })
-    this.#resources = this.#follow(parts.directory.resourceTable, RESOURCE_WAIT_MS, news => this.#takeResources(news))
-    this.#endpoints = this.#follow(parts.directory.endpointTable, ENDPOINT_WAIT_MS, news => this.#takeEndpoints(news))
-    this.#rosterFollower = this.#follow(ROSTER_TABLE, ROSTER_WAIT_MS, news => {
+    this.#resources = this.#follow(parts.directory.resourceTable, RESOURCE_WAIT_MS, 0, news => this.#takeResources(news))
+    this.#endpoints = this.#follow(parts.directory.endpointTable, ENDPOINT_WAIT_MS, ENDPOINT_REST_MS, news => this.#takeEndpoints(news))
+    this.#rosterFollower = this.#follow(ROSTER_TABLE, ROSTER_WAIT_MS, 0, news => {
       this.#roster.takeNews(news)
       this.#budgets.setOptions(this.#shareBudget())
     })
@@ -281,8 +284,8 @@
     this.#roster.announceMark(mark).catch(error => this.#parts.log.warn('Crash not told.', { reason: (error as Error).message }))
   }
 
-  #follow (table: string, waitMs: number, onNews: (news: TableNews) => void): TableFollower {
-    return new TableFollower(this.#parts.feed, { ...DEFAULT_FOLLOWER_OPTIONS, table, waitMs, seed: this.#rng.int(2 ** 30) }, this.#parts.log, onNews)
+  #follow (table: string, waitMs: number, restMs: number, onNews: (news: TableNews) => void): TableFollower {
+    return new TableFollower(this.#parts.feed, { ...DEFAULT_FOLLOWER_OPTIONS, table, waitMs, restMs, seed: this.#rng.int(2 ** 30) }, this.#parts.log, onNews)
   }
 
   #takeResources (news: TableNews): void {
--- a/packages/knapweedshunt-gateway/src/ports/endpointPort.ts
+++ b/packages/knapweedshunt-gateway/src/ports/endpointPort.ts
@@ -8,6 +8,12 @@
   timeLeftMs: number
   organisation: OrganisationName | null
   cacheSalt: string | null
+  /** Version of the weights that the salt names: an endpoint with another one must not run the request. */
+  weightsVersion: number | null
+  /** Address of an endpoint that may hold more of the prompt. */
+  prefixSource: string | null
+  /** Address of a store that keeps the prompt's parts once they are read. */
+  prefixTarget: string | null
   /** 0 is served first. */
   priority: number | null
   lastEventId: string | null
--- a/packages/knapweedshunt-gateway/src/weights/weightsState.ts
+++ b/packages/knapweedshunt-gateway/src/weights/weightsState.ts
@@ -68,7 +68,7 @@
         const report = entry === undefined ? null : await port.readReport(entry, timeoutMs)
         if (report === null) return null
         const model = entry?.models[0]?.model
-        return { version: report.models.find(served => served.model === model)?.version ?? null, isBusy: report.isBusy, ordersTaken: report.ordersTaken }
+        return { version: report.models.find(served => served.model === model)?.version ?? null, isBusy: report.isBusy, ordersTaken: report.ordersTaken, running: report.running }
       },
       sendOrder: async (order, timeoutMs) => {
         const address = book.find(order.endpoint)?.entry.address
--- a/packages/knapweedshunt-platform/src/tableFollower.ts
+++ b/packages/knapweedshunt-platform/src/tableFollower.ts
@@ -13,6 +13,8 @@
   waitMs: number
   /** Longest wait for an answer, beyond `waitMs` for a poll. */
   timeoutMs: number
+  /** Rest after an answer with changes, so that those that come close together are read at once. */
+  restMs: number
   backoff: BackoffOptions
   /** Seed of jitter. */
   seed: number
@@ -22,6 +24,7 @@
 export const DEFAULT_FOLLOWER_OPTIONS: Omit<FollowerOptions, 'table'> = {
   waitMs: 5_000,
   timeoutMs: 700,
+  restMs: 0,
   backoff: { firstMs: 60, maxMs: 400 },
   seed: 1
 }
@@ -108,6 +111,7 @@
     }
     this.#version = Math.max(version, changes.version)
     this.#noteAnswer(sentAtMs, changes.rows.length === 0 ? null : { type: 'changes', rows: changes.rows })
+    if (changes.rows.length > 0 && this.#options.restMs > 0) await this.#rest(this.#options.restMs, signals)
   }
 
   async #rest (ms: number, signals: AbortSignal[]): Promise<void> {
