--- a/packages/knapweedshunt-fleet/src/waves/loadingEndpoint.ts
+++ b/packages/knapweedshunt-fleet/src/waves/loadingEndpoint.ts
@@ -7,6 +7,8 @@
 /** What the loading of one endpoint is made of. */
 export interface LoadingParts {
   goal: WaveGoal
+  /** The version wished now, which may be newer than the one the load began with. */
+  readWished (): number
   endpoint: WaveEndpoint
   options: WaveOptions
   ports: WavePorts
@@ -16,7 +18,8 @@
 }
 
 /**
- * Brings one endpoint to one version. Each order names how many orders the endpoint has taken, so that a copy that
+ * Brings one endpoint to one version. All VMs leave it alone already: the order is given once its requests have ended, or
+ * after a bound, and then they go on under the new weights. Each order names how many orders the endpoint has taken, so that a copy that
  * arrives late, after another order, is refused by the endpoint.
  */
 export class LoadingEndpoint {
@@ -25,10 +28,13 @@
   #restUntilMs: number | null = null
   #isStopped = false
   #orderedAtMs = -Infinity
-  #isDraining = false
+  #isDraining = true
+  readonly #startedAtMs = performance.now()
+  #version: number
 
   constructor (parts: LoadingParts) {
     this.#parts = parts
+    this.#version = parts.goal.version
   }
 
   /** Name of the endpoint. */
@@ -46,7 +52,7 @@
     return this.#isDone
   }
 
-  /** Whether the endpoint took the order and still runs requests that came before it. */
+  /** Whether no order was given yet, as requests still run. */
   get isDraining (): boolean {
     return this.#isDraining
   }
@@ -75,20 +81,27 @@
       if (this.#isStopped) return
       silent = report === null ? silent + 1 : 0
       if (silent >= options.maxSilent) return this.#rest('no report')
-      if (report !== null) this.#isDraining = report.isBusy && report.running > 0
       if (report !== null && this.#isReached(report)) return
-      const isOld = performance.now() - this.#orderedAtMs < options.reportLagMs
-      if (report !== null && !report.isBusy && !isOld && !await this.#order(report)) return
+      if (report !== null && this.#isOrderDue(report) && !await this.#order(report)) return
       await sleep(options.askMs)
     }
   }
 
+  /** A report may be too old to tell of requests that came just before the notice, or of the last order. */
+  #isOrderDue (report: WaveReport): boolean {
+    const { options } = this.#parts
+    const nowMs = performance.now()
+    if (report.isBusy || nowMs - this.#orderedAtMs < options.reportLagMs) return false
+    const waitedMs = nowMs - this.#startedAtMs
+    return waitedMs >= options.drainBoundMs || (report.running === 0 && waitedMs >= options.drainLeastMs)
+  }
+
   #isReached (report: WaveReport): boolean {
     const { goal, ports, endpoint } = this.#parts
-    if ((report.version ?? 0) < goal.version || report.isBusy) return false
+    if ((report.version ?? 0) < this.#version || report.isBusy) return false
     this.#isDone = true
-    this.#parts.log.info('Weights reached.', { decision: 'weightsReached', endpoint: endpoint.endpoint, model: goal.model, version: goal.version })
-    ports.noteReached(endpoint.endpoint, goal.model, goal.version)
+    this.#parts.log.info('Weights reached.', { decision: 'weightsReached', endpoint: endpoint.endpoint, model: goal.model, version: this.#version })
+    ports.noteReached(endpoint.endpoint, goal.model, this.#version)
     return true
   }
 
@@ -97,10 +110,12 @@
     const { goal, ports, endpoint, options, log } = this.#parts
     const fencing = this.#parts.readFencing()
     if (fencing === null) return false
-    const order = { endpoint: endpoint.endpoint, ...goal, fencing, ordersTaken: report.ordersTaken }
+    this.#isDraining = false
+    this.#version = this.#parts.readWished()
+    const order = { endpoint: endpoint.endpoint, model: goal.model, version: this.#version, fencing, ordersTaken: report.ordersTaken, waitsForRequests: report.running === 0 }
     log.info('Order sent.', { decision: 'orderSent', ...order })
     const result = await ports.sendOrder(order, options.callMs)
-    log.info('Order answered.', { decision: 'orderAnswered', endpoint: endpoint.endpoint, version: goal.version, result })
+    log.info('Order answered.', { decision: 'orderAnswered', endpoint: endpoint.endpoint, version: this.#version, result })
     if (result === 'taken') {
       this.#orderedAtMs = performance.now()
       await sleep(options.firstAskMs)
--- a/packages/knapweedshunt-fleet/src/waves/planWave.ts
+++ b/packages/knapweedshunt-fleet/src/waves/planWave.ts
@@ -7,14 +7,13 @@
   target: number
   /** Endpoints with an order under way. */
   ordered: EndpointName[]
-  /** Those of them that still wait for requests to end, and so load nothing yet. */
+  /** Those of them that wait for their requests to end, and load nothing yet. */
   draining: EndpointName[]
   /** Time since the last order, in milliseconds. */
   sinceOrderMs: number
   /** Endpoints that were given up for now. */
   resting: EndpointName[]
   parallelShare: number
-  aheadShare: number
 }
 
 /** A wave's next step. */
@@ -36,12 +35,9 @@
   const behind = endpoints.filter(one => one.version < target && !ordered.includes(one.endpoint) && !resting.includes(one.endpoint))
   behind.sort((a, b) => a.version - b.version || a.running - b.running || (a.endpoint < b.endpoint ? -1 : 1))
   const parallel = Math.max(1, Math.ceil(endpoints.length * input.parallelShare))
-  const loads = ordered.length - input.draining.length
-  const free = Math.min(parallel - loads, 2 * parallel - ordered.length)
+  const free = Math.min(parallel - input.draining.length, 2 * parallel - ordered.length)
   const isGathered = free >= parallel / 2 || input.sinceOrderMs >= GATHER_MS
   const order = isGathered && free > 0 ? behind.slice(0, free).map(one => one.endpoint) : []
-  const aheadCount = order.length === 0 ? 0 : Math.ceil(endpoints.length * input.aheadShare)
-  const ahead = behind.slice(order.length, order.length + aheadCount).map(one => one.endpoint)
   const reached = endpoints.filter(one => one.version >= target).map(one => one.endpoint)
-  return { order, loading: [...ordered, ...order, ...ahead], reached }
+  return { order, loading: [...ordered, ...order], reached }
 }
--- a/packages/knapweedshunt-fleet/src/waves/waveOptions.ts
+++ b/packages/knapweedshunt-fleet/src/waves/waveOptions.ts
@@ -5,12 +5,14 @@
   lease: LeaseOptions
   /** Time between two steps. */
   stepMs: number
-  /** Share of a pool's endpoints that load at the same time; one at least. */
+  /** Share of a pool's endpoints that load at the same time, one at least; as many more may wait for their requests to end. */
   parallelShare: number
-  /** Share of a pool's endpoints that get nothing new beforehand, so that their requests end before they load. */
-  aheadShare: number
   /** Longest wait for an answer to an order or a question. */
   callMs: number
+  /** Time for which an endpoint is left alone before its order at least: the notice reaches all VMs, and reports are that old. */
+  drainLeastMs: number
+  /** Longest wait for its requests to end. */
+  drainBoundMs: number
   /** Time from an order that was taken to the first question. */
   firstAskMs: number
   /** How old a report may be when it comes: one that does not tell of an order yet is no reason to give it again. */
@@ -21,8 +23,10 @@
   maxSilent: number
   /** Time after which an endpoint that was given up is tried again. */
   restMs: number
-  /** Time without a step of the present holder after which the next VM contends; further VMs wait a multiple. */
+  /** Silence of the last holder after which others contend. */
   takeOverMs: number
+  /** Further wait for each place in the order of VMs. */
+  placeMs: number
 }
 
 /** Defaults for endpoints that load within a second; lease times for a store that answers in tens of milliseconds. */
@@ -30,12 +34,14 @@
   lease: { durationMs: 2_000, guardMs: 300, intervalMs: 500, longestOrderMs: 3_200 },
   stepMs: 60,
   parallelShare: 0.2,
-  aheadShare: 0,
   callMs: 400,
-  firstAskMs: 300,
+  drainLeastMs: 150,
+  drainBoundMs: 600,
+  firstAskMs: 250,
   reportLagMs: 1_000,
   askMs: 100,
   maxSilent: 4,
   restMs: 1_000,
-  takeOverMs: 900
+  takeOverMs: 1_200,
+  placeMs: 250
 }
--- a/packages/knapweedshunt-fleet/src/waves/waveTask.ts
+++ b/packages/knapweedshunt-fleet/src/waves/waveTask.ts
@@ -1,6 +1,6 @@
 import type { Logger } from 'knapweedshunt-logger'
 import type { Platform } from 'knapweedshunt-platform'
-import type { EndpointName, FencingNumber, Incarnation, VmId } from 'knapweedshunt-types'
+import type { EndpointName, FencingNumber, Incarnation, PoolName, VmId } from 'knapweedshunt-types'
 import { groupBy, sleep } from 'knapweedshunt-utils'
 import { LeaseTask } from '../leaseTask.ts'
 import { LoadingEndpoint } from './loadingEndpoint.ts'
@@ -31,6 +31,8 @@
   readonly #options: WaveOptions
   readonly #lease: LeaseTask
   readonly #loading = new Map<EndpointName, LoadingEndpoint>()
+  /** Last notices of this VM. */
+  readonly #told = new Map<PoolName, WaveNotice>()
   #workSinceMs: number | null = null
   #fencing: FencingNumber | null = null
   #orderedAtMs = -Infinity
@@ -41,23 +43,26 @@
     this.#lease = new LeaseTask(parts.platform, WAVE_LEASE, parts.incarnation, this.#options.lease)
   }
 
-  /** Runs until the signal aborts, then gives the lease up. */
-  async run (signal: AbortSignal): Promise<void> {
+  /** Runs until the signal aborts, then gives the lease up. A VM that is to stop contends no more, but ends what it began. */
+  async run (signal: AbortSignal, isStopping: () => boolean): Promise<void> {
     while (!signal.aborted) {
-      await this.#step()
+      await this.#step(isStopping())
       await sleep(this.#options.stepMs, signal)
     }
+    if (this.#lease.readFencing(true) === null) return
     await this.#lease.release()
+    for (const [pool, notice] of this.#told) await this.#announce({ ...notice, pool, loading: [], isReleased: true })
   }
 
-  async #step (): Promise<void> {
+  async #step (isStopping: boolean): Promise<void> {
     const goals = this.#parts.ports.listGoals()
     const endpoints = this.#parts.ports.listEndpoints()
     const work = goals.filter(goal => endpoints.some(one => one.model === goal.model && one.version < goal.version))
     this.#dropLoading(endpoints)
     if (work.length === 0 && this.#loading.size === 0) return await this.#rest(goals, endpoints)
     this.#workSinceMs ??= performance.now()
-    if (this.#lease.readFencing(true) !== null || this.#isDue(endpoints)) this.#lease.step().catch(error => this.#parts.log.warn('Lease step failed.', { reason: (error as Error).message }))
+    const isHeld = this.#lease.readFencing(true) !== null
+    if (isHeld || (!isStopping && this.#isDue(endpoints))) this.#lease.step().catch(error => this.#parts.log.warn('Lease step failed.', { reason: (error as Error).message }))
     this.#noteFencing(this.#lease.readFencing(false))
     if (this.#fencing === null) return
     for (const goal of work) await this.#stepGoal(goal, endpoints.filter(one => one.model === goal.model))
@@ -70,7 +75,7 @@
     this.#noteFencing(null)
     for (const goal of goals) {
       const pools = groupBy(endpoints.filter(one => one.model === goal.model), one => one.pool)
-      for (const [pool, members] of pools) await this.#announce({ vm: this.#parts.vm, pool, ...goal, loading: [], reached: members.map(one => one.endpoint) })
+      for (const [pool, members] of pools) await this.#announce({ vm: this.#parts.vm, pool, ...goal, loading: [], reached: members.map(one => one.endpoint), isReleased: false })
     }
   }
 
@@ -80,9 +85,9 @@
     const notices = [...groupBy(endpoints, one => one.pool).keys()].map(pool => ports.readNotice(pool)).filter(one => one !== null)
     if (notices.some(one => one.notice.vm === vm)) return true
     const sinceMs = performance.now() - (this.#workSinceMs ?? performance.now())
+    const isOpen = notices.every(one => one.notice.isReleased)
     const silentMs = Math.min(sinceMs, ...notices.map(one => one.ageMs))
-    const place = ports.readRank() + (notices.length === 0 ? 0 : 1)
-    return silentMs >= place * this.#options.takeOverMs
+    return silentMs >= (isOpen ? 0 : this.#options.takeOverMs) + ports.readRank() * this.#options.placeMs
   }
 
   #noteFencing (fencing: FencingNumber | null): void {
@@ -106,10 +111,9 @@
         draining: own.filter(one => !one.isResting(nowMs) && one.isDraining).map(one => one.endpoint),
         sinceOrderMs: nowMs - this.#orderedAtMs,
         resting: own.filter(one => one.isResting(nowMs)).map(one => one.endpoint),
-        parallelShare: this.#options.parallelShare,
-        aheadShare: this.#options.aheadShare
+        parallelShare: this.#options.parallelShare
       })
-      if (plan.order.length > 0) await this.#announce({ vm: this.#parts.vm, pool, model: goal.model, version: goal.version, loading: plan.loading, reached: plan.reached })
+      if (plan.order.length > 0) await this.#announce({ vm: this.#parts.vm, pool, model: goal.model, version: goal.version, loading: plan.loading, reached: plan.reached, isReleased: false })
       if (plan.order.length > 0) this.#orderedAtMs = performance.now()
       for (const name of plan.order) this.#startLoad(goal, members.find(member => member.endpoint === name))
     }
@@ -117,6 +121,7 @@
 
   /** Orders follow also when nobody hears of them: an endpoint that loads says so to each request. */
   async #announce (notice: WaveNotice): Promise<void> {
+    this.#told.set(notice.pool, notice)
     try {
       await this.#parts.ports.announce(notice)
     } catch (error) {
@@ -128,6 +133,7 @@
     if (endpoint === undefined) return
     const loading = new LoadingEndpoint({
       goal,
+      readWished: () => this.#parts.ports.listGoals().find(one => one.model === goal.model)?.version ?? goal.version,
       endpoint,
       options: this.#options,
       ports: this.#parts.ports,
--- a/packages/knapweedshunt-fleet/src/waves/waveTypes.ts
+++ b/packages/knapweedshunt-fleet/src/waves/waveTypes.ts
@@ -28,6 +28,8 @@
   loading: EndpointName[]
   /** Endpoints seen to run the version. */
   reached: EndpointName[]
+  /** The holder gives no more orders: another VM may follow at once. */
+  isReleased: boolean
 }
 
 /** What an endpoint says when it is asked. */
@@ -48,6 +50,8 @@
   fencing: FencingNumber
   /** Orders that the endpoint must have taken before. */
   ordersTaken: number
+  /** Requests under way end first; else they go on under the new weights. */
+  waitsForRequests: boolean
 }
 
 /** What became of an order. */
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -170,7 +170,7 @@
       this.#rosterFollower.run(tasks.signal),
       this.#roster.announceSelf(tasks.signal),
       this.#watch.run(tasks.signal),
-      waves.run(signal),
+      waves.run(tasks.signal, () => this.#isStopping),
       runEvery(SWEEP_MS, tasks.signal, () => this.#sweep())
     ]
     await sleep(2 ** 30, signal)
--- a/packages/knapweedshunt-gateway/src/ports/managementPort.ts
+++ b/packages/knapweedshunt-gateway/src/ports/managementPort.ts
@@ -22,7 +22,9 @@
   holder: string
   fencing: FencingNumber
   /** Orders that the endpoint must have taken before; a late copy of the order is refused by it. */
-  ordersTaken: number | null
+  ordersTaken: number
+  /** Requests under way end first; else they go on under the new weights. */
+  waitsForRequests: boolean
 }
 
 /** What became of an order. */
