--- a/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -6,6 +6,7 @@
 import type { CallerIdentity, Prompt } from '../ports/callerCall.ts'
 import type { EndpointBook } from './endpointBook.ts'
 import type { EndpointRecord } from './endpointRecord.ts'
+import { PromptLanes } from './promptLanes.ts'
 import { PrefixHolders } from './prefixHolders.ts'
 
 /** Share of an endpoint's connections that all VMs together use; the rest is left to VMs that are not in the table yet. */
@@ -52,6 +53,7 @@
   readonly #parts: ChooserParts
   readonly #placement: Placement
   readonly #holders = new PrefixHolders(record => this.#isSource(record))
+  readonly #lanes = new PromptLanes()
   #revision = 0
   #demandAtMs = performance.now()
   #demandNumber = 0
@@ -143,7 +145,9 @@
     const open = candidates.filter(record => record.open < share && !loading.has(record.entry.endpoint) && isRunning(record, prompt))
     const meanShare = open.reduce((sum, record) => sum + record.health.readFailedShare(), 0) / Math.max(1, open.length)
     const well = open.filter(record => !record.health.isOut(meanShare))
-    return well.length > 0 ? this.#preferNewest(well, prompt, isMoving) : open
+    if (well.length === 0) return open
+    const newest = this.#preferNewest(well, prompt, isMoving)
+    return prompt === null ? newest : this.#lanes.select(pool, newest, prompt.tokens)
   }
 
   /** Newer weights are worth more once enough endpoints have them to carry the load; a request that moves goes where it need not move again. */
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -470,7 +470,7 @@
     const totalMs = this.#readAgeMs()
     if (status < FIRST_SERVER_ERROR) this.#parts.noteSuccess(this.#plan.pool)
     this.#parts.figures.recordAnswer({ route: route.name, organisation, priority: String(identity?.priority ?? route.priority) }, firstByteMs, totalMs)
-    this.#parts.decisions.record({ type: 'answered', requestId: call.requestId, route: route.name, organisation, endpoint: running.record.entry.endpoint, status, attempts: this.#attempts, firstByteMs: Math.round(firstByteMs), totalMs, bytes })
+    this.#parts.decisions.record({ type: 'answered', requestId: call.requestId, route: route.name, organisation, endpoint: running.record.entry.endpoint, status, attempts: this.#attempts, firstByteMs: Math.round(firstByteMs), longestPauseMs: Math.round(this.#relay.longestPauseMs), totalMs, bytes })
   }
 
   #readAgeMs (): number {
--- a/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
@@ -23,6 +23,8 @@
   #lastEventId: string | null
   #bytes = 0
   #firstAtMs: number | null = null
+  #lastAtMs = 0
+  #longestPauseMs = 0
 
   constructor (answer: http.ServerResponse, isResumable: boolean, lastEventId: string | null) {
     this.#answer = answer
@@ -45,6 +47,11 @@
     return this.#firstAtMs
   }
 
+  /** Longest time between two writes to the caller, in milliseconds. */
+  get longestPauseMs (): number {
+    return this.#longestPauseMs
+  }
+
   /** Passes on one endpoint's stream. Of a resumable stream only whole events go on, each once. */
   async pass (message: http.IncomingMessage, options: RelayOptions): Promise<RelayEnd> {
     const cutter = new EventCutter()
@@ -89,7 +96,10 @@
   }
 
   #write (bytes: Buffer): boolean {
-    this.#firstAtMs ??= performance.now()
+    const nowMs = performance.now()
+    if (this.#firstAtMs !== null) this.#longestPauseMs = Math.max(this.#longestPauseMs, nowMs - this.#lastAtMs)
+    this.#firstAtMs ??= nowMs
+    this.#lastAtMs = nowMs
     this.#bytes += bytes.length
     return this.#answer.write(bytes)
   }
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -15,7 +15,7 @@
   /** A stream goes on at another endpoint. */
   | { type: 'resumed', requestId: RequestId, endpoint: EndpointName, lastEventId: string, afterMs: number }
   /** An endpoint's answer was passed on whole. */
-  | { type: 'answered', requestId: RequestId, route: string, organisation: OrganisationName, endpoint: EndpointName, status: number, attempts: number, firstByteMs: number, totalMs: number, bytes: number }
+  | { type: 'answered', requestId: RequestId, route: string, organisation: OrganisationName, endpoint: EndpointName, status: number, attempts: number, firstByteMs: number, longestPauseMs: number, totalMs: number, bytes: number }
   /** The router's own answer, or a connection ended without one. */
   | { type: 'refused', requestId: RequestId, route: string, organisation: OrganisationName, status: number, reason: RefusalReason, ran: 'not-run' | 'may-have-run', attempts: number, totalMs: number, retryAfterMs: number, detail: string }
 
