--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -24,6 +24,8 @@
   constructor (onRequest: (message: http.IncomingMessage, answer: http.ServerResponse) => void) {
     this.#server = http.createServer({ maxHeaderSize: MAX_HEAD_BYTES, connectionsCheckingInterval: SLOW_LOOK_MS, keepAlive: true, noDelay: true }, (message, answer) => {
       if (this.#isStopping) answer.shouldKeepAlive = false
+      // An answer whose head went out before the stop left its connection open.
+      answer.once('finish', () => { if (this.#isStopping) message.socket.end() })
       onRequest(message, answer)
     })
     this.#server.requestTimeout = 0 // The body has limits of its own.
--- a/packages/knapweedshunt-gateway/src/flow/requestGate.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestGate.ts
@@ -14,8 +14,8 @@
 import { choosePool } from './choosePool.ts'
 import type { RequestPlan } from './requestPlan.ts'
 
-/** When a caller may come again while this VM has no configuration or no current keys, in milliseconds; another VM may have both. */
-const RETRY_ELSEWHERE_MS = 150
+/** When a caller may come again where another VM can serve it at once, in milliseconds. */
+export const RETRY_ELSEWHERE_MS = 150
 
 /** When a caller whose request crashed endpoints may come again, in milliseconds. */
 const QUARANTINE_RETRY_MS = 30_000
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -23,6 +23,9 @@
 /** Connections that fail before a byte was sent, after which no further endpoint is tried. */
 const MAX_UNSENT = 3
 
+/** Endpoints that may say of one request that they did not run it before it is refused. */
+const MAX_NOT_RUN = 3
+
 /** Share of the objective after which another endpoint is tried for a request that may be repeated. */
 const STALL_SHARE = 0.6
 
@@ -75,9 +78,13 @@
   #homeLevels: PrefixLevel[] = []
   #attempts = 0
   #unsent = 0
+  #notRun = 0
+  /** Endpoints that run or may have run the request. */
   #sentTo = 0
   #mayHaveRun = false
   #isOver = false
+  /** The endpoint asked last answers with a stream. */
+  #isStreaming = false
   #isMoved = false
   /** A repeat was taken from the budget and not used yet. */
   #hasPermit = false
@@ -111,8 +118,7 @@
   /** Lets a stream that can go on elsewhere leave one of these endpoints, so that nothing waits for its end. */
   leave (endpoints: ReadonlySet<string>): void {
     const running = this.#running
-    const isStream = this.#answer.headersSent && this.#plan.route.repeatability === REPEATABILITY.resumed
-    if (running === null || !isStream || !endpoints.has(running.record.entry.endpoint) || !this.#mayTryAnother()) return
+    if (running === null || !this.#isStreaming || this.#plan.route.repeatability !== REPEATABILITY.resumed || !endpoints.has(running.record.entry.endpoint) || !this.#mayTryAnother()) return
     this.#isMoved = true
     running.attempt.cancel(LOSS.moved)
   }
@@ -209,6 +215,7 @@
     const attempt = new Attempt(this.#parts.port, this.#parts.agent, { method: call.method, target: call.target, address: record.entry.address, headers, body, requestId: call.requestId })
     const id = `${call.requestId}-${number}`
     record.open++
+    this.#sentTo++
     this.#tried.push(record.entry.endpoint)
     this.#parts.chooser.placement.take({ type: 'started', attempt: id, endpoint: record.entry.endpoint, tokens: call.prompt?.tokens ?? 0, levels: this.#homeLevels, decision })
     this.#running = { attempt, record, number, startedAtMs: performance.now(), id, salt, expectedCachedTokens: decision.expectedCachedTokens ?? 0 }
@@ -233,7 +240,7 @@
     const timer = setTimeout(() => {
       // An engine that gives tokens to others is busy, not lost: it has read part of the prompt already.
       if (route.usesPrefixes && record.heardAtMs > startedAtMs) return
-      if (this.#sentTo + 1 >= route.maxEndpoints || !this.#takePermit()) return
+      if (this.#sentTo >= route.maxEndpoints || !this.#takePermit()) return
       this.#hasPermit = true
       attempt.cancel(LOSS.silent)
     }, route.objectiveMs * STALL_SHARE)
@@ -245,7 +252,8 @@
   }
 
   async #takeOutcome (running: Running, outcome: AttemptOutcome): Promise<Step> {
-    if (outcome.type !== 'unsent') this.#sentTo++
+    // An endpoint that did not run the request is none of those that it was run on.
+    if (outcome.type === 'unsent' || outcome.type === 'notRun') this.#sentTo--
     return await match(outcome)
       .with({ type: 'unsent' }, ({ reason }) => this.#takeUnsent(running, reason))
       .with({ type: 'notRun' }, ({ head, status }) => this.#takeNotRun(running, head, status))
@@ -268,7 +276,8 @@
   #takeNotRun (running: Running, head: AnswerHead, status: number): Step {
     this.#noteHead(running.record, head)
     this.#end(running)
-    const isRetried = this.#mayTryAnother()
+    this.#notRun++
+    const isRetried = this.#notRun <= MAX_NOT_RUN && this.#mayTryAnother()
     this.#noteEnded(running, 'notRun', `status ${status}`, isRetried)
     if (isRetried) return this.#retry()
     this.#fail('endpoint_refused', `status ${status}`)
@@ -336,7 +345,7 @@
   /** A long answer flows through; one that breaks off ends the caller's connection, so that it does not look whole. */
   async #passRest (message: http.IncomingMessage, first: Buffer[]): Promise<void> {
     for (const chunk of first) this.#answer.write(chunk)
-    const end = await this.#relay.pass(message, { stallMs: null, onChunk: () => {} })
+    const end = await this.#relay.pass(message, { stallMs: null, mayCut: () => false, onChunk: () => {} })
     if (end.type === 'complete') this.#answer.end()
     else this.#answer.destroy()
   }
@@ -345,10 +354,11 @@
     const { route, levels } = this.#plan
     if (running.salt !== null) this.#parts.chooser.holders.note(levels, running.salt, running.record)
     if (!this.#answer.headersSent) this.#writeHead(message, message.statusCode ?? 0, null)
-    const mayMove = route.repeatability === REPEATABILITY.resumed && this.#sentTo < route.maxEndpoints
-    const firstStallMs = route.objectiveMs * STALL_SHARE
-    const stallMs = mayMove ? Math.max(firstStallMs, (route.pauseObjectiveMs ?? DEFAULT_PAUSE_MS) * PAUSE_FACTOR) : null
-    const end = await this.#relay.pass(message, { stallMs, onChunk: () => this.#parts.watch.noteHeard(running.record) })
+    const isResumable = route.repeatability === REPEATABILITY.resumed
+    const stallMs = isResumable ? (route.pauseObjectiveMs ?? DEFAULT_PAUSE_MS) * PAUSE_FACTOR : null
+    this.#isStreaming = true
+    const end = await this.#relay.pass(message, { stallMs, mayCut: () => this.#reserveMove(), onChunk: () => this.#parts.watch.noteHeard(running.record) })
+    this.#isStreaming = false
     if (this.#isOver || end.type === 'callerLeft') {
       running.attempt.cancel(LOSS.cancelled)
       this.#end(running)
@@ -365,6 +375,13 @@
     return this.#takeCut(running, end.reason)
   }
 
+  /** Whether a silent stream may go on elsewhere; silence alone is no reason to end it. */
+  #reserveMove (): boolean {
+    if (this.#sentTo >= this.#plan.route.maxEndpoints || !this.#takePermit()) return false
+    this.#hasPermit = true
+    return true
+  }
+
   #takeCut (running: Running, reason: string): Step {
     const isMoved = this.#isMoved
     this.#isMoved = false
--- a/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
@@ -12,6 +12,8 @@
 export interface RelayOptions {
   /** Silence after which the stream counts as cut, in milliseconds; null for none. */
   stallMs: number | null
+  /** Asked after that silence whether the stream may be cut; if not, the wait begins anew. */
+  mayCut (): boolean
   /** Called at each chunk of the endpoint. */
   onChunk (): void
 }
@@ -59,7 +61,12 @@
     let isStalled = false
     const wait = () => {
       clearTimeout(stall)
-      if (options.stallMs !== null) stall = setTimeout(() => { isStalled = true; message.destroy() }, options.stallMs)
+      if (options.stallMs !== null) stall = setTimeout(takeStall, options.stallMs)
+    }
+    const takeStall = () => {
+      if (!options.mayCut()) return wait()
+      isStalled = true
+      message.destroy()
     }
     try {
       wait()
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -18,7 +18,7 @@
 import type { EndpointRecord } from './endpoints/endpointRecord.ts'
 import { EndpointWatch } from './endpoints/endpointWatch.ts'
 import type { FlowParts } from './flow/flowParts.ts'
-import { RequestGate } from './flow/requestGate.ts'
+import { RequestGate, RETRY_ELSEWHERE_MS } from './flow/requestGate.ts'
 import { RequestTask } from './flow/requestTask.ts'
 import type { DirectoryPort } from './ports/directoryPort.ts'
 import type { EndpointPort } from './ports/endpointPort.ts'
@@ -27,7 +27,7 @@
 import type { RefusalReason } from './records/decision.ts'
 import { DecisionLog } from './records/decisionLog.ts'
 import { Figures } from './records/figures.ts'
-import { CallerError } from './shared/callerError.ts'
+import { CallerError, createCallerError } from './shared/callerError.ts'
 import type { OwnAnswer } from './shared/callerError.ts'
 import { WeightsState } from './weights/weightsState.ts'
 
@@ -98,6 +98,8 @@
   #inFlight = 0
   #hasEndpoints = false
   #isStopping = false
+  /** Callers have had time to go elsewhere: what still comes might not end in time. */
+  #isClosing = false
   #wasReady: boolean | null = null
 
   constructor (parts: GatewayParts) {
@@ -193,6 +195,7 @@
     this.#decisions.record({ type: 'stopping', vm: settings.vm, inFlight: this.#inFlight })
     this.#server.startStop()
     await sleep(Math.min(LEAVE_MS, settings.graceMs / 2))
+    this.#isClosing = true
     this.#server.closeListener()
     const untilMs = startedAtMs + settings.graceMs * GRACE_SHARE
     for (;;) {
@@ -216,6 +219,7 @@
     try {
       const call = this.#parts.endpointPort.readCall(message)
       requestId = call.requestId
+      if (this.#isClosing) throw createCallerError(503, 'stopping', 'This VM stops.', { retryAfterMs: RETRY_ELSEWHERE_MS, closes: true })
       const plan = await this.#gate.check(message, call, arrivedAtMs)
       const task = new RequestTask(this.#flow, plan, answer)
       this.#tasks.add(task)
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -4,7 +4,7 @@
 export type RefusalReason =
   | 'bad_request' | 'header_too_large' | 'body_too_large' | 'body_too_slow' | 'no_route' | 'no_key' | 'unknown_key'
   | 'no_config' | 'keys_unconfirmed' | 'quarantined' | 'no_endpoint' | 'no_free_endpoint' | 'endpoint_refused' | 'retry_budget'
-  | 'memory' | 'timeout' | 'endpoint_lost' | 'stream_cut' | 'caller_left' | 'internal'
+  | 'memory' | 'stopping' | 'timeout' | 'endpoint_lost' | 'stream_cut' | 'caller_left' | 'internal'
 
 /** A decision that touches one request; times in milliseconds. */
 export type RequestDecision =
