--- a/packages/knapweedshunt-attempts/src/retryBudget.ts
+++ b/packages/knapweedshunt-attempts/src/retryBudget.ts
@@ -43,10 +43,10 @@
     return this.#balances.size
   }
 
-  /** Takes one permit if there is one. */
-  take (organisation: OrganisationName, pool: PoolName): boolean {
+  /** Takes one permit if there is one beyond those that are to be kept for greater needs. */
+  take (organisation: OrganisationName, pool: PoolName, kept = 0): boolean {
     const balance = this.#open(organisation, pool)
-    if (balance.permits < 1) return false
+    if (balance.permits < 1 + kept) return false
     balance.permits--
     return true
   }
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -46,6 +46,8 @@
   listLoading (): Set<EndpointName>
   /** Version wished for a model; null when none was named. */
   findWished (model: string): number | null
+  /** Oldest version of a model on which a request may still begin. */
+  findOldest (model: string): number
 }
 
 /** Chooses an endpoint for each attempt: placement by prefix, less those that are out, full or loading. */
@@ -100,11 +102,6 @@
     return levels.length > 1 ? levels.slice(-2, -1) : levels
   }
 
-  /** Address of the store of kept prefixes, null without one. */
-  findKeptStore (): string | null {
-    return this.#parts.readConfig()?.keptStores[0]?.address ?? null
-  }
-
   /** Salt under which an endpoint keeps a request's parts: equal for one wall, model and weights version only. */
   nameSalt (prompt: Prompt, identity: CallerIdentity | null, record: EndpointRecord): string {
     const weightsVersion = String(record.findVersion(prompt.model) ?? '')
@@ -142,7 +139,7 @@
   #listUsable (candidates: EndpointRecord[], pool: PoolName, prompt: Prompt | null, isMoving: boolean): EndpointRecord[] {
     const loading = this.#parts.listLoading()
     const share = this.#countShare(pool)
-    const open = candidates.filter(record => record.open < share && !loading.has(record.entry.endpoint) && isRunning(record, prompt))
+    const open = candidates.filter(record => record.open < share && !loading.has(record.entry.endpoint) && this.#isRunning(record, prompt))
     const meanShare = open.reduce((sum, record) => sum + record.health.readFailedShare(), 0) / Math.max(1, open.length)
     const well = open.filter(record => !record.health.isOut(meanShare))
     if (well.length === 0) return open
@@ -159,6 +156,13 @@
     return newest.length * NEWEST_SHARE >= records.length || (isMoving && newest.length > 0) ? newest : records
   }
 
+  /** Runs the prompt's model, with weights that are not too old. */
+  #isRunning (record: EndpointRecord, prompt: Prompt | null): boolean {
+    if (prompt === null || record.entry.models.length === 0) return true
+    const version = record.findVersion(prompt.model)
+    return version !== null && version >= this.#parts.findOldest(prompt.model)
+  }
+
   #isSource (record: EndpointRecord): boolean {
     const { entry, health, missingSinceMs } = record
     if (this.#parts.book.find(entry.endpoint) !== record || missingSinceMs !== null || entry.isDraining) return false
@@ -206,10 +210,6 @@
   return identity?.isIsolated ? identity.organisation : ''
 }
 
-function isRunning (record: EndpointRecord, prompt: Prompt | null): boolean {
-  return prompt === null || record.entry.models.length === 0 || record.findVersion(prompt.model) !== null
-}
-
 function buildEndpoint (name: EndpointName, entry: EndpointRecord['entry']): Resource {
   return {
     kind: 'Endpoint',
--- a/packages/knapweedshunt-gateway/src/flow/flowParts.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowParts.ts
@@ -2,6 +2,7 @@
 import type { Logger } from 'knapweedshunt-logger'
 import type { EndpointChooser } from '../endpoints/endpointChooser.ts'
 import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
+import type { KeptPrefixes } from '../endpoints/keptPrefixes.ts'
 import type { EndpointWatch } from '../endpoints/endpointWatch.ts'
 import type { EndpointPort } from '../ports/endpointPort.ts'
 import type { DecisionLog } from '../records/decisionLog.ts'
@@ -14,11 +15,14 @@
   agent: http.Agent
   chooser: EndpointChooser
   watch: EndpointWatch
+  kept: KeptPrefixes
   figures: Figures
   decisions: DecisionLog
   log: Logger
-  /** Takes one repeat from the budget of a pool. */
-  takeRetry (pool: string): boolean
+  /** Bytes of KV cache that a token takes in a pool. */
+  findTokenBytes (pool: string): number
+  /** Takes one repeat from the budget of a pool; an optional one leaves some for requests that would fail without. */
+  takeRetry (pool: string, isOptional: boolean): boolean
   noteSuccess (pool: string): void
   /** Notes that an endpoint broke off while the request had not begun to be answered. */
   noteCrash (fingerprint: string, record: EndpointRecord, startedAtMs: number): void
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -20,6 +20,9 @@
 /** Statuses that promise that a request did not run and will not. */
 const NOT_RUN_STATUSES = [408, 421, 429, 503]
 
+/** Least shared tokens worth a transfer to or from the store of kept prefixes. */
+const MIN_KEPT_TOKENS = 1_000
+
 /** Connections that fail before a byte was sent, after which no further endpoint is tried. */
 const MAX_UNSENT = 3
 
@@ -118,7 +121,7 @@
   /** Lets a stream that can go on elsewhere leave one of these endpoints, so that nothing waits for its end. */
   leave (endpoints: ReadonlySet<string>): void {
     const running = this.#running
-    if (running === null || !this.#isStreaming || this.#plan.route.repeatability !== REPEATABILITY.resumed || !endpoints.has(running.record.entry.endpoint) || !this.#mayTryAnother()) return
+    if (running === null || !this.#isStreaming || this.#plan.route.repeatability !== REPEATABILITY.resumed || !endpoints.has(running.record.entry.endpoint) || !this.#mayTryAnother(true)) return
     this.#isMoved = true
     running.attempt.cancel(LOSS.moved)
   }
@@ -128,17 +131,17 @@
   }
 
   /** Endpoints are left, and the budget of all repeats allows one more. */
-  #mayTryAnother (): boolean {
+  #mayTryAnother (isOptional = false): boolean {
     if (this.#sentTo >= this.#plan.route.maxEndpoints || this.#plan.body.type === 'flowing') return false
-    return this.#takePermit()
+    return this.#takePermit(isOptional)
   }
 
   /** Takes one repeat from the budget, unless one was taken for this step already. */
-  #takePermit (): boolean {
+  #takePermit (isOptional: boolean): boolean {
     if (performance.now() >= this.#plan.deadlineAtMs || this.#plan.body.type === 'flowing') return false
     const hasPermit = this.#hasPermit
     this.#hasPermit = false
-    return hasPermit || this.#parts.takeRetry(this.#plan.pool)
+    return hasPermit || this.#parts.takeRetry(this.#plan.pool, isOptional)
   }
 
   async #tryNext (): Promise<Step> {
@@ -200,15 +203,15 @@
     const { chooser } = this.#parts
     const salt = route.usesPrefixes && call.prompt !== null ? chooser.nameSalt(call.prompt, identity, record) : null
     const source = salt === null ? null : chooser.holders.findSource(levels, salt, record)
-    const kept = (levels.at(-2)?.tokens ?? 0) >= 1_000 ? chooser.findKeptStore() : null
+    const isKept = salt !== null && (levels.at(-2)?.tokens ?? 0) >= MIN_KEPT_TOKENS
     const headers = this.#parts.port.buildAttemptHeaders(this.#plan.headers, {
       endpoint: record.entry.endpoint,
       timeLeftMs: Math.max(1, Math.floor(this.#plan.deadlineAtMs - performance.now())),
       organisation: identity?.organisation ?? null,
       cacheSalt: salt,
       weightsVersion: salt === null || call.prompt === null ? null : record.findVersion(call.prompt.model),
-      prefixSource: source?.entry.address ?? kept,
-      prefixTarget: kept,
+      prefixSource: source?.entry.address ?? (isKept ? this.#parts.kept.findSource() : null),
+      prefixTarget: isKept ? this.#parts.kept.chooseTarget(call.prompt?.tokens ?? 0, this.#parts.findTokenBytes(this.#plan.pool)) : null,
       priority: route.usesPrefixes ? identity?.priority ?? route.priority : null,
       lastEventId: this.#relay.lastEventId
     })
@@ -240,7 +243,7 @@
     const timer = setTimeout(() => {
       // An engine that gives tokens to others is busy, not lost: it has read part of the prompt already.
       if (route.usesPrefixes && record.heardAtMs > startedAtMs) return
-      if (this.#sentTo >= route.maxEndpoints || !this.#takePermit()) return
+      if (this.#sentTo >= route.maxEndpoints || !this.#takePermit(true)) return
       this.#hasPermit = true
       attempt.cancel(LOSS.silent)
     }, route.objectiveMs * STALL_SHARE)
@@ -377,7 +380,7 @@
 
   /** Whether a silent stream may go on elsewhere; silence alone is no reason to end it. */
   #reserveMove (): boolean {
-    if (this.#sentTo >= this.#plan.route.maxEndpoints || !this.#takePermit()) return false
+    if (this.#sentTo >= this.#plan.route.maxEndpoints || !this.#takePermit(true)) return false
     this.#hasPermit = true
     return true
   }
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -16,6 +16,7 @@
 import { EndpointBook } from './endpoints/endpointBook.ts'
 import { EndpointChooser } from './endpoints/endpointChooser.ts'
 import type { EndpointRecord } from './endpoints/endpointRecord.ts'
+import { KeptPrefixes } from './endpoints/keptPrefixes.ts'
 import { EndpointWatch } from './endpoints/endpointWatch.ts'
 import type { FlowParts } from './flow/flowParts.ts'
 import { RequestGate, RETRY_ELSEWHERE_MS } from './flow/requestGate.ts'
@@ -44,9 +45,18 @@
 /** Time between two looks for endpoints that did not come back, and at readiness, in milliseconds. */
 const SWEEP_MS = 250
 
+/** Part of the time for new weights that is kept for the way and the queue at an endpoint, in milliseconds. */
+const STALE_MARGIN_MS = 700
+
 /** Share of the allowed repeats that this VM's part is cut from; the rest covers VMs that come and go. */
 const BUDGET_SHARE = 0.8
 
+/** Share of the allowed ratio of repeats that is used; only requests that went well are counted, which is a margin already. */
+const BUDGET_RATIO = 0.95
+
+/** Time after a notice of loading weights after which streams that still run leave the endpoint, in milliseconds; most end before. */
+const LEAVE_LOADING_MS = 300
+
 /** Crashes after which a request is refused; one that was running by chance is seldom there three times. */
 const MAX_CRASHES = 3
 
@@ -87,6 +97,7 @@
   readonly #weights: WeightsState
   readonly #chooser: EndpointChooser
   readonly #watch: EndpointWatch
+  readonly #kept: KeptPrefixes
   readonly #resources: TableFollower
   readonly #endpoints: TableFollower
   readonly #rosterFollower: TableFollower
@@ -116,11 +127,10 @@
       onMark: mark => this.#suspects.takeMark(mark),
       onWave: notice => {
         this.#weights.noteReached(notice.reached, notice.model, notice.version)
-        const loading = this.#weights.listLoading()
-        for (const task of this.#tasks) task.leave(loading)
+        setTimeout(() => this.#leaveLoading(), LEAVE_LOADING_MS)
       }
     })
-    this.#weights = new WeightsState({ holder: settings.vm, book: this.#book, roster: this.#roster, port: management, onReached: () => this.#chooser.rebuild() })
+    this.#weights = new WeightsState({ staleMs: settings.weightsMs - STALE_MARGIN_MS, holder: settings.vm, book: this.#book, roster: this.#roster, port: management, onReached: () => this.#chooser.rebuild() })
     this.#chooser = new EndpointChooser({
       dataCentre: settings.dataCentre,
       nearDataCentres: settings.nearDataCentres,
@@ -129,7 +139,8 @@
       readConfig: () => this.#config.config,
       countVms: () => this.#roster.countVms(),
       listLoading: () => this.#weights.listLoading(),
-      findWished: model => this.#weights.findWished(model)
+      findWished: model => this.#weights.findWished(model),
+      findOldest: model => this.#weights.findOldest(model)
     })
     this.#watch = new EndpointWatch({
       port: management,
@@ -146,6 +157,13 @@
     this.#keys = new KeyFreshness(this.#resources, settings.revokeMs)
     this.#gate = new RequestGate({ config: this.#config, keys: this.#keys, chooser: this.#chooser, suspects: this.#suspects })
     this.#budgets = new RetryBudget(this.#shareBudget())
+    this.#kept = new KeptPrefixes({
+      port: management,
+      log,
+      rng: this.#rng,
+      findStore: () => this.#config.config?.keptStores[0] ?? null,
+      countVms: () => this.#roster.countVms()
+    })
     this.#flow = this.#buildFlow()
     this.#server = new CallerServer((message, answer) => { this.#serve(message, answer) })
     this.#addGauges()
@@ -172,6 +190,7 @@
       this.#rosterFollower.run(tasks.signal),
       this.#roster.announceSelf(tasks.signal),
       this.#watch.run(tasks.signal),
+      this.#kept.run(tasks.signal),
       waves.run(tasks.signal, () => this.#isStopping),
       runEvery(SWEEP_MS, tasks.signal, () => this.#sweep())
     ]
@@ -205,6 +224,11 @@
     }
   }
 
+  #leaveLoading (): void {
+    const loading = this.#weights.listLoading()
+    for (const task of this.#tasks) task.leave(loading)
+  }
+
   #serve (message: http.IncomingMessage, answer: http.ServerResponse): void {
     this.#inFlight++
     this.#handle(message, answer).finally(() => { this.#inFlight-- }).catch(error => {
@@ -262,10 +286,12 @@
       agent: this.#agent,
       chooser: this.#chooser,
       watch: this.#watch,
+      kept: this.#kept,
+      findTokenBytes: pool => this.#config.findPool(pool)?.tokenBytes ?? 0,
       figures: this.#figures,
       decisions: this.#decisions,
       log: this.#parts.log,
-      takeRetry: pool => this.#budgets.take('', pool),
+      takeRetry: (pool, isOptional) => this.#budgets.take('', pool, isOptional ? this.#shareBudget().reserve : 0),
       noteSuccess: pool => this.#budgets.noteSuccess('', pool),
       noteCrash: (fingerprint, record, startedAtMs) => this.#noteCrash(fingerprint, record, startedAtMs),
       readKeysAgeMs: () => this.#keys.ageMs,
@@ -279,7 +305,7 @@
   #shareBudget (): RetryBudgetOptions {
     const { retrySlack, retryShare, retryWindowMs } = this.#parts.settings
     const reserve = retrySlack * BUDGET_SHARE / 2 / this.#roster.countVms()
-    return { reserve, share: retryShare * BUDGET_SHARE, max: reserve * 2, refillMs: retryWindowMs }
+    return { reserve, share: retryShare * BUDGET_RATIO, max: reserve * 2, refillMs: retryWindowMs }
   }
 
   #noteCrash (fingerprint: string, record: EndpointRecord, startedAtMs: number): void {
@@ -303,7 +329,7 @@
           this.#decisions.record({ type: 'configTaken', revision: config.revision, routes: config.routes.length, organisations: config.organisations?.length ?? 0 })
         })
         .with({ type: 'weights' }, ({ weights }) => {
-          if (!this.#weights.takeWished(weights)) return
+          if (!this.#weights.takeWished(weights, news.type === 'changes')) return
           this.#chooser.rebuild()
           this.#decisions.record({ type: 'weightsWished', ...weights })
         })
--- a/packages/knapweedshunt-gateway/src/ports/managementPort.ts
+++ b/packages/knapweedshunt-gateway/src/ports/managementPort.ts
@@ -42,6 +42,8 @@
 export interface ManagementPort {
   /** Whether the endpoint answers at all, and is the one meant. */
   probe (entry: EndpointEntry, pool: GatewayPool | null, timeoutMs: number): Promise<boolean>
+  /** Whether the store of kept prefixes answers a question that it may hold for `holdMs`, within `timeoutMs` more. */
+  holdKeptStore (address: string, holdMs: number, timeoutMs: number): Promise<boolean>
   /** Null when no report came, or another endpoint has the address. */
   readReport (entry: EndpointEntry, timeoutMs: number): Promise<EndpointReport | null>
   sendLoadOrder (order: LoadOrder, timeoutMs: number): Promise<LoadOrderResult>
--- a/packages/knapweedshunt-gateway/src/ports/vmSettings.ts
+++ b/packages/knapweedshunt-gateway/src/ports/vmSettings.ts
@@ -26,6 +26,8 @@
   retryWindowMs: number
   /** Least time between the orders of two holders. */
   leaseMs: number
+  /** Time from the naming of new weights after which no request may begin on older ones. */
+  weightsMs: number
   /** Time between two announcements of an endpoint. */
   announceMs: number
   /** Whether endpoints refuse orders with an old fencing number. */
--- a/packages/knapweedshunt-gateway/src/weights/weightsState.ts
+++ b/packages/knapweedshunt-gateway/src/weights/weightsState.ts
@@ -8,8 +8,13 @@
 /** Age of a wave's notice from which on its endpoints are used again, in milliseconds: its holder is gone. */
 const NOTICE_MS = 4_000
 
+/** Named versions remembered of one model. */
+const MAX_NAMED = 16
+
 /** What the state is made of. */
 export interface WeightsParts {
+  /** Time after which a version that was replaced is no longer begun on, in milliseconds. */
+  staleMs: number
   holder: string
   book: EndpointBook
   roster: VmRoster
@@ -22,18 +27,27 @@
 export class WeightsState {
   readonly #parts: WeightsParts
   readonly #wished = new Map<string, number>()
+  /** Versions that this VM saw being named, with the time, newest first. */
+  readonly #named = new Map<string, Array<{ version: number, atMs: number }>>()
 
   constructor (parts: WeightsParts) {
     this.#parts = parts
   }
 
-  /** Takes wished weights; an older version is ignored. Returns whether it is wished now. */
-  takeWished ({ model, version }: WishedWeights): boolean {
+  /** Takes wished weights; an older version is ignored. `isNew` when they were named just now. Returns whether they are wished now. */
+  takeWished ({ model, version }: WishedWeights, isNew: boolean): boolean {
     if ((this.#wished.get(model) ?? 0) >= version) return false
     this.#wished.set(model, version)
+    if (isNew) this.#named.set(model, [{ version, atMs: performance.now() }, ...this.#named.get(model) ?? []].slice(0, MAX_NAMED))
     return true
   }
 
+  /** Oldest version on which a request may still begin; 0 when any may. */
+  findOldest (model: string): number {
+    const sinceMs = performance.now() - this.#parts.staleMs
+    return this.#named.get(model)?.find(named => named.atMs <= sinceMs)?.version ?? 0
+  }
+
   /** Version wished for a model; null when none was named. */
   findWished (model: string): number | null {
     return this.#wished.get(model) ?? null
