--- a/packages/knapweedshunt-gateway/src/directory/keyFreshness.ts
+++ b/packages/knapweedshunt-gateway/src/directory/keyFreshness.ts
@@ -12,12 +12,12 @@
 /** Says whether the operator's rows are current enough for keys to be used. */
 export class KeyFreshness {
   readonly #follower: TableFollower
-  readonly #limitMs: number
+  readonly #readRevokeMs: () => number
   #refresh: Promise<boolean> | null = null
 
-  constructor (follower: TableFollower, revokeMs: number) {
+  constructor (follower: TableFollower, readRevokeMs: () => number) {
     this.#follower = follower
-    this.#limitMs = Math.max(0, revokeMs - MARGIN_MS)
+    this.#readRevokeMs = readRevokeMs
   }
 
   /** Age of the rows, in milliseconds; Infinity before the first. */
@@ -27,7 +27,7 @@
 
   /** Whether keys may be used now. */
   get isFresh (): boolean {
-    return this.ageMs <= this.#limitMs
+    return this.ageMs <= this.#readRevokeMs() - MARGIN_MS
   }
 
   /** Reads the rows anew if they are too old; false when they stay so. */
--- a/packages/knapweedshunt-gateway/src/flow/flowParts.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowParts.ts
@@ -19,8 +19,6 @@
   figures: Figures
   decisions: DecisionLog
   log: Logger
-  /** Bytes of KV cache that a token takes in a pool. */
-  findTokenBytes (pool: string): number
   /** Takes one repeat from the budget of a pool; an optional one leaves some for requests that would fail without. */
   takeRetry (pool: string, isOptional: boolean): boolean
   noteSuccess (pool: string): void
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -203,15 +203,15 @@
     const { chooser } = this.#parts
     const salt = route.usesPrefixes && call.prompt !== null ? chooser.nameSalt(call.prompt, identity, record) : null
     const source = salt === null ? null : chooser.holders.findSource(levels, salt, record)
-    const isKept = salt !== null && (levels.at(-2)?.tokens ?? 0) >= MIN_KEPT_TOKENS
+    const kept = salt !== null && (levels.at(-2)?.tokens ?? 0) >= MIN_KEPT_TOKENS ? this.#parts.kept.findAddress() : null
     const headers = this.#parts.port.buildAttemptHeaders(this.#plan.headers, {
       endpoint: record.entry.endpoint,
       timeLeftMs: Math.max(1, Math.floor(this.#plan.deadlineAtMs - performance.now())),
       organisation: identity?.organisation ?? null,
       cacheSalt: salt,
       weightsVersion: salt === null || call.prompt === null ? null : record.findVersion(call.prompt.model),
-      prefixSource: source?.entry.address ?? (isKept ? this.#parts.kept.findSource() : null),
-      prefixTarget: isKept ? this.#parts.kept.chooseTarget(call.prompt?.tokens ?? 0, this.#parts.findTokenBytes(this.#plan.pool)) : null,
+      prefixSource: source?.entry.address ?? kept,
+      prefixTarget: kept,
       priority: route.usesPrefixes ? identity?.priority ?? route.priority : null,
       lastEventId: this.#relay.lastEventId
     })
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -84,6 +84,7 @@
 /** The whole data path of one VM. */
 export class Gateway {
   readonly #parts: GatewayParts
+  #settings: VmSettings
   readonly #incarnation = createIncarnation()
   readonly #rng
   readonly #decisions: DecisionLog
@@ -115,6 +116,7 @@
 
   constructor (parts: GatewayParts) {
     this.#parts = parts
+    this.#settings = parts.settings
     const { settings, log, management } = parts
     const seed = parseInt(this.#incarnation.slice(0, 8), 16)
     this.#rng = createRng(seed)
@@ -130,7 +132,7 @@
         setTimeout(() => this.#leaveLoading(), LEAVE_LOADING_MS)
       }
     })
-    this.#weights = new WeightsState({ staleMs: settings.weightsMs - STALE_MARGIN_MS, holder: settings.vm, book: this.#book, roster: this.#roster, port: management, onReached: () => this.#chooser.rebuild() })
+    this.#weights = new WeightsState({ readStaleMs: () => this.#settings.weightsMs - STALE_MARGIN_MS, holder: settings.vm, book: this.#book, roster: this.#roster, port: management, onReached: () => this.#chooser.rebuild() })
     this.#chooser = new EndpointChooser({
       dataCentre: settings.dataCentre,
       nearDataCentres: settings.nearDataCentres,
@@ -154,15 +156,13 @@
       this.#roster.takeNews(news)
       this.#budgets.setOptions(this.#shareBudget())
     })
-    this.#keys = new KeyFreshness(this.#resources, settings.revokeMs)
+    this.#keys = new KeyFreshness(this.#resources, () => this.#settings.revokeMs)
     this.#gate = new RequestGate({ config: this.#config, keys: this.#keys, chooser: this.#chooser, suspects: this.#suspects })
     this.#budgets = new RetryBudget(this.#shareBudget())
     this.#kept = new KeptPrefixes({
       port: management,
       log,
-      rng: this.#rng,
-      findStore: () => this.#config.config?.keptStores[0] ?? null,
-      countVms: () => this.#roster.countVms()
+      findStore: () => this.#config.config?.keptStores[0] ?? null
     })
     this.#flow = this.#buildFlow()
     this.#server = new CallerServer((message, answer) => { this.#serve(message, answer) })
@@ -174,6 +174,13 @@
     return this.#explainUnready() === ''
   }
 
+  /** Takes settings read anew: bounds apply at once, addresses at the next start. */
+  takeSettings (settings: VmSettings): void {
+    this.#settings = settings
+    this.#budgets.setOptions(this.#shareBudget())
+    this.#decisions.record({ type: 'reloaded', vm: settings.vm })
+  }
+
   /** Runs until the signal aborts, then stops in order. */
   async run (signal: AbortSignal): Promise<void> {
     const { settings, platform, log } = this.#parts
@@ -208,7 +215,7 @@
 
   /** Not ready at once, but serving until callers have gone elsewhere and all requests are answered. */
   async #stop (): Promise<void> {
-    const { settings } = this.#parts
+    const settings = this.#settings
     const startedAtMs = performance.now()
     this.#isStopping = true
     this.#decisions.record({ type: 'stopping', vm: settings.vm, inFlight: this.#inFlight })
@@ -287,7 +294,6 @@
       chooser: this.#chooser,
       watch: this.#watch,
       kept: this.#kept,
-      findTokenBytes: pool => this.#config.findPool(pool)?.tokenBytes ?? 0,
       figures: this.#figures,
       decisions: this.#decisions,
       log: this.#parts.log,
@@ -303,7 +309,7 @@
 
   /** Each VM's part: a share of its own successes, and its part of the repeats allowed beside. */
   #shareBudget (): RetryBudgetOptions {
-    const { retrySlack, retryShare, retryWindowMs } = this.#parts.settings
+    const { retrySlack, retryShare, retryWindowMs } = this.#settings
     const reserve = retrySlack * BUDGET_SHARE / 2 / this.#roster.countVms()
     return { reserve, share: retryShare * BUDGET_RATIO, max: reserve * 2, refillMs: retryWindowMs }
   }
--- a/packages/knapweedshunt-gateway/src/ports/gatewayConfig.ts
+++ b/packages/knapweedshunt-gateway/src/ports/gatewayConfig.ts
@@ -52,8 +52,6 @@
   maxConnections: number
   /** Models that its endpoints run; empty for plain services. */
   models: string[]
-  /** Bytes of KV cache that one token takes; 0 for plain services. */
-  tokenBytes: number
   /** Path at which an endpoint says whether it is well. */
   healthPath: string
 }
@@ -62,7 +60,6 @@
 export interface KeptStore {
   address: string
   dataCentre: DataCentreId
-  linkMbps: number
 }
 
 /** An organisation with its keys. */
--- a/packages/knapweedshunt-gateway/src/weights/weightsState.ts
+++ b/packages/knapweedshunt-gateway/src/weights/weightsState.ts
@@ -14,7 +14,7 @@
 /** What the state is made of. */
 export interface WeightsParts {
   /** Time after which a version that was replaced is no longer begun on, in milliseconds. */
-  staleMs: number
+  readStaleMs (): number
   holder: string
   book: EndpointBook
   roster: VmRoster
@@ -44,7 +44,7 @@
 
   /** Oldest version on which a request may still begin; 0 when any may. */
   findOldest (model: string): number {
-    const sinceMs = performance.now() - this.#parts.staleMs
+    const sinceMs = performance.now() - this.#parts.readStaleMs()
     return this.#named.get(model)?.find(named => named.atMs <= sinceMs)?.version ?? 0
   }
 
