--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -33,9 +33,9 @@
     this.takeLimits(FIRST_LIMITS)
   }
 
-  /** Starts to listen. */
-  async start (address: ListenAddress): Promise<void> {
-    await listen(this.#server, address)
+  /** Starts to listen; resolves to the base URL. */
+  async start (address: ListenAddress): Promise<string> {
+    return await listen(this.#server, address)
   }
 
   /** Takes limits of the configuration in force. */
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -112,7 +112,7 @@
   choose (pool: PoolName, levels: PrefixLevel[], tried: EndpointName[], prompt: Prompt | null): Choice {
     const isMoving = tried.length > 0
     const records = this.#parts.book.list(pool)
-    const candidates = records.filter(record => !record.entry.isDraining && !tried.includes(record.entry.endpoint))
+    const candidates = this.#listCandidates(records, tried)
     if (candidates.length === 0) return records.length === 0 ? { type: 'none' } : { type: 'busy' }
     this.#shareDemand()
     const usable = this.#listUsable(candidates, pool, prompt, isMoving)
@@ -130,6 +130,11 @@
     return this.#holders
   }
 
+  /** Whether the pool has an endpoint that was not tried. */
+  hasOther (pool: PoolName, tried: EndpointName[]): boolean {
+    return this.#parts.book.list(pool).some(record => !record.entry.isDraining && !tried.includes(record.entry.endpoint))
+  }
+
   /** Tells the placement what an answer said of its endpoint's load. */
   noteLoad (record: EndpointRecord): void {
     this.#placement.take({ type: 'snapshot', snapshot: { resources: { revision: this.#revision, resources: [] }, vms: [], endpoints: [this.#buildView(record)] } })
@@ -163,6 +168,13 @@
     return version !== null && version >= this.#parts.findOldest(prompt.model)
   }
 
+  /** Endpoints not tried; all when each was. */
+  #listCandidates (records: EndpointRecord[], tried: EndpointName[]): EndpointRecord[] {
+    const present = records.filter(record => !record.entry.isDraining)
+    const untried = present.filter(record => !tried.includes(record.entry.endpoint))
+    return untried.length > 0 ? untried : present
+  }
+
   #isSource (record: EndpointRecord): boolean {
     const { entry, health, missingSinceMs } = record
     if (this.#parts.book.find(entry.endpoint) !== record || missingSinceMs !== null || entry.isDraining) return false
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -121,7 +121,8 @@
   /** Lets a stream that can go on elsewhere leave one of these endpoints, so that nothing waits for its end. */
   leave (endpoints: ReadonlySet<string>): void {
     const running = this.#running
-    if (running === null || !this.#isStreaming || this.#plan.route.repeatability !== REPEATABILITY.resumed || !endpoints.has(running.record.entry.endpoint) || !this.#mayTryAnother(true)) return
+    if (running === null || !this.#isStreaming || this.#plan.route.repeatability !== REPEATABILITY.resumed || !endpoints.has(running.record.entry.endpoint)) return
+    if (!this.#parts.chooser.hasOther(this.#plan.pool, this.#tried) || !this.#mayTryAnother(true)) return
     this.#isMoved = true
     running.attempt.cancel(LOSS.moved)
   }
@@ -243,6 +244,7 @@
     const timer = setTimeout(() => {
       // An engine that gives tokens to others is busy, not lost: it has read part of the prompt already.
       if (route.usesPrefixes && record.heardAtMs > startedAtMs) return
+      if (!this.#parts.chooser.hasOther(this.#plan.pool, this.#tried)) return
       if (this.#sentTo >= route.maxEndpoints || !this.#takePermit(true)) return
       this.#hasPermit = true
       attempt.cancel(LOSS.silent)
@@ -380,6 +382,7 @@
 
   /** Whether a silent stream may go on elsewhere; silence alone is no reason to end it. */
   #reserveMove (): boolean {
+    if (!this.#parts.chooser.hasOther(this.#plan.pool, this.#tried)) return false
     if (this.#sentTo >= this.#plan.route.maxEndpoints || !this.#takePermit(true)) return false
     this.#hasPermit = true
     return true
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -54,6 +54,9 @@
 /** Share of the allowed ratio of repeats that is used; only requests that went well are counted, which is a margin already. */
 const BUDGET_RATIO = 0.95
 
+/** Share of the repeats allowed beside that optional ones leave to requests that would fail without. */
+const KEPT_SHARE = 0.5
+
 /** Time after a notice of loading weights after which streams that still run leave the endpoint, in milliseconds; most end before. */
 const LEAVE_LOADING_MS = 300
 
@@ -81,6 +84,13 @@
   log: Logger
 }
 
+/** Where a gateway listens. */
+export interface GatewayAddresses {
+  callers: string
+  readiness: string
+  metrics: string | null
+}
+
 /** The whole data path of one VM. */
 export class Gateway {
   readonly #parts: GatewayParts
@@ -113,6 +123,7 @@
   /** Callers have had time to go elsewhere: what still comes might not end in time. */
   #isClosing = false
   #wasReady: boolean | null = null
+  #addresses: GatewayAddresses | null = null
 
   constructor (parts: GatewayParts) {
     this.#parts = parts
@@ -169,6 +180,11 @@
     this.#addGauges()
   }
 
+  /** Base URLs while the gateway listens, else null. */
+  get addresses (): GatewayAddresses | null {
+    return this.#addresses
+  }
+
   /** Whether this VM wants callers. */
   get isReady (): boolean {
     return this.#explainUnready() === ''
@@ -187,7 +203,8 @@
     this.#decisions.record({ type: 'started', vm: settings.vm, incarnation: this.#incarnation, dataCentre: settings.dataCentre })
     const readiness = await startReadinessServer(settings.readiness, () => this.isReady)
     const metrics = settings.metrics === null ? null : await startMetricsServer(settings.metrics, this.#figures)
-    await this.#server.start(settings.callers)
+    const callers = await this.#server.start(settings.callers)
+    this.#addresses = { callers, readiness: readiness.url, metrics: metrics?.url ?? null }
     const tasks = new AbortController()
     const lease = { ...DEFAULT_WAVE_OPTIONS.lease, longestOrderMs: settings.leaseMs + DEFAULT_WAVE_OPTIONS.lease.guardMs }
     const waves = new WaveTask({ vm: settings.vm, incarnation: this.#incarnation, platform, ports: this.#weights.buildPorts(), log, options: { ...DEFAULT_WAVE_OPTIONS, lease } })
@@ -297,7 +314,7 @@
       figures: this.#figures,
       decisions: this.#decisions,
       log: this.#parts.log,
-      takeRetry: (pool, isOptional) => this.#budgets.take('', pool, isOptional ? this.#shareBudget().reserve : 0),
+      takeRetry: (pool, isOptional) => this.#budgets.take('', pool, isOptional ? this.#shareBudget().reserve * KEPT_SHARE : 0),
       noteSuccess: pool => this.#budgets.noteSuccess('', pool),
       noteCrash: (fingerprint, record, startedAtMs) => this.#noteCrash(fingerprint, record, startedAtMs),
       readKeysAgeMs: () => this.#keys.ageMs,
