--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/__tests__/records.test.ts
@@ -0,0 +1,58 @@
+import { install } from '@sinonjs/fake-timers'
+import test from 'ava'
+import type { LogFields } from 'knapweedshunt-logger'
+import { Roarr } from 'roarr'
+import { DecisionLog } from '../records/decisionLog.ts'
+import { Figures } from '../records/figures.ts'
+import { startOutputGuard } from '../records/outputGuard.ts'
+
+process.env.ROARR_LOG = 'true'
+
+function collect () {
+  const lines: Array<{ message: string, fields: LogFields }> = []
+  const write = (message: string, fields: LogFields = {}) => { lines.push({ message, fields }) }
+  return { lines, log: { debug: write, info: write, warn: write, error: write } }
+}
+
+const ANSWERED = { type: 'answered', requestId: 'r', route: 'x', organisation: 'o', endpoint: 'e', status: 200, attempts: 1, firstByteMs: 5, longestPauseMs: 0, totalMs: 9, bytes: 1 } as const
+
+test.serial('lines of a kind are bounded, failures are kept before routine, the rest is counted', t => {
+  const clock = install()
+  try {
+    const { lines, log } = collect()
+    const decisions = new DecisionLog(log)
+    for (let n = 0; n < 5_000; n++) decisions.record(ANSWERED)
+    for (let n = 0; n < 50; n++) decisions.record({ ...ANSWERED, status: 500 })
+    t.is(lines.filter(line => line.fields.status === 200).length, 60)
+    t.is(lines.filter(line => line.fields.status === 500).length, 50)
+    clock.tick(1_000)
+    decisions.record(ANSWERED)
+    const told = lines.find(line => line.fields.decision === 'linesLeftOut')
+    t.is(told?.fields.count, 4_940)
+  } finally {
+    clock.uninstall()
+  }
+})
+
+test.serial('blocked output drops lines and tells how many', t => {
+  const written: string[] = []
+  const output = { writableLength: 0, write: (text: string) => written.push(text) }
+  const guard = startOutputGuard(output)
+  Roarr.info('one')
+  output.writableLength = 10 ** 6
+  for (let n = 0; n < 100; n++) Roarr.info('lost')
+  t.is(written.length, 1)
+  t.is(guard.dropped, 100)
+  output.writableLength = 0
+  Roarr.info('two')
+  t.regex(written[1], /"count":100/)
+  t.regex(written[2], /two/)
+})
+
+test('labels are bounded', async t => {
+  const figures = new Figures()
+  for (let n = 0; n < 500; n++) figures.recordAnswer({ route: `r${n}`, organisation: 'o', priority: '1' }, 5, 9)
+  const text = await figures.registry.metrics()
+  t.is(text.match(/knapweedshunt_total_seconds_count\{/g)?.length, 201)
+  t.regex(text, /knapweedshunt_total_seconds_count\{route="other"/)
+})
--- /dev/null
+++ b/packages/knapweedshunt-platform/src/__tests__/tableFollower.test.ts
@@ -0,0 +1,84 @@
+import { install } from '@sinonjs/fake-timers'
+import type { Clock } from '@sinonjs/fake-timers'
+import test from 'ava'
+import { PlatformUnreachableError } from '../platformError.ts'
+import type { TableChanges, TableFeed, TableSnapshot } from '../tableFeed.ts'
+import { DEFAULT_FOLLOWER_OPTIONS, TableFollower } from '../tableFollower.ts'
+import type { TableNews } from '../tableFollower.ts'
+
+const LOG = { debug () {}, info () {}, warn () {}, error () {} }
+const OPTIONS = { ...DEFAULT_FOLLOWER_OPTIONS, table: 't', waitMs: 1_000 }
+
+interface Scene { clock: Clock, follower: TableFollower, news: TableNews[], feed: { read: () => Promise<TableSnapshot>, poll: (signal: AbortSignal) => Promise<TableChanges>, reads: number } }
+
+async function run (step: (scene: Scene) => Promise<void>): Promise<void> {
+  const clock = install()
+  const abort = new AbortController()
+  try {
+    const feed: Scene['feed'] = {
+      reads: 0,
+      read: async () => ({ rows: [{ key: 'a', version: 1, value: 1 }], version: 1 }),
+      poll: async () => {
+        await new Promise(resolve => setTimeout(resolve, 1_000))
+        return { type: 'changes', rows: [], version: 1 }
+      }
+    }
+    const news: TableNews[] = []
+    const table: TableFeed = { readTable: () => { feed.reads++; return feed.read() }, pollChanges: (_table, _after, _wait, signal) => feed.poll(signal) }
+    const follower = new TableFollower(table, OPTIONS, LOG, one => news.push(one))
+    follower.run(abort.signal).catch(() => {})
+    await clock.tickAsync(1)
+    await step({ clock, follower, news, feed })
+  } finally {
+    abort.abort()
+    await clock.tickAsync(5_000)
+    clock.uninstall()
+  }
+}
+
+test.serial('age runs from the sending of the last answered call', async t => {
+  await run(async ({ clock, follower }) => {
+    await clock.tickAsync(900)
+    t.true(follower.ageMs! >= 900)
+    await clock.tickAsync(110)
+    t.true(follower.ageMs! >= 1_000 && follower.ageMs! < 1_100)
+  })
+})
+
+test.serial('suspension counts as age', async t => {
+  await run(async ({ clock, follower }) => {
+    clock.setSystemTime(Date.now() + 5_000)
+    t.true(follower.ageMs! >= 5_000)
+  })
+})
+
+test.serial('lost history leads to a whole read', async t => {
+  await run(async ({ clock, feed, news }) => {
+    feed.poll = async () => ({ type: 'historyLost' })
+    feed.read = async () => ({ rows: [{ key: 'b', version: 9, value: 2 }], version: 9 })
+    await clock.tickAsync(1_100)
+    t.true(feed.reads >= 2)
+    t.deepEqual(news.at(-1), { type: 'rows', rows: [{ key: 'b', version: 9, value: 2 }], isReturn: false })
+  })
+})
+
+test.serial('poll that is never answered leads to a whole read, told as a return', async t => {
+  await run(async ({ clock, feed, follower, news }) => {
+    feed.poll = signal => new Promise((_resolve, reject) => signal.addEventListener('abort', () => reject(new PlatformUnreachableError('No answer.'))))
+    await clock.tickAsync(2 * (1_000 + OPTIONS.timeoutMs) + 500)
+    t.true(feed.reads >= 2)
+    t.true(news.some(one => one.type === 'rows' && one.isReturn))
+    t.true(follower.isAnswering)
+  })
+})
+
+test.serial('refresh reads at once', async t => {
+  await run(async ({ clock, feed, follower }) => {
+    feed.poll = signal => new Promise((_resolve, reject) => signal.addEventListener('abort', () => reject(new PlatformUnreachableError('Ended.'))))
+    await clock.tickAsync(1_005)
+    const { reads } = feed
+    follower.refresh()
+    await clock.tickAsync(5)
+    t.is(feed.reads, reads + 1)
+  })
+})
--- a/packages/knapweedshunt-platform/src/tableFollower.ts
+++ b/packages/knapweedshunt-platform/src/tableFollower.ts
@@ -107,6 +107,7 @@
     if (changes.type === 'historyLost') {
       this.#log.warn('History lost, reading the table anew.', { table, version })
       this.#version = null
+      await this.#rest(this.#options.backoff.firstMs, signals)
       return
     }
     this.#version = Math.max(version, changes.version)
