--- /dev/null
+++ b/packages/knapweedshunt-cli/src/__tests__/tellStory.test.ts
@@ -0,0 +1,28 @@
+import test from 'ava'
+import { tellStory } from '../tellStory.ts'
+
+function buildLine (time: number, message: string, context: Record<string, unknown>): string {
+  return `  12.5 vm-1 ${JSON.stringify({ context: { part: 'gateway', logLevel: 30, ...context }, message, time })}`
+}
+
+const LOG = [
+  buildLine(9_000, 'gateway: Endpoint left out.', { decision: 'endpointOut', endpoint: 'e1', reason: 'no answer to a probe' }),
+  buildLine(9_100, 'gateway: Endpoint left out.', { decision: 'endpointOut', endpoint: 'e2', reason: 'other' }),
+  buildLine(1_000, 'gateway: Endpoint left out.', { decision: 'endpointOut', endpoint: 'e1', reason: 'long ago' }),
+  'not a line of the router {',
+  buildLine(10_000, 'gateway: Request sent.', { decision: 'sent', requestId: 'r1', endpoint: 'e1', attempt: 1 }),
+  buildLine(10_020, 'gateway: Request sent.', { decision: 'sent', requestId: 'r2', endpoint: 'e1', attempt: 1 }),
+  buildLine(10_300, 'gateway: Request refused.', { decision: 'refused', requestId: 'r1', status: 502, reason: 'endpoint_lost' })
+].join('\n')
+
+test('a request\'s lines, and what happened to its endpoints around it', t => {
+  const story = tellStory(LOG, 'r1')
+  t.is(story.length, 3)
+  t.regex(story[0], /-1000 ms .*left out.*no answer to a probe/)
+  t.regex(story[1], /0 ms .*\* .*sent.*endpoint=e1/)
+  t.regex(story[2], /300 ms .*\* .*refused.*status=502 reason=endpoint_lost/)
+})
+
+test('unknown request', t => {
+  t.deepEqual(tellStory(LOG, 'none'), [])
+})
--- a/packages/knapweedshunt-cli/src/main.ts
+++ b/packages/knapweedshunt-cli/src/main.ts
@@ -6,6 +6,7 @@
 import { getCommand } from './commands/get.ts'
 import { hashKeyCommand } from './commands/hashKey.ts'
 import { deleteCommand } from './commands/remove.ts'
+import { storyCommand } from './commands/story.ts'
 import { topCommand } from './commands/top.ts'
 import { waitCommand } from './commands/wait.ts'
 import { watchCommand } from './commands/watch.ts'
@@ -22,6 +23,7 @@
     delete: deleteCommand,
     drain: drainCommand,
     explain: explainCommand,
+    story: storyCommand,
     top: topCommand,
     'hash-key': hashKeyCommand
   }
--- a/packages/knapweedshunt-gateway/src/__tests__/records.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/records.test.ts
@@ -1,13 +1,11 @@
 import { install } from '@sinonjs/fake-timers'
 import test from 'ava'
 import type { LogFields } from 'knapweedshunt-logger'
-import { Roarr } from 'roarr'
+import { ROARR } from 'roarr'
 import { DecisionLog } from '../records/decisionLog.ts'
 import { Figures } from '../records/figures.ts'
 import { startOutputGuard } from '../records/outputGuard.ts'
 
-process.env.ROARR_LOG = 'true'
-
 function collect () {
   const lines: Array<{ message: string, fields: LogFields }> = []
   const write = (message: string, fields: LogFields = {}) => { lines.push({ message, fields }) }
@@ -38,13 +36,13 @@
   const written: string[] = []
   const output = { writableLength: 0, write: (text: string) => written.push(text) }
   const guard = startOutputGuard(output)
-  Roarr.info('one')
+  ROARR.write?.('one')
   output.writableLength = 10 ** 6
-  for (let n = 0; n < 100; n++) Roarr.info('lost')
+  for (let n = 0; n < 100; n++) ROARR.write?.('lost')
   t.is(written.length, 1)
   t.is(guard.dropped, 100)
   output.writableLength = 0
-  Roarr.info('two')
+  ROARR.write?.('two')
   t.regex(written[1], /"count":100/)
   t.regex(written[2], /two/)
 })
