--- a/packages/knapweedshunt-fleet/src/__tests__/waves.test.ts
+++ b/packages/knapweedshunt-fleet/src/__tests__/waves.test.ts
@@ -71,6 +71,7 @@
         announce: notice => guard(async () => { this.notice = { notice, atMs: performance.now() } }),
         readNotice: () => this.notice === null ? null : { notice: this.notice.notice, ageMs: performance.now() - this.notice.atMs },
         readRank: () => rank,
+        record: () => {},
         noteReached: () => {}
       }
     })
--- a/packages/knapweedshunt-fleet/src/waves/loadingEndpoint.ts
+++ b/packages/knapweedshunt-fleet/src/waves/loadingEndpoint.ts
@@ -1,4 +1,3 @@
-import type { Logger } from 'knapweedshunt-logger'
 import type { EndpointName, FencingNumber, Incarnation } from 'knapweedshunt-types'
 import { sleep } from 'knapweedshunt-utils'
 import type { WaveOptions } from './waveOptions.ts'
@@ -12,7 +11,6 @@
   endpoint: WaveEndpoint
   options: WaveOptions
   ports: WavePorts
-  log: Logger
   /** Fencing number while orders may be sent, else null. */
   readFencing (): FencingNumber | null
 }
@@ -100,22 +98,22 @@
     const { goal, ports, endpoint } = this.#parts
     if ((report.version ?? 0) < this.#version || report.isBusy) return false
     this.#isDone = true
-    this.#parts.log.info('Weights reached.', { decision: 'weightsReached', endpoint: endpoint.endpoint, model: goal.model, version: this.#version })
+    ports.record({ type: 'weightsReached', endpoint: endpoint.endpoint, model: goal.model, version: this.#version })
     ports.noteReached(endpoint.endpoint, goal.model, this.#version)
     return true
   }
 
   /** Sends the order; false when none may be sent any more. */
   async #order (report: WaveReport): Promise<boolean> {
-    const { goal, ports, endpoint, options, log } = this.#parts
+    const { goal, ports, endpoint, options } = this.#parts
     const fencing = this.#parts.readFencing()
     if (fencing === null) return false
     this.#isDraining = false
     this.#version = this.#parts.readWished()
     const order = { endpoint: endpoint.endpoint, model: goal.model, version: this.#version, fencing, ordersTaken: report.ordersTaken, waitsForRequests: report.running === 0 }
-    log.info('Order sent.', { decision: 'orderSent', ...order })
+    ports.record({ type: 'orderSent', ...order })
     const result = await ports.sendOrder(order, options.callMs)
-    log.info('Order answered.', { decision: 'orderAnswered', endpoint: endpoint.endpoint, version: this.#version, result })
+    ports.record({ type: 'orderAnswered', endpoint: endpoint.endpoint, version: this.#version, result })
     if (result === 'taken') {
       this.#orderedAtMs = performance.now()
       await sleep(options.firstAskMs)
@@ -127,6 +125,6 @@
 
   #rest (reason: string): void {
     this.#restUntilMs = performance.now() + this.#parts.options.restMs
-    this.#parts.log.warn('Load given up for now.', { endpoint: this.endpoint, reason })
+    this.#parts.ports.record({ type: 'loadGivenUp', endpoint: this.endpoint, version: this.#version, reason })
   }
 }
--- a/packages/knapweedshunt-fleet/src/waves/waveTask.ts
+++ b/packages/knapweedshunt-fleet/src/waves/waveTask.ts
@@ -93,10 +93,10 @@
   #noteFencing (fencing: FencingNumber | null): void {
     if (fencing === this.#fencing) return
     if (fencing === null) {
-      this.#parts.log.info('Lease no longer used.', { decision: 'leaseLost', lease: WAVE_LEASE, fencing: this.#fencing })
+      if (this.#fencing !== null) this.#parts.ports.record({ type: 'leaseLost', lease: WAVE_LEASE, fencing: this.#fencing })
       for (const loading of this.#loading.values()) loading.stop()
       this.#loading.clear()
-    } else this.#parts.log.info('Lease taken.', { decision: 'leaseTaken', lease: WAVE_LEASE, fencing })
+    } else this.#parts.ports.record({ type: 'leaseTaken', lease: WAVE_LEASE, fencing })
     this.#fencing = fencing
   }
 
@@ -137,7 +137,6 @@
       endpoint,
       options: this.#options,
       ports: this.#parts.ports,
-      log: this.#parts.log,
       readFencing: () => this.#lease.readFencing(false)
     })
     this.#loading.set(endpoint.endpoint, loading)
--- a/packages/knapweedshunt-fleet/src/waves/waveTypes.ts
+++ b/packages/knapweedshunt-fleet/src/waves/waveTypes.ts
@@ -57,6 +57,16 @@
 /** What became of an order. */
 export type WaveOrderResult = 'taken' | 'holds' | 'conflict' | 'refused' | 'lost'
 
+/** A decision of the waves; each is one line of the log. */
+export type WaveDecision =
+  | { type: 'leaseTaken', lease: string, fencing: FencingNumber }
+  | { type: 'leaseLost', lease: string, fencing: FencingNumber }
+  | { type: 'orderSent', endpoint: EndpointName, model: string, version: number, fencing: FencingNumber, ordersTaken: number, waitsForRequests: boolean }
+  | { type: 'orderAnswered', endpoint: EndpointName, version: number, result: WaveOrderResult }
+  | { type: 'weightsReached', endpoint: EndpointName, model: string, version: number }
+  /** The endpoint is tried again later. */
+  | { type: 'loadGivenUp', endpoint: EndpointName, version: number, reason: string }
+
 /** What the waves need of their program. None of the methods throws, but for `announce`. */
 export interface WavePorts {
   listEndpoints (): WaveEndpoint[]
@@ -68,6 +78,7 @@
   readNotice (pool: PoolName): { notice: WaveNotice, ageMs: number } | null
   /** Place of this VM in the order in which VMs contend, 0 first. */
   readRank (): number
+  record (decision: WaveDecision): void
   /** The endpoint runs the version. */
   noteReached (endpoint: EndpointName, model: string, version: number): void
 }
--- a/packages/knapweedshunt-gateway/src/__tests__/decisions.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/decisions.test.ts
@@ -14,8 +14,6 @@
 import type { GatewayRoute } from '../ports/gatewayConfig.ts'
 import { listEndToEndHeaders } from '../shared/endToEndHeaders.ts'
 
-const LOG = { debug () {}, info () {}, warn () {}, error () {} }
-
 function buildEntry (endpoint: string, more: Partial<EndpointEntry> = {}): EndpointEntry {
   return { endpoint, incarnation: `${endpoint}@1`, pool: 'p', address: '127.0.0.1:1', dataCentre: 'z', slots: 4, isDraining: false, models: [{ model: 'm', version: 1 }], ...more }
 }
@@ -98,7 +96,7 @@
 test.serial('missing rows: gone at once in calm, after a while when the store was away', t => {
   const clock = install()
   try {
-    const book = new EndpointBook(LOG, () => {})
+    const book = new EndpointBook(() => {}, () => {})
     book.takeAll([buildEntry('a'), buildEntry('b')], false)
     book.drop('a')
     t.is(book.find('a'), undefined)
@@ -116,7 +114,7 @@
 })
 
 test('an endpoint that starts again is another one', t => {
-  const book = new EndpointBook(LOG, () => {})
+  const book = new EndpointBook(() => {}, () => {})
   book.take(buildEntry('a'))
   const before = book.find('a')
   book.take(buildEntry('a', { isDraining: true }))
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointBook.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointBook.ts
@@ -1,6 +1,6 @@
-import type { Logger } from 'knapweedshunt-logger'
 import type { EndpointName, PoolName } from 'knapweedshunt-types'
 import type { EndpointEntry } from '../ports/endpointEntry.ts'
+import type { EndpointDecision } from '../records/decision.ts'
 import { EndpointRecord } from './endpointRecord.ts'
 
 /** Time after the store's return in which rows that lapsed meanwhile come back, in milliseconds; stated by the platform, with a margin. */
@@ -9,13 +9,13 @@
 /** Endpoints as the directory tells of them. */
 export class EndpointBook {
   readonly #records = new Map<EndpointName, EndpointRecord>()
-  readonly #log: Logger
+  readonly #record: (decision: EndpointDecision) => void
   readonly #onChange: () => void
   /** Until then a missing row may be one that lapsed while the store was away. */
   #returnUntilMs = -Infinity
 
-  constructor (log: Logger, onChange: () => void) {
-    this.#log = log
+  constructor (record: (decision: EndpointDecision) => void, onChange: () => void) {
+    this.#record = record
     this.#onChange = onChange
   }
 
@@ -79,16 +79,16 @@
     const known = this.#records.get(entry.endpoint)
     if (known === undefined || known.entry.incarnation !== entry.incarnation) {
       this.#records.set(entry.endpoint, new EndpointRecord(entry))
-      this.#log.info('Endpoint present.', { endpoint: entry.endpoint, pool: entry.pool, incarnation: entry.incarnation, draining: entry.isDraining })
+      this.#record({ type: 'endpointPresent', endpoint: entry.endpoint, pool: entry.pool, incarnation: entry.incarnation, isDraining: entry.isDraining })
       return
     }
-    if (entry.isDraining && !known.entry.isDraining) this.#log.info('Endpoint leaves.', { endpoint: entry.endpoint, pool: entry.pool })
+    if (entry.isDraining && !known.entry.isDraining) this.#record({ type: 'endpointLeaving', endpoint: entry.endpoint, pool: entry.pool })
     known.entry = entry
     known.missingSinceMs = null
   }
 
   #remove (name: EndpointName): void {
     this.#records.delete(name)
-    this.#log.info('Endpoint gone.', { endpoint: name })
+    this.#record({ type: 'endpointGone', endpoint: name })
   }
 }
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -123,6 +123,7 @@
   /** Callers have had time to go elsewhere: what still comes might not end in time. */
   #isClosing = false
   #wasReady: boolean | null = null
+  #wasFresh = false
   #addresses: GatewayAddresses | null = null
 
   constructor (parts: GatewayParts) {
@@ -132,7 +133,7 @@
     const seed = parseInt(this.#incarnation.slice(0, 8), 16)
     this.#rng = createRng(seed)
     this.#decisions = new DecisionLog(log)
-    this.#book = new EndpointBook(log, () => this.#chooser.rebuild())
+    this.#book = new EndpointBook(decision => this.#decisions.record(decision), () => this.#chooser.rebuild())
     this.#roster = new VmRoster({
       platform: parts.platform,
       self: { vm: settings.vm, incarnation: this.#incarnation, dataCentre: settings.dataCentre },
@@ -143,7 +144,7 @@
         setTimeout(() => this.#leaveLoading(), LEAVE_LOADING_MS)
       }
     })
-    this.#weights = new WeightsState({ readStaleMs: () => this.#settings.weightsMs - STALE_MARGIN_MS, holder: settings.vm, book: this.#book, roster: this.#roster, port: management, onReached: () => this.#chooser.rebuild() })
+    this.#weights = new WeightsState({ readStaleMs: () => this.#settings.weightsMs - STALE_MARGIN_MS, holder: settings.vm, book: this.#book, roster: this.#roster, port: management, record: decision => this.#decisions.record(decision), onReached: () => this.#chooser.rebuild() })
     this.#chooser = new EndpointChooser({
       dataCentre: settings.dataCentre,
       nearDataCentres: settings.nearDataCentres,
@@ -383,6 +384,7 @@
 
   #sweep (): void {
     this.#book.sweep()
+    this.#noteFreshness()
     const reason = this.#explainUnready()
     const isReady = reason === ''
     if (isReady === this.#wasReady) return
@@ -390,6 +392,13 @@
     this.#decisions.record({ type: 'readiness', isReady, reason })
   }
 
+  #noteFreshness (): void {
+    const { isFresh, ageMs } = this.#keys
+    if (isFresh === this.#wasFresh) return
+    this.#wasFresh = isFresh
+    this.#decisions.record({ type: 'keysFresh', isFresh, ageMs: Math.round(Math.min(ageMs, Number.MAX_SAFE_INTEGER)) })
+  }
+
   /** Why this VM wants no callers; empty when it does. */
   #explainUnready (): string {
     if (this.#isStopping) return 'stopping'
--- a/packages/knapweedshunt-gateway/src/ports/vmSettings.ts
+++ b/packages/knapweedshunt-gateway/src/ports/vmSettings.ts
@@ -28,9 +28,4 @@
   leaseMs: number
   /** Time from the naming of new weights after which no request may begin on older ones. */
   weightsMs: number
-  /** Time between two announcements of an endpoint. */
-  announceMs: number
-  /** Whether endpoints refuse orders with an old fencing number. */
-  checksFencing: boolean
-  memoryMb: number
 }
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -1,10 +1,11 @@
+import type { WaveDecision } from 'knapweedshunt-fleet'
 import type { EndpointName, OrganisationName, PoolName, RequestId, VmId } from 'knapweedshunt-types'
 
 /** Why a request got no endpoint's answer. */
 export type RefusalReason =
   | 'bad_request' | 'header_too_large' | 'body_too_large' | 'body_too_slow' | 'no_route' | 'no_key' | 'unknown_key'
-  | 'no_config' | 'keys_unconfirmed' | 'quarantined' | 'no_endpoint' | 'no_free_endpoint' | 'endpoint_refused' | 'retry_budget'
-  | 'memory' | 'stopping' | 'timeout' | 'endpoint_lost' | 'stream_cut' | 'caller_left' | 'internal'
+  | 'no_config' | 'keys_unconfirmed' | 'quarantined' | 'no_endpoint' | 'no_free_endpoint' | 'endpoint_refused'
+  | 'stopping' | 'timeout' | 'endpoint_lost' | 'stream_cut' | 'caller_left' | 'internal'
 
 /** A decision that touches one request; times in milliseconds. */
 export type RequestDecision =
@@ -19,6 +20,15 @@
   /** The router's own answer, or a connection ended without one. */
   | { type: 'refused', requestId: RequestId, route: string, organisation: OrganisationName, status: number, reason: RefusalReason, ran: 'not-run' | 'may-have-run', attempts: number, totalMs: number, retryAfterMs: number, detail: string }
 
+/** A decision about an endpoint. */
+export type EndpointDecision =
+  | { type: 'endpointPresent', endpoint: EndpointName, pool: PoolName, incarnation: string, isDraining: boolean }
+  | { type: 'endpointLeaving', endpoint: EndpointName, pool: PoolName }
+  | { type: 'endpointGone', endpoint: EndpointName }
+  /** Left out until it answers, for what was seen of it. */
+  | { type: 'endpointOut', endpoint: EndpointName, reason: string }
+  | { type: 'endpointBack', endpoint: EndpointName }
+
 /** A decision that changes what the process believes or does. */
 export type ProcessDecision =
   | { type: 'started', vm: VmId, incarnation: string, dataCentre: string }
@@ -28,17 +38,10 @@
   | { type: 'configTaken', revision: number, routes: number, organisations: number }
   | { type: 'readiness', isReady: boolean, reason: string }
   | { type: 'keysFresh', isFresh: boolean, ageMs: number }
-  | { type: 'endpointOut', endpoint: EndpointName, reason: string }
-  | { type: 'endpointBack', endpoint: EndpointName }
   | { type: 'rowUnreadable', table: string, key: string, reason: string }
   | { type: 'weightsWished', model: string, version: number }
-  | { type: 'leaseTaken', lease: string, fencing: number }
-  | { type: 'leaseLost', lease: string }
-  | { type: 'orderSent', endpoint: EndpointName, model: string, version: number, fencing: number, ordersTaken: number }
-  | { type: 'orderAnswered', endpoint: EndpointName, version: number, result: string }
-  | { type: 'weightsReached', endpoint: EndpointName, model: string, version: number }
   | { type: 'crashMarked', requests: number, endpoint: EndpointName }
   | { type: 'linesLeftOut', kind: string, count: number }
 
 /** A line of the structured log. */
-export type Decision = RequestDecision | ProcessDecision
+export type Decision = RequestDecision | EndpointDecision | ProcessDecision | WaveDecision
--- a/packages/knapweedshunt-gateway/src/weights/weightsState.ts
+++ b/packages/knapweedshunt-gateway/src/weights/weightsState.ts
@@ -1,4 +1,4 @@
-import type { WaveEndpoint, WaveGoal, WavePorts } from 'knapweedshunt-fleet'
+import type { WaveDecision, WaveEndpoint, WaveGoal, WavePorts } from 'knapweedshunt-fleet'
 import type { EndpointName } from 'knapweedshunt-types'
 import type { VmRoster } from '../directory/vmRoster.ts'
 import type { EndpointBook } from '../endpoints/endpointBook.ts'
@@ -19,6 +19,7 @@
   book: EndpointBook
   roster: VmRoster
   port: ManagementPort
+  record (decision: WaveDecision): void
   /** Called when an endpoint is known to run a newer version. */
   onReached (): void
 }
@@ -93,6 +94,7 @@
       announce: notice => roster.announceWave(notice),
       readNotice: pool => roster.findWave(pool),
       readRank: () => roster.readRank(),
+      record: decision => this.#parts.record(decision),
       noteReached: (name, model, version) => this.noteReached([name], model, version)
     }
   }
--- a/packages/knapweedshunt-platform/src/tableFollower.ts
+++ b/packages/knapweedshunt-platform/src/tableFollower.ts
@@ -127,7 +127,7 @@
   }
 
   #noteAway (error: Error): void {
-    if (!this.#isAway) this.#log.warn('Table not read.', { table: this.#options.table, reason: error.message, ageMs: Math.round(this.ageMs ?? -1) })
+    if (!this.#isAway) this.#log.warn('Table not read.', { table: this.#options.table, reason: error.message.split('\n')[0], ageMs: Math.round(this.ageMs ?? -1) })
     this.#isAway = true
   }
 }
