--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -13,8 +13,10 @@
 import type { OwnAnswer } from '../shared/callerError.ts'
 import { listEndToEndHeaders } from '../shared/endToEndHeaders.ts'
 import type { FlowParts } from './flowParts.ts'
+import type { AttemptRun } from './attemptRun.ts'
 import { readAnswerBody } from './readAnswerBody.ts'
 import type { RequestPlan } from './requestPlan.ts'
+import { RequestRecord } from './requestRecord.ts'
 import { StreamRelay } from './streamRelay.ts'
 
 /** Statuses that promise that a request did not run and will not. */
@@ -49,21 +51,6 @@
 
 const FIRST_SERVER_ERROR = 500
 
-/** Characters of a level's key that a log line shows. */
-const PREFIX_CHARS = 6
-
-/** One attempt that is under way. */
-interface Running {
-  attempt: Attempt
-  record: EndpointRecord
-  number: number
-  startedAtMs: number
-  id: string
-  expectedCachedTokens: number
-  /** Salt under which the endpoint keeps the prompt, null without a prompt. */
-  salt: string | null
-}
-
 type Chosen = Extract<Choice, { type: 'chosen' }>
 
 type Step = { type: 'done' } | { type: 'again' }
@@ -76,8 +63,9 @@
   readonly #plan: RequestPlan
   readonly #answer: http.ServerResponse
   readonly #relay: StreamRelay
+  readonly #record: RequestRecord
   readonly #tried: string[] = []
-  #running: Running | null = null
+  #running: AttemptRun | null = null
   #homeLevels: PrefixLevel[] = []
   #attempts = 0
   #unsent = 0
@@ -97,6 +85,7 @@
     this.#parts = parts
     this.#plan = plan
     this.#answer = answer
+    this.#record = new RequestRecord(parts, plan)
     this.#relay = new StreamRelay(answer, plan.route.repeatability === REPEATABILITY.resumed, plan.call.lastEventId)
   }
 
@@ -163,7 +152,7 @@
     for (;;) {
       const choice = this.#parts.chooser.choose(pool, this.#homeLevels, this.#tried, prompt)
       if (choice.type === 'chosen') {
-        this.#noteChoice(choice.record, choice.decision.rank, choice.decision.expectedCachedTokens ?? 0)
+        this.#record.noteChoice(this.#attempts + 1, choice.record, choice.decision.rank, choice.decision.expectedCachedTokens ?? 0)
         return choice
       }
       if (choice.type === 'none' || performance.now() >= untilMs) {
@@ -175,30 +164,7 @@
     }
   }
 
-  #noteChoice (record: EndpointRecord, rank: number, expectedCachedTokens: number): void {
-    const { call, configRevision, deadlineAtMs, pool } = this.#plan
-    const promptTokens = call.prompt?.tokens ?? 0
-    if (promptTokens > 0) this.#parts.figures.recordPrompt(promptTokens, expectedCachedTokens)
-    this.#parts.decisions.record({
-      type: 'sent',
-      requestId: call.requestId,
-      attempt: this.#attempts + 1,
-      pool,
-      endpoint: record.entry.endpoint,
-      incarnation: record.entry.incarnation,
-      rank,
-      prefix: this.#plan.levels.map(level => level.key.slice(0, PREFIX_CHARS)).join('>'),
-      expectedCachedTokens,
-      promptTokens,
-      open: record.open,
-      loadAgeMs: Math.round(Math.min(performance.now() - record.loadAtMs, Number.MAX_SAFE_INTEGER)),
-      configRevision,
-      keysAgeMs: Math.round(Math.min(this.#parts.readKeysAgeMs(), Number.MAX_SAFE_INTEGER)),
-      timeLeftMs: Math.round(deadlineAtMs - performance.now())
-    })
-  }
-
-  #start ({ record, decision }: Chosen): Running {
+  #start ({ record, decision }: Chosen): AttemptRun {
     const { call, route, identity, levels, body } = this.#plan
     const number = ++this.#attempts
     const { chooser } = this.#parts
@@ -228,7 +194,7 @@
   }
 
   /** Ends an attempt; `hasRead` when the endpoint read the whole prompt, and so holds it. */
-  #end (running: Running, hasRead = false): void {
+  #end (running: AttemptRun, hasRead = false): void {
     if (this.#running !== running) return
     const { record, id, startedAtMs, expectedCachedTokens } = running
     record.open--
@@ -238,7 +204,7 @@
   }
 
   /** Waits for the answer's head; a request that may go elsewhere does not wait for it longer than a share of its objective. */
-  async #waitOutcome ({ attempt, record, startedAtMs }: Running): Promise<AttemptOutcome> {
+  async #waitOutcome ({ attempt, record, startedAtMs }: AttemptRun): Promise<AttemptOutcome> {
     const { route } = this.#plan
     if (!this.#canRepeat) return await attempt.outcome
     const timer = setTimeout(() => {
@@ -256,7 +222,7 @@
     }
   }
 
-  async #takeOutcome (running: Running, outcome: AttemptOutcome): Promise<Step> {
+  async #takeOutcome (running: AttemptRun, outcome: AttemptOutcome): Promise<Step> {
     // An endpoint that did not run the request is none of those that it was run on.
     if (outcome.type === 'unsent' || outcome.type === 'notRun') this.#sentTo--
     return await match(outcome)
@@ -267,36 +233,36 @@
       .exhaustive()
   }
 
-  #takeUnsent (running: Running, reason: string): Step {
+  #takeUnsent (running: AttemptRun, reason: string): Step {
     this.#parts.watch.note(running.record, EVIDENCE.down, reason)
     this.#end(running)
     this.#unsent++
     const isRetried = this.#unsent < MAX_UNSENT && performance.now() < this.#plan.deadlineAtMs
-    this.#noteEnded(running, 'unsent', reason, isRetried)
+    this.#record.noteEnded(running, 'unsent', reason, isRetried)
     if (isRetried) return AGAIN
     this.#fail('no_free_endpoint', reason)
     return DONE
   }
 
-  #takeNotRun (running: Running, head: AnswerHead, status: number): Step {
+  #takeNotRun (running: AttemptRun, head: AnswerHead, status: number): Step {
     this.#noteHead(running.record, head)
     this.#end(running)
     this.#notRun++
     const isRetried = this.#notRun <= MAX_NOT_RUN && this.#mayTryAnother()
-    this.#noteEnded(running, 'notRun', `status ${status}`, isRetried)
+    this.#record.noteEnded(running, 'notRun', `status ${status}`, isRetried)
     if (isRetried) return this.#retry()
     this.#fail('endpoint_refused', `status ${status}`)
     return DONE
   }
 
-  #takeLost (running: Running, loss: typeof LOSS[keyof typeof LOSS], reason: string): Step {
+  #takeLost (running: AttemptRun, loss: typeof LOSS[keyof typeof LOSS], reason: string): Step {
     this.#mayHaveRun = true
     const evidence = loss === LOSS.reset ? EVIDENCE.down : EVIDENCE.failed
     this.#parts.watch.note(running.record, evidence, reason)
     if (loss === LOSS.reset) this.#parts.noteCrash(this.#plan.fingerprint, running.record, running.startedAtMs)
     this.#end(running)
     const isRetried = this.#canRepeat && this.#mayTryAnother()
-    this.#noteEnded(running, loss, reason, isRetried)
+    this.#record.noteEnded(running, loss, reason, isRetried)
     if (isRetried) return this.#retry()
     this.#fail('endpoint_lost', `${loss}: ${reason}`)
     return DONE
@@ -307,7 +273,7 @@
     return AGAIN
   }
 
-  async #takeAnswer (running: Running, head: AnswerHead, message: http.IncomingMessage): Promise<Step> {
+  async #takeAnswer (running: AttemptRun, head: AnswerHead, message: http.IncomingMessage): Promise<Step> {
     this.#noteHead(running.record, head)
     this.#parts.watch.noteHeard(running.record)
     const status = message.statusCode ?? 0
@@ -316,7 +282,7 @@
     return isStream ? await this.#passStream(running, message) : await this.#passWhole(running, message, status)
   }
 
-  async #passWhole (running: Running, message: http.IncomingMessage, status: number): Promise<Step> {
+  async #passWhole (running: AttemptRun, message: http.IncomingMessage, status: number): Promise<Step> {
     const body = await readAnswerBody(message)
     if (this.#isOver) {
       this.#end(running)
@@ -328,7 +294,7 @@
     if (isFailure && this.#canRepeat && this.#mayTryAnother()) {
       message.destroy()
       this.#end(running)
-      this.#noteEnded(running, 'failed', `status ${status}`, true)
+      this.#record.noteEnded(running, 'failed', `status ${status}`, true)
       return this.#retry()
     }
     if (NOT_RUN_STATUSES.includes(status) && !this.#canRepeat) {
@@ -343,7 +309,7 @@
     if (body.type === 'whole') this.#answer.end(body.bytes)
     else await this.#passRest(message, body.first)
     this.#end(running)
-    this.#noteAnswered(running, status, firstByteMs, body.type === 'whole' ? body.bytes.length : this.#relay.bytes)
+    this.#record.noteAnswered(running, status, firstByteMs, 0, body.type === 'whole' ? body.bytes.length : this.#relay.bytes)
     return DONE
   }
 
@@ -355,7 +321,7 @@
     else this.#answer.destroy()
   }
 
-  async #passStream (running: Running, message: http.IncomingMessage): Promise<Step> {
+  async #passStream (running: AttemptRun, message: http.IncomingMessage): Promise<Step> {
     const { route, levels } = this.#plan
     if (running.salt !== null) this.#parts.chooser.holders.note(levels, running.salt, running.record)
     if (!this.#answer.headersSent) this.#writeHead(message, message.statusCode ?? 0, null)
@@ -374,7 +340,7 @@
       this.#answer.end()
       this.#end(running, true)
       const firstAtMs = this.#relay.firstAtMs ?? performance.now()
-      this.#noteAnswered(running, message.statusCode ?? 0, firstAtMs - this.#plan.arrivedAtMs, this.#relay.bytes)
+      this.#record.noteAnswered(running, message.statusCode ?? 0, firstAtMs - this.#plan.arrivedAtMs, this.#relay.longestPauseMs, this.#relay.bytes)
       return DONE
     }
     return this.#takeCut(running, end.reason)
@@ -388,19 +354,19 @@
     return true
   }
 
-  #takeCut (running: Running, reason: string): Step {
+  #takeCut (running: AttemptRun, reason: string): Step {
     const isMoved = this.#isMoved
     this.#isMoved = false
     running.attempt.cancel(LOSS.cancelled)
     if (!isMoved) this.#parts.watch.note(running.record, EVIDENCE.failed, reason)
     this.#end(running, isMoved)
     const isRetried = isMoved || (this.#plan.route.repeatability === REPEATABILITY.resumed && this.#mayTryAnother())
-    this.#noteEnded(running, isMoved ? LOSS.moved : 'cut', reason, isRetried)
+    this.#record.noteEnded(running, isMoved ? LOSS.moved : 'cut', reason, isRetried)
     if (!isRetried) {
       this.#refuse('stream_cut', 0, reason)
       return DONE
     }
-    this.#parts.decisions.record({ type: 'resumed', requestId: this.#plan.call.requestId, endpoint: running.record.entry.endpoint, lastEventId: this.#relay.lastEventId ?? '', afterMs: this.#readAgeMs() })
+    this.#parts.decisions.record({ type: 'resumed', requestId: this.#plan.call.requestId, endpoint: running.record.entry.endpoint, lastEventId: this.#relay.lastEventId ?? '', afterMs: this.#record.readAgeMs() })
     return this.#retry()
   }
 
@@ -444,7 +410,7 @@
     clearTimeout(this.#deadline)
     running?.attempt.cancel(LOSS.cancelled)
     if (running !== null) this.#end(running)
-    this.#noteRefused('caller_left', 0, this.#mayHaveRun || running !== null, '')
+    this.#record.noteRefused({ reason: 'caller_left', status: 0, mayHaveRun: this.#mayHaveRun || running !== null, attempts: this.#attempts, retryAfterMs: 0, detail: '' })
   }
 
   #fail (reason: RefusalReason, detail: string): void {
@@ -455,48 +421,13 @@
     if (this.#isOver) return
     this.#isOver = true
     clearTimeout(this.#deadline)
-    this.#noteRefused(reason, status, this.#mayHaveRun, detail)
+    const retryAfterMs = status === 503 ? this.#parts.drawRetryMs(RETRY_AFTER_MS) : null
+    this.#record.noteRefused({ reason, status, mayHaveRun: this.#mayHaveRun, attempts: this.#attempts, retryAfterMs: retryAfterMs ?? 0, detail })
     if (this.#answer.headersSent) {
       this.#answer.destroy()
       return
     }
-    const answer: OwnAnswer = { status: status || 502, code: reason, retryAfterMs: status === 503 ? this.#parts.drawRetryMs(RETRY_AFTER_MS) : null, closes: false }
+    const answer: OwnAnswer = { status: status || 502, code: reason, retryAfterMs, closes: false }
     this.#parts.sendOwnAnswer(this.#answer, this.#plan.call.requestId, answer)
   }
-
-  #noteRefused (reason: RefusalReason, status: number, mayHaveRun: boolean, detail: string): void {
-    const { call, route, identity } = this.#plan
-    this.#parts.figures.recordRefusal(reason)
-    this.#parts.decisions.record({
-      type: 'refused',
-      requestId: call.requestId,
-      route: route.name,
-      organisation: identity?.organisation ?? '',
-      status,
-      reason,
-      ran: mayHaveRun ? 'may-have-run' : 'not-run',
-      attempts: this.#attempts,
-      totalMs: this.#readAgeMs(),
-      retryAfterMs: status === 503 ? RETRY_AFTER_MS : 0,
-      detail
-    })
-  }
-
-  #noteEnded (running: Running, outcome: string, reason: string, isRetried: boolean): void {
-    const { call } = this.#plan
-    this.#parts.decisions.record({ type: 'attemptEnded', requestId: call.requestId, attempt: running.number, endpoint: running.record.entry.endpoint, outcome, reason, isRetried, afterMs: Math.round(performance.now() - running.startedAtMs) })
-  }
-
-  #noteAnswered (running: Running, status: number, firstByteMs: number, bytes: number): void {
-    const { call, route, identity } = this.#plan
-    const organisation = identity?.organisation ?? ''
-    const totalMs = this.#readAgeMs()
-    if (status < FIRST_SERVER_ERROR) this.#parts.noteSuccess(this.#plan.pool)
-    this.#parts.figures.recordAnswer({ route: route.name, organisation, priority: String(identity?.priority ?? route.priority) }, firstByteMs, totalMs)
-    this.#parts.decisions.record({ type: 'answered', requestId: call.requestId, route: route.name, organisation, endpoint: running.record.entry.endpoint, status, attempts: this.#attempts, firstByteMs: Math.round(firstByteMs), longestPauseMs: Math.round(this.#relay.longestPauseMs), totalMs, bytes })
-  }
-
-  #readAgeMs (): number {
-    return Math.round(performance.now() - this.#plan.arrivedAtMs)
-  }
 }
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -4,12 +4,12 @@
 import { DEFAULT_WAVE_OPTIONS, WaveTask } from 'knapweedshunt-fleet'
 import type { Logger } from 'knapweedshunt-logger'
 import { DEFAULT_FOLLOWER_OPTIONS, TableFollower } from 'knapweedshunt-platform'
-import type { Platform, Row, TableFeed, TableNews } from 'knapweedshunt-platform'
+import type { Platform, TableFeed, TableNews } from 'knapweedshunt-platform'
 import { createIncarnation, createRng, runEvery, sleep } from 'knapweedshunt-utils'
-import { match } from 'ts-pattern'
 import { CallerServer } from './callers/callerServer.ts'
 import { closeSideServer, startMetricsServer, startReadinessServer } from './callers/sideServers.ts'
 import { ConfigState } from './directory/configState.ts'
+import { DirectoryIntake } from './directory/directoryIntake.ts'
 import { KeyFreshness } from './directory/keyFreshness.ts'
 import { ROSTER_TABLE, VmRoster } from './directory/vmRoster.ts'
 import { EndpointAgent } from './endpoints/endpointAgent.ts'
@@ -108,6 +108,7 @@
   readonly #weights: WeightsState
   readonly #chooser: EndpointChooser
   readonly #watch: EndpointWatch
+  readonly #intake: DirectoryIntake
   readonly #kept: KeptPrefixes
   readonly #resources: TableFollower
   readonly #endpoints: TableFollower
@@ -118,7 +119,6 @@
   readonly #server: CallerServer
   readonly #tasks = new Set<RequestTask>()
   #inFlight = 0
-  #hasEndpoints = false
   #isStopping = false
   /** Callers have had time to go elsewhere: what still comes might not end in time. */
   #isClosing = false
@@ -162,8 +162,20 @@
       findPool: pool => this.#config.findPool(pool) ?? null,
       isKnown: record => this.#book.find(record.entry.endpoint) === record
     })
-    this.#resources = this.#follow(parts.directory.resourceTable, RESOURCE_WAIT_MS, 0, news => this.#takeResources(news))
-    this.#endpoints = this.#follow(parts.directory.endpointTable, ENDPOINT_WAIT_MS, ENDPOINT_REST_MS, news => this.#takeEndpoints(news))
+    this.#intake = new DirectoryIntake({
+      directory: parts.directory,
+      config: this.#config,
+      weights: this.#weights,
+      book: this.#book,
+      decisions: this.#decisions,
+      onConfig: config => {
+        this.#server.takeLimits(config.limits)
+        this.#chooser.rebuild()
+      },
+      onWeights: () => this.#chooser.rebuild()
+    })
+    this.#resources = this.#follow(parts.directory.resourceTable, RESOURCE_WAIT_MS, 0, news => this.#intake.takeResources(news))
+    this.#endpoints = this.#follow(parts.directory.endpointTable, ENDPOINT_WAIT_MS, ENDPOINT_REST_MS, news => this.#intake.takeEndpoints(news))
     this.#rosterFollower = this.#follow(ROSTER_TABLE, ROSTER_WAIT_MS, 0, news => {
       this.#roster.takeNews(news)
       this.#budgets.setOptions(this.#shareBudget())
@@ -178,7 +190,13 @@
     })
     this.#flow = this.#buildFlow()
     this.#server = new CallerServer((message, answer) => { this.#serve(message, answer) })
-    this.#addGauges()
+    this.#figures.addGauge('requests_in_flight', 'Requests under way.', () => this.#inFlight)
+    this.#figures.addGauge('endpoints', 'Endpoints known.', () => this.#book.size)
+    this.#figures.addGauge('endpoints_out', 'Endpoints left out because they do not answer.', () => this.#watch.outCount)
+    this.#figures.addGauge('endpoints_loading', 'Endpoints that load weights.', () => this.#weights.listLoading().size)
+    this.#figures.addGauge('keys_age_seconds', 'Age of the operator\'s rows.', () => Math.min(this.#keys.ageMs, Number.MAX_SAFE_INTEGER) / 1_000)
+    this.#figures.addGauge('vms', 'VMs that may be running.', () => this.#roster.countVms())
+    this.#figures.addGauge('ready', 'Whether this VM wants callers.', () => this.isReady ? 1 : 0)
   }
 
   /** Base URLs while the gateway listens, else null. */
@@ -342,46 +360,6 @@
     return new TableFollower(this.#parts.feed, { ...DEFAULT_FOLLOWER_OPTIONS, table, waitMs, restMs, seed: this.#rng.int(2 ** 30) }, this.#parts.log, onNews)
   }
 
-  #takeResources (news: TableNews): void {
-    for (const row of news.rows) {
-      if ('isDeleted' in row && row.isDeleted) continue
-      match(this.#parts.directory.readResource(row))
-        .with({ type: 'config' }, ({ config }) => {
-          if (!this.#config.take(config)) return
-          this.#server.takeLimits(config.limits)
-          this.#chooser.rebuild()
-          this.#decisions.record({ type: 'configTaken', revision: config.revision, routes: config.routes.length, organisations: config.organisations?.length ?? 0 })
-        })
-        .with({ type: 'weights' }, ({ weights }) => {
-          if (!this.#weights.takeWished(weights, news.type === 'changes')) return
-          this.#chooser.rebuild()
-          this.#decisions.record({ type: 'weightsWished', ...weights })
-        })
-        .with({ type: 'unreadable' }, ({ reason }) => this.#noteUnreadable(this.#parts.directory.resourceTable, row, reason))
-        .with({ type: 'other' }, () => {})
-        .exhaustive()
-    }
-  }
-
-  #takeEndpoints (news: TableNews): void {
-    const { directory } = this.#parts
-    this.#hasEndpoints = true
-    const read = news.rows.map(row => ({ row, result: 'isDeleted' in row && row.isDeleted ? null : directory.readEndpoint(row) }))
-    for (const { row, result } of read) if (result?.type === 'unreadable') this.#noteUnreadable(directory.endpointTable, row, result.reason)
-    if (news.type === 'rows') {
-      this.#book.takeAll(read.flatMap(({ result }) => result?.type === 'endpoint' ? [result.entry] : []), news.isReturn)
-      return
-    }
-    for (const { row, result } of read) {
-      if (result?.type === 'endpoint') this.#book.take(result.entry)
-      else this.#book.drop(row.key)
-    }
-  }
-
-  #noteUnreadable (table: string, { key }: Row, reason: string): void {
-    this.#decisions.record({ type: 'rowUnreadable', table, key, reason })
-  }
-
   #sweep (): void {
     this.#book.sweep()
     this.#noteFreshness()
@@ -403,19 +381,9 @@
   #explainUnready (): string {
     if (this.#isStopping) return 'stopping'
     if (this.#config.config === null) return 'no configuration'
-    if (!this.#hasEndpoints) return 'no endpoints read'
+    if (!this.#intake.hasEndpoints) return 'no endpoints read'
     if (this.#rosterFollower.ageMs === null) return 'no VMs read'
     if (!this.#keys.isFresh) return 'keys unconfirmed'
     return ''
   }
-
-  #addGauges (): void {
-    this.#figures.addGauge('requests_in_flight', 'Requests under way.', () => this.#inFlight)
-    this.#figures.addGauge('endpoints', 'Endpoints known.', () => this.#book.size)
-    this.#figures.addGauge('endpoints_out', 'Endpoints left out because they do not answer.', () => this.#watch.outCount)
-    this.#figures.addGauge('endpoints_loading', 'Endpoints that load weights.', () => this.#weights.listLoading().size)
-    this.#figures.addGauge('keys_age_seconds', 'Age of the operator\'s rows.', () => Math.min(this.#keys.ageMs, Number.MAX_SAFE_INTEGER) / 1_000)
-    this.#figures.addGauge('vms', 'VMs that may be running.', () => this.#roster.countVms())
-    this.#figures.addGauge('ready', 'Whether this VM wants callers.', () => this.isReady ? 1 : 0)
-  }
 }
