An answer without a length that is reset is not whole

Test first red (order answered 200 with a part), then green. Ruled out: a clean end (still passed on whole, tested).

--- a/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
@@ -32,6 +32,7 @@
   readonly #call: AttemptCall
   #request: http.ClientRequest | null = null
   #isConnected = false
+  #message: http.IncomingMessage | null = null
   #loss: Loss | null = null
   #settle: (outcome: AttemptOutcome) => void = () => {}
   #connectTimer: NodeJS.Timeout | undefined
@@ -97,6 +98,7 @@
   }
 
   #takeResponse (message: http.IncomingMessage): void {
+    this.#message = message
     const head = this.#port.readAnswer(message.headers)
     const status = message.statusCode ?? 0
     message.on('error', () => {}) // The reader of the body hears of it by its own end.
@@ -116,6 +118,8 @@
 
   #noteError (error: Error): void {
     clearTimeout(this.#connectTimer)
+    // The runtime ends a body without a length as whole also when its connection was reset.
+    if (this.#message !== null && !this.#message.complete) this.#message.destroy(error)
     if (!this.#isConnected) return this.#settle({ type: 'unsent', reason: error.message })
     const isUnreadable = (error as NodeJS.ErrnoException).code?.startsWith('HPE_') ?? false
     this.#settle({ type: 'lost', loss: this.#loss ?? (isUnreadable ? LOSS.garbled : LOSS.reset), reason: error.message })
