--- a/packages/knapweedshunt-gateway/src/flow/flowParts.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowParts.ts
@@ -19,7 +19,7 @@
   figures: Figures
   decisions: DecisionLog
   log: Logger
-  /** Takes one repeat from the budget of a pool; an optional one leaves some for requests that would fail without. */
+  /** Takes one repeat from the budget of a pool; an optional one uses only what successes have saved, and leaves the rest to requests that would fail without. */
   takeRetry (pool: string, isOptional: boolean): boolean
   noteSuccess (pool: string): void
   /** Notes that an endpoint broke off while the request had not begun to be answered. */
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -211,7 +211,7 @@
       // An engine that gives tokens to others is busy, not lost: it has read part of the prompt already.
       if (route.usesPrefixes && record.heardAtMs > startedAtMs) return
       if (!this.#parts.chooser.hasOther(this.#plan.pool, this.#tried)) return
-      if (this.#sentTo >= route.maxEndpoints || !this.#takePermit(true)) return
+      if (this.#sentTo >= route.maxEndpoints || !this.#takePermit(false)) return
       this.#hasPermit = true
       attempt.cancel(LOSS.silent)
     }, route.objectiveMs * STALL_SHARE)
@@ -349,7 +349,7 @@
   /** Whether a silent stream may go on elsewhere; silence alone is no reason to end it. */
   #reserveMove (): boolean {
     if (!this.#parts.chooser.hasOther(this.#plan.pool, this.#tried)) return false
-    if (this.#sentTo >= this.#plan.route.maxEndpoints || !this.#takePermit(true)) return false
+    if (this.#sentTo >= this.#plan.route.maxEndpoints || !this.#takePermit(false)) return false
     this.#hasPermit = true
     return true
   }
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -54,9 +54,6 @@
 /** Share of the allowed ratio of repeats that is used; only requests that went well are counted, which is a margin already. */
 const BUDGET_RATIO = 0.95
 
-/** Share of the repeats allowed beside that optional ones leave to requests that would fail without. */
-const KEPT_SHARE = 0.5
-
 /** Time after a notice of loading weights after which streams that still run leave the endpoint, in milliseconds; most end before. */
 const LEAVE_LOADING_MS = 300
 
@@ -333,7 +330,7 @@
       figures: this.#figures,
       decisions: this.#decisions,
       log: this.#parts.log,
-      takeRetry: (pool, isOptional) => this.#budgets.take('', pool, isOptional ? this.#shareBudget().reserve * KEPT_SHARE : 0),
+      takeRetry: (pool, isOptional) => this.#budgets.take('', pool, isOptional ? this.#shareBudget().reserve : 0),
       noteSuccess: pool => this.#budgets.noteSuccess('', pool),
       noteCrash: (fingerprint, record, startedAtMs) => this.#noteCrash(fingerprint, record, startedAtMs),
       readKeysAgeMs: () => this.#keys.ageMs,
