--- a/packages/knapweedshunt-gateway/src/weights/weightsState.ts
+++ b/packages/knapweedshunt-gateway/src/weights/weightsState.ts
@@ -8,6 +8,9 @@
 /** Age of a wave's notice from which on its endpoints are used again, in milliseconds: its holder is gone. */
 const NOTICE_MS = 4_000
 
+/** Share of the time for new weights that counts as over for a version found at a start, as nothing tells when it was named. */
+const UNKNOWN_SHARE = 0.5
+
 /** Named versions remembered of one model. */
 const MAX_NAMED = 16
 
@@ -39,7 +42,8 @@
   takeWished ({ model, version }: WishedWeights, isNew: boolean): boolean {
     if ((this.#wished.get(model) ?? 0) >= version) return false
     this.#wished.set(model, version)
-    if (isNew) this.#named.set(model, [{ version, atMs: performance.now() }, ...this.#named.get(model) ?? []].slice(0, MAX_NAMED))
+    const atMs = performance.now() - (isNew ? 0 : this.#parts.readStaleMs() * UNKNOWN_SHARE)
+    this.#named.set(model, [{ version, atMs }, ...this.#named.get(model) ?? []].slice(0, MAX_NAMED))
     return true
   }
 
