--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -373,7 +373,13 @@
   #writeHead (message: http.IncomingMessage, status: number, length: number | null): void {
     const headers = listEndToEndHeaders(message.rawHeaders)
     const isBodiless = this.#plan.call.method === 'HEAD' || status === 204 || status === 304
-    if (length !== null && !isBodiless) headers.push('Content-Length', String(length))
+    if (isFramed(message)) {
+      if (length !== null && !isBodiless) headers.push('Content-Length', String(length))
+    } else {
+      // Only the end of the connection ended the endpoint's answer; nothing vouches for its length to the caller either.
+      this.#answer.useChunkedEncodingByDefault = false
+      this.#answer.shouldKeepAlive = false
+    }
     this.#answer.sendDate = false
     this.#answer.writeHead(status, message.statusMessage ?? '', headers)
   }
@@ -431,3 +437,8 @@
     this.#parts.sendOwnAnswer(this.#answer, this.#plan.call.requestId, answer)
   }
 }
+
+/** Whether the answer itself says where its body ends. */
+function isFramed ({ headers }: http.IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -45,8 +45,8 @@
 /** Time between two looks for endpoints that did not come back, and at readiness, in milliseconds. */
 const SWEEP_MS = 250
 
-/** Part of the time for new weights that is kept for the way and the queue at an endpoint, in milliseconds. */
-const STALE_MARGIN_MS = 700
+/** Part of the time for new weights that is kept for the way and the queue at an endpoint, in milliseconds; a long prompt ahead takes over a second. */
+const STALE_MARGIN_MS = 1_500
 
 /** Share of the allowed repeats that this VM's part is cut from; the rest covers VMs that come and go. */
 const BUDGET_SHARE = 0.8
