Roll-outs: a slot is left when its endpoint gets the operator's drain mark before it is drained

The next holder kept the slot, since an endpoint with the mark is counted as none in service, and so is never below the floor; it drained b2 beside an empty a1 and b3. Ruled out: stale counts of the other data centre (its row said 2, which was true) and the paused holder (it sent nothing). The steps stand as a test of their own, which failed before.

--- a/packages/knapweedshunt-fleet/src/__tests__/rolloutFuzz.test.ts
+++ b/packages/knapweedshunt-fleet/src/__tests__/rolloutFuzz.test.ts
@@ -136,6 +136,26 @@
   t.true(orders > RUNS)
 })
 
+/** A slot taken before its endpoint was marked by the operator: the next holder drained the endpoint though the pool was at its floor. */
+const MARKED_IN_SLOT: Step[] = [
+  { type: 'rollout', name: 'r1', spec: { weightsVersion: 'w2', paused: true, undo: true } },
+  { type: 'crash', endpoint: 'a1', ms: 1_000 },
+  { type: 'drain', endpoint: 'b2', draining: true },
+  { type: 'pause', slot: 'b-0', ms: 30_000 },
+  { type: 'rollout', name: 'r1', spec: { weightsVersion: 'w2', undo: false } },
+  { type: 'drain', endpoint: 'a1', draining: true },
+  { type: 'pause', slot: 'b-0', ms: 8_500 },
+  { type: 'pause', slot: 'b-1', ms: 500 },
+  { type: 'pause', slot: 'b-1', ms: 500 },
+  { type: 'crash', endpoint: 'b3', ms: 4_000 },
+  { type: 'delete', name: 'r2' },
+  { type: 'down', ms: 2_000 }
+]
+
+test.serial('marked endpoint leaves its slot', async t => {
+  t.deepEqual((await runSteps(MARKED_IN_SLOT, 999_993, 'whole')).violations, [])
+})
+
 const BROKEN: Array<Exclude<Variant, 'whole'>> = ['no guard', 'no re-check', 'no fencing bump']
 const MAX_RUNS = 400
 
--- a/packages/knapweedshunt-fleet/src/keepSlots.ts
+++ b/packages/knapweedshunt-fleet/src/keepSlots.ts
@@ -1,6 +1,6 @@
 import type { EndpointView } from 'knapweedshunt-types'
 import { countInService, listServing } from './countInService.ts'
-import type { PlannerOptions, PoolInput } from './plannerTypes.ts'
+import type { PlannedEndpoint, PlannerOptions, PoolInput } from './plannerTypes.ts'
 import type { LoadSlot } from './rolloutState.ts'
 import { readWeights } from './listServingWeights.ts'
 import { readWished } from './readWished.ts'
@@ -33,16 +33,17 @@
   const planned = input.endpoints.find(entry => entry.endpoint === slot.endpoint)
   if (planned === undefined) return 'dropped'
   if (planned.isBusy) return 'kept'
-  return planned.view === null ? 'kept' : readOwnState(input, slot, planned.view, planned.told, options)
+  return planned.view === null ? 'kept' : readOwnState(input, slot, planned, planned.view, options)
 }
 
-function readOwnState (input: PoolInput, slot: LoadSlot, view: EndpointView, told: EndpointView | null, options: PlannerOptions): SlotState {
+function readOwnState (input: PoolInput, slot: LoadSlot, { told, draining }: PlannedEndpoint, view: EndpointView, options: PlannerOptions): SlotState {
   if (view.incarnation !== slot.incarnation) return 'failed'
   if (view.state === 'dead') return view.loadAgeMs >= options.slotSilenceMs ? 'failed' : 'kept'
   const wished = readWished(input.goal, slot.purpose)
   if (view.weightsVersion === null || view.load?.role === 'drain') return 'kept'
   if (isBack(slot, view, wished)) return told !== null && isBack(slot, told, wished) ? 'done' : 'kept'
-  return isBelowFloor(input, view) ? 'dropped' : 'kept'
+  // An endpoint that its operator drains counts as none in service already, but the mark may go while it loads.
+  return draining || isBelowFloor(input, view) ? 'dropped' : 'kept'
 }
 
 /** In service with the wished weights. Routers must have heard of it too before another endpoint goes out. */
--- a/packages/knapweedshunt-router/src/__tests__/stage.ts
+++ b/packages/knapweedshunt-router/src/__tests__/stage.ts
@@ -115,7 +115,7 @@
   }
 
   /** Hands over a snapshot. */
-  push (change: { states?: Record<string, string>, restarted?: string, weightsVersion?: string, loadAgeMs?: number, peers?: number } = {}): void {
+  push (change: { states?: Record<string, string>, restarted?: string, weightsVersion?: string, loadAgeMs?: number, peers?: number, running?: Record<string, string> } = {}): void {
     Object.assign(this.#states, change.states)
     if (change.restarted !== undefined) this.#incarnations[change.restarted] = 2
     if (change.weightsVersion !== undefined) this.#revision++
@@ -124,7 +124,7 @@
     const endpoints = ENDPOINTS.map(endpoint => {
       const incarnation = `${endpoint}-${this.#incarnations[endpoint] ?? 1}`
       const report = change.loadAgeMs === undefined || endpoint !== 'e1' ? null : { ...load, endpoint, incarnation }
-      return { endpoint, incarnation, state: this.#states[endpoint] ?? 'live', weightsVersion: this.weightsVersion, load: report, loadAgeMs: change.loadAgeMs ?? 0 }
+      return { endpoint, incarnation, state: this.#states[endpoint] ?? 'live', weightsVersion: change.running?.[endpoint] ?? this.weightsVersion, load: report, loadAgeMs: change.loadAgeMs ?? 0 }
     })
     const vms = Array.from({ length: change.peers ?? 0 }, (_, i) => ({ vm: `peer-${i}`, incarnation: 'p', dataCentre: 'dc-1', controlUrl: '', routerUrl: 'http://127.0.0.1:9', state: 'live', appliedRevision: 1 }))
     this.path.takeSnapshot({ resources: { revision: this.#revision, resources: buildResources(this.weightsVersion) }, vms, endpoints })
