Orders: outcomes held in an outage are bounded; in the fuzz a paused router's timers stand still

Beyond 16 M characters no order is begun here; the caller hears that this attempt started nothing, and outcomes that are held are still told.

--- a/packages/knapweedshunt-orders/fuzz/runOutage.ts
+++ b/packages/knapweedshunt-orders/fuzz/runOutage.ts
@@ -41,7 +41,7 @@
   const organisation = 'harbour-hotel'
   const minter = world.drawRouter()
   if (minter === null) return
-  const { ticket } = await minter.service.mintTicket(organisation)
+  const { ticket } = await minter.act(service => service.mintTicket(organisation))
   if (crash && i === ORDERS / 2) minter.crash()
   if (!minter.alive) report.minterDied++
   const runner = world.drawRouter()
--- a/packages/knapweedshunt-orders/fuzz/runSeed.ts
+++ b/packages/knapweedshunt-orders/fuzz/runSeed.ts
@@ -2,6 +2,7 @@
 import type { OrderReply, OrderTable } from 'knapweedshunt-orders'
 import { sleep } from 'knapweedshunt-utils'
 import type { PlannedFault } from './faults.ts'
+import { freezeTimers } from './ownTimers.ts'
 import { SimWorld } from './simWorld.ts'
 import type { SimOrder } from './simWorld.ts'
 
@@ -33,6 +34,7 @@
 /** Runs callers under the planned faults, heals, and checks that every order comes to its end. */
 export async function runSeed (seed: number, plan: PlannedFault[], table: OrderTable, scenario: Scenario = 'mixed'): Promise<SeedReport> {
   const clock = FakeTimers.install({ now: START_MS, toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date', 'performance'] })
+  const thaw = freezeTimers()
   try {
     const world = new SimWorld(seed, plan, table)
     const report: SeedReport = { violations: world.oracle.violations, struck: world.struck, ends: [], placed: 0, ran: 0 }
@@ -42,6 +44,7 @@
     if (!run.over) world.oracle.violations.push('The run did not end')
     return report
   } finally {
+    thaw()
     clock.uninstall()
   }
 }
@@ -89,7 +92,7 @@
 
 async function createTicket (world: SimWorld, organisation: string, i: number): Promise<SimOrder | null> {
   const router = world.drawRouter()
-  const minted = router === null ? null : await router.watch(router.service.mintTicket(organisation))
+  const minted = router === null ? null : await router.watch(router.act(service => service.mintTicket(organisation)))
   if (router === null || minted === null) return null
   const name = `${organisation}/${minted.type} ticket ${i}`
   if (minted.type === 'pinned') router.orders.add(name)
--- a/packages/knapweedshunt-orders/fuzz/simLink.ts
+++ b/packages/knapweedshunt-orders/fuzz/simLink.ts
@@ -2,18 +2,18 @@
 import { PlatformUnreachableError } from 'knapweedshunt-platform'
 import type { Platform, Transaction, TransactionResult } from 'knapweedshunt-platform'
 import type { Step } from './faults.ts'
-import type { SimRouter } from './simRouter.ts'
+import { actAs } from './ownTimers.ts'
 
 /** A router's way to the platform: ends with the router, stops while it is paused, and can be cut before or after a write took effect. */
 export class SimLink implements Platform {
   readonly #memory: MemoryPlatform
-  readonly #router: SimRouter
-  readonly #take: (step: Step, router: SimRouter) => void
+  readonly #waitAwake: () => Promise<void>
+  readonly #take: (step: Step) => void
   cut = false
 
-  constructor (memory: MemoryPlatform, router: SimRouter, take: (step: Step, router: SimRouter) => void) {
+  constructor (memory: MemoryPlatform, waitAwake: () => Promise<void>, take: (step: Step) => void) {
     this.#memory = memory
-    this.#router = router
+    this.#waitAwake = waitAwake
     this.#take = take
   }
 
@@ -25,10 +25,10 @@
 
   transact: Platform['transact'] = async transaction => {
     const isClaim = transaction.writes.some(write => write.table === 'orders')
-    this.#take(isClaim ? 'claim-sent' : 'record-sent', this.#router)
+    this.#take(isClaim ? 'claim-sent' : 'record-sent')
     const result = await this.#call(() => this.#transact(transaction))
-    this.#take(isClaim ? 'claim-answered' : 'record-answered', this.#router)
-    await this.#router.waitAwake()
+    this.#take(isClaim ? 'claim-answered' : 'record-answered')
+    await this.#waitAwake()
     return result
   }
 
@@ -37,14 +37,14 @@
   }
 
   async #call<T> (send: () => Promise<T>): Promise<T> {
-    await this.#router.waitAwake()
+    await this.#waitAwake()
     if (this.cut) throw new PlatformUnreachableError('The platform is cut off.')
     try {
-      const result = await send()
+      const result = await actAs(null, send)
       if (this.cut) throw new PlatformUnreachableError('The platform is cut off.')
       return result
     } finally {
-      await this.#router.waitAwake()
+      await this.#waitAwake()
     }
   }
 }
--- a/packages/knapweedshunt-orders/fuzz/simRouter.ts
+++ b/packages/knapweedshunt-orders/fuzz/simRouter.ts
@@ -3,6 +3,7 @@
 import type { OrderOptions, OrderPeers, OrderTable } from 'knapweedshunt-orders'
 import { DEFAULT_GUARD_OPTIONS, GuardedPlatform } from 'knapweedshunt-platform'
 import type { Step } from './faults.ts'
+import { actAs } from './ownTimers.ts'
 import { SimLink } from './simLink.ts'
 
 /** What a router of a run is made of. */
@@ -22,7 +23,7 @@
   readonly url: string
   readonly incarnation: string
   readonly link: SimLink
-  readonly service: OrderService
+  readonly #service: OrderService
   /** Names of the orders that this incarnation ran, or minted a pinned ticket for. */
   readonly orders = new Set<string>()
   alive = true
@@ -34,9 +35,14 @@
     const { url, incarnation, memory, peers, bounds, table } = options
     this.url = url
     this.incarnation = incarnation
-    this.link = new SimLink(memory, this, options.take)
+    this.link = new SimLink(memory, () => this.waitAwake(), step => options.take(step, this))
     const platform = new GuardedPlatform(this.link, { ...DEFAULT_GUARD_OPTIONS, seed: bounds.seed })
-    this.service = new OrderService({ incarnation, peerUrl: () => url, platform, sharedKey: 'shared', peers, bounds, table })
+    this.#service = actAs(this, () => new OrderService({ incarnation, peerUrl: () => url, platform, sharedKey: 'shared', peers, bounds, table }))
+  }
+
+  /** Runs work of this process: its timers stand still while it is paused. */
+  act<T> (work: (service: OrderService) => T): T {
+    return actAs(this, () => work(this.#service))
   }
 
   /** Whether the process stands still; an answer that waits meanwhile may be past its time. */
--- a/packages/knapweedshunt-orders/fuzz/simWorld.ts
+++ b/packages/knapweedshunt-orders/fuzz/simWorld.ts
@@ -1,10 +1,11 @@
 import { MemoryPlatform } from 'knapweedshunt-fakes'
 import { DEFAULT_ORDER_OPTIONS } from 'knapweedshunt-orders'
-import type { BookHandover, OrderDispatcher, OrderOptions, OrderPeers, OrderReply, OrderTable } from 'knapweedshunt-orders'
+import type { BookHandover, OrderDispatcher, OrderEvent, OrderOptions, OrderPeers, OrderReply, OrderTable } from 'knapweedshunt-orders'
 import { createRng, sleep } from 'knapweedshunt-utils'
 import type { Rng } from 'knapweedshunt-utils'
 import type { Fault, PlannedFault, Step } from './faults.ts'
 import { OrderOracle } from './orderOracle.ts'
+import { actAs } from './ownTimers.ts'
 import { SimEndpoint } from './simEndpoint.ts'
 import { SimRouter } from './simRouter.ts'
 
@@ -56,7 +57,7 @@
     for (const planned of this.#plan) {
       if (planned.step !== step || planned.nth !== count) continue
       this.struck.push(planned.fault)
-      this.#strike(planned.fault, router)
+      actAs(null, () => this.#strike(planned.fault, router))
     }
   }
 
@@ -80,8 +81,8 @@
   /** Asks the router what became of the order; null when the connection broke. */
   async readStatus (router: SimRouter, order: SimOrder): Promise<OrderReply | null> {
     const { organisation, credential } = order
-    const forward = (url: string) => this.#callPeer(router, url, peer => peer.service.readTicket(organisation, credential.type === 'ticket' ? credential.ticket : ''))
-    const read = credential.type === 'key' ? router.service.readOwnKey(organisation, credential.key) : router.service.readTicket(organisation, credential.ticket, forward)
+    const forward = (url: string) => this.#callPeer(router, url, peer => peer.act(service => service.readTicket(organisation, credential.type === 'ticket' ? credential.ticket : '')))
+    const read = router.act(service => credential.type === 'key' ? service.readOwnKey(organisation, credential.key) : service.readTicket(organisation, credential.ticket, forward))
     const reply = await router.watch(read)
     if (reply !== null) this.oracle.takeReply(order.name, reply)
     return reply
@@ -103,18 +104,21 @@
     const { organisation, credential, name } = order
     router.orders.add(name)
     const common = { organisation, digest: name, deadlineAtMs: performance.now() + DEADLINE_MS, dispatcher: this.#createDispatcher(router, name) }
-    if (credential.type === 'key') return router.service.runOwnKey({ ...common, idempotencyKey: credential.key })
+    if (credential.type === 'key') return router.act(service => service.runOwnKey({ ...common, idempotencyKey: credential.key }))
     const forward = (url: string) => {
       this.takeStep('forward-sent', router)
       return this.#callPeer(router, url, peer => this.#run(peer, order, false))
     }
-    return router.service.runTicket({ ...common, ticket: credential.ticket, forward: mayForward ? forward : undefined })
+    return router.act(service => service.runTicket({ ...common, ticket: credential.ticket, forward: mayForward ? forward : undefined }))
   }
 
   #createDispatcher (router: SimRouter, order: string): OrderDispatcher {
     let tried = 0
     const cancelled = new Set<string>()
-    const send: OrderDispatcher['send'] = async (attempt, again, emit) => {
+    const send: OrderDispatcher['send'] = (attempt, again, take) => {
+      actAs(null, () => sendOutside(attempt, again, event => router.act(() => take(event))))
+    }
+    const sendOutside = async (attempt: string, again: boolean, emit: (event: OrderEvent) => void) => {
       await router.waitAwake()
       if (cancelled.has(attempt)) return
       const endpoint = this.endpoints[again ? tried - 1 : tried++]
@@ -161,10 +165,10 @@
     }
     return {
       passBook: async (handover: BookHandover) => await tryPeers(async peer => {
-        peer.service.takeBook(structuredClone(handover))
+        peer.act(service => service.takeBook(structuredClone(handover)))
         return true
       }) ?? false,
-      findTicket: query => tryPeers(async peer => peer.service.answerTicket(query))
+      findTicket: query => tryPeers(async peer => peer.act(service => service.answerTicket(query)))
     }
   }
 
@@ -228,7 +232,7 @@
   #shutDown (router: SimRouter): void {
     if (router.closing) return
     router.closing = true
-    router.service.close().then(() => {
+    router.act(service => service.close()).then(() => {
       router.crash()
       this.#replace(router)
     })
--- a/packages/knapweedshunt-orders/src/orderOptions.ts
+++ b/packages/knapweedshunt-orders/src/orderOptions.ts
@@ -22,6 +22,8 @@
   probeMs: number
   /** Longest answer that is kept, in characters. */
   maxAnswerChars: number
+  /** Most characters of outcomes that wait for the tables; beyond, no order is begun until they take some. Orders under way may exceed it. */
+  maxHeldChars: number
   maxAttempts: number
   maxResends: number
   /** Time an outcome waits for others to share its transaction. */
@@ -36,7 +38,7 @@
   seed: number
 }
 
-/** Bounds for deployments of today's size. */
+/** Bounds for deployments of today's size; what is held takes up to 32 MB of a VM of 200 MB. */
 export const DEFAULT_ORDER_OPTIONS: OrderOptions = {
   patienceMs: 3 * SECOND_MS,
   lingerMs: 30 * SECOND_MS,
@@ -46,6 +48,7 @@
   ticketMs: 600 * SECOND_MS,
   probeMs: SECOND_MS,
   maxAnswerChars: 64 * 1024,
+  maxHeldChars: 16 * 1024 * 1024,
   maxAttempts: 4,
   maxResends: 2,
   outcomeLingerMs: 0,
--- a/packages/knapweedshunt-orders/src/orderReply.ts
+++ b/packages/knapweedshunt-orders/src/orderReply.ts
@@ -11,7 +11,7 @@
   | { type: 'not-run', reason: NotRunReason }
   | { type: 'may-have-run' }
   | { type: 'in-progress' }
-  /** The tables gave no answer: the order may have run elsewhere, this attempt started nothing. */
+  /** The tables gave no answer, or have not taken what this process holds: the order may have run elsewhere, this attempt started nothing. */
   | { type: 'unreadable' }
   /** The key was used for another request. */
   | { type: 'mismatch' }
--- a/packages/knapweedshunt-orders/src/orderService.ts
+++ b/packages/knapweedshunt-orders/src/orderService.ts
@@ -15,6 +15,7 @@
 import type { OrderPlace } from './orderEvent.ts'
 import type { ForwardTicket, OrderPorts } from './orderPorts.ts'
 import type { OwnKeyRun, TicketRun } from './runRequest.ts'
+import { OUTCOME_CHARS } from './outcomeWriter.ts'
 import { parseTicket } from './signTicket.ts'
 import { StatusReader } from './statusReader.ts'
 import { TableLedger } from './tableLedger.ts'
@@ -121,7 +122,7 @@
   async #run (order: OrderRequest, place: OrderPlace, deadlineAtMs: number, ports: OrderPorts): Promise<OrderReply> {
     const held = this.#tables.writer.find(order)
     if (held !== null) return held.order.digest === order.digest ? convertOutcome(held.outcome) : { type: 'mismatch' }
-    if (this.#closing) return { type: 'unreadable' }
+    if (this.#closing || (place === 'here' && this.#isFull())) return { type: 'unreadable' }
     const nonce = createIncarnation()
     const { bounds, table } = this.#options
     const machine = new OrderMachine(table, { nonce, digest: order.digest, maxAttempts: bounds.maxAttempts, maxResends: bounds.maxResends })
@@ -143,6 +144,12 @@
     return reply
   }
 
+  /** Whether the tables owe so much that nothing more is begun: what came of it could not be kept. */
+  #isFull (): boolean {
+    const heldChars = this.#tables.writer.heldChars + this.#abandoned.size * OUTCOME_CHARS
+    return heldChars >= this.#options.bounds.maxHeldChars
+  }
+
   async #forward (ticket: Ticket, order: OrderRequest, forward: ForwardTicket | undefined): Promise<OrderReply | null> {
     const reply = await callForward(ticket, forward)
     return reply ?? this.#status.readClosed(ticket, order, order.digest)
--- a/packages/knapweedshunt-orders/src/outcomeWriter.ts
+++ b/packages/knapweedshunt-orders/src/outcomeWriter.ts
@@ -7,6 +7,9 @@
 
 type OrderKey = Pick<OrderRequest, 'organisation' | 'key'>
 
+/** Characters that an outcome takes beside its answer: names, keys and the map's own share. */
+export const OUTCOME_CHARS = 1_024
+
 /** Options of the writer. */
 export interface OutcomeWriterOptions {
   /** Writes one outcome; rejects when no answer came. Writing twice is harmless. */
@@ -24,6 +27,7 @@
   readonly #unwritten = new Map<string, UnwrittenOutcome>()
   readonly #waiters = new Map<string, () => void>()
   #retrying: Promise<void> | null = null
+  #heldChars = 0
 
   constructor (options: OutcomeWriterOptions) {
     this.#options = options
@@ -33,9 +37,17 @@
     return this.#unwritten.size
   }
 
+  /** Size of what is held, in characters. */
+  get heldChars (): number {
+    return this.#heldChars
+  }
+
   /** Takes an outcome; it is found here until it is written. */
   add (outcome: UnwrittenOutcome): void {
-    this.#unwritten.set(nameOrder(outcome.order), outcome)
+    const name = nameOrder(outcome.order)
+    this.#drop(name)
+    this.#unwritten.set(name, outcome)
+    this.#heldChars += countChars(outcome)
     this.#tryWrite(outcome).then(isWritten => {
       if (!isWritten) this.#retrying ??= this.#retryAll()
     })
@@ -72,11 +84,18 @@
     } catch {
       return false
     }
-    this.#unwritten.delete(name)
+    this.#drop(name)
     this.#waiters.get(name)?.()
     return true
   }
 
+  #drop (name: string): void {
+    const known = this.#unwritten.get(name)
+    if (known === undefined) return
+    this.#unwritten.delete(name)
+    this.#heldChars -= countChars(known)
+  }
+
   async #retryAll (): Promise<void> {
     const { backoff, rng, signal, maxTries } = this.#options
     let delays = new Backoff(backoff, rng)
@@ -92,3 +111,7 @@
 function nameOrder ({ organisation, key }: OrderKey): string {
   return JSON.stringify([organisation, key])
 }
+
+function countChars ({ outcome }: UnwrittenOutcome): number {
+  return OUTCOME_CHARS + (outcome.answer?.body.length ?? 0)
+}
