--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/__tests__/chooser.test.ts
@@ -0,0 +1,56 @@
+import test from 'ava'
+import { EndpointBook } from '../endpoints/endpointBook.ts'
+import { EndpointChooser } from '../endpoints/endpointChooser.ts'
+import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
+import type { Prompt } from '../ports/callerCall.ts'
+import type { GatewayConfig } from '../ports/gatewayConfig.ts'
+
+const PROMPT: Prompt = { model: 'm', parts: [{ id: 'a', tokens: 100 }, { id: 'b', tokens: 100 }], tokens: 200 }
+
+interface Rig {
+  chooser: EndpointChooser
+  find (endpoint: string): EndpointRecord
+  /** Endpoints chosen for so many requests of different prefixes. */
+  choose (prefixes: number, prompt?: Prompt): Set<string>
+}
+
+function startRig (versions: number[], wished: { newest: number, current: number } = { newest: 0, current: 0 }): Rig {
+  const book = new EndpointBook(() => {}, () => {})
+  const config = { pools: [{ pool: 'p', maxConnections: 1_000, models: ['m'], healthPath: '/' }] } as unknown as GatewayConfig
+  const chooser = new EndpointChooser({
+    dataCentre: 'z',
+    nearDataCentres: ['z'],
+    seed: 1,
+    book,
+    readConfig: () => config,
+    countVms: () => 1,
+    listLoading: () => new Set(),
+    findWished: () => wished.newest,
+    findCurrent: () => wished.current,
+    findOldest: () => 0
+  })
+  book.takeAll(versions.map((version, n) => ({ endpoint: `e${n}`, incarnation: `e${n}@1`, pool: 'p', address: '127.0.0.1:1', dataCentre: 'z', slots: 64, isDraining: false, models: [{ model: 'm', version }] })), false)
+  chooser.rebuild()
+  const find = (endpoint: string): EndpointRecord => {
+    const record = book.find(endpoint)
+    if (record === undefined) throw new Error(`There is no ${endpoint}.`)
+    return record
+  }
+  const choose = (prefixes: number, prompt = PROMPT): Set<string> => {
+    const chosen = Array.from({ length: prefixes }, (_, n) => chooser.choose('p', [{ key: `key${n}`, tokens: 100 }], [], prompt))
+    return new Set(chosen.map(choice => choice.type === 'chosen' ? choice.record.entry.endpoint : choice.type))
+  }
+  return { chooser, find, choose }
+}
+
+test('current weights are preferred once enough endpoints have them', t => {
+  t.deepEqual([...startRig([2, 2, 1], { newest: 2, current: 2 }).choose(40)].sort(), ['e0', 'e1'])
+  t.is(startRig([2, 1, 1], { newest: 2, current: 2 }).choose(40).size, 3)
+  t.is(startRig([2, 2, 1], { newest: 2, current: 1 }).choose(40).size, 3, 'weights replaced just now are current still')
+})
+
+test('a request that moves goes to the newest weights, however few have them', t => {
+  const { chooser } = startRig([1, 2, 1], { newest: 2, current: 1 })
+  const choice = chooser.choose('p', [{ key: 'k', tokens: 100 }], ['e0'], PROMPT)
+  t.is(choice.type === 'chosen' ? choice.record.entry.endpoint : choice.type, 'e1')
+})
--- a/packages/knapweedshunt-gateway/src/__tests__/weightsState.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/weightsState.test.ts
@@ -23,6 +23,25 @@
   }
 })
 
+test.serial('weights are current for a while after they were replaced', t => {
+  const clock = install()
+  try {
+    const weights = build()
+    weights.takeWished({ model: 'm', version: 2 }, true)
+    t.is(weights.findCurrent('m'), 0)
+    clock.tick(1_400)
+    weights.takeWished({ model: 'm', version: 3 }, true)
+    t.is(weights.findCurrent('m'), 0)
+    clock.tick(200)
+    t.is(weights.findCurrent('m'), 2)
+    clock.tick(1_300)
+    t.is(weights.findCurrent('m'), 3)
+    t.is(weights.findOldest('m'), 0)
+  } finally {
+    clock.uninstall()
+  }
+})
+
 test.serial('a version found at a start may have been named long ago', t => {
   const clock = install()
   try {
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -21,8 +21,8 @@
  */
 const OBJECTIVE: ObjectiveWeights = { carriedShare: 0.4, wait: 1, shared: 1.5, spillFactor: 2, spillFloorMs: 150, remoteMs: 1_000 }
 
-/** One endpoint of so many with newer weights is enough to carry the load of all. */
-const NEWEST_SHARE = 3
+/** Share of the endpoints from which on those with current weights carry the load of all; what waits at fewer comes later than the weights are worth. */
+const CURRENT_SHARE = 2 / 3
 
 /** Time between two estimates of what other VMs are asked for, in milliseconds. */
 const DEMAND_MS = 1_000
@@ -46,6 +46,8 @@
   listLoading (): Set<EndpointName>
   /** Version wished for a model; null when none was named. */
   findWished (model: string): number | null
+  /** Oldest version of a model whose answers are worth as much as those of the newest. */
+  findCurrent (model: string): number
   /** Oldest version of a model on which a request may still begin. */
   findOldest (model: string): number
 }
@@ -148,17 +150,17 @@
     const meanShare = open.reduce((sum, record) => sum + record.health.readFailedShare(), 0) / Math.max(1, open.length)
     const well = open.filter(record => !record.health.isOut(meanShare))
     if (well.length === 0) return open
-    const newest = this.#preferNewest(well, prompt, isMoving)
-    return prompt === null ? newest : this.#lanes.select(pool, newest, prompt.tokens)
+    const current = this.#preferCurrent(well, prompt, isMoving)
+    return prompt === null ? current : this.#lanes.select(pool, current, prompt.tokens)
   }
 
-  /** Newer weights are worth more once enough endpoints have them to carry the load; a request that moves goes where it need not move again. */
-  #preferNewest (records: EndpointRecord[], prompt: Prompt | null, isMoving: boolean): EndpointRecord[] {
+  /** Weights that were replaced a while ago are left once enough endpoints have newer ones; a request that moves goes where it need not move again. */
+  #preferCurrent (records: EndpointRecord[], prompt: Prompt | null, isMoving: boolean): EndpointRecord[] {
     if (prompt === null) return records
-    const wished = this.#parts.findWished(prompt.model)
-    if (wished === null) return records
-    const newest = records.filter(record => (record.findVersion(prompt.model) ?? 0) >= wished)
-    return newest.length * NEWEST_SHARE >= records.length || (isMoving && newest.length > 0) ? newest : records
+    const least = isMoving ? this.#parts.findWished(prompt.model) ?? 0 : this.#parts.findCurrent(prompt.model)
+    const newest = records.filter(record => (record.findVersion(prompt.model) ?? 0) >= least)
+    const isEnough = isMoving ? newest.length > 0 : newest.length >= records.length * CURRENT_SHARE
+    return isEnough ? newest : records
   }
 
   /** Runs the prompt's model, with weights that are not too old. */
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -151,6 +151,7 @@
       countVms: () => this.#roster.countVms(),
       listLoading: () => this.#weights.listLoading(),
       findWished: model => this.#weights.findWished(model),
+      findCurrent: model => this.#weights.findCurrent(model),
       findOldest: model => this.#weights.findOldest(model)
     })
     this.#watch = new EndpointWatch({
--- a/packages/knapweedshunt-gateway/src/weights/weightsState.ts
+++ b/packages/knapweedshunt-gateway/src/weights/weightsState.ts
@@ -11,6 +11,9 @@
 /** Share of the time for new weights that counts as over for a version found at a start, as nothing tells when it was named. */
 const UNKNOWN_SHARE = 0.5
 
+/** Time after which answers on weights that were replaced are worth less, in milliseconds; stated by the users. */
+const CURRENT_MS = 1_500
+
 /** Named versions remembered of one model. */
 const MAX_NAMED = 16
 
@@ -49,7 +52,17 @@
 
   /** Oldest version on which a request may still begin; 0 when any may. */
   findOldest (model: string): number {
-    const sinceMs = performance.now() - this.#parts.readStaleMs()
+    return this.#findNamed(model, this.#parts.readStaleMs())
+  }
+
+  /** Oldest version whose answers are worth as much as those of the newest; 0 when any is. */
+  findCurrent (model: string): number {
+    return this.#findNamed(model, CURRENT_MS)
+  }
+
+  /** Newest version named at least so long ago. */
+  #findNamed (model: string, ageMs: number): number {
+    const sinceMs = performance.now() - ageMs
     return this.#named.get(model)?.find(named => named.atMs <= sinceMs)?.version ?? 0
   }
 
