Placement: a prefix whose home takes no request of its kind has a stand-in that all VMs find

Cause: endpoints left out (kept for short prompts, loading, behind in weights) stayed in the ranking. A quarter of the long prompts' prefixes had such a home and went to whichever endpoint was least busy, a different one on each VM, and was read again there. Test: unavailable (fails when the endpoints are only excluded).

--- a/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -120,8 +120,8 @@
     const usable = this.#listUsable(candidates, pool, prompt, isMoving)
     if (usable.length === 0) return { type: 'busy' }
     const names = new Set(usable.map(record => record.entry.endpoint))
-    const excluded = records.filter(record => !names.has(record.entry.endpoint)).map(record => record.entry.endpoint)
-    const decision = this.#placement.place({ pool, levels, excluded })
+    const unavailable = records.filter(record => !names.has(record.entry.endpoint)).map(record => record.entry.endpoint)
+    const decision = this.#placement.place({ pool, levels, excluded: [], unavailable })
     if (decision.type !== 'placed') return { type: 'busy' }
     const record = this.#parts.book.find(decision.endpoint)
     return record === undefined ? { type: 'busy' } : { type: 'chosen', record, decision }
--- a/packages/knapweedshunt-placement/src/endpointGroup.ts
+++ b/packages/knapweedshunt-placement/src/endpointGroup.ts
@@ -1,9 +1,12 @@
-import type { DataCentreId } from 'knapweedshunt-types'
+import type { DataCentreId, EndpointName } from 'knapweedshunt-types'
 import type { EndpointState } from './endpointState.ts'
 
 /** Time for which the mean wait is not computed anew, in milliseconds. */
 const MEAN_WAIT_MS = 100
 
+/** Parts of a group remembered; one for each kind of request and state of its endpoints is in use at a time. */
+const MAX_PARTS = 32
+
 /** Usable endpoints of one pool in one data centre. */
 export class EndpointGroup {
   readonly dataCentre: DataCentreId
@@ -13,6 +16,7 @@
   readonly #weights: number[]
   #meanWaitTokens = 0
   #meanAtMs = -Infinity
+  readonly #parts = new Map<string, EndpointGroup>()
 
   constructor (dataCentre: DataCentreId, members: readonly EndpointState[]) {
     this.dataCentre = dataCentre
@@ -26,6 +30,20 @@
     return members.length === this.members.length && members.every((member, i) => member === this.members[i] && member.weight === this.#weights[i])
   }
 
+  /** The group without some of its members; null if none is left. The same object as long as the group and the names stay the same. */
+  without (names: readonly EndpointName[]): EndpointGroup | null {
+    if (names.length === 0) return this
+    const key = names.join()
+    const known = this.#parts.get(key)
+    if (known !== undefined) return known
+    const members = this.members.filter(member => !names.includes(member.endpoint))
+    if (members.length === 0) return null
+    const part = new EndpointGroup(this.dataCentre, members)
+    if (this.#parts.size >= MAX_PARTS) this.#parts.clear()
+    this.#parts.set(key, part)
+    return part
+  }
+
   /** Whether any member's load was heard. */
   get isReported (): boolean {
     return this.members.some(member => member.isReported)
--- a/packages/knapweedshunt-placement/src/groupChooser.ts
+++ b/packages/knapweedshunt-placement/src/groupChooser.ts
@@ -34,6 +34,7 @@
   /** Followed levels; empty for plain services. */
   levels: PrefixLevel[]
   excluded: string[]
+  unavailable: string[]
   weights: ObjectiveWeights
   nowMs: number
 }
@@ -61,8 +62,10 @@
   }
 
   /** Chooses an endpoint of the group; undefined if all are excluded. */
-  choose (group: EndpointGroup, choice: Choice): GroupChoice | undefined {
+  choose (whole: EndpointGroup, choice: Choice): GroupChoice | undefined {
     const { options, rng } = this.#parts
+    const group = whole.without(choice.unavailable)
+    if (group === null) return undefined
     const chain = this.buildChain(choice.levels, group, choice.pool, choice.nowMs)
     const states = listCandidates(chain, group, choice.excluded, rng)
     if (states.length === 0) return undefined
--- a/packages/knapweedshunt-placement/src/placement.ts
+++ b/packages/knapweedshunt-placement/src/placement.ts
@@ -88,7 +88,7 @@
     if (pool === undefined || !pool.hasUsable) return { type: 'unplaceable', reason: 'no-endpoint' }
     const levels = listFollowed(request.levels)
     const weights = findObjectiveWeights(this.#options.objectives, pool.objective, request.job ?? 'short')
-    const chosen = this.#choose({ pool, levels, excluded: request.excluded, weights, nowMs })
+    const chosen = this.#choose({ pool, levels, excluded: request.excluded, unavailable: request.unavailable ?? [], weights, nowMs })
     if (chosen === undefined) return { type: 'unplaceable', reason: 'all-excluded' }
     if (levels.length > 0) noteDemand(levels, chosen.candidate.cachedTokens, this.#keys, this.#options, nowMs)
     return this.#chooser.describe(chosen)
--- a/packages/knapweedshunt-placement/src/placementTypes.ts
+++ b/packages/knapweedshunt-placement/src/placementTypes.ts
@@ -7,6 +7,8 @@
   levels: PrefixLevel[]
   /** Endpoints already tried. */
   excluded: EndpointName[]
+  /** Endpoints that take no request of this kind now: the next in a ranking stand in for them. */
+  unavailable?: EndpointName[]
   /** A long job may wait for a warm endpoint when its pool puts reuse first; `short` if absent. */
   job?: 'short' | 'long'
 }
