Kept prefixes are followed: what their store is known to hold is not saved again

Cause: each request saved its prompt with the part that is its own; of 952 thousand tokens of room a tenth was overwritten each second, and the store's link was taken up by prefixes that it held. The store was asked once a second whether it lives; the same question now brings what it holds. Tests: keptContents; kept over sockets (dropped, restarted, busy, silent store).

--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -178,7 +178,7 @@
       cacheSalt: salt,
       weightsVersion: salt === null || call.prompt === null ? null : record.findVersion(call.prompt.model),
       prefixSource: source?.entry.address ?? kept,
-      prefixTarget: kept,
+      prefixTarget: salt !== null && this.#parts.kept.holds(salt, call.prompt?.parts.slice(0, -1) ?? []) ? null : kept,
       priority: route.usesPrefixes ? identity?.priority ?? route.priority : null,
       lastEventId: this.#relay.lastEventId
     })
--- a/packages/knapweedshunt-gateway/src/ports/managementPort.ts
+++ b/packages/knapweedshunt-gateway/src/ports/managementPort.ts
@@ -38,12 +38,39 @@
   /** No answer: it may run, now or later. */
   | { type: 'lost' }
 
+/** How much a store of kept prefixes holds now of one part of a prompt. */
+export interface KeptChange {
+  salt: string
+  /** Id of the part. */
+  part: string
+  /** 0 when it holds nothing of it. */
+  tokens: number
+}
+
+/** What changed in a store of kept prefixes, in order. */
+export interface KeptNews {
+  /** Another one after a restart, which empties the store. */
+  incarnation: string
+  /** From where to ask next. */
+  position: number
+  /** Changes before these are no longer told. */
+  hasGap: boolean
+  changes: KeptChange[]
+}
+
+/** Answer of a store of kept prefixes. */
+export type KeptAnswer =
+  | { type: 'news', news: KeptNews }
+  /** It lives, but tells nothing now: too many ask, or the answer cannot be read. */
+  | { type: 'untold' }
+  | { type: 'silent' }
+
 /** Management calls of an endpoint. None of the methods throws. */
 export interface ManagementPort {
   /** Whether the endpoint answers at all, and is the one meant. */
   probe (entry: EndpointEntry, pool: GatewayPool | null, timeoutMs: number): Promise<boolean>
-  /** Whether the store of kept prefixes answers a question that it may hold for `holdMs`, within `timeoutMs` more. */
-  holdKeptStore (address: string, holdMs: number, timeoutMs: number): Promise<boolean>
+  /** Asks a store of kept prefixes what changed after a position, null for all that it still tells. It may hold the question for `holdMs`, and has `timeoutMs` more to answer. */
+  pollKeptStore (address: string, position: number | null, holdMs: number, timeoutMs: number): Promise<KeptAnswer>
   /** Null when no report came, or another endpoint has the address. */
   readReport (entry: EndpointEntry, timeoutMs: number): Promise<EndpointReport | null>
   sendLoadOrder (order: LoadOrder, timeoutMs: number): Promise<LoadOrderResult>
