Waits at endpoints are told from their load as prompts, not as counts

Cause: an endpoint's load header tells requests, and a request counted as ten prompt tokens of wait; a VM knew of its own prompts only, one in seven. Test: chooser (fails before). The expected wait stands in the line of each send.

--- a/packages/knapweedshunt-gateway/src/__tests__/chooser.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/chooser.test.ts
@@ -54,3 +54,16 @@
   const choice = chooser.choose('p', [{ key: 'k', tokens: 100 }], ['e0'], PROMPT)
   t.is(choice.type === 'chosen' ? choice.record.entry.endpoint : choice.type, 'e1')
 })
+
+test('a prefix leaves its home when that is told to be full of prompts', t => {
+  const rig = startRig([1, 1, 1])
+  const home = rig.chooser.choose('p', [{ key: 'k', tokens: 100 }], [], PROMPT)
+  t.is(home.type, 'chosen')
+  if (home.type !== 'chosen') return
+  for (let n = 0; n < 30; n++) home.record.noteTokens(9_000)
+  home.record.load = { running: 12, waiting: 20, slots: 64 }
+  home.record.loadAtMs = performance.now()
+  rig.chooser.noteLoad(home.record)
+  const next = rig.chooser.choose('p', [{ key: 'k', tokens: 100 }], [], PROMPT)
+  t.not(next.type === 'chosen' ? next.record.entry.endpoint : next.type, home.record.entry.endpoint)
+})
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -24,6 +24,9 @@
 /** Share of the endpoints from which on those with current weights carry the load of all; what waits at fewer comes later than the weights are worth. */
 const CURRENT_SHARE = 2 / 3
 
+/** Share of the requests that an endpoint runs whose prompt counts as still to be computed: most of a long prompt's time there goes by before its first token. */
+const RUNNING_SHARE = 0.5
+
 /** Time between two estimates of what other VMs are asked for, in milliseconds. */
 const DEMAND_MS = 1_000
 
@@ -215,7 +218,7 @@
     const weightsVersion = model === undefined ? null : String(model.version)
     const report = load === null
       ? null
-      : { endpoint: entry.endpoint, incarnation: entry.incarnation, weightsVersion, running: load.running, queued: load.waiting, queuedTokens: 0, atMs: ++this.#reports }
+      : { endpoint: entry.endpoint, incarnation: entry.incarnation, weightsVersion, running: load.running, queued: load.waiting, queuedTokens: (load.waiting + load.running * RUNNING_SHARE) * record.meanTokens, atMs: ++this.#reports }
     return { endpoint: entry.endpoint, incarnation: entry.incarnation, state: 'live', weightsVersion, load: report, loadAgeMs: report === null ? 0 : performance.now() - loadAtMs }
   }
 }
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointRecord.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointRecord.ts
@@ -2,6 +2,9 @@
 import type { ToldLoad } from '../ports/endpointPort.ts'
 import { EndpointHealth } from './endpointHealth.ts'
 
+/** Weight of the newest request in the mean of prompt tokens. */
+const TOKENS_GAIN = 0.1
+
 /** What this VM knows of one incarnation of an endpoint. */
 export class EndpointRecord {
   entry: EndpointEntry
@@ -12,6 +15,8 @@
   heardAtMs = performance.now()
   load: ToldLoad | null = null
   loadAtMs = -Infinity
+  /** Prompt tokens that one request of this VM had computed there, a moving mean. */
+  meanTokens = 0
   /** Since when the row is missing although the store may only have lost it; null while it is there. */
   missingSinceMs: number | null = null
 
@@ -24,6 +29,11 @@
     return this.entry.models.find(served => served.model === model)?.version ?? null
   }
 
+  /** Notes the prompt tokens that a request is expected to have computed there. */
+  noteTokens (tokens: number): void {
+    this.meanTokens += (tokens - this.meanTokens) * TOKENS_GAIN
+  }
+
   /** Notes that the endpoint runs a version, heard before its row said so. */
   noteVersion (model: string, version: number): boolean {
     const known = this.findVersion(model)
--- a/packages/knapweedshunt-gateway/src/flow/requestRecord.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestRecord.ts
@@ -1,3 +1,4 @@
+import type { PlacedDecision } from 'knapweedshunt-placement'
 import type { AttemptRun } from './attemptRun.ts'
 import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
 import type { RefusalReason } from '../records/decision.ts'
@@ -36,7 +37,7 @@
   }
 
   /** An endpoint was chosen for the attempt of the number. */
-  noteChoice (attempt: number, record: EndpointRecord, rank: number, expectedCachedTokens: number): void {
+  noteChoice (attempt: number, record: EndpointRecord, { rank, expectedCachedTokens = 0, expectedWaitMs = 0 }: PlacedDecision): void {
     const { call, configRevision, deadlineAtMs, pool } = this.#plan
     const promptTokens = call.prompt?.tokens ?? 0
     if (promptTokens > 0) this.#parts.figures.recordPrompt(promptTokens, expectedCachedTokens)
@@ -51,6 +52,7 @@
       prefix: this.#plan.levels.map(level => level.key.slice(0, PREFIX_CHARS)).join('>'),
       expectedCachedTokens,
       promptTokens,
+      expectedWaitMs,
       open: record.open,
       loadAgeMs: Math.round(Math.min(performance.now() - record.loadAtMs, Number.MAX_SAFE_INTEGER)),
       configRevision,
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -152,7 +152,7 @@
     for (;;) {
       const choice = this.#parts.chooser.choose(pool, this.#homeLevels, this.#tried, prompt)
       if (choice.type === 'chosen') {
-        this.#record.noteChoice(this.#attempts + 1, choice.record, choice.decision.rank, choice.decision.expectedCachedTokens ?? 0)
+        this.#record.noteChoice(this.#attempts + 1, choice.record, choice.decision)
         return choice
       }
       if (choice.type === 'none' || performance.now() >= untilMs) {
@@ -185,6 +185,7 @@
     const attempt = new Attempt(this.#parts.port, this.#parts.agent, { method: call.method, target: call.target, address: record.entry.address, headers, body, requestId: call.requestId })
     const id = `${call.requestId}-${number}`
     record.open++
+    record.noteTokens((call.prompt?.tokens ?? 0) - (decision.expectedCachedTokens ?? 0))
     this.#sentTo++
     this.#tried.push(record.entry.endpoint)
     this.#parts.chooser.placement.take({ type: 'started', attempt: id, endpoint: record.entry.endpoint, tokens: call.prompt?.tokens ?? 0, levels: this.#homeLevels, decision })
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -10,7 +10,7 @@
 /** A decision that touches one request; times in milliseconds. */
 export type RequestDecision =
   /** Sent to an endpoint; `prefix` names the prompt's levels by the beginnings of their keys, outermost first. */
-  | { type: 'sent', requestId: RequestId, attempt: number, pool: PoolName, endpoint: EndpointName, incarnation: string, rank: number, prefix: string, expectedCachedTokens: number, promptTokens: number, open: number, loadAgeMs: number, configRevision: number, keysAgeMs: number, timeLeftMs: number }
+  | { type: 'sent', requestId: RequestId, attempt: number, pool: PoolName, endpoint: EndpointName, incarnation: string, rank: number, prefix: string, expectedCachedTokens: number, promptTokens: number, expectedWaitMs: number, open: number, loadAgeMs: number, configRevision: number, keysAgeMs: number, timeLeftMs: number }
   /** An attempt brought no answer; `isRetried` when another endpoint is tried. */
   | { type: 'attemptEnded', requestId: RequestId, attempt: number, endpoint: EndpointName, outcome: string, reason: string, isRetried: boolean, afterMs: number }
   /** A stream goes on at another endpoint. */
