--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -3,7 +3,6 @@
 import { match } from 'ts-pattern'
 import { REPEATABILITY } from '../ports/gatewayConfig.ts'
 import type { AnswerHead } from '../ports/endpointPort.ts'
-import { Attempt } from '../endpoints/attempt.ts'
 import type { AttemptOutcome } from '../endpoints/attemptOutcome.ts'
 import { LOSS } from '../endpoints/attemptOutcome.ts'
 import { EVIDENCE } from '../endpoints/endpointHealth.ts'
@@ -11,10 +10,12 @@
 import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
 import type { RefusalReason } from '../records/decision.ts'
 import type { OwnAnswer } from '../shared/callerError.ts'
-import { listEndToEndHeaders } from '../shared/endToEndHeaders.ts'
 import type { FlowParts } from './flowParts.ts'
+import { AnswerWriter } from './answerWriter.ts'
 import type { AttemptRun } from './attemptRun.ts'
+import { launchAttempt } from './launchAttempt.ts'
 import { readAnswerBody } from './readAnswerBody.ts'
+import { RepeatPermits } from './repeatPermits.ts'
 import type { RequestPlan } from './requestPlan.ts'
 import { RequestRecord } from './requestRecord.ts'
 import { StreamRelay } from './streamRelay.ts'
@@ -22,9 +23,6 @@
 /** Statuses that promise that a request did not run and will not. */
 const NOT_RUN_STATUSES = [408, 421, 429, 503]
 
-/** Least shared tokens worth a transfer to or from the store of kept prefixes. */
-const MIN_KEPT_TOKENS = 1_000
-
 /** Connections that fail before a byte was sent, after which no further endpoint is tried. */
 const MAX_UNSENT = 3
 
@@ -63,6 +61,8 @@
   readonly #plan: RequestPlan
   readonly #answer: http.ServerResponse
   readonly #relay: StreamRelay
+  readonly #writer: AnswerWriter
+  readonly #permits: RepeatPermits
   readonly #record: RequestRecord
   readonly #tried: string[] = []
   #running: AttemptRun | null = null
@@ -70,15 +70,11 @@
   #attempts = 0
   #unsent = 0
   #notRun = 0
-  /** Endpoints that run or may have run the request. */
-  #sentTo = 0
   #mayHaveRun = false
   #isOver = false
   /** The endpoint asked last answers with a stream. */
   #isStreaming = false
   #isMoved = false
-  /** A repeat was taken from the budget and not used yet. */
-  #hasPermit = false
   #deadline: NodeJS.Timeout | undefined
 
   constructor (parts: FlowParts, plan: RequestPlan, answer: http.ServerResponse) {
@@ -86,6 +82,8 @@
     this.#plan = plan
     this.#answer = answer
     this.#record = new RequestRecord(parts, plan)
+    this.#writer = new AnswerWriter(answer, plan.call.method)
+    this.#permits = new RepeatPermits(parts, plan)
     this.#relay = new StreamRelay(answer, plan.route.repeatability === REPEATABILITY.resumed, plan.call.lastEventId)
   }
 
@@ -111,7 +109,7 @@
   leave (endpoints: ReadonlySet<string>): void {
     const running = this.#running
     if (running === null || !this.#isStreaming || this.#plan.route.repeatability !== REPEATABILITY.resumed || !endpoints.has(running.record.entry.endpoint)) return
-    if (!this.#parts.chooser.hasOther(this.#plan.pool, this.#tried) || !this.#mayTryAnother(true)) return
+    if (!this.#parts.chooser.hasOther(this.#plan.pool, this.#tried) || !this.#permits.take(true)) return
     this.#isMoved = true
     running.attempt.cancel(LOSS.moved)
   }
@@ -120,20 +118,6 @@
     return this.#plan.route.repeatability !== REPEATABILITY.never
   }
 
-  /** Endpoints are left, and the budget of all repeats allows one more. */
-  #mayTryAnother (isOptional = false): boolean {
-    if (this.#sentTo >= this.#plan.route.maxEndpoints || this.#plan.body.type === 'flowing') return false
-    return this.#takePermit(isOptional)
-  }
-
-  /** Takes one repeat from the budget, unless one was taken for this step already. */
-  #takePermit (isOptional: boolean): boolean {
-    if (performance.now() >= this.#plan.deadlineAtMs || this.#plan.body.type === 'flowing') return false
-    const hasPermit = this.#hasPermit
-    this.#hasPermit = false
-    return hasPermit || this.#parts.takeRetry(this.#plan.pool, isOptional)
-  }
-
   async #tryNext (): Promise<Step> {
     const chosen = await this.#waitEndpoint()
     if (chosen === null || this.#isOver) return DONE
@@ -164,34 +148,12 @@
     }
   }
 
-  #start ({ record, decision }: Chosen): AttemptRun {
-    const { call, route, identity, levels, body } = this.#plan
-    const number = ++this.#attempts
-    const { chooser } = this.#parts
-    const salt = route.usesPrefixes && call.prompt !== null ? chooser.nameSalt(call.prompt, identity, record) : null
-    const source = salt === null ? null : chooser.holders.findSource(levels, salt, record)
-    const kept = salt !== null && (levels.at(-2)?.tokens ?? 0) >= MIN_KEPT_TOKENS ? this.#parts.kept.findAddress() : null
-    const headers = this.#parts.port.buildAttemptHeaders(this.#plan.headers, {
-      endpoint: record.entry.endpoint,
-      timeLeftMs: Math.max(1, Math.floor(this.#plan.deadlineAtMs - performance.now())),
-      organisation: identity?.organisation ?? null,
-      cacheSalt: salt,
-      weightsVersion: salt === null || call.prompt === null ? null : record.findVersion(call.prompt.model),
-      prefixSource: source?.entry.address ?? kept,
-      prefixTarget: salt !== null && this.#parts.kept.holds(salt, call.prompt?.parts.slice(0, -1) ?? []) ? null : kept,
-      priority: route.usesPrefixes ? identity?.priority ?? route.priority : null,
-      lastEventId: this.#relay.lastEventId
-    })
-    const attempt = new Attempt(this.#parts.port, this.#parts.agent, { method: call.method, target: call.target, address: record.entry.address, headers, body, requestId: call.requestId })
-    const id = `${call.requestId}-${number}`
-    record.open++
-    record.noteTokens((call.prompt?.tokens ?? 0) - (decision.expectedCachedTokens ?? 0))
-    this.#sentTo++
-    this.#tried.push(record.entry.endpoint)
-    this.#parts.chooser.placement.take({ type: 'started', attempt: id, endpoint: record.entry.endpoint, tokens: call.prompt?.tokens ?? 0, levels: this.#homeLevels, decision })
-    this.#running = { attempt, record, number, startedAtMs: performance.now(), id, salt, expectedCachedTokens: decision.expectedCachedTokens ?? 0 }
-    this.#parts.watch.noteStart(record, this.#running.startedAtMs)
-    return this.#running
+  #start (chosen: Chosen): AttemptRun {
+    const running = launchAttempt(this.#parts, this.#plan, { chosen, homeLevels: this.#homeLevels, number: ++this.#attempts, lastEventId: this.#relay.lastEventId })
+    this.#permits.noteSent()
+    this.#tried.push(running.record.entry.endpoint)
+    this.#running = running
+    return running
   }
 
   /** Ends an attempt; `hasRead` when the endpoint read the whole prompt, and so holds it. */
@@ -211,10 +173,7 @@
     const timer = setTimeout(() => {
       // An engine that gives tokens to others is busy, not lost: it has read part of the prompt already.
       if (route.usesPrefixes && record.heardAtMs > startedAtMs) return
-      if (!this.#parts.chooser.hasOther(this.#plan.pool, this.#tried)) return
-      if (this.#sentTo >= route.maxEndpoints || !this.#takePermit(false)) return
-      this.#hasPermit = true
-      attempt.cancel(LOSS.silent)
+      if (this.#reserveMove()) attempt.cancel(LOSS.silent)
     }, route.objectiveMs * STALL_SHARE)
     try {
       return await attempt.outcome
@@ -224,8 +183,7 @@
   }
 
   async #takeOutcome (running: AttemptRun, outcome: AttemptOutcome): Promise<Step> {
-    // An endpoint that did not run the request is none of those that it was run on.
-    if (outcome.type === 'unsent' || outcome.type === 'notRun') this.#sentTo--
+    if (outcome.type === 'unsent' || outcome.type === 'notRun') this.#permits.noteNotRun()
     return await match(outcome)
       .with({ type: 'unsent' }, ({ reason }) => this.#takeUnsent(running, reason))
       .with({ type: 'notRun' }, ({ head, status }) => this.#takeNotRun(running, head, status))
@@ -249,7 +207,7 @@
     this.#noteHead(running.record, head)
     this.#end(running)
     this.#notRun++
-    const isRetried = this.#notRun <= MAX_NOT_RUN && this.#mayTryAnother()
+    const isRetried = this.#notRun <= MAX_NOT_RUN && this.#permits.take(false)
     this.#record.noteEnded(running, 'notRun', `status ${status}`, isRetried)
     if (isRetried) return this.#retry()
     this.#fail('endpoint_refused', `status ${status}`)
@@ -262,7 +220,7 @@
     this.#parts.watch.note(running.record, evidence, reason)
     if (loss === LOSS.reset) this.#parts.noteCrash(this.#plan.fingerprint, running.record, running.startedAtMs)
     this.#end(running)
-    const isRetried = this.#canRepeat && this.#mayTryAnother()
+    const isRetried = this.#canRepeat && this.#permits.take(false)
     this.#record.noteEnded(running, loss, reason, isRetried)
     if (isRetried) return this.#retry()
     this.#fail('endpoint_lost', `${loss}: ${reason}`)
@@ -292,7 +250,7 @@
     if (body.type === 'cut') return this.#takeLost(running, LOSS.garbled, body.reason)
     const isFailure = status >= FIRST_SERVER_ERROR
     this.#parts.watch.note(running.record, isFailure ? EVIDENCE.failed : EVIDENCE.served, `status ${status}`)
-    if (isFailure && this.#canRepeat && this.#mayTryAnother()) {
+    if (isFailure && this.#canRepeat && this.#permits.take(false)) {
       message.destroy()
       this.#end(running)
       this.#record.noteEnded(running, 'failed', `status ${status}`, true)
@@ -306,7 +264,7 @@
       return DONE
     }
     const firstByteMs = performance.now() - this.#plan.arrivedAtMs
-    this.#writeHead(message, status, body.type === 'whole' ? body.bytes.length : null)
+    this.#writer.writeHead(message, status, body.type === 'whole' ? body.bytes.length : null)
     if (body.type === 'whole') this.#answer.end(body.bytes)
     else await this.#passRest(message, body.first)
     this.#end(running)
@@ -325,7 +283,7 @@
   async #passStream (running: AttemptRun, message: http.IncomingMessage): Promise<Step> {
     const { route, levels } = this.#plan
     if (running.salt !== null) this.#parts.chooser.holders.note(levels, running.salt, running.record)
-    if (!this.#answer.headersSent) this.#writeHead(message, message.statusCode ?? 0, null)
+    if (!this.#answer.headersSent) this.#writer.writeHead(message, message.statusCode ?? 0, null)
     const isResumable = route.repeatability === REPEATABILITY.resumed
     const stallMs = isResumable ? (route.pauseObjectiveMs ?? DEFAULT_PAUSE_MS) * PAUSE_FACTOR : null
     this.#isStreaming = true
@@ -347,12 +305,9 @@
     return this.#takeCut(running, end.reason)
   }
 
-  /** Whether a silent stream may go on elsewhere; silence alone is no reason to end it. */
+  /** Whether a request that hears nothing may go on elsewhere; silence alone is no reason to end it. */
   #reserveMove (): boolean {
-    if (!this.#parts.chooser.hasOther(this.#plan.pool, this.#tried)) return false
-    if (this.#sentTo >= this.#plan.route.maxEndpoints || !this.#takePermit(false)) return false
-    this.#hasPermit = true
-    return true
+    return this.#parts.chooser.hasOther(this.#plan.pool, this.#tried) && this.#permits.reserve()
   }
 
   #takeCut (running: AttemptRun, reason: string): Step {
@@ -361,7 +316,7 @@
     running.attempt.cancel(LOSS.cancelled)
     if (!isMoved) this.#parts.watch.note(running.record, EVIDENCE.failed, reason)
     this.#end(running, isMoved)
-    const isRetried = isMoved || (this.#plan.route.repeatability === REPEATABILITY.resumed && this.#mayTryAnother())
+    const isRetried = isMoved || (this.#plan.route.repeatability === REPEATABILITY.resumed && this.#permits.take(false))
     this.#record.noteEnded(running, isMoved ? LOSS.moved : 'cut', reason, isRetried)
     if (!isRetried) {
       this.#refuse('stream_cut', 0, reason)
@@ -371,20 +326,6 @@
     return this.#retry()
   }
 
-  #writeHead (message: http.IncomingMessage, status: number, length: number | null): void {
-    const headers = listEndToEndHeaders(message.rawHeaders)
-    const isBodiless = this.#plan.call.method === 'HEAD' || status === 204 || status === 304
-    if (isFramed(message)) {
-      if (length !== null && !isBodiless) headers.push('Content-Length', String(length))
-    } else {
-      // Only the end of the connection ended the endpoint's answer; nothing vouches for its length to the caller either.
-      this.#answer.useChunkedEncodingByDefault = false
-      this.#answer.shouldKeepAlive = false
-    }
-    this.#answer.sendDate = false
-    this.#answer.writeHead(status, message.statusMessage ?? '', headers)
-  }
-
   #noteHead (record: EndpointRecord, head: AnswerHead): void {
     const model = this.#plan.call.prompt?.model
     if (head.weightsVersion !== null && model !== undefined && record.noteVersion(model, head.weightsVersion)) this.#parts.chooser.rebuild()
@@ -438,8 +379,3 @@
     this.#parts.sendOwnAnswer(this.#answer, this.#plan.call.requestId, answer)
   }
 }
-
-/** Whether the answer itself says where its body ends. */
-function isFramed ({ headers }: http.IncomingMessage): boolean {
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
-}
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -1,6 +1,6 @@
 import type http from 'node:http'
-import { RetryBudget, SuspectRegistry } from 'knapweedshunt-attempts'
-import type { RetryBudgetOptions, SuspectMark } from 'knapweedshunt-attempts'
+import { SuspectRegistry } from 'knapweedshunt-attempts'
+import type { SuspectMark } from 'knapweedshunt-attempts'
 import { DEFAULT_WAVE_OPTIONS, WaveTask } from 'knapweedshunt-fleet'
 import type { Logger } from 'knapweedshunt-logger'
 import { DEFAULT_FOLLOWER_OPTIONS, TableFollower } from 'knapweedshunt-platform'
@@ -29,7 +29,8 @@
 import { DecisionLog } from './records/decisionLog.ts'
 import { Figures } from './records/figures.ts'
 import { CallerError, createCallerError } from './shared/callerError.ts'
-import type { OwnAnswer } from './shared/callerError.ts'
+import { SharedBudget } from './shared/sharedBudget.ts'
+import { sendOwnAnswer } from './shared/sendOwnAnswer.ts'
 import { WeightsState } from './weights/weightsState.ts'
 
 /** How long the store holds a poll of the operator's rows, in milliseconds: twice that is below the age at which keys are no longer used. */
@@ -48,12 +49,6 @@
 /** Part of the time for new weights that is kept for the way and the queue at an endpoint, in milliseconds; a long prompt ahead takes over a second. */
 const STALE_MARGIN_MS = 1_500
 
-/** Share of the allowed repeats that this VM's part is cut from; the rest covers VMs that come and go. */
-const BUDGET_SHARE = 0.8
-
-/** Share of the allowed ratio of repeats that is used; only requests that went well are counted, which is a margin already. */
-const BUDGET_RATIO = 0.95
-
 /** Time after a notice of loading weights after which streams that still run leave the endpoint, in milliseconds; most end before. */
 const LEAVE_LOADING_MS = 300
 
@@ -99,7 +94,7 @@
   readonly #agent = new EndpointAgent()
   readonly #config = new ConfigState()
   readonly #suspects = new SuspectRegistry(SUSPECT_OPTIONS)
-  readonly #budgets: RetryBudget
+  readonly #budget: SharedBudget
   readonly #book: EndpointBook
   readonly #roster: VmRoster
   readonly #weights: WeightsState
@@ -176,11 +171,11 @@
     this.#endpoints = this.#follow(parts.directory.endpointTable, ENDPOINT_WAIT_MS, ENDPOINT_REST_MS, news => this.#intake.takeEndpoints(news))
     this.#rosterFollower = this.#follow(ROSTER_TABLE, ROSTER_WAIT_MS, 0, news => {
       this.#roster.takeNews(news)
-      this.#budgets.setOptions(this.#shareBudget())
+      this.#budget.share(this.#settings, this.#roster.countVms())
     })
     this.#keys = new KeyFreshness(this.#resources, () => this.#settings.revokeMs)
     this.#gate = new RequestGate({ config: this.#config, keys: this.#keys, chooser: this.#chooser, suspects: this.#suspects })
-    this.#budgets = new RetryBudget(this.#shareBudget())
+    this.#budget = new SharedBudget(settings, this.#roster.countVms())
     this.#kept = new KeptPrefixes({
       port: management,
       log,
@@ -210,7 +205,7 @@
   /** Takes settings read anew: bounds apply at once, addresses at the next start. */
   takeSettings (settings: VmSettings): void {
     this.#settings = settings
-    this.#budgets.setOptions(this.#shareBudget())
+    this.#budget.share(this.#settings, this.#roster.countVms())
     this.#decisions.record({ type: 'reloaded', vm: settings.vm })
   }
 
@@ -306,19 +301,8 @@
         retryAfterMs: own.retryAfterMs ?? 0,
         detail: error.message
       })
-      this.#sendOwnAnswer(answer, requestId, own)
-    }
-  }
-
-  #sendOwnAnswer (answer: http.ServerResponse, requestId: string | null, own: OwnAnswer): void {
-    if (answer.headersSent || answer.destroyed) {
-      answer.destroy()
-      return
+      sendOwnAnswer(answer, requestId, own, this.#parts.endpointPort)
     }
-    const text = JSON.stringify({ error: { code: own.code } })
-    if (own.closes) answer.shouldKeepAlive = false
-    answer.writeHead(own.status, [...this.#parts.endpointPort.buildOwnHeaders(requestId, own.retryAfterMs), 'Content-Type', 'application/json', 'Content-Length', String(Buffer.byteLength(text))])
-    answer.end(text)
   }
 
   #buildFlow (): FlowParts {
@@ -331,23 +315,16 @@
       figures: this.#figures,
       decisions: this.#decisions,
       log: this.#parts.log,
-      takeRetry: (pool, isOptional) => this.#budgets.take('', pool, isOptional ? this.#shareBudget().reserve : 0),
-      noteSuccess: pool => this.#budgets.noteSuccess('', pool),
+      takeRetry: (pool, isOptional) => this.#budget.take(pool, isOptional),
+      noteSuccess: pool => this.#budget.noteSuccess(pool),
       noteCrash: (fingerprint, record, startedAtMs) => this.#noteCrash(fingerprint, record, startedAtMs),
       readKeysAgeMs: () => this.#keys.ageMs,
       drawRetryMs: meanMs => Math.round(meanMs * (0.5 + this.#rng.float())),
-      sendOwnAnswer: (answer, requestId, own) => this.#sendOwnAnswer(answer, requestId, own),
+      sendOwnAnswer: (answer, requestId, own) => sendOwnAnswer(answer, requestId, own, this.#parts.endpointPort),
       sleep
     }
   }
 
-  /** Each VM's part: a share of its own successes, and its part of the repeats allowed beside. */
-  #shareBudget (): RetryBudgetOptions {
-    const { retrySlack, retryShare, retryWindowMs } = this.#settings
-    const reserve = retrySlack * BUDGET_SHARE / 2 / this.#roster.countVms()
-    return { reserve, share: retryShare * BUDGET_RATIO, max: reserve * 2, refillMs: retryWindowMs }
-  }
-
   #noteCrash (fingerprint: string, record: EndpointRecord, startedAtMs: number): void {
     const mark: SuspectMark = this.#suspects.noteCrash(fingerprint, record.entry.endpoint, startedAtMs)
     this.#decisions.record({ type: 'crashMarked', requests: 1, endpoint: record.entry.endpoint })
