A crash told to other VMs counts once

Cause (found by reading): a VM's row holds its last forty marks, and each write or whole read of the table handed all of them to the registry again, with ages counted from the new moment. A mark that was read three times quarantined a request that crashed one endpoint. Marks bear a number within their VM's life now and are taken once; old ones are left by their time of day, and a VM that starts again takes those of its last life.

--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/__tests__/vmRoster.test.ts
@@ -0,0 +1,55 @@
+import test from 'ava'
+import { SuspectRegistry } from 'knapweedshunt-attempts'
+import type { SuspectMark } from 'knapweedshunt-attempts'
+import { MemoryPlatform } from 'knapweedshunt-fakes'
+import { ROSTER_TABLE, VmRoster } from '../directory/vmRoster.ts'
+
+const LOG = { debug () {}, info () {}, warn () {}, error () {} }
+
+function buildRoster (platform: MemoryPlatform, vm: string, onMark: (mark: SuspectMark) => void): VmRoster {
+  return new VmRoster({ platform, self: { vm, incarnation: `${vm}@1`, dataCentre: 'z' }, log: LOG, onMark, onWave: () => {} })
+}
+
+async function readAll (platform: MemoryPlatform, roster: VmRoster): Promise<void> {
+  roster.takeNews({ type: 'rows', rows: await platform.scan({ table: ROSTER_TABLE, limit: 100 }), isReturn: false })
+}
+
+function buildMark (fingerprint: string, endpoint: string): SuspectMark {
+  return { type: 'crashed', fingerprint, crashes: [{ endpoint, startedAgeMs: 20, crashedAgeMs: 0 }] }
+}
+
+test('a crash counts once, however often its row is read or written anew', async t => {
+  const platform = new MemoryPlatform()
+  const seen: string[] = []
+  const writer = buildRoster(platform, 'a', () => {})
+  const reader = buildRoster(platform, 'b', mark => seen.push(mark.fingerprint))
+  await writer.announceMark(buildMark('one', 'e1'))
+  await readAll(platform, reader)
+  await readAll(platform, reader)
+  await writer.announceMark(buildMark('two', 'e2'))
+  await readAll(platform, reader)
+  t.deepEqual(seen, ['one', 'two'])
+})
+
+test('marks of one VM quarantine a request at all others after as many crashes', async t => {
+  const platform = new MemoryPlatform()
+  const options = { maxCrashes: 3, suspectMs: 60_000, quarantineMs: 600_000, maxEntries: 10 }
+  const [own, other] = [new SuspectRegistry(options), new SuspectRegistry(options)]
+  const writer = buildRoster(platform, 'a', () => {})
+  const reader = buildRoster(platform, 'b', mark => other.takeMark(mark))
+  for (const endpoint of ['e1', 'e2', 'e3']) {
+    t.is(other.check('f').type === 'quarantined', false)
+    await writer.announceMark(own.noteCrash('f', endpoint, performance.now() - 50))
+    await readAll(platform, reader)
+  }
+  t.is(other.check('f').type, 'quarantined')
+})
+
+test('a VM that starts again knows the marks of its last life', async t => {
+  const platform = new MemoryPlatform()
+  await buildRoster(platform, 'a', () => {}).announceMark(buildMark('one', 'e1'))
+  const seen: string[] = []
+  const again = new VmRoster({ platform, self: { vm: 'a', incarnation: 'a@2', dataCentre: 'z' }, log: LOG, onMark: mark => seen.push(mark.fingerprint), onWave: () => {} })
+  await readAll(platform, again)
+  t.deepEqual(seen, ['one'])
+})
--- a/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
+++ b/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
@@ -18,6 +18,9 @@
 /** Most marks in a VM's row; the oldest go first. */
 const MAX_MARKS = 40
 
+/** Age by the time of day up to which a mark is taken, in milliseconds: as long as a request stays suspect, clocks that differ by seconds included. */
+const MARK_MS = 70_000
+
 /** Row of one VM. */
 interface VmRow {
   vm: VmId
@@ -25,6 +28,20 @@
   dataCentre: DataCentreId
 }
 
+/** A mark with its place among those of one VM, so that it is taken once however often the row is read. */
+interface NumberedMark {
+  n: number
+  /** Time of day, Unix milliseconds. */
+  atMs: number
+  mark: SuspectMark
+}
+
+/** Row of one VM's marks. */
+interface CrashRow {
+  incarnation: Incarnation
+  marks: NumberedMark[]
+}
+
 interface HeardNotice {
   notice: WaveNotice
   atMs: number
@@ -44,7 +61,10 @@
   readonly #parts: RosterParts
   readonly #vms = new Map<string, VmRow>()
   readonly #waves = new Map<PoolName, HeardNotice>()
-  #marks: SuspectMark[] = []
+  #marks: NumberedMark[] = []
+  #lastMark = 0
+  /** Last mark taken of each VM's incarnation. */
+  readonly #taken = new Map<Incarnation, number>()
 
   constructor (parts: RosterParts) {
     this.#parts = parts
@@ -112,15 +132,27 @@
 
   /** Tells all VMs of a request that may have crashed an endpoint. */
   async announceMark (mark: SuspectMark): Promise<void> {
-    this.#marks = [...this.#marks.filter(known => known.fingerprint !== mark.fingerprint), mark].slice(-MAX_MARKS)
-    await this.#put(CRASH_PREFIX + this.#parts.self.vm, { marks: this.#marks })
+    const numbered = { n: ++this.#lastMark, atMs: Date.now(), mark }
+    this.#marks = [...this.#marks.filter(known => known.mark.fingerprint !== mark.fingerprint), numbered].slice(-MAX_MARKS)
+    const { vm, incarnation } = this.#parts.self
+    const row: CrashRow = { incarnation, marks: this.#marks }
+    await this.#put(CRASH_PREFIX + vm, row)
   }
 
   #takeRow ({ key, value }: Row): void {
     if (value === null || typeof value !== 'object') return
     if (key.startsWith(VM_PREFIX)) this.#vms.set(key, value as VmRow)
     if (key.startsWith(WAVE_PREFIX)) this.#takeWave(value as WaveNotice)
-    if (key.startsWith(CRASH_PREFIX) && key !== CRASH_PREFIX + this.#parts.self.vm) for (const mark of (value as { marks: SuspectMark[] }).marks) this.#parts.onMark(mark)
+    if (key.startsWith(CRASH_PREFIX)) this.#takeMarks(value as CrashRow)
+  }
+
+  /** A VM that starts takes the marks of all, also those that it wrote itself before. */
+  #takeMarks ({ incarnation, marks }: CrashRow): void {
+    if (incarnation === this.#parts.self.incarnation) return
+    const last = this.#taken.get(incarnation) ?? 0
+    const oldestMs = Date.now() - MARK_MS
+    for (const { n, atMs, mark } of marks) if (n > last && atMs >= oldestMs) this.#parts.onMark(mark)
+    this.#taken.set(incarnation, Math.max(last, ...marks.map(({ n }) => n)))
   }
 
   #takeWave (notice: WaveNotice): void {
