--- /dev/null
+++ b/packages/knapweedshunt-cli/bin/knapweedshuntctl.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../lib/main.js'
--- /dev/null
+++ b/packages/knapweedshunt-quickstart/src/__tests__/programNames.test.ts
@@ -0,0 +1,26 @@
+import { execFile } from 'node:child_process'
+import { readdirSync, readFileSync } from 'node:fs'
+import { fileURLToPath } from 'node:url'
+import { promisify } from 'node:util'
+import test from 'ava'
+
+const ROOT = fileURLToPath(new URL('../../../../', import.meta.url))
+const run = promisify(execFile)
+
+/** Names under which the packages offer programs. */
+function listPrograms (): string[] {
+  return readdirSync(`${ROOT}packages`).flatMap(name => {
+    const { bin = {} } = JSON.parse(readFileSync(`${ROOT}packages/${name}/package.json`, 'utf8')) as { bin?: Record<string, string> }
+    return Object.keys(bin)
+  })
+}
+
+test('each program is callable by its name after set-up and build', async t => {
+  const programs = listPrograms()
+  t.true(programs.includes('knapweedshunt-router') && programs.includes('knapweedshuntctl'))
+  await run('npm', ['run', '-s', 'build'], { cwd: ROOT })
+  for (const program of programs) {
+    const { stdout } = await run(`${ROOT}node_modules/.bin/${program}`, ['--help'])
+    t.regex(stdout, new RegExp(program), program)
+  }
+})
