--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/__tests__/programs/floodLines.ts
@@ -0,0 +1,16 @@
+/** Writes far more log lines than a pipe holds, then says on the error output how long that took and what it kept. */
+import { createLogger } from 'knapweedshunt-logger'
+import { startOutputGuard } from '../../records/outputGuard.ts'
+
+const LINES = 50_000
+const FILLER = 'x'.repeat(200)
+
+const guard = startOutputGuard(process.stdout)
+const log = createLogger('flood')
+const startedAtMs = performance.now()
+for (let n = 0; n < LINES; n++) {
+  log.info('Line.', { n, filler: FILLER })
+  if (n % 100 === 0) await new Promise(resolve => setImmediate(resolve))
+}
+console.error(JSON.stringify({ tookMs: performance.now() - startedAtMs, dropped: guard.dropped, waitingBytes: process.stdout.writableLength }))
+process.exit(0)
