--- a/packages/knapweedshunt-fleet/src/__tests__/waves.test.ts
+++ b/packages/knapweedshunt-fleet/src/__tests__/waves.test.ts
@@ -5,7 +5,7 @@
 import { planWave } from '../waves/planWave.ts'
 import { DEFAULT_WAVE_OPTIONS } from '../waves/waveOptions.ts'
 import { WaveTask } from '../waves/waveTask.ts'
-import type { WaveEndpoint, WaveNotice, WaveOrder } from '../waves/waveTypes.ts'
+import type { WaveEndpoint, WaveNotice, WaveOrder, WaveReport } from '../waves/waveTypes.ts'
 
 const LOG = { debug () {}, info () {}, warn () {}, error () {} }
 
@@ -48,6 +48,8 @@
   wished = 1
   /** Orders that are carried out so much later, without an answer, in milliseconds. */
   lateMs = 0
+  /** Questions to endpoints that were given no order yet. */
+  askedBefore = 0
 
   constructor (endpoints: number) {
     for (let n = 0; n < endpoints; n++) this.versions.set(`e${n}`, 1)
@@ -66,7 +68,7 @@
       ports: {
         listEndpoints: () => [...this.versions].map(([name, version]) => ({ ...buildEndpoint(Number(name.slice(1)), version) })),
         listGoals: () => [{ model: 'm', version: this.wished }],
-        readReport: async name => ({ version: this.versions.get(name) ?? null, isBusy: this.busy.has(name), ordersTaken: this.taken.get(name) ?? 0, running: 0 }),
+        readReport: async name => this.#readReport(name, { version: this.versions.get(name) ?? null, isBusy: this.busy.has(name), ordersTaken: this.taken.get(name) ?? 0, running: 0 }),
         sendOrder: order => this.#takeOrder(vm, order),
         announce: notice => guard(async () => { this.notice = { notice, atMs: performance.now() } }),
         readNotice: () => this.notice === null ? null : { notice: this.notice.notice, ageMs: performance.now() - this.notice.atMs },
@@ -78,6 +80,11 @@
     task.run(abort.signal, () => false).catch(() => {})
   }
 
+  #readReport (name: string, report: WaveReport): WaveReport {
+    if (!this.given.some(given => given.order.endpoint === name)) this.askedBefore++
+    return report
+  }
+
   async #takeOrder (vm: string, order: WaveOrder) {
     this.given.push({ vm, atMs: performance.now(), order })
     const run = (): 'taken' | 'conflict' => {
@@ -119,6 +126,16 @@
   })
 })
 
+test.serial('one question before an order to an idle endpoint', async t => {
+  await run(10, async (world, clock) => {
+    world.start('a', 0)
+    world.wished = 2
+    await clock.tickAsync(8_000)
+    t.true(world.isAt(2))
+    t.is(world.askedBefore, 10)
+  })
+})
+
 test.serial('no work, no call', async t => {
   await run(4, async (world, clock) => {
     world.start('a', 0)
--- a/packages/knapweedshunt-fleet/src/waves/loadingEndpoint.ts
+++ b/packages/knapweedshunt-fleet/src/waves/loadingEndpoint.ts
@@ -74,6 +74,8 @@
   async run (): Promise<void> {
     const { ports, options, endpoint } = this.#parts
     let silent = 0
+    // No order is due before, whatever a report says.
+    await sleep(options.drainLeastMs)
     while (!this.#isStopped) {
       const report = await ports.readReport(endpoint.endpoint, options.callMs)
       if (this.#isStopped) return
