A tenth of the endpoints is kept for short prompts, not a fifth

Cause: short prompts take under one engine of eight to read and decode; two were kept from long ones, which wait for engines when versions come in a row.

--- a/packages/knapweedshunt-gateway/src/endpoints/promptLanes.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/promptLanes.ts
@@ -4,8 +4,8 @@
 /** Prompts from this size on are long: reading one holds up the tokens of all streams at its engine for several steps. */
 const LONG_TOKENS = 2_048
 
-/** Share of a pool's endpoints kept for short prompts while both kinds come. */
-const SHORT_SHARE = 0.2
+/** Share of a pool's endpoints kept for short prompts while both kinds come; one engine decodes some hundred streams a second. */
+const SHORT_SHARE = 0.1
 
 /** Time without a request after which a kind needs no endpoints of its own, in milliseconds. */
 const KIND_MS = 5_000
