--- a/packages/knapweedshunt-fleet/src/__tests__/waves.test.ts
+++ b/packages/knapweedshunt-fleet/src/__tests__/waves.test.ts
@@ -161,6 +161,22 @@
   })
 })
 
+/** Time after which VMs no longer begin on weights that were replaced, in milliseconds: the users' bound of 6 s less what is kept for an endpoint's queue. */
+const STALE_MS = 4_500
+
+test.serial('last holder cut off long after its orders: new weights in time', async t => {
+  await run(8, async (world, clock) => {
+    for (const [rank, vm] of ['a', 'b', 'c'].entries()) world.start(vm, rank)
+    world.wished = 2
+    await clock.tickAsync(10_000)
+    t.true(world.isAt(2))
+    world.cut.add(world.given[0].vm)
+    world.wished = 3
+    await clock.tickAsync(STALE_MS)
+    t.true(world.isAt(3), `first order after ${Math.round((world.given.find(given => given.order.version === 3)?.atMs ?? Infinity) - 10_000)} ms`)
+  })
+})
+
 test.serial('order carried out late does not bring old weights back', async t => {
   await run(3, async (world, clock) => {
     world.start('a', 0)
