Lease on orders: given up when there is nothing to do, so that a successor need not wait for orders that have long ended

Ruled out: the waits alone could be cut, but a lease that lapses by itself does not tell whether its holder renewed it and gave an order unheard. A released row and a notice with the same number prove that none was given since. Found on the way: a lease that lapsed during the wait was taken again without it.

--- a/packages/knapweedshunt-fleet/src/__tests__/leaseSuspend.test.ts
+++ b/packages/knapweedshunt-fleet/src/__tests__/leaseSuspend.test.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '@sinonjs/fake-timers'
 import test from 'ava'
 import { MemoryPlatform } from 'knapweedshunt-fakes'
+import { readElapsedMs } from 'knapweedshunt-utils'
 import { LeaseTask } from '../leaseTask.ts'
 
 const OPTIONS = { durationMs: 2_000, guardMs: 300, intervalMs: 500, longestOrderMs: 3_000 }
@@ -81,3 +82,50 @@
     t.true(first.readFencing(false)! > before!)
   })
 })
+
+test.serial('successor of a lease that was given up waits for the rest of the longest order only', async t => {
+  await run(async ({ clock, first, second }) => {
+    await contend(clock, first, 500)
+    const fencing = await first.release()
+    t.not(fencing, null)
+    t.is(first.readFencing(true), null)
+    const endedAtMs = performance.now()
+    const ended = { fencing: fencing ?? 0, atMs: readElapsedMs() }
+    await clock.tickAsync(2_000)
+    second.noteEnded(ended)
+    t.not(await contend(clock, second, 6_000), null)
+    const waitedMs = performance.now() - endedAtMs
+    t.true(waitedMs >= OPTIONS.longestOrderMs && waitedMs <= OPTIONS.longestOrderMs + 200, `${waitedMs} ms`)
+  })
+})
+
+test.serial('a lease that was taken again since is waited out whole', async t => {
+  await run(async ({ clock, first, second }) => {
+    await contend(clock, first, 500)
+    const fencing = await first.release() ?? 0
+    const ended = { fencing, atMs: readElapsedMs() }
+    await clock.tickAsync(5_000)
+    t.is(await contend(clock, first, 500), 0, 'its last holder may take it again at once')
+    await first.release()
+    const endedAtMs = performance.now()
+    second.noteEnded(ended)
+    t.not(await contend(clock, second, 8_000), null)
+    t.true(performance.now() - endedAtMs >= OPTIONS.longestOrderMs)
+  })
+})
+
+test.serial('a lease that lapsed before the wait was over is not taken without it', async t => {
+  await run(async ({ clock, platform, first, second }) => {
+    await contend(clock, first, 500)
+    await first.release()
+    const endedAtMs = performance.now()
+    await contend(clock, second, 500)
+    t.not(second.readFencing(true), null)
+    platform.faults.down = true
+    await clock.tickAsync(OPTIONS.durationMs)
+    platform.faults.down = false
+    t.is(second.readFencing(true), null)
+    t.not(await contend(clock, second, 4_000), null)
+    t.true(performance.now() - endedAtMs >= OPTIONS.longestOrderMs)
+  })
+})
--- a/packages/knapweedshunt-fleet/src/leaseMachine.ts
+++ b/packages/knapweedshunt-fleet/src/leaseMachine.ts
@@ -3,7 +3,7 @@
 import { match } from 'ts-pattern'
 import type { LeaseOptions } from './leaseOptions.ts'
 import type { LeaseRow } from './leaseState.ts'
-import type { HeldLease, LeaseAction, LeaseEvent, PendingWrite, SeenLease } from './leaseTypes.ts'
+import type { EndedLease, HeldLease, LeaseAction, LeaseEvent, PendingWrite, SeenLease } from './leaseTypes.ts'
 import { LeaseWatch } from './leaseWatch.ts'
 
 const MAX_PENDING = 16
@@ -26,8 +26,9 @@
   #isCalling = false
   #isReleasing = false
   #dueAtMs = 0
-  /** Whether the row last read leaves no other holder whose orders could still run. */
-  #isSuccessor = false
+  /** From when on the longest order of another holder is waited out, by {@link readElapsedMs}; -Infinity when there was none. */
+  #othersEndMs = -Infinity
+  #ended: EndedLease | null = null
 
   constructor (holder: Incarnation, options: LeaseOptions) {
     this.#holder = holder
@@ -39,10 +40,20 @@
     const now = readElapsedMs()
     const held = this.#held
     if (held === null || this.#isReleasing || now >= held.untilMs - this.#options.guardMs) return null
-    if (!checksFencing && now < held.takenAtMs + this.#options.longestOrderMs) return null
+    if (!checksFencing && now < held.othersEndMs + this.#options.longestOrderMs) return null
     return held.fencing
   }
 
+  /** Whether this contender may hold the lease: it has taken it, and has not heard that giving it up took effect. */
+  get isHeld (): boolean {
+    return this.#held !== null
+  }
+
+  /** Takes note that a lease was given up; if the row says so too, its holder has given no order since. */
+  noteEnded (ended: EndedLease): void {
+    this.#ended = ended
+  }
+
   /** Takes one event. */
   take (event: LeaseEvent): LeaseAction[] {
     return match(event)
@@ -73,12 +84,18 @@
     const { row } = seen
     const isOwn = row?.holder === this.#holder
     if (!isOwn) this.#held = null
-    this.#isSuccessor = row !== null && !isOwn
+    if (row !== null && !isOwn) this.#othersEndMs = this.#findEnd(row)
     if (this.#isReleasing) return isOwn ? this.#write(seen.version, { ...row, durationMs: 0 }) : this.#finishCall(this.#options.intervalMs)
     if (row !== null && !isOwn && !this.#watch.hasLapsed(row, now)) return this.#finishCall(this.#options.intervalMs)
     return this.#write(seen.version, this.#buildRow(row))
   }
 
+  /** A lease that was given up, and not taken since, ended when that was told; any other ends now at the latest. */
+  #findEnd (row: LeaseRow): number {
+    const isKnown = row.durationMs === 0 && row.fencing === this.#ended?.fencing
+    return isKnown && this.#ended !== null ? this.#ended.atMs : readElapsedMs()
+  }
+
   /** A renewal keeps the number; a taking adds one, also when the last holder was this VM. */
   #buildRow (row: LeaseRow | null): LeaseRow {
     const isRenewal = this.#held !== null && readElapsedMs() < this.#held.untilMs && row?.fencing === this.#held.fencing
@@ -95,7 +112,7 @@
 
   #commit (): LeaseAction[] {
     this.#settle(this.#pending.at(-1)?.row ?? null)
-    return this.#finishCall(this.#options.intervalMs)
+    return this.#finishCall(this.isHeld ? this.#options.intervalMs : 0)
   }
 
   /** A write whose nonce is in the row took effect; its time runs from when it was sent. */
@@ -104,8 +121,9 @@
     if (settled === undefined) return
     this.#pending = []
     const { fencing, durationMs } = settled.row
-    const takenAtMs = this.#held?.fencing === fencing ? this.#held.takenAtMs : this.#isSuccessor ? readElapsedMs() : -Infinity
-    this.#held = durationMs === 0 ? null : { fencing, takenAtMs, untilMs: settled.sentAtMs + durationMs }
+    const othersEndMs = this.#held?.fencing === fencing ? this.#held.othersEndMs : this.#othersEndMs
+    this.#held = durationMs === 0 ? null : { fencing, othersEndMs, untilMs: settled.sentAtMs + durationMs }
+    if (durationMs === 0) this.#isReleasing = false
   }
 
   #finishCall (waitMs: number): LeaseAction[] {
--- a/packages/knapweedshunt-fleet/src/leaseTask.ts
+++ b/packages/knapweedshunt-fleet/src/leaseTask.ts
@@ -7,7 +7,7 @@
 import type { LeaseOptions } from './leaseOptions.ts'
 import { LEASE_TABLE } from './leaseState.ts'
 import type { LeaseRow } from './leaseState.ts'
-import type { LeaseAction, LeaseEvent } from './leaseTypes.ts'
+import type { EndedLease, LeaseAction, LeaseEvent } from './leaseTypes.ts'
 
 const TICK_MS = 250
 
@@ -16,6 +16,8 @@
   readonly #platform: Platform
   readonly #name: string
   readonly #machine: LeaseMachine
+  /** Look or renewal under way. */
+  #call: Promise<void> | null = null
 
   constructor (platform: Platform, name: string, holder: Incarnation, options: LeaseOptions) {
     this.#platform = platform
@@ -39,12 +41,22 @@
 
   /** One look or renewal, if one is due. For those who need the lease only now and then. */
   async step (): Promise<void> {
-    await this.#take({ type: 'tick' })
+    this.#call ??= this.#take({ type: 'tick' }).finally(() => { this.#call = null })
+    await this.#call
   }
 
-  /** Gives the lease up. */
-  async release (): Promise<void> {
-    if (this.readFencing(true) !== null) await this.#take({ type: 'release' })
+  /** Gives the lease up; it may be taken again. Returns its number when that is known to have taken effect. */
+  async release (): Promise<FencingNumber | null> {
+    await this.#call
+    const fencing = this.readFencing(true)
+    if (fencing === null) return null
+    await this.#take({ type: 'release' })
+    return this.#machine.isHeld ? null : fencing
+  }
+
+  /** Takes note that the holder of a lease said that it gave it up, so that its orders need not be waited out from the taking on. */
+  noteEnded (ended: EndedLease): void {
+    this.#machine.noteEnded(ended)
   }
 
   async #take (event: LeaseEvent): Promise<void> {
--- a/packages/knapweedshunt-fleet/src/leaseTypes.ts
+++ b/packages/knapweedshunt-fleet/src/leaseTypes.ts
@@ -1,3 +1,4 @@
+import type { FencingNumber } from 'knapweedshunt-types'
 import type { LeaseRow } from './leaseState.ts'
 
 /** What is known of a lease row: its table version (0 when absent) and value. */
@@ -19,7 +20,7 @@
   | { type: 'writeRefused' }
   /** No answer: the write may have taken effect, or may yet. */
   | { type: 'writeLost' }
-  /** The VM leaves. */
+  /** The lease is to be given up. */
   | { type: 'release' }
 
 /** What a contender wants done. */
@@ -34,11 +35,18 @@
   sentAtMs: number
 }
 
+/** A lease that its holder says it has given up. */
+export interface EndedLease {
+  fencing: FencingNumber
+  /** Time by `readElapsedMs` at which that was heard, or later. */
+  atMs: number
+}
+
 /** A lease as its holder knows it. */
 export interface HeldLease {
   fencing: number
-  /** Time of the taking by `readElapsedMs`; -Infinity when no other holder's order can still run. */
-  takenAtMs: number
+  /** Time by `readElapsedMs` since which no other holder gave an order; -Infinity when there was none. */
+  othersEndMs: number
   /** End by the same clock, counted from the moment the last settled write was sent. */
   untilMs: number
 }
--- a/packages/knapweedshunt-fleet/src/waves/waveTask.ts
+++ b/packages/knapweedshunt-fleet/src/waves/waveTask.ts
@@ -1,13 +1,13 @@
 import type { Logger } from 'knapweedshunt-logger'
 import type { Platform } from 'knapweedshunt-platform'
 import type { EndpointName, FencingNumber, Incarnation, PoolName, VmId } from 'knapweedshunt-types'
-import { groupBy, sleep } from 'knapweedshunt-utils'
+import { groupBy, readElapsedMs, sleep } from 'knapweedshunt-utils'
 import { LeaseTask } from '../leaseTask.ts'
 import { LoadingEndpoint } from './loadingEndpoint.ts'
 import { planWave } from './planWave.ts'
 import { DEFAULT_WAVE_OPTIONS } from './waveOptions.ts'
 import type { WaveOptions } from './waveOptions.ts'
-import type { WaveEndpoint, WaveGoal, WaveNotice, WavePorts } from './waveTypes.ts'
+import type { HeardNotice, WaveEndpoint, WaveGoal, WaveNotice, WavePorts } from './waveTypes.ts'
 
 /** Name of the lease on giving orders to endpoints. */
 export const WAVE_LEASE = 'waves'
@@ -50,8 +50,8 @@
       await sleep(this.#options.stepMs, signal)
     }
     if (this.#lease.readFencing(true) === null) return
-    await this.#lease.release()
-    for (const [pool, notice] of this.#told) await this.#announce({ ...notice, pool, loading: [], isReleased: true })
+    const endedFencing = await this.#lease.release()
+    for (const notice of this.#told.values()) await this.#announce({ ...notice, loading: [], endedFencing, isLeaving: true })
   }
 
   async #step (isStopping: boolean): Promise<void> {
@@ -62,32 +62,48 @@
     if (work.length === 0 && this.#loading.size === 0) return await this.#rest(goals, endpoints)
     this.#workSinceMs ??= performance.now()
     const isHeld = this.#lease.readFencing(true) !== null
-    if (isHeld || (!isStopping && this.#isDue(endpoints))) this.#lease.step().catch(error => this.#parts.log.warn('Lease step failed.', { reason: (error as Error).message }))
+    const last = this.#listNotices(endpoints)
+    if (!isHeld) this.#noteEnded(last)
+    if (isHeld || (!isStopping && this.#isDue(last))) this.#lease.step().catch(error => this.#parts.log.warn('Lease step failed.', { reason: (error as Error).message }))
     this.#noteFencing(this.#lease.readFencing(false))
     if (this.#fencing === null) return
     for (const goal of work) await this.#stepGoal(goal, endpoints.filter(one => one.model === goal.model))
   }
 
-  /** Nothing is to be done: all VMs hear that all endpoints may be used again, and the lease lapses. */
+  /** Nothing is to be done: the lease is given up, and all VMs hear of it and that all endpoints may be used again. */
   async #rest (goals: WaveGoal[], endpoints: WaveEndpoint[]): Promise<void> {
     this.#workSinceMs = null
     if (this.#fencing === null) return
     this.#noteFencing(null)
+    const endedFencing = await this.#lease.release()
     for (const goal of goals) {
       const pools = groupBy(endpoints.filter(one => one.model === goal.model), one => one.pool)
-      for (const [pool, members] of pools) await this.#announce({ vm: this.#parts.vm, pool, ...goal, loading: [], reached: members.map(one => one.endpoint), isReleased: false })
+      for (const [pool, members] of pools) await this.#announce({ vm: this.#parts.vm, pool, ...goal, loading: [], reached: members.map(one => one.endpoint), endedFencing, isLeaving: false })
     }
   }
 
-  /** The VM that gave the last orders goes first, since its own orders are the only ones that may still run; the others follow by rank once it is silent. */
-  #isDue (endpoints: WaveEndpoint[]): boolean {
+  /** Last notice of each pool. */
+  #listNotices (endpoints: WaveEndpoint[]): HeardNotice[] {
+    return [...groupBy(endpoints, one => one.pool).keys()].map(pool => this.#parts.ports.readNotice(pool)).filter(one => one !== null)
+  }
+
+  /** The newest notice tells whether its holder has given the lease up; one lease stands for all pools. */
+  #noteEnded (notices: HeardNotice[]): void {
+    const [newest] = notices.toSorted((a, b) => a.ageMs - b.ageMs)
+    const fencing = newest?.notice.endedFencing ?? null
+    if (fencing !== null) this.#lease.noteEnded({ fencing, atMs: readElapsedMs() - newest.ageMs })
+  }
+
+  /** The VM that gave the last orders goes first while these may still run; the others follow by rank once it is silent, leaves, or its orders have ended. */
+  #isDue (notices: HeardNotice[]): boolean {
     const { ports, vm } = this.#parts
-    const notices = [...groupBy(endpoints, one => one.pool).keys()].map(pool => ports.readNotice(pool)).filter(one => one !== null)
     if (notices.some(one => one.notice.vm === vm)) return true
+    const { takeOverMs, placeMs, lease } = this.#options
     const sinceMs = performance.now() - (this.#workSinceMs ?? performance.now())
-    const isOpen = notices.every(one => one.notice.isReleased)
     const silentMs = Math.min(sinceMs, ...notices.map(one => one.ageMs))
-    return silentMs >= (isOpen ? 0 : this.#options.takeOverMs) + ports.readRank() * this.#options.placeMs
+    if (notices.every(one => one.notice.isLeaving)) return silentMs >= ports.readRank() * placeMs
+    const hasEnded = notices.every(one => one.notice.endedFencing !== null && one.ageMs >= lease.longestOrderMs)
+    return silentMs >= (hasEnded ? placeMs : takeOverMs) + ports.readRank() * placeMs
   }
 
   #noteFencing (fencing: FencingNumber | null): void {
@@ -113,7 +129,7 @@
         resting: own.filter(one => one.isResting(nowMs)).map(one => one.endpoint),
         parallelShare: this.#options.parallelShare
       })
-      if (plan.order.length > 0) await this.#announce({ vm: this.#parts.vm, pool, model: goal.model, version: goal.version, loading: plan.loading, reached: plan.reached, isReleased: false })
+      if (plan.order.length > 0) await this.#announce({ vm: this.#parts.vm, pool, model: goal.model, version: goal.version, loading: plan.loading, reached: plan.reached, endedFencing: null, isLeaving: false })
       if (plan.order.length > 0) this.#orderedAtMs = performance.now()
       for (const name of plan.order) this.#startLoad(goal, members.find(member => member.endpoint === name))
     }
--- a/packages/knapweedshunt-fleet/src/waves/waveTypes.ts
+++ b/packages/knapweedshunt-fleet/src/waves/waveTypes.ts
@@ -28,8 +28,16 @@
   loading: EndpointName[]
   /** Endpoints seen to run the version. */
   reached: EndpointName[]
-  /** The holder gives no more orders: another VM may follow at once. */
-  isReleased: boolean
+  /** Number of the lease that the holder gave up before this notice; null while it may give orders. */
+  endedFencing: FencingNumber | null
+  /** The holder leaves: another VM may follow at once. */
+  isLeaving: boolean
+}
+
+/** A notice as one VM heard it; the age in milliseconds, by that VM's clock. */
+export interface HeardNotice {
+  notice: WaveNotice
+  ageMs: number
 }
 
 /** What an endpoint says when it is asked. */
@@ -75,7 +83,7 @@
   sendOrder (order: WaveOrder, timeoutMs: number): Promise<WaveOrderResult>
   announce (notice: WaveNotice): Promise<void>
   /** The last notice of a pool, and how long ago it was heard, in milliseconds; null when there was none. */
-  readNotice (pool: PoolName): { notice: WaveNotice, ageMs: number } | null
+  readNotice (pool: PoolName): HeardNotice | null
   /** Place of this VM in the order in which VMs contend, 0 first. */
   readRank (): number
   record (decision: WaveDecision): void
--- a/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
+++ b/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
@@ -1,7 +1,7 @@
 import type { Logger } from 'knapweedshunt-logger'
 import type { Platform, Row, TableNews } from 'knapweedshunt-platform'
 import type { SuspectMark } from 'knapweedshunt-attempts'
-import type { WaveNotice } from 'knapweedshunt-fleet'
+import type { HeardNotice, WaveNotice } from 'knapweedshunt-fleet'
 import type { DataCentreId, Incarnation, PoolName, VmId } from 'knapweedshunt-types'
 import { hashText, sleep } from 'knapweedshunt-utils'
 
@@ -42,7 +42,7 @@
   marks: NumberedMark[]
 }
 
-interface HeardNotice {
+interface TimedNotice {
   notice: WaveNotice
   atMs: number
 }
@@ -60,7 +60,7 @@
 export class VmRoster {
   readonly #parts: RosterParts
   readonly #vms = new Map<string, VmRow>()
-  readonly #waves = new Map<PoolName, HeardNotice>()
+  readonly #waves = new Map<PoolName, TimedNotice>()
   #marks: NumberedMark[] = []
   #lastMark = 0
   /** Last mark taken of each VM's incarnation. */
@@ -83,7 +83,7 @@
   }
 
   /** The last notice of a pool's wave. */
-  findWave (pool: PoolName): { notice: WaveNotice, ageMs: number } | null {
+  findWave (pool: PoolName): HeardNotice | null {
     const heard = this.#waves.get(pool)
     return heard === undefined ? null : { notice: heard.notice, ageMs: performance.now() - heard.atMs }
   }
