--- a/packages/knapweedshunt-gateway/src/__tests__/vmRoster.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/vmRoster.test.ts
@@ -53,3 +53,31 @@
   await readAll(platform, again)
   t.deepEqual(seen, ['one'])
 })
+
+test('marks of one crash are written together', async t => {
+  const platform = new MemoryPlatform()
+  const seen: string[] = []
+  const writer = buildRoster(platform, 'a', () => {})
+  await Promise.all(['one', 'two', 'three'].map(fingerprint => writer.announceMark(buildMark(fingerprint, 'e1'))))
+  t.is(platform.counts.writes, 1)
+  await readAll(platform, buildRoster(platform, 'b', mark => seen.push(mark.fingerprint)))
+  t.deepEqual(seen, ['one', 'two', 'three'])
+})
+
+test('a cleared mark clears at the others', async t => {
+  const platform = new MemoryPlatform()
+  const options = { maxCrashes: 2, suspectMs: 60_000, quarantineMs: 600_000, maxEntries: 10 }
+  const [own, other] = [new SuspectRegistry(options), new SuspectRegistry(options)]
+  const writer = buildRoster(platform, 'a', () => {})
+  const reader = buildRoster(platform, 'b', mark => other.takeMark(mark))
+  for (const endpoint of ['e1', 'e2', 'e3']) {
+    await writer.announceMark(own.noteCrash('f', endpoint, performance.now() - 50))
+    await readAll(platform, reader)
+    t.is(other.check('f').type, 'suspect')
+    const cleared = own.noteSuccess('f')
+    t.truthy(cleared)
+    if (cleared !== null) await writer.announceMark(cleared)
+    await readAll(platform, reader)
+    t.is(other.check('f').type, 'clear')
+  }
+})
--- a/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
+++ b/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
@@ -18,6 +18,9 @@
 /** Most marks in a VM's row; the oldest go first. */
 const MAX_MARKS = 40
 
+/** Time for which marks are gathered before the row is written, in milliseconds: a crash marks all requests that were at its endpoint. */
+const GATHER_MS = 20
+
 /** Age by the time of day up to which a mark is taken, in milliseconds: as long as a request stays suspect, clocks that differ by seconds included. */
 const MARK_MS = 70_000
 
@@ -63,6 +66,7 @@
   readonly #waves = new Map<PoolName, TimedNotice>()
   #marks: NumberedMark[] = []
   #lastMark = 0
+  #writing: Promise<void> | null = null
   /** Last mark taken of each VM's incarnation. */
   readonly #taken = new Map<Incarnation, number>()
 
@@ -134,6 +138,13 @@
   async announceMark (mark: SuspectMark): Promise<void> {
     const numbered = { n: ++this.#lastMark, atMs: Date.now(), mark }
     this.#marks = [...this.#marks.filter(known => known.mark.fingerprint !== mark.fingerprint), numbered].slice(-MAX_MARKS)
+    this.#writing ??= this.#writeMarks()
+    await this.#writing
+  }
+
+  async #writeMarks (): Promise<void> {
+    await sleep(GATHER_MS)
+    this.#writing = null
     const { vm, incarnation } = this.#parts.self
     const row: CrashRow = { incarnation, marks: this.#marks }
     await this.#put(CRASH_PREFIX + vm, row)
--- a/packages/knapweedshunt-gateway/src/flow/flowParts.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowParts.ts
@@ -21,7 +21,8 @@
   log: Logger
   /** Takes one repeat from the budget of a pool; an optional one uses only what successes have saved, and leaves the rest to requests that would fail without. */
   takeRetry (pool: string, isOptional: boolean): boolean
-  noteSuccess (pool: string): void
+  /** A request was served: it earns repeats for its pool, and is no longer suspect. */
+  noteSuccess (pool: string, fingerprint: string): void
   /** Notes that an endpoint broke off while the request had not begun to be answered. */
   noteCrash (fingerprint: string, record: EndpointRecord, startedAtMs: number): void
   readKeysAgeMs (): number
--- a/packages/knapweedshunt-gateway/src/flow/requestRecord.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestRecord.ts
@@ -91,7 +91,7 @@
     const { call, route, identity } = this.#plan
     const organisation = identity?.organisation ?? ''
     const totalMs = this.readAgeMs()
-    if (status < FIRST_SERVER_ERROR) this.#parts.noteSuccess(this.#plan.pool)
+    if (status < FIRST_SERVER_ERROR) this.#parts.noteSuccess(this.#plan.pool, this.#plan.fingerprint)
     this.#parts.figures.recordAnswer({ route: route.name, organisation, priority: String(identity?.priority ?? route.priority) }, firstByteMs, totalMs)
     this.#parts.decisions.record({ type: 'answered', requestId: call.requestId, route: route.name, organisation, endpoint: running.record.entry.endpoint, status, attempts: running.number, firstByteMs: Math.round(firstByteMs), longestPauseMs: Math.round(longestPauseMs), totalMs, bytes })
   }
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -316,7 +316,7 @@
       decisions: this.#decisions,
       log: this.#parts.log,
       takeRetry: (pool, isOptional) => this.#budget.take(pool, isOptional),
-      noteSuccess: pool => this.#budget.noteSuccess(pool),
+      noteSuccess: (pool, fingerprint) => this.#noteSuccess(pool, fingerprint),
       noteCrash: (fingerprint, record, startedAtMs) => this.#noteCrash(fingerprint, record, startedAtMs),
       readKeysAgeMs: () => this.#keys.ageMs,
       drawRetryMs: meanMs => Math.round(meanMs * (0.5 + this.#rng.float())),
@@ -328,7 +328,18 @@
   #noteCrash (fingerprint: string, record: EndpointRecord, startedAtMs: number): void {
     const mark: SuspectMark = this.#suspects.noteCrash(fingerprint, record.entry.endpoint, startedAtMs)
     this.#decisions.record({ type: 'crashMarked', requests: 1, endpoint: record.entry.endpoint })
-    this.#roster.announceMark(mark).catch(error => this.#parts.log.warn('Crash not told.', { reason: (error as Error).message }))
+    this.#tellMark(mark)
+  }
+
+  /** A request that crashes endpoints is served by none. */
+  #noteSuccess (pool: string, fingerprint: string): void {
+    this.#budget.noteSuccess(pool)
+    const cleared = this.#suspects.noteSuccess(fingerprint)
+    if (cleared !== null) this.#tellMark(cleared)
+  }
+
+  #tellMark (mark: SuspectMark): void {
+    this.#roster.announceMark(mark).catch(error => this.#parts.log.warn('Mark not told.', { type: mark.type, reason: (error as Error).message }))
   }
 
   #follow (table: string, waitMs: number, restMs: number, onNews: (news: TableNews) => void): TableFollower {
