Gateway: final answers, the wait for an endpoint and told load each in one place; a long answer that breaks off counts as cut

Read through: the request's task held its end, its waits and its statuses in one file; the flow was handed sleep and an answer writer that it can import; codes of own answers were cast to reasons; connections were looked up by a scan beside findPool. Found on the way: an answer over 256 KB that broke off was logged as answered and earned the budget of repeats.

--- a/packages/knapweedshunt-gateway/src/__tests__/chooser.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/chooser.test.ts
@@ -3,7 +3,6 @@
 import { EndpointChooser } from '../endpoints/endpointChooser.ts'
 import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
 import type { Prompt } from '../ports/callerCall.ts'
-import type { GatewayConfig } from '../ports/gatewayConfig.ts'
 
 const PROMPT: Prompt = { model: 'm', parts: [{ id: 'a', tokens: 100 }, { id: 'b', tokens: 100 }], tokens: 200 }
 
@@ -16,13 +15,14 @@
 
 function startRig (versions: number[], wished: { newest: number, current: number } = { newest: 0, current: 0 }): Rig {
   const book = new EndpointBook(() => {}, () => {})
-  const config = { pools: [{ pool: 'p', maxConnections: 1_000, models: ['m'], healthPath: '/' }] } as unknown as GatewayConfig
+  const pool = { pool: 'p', maxConnections: 1_000, models: ['m'], healthPath: '/' }
   const chooser = new EndpointChooser({
     dataCentre: 'z',
     nearDataCentres: ['z'],
     seed: 1,
     book,
-    readConfig: () => config,
+    listPools: () => [pool],
+    findPool: () => pool,
     countVms: () => 1,
     listLoading: () => new Set(),
     findWished: () => wished.newest,
@@ -61,9 +61,7 @@
   t.is(home.type, 'chosen')
   if (home.type !== 'chosen') return
   for (let n = 0; n < 30; n++) home.record.noteTokens(9_000)
-  home.record.load = { running: 12, waiting: 20, slots: 64 }
-  home.record.loadAtMs = performance.now()
-  rig.chooser.noteLoad(home.record)
+  rig.chooser.noteLoad(home.record, { running: 12, waiting: 20, slots: 64 })
   const next = rig.chooser.choose('p', [{ key: 'k', tokens: 100 }], [], PROMPT)
   t.not(next.type === 'chosen' ? next.record.entry.endpoint : next.type, home.record.entry.endpoint)
 })
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -2,7 +2,8 @@
 import type { ObjectiveWeights, PlacedDecision } from 'knapweedshunt-placement'
 import type { DataCentreId, EndpointName, PoolName, PrefixLevel, Resource, RouterSnapshot } from 'knapweedshunt-types'
 import { hashText } from 'knapweedshunt-utils'
-import type { GatewayConfig } from '../ports/gatewayConfig.ts'
+import type { ToldLoad } from '../ports/endpointPort.ts'
+import type { GatewayPool } from '../ports/gatewayConfig.ts'
 import type { CallerIdentity, Prompt } from '../ports/callerCall.ts'
 import type { EndpointBook } from './endpointBook.ts'
 import type { EndpointRecord } from './endpointRecord.ts'
@@ -12,7 +13,7 @@
 /** Share of an endpoint's connections that all VMs together use; the rest is left to VMs that are not in the table yet. */
 const CONNECTION_SHARE = 0.85
 
-/** Prompt tokens that an endpoint reads in a second before its own speed is known. */
+/** Prompt tokens that an endpoint is taken to compute in a second; engines of the users' sheets compute 44 to 51 thousand. */
 const PREFILL_TOKENS_PER_S = 45_000
 
 /**
@@ -43,7 +44,8 @@
   nearDataCentres: DataCentreId[]
   seed: number
   book: EndpointBook
-  readConfig (): GatewayConfig | null
+  listPools (): GatewayPool[]
+  findPool (pool: PoolName): GatewayPool | undefined
   countVms (): number
   /** Endpoints that load weights, or are about to. */
   listLoading (): Set<EndpointName>
@@ -80,7 +82,7 @@
   /** Arranges pools and endpoints anew after a change of either. */
   rebuild (): void {
     const { book } = this.#parts
-    const resources: Resource[] = (this.#parts.readConfig()?.pools ?? []).map(pool => this.#buildPool(pool.pool, pool.models))
+    const resources: Resource[] = this.#parts.listPools().map(pool => this.#buildPool(pool.pool, pool.models))
     for (const { entry } of book.list()) resources.push(buildEndpoint(entry.endpoint, entry))
     const endpoints = book.list().map(record => this.#buildView(record))
     this.#placement.take({ type: 'snapshot', snapshot: { resources: { revision: ++this.#revision, resources }, vms: [], endpoints } })
@@ -141,7 +143,8 @@
   }
 
   /** Tells the placement what an answer said of its endpoint's load. */
-  noteLoad (record: EndpointRecord): void {
+  noteLoad (record: EndpointRecord, load: ToldLoad): void {
+    record.noteLoad(load)
     this.#placement.take({ type: 'snapshot', snapshot: { resources: { revision: this.#revision, resources: [] }, vms: [], endpoints: [this.#buildView(record)] } })
   }
 
@@ -187,8 +190,8 @@
   }
 
   #countShare (pool: PoolName): number {
-    const spec = this.#parts.readConfig()?.pools.find(one => one.pool === pool)
-    return Math.max(1, Math.floor((spec?.maxConnections ?? 1) * CONNECTION_SHARE / this.#parts.countVms()))
+    const connections = this.#parts.findPool(pool)?.maxConnections ?? 1
+    return Math.max(1, Math.floor(connections * CONNECTION_SHARE / this.#parts.countVms()))
   }
 
   /** Callers are spread over VMs by chance, so each of them is asked for about the same prefixes. */
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointRecord.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointRecord.ts
@@ -29,6 +29,12 @@
     return this.entry.models.find(served => served.model === model)?.version ?? null
   }
 
+  /** Notes the load that an answer told. */
+  noteLoad (load: ToldLoad): void {
+    this.load = load
+    this.loadAtMs = performance.now()
+  }
+
   /** Notes the prompt tokens that a request is expected to have computed there. */
   noteTokens (tokens: number): void {
     this.meanTokens += (tokens - this.meanTokens) * TOKENS_GAIN
--- a/packages/knapweedshunt-gateway/src/flow/flowParts.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowParts.ts
@@ -7,7 +7,6 @@
 import type { EndpointPort } from '../ports/endpointPort.ts'
 import type { DecisionLog } from '../records/decisionLog.ts'
 import type { Figures } from '../records/figures.ts'
-import type { OwnAnswer } from '../shared/callerError.ts'
 
 /** What the tasks of requests share. */
 export interface FlowParts {
@@ -28,6 +27,4 @@
   readKeysAgeMs (): number
   /** Draws a time around a mean, in milliseconds. */
   drawRetryMs (meanMs: number): number
-  sendOwnAnswer (answer: http.ServerResponse, requestId: string | null, own: OwnAnswer): void
-  sleep (ms: number): Promise<void>
 }
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -8,17 +8,17 @@
 import { EVIDENCE } from '../endpoints/endpointHealth.ts'
 import type { Choice } from '../endpoints/endpointChooser.ts'
 import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
-import type { RefusalReason } from '../records/decision.ts'
-import type { OwnAnswer } from '../shared/callerError.ts'
 import type { FlowParts } from './flowParts.ts'
 import { AnswerWriter } from './answerWriter.ts'
 import type { AttemptRun } from './attemptRun.ts'
+import { FinalAnswer } from './finalAnswer.ts'
 import { launchAttempt } from './launchAttempt.ts'
 import { readAnswerBody } from './readAnswerBody.ts'
 import { RepeatPermits } from './repeatPermits.ts'
 import type { RequestPlan } from './requestPlan.ts'
 import { RequestRecord } from './requestRecord.ts'
 import { StreamRelay } from './streamRelay.ts'
+import { waitEndpoint } from './waitEndpoint.ts'
 
 /** Statuses that promise that a request did not run and will not. */
 const NOT_RUN_STATUSES = [408, 421, 429, 503]
@@ -38,15 +38,6 @@
 /** Wished longest pause of a stream whose route names none, in milliseconds. */
 const DEFAULT_PAUSE_MS = 500
 
-/** Longest wait for an endpoint that is full or loads weights, as a share of the objective. */
-const FREE_WAIT_SHARE = 0.5
-
-/** Time between two looks for a free endpoint, in milliseconds. */
-const FREE_LOOK_MS = 15
-
-/** Mean time after which a refused caller may come again, in milliseconds. */
-const RETRY_AFTER_MS = 200
-
 const FIRST_SERVER_ERROR = 500
 
 type Chosen = Extract<Choice, { type: 'chosen' }>
@@ -64,24 +55,22 @@
   readonly #writer: AnswerWriter
   readonly #permits: RepeatPermits
   readonly #record: RequestRecord
+  readonly #final: FinalAnswer
   readonly #tried: string[] = []
   #running: AttemptRun | null = null
   #homeLevels: PrefixLevel[] = []
-  #attempts = 0
   #unsent = 0
   #notRun = 0
-  #mayHaveRun = false
-  #isOver = false
   /** The endpoint asked last answers with a stream. */
   #isStreaming = false
   #isMoved = false
-  #deadline: NodeJS.Timeout | undefined
 
   constructor (parts: FlowParts, plan: RequestPlan, answer: http.ServerResponse) {
     this.#parts = parts
     this.#plan = plan
     this.#answer = answer
     this.#record = new RequestRecord(parts, plan)
+    this.#final = new FinalAnswer(parts, plan, this.#record, answer)
     this.#writer = new AnswerWriter(answer, plan.call.method)
     this.#permits = new RepeatPermits(parts, plan)
     this.#relay = new StreamRelay(answer, plan.route.repeatability === REPEATABILITY.resumed, plan.call.lastEventId)
@@ -90,18 +79,18 @@
   /** Runs until the request has its final answer or its caller left. */
   async run (): Promise<void> {
     const { deadlineAtMs, route } = this.#plan
-    this.#deadline = setTimeout(() => this.#expire(), Math.max(0, deadlineAtMs - performance.now()))
+    const deadline = setTimeout(() => this.#expire(), Math.max(0, deadlineAtMs - performance.now()))
     this.#answer.once('close', () => this.#noteClosed())
     try {
       let step: Step = AGAIN
-      while (step.type === 'again' && !this.#isOver) step = await this.#tryNext()
+      while (step.type === 'again' && !this.#final.isOver) step = await this.#tryNext()
     } catch (error) {
       this.#parts.log.warn('Request failed inside.', { requestId: this.#plan.call.requestId, route: route.name, reason: (error as Error).message })
       this.#running?.attempt.cancel(LOSS.cancelled)
-      this.#refuse('internal', this.#mayHaveRun ? 502 : 503, (error as Error).message)
+      this.#final.fail('internal', (error as Error).message)
     } finally {
-      clearTimeout(this.#deadline)
-      this.#isOver = true
+      clearTimeout(deadline)
+      this.#final.end()
     }
   }
 
@@ -119,37 +108,28 @@
   }
 
   async #tryNext (): Promise<Step> {
-    const chosen = await this.#waitEndpoint()
-    if (chosen === null || this.#isOver) return DONE
+    const chosen = await this.#findEndpoint()
+    if (chosen === null) return DONE
     const running = this.#start(chosen)
     const outcome = await this.#waitOutcome(running)
-    if (this.#isOver) return DONE
-    const step = await this.#takeOutcome(running, outcome)
-    return step
+    if (this.#final.isOver) return DONE
+    return await this.#takeOutcome(running, outcome)
   }
 
-  async #waitEndpoint (): Promise<Chosen | null> {
-    const { pool, levels, call, route } = this.#plan
-    const prompt = route.usesPrefixes ? call.prompt : null
-    this.#homeLevels = this.#parts.chooser.findHomeLevels(levels)
-    const untilMs = Math.min(this.#plan.deadlineAtMs, performance.now() + route.objectiveMs * FREE_WAIT_SHARE)
-    for (;;) {
-      const choice = this.#parts.chooser.choose(pool, this.#homeLevels, this.#tried, prompt)
-      if (choice.type === 'chosen') {
-        this.#record.noteChoice(this.#attempts + 1, choice.record, choice.decision)
-        return choice
-      }
-      if (choice.type === 'none' || performance.now() >= untilMs) {
-        this.#fail(choice.type === 'none' ? 'no_endpoint' : 'no_free_endpoint', 'no endpoint may take the request now')
-        return null
-      }
-      await this.#parts.sleep(FREE_LOOK_MS)
-      if (this.#isOver) return null
+  async #findEndpoint (): Promise<Chosen | null> {
+    this.#homeLevels = this.#parts.chooser.findHomeLevels(this.#plan.levels)
+    const choice = await waitEndpoint(this.#parts, this.#plan, { homeLevels: this.#homeLevels, tried: this.#tried, isOver: () => this.#final.isOver })
+    if (this.#final.isOver) return null
+    if (choice.type !== 'chosen') {
+      this.#final.fail(choice.type === 'none' ? 'no_endpoint' : 'no_free_endpoint', 'no endpoint may take the request now')
+      return null
     }
+    this.#record.noteChoice(this.#final.attempts + 1, choice.record, choice.decision)
+    return choice
   }
 
   #start (chosen: Chosen): AttemptRun {
-    const running = launchAttempt(this.#parts, this.#plan, { chosen, homeLevels: this.#homeLevels, number: ++this.#attempts, lastEventId: this.#relay.lastEventId })
+    const running = launchAttempt(this.#parts, this.#plan, { chosen, homeLevels: this.#homeLevels, number: ++this.#final.attempts, lastEventId: this.#relay.lastEventId })
     this.#permits.noteSent()
     this.#tried.push(running.record.entry.endpoint)
     this.#running = running
@@ -199,7 +179,7 @@
     const isRetried = this.#unsent < MAX_UNSENT && performance.now() < this.#plan.deadlineAtMs
     this.#record.noteEnded(running, 'unsent', reason, isRetried)
     if (isRetried) return AGAIN
-    this.#fail('no_free_endpoint', reason)
+    this.#final.fail('no_free_endpoint', reason)
     return DONE
   }
 
@@ -210,12 +190,12 @@
     const isRetried = this.#notRun <= MAX_NOT_RUN && this.#permits.take(false)
     this.#record.noteEnded(running, 'notRun', `status ${status}`, isRetried)
     if (isRetried) return this.#retry()
-    this.#fail('endpoint_refused', `status ${status}`)
+    this.#final.fail('endpoint_refused', `status ${status}`)
     return DONE
   }
 
   #takeLost (running: AttemptRun, loss: typeof LOSS[keyof typeof LOSS], reason: string): Step {
-    this.#mayHaveRun = true
+    this.#final.noteMayHaveRun()
     const evidence = loss === LOSS.reset ? EVIDENCE.down : EVIDENCE.failed
     this.#parts.watch.note(running.record, evidence, reason)
     if (loss === LOSS.reset) this.#parts.noteCrash(this.#plan.fingerprint, running.record, running.startedAtMs)
@@ -223,7 +203,7 @@
     const isRetried = this.#canRepeat && this.#permits.take(false)
     this.#record.noteEnded(running, loss, reason, isRetried)
     if (isRetried) return this.#retry()
-    this.#fail('endpoint_lost', `${loss}: ${reason}`)
+    this.#final.fail('endpoint_lost', `${loss}: ${reason}`)
     return DONE
   }
 
@@ -236,14 +216,14 @@
     this.#noteHead(running.record, head)
     this.#parts.watch.noteHeard(running.record)
     const status = message.statusCode ?? 0
-    this.#mayHaveRun = true
+    this.#final.noteMayHaveRun()
     const isStream = this.#plan.route.isStream && status < 300
     return isStream ? await this.#passStream(running, message) : await this.#passWhole(running, message, status)
   }
 
   async #passWhole (running: AttemptRun, message: http.IncomingMessage, status: number): Promise<Step> {
     const body = await readAnswerBody(message)
-    if (this.#isOver) {
+    if (this.#final.isOver) {
       this.#end(running)
       return DONE
     }
@@ -260,24 +240,36 @@
       // The endpoint did not say that the request did not run, so its status must not say so either.
       message.destroy()
       this.#end(running)
-      this.#refuse('endpoint_refused', 502, `status ${status} without a word that the request did not run`)
+      this.#final.refuse('endpoint_refused', 502, `status ${status} without a word that the request did not run`)
       return DONE
     }
     const firstByteMs = performance.now() - this.#plan.arrivedAtMs
     this.#writer.writeHead(message, status, body.type === 'whole' ? body.bytes.length : null)
-    if (body.type === 'whole') this.#answer.end(body.bytes)
-    else await this.#passRest(message, body.first)
+    if (body.type === 'long') return await this.#passLong(running, message, body.first, firstByteMs)
+    this.#answer.end(body.bytes)
     this.#end(running)
-    this.#record.noteAnswered(running, status, firstByteMs, 0, body.type === 'whole' ? body.bytes.length : this.#relay.bytes)
+    this.#record.noteAnswered(running, status, firstByteMs, 0, body.bytes.length)
     return DONE
   }
 
-  /** A long answer flows through; one that breaks off ends the caller's connection, so that it does not look whole. */
-  async #passRest (message: http.IncomingMessage, first: Buffer[]): Promise<void> {
+  /** A long answer flows through, and cannot be tried again. */
+  async #passLong (running: AttemptRun, message: http.IncomingMessage, first: Buffer[], firstByteMs: number): Promise<Step> {
     for (const chunk of first) this.#answer.write(chunk)
     const end = await this.#relay.pass(message, { stallMs: null, mayCut: () => false, onChunk: () => {} })
-    if (end.type === 'complete') this.#answer.end()
-    else this.#answer.destroy()
+    this.#end(running)
+    if (end.type === 'callerLeft') {
+      if (!this.#final.isOver) this.#final.noteCallerLeft(true)
+      return DONE
+    }
+    if (end.type === 'cut') {
+      this.#parts.watch.note(running.record, EVIDENCE.failed, end.reason)
+      this.#record.noteEnded(running, 'cut', end.reason, false)
+      this.#final.cut(end.reason)
+      return DONE
+    }
+    this.#answer.end()
+    this.#record.noteAnswered(running, message.statusCode ?? 0, firstByteMs, this.#relay.longestPauseMs, first.reduce((sum, chunk) => sum + chunk.length, this.#relay.bytes))
+    return DONE
   }
 
   async #passStream (running: AttemptRun, message: http.IncomingMessage): Promise<Step> {
@@ -289,7 +281,7 @@
     this.#isStreaming = true
     const end = await this.#relay.pass(message, { stallMs, mayCut: () => this.#reserveMove(), onChunk: () => this.#parts.watch.noteHeard(running.record) })
     this.#isStreaming = false
-    if (this.#isOver || end.type === 'callerLeft') {
+    if (this.#final.isOver || end.type === 'callerLeft') {
       running.attempt.cancel(LOSS.cancelled)
       this.#end(running)
       return DONE
@@ -319,7 +311,7 @@
     const isRetried = isMoved || (this.#plan.route.repeatability === REPEATABILITY.resumed && this.#permits.take(false))
     this.#record.noteEnded(running, isMoved ? LOSS.moved : 'cut', reason, isRetried)
     if (!isRetried) {
-      this.#refuse('stream_cut', 0, reason)
+      this.#final.cut(reason)
       return DONE
     }
     this.#parts.decisions.record({ type: 'resumed', requestId: this.#plan.call.requestId, endpoint: running.record.entry.endpoint, lastEventId: this.#relay.lastEventId ?? '', afterMs: this.#record.readAgeMs() })
@@ -329,53 +321,29 @@
   #noteHead (record: EndpointRecord, head: AnswerHead): void {
     const model = this.#plan.call.prompt?.model
     if (head.weightsVersion !== null && model !== undefined && record.noteVersion(model, head.weightsVersion)) this.#parts.chooser.rebuild()
-    if (head.load === null) return
-    record.load = head.load
-    record.loadAtMs = performance.now()
-    this.#parts.chooser.noteLoad(record)
+    if (head.load !== null) this.#parts.chooser.noteLoad(record, head.load)
   }
 
   /** The caller's patience or the route's time is over. */
   #expire (): void {
-    if (this.#isOver) return
+    if (this.#final.isOver) return
     const running = this.#running
     running?.attempt.cancel(LOSS.silent)
     if (running !== null) {
       this.#parts.watch.note(running.record, EVIDENCE.failed, 'no answer in time')
       this.#end(running)
     }
-    const isSent = running?.attempt.isSent ?? false
-    this.#mayHaveRun ||= isSent
-    this.#refuse('timeout', this.#mayHaveRun ? 504 : 503, 'the time was over')
+    if (running?.attempt.isSent) this.#final.noteMayHaveRun()
+    this.#final.expire()
   }
 
   /** An order goes on without its caller; what may be repeated, and streams, end at the endpoint too. */
   #noteClosed (): void {
-    if (this.#isOver || this.#answer.writableFinished) return
+    if (this.#final.isOver || this.#answer.writableFinished) return
     const running = this.#running
     if (!this.#canRepeat && !this.#plan.route.isStream && running !== null) return
-    this.#isOver = true
-    clearTimeout(this.#deadline)
+    this.#final.noteCallerLeft(running !== null)
     running?.attempt.cancel(LOSS.cancelled)
     if (running !== null) this.#end(running)
-    this.#record.noteRefused({ reason: 'caller_left', status: 0, mayHaveRun: this.#mayHaveRun || running !== null, attempts: this.#attempts, retryAfterMs: 0, detail: '' })
-  }
-
-  #fail (reason: RefusalReason, detail: string): void {
-    this.#refuse(reason, this.#mayHaveRun ? 502 : 503, detail)
-  }
-
-  #refuse (reason: RefusalReason, status: number, detail: string): void {
-    if (this.#isOver) return
-    this.#isOver = true
-    clearTimeout(this.#deadline)
-    const retryAfterMs = status === 503 ? this.#parts.drawRetryMs(RETRY_AFTER_MS) : null
-    this.#record.noteRefused({ reason, status, mayHaveRun: this.#mayHaveRun, attempts: this.#attempts, retryAfterMs: retryAfterMs ?? 0, detail })
-    if (this.#answer.headersSent) {
-      this.#answer.destroy()
-      return
-    }
-    const answer: OwnAnswer = { status: status || 502, code: reason, retryAfterMs, closes: false }
-    this.#parts.sendOwnAnswer(this.#answer, this.#plan.call.requestId, answer)
   }
 }
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -25,7 +25,6 @@
 import type { EndpointPort } from './ports/endpointPort.ts'
 import type { ManagementPort } from './ports/managementPort.ts'
 import type { VmSettings } from './ports/vmSettings.ts'
-import type { RefusalReason } from './records/decision.ts'
 import { DecisionLog } from './records/decisionLog.ts'
 import { Figures } from './records/figures.ts'
 import { CallerError, createCallerError } from './shared/callerError.ts'
@@ -142,7 +141,8 @@
       nearDataCentres: settings.nearDataCentres,
       seed,
       book: this.#book,
-      readConfig: () => this.#config.config,
+      listPools: () => this.#config.config?.pools ?? [],
+      findPool: pool => this.#config.findPool(pool),
       countVms: () => this.#roster.countVms(),
       listLoading: () => this.#weights.listLoading(),
       findWished: model => this.#weights.findWished(model),
@@ -294,7 +294,7 @@
         route: '',
         organisation: '',
         status: own.status,
-        reason: own.code as RefusalReason,
+        reason: own.code,
         ran: 'not-run',
         attempts: 0,
         totalMs: Math.round(performance.now() - arrivedAtMs),
@@ -319,9 +319,7 @@
       noteSuccess: (pool, fingerprint) => this.#noteSuccess(pool, fingerprint),
       noteCrash: (fingerprint, record, startedAtMs) => this.#noteCrash(fingerprint, record, startedAtMs),
       readKeysAgeMs: () => this.#keys.ageMs,
-      drawRetryMs: meanMs => Math.round(meanMs * (0.5 + this.#rng.float())),
-      sendOwnAnswer: (answer, requestId, own) => sendOwnAnswer(answer, requestId, own, this.#parts.endpointPort),
-      sleep
+      drawRetryMs: meanMs => Math.round(meanMs * (0.5 + this.#rng.float()))
     }
   }
 
--- a/packages/knapweedshunt-gateway/src/shared/callerError.ts
+++ b/packages/knapweedshunt-gateway/src/shared/callerError.ts
@@ -1,9 +1,10 @@
 import ModernError from 'modern-errors'
+import type { RefusalReason } from '../records/decision.ts'
 
 /** A caller's request that gets an answer of the router's own. */
 export interface OwnAnswer {
   status: number
-  code: string
+  code: RefusalReason
   /** When the caller may come again, in milliseconds; null when it need not. */
   retryAfterMs: number | null
   /** Whether the connection ends after the answer. */
@@ -16,7 +17,7 @@
 export const CallerError = BaseCallerError
 
 /** Creates the error for an answer of the router's own. */
-export function createCallerError (status: number, code: string, message: string, options: Partial<OwnAnswer> = {}): InstanceType<typeof BaseCallerError> {
+export function createCallerError (status: number, code: RefusalReason, message: string, options: Partial<OwnAnswer> = {}): InstanceType<typeof BaseCallerError> {
   const answer: OwnAnswer = { status, code, retryAfterMs: null, closes: false, ...options }
   return new BaseCallerError(message, { props: { answer } })
 }
