Gateway log and metrics: which request a crash is charged to, marks applied, cleared and evicted, rows not written

No decision changes.

crashMarked now has request, fingerprint, incarnation, how the attempt ended, and the count; new: suspectCleared, markApplied, markEvicted, rowUnwritten; sent has the fingerprint. Counters knapweedshunt_crash_marks_total and knapweedshunt_rows_unwritten_total, gauges suspect_requests and roster_age_seconds.

--- a/packages/knapweedshunt-attempts/src/suspectRegistry.ts
+++ b/packages/knapweedshunt-attempts/src/suspectRegistry.ts
@@ -101,6 +101,11 @@
     return { type: 'clear' }
   }
 
+  /** Counts the crashes that are held against a request; not all of those of a quarantined one are held. */
+  countCrashes (fingerprint: string): number {
+    return this.check(fingerprint).type === 'clear' ? 0 : this.#entries.get(fingerprint)?.crashes.length ?? 0
+  }
+
   #addCrash (fingerprint: string, crash: Crash, nowMs: number): SuspectEntry {
     const entry = this.#getOrCreateEntry(fingerprint, nowMs)
     if (!entry.crashes.some(known => isSameCrash(known, crash))) entry.crashes.push(crash)
--- a/packages/knapweedshunt-gateway/src/__tests__/vmRoster.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/vmRoster.test.ts
@@ -7,7 +7,7 @@
 const LOG = { debug () {}, info () {}, warn () {}, error () {} }
 
 function buildRoster (platform: MemoryPlatform, vm: string, onMark: (mark: SuspectMark) => void): VmRoster {
-  return new VmRoster({ platform, self: { vm, incarnation: `${vm}@1`, dataCentre: 'z' }, log: LOG, onMark, onWaveNotice: () => {} })
+  return new VmRoster({ platform, self: { vm, incarnation: `${vm}@1`, dataCentre: 'z' }, log: LOG, onMark: ({ mark }) => onMark(mark), onMarkEvicted: () => {}, onUnwritten: () => {}, onWaveNotice: () => {} })
 }
 
 async function readAll (platform: MemoryPlatform, roster: VmRoster): Promise<void> {
@@ -49,7 +49,7 @@
   const platform = new MemoryPlatform()
   await buildRoster(platform, 'a', () => {}).announceMark(buildMark('one', 'e1'))
   const applied: string[] = []
-  const restarted = new VmRoster({ platform, self: { vm: 'a', incarnation: 'a@2', dataCentre: 'z' }, log: LOG, onMark: mark => applied.push(mark.fingerprint), onWaveNotice: () => {} })
+  const restarted = new VmRoster({ platform, self: { vm: 'a', incarnation: 'a@2', dataCentre: 'z' }, log: LOG, onMark: ({ mark }) => applied.push(mark.fingerprint), onMarkEvicted: () => {}, onUnwritten: () => {}, onWaveNotice: () => {} })
   await readAll(platform, restarted)
   t.deepEqual(applied, ['one'])
 })
--- a/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
+++ b/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
@@ -45,6 +45,15 @@
   marks: NumberedMark[]
 }
 
+/** A mark read from the row of another VM. */
+export interface ReceivedMark {
+  mark: SuspectMark
+  /** Incarnation of the VM that wrote it. */
+  from: Incarnation
+  /** Time since the mark was made, by the wall clocks of both VMs, in milliseconds. */
+  ageMs: number
+}
+
 interface TimedNotice {
   notice: WaveNotice
   receivedAtMs: number
@@ -55,7 +64,11 @@
   platform: Platform
   self: VmRow
   log: Logger
-  onMark (mark: SuspectMark): void
+  onMark (received: ReceivedMark): void
+  /** Called for a mark that is removed from this VM's row because the row is full. */
+  onMarkEvicted (mark: SuspectMark): void
+  /** Called when a row of this VM could not be written. */
+  onUnwritten (key: string, reason: string): void
   onWaveNotice (notice: WaveNotice): void
 }
 
@@ -137,7 +150,8 @@
   /** Announces a request that may have crashed an endpoint, or its clearing, to all VMs. */
   async announceMark (mark: SuspectMark): Promise<void> {
     const numbered = { n: ++this.#lastMarkNumber, atMs: Date.now(), mark }
-    this.#marks = [...this.#marks.filter(known => known.mark.fingerprint !== mark.fingerprint), numbered].slice(-MAX_MARKS)
+    this.#marks = [...this.#marks.filter(known => known.mark.fingerprint !== mark.fingerprint), numbered]
+    while (this.#marks.length > MAX_MARKS) this.#dependencies.onMarkEvicted(this.#marks.shift()!.mark)
     this.#pendingWrite ??= this.#writeMarks()
     await this.#pendingWrite
   }
@@ -161,8 +175,8 @@
   #applyMarks ({ incarnation, marks }: CrashRow): void {
     if (incarnation === this.#dependencies.self.incarnation) return
     const lastNumber = this.#lastAppliedMark.get(incarnation) ?? 0
-    const oldestMs = Date.now() - MAX_MARK_AGE_MS
-    for (const { n, atMs, mark } of marks) if (n > lastNumber && atMs >= oldestMs) this.#dependencies.onMark(mark)
+    const nowMs = Date.now()
+    for (const { n, atMs, mark } of marks) if (n > lastNumber && atMs >= nowMs - MAX_MARK_AGE_MS) this.#dependencies.onMark({ mark, from: incarnation, ageMs: nowMs - atMs })
     this.#lastAppliedMark.set(incarnation, Math.max(lastNumber, ...marks.map(({ n }) => n)))
   }
 
@@ -176,7 +190,7 @@
       await this.#dependencies.platform.transact({ checks: [], writes: [{ type: 'put', table: ROSTER_TABLE, key, value }] })
       return true
     } catch (error) {
-      this.#dependencies.log.warn('Row of this VM could not be written.', { key, reason: (error as Error).message })
+      this.#dependencies.onUnwritten(key, (error as Error).message)
       return false
     }
   }
--- a/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
@@ -1,12 +1,13 @@
 import type http from 'node:http'
 import type { Logger } from 'knapweedshunt-logger'
 import type { EndpointChooser } from '../endpoints/endpointChooser.ts'
-import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
 import type { KvStoreMonitor } from '../endpoints/kvStoreMonitor.ts'
 import type { EndpointMonitor } from '../endpoints/endpointMonitor.ts'
 import type { EndpointPort } from '../ports/endpointPort.ts'
 import type { DecisionLog } from '../records/decisionLog.ts'
 import type { GatewayMetrics } from '../records/gatewayMetrics.ts'
+import type { RequestPlan } from './requestPlan.ts'
+import type { RunningAttempt } from './runningAttempt.ts'
 
 /** Dependencies shared by the tasks of all requests. */
 export interface FlowDependencies {
@@ -21,9 +22,9 @@
   /** Takes one retry permit from the budget of the pool; false when it is spent. An optional retry uses only permits earned by successes and leaves the reserve to requests that would otherwise fail. */
   tryTakeRetry (pool: string, isOptional: boolean): boolean
   /** Records a served request: it credits the retry budget of its pool and is no longer suspect. */
-  recordSuccess (pool: string, fingerprint: string): void
-  /** Records that an endpoint closed the connection before it started to answer the request. */
-  recordCrash (fingerprint: string, record: EndpointRecord, startedAtMs: number): void
+  recordSuccess (plan: RequestPlan): void
+  /** Records that an endpoint may have crashed while it ran the request; `evidence` is how the attempt ended. */
+  recordCrash (plan: RequestPlan, attempt: RunningAttempt, evidence: string): void
   /** Time since the access keys were last confirmed, in milliseconds. */
   getKeysAgeMs (): number
   /** Adds jitter to a delay: returns 50 to 150 % of the mean, in milliseconds. */
--- a/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
@@ -10,6 +10,9 @@
 /** Number of characters of a prefix level's key in a log line. */
 const LOGGED_KEY_CHARS = 6
 
+/** Number of characters of a request's fingerprint in a log line. */
+const LOGGED_FINGERPRINT_CHARS = 12
+
 /** Details of a refusal: the router's own response to a request, or a closed connection. */
 export interface Refusal {
   reason: RefusalReason
@@ -21,6 +24,11 @@
   detail: string
 }
 
+/** Returns the beginning of a request's fingerprint, as it is logged. */
+export function shortenFingerprint (fingerprint: string): string {
+  return fingerprint.slice(0, LOGGED_FINGERPRINT_CHARS)
+}
+
 /** Records the decisions about one request in the log and the metrics, and its success for the retry budget and the suspect registry. */
 export class RequestRecorder {
   readonly #dependencies: FlowDependencies
@@ -50,6 +58,7 @@
       incarnation: record.entry.incarnation,
       rank,
       prefix: this.#plan.levels.map(level => level.key.slice(0, LOGGED_KEY_CHARS)).join('>'),
+      fingerprint: shortenFingerprint(this.#plan.fingerprint),
       expectedCachedTokens,
       promptTokens,
       expectedWaitMs,
@@ -91,7 +100,7 @@
     const { call, route, identity } = this.#plan
     const organisation = identity?.organisation ?? ''
     const totalMs = this.getAgeMs()
-    if (status < MIN_SERVER_ERROR_STATUS) this.#dependencies.recordSuccess(this.#plan.pool, this.#plan.fingerprint)
+    if (status < MIN_SERVER_ERROR_STATUS) this.#dependencies.recordSuccess(this.#plan)
     this.#dependencies.metrics.recordResponse({ route: route.name, organisation, priority: String(identity?.priority ?? route.priority) }, firstByteMs, totalMs)
     this.#dependencies.decisionLog.record({ type: 'answered', requestId: call.requestId, route: route.name, organisation, endpoint: runningAttempt.record.entry.endpoint, status, attempts: runningAttempt.attemptNumber, firstByteMs: Math.round(firstByteMs), longestPauseMs: Math.round(longestPauseMs), totalMs, bytes })
   }
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -198,7 +198,7 @@
     this.#finalResponse.recordMayHaveRun()
     const observation = loss === LOSS_REASON.reset ? HEALTH_OBSERVATION.down : HEALTH_OBSERVATION.failed
     this.#dependencies.endpointMonitor.recordObservation(runningAttempt.record, observation, reason)
-    if (loss === LOSS_REASON.reset) this.#dependencies.recordCrash(this.#plan.fingerprint, runningAttempt.record, runningAttempt.startedAtMs)
+    if (loss === LOSS_REASON.reset) this.#dependencies.recordCrash(this.#plan, runningAttempt, loss)
     this.#finishAttempt(runningAttempt)
     const isRetried = this.#isRepeatable && this.#permits.tryTake(false)
     this.#recorder.recordAttemptEnded(runningAttempt, loss, reason, isRetried)
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -13,14 +13,17 @@
 import { KeyFreshness } from './directory/keyFreshness.ts'
 import { Readiness } from './directory/readiness.ts'
 import { ROSTER_TABLE, VmRoster } from './directory/vmRoster.ts'
+import type { ReceivedMark } from './directory/vmRoster.ts'
 import { EndpointAgent } from './endpoints/endpointAgent.ts'
 import { EndpointRegistry } from './endpoints/endpointRegistry.ts'
 import { EndpointChooser } from './endpoints/endpointChooser.ts'
-import type { EndpointRecord } from './endpoints/endpointRecord.ts'
 import { KvStoreMonitor } from './endpoints/kvStoreMonitor.ts'
 import { EndpointMonitor } from './endpoints/endpointMonitor.ts'
 import type { FlowDependencies } from './flow/flowDependencies.ts'
 import { RequestPlanner } from './flow/requestPlanner.ts'
+import type { RequestPlan } from './flow/requestPlan.ts'
+import { shortenFingerprint } from './flow/requestRecorder.ts'
+import type { RunningAttempt } from './flow/runningAttempt.ts'
 import type { DirectoryPort } from './ports/directoryPort.ts'
 import type { EndpointPort } from './ports/endpointPort.ts'
 import type { ManagementPort } from './ports/managementPort.ts'
@@ -125,7 +128,15 @@
       platform: dependencies.platform,
       self: { vm: settings.vm, incarnation: this.#incarnation, dataCentre: settings.dataCentre },
       log,
-      onMark: mark => this.#suspectRegistry.applyMark(mark),
+      onMark: received => this.#applyMark(received),
+      onMarkEvicted: mark => {
+        this.#metrics.recordMark('evicted')
+        this.#decisionLog.record({ type: 'markEvicted', fingerprint: shortenFingerprint(mark.fingerprint), mark: mark.type })
+      },
+      onUnwritten: (key, reason) => {
+        this.#metrics.recordUnwrittenRow()
+        this.#decisionLog.record({ type: 'rowUnwritten', key, reason })
+      },
       onWaveNotice: notice => {
         this.#weightsState.recordServedVersion(notice.reached, notice.model, notice.version)
         setTimeout(() => this.#requestHandler.moveStreamsFrom(this.#weightsState.listLoadingEndpoints()), MOVE_STREAMS_DELAY_MS)
@@ -187,6 +198,8 @@
     this.#metrics.addGauge('endpoints_loading', 'Endpoints that load weights.', () => this.#weightsState.listLoadingEndpoints().size)
     this.#metrics.addGauge('keys_age_seconds', 'Age of the operator\'s rows.', () => Math.min(this.#keyFreshness.ageMs, Number.MAX_SAFE_INTEGER) / 1_000)
     this.#metrics.addGauge('vms', 'VMs that may be running.', () => this.#roster.countVms())
+    this.#metrics.addGauge('suspect_requests', 'Requests suspected of crashing endpoints, including quarantined ones.', () => this.#suspectRegistry.size)
+    this.#metrics.addGauge('roster_age_seconds', 'Time since the VM roster and the marks of other VMs were last read.', () => (this.#rosterFollower.ageMs ?? Number.MAX_SAFE_INTEGER) / 1_000)
     this.#metrics.addGauge('ready', 'Whether this VM wants callers.', () => this.isReady ? 1 : 0)
   }
 
@@ -272,24 +285,38 @@
       decisionLog: this.#decisionLog,
       log: this.#dependencies.log,
       tryTakeRetry: (pool, isOptional) => this.#retryBudget.tryTake(pool, isOptional),
-      recordSuccess: (pool, fingerprint) => this.#recordSuccess(pool, fingerprint),
-      recordCrash: (fingerprint, record, startedAtMs) => this.#recordCrash(fingerprint, record, startedAtMs),
+      recordSuccess: plan => this.#recordSuccess(plan),
+      recordCrash: (plan, attempt, evidence) => this.#recordCrash(plan, attempt, evidence),
       getKeysAgeMs: () => this.#keyFreshness.ageMs,
       randomizeDelayMs: meanMs => Math.round(meanMs * (0.5 + this.#rng.drawFloat()))
     }
   }
 
-  #recordCrash (fingerprint: string, record: EndpointRecord, startedAtMs: number): void {
-    const mark: SuspectMark = this.#suspectRegistry.recordCrash(fingerprint, record.entry.endpoint, startedAtMs)
-    this.#decisionLog.record({ type: 'crashMarked', requests: 1, endpoint: record.entry.endpoint })
+  #recordCrash ({ call, fingerprint }: RequestPlan, { record, startedAtMs }: RunningAttempt, evidence: string): void {
+    const mark = this.#suspectRegistry.recordCrash(fingerprint, record.entry.endpoint, startedAtMs)
+    this.#metrics.recordMark('recorded')
+    this.#decisionLog.record({ type: 'crashMarked', requestId: call.requestId, fingerprint: shortenFingerprint(fingerprint), endpoint: record.entry.endpoint, incarnation: record.entry.incarnation, evidence, ...this.#describeSuspect(fingerprint) })
     this.#announceMark(mark)
   }
 
   /** Clears the crash marks of a served request: a request that crashes endpoints would not have been served. */
-  #recordSuccess (pool: string, fingerprint: string): void {
+  #recordSuccess ({ call, pool, fingerprint }: RequestPlan): void {
     this.#retryBudget.recordSuccess(pool)
     const cleared = this.#suspectRegistry.recordSuccess(fingerprint)
-    if (cleared !== null) this.#announceMark(cleared)
+    if (cleared === null) return
+    this.#metrics.recordMark('cleared')
+    this.#decisionLog.record({ type: 'suspectCleared', requestId: call.requestId, fingerprint: shortenFingerprint(fingerprint) })
+    this.#announceMark(cleared)
+  }
+
+  #applyMark ({ mark, from, ageMs }: ReceivedMark): void {
+    this.#suspectRegistry.applyMark(mark)
+    this.#metrics.recordMark('applied')
+    this.#decisionLog.record({ type: 'markApplied', fingerprint: shortenFingerprint(mark.fingerprint), mark: mark.type, from, ageMs, ...this.#describeSuspect(mark.fingerprint) })
+  }
+
+  #describeSuspect (fingerprint: string): { crashes: number, isQuarantined: boolean } {
+    return { crashes: this.#suspectRegistry.countCrashes(fingerprint), isQuarantined: this.#suspectRegistry.check(fingerprint).type === 'quarantined' }
   }
 
   #announceMark (mark: SuspectMark): void {
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -1,3 +1,4 @@
+import type { SuspectMark } from 'knapweedshunt-attempts'
 import type { WaveDecision } from 'knapweedshunt-fleet'
 import type { EndpointName, OrganisationName, PoolName, RequestId, VmId } from 'knapweedshunt-types'
 
@@ -9,8 +10,8 @@
 
 /** A decision about one request; times in milliseconds. */
 export type RequestDecision =
-  /** Sent to an endpoint; `prefix` joins the first characters of the keys of the prompt's prefix levels, outermost first. */
-  | { type: 'sent', requestId: RequestId, attempt: number, pool: PoolName, endpoint: EndpointName, incarnation: string, rank: number, prefix: string, expectedCachedTokens: number, promptTokens: number, expectedWaitMs: number, open: number, loadAgeMs: number, configRevision: number, keysAgeMs: number, timeLeftMs: number }
+  /** Sent to an endpoint; `prefix` joins the first characters of the keys of the prompt's prefix levels, outermost first. `fingerprint` begins the hash by which repetitions of the request are recognised. */
+  | { type: 'sent', requestId: RequestId, attempt: number, pool: PoolName, endpoint: EndpointName, incarnation: string, rank: number, prefix: string, fingerprint: string, expectedCachedTokens: number, promptTokens: number, expectedWaitMs: number, open: number, loadAgeMs: number, configRevision: number, keysAgeMs: number, timeLeftMs: number }
   /** An attempt ended without a response; `isRetried` if another endpoint is tried. */
   | { type: 'attemptEnded', requestId: RequestId, attempt: number, endpoint: EndpointName, outcome: string, reason: string, isRetried: boolean, afterMs: number }
   /** A stream is resumed at another endpoint; `endpoint` is the previous one. */
@@ -41,10 +42,21 @@
   | { type: 'rowUnreadable', table: string, key: string, reason: string }
   /** The target version of a model's weights changed. */
   | { type: 'weightsWished', model: string, version: number }
-  /** Requests that were in flight at a crashed endpoint are marked as possible causes of the crash. */
-  | { type: 'crashMarked', requests: number, endpoint: EndpointName }
   /** `count` log lines of a kind were suppressed by the rate limit. */
   | { type: 'linesLeftOut', kind: string, count: number }
 
+/** A decision about a request that may crash endpoints; `crashes` is the number that counts against it afterwards. */
+export type SuspectDecision =
+  /** An endpoint ended a connection while it may have run the request; `evidence` is how the attempt ended. */
+  | { type: 'crashMarked', requestId: RequestId, fingerprint: string, endpoint: EndpointName, incarnation: string, evidence: string, crashes: number, isQuarantined: boolean }
+  /** The request was served, which clears it. */
+  | { type: 'suspectCleared', requestId: RequestId, fingerprint: string }
+  /** A mark of another VM was applied; `ageMs` is the time since it was made, by the clocks of both VMs. */
+  | { type: 'markApplied', fingerprint: string, mark: SuspectMark['type'], from: string, ageMs: number, crashes: number, isQuarantined: boolean }
+  /** A mark was removed from this VM's row before it expired, as the row is full. */
+  | { type: 'markEvicted', fingerprint: string, mark: SuspectMark['type'] }
+  /** A row of this VM could not be written to the store. */
+  | { type: 'rowUnwritten', key: string, reason: string }
+
 /** A decision as it is written to the structured log. */
-export type Decision = RequestDecision | EndpointDecision | ProcessDecision | WaveDecision
+export type Decision = RequestDecision | EndpointDecision | ProcessDecision | SuspectDecision | WaveDecision
--- a/packages/knapweedshunt-gateway/src/records/decisionLog.ts
+++ b/packages/knapweedshunt-gateway/src/records/decisionLog.ts
@@ -40,6 +40,10 @@
   weightsReached: 'Weights reached.',
   loadGivenUp: 'Load given up for now.',
   crashMarked: 'Crash marked.',
+  suspectCleared: 'Suspect request cleared.',
+  markApplied: 'Mark of another VM applied.',
+  markEvicted: 'Mark evicted.',
+  rowUnwritten: 'Row of this VM not written.',
   linesLeftOut: 'Log lines suppressed by the rate limit.'
 }
 
--- a/packages/knapweedshunt-gateway/src/records/gatewayMetrics.ts
+++ b/packages/knapweedshunt-gateway/src/records/gatewayMetrics.ts
@@ -24,6 +24,8 @@
   readonly #refusals = new Counter({ name: 'knapweedshunt_refusals_total', help: 'Requests answered by the router itself, by reason.', labelNames: ['reason'], registers: [this.registry] })
   readonly #retries = new Counter({ name: 'knapweedshunt_retries_total', help: 'Attempts beyond the first, by pool.', labelNames: ['pool'], registers: [this.registry] })
   readonly #promptTokens = new Counter({ name: 'knapweedshunt_prompt_tokens_total', help: 'Prompt tokens sent, by whether the endpoint was expected to hold them.', labelNames: ['expected'], registers: [this.registry] })
+  readonly #marks = new Counter({ name: 'knapweedshunt_crash_marks_total', help: 'Marks of requests that may crash endpoints, by event.', labelNames: ['event'], registers: [this.registry] })
+  readonly #unwrittenRows = new Counter({ name: 'knapweedshunt_rows_unwritten_total', help: 'Failed writes of rows of this VM.', registers: [this.registry] })
   readonly #gauges = new Map<string, Gauge>()
 
   /** Records an answered request; times in milliseconds. */
@@ -43,6 +45,16 @@
     this.#retries.inc({ pool: this.#limitLabelValue('pool', pool) })
   }
 
+  /** Counts a mark of a request that may crash endpoints. */
+  recordMark (event: 'recorded' | 'applied' | 'cleared' | 'evicted'): void {
+    this.#marks.inc({ event })
+  }
+
+  /** Counts a row of this VM that could not be written. */
+  recordUnwrittenRow (): void {
+    this.#unwrittenRows.inc()
+  }
+
   /** Counts the tokens of a prompt that was sent, divided into those expected in the endpoint's cache and those to compute. */
   recordPrompt (tokens: number, expectedCachedTokens: number): void {
     const cached = Math.min(tokens, expectedCachedTokens)
