--- /dev/null
+++ b/packages/knapweedshunt-attempts/src/__tests__/suspectMarks.test.ts
@@ -0,0 +1,47 @@
+import test from 'ava'
+import type { SuspectMark } from '../suspectMark.ts'
+import { SuspectRegistry } from '../suspectRegistry.ts'
+
+const OPTIONS = { maxCrashes: 3, suspectMs: 60_000, quarantineMs: 600_000, maxEntries: 10 }
+
+function createRegistries (): [SuspectRegistry, SuspectRegistry, SuspectRegistry] {
+  return [new SuspectRegistry(OPTIONS), new SuspectRegistry(OPTIONS), new SuspectRegistry(OPTIONS)]
+}
+
+function send (mark: SuspectMark | null): SuspectMark {
+  if (mark === null) throw new Error('There is no mark to send.')
+  return JSON.parse(JSON.stringify(mark)) as SuspectMark
+}
+
+// Guards against a clearing that arrives late and takes away a crash that it does not know of.
+test('a clearing leaves crashes that it does not name', t => {
+  const [a, b, c] = createRegistries()
+  const first = send(a.recordCrash('f', 'e1', performance.now() - 10))
+  b.applyMark(first)
+  c.applyMark(first)
+  const cleared = send(b.recordSuccess('f'))
+  c.recordCrash('f', 'e2', performance.now() - 10)
+  c.applyMark(cleared)
+  t.is(c.check('f').type, 'suspect')
+  t.is(c.countCrashes('f'), 1)
+})
+
+// Guards against a crash that counts again because its mark is read after the mark that cleared it.
+test('a clearing that arrives before its crash holds', t => {
+  const [a, b, c] = createRegistries()
+  const crashed = send(a.recordCrash('f', 'e1', performance.now() - 10))
+  b.applyMark(crashed)
+  c.applyMark(send(b.recordSuccess('f')))
+  c.applyMark(crashed)
+  t.is(c.check('f').type, 'clear')
+})
+
+// Guards against one crash that counts twice because its mark comes again later.
+test('a crash that several marks name counts once, however late they arrive', t => {
+  const [a, b] = createRegistries()
+  const first = send(a.recordCrash('f', 'e1', performance.now() - 10))
+  b.applyMark(first)
+  const aged = { ...first, ...first.type === 'crashed' && { crashes: first.crashes.map(crash => ({ ...crash, startedAgeMs: crash.startedAgeMs + 9_000, crashedAgeMs: crash.crashedAgeMs + 9_000 })) } } as SuspectMark
+  b.applyMark(aged)
+  t.is(b.countCrashes('f'), 1)
+})
--- a/packages/knapweedshunt-fakes/src/memoryPlatform.ts
+++ b/packages/knapweedshunt-fakes/src/memoryPlatform.ts
@@ -16,13 +16,18 @@
 
 /** In-memory platform with fault injection. */
 export class MemoryPlatform implements Platform {
-  readonly tables = new MemoryTables()
+  /** Tables that clients with faults of their own may share. */
+  readonly tables: MemoryTables
   readonly objects = new Map<string, string>()
   readonly faults: PlatformFaults = { ...DEFAULT_PLATFORM_FAULTS }
   readonly counts: PlatformCounts = { reads: 0, writes: 0 }
   vms: VmListEntry[] = []
   #nextWriteAtMs = 0
 
+  constructor (tables = new MemoryTables()) {
+    this.tables = tables
+  }
+
   async read (table: string, key: string): Promise<Row | null> {
     await this.#beginRead()
     return structuredClone(this.tables.read(table, key))
@@ -70,6 +75,10 @@
 
   async #beginWrite (): Promise<void> {
     await this.#simulateFaults()
+    if (this.faults.unansweredWrites > 0) {
+      this.faults.unansweredWrites--
+      await new Promise(() => {}) // The caller's timeout ends the call.
+    }
     this.counts.writes++
     if (this.faults.writesPerS === 0) return
     const startMs = Math.max(performance.now(), this.#nextWriteAtMs)
@@ -79,6 +88,7 @@
 
   async #simulateFaults (): Promise<void> {
     if (this.faults.delayMs > 0) await sleep(this.faults.delayMs)
+    if (this.faults.silent) await new Promise(() => {}) // The caller's timeout ends the call.
     if (this.faults.down) throw new PlatformUnreachableError('The platform is down (down fault).')
   }
 }
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/directory/suspectOptions.ts
@@ -0,0 +1,4 @@
+import type { SuspectOptions } from 'knapweedshunt-attempts'
+
+/** Options of the registry of suspect requests. A request that was in flight by chance is rarely involved in three crashes. */
+export const SUSPECT_OPTIONS: SuspectOptions = { maxCrashes: 3, suspectMs: 60_000, quarantineMs: 600_000, maxEntries: 10_000 }
--- a/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
+++ b/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
@@ -8,6 +8,9 @@
 /** Name of the roster table, which all VMs share. */
 export const ROSTER_TABLE = 'knapweedshunt'
 
+/** Time for which the store may hold a long poll of the roster, in milliseconds. */
+export const ROSTER_POLL_WAIT_MS = 10_000
+
 const VM_PREFIX = 'vm/'
 const WAVE_PREFIX = 'wave/'
 const CRASH_PREFIX = 'crash/'
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -12,7 +12,8 @@
 import { DirectoryUpdater } from './directory/directoryUpdater.ts'
 import { KeyFreshness } from './directory/keyFreshness.ts'
 import { Readiness } from './directory/readiness.ts'
-import { ROSTER_TABLE, VmRoster } from './directory/vmRoster.ts'
+import { SUSPECT_OPTIONS } from './directory/suspectOptions.ts'
+import { ROSTER_POLL_WAIT_MS, ROSTER_TABLE, VmRoster } from './directory/vmRoster.ts'
 import type { ReceivedMark } from './directory/vmRoster.ts'
 import { EndpointAgent } from './endpoints/endpointAgent.ts'
 import { EndpointRegistry } from './endpoints/endpointRegistry.ts'
@@ -39,9 +40,6 @@
 /** Time for which the store may hold a long poll of the endpoints, in milliseconds. */
 const ENDPOINT_POLL_WAIT_MS = 5_000
 
-/** Time for which the store may hold a long poll of the VM roster, in milliseconds. */
-const ROSTER_POLL_WAIT_MS = 10_000
-
 /** Pause after a poll that returned changes of endpoints, in milliseconds; far below the time within which a leaving endpoint must get no new requests. */
 const ENDPOINT_POLL_PAUSE_MS = 500
 
@@ -54,11 +52,6 @@
 /** Delay after the notice that endpoints load weights until their remaining streams are moved, in milliseconds; most streams end earlier. */
 const MOVE_STREAMS_DELAY_MS = 300
 
-/** Number of crashes after which a request is quarantined; a request that was only in flight by chance is rarely involved in three crashes. */
-const MAX_CRASHES = 3
-
-const SUSPECT_OPTIONS = { maxCrashes: MAX_CRASHES, suspectMs: 60_000, quarantineMs: 600_000, maxEntries: 10_000 }
-
 /** Time from the stop signal until the callers' load balancers send no new connections, in milliseconds: two failed readiness checks and the network delay. */
 const LOAD_BALANCER_NOTICE_MS = 2_600
 
