Gateway: a connection that ends after the response began counts as a crash

Callers saw: a request that crashes each endpoint which begins to run it was sent on without end, and every endpoint that it reached crashed (BUDGET).

Cause: a crash was recognised only while no head of the response had arrived. An engine starts its response with the first token, so a crash under a stream shows as a stream that is cut, and that was not counted; nor was a body that breaks off, short or long.

Over sockets, a request whose streams are cut reached an endpoint at each of six sends; bodies that break off likewise.

Why it works: the end of the connection is now a loss of its own (cut), apart from a malformed response, and is counted like a reset. A request that is served clears its marks as before.

--- a/packages/knapweedshunt-gateway/src/endpoints/attemptOutcome.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/attemptOutcome.ts
@@ -3,7 +3,10 @@
 
 /** Why an attempt ended without a usable response. */
 export const LOSS_REASON = {
+  /** The connection ended before the head of the response was complete. */
   reset: 'reset',
+  /** The connection ended after the head, before the response was complete. */
+  cut: 'cut',
   /** No bytes arrived within the timeout. */
   silent: 'silent',
   /** The response is malformed or belongs to another request. */
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -3,7 +3,7 @@
 import { match } from 'ts-pattern'
 import { REPEATABILITY } from '../ports/gatewayConfig.ts'
 import type { ResponseHead } from '../ports/endpointPort.ts'
-import type { AttemptOutcome } from '../endpoints/attemptOutcome.ts'
+import type { AttemptOutcome, LossReason } from '../endpoints/attemptOutcome.ts'
 import { LOSS_REASON } from '../endpoints/attemptOutcome.ts'
 import { HEALTH_OBSERVATION } from '../endpoints/endpointHealth.ts'
 import type { Choice } from '../endpoints/endpointChooser.ts'
@@ -18,6 +18,7 @@
 import type { RequestPlan } from './requestPlan.ts'
 import { RequestRecorder } from './requestRecorder.ts'
 import { StreamRelay } from './streamRelay.ts'
+import type { StreamInterruption } from './streamRelay.ts'
 import { waitForEndpoint } from './waitForEndpoint.ts'
 
 /** Statuses that tell a caller that the request did not run and will not run. */
@@ -40,6 +41,9 @@
 
 const MIN_SERVER_ERROR_STATUS = 500
 
+/** Losses that a crash of the endpoint causes. */
+const CRASH_LOSSES: LossReason[] = [LOSS_REASON.reset, LOSS_REASON.cut]
+
 type ChosenEndpoint = Extract<Choice, { type: 'chosen' }>
 
 type NextStep = { type: 'done' } | { type: 'retry' }
@@ -194,11 +198,11 @@
     return DONE
   }
 
-  #handleLost (runningAttempt: RunningAttempt, loss: typeof LOSS_REASON[keyof typeof LOSS_REASON], reason: string): NextStep {
+  #handleLost (runningAttempt: RunningAttempt, loss: LossReason, reason: string): NextStep {
     this.#finalResponse.recordMayHaveRun()
     const observation = loss === LOSS_REASON.reset ? HEALTH_OBSERVATION.down : HEALTH_OBSERVATION.failed
     this.#dependencies.endpointMonitor.recordObservation(runningAttempt.record, observation, reason)
-    if (loss === LOSS_REASON.reset) this.#dependencies.recordCrash(this.#plan, runningAttempt, loss)
+    if (CRASH_LOSSES.includes(loss)) this.#dependencies.recordCrash(this.#plan, runningAttempt, loss)
     this.#finishAttempt(runningAttempt)
     const isRetried = this.#isRepeatable && this.#permits.tryTake(false)
     this.#recorder.recordAttemptEnded(runningAttempt, loss, reason, isRetried)
@@ -227,7 +231,7 @@
       this.#finishAttempt(runningAttempt)
       return DONE
     }
-    if (body.type === 'cut') return this.#handleLost(runningAttempt, LOSS_REASON.garbled, body.reason)
+    if (body.type === 'cut') return this.#handleLost(runningAttempt, LOSS_REASON.cut, body.reason)
     const isFailure = status >= MIN_SERVER_ERROR_STATUS
     this.#dependencies.endpointMonitor.recordObservation(runningAttempt.record, isFailure ? HEALTH_OBSERVATION.failed : HEALTH_OBSERVATION.served, `status ${status}`)
     if (isFailure && this.#isRepeatable && this.#permits.tryTake(false)) {
@@ -261,10 +265,12 @@
       if (!this.#finalResponse.isSettled) this.#finalResponse.handleCallerLeft(true)
       return DONE
     }
-    if (result.type === 'cut') {
-      this.#dependencies.endpointMonitor.recordObservation(runningAttempt.record, HEALTH_OBSERVATION.failed, result.reason)
-      this.#recorder.recordAttemptEnded(runningAttempt, 'cut', result.reason, false)
-      this.#finalResponse.abortResponse(result.reason)
+    if (result.type !== 'complete') {
+      const reason = describeInterruption(result)
+      this.#dependencies.endpointMonitor.recordObservation(runningAttempt.record, HEALTH_OBSERVATION.failed, reason)
+      this.#dependencies.recordCrash(this.#plan, runningAttempt, LOSS_REASON.cut)
+      this.#recorder.recordAttemptEnded(runningAttempt, LOSS_REASON.cut, reason, false)
+      this.#finalResponse.abortResponse(reason)
       return DONE
     }
     this.#callerResponse.end()
@@ -294,7 +300,7 @@
       this.#recorder.recordAnswered(runningAttempt, response.statusCode ?? 0, firstWriteAtMs - this.#plan.arrivedAtMs, this.#relay.longestPauseMs, this.#relay.bytes)
       return DONE
     }
-    return this.#handleStreamCut(runningAttempt, result.reason)
+    return this.#handleStreamInterrupted(runningAttempt, result)
   }
 
   /** Reserves a retry at another endpoint. False if there is none: an attempt is not ended for silence alone. */
@@ -302,14 +308,16 @@
     return this.#dependencies.chooser.hasUntriedEndpoint(this.#plan.pool, this.#triedEndpoints) && this.#permits.tryReserve()
   }
 
-  #handleStreamCut (runningAttempt: RunningAttempt, reason: string): NextStep {
+  #handleStreamInterrupted (runningAttempt: RunningAttempt, interruption: StreamInterruption): NextStep {
     const isMoved = this.#isMoved
     this.#isMoved = false
+    const reason = describeInterruption(interruption)
+    if (interruption.type === 'cut' && !isMoved) this.#dependencies.recordCrash(this.#plan, runningAttempt, LOSS_REASON.cut)
     runningAttempt.attempt.cancel(LOSS_REASON.cancelled)
     if (!isMoved) this.#dependencies.endpointMonitor.recordObservation(runningAttempt.record, HEALTH_OBSERVATION.failed, reason)
     this.#finishAttempt(runningAttempt, isMoved)
     const isRetried = isMoved || (this.#plan.route.repeatability === REPEATABILITY.resumed && this.#permits.tryTake(false))
-    this.#recorder.recordAttemptEnded(runningAttempt, isMoved ? LOSS_REASON.moved : 'cut', reason, isRetried)
+    this.#recorder.recordAttemptEnded(runningAttempt, isMoved ? LOSS_REASON.moved : LOSS_REASON.cut, reason, isRetried)
     if (!isRetried) {
       this.#finalResponse.abortResponse(reason)
       return DONE
@@ -347,3 +355,7 @@
     if (runningAttempt !== null) this.#finishAttempt(runningAttempt)
   }
 }
+
+function describeInterruption (interruption: StreamInterruption): string {
+  return interruption.type === 'stalled' ? 'silent' : interruption.reason
+}
--- a/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
@@ -1,12 +1,15 @@
 import type http from 'node:http'
 import { EventSplitter } from './eventSplitter.ts'
 
-/** Result of forwarding the stream of one endpoint. */
-export type RelayResult =
-  | { type: 'complete' }
-  /** The stream was closed early or paused for longer than the stall timeout. */
+/** Why a stream ended before it was complete. */
+export type StreamInterruption =
+  /** The connection was closed early. */
   | { type: 'cut', reason: string }
-  | { type: 'callerLeft' }
+  /** The stream paused for longer than the stall timeout. */
+  | { type: 'stalled' }
+
+/** Result of forwarding the stream of one endpoint. */
+export type RelayResult = { type: 'complete' } | StreamInterruption | { type: 'callerLeft' }
 
 /** Options for forwarding the stream of one endpoint. */
 export interface RelayOptions {
@@ -82,7 +85,8 @@
         }
       }
     } catch (error) {
-      return this.#callerResponse.destroyed ? { type: 'callerLeft' } : { type: 'cut', reason: isStalled ? 'silent' : (error as Error).message }
+      if (this.#callerResponse.destroyed) return { type: 'callerLeft' }
+      return isStalled ? { type: 'stalled' } : { type: 'cut', reason: (error as Error).message }
     } finally {
       clearTimeout(stallTimer)
     }
