Gateway: the quarantine is checked before each attempt

Callers saw: a repeatable request that crashed its third endpoint was retried at a fourth; a request that waited for a free endpoint, or ran its first attempt, while other VMs counted the third crash was sent on.

Cause: the registry was asked once, when the request arrived.

Evidence: over sockets, a repeatable request reached four endpoints; a mark of another VM written during the first attempt did not keep the second from being sent.

Why it works: the check stands directly before the send, after every wait, and there is no other way to send. The answer is 503 when nothing was sent, 502 otherwise.

--- a/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
+++ b/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
@@ -3,6 +3,8 @@
 import { sendRouterResponse } from '../shared/sendRouterResponse.ts'
 import type { FlowDependencies } from './flowDependencies.ts'
 import type { RequestPlan } from './requestPlan.ts'
+import { QUARANTINE_RETRY_MS } from './requestPlanner.ts'
+import { shortenFingerprint } from './requestRecorder.ts'
 import type { RequestRecorder } from './requestRecorder.ts'
 
 /** Mean of the retry-after time given to a refused caller, in milliseconds. */
@@ -55,6 +57,11 @@
     this.refuse(reason, this.#mayHaveRun ? 502 : 503, detail)
   }
 
+  /** Refuses a request that was quarantined after it was accepted. */
+  quarantine (): void {
+    this.refuse('quarantined', this.#mayHaveRun ? 502 : 503, `the request ${shortenFingerprint(this.#plan.fingerprint)} was quarantined`, QUARANTINE_RETRY_MS)
+  }
+
   /** Refuses a request whose deadline has passed: 504 if it may have run, otherwise 503. */
   handleDeadline (): void {
     this.refuse('timeout', this.#mayHaveRun ? 504 : 503, 'the deadline of the request has passed')
@@ -65,11 +72,11 @@
     this.refuse('stream_cut', STATUS_NONE, detail)
   }
 
-  /** Refuses the request with the status. If a response has already started, its connection is closed instead, so that the caller does not take it for complete. */
-  refuse (reason: RefusalReason, status: number, detail: string): void {
+  /** Refuses the request with the status; a 503 carries a retry-after time around the mean given. If a response has already started, its connection is closed instead, so that the caller does not take it for complete. */
+  refuse (reason: RefusalReason, status: number, detail: string, meanRetryAfterMs = RETRY_AFTER_MS): void {
     if (this.#isSettled) return
     this.#isSettled = true
-    const retryAfterMs = status === 503 ? this.#dependencies.randomizeDelayMs(RETRY_AFTER_MS) : null
+    const retryAfterMs = status === 503 ? this.#dependencies.randomizeDelayMs(meanRetryAfterMs) : null
     this.#recorder.recordRefused({ reason, status, mayHaveRun: this.#mayHaveRun, attempts: this.attemptCount, retryAfterMs: retryAfterMs ?? 0, detail })
     sendRouterResponse(this.#callerResponse, this.#plan.call.requestId, { status: status === STATUS_NONE ? 502 : status, code: reason, retryAfterMs, closesConnection: false }, this.#dependencies.endpointPort)
   }
--- a/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
@@ -25,6 +25,8 @@
   recordSuccess (plan: RequestPlan): void
   /** Records that an endpoint may have crashed while it ran the request; `evidence` is how the attempt ended. */
   recordCrash (plan: RequestPlan, attempt: RunningAttempt, evidence: string): void
+  /** Whether the request must not be sent because it crashed several endpoints. */
+  isQuarantined (fingerprint: string): boolean
   /** Time since the access keys were last confirmed, in milliseconds. */
   getKeysAgeMs (): number
   /** Adds jitter to a delay: returns 50 to 150 % of the mean, in milliseconds. */
--- a/packages/knapweedshunt-gateway/src/flow/requestPlanner.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestPlanner.ts
@@ -19,7 +19,7 @@
 export const RETRY_OTHER_VM_MS = 150
 
 /** Retry-after time of a quarantined request, in milliseconds. */
-const QUARANTINE_RETRY_MS = 30_000
+export const QUARANTINE_RETRY_MS = 30_000
 
 /** State that requests are checked against. */
 export interface RequestPlannerDependencies {
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -120,6 +120,7 @@
     return await this.#handleOutcome(runningAttempt, outcome)
   }
 
+  /** Chooses the next endpoint; null if the request has its final response. The quarantine is checked last, since crashes at other VMs are read while the request waits or runs. */
   async #findEndpoint (): Promise<ChosenEndpoint | null> {
     this.#homeLevels = this.#dependencies.chooser.findHomeLevels(this.#plan.levels)
     const choice = await waitForEndpoint(this.#dependencies, this.#plan, { homeLevels: this.#homeLevels, triedEndpoints: this.#triedEndpoints, isCancelled: () => this.#finalResponse.isSettled })
@@ -128,6 +129,10 @@
       this.#finalResponse.fail(choice.type === 'none' ? 'no_endpoint' : 'no_free_endpoint', 'no endpoint can accept the request')
       return null
     }
+    if (this.#dependencies.isQuarantined(this.#plan.fingerprint)) {
+      this.#finalResponse.quarantine()
+      return null
+    }
     this.#recorder.recordSent(this.#finalResponse.attemptCount + 1, choice.record, choice.decision)
     return choice
   }
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -280,6 +280,7 @@
       tryTakeRetry: (pool, isOptional) => this.#retryBudget.tryTake(pool, isOptional),
       recordSuccess: plan => this.#recordSuccess(plan),
       recordCrash: (plan, attempt, evidence) => this.#recordCrash(plan, attempt, evidence),
+      isQuarantined: fingerprint => this.#suspectRegistry.check(fingerprint).type === 'quarantined',
       getKeysAgeMs: () => this.#keyFreshness.ageMs,
       randomizeDelayMs: meanMs => Math.round(meanMs * (0.5 + this.#rng.drawFloat()))
     }
