Gateway: a silent endpoint whose incarnation ends has crashed under its unanswered attempts

Cause: silence counts for nothing, rightly, as a slow or disconnected endpoint is silent too; but the directory shows some seconds later which of them crashed, and that was not used.

Evidence: over sockets, a request under which six endpoints fell silent and came back as new incarnations reached all six.

A slow endpoint keeps its incarnation, so silence alone still counts for nothing. A crash is now identified by the incarnation of the endpoint, so that two crashes of one endpoint in a row are two.

--- a/packages/knapweedshunt-gateway/src/__tests__/chooser.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/chooser.test.ts
@@ -14,7 +14,7 @@
 }
 
 function createSetup (versions: number[], target: { newest: number, current: number } = { newest: 0, current: 0 }): Setup {
-  const endpointRegistry = new EndpointRegistry(() => {}, () => {})
+  const endpointRegistry = new EndpointRegistry(() => {}, () => {}, () => {})
   const pool = { pool: 'p', maxConnections: 1_000, models: ['m'], healthPath: '/' }
   const chooser = new EndpointChooser({
     dataCentre: 'z',
--- a/packages/knapweedshunt-gateway/src/__tests__/decisions.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/decisions.test.ts
@@ -96,7 +96,7 @@
 test.serial('an endpoint whose row is missing is removed at once, but after a store outage only when the grace period is over', t => {
   const clock = install()
   try {
-    const endpointRegistry = new EndpointRegistry(() => {}, () => {})
+    const endpointRegistry = new EndpointRegistry(() => {}, () => {}, () => {})
     endpointRegistry.applySnapshot([buildEntry('a'), buildEntry('b')], false)
     endpointRegistry.removeEntry('a')
     t.is(endpointRegistry.find('a'), undefined)
@@ -114,7 +114,7 @@
 })
 
 test('a restarted endpoint gets a new record', t => {
-  const endpointRegistry = new EndpointRegistry(() => {}, () => {})
+  const endpointRegistry = new EndpointRegistry(() => {}, () => {}, () => {})
   endpointRegistry.applyEntry(buildEntry('a'))
   const before = endpointRegistry.find('a')
   endpointRegistry.applyEntry(buildEntry('a', { isDraining: true }))
--- a/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
@@ -49,6 +49,11 @@
     return this.#isConnected
   }
 
+  /** Whether the head of a response has arrived. */
+  get hasResponse (): boolean {
+    return this.#response !== null
+  }
+
   /** Aborts the attempt and closes its connection; the first reason given is the one reported. */
   cancel (loss: LossReason): void {
     this.#loss ??= loss
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointRegistry.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointRegistry.ts
@@ -11,12 +11,14 @@
   readonly #records = new Map<EndpointName, EndpointRecord>()
   readonly #recordDecision: (decision: EndpointDecision) => void
   readonly #onChange: () => void
+  readonly #onIncarnationEnded: (record: EndpointRecord) => void
   /** Until then a missing row may have expired during the store outage. */
   #recoveryUntilMs = -Infinity
 
-  constructor (recordDecision: (decision: EndpointDecision) => void, onChange: () => void) {
+  constructor (recordDecision: (decision: EndpointDecision) => void, onChange: () => void, onIncarnationEnded: (record: EndpointRecord) => void) {
     this.#recordDecision = recordDecision
     this.#onChange = onChange
+    this.#onIncarnationEnded = onIncarnationEnded
   }
 
   /** Number of known endpoints. */
@@ -80,6 +82,7 @@
     if (known === undefined || known.entry.incarnation !== entry.incarnation) {
       this.#records.set(entry.endpoint, new EndpointRecord(entry))
       this.#recordDecision({ type: 'endpointPresent', endpoint: entry.endpoint, pool: entry.pool, incarnation: entry.incarnation, isDraining: entry.isDraining })
+      if (known !== undefined) this.#onIncarnationEnded(known)
       return
     }
     if (entry.isDraining && !known.entry.isDraining) this.#recordDecision({ type: 'endpointLeaving', endpoint: entry.endpoint, pool: entry.pool })
@@ -88,7 +91,9 @@
   }
 
   #remove (name: EndpointName): void {
+    const record = this.#records.get(name)
     this.#records.delete(name)
     this.#recordDecision({ type: 'endpointGone', endpoint: name })
+    if (record !== undefined) this.#onIncarnationEnded(record)
   }
 }
--- a/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
@@ -25,6 +25,8 @@
   recordSuccess (plan: RequestPlan): void
   /** Records that an endpoint may have crashed while it ran the request; `evidence` is how the attempt ended. */
   recordCrash (plan: RequestPlan, attempt: RunningAttempt, evidence: string): void
+  /** Records an attempt that was given up before an answer began, or whose stream stalled: its endpoint may have crashed. */
+  recordUnanswered (plan: RequestPlan, attempt: RunningAttempt): void
   /** Whether the request must not be sent because it crashed several endpoints. */
   isQuarantined (fingerprint: string): boolean
   /** Time since the access keys were last confirmed, in milliseconds. */
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -208,6 +208,7 @@
     const observation = loss === LOSS_REASON.reset ? HEALTH_OBSERVATION.down : HEALTH_OBSERVATION.failed
     this.#dependencies.endpointMonitor.recordObservation(runningAttempt.record, observation, reason)
     if (CRASH_LOSSES.includes(loss)) this.#dependencies.recordCrash(this.#plan, runningAttempt, loss)
+    if (loss === LOSS_REASON.silent) this.#dependencies.recordUnanswered(this.#plan, runningAttempt)
     this.#finishAttempt(runningAttempt)
     const isRetried = this.#isRepeatable && this.#permits.tryTake(false)
     this.#recorder.recordAttemptEnded(runningAttempt, loss, reason, isRetried)
@@ -318,6 +319,7 @@
     this.#isMoved = false
     const reason = describeInterruption(interruption)
     if (interruption.type === 'cut' && !isMoved) this.#dependencies.recordCrash(this.#plan, runningAttempt, LOSS_REASON.cut)
+    if (interruption.type === 'stalled') this.#dependencies.recordUnanswered(this.#plan, runningAttempt)
     runningAttempt.attempt.cancel(LOSS_REASON.cancelled)
     if (!isMoved) this.#dependencies.endpointMonitor.recordObservation(runningAttempt.record, HEALTH_OBSERVATION.failed, reason)
     this.#finishAttempt(runningAttempt, isMoved)
@@ -344,6 +346,7 @@
     runningAttempt?.attempt.cancel(LOSS_REASON.silent)
     if (runningAttempt !== null) {
       this.#dependencies.endpointMonitor.recordObservation(runningAttempt.record, HEALTH_OBSERVATION.failed, 'no answer before the deadline')
+      this.#recordIfUnanswered(runningAttempt)
       this.#finishAttempt(runningAttempt)
     }
     if (runningAttempt?.attempt.isSent) this.#finalResponse.recordMayHaveRun()
@@ -357,7 +360,14 @@
     if (!this.#isRepeatable && !this.#plan.route.isStream && runningAttempt !== null) return
     this.#finalResponse.handleCallerLeft(runningAttempt !== null)
     runningAttempt?.attempt.cancel(LOSS_REASON.cancelled)
-    if (runningAttempt !== null) this.#finishAttempt(runningAttempt)
+    if (runningAttempt === null) return
+    this.#recordIfUnanswered(runningAttempt)
+    this.#finishAttempt(runningAttempt)
+  }
+
+  /** An endpoint that had begun its answer was not crashed by the start of the request. */
+  #recordIfUnanswered (runningAttempt: RunningAttempt): void {
+    if (!runningAttempt.attempt.hasResponse) this.#dependencies.recordUnanswered(this.#plan, runningAttempt)
   }
 }
 
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -15,6 +15,7 @@
 import { SUSPECT_OPTIONS } from './directory/suspectOptions.ts'
 import { ROSTER_POLL_WAIT_MS, ROSTER_TABLE, VmRoster } from './directory/vmRoster.ts'
 import type { ReceivedMark } from './directory/vmRoster.ts'
+import { LOSS_REASON } from './endpoints/attemptOutcome.ts'
 import { EndpointAgent } from './endpoints/endpointAgent.ts'
 import { EndpointRegistry } from './endpoints/endpointRegistry.ts'
 import { EndpointChooser } from './endpoints/endpointChooser.ts'
@@ -25,6 +26,7 @@
 import type { RequestPlan } from './flow/requestPlan.ts'
 import { shortenFingerprint } from './flow/requestRecorder.ts'
 import type { RunningAttempt } from './flow/runningAttempt.ts'
+import { UnansweredAttempts } from './flow/unansweredAttempts.ts'
 import type { DirectoryPort } from './ports/directoryPort.ts'
 import type { EndpointPort } from './ports/endpointPort.ts'
 import type { ManagementPort } from './ports/managementPort.ts'
@@ -91,6 +93,7 @@
   readonly #suspectRegistry = new SuspectRegistry(SUSPECT_OPTIONS)
   readonly #retryBudget: VmRetryBudget
   readonly #endpointRegistry: EndpointRegistry
+  readonly #unansweredAttempts: UnansweredAttempts
   readonly #roster: VmRoster
   readonly #weightsState: WeightsState
   readonly #chooser: EndpointChooser
@@ -116,7 +119,11 @@
     const seed = parseInt(this.#incarnation.slice(0, 8), 16)
     this.#rng = createRng(seed)
     this.#decisionLog = new DecisionLog(log)
-    this.#endpointRegistry = new EndpointRegistry(decision => this.#decisionLog.record(decision), () => this.#chooser.rebuild())
+    this.#endpointRegistry = new EndpointRegistry(decision => this.#decisionLog.record(decision), () => this.#chooser.rebuild(), record => this.#unansweredAttempts.handleIncarnationEnded(record))
+    this.#unansweredAttempts = new UnansweredAttempts({
+      isCurrent: record => this.#endpointRegistry.find(record.entry.endpoint) === record,
+      recordCrash: (plan, attempt) => this.#recordCrash(plan, attempt, LOSS_REASON.silent)
+    })
     this.#roster = new VmRoster({
       platform: dependencies.platform,
       self: { vm: settings.vm, incarnation: this.#incarnation, dataCentre: settings.dataCentre },
@@ -280,6 +287,7 @@
       tryTakeRetry: (pool, isOptional) => this.#retryBudget.tryTake(pool, isOptional),
       recordSuccess: plan => this.#recordSuccess(plan),
       recordCrash: (plan, attempt, evidence) => this.#recordCrash(plan, attempt, evidence),
+      recordUnanswered: (plan, attempt) => this.#unansweredAttempts.recordEnd(plan, attempt),
       isQuarantined: fingerprint => this.#suspectRegistry.check(fingerprint).type === 'quarantined',
       getKeysAgeMs: () => this.#keyFreshness.ageMs,
       randomizeDelayMs: meanMs => Math.round(meanMs * (0.5 + this.#rng.drawFloat()))
@@ -287,7 +295,7 @@
   }
 
   #recordCrash ({ call, fingerprint }: RequestPlan, { record, startedAtMs }: RunningAttempt, evidence: string): void {
-    const mark = this.#suspectRegistry.recordCrash(fingerprint, record.entry.endpoint, startedAtMs)
+    const mark = this.#suspectRegistry.recordCrash(fingerprint, record.entry.incarnation, startedAtMs)
     this.#metrics.recordMark('recorded')
     this.#decisionLog.record({ type: 'crashMarked', requestId: call.requestId, fingerprint: shortenFingerprint(fingerprint), endpoint: record.entry.endpoint, incarnation: record.entry.incarnation, evidence, ...this.#describeSuspect(fingerprint) })
     this.#announceMark(mark)
