Suspect marks: crashes have ids, and a clearing names those that it clears

A clearing that was written late, or read after a newer crash, took that crash away, so a crashing request began again from zero; a clearing read before its crash left the crash in force; a crash named by two marks counted twice when the second was read later.

Cause: marks are read in another order than they were made (another VM's row, a late write, a VM that starts), and their meaning depended on the order and on the time of reading.

Why it works: the registry that observes a crash gives it an id. A clearing names the ids, and an id that was cleared never counts again, so the result is the same in every order. Crashes seen by two VMs keep both ids. The schema of a mark and its ageing move to the attempts package, as the gateway needs them too. Marks of builds without ids are read; their clearings clear nothing, and the suspicion ends after its minute.

--- a/packages/knapweedshunt-attempts/src/index.ts
+++ b/packages/knapweedshunt-attempts/src/index.ts
@@ -1,4 +1,5 @@
 /** Retries, retry budgets, hedged requests, cancellation, stream resumption and isolation of suspect requests. */
+export * from './addElapsedTime.ts'
 export * from './attemptStateMachine.ts'
 export * from './attemptOptions.ts'
 export * from './attemptTypes.ts'
--- a/packages/knapweedshunt-attempts/src/suspectMark.ts
+++ b/packages/knapweedshunt-attempts/src/suspectMark.ts
@@ -1,7 +1,10 @@
 import type { EndpointName } from 'knapweedshunt-types'
+import { z } from 'zod'
 
 /** An endpoint crash during which the request was in flight. Ages are in milliseconds at the time of sending. */
 export interface MarkedCrash {
+  /** Ids that registries gave this crash; several if more than one VM observed it. Empty from a build without ids. */
+  ids: string[]
   endpoint: EndpointName
   startedAgeMs: number
   crashedAgeMs: number
@@ -11,5 +14,23 @@
 export type SuspectMark =
   | { type: 'crashed', fingerprint: string, crashes: MarkedCrash[] }
   | { type: 'quarantined', fingerprint: string, forMs: number }
-  /** The suspect request succeeded, so it is no longer suspect. */
-  | { type: 'cleared', fingerprint: string }
+  /** The suspect request succeeded, so these crashes no longer count; others do, whichever mark arrives first. */
+  | { type: 'cleared', fingerprint: string, crashIds: string[] }
+
+/** Maximum number of crashes in one mark. */
+const MAX_CRASHES = 256
+
+/** Maximum number of ids in one list. */
+const MAX_IDS = 1_024
+
+const text = z.string().min(1).max(255)
+const amount = z.number().nonnegative()
+const ids = z.array(text).max(MAX_IDS).default([])
+const crash = z.object({ ids, endpoint: text, startedAgeMs: amount, crashedAgeMs: amount })
+
+/** Schema of a mark as it arrives from a peer or the store. */
+export const suspectMarkSchema = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('crashed'), fingerprint: text, crashes: z.array(crash).max(MAX_CRASHES) }),
+  z.object({ type: z.literal('quarantined'), fingerprint: text, forMs: amount }),
+  z.object({ type: z.literal('cleared'), fingerprint: text, crashIds: ids })
+]) satisfies z.ZodType<SuspectMark>
--- a/packages/knapweedshunt-attempts/src/suspectRegistry.ts
+++ b/packages/knapweedshunt-attempts/src/suspectRegistry.ts
@@ -1,5 +1,5 @@
 import type { EndpointName, OrganisationName } from 'knapweedshunt-types'
-import { hashText } from 'knapweedshunt-utils'
+import { createIncarnation, hashText } from 'knapweedshunt-utils'
 import { match } from 'ts-pattern'
 import type { MarkedCrash, SuspectMark } from './suspectMark.ts'
 
@@ -26,6 +26,7 @@
   | { type: 'quarantined', retryAfterMs: number }
 
 interface Crash {
+  ids: Set<string>
   endpoint: EndpointName
   startedAtMs: number
   crashedAtMs: number
@@ -33,10 +34,15 @@
 
 interface SuspectEntry {
   crashes: Crash[]
+  /** Ids of crashes that no longer count, because a success cleared them or a quarantine followed; their marks may still arrive. */
+  settledIds: Set<string>
   quarantinedUntilMs: number
   expiresAtMs: number
 }
 
+/** Maximum number of settled crash ids held for a request. */
+const MAX_SETTLED_IDS = 256
+
 /** Identifies a request: the same for each repetition by its caller, different for different organisations. */
 export function computeFingerprint (organisation: OrganisationName, digest: string): string {
   return hashText(organisation, digest)
@@ -46,6 +52,9 @@
 export class SuspectRegistry {
   readonly #options: SuspectOptions
   readonly #entries = new Map<string, SuspectEntry>()
+  /** Makes the crash ids of this registry unique among all VMs. */
+  readonly #idPrefix = createIncarnation()
+  #crashCount = 0
 
   constructor (options: SuspectOptions = DEFAULT_SUSPECT_OPTIONS) {
     this.#options = options
@@ -59,21 +68,23 @@
   /** Records the crash of an endpoint during an attempt that started at `startedAtMs`. Returns the mark to send to peers. */
   recordCrash (fingerprint: string, endpoint: EndpointName, startedAtMs: number): SuspectMark {
     const nowMs = performance.now()
-    const entry = this.#addCrash(fingerprint, { endpoint, startedAtMs, crashedAtMs: nowMs }, nowMs)
+    const ids = new Set([`${this.#idPrefix}-${++this.#crashCount}`])
+    const entry = this.#addCrash(fingerprint, { ids, endpoint, startedAtMs, crashedAtMs: nowMs }, nowMs)
     return buildMark(fingerprint, entry, nowMs)
   }
 
   /** Returns the marks of all requests held, for a peer that starts without any. */
   listMarks (): SuspectMark[] {
     const nowMs = performance.now()
-    return [...this.#entries].map(([fingerprint, entry]) => buildMark(fingerprint, entry, nowMs))
+    return [...this.#entries].flatMap(([fingerprint, entry]) => this.check(fingerprint).type === 'clear' ? [] : [buildMark(fingerprint, entry, nowMs)])
   }
 
   /** Records that a request succeeded. Returns the mark to send to peers if that clears a suspect request, otherwise null. */
   recordSuccess (fingerprint: string): SuspectMark | null {
     if (this.check(fingerprint).type !== 'suspect') return null
-    this.#entries.delete(fingerprint)
-    return { type: 'cleared', fingerprint }
+    const crashIds = this.#entries.get(fingerprint)?.crashes.flatMap(crash => [...crash.ids]) ?? []
+    this.#clear(fingerprint, crashIds, performance.now())
+    return { type: 'cleared', fingerprint, crashIds }
   }
 
   /** Applies a mark received from a peer. */
@@ -84,9 +95,7 @@
         for (const crash of crashes) this.#addCrash(fingerprint, parseMarkedCrash(crash, nowMs), nowMs)
       })
       .with({ type: 'quarantined' }, ({ fingerprint, forMs }) => this.#quarantine(this.#getOrCreateEntry(fingerprint, nowMs), nowMs + Math.min(forMs, this.#options.quarantineMs)))
-      .with({ type: 'cleared' }, ({ fingerprint }) => {
-        if (this.check(fingerprint).type === 'suspect') this.#entries.delete(fingerprint)
-      })
+      .with({ type: 'cleared' }, ({ fingerprint, crashIds }) => this.#clear(fingerprint, crashIds, nowMs))
       .exhaustive()
   }
 
@@ -96,8 +105,8 @@
     const entry = this.#entries.get(fingerprint)
     if (entry === undefined) return { type: 'clear' }
     if (entry.quarantinedUntilMs > nowMs) return { type: 'quarantined', retryAfterMs: entry.quarantinedUntilMs - nowMs }
-    if (entry.expiresAtMs > nowMs) return { type: 'suspect' }
-    this.#entries.delete(fingerprint)
+    if (entry.expiresAtMs <= nowMs) this.#entries.delete(fingerprint)
+    else if (entry.crashes.length > 0 || entry.quarantinedUntilMs > 0) return { type: 'suspect' }
     return { type: 'clear' }
   }
 
@@ -108,21 +117,33 @@
 
   #addCrash (fingerprint: string, crash: Crash, nowMs: number): SuspectEntry {
     const entry = this.#getOrCreateEntry(fingerprint, nowMs)
-    if (!entry.crashes.some(known => isSameCrash(known, crash))) entry.crashes.push(crash)
+    const known = entry.crashes.find(other => isSameCrash(other, crash))
+    if (known !== undefined) for (const id of crash.ids) known.ids.add(id)
+    else if (!hasAny(entry.settledIds, crash.ids)) entry.crashes.push(crash)
     if (entry.crashes.length >= this.#options.maxCrashes) this.#quarantine(entry, nowMs + this.#options.quarantineMs)
     return entry
   }
 
+  /** Removes the crashes with these ids and ignores their marks from now on. A quarantine remains: the request is not sent, so its success is an older one. */
+  #clear (fingerprint: string, crashIds: string[], nowMs: number): void {
+    const entry = this.#getOrCreateEntry(fingerprint, nowMs)
+    settle(entry, crashIds)
+    if (entry.quarantinedUntilMs > nowMs) return
+    entry.crashes = entry.crashes.filter(crash => !hasAny(entry.settledIds, crash.ids))
+    entry.quarantinedUntilMs = 0
+  }
+
   /** Quarantines a request. Afterwards it is still suspect, and one more crash quarantines it again. */
   #quarantine (entry: SuspectEntry, untilMs: number): void {
     entry.quarantinedUntilMs = Math.max(entry.quarantinedUntilMs, untilMs)
-    entry.expiresAtMs = entry.quarantinedUntilMs + this.#options.suspectMs
-    entry.crashes.splice(0, entry.crashes.length - this.#options.maxCrashes + 1)
+    entry.expiresAtMs = Math.max(entry.expiresAtMs, entry.quarantinedUntilMs + this.#options.suspectMs)
+    const removed = entry.crashes.splice(0, Math.max(0, entry.crashes.length - this.#options.maxCrashes + 1))
+    settle(entry, removed.flatMap(crash => [...crash.ids]))
   }
 
   #getOrCreateEntry (fingerprint: string, nowMs: number): SuspectEntry {
-    const existing = this.check(fingerprint).type === 'clear' ? undefined : this.#entries.get(fingerprint)
-    const entry = existing ?? { crashes: [], quarantinedUntilMs: 0, expiresAtMs: 0 }
+    this.check(fingerprint)
+    const entry = this.#entries.get(fingerprint) ?? { crashes: [], settledIds: new Set(), quarantinedUntilMs: 0, expiresAtMs: 0 }
     entry.expiresAtMs = Math.max(entry.expiresAtMs, nowMs + this.#options.suspectMs)
     this.#entries.delete(fingerprint)
     this.#entries.set(fingerprint, entry)
@@ -134,21 +155,35 @@
   }
 }
 
-/** Whether two records describe the same crash. A crash ends all attempts on its endpoint, so attempts that overlap on one endpoint were ended by the same crash. */
+/** Whether two records describe the same crash: by id, or because a crash ends all attempts on its endpoint, so that attempts which overlap on one endpoint were ended by the same crash. */
 function isSameCrash (a: Crash, b: Crash): boolean {
+  if (hasAny(a.ids, b.ids)) return true
   return a.endpoint === b.endpoint && a.startedAtMs < b.crashedAtMs && b.startedAtMs < a.crashedAtMs
 }
 
+/** Records that crashes no longer count; the oldest ids are dropped beyond a limit. */
+function settle (entry: SuspectEntry, crashIds: string[]): void {
+  for (const id of crashIds) entry.settledIds.add(id)
+  for (const oldest of entry.settledIds) {
+    if (entry.settledIds.size <= MAX_SETTLED_IDS) break
+    entry.settledIds.delete(oldest)
+  }
+}
+
+function hasAny (ids: ReadonlySet<string>, others: ReadonlySet<string>): boolean {
+  return [...others].some(id => ids.has(id))
+}
+
 function buildMark (fingerprint: string, entry: SuspectEntry, nowMs: number): SuspectMark {
   const forMs = entry.quarantinedUntilMs - nowMs
   if (forMs > 0) return { type: 'quarantined', fingerprint, forMs }
   return { type: 'crashed', fingerprint, crashes: entry.crashes.map(crash => buildMarkedCrash(crash, nowMs)) }
 }
 
-function buildMarkedCrash ({ endpoint, startedAtMs, crashedAtMs }: Crash, nowMs: number): MarkedCrash {
-  return { endpoint, startedAgeMs: nowMs - startedAtMs, crashedAgeMs: nowMs - crashedAtMs }
+function buildMarkedCrash ({ ids, endpoint, startedAtMs, crashedAtMs }: Crash, nowMs: number): MarkedCrash {
+  return { ids: [...ids], endpoint, startedAgeMs: nowMs - startedAtMs, crashedAgeMs: nowMs - crashedAtMs }
 }
 
-function parseMarkedCrash ({ endpoint, startedAgeMs, crashedAgeMs }: MarkedCrash, nowMs: number): Crash {
-  return { endpoint, startedAtMs: nowMs - startedAgeMs, crashedAtMs: nowMs - crashedAgeMs }
+function parseMarkedCrash ({ ids, endpoint, startedAgeMs, crashedAgeMs }: MarkedCrash, nowMs: number): Crash {
+  return { ids: new Set(ids), endpoint, startedAtMs: nowMs - startedAgeMs, crashedAtMs: nowMs - crashedAgeMs }
 }
--- a/packages/knapweedshunt-gateway/src/__tests__/vmRoster.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/vmRoster.test.ts
@@ -18,7 +18,7 @@
 }
 
 function buildMark (fingerprint: string, endpoint: string): SuspectMark {
-  return { type: 'crashed', fingerprint, crashes: [{ endpoint, startedAgeMs: 20, crashedAgeMs: 0 }] }
+  return { type: 'crashed', fingerprint, crashes: [{ ids: [`${fingerprint}-${endpoint}`], endpoint, startedAgeMs: 20, crashedAgeMs: 0 }] }
 }
 
 test('a crash mark is applied once, however often its row is read or rewritten', async t => {
--- a/packages/knapweedshunt-router/src/peerMessages.ts
+++ b/packages/knapweedshunt-router/src/peerMessages.ts
@@ -1,4 +1,4 @@
-import type { SuspectMark } from 'knapweedshunt-attempts'
+import { suspectMarkSchema } from 'knapweedshunt-attempts'
 import { z } from 'zod'
 
 /** Most organisations in one demand message. */
@@ -13,12 +13,6 @@
 const text = z.string().min(1).max(255)
 const amount = z.number().nonnegative()
 const demand = z.object({ organisation: text, requestsPerSecond: amount, concurrent: amount })
-const crash = z.object({ endpoint: text, startedAgeMs: amount, crashedAgeMs: amount })
-const mark = z.discriminatedUnion('type', [
-  z.object({ type: z.literal('crashed'), fingerprint: text, crashes: z.array(crash).max(MAX_MARKS) }),
-  z.object({ type: z.literal('quarantined'), fingerprint: text, forMs: amount }),
-  z.object({ type: z.literal('cleared'), fingerprint: text })
-]) satisfies z.ZodType<SuspectMark>
 
 /** Params and result of `router.demand`: a VM's demand per organisation with limits and, for its own data centre, per hot prefix key. */
 export const demandMessageSchema = z.object({
@@ -35,4 +29,4 @@
 export type DemandMessage = z.output<typeof demandMessageSchema>
 
 /** Params of `router.marks`: marks of requests that were in flight during an endpoint crash, are quarantined, or are cleared. */
-export const marksMessageSchema = z.object({ vm: text, marks: z.array(mark).max(MAX_MARKS) })
+export const marksMessageSchema = z.object({ vm: text, marks: z.array(suspectMarkSchema).max(MAX_MARKS) })
--- a/packages/knapweedshunt-router/src/unacknowledgedMarks.ts
+++ b/packages/knapweedshunt-router/src/unacknowledgedMarks.ts
@@ -1,3 +1,4 @@
+import { addElapsedTime } from 'knapweedshunt-attempts'
 import type { SuspectMark } from 'knapweedshunt-attempts'
 import { MAX_MARKS } from './peerMessages.ts'
 
@@ -30,14 +31,3 @@
     return marks
   }
 }
-
-function addElapsedTime (mark: SuspectMark, elapsedMs: number): SuspectMark {
-  switch (mark.type) {
-    case 'crashed':
-      return { ...mark, crashes: mark.crashes.map(crash => ({ ...crash, startedAgeMs: crash.startedAgeMs + elapsedMs, crashedAgeMs: crash.crashedAgeMs + elapsedMs })) }
-    case 'quarantined':
-      return { ...mark, forMs: Math.max(0, mark.forMs - elapsedMs) }
-    case 'cleared':
-      return mark
-  }
-}
