Roster: a VM's rows are written until the store has them, and again when it has lost them

Callers saw: a request that some VMs had quarantined was sent on by others, and crashed more endpoints; a VM that is missing from the table makes the other VMs' parts of the retry budget larger.

Cause: a row was published once. A write that failed was logged, and the marks waited for the next crash that the same VM saw; a VM that knows the quarantine sends no more and sees none. A row that a late write replaced, or that a store restored from a copy has lost, was never compared with what the VM holds; a restarted VM replaced the marks of its previous incarnation with its own first one.

Four tests with failed, lost, late and restarted writes.

Marks of the previous incarnation are adopted before the first write. Rows are checked against a schema; one that does not match is logged and ignored (a crash row without marks used to throw).

In vmRoster.test.ts only the calls changed with the interface (announceMark no longer returns a promise, a roster writes marks after its first full read), no expectation.

--- a/packages/knapweedshunt-gateway/src/__tests__/simulatedFleet.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/simulatedFleet.ts
@@ -4,7 +4,8 @@
 import type { TablesCopy } from 'knapweedshunt-fakes'
 import { DEFAULT_GUARDED_PLATFORM_OPTIONS, DEFAULT_TABLE_FOLLOWER_OPTIONS, GuardedPlatform, TableFollower } from 'knapweedshunt-platform'
 import { SUSPECT_OPTIONS } from '../directory/suspectOptions.ts'
-import { ROSTER_POLL_WAIT_MS, ROSTER_TABLE, VmRoster } from '../directory/vmRoster.ts'
+import { ROSTER_TABLE } from '../directory/rosterRows.ts'
+import { ROSTER_POLL_WAIT_MS, VmRoster } from '../directory/vmRoster.ts'
 
 /** Time without a disturbance after which a VM, or the store, counts as undisturbed, in milliseconds. */
 export const STABLE_MS = 3_000
@@ -35,14 +36,16 @@
       platform: guarded,
       self: { vm: name, incarnation: `${name}@${incarnation}`, dataCentre: 'z' },
       log: LOG,
+      signal: this.#abort.signal,
       onMark: ({ mark }) => this.registry.applyMark(mark),
       onMarkEvicted: () => {},
       onUnwritten: () => {},
+      onUnreadable: () => {},
       onWaveNotice: () => {}
     })
     const follower = new TableFollower(this.feed, { ...DEFAULT_TABLE_FOLLOWER_OPTIONS, table: ROSTER_TABLE, waitMs: ROSTER_POLL_WAIT_MS, seed: incarnation }, LOG, update => this.roster.applyUpdate(update))
     follower.run(this.#abort.signal).catch(() => {})
-    this.roster.announceSelf(this.#abort.signal).catch(() => {})
+    this.roster.announceSelf()
   }
 
   recordCrash (fingerprint: string, endpoint: string, startedAtMs: number): void {
@@ -61,7 +64,7 @@
   }
 
   #announce (mark: SuspectMark): void {
-    this.roster.announceMark(mark).catch(() => {})
+    this.roster.announceMark(mark)
   }
 }
 
--- a/packages/knapweedshunt-gateway/src/__tests__/vmRoster.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/vmRoster.test.ts
@@ -4,13 +4,30 @@
 import { SuspectRegistry } from 'knapweedshunt-attempts'
 import type { SuspectMark } from 'knapweedshunt-attempts'
 import { MemoryPlatform } from 'knapweedshunt-fakes'
+import { sleep } from 'knapweedshunt-utils'
 import { SUSPECT_OPTIONS } from '../directory/suspectOptions.ts'
-import { ROSTER_TABLE, VmRoster } from '../directory/vmRoster.ts'
+import { ROSTER_TABLE } from '../directory/rosterRows.ts'
+import { VmRoster } from '../directory/vmRoster.ts'
 
 const LOG = { debug () {}, info () {}, warn () {}, error () {} }
 
+/** Time after which announced rows are written when the store is up, in milliseconds. */
+const WRITE_MS = 60
+
+/** Builds the roster of a VM that has read an empty table, so that it writes marks. */
 function buildRoster (platform: MemoryPlatform, vm: string, onMark: (mark: SuspectMark) => void): VmRoster {
-  return new VmRoster({ platform, self: { vm, incarnation: `${vm}@1`, dataCentre: 'z' }, log: LOG, onMark: ({ mark }) => onMark(mark), onMarkEvicted: () => {}, onUnwritten: () => {}, onWaveNotice: () => {} })
+  const roster = buildStartingRoster(platform, vm, 1, onMark)
+  roster.applyUpdate({ type: 'rows', rows: [], isAfterOutage: false })
+  return roster
+}
+
+function buildStartingRoster (platform: MemoryPlatform, vm: string, start: number, onMark: (mark: SuspectMark) => void): VmRoster {
+  return new VmRoster({ platform, self: { vm, incarnation: `${vm}@${start}`, dataCentre: 'z' }, log: LOG, signal: new AbortController().signal, onMark: ({ mark }) => onMark(mark), onMarkEvicted: () => {}, onUnwritten: () => {}, onUnreadable: () => {}, onWaveNotice: () => {} })
+}
+
+async function announce (roster: VmRoster, ...marks: SuspectMark[]): Promise<void> {
+  for (const mark of marks) roster.announceMark(mark)
+  await sleep(WRITE_MS)
 }
 
 async function readAll (platform: MemoryPlatform, roster: VmRoster): Promise<void> {
@@ -26,10 +43,10 @@
   const applied: string[] = []
   const writer = buildRoster(platform, 'a', () => {})
   const reader = buildRoster(platform, 'b', mark => applied.push(mark.fingerprint))
-  await writer.announceMark(buildMark('one', 'e1'))
+  await announce(writer, buildMark('one', 'e1'))
   await readAll(platform, reader)
   await readAll(platform, reader)
-  await writer.announceMark(buildMark('two', 'e2'))
+  await announce(writer, buildMark('two', 'e2'))
   await readAll(platform, reader)
   t.deepEqual(applied, ['one', 'two'])
 })
@@ -42,7 +59,7 @@
   const reader = buildRoster(platform, 'b', mark => other.applyMark(mark))
   for (const endpoint of ['e1', 'e2', 'e3']) {
     t.is(other.check('f').type === 'quarantined', false)
-    await writer.announceMark(own.recordCrash('f', endpoint, performance.now() - 50))
+    await announce(writer, own.recordCrash('f', endpoint, performance.now() - 50))
     await readAll(platform, reader)
   }
   t.is(other.check('f').type, 'quarantined')
@@ -50,9 +67,9 @@
 
 test('a restarted VM applies the marks of its previous incarnation', async t => {
   const platform = new MemoryPlatform()
-  await buildRoster(platform, 'a', () => {}).announceMark(buildMark('one', 'e1'))
+  await announce(buildRoster(platform, 'a', () => {}), buildMark('one', 'e1'))
   const applied: string[] = []
-  const restarted = new VmRoster({ platform, self: { vm: 'a', incarnation: 'a@2', dataCentre: 'z' }, log: LOG, onMark: ({ mark }) => applied.push(mark.fingerprint), onMarkEvicted: () => {}, onUnwritten: () => {}, onWaveNotice: () => {} })
+  const restarted = buildStartingRoster(platform, 'a', 2, mark => applied.push(mark.fingerprint))
   await readAll(platform, restarted)
   t.deepEqual(applied, ['one'])
 })
@@ -61,7 +78,7 @@
   const platform = new MemoryPlatform()
   const applied: string[] = []
   const writer = buildRoster(platform, 'a', () => {})
-  await Promise.all(['one', 'two', 'three'].map(fingerprint => writer.announceMark(buildMark(fingerprint, 'e1'))))
+  await announce(writer, ...['one', 'two', 'three'].map(fingerprint => buildMark(fingerprint, 'e1')))
   t.is(platform.counts.writes, 1)
   await readAll(platform, buildRoster(platform, 'b', mark => applied.push(mark.fingerprint)))
   t.deepEqual(applied, ['one', 'two', 'three'])
@@ -74,12 +91,12 @@
   const writer = buildRoster(platform, 'a', () => {})
   const reader = buildRoster(platform, 'b', mark => other.applyMark(mark))
   for (const endpoint of ['e1', 'e2', 'e3']) {
-    await writer.announceMark(own.recordCrash('f', endpoint, performance.now() - 50))
+    await announce(writer, own.recordCrash('f', endpoint, performance.now() - 50))
     await readAll(platform, reader)
     t.is(other.check('f').type, 'suspect')
     const cleared = own.recordSuccess('f')
     t.truthy(cleared)
-    if (cleared !== null) await writer.announceMark(cleared)
+    if (cleared !== null) await announce(writer, cleared)
     await readAll(platform, reader)
     t.is(other.check('f').type, 'clear')
   }
@@ -109,7 +126,7 @@
     const reader = collectFrom(platform, 'b')
     const writer = buildRoster(platform, 'a', () => {})
     platform.faults.down = true
-    writer.announceMark(buildMark('one', 'e1')).catch(() => {})
+    writer.announceMark(buildMark('one', 'e1'))
     await clock.tickAsync(3_000)
     platform.faults.down = false
     await clock.tickAsync(REWRITE_MS)
@@ -122,16 +139,14 @@
 test.serial('rows of this VM that are missing from the store are written again', async t => {
   await runWithClock(async clock => {
     const platform = new MemoryPlatform()
-    const abort = new AbortController()
     const writer = buildRoster(platform, 'a', () => {})
     const emptyCopy = platform.tables.copy()
-    writer.announceSelf(abort.signal).catch(() => {})
-    writer.announceMark(buildMark('one', 'e1')).catch(() => {})
+    writer.announceSelf()
+    writer.announceMark(buildMark('one', 'e1'))
     await clock.tickAsync(100)
     platform.tables.restore(emptyCopy)
     await readAll(platform, writer)
     await clock.tickAsync(REWRITE_MS)
-    abort.abort()
     const reader = collectFrom(platform, 'b')
     await readAll(platform, reader.roster)
     t.deepEqual(reader.applied, ['crashed one'])
@@ -146,9 +161,9 @@
     const writer = buildRoster(platform, 'a', () => {})
     platform.faults.applyLate = 1
     platform.faults.lateMs = 2_000
-    writer.announceMark(buildMark('one', 'e1')).catch(() => {})
+    writer.announceMark(buildMark('one', 'e1'))
     await clock.tickAsync(100)
-    writer.announceMark(buildMark('two', 'e2')).catch(() => {})
+    writer.announceMark(buildMark('two', 'e2'))
     await clock.tickAsync(2_500)
     await readAll(platform, writer)
     await clock.tickAsync(REWRITE_MS)
@@ -162,11 +177,11 @@
 test.serial('a restarted VM keeps the marks of its previous incarnation in its row', async t => {
   await runWithClock(async clock => {
     const platform = new MemoryPlatform()
-    buildRoster(platform, 'a', () => {}).announceMark({ type: 'quarantined', fingerprint: 'one', forMs: 600_000 }).catch(() => {})
+    buildRoster(platform, 'a', () => {}).announceMark({ type: 'quarantined', fingerprint: 'one', forMs: 600_000 })
     await clock.tickAsync(100)
-    const restarted = new VmRoster({ platform, self: { vm: 'a', incarnation: 'a@2', dataCentre: 'z' }, log: LOG, onMark: () => {}, onMarkEvicted: () => {}, onUnwritten: () => {}, onWaveNotice: () => {} })
+    const restarted = buildStartingRoster(platform, 'a', 2, () => {})
     await readAll(platform, restarted)
-    restarted.announceMark(buildMark('two', 'e1')).catch(() => {})
+    restarted.announceMark(buildMark('two', 'e1'))
     await clock.tickAsync(100)
     const reader = collectFrom(platform, 'b')
     await readAll(platform, reader.roster)
@@ -179,8 +194,8 @@
   await runWithClock(async clock => {
     const platform = new MemoryPlatform()
     const writer = buildRoster(platform, 'a', () => {})
-    writer.announceMark({ type: 'quarantined', fingerprint: 'one', forMs: 600_000 }).catch(() => {})
-    for (let n = 0; n < 1_000; n++) writer.announceMark(buildMark(`harmless-${n}`, 'e1')).catch(() => {})
+    writer.announceMark({ type: 'quarantined', fingerprint: 'one', forMs: 600_000 })
+    for (let n = 0; n < 1_000; n++) writer.announceMark(buildMark(`harmless-${n}`, 'e1'))
     await clock.tickAsync(100)
     const reader = collectFrom(platform, 'b')
     await readAll(platform, reader.roster)
@@ -193,7 +208,7 @@
   await runWithClock(async clock => {
     const platform = new MemoryPlatform()
     const writer = buildRoster(platform, 'a', () => {})
-    writer.announceMark({ type: 'quarantined', fingerprint: 'one', forMs: 600_000 }).catch(() => {})
+    writer.announceMark({ type: 'quarantined', fingerprint: 'one', forMs: 600_000 })
     await clock.tickAsync(120_000)
     const registry = new SuspectRegistry(SUSPECT_OPTIONS)
     await readAll(platform, buildRoster(platform, 'b', mark => registry.applyMark(mark)))
@@ -209,7 +224,7 @@
     const platform = new MemoryPlatform()
     const own = new SuspectRegistry(SUSPECT_OPTIONS)
     const registry = new SuspectRegistry(SUSPECT_OPTIONS)
-    buildRoster(platform, 'a', () => {}).announceMark(own.recordCrash('f', 'e1', performance.now() - 50)).catch(() => {})
+    buildRoster(platform, 'a', () => {}).announceMark(own.recordCrash('f', 'e1', performance.now() - 50))
     await clock.tickAsync(8_000)
     registry.recordCrash('f', 'e1', performance.now() - 60)
     await readAll(platform, buildRoster(platform, 'b', mark => registry.applyMark(mark)))
@@ -222,14 +237,12 @@
 test.serial('VMs that a snapshot no longer lists still count until they had time to write their rows again', async t => {
   await runWithClock(async clock => {
     const platform = new MemoryPlatform()
-    const abort = new AbortController()
     const rosters = ['a', 'b', 'c'].map(vm => buildRoster(platform, vm, () => {}))
-    for (const roster of rosters) roster.announceSelf(abort.signal).catch(() => {})
+    for (const roster of rosters) roster.announceSelf()
     await clock.tickAsync(100)
     await readAll(platform, rosters[0])
     t.is(rosters[0].countVms(), 3)
     rosters[0].applyUpdate({ type: 'rows', rows: [], isAfterOutage: true })
     t.is(rosters[0].countVms(), 3)
-    abort.abort()
   })
 })
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/directory/crashMarks.ts
@@ -0,0 +1,66 @@
+import type { SuspectMark } from 'knapweedshunt-attempts'
+import type { Incarnation } from 'knapweedshunt-types'
+import type { CrashRow, NumberedMark } from './rosterRows.ts'
+
+/** Maximum number of marks in a VM's row; the oldest are evicted first. */
+const MAX_MARKS = 40
+
+/** Maximum age by wall clock at which a mark is applied, in milliseconds: the time for which a request stays suspect, plus seconds of clock skew. */
+const MAX_MARK_AGE_MS = 70_000
+
+/** A mark read from the row of another VM. */
+export interface ReceivedMark {
+  mark: SuspectMark
+  /** Incarnation of the VM that wrote it. */
+  from: Incarnation
+  /** Time since the mark was made, by the wall clocks of both VMs, in milliseconds. */
+  ageMs: number
+}
+
+/** Marks of suspect requests that this VM has made, and which marks of the other VMs it has applied. */
+export class CrashMarks {
+  readonly #incarnation: Incarnation
+  readonly #onEvicted: (mark: SuspectMark) => void
+  #marks: NumberedMark[] = []
+  #lastNumber = 0
+  /** Number of the last mark applied, by VM incarnation. */
+  readonly #lastAppliedNumber = new Map<Incarnation, number>()
+
+  constructor (incarnation: Incarnation, onEvicted: (mark: SuspectMark) => void) {
+    this.#incarnation = incarnation
+    this.#onEvicted = onEvicted
+  }
+
+  /** Adds a mark of this VM, which replaces its earlier mark of the same request. */
+  add (mark: SuspectMark): void {
+    const others = this.#marks.filter(known => known.mark.fingerprint !== mark.fingerprint)
+    this.#setMarks([...others, { n: ++this.#lastNumber, atMs: Date.now(), mark }])
+  }
+
+  /** Takes over the marks of this VM's previous incarnation, as its row is about to be replaced. */
+  adopt (row: CrashRow): void {
+    if (row.incarnation === this.#incarnation) return
+    const known = new Set(this.#marks.map(({ mark }) => mark.fingerprint))
+    const adopted = row.marks.filter(({ mark }) => !known.has(mark.fingerprint))
+    this.#setMarks([...adopted.map(({ atMs, mark }) => ({ n: ++this.#lastNumber, atMs, mark })), ...this.#marks])
+  }
+
+  /** Builds this VM's row; null while it has no marks. */
+  buildRow (): CrashRow | null {
+    return this.#lastNumber === 0 ? null : { incarnation: this.#incarnation, marks: this.#marks }
+  }
+
+  /** Returns the marks of a row that were not applied before. */
+  takeNew ({ incarnation, marks }: CrashRow): ReceivedMark[] {
+    if (incarnation === this.#incarnation) return []
+    const lastNumber = this.#lastAppliedNumber.get(incarnation) ?? 0
+    this.#lastAppliedNumber.set(incarnation, Math.max(lastNumber, ...marks.map(({ n }) => n)))
+    const nowMs = Date.now()
+    return marks.filter(({ n, atMs }) => n > lastNumber && atMs >= nowMs - MAX_MARK_AGE_MS).map(({ atMs, mark }) => ({ mark, from: incarnation, ageMs: nowMs - atMs }))
+  }
+
+  #setMarks (marks: NumberedMark[]): void {
+    for (const { mark } of marks.slice(0, -MAX_MARKS)) this.#onEvicted(mark)
+    this.#marks = marks.slice(-MAX_MARKS)
+  }
+}
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/directory/rosterRows.ts
@@ -0,0 +1,41 @@
+import { suspectMarkSchema } from 'knapweedshunt-attempts'
+import type { WaveNotice } from 'knapweedshunt-fleet'
+import { z } from 'zod'
+
+/** Name of the roster table, which all VMs share. */
+export const ROSTER_TABLE = 'knapweedshunt'
+
+/** Prefixes of the keys of the roster table, by what the row holds. */
+export const ROSTER_KEY = { vm: 'vm/', wave: 'wave/', crash: 'crash/' } as const
+
+const text = z.string().min(1)
+
+/** Row of one VM. */
+export const vmRowSchema = z.object({ vm: text, incarnation: text, dataCentre: z.string() })
+
+/** Output type of {@link vmRowSchema}. */
+export type VmRow = z.output<typeof vmRowSchema>
+
+/** A mark with its sequence number among those of one VM incarnation, so that it is applied once however often the row is read; `atMs` is wall-clock time in Unix milliseconds. */
+const numberedMarkSchema = z.object({ n: z.number(), atMs: z.number(), mark: suspectMarkSchema })
+
+/** Output type of the schema of a numbered mark. */
+export type NumberedMark = z.output<typeof numberedMarkSchema>
+
+/** Row of one VM's marks. */
+export const crashRowSchema = z.object({ incarnation: text, marks: z.array(numberedMarkSchema) })
+
+/** Output type of {@link crashRowSchema}. */
+export type CrashRow = z.output<typeof crashRowSchema>
+
+/** Row of a pool's last wave. */
+export const waveRowSchema = z.object({
+  vm: text,
+  pool: text,
+  model: z.string(),
+  version: z.number(),
+  loading: z.array(z.string()),
+  reached: z.array(z.string()),
+  endedFencing: z.number().nullable(),
+  isLeaving: z.boolean()
+}) satisfies z.ZodType<WaveNotice>
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -1,5 +1,4 @@
 import { SuspectRegistry } from 'knapweedshunt-attempts'
-import type { SuspectMark } from 'knapweedshunt-attempts'
 import { DEFAULT_WAVE_OPTIONS, WaveTask } from 'knapweedshunt-fleet'
 import type { Logger } from 'knapweedshunt-logger'
 import { DEFAULT_TABLE_FOLLOWER_OPTIONS, TableFollower } from 'knapweedshunt-platform'
@@ -8,13 +7,14 @@
 import { CallerRequestHandler } from './callers/callerRequestHandler.ts'
 import { CallerServer } from './callers/callerServer.ts'
 import { closeAuxiliaryServer, startMetricsServer, startReadinessServer } from './callers/auxiliaryServers.ts'
+import type { ReceivedMark } from './directory/crashMarks.ts'
 import { ConfigState } from './directory/configState.ts'
 import { DirectoryUpdater } from './directory/directoryUpdater.ts'
 import { KeyFreshness } from './directory/keyFreshness.ts'
 import { Readiness } from './directory/readiness.ts'
 import { SUSPECT_OPTIONS } from './directory/suspectOptions.ts'
-import { ROSTER_POLL_WAIT_MS, ROSTER_TABLE, VmRoster } from './directory/vmRoster.ts'
-import type { ReceivedMark } from './directory/vmRoster.ts'
+import { ROSTER_TABLE } from './directory/rosterRows.ts'
+import { ROSTER_POLL_WAIT_MS, VmRoster } from './directory/vmRoster.ts'
 import { LOSS_REASON } from './endpoints/attemptOutcome.ts'
 import { EndpointAgent } from './endpoints/endpointAgent.ts'
 import { EndpointRegistry } from './endpoints/endpointRegistry.ts'
@@ -109,6 +109,8 @@
   readonly #callerServer: CallerServer
   readonly #requestHandler: CallerRequestHandler
   readonly #readiness: Readiness
+  /** Ends the tasks once all requests are answered. */
+  readonly #taskController = new AbortController()
   #isStopping = false
   #addresses: GatewayAddresses | null = null
 
@@ -128,6 +130,7 @@
       platform: dependencies.platform,
       self: { vm: settings.vm, incarnation: this.#incarnation, dataCentre: settings.dataCentre },
       log,
+      signal: this.#taskController.signal,
       onMark: received => this.#applyMark(received),
       onMarkEvicted: mark => {
         this.#metrics.recordMark('evicted')
@@ -137,6 +140,7 @@
         this.#metrics.recordUnwrittenRow()
         this.#decisionLog.record({ type: 'rowUnwritten', key, reason })
       },
+      onUnreadable: (key, reason) => this.#decisionLog.record({ type: 'rowUnreadable', table: ROSTER_TABLE, key, reason }),
       onWaveNotice: notice => {
         this.#weightsState.recordServedVersion(notice.reached, notice.model, notice.version)
         setTimeout(() => this.#requestHandler.moveStreamsFrom(this.#weightsState.listLoadingEndpoints()), MOVE_STREAMS_DELAY_MS)
@@ -228,14 +232,14 @@
     const metrics = settings.metrics === null ? null : await startMetricsServer(settings.metrics, this.#metrics)
     const callers = await this.#callerServer.start(settings.callers)
     this.#addresses = { callers, readiness: readiness.url, metrics: metrics?.url ?? null }
-    const taskController = new AbortController()
+    const taskController = this.#taskController
+    this.#roster.announceSelf()
     const lease = { ...DEFAULT_WAVE_OPTIONS.lease, maxCommandMs: settings.leaseMs + DEFAULT_WAVE_OPTIONS.lease.guardMs }
     const waveTask = new WaveTask({ vm: settings.vm, incarnation: this.#incarnation, platform, ports: this.#weightsState.buildWavePorts(), log, options: { ...DEFAULT_WAVE_OPTIONS, lease } })
     const runningTasks = [
       this.#resourceFollower.run(taskController.signal),
       this.#endpointFollower.run(taskController.signal),
       this.#rosterFollower.run(taskController.signal),
-      this.#roster.announceSelf(taskController.signal),
       this.#endpointMonitor.run(taskController.signal),
       this.#kvStoreMonitor.run(taskController.signal),
       waveTask.run(taskController.signal, () => this.#isStopping),
@@ -298,7 +302,7 @@
     const mark = this.#suspectRegistry.recordCrash(fingerprint, record.entry.incarnation, startedAtMs)
     this.#metrics.recordMark('recorded')
     this.#decisionLog.record({ type: 'crashMarked', requestId: call.requestId, fingerprint: shortenFingerprint(fingerprint), endpoint: record.entry.endpoint, incarnation: record.entry.incarnation, evidence, ...this.#describeSuspect(fingerprint) })
-    this.#announceMark(mark)
+    this.#roster.announceMark(mark)
   }
 
   /** Clears the crash marks of a served request: a request that crashes endpoints would not have been served. */
@@ -308,7 +312,7 @@
     if (cleared === null) return
     this.#metrics.recordMark('cleared')
     this.#decisionLog.record({ type: 'suspectCleared', requestId: call.requestId, fingerprint: shortenFingerprint(fingerprint) })
-    this.#announceMark(cleared)
+    this.#roster.announceMark(cleared)
   }
 
   #applyMark ({ mark, from, ageMs }: ReceivedMark): void {
@@ -321,10 +325,6 @@
     return { crashes: this.#suspectRegistry.countCrashes(fingerprint), isQuarantined: this.#suspectRegistry.check(fingerprint).type === 'quarantined' }
   }
 
-  #announceMark (mark: SuspectMark): void {
-    this.#roster.announceMark(mark).catch(error => this.#dependencies.log.warn('Suspect mark not announced to the other VMs.', { type: mark.type, reason: (error as Error).message }))
-  }
-
   #createFollower (table: string, waitMs: number, coalesceMs: number, onUpdate: (update: TableUpdate) => void): TableFollower {
     return new TableFollower(this.#dependencies.feed, { ...DEFAULT_TABLE_FOLLOWER_OPTIONS, table, waitMs, coalesceMs, seed: this.#rng.drawInt(2 ** 30) }, this.#dependencies.log, onUpdate)
   }
