Roster: marks keep their time, and a full row keeps the important ones

Callers saw: a VM that started later, or had been cut off, sent a request that the others had quarantined.

Cause: the last 40 marks were kept, so a crash under many requests, or a series of crashes, evicted a quarantine or the crashing request itself; a quarantine of ten minutes was applied only in its first 70 s, and then for ten minutes more; ages counted from when a mark was read, so two crashes of one endpoint could count as one.

Why it works: a row holds 100 marks; clearings go first, then requests with the fewest crashes, oldest first, quarantines last. Expired marks are dropped, so rows are short in ordinary times. A mark is aged by the wall clocks of both VMs when it is read; a quarantine is applied for the time that is left.

--- a/packages/knapweedshunt-gateway/src/directory/crashMarks.ts
+++ b/packages/knapweedshunt-gateway/src/directory/crashMarks.ts
@@ -1,14 +1,15 @@
+import { addElapsedTime } from 'knapweedshunt-attempts'
 import type { SuspectMark } from 'knapweedshunt-attempts'
 import type { Incarnation } from 'knapweedshunt-types'
 import type { CrashRow, NumberedMark } from './rosterRows.ts'
 
-/** Maximum number of marks in a VM's row; the oldest are evicted first. */
-const MAX_MARKS = 40
+/** Maximum number of marks in a VM's row; with it a row stays within half of the size that the store accepts. */
+const MAX_MARKS = 100
 
-/** Maximum age by wall clock at which a mark is applied, in milliseconds: the time for which a request stays suspect, plus seconds of clock skew. */
+/** Maximum age by wall clock at which a crash or a clearing is applied, in milliseconds: the time for which a request stays suspect, plus seconds of clock skew. */
 const MAX_MARK_AGE_MS = 70_000
 
-/** A mark read from the row of another VM. */
+/** A mark read from the row of another VM; ages and remaining times are as of now. */
 export interface ReceivedMark {
   mark: SuspectMark
   /** Incarnation of the VM that wrote it. */
@@ -55,12 +56,32 @@
     if (incarnation === this.#incarnation) return []
     const lastNumber = this.#lastAppliedNumber.get(incarnation) ?? 0
     this.#lastAppliedNumber.set(incarnation, Math.max(lastNumber, ...marks.map(({ n }) => n)))
-    const nowMs = Date.now()
-    return marks.filter(({ n, atMs }) => n > lastNumber && atMs >= nowMs - MAX_MARK_AGE_MS).map(({ atMs, mark }) => ({ mark, from: incarnation, ageMs: nowMs - atMs }))
+    return marks.filter(numbered => numbered.n > lastNumber && !isExpired(numbered)).map(({ atMs, mark }) => {
+      const ageMs = computeAgeMs(atMs)
+      return { mark: addElapsedTime(mark, ageMs), from: incarnation, ageMs }
+    })
   }
 
+  /** Drops expired marks, then the least important ones beyond the limit. */
   #setMarks (marks: NumberedMark[]): void {
-    for (const { mark } of marks.slice(0, -MAX_MARKS)) this.#onEvicted(mark)
-    this.#marks = marks.slice(-MAX_MARKS)
+    const current = marks.filter(numbered => !isExpired(numbered))
+    const evicted = [...current].sort((a, b) => computeImportance(a.mark) - computeImportance(b.mark) || a.atMs - b.atMs).slice(0, Math.max(0, current.length - MAX_MARKS))
+    for (const { mark } of evicted) this.#onEvicted(mark)
+    this.#marks = current.filter(numbered => !evicted.includes(numbered))
   }
 }
+
+/** The clocks of two VMs differ, so a mark may seem to come from the future. */
+function computeAgeMs (atMs: number): number {
+  return Math.max(0, Date.now() - atMs)
+}
+
+function isExpired ({ atMs, mark }: NumberedMark): boolean {
+  return mark.type === 'quarantined' ? computeAgeMs(atMs) >= mark.forMs : computeAgeMs(atMs) > MAX_MARK_AGE_MS
+}
+
+/** A request with more crashes is nearer to its quarantine; a lost clearing only prolongs a suspicion. */
+function computeImportance (mark: SuspectMark): number {
+  if (mark.type === 'quarantined') return Infinity
+  return mark.type === 'crashed' ? mark.crashes.length : 0
+}
