Roster: VMs that a full read no longer lists count until they had time to write their rows

Callers saw: repeats above the budget may follow (BUDGET); not seen, found by reading.

Cause: a full read replaced the list of VMs. After a store was restored from a copy that lacks their rows, each VM counted itself alone and took the whole reserve of the retry budget, and the endpoints' connections likewise.

Why it works: a VM missing from a full read counts for the time in which it notices and writes its row again; counting one too many only lowers the shares. A row that was deleted counts no longer at once.

--- a/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
+++ b/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
@@ -14,6 +14,15 @@
 /** Time for which the store may hold a long poll of the roster, in milliseconds. */
 export const ROSTER_POLL_WAIT_MS = 10_000
 
+/** Time within which a VM that reaches the store notices that its row is missing and has written it again, in milliseconds. */
+const ROW_RECOVERY_MS = 14_000
+
+interface KnownVm {
+  row: VmRow
+  /** Monotonic time since which a full read of the table lacks the row; null while it is present. */
+  missingSinceMs: number | null
+}
+
 interface TimedNotice {
   notice: WaveNotice
   receivedAtMs: number
@@ -41,7 +50,7 @@
   readonly #dependencies: VmRosterDependencies
   readonly #ownedRows: OwnedRows
   readonly #crashMarks: CrashMarks
-  readonly #vms = new Map<string, VmRow>()
+  readonly #vms = new Map<string, KnownVm>()
   readonly #waveNotices = new Map<PoolName, TimedNotice>()
   /** Whether the marks of this VM's previous incarnation were read; its row must not be replaced before. */
   #hasAdoptedMarks = false
@@ -49,19 +58,20 @@
   constructor (dependencies: VmRosterDependencies) {
     const { platform, self, signal, onMarkEvicted, onUnwritten } = dependencies
     this.#dependencies = dependencies
-    this.#vms.set(ROSTER_KEY.vm + self.vm, self)
+    this.#vms.set(ROSTER_KEY.vm + self.vm, { row: self, missingSinceMs: null })
     this.#crashMarks = new CrashMarks(self.incarnation, onMarkEvicted)
     this.#ownedRows = new OwnedRows({ platform, table: ROSTER_TABLE, signal, onUnwritten: (keys, reason) => keys.forEach(key => onUnwritten(key, reason)) })
   }
 
   /** Number of VMs that may be running, including this one. */
   countVms (): number {
-    return this.#vms.size
+    const oldestMs = performance.now() - ROW_RECOVERY_MS
+    return [...this.#vms.values()].filter(({ missingSinceMs }) => missingSinceMs === null || missingSinceMs > oldestMs).length
   }
 
   /** Rank of this VM in an order that all VMs agree on, 0 first. */
   computeRank (): number {
-    const names = [...this.#vms.values()].map(row => hashText(row.vm)).sort()
+    const names = [...this.#vms.values()].map(({ row }) => hashText(row.vm)).sort()
     return names.indexOf(hashText(this.#dependencies.self.vm))
   }
 
@@ -119,8 +129,10 @@
     return ROSTER_KEY.crash + this.#dependencies.self.vm
   }
 
+  /** VMs that the snapshot lacks are kept for a while: a restored store lists them again once they have written their rows. */
   #applySnapshot (rows: Row[]): void {
-    for (const key of this.#vms.keys()) if (!this.#isOwn(key)) this.#vms.delete(key)
+    const presentKeys = new Set(rows.map(row => row.key))
+    for (const [key, known] of this.#vms) if (!presentKeys.has(key) && !this.#isOwn(key)) known.missingSinceMs ??= performance.now()
     for (const row of rows) this.#applyRow(row)
     if (!this.#hasAdoptedMarks) {
       this.#hasAdoptedMarks = true
@@ -153,7 +165,7 @@
   }
 
   #applyVmRow (key: string, row: VmRow): void {
-    if (!this.#isOwn(key)) this.#vms.set(key, row)
+    if (!this.#isOwn(key)) this.#vms.set(key, { row, missingSinceMs: null })
   }
 
   /** A starting VM applies the marks of all VMs, including those that its previous incarnation wrote. */
