Table follower: a store that was restored from a copy is noticed by its era

A restored store gives its versions out again; when they have caught up with the last poll there is no lost history, so the follower went on, missed the rows written since, and this VM's lost rows were not written again.

A store without the header works as before.

--- a/packages/knapweedshunt-fakes/src/memoryFeed.ts
+++ b/packages/knapweedshunt-fakes/src/memoryFeed.ts
@@ -31,7 +31,7 @@
 
   async readTable (table: string, signal: AbortSignal): Promise<TableSnapshot> {
     await this.#simulateFaults(signal)
-    return structuredClone({ rows: this.#tables.scan({ table, limit: Infinity }), version: this.#tables.version })
+    return structuredClone({ rows: this.#tables.scan({ table, limit: Infinity }), version: this.#tables.version, era: this.#tables.era })
   }
 
   async pollChanges (table: string, afterVersion: number, waitMs: number, signal: AbortSignal): Promise<TableChanges> {
@@ -42,7 +42,7 @@
     if (epoch !== this.#connectionEpoch) await waitForAbort(signal)
     await this.#simulateFaults(signal)
     if (afterVersion > this.#tables.version) return { type: 'historyLost' }
-    return structuredClone({ type: 'changes', rows: this.#tables.listChanges(table, afterVersion), version: this.#tables.version })
+    return structuredClone({ type: 'changes', rows: this.#tables.listChanges(table, afterVersion), version: this.#tables.version, era: this.#tables.era })
   }
 
   async #waitForChange (table: string, afterVersion: number, waitMs: number, signal: AbortSignal): Promise<void> {
--- a/packages/knapweedshunt-fakes/src/memoryTables.ts
+++ b/packages/knapweedshunt-fakes/src/memoryTables.ts
@@ -10,6 +10,7 @@
 export class MemoryTables {
   #rows = new Map<string, Map<string, ChangedRow>>()
   #lastVersion = 0
+  #era = 1
   readonly #listeners = new Set<() => void>()
 
   /** Version of the last change in any table. */
@@ -17,6 +18,11 @@
     return this.#lastVersion
   }
 
+  /** Rises by one with each {@link restore}. */
+  get era (): number {
+    return this.#era
+  }
+
   /** Returns the row, or null when there is none. */
   read (table: string, key: string): Row | null {
     const row = this.#rows.get(table)?.get(key)
@@ -65,6 +71,7 @@
   restore (copy: TablesCopy): void {
     this.#rows = structuredClone(copy.rows)
     this.#lastVersion = copy.version
+    this.#era++
     this.#notifyListeners()
   }
 
--- a/packages/knapweedshunt-platform/src/__tests__/tableFollower.test.ts
+++ b/packages/knapweedshunt-platform/src/__tests__/tableFollower.test.ts
@@ -17,10 +17,10 @@
   try {
     const feed: TestContext['feed'] = {
       reads: 0,
-      read: async () => ({ rows: [{ key: 'a', version: 1, value: 1 }], version: 1 }),
+      read: async () => ({ rows: [{ key: 'a', version: 1, value: 1 }], version: 1, era: 1 }),
       poll: async () => {
         await new Promise(resolve => setTimeout(resolve, 1_000))
-        return { type: 'changes', rows: [], version: 1 }
+        return { type: 'changes', rows: [], version: 1, era: 1 }
       }
     }
     const updates: TableUpdate[] = []
@@ -55,7 +55,7 @@
 test.serial('lost history leads to a full read', async t => {
   await runWithFollower(async ({ clock, feed, updates }) => {
     feed.poll = async () => ({ type: 'historyLost' })
-    feed.read = async () => ({ rows: [{ key: 'b', version: 9, value: 2 }], version: 9 })
+    feed.read = async () => ({ rows: [{ key: 'b', version: 9, value: 2 }], version: 9, era: 1 })
     await clock.tickAsync(1_100)
     t.true(feed.reads >= 2)
     t.deepEqual(updates.at(-1), { type: 'rows', rows: [{ key: 'b', version: 9, value: 2 }], isAfterOutage: false })
@@ -82,3 +82,29 @@
     t.is(feed.reads, reads + 1)
   })
 })
+
+// Guards against rows that are missed because a restored store has given out the version of the last poll again.
+test.serial('a new era of the store leads to a full read, reported as one after an outage', async t => {
+  await runWithFollower(async ({ clock, feed, updates }) => {
+    feed.poll = async () => {
+      await new Promise(resolve => setTimeout(resolve, 100))
+      return { type: 'changes', rows: [{ key: 'c', version: 8, value: 3, isDeleted: false }], version: 8, era: 2 }
+    }
+    feed.read = async () => ({ rows: [{ key: 'b', version: 7, value: 2 }], version: 8, era: 2 })
+    await clock.tickAsync(1_150)
+    t.deepEqual(updates.at(1), { type: 'rows', rows: [{ key: 'b', version: 7, value: 2 }], isAfterOutage: true })
+  })
+})
+
+for (const era of [0, null]) {
+  test.serial(`an answer with era ${era} after era 1 is not used`, async t => {
+    await runWithFollower(async ({ clock, feed, updates, follower }) => {
+      const updateCount = updates.length
+      feed.poll = async () => ({ type: 'changes', rows: [{ key: 'c', version: 8, value: 3, isDeleted: false }], version: 8, era })
+      feed.read = async () => ({ rows: [], version: 8, era })
+      await clock.tickAsync(3_000)
+      t.is(updates.length, updateCount)
+      t.false(follower.isReachable)
+    })
+  })
+}
--- a/packages/knapweedshunt-platform/src/tableFollower.ts
+++ b/packages/knapweedshunt-platform/src/tableFollower.ts
@@ -3,6 +3,7 @@
 import type { Rng } from 'knapweedshunt-utils'
 import { Backoff } from './backoff.ts'
 import type { BackoffOptions } from './backoff.ts'
+import { PlatformUnreachableError } from './platformError.ts'
 import type { Row } from './row.ts'
 import type { ChangedRow, TableFeed } from './tableFeed.ts'
 
@@ -31,13 +32,13 @@
 
 /** Update that a table follower passes to its listener. */
 export type TableUpdate =
-  /** All rows of the table; replaces all earlier ones. `isAfterOutage` is true if the store did not answer before. */
+  /** All rows of the table; replaces all earlier ones. `isAfterOutage` is true if the store did not answer before, or was restored from a copy: rows that others write may be missing for a while. */
   | { type: 'rows', rows: Row[], isAfterOutage: boolean }
   | { type: 'changes', rows: ChangedRow[] }
 
 /**
- * Follows one table: reads it in full, then polls for changes. After lost history, a timeout or an error the table is
- * read in full again, so that no change is missed for good.
+ * Follows one table: reads it in full, then polls for changes. After lost history, a new era of the store, a timeout or
+ * an error the table is read in full again, so that no change is missed for good.
  */
 export class TableFollower {
   readonly #feed: TableFeed
@@ -46,6 +47,10 @@
   readonly #log: Logger
   readonly #rng: Rng
   #version: number | null = null
+  /** Era of the last answer used; null if the store states none. */
+  #era: number | null = null
+  /** Whether the store was restored since the last full read. */
+  #isRestored = false
   #confirmedAtMs: number | null = null
   #isUnreachable = false
   #refreshAbort = new AbortController()
@@ -98,8 +103,11 @@
     const { table, waitMs, timeoutMs } = this.#options
     if (this.#version === null) {
       const snapshot = await runWithTimeout(timeoutMs, signals, signal => this.#feed.readTable(table, signal))
+      this.#checkEra(snapshot.era)
       this.#version = snapshot.version
-      this.#recordAnswer(sentAtMs, { type: 'rows', rows: snapshot.rows, isAfterOutage: this.#isUnreachable })
+      const isAfterOutage = this.#isUnreachable || this.#isRestored
+      this.#isRestored = false
+      this.#recordAnswer(sentAtMs, { type: 'rows', rows: snapshot.rows, isAfterOutage })
       return
     }
     const version = this.#version
@@ -110,11 +118,26 @@
       await this.#pause(this.#options.backoff.initialDelayMs, signals)
       return
     }
+    if (this.#checkEra(changes.era)) {
+      this.#version = null
+      return
+    }
     this.#version = Math.max(version, changes.version)
     this.#recordAnswer(sentAtMs, changes.rows.length === 0 ? null : { type: 'changes', rows: changes.rows })
     if (changes.rows.length > 0 && this.#options.coalesceMs > 0) await this.#pause(this.#options.coalesceMs, signals)
   }
 
+  /** Whether the store was restored since the last answer. Throws PlatformUnreachableError when the era falls or is missing: such an answer is not from the store that was followed. */
+  #checkEra (era: number | null): boolean {
+    const knownEra = this.#era
+    if (knownEra !== null && (era === null || era < knownEra)) throw new PlatformUnreachableError(`The store states era ${era ?? 'none'} after era ${knownEra}.`)
+    this.#era = era
+    if (knownEra === null || era === knownEra) return false
+    this.#isRestored = true
+    this.#log.warn('Store restored from a copy, reading the table anew.', { table: this.#options.table, era, previousEra: knownEra })
+    return true
+  }
+
   async #pause (durationMs: number, signals: AbortSignal[]): Promise<void> {
     await runWithTimeout(durationMs + 1, signals, signal => sleep(durationMs, signal))
   }
