--- a/packages/knapweedshunt-gateway/src/__tests__/vmRoster.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/vmRoster.test.ts
@@ -244,5 +244,7 @@
     t.is(rosters[0].countVms(), 3)
     rosters[0].applyUpdate({ type: 'rows', rows: [], isAfterOutage: true })
     t.is(rosters[0].countVms(), 3)
+    await clock.tickAsync(5_100)
+    t.is(rosters[0].countVms(), 1)
   })
 })
--- a/packages/knapweedshunt-gateway/src/directory/ownedRows.ts
+++ b/packages/knapweedshunt-gateway/src/directory/ownedRows.ts
@@ -41,13 +41,13 @@
   }
 
   /** Compares the rows with a full read of the table. */
-  checkSnapshot (rows: Row[]): void {
+  reconcileSnapshot (rows: Row[]): void {
     const stored = new Map(rows.map(row => [row.key, row.value]))
     this.#rewrite([...this.#rows].filter(([key, value]) => !isDeepStrictEqual(stored.get(key), value)).map(([key]) => key))
   }
 
   /** Compares a row with a change of the table; `value` is null if it was deleted. */
-  checkChange (key: string, value: unknown): void {
+  reconcileRow (key: string, value: unknown): void {
     if (this.#rows.has(key) && !isDeepStrictEqual(this.#rows.get(key), value)) this.#rewrite([key])
   }
 
@@ -63,7 +63,7 @@
     for (const key of keys) this.#unwrittenKeys.add(key)
     if (this.#isWriting) return
     this.#isWriting = true
-    this.#writeUntilDone(delayMs).finally(() => { this.#isWriting = false }).catch(() => {}) // Failed writes are reported by onUnwritten.
+    this.#writeUntilDone(delayMs).catch(() => {}) // Failed writes are reported by onUnwritten.
   }
 
   async #writeUntilDone (delayMs: number): Promise<void> {
@@ -73,6 +73,7 @@
       const isWritten = await this.#write([...this.#unwrittenKeys])
       await sleep(isWritten ? BATCH_MS : REWRITE_INTERVAL_MS, signal)
     }
+    this.#isWriting = false
   }
 
   async #write (keys: string[]): Promise<boolean> {
--- a/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
+++ b/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
@@ -65,12 +65,13 @@
 
   /** Number of VMs that may be running, including this one. */
   countVms (): number {
-    const oldestMs = performance.now() - ROW_RECOVERY_MS
-    return [...this.#vms.values()].filter(({ missingSinceMs }) => missingSinceMs === null || missingSinceMs > oldestMs).length
+    this.#removeMissingVms()
+    return this.#vms.size
   }
 
   /** Rank of this VM in an order that all VMs agree on, 0 first. */
   computeRank (): number {
+    this.#removeMissingVms()
     const names = [...this.#vms.values()].map(({ row }) => hashText(row.vm)).sort()
     return names.indexOf(hashText(this.#dependencies.self.vm))
   }
@@ -120,6 +121,11 @@
     this.#publishMarks()
   }
 
+  #removeMissingVms (): void {
+    const oldestMs = performance.now() - ROW_RECOVERY_MS
+    for (const [key, { missingSinceMs }] of this.#vms) if (missingSinceMs !== null && missingSinceMs <= oldestMs) this.#vms.delete(key)
+  }
+
   #publishMarks (): void {
     const row = this.#crashMarks.buildRow()
     if (row !== null && this.#hasAdoptedMarks) this.#ownedRows.put(this.#crashKey, row)
@@ -138,11 +144,11 @@
       this.#hasAdoptedMarks = true
       this.#publishMarks()
     }
-    this.#ownedRows.checkSnapshot(rows)
+    this.#ownedRows.reconcileSnapshot(rows)
   }
 
   #applyChange (row: ChangedRow): void {
-    this.#ownedRows.checkChange(row.key, row.isDeleted ? null : row.value)
+    this.#ownedRows.reconcileRow(row.key, row.isDeleted ? null : row.value)
     if (!row.isDeleted) this.#applyRow(row)
     else if (!this.#isOwn(row.key)) this.#vms.delete(row.key)
   }
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/flow/crashedAttempt.ts
@@ -0,0 +1,17 @@
+import type { RequestId } from 'knapweedshunt-types'
+import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
+import type { RequestPlan } from './requestPlan.ts'
+import type { RunningAttempt } from './runningAttempt.ts'
+
+/** What a crash is recorded with; unlike the plan of a request it does not hold the body. */
+export interface CrashedAttempt {
+  requestId: RequestId
+  fingerprint: string
+  record: EndpointRecord
+  startedAtMs: number
+}
+
+/** Builds the record of an attempt under which the endpoint crashed or may have crashed. */
+export function buildCrashedAttempt ({ call, fingerprint }: RequestPlan, { record, startedAtMs }: RunningAttempt): CrashedAttempt {
+  return { requestId: call.requestId, fingerprint, record, startedAtMs }
+}
--- a/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
@@ -1,13 +1,14 @@
 import type http from 'node:http'
 import type { Logger } from 'knapweedshunt-logger'
+import type { LossReason } from '../endpoints/attemptOutcome.ts'
 import type { EndpointChooser } from '../endpoints/endpointChooser.ts'
 import type { KvStoreMonitor } from '../endpoints/kvStoreMonitor.ts'
 import type { EndpointMonitor } from '../endpoints/endpointMonitor.ts'
 import type { EndpointPort } from '../ports/endpointPort.ts'
 import type { DecisionLog } from '../records/decisionLog.ts'
 import type { GatewayMetrics } from '../records/gatewayMetrics.ts'
+import type { CrashedAttempt } from './crashedAttempt.ts'
 import type { RequestPlan } from './requestPlan.ts'
-import type { RunningAttempt } from './runningAttempt.ts'
 
 /** Dependencies shared by the tasks of all requests. */
 export interface FlowDependencies {
@@ -24,9 +25,9 @@
   /** Records a served request: it credits the retry budget of its pool and is no longer suspect. */
   recordSuccess (plan: RequestPlan): void
   /** Records that an endpoint may have crashed while it ran the request; `evidence` is how the attempt ended. */
-  recordCrash (plan: RequestPlan, attempt: RunningAttempt, evidence: string): void
+  recordCrash (attempt: CrashedAttempt, evidence: LossReason): void
   /** Records an attempt that was given up before an answer began, or whose stream stalled: its endpoint may have crashed. */
-  recordUnanswered (plan: RequestPlan, attempt: RunningAttempt): void
+  recordUnanswered (attempt: CrashedAttempt): void
   /** Whether the request must not be sent because it crashed several endpoints. */
   isQuarantined (fingerprint: string): boolean
   /** Time since the access keys were last confirmed, in milliseconds. */
--- a/packages/knapweedshunt-gateway/src/flow/requestPlanner.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestPlanner.ts
@@ -13,7 +13,7 @@
 import { filterEndToEndHeaders } from '../shared/filterEndToEndHeaders.ts'
 import { choosePool } from './choosePool.ts'
 import type { RequestPlan } from './requestPlan.ts'
-import { shortenFingerprint } from './requestRecorder.ts'
+import { formatFingerprint } from './requestRecorder.ts'
 
 /** Retry-after time if another VM can serve the request at once, in milliseconds. */
 export const RETRY_OTHER_VM_MS = 150
@@ -51,7 +51,7 @@
     if (pool === undefined) throw createCallerError(404, 'no_route', `Route ${route.name} has no pool.`)
     const levels = route.usesPrefixes ? this.#dependencies.chooser.buildPrefixLevels(call.prompt, identity) : []
     const fingerprint = computeFingerprint(identity?.organisation ?? '', hashText(call.method, call.target, hashBody(body)))
-    if (this.#dependencies.suspectRegistry.check(fingerprint).type === 'quarantined') throw createCallerError(503, 'quarantined', `The request ${shortenFingerprint(fingerprint)} is quarantined: several endpoints crashed while running it.`, { retryAfterMs: QUARANTINE_RETRY_MS })
+    if (this.#dependencies.suspectRegistry.check(fingerprint).type === 'quarantined') throw createCallerError(503, 'quarantined', `The request ${formatFingerprint(fingerprint)} is quarantined: several endpoints crashed while running it.`, { retryAfterMs: QUARANTINE_RETRY_MS })
     return {
       call,
       route,
--- a/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
@@ -25,7 +25,7 @@
 }
 
 /** Returns the beginning of a request's fingerprint, as it is logged. */
-export function shortenFingerprint (fingerprint: string): string {
+export function formatFingerprint (fingerprint: string): string {
   return fingerprint.slice(0, LOGGED_FINGERPRINT_CHARS)
 }
 
@@ -58,7 +58,7 @@
       incarnation: record.entry.incarnation,
       rank,
       prefix: this.#plan.levels.map(level => level.key.slice(0, LOGGED_KEY_CHARS)).join('>'),
-      fingerprint: shortenFingerprint(this.#plan.fingerprint),
+      fingerprint: formatFingerprint(this.#plan.fingerprint),
       expectedCachedTokens,
       promptTokens,
       expectedWaitMs,
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -11,6 +11,7 @@
 import type { FlowDependencies } from './flowDependencies.ts'
 import { ResponseHeadWriter } from './responseHeadWriter.ts'
 import type { RunningAttempt } from './runningAttempt.ts'
+import { buildCrashedAttempt } from './crashedAttempt.ts'
 import { FinalResponse } from './finalResponse.ts'
 import { launchAttempt } from './launchAttempt.ts'
 import { readResponseBody } from './readResponseBody.ts'
@@ -207,8 +208,8 @@
     this.#finalResponse.recordMayHaveRun()
     const observation = loss === LOSS_REASON.reset ? HEALTH_OBSERVATION.down : HEALTH_OBSERVATION.failed
     this.#dependencies.endpointMonitor.recordObservation(runningAttempt.record, observation, reason)
-    if (CRASH_LOSSES.includes(loss)) this.#dependencies.recordCrash(this.#plan, runningAttempt, loss)
-    if (loss === LOSS_REASON.silent) this.#dependencies.recordUnanswered(this.#plan, runningAttempt)
+    if (CRASH_LOSSES.includes(loss)) this.#dependencies.recordCrash(buildCrashedAttempt(this.#plan, runningAttempt), loss)
+    if (loss === LOSS_REASON.silent) this.#dependencies.recordUnanswered(buildCrashedAttempt(this.#plan, runningAttempt))
     this.#finishAttempt(runningAttempt)
     const isRetried = this.#isRepeatable && this.#permits.tryTake(false)
     this.#recorder.recordAttemptEnded(runningAttempt, loss, reason, isRetried)
@@ -274,7 +275,7 @@
     if (result.type !== 'complete') {
       const reason = describeInterruption(result)
       this.#dependencies.endpointMonitor.recordObservation(runningAttempt.record, HEALTH_OBSERVATION.failed, reason)
-      this.#dependencies.recordCrash(this.#plan, runningAttempt, LOSS_REASON.cut)
+      this.#dependencies.recordCrash(buildCrashedAttempt(this.#plan, runningAttempt), LOSS_REASON.cut)
       this.#recorder.recordAttemptEnded(runningAttempt, LOSS_REASON.cut, reason, false)
       this.#finalResponse.abortResponse(reason)
       return DONE
@@ -318,8 +319,8 @@
     const isMoved = this.#isMoved
     this.#isMoved = false
     const reason = describeInterruption(interruption)
-    if (interruption.type === 'cut' && !isMoved) this.#dependencies.recordCrash(this.#plan, runningAttempt, LOSS_REASON.cut)
-    if (interruption.type === 'stalled') this.#dependencies.recordUnanswered(this.#plan, runningAttempt)
+    if (interruption.type === 'cut' && !isMoved) this.#dependencies.recordCrash(buildCrashedAttempt(this.#plan, runningAttempt), LOSS_REASON.cut)
+    if (interruption.type === 'stalled') this.#dependencies.recordUnanswered(buildCrashedAttempt(this.#plan, runningAttempt))
     runningAttempt.attempt.cancel(LOSS_REASON.cancelled)
     if (!isMoved) this.#dependencies.endpointMonitor.recordObservation(runningAttempt.record, HEALTH_OBSERVATION.failed, reason)
     this.#finishAttempt(runningAttempt, isMoved)
@@ -367,7 +368,8 @@
 
   /** An endpoint that had begun its answer was not crashed by the start of the request. */
   #recordIfUnanswered (runningAttempt: RunningAttempt): void {
-    if (!runningAttempt.attempt.hasResponse) this.#dependencies.recordUnanswered(this.#plan, runningAttempt)
+    const { isSent, hasResponse } = runningAttempt.attempt
+    if (isSent && !hasResponse) this.#dependencies.recordUnanswered(buildCrashedAttempt(this.#plan, runningAttempt))
   }
 }
 
--- a/packages/knapweedshunt-gateway/src/flow/unansweredAttempts.ts
+++ b/packages/knapweedshunt-gateway/src/flow/unansweredAttempts.ts
@@ -1,6 +1,5 @@
 import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
-import type { RequestPlan } from './requestPlan.ts'
-import type { RunningAttempt } from './runningAttempt.ts'
+import type { CrashedAttempt } from './crashedAttempt.ts'
 
 /** Time after an attempt within which the directory shows that its endpoint has crashed, in milliseconds: several heartbeats and a restart. */
 const EVIDENCE_TIMEOUT_MS = 10_000
@@ -9,8 +8,7 @@
 const MAX_ATTEMPTS = 10_000
 
 interface UnansweredAttempt {
-  plan: RequestPlan
-  attempt: RunningAttempt
+  attempt: CrashedAttempt
   endedAtMs: number
 }
 
@@ -18,7 +16,7 @@
 export interface UnansweredAttemptsDependencies {
   /** Whether the record's incarnation of its endpoint is still listed. */
   isCurrent (record: EndpointRecord): boolean
-  recordCrash (plan: RequestPlan, attempt: RunningAttempt): void
+  recordCrash (attempt: CrashedAttempt): void
 }
 
 /**
@@ -34,10 +32,10 @@
   }
 
   /** Records an attempt that was given up; it counts as crashed at once when its endpoint's incarnation has ended already. */
-  recordEnd (plan: RequestPlan, attempt: RunningAttempt): void {
-    if (!attempt.attempt.isSent || attempt.record.entry.isDraining) return
-    if (!this.#dependencies.isCurrent(attempt.record)) return this.#dependencies.recordCrash(plan, attempt)
-    this.#attempts.push({ plan, attempt, endedAtMs: performance.now() })
+  recordEnd (attempt: CrashedAttempt): void {
+    if (attempt.record.entry.isDraining) return
+    if (!this.#dependencies.isCurrent(attempt.record)) return this.#dependencies.recordCrash(attempt)
+    this.#attempts.push({ attempt, endedAtMs: performance.now() })
     this.#dropExpired()
   }
 
@@ -48,7 +46,7 @@
     if (affected.length === 0) return
     this.#attempts = this.#attempts.filter(({ attempt }) => attempt.record !== record)
     if (record.entry.isDraining) return
-    for (const { plan, attempt } of affected) this.#dependencies.recordCrash(plan, attempt)
+    for (const { attempt } of affected) this.#dependencies.recordCrash(attempt)
   }
 
   #dropExpired (): void {
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -16,16 +16,17 @@
 import { ROSTER_TABLE } from './directory/rosterRows.ts'
 import { ROSTER_POLL_WAIT_MS, VmRoster } from './directory/vmRoster.ts'
 import { LOSS_REASON } from './endpoints/attemptOutcome.ts'
+import type { LossReason } from './endpoints/attemptOutcome.ts'
 import { EndpointAgent } from './endpoints/endpointAgent.ts'
 import { EndpointRegistry } from './endpoints/endpointRegistry.ts'
 import { EndpointChooser } from './endpoints/endpointChooser.ts'
 import { KvStoreMonitor } from './endpoints/kvStoreMonitor.ts'
 import { EndpointMonitor } from './endpoints/endpointMonitor.ts'
+import type { CrashedAttempt } from './flow/crashedAttempt.ts'
 import type { FlowDependencies } from './flow/flowDependencies.ts'
 import { RequestPlanner } from './flow/requestPlanner.ts'
 import type { RequestPlan } from './flow/requestPlan.ts'
-import { shortenFingerprint } from './flow/requestRecorder.ts'
-import type { RunningAttempt } from './flow/runningAttempt.ts'
+import { formatFingerprint } from './flow/requestRecorder.ts'
 import { UnansweredAttempts } from './flow/unansweredAttempts.ts'
 import type { DirectoryPort } from './ports/directoryPort.ts'
 import type { EndpointPort } from './ports/endpointPort.ts'
@@ -124,7 +125,7 @@
     this.#endpointRegistry = new EndpointRegistry(decision => this.#decisionLog.record(decision), () => this.#chooser.rebuild(), record => this.#unansweredAttempts.handleIncarnationEnded(record))
     this.#unansweredAttempts = new UnansweredAttempts({
       isCurrent: record => this.#endpointRegistry.find(record.entry.endpoint) === record,
-      recordCrash: (plan, attempt) => this.#recordCrash(plan, attempt, LOSS_REASON.silent)
+      recordCrash: attempt => this.#recordCrash(attempt, LOSS_REASON.silent)
     })
     this.#roster = new VmRoster({
       platform: dependencies.platform,
@@ -134,7 +135,7 @@
       onMark: received => this.#applyMark(received),
       onMarkEvicted: mark => {
         this.#metrics.recordMark('evicted')
-        this.#decisionLog.record({ type: 'markEvicted', fingerprint: shortenFingerprint(mark.fingerprint), mark: mark.type })
+        this.#decisionLog.record({ type: 'markEvicted', fingerprint: formatFingerprint(mark.fingerprint), mark: mark.type })
       },
       onUnwritten: (key, reason) => {
         this.#metrics.recordUnwrittenRow()
@@ -202,7 +203,7 @@
     this.#metrics.addGauge('endpoints_loading', 'Endpoints that load weights.', () => this.#weightsState.listLoadingEndpoints().size)
     this.#metrics.addGauge('keys_age_seconds', 'Age of the operator\'s rows.', () => Math.min(this.#keyFreshness.ageMs, Number.MAX_SAFE_INTEGER) / 1_000)
     this.#metrics.addGauge('vms', 'VMs that may be running.', () => this.#roster.countVms())
-    this.#metrics.addGauge('suspect_requests', 'Requests suspected of crashing endpoints, including quarantined ones.', () => this.#suspectRegistry.size)
+    this.#metrics.addGauge('suspect_requests', 'Requests held as suspect, quarantined or recently cleared.', () => this.#suspectRegistry.size)
     this.#metrics.addGauge('roster_age_seconds', 'Time since the VM roster and the marks of other VMs were last read.', () => (this.#rosterFollower.ageMs ?? Number.MAX_SAFE_INTEGER) / 1_000)
     this.#metrics.addGauge('ready', 'Whether this VM wants callers.', () => this.isReady ? 1 : 0)
   }
@@ -290,18 +291,18 @@
       log: this.#dependencies.log,
       tryTakeRetry: (pool, isOptional) => this.#retryBudget.tryTake(pool, isOptional),
       recordSuccess: plan => this.#recordSuccess(plan),
-      recordCrash: (plan, attempt, evidence) => this.#recordCrash(plan, attempt, evidence),
-      recordUnanswered: (plan, attempt) => this.#unansweredAttempts.recordEnd(plan, attempt),
+      recordCrash: (attempt, evidence) => this.#recordCrash(attempt, evidence),
+      recordUnanswered: attempt => this.#unansweredAttempts.recordEnd(attempt),
       isQuarantined: fingerprint => this.#suspectRegistry.check(fingerprint).type === 'quarantined',
       getKeysAgeMs: () => this.#keyFreshness.ageMs,
       randomizeDelayMs: meanMs => Math.round(meanMs * (0.5 + this.#rng.drawFloat()))
     }
   }
 
-  #recordCrash ({ call, fingerprint }: RequestPlan, { record, startedAtMs }: RunningAttempt, evidence: string): void {
+  #recordCrash ({ requestId, fingerprint, record, startedAtMs }: CrashedAttempt, evidence: LossReason): void {
     const mark = this.#suspectRegistry.recordCrash(fingerprint, record.entry.incarnation, startedAtMs)
     this.#metrics.recordMark('recorded')
-    this.#decisionLog.record({ type: 'crashMarked', requestId: call.requestId, fingerprint: shortenFingerprint(fingerprint), endpoint: record.entry.endpoint, incarnation: record.entry.incarnation, evidence, ...this.#describeSuspect(fingerprint) })
+    this.#decisionLog.record({ type: 'crashMarked', requestId, fingerprint: formatFingerprint(fingerprint), endpoint: record.entry.endpoint, incarnation: record.entry.incarnation, evidence, ...this.#describeSuspect(fingerprint) })
     this.#roster.announceMark(mark)
   }
 
@@ -311,14 +312,14 @@
     const cleared = this.#suspectRegistry.recordSuccess(fingerprint)
     if (cleared === null) return
     this.#metrics.recordMark('cleared')
-    this.#decisionLog.record({ type: 'suspectCleared', requestId: call.requestId, fingerprint: shortenFingerprint(fingerprint) })
+    this.#decisionLog.record({ type: 'suspectCleared', requestId: call.requestId, fingerprint: formatFingerprint(fingerprint) })
     this.#roster.announceMark(cleared)
   }
 
   #applyMark ({ mark, from, ageMs }: ReceivedMark): void {
     this.#suspectRegistry.applyMark(mark)
     this.#metrics.recordMark('applied')
-    this.#decisionLog.record({ type: 'markApplied', fingerprint: shortenFingerprint(mark.fingerprint), mark: mark.type, from, ageMs, ...this.#describeSuspect(mark.fingerprint) })
+    this.#decisionLog.record({ type: 'markApplied', fingerprint: formatFingerprint(mark.fingerprint), mark: mark.type, from, ageMs, ...this.#describeSuspect(mark.fingerprint) })
   }
 
   #describeSuspect (fingerprint: string): { crashes: number, isQuarantined: boolean } {
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -1,5 +1,6 @@
 import type { SuspectMark } from 'knapweedshunt-attempts'
 import type { WaveDecision } from 'knapweedshunt-fleet'
+import type { LossReason } from '../endpoints/attemptOutcome.ts'
 import type { EndpointName, OrganisationName, PoolName, RequestId, VmId } from 'knapweedshunt-types'
 
 /** Reason why a request was refused. The values are sent to callers, logged and used as a metric label. */
@@ -48,7 +49,7 @@
 /** A decision about a request that may crash endpoints; `crashes` is the number that counts against it afterwards. */
 export type SuspectDecision =
   /** An endpoint ended a connection while it may have run the request; `evidence` is how the attempt ended. */
-  | { type: 'crashMarked', requestId: RequestId, fingerprint: string, endpoint: EndpointName, incarnation: string, evidence: string, crashes: number, isQuarantined: boolean }
+  | { type: 'crashMarked', requestId: RequestId, fingerprint: string, endpoint: EndpointName, incarnation: string, evidence: LossReason, crashes: number, isQuarantined: boolean }
   /** The request was served, which clears it. */
   | { type: 'suspectCleared', requestId: RequestId, fingerprint: string }
   /** A mark of another VM was applied; `ageMs` is the time since it was made, by the clocks of both VMs. */
