Gateway: a long body has the same fingerprint each time

Callers saw: not seen; found while looking for other crashes that are not counted. A request with a body above the buffer limit was sent on without end.

Cause: the fingerprint of such a request covered as much of the body as had arrived when it was planned, which differs from one send to the next, so each crash counted against another request.

Evidence: over sockets, a body of 256,000 bytes in pieces of other sizes each time reached an endpoint at each of six sends.

Why it works: the bytes up to the buffer limit are hashed, which always have arrived. Two long bodies of one organisation that differ only later share a fingerprint.

--- a/packages/knapweedshunt-gateway/src/flow/requestPlanner.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestPlanner.ts
@@ -2,7 +2,7 @@
 import type { SuspectRegistry } from 'knapweedshunt-attempts'
 import { computeFingerprint } from 'knapweedshunt-attempts'
 import { hashText } from 'knapweedshunt-utils'
-import { readRequestBody } from '../callers/readRequestBody.ts'
+import { MAX_BUFFERED_BODY_BYTES, readRequestBody } from '../callers/readRequestBody.ts'
 import type { ConfigState } from '../directory/configState.ts'
 import type { KeyFreshness } from '../directory/keyFreshness.ts'
 import type { EndpointChooser } from '../endpoints/endpointChooser.ts'
@@ -95,7 +95,9 @@
   return raw.reduce((sum, text) => sum + text.length + 2, 0)
 }
 
+/** Of a streamed body the same number of bytes is hashed each time, however many had arrived. */
 function hashBody (body: RequestBody): string {
   if (body.type === 'none') return ''
-  return hashText((body.type === 'buffered' ? body.bytes : Buffer.concat(body.firstChunks)).toString('latin1'))
+  const bytes = body.type === 'buffered' ? body.bytes : Buffer.concat(body.firstChunks).subarray(0, MAX_BUFFERED_BODY_BYTES)
+  return hashText(bytes.toString('latin1'))
 }
