--- a/packages/knapweedshunt-cli/src/__tests__/buildRequestTimeline.test.ts
+++ b/packages/knapweedshunt-cli/src/__tests__/buildRequestTimeline.test.ts
@@ -26,3 +26,14 @@
 test('the timeline of an unknown request is empty', t => {
   t.deepEqual(buildRequestTimeline(LOG, 'none'), [])
 })
+
+test('the timeline has the marks of the request\'s fingerprint only', t => {
+  const log = [
+    buildLine(10_000, 'gateway: Request sent.', { decision: 'sent', requestId: 'r1', endpoint: 'e1', fingerprint: 'f1' }),
+    buildLine(10_010, 'gateway: Mark of another VM applied.', { decision: 'markApplied', fingerprint: 'f1', crashes: 2 }),
+    buildLine(10_010, 'gateway: Mark of another VM applied.', { decision: 'markApplied', fingerprint: 'f2', crashes: 1 })
+  ].join('\n')
+  const timeline = buildRequestTimeline(log, 'r1')
+  t.is(timeline.length, 2)
+  t.regex(timeline[1], /fingerprint=f1 crashes=2/)
+})
--- a/packages/knapweedshunt-cli/src/buildRequestTimeline.ts
+++ b/packages/knapweedshunt-cli/src/buildRequestTimeline.ts
@@ -17,14 +17,20 @@
   const requestLines = lines.filter(line => line.context.requestId === requestId)
   if (requestLines.length === 0) return []
   const endpoints = new Set(requestLines.map(line => line.context.endpoint).filter(name => name !== undefined))
+  const fingerprints = new Set(requestLines.map(line => line.context.fingerprint))
   const [fromMs, toMs] = [Math.min(...requestLines.map(line => line.time)), Math.max(...requestLines.map(line => line.time))]
-  const relatedLines = lines.filter(line => line.context.requestId === undefined && isRelated(line, endpoints, fromMs, toMs))
+  const relatedLines = lines.filter(line => line.context.requestId === undefined && isConcurrent(line, fromMs, toMs) && isRelated(line, endpoints, fingerprints))
   const timeline = [...requestLines, ...relatedLines].sort((a, b) => a.time - b.time)
   return timeline.map(line => `${String(Math.round(line.time - fromMs)).padStart(7)} ms  ${line.context.requestId === undefined ? '  ' : '* '}${formatLogLine(line)}`)
 }
 
-function isRelated (line: LogLine, endpoints: Set<unknown>, fromMs: number, toMs: number): boolean {
-  if (line.time < fromMs - RELATED_WINDOW_MS || line.time > toMs + RELATED_WINDOW_MS) return false
+function isConcurrent (line: LogLine, fromMs: number, toMs: number): boolean {
+  return line.time >= fromMs - RELATED_WINDOW_MS && line.time <= toMs + RELATED_WINDOW_MS
+}
+
+/** A line about a suspect request concerns only the request with its fingerprint. */
+function isRelated (line: LogLine, endpoints: Set<unknown>, fingerprints: Set<unknown>): boolean {
+  if (line.context.fingerprint !== undefined) return fingerprints.has(line.context.fingerprint)
   if (line.context.endpoint !== undefined) return endpoints.has(line.context.endpoint)
   return line.context.decision !== undefined || line.context.table !== undefined
 }
