--- a/packages/knapweedshunt-attempts/src/__tests__/suspectMarks.test.ts
+++ b/packages/knapweedshunt-attempts/src/__tests__/suspectMarks.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava'
 import type { SuspectMark } from '../suspectMark.ts'
+import { suspectMarkSchema } from '../suspectMark.ts'
 import { SuspectRegistry } from '../suspectRegistry.ts'
 
 const OPTIONS = { maxCrashes: 3, suspectMs: 60_000, quarantineMs: 600_000, maxEntries: 10 }
@@ -45,3 +46,10 @@
   b.applyMark(aged)
   t.is(b.countCrashes('f'), 1)
 })
+
+test('a mark of a build without crash ids counts', t => {
+  const [a] = createRegistries()
+  for (const endpoint of ['e1', 'e2', 'e3']) a.applyMark(suspectMarkSchema.parse({ type: 'crashed', fingerprint: 'f', crashes: [{ endpoint, startedAgeMs: 20, crashedAgeMs: 0 }] }))
+  t.is(a.check('f').type, 'quarantined')
+  t.deepEqual(suspectMarkSchema.parse({ type: 'cleared', fingerprint: 'f' }), { type: 'cleared', fingerprint: 'f', crashIds: [] })
+})
