--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -41,6 +41,8 @@
   | { type: 'readiness', isReady: boolean, reason: string }
   | { type: 'keysFresh', isFresh: boolean, ageMs: number }
   | { type: 'rowUnreadable', table: string, key: string, reason: string }
+  /** A row of this VM could not be written to the store; it is tried again. */
+  | { type: 'rowUnwritten', key: string, reason: string }
   /** The target version of a model's weights changed. */
   | { type: 'weightsWished', model: string, version: number }
   /** `count` log lines of a kind were suppressed by the rate limit. */
@@ -56,8 +58,6 @@
   | { type: 'markApplied', fingerprint: string, mark: SuspectMark['type'], from: string, ageMs: number, crashes: number, isQuarantined: boolean }
   /** A mark was removed from this VM's row before it expired, as the row is full. */
   | { type: 'markEvicted', fingerprint: string, mark: SuspectMark['type'] }
-  /** A row of this VM could not be written to the store. */
-  | { type: 'rowUnwritten', key: string, reason: string }
 
 /** A decision as it is written to the structured log. */
 export type Decision = RequestDecision | EndpointDecision | ProcessDecision | SuspectDecision | WaveDecision
