Gateway log: sent and crashMarked name the shared parts of the prompt

The levels of a prompt are logged as chained hashes, so a part that comes after other parts each time cannot be recognised in the log, and the lines about crashes named no part. No decision changes.

--- a/packages/knapweedshunt-gateway/src/__tests__/unansweredAttempts.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/unansweredAttempts.test.ts
@@ -6,7 +6,7 @@
 
 function buildAttempt (endpoint: string, isDraining = false): CrashedAttempt {
   const entry = { endpoint, incarnation: `${endpoint}@1`, pool: 'p', address: '127.0.0.1:1', dataCentre: 'z', slots: 1, isDraining, models: [] }
-  return { requestId: 'id', fingerprint: 'f', record: new EndpointRecord(entry), startedAtMs: 0 }
+  return { requestId: 'id', fingerprint: 'f', sharedParts: [], record: new EndpointRecord(entry), startedAtMs: 0 }
 }
 
 function createUnanswered (): { unanswered: UnansweredAttempts, ended: Set<EndpointRecord>, crashed: string[] } {
--- a/packages/knapweedshunt-gateway/src/flow/crashedAttempt.ts
+++ b/packages/knapweedshunt-gateway/src/flow/crashedAttempt.ts
@@ -7,11 +7,12 @@
 export interface CrashedAttempt {
   requestId: RequestId
   fingerprint: string
+  sharedParts: string[]
   record: EndpointRecord
   startedAtMs: number
 }
 
 /** Builds the record of an attempt under which the endpoint crashed or may have crashed. */
-export function buildCrashedAttempt ({ call, fingerprint }: RequestPlan, { record, startedAtMs }: RunningAttempt): CrashedAttempt {
-  return { requestId: call.requestId, fingerprint, record, startedAtMs }
+export function buildCrashedAttempt ({ call, fingerprint, sharedParts }: RequestPlan, { record, startedAtMs }: RunningAttempt): CrashedAttempt {
+  return { requestId: call.requestId, fingerprint, sharedParts, record, startedAtMs }
 }
--- a/packages/knapweedshunt-gateway/src/flow/requestPlan.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestPlan.ts
@@ -13,6 +13,8 @@
   headers: string[]
   /** All prefix levels of the prompt, outermost first; empty without a prompt. */
   levels: PrefixLevel[]
+  /** Parts of the prompt that other requests may hold too, outermost first; each identifies the part alone, at whatever depth it stands. */
+  sharedParts: string[]
   pool: string
   /** Identifies repetitions of the same request by one organisation. */
   fingerprint: string
--- a/packages/knapweedshunt-gateway/src/flow/requestPlanner.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestPlanner.ts
@@ -12,6 +12,7 @@
 import { createCallerError } from '../shared/callerError.ts'
 import { filterEndToEndHeaders } from '../shared/filterEndToEndHeaders.ts'
 import { choosePool } from './choosePool.ts'
+import { listSharedParts } from './listSharedParts.ts'
 import type { RequestPlan } from './requestPlan.ts'
 import { formatFingerprint } from './requestRecorder.ts'
 
@@ -59,6 +60,7 @@
       body,
       headers: filterEndToEndHeaders(request.rawHeaders),
       levels,
+      sharedParts: listSharedParts(call.prompt),
       pool,
       fingerprint,
       arrivedAtMs,
--- a/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
@@ -13,6 +13,9 @@
 /** Number of characters of a request's fingerprint in a log line. */
 const LOGGED_FINGERPRINT_CHARS = 12
 
+/** Maximum number of prompt parts in a log line. */
+const MAX_LOGGED_PARTS = 8
+
 /** Details of a refusal: the router's own response to a request, or a closed connection. */
 export interface Refusal {
   reason: RefusalReason
@@ -29,6 +32,11 @@
   return fingerprint.slice(0, LOGGED_FINGERPRINT_CHARS)
 }
 
+/** Joins the shared parts of a prompt as they are logged. */
+export function formatParts (parts: Iterable<string>): string {
+  return [...parts].slice(0, MAX_LOGGED_PARTS).join('>')
+}
+
 /** Records the decisions about one request in the log and the metrics, and its success for the retry budget and the suspect registry. */
 export class RequestRecorder {
   readonly #dependencies: FlowDependencies
@@ -58,6 +66,7 @@
       incarnation: record.entry.incarnation,
       rank,
       prefix: this.#plan.levels.map(level => level.key.slice(0, LOGGED_KEY_CHARS)).join('>'),
+      parts: formatParts(this.#plan.sharedParts),
       fingerprint: formatFingerprint(this.#plan.fingerprint),
       expectedCachedTokens,
       promptTokens,
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -26,7 +26,7 @@
 import type { FlowDependencies } from './flow/flowDependencies.ts'
 import { RequestPlanner } from './flow/requestPlanner.ts'
 import type { RequestPlan } from './flow/requestPlan.ts'
-import { formatFingerprint } from './flow/requestRecorder.ts'
+import { formatFingerprint, formatParts } from './flow/requestRecorder.ts'
 import { UnansweredAttempts } from './flow/unansweredAttempts.ts'
 import type { DirectoryPort } from './ports/directoryPort.ts'
 import type { EndpointPort } from './ports/endpointPort.ts'
@@ -299,10 +299,10 @@
     }
   }
 
-  #recordCrash ({ requestId, fingerprint, record, startedAtMs }: CrashedAttempt, evidence: LossReason): void {
+  #recordCrash ({ requestId, fingerprint, sharedParts, record, startedAtMs }: CrashedAttempt, evidence: LossReason): void {
     const mark = this.#suspectRegistry.recordCrash(fingerprint, record.entry.incarnation, startedAtMs)
     this.#metrics.recordMark('recorded')
-    this.#decisionLog.record({ type: 'crashMarked', requestId, fingerprint: formatFingerprint(fingerprint), endpoint: record.entry.endpoint, incarnation: record.entry.incarnation, evidence, ...this.#describeSuspect(fingerprint) })
+    this.#decisionLog.record({ type: 'crashMarked', requestId, fingerprint: formatFingerprint(fingerprint), parts: formatParts(sharedParts), endpoint: record.entry.endpoint, incarnation: record.entry.incarnation, evidence, ...this.#describeSuspect(fingerprint) })
     this.#roster.announceMark(mark)
   }
 
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -11,8 +11,8 @@
 
 /** A decision about one request; times in milliseconds. */
 export type RequestDecision =
-  /** Sent to an endpoint; `prefix` joins the first characters of the keys of the prompt's prefix levels, outermost first. `fingerprint` begins the hash by which repetitions of the request are recognised. */
-  | { type: 'sent', requestId: RequestId, attempt: number, pool: PoolName, endpoint: EndpointName, incarnation: string, rank: number, prefix: string, fingerprint: string, expectedCachedTokens: number, promptTokens: number, expectedWaitMs: number, open: number, loadAgeMs: number, configRevision: number, keysAgeMs: number, timeLeftMs: number }
+  /** Sent to an endpoint; `prefix` joins the first characters of the keys of the prompt's prefix levels, outermost first; `parts` joins the ids of the parts that other prompts may share. `fingerprint` begins the hash by which repetitions of the request are recognised. */
+  | { type: 'sent', requestId: RequestId, attempt: number, pool: PoolName, endpoint: EndpointName, incarnation: string, rank: number, prefix: string, parts: string, fingerprint: string, expectedCachedTokens: number, promptTokens: number, expectedWaitMs: number, open: number, loadAgeMs: number, configRevision: number, keysAgeMs: number, timeLeftMs: number }
   /** An attempt ended without a response; `isRetried` if another endpoint is tried. */
   | { type: 'attemptEnded', requestId: RequestId, attempt: number, endpoint: EndpointName, outcome: string, reason: string, isRetried: boolean, afterMs: number }
   /** A stream is resumed at another endpoint; `endpoint` is the previous one. */
@@ -51,7 +51,7 @@
 /** A decision about a request that may crash endpoints; `crashes` is the number that counts against it afterwards. */
 export type SuspectDecision =
   /** An endpoint ended a connection while it may have run the request; `evidence` is how the attempt ended. */
-  | { type: 'crashMarked', requestId: RequestId, fingerprint: string, endpoint: EndpointName, incarnation: string, evidence: LossReason, crashes: number, isQuarantined: boolean }
+  | { type: 'crashMarked', requestId: RequestId, fingerprint: string, parts: string, endpoint: EndpointName, incarnation: string, evidence: LossReason, crashes: number, isQuarantined: boolean }
   /** The request was served, which clears it. */
   | { type: 'suspectCleared', requestId: RequestId, fingerprint: string }
   /** A mark of another VM was applied; `ageMs` is the time since it was made, by the clocks of both VMs. */
