Gateway: a response without a length that is broken off is reset; endless bodies are not read

Callers saw an answer without a length or chunks that the gateway broke off, at a deadline or because the endpoint's connection was reset, as a complete success. Cause: such an answer is passed on as it came, and ending its connection normally is what completes it. It is reset now.

A rejection (Not-Executed) with a body without end held its connection for ever. Cause: the rest was read, without a limit, so that the connection could be used again. Now at most 64 KiB and 500 ms are read.

--- a/packages/knapweedshunt-gateway/src/callers/callerRequestHandler.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerRequestHandler.ts
@@ -4,6 +4,7 @@
 import type { RequestPlanner } from '../flow/requestPlanner.ts'
 import { RETRY_OTHER_VM_MS } from '../flow/requestPlanner.ts'
 import { RequestTask } from '../flow/requestTask.ts'
+import { abortResponse } from '../shared/abortResponse.ts'
 import { CallerError, createCallerError } from '../shared/callerError.ts'
 import { sendRouterResponse } from '../shared/sendRouterResponse.ts'
 
@@ -44,7 +45,7 @@
     this.#inFlight++
     this.#processRequest(request, response).finally(() => { this.#inFlight-- }).catch(error => {
       this.#dependencies.flowDependencies.log.error('Request failed with an internal error.', { reason: (error as Error).message })
-      response.destroy()
+      abortResponse(response)
     })
   }
 
--- a/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
@@ -7,6 +7,10 @@
 /** Connect timeout, in milliseconds; far above the round trip between data centres of a region, below the first retransmission of a lost SYN. */
 const CONNECT_TIMEOUT_MS = 300
 
+/** Limits for reading a body that is not needed: above them its connection is closed. */
+const MAX_DISCARDED_BYTES = 64 * 1024
+const MAX_DISCARD_MS = 500
+
 /** Body of a request: absent, buffered in memory, or streamed while the rest still arrives from the caller. */
 export type RequestBody =
   | { type: 'none' }
@@ -109,7 +113,7 @@
     response.on('error', () => {}) // The reader of the body handles the error itself.
     if (head.requestId !== null && head.requestId !== this.#call.requestId) return this.#rejectResponse(`response carries the id of another request: ${head.requestId}`)
     if (head.isNotRun) {
-      response.resume()
+      discardBody(response)
       return this.#settle({ type: 'notRun', head, status })
     }
     if (!head.isSigned) return this.#rejectResponse(`response with status ${status} is not signed by the endpoint`)
@@ -130,3 +134,14 @@
     this.#settle({ type: 'lost', loss: this.#loss ?? (isUnreadable ? LOSS_REASON.garbled : LOSS_REASON.reset), reason: error.message })
   }
 }
+
+/** Reads the rest of a response, so that its connection can be used again; closes the connection if the rest is long. */
+function discardBody (response: http.IncomingMessage): void {
+  let remainingBytes = MAX_DISCARDED_BYTES
+  const timer = setTimeout(() => response.destroy(), MAX_DISCARD_MS)
+  response.once('close', () => clearTimeout(timer))
+  response.on('data', (chunk: Buffer) => {
+    remainingBytes -= chunk.length
+    if (remainingBytes < 0) response.destroy()
+  })
+}
--- a/packages/knapweedshunt-gateway/src/shared/sendRouterResponse.ts
+++ b/packages/knapweedshunt-gateway/src/shared/sendRouterResponse.ts
@@ -1,11 +1,12 @@
 import type http from 'node:http'
 import type { EndpointPort } from '../ports/endpointPort.ts'
+import { abortResponse } from './abortResponse.ts'
 import type { RouterResponse } from './callerError.ts'
 
-/** Sends the router's own response. If a response has already started, its connection is closed instead. */
+/** Sends the router's own response. If a response has already started, it is aborted instead. */
 export function sendRouterResponse (response: http.ServerResponse, requestId: string | null, routerResponse: RouterResponse, endpointPort: EndpointPort): void {
   if (response.headersSent || response.destroyed) {
-    response.destroy()
+    abortResponse(response)
     return
   }
   const text = JSON.stringify({ error: { code: routerResponse.code } })
