Stream relay: a stream that ends inside an event has broken off

Callers saw a stream that stopped in the middle of an event as complete, and a resumable one was not resumed. Cause: a stream without a length or chunks ends with its connection, and the relay wrote the incomplete event and completed the response. Now the end counts as a cut: a resumable stream goes on at another endpoint, another one is incomplete for its caller, and the endpoint may have crashed.

--- a/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
@@ -1,6 +1,14 @@
 import type http from 'node:http'
 import { EventSplitter } from './eventSplitter.ts'
 
+/** Length of the longest end of an event, in bytes. */
+const MAX_EVENT_END_BYTES = 4
+
+/** A blank line at the end of the text. */
+const EVENT_END = /\n\r?\n$/
+
+const BLANK_LINES = /^[\r\n]*$/
+
 /** Why a stream ended before it was complete. */
 export type StreamInterruption =
   /** The connection was closed early. */
@@ -60,6 +68,7 @@
   /** Forwards the stream of one endpoint. Of a resumable stream only complete events are forwarded, each at most once. */
   async forward (response: http.IncomingMessage, options: RelayOptions): Promise<RelayResult> {
     const splitter = new EventSplitter()
+    let tail: Buffer = Buffer.alloc(0)
     let stallTimer: NodeJS.Timeout | undefined
     let isStalled = false
     const restartStallTimer = () => {
@@ -78,7 +87,9 @@
         restartStallTimer()
         if (this.#callerResponse.destroyed) return { type: 'callerLeft' }
         const bytes = this.#isResumable ? this.#selectNewEvents(splitter, chunk) : chunk
-        if (bytes.length > 0 && !this.#write(bytes)) {
+        if (bytes.length === 0) continue
+        tail = Buffer.concat([tail, bytes]).subarray(-MAX_EVENT_END_BYTES)
+        if (!this.#write(bytes)) {
           clearTimeout(stallTimer)
           if (!await this.#waitDrain()) return { type: 'callerLeft' }
           restartStallTimer()
@@ -91,7 +102,10 @@
       clearTimeout(stallTimer)
     }
     if (!response.complete) return { type: 'cut', reason: 'ended early' }
-    if (splitter.incompleteEvent.length > 0) this.#write(splitter.incompleteEvent)
+    const rest = splitter.incompleteEvent
+    const isInsideEvent = rest.length > 0 ? !BLANK_LINES.test(rest.toString('latin1')) : tail.length > 0 && !EVENT_END.test(tail.toString('latin1'))
+    if (isInsideEvent && isEventStream(response)) return { type: 'cut', reason: 'ended inside an event' }
+    if (rest.length > 0) this.#write(rest)
     return { type: 'complete' }
   }
 
@@ -131,3 +145,7 @@
     })
   }
 }
+
+function isEventStream ({ headers }: http.IncomingMessage): boolean {
+  return headers['content-type']?.toLowerCase().startsWith('text/event-stream') ?? false
+}
