Stream relay: bytes that complete no event do not postpone the stall timeout

Reported by operators of similar systems: stalled streams that send a byte now and then never ended. It can happen here: each chunk restarted the timer, so such a resumable stream was held until its deadline. Before: the new test gets one event of four at the deadline. Now only an event counts as progress, and the stream goes on at another endpoint.

--- a/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
@@ -84,10 +84,11 @@
       restartStallTimer()
       for await (const chunk of response as AsyncIterable<Buffer>) {
         options.onChunk()
-        restartStallTimer()
         if (this.#callerResponse.destroyed) return { type: 'callerLeft' }
         const bytes = this.#isResumable ? this.#selectNewEvents(splitter, chunk) : chunk
         if (bytes.length === 0) continue
+        // Bytes that complete no event are no progress.
+        restartStallTimer()
         tail = Buffer.concat([tail, bytes]).subarray(-MAX_EVENT_END_BYTES)
         if (!this.#write(bytes)) {
           clearTimeout(stallTimer)
