Gateway: requests in flight when the grace time of a shutdown ends get an answer

Reported by operators of similar systems: requests that had just been accepted were cut off without an answer during a planned stop. It can happen here: what was still running, or still sending its body, when the grace time had nearly passed lost its connection without a word; and a response without a length looked complete. Now each gets an answer (502 if it may have run, otherwise 503), and a response that has begun is aborted.

--- a/packages/knapweedshunt-gateway/src/callers/callerRequestHandler.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerRequestHandler.ts
@@ -18,6 +18,8 @@
 export class CallerRequestHandler {
   readonly #dependencies: CallerRequestHandlerDependencies
   readonly #tasks = new Set<RequestTask>()
+  /** Responses to requests that are not checked yet, with their ids. */
+  readonly #unplannedResponses = new Map<http.ServerResponse, string | null>()
   #inFlight = 0
   #isRefusing = false
 
@@ -35,6 +37,13 @@
     this.#isRefusing = true
   }
 
+  /** Ends all requests in flight at once: each gets an answer, or its response is aborted. */
+  stopRequests (): void {
+    const { endpointPort } = this.#dependencies.flowDependencies
+    for (const [response, requestId] of this.#unplannedResponses) sendRouterResponse(response, requestId, createStoppingError().routerResponse, endpointPort)
+    for (const task of this.#tasks) task.stop()
+  }
+
   /** Moves resumable streams away from these endpoints. */
   moveStreamsFrom (endpoints: ReadonlySet<EndpointName>): void {
     for (const task of this.#tasks) task.moveStreamFrom(endpoints)
@@ -56,8 +65,10 @@
     try {
       const call = flowDependencies.endpointPort.decodeCall(request)
       requestId = call.requestId
-      if (this.#isRefusing) throw createCallerError(503, 'stopping', 'This VM is stopping.', { retryAfterMs: RETRY_OTHER_VM_MS, closesConnection: true })
-      const plan = await requestPlanner.createPlan(request, call, arrivedAtMs)
+      if (this.#isRefusing) throw createStoppingError()
+      this.#unplannedResponses.set(response, requestId)
+      const plan = await requestPlanner.createPlan(request, call, arrivedAtMs).finally(() => this.#unplannedResponses.delete(response))
+      if (response.writableEnded) return
       const task = new RequestTask(flowDependencies, plan, response)
       this.#tasks.add(task)
       await task.run().finally(() => this.#tasks.delete(task))
@@ -86,3 +97,7 @@
     })
   }
 }
+
+function createStoppingError (): InstanceType<typeof CallerError> {
+  return createCallerError(503, 'stopping', 'This VM is stopping.', { retryAfterMs: RETRY_OTHER_VM_MS, closesConnection: true })
+}
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -99,6 +99,14 @@
     }
   }
 
+  /** Ends the request at once, as this VM stops: with an answer, or with an aborted response if one has begun. */
+  stop (): void {
+    if (this.#finalResponse.isSettled) return
+    if (this.#runningAttempt?.attempt.isSent) this.#finalResponse.recordMayHaveRun()
+    this.#finalResponse.fail('stopping', 'the VM stops before the request is answered')
+    this.#cancelAttempt(LOSS_REASON.cancelled)
+  }
+
   /** Moves a resumable stream away from one of these endpoints, so that the endpoint need not wait for its end. */
   moveStreamFrom (endpoints: ReadonlySet<string>): void {
     const runningAttempt = this.#runningAttempt
@@ -108,6 +116,13 @@
     runningAttempt.attempt.cancel(LOSS_REASON.moved)
   }
 
+  #cancelAttempt (loss: LossReason): void {
+    const runningAttempt = this.#runningAttempt
+    if (runningAttempt === null) return
+    runningAttempt.attempt.cancel(loss)
+    this.#finishAttempt(runningAttempt)
+  }
+
   get #isRepeatable (): boolean {
     return this.#plan.route.repeatability !== REPEATABILITY.never
   }
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -255,6 +255,7 @@
     ]
     await sleep(2 ** 30, signal)
     await this.#drain()
+    this.#requestHandler.stopRequests()
     taskController.abort()
     await Promise.all(runningTasks)
     await this.#roster.removeSelf()
