Gateway: a response without an id is not taken on a connection that served another request

Reported by operators of similar systems: a second copy of an answer, late on a connection that was in use again, reached the next caller. It can happen here: a copy that states the id of its request was rejected, one without an id was forwarded. Endpoints echo the id in all their responses, so one without it cannot be attributed once the connection has served a request before.

--- a/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
@@ -112,6 +112,8 @@
     const status = response.statusCode ?? 0
     response.on('error', () => {}) // The reader of the body handles the error itself.
     if (head.requestId !== null && head.requestId !== this.#call.requestId) return this.#rejectResponse(`response carries the id of another request: ${head.requestId}`)
+    // What arrives on a connection that served another request before may be a late copy of that request's response.
+    if (head.requestId === null && this.#request?.reusedSocket === true) return this.#rejectResponse('response without an id on a connection that was used before')
     if (head.isNotRun) {
       discardBody(response)
       return this.#settle({ type: 'notRun', head, status })
