Gateway: the access key is checked again before each send

Reported by operators of similar systems: a process that was delayed for seconds acted on a permission that had run out meanwhile. It can happen here: the key was checked on arrival only, so a request that an endpoint had refused 2 s later was sent to another one although the keys had not been confirmed for longer than the revocation bound allows.

--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -136,7 +136,7 @@
     return await this.#handleOutcome(runningAttempt, outcome)
   }
 
-  /** Chooses the next endpoint; null if the request has its final response. The quarantine is checked last, since crashes at other VMs are read while the request waits or runs. */
+  /** Chooses the next endpoint; null if the request has its final response. The quarantine and the access key are checked last, since they may change while the request waits or runs. */
   async #findEndpoint (): Promise<ChosenEndpoint | null> {
     this.#homeLevels = this.#dependencies.chooser.findHomeLevels(this.#plan.levels)
     const choice = await waitForEndpoint(this.#dependencies, this.#plan, { homeLevels: this.#homeLevels, triedEndpoints: this.#triedEndpoints, isCancelled: () => this.#finalResponse.isSettled })
@@ -150,6 +150,10 @@
       this.#finalResponse.quarantine(quarantine)
       return null
     }
+    if (!this.#dependencies.isKeyConfirmed(this.#plan)) {
+      this.#finalResponse.fail('keys_unconfirmed', 'the access key was removed, or not confirmed in time')
+      return null
+    }
     this.#recorder.recordSent(this.#finalResponse.attemptCount + 1, choice.record, choice.decision)
     return choice
   }
