--- a/packages/knapweedshunt-gateway/src/__tests__/simulatedFleet.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/simulatedFleet.ts
@@ -1,4 +1,4 @@
-import { SuspectRegistry } from 'knapweedshunt-attempts'
+import { CrashingPartDetector, SuspectRegistry } from 'knapweedshunt-attempts'
 import type { SuspectMark } from 'knapweedshunt-attempts'
 import { MemoryFeed, MemoryPlatform, MemoryTables } from 'knapweedshunt-fakes'
 import type { TablesCopy } from 'knapweedshunt-fakes'
@@ -18,6 +18,15 @@
 /** Fingerprint of the request that crashes endpoints. */
 const CRASHING = 'crashing'
 
+/** Part of prompts that crashes endpoints. */
+const CRASHING_PART = 'bad'
+
+/** Number of parts that sound requests share beside the first. */
+const SECOND_PARTS = 12
+
+/** Interval of the sound requests of each VM, in milliseconds. */
+const SOUND_INTERVAL_MS = 100
+
 const STORE_TIMEOUT_MS = 700
 
 /** One VM with its own view of the shared store. */
@@ -25,6 +34,7 @@
   readonly platform: MemoryPlatform
   readonly feed: MemoryFeed
   readonly registry = new SuspectRegistry(SUSPECT_OPTIONS)
+  readonly partDetector = new CrashingPartDetector()
   readonly roster: VmRoster
   readonly #abort = new AbortController()
 
@@ -38,8 +48,8 @@
       log: LOG,
       signal: this.#abort.signal,
       onMark: ({ mark }) => this.registry.applyMark(mark),
-      buildPartEvidence: () => ({ reports: [], quarantines: [], clearings: [] }),
-      onPartEvidence: () => {},
+      buildPartEvidence: () => this.partDetector.buildEvidence(),
+      onPartEvidence: ({ evidence, ageMs, isOwn }) => { this.partDetector.applyEvidence(evidence, ageMs, isOwn) },
       onMarkEvicted: () => {},
       onUnwritten: () => {},
       onUnreadable: () => {},
@@ -59,6 +69,15 @@
     if (cleared !== null) this.#announce(cleared)
   }
 
+  recordPartCrash (parts: string[], endpoint: string, startedAtMs: number): void {
+    this.partDetector.recordCrash(parts, endpoint, startedAtMs)
+    this.roster.announceParts()
+  }
+
+  recordPartsServed (parts: string[]): void {
+    if (this.partDetector.recordServed(parts, 'served').isAnnounced) this.roster.announceParts()
+  }
+
   stop (): void {
     this.#abort.abort()
     this.feed.faults.isSilent = true
@@ -80,6 +99,15 @@
   #incarnationCount = 0
   #sendCount = 0
   #thirdCrashAtMs = Infinity
+  #partSendCount = 0
+  #partCrashCount = 0
+  #soundCount = 0
+  #stopTraffic: () => void = () => {}
+  #fifthPartCrashAtMs = Infinity
+  /** Number of times that an undisturbed VM sent a request with the crashing part later than {@link STABLE_MS} after its fifth crash. */
+  latePartSendCount = 0
+  /** Number of sound requests that were refused. */
+  soundRefusedCount = 0
   /** Number of times that an undisturbed VM sent the crashing request later than {@link STABLE_MS} after its third crash. */
   lateSendCount = 0
 
@@ -102,6 +130,34 @@
     }, CRASH_DELAY_MS)
   }
 
+  /** Each VM serves sound requests; they share their first part with those that crash endpoints. */
+  startSoundTraffic (): void {
+    const timer = setInterval(() => this.vms.forEach(vm => this.#serveSound(vm)), SOUND_INTERVAL_MS)
+    this.#stopTraffic = () => clearInterval(timer)
+  }
+
+  /** Sends a request whose prompt has the crashing part, unless the VM refuses it. A sound one runs on the same endpoint and is lost with it. */
+  sendCrashingPart (i: number): void {
+    const vm = this.vms[i]
+    const n = ++this.#partSendCount
+    const parts = ['first', `other-${n}`, CRASHING_PART]
+    if (vm.partDetector.check(parts).type === 'quarantined') return
+    const nowMs = performance.now()
+    if (nowMs > this.#fifthPartCrashAtMs + STABLE_MS && this.#isUndisturbed(i)) this.latePartSendCount++
+    setTimeout(() => {
+      vm.recordPartCrash(parts, `part-endpoint-${n}`, nowMs)
+      vm.recordPartCrash(['first', `second-${n % SECOND_PARTS}`], `part-endpoint-${n}`, nowMs)
+      this.#partCrashCount++
+      if (this.#partCrashCount === 5) this.#fifthPartCrashAtMs = performance.now()
+    }, CRASH_DELAY_MS)
+  }
+
+  #serveSound (vm: SimulatedVm): void {
+    const parts = ['first', `second-${++this.#soundCount % SECOND_PARTS}`]
+    if (vm.partDetector.check(parts).type === 'quarantined') this.soundRefusedCount++
+    else vm.recordPartsServed(parts)
+  }
+
   /** An endpoint crashes under harmless requests of one VM, which are served when they come again. */
   crashUnderHarmlessRequests (i: number, count: number): void {
     const vm = this.vms[i]
@@ -161,6 +217,7 @@
   }
 
   stop (): void {
+    this.#stopTraffic()
     for (const vm of this.vms) vm.stop()
   }
 
