--- a/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -39,6 +39,9 @@
   | { type: 'busy' }
   | { type: 'none' }
 
+/** An endpoint for the next attempt. */
+export type ChosenEndpoint = Extract<Choice, { type: 'chosen' }>
+
 /** Dependencies of {@link EndpointChooser}. */
 export interface EndpointChooserDependencies {
   dataCentre: DataCentreId
--- a/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
@@ -31,8 +31,8 @@
   recordUnanswered (attempt: CrashedAttempt): void
   /** Returns why the request must not be sent, if endpoints crashed under it or under parts of its prompt; otherwise null. */
   findQuarantine (plan: RequestPlan): Quarantine | null
-  /** Whether the caller's access key is still known, and confirmed lately; true if none is required. */
-  isKeyConfirmed (plan: RequestPlan): boolean
+  /** Whether the caller's access key is still known, and confirmed lately or now; true if none is required. */
+  ensureKeyConfirmed (plan: RequestPlan): Promise<boolean>
   /** Time since the access keys were last confirmed, in milliseconds. */
   getKeysAgeMs (): number
   /** Adds jitter to a delay: returns 50 to 150 % of the mean, in milliseconds. */
--- a/packages/knapweedshunt-gateway/src/flow/launchAttempt.ts
+++ b/packages/knapweedshunt-gateway/src/flow/launchAttempt.ts
@@ -1,6 +1,6 @@
 import type { PrefixLevel } from 'knapweedshunt-types'
 import { Attempt } from '../endpoints/attempt.ts'
-import type { Choice } from '../endpoints/endpointChooser.ts'
+import type { ChosenEndpoint } from '../endpoints/endpointChooser.ts'
 import type { AttemptFields } from '../ports/endpointPort.ts'
 import type { RunningAttempt } from './runningAttempt.ts'
 import type { FlowDependencies } from './flowDependencies.ts'
@@ -11,7 +11,7 @@
 
 /** Parameters of an attempt that is about to be sent. */
 export interface AttemptLaunch {
-  chosen: Extract<Choice, { type: 'chosen' }>
+  chosen: ChosenEndpoint
   /** Prefix levels by which the endpoint was chosen. */
   homeLevels: PrefixLevel[]
   /** 1 for the first attempt of a request. */
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -302,7 +302,7 @@
       recordCrash: (attempt, evidence) => this.#suspectTracker.recordCrash(attempt, evidence),
       recordUnanswered: attempt => this.#unansweredAttempts.recordEnd(attempt),
       findQuarantine: plan => this.#suspectTracker.findQuarantine(plan),
-      isKeyConfirmed: ({ identity, call }) => identity === null || (this.#keyFreshness.isFresh && call.key !== null && this.#configState.findIdentity(call.key) !== undefined),
+      ensureKeyConfirmed: async ({ identity, call }) => identity === null || (await this.#keyFreshness.ensureFresh() && call.key !== null && this.#configState.findIdentity(call.key) !== undefined),
       getKeysAgeMs: () => this.#keyFreshness.ageMs,
       randomizeDelayMs: meanMs => Math.round(meanMs * (0.5 + this.#rng.drawFloat()))
     }
