Parts that crash endpoints: evidence that has been cleared is published again

Callers would see: a VM that starts refuses all requests with a part in frequent use, for 30 s or more.

Cause: a VM publishes its reports with each crash, but cleared parts of them only when they were lost again and again. What lay in the store therefore still accused the first part of all prompts, and a VM that had served nothing yet could not know better; as it refused them, it never would.

Now a VM publishes again, within 500 ms, when parts of its own reports are cleared.

--- a/packages/knapweedshunt-attempts/src/__tests__/crashingPartDetector.test.ts
+++ b/packages/knapweedshunt-attempts/src/__tests__/crashingPartDetector.test.ts
@@ -136,3 +136,15 @@
   clock.tick(1)
   t.true(JSON.stringify(detector.buildEvidence()).length < 65_536)
 }))
+
+// Guards against a VM that starts, reads old reports of a part in frequent use and refuses all requests with it.
+test.serial('a VM that starts does not suspect a part that was served since its crashes', runWithClock((t, clock) => {
+  const reporter = new CrashingPartDetector()
+  for (let n = 0; n < 6; n++) {
+    crash(clock, reporter, ['first0', `x${n}`], OTHERS)
+    t.true(reporter.recordServed(['first0'], 'e1').isAnnounced)
+  }
+  const started = new CrashingPartDetector()
+  started.applyEvidence(copy(reporter.buildEvidence()), 0)
+  t.is(started.check(['first0', 'second1']).type, 'clear')
+}))
--- a/packages/knapweedshunt-attempts/src/crashingPartDetector.ts
+++ b/packages/knapweedshunt-attempts/src/crashingPartDetector.ts
@@ -20,7 +20,7 @@
 export interface ClearedParts {
   /** Parts that were suspect or quarantined until now. */
   parts: string[]
-  /** Whether the other VMs must hear of it. */
+  /** Whether the other VMs must hear of it, soon: what this VM has published is no longer true, or the part is lost again and again. */
   isAnnounced: boolean
 }
 
@@ -176,8 +176,9 @@
     if (reports.length === 0 && quarantines.length === 0) return null
     const ids = [...reports, ...quarantines].map(({ id }) => id)
     const mustAnnounce = this.#clearings.recordOwn(part, ids)
+    const isPublished = quarantines.length > 0 || reports.some(report => report.isOwn)
     for (const id of ids) this.#clearPart(id, part)
-    return { part, isAnnounced: mustAnnounce || quarantines.length > 0 }
+    return { part, isAnnounced: mustAnnounce || isPublished }
   }
 
   #applyClearing (part: string, id: string): void {
--- a/packages/knapweedshunt-gateway/src/__tests__/simulatedFleet.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/simulatedFleet.ts
@@ -24,6 +24,9 @@
 /** Number of parts that sound requests share beside the first. */
 const SECOND_PARTS = 12
 
+/** Time for which cleared parts are gathered before they are announced, in milliseconds. */
+const CLEARING_DELAY_MS = 500
+
 /** Interval of the sound requests of each VM, in milliseconds. */
 const SOUND_INTERVAL_MS = 100
 
@@ -75,7 +78,7 @@
   }
 
   recordPartsServed (parts: string[]): void {
-    if (this.partDetector.recordServed(parts, 'served').isAnnounced) this.roster.announceParts()
+    if (this.partDetector.recordServed(parts, 'served').isAnnounced) setTimeout(() => this.roster.announceParts(), CLEARING_DELAY_MS)
   }
 
   stop (): void {
--- a/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
+++ b/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
@@ -13,6 +13,9 @@
 /** Statuses from here on are no answer that an endpoint generated from the prompt. */
 const MIN_UNGENERATED_STATUS = 300
 
+/** Time for which cleared parts are gathered before they are announced, in milliseconds. */
+const CLEARING_DELAY_MS = 500
+
 /** Why a request must not be sent. */
 export interface Quarantine {
   detail: string
@@ -34,6 +37,7 @@
   readonly #dependencies: SuspectTrackerDependencies
   readonly #registry = new SuspectRegistry(SUSPECT_OPTIONS)
   readonly #partDetector = new CrashingPartDetector()
+  #hasScheduledAnnouncement = false
 
   constructor (dependencies: SuspectTrackerDependencies) {
     this.#dependencies = dependencies
@@ -73,7 +77,7 @@
 
   /** Clears a request that was answered, and the parts of its prompt if an endpoint generated the answer: neither crashes endpoints. */
   recordAnswered ({ call, fingerprint, sharedParts }: RequestPlan, status: number, incarnation: string): void {
-    const { metrics, decisionLog, announceMark, announceParts } = this.#dependencies
+    const { metrics, decisionLog, announceMark } = this.#dependencies
     const cleared = this.#registry.recordSuccess(fingerprint)
     if (cleared !== null) {
       metrics.recordMark('cleared')
@@ -83,7 +87,7 @@
     if (status >= MIN_UNGENERATED_STATUS) return
     const { parts, isAnnounced } = this.#partDetector.recordServed(sharedParts, incarnation)
     if (parts.length > 0) decisionLog.record({ type: 'partsCleared', requestId: call.requestId, parts: formatParts(parts), isAnnounced })
-    if (isAnnounced) announceParts()
+    if (isAnnounced) this.#scheduleAnnouncement()
   }
 
   /** Builds what the other VMs must know about prompt parts. */
@@ -104,6 +108,16 @@
     this.#recordQuarantines(this.#partDetector.applyEvidence(evidence, ageMs, isOwn), from)
   }
 
+  /** Announces the parts that are cleared within a short time together. */
+  #scheduleAnnouncement (): void {
+    if (this.#hasScheduledAnnouncement) return
+    this.#hasScheduledAnnouncement = true
+    setTimeout(() => {
+      this.#hasScheduledAnnouncement = false
+      this.#dependencies.announceParts()
+    }, CLEARING_DELAY_MS).unref()
+  }
+
   #recordQuarantines (quarantines: PartQuarantine[], from: string): void {
     for (const { id, parts, untilMs } of quarantines) {
       this.#dependencies.metrics.recordPartQuarantine()
