--- a/packages/knapweedshunt-gateway/src/callers/auxiliaryServers.ts
+++ b/packages/knapweedshunt-gateway/src/callers/auxiliaryServers.ts
@@ -3,34 +3,41 @@
 import type { ListenAddress } from '../ports/vmSettings.ts'
 import type { GatewayMetrics } from '../records/gatewayMetrics.ts'
 
-/** A server for readiness checks or metrics, with its base URL. */
-export interface AuxiliaryServer {
-  server: http.Server
-  url: string
+/** Base URLs of the auxiliary servers; `metrics` is null if that server is not configured. */
+export interface AuxiliaryAddresses {
+  readiness: string
+  metrics: string | null
 }
 
-/** Starts a server that answers 200 while this VM accepts callers, otherwise 503. */
-export async function startReadinessServer (address: ListenAddress, isReady: () => boolean): Promise<AuxiliaryServer> {
-  const server = http.createServer((_request, response) => {
-    response.writeHead(isReady() ? 200 : 503, { 'Content-Length': '0' }).end()
-  })
-  return { server, url: await listen(server, address) }
-}
+/** Servers for readiness checks and metrics. */
+export class AuxiliaryServers {
+  readonly #readiness: http.Server
+  readonly #metrics: http.Server
 
-/** Starts a server for the metrics in the Prometheus text format. */
-export async function startMetricsServer (address: ListenAddress, metrics: GatewayMetrics): Promise<AuxiliaryServer> {
-  const server = http.createServer((_request, response) => {
-    metrics.registry.metrics().then(
-      text => response.writeHead(200, { 'Content-Type': metrics.registry.contentType }).end(text),
-      error => response.writeHead(500).end((error as Error).message)
-    )
-  })
-  return { server, url: await listen(server, address) }
-}
+  /** Readiness checks are answered with 200 while this VM accepts callers, otherwise with 503; metrics have the Prometheus text format. */
+  constructor (isReady: () => boolean, metrics: GatewayMetrics) {
+    this.#readiness = http.createServer((_request, response) => {
+      response.writeHead(isReady() ? 200 : 503, { 'Content-Length': '0' }).end()
+    })
+    this.#metrics = http.createServer((_request, response) => {
+      metrics.registry.metrics().then(
+        text => response.writeHead(200, { 'Content-Type': metrics.registry.contentType }).end(text),
+        error => response.writeHead(500).end((error as Error).message)
+      )
+    })
+  }
+
+  /** Starts the servers; without an address there is none for metrics. */
+  async start (readiness: ListenAddress, metrics: ListenAddress | null): Promise<AuxiliaryAddresses> {
+    return { readiness: await listen(this.#readiness, readiness), metrics: metrics === null ? null : await listen(this.#metrics, metrics) }
+  }
 
-/** Closes a server and its connections at once; null is ignored. */
-export async function closeAuxiliaryServer (auxiliary: AuxiliaryServer | null): Promise<void> {
-  if (auxiliary === null) return
-  auxiliary.server.closeAllConnections()
-  await closeServer(auxiliary.server)
+  /** Closes the servers and their connections at once. */
+  async close (): Promise<void> {
+    for (const server of [this.#readiness, this.#metrics]) {
+      if (!server.listening) continue
+      server.closeAllConnections()
+      await closeServer(server)
+    }
+  }
 }
--- a/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
+++ b/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
@@ -103,6 +103,12 @@
     decisionLog.record({ type: 'markApplied', fingerprint: formatFingerprint(mark.fingerprint), mark: mark.type, from, ageMs, ...this.#describeSuspect(mark.fingerprint) })
   }
 
+  /** Records that a mark fell out of this VM's full row. */
+  handleMarkEvicted (mark: SuspectMark): void {
+    this.#dependencies.metrics.recordMark('evicted')
+    this.#dependencies.decisionLog.record({ type: 'markEvicted', fingerprint: formatFingerprint(mark.fingerprint), mark: mark.type })
+  }
+
   /** Applies what another VM, or this one before its restart, knows about prompt parts. */
   applyPartEvidence ({ evidence, from, ageMs, isOwn }: ReceivedPartEvidence): void {
     this.#recordQuarantines(this.#partDetector.applyEvidence(evidence, ageMs, isOwn), from)
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/directory/tableFollowers.ts
@@ -0,0 +1,47 @@
+import type { Logger } from 'knapweedshunt-logger'
+import { DEFAULT_TABLE_FOLLOWER_OPTIONS, TableFollower } from 'knapweedshunt-platform'
+import type { TableFeed, TableUpdate } from 'knapweedshunt-platform'
+import type { Rng } from 'knapweedshunt-utils'
+import type { DirectoryPort } from '../ports/directoryPort.ts'
+import { ROSTER_TABLE } from './rosterRows.ts'
+import { ROSTER_POLL_WAIT_MS } from './vmRoster.ts'
+
+/** Time for which the store may hold a long poll of the operator's rows, in milliseconds; twice this time is below the age at which keys are no longer used. */
+const RESOURCE_POLL_WAIT_MS = 1_500
+
+/** Time for which the store may hold a long poll of the endpoints, in milliseconds. A connection that went silent is noticed only after it, and until then this VM does not learn that an endpoint leaves. */
+const ENDPOINT_POLL_WAIT_MS = 1_500
+
+/** Pause after a poll that returned changes of endpoints, in milliseconds; far below the time within which a leaving endpoint must get no new requests. */
+const ENDPOINT_POLL_PAUSE_MS = 500
+
+/** Dependencies of {@link TableFollowers}. */
+export interface TableFollowersDependencies {
+  feed: TableFeed
+  directoryPort: DirectoryPort
+  log: Logger
+  rng: Rng
+  onResources (update: TableUpdate): void
+  onEndpoints (update: TableUpdate): void
+  onRoster (update: TableUpdate): void
+}
+
+/** Followers of the three tables that a VM reads. */
+export class TableFollowers {
+  readonly resources: TableFollower
+  readonly endpoints: TableFollower
+  readonly roster: TableFollower
+
+  constructor ({ feed, directoryPort, log, rng, onResources, onEndpoints, onRoster }: TableFollowersDependencies) {
+    const create = (table: string, waitMs: number, coalesceMs: number, onUpdate: (update: TableUpdate) => void) =>
+      new TableFollower(feed, { ...DEFAULT_TABLE_FOLLOWER_OPTIONS, table, waitMs, coalesceMs, seed: rng.drawInt(2 ** 30) }, log, onUpdate)
+    this.resources = create(directoryPort.resourceTable, RESOURCE_POLL_WAIT_MS, 0, onResources)
+    this.endpoints = create(directoryPort.endpointTable, ENDPOINT_POLL_WAIT_MS, ENDPOINT_POLL_PAUSE_MS, onEndpoints)
+    this.roster = create(ROSTER_TABLE, ROSTER_POLL_WAIT_MS, 0, onRoster)
+  }
+
+  /** Follows all tables until the signal aborts. */
+  async run (signal: AbortSignal): Promise<void> {
+    await Promise.all([this.resources.run(signal), this.endpoints.run(signal), this.roster.run(signal)])
+  }
+}
--- a/packages/knapweedshunt-gateway/src/index.ts
+++ b/packages/knapweedshunt-gateway/src/index.ts
@@ -1,5 +1,6 @@
 /** Pass-through data path of a VM; the deployment implements the protocol in the ports. */
 export * from './gateway.ts'
+export * from './gatewayDependencies.ts'
 export * from './ports/callerCall.ts'
 export * from './ports/directoryPort.ts'
 export * from './ports/endpointEntry.ts'
