--- a/packages/knapweedshunt-attempts/src/__tests__/crashingPartDetector.test.ts
+++ b/packages/knapweedshunt-attempts/src/__tests__/crashingPartDetector.test.ts
@@ -27,7 +27,7 @@
 /** An attempt with these parts starts and ends with its endpoint, each time another one; sound requests are served before. */
 function crash (clock: Clock, detector: CrashingPartDetector, parts: string[], servedBefore: string[][] = []): void {
   clock.tick(PAUSE_MS)
-  for (const served of servedBefore) detector.recordServed(served, 'sound')
+  for (const served of servedBefore) detector.recordServed(served)
   const startedAtMs = performance.now()
   clock.tick(RUN_MS)
   detector.recordCrash(parts, `e@${startedAtMs}`, startedAtMs)
@@ -59,13 +59,13 @@
   for (let n = 0; n < 3; n++) crash(clock, detector, ['first0', 'companion', 'bad'], OTHERS)
   t.is(detector.check(['first0', 'companion', 'bad']).type, 'quarantined')
   t.is(detector.check(['first0', 'companion']).type, 'clear')
-  t.true(detector.recordServed(['first0', 'companion'], 'e1').isAnnounced)
+  t.true(detector.recordServed(['first0', 'companion']).isAnnounced)
   t.is(detector.check(['bad']).type, 'quarantined')
 }))
 
 test.serial('endpoints that fail at the same time count as one crash', runWithClock((t, clock) => {
   const detector = new CrashingPartDetector()
-  for (const served of OTHERS) detector.recordServed(served, 'e0')
+  for (const served of OTHERS) detector.recordServed(served)
   const startedAtMs = performance.now()
   clock.tick(RUN_MS)
   for (let n = 0; n < 8; n++) detector.recordCrash(['rare'], `e${n}`, startedAtMs)
@@ -93,7 +93,7 @@
 
 test.serial('crashes at several VMs add up, and those of one VM are not counted twice', runWithClock((t, clock) => {
   const vms = [new CrashingPartDetector(), new CrashingPartDetector(), new CrashingPartDetector()]
-  for (const vm of vms) for (const served of OTHERS) vm.recordServed(served, 'e0')
+  for (const vm of vms) for (const served of OTHERS) vm.recordServed(served)
   for (const [i, vm] of vms.entries()) {
     crash(clock, vm, [`x${i}`, 'bad'], OTHERS)
     const evidence = copy(vm.buildEvidence())
@@ -106,7 +106,7 @@
   const [reporter, server] = [new CrashingPartDetector(), new CrashingPartDetector()]
   for (let n = 0; n < 2; n++) crash(clock, reporter, ['rare'], OTHERS)
   server.applyEvidence(copy(reporter.buildEvidence()), 0)
-  t.true(server.recordServed(['rare'], 'e1').isAnnounced)
+  t.true(server.recordServed(['rare']).isAnnounced)
   const clearing = copy(server.buildEvidence())
   const late = new CrashingPartDetector()
   for (const vm of [reporter, late]) vm.applyEvidence(clearing, 0)
@@ -132,7 +132,7 @@
 test.serial('reports, quarantines and clearings stay within their limits', runWithClock((t, clock) => {
   const detector = new CrashingPartDetector()
   for (let n = 0; n < 400; n++) detector.recordCrash(Array.from({ length: 20 }, (_, i) => `p${n}-${i}`), `e${n}`, performance.now())
-  for (let n = 0; n < 400; n++) detector.recordServed([`p${n}-1`], 'e')
+  for (let n = 0; n < 400; n++) detector.recordServed([`p${n}-1`])
   clock.tick(1)
   t.true(JSON.stringify(detector.buildEvidence()).length < 65_536)
 }))
@@ -142,7 +142,7 @@
   const reporter = new CrashingPartDetector()
   for (let n = 0; n < 6; n++) {
     crash(clock, reporter, ['first0', `x${n}`], OTHERS)
-    t.true(reporter.recordServed(['first0'], 'e1').isAnnounced)
+    t.true(reporter.recordServed(['first0']).isAnnounced)
   }
   const started = new CrashingPartDetector()
   started.applyEvidence(copy(reporter.buildEvidence()), 0)
--- a/packages/knapweedshunt-attempts/src/crashingPartDetector.ts
+++ b/packages/knapweedshunt-attempts/src/crashingPartDetector.ts
@@ -67,14 +67,14 @@
   recordCrash (parts: readonly string[], endpoint: EndpointName, startedAtMs: number): PartQuarantine[] {
     if (parts.length === 0) return []
     const suspectParts = new Map(parts.map(part => [part, this.#estimateLostShare(part, endpoint)]))
-    this.#outcomes.record(endpoint, parts, false)
+    this.#outcomes.record(parts, endpoint)
     this.#addReport({ id: this.#createId(), endpoint, startedAtMs, crashedAtMs: performance.now(), suspectParts, isOwn: true })
     return this.#quarantineSuspects(new Set(suspectParts.keys()))
   }
 
   /** Records that an endpoint served a request with these shared parts completely. */
-  recordServed (parts: readonly string[], endpoint: EndpointName): ClearedParts {
-    if (parts.length > 0) this.#outcomes.record(endpoint, parts, true)
+  recordServed (parts: readonly string[]): ClearedParts {
+    if (parts.length > 0) this.#outcomes.record(parts, null)
     const cleared = parts.map(part => this.#clearServed(part)).filter(result => result !== null)
     return { parts: cleared.map(({ part }) => part), isAnnounced: cleared.some(({ isAnnounced }) => isAnnounced) }
   }
--- a/packages/knapweedshunt-gateway/src/__tests__/simulatedFleet.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/simulatedFleet.ts
@@ -78,7 +78,7 @@
   }
 
   recordPartsServed (parts: string[]): void {
-    if (this.partDetector.recordServed(parts, 'served').isAnnounced) setTimeout(() => this.roster.announceParts(), CLEARING_DELAY_MS)
+    if (this.partDetector.recordServed(parts).isAnnounced) setTimeout(() => this.roster.announceParts(), CLEARING_DELAY_MS)
   }
 
   stop (): void {
--- a/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
+++ b/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
@@ -76,7 +76,7 @@
   }
 
   /** Clears a request that was answered, and the parts of its prompt if an endpoint generated the answer: neither crashes endpoints. */
-  recordAnswered ({ call, fingerprint, sharedParts }: RequestPlan, status: number, incarnation: string): void {
+  recordAnswered ({ call, fingerprint, sharedParts }: RequestPlan, status: number): void {
     const { metrics, decisionLog, announceMark } = this.#dependencies
     const cleared = this.#registry.recordSuccess(fingerprint)
     if (cleared !== null) {
@@ -85,7 +85,7 @@
       announceMark(cleared)
     }
     if (status >= MIN_UNGENERATED_STATUS) return
-    const { parts, isAnnounced } = this.#partDetector.recordServed(sharedParts, incarnation)
+    const { parts, isAnnounced } = this.#partDetector.recordServed(sharedParts)
     if (parts.length > 0) decisionLog.record({ type: 'partsCleared', requestId: call.requestId, parts: formatParts(parts), isAnnounced })
     if (isAnnounced) this.#scheduleAnnouncement()
   }
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -214,9 +214,9 @@
       decisionLog: this.#decisionLog,
       log: this.#dependencies.log,
       tryTakeRetry: (pool, isOptional) => this.#retryBudget.tryTake(pool, isOptional),
-      recordSuccess: (plan, status, incarnation) => {
+      recordSuccess: (plan, status) => {
         this.#retryBudget.recordSuccess(plan.pool)
-        this.#suspectTracker.recordAnswered(plan, status, incarnation)
+        this.#suspectTracker.recordAnswered(plan, status)
       },
       recordCrash: (attempt, evidence) => this.#suspectTracker.recordCrash(attempt, evidence),
       recordUnanswered: attempt => this.#unansweredAttempts.recordEnd(attempt),
