--- a/packages/knapweedshunt-quickstart/src/__tests__/dataPathFaults.test.ts
+++ b/packages/knapweedshunt-quickstart/src/__tests__/dataPathFaults.test.ts
@@ -131,6 +131,31 @@
   })
 })
 
+const RULES = 'The rules of the house. '.repeat(40)
+const BAD_SECTION = 'A section with poison in it. '.repeat(10)
+
+/** Sends a chat whose messages are the levels of its prompt. */
+async function postChat (harness: RouterHarness, router: number, contents: string[]): Promise<number> {
+  const body = { model: MODEL, stream: false, max_tokens: 12, messages: contents.map(content => ({ role: 'user', content })) }
+  return (await requestJson({ method: 'POST', url: `${harness.routers[router].callerUrl}/v1/chat/completions`, headers: { authorization: `Bearer ${ACCESS_KEY}` }, body, timeoutMs: TIMEOUT_MS })).status
+}
+
+// Guards against requests that crash engines by a part of their prompt, of which no two are alike, so that their crashes never add up.
+test('requests that share a part which crashes engines are quarantined on all routers, and sound ones are answered', async t => {
+  await runWithHarness({ engines: 9, routers: 3 }, async harness => {
+    const initialIncarnations = harness.engines.map(engine => engine.state.incarnation)
+    for (const engine of harness.engines) engine.state.faults.crashOnText = 'poison'
+    const statuses: number[] = []
+    for (let n = 0; n < 12; n++) {
+      for (let i = 0; i < 3; i++) t.is(await postChat(harness, (n + i) % 3, [RULES, `sound ${i}`, `own ${n}`]), 200)
+      statuses.push(await postChat(harness, n % 3, n % 2 === 0 ? [RULES, BAD_SECTION, `bad ${n}`] : [BAD_SECTION, `bad ${n}`]))
+    }
+    t.deepEqual(statuses.slice(-6), [422, 422, 422, 422, 422, 422])
+    t.true(harness.engines.filter((engine, i) => engine.state.incarnation !== initialIncarnations[i]).length <= 5)
+    assertIdle(t, harness)
+  })
+})
+
 test('a short job is hedged when its first token is late', async t => {
   await runWithHarness({ engines: 3, job: 'short' }, async harness => {
     const { texts, engineIndex } = await completeUndisturbed(harness)
--- a/packages/knapweedshunt-router/src/__tests__/dataPathHarness.ts
+++ b/packages/knapweedshunt-router/src/__tests__/dataPathHarness.ts
@@ -167,6 +167,7 @@
     receivedAtMs: performance.now(),
     deadlineAtMs: performance.now() + 30_000,
     levels: [{ key: 'a', tokens: 10 }],
+    sharedParts: [],
     idempotencyKey: null,
     orderTicket: null,
     resumeFrom: 0,
--- a/packages/knapweedshunt-router/src/callerRequest.ts
+++ b/packages/knapweedshunt-router/src/callerRequest.ts
@@ -23,6 +23,8 @@
   deadlineAtMs: number
   /** Prefix levels of the prompt; empty for services. */
   levels: PrefixLevel[]
+  /** Hashes of the texts of all levels but the last, each of its text alone; other prompts may hold them at another level. */
+  sharedParts: string[]
   idempotencyKey: string | null
   /** Ticket from `POST /v1/tickets`, used in place of an idempotency key. */
   orderTicket: string | null
--- a/packages/knapweedshunt-router/src/dataPath.ts
+++ b/packages/knapweedshunt-router/src/dataPath.ts
@@ -53,9 +53,9 @@
     this.log = log
     this.endpointClient = client
     this.stallLimits = { firstTokenMs: options.firstTokenTimeoutMs, betweenTokensMs: options.tokenTimeoutMs }
-    this.suspectGuard = new SuspectGuard(mark => this.peerExchange.broadcastMark(mark))
+    this.suspectGuard = new SuspectGuard({ broadcastMark: mark => this.peerExchange.broadcastMark(mark), broadcastParts: () => this.peerExchange.broadcastParts() })
     this.outcomeReporter = new EndpointOutcomeReporter(vm, peerKey)
-    this.peerExchange = new PeerExchange({ vm, dataCentre, peerKey, placement: this.placement, admission: this.admission, registry: this.suspectGuard.registry, log })
+    this.peerExchange = new PeerExchange({ vm, dataCentre, peerKey, placement: this.placement, admission: this.admission, registry: this.suspectGuard.registry, partDetector: this.suspectGuard.partDetector, log })
   }
 
   /** Index of the current resources; null before the first snapshot. */
--- a/packages/knapweedshunt-router/src/parseCallerRequest.ts
+++ b/packages/knapweedshunt-router/src/parseCallerRequest.ts
@@ -18,6 +18,9 @@
 
 const SEED_HEX_DIGITS = 7
 
+/** Length of the hash by which a part of prompts is recognised. */
+const PART_HASH_CHARS = 32
+
 /** Reads, authenticates, routes and validates a request. Throws CallerError. */
 export async function parseCallerRequest (message: IncomingMessage, index: ResourceIndex, maxBodyBytes: number): Promise<CallerRequest> {
   const organisation = authenticate(message.headers, index)
@@ -46,7 +49,11 @@
   const digest = hashText(path, JSON.stringify(body))
   const seed = body.seed ?? parseInt(digest.slice(0, SEED_HEX_DIGITS), 16)
   const work: CallerWork = { type: 'completion', path, body, stream: body.stream, salt, seed }
-  return { ...buildCommon(organisation, headers, route, index), levels: buildPrefixLevels(salt, parts), digest, work }
+  return { ...buildCommon(organisation, headers, route, index), levels: buildPrefixLevels(salt, parts), sharedParts: hashSharedParts(parts), digest, work }
+}
+
+function hashSharedParts (parts: string[]): string[] {
+  return [...new Set(parts.slice(0, -1).map(part => hashText(part).slice(0, PART_HASH_CHARS)))]
 }
 
 function parseService (organisation: OrganisationName, headers: CallerHeaders, message: IncomingMessage, text: string, index: ResourceIndex): CallerRequest {
@@ -55,10 +62,10 @@
   if (route === undefined) throw createCallerError('route_unknown', `There is no route for the service path "${path}": check it.`)
   const method = message.method ?? 'GET'
   const work: CallerWork = { type: 'service', method, path, contentType: message.headers['content-type'] ?? 'application/octet-stream', body: text }
-  return { ...buildCommon(organisation, headers, route, index), levels: [], digest: hashText(method, path, text), work }
+  return { ...buildCommon(organisation, headers, route, index), levels: [], sharedParts: [], digest: hashText(method, path, text), work }
 }
 
-function buildCommon (organisation: OrganisationName, headers: CallerHeaders, route: ResourceOf<'Route'>, index: ResourceIndex): Omit<CallerRequest, 'levels' | 'digest' | 'work'> {
+function buildCommon (organisation: OrganisationName, headers: CallerHeaders, route: ResourceOf<'Route'>, index: ResourceIndex): Omit<CallerRequest, 'levels' | 'sharedParts' | 'digest' | 'work'> {
   const priorityClass = headers.priorityClass ?? route.spec.priorityClass
   const spec = index.findClass(priorityClass)
   if (spec === undefined) throw createCallerError('header_invalid', `The header x-priority-class is "${priorityClass}": send the name of a declared priority class.`)
--- a/packages/knapweedshunt-router/src/peerExchange.ts
+++ b/packages/knapweedshunt-router/src/peerExchange.ts
@@ -1,4 +1,4 @@
-import type { SuspectMark, SuspectRegistry } from 'knapweedshunt-attempts'
+import type { CrashingPartDetector, SuspectMark, SuspectRegistry } from 'knapweedshunt-attempts'
 import type { Logger } from 'knapweedshunt-logger'
 import { createRpcClient } from 'knapweedshunt-rpc'
 import type { RpcClient } from 'knapweedshunt-rpc'
@@ -6,7 +6,7 @@
 import type { DataCentreId, Liveness, VmId, VmView } from 'knapweedshunt-types'
 import { createIncarnation, runEvery } from 'knapweedshunt-utils'
 import type { AdmissionController } from './admissionController.ts'
-import { demandMessageSchema, marksMessageSchema, MAX_DEMANDS, MAX_HOT_KEYS } from './peerMessages.ts'
+import { demandMessageSchema, marksMessageSchema, MAX_DEMANDS, MAX_HOT_KEYS, partsMessageSchema } from './peerMessages.ts'
 import type { DemandMessage } from './peerMessages.ts'
 import { UnacknowledgedMarks } from './unacknowledgedMarks.ts'
 
@@ -26,6 +26,8 @@
   client: RpcClient
   unacknowledgedMarks: UnacknowledgedMarks
   isSending: boolean
+  /** Whether the peer lacks the latest evidence of the part detector. */
+  needsParts: boolean
 }
 
 /** Options and collaborators of {@link PeerExchange}. */
@@ -36,10 +38,11 @@
   placement: Placement
   admission: AdmissionController
   registry: SuspectRegistry
+  partDetector: CrashingPartDetector
   log: Logger
 }
 
-/** Sends marks of suspect requests to all peer routers immediately, and exchanges demand with a few peers each round. */
+/** Sends marks of suspect requests and evidence about crashing parts of prompts to all peer routers immediately, and exchanges demand with a few peers each round. */
 export class PeerExchange {
   readonly #options: PeerExchangeOptions
   readonly #peers = new Map<VmId, Peer>()
@@ -76,6 +79,20 @@
     }
   }
 
+  /** Sends the part detector's evidence to all peers; one that does not acknowledge it is sent the latest again each round. */
+  broadcastParts (): void {
+    for (const peer of this.#peers.values()) {
+      peer.needsParts = true
+      this.#sendParts(peer)
+    }
+  }
+
+  /** Handles `router.parts`. Throws ZodError on invalid params. */
+  handleParts (params: unknown): object {
+    this.#options.partDetector.applyEvidence(partsMessageSchema.parse(params).evidence, 0)
+    return {}
+  }
+
   /** Handles `router.marks`. Throws ZodError on invalid params. */
   handleMarks (params: unknown): object {
     for (const mark of marksMessageSchema.parse(params).marks) this.#options.registry.applyMark(mark)
@@ -100,7 +117,10 @@
     const selectedPeers = [...selectPeers(local, this.#round), ...selectPeers(remote, this.#round)]
     this.#round++
     await Promise.all(selectedPeers.map(peer => this.#exchangeDemand(peer)))
-    for (const peer of this.#peers.values()) this.#sendMarks(peer)
+    for (const peer of this.#peers.values()) {
+      this.#sendMarks(peer)
+      this.#sendParts(peer)
+    }
   }
 
   async #exchangeDemand (peer: Peer): Promise<void> {
@@ -126,6 +146,17 @@
     }
   }
 
+  async #sendParts (peer: Peer): Promise<void> {
+    if (!peer.needsParts) return
+    peer.needsParts = false
+    try {
+      await peer.client.call('router.parts', { vm: this.#options.vm, evidence: this.#options.partDetector.buildEvidence() })
+    } catch (error) {
+      peer.needsParts = true
+      this.#options.log.warn('Sending evidence about prompt parts to peer failed; retrying next round.', { peer: peer.view.vm, reason: (error as Error).message })
+    }
+  }
+
   #applyDemand ({ vm, incarnation, dataCentre, n, demands, hotKeys }: DemandMessage): void {
     this.#options.admission.applyPeerDemand(vm, demands)
     this.#options.placement.handleEvent({ type: 'peerDemand', vm, incarnation, dataCentre, n, demands: hotKeys })
@@ -148,10 +179,11 @@
     if (existing?.view.incarnation === view.incarnation && existing.view.routerUrl === view.routerUrl) return
     if (existing !== undefined) this.#removePeer(view.vm, existing)
     const client = createRpcClient({ url: view.routerUrl, sharedKey: this.#options.peerKey, timeoutMs: CALL_TIMEOUT_MS })
-    const peer: Peer = { view, client, unacknowledgedMarks: new UnacknowledgedMarks(), isSending: false }
+    const peer: Peer = { view, client, unacknowledgedMarks: new UnacknowledgedMarks(), isSending: false, needsParts: true }
     this.#peers.set(view.vm, peer)
     for (const mark of this.#options.registry.listMarks()) peer.unacknowledgedMarks.add(mark, performance.now())
     this.#sendMarks(peer)
+    this.#sendParts(peer)
   }
 
   #removePeer (vm: VmId, peer: Peer): void {
--- a/packages/knapweedshunt-router/src/peerMessages.ts
+++ b/packages/knapweedshunt-router/src/peerMessages.ts
@@ -1,4 +1,4 @@
-import { suspectMarkSchema } from 'knapweedshunt-attempts'
+import { partEvidenceSchema, suspectMarkSchema } from 'knapweedshunt-attempts'
 import { z } from 'zod'
 
 /** Most organisations in one demand message. */
@@ -30,3 +30,6 @@
 
 /** Params of `router.marks`: marks of requests that were in flight during an endpoint crash, are quarantined, or are cleared. */
 export const marksMessageSchema = z.object({ vm: text, marks: z.array(suspectMarkSchema).max(MAX_MARKS) })
+
+/** Params of `router.parts`: what a VM knows of prompt parts that may crash endpoints. */
+export const partsMessageSchema = z.object({ vm: text, evidence: partEvidenceSchema })
--- a/packages/knapweedshunt-router/src/suspectGuard.ts
+++ b/packages/knapweedshunt-router/src/suspectGuard.ts
@@ -1,34 +1,49 @@
-import { computeFingerprint, SuspectIsolator, SuspectRegistry } from 'knapweedshunt-attempts'
+import { computeFingerprint, CrashingPartDetector, SuspectIsolator, SuspectRegistry } from 'knapweedshunt-attempts'
 import type { IsolationGrant, SuspectMark, SuspectState } from 'knapweedshunt-attempts'
 import type { AttemptId, EndpointName, PoolName } from 'knapweedshunt-types'
 import { hashText } from 'knapweedshunt-utils'
 import type { CallerRequest } from './callerRequest.ts'
 
-/** Isolates requests that may crash endpoints, and broadcasts their marks to peers. */
+/** How the guard tells peers what it knows. */
+export interface SuspectBroadcasts {
+  broadcastMark (mark: SuspectMark): void
+  /** Sends the evidence of the part detector. */
+  broadcastParts (): void
+}
+
+/** Isolates requests that may crash endpoints, refuses those with parts that do, and broadcasts what it knows to peers. */
 export class SuspectGuard {
   readonly registry = new SuspectRegistry()
+  readonly partDetector = new CrashingPartDetector()
   readonly isolator = new SuspectIsolator()
-  readonly #broadcastMark: (mark: SuspectMark) => void
+  readonly #broadcasts: SuspectBroadcasts
   readonly #grantCallbacks = new Map<AttemptId, (endpoint: EndpointName) => void>()
 
-  constructor (broadcastMark: (mark: SuspectMark) => void) {
-    this.#broadcastMark = broadcastMark
+  constructor (broadcasts: SuspectBroadcasts) {
+    this.#broadcasts = broadcasts
   }
 
   /** Returns whether the request is clear, suspect or quarantined. */
   check (request: CallerRequest): SuspectState {
-    return this.registry.check(computeRequestFingerprint(request))
+    const requestState = this.registry.check(computeRequestFingerprint(request))
+    if (requestState.type === 'quarantined') return requestState
+    const partState = this.partDetector.check(request.sharedParts)
+    return partState.type === 'quarantined' ? { type: 'quarantined', retryAfterMs: partState.retryAfterMs } : requestState
   }
 
   /** Records that an endpoint crashed while it ran the request. */
   recordCrash (request: CallerRequest, endpoint: EndpointName, startedAtMs: number): void {
-    this.#broadcastMark(this.registry.recordCrash(computeRequestFingerprint(request), endpoint, startedAtMs))
+    this.#broadcasts.broadcastMark(this.registry.recordCrash(computeRequestFingerprint(request), endpoint, startedAtMs))
+    if (request.sharedParts.length === 0) return
+    this.partDetector.recordCrash(request.sharedParts, `${endpoint}@${Math.round(startedAtMs)}`, startedAtMs)
+    this.#broadcasts.broadcastParts()
   }
 
-  /** Records that the request completed, which may clear its suspicion. */
+  /** Records that an endpoint completed the request, which may clear its suspicion and that of its parts. */
   recordSuccess (request: CallerRequest): void {
     const mark = this.registry.recordSuccess(computeRequestFingerprint(request))
-    if (mark !== null) this.#broadcastMark(mark)
+    if (mark !== null) this.#broadcasts.broadcastMark(mark)
+    if (this.partDetector.recordServed(request.sharedParts).isAnnounced) this.#broadcasts.broadcastParts()
   }
 
   /** Calls `onEndpointGranted` when the attempt may start on an endpoint reserved for it; returns false when too many requests wait. Candidates are ranked by a hash of the request, so that all VMs rank them alike. */
