Crashing parts: endpoints that are seen alive give doubtful evidence, and a VM takes none from before its start

Cause: endpoints reset connections without crashing, again and again, while the store was unstable and VMs were restarted one after the other. A VM that had just started counted reports of parts that others had cleared, but whose clearing had not reached the store.

Fix: an incarnation that serves an attempt which started after a crash did not crash. Such reports count only from six crashes on, as for a part that was served before. A VM counts no report from before its own start, as it cannot know what was served then; quarantines that others found still apply.

--- a/packages/knapweedshunt-attempts/src/__tests__/crashingPartDetector.test.ts
+++ b/packages/knapweedshunt-attempts/src/__tests__/crashingPartDetector.test.ts
@@ -148,3 +148,27 @@
   started.applyEvidence(copy(reporter.buildEvidence()), 0)
   t.is(started.check(['first0', 'second1']).type, 'clear')
 }))
+
+// Guards against parts being quarantined, and sound requests refused, because endpoints reset connections without crashing.
+test.serial('endpoints that are seen alive after they reset connections give doubtful evidence', runWithClock((t, clock) => {
+  const detector = new CrashingPartDetector()
+  for (let n = 0; n < 5; n++) {
+    crash(clock, detector, ['rare'], OTHERS)
+    detector.recordAlive(`e@${performance.now() - RUN_MS}`, performance.now() + 1)
+  }
+  t.is(detector.check(['rare']).type, 'clear')
+  crash(clock, detector, ['rare'], OTHERS)
+  t.is(detector.check(['rare']).type, 'quarantined')
+}))
+
+// Guards against a VM that starts and takes old reports of a part, whose clearing did not reach the store, for evidence.
+test.serial('reports from before the start of a VM are no evidence for it', runWithClock((t, clock) => {
+  const reporter = new CrashingPartDetector()
+  for (let n = 0; n < 8; n++) crash(clock, reporter, [`x${n}`, 'first0'], n === 0 ? OTHERS : [['second']])
+  const evidence = { ...copy(reporter.buildEvidence()), quarantines: [] }
+  clock.tick(1)
+  const started = new CrashingPartDetector()
+  for (const served of OTHERS) started.recordServed(served.slice(1))
+  started.applyEvidence(evidence, 1)
+  t.is(started.check(['first0']).type, 'clear')
+}))
--- a/packages/knapweedshunt-attempts/src/__tests__/crashingPartSimulation.ts
+++ b/packages/knapweedshunt-attempts/src/__tests__/crashingPartSimulation.ts
@@ -119,7 +119,9 @@
     if (up.length === 0) return
     if (isCrashing) this.#countLateSend(vm, parts)
     const home = up.map(endpoint => ({ endpoint, rank: hashText(parts.at(-1) ?? '', endpoint.name) })).sort((a, b) => a.rank < b.rank ? -1 : 1)[0].endpoint
-    const attempt: Attempt = { vm, parts, startedAtMs: performance.now(), onEnd: isServed => this.#endAttempt(vm, parts, isCrashing, attemptsLeft, isServed) }
+    const startedAtMs = performance.now()
+    const endpoint = `${home.name}@${home.incarnation}`
+    const attempt: Attempt = { vm, parts, startedAtMs, onEnd: isServed => this.#endAttempt(vm, parts, endpoint, startedAtMs, isCrashing, attemptsLeft, isServed) }
     home.running.add(attempt)
     const runMs = 20 + this.#rng.drawInt(isCrashing ? 130 : 600)
     setTimeout(() => {
@@ -136,10 +138,11 @@
     }, runMs)
   }
 
-  #endAttempt (vm: number, parts: string[], isCrashing: boolean, attemptsLeft: number, isServed: boolean): void {
+  #endAttempt (vm: number, parts: string[], endpoint: string, startedAtMs: number, isCrashing: boolean, attemptsLeft: number, isServed: boolean): void {
     if (!isServed && attemptsLeft > 1) setTimeout(() => this.#send(vm, parts, isCrashing, attemptsLeft - 1), RETRY_DELAY_MS)
     if (!isServed) return
     this.soundServedCount++
+    this.#vms[vm].recordAlive(endpoint, startedAtMs)
     if (this.#vms[vm].recordServed(parts).isAnnounced) this.#exchange(vm)
   }
 
--- a/packages/knapweedshunt-attempts/src/crashingPartDetector.ts
+++ b/packages/knapweedshunt-attempts/src/crashingPartDetector.ts
@@ -5,6 +5,7 @@
 import type { CrashReport } from './crashReport.ts'
 import { CrashReportIndex } from './crashReportIndex.ts'
 import { PartClearings } from './partClearings.ts'
+import { EndpointLiveness } from './endpointLiveness.ts'
 import type { PartEvidence } from './partEvidence.ts'
 import { MAX_PUBLISHED } from './partEvidence.ts'
 import type { PartQuarantine } from './partQuarantine.ts'
@@ -37,6 +38,9 @@
   readonly #outcomes: RecentOutcomes
   readonly #reports: CrashReportIndex
   readonly #clearings = new PartClearings()
+  readonly #liveness = new EndpointLiveness()
+  /** Monotonic time from which on this VM can tell which parts were served. */
+  readonly #startedAtMs = performance.now()
   readonly #quarantines = new Map<string, PartQuarantine>()
   /** Makes ids unique among all VMs. */
   readonly #idPrefix = createIncarnation()
@@ -72,6 +76,11 @@
     return this.#quarantineSuspects(new Set(suspectParts.keys()))
   }
 
+  /** Records that an incarnation of an endpoint answered an attempt, so that it had not crashed before. */
+  recordAlive (endpoint: EndpointName, startedAtMs: number): void {
+    this.#liveness.recordServed(endpoint, startedAtMs)
+  }
+
   /** Records that an endpoint served a request with these shared parts completely. */
   recordServed (parts: readonly string[]): ClearedParts {
     if (parts.length > 0) this.#outcomes.record(parts, null)
@@ -140,15 +149,23 @@
 
   /** Quarantines a part, with those that were there in each of its crashes, if the crashes are unlikely to be chance. */
   #quarantineIfLikely (part: string): PartQuarantine[] {
+    const { minCrashes, minDoubtfulCrashes } = this.#options
+    const reports = this.#reports.listByPart(part).filter(report => report.crashedAtMs >= this.#startedAtMs && !this.#isExplained(report, part))
+    const certain = reports.filter(({ endpoint, crashedAtMs }) => !this.#liveness.isAliveAfter(endpoint, crashedAtMs))
+    const isInUse = this.#outcomes.hasServedAfter(part, -Infinity)
+    const found = this.#findQuarantine(part, certain, isInUse ? minDoubtfulCrashes : minCrashes) ?? this.#findQuarantine(part, reports, minDoubtfulCrashes)
+    return found === null ? [] : this.#addQuarantine(found)
+  }
+
+  /** Finds the quarantine that follows from these reports; null if they are too few or may be chance. */
+  #findQuarantine (part: string, reports: readonly CrashReport[], minCrashes: number): PartQuarantine | null {
+    if (reports.length < minCrashes) return null
     const { maxChance, minUncertainShare, quarantineMs, uncertainQuarantineMs } = this.#options
-    const reports = this.#reports.listByPart(part).filter(report => !this.#isExplained(report, part))
-    if (reports.length < this.#options.minCrashes) return []
-    const minCrashes = this.#outcomes.hasServedAfter(part, -Infinity) ? this.#options.minCrashesOfServed : this.#options.minCrashes
     const { sequentialCount, firstCrashAtMs, endpoints, lostShare, commonParts } = summarizeCrashes(part, reports)
     const baselineShare = Math.max(lostShare, this.#outcomes.estimateLostShareWithout(part, endpoints, firstCrashAtMs))
-    if (sequentialCount < minCrashes || baselineShare ** sequentialCount > maxChance) return []
+    if (sequentialCount < minCrashes || baselineShare ** sequentialCount > maxChance) return null
     const durationMs = baselineShare < minUncertainShare ? quarantineMs : uncertainQuarantineMs
-    return this.#addQuarantine({ id: this.#createId(), parts: commonParts, firstCrashAtMs, untilMs: performance.now() + durationMs })
+    return { id: this.#createId(), parts: commonParts, firstCrashAtMs, untilMs: performance.now() + durationMs }
   }
 
   /** Whether a quarantine of other parts accounts for the crash. */
--- a/packages/knapweedshunt-attempts/src/crashingPartOptions.ts
+++ b/packages/knapweedshunt-attempts/src/crashingPartOptions.ts
@@ -2,8 +2,8 @@
 export interface CrashingPartOptions {
   /** Minimum number of crashes, one after the other, for a quarantine. */
   minCrashes: number
-  /** The same for a part that this VM's requests were served with before. */
-  minCrashesOfServed: number
+  /** The same if there is doubt: this VM's requests were served with the part before, or the endpoints were seen alive later. */
+  minDoubtfulCrashes: number
   /** Largest probability that as many attempts in a row would have been lost by chance, at the rate at which attempts without the part are lost. */
   maxChance: number
   /** Time for which a crash counts. */
@@ -20,7 +20,7 @@
 /** Quarantines a part for ten minutes after three crashes, if other requests are served meanwhile. */
 export const DEFAULT_CRASHING_PART_OPTIONS: CrashingPartOptions = {
   minCrashes: 3,
-  minCrashesOfServed: 6,
+  minDoubtfulCrashes: 6,
   maxChance: 0.005,
   reportMs: 60_000,
   quarantineMs: 600_000,
--- a/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
+++ b/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
@@ -4,6 +4,7 @@
 import type { CrashedAttempt } from '../flow/crashedAttempt.ts'
 import type { RequestPlan } from '../flow/requestPlan.ts'
 import { formatFingerprint, formatParts } from '../flow/formatSuspects.ts'
+import type { RunningAttempt } from '../flow/runningAttempt.ts'
 import type { DecisionLog } from '../records/decisionLog.ts'
 import type { GatewayMetrics } from '../records/gatewayMetrics.ts'
 import type { ReceivedMark } from './crashMarks.ts'
@@ -76,7 +77,7 @@
   }
 
   /** Clears a request that was answered, and the parts of its prompt if an endpoint generated the answer: neither crashes endpoints. */
-  recordAnswered ({ call, fingerprint, sharedParts }: RequestPlan, status: number): void {
+  recordAnswered ({ call, fingerprint, sharedParts }: RequestPlan, { record, startedAtMs }: RunningAttempt, status: number): void {
     const { metrics, decisionLog, announceMark } = this.#dependencies
     const cleared = this.#registry.recordSuccess(fingerprint)
     if (cleared !== null) {
@@ -84,6 +85,7 @@
       decisionLog.record({ type: 'suspectCleared', requestId: call.requestId, fingerprint: formatFingerprint(fingerprint) })
       announceMark(cleared)
     }
+    this.#partDetector.recordAlive(record.entry.incarnation, startedAtMs)
     if (status >= MIN_UNGENERATED_STATUS) return
     const { parts, isAnnounced } = this.#partDetector.recordServed(sharedParts)
     if (parts.length > 0) decisionLog.record({ type: 'partsCleared', requestId: call.requestId, parts: formatParts(parts), isAnnounced })
--- a/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
@@ -10,6 +10,7 @@
 import type { GatewayMetrics } from '../records/gatewayMetrics.ts'
 import type { CrashedAttempt } from './crashedAttempt.ts'
 import type { RequestPlan } from './requestPlan.ts'
+import type { RunningAttempt } from './runningAttempt.ts'
 
 /** Dependencies shared by the tasks of all requests. */
 export interface FlowDependencies {
@@ -24,7 +25,7 @@
   /** Takes one retry permit from the budget of the pool; false when it is spent. An optional retry uses only permits earned by successes and leaves the reserve to requests that would otherwise fail. */
   tryTakeRetry (pool: string, isOptional: boolean): boolean
   /** Records an answer that is no server error: it credits the retry budget of its pool and is no longer suspect. */
-  recordSuccess (plan: RequestPlan, status: number): void
+  recordSuccess (plan: RequestPlan, runningAttempt: RunningAttempt, status: number): void
   /** Records that an endpoint may have crashed while it ran the request; `evidence` is how the attempt ended. */
   recordCrash (attempt: CrashedAttempt, evidence: LossReason): void
   /** Records an attempt that was given up before an answer began, or whose stream stalled: its endpoint may have crashed. */
--- a/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
@@ -94,7 +94,7 @@
     const { call, route, identity } = this.#plan
     const organisation = identity?.organisation ?? ''
     const totalMs = this.getAgeMs()
-    if (status < MIN_SERVER_ERROR_STATUS) this.#dependencies.recordSuccess(this.#plan, status)
+    if (status < MIN_SERVER_ERROR_STATUS) this.#dependencies.recordSuccess(this.#plan, runningAttempt, status)
     this.#dependencies.metrics.recordResponse({ route: route.name, organisation, priority: String(identity?.priority ?? route.priority) }, firstByteMs, totalMs)
     this.#dependencies.decisionLog.record({ type: 'answered', requestId: call.requestId, route: route.name, organisation, endpoint: runningAttempt.record.entry.endpoint, status, attempts: runningAttempt.attemptNumber, firstByteMs: Math.round(firstByteMs), longestPauseMs: Math.round(longestPauseMs), totalMs, bytes })
   }
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -214,9 +214,9 @@
       decisionLog: this.#decisionLog,
       log: this.#dependencies.log,
       tryTakeRetry: (pool, isOptional) => this.#retryBudget.tryTake(pool, isOptional),
-      recordSuccess: (plan, status) => {
+      recordSuccess: (plan, runningAttempt, status) => {
         this.#retryBudget.recordSuccess(plan.pool)
-        this.#suspectTracker.recordAnswered(plan, status)
+        this.#suspectTracker.recordAnswered(plan, runningAttempt, status)
       },
       recordCrash: (attempt, evidence) => this.#suspectTracker.recordCrash(attempt, evidence),
       recordUnanswered: attempt => this.#unansweredAttempts.recordEnd(attempt),
