Gateway log: rate limits that endpoints state, and the one known when a request is sent

Lines limitStated and limitUnreadable, field limitPerS of sent, a counter and a gauge. No decision changes.

--- a/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
@@ -3,6 +3,7 @@
 import type { LossReason } from '../endpoints/attemptOutcome.ts'
 import type { EndpointChooser } from '../endpoints/endpointChooser.ts'
 import type { KvStoreMonitor } from '../endpoints/kvStoreMonitor.ts'
+import type { LimitRecorder } from '../endpoints/limitRecorder.ts'
 import type { EndpointMonitor } from '../endpoints/endpointMonitor.ts'
 import type { Quarantine } from '../directory/suspectTracker.ts'
 import type { EndpointPort } from '../ports/endpointPort.ts'
@@ -19,6 +20,7 @@
   chooser: EndpointChooser
   endpointMonitor: EndpointMonitor
   kvStoreMonitor: KvStoreMonitor
+  limitRecorder: LimitRecorder
   metrics: GatewayMetrics
   decisionLog: DecisionLog
   log: Logger
--- a/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
@@ -60,7 +60,8 @@
       loadAgeMs: Math.round(Math.min(performance.now() - record.loadAtMs, Number.MAX_SAFE_INTEGER)),
       configRevision,
       keysAgeMs: Math.round(Math.min(this.#dependencies.getKeysAgeMs(), Number.MAX_SAFE_INTEGER)),
-      timeLeftMs: Math.round(deadlineAtMs - performance.now())
+      timeLeftMs: Math.round(deadlineAtMs - performance.now()),
+      limitPerS: record.statedLimitPerS
     })
   }
 
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -187,6 +187,7 @@
     const model = this.#plan.call.prompt?.model
     if (head.weightsVersion !== null && model !== undefined && record.recordVersion(model, head.weightsVersion)) this.#dependencies.chooser.rebuild()
     if (head.load !== null) this.#dependencies.chooser.recordLoad(record, head.load)
+    this.#dependencies.limitRecorder.recordResponse(record, head.limit, this.#plan.call.requestId)
   }
 
   /** Cancels the current attempt and refuses the request when its deadline has passed. */
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import type { EndpointRecord } from './endpoints/endpointRecord.ts'
 import { EndpointChooser } from './endpoints/endpointChooser.ts'
 import { KvStoreMonitor } from './endpoints/kvStoreMonitor.ts'
+import { LimitRecorder } from './endpoints/limitRecorder.ts'
 import { EndpointMonitor } from './endpoints/endpointMonitor.ts'
 import type { FlowDependencies } from './flow/flowDependencies.ts'
 import { RequestPlanner } from './flow/requestPlanner.ts'
@@ -210,6 +211,7 @@
       chooser: this.#chooser,
       endpointMonitor: this.#endpointMonitor,
       kvStoreMonitor: this.#kvStoreMonitor,
+      limitRecorder: new LimitRecorder(this.#decisionLog, this.#metrics),
       metrics: this.#metrics,
       decisionLog: this.#decisionLog,
       log: this.#dependencies.log,
@@ -236,6 +238,7 @@
     this.#metrics.addGauge('requests_in_flight', 'Requests under way.', () => this.#requestHandler.inFlight)
     this.#metrics.addGauge('endpoints', 'Endpoints known.', () => this.#endpointRegistry.size)
     this.#metrics.addGauge('endpoints_out', 'Endpoints left out because they do not answer.', () => this.#endpointMonitor.excludedCount)
+    this.#metrics.addGauge('endpoints_limited', 'Endpoints that state a rate limit.', () => this.#endpointRegistry.list().filter(record => record.statedLimitPerS !== null).length)
     this.#metrics.addGauge('endpoints_loading', 'Endpoints that load weights.', () => this.#weightsState.listLoadingEndpoints().size)
     this.#metrics.addGauge('keys_age_seconds', 'Age of the operator\'s rows.', () => Math.min(this.#keyFreshness.ageMs, Number.MAX_SAFE_INTEGER) / 1_000)
     this.#metrics.addGauge('vms', 'VMs that may be running.', () => this.#roster.countVms())
--- a/packages/knapweedshunt-gateway/src/ports/endpointPort.ts
+++ b/packages/knapweedshunt-gateway/src/ports/endpointPort.ts
@@ -26,6 +26,14 @@
   slots: number
 }
 
+/** What a response says about the rate limit of its endpoint. */
+export type StatedLimit =
+  | { type: 'none' }
+  /** Requests per second that the endpoint accepts from all VMs together, for as long as its responses say so. */
+  | { type: 'limited', requestsPerS: number }
+  /** The value is not a rate. */
+  | { type: 'unreadable', text: string }
+
 /** Head of an endpoint's response. */
 export interface ResponseHead {
   /** Id of the request that the response belongs to; null when not stated. */
@@ -35,6 +43,7 @@
   /** Whether the endpoint states that it did not run the request and will not. */
   isNotRun: boolean
   load: ReportedLoad | null
+  limit: StatedLimit
   /** Version of the weights that served the request; null when not stated. */
   weightsVersion: number | null
 }
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -11,8 +11,8 @@
 
 /** A decision about one request; times in milliseconds. */
 export type RequestDecision =
-  /** Sent to an endpoint; `prefix` joins the first characters of the keys of the prompt's prefix levels, outermost first; `parts` joins the ids of the parts that other prompts may share. `fingerprint` begins the hash by which repetitions of the request are recognised. */
-  | { type: 'sent', requestId: RequestId, attempt: number, pool: PoolName, endpoint: EndpointName, incarnation: string, rank: number, prefix: string, parts: string, fingerprint: string, expectedCachedTokens: number, promptTokens: number, expectedWaitMs: number, open: number, loadAgeMs: number, configRevision: number, keysAgeMs: number, timeLeftMs: number }
+  /** Sent to an endpoint; `prefix` joins the first characters of the keys of the prompt's prefix levels, outermost first; `limitPerS` is the rate limit that the endpoint stated last, null for none; `parts` joins the ids of the parts that other prompts may share. `fingerprint` begins the hash by which repetitions of the request are recognised. */
+  | { type: 'sent', requestId: RequestId, attempt: number, pool: PoolName, endpoint: EndpointName, incarnation: string, rank: number, prefix: string, parts: string, fingerprint: string, expectedCachedTokens: number, promptTokens: number, expectedWaitMs: number, open: number, loadAgeMs: number, configRevision: number, keysAgeMs: number, timeLeftMs: number, limitPerS: number | null }
   /** An attempt ended without a response; `isRetried` if another endpoint is tried. */
   | { type: 'attemptEnded', requestId: RequestId, attempt: number, endpoint: EndpointName, outcome: string, reason: string, isRetried: boolean, afterMs: number }
   /** A stream is resumed at another endpoint; `endpoint` is the previous one. */
@@ -30,6 +30,10 @@
   /** Not used until it answers again; `reason` is the failure that was observed. */
   | { type: 'endpointOut', endpoint: EndpointName, reason: string }
   | { type: 'endpointBack', endpoint: EndpointName }
+  /** The rate limit in an endpoint's responses changed, in requests per second for all VMs together; null for none. */
+  | { type: 'limitStated', endpoint: EndpointName, incarnation: string, requestId: RequestId, limitPerS: number | null, previousPerS: number | null }
+  /** A response stated a rate limit that is not a rate; the limit known before stays. */
+  | { type: 'limitUnreadable', endpoint: EndpointName, incarnation: string, requestId: RequestId, text: string }
 
 /** A change of the state of the process. */
 export type ProcessDecision =
--- a/packages/knapweedshunt-gateway/src/records/decisionLog.ts
+++ b/packages/knapweedshunt-gateway/src/records/decisionLog.ts
@@ -31,6 +31,8 @@
   endpointGone: 'Endpoint gone.',
   endpointOut: 'Endpoint left out.',
   endpointBack: 'Endpoint used again.',
+  limitStated: 'Rate limit of endpoint changed.',
+  limitUnreadable: 'Rate limit of endpoint unreadable.',
   rowUnreadable: 'Row unreadable.',
   weightsWished: 'Weights wished.',
   leaseTaken: 'Lease taken.',
--- a/packages/knapweedshunt-gateway/src/records/gatewayMetrics.ts
+++ b/packages/knapweedshunt-gateway/src/records/gatewayMetrics.ts
@@ -26,6 +26,7 @@
   readonly #promptTokens = new Counter({ name: 'knapweedshunt_prompt_tokens_total', help: 'Prompt tokens sent, by whether the endpoint was expected to hold them.', labelNames: ['expected'], registers: [this.registry] })
   readonly #marks = new Counter({ name: 'knapweedshunt_crash_marks_total', help: 'Marks of requests that may crash endpoints, by event.', labelNames: ['event'], registers: [this.registry] })
   readonly #partQuarantines = new Counter({ name: 'knapweedshunt_part_quarantines_total', help: 'Quarantines of prompt parts that began here or were learnt from another VM.', registers: [this.registry] })
+  readonly #limitChanges = new Counter({ name: 'knapweedshunt_endpoint_limit_changes_total', help: 'Changes of the rate limits that endpoints state in their responses.', registers: [this.registry] })
   readonly #unwrittenRows = new Counter({ name: 'knapweedshunt_rows_unwritten_total', help: 'Failed writes of rows of this VM.', registers: [this.registry] })
   readonly #gauges = new Map<string, Gauge>()
 
@@ -56,6 +57,11 @@
     this.#partQuarantines.inc()
   }
 
+  /** Counts a change of the rate limit that an endpoint states. */
+  recordLimitChange (): void {
+    this.#limitChanges.inc()
+  }
+
   /** Counts a row of this VM that could not be written. */
   recordUnwrittenRow (): void {
     this.#unwrittenRows.inc()
