Stream relay: the end of an event is tracked in a class of its own, and repeated events count as progress

A resumed stream whose endpoint repeats events that the caller has was taken for stalled, as only new events restarted the timer.

--- a/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
@@ -1,13 +1,7 @@
 import type http from 'node:http'
+import { EventEndTracker } from './eventEndTracker.ts'
 import { EventSplitter } from './eventSplitter.ts'
-
-/** Length of the longest end of an event, in bytes. */
-const MAX_EVENT_END_BYTES = 4
-
-/** A blank line at the end of the text. */
-const EVENT_END = /\n\r?\n$/
-
-const BLANK_LINES = /^[\r\n]*$/
+import type { StreamEvent } from './eventSplitter.ts'
 
 /** Why a stream ended before it was complete. */
 export type StreamInterruption =
@@ -68,7 +62,7 @@
   /** Forwards the stream of one endpoint. Of a resumable stream only complete events are forwarded, each at most once. */
   async forward (response: http.IncomingMessage, options: RelayOptions): Promise<RelayResult> {
     const splitter = new EventSplitter()
-    let tail: Buffer = Buffer.alloc(0)
+    const endTracker = new EventEndTracker()
     let stallTimer: NodeJS.Timeout | undefined
     let isStalled = false
     const restartStallTimer = () => {
@@ -85,12 +79,12 @@
       for await (const chunk of response as AsyncIterable<Buffer>) {
         options.onChunk()
         if (this.#callerResponse.destroyed) return { type: 'callerLeft' }
-        const bytes = this.#isResumable ? this.#selectNewEvents(splitter, chunk) : chunk
-        if (bytes.length === 0) continue
+        endTracker.addChunk(chunk)
+        const events = this.#isResumable ? splitter.addChunk(chunk) : null
         // Bytes that complete no event are no progress.
-        restartStallTimer()
-        tail = Buffer.concat([tail, bytes]).subarray(-MAX_EVENT_END_BYTES)
-        if (!this.#write(bytes)) {
+        if (events === null || events.length > 0) restartStallTimer()
+        const bytes = events === null ? chunk : this.#selectNewEvents(events)
+        if (bytes.length > 0 && !this.#write(bytes)) {
           clearTimeout(stallTimer)
           if (!await this.#waitDrain()) return { type: 'callerLeft' }
           restartStallTimer()
@@ -103,18 +97,16 @@
       clearTimeout(stallTimer)
     }
     if (!response.complete) return { type: 'cut', reason: 'ended early' }
-    const rest = splitter.incompleteEvent
-    const isInsideEvent = rest.length > 0 ? !BLANK_LINES.test(rest.toString('latin1')) : tail.length > 0 && !EVENT_END.test(tail.toString('latin1'))
-    if (isInsideEvent && isEventStream(response)) return { type: 'cut', reason: 'ended inside an event' }
-    if (rest.length > 0) this.#write(rest)
+    if (endTracker.isInsideEvent && isEventStream(response)) return { type: 'cut', reason: 'ended inside an event' }
+    if (splitter.incompleteEvent.length > 0) this.#write(splitter.incompleteEvent)
     return { type: 'complete' }
   }
 
-  /** Returns the complete events that were not forwarded before. */
-  #selectNewEvents (splitter: EventSplitter, chunk: Buffer): Buffer {
-    const events = splitter.addChunk(chunk).filter(event => event.id === null || this.#isNewEvent(event.id))
-    for (const event of events) this.#lastEventId = event.id ?? this.#lastEventId
-    return events.length === 1 ? events[0].bytes : Buffer.concat(events.map(event => event.bytes))
+  /** Returns the bytes of the events that were not forwarded before. */
+  #selectNewEvents (events: StreamEvent[]): Buffer {
+    const newEvents = events.filter(event => event.id === null || this.#isNewEvent(event.id))
+    for (const event of newEvents) this.#lastEventId = event.id ?? this.#lastEventId
+    return newEvents.length === 1 ? newEvents[0].bytes : Buffer.concat(newEvents.map(event => event.bytes))
   }
 
   #isNewEvent (id: string): boolean {
