--- a/packages/knapweedshunt-gateway/src/callers/callerRequestHandler.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerRequestHandler.ts
@@ -1,13 +1,22 @@
 import type http from 'node:http'
 import type { EndpointName } from 'knapweedshunt-types'
 import type { FlowDependencies } from '../flow/flowDependencies.ts'
+import type { RequestPlan } from '../flow/requestPlan.ts'
 import type { RequestPlanner } from '../flow/requestPlanner.ts'
-import { RETRY_OTHER_VM_MS } from '../flow/requestPlanner.ts'
 import { RequestTask } from '../flow/requestTask.ts'
+import { RETRY_OTHER_VM_MS } from '../flow/retryOtherVm.ts'
 import { abortResponse } from '../shared/abortResponse.ts'
 import { CallerError, createCallerError } from '../shared/callerError.ts'
 import { sendRouterResponse } from '../shared/sendRouterResponse.ts'
 
+interface ArrivedRequest {
+  request: http.IncomingMessage
+  response: http.ServerResponse
+  /** Null until it was read. */
+  requestId: string | null
+  arrivedAtMs: number
+}
+
 /** Dependencies of the request handler. */
 export interface CallerRequestHandlerDependencies {
   requestPlanner: RequestPlanner
@@ -18,8 +27,8 @@
 export class CallerRequestHandler {
   readonly #dependencies: CallerRequestHandlerDependencies
   readonly #tasks = new Set<RequestTask>()
-  /** Responses to requests that are not checked yet, with their ids. */
-  readonly #unplannedResponses = new Map<http.ServerResponse, string | null>()
+  /** Requests that are not checked yet. */
+  readonly #arrivals = new Set<ArrivedRequest>()
   #inFlight = 0
   #isRefusing = false
 
@@ -39,8 +48,7 @@
 
   /** Ends all requests in flight at once: each gets an answer, or its response is aborted. */
   stopRequests (): void {
-    const { endpointPort } = this.#dependencies.flowDependencies
-    for (const [response, requestId] of this.#unplannedResponses) sendRouterResponse(response, requestId, createStoppingError().routerResponse, endpointPort)
+    for (const arrival of this.#arrivals) this.#refuse(arrival, createStoppingError())
     for (const task of this.#tasks) task.stop()
   }
 
@@ -59,28 +67,32 @@
   }
 
   async #processRequest (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    const { requestPlanner, flowDependencies } = this.#dependencies
-    const arrivedAtMs = performance.now()
-    let requestId: string | null = null
+    const arrival: ArrivedRequest = { request, response, requestId: null, arrivedAtMs: performance.now() }
     try {
-      const call = flowDependencies.endpointPort.decodeCall(request)
-      requestId = call.requestId
-      if (this.#isRefusing) throw createStoppingError()
-      this.#unplannedResponses.set(response, requestId)
-      const plan = await requestPlanner.createPlan(request, call, arrivedAtMs).finally(() => this.#unplannedResponses.delete(response))
+      const plan = await this.#planRequest(arrival)
       if (response.writableEnded) return
-      const task = new RequestTask(flowDependencies, plan, response)
+      const task = new RequestTask(this.#dependencies.flowDependencies, plan, response)
       this.#tasks.add(task)
       await task.run().finally(() => this.#tasks.delete(task))
     } catch (error) {
       if (!(error instanceof CallerError)) throw error
-      this.#recordRefused(error, requestId, performance.now() - arrivedAtMs)
-      sendRouterResponse(response, requestId, error.routerResponse, flowDependencies.endpointPort)
+      this.#refuse(arrival, error)
     }
   }
 
-  #recordRefused ({ routerResponse, message }: InstanceType<typeof CallerError>, requestId: string | null, ageMs: number): void {
-    const { metrics, decisionLog } = this.#dependencies.flowDependencies
+  async #planRequest (arrival: ArrivedRequest): Promise<RequestPlan> {
+    const { requestPlanner, flowDependencies } = this.#dependencies
+    const call = flowDependencies.endpointPort.decodeCall(arrival.request)
+    arrival.requestId = call.requestId
+    if (this.#isRefusing) throw createStoppingError()
+    this.#arrivals.add(arrival)
+    return await requestPlanner.createPlan(arrival.request, call, arrival.arrivedAtMs).finally(() => this.#arrivals.delete(arrival))
+  }
+
+  /** Refuses a request that was not sent to any endpoint, unless it was refused already. */
+  #refuse ({ response, requestId, arrivedAtMs }: ArrivedRequest, { routerResponse, message }: InstanceType<typeof CallerError>): void {
+    if (response.writableEnded) return
+    const { metrics, decisionLog, endpointPort } = this.#dependencies.flowDependencies
     metrics.recordRefusal(routerResponse.code)
     decisionLog.record({
       type: 'refused',
@@ -91,10 +103,11 @@
       reason: routerResponse.code,
       ran: 'not-run',
       attempts: 0,
-      totalMs: Math.round(ageMs),
+      totalMs: Math.round(performance.now() - arrivedAtMs),
       retryAfterMs: routerResponse.retryAfterMs ?? 0,
       detail: message
     })
+    sendRouterResponse(response, requestId, routerResponse, endpointPort)
   }
 }
 
