Gateway: rate limits that endpoints state are kept by all VMs together

Cause: nothing read the field. Had each VM read it for itself, eight VMs would still have sent eight times as much, so a limit is now known and split by all VMs: whichever reads a statement tells the others through its row limit/VM, with its demand for the pool while limits are in force; each VM computes all parts from the same rows (EndpointRateLimits, in admission). What was told last stays in force while the store is away; a VM whose report is old keeps an equal share. Small limits are split among few VMs, chosen by weighted rendezvous hashing, as the first request of each VM would exceed them. An endpoint whose limit is used is left out by the chooser; with all of them used a request waits in order of priority if that is short, else it is refused at once with the time to come back. Retries, moved streams and probes count towards the limit.

--- a/packages/knapweedshunt-admission/src/peerDemands.ts
+++ b/packages/knapweedshunt-admission/src/peerDemands.ts
@@ -16,7 +16,7 @@
 }
 
 /** Amount of a limit that one VM may use. */
-interface VmAllocation {
+export interface VmAllocation {
   vm: VmId
   amount: number
 }
@@ -61,8 +61,8 @@
   return Math.floor(allocations[0].amount) + (hasRemainder ? 1 : 0)
 }
 
-/** Splits the available amount by demand. What exceeds the demand, and a small part in any case, is divided equally, so that a VM whose demand has just begun is not refused. */
-function splitByDemand (available: number, reporting: VmDemand[]): VmAllocation[] {
+/** Splits the available amount by demand, in the order given. What exceeds the demand, and a small part in any case, is divided equally, so that a VM whose demand has just begun is not refused. */
+export function splitByDemand (available: number, reporting: VmDemand[]): VmAllocation[] {
   const total = reporting.reduce((sum, one) => sum + one.demand, 0)
   const equalAmount = Math.max(available - total, EQUAL_SPLIT_SHARE * total) / reporting.length
   return reporting.map(({ vm, demand }) => ({ vm, amount: available * (demand + equalAmount) / (total + equalAmount * reporting.length) }))
--- a/packages/knapweedshunt-gateway/src/__tests__/chooser.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/chooser.test.ts
@@ -6,6 +6,12 @@
 
 const PROMPT: Prompt = { model: 'm', parts: [{ id: 'a', tokens: 100 }, { id: 'b', tokens: 100 }], tokens: 200 }
 
+/** Rate limits of endpoints; the wait is the same for all that have one. */
+interface Limits {
+  limited: string[]
+  waitMs: number
+}
+
 interface Setup {
   chooser: EndpointChooser
   find (endpoint: string): EndpointRecord
@@ -13,7 +19,7 @@
   choose (prefixCount: number, prompt?: Prompt): Set<string>
 }
 
-function createSetup (versions: number[], target: { newest: number, current: number } = { newest: 0, current: 0 }): Setup {
+function createSetup (versions: number[], target: { newest: number, current: number } = { newest: 0, current: 0 }, { limited, waitMs }: Limits = { limited: [], waitMs: 0 }): Setup {
   const endpointRegistry = new EndpointRegistry(() => {}, () => {}, () => {})
   const pool = { pool: 'p', maxConnections: 1_000, models: ['m'], healthPath: '/' }
   const chooser = new EndpointChooser({
@@ -24,6 +30,12 @@
     listPools: () => [pool],
     findPool: () => pool,
     countVms: () => 1,
+    endpointLimits: {
+      findLimit: ({ entry }) => limited.includes(entry.endpoint) ? 2 : null,
+      getOwnRatePerS: () => 0.5,
+      getWaitMs: ({ entry }) => limited.includes(entry.endpoint) ? waitMs : 0,
+      tryTake: () => true
+    },
     listLoadingEndpoints: () => new Set(),
     findTargetVersion: () => target.newest,
     findMinCurrentVersion: () => target.current,
@@ -65,3 +77,25 @@
   const next = setup.chooser.choose('p', [{ key: 'k', tokens: 100 }], [], PROMPT)
   t.not(next.type === 'chosen' ? next.record.entry.endpoint : next.type, home.record.entry.endpoint)
 })
+
+test('an endpoint whose limit is used is left out while others are not limited', t => {
+  t.deepEqual([...createSetup([1, 1, 1], undefined, { limited: ['e0', 'e1'], waitMs: 100 }).choose(20)], ['e2'])
+  t.is(createSetup([1, 1, 1], undefined, { limited: ['e0', 'e1'], waitMs: 0 }).choose(40).size, 3)
+})
+
+test('with the limits of all endpoints used, the choice says when one may be sent a request', t => {
+  const { chooser } = createSetup([1, 1, 1], undefined, { limited: ['e0', 'e1', 'e2'], waitMs: 100 })
+  t.deepEqual(chooser.choose('p', [], [], PROMPT), { type: 'limited', waitMs: 100, permitsPerS: 1.5 })
+})
+
+test('a request that must yield leaves limited endpoints to others', t => {
+  const { chooser } = createSetup([1, 1], undefined, { limited: ['e0', 'e1'], waitMs: 0 })
+  t.is(chooser.choose('p', [], [], PROMPT, true).type, 'limited')
+  t.is(chooser.choose('p', [], [], PROMPT, false).type, 'chosen')
+})
+
+test('a retry returns to an endpoint that was tried if the limits of the others are used', t => {
+  const { chooser } = createSetup([1, 1, 1], undefined, { limited: ['e1', 'e2'], waitMs: 100 })
+  const choice = chooser.choose('p', [], ['e0'], PROMPT)
+  t.is(choice.type === 'chosen' ? choice.record.entry.endpoint : choice.type, 'e0')
+})
--- a/packages/knapweedshunt-gateway/src/__tests__/simulatedFleet.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/simulatedFleet.ts
@@ -53,6 +53,7 @@
       onMark: ({ mark }) => this.registry.applyMark(mark),
       buildPartEvidence: () => this.partDetector.buildEvidence(),
       onPartEvidence: ({ evidence, ageMs, isOwn }) => { this.partDetector.applyEvidence(evidence, ageMs, isOwn) },
+      onLimitReport: () => {},
       onMarkEvicted: () => {},
       onUnwritten: () => {},
       onUnreadable: () => {},
--- a/packages/knapweedshunt-gateway/src/__tests__/vmRoster.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/vmRoster.test.ts
@@ -30,6 +30,7 @@
     onMark: ({ mark }) => onMark(mark),
     buildPartEvidence: () => ({ reports: [], quarantines: [], clearings: [] }),
     onPartEvidence: () => {},
+    onLimitReport: () => {},
     onMarkEvicted: () => {},
     onUnwritten: () => {},
     onUnreadable: () => {},
--- a/packages/knapweedshunt-gateway/src/directory/rosterRows.ts
+++ b/packages/knapweedshunt-gateway/src/directory/rosterRows.ts
@@ -1,13 +1,16 @@
+import { endpointLimitReportSchema } from 'knapweedshunt-admission'
+import type { EndpointLimitReport } from 'knapweedshunt-admission'
 import { partEvidenceSchema, suspectMarkSchema } from 'knapweedshunt-attempts'
 import type { PartEvidence } from 'knapweedshunt-attempts'
 import type { WaveNotice } from 'knapweedshunt-fleet'
+import type { Incarnation, VmId } from 'knapweedshunt-types'
 import { z } from 'zod'
 
 /** Name of the roster table, which all VMs share. */
 export const ROSTER_TABLE = 'knapweedshunt'
 
 /** Prefixes of the keys of the roster table, by what the row holds. */
-export const ROSTER_KEY = { vm: 'vm/', wave: 'wave/', crash: 'crash/', part: 'part/' } as const
+export const ROSTER_KEY = { vm: 'vm/', wave: 'wave/', crash: 'crash/', part: 'part/', limit: 'limit/' } as const
 
 const text = z.string().min(1)
 
@@ -46,6 +49,20 @@
   isOwn: boolean
 }
 
+/** Row of one VM about the rate limits that endpoints state. */
+export const limitRowSchema = z.object({ vm: text, incarnation: text, report: endpointLimitReportSchema })
+
+/** Output type of {@link limitRowSchema}. */
+export type LimitRow = z.output<typeof limitRowSchema>
+
+/** Report about rate limits as read from a row. */
+export interface ReceivedLimitReport {
+  vm: VmId
+  /** Incarnation of the VM that wrote it. */
+  from: Incarnation
+  report: EndpointLimitReport
+}
+
 /** Row of a pool's last wave. */
 export const waveRowSchema = z.object({
   vm: text,
--- a/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
+++ b/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
@@ -1,15 +1,16 @@
 import type { Logger } from 'knapweedshunt-logger'
 import type { ChangedRow, Platform, Row, TableUpdate } from 'knapweedshunt-platform'
+import type { EndpointLimitReport } from 'knapweedshunt-admission'
 import type { PartEvidence, SuspectMark } from 'knapweedshunt-attempts'
 import type { ReceivedNotice, WaveNotice } from 'knapweedshunt-fleet'
-import type { PoolName } from 'knapweedshunt-types'
+import type { PoolName, VmId } from 'knapweedshunt-types'
 import { hashText } from 'knapweedshunt-utils'
 import type { z } from 'zod'
 import { CrashMarks } from './crashMarks.ts'
 import type { ReceivedMark } from './crashMarks.ts'
 import { OwnedRows } from './ownedRows.ts'
-import { crashRowSchema, partRowSchema, ROSTER_KEY, ROSTER_TABLE, vmRowSchema, waveRowSchema } from './rosterRows.ts'
-import type { CrashRow, PartRow, ReceivedPartEvidence, VmRow } from './rosterRows.ts'
+import { crashRowSchema, limitRowSchema, partRowSchema, ROSTER_KEY, ROSTER_TABLE, vmRowSchema, waveRowSchema } from './rosterRows.ts'
+import type { CrashRow, LimitRow, PartRow, ReceivedLimitReport, ReceivedPartEvidence, VmRow } from './rosterRows.ts'
 
 /** Time for which the store may hold a long poll of the roster, in milliseconds. A connection that went silent is noticed only after it, and until then this VM learns of no crash at other VMs. */
 export const ROSTER_POLL_WAIT_MS = 2_000
@@ -41,6 +42,8 @@
   /** Builds this VM's row about prompt parts. */
   buildPartEvidence (): PartEvidence
   onPartEvidence (received: ReceivedPartEvidence): void
+  /** Called for the report of a VM, including this one's as the others read it. */
+  onLimitReport (received: ReceivedLimitReport): void
   /** Called when a row of this VM could not be written. */
   onUnwritten (key: string, reason: string): void
   /** Called for a row that does not match its schema; it is ignored. */
@@ -73,6 +76,12 @@
     return this.#vms.size
   }
 
+  /** Lists the VMs that may be running, including this one; empty before the first full read. */
+  listVms (): VmId[] {
+    this.#removeMissingVms()
+    return this.#hasAdoptedRows ? [...this.#vms.values()].map(({ row }) => row.vm) : []
+  }
+
   /** Rank of this VM in an order that all VMs agree on, 0 first. */
   computeRank (): number {
     this.#removeMissingVms()
@@ -131,6 +140,13 @@
     this.#publishParts()
   }
 
+  /** Publishes this VM's report about the rate limits of endpoints. */
+  announceLimits (report: EndpointLimitReport): void {
+    const { self } = this.#dependencies
+    const row: LimitRow = { vm: self.vm, incarnation: self.incarnation, report }
+    this.#ownedRows.put(ROSTER_KEY.limit + self.vm, row)
+  }
+
   #removeMissingVms (): void {
     const oldestMs = performance.now() - ROW_RECOVERY_MS
     for (const [key, { missingSinceMs }] of this.#vms) if (missingSinceMs !== null && missingSinceMs <= oldestMs) this.#vms.delete(key)
@@ -178,6 +194,7 @@
     if (key.startsWith(ROSTER_KEY.vm)) return this.#parseRow(key, vmRowSchema, value, row => this.#applyVmRow(key, row))
     if (key.startsWith(ROSTER_KEY.wave)) return this.#parseRow(key, waveRowSchema, value, notice => this.#applyWaveNotice(notice))
     if (key.startsWith(ROSTER_KEY.part)) return this.#parseRow(key, partRowSchema, value, row => this.#applyPartRow(key, row))
+    if (key.startsWith(ROSTER_KEY.limit)) return this.#parseRow(key, limitRowSchema, value, ({ vm, incarnation, report }) => this.#dependencies.onLimitReport({ vm, from: incarnation, report }))
     if (key.startsWith(ROSTER_KEY.crash)) return this.#parseRow(key, crashRowSchema, value, row => this.#applyCrashRow(key, row))
   }
 
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -5,6 +5,7 @@
 import type { ReportedLoad } from '../ports/endpointPort.ts'
 import type { GatewayPool } from '../ports/gatewayConfig.ts'
 import type { CallerIdentity, Prompt } from '../ports/callerCall.ts'
+import type { EndpointLimits } from './endpointLimits.ts'
 import type { EndpointRegistry } from './endpointRegistry.ts'
 import type { EndpointRecord } from './endpointRecord.ts'
 import { PromptSizePartition } from './promptSizePartition.ts'
@@ -37,6 +38,8 @@
   | { type: 'chosen', record: EndpointRecord, decision: PlacedDecision }
   /** The pool has endpoints, but all are excluded, loading or full at present. */
   | { type: 'busy' }
+  /** All endpoints that could accept the request state rate limits, of which this VM has used its parts: `waitMs` is the time until it may send one a request, infinite if it has no part, and `permitsPerS` the sum of the parts. */
+  | { type: 'limited', waitMs: number, permitsPerS: number }
   | { type: 'none' }
 
 /** An endpoint for the next attempt. */
@@ -51,6 +54,7 @@
   listPools (): GatewayPool[]
   findPool (pool: PoolName): GatewayPool | undefined
   countVms (): number
+  endpointLimits: Pick<EndpointLimits, 'findLimit' | 'getOwnRatePerS' | 'getWaitMs' | 'tryTake'>
   /** Lists the endpoints that load weights or are about to. */
   listLoadingEndpoints (): Set<EndpointName>
   /** Target version of a model's weights; null when none is set. */
@@ -119,21 +123,25 @@
     return hashSalt({ organisation: getIsolationScope(identity), model: prompt.model, adapter: '', weightsVersion }).slice(0, 32)
   }
 
-  /** Chooses an endpoint of the pool, preferring those not tried yet. */
-  choose (pool: PoolName, levels: PrefixLevel[], triedEndpoints: EndpointName[], prompt: Prompt | null): Choice {
+  /** Chooses an endpoint of the pool, preferring those not tried yet, and counts the request towards its rate limit. With `mustYieldLimits` limited endpoints are left to other requests. */
+  choose (pool: PoolName, levels: PrefixLevel[], triedEndpoints: EndpointName[], prompt: Prompt | null, mustYieldLimits = false): Choice {
     const isRetry = triedEndpoints.length > 0
     const records = this.#dependencies.endpointRegistry.list(pool)
     const candidates = this.#listCandidates(records, triedEndpoints)
     if (candidates.length === 0) return records.length === 0 ? { type: 'none' } : { type: 'busy' }
     this.#updatePeerDemand()
-    const usable = this.#listUsable(candidates, pool, prompt, isRetry)
-    if (usable.length === 0) return { type: 'busy' }
+    const serving = this.#listServing(candidates, pool, prompt)
+    if (serving.length === 0) return { type: 'busy' }
+    const untriedPermitted = serving.filter(record => this.#isPermitted(record, mustYieldLimits))
+    const permitted = untriedPermitted.length > 0 || !isRetry ? untriedPermitted : this.#listServing(this.#listCandidates(records, []), pool, prompt).filter(record => this.#isPermitted(record, mustYieldLimits))
+    if (permitted.length === 0) return this.#describeLimited(serving)
+    const usable = this.#listUsable(permitted, pool, prompt, isRetry)
     const names = new Set(usable.map(record => record.entry.endpoint))
     const unavailable = records.filter(record => !names.has(record.entry.endpoint)).map(record => record.entry.endpoint)
     const decision = this.#placement.place({ pool, levels, excluded: [], unavailable })
     if (decision.type !== 'placed') return { type: 'busy' }
     const record = this.#dependencies.endpointRegistry.find(decision.endpoint)
-    return record === undefined ? { type: 'busy' } : { type: 'chosen', record, decision }
+    return record === undefined || !this.#dependencies.endpointLimits.tryTake(record) ? { type: 'busy' } : { type: 'chosen', record, decision }
   }
 
   /** Endpoints that recently computed each prefix. */
@@ -141,9 +149,9 @@
     return this.#prefixLocations
   }
 
-  /** Whether the pool has an endpoint that was not tried and is not draining. */
+  /** Whether the pool has an endpoint that was not tried, is not draining and may be sent a request now. */
   hasUntriedEndpoint (pool: PoolName, triedEndpoints: EndpointName[]): boolean {
-    return this.#dependencies.endpointRegistry.list(pool).some(record => !record.entry.isDraining && !triedEndpoints.includes(record.entry.endpoint))
+    return this.#dependencies.endpointRegistry.list(pool).some(record => !record.entry.isDraining && !triedEndpoints.includes(record.entry.endpoint) && this.#isPermitted(record, false))
   }
 
   /** Records the load reported in a response and passes it to the placement module. */
@@ -152,11 +160,26 @@
     this.#placement.handleEvent({ type: 'snapshot', snapshot: { resources: { revision: this.#revision, resources: [] }, vms: [], endpoints: [this.#buildView(record)] } })
   }
 
-  /** Returns the healthy endpoints, or also the excluded ones when none is healthy; never those that are full or loading. */
-  #listUsable (candidates: EndpointRecord[], pool: PoolName, prompt: Prompt | null, isRetry: boolean): EndpointRecord[] {
+  /** Lists the endpoints that are not full or loading. */
+  #listServing (candidates: EndpointRecord[], pool: PoolName, prompt: Prompt | null): EndpointRecord[] {
     const loading = this.#dependencies.listLoadingEndpoints()
     const connectionLimit = this.#computeConnectionLimit(pool)
-    const available = candidates.filter(record => record.inFlightCount < connectionLimit && !loading.has(record.entry.endpoint) && this.#isServing(record, prompt))
+    return candidates.filter(record => record.inFlightCount < connectionLimit && !loading.has(record.entry.endpoint) && this.#isServing(record, prompt))
+  }
+
+  #isPermitted (record: EndpointRecord, mustYieldLimits: boolean): boolean {
+    const { endpointLimits } = this.#dependencies
+    return endpointLimits.findLimit(record) === null || (!mustYieldLimits && endpointLimits.getWaitMs(record) === 0)
+  }
+
+  #describeLimited (records: EndpointRecord[]): Choice {
+    const { endpointLimits } = this.#dependencies
+    const limited = records.filter(record => endpointLimits.findLimit(record) !== null)
+    return { type: 'limited', waitMs: Math.min(...limited.map(record => endpointLimits.getWaitMs(record))), permitsPerS: limited.reduce((sum, record) => sum + endpointLimits.getOwnRatePerS(record), 0) }
+  }
+
+  /** Returns the healthy endpoints, or all when none is healthy. */
+  #listUsable (available: EndpointRecord[], pool: PoolName, prompt: Prompt | null, isRetry: boolean): EndpointRecord[] {
     const meanFailedShare = available.reduce((sum, record) => sum + record.health.computeFailedShare(), 0) / Math.max(1, available.length)
     const healthy = available.filter(record => !record.health.isExcluded(meanFailedShare))
     if (healthy.length === 0) return available
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointMonitor.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointMonitor.ts
@@ -32,6 +32,8 @@
   managementPort: ManagementPort
   decisionLog: DecisionLog
   findPool (pool: PoolName): GatewayPool | null
+  /** Counts a probe towards the endpoint's rate limit; false if it may not be sent one now. */
+  tryTakePermit (record: EndpointRecord): boolean
   /** Whether the record is still the one in the registry for its endpoint. */
   isCurrent (record: EndpointRecord): boolean
 }
@@ -102,7 +104,7 @@
       const isExcluded = this.#excluded.has(record)
       const silentMs = startTimesMs.length === 0 ? 0 : nowMs - Math.max(record.lastReceivedAtMs, Math.min(...startTimesMs))
       const isDue = isExcluded ? nowMs - monitored.probedAtMs >= EXCLUDED_PROBE_INTERVAL_MS : silentMs >= SILENCE_TIMEOUT_MS && nowMs - monitored.probedAtMs >= SILENCE_TIMEOUT_MS
-      if (isDue && !monitored.isProbing) this.#probe(monitored, nowMs).catch(() => {}) // The port does not throw.
+      if (isDue && !monitored.isProbing && this.#dependencies.tryTakePermit(record)) this.#probe(monitored, nowMs).catch(() => {}) // The port does not throw.
     }
   }
 
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointRecord.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointRecord.ts
@@ -15,8 +15,6 @@
   lastReceivedAtMs = performance.now()
   load: ReportedLoad | null = null
   loadAtMs = -Infinity
-  /** Rate limit in the last response that was read, in requests per second for all VMs together; null for none. */
-  statedLimitPerS: number | null = null
   /** Moving mean of the prompt tokens that a request of this VM has computed there. */
   meanPromptTokens = 0
   /** Monotonic time since which the row is missing, when it may have expired in a store outage; null while it is present. */
--- a/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
+++ b/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
@@ -1,5 +1,6 @@
 import type http from 'node:http'
 import { match } from 'ts-pattern'
+import type { Choice, ChosenEndpoint } from '../endpoints/endpointChooser.ts'
 import type { Quarantine } from '../directory/quarantine.ts'
 import type { RefusalReason } from '../records/decision.ts'
 import { sendRouterResponse } from '../shared/sendRouterResponse.ts'
@@ -12,6 +13,9 @@
 /** Mean of the retry-after time given to a refused caller, in milliseconds. */
 const RETRY_AFTER_MS = 200
 
+/** Longest mean of the retry-after time given when the rate limits of all endpoints are used, in milliseconds; other VMs may have parts that they do not use. */
+const MAX_LIMITED_RETRY_AFTER_MS = 2_000
+
 /** Recorded status if the connection is closed without a complete response. */
 const STATUS_NONE = 0
 
@@ -59,6 +63,15 @@
     this.refuse(reason, this.#mayHaveRun ? 502 : 503, detail)
   }
 
+  /** Refuses a request for which no endpoint could be chosen. */
+  refuseUnplaced (choice: Exclude<Choice, ChosenEndpoint>): void {
+    match(choice)
+      .with({ type: 'none' }, () => this.fail('no_endpoint', 'the pool has no endpoint'))
+      .with({ type: 'busy' }, () => this.fail('no_free_endpoint', 'no endpoint can accept the request'))
+      .with({ type: 'limited' }, ({ waitMs }) => this.refuse('endpoints_limited', this.#mayHaveRun ? 502 : 503, 'all endpoints state rate limits, and the parts of this VM are used', Math.min(MAX_LIMITED_RETRY_AFTER_MS, Math.max(RETRY_AFTER_MS, waitMs))))
+      .exhaustive()
+  }
+
   /** Refuses a request that was quarantined after it was accepted. */
   quarantine ({ detail, retryAfterMs }: Quarantine): void {
     this.refuse('quarantined', this.#mayHaveRun ? 502 : 503, detail, retryAfterMs)
--- a/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
@@ -3,7 +3,7 @@
 import type { LossReason } from '../endpoints/attemptOutcome.ts'
 import type { EndpointChooser } from '../endpoints/endpointChooser.ts'
 import type { KvStoreMonitor } from '../endpoints/kvStoreMonitor.ts'
-import type { LimitRecorder } from '../endpoints/limitRecorder.ts'
+import type { EndpointLimits } from '../endpoints/endpointLimits.ts'
 import type { EndpointMonitor } from '../endpoints/endpointMonitor.ts'
 import type { Quarantine } from '../directory/quarantine.ts'
 import type { EndpointPort } from '../ports/endpointPort.ts'
@@ -11,6 +11,7 @@
 import type { GatewayMetrics } from '../records/gatewayMetrics.ts'
 import type { CrashedAttempt } from './crashedAttempt.ts'
 import type { KeyRefusal } from './keyRefusal.ts'
+import type { PermitQueue } from './permitQueue.ts'
 import type { RequestPlan } from './requestPlan.ts'
 import type { RunningAttempt } from './runningAttempt.ts'
 
@@ -21,7 +22,8 @@
   chooser: EndpointChooser
   endpointMonitor: EndpointMonitor
   kvStoreMonitor: KvStoreMonitor
-  limitRecorder: LimitRecorder
+  endpointLimits: EndpointLimits
+  permitQueue: PermitQueue
   metrics: GatewayMetrics
   decisionLog: DecisionLog
   log: Logger
--- a/packages/knapweedshunt-gateway/src/flow/launchAttempt.ts
+++ b/packages/knapweedshunt-gateway/src/flow/launchAttempt.ts
@@ -32,7 +32,7 @@
     cacheSalt,
     weightsVersion: cacheSalt === null || call.prompt === null ? null : record.findVersion(call.prompt.model),
     ...findPrefixTransfers(dependencies, plan, chosen, cacheSalt),
-    priority: route.usesPrefixes ? identity?.priority ?? route.priority : null,
+    priority: route.usesPrefixes ? plan.priority : null,
     lastEventId
   })
   const attempt = new Attempt(dependencies.endpointPort, dependencies.agent, { method: call.method, target: call.target, address: record.entry.address, headers, body, requestId: call.requestId })
--- a/packages/knapweedshunt-gateway/src/flow/requestPlan.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestPlan.ts
@@ -16,6 +16,8 @@
   /** Parts of the prompt that other requests may hold too, outermost first; each identifies the part alone, at whatever depth it stands. */
   sharedParts: string[]
   pool: string
+  /** Of the organisation, or else of the route; 0 is served first. */
+  priority: number
   /** Identifies repetitions of the same request by one organisation. */
   fingerprint: string
   /** Arrival time by the monotonic clock, in milliseconds. */
--- a/packages/knapweedshunt-gateway/src/flow/requestPlanner.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestPlanner.ts
@@ -60,6 +60,7 @@
       levels,
       sharedParts,
       pool,
+      priority: identity?.priority ?? route.priority,
       fingerprint,
       arrivedAtMs,
       deadlineAtMs: arrivedAtMs + Math.min(route.timeoutMs, call.timeLeftMs ?? Infinity),
--- a/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
@@ -40,6 +40,8 @@
   /** Records the endpoint that was chosen for an attempt; the number of the first attempt is 1. */
   recordSent (attempt: number, record: EndpointRecord, { rank, expectedCachedTokens = 0, expectedWaitMs = 0 }: PlacedDecision): void {
     const { call, configRevision, deadlineAtMs, pool } = this.#plan
+    const { endpointLimits } = this.#dependencies
+    const limitPerS = endpointLimits.findLimit(record)
     const promptTokens = call.prompt?.tokens ?? 0
     if (promptTokens > 0) this.#dependencies.metrics.recordPrompt(promptTokens, expectedCachedTokens)
     this.#dependencies.decisionLog.record({
@@ -61,7 +63,8 @@
       configRevision,
       keysAgeMs: Math.round(Math.min(this.#dependencies.getKeysAgeMs(), Number.MAX_SAFE_INTEGER)),
       timeLeftMs: Math.round(deadlineAtMs - performance.now()),
-      limitPerS: record.statedLimitPerS
+      limitPerS,
+      ownLimitPerS: limitPerS === null ? null : endpointLimits.getOwnRatePerS(record)
     })
   }
 
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -3,7 +3,6 @@
 import type { AttemptOutcome, LossReason } from '../endpoints/attemptOutcome.ts'
 import { LOSS_REASON } from '../endpoints/attemptOutcome.ts'
 import { HEALTH_OBSERVATION } from '../endpoints/endpointHealth.ts'
-import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
 import type { ResponseHead } from '../ports/endpointPort.ts'
 import { REPEATABILITY } from '../ports/gatewayConfig.ts'
 import type { NextAttempt } from './attemptRunner.ts'
@@ -109,7 +108,7 @@
     const chosen = await waitForEndpoint(this.#dependencies, this.#plan, { homeLevels, triedEndpoints: [...this.#attemptRunner.triedEndpoints], isCancelled: () => this.#finalResponse.isSettled })
     if (this.#finalResponse.isSettled) return null
     if (chosen.type !== 'chosen') {
-      this.#finalResponse.fail(chosen.type === 'none' ? 'no_endpoint' : 'no_free_endpoint', 'no endpoint can accept the request')
+      this.#finalResponse.refuseUnplaced(chosen)
       return null
     }
     const quarantine = this.#dependencies.findQuarantine(this.#plan)
@@ -143,7 +142,7 @@
   }
 
   #handleNotRun (runningAttempt: RunningAttempt, head: ResponseHead, status: number): NextStep {
-    this.#applyResponseHead(runningAttempt.record, head)
+    this.#applyResponseHead(runningAttempt, head)
     this.#attemptRunner.finish(runningAttempt)
     this.#notRunCount++
     const isRetried = this.#notRunCount <= MAX_NOT_RUN_RETRIES && this.#permits.tryTake(false)
@@ -173,7 +172,7 @@
   }
 
   async #handleResponse (runningAttempt: RunningAttempt, head: ResponseHead, response: http.IncomingMessage): Promise<NextStep> {
-    this.#applyResponseHead(runningAttempt.record, head)
+    this.#applyResponseHead(runningAttempt, head)
     this.#dependencies.endpointMonitor.recordReceivedBytes(runningAttempt.record)
     this.#finalResponse.recordMayHaveRun()
     const result = await this.#responseForwarder.forward(runningAttempt, response)
@@ -184,11 +183,11 @@
       .exhaustive()
   }
 
-  #applyResponseHead (record: EndpointRecord, head: ResponseHead): void {
+  #applyResponseHead ({ record, startedAtMs }: RunningAttempt, head: ResponseHead): void {
     const model = this.#plan.call.prompt?.model
     if (head.weightsVersion !== null && model !== undefined && record.recordVersion(model, head.weightsVersion)) this.#dependencies.chooser.rebuild()
     if (head.load !== null) this.#dependencies.chooser.recordLoad(record, head.load)
-    this.#dependencies.limitRecorder.recordResponse(record, head.limit, this.#plan.call.requestId)
+    this.#dependencies.endpointLimits.recordResponse(record, head.limit, this.#plan.call.requestId, startedAtMs)
   }
 
   /** Cancels the current attempt and refuses the request when its deadline has passed. */
--- a/packages/knapweedshunt-gateway/src/flow/waitForEndpoint.ts
+++ b/packages/knapweedshunt-gateway/src/flow/waitForEndpoint.ts
@@ -2,14 +2,17 @@
 import { sleep } from 'knapweedshunt-utils'
 import type { Choice } from '../endpoints/endpointChooser.ts'
 import type { FlowDependencies } from './flowDependencies.ts'
+import type { PermitWaiter } from './permitQueue.ts'
 import type { RequestPlan } from './requestPlan.ts'
 
-/** Maximum wait for an endpoint that is full or loads weights, as a share of the objective. */
+/** Maximum wait for an endpoint that is full, loads weights or is limited, as a share of the objective. */
 const MAX_WAIT_OBJECTIVE_SHARE = 0.5
 
 /** Interval of the checks for a free endpoint, in milliseconds. */
 const POLL_INTERVAL_MS = 15
 
+const MS_PER_SECOND = 1_000
+
 /** Criteria for the choice of an endpoint. */
 export interface EndpointSearch {
   /** Prefix levels by which the endpoint is chosen. */
@@ -19,14 +22,26 @@
   isCancelled (): boolean
 }
 
-/** Chooses an endpoint. If all are busy, it waits up to a share of the objective for one to become free; returns the last choice. */
-export async function waitForEndpoint ({ chooser }: FlowDependencies, plan: RequestPlan, { homeLevels, triedEndpoints, isCancelled }: EndpointSearch): Promise<Choice> {
+/** Chooses an endpoint. If all are busy or limited, it waits up to a share of the objective, but not if that is known to be too short; returns the last choice. */
+export async function waitForEndpoint ({ chooser, endpointLimits, permitQueue }: FlowDependencies, plan: RequestPlan, { homeLevels, triedEndpoints, isCancelled }: EndpointSearch): Promise<Choice> {
   const { pool, call, route, deadlineAtMs } = plan
   const prompt = route.usesPrefixes ? call.prompt : null
   const waitDeadlineAtMs = Math.min(deadlineAtMs, performance.now() + route.objectiveMs * MAX_WAIT_OBJECTIVE_SHARE)
-  for (;;) {
-    const choice = chooser.choose(pool, homeLevels, triedEndpoints, prompt)
-    if (choice.type !== 'busy' || performance.now() >= waitDeadlineAtMs || isCancelled()) return choice
-    await sleep(POLL_INTERVAL_MS)
+  const waiter: PermitWaiter = { pool, priority: plan.priority }
+  endpointLimits.recordDemand(pool)
+  try {
+    for (;;) {
+      const aheadCount = permitQueue.countAhead(waiter)
+      const choice = chooser.choose(pool, homeLevels, triedEndpoints, prompt, aheadCount > 0)
+      if (choice.type === 'chosen' || choice.type === 'none' || performance.now() >= waitDeadlineAtMs || isCancelled()) return choice
+      if (choice.type === 'limited') {
+        const waitMs = choice.waitMs + aheadCount / choice.permitsPerS * MS_PER_SECOND
+        if (performance.now() + waitMs > waitDeadlineAtMs) return { ...choice, waitMs }
+        if (!permitQueue.has(waiter)) permitQueue.add(waiter)
+      }
+      await sleep(POLL_INTERVAL_MS)
+    }
+  } finally {
+    permitQueue.remove(waiter)
   }
 }
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -14,14 +14,15 @@
 import { VmRoster } from './directory/vmRoster.ts'
 import { LOSS_REASON } from './endpoints/attemptOutcome.ts'
 import { EndpointAgent } from './endpoints/endpointAgent.ts'
+import { EndpointLimits } from './endpoints/endpointLimits.ts'
 import { EndpointRegistry } from './endpoints/endpointRegistry.ts'
 import type { EndpointRecord } from './endpoints/endpointRecord.ts'
 import { EndpointChooser } from './endpoints/endpointChooser.ts'
 import { KvStoreMonitor } from './endpoints/kvStoreMonitor.ts'
-import { LimitRecorder } from './endpoints/limitRecorder.ts'
 import { EndpointMonitor } from './endpoints/endpointMonitor.ts'
 import { CallerAuthenticator } from './flow/callerAuthenticator.ts'
 import type { FlowDependencies } from './flow/flowDependencies.ts'
+import { PermitQueue } from './flow/permitQueue.ts'
 import { RequestPlanner } from './flow/requestPlanner.ts'
 import { UnansweredAttempts } from './flow/unansweredAttempts.ts'
 import type { GatewayAddresses, GatewayDependencies } from './gatewayDependencies.ts'
@@ -55,6 +56,7 @@
   readonly #endpointRegistry: EndpointRegistry
   readonly #unansweredAttempts: UnansweredAttempts
   readonly #roster: VmRoster
+  readonly #endpointLimits: EndpointLimits
   readonly #weightsState: WeightsState
   readonly #chooser: EndpointChooser
   readonly #endpointMonitor: EndpointMonitor
@@ -86,7 +88,10 @@
       announceMark: mark => this.#roster.announceMark(mark),
       announceParts: () => this.#roster.announceParts()
     })
-    this.#endpointRegistry = new EndpointRegistry(decision => this.#decisionLog.record(decision), () => this.#chooser.rebuild(), record => this.#unansweredAttempts.handleIncarnationEnded(record))
+    this.#endpointRegistry = new EndpointRegistry(decision => this.#decisionLog.record(decision), () => this.#chooser.rebuild(), record => {
+      this.#unansweredAttempts.handleIncarnationEnded(record)
+      this.#endpointLimits.handleIncarnationEnded(record)
+    })
     const isCurrent = (record: EndpointRecord) => this.#endpointRegistry.find(record.entry.endpoint) === record
     this.#unansweredAttempts = new UnansweredAttempts({ isCurrent, recordCrash: attempt => this.#suspectTracker.recordCrash(attempt, LOSS_REASON.silent) })
     this.#roster = new VmRoster({
@@ -97,6 +102,7 @@
       onMark: received => this.#suspectTracker.applyMark(received),
       buildPartEvidence: () => this.#suspectTracker.buildPartEvidence(),
       onPartEvidence: received => this.#suspectTracker.applyPartEvidence(received),
+      onLimitReport: received => this.#endpointLimits.applyReport(received),
       onMarkEvicted: mark => this.#suspectTracker.handleMarkEvicted(mark),
       onUnwritten: (key, reason) => this.#recordUnwrittenRow(key, reason),
       onUnreadable: (key, reason) => this.#decisionLog.record({ type: 'rowUnreadable', table: ROSTER_TABLE, key, reason }),
@@ -105,6 +111,14 @@
         setTimeout(() => this.#requestHandler.moveStreamsFrom(this.#weightsState.listLoadingEndpoints()), MOVE_STREAMS_DELAY_MS)
       }
     })
+    this.#endpointLimits = new EndpointLimits({
+      vm: settings.vm,
+      incarnation: this.#incarnation,
+      decisionLog: this.#decisionLog,
+      metrics: this.#metrics,
+      listVms: () => this.#roster.listVms(),
+      announceReport: report => this.#roster.announceLimits(report)
+    })
     this.#weightsState = new WeightsState({ getMaxStaleMs: () => this.#settings.maxStaleWeightsMs - STALE_WEIGHTS_MARGIN_MS, holder: settings.vm, endpointRegistry: this.#endpointRegistry, roster: this.#roster, managementPort, recordDecision: decision => this.#decisionLog.record(decision), onServedVersion: () => this.#chooser.rebuild() })
     this.#chooser = new EndpointChooser({
       dataCentre: settings.dataCentre,
@@ -114,12 +128,13 @@
       listPools: () => this.#configState.config?.pools ?? [],
       findPool: pool => this.#configState.findPool(pool),
       countVms: () => this.#roster.countVms(),
+      endpointLimits: this.#endpointLimits,
       listLoadingEndpoints: () => this.#weightsState.listLoadingEndpoints(),
       findTargetVersion: model => this.#weightsState.findTargetVersion(model),
       findMinCurrentVersion: model => this.#weightsState.findMinCurrentVersion(model),
       findMinAllowedVersion: model => this.#weightsState.findMinAllowedVersion(model)
     })
-    this.#endpointMonitor = new EndpointMonitor({ managementPort, decisionLog: this.#decisionLog, findPool: pool => this.#configState.findPool(pool) ?? null, isCurrent })
+    this.#endpointMonitor = new EndpointMonitor({ managementPort, decisionLog: this.#decisionLog, findPool: pool => this.#configState.findPool(pool) ?? null, tryTakePermit: record => this.#endpointLimits.tryTake(record), isCurrent })
     this.#directoryUpdater = new DirectoryUpdater({
       directoryPort: dependencies.directoryPort,
       configState: this.#configState,
@@ -142,6 +157,7 @@
       onRoster: update => {
         this.#roster.applyUpdate(update)
         this.#retryBudget.updateShare(this.#settings, this.#roster.countVms())
+        this.#endpointLimits.update(performance.now())
       }
     })
     this.#keyFreshness = new KeyFreshness(this.#followers.resources, () => this.#settings.maxRevocationMs)
@@ -192,6 +208,7 @@
       runEvery(SWEEP_INTERVAL_MS, taskController.signal, () => {
         this.#endpointRegistry.removeExpired()
         this.#readiness.update()
+        this.#endpointLimits.update(performance.now() - (this.#followers.roster.ageMs ?? Infinity))
       })
     ]
     await sleep(2 ** 30, signal)
@@ -214,7 +231,8 @@
       chooser: this.#chooser,
       endpointMonitor: this.#endpointMonitor,
       kvStoreMonitor: this.#kvStoreMonitor,
-      limitRecorder: new LimitRecorder(this.#decisionLog, this.#metrics),
+      endpointLimits: this.#endpointLimits,
+      permitQueue: new PermitQueue(),
       metrics: this.#metrics,
       decisionLog: this.#decisionLog,
       log: this.#dependencies.log,
@@ -241,7 +259,7 @@
     this.#metrics.addGauge('requests_in_flight', 'Requests under way.', () => this.#requestHandler.inFlight)
     this.#metrics.addGauge('endpoints', 'Endpoints known.', () => this.#endpointRegistry.size)
     this.#metrics.addGauge('endpoints_out', 'Endpoints left out because they do not answer.', () => this.#endpointMonitor.excludedCount)
-    this.#metrics.addGauge('endpoints_limited', 'Endpoints that state a rate limit.', () => this.#endpointRegistry.list().filter(record => record.statedLimitPerS !== null).length)
+    this.#metrics.addGauge('endpoints_limited', 'Endpoints that state a rate limit.', () => this.#endpointLimits.count)
     this.#metrics.addGauge('endpoints_loading', 'Endpoints that load weights.', () => this.#weightsState.listLoadingEndpoints().size)
     this.#metrics.addGauge('keys_age_seconds', 'Age of the operator\'s rows.', () => Math.min(this.#keyFreshness.ageMs, Number.MAX_SAFE_INTEGER) / 1_000)
     this.#metrics.addGauge('vms', 'VMs that may be running.', () => this.#roster.countVms())
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -6,13 +6,13 @@
 /** Reason why a request was refused. The values are sent to callers, logged and used as a metric label. */
 export type RefusalReason =
   | 'bad_request' | 'header_too_large' | 'body_too_large' | 'body_too_slow' | 'no_route' | 'no_key' | 'unknown_key'
-  | 'no_config' | 'keys_unconfirmed' | 'quarantined' | 'no_endpoint' | 'no_free_endpoint' | 'endpoint_refused'
+  | 'no_config' | 'keys_unconfirmed' | 'quarantined' | 'no_endpoint' | 'no_free_endpoint' | 'endpoints_limited' | 'endpoint_refused'
   | 'stopping' | 'timeout' | 'endpoint_lost' | 'stream_cut' | 'caller_left' | 'internal'
 
 /** A decision about one request; times in milliseconds. */
 export type RequestDecision =
-  /** Sent to an endpoint; `prefix` joins the first characters of the keys of the prompt's prefix levels, outermost first; `limitPerS` is the rate limit that the endpoint stated last, null for none; `parts` joins the ids of the parts that other prompts may share. `fingerprint` begins the hash by which repetitions of the request are recognised. */
-  | { type: 'sent', requestId: RequestId, attempt: number, pool: PoolName, endpoint: EndpointName, incarnation: string, rank: number, prefix: string, parts: string, fingerprint: string, expectedCachedTokens: number, promptTokens: number, expectedWaitMs: number, open: number, loadAgeMs: number, configRevision: number, keysAgeMs: number, timeLeftMs: number, limitPerS: number | null }
+  /** Sent to an endpoint; `prefix` joins the first characters of the keys of the prompt's prefix levels, outermost first; `limitPerS` is the endpoint's rate limit for all VMs together and `ownLimitPerS` this VM's part of it, in requests per second, null for none; `parts` joins the ids of the parts that other prompts may share. `fingerprint` begins the hash by which repetitions of the request are recognised. */
+  | { type: 'sent', requestId: RequestId, attempt: number, pool: PoolName, endpoint: EndpointName, incarnation: string, rank: number, prefix: string, parts: string, fingerprint: string, expectedCachedTokens: number, promptTokens: number, expectedWaitMs: number, open: number, loadAgeMs: number, configRevision: number, keysAgeMs: number, timeLeftMs: number, limitPerS: number | null, ownLimitPerS: number | null }
   /** An attempt ended without a response; `isRetried` if another endpoint is tried. */
   | { type: 'attemptEnded', requestId: RequestId, attempt: number, endpoint: EndpointName, outcome: string, reason: string, isRetried: boolean, afterMs: number }
   /** A stream is resumed at another endpoint; `endpoint` is the previous one. */
@@ -30,8 +30,8 @@
   /** Not used until it answers again; `reason` is the failure that was observed. */
   | { type: 'endpointOut', endpoint: EndpointName, reason: string }
   | { type: 'endpointBack', endpoint: EndpointName }
-  /** The rate limit in an endpoint's responses changed, in requests per second for all VMs together; null for none. */
-  | { type: 'limitStated', endpoint: EndpointName, incarnation: string, requestId: RequestId, limitPerS: number | null, previousPerS: number | null }
+  /** The rate limit in an endpoint's responses changed, in requests per second for all VMs together; null for none. `requestId` names the request whose response said so, `from` the VM incarnation that read it, empty for this one; `ownRatePerS` is this VM's part. */
+  | { type: 'limitStated', incarnation: string, requestId: RequestId, from: string, limitPerS: number | null, previousPerS: number | null, ownRatePerS: number | null }
   /** A response stated a rate limit that is not a rate; the limit known before stays. */
   | { type: 'limitUnreadable', endpoint: EndpointName, incarnation: string, requestId: RequestId, text: string }
 
