Gateway: endpoints for short and long prompts stay the same while limited ones come and go

With limits in force, an endpoint was a candidate whenever this VM had a request left for it. The partition by prompt size was computed from the candidates, so it changed from request to request: prefixes moved between endpoints and short prompts were mixed with long ones. The partition is computed from the endpoints without a limit; limited ones are added to it. The new test of the chooser fails on the code before.

--- a/packages/knapweedshunt-gateway/src/__tests__/chooser.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/chooser.test.ts
@@ -19,7 +19,7 @@
   choose (prefixCount: number, prompt?: Prompt): Set<string>
 }
 
-function createSetup (versions: number[], target: { newest: number, current: number } = { newest: 0, current: 0 }, { limited, waitMs }: Limits = { limited: [], waitMs: 0 }): Setup {
+function createSetup (versions: number[], target: { newest: number, current: number } = { newest: 0, current: 0 }, limits: Limits = { limited: [], waitMs: 0 }): Setup {
   const endpointRegistry = new EndpointRegistry(() => {}, () => {}, () => {})
   const pool = { pool: 'p', maxConnections: 1_000, models: ['m'], healthPath: '/' }
   const chooser = new EndpointChooser({
@@ -31,9 +31,9 @@
     findPool: () => pool,
     countVms: () => 1,
     endpointLimits: {
-      findLimit: ({ entry }) => limited.includes(entry.endpoint) ? 2 : null,
+      findLimit: ({ entry }) => limits.limited.includes(entry.endpoint) ? 2 : null,
       getOwnRatePerS: () => 0.5,
-      getWaitMs: ({ entry }) => limited.includes(entry.endpoint) ? waitMs : 0,
+      getWaitMs: ({ entry }) => limits.limited.includes(entry.endpoint) ? limits.waitMs : 0,
       tryTake: () => true
     },
     listLoadingEndpoints: () => new Set(),
@@ -99,3 +99,20 @@
   const choice = chooser.choose('p', [], ['e0'], PROMPT)
   t.is(choice.type === 'chosen' ? choice.record.entry.endpoint : choice.type, 'e0')
 })
+
+// Guards against a prefix that changes its endpoint, and short prompts that land among long ones, each time this VM may send a limited endpoint a request.
+test('endpoints for short and for long prompts stay the same while a limited endpoint comes and goes', t => {
+  const limits: Limits = { limited: [], waitMs: 0 }
+  const { choose } = createSetup(Array(10).fill(1), undefined, limits)
+  const long: Prompt = { ...PROMPT, tokens: 9_000 }
+  choose(1, long)
+  const [lane] = choose(40)
+  limits.limited = [lane]
+  const [shortWith, longWith] = [choose(40), choose(40, long)]
+  limits.waitMs = 100
+  const [shortWithout, longWithout] = [choose(40), choose(40, long)]
+  t.deepEqual([...shortWithout], [...shortWith].filter(endpoint => endpoint !== lane))
+  t.deepEqual([...longWithout].sort(), [...longWith].filter(endpoint => endpoint !== lane).sort())
+  t.is(shortWithout.size, 1)
+  t.false(longWithout.has([...shortWithout][0]))
+})
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -132,10 +132,9 @@
     this.#updatePeerDemand()
     const serving = this.#listServing(candidates, pool, prompt)
     if (serving.length === 0) return { type: 'busy' }
-    const untriedPermitted = serving.filter(record => this.#isPermitted(record, mustYieldLimits))
-    const permitted = untriedPermitted.length > 0 || !isRetry ? untriedPermitted : this.#listServing(this.#listCandidates(records, []), pool, prompt).filter(record => this.#isPermitted(record, mustYieldLimits))
-    if (permitted.length === 0) return this.#describeLimited(serving)
-    const usable = this.#listUsable(permitted, pool, prompt, isRetry)
+    const usable = this.#listUsable(serving, pool, prompt, isRetry, mustYieldLimits)
+    if (usable.length === 0 && isRetry) usable.push(...this.#listServing(this.#listCandidates(records, []), pool, prompt).filter(record => this.#isPermitted(record, mustYieldLimits)))
+    if (usable.length === 0) return this.#describeLimited(serving)
     const names = new Set(usable.map(record => record.entry.endpoint))
     const unavailable = records.filter(record => !names.has(record.entry.endpoint)).map(record => record.entry.endpoint)
     const decision = this.#placement.place({ pool, levels, excluded: [], unavailable })
@@ -178,13 +177,17 @@
     return { type: 'limited', waitMs: Math.min(...limited.map(record => endpointLimits.getWaitMs(record))), permitsPerS: limited.reduce((sum, record) => sum + endpointLimits.getOwnRatePerS(record), 0) }
   }
 
-  /** Returns the healthy endpoints, or all when none is healthy. */
-  #listUsable (available: EndpointRecord[], pool: PoolName, prompt: Prompt | null, isRetry: boolean): EndpointRecord[] {
-    const meanFailedShare = available.reduce((sum, record) => sum + record.health.computeFailedShare(), 0) / Math.max(1, available.length)
-    const healthy = available.filter(record => !record.health.isExcluded(meanFailedShare))
-    if (healthy.length === 0) return available
-    const current = this.#preferCurrent(healthy, prompt, isRetry)
-    return prompt === null ? current : this.#promptSizePartition.select(pool, current, prompt.tokens)
+  /** Lists the healthy endpoints, or all when none is healthy, that may be sent a request now. */
+  #listUsable (serving: EndpointRecord[], pool: PoolName, prompt: Prompt | null, isRetry: boolean, mustYieldLimits: boolean): EndpointRecord[] {
+    const meanFailedShare = serving.reduce((sum, record) => sum + record.health.computeFailedShare(), 0) / serving.length
+    const healthy = serving.filter(record => !record.health.isExcluded(meanFailedShare))
+    const preferred = this.#preferCurrent(healthy, prompt, isRetry)
+    const isLimited = (record: EndpointRecord) => this.#dependencies.endpointLimits.findLimit(record) !== null
+    // Limited endpoints come and go with each request; the partition by prompt size must not change with them.
+    const unlimited = preferred.filter(record => !isLimited(record))
+    const selected = prompt === null ? unlimited : this.#promptSizePartition.select(pool, unlimited, prompt.tokens)
+    const usable = [...selected, ...preferred.filter(record => isLimited(record) && this.#isPermitted(record, mustYieldLimits))]
+    return usable.length > 0 ? usable : serving.filter(record => this.#isPermitted(record, mustYieldLimits))
   }
 
   /** Avoids replaced weights once enough endpoints have current ones; a retry goes to the newest weights, where it need not move again. */
