Router: rate limits that endpoints state are kept by all routers together

An attempt for which only endpoints with used limits are left waits if that is short, else fails as endpoint_overloaded with the time to come back.

--- a/packages/knapweedshunt-attempts/src/__tests__/attemptFuzz.test.ts
+++ b/packages/knapweedshunt-attempts/src/__tests__/attemptFuzz.test.ts
@@ -179,6 +179,12 @@
     one.state = 'over'
     simulation.send({ type: 'unplaceable', attempt: one.id, reason: 'all-excluded' })
   },
+  limited: (simulation, pick) => {
+    const one = pick(simulation.listIn('placing'))
+    if (one === undefined) return
+    one.state = 'over'
+    simulation.send({ type: 'limited', attempt: one.id, retryAfterMs: one.id.length % 2 === 0 ? 5 : null })
+  },
   waited: (simulation, pick) => {
     const one = pick(simulation.listIn('waiting'))
     if (one !== undefined) simulation.send({ type: 'waited', attempt: one.id })
--- a/packages/knapweedshunt-attempts/src/attemptStateMachine.ts
+++ b/packages/knapweedshunt-attempts/src/attemptStateMachine.ts
@@ -57,6 +57,7 @@
       case 'token': return this.#handleToken(event)
       case 'placed': return this.#handlePlaced(event)
       case 'unplaceable': return this.#handleUnplaceable(event.attempt, event.reason)
+      case 'limited': return this.#handleLimited(event.attempt, event.retryAfterMs)
       case 'quarantined': return this.#fail('request_quarantined', event.retryAfterMs)
       case 'refused': return this.#moveToNextEndpoint(event.attempt, 'endpoint_failed')
       case 'head': return this.#handleHead(event)
@@ -158,6 +159,14 @@
     })
   }
 
+  /** Waits if the limits allow another request within the longest backoff. */
+  #handleLimited (attempt: AttemptId, retryAfterMs: number | null): AttemptAction[] {
+    return this.#endAttempt(attempt, () => {
+      const canWait = retryAfterMs !== null && retryAfterMs <= this.#options.maxBackoffMs && performance.now() + retryAfterMs < this.#options.deadlineAtMs
+      return canWait ? [{ type: 'wait', attempt: this.#createAttempt(), ms: Math.max(1, Math.ceil(retryAfterMs)) }] : this.#fail('endpoint_overloaded', retryAfterMs ?? undefined)
+    })
+  }
+
   /** Ends an attempt. Calls `onNoneLeft` for the next step unless another attempt is live. */
   #endAttempt (attempt: AttemptId, onNoneLeft: () => AttemptAction[]): AttemptAction[] {
     this.#liveAttempts.delete(attempt)
--- a/packages/knapweedshunt-attempts/src/attemptTypes.ts
+++ b/packages/knapweedshunt-attempts/src/attemptTypes.ts
@@ -33,6 +33,8 @@
   | { type: 'placed', attempt: AttemptId, endpoint: EndpointName, incarnation: Incarnation }
   /** No endpoint is available for the attempt; `all-excluded` when the only usable endpoints are excluded because they were tried before. */
   | { type: 'unplaceable', attempt: AttemptId, reason: 'no-endpoint' | 'all-excluded' }
+  /** Only endpoints whose rate limits are used could take the attempt; one may be sent a request after `retryAfterMs`, null if that is not known. */
+  | { type: 'limited', attempt: AttemptId, retryAfterMs: number | null }
   /** The request was quarantined because of another crash, reported here or by a peer. */
   | { type: 'quarantined', attempt: AttemptId, retryAfterMs: number }
   /** The connection was refused, so no byte of the request was sent. */
--- a/packages/knapweedshunt-fakes/src/engineFaults.ts
+++ b/packages/knapweedshunt-fakes/src/engineFaults.ts
@@ -24,6 +24,8 @@
   slowMs: number
   /** Crash on each prompt that contains this text; empty for never. */
   crashOnText: string
+  /** Rate limit stated in all responses to completions, in requests per second; -1 for none. */
+  statedLimitPerS: number
   /** Repeat the last load report instead of a current one. */
   freezeLoad: boolean
 }
@@ -42,5 +44,6 @@
   swapTokens: false,
   slowMs: 0,
   crashOnText: '',
+  statedLimitPerS: -1,
   freezeLoad: false
 }
--- a/packages/knapweedshunt-fakes/src/serveCompletion.ts
+++ b/packages/knapweedshunt-fakes/src/serveCompletion.ts
@@ -15,6 +15,7 @@
   const prompt = buildPromptText(body.data)
   const { faults } = state
   state.received++
+  if (faults.statedLimitPerS >= 0) response.setHeader('x-requests-per-second', String(faults.statedLimitPerS))
   if (faults.crashOnText !== '' && prompt.includes(faults.crashOnText)) return crash()
   if (faults.rejectStatus !== 0) return sendJsonResponse(response, faults.rejectStatus, { error: { message: 'rejected by the fake engine' } })
   state.started++
--- a/packages/knapweedshunt-quickstart/src/__tests__/dataPathFaults.test.ts
+++ b/packages/knapweedshunt-quickstart/src/__tests__/dataPathFaults.test.ts
@@ -156,6 +156,31 @@
   })
 })
 
+const LIMIT_PER_S = 1
+const LIMIT_WINDOW_MS = 4_000
+const SAMPLE_MS = 50
+
+// Guards against routers that ignore the rate limit which an engine states, or of which each keeps it alone.
+test('an engine gets no more requests than it states for all routers, and the others serve the rest', async t => {
+  await runWithHarness({ engines: 4, routers: 3 }, async harness => {
+    const { engineIndex } = await completeUndisturbed(harness)
+    const { state } = harness.engines[engineIndex]
+    state.faults.statedLimitPerS = LIMIT_PER_S
+    const results: Array<ReturnType<RouterHarness['requestCompletion']>> = []
+    const receivedCounts: number[] = []
+    for (let n = 0; n < 200; n++) {
+      results.push(harness.requestCompletion(PROMPT, n % 3))
+      receivedCounts.push(state.received)
+      await new Promise(resolve => setTimeout(resolve, SAMPLE_MS))
+    }
+    t.true((await Promise.all(results)).every(result => result.type === 'answered'))
+    const windowSamples = LIMIT_WINDOW_MS / SAMPLE_MS
+    const most = Math.max(...receivedCounts.slice(windowSamples).map((count, i) => count - receivedCounts[i]).slice(10))
+    t.true(most <= 1.5 * LIMIT_PER_S * LIMIT_WINDOW_MS / 1_000 + 5, `${most} requests in 4 s`)
+    assertIdle(t, harness)
+  })
+})
+
 test('a short job is hedged when its first token is late', async t => {
   await runWithHarness({ engines: 3, job: 'short' }, async harness => {
     const { texts, engineIndex } = await completeUndisturbed(harness)
--- a/packages/knapweedshunt-router/src/attemptCall.ts
+++ b/packages/knapweedshunt-router/src/attemptCall.ts
@@ -22,6 +22,8 @@
   signal: AbortSignal
   /** Null for requests that may not be repeated, since a stall then allows no other attempt. */
   stallLimits: StallLimits | null
+  /** Called once with the rate limit in the response head, in requests per second for all VMs together; null for none. */
+  recordLimit (requestsPerS: number | null): void
   /** Called with every event of the attempt; `end`, `answer`, `refused`, `rejected`, `broken` and `stalled` are final. */
   emit (event: AttemptEvent): void
   /** Resolves when the write buffer towards the caller has drained; null when there is nothing to wait for. */
--- a/packages/knapweedshunt-router/src/attemptLauncher.ts
+++ b/packages/knapweedshunt-router/src/attemptLauncher.ts
@@ -52,28 +52,34 @@
   }
 
   #placeUnrestricted (action: PlaceAction): void {
-    const decision = this.#chooseEndpoint(action.excluded)
+    const { endpoints, endpointLimiter } = this.#dataPath
+    const usable = endpoints.listUsable(this.#request.pool)
+    const usedEndpoints = endpointLimiter.listUsed(usable)
+    endpointLimiter.recordDemand(this.#request.pool)
+    const decision = this.#chooseEndpoint(action.excluded, usedEndpoints)
     if (decision.type === 'placed') return this.#start(action, decision)
+    if (usedEndpoints.some(endpoint => !action.excluded.includes(endpoint))) return this.#onEvent({ type: 'limited', attempt: action.attempt, retryAfterMs: endpointLimiter.findWaitMs(usedEndpoints) })
     this.#onEvent({ type: 'unplaceable', attempt: action.attempt, reason: decision.reason })
   }
 
-  /** Excludes full endpoints and those reserved for suspect requests. If no endpoint remains, full endpoints are allowed; if still none remains, reserved ones are too. */
-  #chooseEndpoint (triedEndpoints: EndpointName[]): PlaceDecision {
+  /** Excludes endpoints whose rate limit is used, full ones and those reserved for suspect requests. If no endpoint remains, full endpoints are allowed; if still none remains, reserved ones are too. */
+  #chooseEndpoint (triedEndpoints: EndpointName[], usedEndpoints: EndpointName[]): PlaceDecision {
     const { pool, levels, job } = this.#request
     const reservedEndpoints = this.#dataPath.suspectGuard.listReserved(pool)
     const fullEndpoints = this.#dataPath.admission.listFullEndpoints(pool)
     const exclusions = [[...triedEndpoints, ...reservedEndpoints, ...fullEndpoints], [...triedEndpoints, ...reservedEndpoints]]
     for (const excluded of exclusions) {
-      const decision = this.#dataPath.placement.place({ pool, levels, excluded, job })
+      const decision = this.#dataPath.placement.place({ pool, levels, excluded, unavailable: usedEndpoints, job })
       if (decision.type === 'placed') return decision
     }
-    return this.#dataPath.placement.place({ pool, levels, excluded: triedEndpoints, job })
+    return this.#dataPath.placement.place({ pool, levels, excluded: triedEndpoints, unavailable: usedEndpoints, job })
   }
 
   #placeIsolated (action: PlaceAction): void {
     const { attempt, excluded } = action
     const usable = this.#dataPath.endpoints.listUsable(this.#request.pool)
-    const untried = usable.filter(entry => !excluded.includes(entry.endpoint))
+    const used = this.#dataPath.endpointLimiter.listUsed(usable)
+    const untried = usable.filter(entry => !excluded.includes(entry.endpoint) && !used.includes(entry.endpoint))
     if (untried.length === 0) return this.#onEvent({ type: 'unplaceable', attempt, reason: usable.length === 0 ? 'no-endpoint' : 'all-excluded' })
     this.#awaitingIsolation.add(attempt)
     const isQueued = this.#dataPath.suspectGuard.requestIsolation(this.#request, attempt, untried.map(entry => entry.endpoint), endpoint => this.#startIsolated(action, endpoint))
@@ -96,7 +102,9 @@
 
   #start ({ attempt, resumeFrom }: PlaceAction, target: EndpointEntry | PlacedDecision): void {
     const { endpoint, url, incarnation } = target
-    const { agent, endpointClient, placement, admission, suspectGuard, runningAttempts } = this.#dataPath
+    const { agent, endpointClient, placement, admission, suspectGuard, runningAttempts, endpointLimiter } = this.#dataPath
+    const startedAtMs = performance.now()
+    endpointLimiter.tryTake(endpoint)
     const abort = new AbortController()
     this.#launched.set(attempt, { url, abort })
     this.#onEvent({ type: 'placed', attempt, endpoint, incarnation })
@@ -116,6 +124,7 @@
       request: this.#request,
       salt: computeCacheSalt(this.#dataPath, this.#request, endpoint),
       resumeFrom,
+      recordLimit: requestsPerS => endpointLimiter.recordStated(endpoint, this.#request.pool, requestsPerS, startedAtMs),
       agent,
       signal: abort.signal,
       stallLimits: this.#request.repeatable ? this.#dataPath.stallLimits : null,
--- a/packages/knapweedshunt-router/src/dataPath.ts
+++ b/packages/knapweedshunt-router/src/dataPath.ts
@@ -8,6 +8,7 @@
 import type { StallLimits } from './attemptCall.ts'
 import { HTTP_ENDPOINT_CLIENT } from './endpointClient.ts'
 import type { EndpointClient } from './endpointClient.ts'
+import { EndpointLimiter } from './endpointLimiter.ts'
 import { EndpointOutcomeReporter } from './endpointOutcomeReporter.ts'
 import { EndpointTable } from './endpointTable.ts'
 import { RouterMetrics } from './routerMetrics.ts'
@@ -36,6 +37,7 @@
   readonly hedgeDelays = new HedgeDelays()
   readonly runningAttempts = new RunningAttempts()
   readonly suspectGuard: SuspectGuard
+  readonly endpointLimiter: EndpointLimiter
   readonly peerExchange: PeerExchange
   readonly outcomeReporter: EndpointOutcomeReporter
   readonly stallLimits: StallLimits
@@ -54,8 +56,10 @@
     this.endpointClient = client
     this.stallLimits = { firstTokenMs: options.firstTokenTimeoutMs, betweenTokensMs: options.tokenTimeoutMs }
     this.suspectGuard = new SuspectGuard({ broadcastMark: mark => this.peerExchange.broadcastMark(mark), broadcastParts: () => this.peerExchange.broadcastParts() })
+    const incarnation = createIncarnation()
+    this.endpointLimiter = new EndpointLimiter({ vm, incarnation, log, broadcastReport: report => this.peerExchange.broadcastLimits(report) })
     this.outcomeReporter = new EndpointOutcomeReporter(vm, peerKey)
-    this.peerExchange = new PeerExchange({ vm, dataCentre, peerKey, placement: this.placement, admission: this.admission, registry: this.suspectGuard.registry, partDetector: this.suspectGuard.partDetector, log })
+    this.peerExchange = new PeerExchange({ vm, incarnation, dataCentre, peerKey, placement: this.placement, admission: this.admission, registry: this.suspectGuard.registry, partDetector: this.suspectGuard.partDetector, endpointLimiter: this.endpointLimiter, log })
   }
 
   /** Index of the current resources; null before the first snapshot. */
@@ -99,6 +103,7 @@
     const previousEndpoints = this.#endpoints
     this.#endpoints = new EndpointTable(snapshot)
     this.peerExchange.applyVms(snapshot.vms)
+    this.endpointLimiter.applyVms(snapshot.vms)
     this.outcomeReporter.applyVms(snapshot.vms)
     this.placement.handleEvent({ type: 'snapshot', snapshot })
     this.admission.applySnapshot(snapshot, this.#endpoints, this.peerExchange.peerTimeoutMs)
--- a/packages/knapweedshunt-router/src/orders/attemptDispatcher.ts
+++ b/packages/knapweedshunt-router/src/orders/attemptDispatcher.ts
@@ -115,6 +115,10 @@
         this.#refusal = buildFailureError({ type: 'fail', code: 'request_quarantined', ran: 'not-run', retryAfterMs, message: null })
         this.#endAttempt(pending, { type: 'unplaceable', attempt })
       })
+      .with({ type: 'limited' }, ({ retryAfterMs }) => {
+        this.#refusal = buildFailureError({ type: 'fail', code: 'endpoint_overloaded', ran: 'not-run', retryAfterMs, message: null })
+        this.#endAttempt(pending, { type: 'unplaceable', attempt })
+      })
       .with({ type: 'unplaceable' }, () => this.#endAttempt(pending, { type: 'unplaceable', attempt }))
       .with({ type: 'refused' }, () => this.#endAttempt(pending, { type: 'refused', attempt }))
       .with({ type: 'broken' }, ({ reason }) => {
--- a/packages/knapweedshunt-router/src/peerExchange.ts
+++ b/packages/knapweedshunt-router/src/peerExchange.ts
@@ -1,12 +1,14 @@
+import type { EndpointLimitReport } from 'knapweedshunt-admission'
 import type { CrashingPartDetector, SuspectMark, SuspectRegistry } from 'knapweedshunt-attempts'
 import type { Logger } from 'knapweedshunt-logger'
 import { createRpcClient } from 'knapweedshunt-rpc'
 import type { RpcClient } from 'knapweedshunt-rpc'
 import type { Placement } from 'knapweedshunt-placement'
-import type { DataCentreId, Liveness, VmId, VmView } from 'knapweedshunt-types'
-import { createIncarnation, runEvery } from 'knapweedshunt-utils'
+import type { DataCentreId, Incarnation, Liveness, VmId, VmView } from 'knapweedshunt-types'
+import { runEvery } from 'knapweedshunt-utils'
 import type { AdmissionController } from './admissionController.ts'
-import { demandMessageSchema, marksMessageSchema, MAX_DEMANDS, MAX_HOT_KEYS, partsMessageSchema } from './peerMessages.ts'
+import type { EndpointLimiter } from './endpointLimiter.ts'
+import { demandMessageSchema, limitsMessageSchema, marksMessageSchema, MAX_DEMANDS, MAX_HOT_KEYS, partsMessageSchema } from './peerMessages.ts'
 import type { DemandMessage } from './peerMessages.ts'
 import { UnacknowledgedMarks } from './unacknowledgedMarks.ts'
 
@@ -28,27 +30,31 @@
   isSending: boolean
   /** Whether the peer lacks the latest evidence of the part detector. */
   needsParts: boolean
+  /** Whether the peer lacks the latest report about rate limits of endpoints. */
+  needsLimits: boolean
 }
 
 /** Options and collaborators of {@link PeerExchange}. */
 export interface PeerExchangeOptions {
   vm: VmId
+  incarnation: Incarnation
   dataCentre: DataCentreId
   peerKey: string
   placement: Placement
   admission: AdmissionController
   registry: SuspectRegistry
   partDetector: CrashingPartDetector
+  endpointLimiter: EndpointLimiter
   log: Logger
 }
 
-/** Sends marks of suspect requests and evidence about crashing parts of prompts to all peer routers immediately, and exchanges demand with a few peers each round. */
+/** Sends marks of suspect requests, evidence about crashing parts of prompts and reports about rate limits of endpoints to all peer routers immediately, and exchanges demand with a few peers each round. */
 export class PeerExchange {
   readonly #options: PeerExchangeOptions
   readonly #peers = new Map<VmId, Peer>()
   readonly #stopping = new AbortController()
   readonly #rounds: Promise<void>
-  readonly #incarnation = createIncarnation()
+  #limitReport: EndpointLimitReport | null = null
   #round = 0
   #demandSequence = 0
 
@@ -87,6 +93,22 @@
     }
   }
 
+  /** Sends the report about rate limits of endpoints to all peers; one that does not acknowledge it is sent the latest again each round. */
+  broadcastLimits (report: EndpointLimitReport): void {
+    this.#limitReport = report
+    for (const peer of this.#peers.values()) {
+      peer.needsLimits = true
+      this.#sendLimits(peer)
+    }
+  }
+
+  /** Handles `router.limits`. Throws ZodError on invalid params. */
+  handleLimits (params: unknown): object {
+    const { vm, incarnation, report } = limitsMessageSchema.parse(params)
+    this.#options.endpointLimiter.applyReport(vm, incarnation, report)
+    return {}
+  }
+
   /** Handles `router.parts`. Throws ZodError on invalid params. */
   handleParts (params: unknown): object {
     this.#options.partDetector.applyEvidence(partsMessageSchema.parse(params).evidence, 0)
@@ -117,9 +139,11 @@
     const selectedPeers = [...selectPeers(local, this.#round), ...selectPeers(remote, this.#round)]
     this.#round++
     await Promise.all(selectedPeers.map(peer => this.#exchangeDemand(peer)))
+    this.#options.endpointLimiter.broadcastIfNeeded()
     for (const peer of this.#peers.values()) {
       this.#sendMarks(peer)
       this.#sendParts(peer)
+      this.#sendLimits(peer)
     }
   }
 
@@ -157,15 +181,27 @@
     }
   }
 
+  async #sendLimits (peer: Peer): Promise<void> {
+    if (!peer.needsLimits || this.#limitReport === null) return
+    peer.needsLimits = false
+    const { vm, incarnation, log } = this.#options
+    try {
+      await peer.client.call('router.limits', { vm, incarnation, report: this.#limitReport })
+    } catch (error) {
+      peer.needsLimits = true
+      log.warn('Sending rate limits of endpoints to peer failed; retrying next round.', { peer: peer.view.vm, reason: (error as Error).message })
+    }
+  }
+
   #applyDemand ({ vm, incarnation, dataCentre, n, demands, hotKeys }: DemandMessage): void {
     this.#options.admission.applyPeerDemand(vm, demands)
     this.#options.placement.handleEvent({ type: 'peerDemand', vm, incarnation, dataCentre, n, demands: hotKeys })
   }
 
   #buildDemand (): DemandMessage {
-    const { vm, dataCentre, admission, placement } = this.#options
+    const { vm, incarnation, dataCentre, admission, placement } = this.#options
     const hotKeys = placement.listHotKeys().slice(0, MAX_HOT_KEYS)
-    return { vm, incarnation: this.#incarnation, dataCentre, n: this.#demandSequence++, demands: admission.listDemands(MAX_DEMANDS), hotKeys }
+    return { vm, incarnation, dataCentre, n: this.#demandSequence++, demands: admission.listDemands(MAX_DEMANDS), hotKeys }
   }
 
   #listPeers (): { local: Peer[], remote: Peer[] } {
@@ -179,11 +215,12 @@
     if (existing?.view.incarnation === view.incarnation && existing.view.routerUrl === view.routerUrl) return
     if (existing !== undefined) this.#removePeer(view.vm, existing)
     const client = createRpcClient({ url: view.routerUrl, sharedKey: this.#options.peerKey, timeoutMs: CALL_TIMEOUT_MS })
-    const peer: Peer = { view, client, unacknowledgedMarks: new UnacknowledgedMarks(), isSending: false, needsParts: true }
+    const peer: Peer = { view, client, unacknowledgedMarks: new UnacknowledgedMarks(), isSending: false, needsParts: true, needsLimits: true }
     this.#peers.set(view.vm, peer)
     for (const mark of this.#options.registry.listMarks()) peer.unacknowledgedMarks.add(mark, performance.now())
     this.#sendMarks(peer)
     this.#sendParts(peer)
+    this.#sendLimits(peer)
   }
 
   #removePeer (vm: VmId, peer: Peer): void {
--- a/packages/knapweedshunt-router/src/peerMessages.ts
+++ b/packages/knapweedshunt-router/src/peerMessages.ts
@@ -1,3 +1,4 @@
+import { endpointLimitReportSchema } from 'knapweedshunt-admission'
 import { partEvidenceSchema, suspectMarkSchema } from 'knapweedshunt-attempts'
 import { z } from 'zod'
 
@@ -33,3 +34,6 @@
 
 /** Params of `router.parts`: what a VM knows of prompt parts that may crash endpoints. */
 export const partsMessageSchema = z.object({ vm: text, evidence: partEvidenceSchema })
+
+/** Params of `router.limits`: what a VM knows of the rate limits of endpoints, and its demand while limits are in force. */
+export const limitsMessageSchema = z.object({ vm: text, incarnation: text, report: endpointLimitReportSchema })
--- a/packages/knapweedshunt-router/src/runAttempt.ts
+++ b/packages/knapweedshunt-router/src/runAttempt.ts
@@ -10,6 +10,10 @@
 const MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 const STATUS_OK = 200
 
+/** Header in which an endpoint states how many requests per second it accepts from all VMs together. */
+const LIMIT_HEADER = 'x-requests-per-second'
+const LIMIT_PATTERN = /^\d+(\.\d+)?$/
+
 /** Sends the request of an attempt and emits its response as events. Never rejects. */
 export async function runAttempt (call: AttemptCall): Promise<void> {
   const { attempt, emit } = call
@@ -17,6 +21,7 @@
   timer.start('first-token')
   try {
     const message = await sendAttempt(call)
+    recordLimit(call, message)
     if (call.request.work.type === 'service') await readPlainAnswer(call, message)
     else if (message.statusCode !== STATUS_OK) emit(await readRejection(attempt, message))
     else await readEngineStream(call, message, timer)
@@ -39,6 +44,13 @@
   })
 }
 
+/** A value that is not a rate is ignored: what the endpoint stated before stays in force. */
+function recordLimit (call: AttemptCall, { headers }: http.IncomingMessage): void {
+  const text = headers[LIMIT_HEADER]
+  if (text === undefined) call.recordLimit(null)
+  else if (typeof text === 'string' && LIMIT_PATTERN.test(text)) call.recordLimit(Number(text))
+}
+
 async function readPlainAnswer (call: AttemptCall, message: http.IncomingMessage): Promise<void> {
   const body = await readBody(message, MAX_RESPONSE_BYTES)
   const contentType = message.headers['content-type'] ?? 'application/octet-stream'
--- a/packages/knapweedshunt-router/src/startRouter.ts
+++ b/packages/knapweedshunt-router/src/startRouter.ts
@@ -41,6 +41,7 @@
     'router.views': params => ({ incarnation, appliedRevision: dataPath.applyViews(params) }),
     'router.marks': params => dataPath.peerExchange.handleMarks(params),
     'router.parts': params => dataPath.peerExchange.handleParts(params),
+    'router.limits': params => dataPath.peerExchange.handleLimits(params),
     'router.demand': params => dataPath.peerExchange.handleDemand(params),
     'router.explain': params => explainRequest(dataPath, params),
     'router.figures': () => dataPath.metrics.listRows(),
