Gateway log: software version of endpoints, and which request a resumed stream began with

The directory row's version and the caller's field are decoded; 'sent' and 'Endpoint present' name them. No decision changes.

--- a/packages/knapweedshunt-gateway/src/__tests__/decisions.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/decisions.test.ts
@@ -15,7 +15,7 @@
 import { filterEndToEndHeaders } from '../shared/filterEndToEndHeaders.ts'
 
 function buildEntry (endpoint: string, more: Partial<EndpointEntry> = {}): EndpointEntry {
-  return { endpoint, incarnation: `${endpoint}@1`, pool: 'p', address: '127.0.0.1:1', dataCentre: 'z', slots: 4, isDraining: false, models: [{ model: 'm', version: 1 }], ...more }
+  return { endpoint, incarnation: `${endpoint}@1`, pool: 'p', address: '127.0.0.1:1', dataCentre: 'z', slots: 4, isDraining: false, softwareVersion: 'v1', models: [{ model: 'm', version: 1 }], ...more }
 }
 
 function buildRoute (prefix: string): GatewayRoute {
--- a/packages/knapweedshunt-gateway/src/__tests__/unansweredAttempts.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/unansweredAttempts.test.ts
@@ -5,7 +5,7 @@
 import { UnansweredAttempts } from '../flow/unansweredAttempts.ts'
 
 function buildAttempt (endpoint: string, isDraining = false): CrashedAttempt {
-  const entry = { endpoint, incarnation: `${endpoint}@1`, pool: 'p', address: '127.0.0.1:1', dataCentre: 'z', slots: 1, isDraining, models: [] }
+  const entry = { endpoint, incarnation: `${endpoint}@1`, pool: 'p', address: '127.0.0.1:1', dataCentre: 'z', slots: 1, isDraining, softwareVersion: 'v1', models: [] }
   return { requestId: 'id', fingerprint: 'f', sharedParts: [], record: new EndpointRecord(entry), startedAtMs: 0 }
 }
 
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointRegistry.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointRegistry.ts
@@ -81,7 +81,7 @@
     const known = this.#records.get(entry.endpoint)
     if (known === undefined || known.entry.incarnation !== entry.incarnation) {
       this.#records.set(entry.endpoint, new EndpointRecord(entry))
-      this.#recordDecision({ type: 'endpointPresent', endpoint: entry.endpoint, pool: entry.pool, incarnation: entry.incarnation, isDraining: entry.isDraining })
+      this.#recordDecision({ type: 'endpointPresent', endpoint: entry.endpoint, pool: entry.pool, incarnation: entry.incarnation, softwareVersion: entry.softwareVersion, isDraining: entry.isDraining })
       if (known !== undefined) this.#onIncarnationEnded(known)
       return
     }
--- a/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
@@ -38,7 +38,7 @@
   }
 
   /** Records the endpoint that was chosen for an attempt; the number of the first attempt is 1. */
-  recordSent (attempt: number, record: EndpointRecord, { rank, expectedCachedTokens = 0, expectedWaitMs = 0 }: PlacedDecision): void {
+  recordSent (attempt: number, record: EndpointRecord, lastEventId: string | null, { rank, expectedCachedTokens = 0, expectedWaitMs = 0 }: PlacedDecision): void {
     const { call, configRevision, deadlineAtMs, pool } = this.#plan
     const { endpointLimits } = this.#dependencies
     const limitPerS = endpointLimits.findLimit(record)
@@ -51,6 +51,9 @@
       pool,
       endpoint: record.entry.endpoint,
       incarnation: record.entry.incarnation,
+      softwareVersion: record.entry.softwareVersion,
+      firstRequestId: call.firstRequestId ?? '',
+      lastEventId: lastEventId ?? '',
       rank,
       prefix: this.#plan.levels.map(level => level.key.slice(0, LOGGED_KEY_CHARS)).join('>'),
       parts: formatParts(this.#plan.sharedParts),
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -116,8 +116,9 @@
       this.#finalResponse.quarantine(quarantine)
       return null
     }
-    this.#recorder.recordSent(this.#finalResponse.attemptCount + 1, chosen.record, chosen.decision)
-    return { chosen, homeLevels, lastEventId: this.#responseForwarder.lastEventId }
+    const { lastEventId } = this.#responseForwarder
+    this.#recorder.recordSent(this.#finalResponse.attemptCount + 1, chosen.record, lastEventId, chosen.decision)
+    return { chosen, homeLevels, lastEventId }
   }
 
   async #handleOutcome (runningAttempt: RunningAttempt, outcome: AttemptOutcome): Promise<NextStep> {
--- a/packages/knapweedshunt-gateway/src/ports/callerCall.ts
+++ b/packages/knapweedshunt-gateway/src/ports/callerCall.ts
@@ -33,6 +33,8 @@
   prompt: Prompt | null
   /** Id of the last stream event that the caller received; null for a stream from the start. */
   lastEventId: string | null
+  /** Id of the caller's request that brought the first event of the stream which this one resumes; null when not stated. */
+  firstRequestId: string | null
 }
 
 /** Identity of a caller whose access key was checked; public routes have none. */
--- a/packages/knapweedshunt-gateway/src/ports/endpointEntry.ts
+++ b/packages/knapweedshunt-gateway/src/ports/endpointEntry.ts
@@ -19,5 +19,7 @@
   /** Maximum number of requests that the endpoint runs concurrently. */
   slots: number
   isDraining: boolean
+  /** Version of the endpoint's software, not of its weights; empty if not stated. Endpoints of several versions may serve one pool. */
+  softwareVersion: string
   models: ServedModel[]
 }
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -11,8 +11,8 @@
 
 /** A decision about one request; times in milliseconds. */
 export type RequestDecision =
-  /** Sent to an endpoint; `prefix` joins the first characters of the keys of the prompt's prefix levels, outermost first; `limitPerS` is the endpoint's rate limit for all VMs together and `ownLimitPerS` this VM's part of it, in requests per second, null for none; `parts` joins the ids of the parts that other prompts may share. `fingerprint` begins the hash by which repetitions of the request are recognised. */
-  | { type: 'sent', requestId: RequestId, attempt: number, pool: PoolName, endpoint: EndpointName, incarnation: string, rank: number, prefix: string, parts: string, fingerprint: string, expectedCachedTokens: number, promptTokens: number, expectedWaitMs: number, open: number, loadAgeMs: number, configRevision: number, keysAgeMs: number, timeLeftMs: number, limitPerS: number | null, ownLimitPerS: number | null }
+  /** Sent to an endpoint; of a resumed stream `firstRequestId` names the request that brought its first event and `lastEventId` the last event that the caller has, else both are empty; `prefix` joins the first characters of the keys of the prompt's prefix levels, outermost first; `limitPerS` is the endpoint's rate limit for all VMs together and `ownLimitPerS` this VM's part of it, in requests per second, null for none; `parts` joins the ids of the parts that other prompts may share. `fingerprint` begins the hash by which repetitions of the request are recognised. */
+  | { type: 'sent', requestId: RequestId, attempt: number, pool: PoolName, endpoint: EndpointName, incarnation: string, softwareVersion: string, firstRequestId: RequestId, lastEventId: string, rank: number, prefix: string, parts: string, fingerprint: string, expectedCachedTokens: number, promptTokens: number, expectedWaitMs: number, open: number, loadAgeMs: number, configRevision: number, keysAgeMs: number, timeLeftMs: number, limitPerS: number | null, ownLimitPerS: number | null }
   /** An attempt ended without a response; `isRetried` if another endpoint is tried. */
   | { type: 'attemptEnded', requestId: RequestId, attempt: number, endpoint: EndpointName, outcome: string, reason: string, isRetried: boolean, afterMs: number }
   /** A stream is resumed at another endpoint; `endpoint` is the previous one. */
@@ -24,7 +24,7 @@
 
 /** A decision about an endpoint. */
 export type EndpointDecision =
-  | { type: 'endpointPresent', endpoint: EndpointName, pool: PoolName, incarnation: string, isDraining: boolean }
+  | { type: 'endpointPresent', endpoint: EndpointName, pool: PoolName, incarnation: string, softwareVersion: string, isDraining: boolean }
   | { type: 'endpointLeaving', endpoint: EndpointName, pool: PoolName }
   | { type: 'endpointGone', endpoint: EndpointName }
   /** Not used until it answers again; `reason` is the failure that was observed. */
