Gateway: a stream goes on only at the software version that began it

Cause: the chooser did not know the software version of endpoints, and no VM but the one that served a caller's first try could know which endpoint that was. Now an attempt's version binds the stream from the first event on: resumptions, moves and stalls look only for endpoints of that version. For the caller's next tries the version is kept by what identifies the stream (organisation, pool and the request that brought the first event): while a pool's endpoints have several versions, each new stream is told to three VMs, chosen by rendezvous hashing and in different data centres, and any VM asks these. While there is one version nothing is told; streams from before a release are told when the second version appears. What cannot be known is refused as not run (503). The only version of the last seconds is known to a VM that has just started from its peers, or from a row that is written when a pool's versions change, so that callers are not refused after all VMs restarted. Of a route with several pools a stream keeps the pool of its first request.

VMs call each other by JSON-RPC on the first internal port; the key is drawn at each start and read from the VM's row.

--- a/packages/knapweedshunt-gateway/src/__tests__/chooser.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/chooser.test.ts
@@ -1,11 +1,14 @@
 import test from 'ava'
 import { EndpointRegistry } from '../endpoints/endpointRegistry.ts'
 import { EndpointChooser } from '../endpoints/endpointChooser.ts'
+import type { ChoiceCriteria } from '../endpoints/endpointChooser.ts'
 import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
 import type { Prompt } from '../ports/callerCall.ts'
 
 const PROMPT: Prompt = { model: 'm', parts: [{ id: 'a', tokens: 100 }, { id: 'b', tokens: 100 }], tokens: 200 }
 
+const CRITERIA: ChoiceCriteria = { pool: 'p', levels: [], triedEndpoints: [], prompt: PROMPT, softwareVersion: null, mustYieldLimits: false }
+
 /** Rate limits of endpoints; the wait is the same for all that have one. */
 interface Limits {
   limited: string[]
@@ -49,7 +52,7 @@
     return record
   }
   const choose = (prefixCount: number, prompt = PROMPT): Set<string> => {
-    const chosen = Array.from({ length: prefixCount }, (_, n) => chooser.choose('p', [{ key: `key${n}`, tokens: 100 }], [], prompt))
+    const chosen = Array.from({ length: prefixCount }, (_, n) => chooser.choose({ ...CRITERIA, levels: [{ key: `key${n}`, tokens: 100 }], triedEndpoints: [], prompt }))
     return new Set(chosen.map(choice => choice.type === 'chosen' ? choice.record.entry.endpoint : choice.type))
   }
   return { chooser, find, choose }
@@ -63,18 +66,18 @@
 
 test('a retry goes to the newest weights, however few endpoints have them', t => {
   const { chooser } = createSetup([1, 2, 1], { newest: 2, current: 1 })
-  const choice = chooser.choose('p', [{ key: 'k', tokens: 100 }], ['e0'], PROMPT)
+  const choice = chooser.choose({ ...CRITERIA, levels: [{ key: 'k', tokens: 100 }], triedEndpoints: ['e0'], prompt: PROMPT })
   t.is(choice.type === 'chosen' ? choice.record.entry.endpoint : choice.type, 'e1')
 })
 
 test('a prefix leaves its home endpoint when that reports a long queue of prompts', t => {
   const setup = createSetup([1, 1, 1])
-  const home = setup.chooser.choose('p', [{ key: 'k', tokens: 100 }], [], PROMPT)
+  const home = setup.chooser.choose({ ...CRITERIA, levels: [{ key: 'k', tokens: 100 }], triedEndpoints: [], prompt: PROMPT })
   t.is(home.type, 'chosen')
   if (home.type !== 'chosen') return
   for (let n = 0; n < 30; n++) home.record.recordPromptTokens(9_000)
   setup.chooser.recordLoad(home.record, { running: 12, waiting: 20, slots: 64 })
-  const next = setup.chooser.choose('p', [{ key: 'k', tokens: 100 }], [], PROMPT)
+  const next = setup.chooser.choose({ ...CRITERIA, levels: [{ key: 'k', tokens: 100 }], triedEndpoints: [], prompt: PROMPT })
   t.not(next.type === 'chosen' ? next.record.entry.endpoint : next.type, home.record.entry.endpoint)
 })
 
@@ -85,18 +88,18 @@
 
 test('with the limits of all endpoints used, the choice says when one may be sent a request', t => {
   const { chooser } = createSetup([1, 1, 1], undefined, { limited: ['e0', 'e1', 'e2'], waitMs: 100 })
-  t.deepEqual(chooser.choose('p', [], [], PROMPT), { type: 'limited', waitMs: 100, permitsPerS: 1.5 })
+  t.deepEqual(chooser.choose({ ...CRITERIA, levels: [], triedEndpoints: [], prompt: PROMPT }), { type: 'limited', waitMs: 100, permitsPerS: 1.5 })
 })
 
 test('a request that must yield leaves limited endpoints to others', t => {
   const { chooser } = createSetup([1, 1], undefined, { limited: ['e0', 'e1'], waitMs: 0 })
-  t.is(chooser.choose('p', [], [], PROMPT, true).type, 'limited')
-  t.is(chooser.choose('p', [], [], PROMPT, false).type, 'chosen')
+  t.is(chooser.choose({ ...CRITERIA, levels: [], triedEndpoints: [], prompt: PROMPT, mustYieldLimits: true }).type, 'limited')
+  t.is(chooser.choose({ ...CRITERIA, levels: [], triedEndpoints: [], prompt: PROMPT, mustYieldLimits: false }).type, 'chosen')
 })
 
 test('a retry returns to an endpoint that was tried if the limits of the others are used', t => {
   const { chooser } = createSetup([1, 1, 1], undefined, { limited: ['e1', 'e2'], waitMs: 100 })
-  const choice = chooser.choose('p', [], ['e0'], PROMPT)
+  const choice = chooser.choose({ ...CRITERIA, levels: [], triedEndpoints: ['e0'], prompt: PROMPT })
   t.is(choice.type === 'chosen' ? choice.record.entry.endpoint : choice.type, 'e0')
 })
 
--- a/packages/knapweedshunt-gateway/src/__tests__/simulatedFleet.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/simulatedFleet.ts
@@ -54,6 +54,7 @@
       buildPartEvidence: () => this.partDetector.buildEvidence(),
       onPartEvidence: ({ evidence, ageMs, isOwn }) => { this.partDetector.applyEvidence(evidence, ageMs, isOwn) },
       onLimitReport: () => {},
+      onPoolVersions: () => {},
       onMarkEvicted: () => {},
       onUnwritten: () => {},
       onUnreadable: () => {},
@@ -61,7 +62,7 @@
     })
     const follower = new TableFollower(this.feed, { ...DEFAULT_TABLE_FOLLOWER_OPTIONS, table: ROSTER_TABLE, waitMs: ROSTER_POLL_WAIT_MS, seed: incarnation }, LOG, update => this.roster.applyUpdate(update))
     follower.run(this.#abort.signal).catch(() => {})
-    this.roster.announceSelf()
+    this.roster.announceSelf(null)
   }
 
   recordCrash (fingerprint: string, endpoint: string, startedAtMs: number): void {
--- a/packages/knapweedshunt-gateway/src/__tests__/vmRoster.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/vmRoster.test.ts
@@ -31,6 +31,7 @@
     buildPartEvidence: () => ({ reports: [], quarantines: [], clearings: [] }),
     onPartEvidence: () => {},
     onLimitReport: () => {},
+    onPoolVersions: () => {},
     onMarkEvicted: () => {},
     onUnwritten: () => {},
     onUnreadable: () => {},
@@ -154,7 +155,7 @@
     const platform = new MemoryPlatform()
     const writer = buildRoster(platform, 'a', () => {})
     const emptyCopy = platform.tables.copy()
-    writer.announceSelf()
+    writer.announceSelf(null)
     writer.announceMark(buildMark('one', 'e1'))
     await clock.tickAsync(100)
     platform.tables.restore(emptyCopy)
@@ -251,7 +252,7 @@
   await runWithClock(async clock => {
     const platform = new MemoryPlatform()
     const rosters = ['a', 'b', 'c'].map(vm => buildRoster(platform, vm, () => {}))
-    for (const roster of rosters) roster.announceSelf()
+    for (const roster of rosters) roster.announceSelf(null)
     await clock.tickAsync(100)
     await readAll(platform, rosters[0])
     t.is(rosters[0].countVms(), 3)
--- a/packages/knapweedshunt-gateway/src/directory/rosterRows.ts
+++ b/packages/knapweedshunt-gateway/src/directory/rosterRows.ts
@@ -10,12 +10,12 @@
 export const ROSTER_TABLE = 'knapweedshunt'
 
 /** Prefixes of the keys of the roster table, by what the row holds. */
-export const ROSTER_KEY = { vm: 'vm/', wave: 'wave/', crash: 'crash/', part: 'part/', limit: 'limit/' } as const
+export const ROSTER_KEY = { vm: 'vm/', wave: 'wave/', crash: 'crash/', part: 'part/', limit: 'limit/', versions: 'versions/' } as const
 
 const text = z.string().min(1)
 
-/** Row of one VM. */
-export const vmRowSchema = z.object({ vm: text, incarnation: text, dataCentre: z.string() })
+/** Row of one VM; earlier builds serve no calls of other VMs. */
+export const vmRowSchema = z.object({ vm: text, incarnation: text, dataCentre: z.string(), peer: z.object({ url: text, key: text }).nullish() })
 
 /** Output type of {@link vmRowSchema}. */
 export type VmRow = z.output<typeof vmRowSchema>
@@ -63,6 +63,12 @@
   report: EndpointLimitReport
 }
 
+/** Row of the software versions that the endpoints of a pool have; `changedAtMs` is the wall-clock time in Unix milliseconds since which they have them. */
+export const poolVersionsRowSchema = z.object({ pool: text, softwareVersions: z.array(z.string()), changedAtMs: z.number() })
+
+/** Output type of {@link poolVersionsRowSchema}. */
+export type PoolVersionsRow = z.output<typeof poolVersionsRowSchema>
+
 /** Row of a pool's last wave. */
 export const waveRowSchema = z.object({
   vm: text,
--- a/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
+++ b/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
@@ -6,11 +6,12 @@
 import type { PoolName, VmId } from 'knapweedshunt-types'
 import { hashText } from 'knapweedshunt-utils'
 import type { z } from 'zod'
+import type { PeerAddress, PeerView } from '../peers/peerAddress.ts'
 import { CrashMarks } from './crashMarks.ts'
 import type { ReceivedMark } from './crashMarks.ts'
 import { OwnedRows } from './ownedRows.ts'
-import { crashRowSchema, limitRowSchema, partRowSchema, ROSTER_KEY, ROSTER_TABLE, vmRowSchema, waveRowSchema } from './rosterRows.ts'
-import type { CrashRow, LimitRow, PartRow, ReceivedLimitReport, ReceivedPartEvidence, VmRow } from './rosterRows.ts'
+import { crashRowSchema, limitRowSchema, partRowSchema, poolVersionsRowSchema, ROSTER_KEY, ROSTER_TABLE, vmRowSchema, waveRowSchema } from './rosterRows.ts'
+import type { CrashRow, LimitRow, PartRow, PoolVersionsRow, ReceivedLimitReport, ReceivedPartEvidence, VmRow } from './rosterRows.ts'
 
 /** Time for which the store may hold a long poll of the roster, in milliseconds. A connection that went silent is noticed only after it, and until then this VM learns of no crash at other VMs. */
 export const ROSTER_POLL_WAIT_MS = 2_000
@@ -44,6 +45,7 @@
   onPartEvidence (received: ReceivedPartEvidence): void
   /** Called for the report of a VM, including this one's as the others read it. */
   onLimitReport (received: ReceivedLimitReport): void
+  onPoolVersions (row: PoolVersionsRow): void
   /** Called when a row of this VM could not be written. */
   onUnwritten (key: string, reason: string): void
   /** Called for a row that does not match its schema; it is ignored. */
@@ -82,6 +84,11 @@
     return this.#hasAdoptedRows ? [...this.#vms.values()].map(({ row }) => row.vm) : []
   }
 
+  /** Whether this VM writes what no VM in particular owns; false while the other VMs are not known. */
+  get isSharedWriter (): boolean {
+    return this.#hasAdoptedRows && this.computeRank() === 0
+  }
+
   /** Rank of this VM in an order that all VMs agree on, 0 first. */
   computeRank (): number {
     this.#removeMissingVms()
@@ -106,10 +113,16 @@
     else for (const row of update.rows) this.#applyChange(row)
   }
 
-  /** Writes this VM's row. */
-  announceSelf (): void {
+  /** Lists the other VMs that serve calls. */
+  listPeers (): PeerView[] {
+    this.#removeMissingVms()
+    return [...this.#vms].flatMap(([key, { row }]) => this.#isOwn(key) || row.peer == null ? [] : [{ vm: row.vm, dataCentre: row.dataCentre, address: row.peer }])
+  }
+
+  /** Writes this VM's row; `peer` is where it serves calls of the others, null if it does not. */
+  announceSelf (peer: PeerAddress | null): void {
     const { self } = this.#dependencies
-    this.#ownedRows.put(ROSTER_KEY.vm + self.vm, self)
+    this.#ownedRows.put(ROSTER_KEY.vm + self.vm, { ...self, peer })
   }
 
   /** Deletes this VM's row; a failure is only logged. */
@@ -128,6 +141,11 @@
     await this.#dependencies.platform.transact({ checks: [], writes: [{ type: 'put', table: ROSTER_TABLE, key: ROSTER_KEY.wave + notice.pool, value: notice }] })
   }
 
+  /** Writes the software versions of a pool for VMs that start later. Throws PlatformError. */
+  async writePoolVersions (row: PoolVersionsRow): Promise<void> {
+    await this.#dependencies.platform.transact({ checks: [], writes: [{ type: 'put', table: ROSTER_TABLE, key: ROSTER_KEY.versions + row.pool, value: row }] })
+  }
+
   /** Announces a request that may have crashed an endpoint, or its clearing, to all VMs. */
   announceMark (mark: SuspectMark): void {
     this.#crashMarks.add(mark)
@@ -194,6 +212,7 @@
     if (key.startsWith(ROSTER_KEY.vm)) return this.#parseRow(key, vmRowSchema, value, row => this.#applyVmRow(key, row))
     if (key.startsWith(ROSTER_KEY.wave)) return this.#parseRow(key, waveRowSchema, value, notice => this.#applyWaveNotice(notice))
     if (key.startsWith(ROSTER_KEY.part)) return this.#parseRow(key, partRowSchema, value, row => this.#applyPartRow(key, row))
+    if (key.startsWith(ROSTER_KEY.versions)) return this.#parseRow(key, poolVersionsRowSchema, value, row => this.#dependencies.onPoolVersions(row))
     if (key.startsWith(ROSTER_KEY.limit)) return this.#parseRow(key, limitRowSchema, value, ({ vm, incarnation, report }) => this.#dependencies.onLimitReport({ vm, from: incarnation, report }))
     if (key.startsWith(ROSTER_KEY.crash)) return this.#parseRow(key, crashRowSchema, value, row => this.#applyCrashRow(key, row))
   }
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -42,6 +42,19 @@
   | { type: 'limited', waitMs: number, permitsPerS: number }
   | { type: 'none' }
 
+/** What an endpoint is chosen for. */
+export interface ChoiceCriteria {
+  pool: PoolName
+  levels: PrefixLevel[]
+  /** Endpoints tried before, which are avoided. */
+  triedEndpoints: EndpointName[]
+  prompt: Prompt | null
+  /** Software version that the endpoint must have, as it began the stream; null for any. */
+  softwareVersion: string | null
+  /** Whether limited endpoints are left to other requests. */
+  mustYieldLimits: boolean
+}
+
 /** An endpoint for the next attempt. */
 export type ChosenEndpoint = Extract<Choice, { type: 'chosen' }>
 
@@ -123,17 +136,18 @@
     return hashSalt({ organisation: getIsolationScope(identity), model: prompt.model, adapter: '', weightsVersion }).slice(0, 32)
   }
 
-  /** Chooses an endpoint of the pool, preferring those not tried yet, and counts the request towards its rate limit. With `mustYieldLimits` limited endpoints are left to other requests. */
-  choose (pool: PoolName, levels: PrefixLevel[], triedEndpoints: EndpointName[], prompt: Prompt | null, mustYieldLimits = false): Choice {
+  /** Chooses an endpoint of the pool, preferring those not tried yet, and counts the request towards its rate limit. */
+  choose ({ pool, levels, triedEndpoints, prompt, softwareVersion, mustYieldLimits }: ChoiceCriteria): Choice {
     const isRetry = triedEndpoints.length > 0
     const records = this.#dependencies.endpointRegistry.list(pool)
-    const candidates = this.#listCandidates(records, triedEndpoints)
-    if (candidates.length === 0) return records.length === 0 ? { type: 'none' } : { type: 'busy' }
+    const suitable = softwareVersion === null ? records : records.filter(({ entry }) => entry.softwareVersion === softwareVersion && !entry.isDraining)
+    const candidates = this.#listCandidates(suitable, triedEndpoints)
+    if (candidates.length === 0) return suitable.length === 0 ? { type: 'none' } : { type: 'busy' }
     this.#updatePeerDemand()
     const serving = this.#listServing(candidates, pool, prompt)
     if (serving.length === 0) return { type: 'busy' }
     const usable = this.#listUsable(serving, pool, prompt, isRetry, mustYieldLimits)
-    if (usable.length === 0 && isRetry) usable.push(...this.#listServing(this.#listCandidates(records, []), pool, prompt).filter(record => this.#isPermitted(record, mustYieldLimits)))
+    if (usable.length === 0 && isRetry) usable.push(...this.#listServing(this.#listCandidates(suitable, []), pool, prompt).filter(record => this.#isPermitted(record, mustYieldLimits)))
     if (usable.length === 0) return this.#describeLimited(serving)
     const names = new Set(usable.map(record => record.entry.endpoint))
     const unavailable = records.filter(record => !names.has(record.entry.endpoint)).map(record => record.entry.endpoint)
@@ -148,9 +162,12 @@
     return this.#prefixLocations
   }
 
-  /** Whether the pool has an endpoint that was not tried, is not draining and may be sent a request now. */
-  hasUntriedEndpoint (pool: PoolName, triedEndpoints: EndpointName[]): boolean {
-    return this.#dependencies.endpointRegistry.list(pool).some(record => !record.entry.isDraining && !triedEndpoints.includes(record.entry.endpoint) && this.#isPermitted(record, false))
+  /** Whether the pool has an endpoint that was not tried, is not draining, may be sent a request now and has the software version, if one is given. */
+  hasUntriedEndpoint (pool: PoolName, triedEndpoints: EndpointName[], softwareVersion: string | null): boolean {
+    return this.#dependencies.endpointRegistry.list(pool).some(record => {
+      const { entry } = record
+      return !entry.isDraining && !triedEndpoints.includes(entry.endpoint) && (softwareVersion === null || entry.softwareVersion === softwareVersion) && this.#isPermitted(record, false)
+    })
   }
 
   /** Records the load reported in a response and passes it to the placement module. */
--- a/packages/knapweedshunt-gateway/src/flow/attemptRunner.ts
+++ b/packages/knapweedshunt-gateway/src/flow/attemptRunner.ts
@@ -29,6 +29,8 @@
   readonly #permits: RetryPermits
   readonly #triedEndpoints: string[] = []
   #current: RunningAttempt | null = null
+  /** Software version of the endpoint that began the stream; null while any may serve it. */
+  softwareVersion: string | null = null
 
   constructor (dependencies: FlowDependencies, plan: RequestPlan, permits: RetryPermits) {
     this.#dependencies = dependencies
@@ -91,9 +93,9 @@
     }
   }
 
-  /** Whether the pool has an endpoint that was not tried. */
+  /** Whether the pool has an endpoint that was not tried and may serve the request. */
   get hasUntriedEndpoint (): boolean {
-    return this.#dependencies.chooser.hasUntriedEndpoint(this.#plan.pool, this.#triedEndpoints)
+    return this.#dependencies.chooser.hasUntriedEndpoint(this.#plan.pool, this.#triedEndpoints, this.softwareVersion)
   }
 
   /** Reserves a retry at another endpoint. False if there is none: an attempt is not ended for silence alone. */
--- a/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
+++ b/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
@@ -9,6 +9,7 @@
 import type { KeyRefusal } from './keyRefusal.ts'
 import type { RequestPlan } from './requestPlan.ts'
 import type { RequestRecorder } from './requestRecorder.ts'
+import { RETRY_OTHER_VM_MS } from './retryOtherVm.ts'
 
 /** Mean of the retry-after time given to a refused caller, in milliseconds. */
 const RETRY_AFTER_MS = 200
@@ -66,12 +67,17 @@
   /** Refuses a request for which no endpoint could be chosen. */
   refuseUnplaced (choice: Exclude<Choice, ChosenEndpoint>): void {
     match(choice)
-      .with({ type: 'none' }, () => this.fail('no_endpoint', 'the pool has no endpoint'))
+      .with({ type: 'none' }, () => this.fail('no_endpoint', 'the pool has no endpoint, or none of the software version that began the stream'))
       .with({ type: 'busy' }, () => this.fail('no_free_endpoint', 'no endpoint can accept the request'))
       .with({ type: 'limited' }, ({ waitMs }) => this.refuse('endpoints_limited', this.#mayHaveRun ? 502 : 503, 'all endpoints state rate limits, and the parts of this VM are used', Math.min(MAX_LIMITED_RETRY_AFTER_MS, Math.max(RETRY_AFTER_MS, waitMs))))
       .exhaustive()
   }
 
+  /** Refuses a stream of which this VM cannot tell which software version began it; another VM may be able to. */
+  refuseStream (): void {
+    this.refuse('stream_unknown', 503, 'several software versions may have begun the stream', RETRY_OTHER_VM_MS)
+  }
+
   /** Refuses a request that was quarantined after it was accepted. */
   quarantine ({ detail, retryAfterMs }: Quarantine): void {
     this.refuse('quarantined', this.#mayHaveRun ? 502 : 503, detail, retryAfterMs)
--- a/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
@@ -7,6 +7,7 @@
 import type { EndpointMonitor } from '../endpoints/endpointMonitor.ts'
 import type { Quarantine } from '../directory/quarantine.ts'
 import type { EndpointPort } from '../ports/endpointPort.ts'
+import type { StreamOrigins } from '../peers/streamOrigins.ts'
 import type { DecisionLog } from '../records/decisionLog.ts'
 import type { GatewayMetrics } from '../records/gatewayMetrics.ts'
 import type { CrashedAttempt } from './crashedAttempt.ts'
@@ -24,6 +25,7 @@
   kvStoreMonitor: KvStoreMonitor
   endpointLimits: EndpointLimits
   permitQueue: PermitQueue
+  streamOrigins: StreamOrigins
   metrics: GatewayMetrics
   decisionLog: DecisionLog
   log: Logger
--- a/packages/knapweedshunt-gateway/src/flow/launchAttempt.ts
+++ b/packages/knapweedshunt-gateway/src/flow/launchAttempt.ts
@@ -44,7 +44,7 @@
   record.recordPromptTokens(promptTokens - expectedCachedTokens)
   dependencies.chooser.placement.handleEvent({ type: 'started', attempt: attemptId, endpoint: record.entry.endpoint, tokens: promptTokens, levels: homeLevels, decision })
   dependencies.endpointMonitor.recordStart(record, startedAtMs)
-  return { attempt, record, attemptNumber, startedAtMs, attemptId, cacheSalt, expectedCachedTokens }
+  return { attempt, record, softwareVersion: record.entry.softwareVersion, attemptNumber, startedAtMs, attemptId, cacheSalt, expectedCachedTokens }
 }
 
 /** Chooses from where the endpoint fetches the KV cache of the prompt's shared prefix, and to which store it saves it; null for no transfer. */
--- a/packages/knapweedshunt-gateway/src/flow/requestPlanner.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestPlanner.ts
@@ -44,7 +44,7 @@
     // Reading the body can take long, so the configuration is read again.
     const config = this.#getConfig()
     const route = this.#findRoute(call)
-    const pool = choosePool(route.shares, call.requestId)
+    const pool = choosePool(route.shares, call.firstRequestId ?? call.requestId)
     if (pool === undefined) throw createCallerError(404, 'no_route', `Route ${route.name} has no pool.`)
     const levels = route.usesPrefixes ? this.#dependencies.chooser.buildPrefixLevels(call.prompt, identity) : []
     const fingerprint = computeFingerprint(identity?.organisation ?? '', hashText(call.method, call.target, hashBody(body)))
--- a/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
@@ -71,6 +71,12 @@
     })
   }
 
+  /** Records that the caller takes up a stream again; `softwareVersion` is null if it is not known what began it. */
+  recordTakenUp (softwareVersion: string | null): void {
+    const { call } = this.#plan
+    this.#dependencies.decisionLog.record({ type: 'takenUp', requestId: call.requestId, firstRequestId: call.firstRequestId ?? '', softwareVersion, afterMs: this.getAgeMs() })
+  }
+
   /** Records that the router refused the request. */
   recordRefused ({ reason, status, mayHaveRun, attempts, retryAfterMs, detail }: Refusal): void {
     const { call, route, identity } = this.#plan
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -58,7 +58,7 @@
     const deadline = setTimeout(() => this.#handleDeadline(), Math.max(0, deadlineAtMs - performance.now()))
     this.#callerResponse.once('close', () => this.#handleConnectionClosed())
     try {
-      let step: NextStep = RETRY
+      let step: NextStep = await this.#findOrigin() ? RETRY : DONE
       while (step.type === 'retry' && !this.#finalResponse.isSettled) step = await this.#runNextAttempt()
     } catch (error) {
       this.#dependencies.log.warn('Request failed with an internal error.', { requestId: this.#plan.call.requestId, route: route.name, reason: (error as Error).message })
@@ -87,6 +87,18 @@
     return this.#plan.route.repeatability !== REPEATABILITY.never
   }
 
+  /** Finds the software version at which a stream that the caller takes up again must go on; false if it is not known, so that the stream is refused. */
+  async #findOrigin (): Promise<boolean> {
+    const { call, route, identity, pool } = this.#plan
+    if (call.lastEventId === null || route.repeatability !== REPEATABILITY.resumed) return true
+    const origin = await this.#dependencies.streamOrigins.findOrigin({ organisation: identity?.organisation ?? '', pool, firstRequestId: call.firstRequestId })
+    const softwareVersion = origin.type === 'known' ? origin.softwareVersion : null
+    this.#recorder.recordTakenUp(softwareVersion)
+    this.#attemptRunner.softwareVersion = softwareVersion
+    if (softwareVersion === null) this.#finalResponse.refuseStream()
+    return softwareVersion !== null
+  }
+
   async #runNextAttempt (): Promise<NextStep> {
     const nextAttempt = await this.#prepareAttempt()
     if (nextAttempt === null) return DONE
@@ -105,7 +117,7 @@
       return null
     }
     const homeLevels = this.#dependencies.chooser.findHomeLevels(this.#plan.levels)
-    const chosen = await waitForEndpoint(this.#dependencies, this.#plan, { homeLevels, triedEndpoints: [...this.#attemptRunner.triedEndpoints], isCancelled: () => this.#finalResponse.isSettled })
+    const chosen = await waitForEndpoint(this.#dependencies, this.#plan, { homeLevels, triedEndpoints: [...this.#attemptRunner.triedEndpoints], softwareVersion: this.#attemptRunner.softwareVersion, isCancelled: () => this.#finalResponse.isSettled })
     if (this.#finalResponse.isSettled) return null
     if (chosen.type !== 'chosen') {
       this.#finalResponse.refuseUnplaced(chosen)
--- a/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
@@ -126,7 +126,7 @@
   async #forwardLargeResponse (runningAttempt: RunningAttempt, response: http.IncomingMessage, firstChunks: Buffer[], firstByteMs: number): Promise<NextStep> {
     const { attemptRunner, recorder, finalResponse } = this.#parts
     for (const chunk of firstChunks) this.#callerResponse.write(chunk)
-    const result = await this.#relay.forward(response, { stallTimeoutMs: null, canCut: () => false, onChunk: () => {} })
+    const result = await this.#relay.forward(response, { stallTimeoutMs: null, canCut: () => false, onFirstEvent: () => {}, onChunk: () => {} })
     attemptRunner.finish(runningAttempt)
     if (result.type === 'callerLeft') {
       if (!finalResponse.isSettled) finalResponse.handleCallerLeft(true)
@@ -152,7 +152,7 @@
     if (!this.#callerResponse.headersSent) this.#responseHeadWriter.writeHead(response, response.statusCode ?? 0, null)
     const stallTimeoutMs = this.#isResumable ? (route.pauseObjectiveMs ?? DEFAULT_PAUSE_OBJECTIVE_MS) * STALL_TIMEOUT_PAUSE_FACTOR : null
     this.#isStreaming = true
-    const result = await this.#relay.forward(response, { stallTimeoutMs, canCut: () => attemptRunner.tryReserveMove(), onChunk: () => this.#dependencies.endpointMonitor.recordReceivedBytes(runningAttempt.record) })
+    const result = await this.#relay.forward(response, { stallTimeoutMs, canCut: () => attemptRunner.tryReserveMove(), onChunk: () => this.#dependencies.endpointMonitor.recordReceivedBytes(runningAttempt.record), onFirstEvent: () => this.#bindVersion(runningAttempt) })
     this.#isStreaming = false
     if (finalResponse.isSettled || result.type === 'callerLeft') {
       runningAttempt.attempt.cancel(LOSS_REASON.cancelled)
@@ -170,6 +170,15 @@
     return this.#handleStreamInterrupted(runningAttempt, result)
   }
 
+  /** From the first event on, the stream goes on at this software version only, also over the caller's tries. */
+  #bindVersion ({ softwareVersion }: RunningAttempt): void {
+    const { attemptRunner } = this.#parts
+    if (attemptRunner.softwareVersion !== null) return
+    attemptRunner.softwareVersion = softwareVersion
+    const { call, identity, pool } = this.#plan
+    if (call.lastEventId === null) this.#dependencies.streamOrigins.recordBegan({ organisation: identity?.organisation ?? '', pool, firstRequestId: call.requestId }, softwareVersion)
+  }
+
   #handleStreamInterrupted (runningAttempt: RunningAttempt, interruption: StreamInterruption): NextStep {
     const { attemptRunner, permits, recorder, finalResponse } = this.#parts
     const isMoved = this.#isMoved
--- a/packages/knapweedshunt-gateway/src/flow/runningAttempt.ts
+++ b/packages/knapweedshunt-gateway/src/flow/runningAttempt.ts
@@ -5,6 +5,8 @@
 export interface RunningAttempt {
   attempt: Attempt
   record: EndpointRecord
+  /** Software version of the endpoint when the request was sent. */
+  softwareVersion: string
   attemptNumber: number
   startedAtMs: number
   attemptId: string
--- a/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
@@ -21,6 +21,8 @@
   canCut (): boolean
   /** Called for each chunk that arrives from the endpoint. */
   onChunk (): void
+  /** Called before the first event of a resumable stream is forwarded. */
+  onFirstEvent (): void
 }
 
 /** Forwards the event streams of consecutive endpoints to one caller. */
@@ -84,6 +86,7 @@
         // Bytes that complete no event are no progress.
         if (events === null || events.length > 0) restartStallTimer()
         const bytes = events === null ? chunk : this.#selectNewEvents(events)
+        if (bytes.length > 0 && this.#isResumable && this.#firstWriteAtMs === null) options.onFirstEvent()
         if (bytes.length > 0 && !this.#write(bytes)) {
           clearTimeout(stallTimer)
           if (!await this.#waitDrain()) return { type: 'callerLeft' }
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -23,9 +23,13 @@
 import { CallerAuthenticator } from './flow/callerAuthenticator.ts'
 import type { FlowDependencies } from './flow/flowDependencies.ts'
 import { PermitQueue } from './flow/permitQueue.ts'
+import { PeerClients } from './peers/peerClients.ts'
+import { PeerServer } from './peers/peerServer.ts'
+import { StreamOrigins } from './peers/streamOrigins.ts'
 import { RequestPlanner } from './flow/requestPlanner.ts'
 import { UnansweredAttempts } from './flow/unansweredAttempts.ts'
 import type { GatewayAddresses, GatewayDependencies } from './gatewayDependencies.ts'
+import { REPEATABILITY } from './ports/gatewayConfig.ts'
 import type { VmSettings } from './ports/vmSettings.ts'
 import { DecisionLog } from './records/decisionLog.ts'
 import { GatewayMetrics } from './records/gatewayMetrics.ts'
@@ -41,6 +45,9 @@
 /** Delay after the notice that endpoints load weights until their remaining streams are moved, in milliseconds; most streams end earlier. */
 const MOVE_STREAMS_DELAY_MS = 300
 
+/** Margin added to the longest timeout of a resumable route, in milliseconds, for the time that a caller's tries take beyond it. */
+const STREAM_RETENTION_MARGIN_MS = 3_000
+
 /** The complete data path of one VM. */
 export class Gateway {
   readonly #dependencies: GatewayDependencies
@@ -57,6 +64,9 @@
   readonly #unansweredAttempts: UnansweredAttempts
   readonly #roster: VmRoster
   readonly #endpointLimits: EndpointLimits
+  readonly #streamOrigins: StreamOrigins
+  readonly #peerClients = new PeerClients()
+  readonly #peerServer: PeerServer
   readonly #weightsState: WeightsState
   readonly #chooser: EndpointChooser
   readonly #endpointMonitor: EndpointMonitor
@@ -88,7 +98,7 @@
       announceMark: mark => this.#roster.announceMark(mark),
       announceParts: () => this.#roster.announceParts()
     })
-    this.#endpointRegistry = new EndpointRegistry(decision => this.#decisionLog.record(decision), () => this.#chooser.rebuild(), record => {
+    this.#endpointRegistry = new EndpointRegistry(decision => this.#decisionLog.record(decision), () => this.#handleEndpointsChanged(), record => {
       this.#unansweredAttempts.handleIncarnationEnded(record)
       this.#endpointLimits.handleIncarnationEnded(record)
     })
@@ -102,6 +112,7 @@
       onMark: received => this.#suspectTracker.applyMark(received),
       buildPartEvidence: () => this.#suspectTracker.buildPartEvidence(),
       onPartEvidence: received => this.#suspectTracker.applyPartEvidence(received),
+      onPoolVersions: row => this.#streamOrigins.applyPoolVersions(row),
       onLimitReport: received => this.#endpointLimits.applyReport(received),
       onMarkEvicted: mark => this.#suspectTracker.handleMarkEvicted(mark),
       onUnwritten: (key, reason) => this.#recordUnwrittenRow(key, reason),
@@ -119,6 +130,23 @@
       listVms: () => this.#roster.listVms(),
       announceReport: report => this.#roster.announceLimits(report)
     })
+    this.#streamOrigins = new StreamOrigins({
+      vm: settings.vm,
+      dataCentre: settings.dataCentre,
+      endpointRegistry: this.#endpointRegistry,
+      decisionLog: this.#decisionLog,
+      signal: this.#taskController.signal,
+      listPeers: () => this.#roster.listPeers(),
+      call: (view, method, params) => this.#peerClients.call(view, method, params),
+      getRetentionMs: () => this.#computeStreamRetentionMs(),
+      isVersionsWriter: () => this.#roster.isSharedWriter,
+      writePoolVersions: row => this.#roster.writePoolVersions(row),
+      getEndpointsAgeMs: () => this.#followers.endpoints.ageMs ?? Infinity
+    })
+    this.#peerServer = new PeerServer({
+      'streams.record': params => this.#streamOrigins.handleRecord(params),
+      'streams.find': params => this.#streamOrigins.handleFind(params)
+    })
     this.#weightsState = new WeightsState({ getMaxStaleMs: () => this.#settings.maxStaleWeightsMs - STALE_WEIGHTS_MARGIN_MS, holder: settings.vm, endpointRegistry: this.#endpointRegistry, roster: this.#roster, managementPort, recordDecision: decision => this.#decisionLog.record(decision), onServedVersion: () => this.#chooser.rebuild() })
     this.#chooser = new EndpointChooser({
       dataCentre: settings.dataCentre,
@@ -197,7 +225,7 @@
     const auxiliaryAddresses = await auxiliaryServers.start(settings.readiness, settings.metrics)
     this.#addresses = { callers: await this.#callerServer.start(settings.callers), ...auxiliaryAddresses }
     const taskController = this.#taskController
-    this.#roster.announceSelf()
+    this.#roster.announceSelf(settings.peers === null ? null : await this.#peerServer.start(settings.peers))
     const lease = { ...DEFAULT_WAVE_OPTIONS.lease, maxCommandMs: settings.leaseMs + DEFAULT_WAVE_OPTIONS.lease.guardMs }
     const waveTask = new WaveTask({ vm: settings.vm, incarnation: this.#incarnation, platform, ports: this.#weightsState.buildWavePorts(), log, options: { ...DEFAULT_WAVE_OPTIONS, lease } })
     const runningTasks = [
@@ -208,6 +236,7 @@
       runEvery(SWEEP_INTERVAL_MS, taskController.signal, () => {
         this.#endpointRegistry.removeExpired()
         this.#readiness.update()
+        this.#streamOrigins.updateVersions()
         this.#endpointLimits.update(performance.now() - (this.#followers.roster.ageMs ?? Infinity))
       })
     ]
@@ -220,6 +249,8 @@
     await this.#roster.removeSelf()
     this.#callerServer.closeAllConnections()
     await auxiliaryServers.close()
+    await this.#peerServer.close()
+    this.#peerClients.close()
     this.#agent.destroy()
     this.#decisionLog.record({ type: 'stopped', vm: settings.vm, inFlight: this.#requestHandler.inFlight })
   }
@@ -233,6 +264,7 @@
       kvStoreMonitor: this.#kvStoreMonitor,
       endpointLimits: this.#endpointLimits,
       permitQueue: new PermitQueue(),
+      streamOrigins: this.#streamOrigins,
       metrics: this.#metrics,
       decisionLog: this.#decisionLog,
       log: this.#dependencies.log,
@@ -250,6 +282,17 @@
     }
   }
 
+  #handleEndpointsChanged (): void {
+    this.#chooser.rebuild()
+    this.#streamOrigins.updateVersions()
+  }
+
+  /** A caller takes up a stream again within the time that it waits in all. */
+  #computeStreamRetentionMs (): number {
+    const timeoutsMs = this.#configState.config?.routes.filter(route => route.repeatability === REPEATABILITY.resumed).map(route => route.timeoutMs) ?? []
+    return Math.max(0, ...timeoutsMs) + STREAM_RETENTION_MARGIN_MS
+  }
+
   #recordUnwrittenRow (key: string, reason: string): void {
     this.#metrics.recordUnwrittenRow()
     this.#decisionLog.record({ type: 'rowUnwritten', key, reason })
@@ -260,6 +303,7 @@
     this.#metrics.addGauge('endpoints', 'Endpoints known.', () => this.#endpointRegistry.size)
     this.#metrics.addGauge('endpoints_out', 'Endpoints left out because they do not answer.', () => this.#endpointMonitor.excludedCount)
     this.#metrics.addGauge('endpoints_limited', 'Endpoints that state a rate limit.', () => this.#endpointLimits.count)
+    this.#metrics.addGauge('stream_origins', 'Streams whose software version this VM knows.', () => this.#streamOrigins.count)
     this.#metrics.addGauge('endpoints_loading', 'Endpoints that load weights.', () => this.#weightsState.listLoadingEndpoints().size)
     this.#metrics.addGauge('keys_age_seconds', 'Age of the operator\'s rows.', () => Math.min(this.#keyFreshness.ageMs, Number.MAX_SAFE_INTEGER) / 1_000)
     this.#metrics.addGauge('vms', 'VMs that may be running.', () => this.#roster.countVms())
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/peers/peerAddress.ts
@@ -0,0 +1,16 @@
+import type { DataCentreId, VmId } from 'knapweedshunt-types'
+
+/** Where a VM serves the calls of the others. */
+export interface PeerAddress {
+  /** Base URL. */
+  url: string
+  /** Key that callers must send. */
+  key: string
+}
+
+/** Another VM that serves calls. */
+export interface PeerView {
+  vm: VmId
+  dataCentre: DataCentreId
+  address: PeerAddress
+}
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/peers/streamMessages.ts
@@ -0,0 +1,19 @@
+import { z } from 'zod'
+
+/** Maximum number of streams in one message. */
+export const MAX_MESSAGE_STREAMS = 500
+
+const text = z.string().min(1).max(255)
+const softwareVersion = z.string().max(255)
+
+/** Params of `streams.record`: streams and the software versions that began them. */
+export const recordParamsSchema = z.object({ pool: text, streams: z.array(z.object({ key: text, softwareVersion })).max(MAX_MESSAGE_STREAMS) })
+
+/** Params of `streams.find`. */
+export const findParamsSchema = z.object({ pool: text, key: text })
+
+/** Result of `streams.find`: what began the stream, or else the only version that can have begun one lately; null for what is not known. */
+export const findResultSchema = z.object({ softwareVersion: softwareVersion.nullable(), onlyVersion: softwareVersion.nullable() })
+
+/** Output type of {@link findResultSchema}. */
+export type FindResult = z.output<typeof findResultSchema>
--- a/packages/knapweedshunt-gateway/src/ports/vmSettings.ts
+++ b/packages/knapweedshunt-gateway/src/ports/vmSettings.ts
@@ -15,6 +15,8 @@
   callers: ListenAddress
   readiness: ListenAddress
   metrics: ListenAddress | null
+  /** Address for calls of other VMs; null if there is none. */
+  peers: ListenAddress | null
   /** Maximum time between the revocation of an access key and the last request accepted with it. */
   maxRevocationMs: number
   /** Time within which a graceful shutdown must finish. */
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -6,7 +6,7 @@
 /** Reason why a request was refused. The values are sent to callers, logged and used as a metric label. */
 export type RefusalReason =
   | 'bad_request' | 'header_too_large' | 'body_too_large' | 'body_too_slow' | 'no_route' | 'no_key' | 'unknown_key'
-  | 'no_config' | 'keys_unconfirmed' | 'quarantined' | 'no_endpoint' | 'no_free_endpoint' | 'endpoints_limited' | 'endpoint_refused'
+  | 'no_config' | 'stream_unknown' | 'keys_unconfirmed' | 'quarantined' | 'no_endpoint' | 'no_free_endpoint' | 'endpoints_limited' | 'endpoint_refused'
   | 'stopping' | 'timeout' | 'endpoint_lost' | 'stream_cut' | 'caller_left' | 'internal'
 
 /** A decision about one request; times in milliseconds. */
@@ -15,6 +15,8 @@
   | { type: 'sent', requestId: RequestId, attempt: number, pool: PoolName, endpoint: EndpointName, incarnation: string, softwareVersion: string, firstRequestId: RequestId, lastEventId: string, rank: number, prefix: string, parts: string, fingerprint: string, expectedCachedTokens: number, promptTokens: number, expectedWaitMs: number, open: number, loadAgeMs: number, configRevision: number, keysAgeMs: number, timeLeftMs: number, limitPerS: number | null, ownLimitPerS: number | null }
   /** An attempt ended without a response; `isRetried` if another endpoint is tried. */
   | { type: 'attemptEnded', requestId: RequestId, attempt: number, endpoint: EndpointName, outcome: string, reason: string, isRetried: boolean, afterMs: number }
+  /** A caller takes up a stream again; `softwareVersion` is that of the endpoint that began it, null if it is not known. */
+  | { type: 'takenUp', requestId: RequestId, firstRequestId: RequestId, softwareVersion: string | null, afterMs: number }
   /** A stream is resumed at another endpoint; `endpoint` is the previous one. */
   | { type: 'resumed', requestId: RequestId, endpoint: EndpointName, lastEventId: string, afterMs: number }
   /** An endpoint's response was forwarded completely. */
@@ -41,6 +43,10 @@
   | { type: 'stopping', vm: VmId, inFlight: number }
   | { type: 'stopped', vm: VmId, inFlight: number }
   | { type: 'reloaded', vm: VmId }
+  /** Another VM could not be told which software versions began streams; it is told again. */
+  | { type: 'streamsUntold', vm: VmId, reason: string }
+  /** Another VM could not be asked which software version began a stream. */
+  | { type: 'streamUnasked', vm: VmId, reason: string }
   | { type: 'configTaken', revision: number, routes: number, organisations: number }
   | { type: 'readiness', isReady: boolean, reason: string }
   | { type: 'keysFresh', isFresh: boolean, ageMs: number }
