--- a/packages/knapweedshunt-attempts/src/poolVersionHistory.ts
+++ b/packages/knapweedshunt-attempts/src/poolVersionHistory.ts
@@ -10,7 +10,7 @@
   readonly #pools = new Map<string, PoolVersions>()
   readonly #getRetentionMs: () => number
 
-  /** `getRetentionMs` returns the time for which a stream may be taken up again, in milliseconds. */
+  /** `getRetentionMs` returns the time after which a version that is no longer present has begun no stream that may be taken up again, in milliseconds. */
   constructor (getRetentionMs: () => number) {
     this.#getRetentionMs = getRetentionMs
   }
--- a/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
@@ -14,6 +14,9 @@
 /** Age of the endpoint table up to which it shows all software versions that serve, in milliseconds; over two long polls. */
 const MAX_ENDPOINTS_AGE_MS = 4_000
 
+/** Time for which an endpoint may still begin streams after it has left the directory, at a VM that does not see that, in milliseconds. */
+const MAX_LEAVING_MS = 10_000
+
 /** Largest difference between the wall clocks of two VMs that is reckoned with, in milliseconds. */
 const MAX_CLOCK_SKEW_MS = 3_000
 
@@ -67,7 +70,7 @@
   constructor (dependencies: StreamOriginsDependencies) {
     this.#dependencies = dependencies
     this.#table = new StreamVersionTable(dependencies.getRetentionMs)
-    this.#history = new PoolVersionHistory(dependencies.getRetentionMs)
+    this.#history = new PoolVersionHistory(() => dependencies.getRetentionMs() + MAX_LEAVING_MS)
     this.#announcer = new StreamAnnouncer({
       ...dependencies,
       onFailed: (vm, reason) => dependencies.decisionLog.record({ type: 'streamsUntold', vm, reason })
@@ -110,11 +113,10 @@
 
   /** Finds the version that began a stream. */
   async findOrigin ({ organisation, pool, firstRequestId }: StreamIdentity): Promise<StreamOrigin> {
-    const key = firstRequestId === null ? null : computeStreamKey(organisation, pool, firstRequestId)
-    const known = key === null ? null : this.#table.find(key)
+    const key = computeStreamKey(organisation, pool, firstRequestId ?? '')
+    const known = this.#table.find(key)
     if (known !== null) return { type: 'known', softwareVersion: known }
-    const { softwareVersion, onlyVersion } = key === null ? NOTHING_FOUND : await this.#askHolders(pool, key)
-    const version = softwareVersion ?? this.#findOnlyVersion(pool) ?? onlyVersion
+    const version = await this.#askHolders(pool, key)
     return version === null ? { type: 'unknown' } : { type: 'known', softwareVersion: version }
   }
 
@@ -152,23 +154,30 @@
     for (const view of this.#listHolders(stream.key)) this.#announcer.add(view, pool, stream)
   }
 
+  #selectHolders (key: string): Array<Pick<PeerView, 'vm' | 'dataCentre'>> {
+    const { vm, dataCentre, listPeers } = this.#dependencies
+    return selectStreamHolders(key, [{ vm, dataCentre }, ...listPeers()])
+  }
+
   /** Lists the other VMs among the holders of a stream. */
   #listHolders (key: string): PeerView[] {
-    const { vm, dataCentre, listPeers } = this.#dependencies
-    const peers = listPeers()
-    const holders = selectStreamHolders(key, [{ vm, dataCentre }, ...peers])
-    return peers.filter(peer => holders.some(holder => holder.vm === peer.vm))
+    const holders = this.#selectHolders(key)
+    return this.#dependencies.listPeers().filter(peer => holders.some(holder => holder.vm === peer.vm))
   }
 
-  /** Resolves with the first holder that knows the stream, or once all have answered. */
-  async #askHolders (pool: PoolName, key: string): Promise<FindResult> {
+  /** Resolves to the version that the first holder knows which knows any; if none does, to the only one that can have begun the stream, provided that most holders say so: one that is cut off may not have seen the newest version. */
+  async #askHolders (pool: PoolName, key: string): Promise<string | null> {
     const calls = this.#listHolders(key).map(view => this.#askHolder(view, pool, key))
-    const firstKnown = Promise.any(calls.map(async call => {
-      const result = await call
-      if (result.softwareVersion === null) throw new Error('not known')
-      return result
+    const firstKnown = await Promise.any(calls.map(async call => {
+      const { softwareVersion } = await call
+      if (softwareVersion === null) throw new Error('not known')
+      return softwareVersion
     })).catch(() => null) // All holders answered without the stream, or not at all.
-    return await firstKnown ?? (await Promise.all(calls)).find(({ onlyVersion }) => onlyVersion !== null) ?? NOTHING_FOUND
+    if (firstKnown !== null) return firstKnown
+    const holders = this.#selectHolders(key)
+    const isHolder = holders.some(({ vm }) => vm === this.#dependencies.vm)
+    const claims = [...(await Promise.all(calls)).map(({ onlyVersion }) => onlyVersion), isHolder ? this.#findOnlyVersion(pool) : null].filter(version => version !== null)
+    return claims.length > holders.length / 2 && new Set(claims).size === 1 ? claims[0] : null
   }
 
   async #askHolder (view: PeerView, pool: PoolName, key: string): Promise<FindResult> {
