Streams: a stream is not moved or given up for a pause once its caller's key was removed

Its caller's key had been removed since, so the check before the next send refused the rest, and a sound stream was broken off. A stream is moved or given up only if its key is still known and can be confirmed.

--- a/packages/knapweedshunt-gateway/src/directory/keyFreshness.ts
+++ b/packages/knapweedshunt-gateway/src/directory/keyFreshness.ts
@@ -30,6 +30,11 @@
     return this.ageMs <= this.#getMaxRevocationMs() - SEND_MARGIN_MS
   }
 
+  /** Whether access keys may be accepted now, or probably after a refresh. */
+  get isConfirmable (): boolean {
+    return this.isFresh || this.#follower.isReachable
+  }
+
   /** Refreshes the rows if they are too old; false when they remain so or the store does not answer. Concurrent callers share one refresh. */
   async ensureFresh (): Promise<boolean> {
     if (this.isFresh) return true
--- a/packages/knapweedshunt-gateway/src/flow/attemptRunner.ts
+++ b/packages/knapweedshunt-gateway/src/flow/attemptRunner.ts
@@ -93,13 +93,13 @@
     }
   }
 
-  /** Whether the pool has an endpoint that was not tried and may serve the request. */
-  get hasUntriedEndpoint (): boolean {
-    return this.#dependencies.chooser.hasUntriedEndpoint(this.#plan.pool, this.#triedEndpoints, this.softwareVersion)
+  /** Whether the request may be moved: its access key is usable, and the pool has an endpoint that was not tried and may serve it. */
+  get canMove (): boolean {
+    return this.#dependencies.isKeyUsable(this.#plan) && this.#dependencies.chooser.hasUntriedEndpoint(this.#plan.pool, this.#triedEndpoints, this.softwareVersion)
   }
 
   /** Reserves a retry at another endpoint. False if there is none: an attempt is not ended for silence alone. */
   tryReserveMove (): boolean {
-    return this.hasUntriedEndpoint && this.#permits.tryReserve()
+    return this.canMove && this.#permits.tryReserve()
   }
 }
--- a/packages/knapweedshunt-gateway/src/flow/callerAuthenticator.ts
+++ b/packages/knapweedshunt-gateway/src/flow/callerAuthenticator.ts
@@ -24,6 +24,11 @@
     throw createCallerError(401, key === null ? 'no_key' : 'unknown_key', 'The request has no access key, or an unknown one.')
   }
 
+  /** Whether a request that was authenticated on arrival can probably be sent on; `check` decides. */
+  isUsable ({ call, identity }: RequestPlan): boolean {
+    return identity === null || (this.#keyFreshness.isConfirmable && call.key !== null && this.#configState.findIdentity(call.key) !== undefined)
+  }
+
   /** Checks a request that was authenticated on arrival again; returns null if it may be sent. */
   async check ({ call, identity }: RequestPlan): Promise<KeyRefusal | null> {
     if (identity === null) return null
--- a/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
@@ -41,6 +41,8 @@
   findQuarantine (plan: RequestPlan): Quarantine | null
   /** Returns why the request must not be sent under its access key; null if it may be, or needs none. */
   checkKey (plan: RequestPlan): Promise<KeyRefusal | null>
+  /** Whether the request can probably be sent on under its access key; true if it needs none. */
+  isKeyUsable (plan: RequestPlan): boolean
   /** Time since the access keys were last confirmed, in milliseconds. */
   getKeysAgeMs (): number
   /** Adds jitter to a delay: returns 50 to 150 % of the mean, in milliseconds. */
--- a/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
@@ -77,7 +77,7 @@
     const { attemptRunner, permits } = this.#parts
     const runningAttempt = attemptRunner.current
     if (runningAttempt === null || !this.#isStreaming || !this.#isResumable || !endpoints.has(runningAttempt.record.entry.endpoint)) return
-    if (!attemptRunner.hasUntriedEndpoint || !permits.tryTake(true)) return
+    if (!attemptRunner.canMove || !permits.tryTake(true)) return
     this.#isMoved = true
     runningAttempt.attempt.cancel(LOSS_REASON.moved)
   }
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -277,6 +277,7 @@
       recordUnanswered: attempt => this.#unansweredAttempts.recordEnd(attempt),
       findQuarantine: plan => this.#suspectTracker.findQuarantine(plan),
       checkKey: plan => this.#authenticator.check(plan),
+      isKeyUsable: plan => this.#authenticator.isUsable(plan),
       getKeysAgeMs: () => this.#keyFreshness.ageMs,
       randomizeDelayMs: meanMs => Math.round(meanMs * (0.5 + this.#rng.drawFloat()))
     }
