Router: an answer does not go on at an engine of another software version

Engines may state x-software-version; an engine of another version is left, and the caller gets software_changed if there is no other. The new test fails on the code before: the answer went on at the other version.

--- a/packages/knapweedshunt-admission/bench/cost.ts
+++ b/packages/knapweedshunt-admission/bench/cost.ts
@@ -73,7 +73,7 @@
 function runMachine (machine: AttemptStateMachine, attempt: string): void {
   machine.start()
   machine.handleEvent({ type: 'placed', attempt, endpoint: 'e1', incarnation: 'i' })
-  machine.handleEvent({ type: 'head', attempt, status: 200, incarnation: 'i', weightsVersion: 'w1' })
+  machine.handleEvent({ type: 'head', attempt, status: 200, incarnation: 'i', weightsVersion: 'w1', softwareVersion: '' })
   for (let n = 0; n < TOKENS; n++) machine.handleEvent({ type: 'token', attempt, n, text: 'word ' })
   machine.handleEvent({ type: 'usage', attempt, usage: { promptTokens: 1_000, completionTokens: TOKENS, cachedTokens: 900 } })
   machine.handleEvent({ type: 'end', attempt })
--- a/packages/knapweedshunt-attempts/src/__tests__/attemptFuzz.test.ts
+++ b/packages/knapweedshunt-attempts/src/__tests__/attemptFuzz.test.ts
@@ -161,7 +161,7 @@
   truncated: endAttempt(attempt => ({ type: 'end', attempt }), true),
   head: (simulation, pick) => {
     const one = pick(simulation.listIn('running'))
-    if (one !== undefined) simulation.send({ type: 'head', attempt: one.id, status: 200, incarnation: 'i', weightsVersion: 'w1' })
+    if (one !== undefined) simulation.send({ type: 'head', attempt: one.id, status: 200, incarnation: 'i', weightsVersion: 'w1', softwareVersion: '' })
   },
   reset: endAttempt(attempt => ({ type: 'broken', attempt, reason: 'reset' }), true),
   malformed: endAttempt(attempt => ({ type: 'broken', attempt, reason: 'malformed' }), true),
--- a/packages/knapweedshunt-attempts/src/attemptStateMachine.ts
+++ b/packages/knapweedshunt-attempts/src/attemptStateMachine.ts
@@ -27,6 +27,7 @@
   #isSent = false
   #nextToken: number
   #weightsVersion: WeightsVersion = ''
+  #softwareVersion = ''
   #usage: Usage | null = null
   #isOver = false
 
@@ -75,27 +76,29 @@
   }
 
   #handlePlaced ({ attempt, endpoint, incarnation }: EventOf<'placed'>): AttemptAction[] {
-    this.#liveAttempts.set(attempt, { attempt, endpoint, incarnation, weightsVersion: '' })
+    this.#liveAttempts.set(attempt, { attempt, endpoint, incarnation, weightsVersion: '', softwareVersion: '' })
     this.#excludedEndpoints.add(endpoint)
     this.#placedCount++
     return []
   }
 
-  /** Moves on when the engine has other weights than those that produced the delivered tokens, since its tokens would not continue them. */
-  #handleHead ({ attempt, incarnation, weightsVersion }: EventOf<'head'>): AttemptAction[] {
+  /** Moves on when the engine has other weights or another software version than those that produced the delivered tokens, since its tokens would not continue them. */
+  #handleHead ({ attempt, incarnation, weightsVersion, softwareVersion }: EventOf<'head'>): AttemptAction[] {
     this.#isSent = true
     const live = this.#liveAttempts.get(attempt)!
-    this.#liveAttempts.set(attempt, { ...live, incarnation: incarnation || live.incarnation, weightsVersion })
-    const hasOtherWeights = this.#weightsVersion !== '' && weightsVersion !== '' && weightsVersion !== this.#weightsVersion
-    if (!hasOtherWeights || !this.#hasDeliveredTokens()) return []
-    return [{ type: 'cancel', attempt }, ...this.#moveToNextEndpoint(attempt, 'weights_changed')]
+    this.#liveAttempts.set(attempt, { ...live, incarnation: incarnation || live.incarnation, weightsVersion, softwareVersion })
+    if (!this.#hasDeliveredTokens()) return []
+    if (isOther(weightsVersion, this.#weightsVersion)) return [{ type: 'cancel', attempt }, ...this.#moveToNextEndpoint(attempt, 'weights_changed')]
+    return isOther(softwareVersion, this.#softwareVersion) ? [{ type: 'cancel', attempt }, ...this.#moveToNextEndpoint(attempt, 'software_changed')] : []
   }
 
   #handleToken ({ attempt, n, text }: EventOf<'token'>): AttemptAction[] {
     if (n < this.#nextToken) return []
     if (n > this.#nextToken || !Number.isSafeInteger(n)) return this.#handleLostAttempt(attempt, [{ type: 'cancel', attempt }])
     this.#nextToken++
-    this.#weightsVersion = this.#liveAttempts.get(attempt)!.weightsVersion
+    const { weightsVersion, softwareVersion } = this.#liveAttempts.get(attempt)!
+    this.#weightsVersion = weightsVersion
+    this.#softwareVersion = softwareVersion
     return [...this.#cancelOthers(attempt), { type: 'deliver', n, text }]
   }
 
@@ -197,7 +200,7 @@
   #createAttempt (): AttemptId {
     this.#createdCount++
     const attempt = `${this.#options.requestId}-${this.#createdCount}`
-    this.#liveAttempts.set(attempt, { attempt, endpoint: null, incarnation: '', weightsVersion: '' })
+    this.#liveAttempts.set(attempt, { attempt, endpoint: null, incarnation: '', weightsVersion: '', softwareVersion: '' })
     return attempt
   }
 
@@ -239,3 +242,8 @@
     return [...cancels, ...actions]
   }
 }
+
+/** Whether both versions are stated and differ. */
+function isOther (version: string, previous: string): boolean {
+  return version !== '' && previous !== '' && version !== previous
+}
--- a/packages/knapweedshunt-attempts/src/attemptTypes.ts
+++ b/packages/knapweedshunt-attempts/src/attemptTypes.ts
@@ -39,7 +39,8 @@
   | { type: 'quarantined', attempt: AttemptId, retryAfterMs: number }
   /** The connection was refused, so no byte of the request was sent. */
   | { type: 'refused', attempt: AttemptId }
-  | { type: 'head', attempt: AttemptId, status: number, incarnation: Incarnation, weightsVersion: WeightsVersion }
+  /** `softwareVersion` is that of the engine's software; it and `weightsVersion` are empty if not stated. */
+  | { type: 'head', attempt: AttemptId, status: number, incarnation: Incarnation, weightsVersion: WeightsVersion, softwareVersion: string }
   | { type: 'token', attempt: AttemptId, n: number, text: string }
   | { type: 'usage', attempt: AttemptId, usage: Usage }
   | { type: 'answer', attempt: AttemptId, answer: PlainAnswer }
@@ -65,6 +66,7 @@
   | 'retry_budget_spent'
   | 'request_quarantined'
   | 'weights_changed'
+  | 'software_changed'
   | 'deadline_exceeded'
 
 /** Output of the state machine, to be carried out by its caller. */
--- a/packages/knapweedshunt-attempts/src/liveAttempt.ts
+++ b/packages/knapweedshunt-attempts/src/liveAttempt.ts
@@ -8,4 +8,6 @@
   incarnation: Incarnation
   /** Empty until the response head was received. */
   weightsVersion: WeightsVersion
+  /** Empty until the head of the response, and if not stated. */
+  softwareVersion: string
 }
--- a/packages/knapweedshunt-fakes/src/engineFaults.ts
+++ b/packages/knapweedshunt-fakes/src/engineFaults.ts
@@ -26,6 +26,8 @@
   crashOnText: string
   /** Rate limit stated in all responses to completions, in requests per second; -1 for none. */
   statedLimitPerS: number
+  /** Version of the engine's software that it states. */
+  softwareVersion: string
   /** Repeat the last load report instead of a current one. */
   freezeLoad: boolean
 }
@@ -45,5 +47,6 @@
   slowMs: 0,
   crashOnText: '',
   statedLimitPerS: -1,
+  softwareVersion: 'v1',
   freezeLoad: false
 }
--- a/packages/knapweedshunt-fakes/src/serveCompletion.ts
+++ b/packages/knapweedshunt-fakes/src/serveCompletion.ts
@@ -38,7 +38,8 @@
   response.writeHead(200, {
     'content-type': 'text/event-stream',
     'x-endpoint-incarnation': state.incarnation,
-    'x-weights-version': state.weightsVersion
+    'x-weights-version': state.weightsVersion,
+    'x-software-version': state.faults.softwareVersion
   })
   const isComplete = await writeTokens(state, { attempt, body, digest: hashText(prompt, String(body.seed)), crash }, response)
   if (!isComplete) return
--- a/packages/knapweedshunt-quickstart/src/__tests__/dataPathFaults.test.ts
+++ b/packages/knapweedshunt-quickstart/src/__tests__/dataPathFaults.test.ts
@@ -67,6 +67,16 @@
   })
 }
 
+// Guards against an answer with tokens of two software versions.
+test('an answer does not go on at an engine of another software version', async t => {
+  await runWithHarness({ engines: 3 }, async harness => {
+    const { engineIndex } = await completeUndisturbed(harness)
+    for (const [i, engine] of harness.engines.entries()) if (i !== engineIndex) engine.state.faults.softwareVersion = 'v2'
+    harness.engines[engineIndex].state.faults.resetAfterTokens = 5
+    t.not((await harness.requestCompletion(PROMPT)).type, 'answered')
+  })
+})
+
 test('a hanging attempt is moved to another engine as soon as its endpoint is reported dead', async t => {
   await runWithHarness({ engines: 3 }, async harness => {
     const { texts } = await completeUndisturbed(harness)
--- a/packages/knapweedshunt-router/src/__tests__/dataPathHarness.ts
+++ b/packages/knapweedshunt-router/src/__tests__/dataPathHarness.ts
@@ -38,7 +38,7 @@
   emitTokensUntil (end: number, weightsVersion: string): void {
     const { attempt } = this.call
     if (this.isEnded) return
-    if (!this.#hasHead) this.call.emit({ type: 'head', attempt, status: 200, incarnation: `${this.endpoint}-1`, weightsVersion })
+    if (!this.#hasHead) this.call.emit({ type: 'head', attempt, status: 200, incarnation: `${this.endpoint}-1`, weightsVersion, softwareVersion: '' })
     this.#hasHead = true
     for (; this.#nextToken < end && !this.isEnded; this.#nextToken++) this.call.emit({ type: 'token', attempt, n: this.#nextToken, text: buildTokenText(this.#nextToken) })
   }
--- a/packages/knapweedshunt-router/src/callerError.ts
+++ b/packages/knapweedshunt-router/src/callerError.ts
@@ -32,6 +32,7 @@
   retry_budget_spent: { status: 503, type: 'server_error' },
   request_quarantined: { status: 422, type: 'invalid_request_error' },
   weights_changed: { status: 503, type: 'server_error' },
+  software_changed: { status: 503, type: 'server_error' },
   shutting_down: { status: 503, type: 'server_error' },
   request_unreadable: { status: 400, type: 'invalid_request_error' },
   request_too_slow: { status: 408, type: 'invalid_request_error' },
--- a/packages/knapweedshunt-router/src/readEngineStream.ts
+++ b/packages/knapweedshunt-router/src/readEngineStream.ts
@@ -30,7 +30,7 @@
     message.destroy()
     throw new EndpointError('The engine sent a response that is not an event stream.')
   }
-  call.emit({ type: 'head', attempt, status: message.statusCode ?? 0, incarnation: readText(message, 'x-endpoint-incarnation'), weightsVersion: readText(message, 'x-weights-version') })
+  call.emit({ type: 'head', attempt, status: message.statusCode ?? 0, incarnation: readText(message, 'x-endpoint-incarnation'), weightsVersion: readText(message, 'x-weights-version'), softwareVersion: readText(message, 'x-software-version') })
   if (await readEvents(call, message, timer)) call.emit({ type: 'end', attempt })
   else call.emit({ type: 'broken', attempt, reason: 'reset' })
 }
