--- a/packages/knapweedshunt-quickstart/src/__tests__/dataPathFaults.test.ts
+++ b/packages/knapweedshunt-quickstart/src/__tests__/dataPathFaults.test.ts
@@ -77,6 +77,16 @@
   })
 })
 
+// Guards against a caller that gets tokens of two software versions over its tries.
+test('a reconnecting caller is not answered by another software version', async t => {
+  await runWithHarness({ engines: 3, routers: 2 }, async harness => {
+    const { engineIndex } = await completeUndisturbed(harness)
+    for (const [i, engine] of harness.engines.entries()) if (i !== engineIndex) engine.state.faults.softwareVersion = 'v2'
+    harness.pushSnapshot({ [`language-${engineIndex + 1}`]: 'dead' })
+    t.not((await harness.requestCompletion(PROMPT, 1, { headers: { 'last-event-id': '6' } })).type, 'answered')
+  })
+})
+
 test('a hanging attempt is moved to another engine as soon as its endpoint is reported dead', async t => {
   await runWithHarness({ engines: 3 }, async harness => {
     const { texts } = await completeUndisturbed(harness)
