--- a/packages/knapweedshunt-gateway/src/endpoints/endpointMonitor.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointMonitor.ts
@@ -32,6 +32,8 @@
   managementPort: ManagementPort
   decisionLog: DecisionLog
   findPool (pool: PoolName): GatewayPool | null
+  /** Lists the endpoints of a pool. */
+  listEndpoints (pool: PoolName): EndpointRecord[]
   /** Counts a probe towards the endpoint's rate limit; false if it may not be sent one now. */
   tryTakePermit (record: EndpointRecord): boolean
   /** Whether the record is still the one in the registry for its endpoint. */
@@ -89,9 +91,17 @@
   #exclude (record: EndpointRecord, reason: string): void {
     if (!this.#excluded.has(record)) this.#dependencies.decisionLog.record({ type: 'endpointOut', endpoint: record.entry.endpoint, reason })
     this.#excluded.add(record)
+    this.#setReached(record, false)
     if (!this.#monitored.has(record)) this.#monitored.set(record, { record, startTimesMs: [], probedAtMs: performance.now(), isProbing: false })
   }
 
+  #setReached (record: EndpointRecord, isReached: boolean): void {
+    if (record.isReached === isReached) return
+    record.isReached = isReached
+    const endpoints = this.#dependencies.listEndpoints(record.entry.pool)
+    this.#dependencies.decisionLog.record({ type: 'poolReach', pool: record.entry.pool, reached: endpoints.filter(one => one.isReached).length, known: endpoints.length })
+  }
+
   #probeSilent (): void {
     const nowMs = performance.now()
     for (const monitored of this.#monitored.values()) {
@@ -119,6 +129,7 @@
       return this.#exclude(record, 'no answer to a probe')
     }
     record.health.recordProbeSuccess()
+    this.#setReached(record, true)
     if (this.#excluded.delete(record)) this.#dependencies.decisionLog.record({ type: 'endpointBack', endpoint: record.entry.endpoint })
     if (monitored.startTimesMs.length === 0) this.#monitored.delete(record)
   }
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointRecord.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointRecord.ts
@@ -9,6 +9,8 @@
 export class EndpointRecord {
   entry: EndpointEntry
   readonly health = new EndpointHealth()
+  /** Whether this VM reaches the endpoint; false from a failed connection or probe until it answers a probe. */
+  isReached = true
   /** Attempts of this VM in flight. */
   inFlightCount = 0
   /** Monotonic time at which the last byte arrived from the endpoint. */
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -162,7 +162,7 @@
       findMinCurrentVersion: model => this.#weightsState.findMinCurrentVersion(model),
       findMinAllowedVersion: model => this.#weightsState.findMinAllowedVersion(model)
     })
-    this.#endpointMonitor = new EndpointMonitor({ managementPort, decisionLog: this.#decisionLog, findPool: pool => this.#configState.findPool(pool) ?? null, tryTakePermit: record => this.#endpointLimits.tryTake(record), isCurrent })
+    this.#endpointMonitor = new EndpointMonitor({ managementPort, decisionLog: this.#decisionLog, findPool: pool => this.#configState.findPool(pool) ?? null, listEndpoints: pool => this.#endpointRegistry.list(pool), tryTakePermit: record => this.#endpointLimits.tryTake(record), isCurrent })
     this.#directoryUpdater = new DirectoryUpdater({
       directoryPort: dependencies.directoryPort,
       configState: this.#configState,
@@ -303,6 +303,7 @@
     this.#metrics.addGauge('requests_in_flight', 'Requests under way.', () => this.#requestHandler.inFlight)
     this.#metrics.addGauge('endpoints', 'Endpoints known.', () => this.#endpointRegistry.size)
     this.#metrics.addGauge('endpoints_out', 'Endpoints left out because they do not answer.', () => this.#endpointMonitor.excludedCount)
+    this.#metrics.addGauge('endpoints_reached', 'Endpoints that this VM reaches.', () => this.#endpointRegistry.list().filter(record => record.isReached).length)
     this.#metrics.addGauge('endpoints_limited', 'Endpoints that state a rate limit.', () => this.#endpointLimits.count)
     this.#metrics.addGauge('stream_origins', 'Streams whose software version this VM knows.', () => this.#streamOrigins.count)
     this.#metrics.addGauge('endpoints_loading', 'Endpoints that load weights.', () => this.#weightsState.listLoadingEndpoints().size)
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -32,6 +32,8 @@
   /** Not used until it answers again; `reason` is the failure that was observed. */
   | { type: 'endpointOut', endpoint: EndpointName, reason: string }
   | { type: 'endpointBack', endpoint: EndpointName }
+  /** The number of a pool's endpoints that this VM reaches changed. */
+  | { type: 'poolReach', pool: PoolName, reached: number, known: number }
   /** The rate limit in an endpoint's responses changed, in requests per second for all VMs together; null for none. `requestId` names the request whose response said so, `from` the VM incarnation that read it, empty for this one; `ownRatePerS` is this VM's part. */
   | { type: 'limitStated', incarnation: string, requestId: RequestId, from: string, limitPerS: number | null, previousPerS: number | null, ownRatePerS: number | null }
   /** A response stated a rate limit that is not a rate; the limit known before stays. */
--- a/packages/knapweedshunt-gateway/src/records/decisionLog.ts
+++ b/packages/knapweedshunt-gateway/src/records/decisionLog.ts
@@ -34,6 +34,7 @@
   endpointGone: 'Endpoint gone.',
   endpointOut: 'Endpoint left out.',
   endpointBack: 'Endpoint used again.',
+  poolReach: 'Reached endpoints of pool changed.',
   limitStated: 'Rate limit of endpoint changed.',
   limitUnreadable: 'Rate limit of endpoint unreadable.',
   rowUnreadable: 'Row unreadable.',
