--- a/packages/knapweedshunt-gateway/src/callers/callerRequestHandler.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerRequestHandler.ts
@@ -5,16 +5,23 @@
 import type { RequestPlanner } from '../flow/requestPlanner.ts'
 import { RequestTask } from '../flow/requestTask.ts'
 import { RETRY_OTHER_VM_MS } from '../flow/retryOtherVm.ts'
+import { buildRefusal } from '../peers/buildRefusal.ts'
+import type { RelayedRequest } from '../peers/relayedRequest.ts'
 import { abortResponse } from '../shared/abortResponse.ts'
 import { CallerError, createCallerError } from '../shared/callerError.ts'
 import { sendRouterResponse } from '../shared/sendRouterResponse.ts'
 
+/** Maximum number of requests of other VMs in flight; each holds a body and a response in memory. */
+const MAX_RELAYED_REQUESTS = 400
+
 interface ArrivedRequest {
   request: http.IncomingMessage
   response: http.ServerResponse
   /** Null until it was read. */
   requestId: string | null
   arrivedAtMs: number
+  /** What the VM that relayed the request says; null for a request of a caller. */
+  relayed: RelayedRequest | null
 }
 
 /** Dependencies of the request handler. */
@@ -30,12 +37,18 @@
   /** Requests that are not checked yet. */
   readonly #arrivals = new Set<ArrivedRequest>()
   #inFlight = 0
+  #relayedCount = 0
   #isRefusing = false
 
   constructor (dependencies: CallerRequestHandlerDependencies) {
     this.#dependencies = dependencies
   }
 
+  /** Number of requests of other VMs in flight. */
+  get relayedCount (): number {
+    return this.#relayedCount
+  }
+
   /** Number of requests in flight. */
   get inFlight (): number {
     return this.#inFlight
@@ -57,17 +70,28 @@
     for (const task of this.#tasks) task.moveStreamFrom(endpoints)
   }
 
-  /** Handles one request; unexpected errors are logged and close the connection. */
+  /** Handles one request of a caller; unexpected errors are logged and close the connection. */
   handleRequest (request: http.IncomingMessage, response: http.ServerResponse): void {
+    this.#startRequest(request, response, null)
+  }
+
+  /** Handles one request that another VM relays. */
+  handleRelayed (request: http.IncomingMessage, response: http.ServerResponse, relayed: RelayedRequest): void {
+    this.#relayedCount++
+    response.once('close', () => { this.#relayedCount-- })
+    this.#startRequest(request, response, relayed)
+  }
+
+  #startRequest (request: http.IncomingMessage, response: http.ServerResponse, relayed: RelayedRequest | null): void {
     this.#inFlight++
-    this.#processRequest(request, response).finally(() => { this.#inFlight-- }).catch(error => {
+    this.#processRequest(request, response, relayed).finally(() => { this.#inFlight-- }).catch(error => {
       this.#dependencies.flowDependencies.log.error('Request failed with an internal error.', { reason: (error as Error).message })
       abortResponse(response)
     })
   }
 
-  async #processRequest (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    const arrival: ArrivedRequest = { request, response, requestId: null, arrivedAtMs: performance.now() }
+  async #processRequest (request: http.IncomingMessage, response: http.ServerResponse, relayed: RelayedRequest | null): Promise<void> {
+    const arrival: ArrivedRequest = { request, response, requestId: null, arrivedAtMs: performance.now(), relayed }
     try {
       const plan = await this.#planRequest(arrival)
       if (response.writableEnded) return
@@ -85,12 +109,13 @@
     const call = flowDependencies.endpointPort.decodeCall(arrival.request)
     arrival.requestId = call.requestId
     if (this.#isRefusing) throw createStoppingError()
+    if (arrival.relayed !== null && this.#relayedCount > MAX_RELAYED_REQUESTS) throw createCallerError(503, 'relay_full', `This VM serves ${MAX_RELAYED_REQUESTS} requests of other VMs.`, { retryAfterMs: RETRY_OTHER_VM_MS })
     this.#arrivals.add(arrival)
-    return await requestPlanner.createPlan(arrival.request, call, arrival.arrivedAtMs).finally(() => this.#arrivals.delete(arrival))
+    return await requestPlanner.createPlan(arrival.request, call, arrival.arrivedAtMs, arrival.relayed).finally(() => this.#arrivals.delete(arrival))
   }
 
   /** Refuses a request that was not sent to any endpoint, unless it was refused already. */
-  #refuse ({ response, requestId, arrivedAtMs }: ArrivedRequest, { routerResponse, message }: InstanceType<typeof CallerError>): void {
+  #refuse ({ response, requestId, arrivedAtMs, relayed }: ArrivedRequest, { routerResponse, message }: InstanceType<typeof CallerError>): void {
     if (response.writableEnded) return
     const { metrics, decisionLog, endpointPort } = this.#dependencies.flowDependencies
     metrics.recordRefusal(routerResponse.code)
@@ -107,7 +132,7 @@
       retryAfterMs: routerResponse.retryAfterMs ?? 0,
       detail: message
     })
-    sendRouterResponse(response, requestId, routerResponse, endpointPort)
+    sendRouterResponse(response, requestId, routerResponse, endpointPort, relayed === null ? null : buildRefusal(routerResponse.code, false, routerResponse.retryAfterMs))
   }
 }
 
--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -5,7 +5,7 @@
 import type { ListenAddress } from '../ports/vmSettings.ts'
 
 /** Maximum size of the headers that Node.js reads, in bytes; the configured limit is checked afterwards. */
-const MAX_READABLE_HEADER_BYTES = 128 * 1024
+export const MAX_READABLE_HEADER_BYTES = 128 * 1024
 
 /** Interval of the checks for connections that exceed the header timeout, in milliseconds. */
 const HEADER_TIMEOUT_CHECK_INTERVAL_MS = 500
--- a/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
+++ b/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
@@ -4,7 +4,7 @@
 import type { CrashedAttempt } from '../flow/crashedAttempt.ts'
 import type { RequestPlan } from '../flow/requestPlan.ts'
 import { formatFingerprint, formatParts } from '../flow/formatSuspects.ts'
-import type { RunningAttempt } from '../flow/runningAttempt.ts'
+import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
 import type { DecisionLog } from '../records/decisionLog.ts'
 import type { GatewayMetrics } from '../records/gatewayMetrics.ts'
 import type { ReceivedMark } from './crashMarks.ts'
@@ -75,7 +75,7 @@
   }
 
   /** Clears a request that was answered, and the parts of its prompt if an endpoint generated the answer: neither crashes endpoints. */
-  recordAnswered ({ call, fingerprint, sharedParts }: RequestPlan, { record, startedAtMs }: RunningAttempt, status: number): void {
+  recordAnswered ({ call, fingerprint, sharedParts }: RequestPlan, record: EndpointRecord, startedAtMs: number, status: number): void {
     const { metrics, decisionLog, announceMark } = this.#dependencies
     const cleared = this.#registry.recordSuccess(fingerprint)
     if (cleared !== null) {
--- a/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
@@ -1,5 +1,7 @@
 import http from 'node:http'
 import type { Readable } from 'node:stream'
+import { decodeRelayAnswer } from '../peers/relayHeaders.ts'
+import type { RelayAnswer } from '../peers/relayAnswer.ts'
 import type { EndpointPort } from '../ports/endpointPort.ts'
 import type { AttemptOutcome, LossReason } from './attemptOutcome.ts'
 import { LOSS_REASON } from './attemptOutcome.ts'
@@ -17,7 +19,7 @@
   | { type: 'buffered', bytes: Buffer }
   | { type: 'streamed', firstChunks: Buffer[], rest: Readable }
 
-/** A request as it is sent to one endpoint. */
+/** A request as it is sent to one endpoint, or to another VM. */
 export interface AttemptCall {
   method: string
   target: string
@@ -27,9 +29,11 @@
   headers: string[]
   body: RequestBody
   requestId: string
+  /** Whether another VM receives the request. */
+  isRelayed: boolean
 }
 
-/** Sends a request to an endpoint once and reads the head of the response. */
+/** Sends a request once and reads the head of the response. */
 export class Attempt {
   readonly outcome: Promise<AttemptOutcome>
   readonly #endpointPort: EndpointPort
@@ -114,12 +118,20 @@
     if (head.requestId !== null && head.requestId !== this.#call.requestId) return this.#rejectResponse(`response carries the id of another request: ${head.requestId}`)
     // What arrives on a connection that served another request before may be a late copy of that request's response.
     if (head.requestId === null && this.#request?.reusedSocket === true) return this.#rejectResponse('response without an id on a connection that was used before')
+    const answer = this.#call.isRelayed ? decodeRelayAnswer(response.headers) : null
+    if (this.#call.isRelayed && answer === null) return this.#rejectResponse(`response with status ${status} is not that of a VM`)
+    if (answer?.type === 'refused') return this.#settleRefused(response, answer, status)
     if (head.isNotRun) {
       discardBody(response)
       return this.#settle({ type: 'notRun', head, status })
     }
     if (!head.isSigned) return this.#rejectResponse(`response with status ${status} is not signed by the endpoint`)
-    this.#settle({ type: 'answered', head, response })
+    this.#settle({ type: 'answered', head, response, relayedBy: answer })
+  }
+
+  #settleRefused (response: http.IncomingMessage, answer: Extract<RelayAnswer, { type: 'refused' }>, status: number): void {
+    discardBody(response)
+    this.#settle({ ...answer, status })
   }
 
   #rejectResponse (reason: string): void {
--- a/packages/knapweedshunt-gateway/src/endpoints/attemptOutcome.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/attemptOutcome.ts
@@ -1,4 +1,5 @@
 import type http from 'node:http'
+import type { RelayAnswer } from '../peers/relayAnswer.ts'
 import type { ResponseHead } from '../ports/endpointPort.ts'
 
 /** Why an attempt ended without a usable response. */
@@ -27,4 +28,7 @@
   | { type: 'notRun', head: ResponseHead, status: number }
   /** No usable response; the request may have run. */
   | { type: 'lost', loss: LossReason, reason: string }
-  | { type: 'answered', head: ResponseHead, response: http.IncomingMessage }
+  /** The other VM to which the request was sent refused it. */
+  | Extract<RelayAnswer, { type: 'refused' }> & { status: number }
+  /** `relayedBy` is what the other VM says of the endpoint that served the request; null without one. */
+  | { type: 'answered', head: ResponseHead, response: http.IncomingMessage, relayedBy: Extract<RelayAnswer, { type: 'forwarded' }> | null }
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -197,7 +197,7 @@
   /** Lists the healthy endpoints, or all when none is healthy, that may be sent a request now. */
   #listUsable (serving: EndpointRecord[], pool: PoolName, prompt: Prompt | null, isRetry: boolean, mustYieldLimits: boolean): EndpointRecord[] {
     const meanFailedShare = serving.reduce((sum, record) => sum + record.health.computeFailedShare(), 0) / serving.length
-    const healthy = serving.filter(record => !record.health.isExcluded(meanFailedShare))
+    const healthy = serving.filter(record => record.isReached && !record.health.isExcluded(meanFailedShare))
     const preferred = this.#preferCurrent(healthy, prompt, isRetry)
     const isLimited = (record: EndpointRecord) => this.#dependencies.endpointLimits.findLimit(record) !== null
     // Limited endpoints come and go with each request; the partition by prompt size must not change with them.
@@ -231,9 +231,9 @@
   }
 
   #isUsableSource (record: EndpointRecord): boolean {
-    const { entry, health, missingSinceMs } = record
+    const { entry, health, isReached, missingSinceMs } = record
     if (this.#dependencies.endpointRegistry.find(entry.endpoint) !== record || missingSinceMs !== null || entry.isDraining) return false
-    return !health.isExcluded(0) && !this.#dependencies.listLoadingEndpoints().has(entry.endpoint)
+    return isReached && !health.isExcluded(0) && !this.#dependencies.listLoadingEndpoints().has(entry.endpoint)
   }
 
   #computeConnectionLimit (pool: PoolName): number {
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointMonitor.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointMonitor.ts
@@ -19,6 +19,16 @@
 /** Interval between two probes of an excluded endpoint, in milliseconds. */
 const EXCLUDED_PROBE_INTERVAL_MS = 300
 
+/** Number of excluded endpoints of a pool that are probed within the interval; the others take turns. */
+const PROBED_PER_INTERVAL = 2
+
+/** Number of endpoints that become unreached within the window, in milliseconds, after which all are probed: this VM may have lost its links. */
+const SUSPICIOUS_LOSS_COUNT = 2
+const SUSPICIOUS_LOSS_WINDOW_MS = 1_000
+
+/** Time since the last byte within which an endpoint counts as reached without a probe, in milliseconds. */
+const RECENT_BYTE_MS = 150
+
 interface MonitoredEndpoint {
   record: EndpointRecord
   /** Monotonic start times of the attempts in flight. */
@@ -32,8 +42,8 @@
   managementPort: ManagementPort
   decisionLog: DecisionLog
   findPool (pool: PoolName): GatewayPool | null
-  /** Lists the endpoints of a pool. */
-  listEndpoints (pool: PoolName): EndpointRecord[]
+  /** Lists the endpoints of a pool, or all. */
+  listEndpoints (pool?: PoolName): EndpointRecord[]
   /** Counts a probe towards the endpoint's rate limit; false if it may not be sent one now. */
   tryTakePermit (record: EndpointRecord): boolean
   /** Whether the record is still the one in the registry for its endpoint. */
@@ -45,6 +55,8 @@
   readonly #dependencies: EndpointMonitorDependencies
   readonly #monitored = new Map<EndpointRecord, MonitoredEndpoint>()
   readonly #excluded = new Set<EndpointRecord>()
+  /** Monotonic times at which endpoints became unreached. */
+  #lossTimesMs: number[] = []
 
   constructor (dependencies: EndpointMonitorDependencies) {
     this.#dependencies = dependencies
@@ -62,9 +74,7 @@
 
   /** Records the start of an attempt. */
   recordStart (record: EndpointRecord, atMs: number): void {
-    const monitored = this.#monitored.get(record) ?? { record, startTimesMs: [], probedAtMs: -Infinity, isProbing: false }
-    monitored.startTimesMs.push(atMs)
-    this.#monitored.set(record, monitored)
+    this.#getOrCreate(record).startTimesMs.push(atMs)
   }
 
   /** Records the end of an attempt; `startedAtMs` identifies it. */
@@ -88,6 +98,12 @@
     this.#exclude(record, reason)
   }
 
+  /** Links heal together: the others are probed at once. */
+  #handleBack (record: EndpointRecord): void {
+    this.#dependencies.decisionLog.record({ type: 'endpointBack', endpoint: record.entry.endpoint })
+    for (const other of this.#excluded) this.#getOrCreate(other).probedAtMs = -Infinity
+  }
+
   #exclude (record: EndpointRecord, reason: string): void {
     if (!this.#excluded.has(record)) this.#dependencies.decisionLog.record({ type: 'endpointOut', endpoint: record.entry.endpoint, reason })
     this.#excluded.add(record)
@@ -99,9 +115,34 @@
     if (record.isReached === isReached) return
     record.isReached = isReached
     const endpoints = this.#dependencies.listEndpoints(record.entry.pool)
+    if (!isReached) this.#recordLoss()
     this.#dependencies.decisionLog.record({ type: 'poolReach', pool: record.entry.pool, reached: endpoints.filter(one => one.isReached).length, known: endpoints.length })
   }
 
+  /** Several endpoints lost at a time: probes those that did not answer lately, rather than wait until a request fails at each. */
+  #recordLoss (): void {
+    const nowMs = performance.now()
+    this.#lossTimesMs = [...this.#lossTimesMs.filter(atMs => nowMs - atMs < SUSPICIOUS_LOSS_WINDOW_MS), nowMs]
+    if (this.#lossTimesMs.length !== SUSPICIOUS_LOSS_COUNT) return
+    for (const record of this.#dependencies.listEndpoints()) {
+      if (record.entry.isDraining || this.#excluded.has(record) || nowMs - record.lastReceivedAtMs < RECENT_BYTE_MS) continue
+      const monitored = this.#getOrCreate(record)
+      if (!monitored.isProbing && this.#dependencies.tryTakePermit(record)) this.#probe(monitored, nowMs).catch(() => {}) // The port does not throw.
+    }
+  }
+
+  #getOrCreate (record: EndpointRecord): MonitoredEndpoint {
+    const monitored = this.#monitored.get(record) ?? { record, startTimesMs: [], probedAtMs: -Infinity, isProbing: false }
+    this.#monitored.set(record, monitored)
+    return monitored
+  }
+
+  /** Excluded endpoints of a pool take turns, so that a VM without links does not probe all of them all the time. */
+  #getExcludedIntervalMs ({ entry }: EndpointRecord): number {
+    const excludedCount = [...this.#excluded].filter(record => record.entry.pool === entry.pool).length
+    return EXCLUDED_PROBE_INTERVAL_MS * Math.max(1, excludedCount / PROBED_PER_INTERVAL)
+  }
+
   #probeSilent (): void {
     const nowMs = performance.now()
     for (const monitored of this.#monitored.values()) {
@@ -113,7 +154,7 @@
       }
       const isExcluded = this.#excluded.has(record)
       const silentMs = startTimesMs.length === 0 ? 0 : nowMs - Math.max(record.lastReceivedAtMs, Math.min(...startTimesMs))
-      const isDue = isExcluded ? nowMs - monitored.probedAtMs >= EXCLUDED_PROBE_INTERVAL_MS : silentMs >= SILENCE_TIMEOUT_MS && nowMs - monitored.probedAtMs >= SILENCE_TIMEOUT_MS
+      const isDue = isExcluded ? nowMs - monitored.probedAtMs >= this.#getExcludedIntervalMs(record) : silentMs >= SILENCE_TIMEOUT_MS && nowMs - monitored.probedAtMs >= SILENCE_TIMEOUT_MS
       if (isDue && !monitored.isProbing && this.#dependencies.tryTakePermit(record)) this.#probe(monitored, nowMs).catch(() => {}) // The port does not throw.
     }
   }
@@ -130,7 +171,7 @@
     }
     record.health.recordProbeSuccess()
     this.#setReached(record, true)
-    if (this.#excluded.delete(record)) this.#dependencies.decisionLog.record({ type: 'endpointBack', endpoint: record.entry.endpoint })
+    if (this.#excluded.delete(record)) this.#handleBack(record)
     if (monitored.startTimesMs.length === 0) this.#monitored.delete(record)
   }
 }
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/flow/attemptReporter.ts
@@ -0,0 +1,81 @@
+import { match } from 'ts-pattern'
+import type { LossReason } from '../endpoints/attemptOutcome.ts'
+import { HEALTH_OBSERVATION } from '../endpoints/endpointHealth.ts'
+import type { HealthObservation } from '../endpoints/endpointHealth.ts'
+import type { ResponseHead } from '../ports/endpointPort.ts'
+import { buildCrashedAttempt } from './crashedAttempt.ts'
+import type { FlowDependencies } from './flowDependencies.ts'
+import type { RequestPlan } from './requestPlan.ts'
+import type { RunningAttempt } from './runningAttempt.ts'
+
+/** Reports what the attempts of one request show about their endpoints, or about the VMs that relayed them; the VM that sent a relayed request to its endpoint reports on that endpoint. */
+export class AttemptReporter {
+  readonly #dependencies: FlowDependencies
+  readonly #plan: RequestPlan
+
+  constructor (dependencies: FlowDependencies, plan: RequestPlan) {
+    this.#dependencies = dependencies
+    this.#plan = plan
+  }
+
+  /** Records how an attempt, or a part of it, went. */
+  recordObservation ({ target }: RunningAttempt, observation: HealthObservation, reason: string): void {
+    match(target)
+      .with({ type: 'endpoint' }, ({ record }) => this.#dependencies.endpointMonitor.recordObservation(record, observation, reason))
+      .with({ type: 'peer' }, ({ peer }) => { if (observation === HEALTH_OBSERVATION.down) this.#dependencies.relays.recordFailure(peer.vm, reason) })
+      .exhaustive()
+  }
+
+  /** Records that the endpoint may have crashed while it ran the request; `evidence` is how the attempt ended. */
+  recordCrash ({ target, startedAtMs }: RunningAttempt, evidence: LossReason): void {
+    if (target.type === 'endpoint') this.#dependencies.recordCrash(buildCrashedAttempt(this.#plan, target.record, startedAtMs), evidence)
+  }
+
+  /** Records an attempt that was given up without a response, or whose stream stalled. */
+  recordUnanswered ({ target, startedAtMs }: RunningAttempt): void {
+    match(target)
+      .with({ type: 'endpoint' }, ({ record }) => this.#dependencies.recordUnanswered(buildCrashedAttempt(this.#plan, record, startedAtMs)))
+      .with({ type: 'peer' }, ({ peer }) => this.#dependencies.relays.recordFailure(peer.vm, 'no response'))
+      .exhaustive()
+  }
+
+  /** Records that bytes of the response arrived. */
+  recordReceivedBytes ({ target }: RunningAttempt): void {
+    if (target.type === 'endpoint') this.#dependencies.endpointMonitor.recordReceivedBytes(target.record)
+  }
+
+  /** Records what the head of a response says about the endpoint. */
+  recordResponseHead ({ target, startedAtMs }: RunningAttempt, head: ResponseHead): void {
+    if (target.type !== 'endpoint') return
+    const { record } = target
+    const { chooser, endpointLimits } = this.#dependencies
+    const { call } = this.#plan
+    const model = call.prompt?.model
+    if (head.weightsVersion !== null && model !== undefined && record.recordVersion(model, head.weightsVersion)) chooser.rebuild()
+    if (head.load !== null) chooser.recordLoad(record, head.load)
+    endpointLimits.recordResponse(record, head.limit, call.requestId, startedAtMs)
+  }
+
+  /** Records that the endpoint has computed the prompt. */
+  recordPromptComputed ({ target }: RunningAttempt): void {
+    if (target.type !== 'endpoint' || target.cacheSalt === null) return
+    this.#dependencies.chooser.prefixLocations.recordLocation(this.#plan.levels, target.cacheSalt, target.record)
+  }
+
+  /** Records a response that is no server error. */
+  recordSuccess ({ target, startedAtMs }: RunningAttempt, status: number): void {
+    if (target.type === 'endpoint') this.#dependencies.recordSuccess(this.#plan, target.record, startedAtMs, status)
+  }
+
+  /** Records the end of an attempt; `hasReadPrompt` if the endpoint processed the whole prompt and so has it in its cache. */
+  recordEnd ({ target, attemptId, startedAtMs }: RunningAttempt, hasReadPrompt: boolean): void {
+    match(target)
+      .with({ type: 'endpoint' }, ({ record, expectedCachedTokens }) => {
+        record.inFlightCount--
+        this.#dependencies.endpointMonitor.recordEnd(record, startedAtMs)
+        this.#dependencies.chooser.placement.handleEvent({ type: 'finished', attempt: attemptId, cachedTokens: hasReadPrompt ? expectedCachedTokens : null })
+      })
+      .with({ type: 'peer' }, ({ peer }) => this.#dependencies.relays.recordEnd(peer.vm))
+      .exhaustive()
+  }
+}
--- a/packages/knapweedshunt-gateway/src/flow/attemptRunner.ts
+++ b/packages/knapweedshunt-gateway/src/flow/attemptRunner.ts
@@ -1,11 +1,14 @@
-import type { PrefixLevel } from 'knapweedshunt-types'
+import type { PrefixLevel, VmId } from 'knapweedshunt-types'
+import { match } from 'ts-pattern'
 import type { AttemptOutcome, LossReason } from '../endpoints/attemptOutcome.ts'
 import { LOSS_REASON } from '../endpoints/attemptOutcome.ts'
 import type { ChosenEndpoint } from '../endpoints/endpointChooser.ts'
 import { REPEATABILITY } from '../ports/gatewayConfig.ts'
-import { buildCrashedAttempt } from './crashedAttempt.ts'
+import type { AttemptReporter } from './attemptReporter.ts'
 import type { FlowDependencies } from './flowDependencies.ts'
 import { launchAttempt } from './launchAttempt.ts'
+import { launchRelay } from './launchRelay.ts'
+import type { PeerView } from '../peers/peerAddress.ts'
 import type { RequestPlan } from './requestPlan.ts'
 import type { RetryPermits } from './retryPermits.ts'
 import type { RunningAttempt } from './runningAttempt.ts'
@@ -13,11 +16,17 @@
 /** Time without a response after which another endpoint is tried for a repeatable request, as a share of the objective. */
 const STALL_TIMEOUT_OBJECTIVE_SHARE = 0.6
 
+/** The same for another VM, which tries further endpoints itself meanwhile. */
+const RELAY_TIMEOUT_OBJECTIVE_SHARE = 1.2
+
+/** Where the next attempt of a request goes; `homeLevels` are the prefix levels by which the endpoint was chosen. */
+export type NextTarget =
+  | { type: 'endpoint', chosen: ChosenEndpoint, homeLevels: PrefixLevel[] }
+  | { type: 'peer', peer: PeerView }
+
 /** Parameters of the next attempt of a request. */
 export interface NextAttempt {
-  chosen: ChosenEndpoint
-  /** Prefix levels by which the endpoint was chosen. */
-  homeLevels: PrefixLevel[]
+  target: NextTarget
   /** Id of the last event that the caller has received; null for a stream from its start. */
   lastEventId: string | null
 }
@@ -27,15 +36,22 @@
   readonly #dependencies: FlowDependencies
   readonly #plan: RequestPlan
   readonly #permits: RetryPermits
+  readonly #reporter: AttemptReporter
   readonly #triedEndpoints: string[] = []
+  readonly #triedPeers: VmId[] = []
+  #attemptCount = 0
   #current: RunningAttempt | null = null
   /** Software version of the endpoint that began the stream; null while any may serve it. */
   softwareVersion: string | null = null
 
-  constructor (dependencies: FlowDependencies, plan: RequestPlan, permits: RetryPermits) {
+  constructor (dependencies: FlowDependencies, plan: RequestPlan, permits: RetryPermits, reporter: AttemptReporter) {
     this.#dependencies = dependencies
     this.#plan = plan
     this.#permits = permits
+    this.#reporter = reporter
+    if (plan.relayed === null) return
+    this.#triedEndpoints.push(...plan.relayed.triedEndpoints)
+    this.softwareVersion = plan.relayed.softwareVersion
   }
 
   /** The attempt in flight; null between two attempts. */
@@ -48,23 +64,30 @@
     return this.#triedEndpoints
   }
 
-  /** Sends the request to the chosen endpoint. */
-  start ({ chosen, homeLevels, lastEventId }: NextAttempt): RunningAttempt {
-    const runningAttempt = launchAttempt(this.#dependencies, this.#plan, { chosen, homeLevels, attemptNumber: this.#triedEndpoints.length + 1, lastEventId })
-    this.#permits.recordSent()
-    this.#triedEndpoints.push(runningAttempt.record.entry.endpoint)
-    this.#current = runningAttempt
-    return runningAttempt
+  /** Other VMs of all attempts, in order. */
+  get triedPeers (): readonly VmId[] {
+    return this.#triedPeers
+  }
+
+  /** Sends the request to the chosen endpoint or VM. */
+  start ({ target, lastEventId }: NextAttempt): RunningAttempt {
+    const attemptNumber = ++this.#attemptCount
+    this.#current = match(target)
+      .with({ type: 'endpoint' }, ({ chosen, homeLevels }) => {
+        this.#permits.recordSent()
+        this.#triedEndpoints.push(chosen.record.entry.endpoint)
+        return launchAttempt(this.#dependencies, this.#plan, { chosen, homeLevels, attemptNumber, lastEventId })
+      })
+      .with({ type: 'peer' }, ({ peer }) => this.#startRelay(peer, attemptNumber, lastEventId))
+      .exhaustive()
+    return this.#current
   }
 
   /** Records the end of an attempt; `hasReadPrompt` if the endpoint processed the whole prompt and so has it in its cache. */
   finish (runningAttempt: RunningAttempt, hasReadPrompt = false): void {
     if (this.#current !== runningAttempt) return
-    const { record, attemptId, startedAtMs, expectedCachedTokens } = runningAttempt
-    record.inFlightCount--
     this.#current = null
-    this.#dependencies.endpointMonitor.recordEnd(record, startedAtMs)
-    this.#dependencies.chooser.placement.handleEvent({ type: 'finished', attempt: attemptId, cachedTokens: hasReadPrompt ? expectedCachedTokens : null })
+    this.#reporter.recordEnd(runningAttempt, hasReadPrompt)
   }
 
   /** Cancels the attempt in flight, if any. Unless the endpoint had begun its answer, it may have crashed under the request. */
@@ -73,19 +96,19 @@
     if (runningAttempt === null) return
     const { isSent, hasResponse } = runningAttempt.attempt
     runningAttempt.attempt.cancel(loss)
-    if (isSent && !hasResponse) this.#dependencies.recordUnanswered(buildCrashedAttempt(this.#plan, runningAttempt))
+    if (isSent && !hasResponse && (runningAttempt.target.type === 'endpoint' || loss === LOSS_REASON.silent)) this.#reporter.recordUnanswered(runningAttempt)
     this.finish(runningAttempt)
   }
 
   /** Waits for the head of the response. A repeatable request is moved to another endpoint after a share of its objective. */
-  async awaitOutcome ({ attempt, record, startedAtMs }: RunningAttempt): Promise<AttemptOutcome> {
+  async awaitOutcome ({ attempt, target, startedAtMs }: RunningAttempt): Promise<AttemptOutcome> {
     const { route } = this.#plan
     if (route.repeatability === REPEATABILITY.never) return await attempt.outcome
     const timer = setTimeout(() => {
       // An engine that produces tokens for other requests is busy, not lost, and has already processed part of the prompt.
-      if (route.usesPrefixes && record.lastReceivedAtMs > startedAtMs) return
+      if (target.type === 'endpoint' && route.usesPrefixes && target.record.lastReceivedAtMs > startedAtMs) return
       if (this.tryReserveMove()) attempt.cancel(LOSS_REASON.silent)
-    }, route.objectiveMs * STALL_TIMEOUT_OBJECTIVE_SHARE)
+    }, route.objectiveMs * (target.type === 'endpoint' ? STALL_TIMEOUT_OBJECTIVE_SHARE : RELAY_TIMEOUT_OBJECTIVE_SHARE))
     try {
       return await attempt.outcome
     } finally {
@@ -102,4 +125,14 @@
   tryReserveMove (): boolean {
     return this.canMove && this.#permits.tryReserve()
   }
+
+  /** One endpoint is kept for the case that the other VM is lost. */
+  #startRelay (peer: PeerView, attemptNumber: number, lastEventId: string | null): RunningAttempt {
+    const { configRevision } = this.#plan
+    const endpointsLeft = Math.max(1, this.#permits.endpointsLeft - 1)
+    this.#permits.recordSent(endpointsLeft)
+    this.#triedPeers.push(peer.vm)
+    const request = { from: this.#dependencies.vm, configRevision, endpointsLeft, triedEndpoints: [...this.#triedEndpoints], softwareVersion: this.softwareVersion }
+    return launchRelay(this.#dependencies, this.#plan, { peer, attemptNumber, lastEventId, request })
+  }
 }
--- a/packages/knapweedshunt-gateway/src/flow/crashedAttempt.ts
+++ b/packages/knapweedshunt-gateway/src/flow/crashedAttempt.ts
@@ -1,7 +1,6 @@
 import type { RequestId } from 'knapweedshunt-types'
 import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
 import type { RequestPlan } from './requestPlan.ts'
-import type { RunningAttempt } from './runningAttempt.ts'
 
 /** What a crash is recorded with; unlike the plan of a request it does not hold the body. */
 export interface CrashedAttempt {
@@ -13,6 +12,6 @@
 }
 
 /** Builds the record of an attempt under which the endpoint crashed or may have crashed. */
-export function buildCrashedAttempt ({ call, fingerprint, sharedParts }: RequestPlan, { record, startedAtMs }: RunningAttempt): CrashedAttempt {
+export function buildCrashedAttempt ({ call, fingerprint, sharedParts }: RequestPlan, record: EndpointRecord, startedAtMs: number): CrashedAttempt {
   return { requestId: call.requestId, fingerprint, sharedParts, record, startedAtMs }
 }
--- a/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
+++ b/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
@@ -2,6 +2,8 @@
 import { match } from 'ts-pattern'
 import type { Choice, ChosenEndpoint } from '../endpoints/endpointChooser.ts'
 import type { Quarantine } from '../directory/quarantine.ts'
+import type { AttemptOutcome } from '../endpoints/attemptOutcome.ts'
+import { buildRefusal } from '../peers/buildRefusal.ts'
 import type { RefusalReason } from '../records/decision.ts'
 import { sendRouterResponse } from '../shared/sendRouterResponse.ts'
 import { formatKeysAge } from './callerAuthenticator.ts'
@@ -11,6 +13,9 @@
 import type { RequestRecorder } from './requestRecorder.ts'
 import { RETRY_OTHER_VM_MS } from './retryOtherVm.ts'
 
+/** Refusal of the VM to which a request was sent. */
+export type RefusedByPeer = Extract<AttemptOutcome, { type: 'refused' }>
+
 /** Mean of the retry-after time given to a refused caller, in milliseconds. */
 const RETRY_AFTER_MS = 200
 
@@ -78,6 +83,16 @@
     this.refuse('stream_unknown', 503, 'several software versions may have begun the stream', RETRY_OTHER_VM_MS)
   }
 
+  /** Refuses a request of a pool of which no endpoint can be reached, neither by this VM nor by one that it can ask. */
+  refuseUnreached (): void {
+    this.refuse('endpoints_unreached', this.#mayHaveRun ? 502 : 503, 'this VM reaches no endpoint of the pool, and no other VM that does', RETRY_OTHER_VM_MS)
+  }
+
+  /** Passes on the refusal of the VM to which the request was sent. */
+  refuseRelayed ({ status, reason, retryAfterMs }: RefusedByPeer): void {
+    this.refuse('relay_refused', this.#mayHaveRun && status !== 504 ? 502 : status, `refused by the other VM: ${reason}`, retryAfterMs ?? RETRY_AFTER_MS)
+  }
+
   /** Refuses a request that was quarantined after it was accepted. */
   quarantine ({ detail, retryAfterMs }: Quarantine): void {
     this.refuse('quarantined', this.#mayHaveRun ? 502 : 503, detail, retryAfterMs)
@@ -107,6 +122,7 @@
     this.#isSettled = true
     const retryAfterMs = status === 503 ? this.#dependencies.randomizeDelayMs(meanRetryAfterMs) : null
     this.#recorder.recordRefused({ reason, status, mayHaveRun: this.#mayHaveRun, attempts: this.attemptCount, retryAfterMs: retryAfterMs ?? 0, detail })
-    sendRouterResponse(this.#callerResponse, this.#plan.call.requestId, { status: status === STATUS_NONE ? 502 : status, code: reason, retryAfterMs, closesConnection: false }, this.#dependencies.endpointPort)
+    const answer = this.#plan.relayed === null ? null : buildRefusal(reason, this.#mayHaveRun, retryAfterMs)
+    sendRouterResponse(this.#callerResponse, this.#plan.call.requestId, { status: status === STATUS_NONE ? 502 : status, code: reason, retryAfterMs, closesConnection: false }, this.#dependencies.endpointPort, answer)
   }
 }
--- a/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
@@ -1,12 +1,15 @@
 import type http from 'node:http'
 import type { Logger } from 'knapweedshunt-logger'
+import type { VmId } from 'knapweedshunt-types'
 import type { LossReason } from '../endpoints/attemptOutcome.ts'
 import type { EndpointChooser } from '../endpoints/endpointChooser.ts'
 import type { KvStoreMonitor } from '../endpoints/kvStoreMonitor.ts'
 import type { EndpointLimits } from '../endpoints/endpointLimits.ts'
+import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
 import type { EndpointMonitor } from '../endpoints/endpointMonitor.ts'
 import type { Quarantine } from '../directory/quarantine.ts'
 import type { EndpointPort } from '../ports/endpointPort.ts'
+import type { EndpointRelays } from '../peers/endpointRelays.ts'
 import type { StreamOrigins } from '../peers/streamOrigins.ts'
 import type { DecisionLog } from '../records/decisionLog.ts'
 import type { GatewayMetrics } from '../records/gatewayMetrics.ts'
@@ -14,10 +17,11 @@
 import type { KeyRefusal } from './keyRefusal.ts'
 import type { PermitQueue } from './permitQueue.ts'
 import type { RequestPlan } from './requestPlan.ts'
-import type { RunningAttempt } from './runningAttempt.ts'
 
 /** Dependencies shared by the tasks of all requests. */
 export interface FlowDependencies {
+  /** Name of this VM. */
+  vm: VmId
   endpointPort: EndpointPort
   agent: http.Agent
   chooser: EndpointChooser
@@ -26,13 +30,14 @@
   endpointLimits: EndpointLimits
   permitQueue: PermitQueue
   streamOrigins: StreamOrigins
+  relays: EndpointRelays
   metrics: GatewayMetrics
   decisionLog: DecisionLog
   log: Logger
   /** Takes one retry permit from the budget of the pool; false when it is spent. An optional retry uses only permits earned by successes and leaves the reserve to requests that would otherwise fail. */
   tryTakeRetry (pool: string, isOptional: boolean): boolean
   /** Records an answer that is no server error: it credits the retry budget of its pool and is no longer suspect. */
-  recordSuccess (plan: RequestPlan, runningAttempt: RunningAttempt, status: number): void
+  recordSuccess (plan: RequestPlan, record: EndpointRecord, startedAtMs: number, status: number): void
   /** Records that an endpoint may have crashed while it ran the request; `evidence` is how the attempt ended. */
   recordCrash (attempt: CrashedAttempt, evidence: LossReason): void
   /** Records an attempt that was given up before an answer began, or whose stream stalled: its endpoint may have crashed. */
--- a/packages/knapweedshunt-gateway/src/flow/launchAttempt.ts
+++ b/packages/knapweedshunt-gateway/src/flow/launchAttempt.ts
@@ -35,7 +35,7 @@
     priority: route.usesPrefixes ? plan.priority : null,
     lastEventId
   })
-  const attempt = new Attempt(dependencies.endpointPort, dependencies.agent, { method: call.method, target: call.target, address: record.entry.address, headers, body, requestId: call.requestId })
+  const attempt = new Attempt(dependencies.endpointPort, dependencies.agent, { method: call.method, target: call.target, address: record.entry.address, headers, body, requestId: call.requestId, isRelayed: false })
   const attemptId = `${call.requestId}-${attemptNumber}`
   const promptTokens = call.prompt?.tokens ?? 0
   const expectedCachedTokens = decision.expectedCachedTokens ?? 0
@@ -44,7 +44,7 @@
   record.recordPromptTokens(promptTokens - expectedCachedTokens)
   dependencies.chooser.placement.handleEvent({ type: 'started', attempt: attemptId, endpoint: record.entry.endpoint, tokens: promptTokens, levels: homeLevels, decision })
   dependencies.endpointMonitor.recordStart(record, startedAtMs)
-  return { attempt, record, softwareVersion: record.entry.softwareVersion, attemptNumber, startedAtMs, attemptId, cacheSalt, expectedCachedTokens }
+  return { attempt, target: { type: 'endpoint', record, expectedCachedTokens, cacheSalt }, softwareVersion: record.entry.softwareVersion, endpoint: record.entry.endpoint, attemptNumber, startedAtMs, attemptId }
 }
 
 /** Chooses from where the endpoint fetches the KV cache of the prompt's shared prefix, and to which store it saves it; null for no transfer. */
--- a/packages/knapweedshunt-gateway/src/flow/requestPlan.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestPlan.ts
@@ -1,6 +1,7 @@
 import type { PrefixLevel } from 'knapweedshunt-types'
 import type { CallerCall, CallerIdentity } from '../ports/callerCall.ts'
 import type { GatewayRoute } from '../ports/gatewayConfig.ts'
+import type { RelayedRequest } from '../peers/relayedRequest.ts'
 import type { RequestBody } from '../endpoints/attempt.ts'
 
 /** A checked request with all data that its attempts need. */
@@ -25,4 +26,6 @@
   /** Earlier of the caller's deadline and the route's timeout, by the monotonic clock, in milliseconds. */
   deadlineAtMs: number
   configRevision: number
+  /** What the VM that relayed the request says; null for a request of a caller. */
+  relayed: RelayedRequest | null
 }
--- a/packages/knapweedshunt-gateway/src/flow/requestPlanner.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestPlanner.ts
@@ -8,6 +8,7 @@
 import type { RequestBody } from '../endpoints/attempt.ts'
 import type { CallerCall } from '../ports/callerCall.ts'
 import type { GatewayConfig, GatewayRoute } from '../ports/gatewayConfig.ts'
+import type { RelayedRequest } from '../peers/relayedRequest.ts'
 import { createCallerError } from '../shared/callerError.ts'
 import { filterEndToEndHeaders } from '../shared/filterEndToEndHeaders.ts'
 import type { CallerAuthenticator } from './callerAuthenticator.ts'
@@ -33,10 +34,12 @@
     this.#dependencies = dependencies
   }
 
-  /** Reads and checks the request with its body. Throws CallerError if the request is refused. */
-  async createPlan (request: http.IncomingMessage, call: CallerCall, arrivedAtMs: number): Promise<RequestPlan> {
-    const { limits } = this.#getConfig()
-    if (countHeaderBytes(request.rawHeaders) > limits.maxHeaderBytes) throw createCallerError(431, 'header_too_large', `The headers exceed ${limits.maxHeaderBytes} bytes.`, { closesConnection: true })
+  /** Reads and checks the request with its body; `relayed` is null for a request of a caller. Throws CallerError if the request is refused. */
+  async createPlan (request: http.IncomingMessage, call: CallerCall, arrivedAtMs: number, relayed: RelayedRequest | null): Promise<RequestPlan> {
+    const { limits, revision } = this.#getConfig()
+    // What the first VM accepted by a newer configuration must not be judged by an older one.
+    if (relayed !== null && revision < relayed.configRevision) throw createCallerError(503, 'config_behind', `Revision ${relayed.configRevision} of the configuration has not been read yet.`, { retryAfterMs: RETRY_OTHER_VM_MS })
+    if (relayed === null && countHeaderBytes(request.rawHeaders) > limits.maxHeaderBytes) throw createCallerError(431, 'header_too_large', `The headers exceed ${limits.maxHeaderBytes} bytes.`, { closesConnection: true })
     this.#findRoute(call)
     const body = await readRequestBody(request, { maxBytes: limits.maxBodyBytes, idleTimeoutMs: limits.idleTimeoutMs })
     const needsKey = this.#getConfig().organisations !== null && !this.#findRoute(call).isPublic
@@ -64,7 +67,8 @@
       fingerprint,
       arrivedAtMs,
       deadlineAtMs: arrivedAtMs + Math.min(route.timeoutMs, call.timeLeftMs ?? Infinity),
-      configRevision: config.revision
+      configRevision: config.revision,
+      relayed
     }
   }
 
--- a/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
@@ -1,5 +1,7 @@
 import type { PlacedDecision } from 'knapweedshunt-placement'
 import type { RunningAttempt } from './runningAttempt.ts'
+import type { AttemptReporter } from './attemptReporter.ts'
+import type { PeerView } from '../peers/peerAddress.ts'
 import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
 import type { RefusalReason } from '../records/decision.ts'
 import type { FlowDependencies } from './flowDependencies.ts'
@@ -27,9 +29,12 @@
   readonly #dependencies: FlowDependencies
   readonly #plan: RequestPlan
 
-  constructor (dependencies: FlowDependencies, plan: RequestPlan) {
+  readonly #reporter: AttemptReporter
+
+  constructor (dependencies: FlowDependencies, plan: RequestPlan, reporter: AttemptReporter) {
     this.#dependencies = dependencies
     this.#plan = plan
+    this.#reporter = reporter
   }
 
   /** Time since the arrival of the request, in milliseconds. */
@@ -71,6 +76,21 @@
     })
   }
 
+  /** Records the VM to which a request was sent, as this one reaches few endpoints of the pool. */
+  recordRelayed (attempt: number, peer: PeerView, lastEventId: string | null): void {
+    const { call, pool, deadlineAtMs } = this.#plan
+    this.#dependencies.metrics.recordRelay('sent')
+    this.#dependencies.decisionLog.record({ type: 'relayed', requestId: call.requestId, attempt, pool, vm: peer.vm, lastEventId: lastEventId ?? '', timeLeftMs: Math.round(deadlineAtMs - performance.now()) })
+  }
+
+  /** Records that the request comes from another VM. */
+  recordReceivedRelay (): void {
+    const { call, relayed } = this.#plan
+    if (relayed === null) return
+    this.#dependencies.metrics.recordRelay('received')
+    this.#dependencies.decisionLog.record({ type: 'relayReceived', requestId: call.requestId, from: relayed.from, tried: relayed.triedEndpoints.join(), endpointsLeft: relayed.endpointsLeft, softwareVersion: relayed.softwareVersion })
+  }
+
   /** Records that the caller takes up a stream again; `softwareVersion` is null if it is not known what began it. */
   recordTakenUp (softwareVersion: string | null): void {
     const { call } = this.#plan
@@ -99,7 +119,7 @@
   /** Records an attempt that ended without a response. */
   recordAttemptEnded (runningAttempt: RunningAttempt, outcome: string, reason: string, isRetried: boolean): void {
     const { call } = this.#plan
-    this.#dependencies.decisionLog.record({ type: 'attemptEnded', requestId: call.requestId, attempt: runningAttempt.attemptNumber, endpoint: runningAttempt.record.entry.endpoint, outcome, reason, isRetried, afterMs: Math.round(performance.now() - runningAttempt.startedAtMs) })
+    this.#dependencies.decisionLog.record({ type: 'attemptEnded', requestId: call.requestId, attempt: runningAttempt.attemptNumber, endpoint: runningAttempt.endpoint, relayVm: getRelayVm(runningAttempt), outcome, reason, isRetried, afterMs: Math.round(performance.now() - runningAttempt.startedAtMs) })
   }
 
   /** Records that the endpoint's response was forwarded completely; times in milliseconds. */
@@ -107,8 +127,13 @@
     const { call, route, identity } = this.#plan
     const organisation = identity?.organisation ?? ''
     const totalMs = this.getAgeMs()
-    if (status < MIN_SERVER_ERROR_STATUS) this.#dependencies.recordSuccess(this.#plan, runningAttempt, status)
+    if (status < MIN_SERVER_ERROR_STATUS) this.#reporter.recordSuccess(runningAttempt, status)
     this.#dependencies.metrics.recordResponse({ route: route.name, organisation, priority: String(identity?.priority ?? route.priority) }, firstByteMs, totalMs)
-    this.#dependencies.decisionLog.record({ type: 'answered', requestId: call.requestId, route: route.name, organisation, endpoint: runningAttempt.record.entry.endpoint, status, attempts: runningAttempt.attemptNumber, firstByteMs: Math.round(firstByteMs), longestPauseMs: Math.round(longestPauseMs), totalMs, bytes })
+    this.#dependencies.decisionLog.record({ type: 'answered', requestId: call.requestId, route: route.name, organisation, endpoint: runningAttempt.endpoint, relayVm: getRelayVm(runningAttempt), status, attempts: runningAttempt.attemptNumber, firstByteMs: Math.round(firstByteMs), longestPauseMs: Math.round(longestPauseMs), totalMs, bytes })
   }
 }
+
+/** VM that relayed the attempt; empty without one. */
+function getRelayVm ({ target }: RunningAttempt): string {
+  return target.type === 'peer' ? target.peer.vm : ''
+}
--- a/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
@@ -3,7 +3,8 @@
 import { HEALTH_OBSERVATION } from '../endpoints/endpointHealth.ts'
 import { REPEATABILITY } from '../ports/gatewayConfig.ts'
 import type { AttemptRunner } from './attemptRunner.ts'
-import { buildCrashedAttempt } from './crashedAttempt.ts'
+import type { AttemptReporter } from './attemptReporter.ts'
+import type { RelayAnswer } from '../peers/relayAnswer.ts'
 import type { FinalResponse } from './finalResponse.ts'
 import type { FlowDependencies } from './flowDependencies.ts'
 import type { NextStep } from './nextStep.ts'
@@ -25,6 +26,9 @@
 /** Pause after which a resumable stream is moved to another endpoint, as a multiple of the pause objective. */
 const STALL_TIMEOUT_PAUSE_FACTOR = 2
 
+/** The same for a stream that another VM relays, which moves it itself before. */
+const RELAY_TIMEOUT_PAUSE_FACTOR = 4
+
 /** Pause objective of a stream whose route sets none, in milliseconds. */
 const DEFAULT_PAUSE_OBJECTIVE_MS = 500
 
@@ -36,6 +40,7 @@
   attemptRunner: AttemptRunner
   permits: RetryPermits
   recorder: RequestRecorder
+  reporter: AttemptReporter
   finalResponse: FinalResponse
 }
 
@@ -76,7 +81,7 @@
   moveStreamFrom (endpoints: ReadonlySet<string>): void {
     const { attemptRunner, permits } = this.#parts
     const runningAttempt = attemptRunner.current
-    if (runningAttempt === null || !this.#isStreaming || !this.#isResumable || !endpoints.has(runningAttempt.record.entry.endpoint)) return
+    if (runningAttempt === null || !this.#isStreaming || !this.#isResumable || runningAttempt.target.type !== 'endpoint' || !endpoints.has(runningAttempt.endpoint)) return
     if (!attemptRunner.canMove || !permits.tryTake(true)) return
     this.#isMoved = true
     runningAttempt.attempt.cancel(LOSS_REASON.moved)
@@ -91,7 +96,7 @@
   }
 
   async #forwardResponse (runningAttempt: RunningAttempt, response: http.IncomingMessage, status: number): Promise<ForwardResult> {
-    const { attemptRunner, permits, recorder, finalResponse } = this.#parts
+    const { attemptRunner, permits, recorder, reporter, finalResponse } = this.#parts
     const body = await readResponseBody(response)
     if (finalResponse.isSettled) {
       attemptRunner.finish(runningAttempt)
@@ -99,7 +104,7 @@
     }
     if (body.type === 'cut') return { type: 'lost', reason: body.reason }
     const isFailure = status >= MIN_SERVER_ERROR_STATUS
-    this.#dependencies.endpointMonitor.recordObservation(runningAttempt.record, isFailure ? HEALTH_OBSERVATION.failed : HEALTH_OBSERVATION.served, `status ${status}`)
+    reporter.recordObservation(runningAttempt, isFailure ? HEALTH_OBSERVATION.failed : HEALTH_OBSERVATION.served, `status ${status}`)
     if (isFailure && this.#isRepeatable && permits.tryTake(false)) {
       response.destroy()
       attemptRunner.finish(runningAttempt)
@@ -114,7 +119,7 @@
       return DONE
     }
     const firstByteMs = performance.now() - this.#plan.arrivedAtMs
-    this.#responseHeadWriter.writeHead(response, status, body.type === 'buffered' ? body.bytes.length : null)
+    this.#responseHeadWriter.writeHead(response, status, body.type === 'buffered' ? body.bytes.length : null, this.#buildRelayAnswer(runningAttempt))
     if (body.type === 'large') return await this.#forwardLargeResponse(runningAttempt, response, body.firstChunks, firstByteMs)
     this.#callerResponse.end(body.bytes)
     attemptRunner.finish(runningAttempt)
@@ -124,7 +129,7 @@
 
   /** Forwards a response above the buffer limit chunk by chunk; the request cannot be retried any more. */
   async #forwardLargeResponse (runningAttempt: RunningAttempt, response: http.IncomingMessage, firstChunks: Buffer[], firstByteMs: number): Promise<NextStep> {
-    const { attemptRunner, recorder, finalResponse } = this.#parts
+    const { attemptRunner, recorder, reporter, finalResponse } = this.#parts
     for (const chunk of firstChunks) this.#callerResponse.write(chunk)
     const result = await this.#relay.forward(response, { stallTimeoutMs: null, canCut: () => false, onFirstEvent: () => {}, onChunk: () => {} })
     attemptRunner.finish(runningAttempt)
@@ -134,8 +139,8 @@
     }
     if (result.type !== 'complete') {
       const reason = describeInterruption(result)
-      this.#dependencies.endpointMonitor.recordObservation(runningAttempt.record, HEALTH_OBSERVATION.failed, reason)
-      this.#dependencies.recordCrash(buildCrashedAttempt(this.#plan, runningAttempt), LOSS_REASON.cut)
+      reporter.recordObservation(runningAttempt, HEALTH_OBSERVATION.failed, reason)
+      reporter.recordCrash(runningAttempt, LOSS_REASON.cut)
       recorder.recordAttemptEnded(runningAttempt, LOSS_REASON.cut, reason, false)
       finalResponse.abortResponse(reason)
       return DONE
@@ -146,13 +151,13 @@
   }
 
   async #forwardStream (runningAttempt: RunningAttempt, response: http.IncomingMessage): Promise<NextStep> {
-    const { attemptRunner, recorder, finalResponse } = this.#parts
-    const { route, levels } = this.#plan
-    if (runningAttempt.cacheSalt !== null) this.#dependencies.chooser.prefixLocations.recordLocation(levels, runningAttempt.cacheSalt, runningAttempt.record)
-    if (!this.#callerResponse.headersSent) this.#responseHeadWriter.writeHead(response, response.statusCode ?? 0, null)
-    const stallTimeoutMs = this.#isResumable ? (route.pauseObjectiveMs ?? DEFAULT_PAUSE_OBJECTIVE_MS) * STALL_TIMEOUT_PAUSE_FACTOR : null
+    const { attemptRunner, recorder, reporter, finalResponse } = this.#parts
+    const { route } = this.#plan
+    reporter.recordPromptComputed(runningAttempt)
+    if (!this.#callerResponse.headersSent) this.#responseHeadWriter.writeHead(response, response.statusCode ?? 0, null, this.#buildRelayAnswer(runningAttempt))
+    const stallTimeoutMs = this.#isResumable ? (route.pauseObjectiveMs ?? DEFAULT_PAUSE_OBJECTIVE_MS) * (runningAttempt.target.type === 'endpoint' ? STALL_TIMEOUT_PAUSE_FACTOR : RELAY_TIMEOUT_PAUSE_FACTOR) : null
     this.#isStreaming = true
-    const result = await this.#relay.forward(response, { stallTimeoutMs, canCut: () => attemptRunner.tryReserveMove(), onChunk: () => this.#dependencies.endpointMonitor.recordReceivedBytes(runningAttempt.record), onFirstEvent: () => this.#bindVersion(runningAttempt) })
+    const result = await this.#relay.forward(response, { stallTimeoutMs, canCut: () => attemptRunner.tryReserveMove(), onChunk: () => reporter.recordReceivedBytes(runningAttempt), onFirstEvent: () => this.#bindVersion(runningAttempt) })
     this.#isStreaming = false
     if (finalResponse.isSettled || result.type === 'callerLeft') {
       runningAttempt.attempt.cancel(LOSS_REASON.cancelled)
@@ -160,7 +165,7 @@
       return DONE
     }
     if (result.type === 'complete') {
-      this.#dependencies.endpointMonitor.recordObservation(runningAttempt.record, HEALTH_OBSERVATION.served, 'stream')
+      reporter.recordObservation(runningAttempt, HEALTH_OBSERVATION.served, 'stream')
       this.#callerResponse.end()
       attemptRunner.finish(runningAttempt, true)
       const firstWriteAtMs = this.#relay.firstWriteAtMs ?? performance.now()
@@ -173,21 +178,27 @@
   /** From the first event on, the stream goes on at this software version only, also over the caller's tries. */
   #bindVersion ({ softwareVersion }: RunningAttempt): void {
     const { attemptRunner } = this.#parts
-    if (attemptRunner.softwareVersion !== null) return
+    if (attemptRunner.softwareVersion !== null || softwareVersion === null) return
     attemptRunner.softwareVersion = softwareVersion
     const { call, identity, pool } = this.#plan
     if (call.lastEventId === null) this.#dependencies.streamOrigins.recordBegan({ organisation: identity?.organisation ?? '', pool, firstRequestId: call.requestId }, softwareVersion)
   }
 
+  /** Builds what the VM that relayed the request is told with the response; null for a caller. */
+  #buildRelayAnswer ({ target, endpoint, softwareVersion }: RunningAttempt): RelayAnswer | null {
+    if (this.#plan.relayed === null || target.type !== 'endpoint') return null
+    return { type: 'forwarded', endpoint, incarnation: target.record.entry.incarnation, softwareVersion: softwareVersion ?? '', endpointCount: this.#parts.permits.ownExecutionCount }
+  }
+
   #handleStreamInterrupted (runningAttempt: RunningAttempt, interruption: StreamInterruption): NextStep {
-    const { attemptRunner, permits, recorder, finalResponse } = this.#parts
+    const { attemptRunner, permits, recorder, reporter, finalResponse } = this.#parts
     const isMoved = this.#isMoved
     this.#isMoved = false
     const reason = describeInterruption(interruption)
-    if (interruption.type === 'cut' && !isMoved) this.#dependencies.recordCrash(buildCrashedAttempt(this.#plan, runningAttempt), LOSS_REASON.cut)
-    if (interruption.type === 'stalled') this.#dependencies.recordUnanswered(buildCrashedAttempt(this.#plan, runningAttempt))
+    if (interruption.type === 'cut' && !isMoved) reporter.recordCrash(runningAttempt, LOSS_REASON.cut)
+    if (interruption.type === 'stalled') reporter.recordUnanswered(runningAttempt)
     runningAttempt.attempt.cancel(LOSS_REASON.cancelled)
-    if (!isMoved) this.#dependencies.endpointMonitor.recordObservation(runningAttempt.record, HEALTH_OBSERVATION.failed, reason)
+    if (!isMoved) reporter.recordObservation(runningAttempt, HEALTH_OBSERVATION.failed, reason)
     attemptRunner.finish(runningAttempt, isMoved)
     const isRetried = isMoved || (this.#isResumable && permits.tryTake(false))
     recorder.recordAttemptEnded(runningAttempt, isMoved ? LOSS_REASON.moved : LOSS_REASON.cut, reason, isRetried)
@@ -195,7 +206,7 @@
       finalResponse.abortResponse(reason)
       return DONE
     }
-    this.#dependencies.decisionLog.record({ type: 'resumed', requestId: this.#plan.call.requestId, endpoint: runningAttempt.record.entry.endpoint, lastEventId: this.#relay.lastEventId ?? '', afterMs: recorder.getAgeMs() })
+    this.#dependencies.decisionLog.record({ type: 'resumed', requestId: this.#plan.call.requestId, endpoint: runningAttempt.endpoint, lastEventId: this.#relay.lastEventId ?? '', afterMs: recorder.getAgeMs() })
     return RETRY
   }
 }
--- a/packages/knapweedshunt-gateway/src/flow/responseHeadWriter.ts
+++ b/packages/knapweedshunt-gateway/src/flow/responseHeadWriter.ts
@@ -1,4 +1,6 @@
 import type http from 'node:http'
+import type { RelayAnswer } from '../peers/relayAnswer.ts'
+import { buildRelayAnswerHeaders } from '../peers/relayHeaders.ts'
 import { filterEndToEndHeaders } from '../shared/filterEndToEndHeaders.ts'
 
 /** Writes the status line and headers of an endpoint's response to one caller. */
@@ -11,9 +13,10 @@
     this.#method = method
   }
 
-  /** Writes the status and the end-to-end headers. `length` is the size of the body in bytes, null if it is not known yet. */
-  writeHead (response: http.IncomingMessage, status: number, length: number | null): void {
+  /** Writes the status and the end-to-end headers. `length` is the size of the body in bytes, null if it is not known yet; `answer` goes to the VM that relayed the request, null for a caller. */
+  writeHead (response: http.IncomingMessage, status: number, length: number | null, answer: RelayAnswer | null): void {
     const headers = filterEndToEndHeaders(response.rawHeaders)
+    if (answer !== null) headers.push(...buildRelayAnswerHeaders(answer))
     const isBodiless = this.#method === 'HEAD' || status === 204 || status === 304
     if (isFramed(response)) {
       if (length !== null && !isBodiless) headers.push('Content-Length', String(length))
--- a/packages/knapweedshunt-gateway/src/flow/retryPermits.ts
+++ b/packages/knapweedshunt-gateway/src/flow/retryPermits.ts
@@ -7,22 +7,45 @@
   readonly #plan: RequestPlan
   /** Number of endpoints that run or may have run the request. */
   #possibleExecutionCount = 0
+  /** Number of them before another VM relayed the request to this one. */
+  readonly #earlierCount: number
+  /** Number of endpoints that the last attempt counts for. */
+  #sentCount = 0
   /** Whether a permit was taken from the budget and is not used yet. */
   #hasReservedPermit = false
 
   constructor (dependencies: FlowDependencies, plan: RequestPlan) {
     this.#dependencies = dependencies
     this.#plan = plan
+    this.#earlierCount = plan.relayed === null ? 0 : Math.max(0, plan.route.maxEndpoints - plan.relayed.endpointsLeft)
+    this.#possibleExecutionCount = this.#earlierCount
   }
 
-  /** Records that the request was sent to an endpoint. */
-  recordSent (): void {
-    this.#possibleExecutionCount++
+  /** Number of endpoints to which the request may still be sent. */
+  get endpointsLeft (): number {
+    return Math.max(0, this.#plan.route.maxEndpoints - this.#possibleExecutionCount)
   }
 
-  /** Records that the last endpoint did not run the request, so it does not count towards the limit. */
+  /** Number of endpoints that have or may have run the request for this VM. */
+  get ownExecutionCount (): number {
+    return this.#possibleExecutionCount - this.#earlierCount
+  }
+
+  /** Records that the request was sent to an endpoint, or to a VM that may send it to `endpointCount`. */
+  recordSent (endpointCount = 1): void {
+    this.#sentCount = endpointCount
+    this.#possibleExecutionCount += endpointCount
+  }
+
+  /** Records to how many endpoints the other VM has sent the request. */
+  recordRelayed (endpointCount: number): void {
+    this.#possibleExecutionCount += endpointCount - this.#sentCount
+    this.#sentCount = endpointCount
+  }
+
+  /** Records that no endpoint ran the last attempt, so it does not count towards the limit. */
   recordNotRun (): void {
-    this.#possibleExecutionCount--
+    this.#possibleExecutionCount -= this.#sentCount
   }
 
   /** Uses the reserved permit or takes one from the budget; false if the request must not be retried. An optional retry uses only permits earned by successes. */
--- a/packages/knapweedshunt-gateway/src/flow/runningAttempt.ts
+++ b/packages/knapweedshunt-gateway/src/flow/runningAttempt.ts
@@ -1,16 +1,15 @@
 import type { Attempt } from '../endpoints/attempt.ts'
-import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
+import type { AttemptTarget } from './attemptTarget.ts'
 
 /** An attempt in flight. */
 export interface RunningAttempt {
   attempt: Attempt
-  record: EndpointRecord
-  /** Software version of the endpoint when the request was sent. */
-  softwareVersion: string
+  target: AttemptTarget
+  /** Software version of the endpoint that serves the attempt; null until another VM has said which one that is. */
+  softwareVersion: string | null
+  /** Endpoint that serves the attempt; empty until another VM has said which one that is. */
+  endpoint: string
   attemptNumber: number
   startedAtMs: number
   attemptId: string
-  expectedCachedTokens: number
-  /** Salt under which the endpoint caches the prompt; null without a prompt. */
-  cacheSalt: string | null
 }
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -23,6 +23,7 @@
 import { CallerAuthenticator } from './flow/callerAuthenticator.ts'
 import type { FlowDependencies } from './flow/flowDependencies.ts'
 import { PermitQueue } from './flow/permitQueue.ts'
+import { EndpointRelays } from './peers/endpointRelays.ts'
 import { PeerClients } from './peers/peerClients.ts'
 import { PeerServer } from './peers/peerServer.ts'
 import { StreamOrigins } from './peers/streamOrigins.ts'
@@ -65,6 +66,7 @@
   readonly #roster: VmRoster
   readonly #endpointLimits: EndpointLimits
   readonly #streamOrigins: StreamOrigins
+  readonly #relays: EndpointRelays
   readonly #peerClients = new PeerClients()
   readonly #peerServer: PeerServer
   readonly #weightsState: WeightsState
@@ -143,10 +145,19 @@
       writePoolVersions: row => this.#roster.writePoolVersions(row),
       getEndpointsAgeMs: () => this.#followers.endpoints.ageMs ?? Infinity
     })
+    this.#relays = new EndpointRelays({
+      dataCentre: settings.dataCentre,
+      endpointRegistry: this.#endpointRegistry,
+      decisionLog: this.#decisionLog,
+      listPeers: () => this.#roster.listPeers(),
+      call: (view, method, params) => this.#peerClients.call(view, method, params),
+      countRelayed: () => this.#requestHandler.relayedCount
+    })
     this.#peerServer = new PeerServer({
+      'endpoints.reach': () => this.#relays.handleReach(),
       'streams.record': params => this.#streamOrigins.handleRecord(params),
       'streams.find': params => this.#streamOrigins.handleFind(params)
-    })
+    }, (request, response, relayed) => this.#requestHandler.handleRelayed(request, response, relayed))
     this.#weightsState = new WeightsState({ getMaxStaleMs: () => this.#settings.maxStaleWeightsMs - STALE_WEIGHTS_MARGIN_MS, holder: settings.vm, endpointRegistry: this.#endpointRegistry, roster: this.#roster, managementPort, recordDecision: decision => this.#decisionLog.record(decision), onServedVersion: () => this.#chooser.rebuild() })
     this.#chooser = new EndpointChooser({
       dataCentre: settings.dataCentre,
@@ -232,6 +243,7 @@
       this.#followers.run(taskController.signal),
       this.#endpointMonitor.run(taskController.signal),
       this.#kvStoreMonitor.run(taskController.signal),
+      this.#relays.run(taskController.signal),
       waveTask.run(taskController.signal, () => this.#isStopping),
       runEvery(SWEEP_INTERVAL_MS, taskController.signal, () => {
         this.#endpointRegistry.removeExpired()
@@ -257,6 +269,7 @@
 
   #buildFlowDependencies (): FlowDependencies {
     return {
+      vm: this.#settings.vm,
       endpointPort: this.#dependencies.endpointPort,
       agent: this.#agent,
       chooser: this.#chooser,
@@ -265,13 +278,14 @@
       endpointLimits: this.#endpointLimits,
       permitQueue: new PermitQueue(),
       streamOrigins: this.#streamOrigins,
+      relays: this.#relays,
       metrics: this.#metrics,
       decisionLog: this.#decisionLog,
       log: this.#dependencies.log,
       tryTakeRetry: (pool, isOptional) => this.#retryBudget.tryTake(pool, isOptional),
-      recordSuccess: (plan, runningAttempt, status) => {
+      recordSuccess: (plan, record, startedAtMs, status) => {
         this.#retryBudget.recordSuccess(plan.pool)
-        this.#suspectTracker.recordAnswered(plan, runningAttempt, status)
+        this.#suspectTracker.recordAnswered(plan, record, startedAtMs, status)
       },
       recordCrash: (attempt, evidence) => this.#suspectTracker.recordCrash(attempt, evidence),
       recordUnanswered: attempt => this.#unansweredAttempts.recordEnd(attempt),
--- a/packages/knapweedshunt-gateway/src/peers/peerServer.ts
+++ b/packages/knapweedshunt-gateway/src/peers/peerServer.ts
@@ -1,18 +1,34 @@
 import http from 'node:http'
 import { createRpcHandler } from 'knapweedshunt-rpc'
 import type { RpcMethods } from 'knapweedshunt-rpc'
-import { closeServer, createIncarnation, listen } from 'knapweedshunt-utils'
+import { closeServer, createIncarnation, isSameSecret, listen } from 'knapweedshunt-utils'
+import { MAX_READABLE_HEADER_BYTES } from '../callers/callerServer.ts'
 import type { ListenAddress } from '../ports/vmSettings.ts'
+import { buildRefusal } from './buildRefusal.ts'
 import type { PeerAddress } from './peerAddress.ts'
+import { buildRelayAnswerHeaders, decodeRelayedRequest, RELAY_HEADER } from './relayHeaders.ts'
+import type { RelayedRequest } from './relayedRequest.ts'
 
-/** Serves the calls of the other VMs. The key that they must send is drawn at each start; they read it from this VM's row. */
+/** Size of the headers that VMs add to a caller's, in bytes. */
+const MAX_RELAY_HEADER_BYTES = 16 * 1024
+
+/** Handles a request that another VM relays. */
+export type RelayHandler = (request: http.IncomingMessage, response: http.ServerResponse, relayed: RelayedRequest) => void
+
+/** Serves the calls of the other VMs and the requests that they relay. The key that they must send is drawn at each start; they read it from this VM's row. */
 export class PeerServer {
   readonly #key = createIncarnation() + createIncarnation()
   readonly #server: http.Server
+  readonly #handleRelayed: RelayHandler
 
-  constructor (methods: RpcMethods) {
-    const handle = createRpcHandler(methods, this.#key)
-    this.#server = http.createServer((request, response) => { handle(request, response).catch(() => response.destroy()) })
+  constructor (methods: RpcMethods, handleRelayed: RelayHandler) {
+    const handleCall = createRpcHandler(methods, this.#key)
+    this.#handleRelayed = handleRelayed
+    this.#server = http.createServer({ maxHeaderSize: MAX_READABLE_HEADER_BYTES + MAX_RELAY_HEADER_BYTES, noDelay: true }, (request, response) => {
+      if (request.headers[RELAY_HEADER.key] !== undefined) this.#serveRelayed(request, response)
+      else handleCall(request, response).catch(() => response.destroy())
+    })
+    this.#server.requestTimeout = 0 // The body has its own size and idle limits.
   }
 
   /** Starts to listen; resolves to the address for the other VMs. */
@@ -26,4 +42,11 @@
     this.#server.closeAllConnections()
     await closeServer(this.#server)
   }
+
+  #serveRelayed (request: http.IncomingMessage, response: http.ServerResponse): void {
+    const relayed = decodeRelayedRequest(request.headers)
+    if (relayed !== null && isSameSecret(String(request.headers[RELAY_HEADER.key]), this.#key)) return this.#handleRelayed(request, response, relayed)
+    response.shouldKeepAlive = false
+    response.writeHead(503, [...buildRelayAnswerHeaders(buildRefusal('relay_key', false, null)), 'Content-Length', '0']).end()
+  }
 }
--- a/packages/knapweedshunt-gateway/src/ports/endpointPort.ts
+++ b/packages/knapweedshunt-gateway/src/ports/endpointPort.ts
@@ -54,6 +54,8 @@
   decodeCall (request: http.IncomingMessage): CallerCall
   /** Builds the headers of an attempt from the caller's end-to-end headers; flat name-value pairs. */
   buildAttemptHeaders (headers: string[], fields: AttemptFields): string[]
+  /** Builds the headers by which another VM serves the request as its caller sent it, in the time left and from the event after `lastEventId`; flat name-value pairs. */
+  buildRelayHeaders (headers: string[], fields: Pick<AttemptFields, 'timeLeftMs' | 'lastEventId'>): string[]
   decodeResponseHead (headers: http.IncomingHttpHeaders): ResponseHead
   /** Builds the headers of a response by the router itself; flat name-value pairs. */
   buildRouterHeaders (requestId: string | null, retryAfterMs: number | null): string[]
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -6,21 +6,25 @@
 /** Reason why a request was refused. The values are sent to callers, logged and used as a metric label. */
 export type RefusalReason =
   | 'bad_request' | 'header_too_large' | 'body_too_large' | 'body_too_slow' | 'no_route' | 'no_key' | 'unknown_key'
-  | 'no_config' | 'stream_unknown' | 'keys_unconfirmed' | 'quarantined' | 'no_endpoint' | 'no_free_endpoint' | 'endpoints_limited' | 'endpoint_refused'
+  | 'no_config' | 'config_behind' | 'relay_full' | 'relay_key' | 'relay_refused' | 'endpoints_unreached' | 'stream_unknown' | 'keys_unconfirmed' | 'quarantined' | 'no_endpoint' | 'no_free_endpoint' | 'endpoints_limited' | 'endpoint_refused'
   | 'stopping' | 'timeout' | 'endpoint_lost' | 'stream_cut' | 'caller_left' | 'internal'
 
 /** A decision about one request; times in milliseconds. */
 export type RequestDecision =
   /** Sent to an endpoint; of a resumed stream `firstRequestId` names the request that brought its first event and `lastEventId` the last event that the caller has, else both are empty; `prefix` joins the first characters of the keys of the prompt's prefix levels, outermost first; `limitPerS` is the endpoint's rate limit for all VMs together and `ownLimitPerS` this VM's part of it, in requests per second, null for none; `parts` joins the ids of the parts that other prompts may share. `fingerprint` begins the hash by which repetitions of the request are recognised. */
   | { type: 'sent', requestId: RequestId, attempt: number, pool: PoolName, endpoint: EndpointName, incarnation: string, softwareVersion: string, firstRequestId: RequestId, lastEventId: string, rank: number, prefix: string, parts: string, fingerprint: string, expectedCachedTokens: number, promptTokens: number, expectedWaitMs: number, open: number, loadAgeMs: number, configRevision: number, keysAgeMs: number, timeLeftMs: number, limitPerS: number | null, ownLimitPerS: number | null }
-  /** An attempt ended without a response; `isRetried` if another endpoint is tried. */
-  | { type: 'attemptEnded', requestId: RequestId, attempt: number, endpoint: EndpointName, outcome: string, reason: string, isRetried: boolean, afterMs: number }
+  /** Sent to another VM, as this one reaches few endpoints of the pool; `lastEventId` is the last event that the caller has, else empty. */
+  | { type: 'relayed', requestId: RequestId, attempt: number, pool: PoolName, vm: VmId, lastEventId: string, timeLeftMs: number }
+  /** Received from another VM, which tried the endpoints in `tried`; `softwareVersion` is the one at which a stream must go on, null for any. */
+  | { type: 'relayReceived', requestId: RequestId, from: VmId, tried: string, endpointsLeft: number, softwareVersion: string | null }
+  /** An attempt ended without a response; `relayVm` is the VM that relayed it, empty without one; `isRetried` if another endpoint is tried. */
+  | { type: 'attemptEnded', requestId: RequestId, attempt: number, endpoint: EndpointName, relayVm: VmId, outcome: string, reason: string, isRetried: boolean, afterMs: number }
   /** A caller takes up a stream again; `softwareVersion` is that of the endpoint that began it, null if it is not known. */
   | { type: 'takenUp', requestId: RequestId, firstRequestId: RequestId, softwareVersion: string | null, afterMs: number }
   /** A stream is resumed at another endpoint; `endpoint` is the previous one. */
   | { type: 'resumed', requestId: RequestId, endpoint: EndpointName, lastEventId: string, afterMs: number }
-  /** An endpoint's response was forwarded completely. */
-  | { type: 'answered', requestId: RequestId, route: string, organisation: OrganisationName, endpoint: EndpointName, status: number, attempts: number, firstByteMs: number, longestPauseMs: number, totalMs: number, bytes: number }
+  /** An endpoint's response was forwarded completely; `relayVm` is the VM that relayed it, empty without one. */
+  | { type: 'answered', requestId: RequestId, route: string, organisation: OrganisationName, endpoint: EndpointName, relayVm: VmId, status: number, attempts: number, firstByteMs: number, longestPauseMs: number, totalMs: number, bytes: number }
   /** The router sent its own response or closed the connection without one. */
   | { type: 'refused', requestId: RequestId, route: string, organisation: OrganisationName, status: number, reason: RefusalReason, ran: 'not-run' | 'may-have-run', attempts: number, totalMs: number, retryAfterMs: number, detail: string }
 
@@ -49,6 +53,8 @@
   | { type: 'streamsUntold', vm: VmId, reason: string }
   /** Another VM could not be asked which software version began a stream. */
   | { type: 'streamUnasked', vm: VmId, reason: string }
+  /** Another VM did not say which endpoints it reaches, or failed a request. */
+  | { type: 'relayFailed', vm: VmId, reason: string }
   | { type: 'configTaken', revision: number, routes: number, organisations: number }
   | { type: 'readiness', isReady: boolean, reason: string }
   | { type: 'keysFresh', isFresh: boolean, ageMs: number }
--- a/packages/knapweedshunt-gateway/src/records/decisionLog.ts
+++ b/packages/knapweedshunt-gateway/src/records/decisionLog.ts
@@ -15,6 +15,9 @@
 
 const MESSAGES: Record<Decision['type'], string> = {
   sent: 'Request sent.',
+  relayed: 'Request sent to another VM.',
+  relayReceived: 'Request of another VM received.',
+  relayFailed: 'Other VM failed.',
   attemptEnded: 'Attempt ended.',
   resumed: 'Stream resumed.',
   answered: 'Request answered.',
--- a/packages/knapweedshunt-gateway/src/records/gatewayMetrics.ts
+++ b/packages/knapweedshunt-gateway/src/records/gatewayMetrics.ts
@@ -27,6 +27,7 @@
   readonly #marks = new Counter({ name: 'knapweedshunt_crash_marks_total', help: 'Marks of requests that may crash endpoints, by event.', labelNames: ['event'], registers: [this.registry] })
   readonly #partQuarantines = new Counter({ name: 'knapweedshunt_part_quarantines_total', help: 'Quarantines of prompt parts that began here or were learnt from another VM.', registers: [this.registry] })
   readonly #limitChanges = new Counter({ name: 'knapweedshunt_endpoint_limit_changes_total', help: 'Changes of the rate limits that endpoints state in their responses.', registers: [this.registry] })
+  readonly #relays = new Counter({ name: 'knapweedshunt_relays_total', help: 'Requests sent to another VM that reaches more endpoints, or received from one.', labelNames: ['direction'], registers: [this.registry] })
   readonly #unwrittenRows = new Counter({ name: 'knapweedshunt_rows_unwritten_total', help: 'Failed writes of rows of this VM.', registers: [this.registry] })
   readonly #gauges = new Map<string, Gauge>()
 
@@ -62,6 +63,11 @@
     this.#limitChanges.inc()
   }
 
+  /** Counts a request that this VM sent to another one, or received from one, as the first reaches few endpoints. */
+  recordRelay (direction: 'sent' | 'received'): void {
+    this.#relays.inc({ direction })
+  }
+
   /** Counts a row of this VM that could not be written. */
   recordUnwrittenRow (): void {
     this.#unwrittenRows.inc()
--- a/packages/knapweedshunt-gateway/src/shared/filterEndToEndHeaders.ts
+++ b/packages/knapweedshunt-gateway/src/shared/filterEndToEndHeaders.ts
@@ -1,5 +1,7 @@
-/** Names, in lower case, of headers that apply to a single connection (RFC 9110, section 7.6.1), and content-length. */
-const CONNECTION_HEADERS = new Set(['connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect', 'content-length'])
+import { RELAY_HEADER } from '../peers/relayHeaders.ts'
+
+/** Names, in lower case, of headers that apply to a single connection (RFC 9110, section 7.6.1), content-length, and the headers between two VMs. */
+const CONNECTION_HEADERS = new Set<string>([...Object.values(RELAY_HEADER), 'connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect', 'content-length'])
 
 /** Lists the headers to forward, as a flat list of names and values. The sender sets the length of the body itself. */
 export function filterEndToEndHeaders (raw: string[]): string[] {
