Waves: a lease holder that reaches no endpoint leaves the lease to a VM that does

A holder without links to endpoints kept renewing the lease, as it reaches the store, while its commands and reports were lost: new weights waited for the links. A VM that another one outreaches hands the lease over with a notice and does not contend; in an outage that all VMs see nobody is outreached. The test fails without the hand-over (weights not loaded after 15 s).

--- a/packages/knapweedshunt-fleet/src/__tests__/waves.test.ts
+++ b/packages/knapweedshunt-fleet/src/__tests__/waves.test.ts
@@ -44,6 +44,8 @@
   readonly sentCommands: SentCommand[] = []
   readonly aborts = new Map<string, AbortController>()
   readonly disconnectedVms = new Set<string>()
+  /** VMs that reach no endpoint, but the table service and one another. */
+  readonly cutVms = new Set<string>()
   notice: { notice: WaveNotice, atMs: number } | null = null
   targetVersion = 1
   /** Delay after which endpoints execute commands, in milliseconds; when set, the sender gets no answer. */
@@ -68,7 +70,7 @@
       ports: {
         listEndpoints: () => [...this.versions].map(([name, version]) => ({ ...buildEndpoint(Number(name.slice(1)), version) })),
         listGoals: () => [{ model: 'm', version: this.targetVersion }],
-        readReport: async name => this.#readReport(name, { version: this.versions.get(name) ?? null, isBusy: this.loadingEndpoints.has(name), ordersTaken: this.commandsTaken.get(name) ?? 0, running: 0 }),
+        readReport: async name => this.cutVms.has(vm) ? null : this.#readReport(name, { version: this.versions.get(name) ?? null, isBusy: this.loadingEndpoints.has(name), ordersTaken: this.commandsTaken.get(name) ?? 0, running: 0 }),
         sendCommand: command => this.#handleCommand(vm, command),
         announce: notice => callIfConnected(async () => { this.notice = { notice, atMs: performance.now() } }),
         readNotice: () => this.notice === null ? null : { notice: this.notice.notice, ageMs: performance.now() - this.notice.atMs },
@@ -77,7 +79,7 @@
         handleReached: () => {}
       }
     })
-    task.run(abort.signal, () => false).catch(() => {})
+    task.run(abort.signal, { isStopping: () => false, isOutreached: () => this.cutVms.has(vm) }).catch(() => {})
   }
 
   #readReport (name: string, report: WaveReport): WaveReport {
@@ -86,6 +88,7 @@
   }
 
   async #handleCommand (vm: string, command: WaveCommand) {
+    if (this.cutVms.has(vm)) return 'lost' as const
     this.sentCommands.push({ vm, atMs: performance.now(), command })
     const run = (): 'taken' | 'conflict' => {
       if (this.loadingEndpoints.has(command.endpoint) || (this.commandsTaken.get(command.endpoint) ?? 0) !== command.ordersTaken) return 'conflict'
@@ -166,6 +169,22 @@
   })
 })
 
+// Guards against a holder that keeps renewing a lease whose work it cannot do, as it reaches no endpoint.
+test.serial('lease holder without links to endpoints: another VM loads the weights', async t => {
+  await run(12, async (fleet, clock) => {
+    for (const [rank, vm] of ['a', 'b'].entries()) fleet.start(vm, rank)
+    fleet.targetVersion = 2
+    await clock.tickAsync(1_500)
+    const [{ vm: holder }] = fleet.sentCommands
+    fleet.cutVms.add(holder)
+    fleet.targetVersion = 3
+    await clock.tickAsync(15_000)
+    t.true(fleet.isAt(3))
+    const fences = fleet.sentCommands.map(sent => sent.command.fencing)
+    t.deepEqual(fences, [...fences].sort((a, b) => a - b))
+  })
+})
+
 /** Time after which VMs must no longer start requests on replaced weights, in milliseconds: the required limit of 6 s less a reserve for an endpoint's queue. */
 const STALE_MS = 4_500
 
--- a/packages/knapweedshunt-fleet/src/waves/waveTask.ts
+++ b/packages/knapweedshunt-fleet/src/waves/waveTask.ts
@@ -22,6 +22,14 @@
   options?: WaveOptions
 }
 
+/** What a VM says of itself at each step. */
+export interface WaveConditions {
+  /** While true, the VM no longer contends for the lease but finishes its work if it holds it. */
+  isStopping (): boolean
+  /** While true, another VM reaches more endpoints, and this one leaves the lease to it. */
+  isOutreached (): boolean
+}
+
 /**
  * Brings endpoints to the target weights, a share of each pool at a time. Only the holder of a lease does so, and the lease
  * is held only while there is work. When a newer target appears, the remaining endpoints skip the older one.
@@ -43,13 +51,20 @@
     this.#lease = new LeaseTask(dependencies.platform, WAVE_LEASE, dependencies.incarnation, this.#options.lease)
   }
 
-  /** Runs until the signal aborts, then releases the lease. While `isStopping` returns true, the VM no longer contends for the lease but finishes its work if it holds it. */
-  async run (signal: AbortSignal, isStopping: () => boolean): Promise<void> {
+  /** Runs until the signal aborts, then releases the lease. */
+  async run (signal: AbortSignal, { isStopping, isOutreached }: WaveConditions): Promise<void> {
     while (!signal.aborted) {
-      await this.#step(isStopping())
+      if (isOutreached()) await this.#handOver()
+      else await this.#step(isStopping())
       await sleep(this.#options.stepIntervalMs, signal)
     }
+    await this.#handOver()
+  }
+
+  /** Releases the lease, if it is held, so that other VMs need not wait until it expires. */
+  async #handOver (): Promise<void> {
     if (this.#lease.readFencing(true) === null) return
+    this.#updateFencing(null)
     const endedFencing = await this.#lease.release()
     for (const notice of this.#lastNotices.values()) await this.#announce({ ...notice, loading: [], endedFencing, isLeaving: true })
   }
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -244,7 +244,7 @@
       this.#endpointMonitor.run(taskController.signal),
       this.#kvStoreMonitor.run(taskController.signal),
       this.#relays.run(taskController.signal),
-      waveTask.run(taskController.signal, () => this.#isStopping),
+      waveTask.run(taskController.signal, { isStopping: () => this.#isStopping, isOutreached: () => this.#relays.isOutreached }),
       runEvery(SWEEP_INTERVAL_MS, taskController.signal, () => {
         this.#endpointRegistry.removeExpired()
         this.#readiness.update()
--- a/packages/knapweedshunt-gateway/src/peers/endpointRelays.ts
+++ b/packages/knapweedshunt-gateway/src/peers/endpointRelays.ts
@@ -55,6 +55,11 @@
     return known > 0 && reached === 0
   }
 
+  /** Whether another VM reaches at least twice as many endpoints of some pool. */
+  get isOutreached (): boolean {
+    return this.#listReaches().some(reach => this.#selector.select(reach, []).type === 'relay')
+  }
+
   /** Selects how a request gets to an endpoint; `avoided` VMs were tried before. Waits for the first answers of the other VMs. */
   async select (pool: PoolName, avoided: VmId[]): Promise<RelayRoute> {
     const reach = this.#computeReach(pool)
