--- a/packages/knapweedshunt-gateway/src/ports/endpointPort.ts
+++ b/packages/knapweedshunt-gateway/src/ports/endpointPort.ts
@@ -34,6 +34,22 @@
   /** The value is not a rate. */
   | { type: 'unreadable', text: string }
 
+/** What a response says about the rest that its endpoint wants from this VM. */
+export type StatedRest =
+  | { type: 'none' }
+  /** The endpoint wants nothing for this time, in milliseconds. */
+  | { type: 'rest', forMs: number }
+  /** The value is neither a number of seconds nor a date. */
+  | { type: 'unreadable', text: string }
+
+/** What a response says about how its endpoint bears overload. */
+export type StatedBrittleness =
+  | { type: 'none' }
+  /** The endpoint ends if it has to reject more than this many requests in a second for want of room. */
+  | { type: 'brittle', maxRejectionsPerS: number }
+  /** The value is not a number. */
+  | { type: 'unreadable', text: string }
+
 /** Head of an endpoint's response. */
 export interface ResponseHead {
   /** Id of the request that the response belongs to; null when not stated. */
@@ -44,6 +60,11 @@
   isNotRun: boolean
   load: ReportedLoad | null
   limit: StatedLimit
+  /** Counts only with a rejection. */
+  rest: StatedRest
+  brittleness: StatedBrittleness
+  /** Whether the endpoint is about to stop and wants no more requests. */
+  isLeaving: boolean
   /** Version of the weights that served the request; null when not stated. */
   weightsVersion: number | null
 }
--- a/packages/knapweedshunt-gateway/src/records/decisionLog.ts
+++ b/packages/knapweedshunt-gateway/src/records/decisionLog.ts
@@ -40,6 +40,7 @@
   poolReach: 'Reached endpoints of pool changed.',
   limitStated: 'Rate limit of endpoint changed.',
   limitUnreadable: 'Rate limit of endpoint unreadable.',
+  wishStated: 'Endpoint stated a wish.',
   rowUnreadable: 'Row unreadable.',
   weightsWished: 'Weights wished.',
   leaseTaken: 'Lease taken.',
