Gateway: an endpoint that asked for rest gets nothing from this VM until it is over

Cause: no source read the header, and a rejection changed nothing about its endpoint. What an endpoint accepts is now one question (EndpointPermits over EndpointWishes and EndpointRateLimits), asked by first tries, retries, resumed and moved streams, probes, reports, load commands and the choice of a KV source. With all endpoints of a pool at rest a request is refused at once.

--- a/packages/knapweedshunt-gateway/src/__tests__/chooser.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/chooser.test.ts
@@ -33,7 +33,7 @@
     listPools: () => [pool],
     findPool: () => pool,
     countVms: () => 1,
-    endpointLimits: {
+    endpointPermits: {
       findLimit: ({ entry }) => limits.limited.includes(entry.endpoint) ? 2 : null,
       getOwnRatePerS: () => 0.5,
       getWaitMs: ({ entry }) => limits.limited.includes(entry.endpoint) ? limits.waitMs : 0,
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -5,7 +5,7 @@
 import type { ReportedLoad } from '../ports/endpointPort.ts'
 import type { GatewayPool } from '../ports/gatewayConfig.ts'
 import type { CallerIdentity, Prompt } from '../ports/callerCall.ts'
-import type { EndpointLimits } from './endpointLimits.ts'
+import type { EndpointPermits } from './endpointPermits.ts'
 import type { EndpointRegistry } from './endpointRegistry.ts'
 import type { EndpointRecord } from './endpointRecord.ts'
 import { PromptSizePartition } from './promptSizePartition.ts'
@@ -38,7 +38,7 @@
   | { type: 'chosen', record: EndpointRecord, decision: PlacedDecision }
   /** The pool has endpoints, but all are excluded, loading or full at present. */
   | { type: 'busy' }
-  /** All endpoints that could accept the request state rate limits, of which this VM has used its parts: `waitMs` is the time until it may send one a request, infinite if it has no part, and `permitsPerS` the sum of the parts. */
+  /** All endpoints that could accept the request want rest, or state rate limits of which this VM has used its parts: `waitMs` is the time until it may send one a request, infinite if it may not, and `permitsPerS` the sum of the parts. */
   | { type: 'limited', waitMs: number, permitsPerS: number }
   | { type: 'none' }
 
@@ -67,7 +67,7 @@
   listPools (): GatewayPool[]
   findPool (pool: PoolName): GatewayPool | undefined
   countVms (): number
-  endpointLimits: Pick<EndpointLimits, 'findLimit' | 'getOwnRatePerS' | 'getWaitMs' | 'tryTake'>
+  endpointPermits: Pick<EndpointPermits, 'findLimit' | 'getOwnRatePerS' | 'getWaitMs' | 'tryTake'>
   /** Lists the endpoints that load weights or are about to. */
   listLoadingEndpoints (): Set<EndpointName>
   /** Target version of a model's weights; null when none is set. */
@@ -154,7 +154,7 @@
     const decision = this.#placement.place({ pool, levels, excluded: [], unavailable })
     if (decision.type !== 'placed') return { type: 'busy' }
     const record = this.#dependencies.endpointRegistry.find(decision.endpoint)
-    return record === undefined || !this.#dependencies.endpointLimits.tryTake(record) ? { type: 'busy' } : { type: 'chosen', record, decision }
+    return record === undefined || !this.#dependencies.endpointPermits.tryTake(record) ? { type: 'busy' } : { type: 'chosen', record, decision }
   }
 
   /** Endpoints that recently computed each prefix. */
@@ -184,14 +184,13 @@
   }
 
   #isPermitted (record: EndpointRecord, mustYieldLimits: boolean): boolean {
-    const { endpointLimits } = this.#dependencies
-    return endpointLimits.findLimit(record) === null || (!mustYieldLimits && endpointLimits.getWaitMs(record) === 0)
+    const { endpointPermits } = this.#dependencies
+    return endpointPermits.getWaitMs(record) === 0 && (!mustYieldLimits || endpointPermits.findLimit(record) === null)
   }
 
   #describeLimited (records: EndpointRecord[]): Choice {
-    const { endpointLimits } = this.#dependencies
-    const limited = records.filter(record => endpointLimits.findLimit(record) !== null)
-    return { type: 'limited', waitMs: Math.min(...limited.map(record => endpointLimits.getWaitMs(record))), permitsPerS: limited.reduce((sum, record) => sum + endpointLimits.getOwnRatePerS(record), 0) }
+    const { endpointPermits } = this.#dependencies
+    return { type: 'limited', waitMs: Math.min(...records.map(record => endpointPermits.getWaitMs(record))), permitsPerS: records.reduce((sum, record) => sum + endpointPermits.getOwnRatePerS(record), 0) }
   }
 
   /** Lists the healthy endpoints, or all when none is healthy, that may be sent a request now. */
@@ -199,11 +198,11 @@
     const meanFailedShare = serving.reduce((sum, record) => sum + record.health.computeFailedShare(), 0) / serving.length
     const healthy = serving.filter(record => record.isReached && !record.health.isExcluded(meanFailedShare))
     const preferred = this.#preferCurrent(healthy, prompt, isRetry)
-    const isLimited = (record: EndpointRecord) => this.#dependencies.endpointLimits.findLimit(record) !== null
+    const isLimited = (record: EndpointRecord) => this.#dependencies.endpointPermits.findLimit(record) !== null
     // Limited endpoints come and go with each request; the partition by prompt size must not change with them.
     const unlimited = preferred.filter(record => !isLimited(record))
     const selected = prompt === null ? unlimited : this.#promptSizePartition.select(pool, unlimited, prompt.tokens)
-    const usable = [...selected, ...preferred.filter(record => isLimited(record) && this.#isPermitted(record, mustYieldLimits))]
+    const usable = [...selected, ...preferred.filter(isLimited)].filter(record => this.#isPermitted(record, mustYieldLimits))
     return usable.length > 0 ? usable : serving.filter(record => this.#isPermitted(record, mustYieldLimits))
   }
 
@@ -233,7 +232,7 @@
   #isUsableSource (record: EndpointRecord): boolean {
     const { entry, health, isReached, missingSinceMs } = record
     if (this.#dependencies.endpointRegistry.find(entry.endpoint) !== record || missingSinceMs !== null || entry.isDraining) return false
-    return isReached && !health.isExcluded(0) && !this.#dependencies.listLoadingEndpoints().has(entry.endpoint)
+    return isReached && !health.isExcluded(0) && this.#dependencies.endpointPermits.getWaitMs(record) === 0 && !this.#dependencies.listLoadingEndpoints().has(entry.endpoint)
   }
 
   #computeConnectionLimit (pool: PoolName): number {
--- a/packages/knapweedshunt-gateway/src/flow/attemptReporter.ts
+++ b/packages/knapweedshunt-gateway/src/flow/attemptReporter.ts
@@ -1,6 +1,5 @@
 import { match } from 'ts-pattern'
 import type { LossReason } from '../endpoints/attemptOutcome.ts'
-import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
 import { HEALTH_OBSERVATION } from '../endpoints/endpointHealth.ts'
 import type { HealthObservation } from '../endpoints/endpointHealth.ts'
 import type { ResponseHead } from '../ports/endpointPort.ts'
@@ -49,21 +48,12 @@
   recordResponseHead ({ target, startedAtMs }: RunningAttempt, head: ResponseHead): void {
     if (target.type !== 'endpoint') return
     const { record } = target
-    const { chooser, endpointLimits } = this.#dependencies
+    const { chooser, endpointPermits } = this.#dependencies
     const { call } = this.#plan
     const model = call.prompt?.model
     if (head.weightsVersion !== null && model !== undefined && record.recordVersion(model, head.weightsVersion)) chooser.rebuild()
     if (head.load !== null) chooser.recordLoad(record, head.load)
-    endpointLimits.recordResponse(record, head.limit, call.requestId, startedAtMs)
-    this.#recordWishes(record, head)
-  }
-
-  #recordWishes ({ entry }: EndpointRecord, { isNotRun, rest, isLeaving, brittleness }: ResponseHead): void {
-    if ((!isNotRun || rest.type === 'none') && !isLeaving && brittleness.type === 'none') return
-    const restMs = isNotRun && rest.type === 'rest' ? rest.forMs : null
-    const maxRejectionsPerS = brittleness.type === 'brittle' ? brittleness.maxRejectionsPerS : null
-    const unreadable = [rest, brittleness].flatMap(one => one.type === 'unreadable' ? [one.text] : []).join()
-    this.#dependencies.decisionLog.record({ type: 'wishStated', endpoint: entry.endpoint, incarnation: entry.incarnation, requestId: this.#plan.call.requestId, restMs, isLeaving, maxRejectionsPerS, unreadable })
+    endpointPermits.recordResponse(record, head, call.requestId, startedAtMs)
   }
 
   /** Records that the endpoint has computed the prompt. */
--- a/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
@@ -6,6 +6,7 @@
 import type { KvStoreMonitor } from '../endpoints/kvStoreMonitor.ts'
 import type { EndpointLimits } from '../endpoints/endpointLimits.ts'
 import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
+import type { EndpointPermits } from '../endpoints/endpointPermits.ts'
 import type { EndpointMonitor } from '../endpoints/endpointMonitor.ts'
 import type { Quarantine } from '../directory/quarantine.ts'
 import type { EndpointPort } from '../ports/endpointPort.ts'
@@ -28,6 +29,7 @@
   endpointMonitor: EndpointMonitor
   kvStoreMonitor: KvStoreMonitor
   endpointLimits: EndpointLimits
+  endpointPermits: EndpointPermits
   permitQueue: PermitQueue
   streamOrigins: StreamOrigins
   relays: EndpointRelays
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -15,6 +15,7 @@
 import { LOSS_REASON } from './endpoints/attemptOutcome.ts'
 import { EndpointAgent } from './endpoints/endpointAgent.ts'
 import { EndpointLimits } from './endpoints/endpointLimits.ts'
+import { EndpointPermits } from './endpoints/endpointPermits.ts'
 import { EndpointRegistry } from './endpoints/endpointRegistry.ts'
 import type { EndpointRecord } from './endpoints/endpointRecord.ts'
 import { EndpointChooser } from './endpoints/endpointChooser.ts'
@@ -65,6 +66,7 @@
   readonly #unansweredAttempts: UnansweredAttempts
   readonly #roster: VmRoster
   readonly #endpointLimits: EndpointLimits
+  readonly #endpointPermits: EndpointPermits
   readonly #streamOrigins: StreamOrigins
   readonly #relays: EndpointRelays
   readonly #peerClients = new PeerClients()
@@ -102,7 +104,7 @@
     })
     this.#endpointRegistry = new EndpointRegistry(decision => this.#decisionLog.record(decision), () => this.#handleEndpointsChanged(), record => {
       this.#unansweredAttempts.handleIncarnationEnded(record)
-      this.#endpointLimits.handleIncarnationEnded(record)
+      this.#endpointPermits.handleIncarnationEnded(record)
     })
     const isCurrent = (record: EndpointRecord) => this.#endpointRegistry.find(record.entry.endpoint) === record
     this.#unansweredAttempts = new UnansweredAttempts({ isCurrent, recordCrash: attempt => this.#suspectTracker.recordCrash(attempt, LOSS_REASON.silent) })
@@ -132,6 +134,7 @@
       listVms: () => this.#roster.listVms(),
       announceReport: report => this.#roster.announceLimits(report)
     })
+    this.#endpointPermits = new EndpointPermits({ endpointLimits: this.#endpointLimits, decisionLog: this.#decisionLog, countVms: () => this.#roster.countVms() })
     this.#streamOrigins = new StreamOrigins({
       vm: settings.vm,
       dataCentre: settings.dataCentre,
@@ -158,7 +161,7 @@
       'streams.record': params => this.#streamOrigins.handleRecord(params),
       'streams.find': params => this.#streamOrigins.handleFind(params)
     }, (request, response, relayed) => this.#requestHandler.handleRelayed(request, response, relayed))
-    this.#weightsState = new WeightsState({ getMaxStaleMs: () => this.#settings.maxStaleWeightsMs - STALE_WEIGHTS_MARGIN_MS, holder: settings.vm, endpointRegistry: this.#endpointRegistry, roster: this.#roster, managementPort, recordDecision: decision => this.#decisionLog.record(decision), onServedVersion: () => this.#chooser.rebuild() })
+    this.#weightsState = new WeightsState({ getMaxStaleMs: () => this.#settings.maxStaleWeightsMs - STALE_WEIGHTS_MARGIN_MS, holder: settings.vm, endpointRegistry: this.#endpointRegistry, roster: this.#roster, managementPort, tryTakePermit: record => this.#endpointPermits.tryTake(record), recordDecision: decision => this.#decisionLog.record(decision), onServedVersion: () => this.#chooser.rebuild() })
     this.#chooser = new EndpointChooser({
       dataCentre: settings.dataCentre,
       nearDataCentres: settings.nearDataCentres,
@@ -167,13 +170,13 @@
       listPools: () => this.#configState.config?.pools ?? [],
       findPool: pool => this.#configState.findPool(pool),
       countVms: () => this.#roster.countVms(),
-      endpointLimits: this.#endpointLimits,
+      endpointPermits: this.#endpointPermits,
       listLoadingEndpoints: () => this.#weightsState.listLoadingEndpoints(),
       findTargetVersion: model => this.#weightsState.findTargetVersion(model),
       findMinCurrentVersion: model => this.#weightsState.findMinCurrentVersion(model),
       findMinAllowedVersion: model => this.#weightsState.findMinAllowedVersion(model)
     })
-    this.#endpointMonitor = new EndpointMonitor({ managementPort, decisionLog: this.#decisionLog, findPool: pool => this.#configState.findPool(pool) ?? null, listEndpoints: pool => this.#endpointRegistry.list(pool), tryTakePermit: record => this.#endpointLimits.tryTake(record), isCurrent })
+    this.#endpointMonitor = new EndpointMonitor({ managementPort, decisionLog: this.#decisionLog, findPool: pool => this.#configState.findPool(pool) ?? null, listEndpoints: pool => this.#endpointRegistry.list(pool), tryTakePermit: record => this.#endpointPermits.tryTake(record), isCurrent })
     this.#directoryUpdater = new DirectoryUpdater({
       directoryPort: dependencies.directoryPort,
       configState: this.#configState,
@@ -276,6 +279,7 @@
       endpointMonitor: this.#endpointMonitor,
       kvStoreMonitor: this.#kvStoreMonitor,
       endpointLimits: this.#endpointLimits,
+      endpointPermits: this.#endpointPermits,
       permitQueue: new PermitQueue(),
       streamOrigins: this.#streamOrigins,
       relays: this.#relays,
@@ -319,6 +323,7 @@
     this.#metrics.addGauge('endpoints_out', 'Endpoints left out because they do not answer.', () => this.#endpointMonitor.excludedCount)
     this.#metrics.addGauge('endpoints_reached', 'Endpoints that this VM reaches.', () => this.#endpointRegistry.list().filter(record => record.isReached).length)
     this.#metrics.addGauge('endpoints_limited', 'Endpoints that state a rate limit.', () => this.#endpointLimits.count)
+    this.#metrics.addGauge('endpoints_resting', 'Endpoints that want rest from this VM.', () => this.#endpointPermits.restingCount)
     this.#metrics.addGauge('stream_origins', 'Streams whose software version this VM knows.', () => this.#streamOrigins.count)
     this.#metrics.addGauge('endpoints_loading', 'Endpoints that load weights.', () => this.#weightsState.listLoadingEndpoints().size)
     this.#metrics.addGauge('keys_age_seconds', 'Age of the operator\'s rows.', () => Math.min(this.#keyFreshness.ageMs, Number.MAX_SAFE_INTEGER) / 1_000)
--- a/packages/knapweedshunt-gateway/src/weights/weightsState.ts
+++ b/packages/knapweedshunt-gateway/src/weights/weightsState.ts
@@ -1,6 +1,7 @@
 import type { WaveDecision, WaveEndpoint, WaveGoal, WavePorts } from 'knapweedshunt-fleet'
 import type { EndpointName } from 'knapweedshunt-types'
 import type { VmRoster } from '../directory/vmRoster.ts'
+import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
 import type { EndpointRegistry } from '../endpoints/endpointRegistry.ts'
 import type { ManagementPort } from '../ports/managementPort.ts'
 import type { TargetWeights } from '../ports/directoryPort.ts'
@@ -26,6 +27,8 @@
   endpointRegistry: EndpointRegistry
   roster: VmRoster
   managementPort: ManagementPort
+  /** Counts a call to the endpoint; false if the endpoint may not be sent one now. */
+  tryTakePermit (record: EndpointRecord): boolean
   recordDecision (decision: WaveDecision): void
   /** Called when an endpoint is known to serve a newer version. */
   onServedVersion (): void
@@ -92,21 +95,23 @@
 
   /** Builds the ports through which waves read the state and send commands. */
   buildWavePorts (): WavePorts {
-    const { endpointRegistry, roster, managementPort, holder } = this.#dependencies
+    const { endpointRegistry, roster, managementPort, holder, tryTakePermit } = this.#dependencies
     return {
       listEndpoints: () => this.#listEndpoints(),
       listGoals: () => [...this.#targets].map(([model, version]): WaveGoal => ({ model, version })),
       readReport: async (name, timeoutMs) => {
-        const entry = endpointRegistry.find(name)?.entry
-        const report = entry === undefined ? null : await managementPort.readReport(entry, timeoutMs)
+        const record = endpointRegistry.find(name)
+        if (record === undefined || !tryTakePermit(record)) return null
+        const report = await managementPort.readReport(record.entry, timeoutMs)
         if (report === null) return null
-        const model = entry?.models[0]?.model
+        const model = record.entry.models[0]?.model
         return { version: report.models.find(served => served.model === model)?.version ?? null, isBusy: report.isBusy, ordersTaken: report.ordersTaken, running: report.running }
       },
       sendCommand: async (command, timeoutMs) => {
-        const address = endpointRegistry.find(command.endpoint)?.entry.address
-        if (address === undefined) return 'refused'
-        const result = await managementPort.sendLoadCommand({ ...command, address, holder }, timeoutMs)
+        const record = endpointRegistry.find(command.endpoint)
+        if (record === undefined) return 'refused'
+        if (!tryTakePermit(record)) return 'conflict'
+        const result = await managementPort.sendLoadCommand({ ...command, address: record.entry.address, holder }, timeoutMs)
         return result.type
       },
       announce: notice => roster.announceWave(notice),
