Gateway: an endpoint that says it leaves gets no more requests

Nothing read Server-Leaving: an endpoint that says so before, or without, the directory doing so went on getting requests from VMs that it had told. It is final for its incarnation and counts like a row that says so, at each place that asks; also what another VM relayed counts, as this VM's caller was told.

--- a/packages/knapweedshunt-gateway/src/endpoints/attemptOutcome.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/attemptOutcome.ts
@@ -20,6 +20,12 @@
 /** One of {@link LOSS_REASON}. */
 export type LossReason = typeof LOSS_REASON[keyof typeof LOSS_REASON]
 
+/** What another VM says of the endpoint that served a request. */
+export type ForwardedByPeer = Extract<RelayAnswer, { type: 'forwarded' }>
+
+/** Refusal of the VM to which a request was sent. */
+export type RefusedByPeer = Extract<RelayAnswer, { type: 'refused' }> & { status: number }
+
 /** Outcome of an attempt up to the head of the response. */
 export type AttemptOutcome =
   /** No byte of the request left this VM. */
@@ -29,6 +35,6 @@
   /** No usable response; the request may have run. */
   | { type: 'lost', loss: LossReason, reason: string }
   /** The other VM to which the request was sent refused it. */
-  | Extract<RelayAnswer, { type: 'refused' }> & { status: number }
+  | RefusedByPeer
   /** `relayedBy` is what the other VM says of the endpoint that served the request; null without one. */
-  | { type: 'answered', head: ResponseHead, response: http.IncomingMessage, relayedBy: Extract<RelayAnswer, { type: 'forwarded' }> | null }
+  | { type: 'answered', head: ResponseHead, response: http.IncomingMessage, relayedBy: ForwardedByPeer | null }
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -104,7 +104,7 @@
   rebuild (): void {
     const { endpointRegistry } = this.#dependencies
     const resources: Resource[] = this.#dependencies.listPools().map(pool => this.#buildPool(pool.pool, pool.models))
-    for (const { entry } of endpointRegistry.list()) resources.push(buildEndpoint(entry.endpoint, entry))
+    for (const record of endpointRegistry.list()) resources.push(buildEndpoint(record))
     const endpoints = endpointRegistry.list().map(record => this.#buildView(record))
     this.#placement.handleEvent({ type: 'snapshot', snapshot: { resources: { revision: ++this.#revision, resources }, vms: [], endpoints } })
   }
@@ -140,7 +140,7 @@
   choose ({ pool, levels, triedEndpoints, prompt, softwareVersion, mustYieldLimits }: ChoiceCriteria): Choice {
     const isRetry = triedEndpoints.length > 0
     const records = this.#dependencies.endpointRegistry.list(pool)
-    const suitable = softwareVersion === null ? records : records.filter(({ entry }) => entry.softwareVersion === softwareVersion && !entry.isDraining)
+    const suitable = softwareVersion === null ? records : records.filter(({ entry, isDraining }) => entry.softwareVersion === softwareVersion && !isDraining)
     const candidates = this.#listCandidates(suitable, triedEndpoints)
     if (candidates.length === 0) return suitable.length === 0 ? { type: 'none' } : { type: 'busy' }
     this.#updatePeerDemand()
@@ -166,7 +166,7 @@
   hasUntriedEndpoint (pool: PoolName, triedEndpoints: EndpointName[], softwareVersion: string | null): boolean {
     return this.#dependencies.endpointRegistry.list(pool).some(record => {
       const { entry } = record
-      return !entry.isDraining && !triedEndpoints.includes(entry.endpoint) && (softwareVersion === null || entry.softwareVersion === softwareVersion) && this.#isPermitted(record, false)
+      return !record.isDraining && !triedEndpoints.includes(entry.endpoint) && (softwareVersion === null || entry.softwareVersion === softwareVersion) && this.#isPermitted(record, false)
     })
   }
 
@@ -224,14 +224,14 @@
 
   /** Lists the endpoints not tried yet, or all when each was tried; never draining ones. */
   #listCandidates (records: EndpointRecord[], triedEndpoints: EndpointName[]): EndpointRecord[] {
-    const active = records.filter(record => !record.entry.isDraining)
+    const active = records.filter(record => !record.isDraining)
     const untried = active.filter(record => !triedEndpoints.includes(record.entry.endpoint))
     return untried.length > 0 ? untried : active
   }
 
   #isUsableSource (record: EndpointRecord): boolean {
     const { entry, health, isReached, missingSinceMs } = record
-    if (this.#dependencies.endpointRegistry.find(entry.endpoint) !== record || missingSinceMs !== null || entry.isDraining) return false
+    if (this.#dependencies.endpointRegistry.find(entry.endpoint) !== record || missingSinceMs !== null || record.isDraining) return false
     return isReached && !health.isExcluded(0) && this.#dependencies.endpointPermits.getWaitMs(record) === 0 && !this.#dependencies.listLoadingEndpoints().has(entry.endpoint)
   }
 
@@ -276,11 +276,11 @@
   return identity?.isIsolated ? identity.organisation : ''
 }
 
-function buildEndpoint (name: EndpointName, entry: EndpointRecord['entry']): Resource {
+function buildEndpoint ({ entry, isDraining }: EndpointRecord): Resource {
   return {
     kind: 'Endpoint',
-    name,
+    name: entry.endpoint,
     revision: 0,
-    spec: { pool: entry.pool, url: `http://${entry.address}`, dataCentre: entry.dataCentre, weight: 1, cacheBlocks: 0, checksFencing: false, checksIdempotencyKeys: false, draining: entry.isDraining }
+    spec: { pool: entry.pool, url: `http://${entry.address}`, dataCentre: entry.dataCentre, weight: 1, cacheBlocks: 0, checksFencing: false, checksIdempotencyKeys: false, draining: isDraining }
   }
 }
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointMonitor.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointMonitor.ts
@@ -125,7 +125,7 @@
     this.#lossTimesMs = [...this.#lossTimesMs.filter(atMs => nowMs - atMs < SUSPICIOUS_LOSS_WINDOW_MS), nowMs]
     if (this.#lossTimesMs.length !== SUSPICIOUS_LOSS_COUNT) return
     for (const record of this.#dependencies.listEndpoints()) {
-      if (record.entry.isDraining || this.#excluded.has(record) || nowMs - record.lastReceivedAtMs < RECENT_BYTE_MS) continue
+      if (record.isDraining || this.#excluded.has(record) || nowMs - record.lastReceivedAtMs < RECENT_BYTE_MS) continue
       const monitored = this.#getOrCreate(record)
       if (!monitored.isProbing && this.#dependencies.tryTakePermit(record)) this.#probe(monitored, nowMs).catch(() => {}) // The port does not throw.
     }
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointPermits.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointPermits.ts
@@ -1,6 +1,6 @@
 import { EndpointWishes } from 'knapweedshunt-admission'
 import type { EndpointAcceptance, EndpointUse, StatedWishes } from 'knapweedshunt-admission'
-import type { RequestId } from 'knapweedshunt-types'
+import type { EndpointName, Incarnation, RequestId } from 'knapweedshunt-types'
 import { match } from 'ts-pattern'
 import type { ResponseHead } from '../ports/endpointPort.ts'
 import type { DecisionLog } from '../records/decisionLog.ts'
@@ -12,6 +12,9 @@
   endpointLimits: EndpointLimits
   decisionLog: DecisionLog
   countVms (): number
+  findEndpoint (endpoint: EndpointName): EndpointRecord | undefined
+  /** Called when an endpoint says for the first time that it leaves. */
+  onLeaving (): void
 }
 
 /** What endpoints accept from this VM, by all that their responses state. Whatever is sent to an endpoint, a request, a probe or a management call, takes a permit here. */
@@ -59,9 +62,16 @@
     const wishes = decodeWishes(head)
     this.#wishes.recordResponse(entry.incarnation, entry.pool, wishes, attemptStartedAtMs, this.#getUse(record))
     this.#recordDecision(record, head, wishes, requestId)
+    if (wishes.isLeaving) this.#markLeaving(record)
     this.#dependencies.endpointLimits.recordResponse(record, head.limit, requestId, attemptStartedAtMs)
   }
 
+  /** Records that an endpoint said to another VM, which relayed its response, that it leaves. */
+  recordLeaving (endpoint: EndpointName, incarnation: Incarnation): void {
+    const record = this.#dependencies.findEndpoint(endpoint)
+    if (record?.entry.incarnation === incarnation) this.#markLeaving(record)
+  }
+
   /** Forgets the wishes of an endpoint that ended. */
   handleIncarnationEnded (record: EndpointRecord): void {
     this.#wishes.handleEndpointEnded(record.entry.incarnation)
@@ -76,14 +86,20 @@
     return { inFlightCount, slots: entry.slots, vmCount: this.#dependencies.countVms() }
   }
 
-  #recordDecision ({ entry }: EndpointRecord, { rest, brittleness }: ResponseHead, { restMs, isLeaving, maxRejectionsPerS }: StatedWishes, requestId: RequestId): void {
+  #markLeaving (record: EndpointRecord): void {
+    if (record.isLeaving) return
+    record.isLeaving = true
+    this.#dependencies.onLeaving()
+  }
+
+  #recordDecision ({ entry, isLeaving: wasLeaving }: EndpointRecord, { rest, brittleness }: ResponseHead, { restMs, isLeaving, maxRejectionsPerS }: StatedWishes, requestId: RequestId): void {
     const unreadable = [rest, brittleness].flatMap(one => one.type === 'unreadable' ? [one.text] : []).join()
-    if (restMs === null && !isLeaving && maxRejectionsPerS === null && unreadable === '') return
+    if (restMs === null && (!isLeaving || wasLeaving) && maxRejectionsPerS === null && unreadable === '') return
     this.#dependencies.decisionLog.record({ type: 'wishStated', endpoint: entry.endpoint, incarnation: entry.incarnation, requestId, restMs, isLeaving, maxRejectionsPerS, unreadable })
   }
 }
 
 /** A rest counts only with a rejection. */
-function decodeWishes ({ isNotRun, rest }: ResponseHead): StatedWishes {
-  return { isRejected: isNotRun, restMs: isNotRun && rest.type === 'rest' ? rest.forMs : null, isLeaving: false, maxRejectionsPerS: null }
+function decodeWishes ({ isNotRun, rest, isLeaving }: ResponseHead): StatedWishes {
+  return { isRejected: isNotRun, restMs: isNotRun && rest.type === 'rest' ? rest.forMs : null, isLeaving, maxRejectionsPerS: null }
 }
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointRecord.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointRecord.ts
@@ -9,6 +9,8 @@
 export class EndpointRecord {
   entry: EndpointEntry
   readonly health = new EndpointHealth()
+  /** Whether a response to this VM said that the endpoint is about to stop; that is final for its incarnation. */
+  isLeaving = false
   /** Whether this VM reaches the endpoint; false from a failed connection or probe until it answers a probe. */
   isReached = true
   /** Attempts of this VM in flight. */
@@ -26,6 +28,11 @@
     this.entry = entry
   }
 
+  /** Whether the endpoint is about to stop, by its row or its responses, and gets no new requests. */
+  get isDraining (): boolean {
+    return this.entry.isDraining || this.isLeaving
+  }
+
   /** Last known version of a model's weights; null when the endpoint does not serve the model. */
   findVersion (model: string): number | null {
     return this.entry.models.find(served => served.model === model)?.version ?? null
--- a/packages/knapweedshunt-gateway/src/flow/attemptReporter.ts
+++ b/packages/knapweedshunt-gateway/src/flow/attemptReporter.ts
@@ -1,5 +1,5 @@
 import { match } from 'ts-pattern'
-import type { LossReason } from '../endpoints/attemptOutcome.ts'
+import type { ForwardedByPeer, LossReason } from '../endpoints/attemptOutcome.ts'
 import { HEALTH_OBSERVATION } from '../endpoints/endpointHealth.ts'
 import type { HealthObservation } from '../endpoints/endpointHealth.ts'
 import type { ResponseHead } from '../ports/endpointPort.ts'
@@ -56,6 +56,11 @@
     endpointPermits.recordResponse(record, head, call.requestId, startedAtMs)
   }
 
+  /** Records what a response that another VM relayed says about its endpoint; only leaving concerns this VM too. */
+  recordRelayedHead ({ endpoint, incarnation }: ForwardedByPeer, head: ResponseHead): void {
+    if (head.isLeaving) this.#dependencies.endpointPermits.recordLeaving(endpoint, incarnation)
+  }
+
   /** Records that the endpoint has computed the prompt. */
   recordPromptComputed ({ target }: RunningAttempt): void {
     if (target.type !== 'endpoint' || target.cacheSalt === null) return
--- a/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
+++ b/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
@@ -2,7 +2,7 @@
 import { match } from 'ts-pattern'
 import type { Choice, ChosenEndpoint } from '../endpoints/endpointChooser.ts'
 import type { Quarantine } from '../directory/quarantine.ts'
-import type { AttemptOutcome } from '../endpoints/attemptOutcome.ts'
+import type { RefusedByPeer } from '../endpoints/attemptOutcome.ts'
 import { buildRefusal } from '../peers/buildRefusal.ts'
 import type { RefusalReason } from '../records/decision.ts'
 import { sendRouterResponse } from '../shared/sendRouterResponse.ts'
@@ -13,9 +13,6 @@
 import type { RequestRecorder } from './requestRecorder.ts'
 import { RETRY_OTHER_VM_MS } from './retryOtherVm.ts'
 
-/** Refusal of the VM to which a request was sent. */
-export type RefusedByPeer = Extract<AttemptOutcome, { type: 'refused' }>
-
 /** Mean of the retry-after time given to a refused caller, in milliseconds. */
 const RETRY_AFTER_MS = 200
 
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -1,10 +1,9 @@
 import type http from 'node:http'
 import { match } from 'ts-pattern'
-import type { AttemptOutcome, LossReason } from '../endpoints/attemptOutcome.ts'
+import type { AttemptOutcome, ForwardedByPeer, LossReason, RefusedByPeer } from '../endpoints/attemptOutcome.ts'
 import { LOSS_REASON } from '../endpoints/attemptOutcome.ts'
 import { HEALTH_OBSERVATION } from '../endpoints/endpointHealth.ts'
 import type { ResponseHead } from '../ports/endpointPort.ts'
-import type { RefusedByPeer } from './finalResponse.ts'
 import { REPEATABILITY } from '../ports/gatewayConfig.ts'
 import type { NextAttempt, NextTarget } from './attemptRunner.ts'
 import { AttemptRunner } from './attemptRunner.ts'
@@ -29,9 +28,6 @@
 /** Maximum number of retries after endpoints that report that they did not run the request. */
 const MAX_NOT_RUN_RETRIES = 3
 
-/** What another VM says of the endpoint that served the request. */
-type ForwardedByPeer = NonNullable<Extract<AttemptOutcome, { type: 'answered' }>['relayedBy']>
-
 /** Losses that a crash of the endpoint causes. */
 const CRASH_LOSSES: LossReason[] = [LOSS_REASON.reset, LOSS_REASON.cut]
 
@@ -239,6 +235,7 @@
       runningAttempt.endpoint = relayedBy.endpoint
       runningAttempt.softwareVersion = relayedBy.softwareVersion
       this.#permits.recordRelayed(relayedBy.endpointCount)
+      this.#reporter.recordRelayedHead(relayedBy, head)
     }
     this.#reporter.recordResponseHead(runningAttempt, head)
     this.#reporter.recordReceivedBytes(runningAttempt)
--- a/packages/knapweedshunt-gateway/src/flow/unansweredAttempts.ts
+++ b/packages/knapweedshunt-gateway/src/flow/unansweredAttempts.ts
@@ -33,7 +33,7 @@
 
   /** Records an attempt that was given up; it counts as crashed at once when its endpoint's incarnation has ended already. */
   recordEnd (attempt: CrashedAttempt): void {
-    if (attempt.record.entry.isDraining) return
+    if (attempt.record.isDraining) return
     if (!this.#dependencies.isCurrent(attempt.record)) return this.#dependencies.recordCrash(attempt)
     this.#attempts.push({ attempt, endedAtMs: performance.now() })
     this.#dropExpired()
@@ -45,7 +45,7 @@
     const affected = this.#attempts.filter(({ attempt }) => attempt.record === record)
     if (affected.length === 0) return
     this.#attempts = this.#attempts.filter(({ attempt }) => attempt.record !== record)
-    if (record.entry.isDraining) return
+    if (record.isDraining) return
     for (const { attempt } of affected) this.#dependencies.recordCrash(attempt)
   }
 
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -134,7 +134,7 @@
       listVms: () => this.#roster.listVms(),
       announceReport: report => this.#roster.announceLimits(report)
     })
-    this.#endpointPermits = new EndpointPermits({ endpointLimits: this.#endpointLimits, decisionLog: this.#decisionLog, countVms: () => this.#roster.countVms() })
+    this.#endpointPermits = new EndpointPermits({ endpointLimits: this.#endpointLimits, decisionLog: this.#decisionLog, countVms: () => this.#roster.countVms(), findEndpoint: endpoint => this.#endpointRegistry.find(endpoint), onLeaving: () => this.#chooser.rebuild() })
     this.#streamOrigins = new StreamOrigins({
       vm: settings.vm,
       dataCentre: settings.dataCentre,
--- a/packages/knapweedshunt-gateway/src/peers/endpointRelays.ts
+++ b/packages/knapweedshunt-gateway/src/peers/endpointRelays.ts
@@ -122,7 +122,7 @@
   }
 
   #computeReach (pool: PoolName): PoolReach {
-    const active = this.#dependencies.endpointRegistry.list(pool).filter(({ entry }) => !entry.isDraining)
+    const active = this.#dependencies.endpointRegistry.list(pool).filter(({ isDraining }) => !isDraining)
     return { pool, reached: active.filter(({ isReached }) => isReached).length, known: active.length }
   }
 }
