--- a/packages/knapweedshunt-gateway/src/endpoints/endpointPermits.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointPermits.ts
@@ -72,6 +72,11 @@
     if (record?.entry.incarnation === incarnation) this.#markLeaving(record)
   }
 
+  /** Whether the end of the endpoint may come from too many rejections rather than from the requests that it ran. */
+  isEndDoubtful ({ entry }: EndpointRecord): boolean {
+    return this.#wishes.isEndDoubtful(entry.pool)
+  }
+
   /** Forgets the wishes of an endpoint that ended. */
   handleIncarnationEnded (record: EndpointRecord): void {
     this.#wishes.handleEndpointEnded(record.entry.incarnation)
@@ -100,6 +105,6 @@
 }
 
 /** A rest counts only with a rejection. */
-function decodeWishes ({ isNotRun, rest, isLeaving }: ResponseHead): StatedWishes {
-  return { isRejected: isNotRun, restMs: isNotRun && rest.type === 'rest' ? rest.forMs : null, isLeaving, maxRejectionsPerS: null }
+function decodeWishes ({ isNotRun, rest, isLeaving, brittleness }: ResponseHead): StatedWishes {
+  return { isRejected: isNotRun, restMs: isNotRun && rest.type === 'rest' ? rest.forMs : null, isLeaving, maxRejectionsPerS: brittleness.type === 'brittle' ? brittleness.maxRejectionsPerS : null }
 }
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -13,6 +13,7 @@
 import { TableFollowers } from './directory/tableFollowers.ts'
 import { VmRoster } from './directory/vmRoster.ts'
 import { LOSS_REASON } from './endpoints/attemptOutcome.ts'
+import type { LossReason } from './endpoints/attemptOutcome.ts'
 import { EndpointAgent } from './endpoints/endpointAgent.ts'
 import { EndpointLimits } from './endpoints/endpointLimits.ts'
 import { EndpointPermits } from './endpoints/endpointPermits.ts'
@@ -22,6 +23,7 @@
 import { KvStoreMonitor } from './endpoints/kvStoreMonitor.ts'
 import { EndpointMonitor } from './endpoints/endpointMonitor.ts'
 import { CallerAuthenticator } from './flow/callerAuthenticator.ts'
+import type { CrashedAttempt } from './flow/crashedAttempt.ts'
 import type { FlowDependencies } from './flow/flowDependencies.ts'
 import { PermitQueue } from './flow/permitQueue.ts'
 import { EndpointRelays } from './peers/endpointRelays.ts'
@@ -107,7 +109,7 @@
       this.#endpointPermits.handleIncarnationEnded(record)
     })
     const isCurrent = (record: EndpointRecord) => this.#endpointRegistry.find(record.entry.endpoint) === record
-    this.#unansweredAttempts = new UnansweredAttempts({ isCurrent, recordCrash: attempt => this.#suspectTracker.recordCrash(attempt, LOSS_REASON.silent) })
+    this.#unansweredAttempts = new UnansweredAttempts({ isCurrent, recordCrash: attempt => this.#recordCrash(attempt, LOSS_REASON.silent) })
     this.#roster = new VmRoster({
       platform: dependencies.platform,
       self: { vm: settings.vm, incarnation: this.#incarnation, dataCentre: settings.dataCentre },
@@ -291,7 +293,7 @@
         this.#retryBudget.recordSuccess(plan.pool)
         this.#suspectTracker.recordAnswered(plan, record, startedAtMs, status)
       },
-      recordCrash: (attempt, evidence) => this.#suspectTracker.recordCrash(attempt, evidence),
+      recordCrash: (attempt, evidence) => this.#recordCrash(attempt, evidence),
       recordUnanswered: attempt => this.#unansweredAttempts.recordEnd(attempt),
       findQuarantine: plan => this.#suspectTracker.findQuarantine(plan),
       checkKey: plan => this.#authenticator.check(plan),
@@ -301,6 +303,13 @@
     }
   }
 
+  /** A brittle endpoint that had to reject requests has ended under these, not under the ones that it ran. */
+  #recordCrash (attempt: CrashedAttempt, evidence: LossReason): void {
+    if (!this.#endpointPermits.isEndDoubtful(attempt.record)) return this.#suspectTracker.recordCrash(attempt, evidence)
+    const { endpoint, incarnation } = attempt.record.entry
+    this.#decisionLog.record({ type: 'crashDoubted', requestId: attempt.requestId, endpoint, incarnation, evidence })
+  }
+
   #handleEndpointsChanged (): void {
     this.#chooser.rebuild()
     this.#streamOrigins.updateVersions()
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -72,6 +72,8 @@
 export type SuspectDecision =
   /** An endpoint ended a connection while it may have run the request; `evidence` is how the attempt ended. */
   | { type: 'crashMarked', requestId: RequestId, fingerprint: string, parts: string, endpoint: EndpointName, incarnation: string, evidence: LossReason, crashes: number, isQuarantined: boolean }
+  /** A brittle endpoint ended a connection while it had to reject requests; that counts against none of them. */
+  | { type: 'crashDoubted', requestId: RequestId, endpoint: EndpointName, incarnation: string, evidence: LossReason }
   /** The request was served, which clears it. */
   | { type: 'suspectCleared', requestId: RequestId, fingerprint: string }
   /** A mark of another VM was applied; `ageMs` is the time since it was made, by the clocks of both VMs. */
