--- a/packages/knapweedshunt-gateway/src/endpoints/endpointHealth.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointHealth.ts
@@ -6,8 +6,10 @@
   served: 'served',
   /** The request failed; the endpoint may be healthy. */
   failed: 'failed',
-  /** The endpoint as a whole failed: no connection, a connection reset, or no response to a probe. */
-  down: 'down'
+  /** The endpoint reset a connection; others may work. */
+  down: 'down',
+  /** No connection, or no response to a probe. */
+  unreached: 'unreached'
 } as const
 
 /** One of {@link HEALTH_OBSERVATION}. */
@@ -48,7 +50,7 @@
       return false
     }
     this.#failureCount++
-    if (observation !== HEALTH_OBSERVATION.down) return false
+    if (observation === HEALTH_OBSERVATION.failed) return false
     const nowMs = performance.now()
     if (nowMs < this.#excludedUntilMs) return false
     this.#excludedUntilMs = nowMs + Math.min(this.#options.maxExclusionMs, this.#options.baseExclusionMs * 2 ** this.#consecutiveDownCount)
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointMonitor.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointMonitor.ts
@@ -94,8 +94,9 @@
   /** Records what an attempt showed about its endpoint, and excludes the endpoint if it counts as down. */
   recordObservation (record: EndpointRecord, observation: HealthObservation, reason: string): void {
     if (observation === HEALTH_OBSERVATION.served) record.lastReceivedAtMs = performance.now()
-    if (!record.health.recordObservation(observation)) return
-    this.#exclude(record, reason)
+    const isExcluded = record.health.recordObservation(observation)
+    if (observation === HEALTH_OBSERVATION.unreached) this.#setReached(record, false)
+    if (isExcluded) this.#exclude(record, reason)
   }
 
   /** Links heal together: the others are probed at once. */
@@ -107,7 +108,6 @@
   #exclude (record: EndpointRecord, reason: string): void {
     if (!this.#excluded.has(record)) this.#dependencies.decisionLog.record({ type: 'endpointOut', endpoint: record.entry.endpoint, reason })
     this.#excluded.add(record)
-    this.#setReached(record, false)
     if (!this.#monitored.has(record)) this.#monitored.set(record, { record, startTimesMs: [], probedAtMs: performance.now(), isProbing: false })
   }
 
@@ -166,7 +166,8 @@
     const isAlive = await this.#dependencies.managementPort.probe(record.entry, this.#dependencies.findPool(record.entry.pool), PROBE_TIMEOUT_MS)
     monitored.isProbing = false
     if (!isAlive) {
-      record.health.recordObservation(HEALTH_OBSERVATION.down)
+      record.health.recordObservation(HEALTH_OBSERVATION.unreached)
+      this.#setReached(record, false)
       return this.#exclude(record, 'no answer to a probe')
     }
     record.health.recordProbeSuccess()
--- a/packages/knapweedshunt-gateway/src/flow/attemptReporter.ts
+++ b/packages/knapweedshunt-gateway/src/flow/attemptReporter.ts
@@ -22,7 +22,7 @@
   recordObservation ({ target }: RunningAttempt, observation: HealthObservation, reason: string): void {
     match(target)
       .with({ type: 'endpoint' }, ({ record }) => this.#dependencies.endpointMonitor.recordObservation(record, observation, reason))
-      .with({ type: 'peer' }, ({ peer }) => { if (observation === HEALTH_OBSERVATION.down) this.#dependencies.relays.recordFailure(peer.vm, reason) })
+      .with({ type: 'peer' }, ({ peer }) => { if (observation === HEALTH_OBSERVATION.down || observation === HEALTH_OBSERVATION.unreached) this.#dependencies.relays.recordFailure(peer.vm, reason) })
       .exhaustive()
   }
 
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -178,7 +178,7 @@
   }
 
   #handleUnsent (runningAttempt: RunningAttempt, reason: string): NextStep {
-    this.#reporter.recordObservation(runningAttempt, HEALTH_OBSERVATION.down, reason)
+    this.#reporter.recordObservation(runningAttempt, HEALTH_OBSERVATION.unreached, reason)
     this.#attemptRunner.finish(runningAttempt)
     this.#unsentCount++
     const isRetried = this.#unsentCount < MAX_UNSENT_ATTEMPTS && performance.now() < this.#plan.deadlineAtMs
