Gateway: no listener warning when many tasks and peers wait for the stop signal

Node.js warned of a leak with more than ten listeners on the signal that ends the gateway's tasks, in plays of several versions.

--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events'
 import { DEFAULT_WAVE_OPTIONS, WaveTask } from 'knapweedshunt-fleet'
 import { createIncarnation, createRng, runEvery, sleep } from 'knapweedshunt-utils'
 import { CallerRequestHandler } from './callers/callerRequestHandler.ts'
@@ -95,6 +96,8 @@
     this.#dependencies = dependencies
     this.#settings = dependencies.settings
     const { settings, log, managementPort } = dependencies
+    // Each task, and each VM that is told of streams, listens; their number is bounded by the number of VMs.
+    setMaxListeners(0, this.#taskController.signal)
     const seed = parseInt(this.#incarnation.slice(0, 8), 16)
     this.#rng = createRng(seed)
     this.#decisionLog = new DecisionLog(log)
