Router: rest, leaving and brittleness that endpoints state are obeyed

The same class as in the gateway: Retry-After of a rejection was only passed on to the caller, and nothing read that an engine leaves. EndpointLimiter asks EndpointWishes, the class that the gateway uses, before each attempt. Two tests failed before (engines at rest or leaving got all requests). Reports and load commands of control do not ask it: control does not see responses to callers.

--- a/packages/knapweedshunt-admission/src/endpointWishes.ts
+++ b/packages/knapweedshunt-admission/src/endpointWishes.ts
@@ -83,6 +83,11 @@
     this.#extendRest(endpoint, nowMs + this.#computePauseMs(brittle.maxRejectionsPerS, use.vmCount))
   }
 
+  /** Forgets all endpoints but these. */
+  retain (endpoints: ReadonlySet<Incarnation>): void {
+    for (const endpoint of this.#endpoints.keys()) if (!endpoints.has(endpoint)) this.#endpoints.delete(endpoint)
+  }
+
   /** Forgets an endpoint that ended. */
   handleEndpointEnded (endpoint: Incarnation): void {
     this.#endpoints.delete(endpoint)
--- a/packages/knapweedshunt-fakes/src/engineFaults.ts
+++ b/packages/knapweedshunt-fakes/src/engineFaults.ts
@@ -26,6 +26,10 @@
   crashOnText: string
   /** Rate limit stated in all responses to completions, in requests per second; -1 for none. */
   statedLimitPerS: number
+  /** Rest that rejections ask for, in seconds; -1 for none. */
+  retryAfterS: number
+  /** State in all responses to completions that the engine is about to stop. */
+  statesLeaving: boolean
   /** Version of the engine's software that it states. */
   softwareVersion: string
   /** Repeat the last load report instead of a current one. */
@@ -47,6 +51,8 @@
   slowMs: 0,
   crashOnText: '',
   statedLimitPerS: -1,
+  retryAfterS: -1,
+  statesLeaving: false,
   softwareVersion: 'v1',
   freezeLoad: false
 }
--- a/packages/knapweedshunt-fakes/src/serveCompletion.ts
+++ b/packages/knapweedshunt-fakes/src/serveCompletion.ts
@@ -16,6 +16,8 @@
   const { faults } = state
   state.received++
   if (faults.statedLimitPerS >= 0) response.setHeader('x-requests-per-second', String(faults.statedLimitPerS))
+  if (faults.statesLeaving) response.setHeader('x-leaving', '1')
+  if (faults.rejectStatus !== 0 && faults.retryAfterS >= 0) response.setHeader('retry-after', String(faults.retryAfterS))
   if (faults.crashOnText !== '' && prompt.includes(faults.crashOnText)) return crash()
   if (faults.rejectStatus !== 0) return sendJsonResponse(response, faults.rejectStatus, { error: { message: 'rejected by the fake engine' } })
   state.started++
--- a/packages/knapweedshunt-quickstart/src/__tests__/dataPathFaults.test.ts
+++ b/packages/knapweedshunt-quickstart/src/__tests__/dataPathFaults.test.ts
@@ -67,6 +67,40 @@
   })
 }
 
+/** Rest that an engine asks for, in seconds. */
+const REST_S = 2
+
+// Guards against requests to an engine that has turned this VM away and asked for rest.
+test('an engine that asks for rest gets no requests until it is over', async t => {
+  await runWithHarness({ engines: 3 }, async harness => {
+    const { engineIndex } = await completeUndisturbed(harness)
+    const { state } = harness.engines[engineIndex]
+    Object.assign(state.faults, { rejectStatus: 503, retryAfterS: REST_S })
+    const results = []
+    for (let n = 0; n < 10; n++) results.push(await harness.requestCompletion(PROMPT))
+    t.true(results.every(({ type }) => type === 'answered'))
+    t.is(state.received, 2)
+    Object.assign(state.faults, { rejectStatus: 0, retryAfterS: -1 })
+    await waitUntil(async () => {
+      await harness.requestCompletion(PROMPT)
+      return state.received > 2
+    })
+  })
+})
+
+// Guards against requests to an engine that leaves and says so before the directory does.
+test('an engine that says it leaves gets no more requests', async t => {
+  await runWithHarness({ engines: 3 }, async harness => {
+    const { engineIndex } = await completeUndisturbed(harness)
+    const { state } = harness.engines[engineIndex]
+    state.faults.statesLeaving = true
+    const results = []
+    for (let n = 0; n < 10; n++) results.push(await harness.requestCompletion(PROMPT))
+    t.true(results.every(({ type }) => type === 'answered'))
+    t.is(state.received, 2)
+  })
+})
+
 // Guards against an answer with tokens of two software versions.
 test('an answer does not go on at an engine of another software version', async t => {
   await runWithHarness({ engines: 3 }, async harness => {
--- a/packages/knapweedshunt-router/src/attemptLauncher.ts
+++ b/packages/knapweedshunt-router/src/attemptLauncher.ts
@@ -58,7 +58,7 @@
     endpointLimiter.recordDemand(this.#request.pool)
     const decision = this.#chooseEndpoint(action.excluded, usedEndpoints)
     if (decision.type === 'placed') return this.#start(action, decision)
-    if (usedEndpoints.some(endpoint => !action.excluded.includes(endpoint))) return this.#onEvent({ type: 'limited', attempt: action.attempt, retryAfterMs: endpointLimiter.findWaitMs(usedEndpoints) })
+    if (usedEndpoints.some(endpoint => !action.excluded.includes(endpoint))) return this.#onEvent({ type: 'limited', attempt: action.attempt, retryAfterMs: endpointLimiter.findWaitMs(usable) })
     this.#onEvent({ type: 'unplaceable', attempt: action.attempt, reason: decision.reason })
   }
 
@@ -94,7 +94,7 @@
     this.#awaitingIsolation.delete(attempt)
     const state = this.#dataPath.suspectGuard.check(this.#request)
     const entry = this.#dataPath.endpoints.find(endpoint)
-    if (state.type !== 'quarantined' && entry?.isUsable) return this.#start(action, entry)
+    if (state.type !== 'quarantined' && entry?.isUsable && this.#dataPath.endpointLimiter.canSend(entry)) return this.#start(action, entry)
     this.#dataPath.suspectGuard.handleFinish(attempt)
     if (state.type === 'quarantined') this.#onEvent({ type: 'quarantined', attempt, retryAfterMs: state.retryAfterMs })
     else this.#onEvent({ type: 'unplaceable', attempt, reason: 'all-excluded' })
@@ -125,6 +125,7 @@
       salt: computeCacheSalt(this.#dataPath, this.#request, endpoint),
       resumeFrom,
       recordLimit: requestsPerS => endpointLimiter.recordStated(endpoint, this.#request.pool, requestsPerS, startedAtMs),
+      recordWishes: wishes => endpointLimiter.recordWishes({ endpoint, incarnation, pool: this.#request.pool }, wishes, startedAtMs),
       agent,
       signal: abort.signal,
       stallLimits: this.#request.repeatable ? this.#dataPath.stallLimits : null,
--- a/packages/knapweedshunt-router/src/dataPath.ts
+++ b/packages/knapweedshunt-router/src/dataPath.ts
@@ -57,7 +57,7 @@
     this.stallLimits = { firstTokenMs: options.firstTokenTimeoutMs, betweenTokensMs: options.tokenTimeoutMs }
     this.suspectGuard = new SuspectGuard({ broadcastMark: mark => this.peerExchange.broadcastMark(mark), broadcastParts: () => this.peerExchange.broadcastParts() })
     const incarnation = createIncarnation()
-    this.endpointLimiter = new EndpointLimiter({ vm, incarnation, log, broadcastReport: report => this.peerExchange.broadcastLimits(report) })
+    this.endpointLimiter = new EndpointLimiter({ vm, incarnation, log, countInFlight: endpoint => this.runningAttempts.countOn(endpoint), broadcastReport: report => this.peerExchange.broadcastLimits(report) })
     this.outcomeReporter = new EndpointOutcomeReporter(vm, peerKey)
     this.peerExchange = new PeerExchange({ vm, incarnation, dataCentre, peerKey, placement: this.placement, admission: this.admission, registry: this.suspectGuard.registry, partDetector: this.suspectGuard.partDetector, endpointLimiter: this.endpointLimiter, log })
   }
@@ -104,6 +104,7 @@
     this.#endpoints = new EndpointTable(snapshot)
     this.peerExchange.applyVms(snapshot.vms)
     this.endpointLimiter.applyVms(snapshot.vms)
+    this.endpointLimiter.applyEndpoints(this.#endpoints.list())
     this.outcomeReporter.applyVms(snapshot.vms)
     this.placement.handleEvent({ type: 'snapshot', snapshot })
     this.admission.applySnapshot(snapshot, this.#endpoints, this.peerExchange.peerTimeoutMs)
--- a/packages/knapweedshunt-router/src/endpointLimiter.ts
+++ b/packages/knapweedshunt-router/src/endpointLimiter.ts
@@ -1,7 +1,8 @@
-import { EndpointRateLimits } from 'knapweedshunt-admission'
-import type { EndpointLimitReport, LimitChange } from 'knapweedshunt-admission'
+import { EndpointRateLimits, EndpointWishes } from 'knapweedshunt-admission'
+import type { EndpointLimitReport, EndpointUse, LimitChange, StatedWishes } from 'knapweedshunt-admission'
 import type { Logger } from 'knapweedshunt-logger'
 import type { EndpointName, Incarnation, Liveness, PoolName, VmId, VmView } from 'knapweedshunt-types'
+import { match } from 'ts-pattern'
 import type { EndpointEntry } from './endpointTable.ts'
 
 const INACTIVE_STATES: Liveness[] = ['leaving', 'dead']
@@ -11,14 +12,21 @@
   vm: VmId
   incarnation: Incarnation
   log: Logger
+  /** Requests of this VM that an endpoint has under way. */
+  countInFlight (endpoint: EndpointName): number
   /** Sends this VM's report to all peers. */
   broadcastReport (report: EndpointLimitReport): void
 }
 
-/** Keeps the rate limits that endpoints state for all VMs together, and tells peers what it knows. */
+/** Requests that an endpoint which is brittle is taken to run at a time; it does not state how many. */
+const ASSUMED_SLOTS = 16
+
+/** Keeps what endpoints state in their responses: rate limits for all VMs together, of which it tells peers, and wishes to this VM. */
 export class EndpointLimiter {
   readonly #options: EndpointLimiterOptions
   readonly #limits: EndpointRateLimits
+  readonly #wishes = new EndpointWishes()
+  #vmCount = 1
 
   constructor (options: EndpointLimiterOptions) {
     this.#options = options
@@ -28,17 +36,29 @@
   /** Applies the VMs of a snapshot. */
   applyVms (vms: VmView[]): void {
     const active = vms.filter(view => !INACTIVE_STATES.includes(view.state)).map(view => view.vm)
-    this.#limits.setVms([...new Set([this.#options.vm, ...active])])
+    const vmNames = [...new Set([this.#options.vm, ...active])]
+    this.#vmCount = vmNames.length
+    this.#limits.setVms(vmNames)
+  }
+
+  /** Applies the endpoints of a snapshot: the wishes of others are forgotten. */
+  applyEndpoints (entries: EndpointEntry[]): void {
+    this.#wishes.retain(new Set(entries.map(({ endpoint, incarnation }) => buildWishKey(endpoint, incarnation))))
   }
 
   /** Lists the endpoints that this VM may not send a request now. */
   listUsed (entries: EndpointEntry[]): EndpointName[] {
-    return entries.map(({ endpoint }) => endpoint).filter(endpoint => !this.#limits.canSend(endpoint))
+    return entries.filter(entry => !this.canSend(entry)).map(({ endpoint }) => endpoint)
+  }
+
+  /** Whether this VM may send the endpoint a request now. */
+  canSend (entry: EndpointEntry): boolean {
+    return this.#getWaitMs(entry) === 0
   }
 
-  /** Shortest time until this VM may send one of the endpoints a request, in milliseconds; null if it has no part of their limits. */
-  findWaitMs (endpoints: EndpointName[]): number | null {
-    const waitMs = Math.min(...endpoints.map(endpoint => this.#limits.getWaitMs(endpoint)))
+  /** Shortest time until this VM may send one of the endpoints a request, in milliseconds; null if it may not. */
+  findWaitMs (entries: EndpointEntry[]): number | null {
+    const waitMs = Math.min(...entries.map(entry => this.#getWaitMs(entry)))
     return Number.isFinite(waitMs) ? waitMs : null
   }
 
@@ -60,6 +80,31 @@
     this.broadcastIfNeeded()
   }
 
+  /** Records what the response to an attempt states of rest, leaving and brittleness. */
+  recordWishes ({ endpoint, incarnation, pool }: Pick<EndpointEntry, 'endpoint' | 'incarnation' | 'pool'>, wishes: StatedWishes, attemptStartedAtMs: number): void {
+    const { restMs, isLeaving, maxRejectionsPerS } = wishes
+    if (restMs !== null || isLeaving || maxRejectionsPerS !== null) this.#options.log.debug('Endpoint stated a wish.', { endpoint, incarnation, restMs, isLeaving, maxRejectionsPerS })
+    this.#wishes.recordResponse(buildWishKey(endpoint, incarnation), pool, wishes, attemptStartedAtMs, this.#getUse(endpoint))
+  }
+
+  /** Whether the end of an endpoint of the pool may come from too many rejections rather than from the requests that it ran. */
+  isEndDoubtful (pool: PoolName): boolean {
+    return this.#wishes.isEndDoubtful(pool)
+  }
+
+  #getWaitMs ({ endpoint, incarnation, pool }: EndpointEntry): number {
+    const wishedMs = match(this.#wishes.findAcceptance(buildWishKey(endpoint, incarnation), pool, this.#getUse(endpoint)))
+      .with({ type: 'open' }, () => 0)
+      .with({ type: 'waiting' }, ({ waitMs }) => waitMs)
+      .with({ type: 'leaving' }, () => Infinity)
+      .exhaustive()
+    return Math.max(wishedMs, this.#limits.getWaitMs(endpoint))
+  }
+
+  #getUse (endpoint: EndpointName): EndpointUse {
+    return { inFlightCount: this.#options.countInFlight(endpoint), slots: ASSUMED_SLOTS, vmCount: this.#vmCount }
+  }
+
   /** Applies the report of a peer. */
   applyReport (vm: VmId, incarnation: Incarnation, report: EndpointLimitReport): void {
     for (const change of this.#limits.applyReport(vm, incarnation, report)) this.#logChange(change, vm)
@@ -78,3 +123,8 @@
     this.#options.log.warn('Rate limit of endpoint changed.', { endpoint, requestsPerS, previousPerS, from, ownRatePerS: requestsPerS === null ? null : this.#limits.getOwnRatePerS(endpoint) })
   }
 }
+
+/** A restarted endpoint has stated nothing yet. */
+function buildWishKey (endpoint: EndpointName, incarnation: Incarnation): Incarnation {
+  return `${endpoint}@${incarnation}`
+}
--- a/packages/knapweedshunt-router/src/endpointTable.ts
+++ b/packages/knapweedshunt-router/src/endpointTable.ts
@@ -36,6 +36,11 @@
     return this.#byName.get(endpoint)
   }
 
+  /** Lists all endpoints. */
+  list (): EndpointEntry[] {
+    return [...this.#byName.values()]
+  }
+
   /** Lists the names of all pools, also of those without endpoints. */
   listPools (): PoolName[] {
     return [...this.#byPool.keys()]
--- a/packages/knapweedshunt-router/src/readRejection.ts
+++ b/packages/knapweedshunt-router/src/readRejection.ts
@@ -16,8 +16,9 @@
   return { type: 'rejected', attempt, status, retryAfterMs: readRetryAfter(message), message: readMessage(text, status) }
 }
 
-function readRetryAfter (message: IncomingMessage): number | null {
-  const seconds = Number(message.headers['retry-after'])
+/** Reads the time after which the endpoint wants to be asked again, in milliseconds; null if it states none. */
+export function readRetryAfter (message: IncomingMessage): number | null {
+  const seconds = Number(message.headers['retry-after'] ?? Number.NaN)
   return Number.isFinite(seconds) && seconds >= 0 ? seconds * MS_PER_SECOND : null
 }
 
--- a/packages/knapweedshunt-router/src/requestTask.ts
+++ b/packages/knapweedshunt-router/src/requestTask.ts
@@ -85,7 +85,8 @@
   #handleCrash (attempt: string, endpoint: EndpointName): void {
     const startedAtMs = this.#dataPath.runningAttempts.find(attempt)?.startedAtMs ?? performance.now()
     this.#dataPath.log.warn('Endpoint failed while it ran a request.', { requestId: this.#request.requestId, attempt, endpoint })
-    this.#dataPath.suspectGuard.recordCrash(this.#request, endpoint, startedAtMs)
+    // A brittle endpoint that had to reject requests has ended under these, not under the ones that it ran.
+    if (!this.#dataPath.endpointLimiter.isEndDoubtful(this.#request.pool)) this.#dataPath.suspectGuard.recordCrash(this.#request, endpoint, startedAtMs)
   }
 
   #finish (usage: Usage | null): void {
--- a/packages/knapweedshunt-router/src/runningAttempts.ts
+++ b/packages/knapweedshunt-router/src/runningAttempts.ts
@@ -23,6 +23,11 @@
     return this.#attempts.size
   }
 
+  /** Number of attempts in flight on an endpoint. */
+  countOn (endpoint: EndpointName): number {
+    return [...this.#attempts.values()].filter(running => running.endpoint === endpoint).length
+  }
+
   /** Adds a started attempt. */
   add (running: RunningAttempt): void {
     this.#attempts.set(running.attempt, running)
