--- a/packages/knapweedshunt-quickstart/src/__tests__/dataPathFaults.test.ts
+++ b/packages/knapweedshunt-quickstart/src/__tests__/dataPathFaults.test.ts
@@ -67,6 +67,16 @@
   })
 }
 
+// Guards against a router that fails its callers while it reaches no engine, although other routers do.
+test('a router that reaches no engine serves through other routers', async t => {
+  await runWithHarness({ engines: 3, routers: 2 }, async harness => {
+    const { texts } = await completeUndisturbed(harness)
+    harness.cutOff(0)
+    const result = await harness.requestCompletion(PROMPT)
+    t.deepEqual(result.type === 'answered' ? result.texts : result, texts)
+  })
+})
+
 /** Rest that an engine asks for, in seconds. */
 const REST_S = 2
 
--- a/packages/knapweedshunt-quickstart/src/__tests__/startRouterHarness.ts
+++ b/packages/knapweedshunt-quickstart/src/__tests__/startRouterHarness.ts
@@ -7,6 +7,9 @@
 import type { RouterOptions, RunningRouter } from 'knapweedshunt-router'
 import { ACCESS_KEY, buildEnginePoolResources, buildHotelResources, MODEL } from './hotelResources.ts'
 
+/** Nothing listens there. */
+const UNREACHABLE_URL = 'http://127.0.0.1:9'
+
 const PEER_KEY = 'peer-key-of-the-harness'
 
 /** Routers and fake engines without control and platform; the test applies snapshots to the routers itself. */
@@ -15,6 +18,8 @@
   routers: RunningRouter[]
   /** Applies a snapshot of the current engines to all routers; `states` overrides the state `live` by endpoint name. */
   pushSnapshot (states?: Record<string, 'live' | 'leaving' | 'dead'>): void
+  /** Applies a snapshot to one router in which no engine can be reached at its address. */
+  cutOff (router: number): void
   /** Sends a completion request to the router with this index, the first by default. */
   requestCompletion (prompt: string, router?: number, call?: { maxTokens?: number, headers?: Record<string, string>, agent?: http.Agent }): Promise<CompletionResult>
   stop (): Promise<void>
@@ -33,10 +38,10 @@
 /** Starts fake engines and routers in this process and applies a first snapshot. */
 export async function startRouterHarness (options: RouterHarnessOptions): Promise<RouterHarness> {
   const engines = await Promise.all(Array.from({ length: options.engines }, (_, i) => startFakeEngine({ endpoint: `language-${i + 1}`, ...options.engine })))
-  const routerOptions = { ...DEFAULT_ROUTER_OPTIONS, platformUrl: 'http://127.0.0.1:9', peerKey: PEER_KEY, drainGraceMs: 50, ...options.router }
+  const routerOptions = { ...DEFAULT_ROUTER_OPTIONS, platformUrl: UNREACHABLE_URL, peerKey: PEER_KEY, drainGraceMs: 50, ...options.router }
   const routers = await Promise.all(Array.from({ length: options.routers ?? 1 }, (_, i) => startRouter({ ...routerOptions, vm: `vm-${i + 1}` })))
 
-  function pushSnapshot (states: Record<string, 'live' | 'leaving' | 'dead'> = {}) {
+  function applySnapshot (router: RunningRouter, engineUrls: string[], revision: number, states: Record<string, 'live' | 'leaving' | 'dead'>) {
     const endpoints = engines.map((engine, i) => ({
       endpoint: `language-${i + 1}`,
       incarnation: engine.state.incarnation,
@@ -46,7 +51,11 @@
       loadAgeMs: 0
     }))
     const vms = routers.map((router, i) => ({ vm: `vm-${i + 1}`, incarnation: `i-${i + 1}`, dataCentre: 'dc-1', controlUrl: '', routerUrl: router.peerUrl, state: 'live', appliedRevision: 1 }))
-    for (const router of routers) router.dataPath.applySnapshot({ resources: { revision: 1, resources: [...buildHotelResources(), ...buildEnginePoolResources(engines.map(engine => engine.url), { route: { job: options.job ?? 'long', timeoutMs: options.timeoutMs ?? 20_000 } })] }, vms, endpoints })
+    router.dataPath.applySnapshot({ resources: { revision, resources: [...buildHotelResources(), ...buildEnginePoolResources(engineUrls, { route: { job: options.job ?? 'long', timeoutMs: options.timeoutMs ?? 20_000 } })] }, vms, endpoints })
+  }
+
+  function pushSnapshot (states: Record<string, 'live' | 'leaving' | 'dead'> = {}) {
+    for (const router of routers) applySnapshot(router, engines.map(engine => engine.url), 1, states)
   }
 
   pushSnapshot()
@@ -54,6 +63,7 @@
     engines,
     routers,
     pushSnapshot,
+    cutOff: router => applySnapshot(routers[router], engines.map(() => UNREACHABLE_URL), 2, {}),
     requestCompletion: (prompt, router = 0, call = {}) => callCompletion({ url: routers[router].callerUrl, accessKey: ACCESS_KEY, model: MODEL, prompt, marks: [], maxTokens: 12, ...call }),
     async stop () {
       await Promise.all(routers.map(router => router.stop()))
