Backpressure: the terms of the field for what endpoints state

EndpointWishes is EndpointBackpressure, rest is back-off, in names, log fields (backpressureStated, backoffMs) and the gauge endpoints_backing_off. No change of behaviour.

--- a/packages/knapweedshunt-admission/src/endpointWishOptions.ts
+++ b/packages/knapweedshunt-admission/src/backpressureOptions.ts
@@ -1,6 +1,6 @@
-/** How the wishes that endpoints state are kept; times in milliseconds. */
-export interface EndpointWishOptions {
-  /** Time after a rest within which the endpoint gets one request at a time, until a response to one is no rejection. */
+/** How the backpressure that endpoints state is kept; times in milliseconds. */
+export interface BackpressureOptions {
+  /** Time after a back-off within which the endpoint gets one request at a time, until a response to one is no rejection. */
   provingMs: number
   /** Time for which a pool counts as brittle after an endpoint of it said so. */
   brittleRetentionMs: number
@@ -18,4 +18,4 @@
 }
 
 /** Defaults for endpoints that are back some seconds after they ended. */
-export const DEFAULT_ENDPOINT_WISH_OPTIONS: EndpointWishOptions = { provingMs: 1_000, brittleRetentionMs: 10_000, minPauseMs: 250, maxPauseMs: 5_000, pauseFactor: 1.3, initialWindowShare: 0.5, windowGrowthMs: 2_000, doubtfulEndMs: 3_000 }
+export const DEFAULT_BACKPRESSURE_OPTIONS: BackpressureOptions = { provingMs: 1_000, brittleRetentionMs: 10_000, minPauseMs: 250, maxPauseMs: 5_000, pauseFactor: 1.3, initialWindowShare: 0.5, windowGrowthMs: 2_000, doubtfulEndMs: 3_000 }
--- a/packages/knapweedshunt-admission/src/endpointWishes.ts
+++ b/packages/knapweedshunt-admission/src/endpointBackpressure.ts
@@ -1,9 +1,9 @@
 import type { Incarnation, PoolName } from 'knapweedshunt-types'
 import type { EndpointAcceptance } from './endpointAcceptance.ts'
 import type { EndpointUse } from './endpointUse.ts'
-import type { EndpointWishOptions } from './endpointWishOptions.ts'
-import { DEFAULT_ENDPOINT_WISH_OPTIONS } from './endpointWishOptions.ts'
-import type { StatedWishes } from './statedWishes.ts'
+import type { BackpressureOptions } from './backpressureOptions.ts'
+import { DEFAULT_BACKPRESSURE_OPTIONS } from './backpressureOptions.ts'
+import type { BackpressureSignals } from './backpressureSignals.ts'
 
 const MS_PER_SECOND = 1_000
 
@@ -11,7 +11,7 @@
 const FULL_WAIT_MS = 15
 
 interface EndpointState {
-  restUntilMs: number
+  backoffUntilMs: number
   /** Until then the endpoint gets one request at a time. */
   provingUntilMs: number
   isLeaving: boolean
@@ -29,22 +29,22 @@
 }
 
 /**
- * Wishes that endpoints state in their responses to this VM, apart from rate limits: rest, leaving, and few rejections.
+ * Backpressure that endpoints state in their responses to this VM, apart from rate limits: back-off, leaving, and few rejections.
  * Each VM is told for itself, as each gets responses.
  */
-export class EndpointWishes {
-  readonly #options: EndpointWishOptions
+export class EndpointBackpressure {
+  readonly #options: BackpressureOptions
   readonly #endpoints = new Map<Incarnation, EndpointState>()
   readonly #brittlePools = new Map<PoolName, BrittlePool>()
 
-  constructor (options: EndpointWishOptions = DEFAULT_ENDPOINT_WISH_OPTIONS) {
+  constructor (options: BackpressureOptions = DEFAULT_BACKPRESSURE_OPTIONS) {
     this.#options = options
   }
 
-  /** Number of endpoints that want rest now. */
-  get restingCount (): number {
+  /** Number of endpoints that asked this VM to back off. */
+  get backoffCount (): number {
     const nowMs = performance.now()
-    return [...this.#endpoints.values()].filter(({ restUntilMs }) => restUntilMs > nowMs).length
+    return [...this.#endpoints.values()].filter(({ backoffUntilMs }) => backoffUntilMs > nowMs).length
   }
 
   /** Whether the endpoint has said that it is about to stop; that is final. */
@@ -63,24 +63,24 @@
     const nowMs = performance.now()
     const state = this.#endpoints.get(endpoint)
     if (state?.isLeaving) return { type: 'leaving' }
-    if (state !== undefined && state.restUntilMs > nowMs) return { type: 'waiting', waitMs: state.restUntilMs - nowMs }
+    if (state !== undefined && state.backoffUntilMs > nowMs) return { type: 'waiting', waitMs: state.backoffUntilMs - nowMs }
     if (state !== undefined && state.provingUntilMs > nowMs && use.inFlightCount > 0) return { type: 'waiting', waitMs: FULL_WAIT_MS }
     if (this.#findBrittlePool(pool) === null) return { type: 'open' }
     return use.inFlightCount < this.#updateWindow(endpoint, use) ? { type: 'open' } : { type: 'waiting', waitMs: FULL_WAIT_MS }
   }
 
   /** Records what a response says; `attemptStartedAtMs` is when its request was sent. */
-  recordResponse (endpoint: Incarnation, pool: PoolName, wishes: StatedWishes, attemptStartedAtMs: number, use: EndpointUse): void {
+  recordResponse (endpoint: Incarnation, pool: PoolName, signals: BackpressureSignals, attemptStartedAtMs: number, use: EndpointUse): void {
     const nowMs = performance.now()
-    if (wishes.isLeaving) this.#getOrCreate(endpoint).isLeaving = true
-    this.#recordBrittleness(pool, wishes.maxRejectionsPerS, attemptStartedAtMs)
-    if (!wishes.isRejected) this.#recordAccepted(endpoint, attemptStartedAtMs)
-    else if (wishes.restMs !== null) this.#extendRest(endpoint, nowMs + wishes.restMs)
+    if (signals.isLeaving) this.#getOrCreate(endpoint).isLeaving = true
+    this.#recordBrittleness(pool, signals.maxRejectionsPerS, attemptStartedAtMs)
+    if (!signals.isRejected) this.#recordAccepted(endpoint, attemptStartedAtMs)
+    else if (signals.backoffMs !== null) this.#extendBackoff(endpoint, nowMs + signals.backoffMs)
     const brittle = this.#findBrittlePool(pool)
-    if (!wishes.isRejected || brittle === null) return
+    if (!signals.isRejected || brittle === null) return
     brittle.rejectedAtMs = nowMs
     this.#reduceWindow(endpoint, use)
-    this.#extendRest(endpoint, nowMs + this.#computePauseMs(brittle.maxRejectionsPerS, use.vmCount))
+    this.#extendBackoff(endpoint, nowMs + this.#computePauseMs(brittle.maxRejectionsPerS, use.vmCount))
   }
 
   /** Forgets all endpoints but these. */
@@ -93,17 +93,17 @@
     this.#endpoints.delete(endpoint)
   }
 
-  /** Of several rests the one that ends last counts. */
-  #extendRest (endpoint: Incarnation, untilMs: number): void {
+  /** Of several back-offs the one that ends last counts. */
+  #extendBackoff (endpoint: Incarnation, untilMs: number): void {
     const state = this.#getOrCreate(endpoint)
-    state.restUntilMs = Math.max(state.restUntilMs, untilMs)
-    state.provingUntilMs = state.restUntilMs + this.#options.provingMs
+    state.backoffUntilMs = Math.max(state.backoffUntilMs, untilMs)
+    state.provingUntilMs = state.backoffUntilMs + this.#options.provingMs
   }
 
-  /** A response to a request that was sent before the rest does not show that the endpoint takes more. */
+  /** A response to a request that was sent before the back-off does not show that the endpoint takes more. */
   #recordAccepted (endpoint: Incarnation, attemptStartedAtMs: number): void {
     const state = this.#endpoints.get(endpoint)
-    if (state !== undefined && attemptStartedAtMs >= state.restUntilMs) state.provingUntilMs = -Infinity
+    if (state !== undefined && attemptStartedAtMs >= state.backoffUntilMs) state.provingUntilMs = -Infinity
   }
 
   #recordBrittleness (pool: PoolName, maxRejectionsPerS: number | null, attemptStartedAtMs: number): void {
@@ -152,7 +152,7 @@
   }
 
   #getOrCreate (endpoint: Incarnation): EndpointState {
-    const state = this.#endpoints.get(endpoint) ?? { restUntilMs: -Infinity, provingUntilMs: -Infinity, isLeaving: false, window: null, windowGrownAtMs: -Infinity }
+    const state = this.#endpoints.get(endpoint) ?? { backoffUntilMs: -Infinity, provingUntilMs: -Infinity, isLeaving: false, window: null, windowGrownAtMs: -Infinity }
     this.#endpoints.set(endpoint, state)
     return state
   }
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -38,7 +38,7 @@
   | { type: 'chosen', record: EndpointRecord, decision: PlacedDecision }
   /** The pool has endpoints, but all are excluded, loading or full at present. */
   | { type: 'busy' }
-  /** All endpoints that could accept the request want rest, or state rate limits of which this VM has used its parts: `waitMs` is the time until it may send one a request, infinite if it may not, and `permitsPerS` the sum of the parts. */
+  /** All endpoints that could accept the request asked this VM to back off, or state rate limits of which this VM has used its parts: `waitMs` is the time until it may send one a request, infinite if it may not, and `permitsPerS` the sum of the parts. */
   | { type: 'limited', waitMs: number, permitsPerS: number }
   | { type: 'none' }
 
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointPermits.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointPermits.ts
@@ -1,5 +1,5 @@
-import { EndpointWishes } from 'knapweedshunt-admission'
-import type { EndpointAcceptance, EndpointUse, StatedWishes } from 'knapweedshunt-admission'
+import { EndpointBackpressure } from 'knapweedshunt-admission'
+import type { EndpointAcceptance, EndpointUse, BackpressureSignals } from 'knapweedshunt-admission'
 import type { EndpointName, Incarnation, RequestId } from 'knapweedshunt-types'
 import { match } from 'ts-pattern'
 import type { ResponseHead } from '../ports/endpointPort.ts'
@@ -20,15 +20,15 @@
 /** What endpoints accept from this VM, by all that their responses state. Whatever is sent to an endpoint, a request, a probe or a management call, takes a permit here. */
 export class EndpointPermits {
   readonly #dependencies: EndpointPermitsDependencies
-  readonly #wishes = new EndpointWishes()
+  readonly #backpressure = new EndpointBackpressure()
 
   constructor (dependencies: EndpointPermitsDependencies) {
     this.#dependencies = dependencies
   }
 
-  /** Number of endpoints that want rest now. */
-  get restingCount (): number {
-    return this.#wishes.restingCount
+  /** Number of endpoints that asked this VM to back off. */
+  get backoffCount (): number {
+    return this.#backpressure.backoffCount
   }
 
   /** Limit of an endpoint, in requests per second for all VMs together; null for none. */
@@ -43,12 +43,12 @@
 
   /** Time until this VM may send the endpoint something, in milliseconds; infinite if it may not. */
   getWaitMs (record: EndpointRecord): number {
-    const wishedMs = match(this.#findAcceptance(record))
+    const backpressureMs = match(this.#findAcceptance(record))
       .with({ type: 'open' }, () => 0)
       .with({ type: 'waiting' }, ({ waitMs }) => waitMs)
       .with({ type: 'leaving' }, () => Infinity)
       .exhaustive()
-    return Math.max(wishedMs, this.#dependencies.endpointLimits.getWaitMs(record))
+    return Math.max(backpressureMs, this.#dependencies.endpointLimits.getWaitMs(record))
   }
 
   /** Counts what is about to be sent; false if the endpoint may not be sent it now. */
@@ -59,10 +59,10 @@
   /** Records what the response to an attempt says about its endpoint. */
   recordResponse (record: EndpointRecord, head: ResponseHead, requestId: RequestId, attemptStartedAtMs: number): void {
     const { entry } = record
-    const wishes = decodeWishes(head)
-    this.#wishes.recordResponse(entry.incarnation, entry.pool, wishes, attemptStartedAtMs, this.#getUse(record))
-    this.#recordDecision(record, head, wishes, requestId)
-    if (wishes.isLeaving) this.#markLeaving(record)
+    const signals = decodeSignals(head)
+    this.#backpressure.recordResponse(entry.incarnation, entry.pool, signals, attemptStartedAtMs, this.#getUse(record))
+    this.#recordDecision(record, head, signals, requestId)
+    if (signals.isLeaving) this.#markLeaving(record)
     this.#dependencies.endpointLimits.recordResponse(record, head.limit, requestId, attemptStartedAtMs)
   }
 
@@ -74,17 +74,17 @@
 
   /** Whether the end of the endpoint may come from too many rejections rather than from the requests that it ran. */
   isEndDoubtful ({ entry }: EndpointRecord): boolean {
-    return this.#wishes.isEndDoubtful(entry.pool)
+    return this.#backpressure.isEndDoubtful(entry.pool)
   }
 
-  /** Forgets the wishes of an endpoint that ended. */
+  /** Forgets the backpressure of an endpoint that ended. */
   handleIncarnationEnded (record: EndpointRecord): void {
-    this.#wishes.handleEndpointEnded(record.entry.incarnation)
+    this.#backpressure.handleEndpointEnded(record.entry.incarnation)
     this.#dependencies.endpointLimits.handleIncarnationEnded(record)
   }
 
   #findAcceptance (record: EndpointRecord): EndpointAcceptance {
-    return this.#wishes.findAcceptance(record.entry.incarnation, record.entry.pool, this.#getUse(record))
+    return this.#backpressure.findAcceptance(record.entry.incarnation, record.entry.pool, this.#getUse(record))
   }
 
   #getUse ({ entry, inFlightCount }: EndpointRecord): EndpointUse {
@@ -97,14 +97,14 @@
     this.#dependencies.onLeaving()
   }
 
-  #recordDecision ({ entry, isLeaving: wasLeaving }: EndpointRecord, { rest, brittleness }: ResponseHead, { restMs, isLeaving, maxRejectionsPerS }: StatedWishes, requestId: RequestId): void {
-    const unreadable = [rest, brittleness].flatMap(one => one.type === 'unreadable' ? [one.text] : []).join()
-    if (restMs === null && (!isLeaving || wasLeaving) && maxRejectionsPerS === null && unreadable === '') return
-    this.#dependencies.decisionLog.record({ type: 'wishStated', endpoint: entry.endpoint, incarnation: entry.incarnation, requestId, restMs, isLeaving, maxRejectionsPerS, unreadable })
+  #recordDecision ({ entry, isLeaving: wasLeaving }: EndpointRecord, { backoff, brittleness }: ResponseHead, { backoffMs, isLeaving, maxRejectionsPerS }: BackpressureSignals, requestId: RequestId): void {
+    const unreadable = [backoff, brittleness].flatMap(one => one.type === 'unreadable' ? [one.text] : []).join()
+    if (backoffMs === null && (!isLeaving || wasLeaving) && maxRejectionsPerS === null && unreadable === '') return
+    this.#dependencies.decisionLog.record({ type: 'backpressureStated', endpoint: entry.endpoint, incarnation: entry.incarnation, requestId, backoffMs, isLeaving, maxRejectionsPerS, unreadable })
   }
 }
 
-/** A rest counts only with a rejection. */
-function decodeWishes ({ isNotRun, rest, isLeaving, brittleness }: ResponseHead): StatedWishes {
-  return { isRejected: isNotRun, restMs: isNotRun && rest.type === 'rest' ? rest.forMs : null, isLeaving, maxRejectionsPerS: brittleness.type === 'brittle' ? brittleness.maxRejectionsPerS : null }
+/** A back-off counts only with a rejection. */
+function decodeSignals ({ isNotRun, backoff, isLeaving, brittleness }: ResponseHead): BackpressureSignals {
+  return { isRejected: isNotRun, backoffMs: isNotRun && backoff.type === 'backoff' ? backoff.forMs : null, isLeaving, maxRejectionsPerS: brittleness.type === 'brittle' ? brittleness.maxRejectionsPerS : null }
 }
--- a/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
+++ b/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
@@ -16,7 +16,7 @@
 /** Mean of the retry-after time given to a refused caller, in milliseconds. */
 const RETRY_AFTER_MS = 200
 
-/** Longest mean of the retry-after time given when all endpoints want rest or their rate limits are used, in milliseconds; that holds for this VM, and others may be sent the request. */
+/** Longest mean of the retry-after time given when all endpoints asked this VM to back off or their rate limits are used, in milliseconds; that holds for this VM, and others may be sent the request. */
 const MAX_LIMITED_RETRY_AFTER_MS = 2_000
 
 /** Recorded status if the connection is closed without a complete response. */
@@ -71,7 +71,7 @@
     match(choice)
       .with({ type: 'none' }, () => this.fail('no_endpoint', 'the pool has no endpoint, or none of the software version that began the stream'))
       .with({ type: 'busy' }, () => this.fail('no_free_endpoint', 'no endpoint can accept the request'))
-      .with({ type: 'limited' }, ({ waitMs }) => this.refuse('endpoints_limited', this.#mayHaveRun ? 502 : 503, 'all endpoints want rest, or state rate limits of which the parts of this VM are used', Math.min(MAX_LIMITED_RETRY_AFTER_MS, Math.max(RETRY_AFTER_MS, waitMs))))
+      .with({ type: 'limited' }, ({ waitMs }) => this.refuse('endpoints_limited', this.#mayHaveRun ? 502 : 503, 'all endpoints asked this VM to back off, or state rate limits of which the parts of this VM are used', Math.min(MAX_LIMITED_RETRY_AFTER_MS, Math.max(RETRY_AFTER_MS, waitMs))))
       .exhaustive()
   }
 
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -335,7 +335,7 @@
     this.#metrics.addGauge('endpoints_out', 'Endpoints left out because they do not answer.', () => this.#endpointMonitor.excludedCount)
     this.#metrics.addGauge('endpoints_reached', 'Endpoints that this VM reaches.', () => this.#endpointRegistry.list().filter(record => record.isReached).length)
     this.#metrics.addGauge('endpoints_limited', 'Endpoints that state a rate limit.', () => this.#endpointLimits.count)
-    this.#metrics.addGauge('endpoints_resting', 'Endpoints that want rest from this VM.', () => this.#endpointPermits.restingCount)
+    this.#metrics.addGauge('endpoints_backing_off', 'Endpoints that asked this VM to back off.', () => this.#endpointPermits.backoffCount)
     this.#metrics.addGauge('stream_origins', 'Streams whose software version this VM knows.', () => this.#streamOrigins.count)
     this.#metrics.addGauge('endpoints_loading', 'Endpoints that load weights.', () => this.#weightsState.listLoadingEndpoints().size)
     this.#metrics.addGauge('keys_age_seconds', 'Age of the operator\'s rows.', () => Math.min(this.#keyFreshness.ageMs, Number.MAX_SAFE_INTEGER) / 1_000)
--- a/packages/knapweedshunt-gateway/src/ports/endpointPort.ts
+++ b/packages/knapweedshunt-gateway/src/ports/endpointPort.ts
@@ -34,11 +34,11 @@
   /** The value is not a rate. */
   | { type: 'unreadable', text: string }
 
-/** What a response says about the rest that its endpoint wants from this VM. */
-export type StatedRest =
+/** What a response says about the time for which this VM must send its endpoint nothing. */
+export type StatedBackoff =
   | { type: 'none' }
   /** The endpoint wants nothing for this time, in milliseconds. */
-  | { type: 'rest', forMs: number }
+  | { type: 'backoff', forMs: number }
   /** The value is neither a number of seconds nor a date. */
   | { type: 'unreadable', text: string }
 
@@ -61,7 +61,7 @@
   load: ReportedLoad | null
   limit: StatedLimit
   /** Counts only with a rejection. */
-  rest: StatedRest
+  backoff: StatedBackoff
   brittleness: StatedBrittleness
   /** Whether the endpoint is about to stop and wants no more requests. */
   isLeaving: boolean
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -42,8 +42,8 @@
   | { type: 'limitStated', incarnation: string, requestId: RequestId, from: string, limitPerS: number | null, previousPerS: number | null, ownRatePerS: number | null }
   /** A response stated a rate limit that is not a rate; the limit known before stays. */
   | { type: 'limitUnreadable', endpoint: EndpointName, incarnation: string, requestId: RequestId, text: string }
-  /** A response said that its endpoint wants rest from this VM, leaves, or ends when it has to reject more than so many requests in a second; `unreadable` joins the values that cannot be read. */
-  | { type: 'wishStated', endpoint: EndpointName, incarnation: string, requestId: RequestId, restMs: number | null, isLeaving: boolean, maxRejectionsPerS: number | null, unreadable: string }
+  /** A response said that its endpoint asks this VM to back off, leaves, or ends when it has to reject more than so many requests in a second; `unreadable` joins the values that cannot be read. */
+  | { type: 'backpressureStated', endpoint: EndpointName, incarnation: string, requestId: RequestId, backoffMs: number | null, isLeaving: boolean, maxRejectionsPerS: number | null, unreadable: string }
 
 /** A change of the state of the process. */
 export type ProcessDecision =
--- a/packages/knapweedshunt-gateway/src/records/decisionLog.ts
+++ b/packages/knapweedshunt-gateway/src/records/decisionLog.ts
@@ -40,7 +40,7 @@
   poolReach: 'Reached endpoints of pool changed.',
   limitStated: 'Rate limit of endpoint changed.',
   limitUnreadable: 'Rate limit of endpoint unreadable.',
-  wishStated: 'Endpoint stated a wish.',
+  backpressureStated: 'Backpressure of endpoint.',
   rowUnreadable: 'Row unreadable.',
   weightsWished: 'Weights wished.',
   leaseTaken: 'Lease taken.',
--- a/packages/knapweedshunt-router/src/attemptCall.ts
+++ b/packages/knapweedshunt-router/src/attemptCall.ts
@@ -1,5 +1,5 @@
 import type http from 'node:http'
-import type { StatedWishes } from 'knapweedshunt-admission'
+import type { BackpressureSignals } from 'knapweedshunt-admission'
 import type { AttemptEvent } from 'knapweedshunt-attempts'
 import type { AttemptId } from 'knapweedshunt-types'
 import type { CallerRequest } from './callerRequest.ts'
@@ -25,8 +25,8 @@
   stallLimits: StallLimits | null
   /** Called once with the rate limit in the response head, in requests per second for all VMs together; null for none. */
   recordLimit (requestsPerS: number | null): void
-  /** Called once with what the response head states of rest, leaving and brittleness. */
-  recordWishes (wishes: StatedWishes): void
+  /** Called once with what the response head states of back-off, leaving and brittleness. */
+  recordSignals (signals: BackpressureSignals): void
   /** Called with every event of the attempt; `end`, `answer`, `refused`, `rejected`, `broken` and `stalled` are final. */
   emit (event: AttemptEvent): void
   /** Resolves when the write buffer towards the caller has drained; null when there is nothing to wait for. */
--- a/packages/knapweedshunt-router/src/attemptLauncher.ts
+++ b/packages/knapweedshunt-router/src/attemptLauncher.ts
@@ -125,7 +125,7 @@
       salt: computeCacheSalt(this.#dataPath, this.#request, endpoint),
       resumeFrom,
       recordLimit: requestsPerS => endpointLimiter.recordStated(endpoint, this.#request.pool, requestsPerS, startedAtMs),
-      recordWishes: wishes => endpointLimiter.recordWishes({ endpoint, incarnation, pool: this.#request.pool }, wishes, startedAtMs),
+      recordSignals: signals => endpointLimiter.recordSignals({ endpoint, incarnation, pool: this.#request.pool }, signals, startedAtMs),
       agent,
       signal: abort.signal,
       stallLimits: this.#request.repeatable ? this.#dataPath.stallLimits : null,
--- a/packages/knapweedshunt-router/src/endpointLimiter.ts
+++ b/packages/knapweedshunt-router/src/endpointLimiter.ts
@@ -1,5 +1,5 @@
-import { EndpointRateLimits, EndpointWishes } from 'knapweedshunt-admission'
-import type { EndpointLimitReport, EndpointUse, LimitChange, StatedWishes } from 'knapweedshunt-admission'
+import { EndpointRateLimits, EndpointBackpressure } from 'knapweedshunt-admission'
+import type { EndpointLimitReport, EndpointUse, LimitChange, BackpressureSignals } from 'knapweedshunt-admission'
 import type { Logger } from 'knapweedshunt-logger'
 import type { EndpointName, Incarnation, Liveness, PoolName, VmId, VmView } from 'knapweedshunt-types'
 import { match } from 'ts-pattern'
@@ -21,11 +21,11 @@
 /** Requests that an endpoint which is brittle is taken to run at a time; it does not state how many. */
 const ASSUMED_SLOTS = 16
 
-/** Keeps what endpoints state in their responses: rate limits for all VMs together, of which it tells peers, and wishes to this VM. */
+/** Keeps what endpoints state in their responses: rate limits for all VMs together, of which it tells peers, and backpressure on this VM. */
 export class EndpointLimiter {
   readonly #options: EndpointLimiterOptions
   readonly #limits: EndpointRateLimits
-  readonly #wishes = new EndpointWishes()
+  readonly #backpressure = new EndpointBackpressure()
   #vmCount = 1
 
   constructor (options: EndpointLimiterOptions) {
@@ -41,9 +41,9 @@
     this.#limits.setVms(vmNames)
   }
 
-  /** Applies the endpoints of a snapshot: the wishes of others are forgotten. */
+  /** Applies the endpoints of a snapshot: the backpressure of others is forgotten. */
   applyEndpoints (entries: EndpointEntry[]): void {
-    this.#wishes.retain(new Set(entries.map(({ endpoint, incarnation }) => buildWishKey(endpoint, incarnation))))
+    this.#backpressure.retain(new Set(entries.map(({ endpoint, incarnation }) => buildIncarnationKey(endpoint, incarnation))))
   }
 
   /** Lists the endpoints that this VM may not send a request now. */
@@ -80,25 +80,25 @@
     this.broadcastIfNeeded()
   }
 
-  /** Records what the response to an attempt states of rest, leaving and brittleness. */
-  recordWishes ({ endpoint, incarnation, pool }: Pick<EndpointEntry, 'endpoint' | 'incarnation' | 'pool'>, wishes: StatedWishes, attemptStartedAtMs: number): void {
-    const { restMs, isLeaving, maxRejectionsPerS } = wishes
-    if (restMs !== null || isLeaving || maxRejectionsPerS !== null) this.#options.log.debug('Endpoint stated a wish.', { endpoint, incarnation, restMs, isLeaving, maxRejectionsPerS })
-    this.#wishes.recordResponse(buildWishKey(endpoint, incarnation), pool, wishes, attemptStartedAtMs, this.#getUse(endpoint))
+  /** Records what the response to an attempt states of back-off, leaving and brittleness. */
+  recordSignals ({ endpoint, incarnation, pool }: Pick<EndpointEntry, 'endpoint' | 'incarnation' | 'pool'>, signals: BackpressureSignals, attemptStartedAtMs: number): void {
+    const { backoffMs, isLeaving, maxRejectionsPerS } = signals
+    if (backoffMs !== null || isLeaving || maxRejectionsPerS !== null) this.#options.log.debug('Backpressure of endpoint.', { endpoint, incarnation, backoffMs, isLeaving, maxRejectionsPerS })
+    this.#backpressure.recordResponse(buildIncarnationKey(endpoint, incarnation), pool, signals, attemptStartedAtMs, this.#getUse(endpoint))
   }
 
   /** Whether the end of an endpoint of the pool may come from too many rejections rather than from the requests that it ran. */
   isEndDoubtful (pool: PoolName): boolean {
-    return this.#wishes.isEndDoubtful(pool)
+    return this.#backpressure.isEndDoubtful(pool)
   }
 
   #getWaitMs ({ endpoint, incarnation, pool }: EndpointEntry): number {
-    const wishedMs = match(this.#wishes.findAcceptance(buildWishKey(endpoint, incarnation), pool, this.#getUse(endpoint)))
+    const backpressureMs = match(this.#backpressure.findAcceptance(buildIncarnationKey(endpoint, incarnation), pool, this.#getUse(endpoint)))
       .with({ type: 'open' }, () => 0)
       .with({ type: 'waiting' }, ({ waitMs }) => waitMs)
       .with({ type: 'leaving' }, () => Infinity)
       .exhaustive()
-    return Math.max(wishedMs, this.#limits.getWaitMs(endpoint))
+    return Math.max(backpressureMs, this.#limits.getWaitMs(endpoint))
   }
 
   #getUse (endpoint: EndpointName): EndpointUse {
@@ -125,6 +125,6 @@
 }
 
 /** A restarted endpoint has stated nothing yet. */
-function buildWishKey (endpoint: EndpointName, incarnation: Incarnation): Incarnation {
+function buildIncarnationKey (endpoint: EndpointName, incarnation: Incarnation): Incarnation {
   return `${endpoint}@${incarnation}`
 }
--- a/packages/knapweedshunt-router/src/runAttempt.ts
+++ b/packages/knapweedshunt-router/src/runAttempt.ts
@@ -4,7 +4,7 @@
 import { buildEndpointCall } from './buildEndpointCall.ts'
 import { isConnectionRefused, classifyFailure } from './endpointError.ts'
 import { readEngineStream } from './readEngineStream.ts'
-import { readStatedWishes } from './readStatedWishes.ts'
+import { readBackpressureSignals } from './readBackpressureSignals.ts'
 import { readRejection } from './readRejection.ts'
 import { StallTimer } from './stallTimer.ts'
 
@@ -23,7 +23,7 @@
   try {
     const message = await sendAttempt(call)
     recordLimit(call, message)
-    call.recordWishes(readStatedWishes(message))
+    call.recordSignals(readBackpressureSignals(message))
     if (call.request.work.type === 'service') await readPlainAnswer(call, message)
     else if (message.statusCode !== STATUS_OK) emit(await readRejection(attempt, message))
     else await readEngineStream(call, message, timer)
