--- a/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -8,6 +8,8 @@
 import type { EndpointPermits } from './endpointPermits.ts'
 import type { EndpointRegistry } from './endpointRegistry.ts'
 import type { EndpointRecord } from './endpointRecord.ts'
+import { countCandidates } from './candidateCounts.ts'
+import type { CandidateCounts, CandidateState } from './candidateCounts.ts'
 import { PromptSizePartition } from './promptSizePartition.ts'
 import { PrefixLocations } from './prefixLocations.ts'
 
@@ -176,6 +178,23 @@
     this.#placement.handleEvent({ type: 'snapshot', snapshot: { resources: { revision: this.#revision, resources: [] }, vms: [], endpoints: [this.#buildView(record)] } })
   }
 
+  /** Counts the pool's endpoints by what keeps them from being sent the request now. */
+  countCandidates ({ pool, prompt, triedEndpoints, softwareVersion }: Pick<ChoiceCriteria, 'pool' | 'prompt' | 'triedEndpoints' | 'softwareVersion'>): CandidateCounts {
+    const loading = this.#dependencies.listLoadingEndpoints()
+    const connectionLimit = this.#computeConnectionLimit(pool)
+    return countCandidates(this.#dependencies.endpointRegistry.list(pool).map((record): CandidateState => {
+      const { entry, isDraining, inFlightCount, isReached } = record
+      if (softwareVersion !== null && entry.softwareVersion !== softwareVersion) return 'otherVersion'
+      if (isDraining) return 'draining'
+      if (triedEndpoints.includes(entry.endpoint)) return 'tried'
+      if (loading.has(entry.endpoint)) return 'loading'
+      if (!this.#isServing(record, prompt)) return 'replacedWeights'
+      if (inFlightCount >= connectionLimit) return 'full'
+      if (!isReached || record.health.isExcluded(0)) return 'unreached'
+      return this.#isPermitted(record, false) ? 'free' : 'limited'
+    }))
+  }
+
   /** Lists the endpoints that are not full or loading. */
   #listServing (candidates: EndpointRecord[], pool: PoolName, prompt: Prompt | null): EndpointRecord[] {
     const loading = this.#dependencies.listLoadingEndpoints()
--- a/packages/knapweedshunt-gateway/src/flow/attemptRunner.ts
+++ b/packages/knapweedshunt-gateway/src/flow/attemptRunner.ts
@@ -2,6 +2,7 @@
 import { match } from 'ts-pattern'
 import type { AttemptOutcome, LossReason } from '../endpoints/attemptOutcome.ts'
 import { LOSS_REASON } from '../endpoints/attemptOutcome.ts'
+import { formatCandidates } from '../endpoints/candidateCounts.ts'
 import type { ChosenEndpoint } from '../endpoints/endpointChooser.ts'
 import { REPEATABILITY } from '../ports/gatewayConfig.ts'
 import type { AttemptReporter } from './attemptReporter.ts'
@@ -100,14 +101,23 @@
     this.finish(runningAttempt)
   }
 
+  /** Counts the pool's endpoints by what keeps them from being sent the next attempt, for a log line. */
+  describeCandidates (): string {
+    const { pool, route, call } = this.#plan
+    return formatCandidates(this.#dependencies.chooser.countCandidates({ pool, prompt: route.usesPrefixes ? call.prompt : null, triedEndpoints: this.#triedEndpoints, softwareVersion: this.softwareVersion }))
+  }
+
   /** Waits for the head of the response. A repeatable request is moved to another endpoint after a share of its objective. */
-  async awaitOutcome ({ attempt, target, startedAtMs }: RunningAttempt): Promise<AttemptOutcome> {
+  async awaitOutcome (runningAttempt: RunningAttempt, onGivenUp: () => void): Promise<AttemptOutcome> {
+    const { attempt, target, startedAtMs } = runningAttempt
     const { route } = this.#plan
     if (route.repeatability === REPEATABILITY.never) return await attempt.outcome
     const timer = setTimeout(() => {
       // An engine that produces tokens for other requests is busy, not lost, and has already processed part of the prompt.
       if (target.type === 'endpoint' && route.usesPrefixes && target.record.lastReceivedAtMs > startedAtMs) return
-      if (this.tryReserveMove()) attempt.cancel(LOSS_REASON.silent)
+      if (!this.tryReserveMove()) return
+      onGivenUp()
+      attempt.cancel(LOSS_REASON.silent)
     }, route.objectiveMs * (target.type === 'endpoint' ? STALL_TIMEOUT_OBJECTIVE_SHARE : RELAY_TIMEOUT_OBJECTIVE_SHARE))
     try {
       return await attempt.outcome
--- a/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
+++ b/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
@@ -66,11 +66,11 @@
     this.refuse(reason, this.#mayHaveRun ? 502 : 503, detail)
   }
 
-  /** Refuses a request for which no endpoint could be chosen. */
-  refuseUnplaced (choice: Exclude<Choice, ChosenEndpoint>): void {
+  /** Refuses a request for which no endpoint could be chosen; `candidates` says what keeps the pool's endpoints from being sent it. */
+  refuseUnplaced (choice: Exclude<Choice, ChosenEndpoint>, candidates: string): void {
     match(choice)
       .with({ type: 'none' }, () => this.fail('no_endpoint', 'the pool has no endpoint, or none of the software version that began the stream'))
-      .with({ type: 'busy' }, () => this.fail('no_free_endpoint', 'no endpoint can accept the request'))
+      .with({ type: 'busy' }, () => this.fail('no_free_endpoint', `no endpoint can accept the request: ${candidates}`))
       .with({ type: 'limited' }, ({ waitMs }) => this.refuse('endpoints_limited', this.#mayHaveRun ? 502 : 503, 'all endpoints asked this VM to back off, or state rate limits of which the parts of this VM are used', Math.min(MAX_LIMITED_RETRY_AFTER_MS, Math.max(RETRY_AFTER_MS, waitMs))))
       .exhaustive()
   }
--- a/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
@@ -1,5 +1,6 @@
 import type { PlacedDecision } from 'knapweedshunt-placement'
 import type { RunningAttempt } from './runningAttempt.ts'
+import type { LossReason } from '../endpoints/attemptOutcome.ts'
 import type { AttemptReporter } from './attemptReporter.ts'
 import type { PeerView } from '../peers/peerAddress.ts'
 import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
@@ -122,6 +123,11 @@
     this.#dependencies.decisionLog.record({ type: 'attemptEnded', requestId: call.requestId, attempt: runningAttempt.attemptNumber, endpoint: runningAttempt.endpoint, relayVm: getRelayVm(runningAttempt), outcome, reason, isRetried, afterMs: Math.round(performance.now() - runningAttempt.startedAtMs) })
   }
 
+  /** Records that an attempt is given up although its endpoint has not ended it. */
+  recordGivenUp ({ attempt, attemptNumber, endpoint, startedAtMs }: RunningAttempt, cause: LossReason, lastBytesAtMs: number | null, candidates: string): void {
+    this.#dependencies.decisionLog.record({ type: 'givenUp', requestId: this.#plan.call.requestId, attempt: attemptNumber, endpoint, cause, hasResponse: attempt.hasResponse, silentMs: Math.round(performance.now() - (lastBytesAtMs ?? startedAtMs)), candidates })
+  }
+
   /** Records that the endpoint's response was forwarded completely; times in milliseconds. */
   recordAnswered (runningAttempt: RunningAttempt, status: number, firstByteMs: number, longestPauseMs: number, bytes: number): void {
     const { call, route, identity } = this.#plan
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -110,7 +110,7 @@
     if (nextAttempt === null) return DONE
     const runningAttempt = this.#attemptRunner.start(nextAttempt)
     this.#finalResponse.attemptCount++
-    const outcome = await this.#attemptRunner.awaitOutcome(runningAttempt)
+    const outcome = await this.#attemptRunner.awaitOutcome(runningAttempt, () => this.#recorder.recordGivenUp(runningAttempt, LOSS_REASON.silent, null, this.#attemptRunner.describeCandidates()))
     if (this.#finalResponse.isSettled) return DONE
     return await this.#handleOutcome(runningAttempt, outcome)
   }
@@ -162,7 +162,7 @@
     const choice = await waitForEndpoint(this.#dependencies, this.#plan, { homeLevels, triedEndpoints: [...this.#attemptRunner.triedEndpoints], softwareVersion: this.#attemptRunner.softwareVersion, isCancelled: () => this.#finalResponse.isSettled })
     if (this.#finalResponse.isSettled) return null
     if (choice.type === 'chosen') return { type: 'endpoint', chosen: choice, homeLevels }
-    this.#finalResponse.refuseUnplaced(choice)
+    this.#finalResponse.refuseUnplaced(choice, this.#attemptRunner.describeCandidates())
     return null
   }
 
--- a/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
@@ -1,4 +1,5 @@
 import type http from 'node:http'
+import type { LossReason } from '../endpoints/attemptOutcome.ts'
 import { LOSS_REASON } from '../endpoints/attemptOutcome.ts'
 import { HEALTH_OBSERVATION } from '../endpoints/endpointHealth.ts'
 import { REPEATABILITY } from '../ports/gatewayConfig.ts'
@@ -84,6 +85,7 @@
     if (runningAttempt === null || !this.#isStreaming || !this.#isResumable || runningAttempt.target.type !== 'endpoint' || !endpoints.has(runningAttempt.endpoint)) return
     if (!attemptRunner.canMove || !permits.tryTake(true)) return
     this.#isMoved = true
+    this.#recordGivenUp(runningAttempt, LOSS_REASON.moved)
     runningAttempt.attempt.cancel(LOSS_REASON.moved)
   }
 
@@ -157,7 +159,7 @@
     if (!this.#callerResponse.headersSent) this.#responseHeadWriter.writeHead(response, response.statusCode ?? 0, null, this.#buildRelayAnswer(runningAttempt))
     const stallTimeoutMs = this.#isResumable ? (route.pauseObjectiveMs ?? DEFAULT_PAUSE_OBJECTIVE_MS) * (runningAttempt.target.type === 'endpoint' ? STALL_TIMEOUT_PAUSE_FACTOR : RELAY_TIMEOUT_PAUSE_FACTOR) : null
     this.#isStreaming = true
-    const result = await this.#relay.forward(response, { stallTimeoutMs, canCut: () => attemptRunner.tryReserveMove(), onChunk: () => reporter.recordReceivedBytes(runningAttempt), onFirstEvent: () => this.#bindVersion(runningAttempt) })
+    const result = await this.#relay.forward(response, { stallTimeoutMs, canCut: () => this.#canCut(runningAttempt), onChunk: () => reporter.recordReceivedBytes(runningAttempt), onFirstEvent: () => this.#bindVersion(runningAttempt) })
     this.#isStreaming = false
     if (finalResponse.isSettled || result.type === 'callerLeft') {
       runningAttempt.attempt.cancel(LOSS_REASON.cancelled)
@@ -175,6 +177,17 @@
     return this.#handleStreamInterrupted(runningAttempt, result)
   }
 
+  #canCut (runningAttempt: RunningAttempt): boolean {
+    if (!this.#parts.attemptRunner.tryReserveMove()) return false
+    this.#recordGivenUp(runningAttempt, LOSS_REASON.silent)
+    return true
+  }
+
+  #recordGivenUp (runningAttempt: RunningAttempt, cause: LossReason): void {
+    const { attemptRunner, recorder } = this.#parts
+    recorder.recordGivenUp(runningAttempt, cause, this.#relay.lastWriteAtMs, attemptRunner.describeCandidates())
+  }
+
   /** From the first event on, the stream goes on at this software version only, also over the caller's tries. */
   #bindVersion ({ softwareVersion }: RunningAttempt): void {
     const { attemptRunner } = this.#parts
--- a/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
@@ -32,7 +32,7 @@
   #lastEventId: string | null
   #bytes = 0
   #firstWriteAtMs: number | null = null
-  #lastWriteAtMs = 0
+  #lastWriteAtMs: number | null = null
   #longestPauseMs = 0
 
   constructor (callerResponse: http.ServerResponse, isResumable: boolean, lastEventId: string | null) {
@@ -56,6 +56,11 @@
     return this.#firstWriteAtMs
   }
 
+  /** Monotonic time of the last write to the caller, in milliseconds; null before the first. */
+  get lastWriteAtMs (): number | null {
+    return this.#lastWriteAtMs
+  }
+
   /** Longest time between two writes to the caller, in milliseconds. */
   get longestPauseMs (): number {
     return this.#longestPauseMs
@@ -118,7 +123,7 @@
 
   #write (bytes: Buffer): boolean {
     const nowMs = performance.now()
-    if (this.#firstWriteAtMs !== null) this.#longestPauseMs = Math.max(this.#longestPauseMs, nowMs - this.#lastWriteAtMs)
+    if (this.#lastWriteAtMs !== null) this.#longestPauseMs = Math.max(this.#longestPauseMs, nowMs - this.#lastWriteAtMs)
     this.#firstWriteAtMs ??= nowMs
     this.#lastWriteAtMs = nowMs
     this.#bytes += bytes.length
--- a/packages/knapweedshunt-gateway/src/records/decisionLog.ts
+++ b/packages/knapweedshunt-gateway/src/records/decisionLog.ts
@@ -19,6 +19,7 @@
   relayReceived: 'Request of another VM received.',
   relayFailed: 'Other VM failed.',
   attemptEnded: 'Attempt ended.',
+  givenUp: 'Attempt given up.',
   resumed: 'Stream resumed.',
   answered: 'Request answered.',
   refused: 'Request refused.',
