--- a/packages/knapweedshunt-gateway/src/flow/launchAttempt.ts
+++ b/packages/knapweedshunt-gateway/src/flow/launchAttempt.ts
@@ -44,7 +44,7 @@
   record.recordPromptTokens(promptTokens - expectedCachedTokens)
   dependencies.chooser.placement.handleEvent({ type: 'started', attempt: attemptId, endpoint: record.entry.endpoint, tokens: promptTokens, levels: homeLevels, decision })
   dependencies.endpointMonitor.recordStart(record, startedAtMs)
-  return { attempt, target: { type: 'endpoint', record, expectedCachedTokens, cacheSalt }, softwareVersion: record.entry.softwareVersion, endpoint: record.entry.endpoint, attemptNumber, startedAtMs, attemptId }
+  return { attempt, target: { type: 'endpoint', record, expectedCachedTokens, cacheSalt }, softwareVersion: record.entry.softwareVersion, endpoint: record.entry.endpoint, attemptNumber, countedEndpoints: 1, startedAtMs, attemptId }
 }
 
 /** Chooses from where the endpoint fetches the KV cache of the prompt's shared prefix, and to which store it saves it; null for no transfer. */
--- a/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
@@ -1,6 +1,5 @@
 import type { PlacedDecision } from 'knapweedshunt-placement'
 import type { RunningAttempt } from './runningAttempt.ts'
-import type { LossReason } from '../endpoints/attemptOutcome.ts'
 import type { AttemptReporter } from './attemptReporter.ts'
 import type { PeerView } from '../peers/peerAddress.ts'
 import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
@@ -8,6 +7,7 @@
 import type { FlowDependencies } from './flowDependencies.ts'
 import { formatFingerprint, formatParts } from './formatSuspects.ts'
 import type { RequestPlan } from './requestPlan.ts'
+import type { SuccessionResult, Successor } from './successor.ts'
 
 const MIN_SERVER_ERROR_STATUS = 500
 
@@ -123,9 +123,10 @@
     this.#dependencies.decisionLog.record({ type: 'attemptEnded', requestId: call.requestId, attempt: runningAttempt.attemptNumber, endpoint: runningAttempt.endpoint, relayVm: getRelayVm(runningAttempt), outcome, reason, isRetried, afterMs: Math.round(performance.now() - runningAttempt.startedAtMs) })
   }
 
-  /** Records that an attempt is given up although its endpoint has not ended it. */
-  recordGivenUp ({ attempt, attemptNumber, endpoint, startedAtMs }: RunningAttempt, cause: LossReason, lastBytesAtMs: number | null, candidates: string): void {
-    this.#dependencies.decisionLog.record({ type: 'givenUp', requestId: this.#plan.call.requestId, attempt: attemptNumber, endpoint, cause, hasResponse: attempt.hasResponse, silentMs: Math.round(performance.now() - (lastBytesAtMs ?? startedAtMs)), candidates })
+  /** Records whether another endpoint has taken over from an attempt; `result` is null if that is not needed any more. `lastBytesAtMs` is the time of the last bytes forwarded; null before the first. */
+  recordHandover ({ attempt, attemptNumber, endpoint, startedAtMs }: RunningAttempt, { cause, endpoint: successor }: Successor, result: SuccessionResult | null, lastBytesAtMs: number | null): void {
+    const reason = result?.type === 'failed' ? result.reason : ''
+    this.#dependencies.decisionLog.record({ type: 'handover', requestId: this.#plan.call.requestId, attempt: attemptNumber, endpoint, successor, cause, isTaken: result?.type === 'taken', reason: result === null ? 'not needed any more' : reason, hasResponse: attempt.hasResponse, silentMs: Math.round(performance.now() - (lastBytesAtMs ?? startedAtMs)) })
   }
 
   /** Records that the endpoint's response was forwarded completely; times in milliseconds. */
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -1,15 +1,17 @@
 import type http from 'node:http'
 import { match } from 'ts-pattern'
-import type { AttemptOutcome, ForwardedByPeer, LossReason, RefusedByPeer } from '../endpoints/attemptOutcome.ts'
+import type { AttemptOutcome, LossReason, RefusedByPeer } from '../endpoints/attemptOutcome.ts'
 import { LOSS_REASON } from '../endpoints/attemptOutcome.ts'
 import { HEALTH_OBSERVATION } from '../endpoints/endpointHealth.ts'
-import type { ResponseHead } from '../ports/endpointPort.ts'
 import { REPEATABILITY } from '../ports/gatewayConfig.ts'
-import type { NextAttempt, NextTarget } from './attemptRunner.ts'
-import { AttemptRunner } from './attemptRunner.ts'
 import { AttemptReporter } from './attemptReporter.ts'
+import type { NextTarget } from './attemptRunner.ts'
+import { AttemptRunner } from './attemptRunner.ts'
+import { describeFailedOutcome, recordFailedOutcome } from './failedOutcome.ts'
 import { FinalResponse } from './finalResponse.ts'
 import type { FlowDependencies } from './flowDependencies.ts'
+import type { HeadRaceOptions } from './headRace.ts'
+import { raceForHead } from './headRace.ts'
 import type { NextStep } from './nextStep.ts'
 import { DONE, RETRY } from './nextStep.ts'
 import type { RequestPlan } from './requestPlan.ts'
@@ -17,7 +19,9 @@
 import { ResponseForwarder } from './responseForwarder.ts'
 import { RetryPermits } from './retryPermits.ts'
 import type { RunningAttempt } from './runningAttempt.ts'
-import { waitForEndpoint } from './waitForEndpoint.ts'
+import type { AnsweredOutcome, SuccessorParts, TakenSuccession } from './successor.ts'
+import { Successor } from './successor.ts'
+import { selectTarget } from './selectTarget.ts'
 
 /** Maximum number of attempts that fail before a byte is sent, after which the request is refused. */
 const MAX_UNSENT_ATTEMPTS = 3
@@ -28,8 +32,11 @@
 /** Maximum number of retries after endpoints that report that they did not run the request. */
 const MAX_NOT_RUN_RETRIES = 3
 
-/** Losses that a crash of the endpoint causes. */
-const CRASH_LOSSES: LossReason[] = [LOSS_REASON.reset, LOSS_REASON.cut]
+/** Time without a response after which another endpoint is asked for a repeatable request, as a share of the objective. */
+const STALL_TIMEOUT_OBJECTIVE_SHARE = 0.6
+
+/** The same for another VM, which tries further endpoints itself meanwhile. */
+const RELAY_TIMEOUT_OBJECTIVE_SHARE = 1.2
 
 /** Runs the attempts of one checked request until it has its final response. */
 export class RequestTask {
@@ -41,6 +48,7 @@
   readonly #recorder: RequestRecorder
   readonly #finalResponse: FinalResponse
   readonly #attemptRunner: AttemptRunner
+  readonly #parts: SuccessorParts
   readonly #responseForwarder: ResponseForwarder
   #unsentCount = 0
   #notRunCount = 0
@@ -53,8 +61,9 @@
     this.#reporter = new AttemptReporter(dependencies, plan)
     this.#recorder = new RequestRecorder(dependencies, plan, this.#reporter)
     this.#finalResponse = new FinalResponse(dependencies, plan, this.#recorder, callerResponse)
-    this.#attemptRunner = new AttemptRunner(dependencies, plan, this.#permits, this.#reporter)
-    this.#responseForwarder = new ResponseForwarder(dependencies, plan, callerResponse, { attemptRunner: this.#attemptRunner, permits: this.#permits, recorder: this.#recorder, reporter: this.#reporter, finalResponse: this.#finalResponse })
+    this.#attemptRunner = new AttemptRunner(dependencies, plan, this.#permits, this.#reporter, this.#recorder)
+    this.#parts = { attemptRunner: this.#attemptRunner, permits: this.#permits, recorder: this.#recorder, reporter: this.#reporter, finalResponse: this.#finalResponse }
+    this.#responseForwarder = new ResponseForwarder(dependencies, plan, callerResponse, this.#parts)
   }
 
   /** Runs until the request has its final response or its caller has disconnected. */
@@ -68,7 +77,7 @@
       while (step.type === 'retry' && !this.#finalResponse.isSettled) step = await this.#runNextAttempt()
     } catch (error) {
       this.#dependencies.log.warn('Request failed with an internal error.', { requestId: this.#plan.call.requestId, route: route.name, reason: (error as Error).message })
-      this.#attemptRunner.current?.attempt.cancel(LOSS_REASON.cancelled)
+      this.#attemptRunner.abandon(LOSS_REASON.cancelled)
       this.#finalResponse.fail('internal', (error as Error).message)
     } finally {
       clearTimeout(deadline)
@@ -79,7 +88,7 @@
   /** Ends the request at once, as this VM stops: with an answer, or with an aborted response if one has begun. */
   stop (): void {
     if (this.#finalResponse.isSettled) return
-    if (this.#attemptRunner.current?.attempt.isSent) this.#finalResponse.recordMayHaveRun()
+    if (this.#attemptRunner.isSent) this.#finalResponse.recordMayHaveRun()
     this.#finalResponse.fail('stopping', 'the VM stops before the request is answered')
     this.#attemptRunner.abandon(LOSS_REASON.cancelled)
   }
@@ -106,80 +115,71 @@
   }
 
   async #runNextAttempt (): Promise<NextStep> {
-    const nextAttempt = await this.#prepareAttempt()
-    if (nextAttempt === null) return DONE
-    const runningAttempt = this.#attemptRunner.start(nextAttempt)
+    const target = await this.#selectTarget()
+    if (target === null) return DONE
     this.#finalResponse.attemptCount++
-    const outcome = await this.#attemptRunner.awaitOutcome(runningAttempt, () => this.#recorder.recordGivenUp(runningAttempt, LOSS_REASON.silent, null, this.#attemptRunner.describeCandidates()))
+    const runningAttempt = this.#attemptRunner.start({ target, lastEventId: this.#responseForwarder.lastEventId })
+    const { outcome, taken } = await raceForHead(runningAttempt, this.#buildHeadRaceOptions(runningAttempt))
     if (this.#finalResponse.isSettled) return DONE
-    return await this.#handleOutcome(runningAttempt, outcome)
+    if (taken !== null) return await this.#followSuccessor(runningAttempt, outcome, taken)
+    return outcome === null ? DONE : await this.#handleOutcome(runningAttempt, outcome)
   }
 
-  /** Checks the access key again and chooses where the request goes next; null if the request has its final response. */
-  async #prepareAttempt (): Promise<NextAttempt | null> {
-    const keyRefusal = await this.#dependencies.checkKey(this.#plan)
-    if (keyRefusal !== null) {
-      this.#finalResponse.refuseKey(keyRefusal)
-      return null
-    }
-    const target = await this.#chooseTarget()
-    // The quarantine is checked last, since crashes at other VMs are read while the request waits or runs.
-    const quarantine = target === null || this.#finalResponse.isSettled ? null : this.#dependencies.findQuarantine(this.#plan)
-    if (quarantine !== null) this.#finalResponse.quarantine(quarantine)
-    if (target === null || this.#finalResponse.isSettled) return null
-    const { lastEventId } = this.#responseForwarder
-    const attempt = this.#finalResponse.attemptCount + 1
-    match(target)
-      .with({ type: 'endpoint' }, ({ chosen }) => this.#recorder.recordSent(attempt, chosen.record, lastEventId, chosen.decision))
-      .with({ type: 'peer' }, ({ peer }) => this.#recorder.recordRelayed(attempt, peer, lastEventId))
+  /** Selects where the request goes next; null if it has its final response. */
+  async #selectTarget (): Promise<NextTarget | null> {
+    const { triedEndpoints, triedPeers, softwareVersion } = this.#attemptRunner
+    const selection = await selectTarget(this.#dependencies, this.#plan, { triedEndpoints: [...triedEndpoints], triedPeers: [...triedPeers], softwareVersion, isCancelled: () => this.#finalResponse.isSettled })
+    if (this.#finalResponse.isSettled) return null
+    if (selection.type === 'target') return selection.target
+    match(selection)
+      .with({ type: 'cancelled' }, () => {})
+      .with({ type: 'keyRefused' }, ({ refusal }) => this.#finalResponse.refuseKey(refusal))
+      .with({ type: 'quarantined' }, ({ quarantine }) => this.#finalResponse.quarantine(quarantine))
+      .with({ type: 'unreached' }, () => this.#finalResponse.refuseUnreached())
+      .with({ type: 'unplaced' }, ({ choice, candidates }) => this.#finalResponse.refuseUnplaced(choice, candidates))
       .exhaustive()
-    return { target, lastEventId }
+    return null
   }
 
-  /** Chooses an endpoint, or another VM if this one reaches few; null if the request has its final response. What another VM has relayed is not relayed again. */
-  async #chooseTarget (): Promise<NextTarget | null> {
-    const { relays } = this.#dependencies
-    const { pool, relayed } = this.#plan
-    if (relayed !== null) {
-      if (!relays.isCutOff(pool)) return await this.#chooseEndpoint()
-      this.#finalResponse.refuseUnreached()
-      return null
+  #buildHeadRaceOptions (runningAttempt: RunningAttempt): HeadRaceOptions {
+    const { route } = this.#plan
+    const { target, startedAtMs } = runningAttempt
+    const share = target.type === 'endpoint' ? STALL_TIMEOUT_OBJECTIVE_SHARE : RELAY_TIMEOUT_OBJECTIVE_SHARE
+    return {
+      silenceTimeoutMs: route.repeatability === REPEATABILITY.never ? null : route.objectiveMs * share,
+      // An engine that produces tokens for other requests is busy, not lost, and has already processed part of the prompt.
+      isBusy: () => this.#finalResponse.isSettled || (target.type === 'endpoint' && route.usesPrefixes && target.record.lastReceivedAtMs > startedAtMs),
+      startSuccessor: () => new Successor(this.#dependencies, this.#plan, this.#parts, { cause: LOSS_REASON.silent, getLastEventId: () => this.#responseForwarder.lastEventId, onSend: () => {} }),
+      onSuccessorEnded: (successor, result) => this.#recorder.recordHandover(runningAttempt, successor, result, null)
     }
-    const route = await relays.select(pool, [...this.#attemptRunner.triedPeers])
-    if (this.#finalResponse.isSettled) return null
-    return match(route)
-      .with({ type: 'direct' }, () => this.#chooseEndpoint())
-      .with({ type: 'relay' }, ({ peer }): NextTarget => ({ type: 'peer', peer }))
-      .with({ type: 'unreached' }, () => {
-        this.#finalResponse.refuseUnreached()
-        return null
-      })
-      .exhaustive()
   }
 
-  async #chooseEndpoint (): Promise<NextTarget | null> {
-    const homeLevels = this.#dependencies.chooser.findHomeLevels(this.#plan.levels)
-    const choice = await waitForEndpoint(this.#dependencies, this.#plan, { homeLevels, triedEndpoints: [...this.#attemptRunner.triedEndpoints], softwareVersion: this.#attemptRunner.softwareVersion, isCancelled: () => this.#finalResponse.isSettled })
-    if (this.#finalResponse.isSettled) return null
-    if (choice.type === 'chosen') return { type: 'endpoint', chosen: choice, homeLevels }
-    this.#finalResponse.refuseUnplaced(choice, this.#attemptRunner.describeCandidates())
-    return null
+  /** Goes on with the successor, whose response has begun. `outcome` is that of the attempt before; null if it is still silent. */
+  async #followSuccessor (previous: RunningAttempt, outcome: AttemptOutcome | null, { runningAttempt, outcome: answered }: TakenSuccession): Promise<NextStep> {
+    if (outcome === null) {
+      this.#reporter.recordObservation(previous, HEALTH_OBSERVATION.failed, 'silent')
+      this.#attemptRunner.abandonAttempt(previous, LOSS_REASON.silent)
+      this.#recorder.recordAttemptEnded(previous, LOSS_REASON.silent, 'another attempt has a response', true)
+    } else if (outcome.type !== 'answered') {
+      recordFailedOutcome(this.#parts, previous, outcome)
+      this.#recorder.recordAttemptEnded(previous, outcome.type, describeFailedOutcome(outcome), true)
+    }
+    this.#attemptRunner.adoptSuccessor()
+    return await this.#handleOutcome(runningAttempt, answered)
   }
 
   async #handleOutcome (runningAttempt: RunningAttempt, outcome: AttemptOutcome): Promise<NextStep> {
-    if (outcome.type === 'unsent' || outcome.type === 'notRun' || (outcome.type === 'refused' && !outcome.mayHaveRun)) this.#permits.recordNotRun()
-    return await match(outcome)
+    if (outcome.type === 'answered') return await this.#handleResponse(runningAttempt, outcome)
+    recordFailedOutcome(this.#parts, runningAttempt, outcome)
+    return match(outcome)
       .with({ type: 'unsent' }, ({ reason }) => this.#handleUnsent(runningAttempt, reason))
-      .with({ type: 'notRun' }, ({ head, status }) => this.#handleNotRun(runningAttempt, head, status))
+      .with({ type: 'notRun' }, ({ status }) => this.#handleNotRun(runningAttempt, status))
       .with({ type: 'refused' }, refusal => this.#handleRefused(runningAttempt, refusal))
       .with({ type: 'lost' }, ({ loss, reason }) => this.#handleLost(runningAttempt, loss, reason))
-      .with({ type: 'answered' }, ({ head, response, relayedBy }) => this.#handleResponse(runningAttempt, head, response, relayedBy))
       .exhaustive()
   }
 
   #handleUnsent (runningAttempt: RunningAttempt, reason: string): NextStep {
-    this.#reporter.recordObservation(runningAttempt, HEALTH_OBSERVATION.unreached, reason)
-    this.#attemptRunner.finish(runningAttempt)
     this.#unsentCount++
     const isRetried = this.#unsentCount < MAX_UNSENT_ATTEMPTS && performance.now() < this.#plan.deadlineAtMs
     this.#recorder.recordAttemptEnded(runningAttempt, 'unsent', reason, isRetried)
@@ -188,9 +188,7 @@
     return DONE
   }
 
-  #handleNotRun (runningAttempt: RunningAttempt, head: ResponseHead, status: number): NextStep {
-    this.#reporter.recordResponseHead(runningAttempt, head)
-    this.#attemptRunner.finish(runningAttempt)
+  #handleNotRun (runningAttempt: RunningAttempt, status: number): NextStep {
     this.#notRunCount++
     const isRetried = this.#notRunCount <= MAX_NOT_RUN_RETRIES && this.#permits.tryTake(false)
     this.#recorder.recordAttemptEnded(runningAttempt, 'notRun', `status ${status}`, isRetried)
@@ -201,9 +199,6 @@
 
   /** Another VM may accept what this one refused for a reason of its own. */
   #handleRefused (runningAttempt: RunningAttempt, refusal: RefusedByPeer): NextStep {
-    if (refusal.mayHaveRun) this.#finalResponse.recordMayHaveRun()
-    if (refusal.isLocal) this.#reporter.recordObservation(runningAttempt, HEALTH_OBSERVATION.down, refusal.reason)
-    this.#attemptRunner.finish(runningAttempt)
     const isRetried = refusal.isLocal && this.#attemptRunner.triedPeers.length < MAX_RELAY_ATTEMPTS
     this.#recorder.recordAttemptEnded(runningAttempt, 'refused', refusal.reason, isRetried)
     if (isRetried) return RETRY
@@ -212,12 +207,6 @@
   }
 
   #handleLost (runningAttempt: RunningAttempt, loss: LossReason, reason: string): NextStep {
-    this.#finalResponse.recordMayHaveRun()
-    const observation = loss === LOSS_REASON.reset ? HEALTH_OBSERVATION.down : HEALTH_OBSERVATION.failed
-    this.#reporter.recordObservation(runningAttempt, observation, reason)
-    if (CRASH_LOSSES.includes(loss)) this.#reporter.recordCrash(runningAttempt, loss)
-    if (loss === LOSS_REASON.silent) this.#reporter.recordUnanswered(runningAttempt)
-    this.#attemptRunner.finish(runningAttempt)
     const isRetried = this.#isRepeatable && this.#permits.tryTake(false)
     this.#recorder.recordAttemptEnded(runningAttempt, loss, reason, isRetried)
     if (isRetried) return this.#recordRetry()
@@ -230,30 +219,34 @@
     return RETRY
   }
 
-  async #handleResponse (runningAttempt: RunningAttempt, head: ResponseHead, response: http.IncomingMessage, relayedBy: ForwardedByPeer | null): Promise<NextStep> {
+  async #handleResponse (runningAttempt: RunningAttempt, { head, response, relayedBy }: AnsweredOutcome): Promise<NextStep> {
     if (relayedBy !== null) {
       runningAttempt.endpoint = relayedBy.endpoint
       runningAttempt.softwareVersion = relayedBy.softwareVersion
-      this.#permits.recordRelayed(relayedBy.endpointCount)
+      this.#permits.recordRelayed(runningAttempt, relayedBy.endpointCount)
       this.#reporter.recordRelayedHead(relayedBy, head)
     }
     this.#reporter.recordResponseHead(runningAttempt, head)
     this.#reporter.recordReceivedBytes(runningAttempt)
     this.#finalResponse.recordMayHaveRun()
     const result = await this.#responseForwarder.forward(runningAttempt, response)
-    return match(result)
-      .with({ type: 'lost' }, ({ reason }) => this.#handleLost(runningAttempt, LOSS_REASON.cut, reason))
-      .with({ type: 'retry' }, () => this.#recordRetry())
-      .with({ type: 'done' }, () => DONE)
+    return await match(result)
+      .with({ type: 'lost' }, ({ reason }) => this.#handleOutcome(runningAttempt, { type: 'lost', loss: LOSS_REASON.cut, reason }))
+      .with({ type: 'handedOver' }, async ({ taken }) => {
+        this.#attemptRunner.adoptSuccessor()
+        return await this.#handleOutcome(taken.runningAttempt, taken.outcome)
+      })
+      .with({ type: 'retry' }, async () => this.#recordRetry())
+      .with({ type: 'done' }, async () => DONE)
       .exhaustive()
   }
 
-  /** Cancels the current attempt and refuses the request when its deadline has passed. */
+  /** Cancels the attempts in flight and refuses the request when its deadline has passed. */
   #handleDeadline (): void {
     if (this.#finalResponse.isSettled) return
     const runningAttempt = this.#attemptRunner.current
     if (runningAttempt !== null) this.#reporter.recordObservation(runningAttempt, HEALTH_OBSERVATION.failed, 'no answer before the deadline')
-    if (runningAttempt?.attempt.isSent) this.#finalResponse.recordMayHaveRun()
+    if (this.#attemptRunner.isSent) this.#finalResponse.recordMayHaveRun()
     this.#attemptRunner.abandon(LOSS_REASON.silent)
     this.#finalResponse.handleDeadline()
   }
--- a/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
@@ -1,63 +1,55 @@
 import type http from 'node:http'
-import type { LossReason } from '../endpoints/attemptOutcome.ts'
 import { LOSS_REASON } from '../endpoints/attemptOutcome.ts'
 import { HEALTH_OBSERVATION } from '../endpoints/endpointHealth.ts'
-import { REPEATABILITY } from '../ports/gatewayConfig.ts'
-import type { AttemptRunner } from './attemptRunner.ts'
-import type { AttemptReporter } from './attemptReporter.ts'
 import type { RelayAnswer } from '../peers/relayAnswer.ts'
-import type { FinalResponse } from './finalResponse.ts'
+import { REPEATABILITY } from '../ports/gatewayConfig.ts'
 import type { FlowDependencies } from './flowDependencies.ts'
 import type { NextStep } from './nextStep.ts'
 import { DONE, RETRY } from './nextStep.ts'
 import { readResponseBody } from './readResponseBody.ts'
 import type { RequestPlan } from './requestPlan.ts'
-import type { RequestRecorder } from './requestRecorder.ts'
 import { ResponseHeadWriter } from './responseHeadWriter.ts'
-import type { RetryPermits } from './retryPermits.ts'
 import type { RunningAttempt } from './runningAttempt.ts'
 import { StreamRelay } from './streamRelay.ts'
-import type { StreamInterruption } from './streamRelay.ts'
+import type { RelayResult } from './streamRelay.ts'
+import { Successor } from './successor.ts'
+import type { SuccessionCause, SuccessorParts, TakenSuccession } from './successor.ts'
 
 /** Statuses that tell a caller that the request did not run and will not run. */
 const NOT_RUN_STATUSES = [408, 421, 429, 503]
 
 const MIN_SERVER_ERROR_STATUS = 500
 
-/** Pause after which a resumable stream is moved to another endpoint, as a multiple of the pause objective. */
+/** Pause after which another endpoint is asked for the rest of a resumable stream, as a multiple of the pause objective. */
 const STALL_TIMEOUT_PAUSE_FACTOR = 2
 
-/** The same for a stream that another VM relays, which moves it itself before. */
+/** The same for a stream that another VM relays, which asks another endpoint itself before. */
 const RELAY_TIMEOUT_PAUSE_FACTOR = 4
 
+/** Longest time for which events are held back while another endpoint is asked for the rest of the stream, as a share of the pause objective. */
+const MAX_HOLD_PAUSE_SHARE = 0.75
+
 /** Pause objective of a stream whose route sets none, in milliseconds. */
 const DEFAULT_PAUSE_OBJECTIVE_MS = 500
 
-/** Result of forwarding: a next step, or a response that was lost before any of it was forwarded. */
-export type ForwardResult = NextStep | { type: 'lost', reason: string }
-
-/** The other parts of one request's task. */
-export interface ResponseForwarderParts {
-  attemptRunner: AttemptRunner
-  permits: RetryPermits
-  recorder: RequestRecorder
-  reporter: AttemptReporter
-  finalResponse: FinalResponse
-}
+/** Result of forwarding: a next step, a response that was lost before any of it was forwarded, or a successor that goes on with the stream. */
+export type ForwardResult = NextStep | { type: 'lost', reason: string } | { type: 'handedOver', taken: TakenSuccession }
 
 /** Forwards the responses of endpoints to the caller of one request. */
 export class ResponseForwarder {
   readonly #dependencies: FlowDependencies
   readonly #plan: RequestPlan
   readonly #callerResponse: http.ServerResponse
-  readonly #parts: ResponseForwarderParts
+  readonly #parts: SuccessorParts
   readonly #responseHeadWriter: ResponseHeadWriter
   readonly #relay: StreamRelay
-  /** Whether a stream of the current attempt is being forwarded. */
-  #isStreaming = false
-  #isMoved = false
+  /** Attempt whose stream is being forwarded; null if none is. */
+  #streaming: RunningAttempt | null = null
+  /** Asked to go on with that stream; null if none is. */
+  #successor: Successor | null = null
+  #holdTimer: NodeJS.Timeout | undefined
 
-  constructor (dependencies: FlowDependencies, plan: RequestPlan, callerResponse: http.ServerResponse, parts: ResponseForwarderParts) {
+  constructor (dependencies: FlowDependencies, plan: RequestPlan, callerResponse: http.ServerResponse, parts: SuccessorParts) {
     this.#dependencies = dependencies
     this.#plan = plan
     this.#callerResponse = callerResponse
@@ -78,15 +70,11 @@
     return isStream ? await this.#forwardStream(runningAttempt, response) : await this.#forwardResponse(runningAttempt, response, status)
   }
 
-  /** Moves a resumable stream away from one of these endpoints, so that the endpoint need not wait for its end. */
+  /** Asks another endpoint for the rest of a resumable stream if it comes from one of these, so that the endpoint need not wait for its end. */
   moveStreamFrom (endpoints: ReadonlySet<string>): void {
-    const { attemptRunner, permits } = this.#parts
-    const runningAttempt = attemptRunner.current
-    if (runningAttempt === null || !this.#isStreaming || !this.#isResumable || runningAttempt.target.type !== 'endpoint' || !endpoints.has(runningAttempt.endpoint)) return
-    if (!attemptRunner.canMove || !permits.tryTake(true)) return
-    this.#isMoved = true
-    this.#recordGivenUp(runningAttempt, LOSS_REASON.moved)
-    runningAttempt.attempt.cancel(LOSS_REASON.moved)
+    const runningAttempt = this.#streaming
+    if (runningAttempt === null || !this.#isResumable || this.#successor !== null || runningAttempt.target.type !== 'endpoint' || !endpoints.has(runningAttempt.endpoint)) return
+    this.#startSuccessor(runningAttempt, LOSS_REASON.moved)
   }
 
   get #isRepeatable (): boolean {
@@ -133,14 +121,14 @@
   async #forwardLargeResponse (runningAttempt: RunningAttempt, response: http.IncomingMessage, firstChunks: Buffer[], firstByteMs: number): Promise<NextStep> {
     const { attemptRunner, recorder, reporter, finalResponse } = this.#parts
     for (const chunk of firstChunks) this.#callerResponse.write(chunk)
-    const result = await this.#relay.forward(response, { stallTimeoutMs: null, canCut: () => false, onFirstEvent: () => {}, onChunk: () => {} })
+    const result = await this.#relay.forward(response, { stallTimeoutMs: null, onStalled: () => {}, onChunk: () => {}, onNewEvents: () => {}, onFirstEvent: () => {} })
     attemptRunner.finish(runningAttempt)
     if (result.type === 'callerLeft') {
       if (!finalResponse.isSettled) finalResponse.handleCallerLeft(true)
       return DONE
     }
     if (result.type !== 'complete') {
-      const reason = describeInterruption(result)
+      const reason = result.type === 'cut' ? result.reason : result.type
       reporter.recordObservation(runningAttempt, HEALTH_OBSERVATION.failed, reason)
       reporter.recordCrash(runningAttempt, LOSS_REASON.cut)
       recorder.recordAttemptEnded(runningAttempt, LOSS_REASON.cut, reason, false)
@@ -152,40 +140,77 @@
     return DONE
   }
 
-  async #forwardStream (runningAttempt: RunningAttempt, response: http.IncomingMessage): Promise<NextStep> {
+  async #forwardStream (runningAttempt: RunningAttempt, response: http.IncomingMessage): Promise<ForwardResult> {
     const { attemptRunner, recorder, reporter, finalResponse } = this.#parts
-    const { route } = this.#plan
     reporter.recordPromptComputed(runningAttempt)
     if (!this.#callerResponse.headersSent) this.#responseHeadWriter.writeHead(response, response.statusCode ?? 0, null, this.#buildRelayAnswer(runningAttempt))
-    const stallTimeoutMs = this.#isResumable ? (route.pauseObjectiveMs ?? DEFAULT_PAUSE_OBJECTIVE_MS) * (runningAttempt.target.type === 'endpoint' ? STALL_TIMEOUT_PAUSE_FACTOR : RELAY_TIMEOUT_PAUSE_FACTOR) : null
-    this.#isStreaming = true
-    const result = await this.#relay.forward(response, { stallTimeoutMs, canCut: () => this.#canCut(runningAttempt), onChunk: () => reporter.recordReceivedBytes(runningAttempt), onFirstEvent: () => this.#bindVersion(runningAttempt) })
-    this.#isStreaming = false
+    const stallFactor = runningAttempt.target.type === 'endpoint' ? STALL_TIMEOUT_PAUSE_FACTOR : RELAY_TIMEOUT_PAUSE_FACTOR
+    this.#streaming = runningAttempt
+    const result = await this.#relay.forward(response, {
+      stallTimeoutMs: this.#isResumable ? this.#pauseObjectiveMs * stallFactor : null,
+      onStalled: () => this.#startSuccessor(runningAttempt, LOSS_REASON.silent),
+      onChunk: () => reporter.recordReceivedBytes(runningAttempt),
+      onNewEvents: () => this.#handleNewEvents(),
+      onFirstEvent: () => this.#bindVersion(runningAttempt)
+    })
+    this.#streaming = null
+    if (result.type === 'superseded' || result.type === 'cut') return await this.#handleInterrupted(runningAttempt, result)
+    this.#endSuccessor(runningAttempt)
     if (finalResponse.isSettled || result.type === 'callerLeft') {
       runningAttempt.attempt.cancel(LOSS_REASON.cancelled)
       attemptRunner.finish(runningAttempt)
       return DONE
     }
-    if (result.type === 'complete') {
-      reporter.recordObservation(runningAttempt, HEALTH_OBSERVATION.served, 'stream')
-      this.#callerResponse.end()
-      attemptRunner.finish(runningAttempt, true)
-      const firstWriteAtMs = this.#relay.firstWriteAtMs ?? performance.now()
-      recorder.recordAnswered(runningAttempt, response.statusCode ?? 0, firstWriteAtMs - this.#plan.arrivedAtMs, this.#relay.longestPauseMs, this.#relay.bytes)
-      return DONE
-    }
-    return this.#handleStreamInterrupted(runningAttempt, result)
+    reporter.recordObservation(runningAttempt, HEALTH_OBSERVATION.served, 'stream')
+    this.#callerResponse.end()
+    attemptRunner.finish(runningAttempt, true)
+    const firstWriteAtMs = this.#relay.firstWriteAtMs ?? performance.now()
+    recorder.recordAnswered(runningAttempt, response.statusCode ?? 0, firstWriteAtMs - this.#plan.arrivedAtMs, this.#relay.longestPauseMs, this.#relay.bytes)
+    return DONE
+  }
+
+  get #pauseObjectiveMs (): number {
+    return this.#plan.route.pauseObjectiveMs ?? DEFAULT_PAUSE_OBJECTIVE_MS
+  }
+
+  /** Asks another endpoint for the rest of the stream; one that was asked before and is silent too is given up. */
+  #startSuccessor (runningAttempt: RunningAttempt, cause: SuccessionCause): void {
+    if (this.#parts.finalResponse.isSettled) return
+    this.#endSuccessor(runningAttempt, true)
+    const successor = new Successor(this.#dependencies, this.#plan, this.#parts, { cause, getLastEventId: () => this.#relay.lastEventId, onSend: () => { if (cause === LOSS_REASON.moved) this.#holdEvents(runningAttempt) } })
+    this.#successor = successor
+    successor.result.then(result => {
+      if (this.#successor !== successor) return
+      this.#parts.recorder.recordHandover(runningAttempt, successor, result, this.#relay.lastWriteAtMs)
+      if (result.type === 'taken') return this.#relay.supersede()
+      if (this.#streaming === runningAttempt) this.#clearSuccessor()
+    })
+  }
+
+  /** The other endpoint goes on after the last event forwarded, so what follows is held back until it is known which endpoint's events count. */
+  #holdEvents (runningAttempt: RunningAttempt): void {
+    this.#relay.hold()
+    this.#holdTimer = setTimeout(() => this.#endSuccessor(runningAttempt), this.#pauseObjectiveMs * MAX_HOLD_PAUSE_SHARE)
   }
 
-  #canCut (runningAttempt: RunningAttempt): boolean {
-    if (!this.#parts.attemptRunner.tryReserveMove()) return false
-    this.#recordGivenUp(runningAttempt, LOSS_REASON.silent)
-    return true
+  /** A stream that goes on by itself needs no other endpoint for its pause. */
+  #handleNewEvents (): void {
+    if (this.#streaming !== null && this.#successor?.cause === LOSS_REASON.silent) this.#endSuccessor(this.#streaming)
   }
 
-  #recordGivenUp (runningAttempt: RunningAttempt, cause: LossReason): void {
-    const { attemptRunner, recorder } = this.#parts
-    recorder.recordGivenUp(runningAttempt, cause, this.#relay.lastWriteAtMs, attemptRunner.describeCandidates())
+  /** Gives up the successor, if any; `isSilent` if nothing came from it. */
+  #endSuccessor (runningAttempt: RunningAttempt, isSilent = false): void {
+    const successor = this.#successor
+    if (successor === null) return
+    this.#clearSuccessor()
+    successor.cancel(isSilent)
+    this.#parts.recorder.recordHandover(runningAttempt, successor, null, this.#relay.lastWriteAtMs)
+  }
+
+  #clearSuccessor (): void {
+    clearTimeout(this.#holdTimer)
+    this.#successor = null
+    this.#relay.release()
   }
 
   /** From the first event on, the stream goes on at this software version only, also over the caller's tries. */
@@ -203,27 +228,43 @@
     return { type: 'forwarded', endpoint, incarnation: target.record.entry.incarnation, softwareVersion: softwareVersion ?? '', endpointCount: this.#parts.permits.ownExecutionCount }
   }
 
-  #handleStreamInterrupted (runningAttempt: RunningAttempt, interruption: StreamInterruption): NextStep {
+  /** Goes on with the successor if it takes over; otherwise the rest of a stream that was cut is asked of another endpoint. */
+  async #handleInterrupted (runningAttempt: RunningAttempt, result: RelayResult): Promise<ForwardResult> {
     const { attemptRunner, permits, recorder, reporter, finalResponse } = this.#parts
-    const isMoved = this.#isMoved
-    this.#isMoved = false
-    const reason = describeInterruption(interruption)
-    if (interruption.type === 'cut' && !isMoved) reporter.recordCrash(runningAttempt, LOSS_REASON.cut)
-    if (interruption.type === 'stalled') reporter.recordUnanswered(runningAttempt)
+    const successor = this.#successor
+    clearTimeout(this.#holdTimer)
+    const reason = result.type === 'cut' ? result.reason : 'another endpoint goes on with the stream'
+    if (result.type === 'cut' && !finalResponse.isSettled) {
+      reporter.recordCrash(runningAttempt, LOSS_REASON.cut)
+      reporter.recordObservation(runningAttempt, HEALTH_OBSERVATION.failed, reason)
+    }
+    if (result.type === 'superseded' && successor?.cause === LOSS_REASON.silent) {
+      reporter.recordUnanswered(runningAttempt)
+      reporter.recordObservation(runningAttempt, HEALTH_OBSERVATION.failed, 'silent')
+    }
     runningAttempt.attempt.cancel(LOSS_REASON.cancelled)
-    if (!isMoved) reporter.recordObservation(runningAttempt, HEALTH_OBSERVATION.failed, reason)
-    attemptRunner.finish(runningAttempt, isMoved)
-    const isRetried = isMoved || (this.#isResumable && permits.tryTake(false))
-    recorder.recordAttemptEnded(runningAttempt, isMoved ? LOSS_REASON.moved : LOSS_REASON.cut, reason, isRetried)
+    attemptRunner.finish(runningAttempt, result.type === 'superseded' && successor?.cause === LOSS_REASON.moved)
+    const succession = finalResponse.isSettled ? null : await successor?.result ?? null
+    this.#successor = null
+    if (finalResponse.isSettled) return DONE
+    if (succession?.type === 'taken') {
+      this.#relay.supersede()
+      recorder.recordAttemptEnded(runningAttempt, result.type === 'cut' ? LOSS_REASON.cut : successor?.cause ?? LOSS_REASON.silent, reason, true)
+      this.#recordResumed(runningAttempt)
+      return { type: 'handedOver', taken: succession }
+    }
+    this.#relay.release()
+    const isRetried = this.#isResumable && permits.tryTake(false)
+    recorder.recordAttemptEnded(runningAttempt, LOSS_REASON.cut, reason, isRetried)
     if (!isRetried) {
       finalResponse.abortResponse(reason)
       return DONE
     }
-    this.#dependencies.decisionLog.record({ type: 'resumed', requestId: this.#plan.call.requestId, endpoint: runningAttempt.endpoint, lastEventId: this.#relay.lastEventId ?? '', afterMs: recorder.getAgeMs() })
+    this.#recordResumed(runningAttempt)
     return RETRY
   }
-}
 
-function describeInterruption (interruption: StreamInterruption): string {
-  return interruption.type === 'stalled' ? 'silent' : interruption.reason
+  #recordResumed ({ endpoint }: RunningAttempt): void {
+    this.#dependencies.decisionLog.record({ type: 'resumed', requestId: this.#plan.call.requestId, endpoint, lastEventId: this.#relay.lastEventId ?? '', afterMs: this.#parts.recorder.getAgeMs() })
+  }
 }
--- a/packages/knapweedshunt-gateway/src/flow/retryPermits.ts
+++ b/packages/knapweedshunt-gateway/src/flow/retryPermits.ts
@@ -1,5 +1,6 @@
 import type { FlowDependencies } from './flowDependencies.ts'
 import type { RequestPlan } from './requestPlan.ts'
+import type { RunningAttempt } from './runningAttempt.ts'
 
 /** Decides whether one request may be retried: limited by the route's number of endpoints, the deadline and the retry budget of the pool. */
 export class RetryPermits {
@@ -9,8 +10,6 @@
   #possibleExecutionCount = 0
   /** Number of them before another VM relayed the request to this one. */
   readonly #earlierCount: number
-  /** Number of endpoints that the last attempt counts for. */
-  #sentCount = 0
   /** Whether a permit was taken from the budget and is not used yet. */
   #hasReservedPermit = false
 
@@ -32,20 +31,20 @@
   }
 
   /** Records that the request was sent to an endpoint, or to a VM that may send it to `endpointCount`. */
-  recordSent (endpointCount = 1): void {
-    this.#sentCount = endpointCount
+  recordSent (endpointCount: number): void {
     this.#possibleExecutionCount += endpointCount
   }
 
   /** Records to how many endpoints the other VM has sent the request. */
-  recordRelayed (endpointCount: number): void {
-    this.#possibleExecutionCount += endpointCount - this.#sentCount
-    this.#sentCount = endpointCount
+  recordRelayed (runningAttempt: RunningAttempt, endpointCount: number): void {
+    this.#possibleExecutionCount += endpointCount - runningAttempt.countedEndpoints
+    runningAttempt.countedEndpoints = endpointCount
   }
 
-  /** Records that no endpoint ran the last attempt, so it does not count towards the limit. */
-  recordNotRun (): void {
-    this.#possibleExecutionCount -= this.#sentCount
+  /** Records that no endpoint ran the attempt, so it does not count towards the limit. */
+  recordNotRun (runningAttempt: RunningAttempt): void {
+    this.#possibleExecutionCount -= runningAttempt.countedEndpoints
+    runningAttempt.countedEndpoints = 0
   }
 
   /** Uses the reserved permit or takes one from the budget; false if the request must not be retried. An optional retry uses only permits earned by successes. */
@@ -58,8 +57,8 @@
   }
 
   /** Reserves one permit for the next retry; false if there is none. */
-  tryReserve (): boolean {
-    this.#hasReservedPermit = this.tryTake(false)
+  tryReserve (isOptional: boolean): boolean {
+    this.#hasReservedPermit = this.tryTake(isOptional)
     return this.#hasReservedPermit
   }
 }
--- a/packages/knapweedshunt-gateway/src/flow/runningAttempt.ts
+++ b/packages/knapweedshunt-gateway/src/flow/runningAttempt.ts
@@ -10,6 +10,8 @@
   /** Endpoint that serves the attempt; empty until another VM has said which one that is. */
   endpoint: string
   attemptNumber: number
+  /** Number of endpoints for which the attempt counts towards the route's limit. */
+  countedEndpoints: number
   startedAtMs: number
   attemptId: string
 }
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/flow/selectTarget.ts
@@ -0,0 +1,78 @@
+import { match } from 'ts-pattern'
+import type { VmId } from 'knapweedshunt-types'
+import type { Quarantine } from '../directory/quarantine.ts'
+import type { Choice, ChosenEndpoint } from '../endpoints/endpointChooser.ts'
+import { formatCandidates } from '../endpoints/candidateCounts.ts'
+import type { NextTarget } from './attemptRunner.ts'
+import type { FlowDependencies } from './flowDependencies.ts'
+import type { KeyRefusal } from './keyRefusal.ts'
+import type { RequestPlan } from './requestPlan.ts'
+import { waitForEndpoint } from './waitForEndpoint.ts'
+
+/** Where the next attempt of a request goes, or why there is none. */
+export type TargetSelection =
+  | { type: 'target', target: NextTarget }
+  /** No target is needed any more. */
+  | { type: 'cancelled' }
+  | { type: 'keyRefused', refusal: KeyRefusal }
+  | { type: 'quarantined', quarantine: Quarantine }
+  /** This VM reaches no endpoint of the pool, and no other VM that does. */
+  | { type: 'unreached' }
+  /** `candidates` says what keeps the pool's endpoints from being sent the request. */
+  | { type: 'unplaced', choice: Exclude<Choice, ChosenEndpoint>, candidates: string }
+
+/** What limits the choice of a target. */
+export interface TargetCriteria {
+  triedEndpoints: string[]
+  triedPeers: VmId[]
+  /** Software version that the endpoint must have; null for any. */
+  softwareVersion: string | null
+  /** Whether no target is needed any more. */
+  isCancelled (): boolean
+}
+
+/** Selects the target of one attempt: checks the access key again, then chooses an endpoint, or another VM if this one reaches few. */
+export async function selectTarget (dependencies: FlowDependencies, plan: RequestPlan, criteria: TargetCriteria): Promise<TargetSelection> {
+  const refusal = await dependencies.checkKey(plan)
+  if (refusal !== null) return { type: 'keyRefused', refusal }
+  const selection = await selectReachedTarget(dependencies, plan, criteria)
+  if (selection.type !== 'target') return selection
+  // The quarantine is checked last, since crashes at other VMs are read while the request waits or runs.
+  const quarantine = dependencies.findQuarantine(plan)
+  return quarantine === null ? selection : { type: 'quarantined', quarantine }
+}
+
+/** What another VM has relayed is not relayed again. */
+async function selectReachedTarget (dependencies: FlowDependencies, plan: RequestPlan, criteria: TargetCriteria): Promise<TargetSelection> {
+  const { relays } = dependencies
+  const { pool, relayed } = plan
+  if (relayed !== null) return relays.isCutOff(pool) ? { type: 'unreached' } : await selectEndpoint(dependencies, plan, criteria)
+  const route = await relays.select(pool, criteria.triedPeers)
+  if (criteria.isCancelled()) return { type: 'cancelled' }
+  return match(route)
+    .with({ type: 'direct' }, () => selectEndpoint(dependencies, plan, criteria))
+    .with({ type: 'relay' }, ({ peer }): TargetSelection => ({ type: 'target', target: { type: 'peer', peer } }))
+    .with({ type: 'unreached' }, (): TargetSelection => ({ type: 'unreached' }))
+    .exhaustive()
+}
+
+async function selectEndpoint (dependencies: FlowDependencies, plan: RequestPlan, { triedEndpoints, softwareVersion, isCancelled }: TargetCriteria): Promise<TargetSelection> {
+  const { chooser } = dependencies
+  const { pool, route, call } = plan
+  const homeLevels = chooser.findHomeLevels(plan.levels)
+  const choice = await waitForEndpoint(dependencies, plan, { homeLevels, triedEndpoints, softwareVersion, isCancelled })
+  if (isCancelled()) return { type: 'cancelled' }
+  if (choice.type === 'chosen') return { type: 'target', target: { type: 'endpoint', chosen: choice, homeLevels } }
+  return { type: 'unplaced', choice, candidates: formatCandidates(chooser.countCandidates({ pool, prompt: route.usesPrefixes ? call.prompt : null, triedEndpoints, softwareVersion })) }
+}
+
+/** Says in a few words why no target was selected, for a log line. */
+export function describeSelection (selection: Exclude<TargetSelection, { type: 'target' }>): string {
+  return match(selection)
+    .with({ type: 'cancelled' }, () => 'not needed any more')
+    .with({ type: 'keyRefused' }, ({ refusal }) => `access key ${refusal.type}`)
+    .with({ type: 'quarantined' }, () => 'quarantined')
+    .with({ type: 'unreached' }, () => 'no endpoint reached')
+    .with({ type: 'unplaced' }, ({ choice, candidates }) => `${choice.type}: ${candidates}`)
+    .exhaustive()
+}
--- a/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
@@ -3,24 +3,25 @@
 import { EventSplitter } from './eventSplitter.ts'
 import type { StreamEvent } from './eventSplitter.ts'
 
-/** Why a stream ended before it was complete. */
-export type StreamInterruption =
+/** Result of forwarding the stream of one endpoint. */
+export type RelayResult =
+  | { type: 'complete' }
   /** The connection was closed early. */
   | { type: 'cut', reason: string }
-  /** The stream paused for longer than the stall timeout. */
-  | { type: 'stalled' }
-
-/** Result of forwarding the stream of one endpoint. */
-export type RelayResult = { type: 'complete' } | StreamInterruption | { type: 'callerLeft' }
+  /** Another endpoint has taken over. */
+  | { type: 'superseded' }
+  | { type: 'callerLeft' }
 
 /** Options for forwarding the stream of one endpoint. */
 export interface RelayOptions {
-  /** Time without a chunk after which the stream counts as cut, in milliseconds; null for no limit. */
+  /** Time without an event after which the stream counts as stalled, in milliseconds; null for no limit. */
   stallTimeoutMs: number | null
-  /** Called after the stall timeout; if it returns false, the timeout starts again. */
-  canCut (): boolean
+  /** Called after each stall timeout without an event. */
+  onStalled (): void
   /** Called for each chunk that arrives from the endpoint. */
   onChunk (): void
+  /** Called for events that the caller does not have yet. */
+  onNewEvents (): void
   /** Called before the first event of a resumable stream is forwarded. */
   onFirstEvent (): void
 }
@@ -34,6 +35,12 @@
   #firstWriteAtMs: number | null = null
   #lastWriteAtMs: number | null = null
   #longestPauseMs = 0
+  /** Response that is being forwarded; null if none is. */
+  #response: http.IncomingMessage | null = null
+  #isSuperseded = false
+  /** Events held back, in order; null while events are forwarded as they arrive. */
+  #heldEvents: StreamEvent[] | null = null
+  #onFirstEvent: () => void = () => {}
 
   constructor (callerResponse: http.ServerResponse, isResumable: boolean, lastEventId: string | null) {
     this.#callerResponse = callerResponse
@@ -71,15 +78,16 @@
     const splitter = new EventSplitter()
     const endTracker = new EventEndTracker()
     let stallTimer: NodeJS.Timeout | undefined
-    let isStalled = false
+    this.#response = response
+    this.#isSuperseded = false
+    this.#onFirstEvent = options.onFirstEvent
     const restartStallTimer = () => {
       clearTimeout(stallTimer)
       if (options.stallTimeoutMs !== null) stallTimer = setTimeout(handleStall, options.stallTimeoutMs)
     }
     const handleStall = () => {
-      if (!options.canCut()) return restartStallTimer()
-      isStalled = true
-      response.destroy()
+      options.onStalled()
+      restartStallTimer()
     }
     try {
       restartStallTimer()
@@ -90,9 +98,8 @@
         const events = this.#isResumable ? splitter.addChunk(chunk) : null
         // Bytes that complete no event are no progress.
         if (events === null || events.length > 0) restartStallTimer()
-        const bytes = events === null ? chunk : this.#selectNewEvents(events)
-        if (bytes.length > 0 && this.#isResumable && this.#firstWriteAtMs === null) options.onFirstEvent()
-        if (bytes.length > 0 && !this.#write(bytes)) {
+        if (events?.some(event => this.#isNewEvent(event))) options.onNewEvents()
+        if (!this.#writeOrHold(chunk, events)) {
           clearTimeout(stallTimer)
           if (!await this.#waitDrain()) return { type: 'callerLeft' }
           restartStallTimer()
@@ -100,25 +107,61 @@
       }
     } catch (error) {
       if (this.#callerResponse.destroyed) return { type: 'callerLeft' }
-      return isStalled ? { type: 'stalled' } : { type: 'cut', reason: (error as Error).message }
+      return this.#isSuperseded ? { type: 'superseded' } : { type: 'cut', reason: (error as Error).message }
     } finally {
       clearTimeout(stallTimer)
+      this.#response = null
     }
+    if (this.#isSuperseded) return { type: 'superseded' }
     if (!response.complete) return { type: 'cut', reason: 'ended early' }
     if (endTracker.isInsideEvent && isEventStream(response)) return { type: 'cut', reason: 'ended inside an event' }
+    this.release()
     if (splitter.incompleteEvent.length > 0) this.#write(splitter.incompleteEvent)
     return { type: 'complete' }
   }
 
-  /** Returns the bytes of the events that were not forwarded before. */
-  #selectNewEvents (events: StreamEvent[]): Buffer {
-    const newEvents = events.filter(event => event.id === null || this.#isNewEvent(event.id))
-    for (const event of newEvents) this.#lastEventId = event.id ?? this.#lastEventId
-    return newEvents.length === 1 ? newEvents[0].bytes : Buffer.concat(newEvents.map(event => event.bytes))
+  /** Holds back the events that arrive from now on: another endpoint is asked for the stream from here. */
+  hold (): void {
+    if (this.#isResumable) this.#heldEvents ??= []
+  }
+
+  /** Forwards the events held back, and from now on events as they arrive. */
+  release (): void {
+    const events = this.#heldEvents
+    this.#heldEvents = null
+    if (events !== null && !this.#callerResponse.destroyed) this.#writeEvents(events)
+  }
+
+  /** Ends the forwarding of the current response, as another endpoint has taken over, and drops the events held back. */
+  supersede (): void {
+    this.#isSuperseded = true
+    this.#heldEvents = null
+    this.#response?.destroy()
+  }
+
+  /** Returns whether the caller reads on. */
+  #writeOrHold (chunk: Buffer, events: StreamEvent[] | null): boolean {
+    if (events === null) return this.#write(chunk)
+    if (this.#heldEvents === null) return this.#writeEvents(events)
+    this.#heldEvents.push(...events)
+    return true
+  }
+
+  /** Writes the events that were not forwarded before; returns whether the caller reads on. */
+  #writeEvents (events: StreamEvent[]): boolean {
+    const newEvents: StreamEvent[] = []
+    for (const event of events) {
+      if (!this.#isNewEvent(event)) continue
+      newEvents.push(event)
+      this.#lastEventId = event.id ?? this.#lastEventId
+    }
+    if (newEvents.length === 0) return true
+    if (this.#firstWriteAtMs === null) this.#onFirstEvent()
+    return this.#write(newEvents.length === 1 ? newEvents[0].bytes : Buffer.concat(newEvents.map(event => event.bytes)))
   }
 
-  #isNewEvent (id: string): boolean {
-    return this.#lastEventId === null || Number(id) > Number(this.#lastEventId)
+  #isNewEvent ({ id }: StreamEvent): boolean {
+    return id === null || this.#lastEventId === null || Number(id) > Number(this.#lastEventId)
   }
 
   #write (bytes: Buffer): boolean {
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/flow/successor.ts
@@ -0,0 +1,120 @@
+import { match } from 'ts-pattern'
+import type { AttemptOutcome } from '../endpoints/attemptOutcome.ts'
+import { LOSS_REASON } from '../endpoints/attemptOutcome.ts'
+import { HEALTH_OBSERVATION } from '../endpoints/endpointHealth.ts'
+import { describeFailedOutcome, recordFailedOutcome } from './failedOutcome.ts'
+import type { AttemptEndParts, FailedOutcome } from './failedOutcome.ts'
+import type { FlowDependencies } from './flowDependencies.ts'
+import type { RequestPlan } from './requestPlan.ts'
+import type { RequestRecorder } from './requestRecorder.ts'
+import type { RunningAttempt } from './runningAttempt.ts'
+import { describeSelection, selectTarget } from './selectTarget.ts'
+import { waitForFirstEvent } from './waitForFirstEvent.ts'
+
+const MIN_REDIRECT_STATUS = 300
+const MIN_SERVER_ERROR_STATUS = 500
+
+/** Why another endpoint is asked to take over from the current attempt. */
+export type SuccessionCause = typeof LOSS_REASON.silent | typeof LOSS_REASON.moved
+
+/** A response whose head has arrived. */
+export type AnsweredOutcome = Extract<AttemptOutcome, { type: 'answered' }>
+
+/** A successor whose response has begun; the current attempt must be ended at once, so that only one goes on. */
+export interface TakenSuccession { type: 'taken', runningAttempt: RunningAttempt, outcome: AnsweredOutcome }
+
+/** Whether another endpoint has taken over. */
+export type SuccessionResult = TakenSuccession | { type: 'failed', reason: string }
+
+/** The parts of one request's task that a successor uses. */
+export interface SuccessorParts extends AttemptEndParts {
+  recorder: RequestRecorder
+}
+
+/** What is asked of a successor. */
+export interface SuccessorOptions {
+  cause: SuccessionCause
+  /** Id of the last event that the caller has received; null for a stream from its start. */
+  getLastEventId (): string | null
+  /** Called right before the request is sent. */
+  onSend (): void
+}
+
+/**
+ * One further attempt of a request, made while its current attempt goes on. The current attempt is given up only when
+ * the response of the further one has begun; if that is rejected or lost, nothing has happened to the request.
+ */
+export class Successor {
+  readonly cause: SuccessionCause
+  readonly result: Promise<SuccessionResult>
+  readonly #dependencies: FlowDependencies
+  readonly #plan: RequestPlan
+  readonly #parts: SuccessorParts
+  #runningAttempt: RunningAttempt | null = null
+  #isCancelled = false
+
+  constructor (dependencies: FlowDependencies, plan: RequestPlan, parts: SuccessorParts, options: SuccessorOptions) {
+    this.#dependencies = dependencies
+    this.#plan = plan
+    this.#parts = parts
+    this.cause = options.cause
+    this.result = this.#run(options)
+  }
+
+  /** Endpoint that is asked; empty if none was chosen, or until another VM has said which one that is. */
+  get endpoint (): string {
+    return this.#runningAttempt?.endpoint ?? ''
+  }
+
+  /** Ends the further attempt; its result is then that it failed. `isSilent` if it was given up because nothing came. */
+  cancel (isSilent = false): void {
+    this.#isCancelled = true
+    if (this.#runningAttempt !== null) this.#parts.attemptRunner.abandonAttempt(this.#runningAttempt, isSilent ? LOSS_REASON.silent : LOSS_REASON.cancelled)
+  }
+
+  async #run ({ cause, getLastEventId, onSend }: SuccessorOptions): Promise<SuccessionResult> {
+    const { attemptRunner, permits, finalResponse } = this.#parts
+    const isOptional = cause === LOSS_REASON.moved
+    if (!attemptRunner.canAskSuccessor) return { type: 'failed', reason: 'no other endpoint, or the access key is not usable' }
+    if (!permits.tryReserve(isOptional)) return { type: 'failed', reason: 'no retry permit' }
+    const selection = await selectTarget(this.#dependencies, this.#plan, { triedEndpoints: [...attemptRunner.triedEndpoints], triedPeers: [...attemptRunner.triedPeers], softwareVersion: attemptRunner.softwareVersion, isCancelled: () => this.#hasEnded })
+    if (selection.type !== 'target') return { type: 'failed', reason: describeSelection(selection) }
+    if (this.#hasEnded || !permits.tryTake(isOptional)) return { type: 'failed', reason: 'not needed any more' }
+    onSend()
+    this.#dependencies.metrics.recordRetry(this.#plan.pool)
+    finalResponse.attemptCount++
+    const runningAttempt = attemptRunner.startSuccessor({ target: selection.target, lastEventId: getLastEventId() })
+    this.#runningAttempt = runningAttempt
+    const outcome = await runningAttempt.attempt.outcome
+    if (this.#hasEnded) return { type: 'failed', reason: 'not needed any more' }
+    return await match(outcome)
+      .with({ type: 'answered' }, answered => this.#handleAnswered(runningAttempt, answered))
+      .otherwise(failed => this.#recordFailed(runningAttempt, failed))
+  }
+
+  get #hasEnded (): boolean {
+    return this.#isCancelled || this.#parts.finalResponse.isSettled
+  }
+
+  async #handleAnswered (runningAttempt: RunningAttempt, outcome: AnsweredOutcome): Promise<SuccessionResult> {
+    const { attemptRunner, reporter, finalResponse } = this.#parts
+    const status = outcome.response.statusCode ?? 0
+    finalResponse.recordMayHaveRun()
+    if (status >= (this.#plan.route.isStream ? MIN_REDIRECT_STATUS : MIN_SERVER_ERROR_STATUS)) {
+      reporter.recordResponseHead(runningAttempt, outcome.head)
+      reporter.recordObservation(runningAttempt, HEALTH_OBSERVATION.failed, `status ${status}`)
+      runningAttempt.attempt.cancel(LOSS_REASON.cancelled)
+      attemptRunner.finish(runningAttempt)
+      return { type: 'failed', reason: `status ${status}` }
+    }
+    const hasEvent = !this.#plan.route.isStream || await waitForFirstEvent(outcome.response)
+    if (this.#hasEnded) return { type: 'failed', reason: 'not needed any more' }
+    if (hasEvent) return { type: 'taken', runningAttempt, outcome }
+    return this.#recordFailed(runningAttempt, { type: 'lost', loss: LOSS_REASON.cut, reason: 'ended before its first event' })
+  }
+
+  #recordFailed (runningAttempt: RunningAttempt, outcome: FailedOutcome): SuccessionResult {
+    recordFailedOutcome(this.#parts, runningAttempt, outcome)
+    return { type: 'failed', reason: describeFailedOutcome(outcome) }
+  }
+}
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/flow/waitForFirstEvent.ts
@@ -0,0 +1,28 @@
+import type http from 'node:http'
+import { EventSplitter } from './eventSplitter.ts'
+
+/** Waits until the first event of a stream is complete; false if the stream ended or was lost before. The bytes read are put back into the response. */
+export function waitForFirstEvent (response: http.IncomingMessage): Promise<boolean> {
+  if (response.destroyed) return Promise.resolve(false)
+  return new Promise(resolve => {
+    const splitter = new EventSplitter()
+    const chunks: Buffer[] = []
+    const settle = (hasEvent: boolean) => {
+      response.removeListener('readable', onReadable)
+      response.removeListener('end', onEnd)
+      response.removeListener('close', onEnd)
+      if (hasEvent) response.unshift(Buffer.concat(chunks))
+      resolve(hasEvent)
+    }
+    const onReadable = () => {
+      for (let chunk = response.read() as Buffer | null; chunk !== null; chunk = response.read() as Buffer | null) {
+        chunks.push(chunk)
+        if (splitter.addChunk(chunk).length > 0) return settle(true)
+      }
+    }
+    const onEnd = () => settle(false)
+    response.on('readable', onReadable)
+    response.once('end', onEnd)
+    response.once('close', onEnd)
+  })
+}
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -19,8 +19,8 @@
   | { type: 'relayReceived', requestId: RequestId, from: VmId, tried: string, endpointsLeft: number, softwareVersion: string | null }
   /** An attempt ended without a response; `relayVm` is the VM that relayed it, empty without one; `isRetried` if another endpoint is tried. */
   | { type: 'attemptEnded', requestId: RequestId, attempt: number, endpoint: EndpointName, relayVm: VmId, outcome: string, reason: string, isRetried: boolean, afterMs: number }
-  /** This VM gives up an attempt that its endpoint has not ended: `cause` is why, `silentMs` the time since the last bytes of the response, or since it was sent, and `candidates` counts the pool's endpoints by what keeps them from being sent the request. */
-  | { type: 'givenUp', requestId: RequestId, attempt: number, endpoint: EndpointName, cause: LossReason, hasResponse: boolean, silentMs: number, candidates: string }
+  /** Another endpoint was asked to take over from an attempt that goes on meanwhile: `cause` is why, `successor` the endpoint, empty if none was chosen, `reason` why it has not taken over, and `silentMs` the time since the last bytes were forwarded, or since the attempt was sent. */
+  | { type: 'handover', requestId: RequestId, attempt: number, endpoint: EndpointName, successor: EndpointName, cause: LossReason, isTaken: boolean, reason: string, hasResponse: boolean, silentMs: number }
   /** A caller takes up a stream again; `softwareVersion` is that of the endpoint that began it, null if it is not known. */
   | { type: 'takenUp', requestId: RequestId, firstRequestId: RequestId, softwareVersion: string | null, afterMs: number }
   /** A stream is resumed at another endpoint; `endpoint` is the previous one. */
--- a/packages/knapweedshunt-gateway/src/records/decisionLog.ts
+++ b/packages/knapweedshunt-gateway/src/records/decisionLog.ts
@@ -19,7 +19,7 @@
   relayReceived: 'Request of another VM received.',
   relayFailed: 'Other VM failed.',
   attemptEnded: 'Attempt ended.',
-  givenUp: 'Attempt given up.',
+  handover: 'Other endpoint asked to take over.',
   resumed: 'Stream resumed.',
   answered: 'Request answered.',
   refused: 'Request refused.',
