--- a/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
@@ -7,6 +7,7 @@
 import type { FlowDependencies } from './flowDependencies.ts'
 import { formatFingerprint, formatParts } from './formatSuspects.ts'
 import type { RequestPlan } from './requestPlan.ts'
+import type { SuccessionResult, Successor } from './successor.ts'
 
 const MIN_SERVER_ERROR_STATUS = 500
 
@@ -122,6 +123,12 @@
     this.#dependencies.decisionLog.record({ type: 'attemptEnded', requestId: call.requestId, attempt: runningAttempt.attemptNumber, endpoint: runningAttempt.endpoint, relayVm: getRelayVm(runningAttempt), outcome, reason, isRetried, afterMs: Math.round(performance.now() - runningAttempt.startedAtMs) })
   }
 
+  /** Records whether another endpoint has taken over from an attempt; `result` is null if that is not needed any more. `lastBytesAtMs` is the time of the last bytes forwarded; null before the first. */
+  recordHandover ({ attempt, attemptNumber, endpoint, startedAtMs }: RunningAttempt, { cause, endpoint: successor }: Successor, result: SuccessionResult | null, lastBytesAtMs: number | null): void {
+    const reason = result?.type === 'failed' ? result.reason : ''
+    this.#dependencies.decisionLog.record({ type: 'handover', requestId: this.#plan.call.requestId, attempt: attemptNumber, endpoint, successor, cause, isTaken: result?.type === 'taken', reason: result === null ? 'not needed any more' : reason, hasResponse: attempt.hasResponse, silentMs: Math.round(performance.now() - (lastBytesAtMs ?? startedAtMs)) })
+  }
+
   /** Records that the endpoint's response was forwarded completely; times in milliseconds. */
   recordAnswered (runningAttempt: RunningAttempt, status: number, firstByteMs: number, longestPauseMs: number, bytes: number): void {
     const { call, route, identity } = this.#plan
