Product's router: a stalled attempt goes on until another one has delivered a token

Now the stalled attempt stays beside one further attempt; the first to deliver a token cancels the other. Stalls are reported again after each further timeout, so that a second silent engine is replaced.

--- a/packages/knapweedshunt-attempts/src/attemptTypes.ts
+++ b/packages/knapweedshunt-attempts/src/attemptTypes.ts
@@ -49,6 +49,7 @@
   | { type: 'rejected', attempt: AttemptId, status: number, retryAfterMs: number | null, message: string }
   /** The attempt failed after at least one byte of the request may have been sent. */
   | { type: 'broken', attempt: AttemptId, reason: AttemptFailureReason }
+  /** No token came within the timeout; the attempt goes on, and this is repeated after each further timeout. */
   | { type: 'stalled', attempt: AttemptId, kind: StallKind }
   /** The delay of a `wait` action has elapsed. */
   | { type: 'waited', attempt: AttemptId }
--- a/packages/knapweedshunt-router/src/attemptCall.ts
+++ b/packages/knapweedshunt-router/src/attemptCall.ts
@@ -21,13 +21,13 @@
   resumeFrom: number
   agent: http.Agent
   signal: AbortSignal
-  /** Null for requests that may not be repeated, since a stall then allows no other attempt. */
+  /** Null for requests that may not be repeated, since no other endpoint may be asked for them. */
   stallLimits: StallLimits | null
   /** Called once with the rate limit in the response head, in requests per second for all VMs together; null for none. */
   recordLimit (requestsPerS: number | null): void
   /** Called once with what the response head states of back-off, leaving and brittleness. */
   recordSignals (signals: BackpressureSignals): void
-  /** Called with every event of the attempt; `end`, `answer`, `refused`, `rejected`, `broken` and `stalled` are final. */
+  /** Called with every event of the attempt; `end`, `answer`, `refused`, `rejected` and `broken` are final. */
   emit (event: AttemptEvent): void
   /** Resolves when the write buffer towards the caller has drained; null when there is nothing to wait for. */
   waitDrain (): Promise<void> | null
--- a/packages/knapweedshunt-router/src/stallTimer.ts
+++ b/packages/knapweedshunt-router/src/stallTimer.ts
@@ -1,7 +1,7 @@
 import type { StallKind } from 'knapweedshunt-attempts'
 import type { StallLimits } from './attemptCall.ts'
 
-/** Detects an endpoint that stops sending tokens. It is stopped while the caller applies backpressure, so that a slow caller does not count as a stall. */
+/** Detects an endpoint that stops sending tokens, and reports it again after each further timeout. It is stopped while the caller applies backpressure, so that a slow caller does not count as a stall. */
 export class StallTimer {
   readonly #limits: StallLimits | null
   readonly #onStall: (kind: StallKind) => void
@@ -17,11 +17,11 @@
     this.stop()
     if (this.#limits === null) return
     const limitMs = kind === 'first-token' ? this.#limits.firstTokenMs : this.#limits.betweenTokensMs
-    this.#timer = setTimeout(() => this.#onStall(kind), limitMs)
+    this.#timer = setInterval(() => this.#onStall(kind), limitMs)
   }
 
   /** Cancels the timeout. */
   stop (): void {
-    clearTimeout(this.#timer)
+    clearInterval(this.#timer)
   }
 }
