--- a/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -50,6 +50,8 @@
   levels: PrefixLevel[]
   /** Endpoints tried before, which are avoided. */
   triedEndpoints: EndpointName[]
+  /** Whether endpoints tried before are used again when no other is left. */
+  mayRepeat: boolean
   prompt: Prompt | null
   /** Software version that the endpoint must have, as it began the stream; null for any. */
   softwareVersion: string | null
@@ -139,17 +141,17 @@
   }
 
   /** Chooses an endpoint of the pool, preferring those not tried yet, and counts the request towards its rate limit. */
-  choose ({ pool, levels, triedEndpoints, prompt, softwareVersion, mustYieldLimits }: ChoiceCriteria): Choice {
+  choose ({ pool, levels, triedEndpoints, mayRepeat, prompt, softwareVersion, mustYieldLimits }: ChoiceCriteria): Choice {
     const isRetry = triedEndpoints.length > 0
     const records = this.#dependencies.endpointRegistry.list(pool)
     const suitable = softwareVersion === null ? records : records.filter(({ entry, isDraining }) => entry.softwareVersion === softwareVersion && !isDraining)
-    const candidates = this.#listCandidates(suitable, triedEndpoints)
+    const candidates = this.#listCandidates(suitable, triedEndpoints, mayRepeat)
     if (candidates.length === 0) return suitable.length === 0 ? { type: 'none' } : { type: 'busy' }
     this.#updatePeerDemand()
     const serving = this.#listServing(candidates, pool, prompt)
     if (serving.length === 0) return { type: 'busy' }
     const usable = this.#listUsable(serving, pool, prompt, isRetry, mustYieldLimits)
-    if (usable.length === 0 && isRetry) usable.push(...this.#listServing(this.#listCandidates(suitable, []), pool, prompt).filter(record => this.#isPermitted(record, mustYieldLimits)))
+    if (usable.length === 0 && isRetry && mayRepeat) usable.push(...this.#listServing(this.#listCandidates(suitable, [], mayRepeat), pool, prompt).filter(record => this.#isPermitted(record, mustYieldLimits)))
     if (usable.length === 0) return this.#describeLimited(serving)
     const names = new Set(usable.map(record => record.entry.endpoint))
     const unavailable = records.filter(record => !names.has(record.entry.endpoint)).map(record => record.entry.endpoint)
@@ -241,11 +243,11 @@
     return version !== null && version >= this.#dependencies.findMinAllowedVersion(prompt.model)
   }
 
-  /** Lists the endpoints not tried yet, or all when each was tried; never draining ones. */
-  #listCandidates (records: EndpointRecord[], triedEndpoints: EndpointName[]): EndpointRecord[] {
+  /** Lists the endpoints not tried yet, or all when each was tried and may be again; never draining ones. */
+  #listCandidates (records: EndpointRecord[], triedEndpoints: EndpointName[], mayRepeat: boolean): EndpointRecord[] {
     const active = records.filter(record => !record.isDraining)
     const untried = active.filter(record => !triedEndpoints.includes(record.entry.endpoint))
-    return untried.length > 0 ? untried : active
+    return untried.length > 0 || !mayRepeat ? untried : active
   }
 
   #isUsableSource (record: EndpointRecord): boolean {
--- a/packages/knapweedshunt-gateway/src/flow/attemptRunner.ts
+++ b/packages/knapweedshunt-gateway/src/flow/attemptRunner.ts
@@ -107,6 +107,12 @@
     for (const runningAttempt of [this.#current, this.#successor]) if (runningAttempt !== null) this.abandonAttempt(runningAttempt, loss)
   }
 
+  /** Cancels an attempt that is not needed, as another one serves the request. */
+  cancelUnneeded (runningAttempt: RunningAttempt): void {
+    runningAttempt.attempt.cancel(LOSS_REASON.cancelled)
+    this.finish(runningAttempt)
+  }
+
   /** Cancels an attempt. Unless the endpoint had begun its answer, it may have crashed under the request. */
   abandonAttempt (runningAttempt: RunningAttempt, loss: LossReason): void {
     if (runningAttempt !== this.#current && runningAttempt !== this.#successor) return
--- a/packages/knapweedshunt-gateway/src/flow/failedOutcome.ts
+++ b/packages/knapweedshunt-gateway/src/flow/failedOutcome.ts
@@ -30,7 +30,7 @@
       reporter.recordObservation(runningAttempt, HEALTH_OBSERVATION.unreached, reason)
     })
     .with({ type: 'notRun' }, ({ head }) => {
-      permits.recordNotRun(runningAttempt)
+      permits.recordRejected(runningAttempt)
       reporter.recordResponseHead(runningAttempt, head)
     })
     .with({ type: 'refused' }, ({ mayHaveRun, isLocal, reason }) => {
--- a/packages/knapweedshunt-gateway/src/flow/headRace.ts
+++ b/packages/knapweedshunt-gateway/src/flow/headRace.ts
@@ -16,13 +16,15 @@
   silenceTimeoutMs: number | null
   /** Whether the endpoint is known to be at work, so that no other is asked. */
   isBusy (): boolean
+  /** Whether a silent successor may be replaced by another one. */
+  canReplace (): boolean
   startSuccessor (): Successor
   /** Called when a successor has ended or another one replaces it. */
   onSuccessorEnded (successor: Successor, result: SuccessionResult | null): void
 }
 
 /** Waits for the head of the response to an attempt, or to a successor that is started while the attempt is silent, whichever comes first. An attempt that fails while its successor is under way leaves the request to the successor. */
-export function raceForHead ({ attempt }: RunningAttempt, { silenceTimeoutMs, isBusy, startSuccessor, onSuccessorEnded }: HeadRaceOptions): Promise<HeadRaceResult> {
+export function raceForHead ({ attempt }: RunningAttempt, { silenceTimeoutMs, isBusy, canReplace, startSuccessor, onSuccessorEnded }: HeadRaceOptions): Promise<HeadRaceResult> {
   return new Promise(resolve => {
     let successor: Successor | null = null
     let outcome: AttemptOutcome | null = null
@@ -32,7 +34,7 @@
       resolve({ outcome, taken })
     }
     const replaceSuccessor = () => {
-      if (outcome !== null || isBusy()) return
+      if (successor === null ? outcome !== null || isBusy() : !canReplace()) return
       endSuccessor(true)
       const started = startSuccessor()
       successor = started
--- a/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
@@ -31,6 +31,8 @@
   readonly #plan: RequestPlan
 
   readonly #reporter: AttemptReporter
+  /** Last attempt of which it is recorded that no other endpoint could be asked. */
+  #unaskedAttempt = 0
 
   constructor (dependencies: FlowDependencies, plan: RequestPlan, reporter: AttemptReporter) {
     this.#dependencies = dependencies
@@ -125,6 +127,11 @@
 
   /** Records whether another endpoint has taken over from an attempt; `result` is null if that is not needed any more. `lastBytesAtMs` is the time of the last bytes forwarded; null before the first. */
   recordHandover ({ attempt, attemptNumber, endpoint, startedAtMs }: RunningAttempt, { cause, endpoint: successor }: Successor, result: SuccessionResult | null, lastBytesAtMs: number | null): void {
+    // While nothing can be asked, one line for an attempt is enough.
+    if (successor === '') {
+      if (this.#unaskedAttempt === attemptNumber) return
+      this.#unaskedAttempt = attemptNumber
+    }
     const reason = result?.type === 'failed' ? result.reason : ''
     this.#dependencies.decisionLog.record({ type: 'handover', requestId: this.#plan.call.requestId, attempt: attemptNumber, endpoint, successor, cause, isTaken: result?.type === 'taken', reason: result === null ? 'not needed any more' : reason, hasResponse: attempt.hasResponse, silentMs: Math.round(performance.now() - (lastBytesAtMs ?? startedAtMs)) })
   }
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -14,13 +14,14 @@
 import { raceForHead } from './headRace.ts'
 import type { NextStep } from './nextStep.ts'
 import { DONE, RETRY } from './nextStep.ts'
+import type { ResponseBody } from './readResponseBody.ts'
 import type { RequestPlan } from './requestPlan.ts'
 import { RequestRecorder } from './requestRecorder.ts'
 import { ResponseForwarder } from './responseForwarder.ts'
 import { RetryPermits } from './retryPermits.ts'
 import type { RunningAttempt } from './runningAttempt.ts'
 import type { AnsweredOutcome, SuccessorParts, TakenSuccession } from './successor.ts'
-import { Successor } from './successor.ts'
+import { canReplaceSuccessor, Successor } from './successor.ts'
 import { selectTarget } from './selectTarget.ts'
 
 /** Maximum number of attempts that fail before a byte is sent, after which the request is refused. */
@@ -29,9 +30,6 @@
 /** Maximum number of other VMs to which a request is sent. */
 const MAX_RELAY_ATTEMPTS = 3
 
-/** Maximum number of retries after endpoints that report that they did not run the request. */
-const MAX_NOT_RUN_RETRIES = 3
-
 /** Time without a response after which another endpoint is asked for a repeatable request, as a share of the objective. */
 const STALL_TIMEOUT_OBJECTIVE_SHARE = 0.6
 
@@ -51,7 +49,6 @@
   readonly #parts: SuccessorParts
   readonly #responseForwarder: ResponseForwarder
   #unsentCount = 0
-  #notRunCount = 0
 
   constructor (dependencies: FlowDependencies, plan: RequestPlan, callerResponse: http.ServerResponse) {
     this.#dependencies = dependencies
@@ -128,7 +125,7 @@
   /** Selects where the request goes next; null if it has its final response. */
   async #selectTarget (): Promise<NextTarget | null> {
     const { triedEndpoints, triedPeers, softwareVersion } = this.#attemptRunner
-    const selection = await selectTarget(this.#dependencies, this.#plan, { triedEndpoints: [...triedEndpoints], triedPeers: [...triedPeers], softwareVersion, isCancelled: () => this.#finalResponse.isSettled })
+    const selection = await selectTarget(this.#dependencies, this.#plan, { triedEndpoints: [...triedEndpoints], mayRepeat: true, triedPeers: [...triedPeers], softwareVersion, isCancelled: () => this.#finalResponse.isSettled })
     if (this.#finalResponse.isSettled) return null
     if (selection.type === 'target') return selection.target
     match(selection)
@@ -148,14 +145,15 @@
     return {
       silenceTimeoutMs: route.repeatability === REPEATABILITY.never ? null : route.objectiveMs * share,
       // An engine that produces tokens for other requests is busy, not lost, and has already processed part of the prompt.
-      isBusy: () => this.#finalResponse.isSettled || (target.type === 'endpoint' && route.usesPrefixes && target.record.lastReceivedAtMs > startedAtMs),
+      isBusy: () => target.type === 'endpoint' && route.usesPrefixes && target.record.lastReceivedAtMs > startedAtMs,
+      canReplace: () => !this.#finalResponse.isSettled && canReplaceSuccessor(this.#parts),
       startSuccessor: () => new Successor(this.#dependencies, this.#plan, this.#parts, { cause: LOSS_REASON.silent, getLastEventId: () => this.#responseForwarder.lastEventId, onSend: () => {} }),
       onSuccessorEnded: (successor, result) => this.#recorder.recordHandover(runningAttempt, successor, result, null)
     }
   }
 
   /** Goes on with the successor, whose response has begun. `outcome` is that of the attempt before; null if it is still silent. */
-  async #followSuccessor (previous: RunningAttempt, outcome: AttemptOutcome | null, { runningAttempt, outcome: answered }: TakenSuccession): Promise<NextStep> {
+  async #followSuccessor (previous: RunningAttempt, outcome: AttemptOutcome | null, { runningAttempt, outcome: answered, body }: TakenSuccession): Promise<NextStep> {
     if (outcome === null) {
       this.#reporter.recordObservation(previous, HEALTH_OBSERVATION.failed, 'silent')
       this.#attemptRunner.abandonAttempt(previous, LOSS_REASON.silent)
@@ -165,7 +163,7 @@
       this.#recorder.recordAttemptEnded(previous, outcome.type, describeFailedOutcome(outcome), true)
     }
     this.#attemptRunner.adoptSuccessor()
-    return await this.#handleOutcome(runningAttempt, answered)
+    return await this.#handleResponse(runningAttempt, answered, body)
   }
 
   async #handleOutcome (runningAttempt: RunningAttempt, outcome: AttemptOutcome): Promise<NextStep> {
@@ -189,8 +187,7 @@
   }
 
   #handleNotRun (runningAttempt: RunningAttempt, status: number): NextStep {
-    this.#notRunCount++
-    const isRetried = this.#notRunCount <= MAX_NOT_RUN_RETRIES && this.#permits.tryTake(false)
+    const isRetried = this.#permits.tryTake(false)
     this.#recorder.recordAttemptEnded(runningAttempt, 'notRun', `status ${status}`, isRetried)
     if (isRetried) return this.#recordRetry()
     this.#finalResponse.fail('endpoint_refused', `status ${status}`)
@@ -219,7 +216,7 @@
     return RETRY
   }
 
-  async #handleResponse (runningAttempt: RunningAttempt, { head, response, relayedBy }: AnsweredOutcome): Promise<NextStep> {
+  async #handleResponse (runningAttempt: RunningAttempt, { head, response, relayedBy }: AnsweredOutcome, body: ResponseBody | null = null): Promise<NextStep> {
     if (relayedBy !== null) {
       runningAttempt.endpoint = relayedBy.endpoint
       runningAttempt.softwareVersion = relayedBy.softwareVersion
@@ -229,12 +226,12 @@
     this.#reporter.recordResponseHead(runningAttempt, head)
     this.#reporter.recordReceivedBytes(runningAttempt)
     this.#finalResponse.recordMayHaveRun()
-    const result = await this.#responseForwarder.forward(runningAttempt, response)
+    const result = await this.#responseForwarder.forward(runningAttempt, response, body)
     return await match(result)
       .with({ type: 'lost' }, ({ reason }) => this.#handleOutcome(runningAttempt, { type: 'lost', loss: LOSS_REASON.cut, reason }))
       .with({ type: 'handedOver' }, async ({ taken }) => {
         this.#attemptRunner.adoptSuccessor()
-        return await this.#handleOutcome(taken.runningAttempt, taken.outcome)
+        return await this.#handleResponse(taken.runningAttempt, taken.outcome)
       })
       .with({ type: 'retry' }, async () => this.#recordRetry())
       .with({ type: 'done' }, async () => DONE)
--- a/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
@@ -7,13 +7,14 @@
 import type { NextStep } from './nextStep.ts'
 import { DONE, RETRY } from './nextStep.ts'
 import { readResponseBody } from './readResponseBody.ts'
+import type { ResponseBody } from './readResponseBody.ts'
 import type { RequestPlan } from './requestPlan.ts'
 import { ResponseHeadWriter } from './responseHeadWriter.ts'
 import type { RunningAttempt } from './runningAttempt.ts'
 import { StreamRelay } from './streamRelay.ts'
 import type { RelayResult } from './streamRelay.ts'
-import { Successor } from './successor.ts'
-import type { SuccessionCause, SuccessorParts, TakenSuccession } from './successor.ts'
+import { canReplaceSuccessor, Successor } from './successor.ts'
+import type { SuccessionCause, SuccessionResult, SuccessorParts, TakenSuccession } from './successor.ts'
 
 /** Statuses that tell a caller that the request did not run and will not run. */
 const NOT_RUN_STATUSES = [408, 421, 429, 503]
@@ -63,11 +64,11 @@
     return this.#relay.lastEventId
   }
 
-  /** Forwards a response whose head has arrived. */
-  async forward (runningAttempt: RunningAttempt, response: http.IncomingMessage): Promise<ForwardResult> {
+  /** Forwards a response whose head has arrived; `body` is what was read of it, null if nothing was. */
+  async forward (runningAttempt: RunningAttempt, response: http.IncomingMessage, body: ResponseBody | null): Promise<ForwardResult> {
     const status = response.statusCode ?? 0
     const isStream = this.#plan.route.isStream && status < 300
-    return isStream ? await this.#forwardStream(runningAttempt, response) : await this.#forwardResponse(runningAttempt, response, status)
+    return isStream ? await this.#forwardStream(runningAttempt, response) : await this.#forwardResponse(runningAttempt, response, status, body ?? await readResponseBody(response))
   }
 
   /** Asks another endpoint for the rest of a resumable stream if it comes from one of these, so that the endpoint need not wait for its end. */
@@ -85,9 +86,8 @@
     return this.#plan.route.repeatability === REPEATABILITY.resumed
   }
 
-  async #forwardResponse (runningAttempt: RunningAttempt, response: http.IncomingMessage, status: number): Promise<ForwardResult> {
+  async #forwardResponse (runningAttempt: RunningAttempt, response: http.IncomingMessage, status: number, body: ResponseBody): Promise<ForwardResult> {
     const { attemptRunner, permits, recorder, reporter, finalResponse } = this.#parts
-    const body = await readResponseBody(response)
     if (finalResponse.isSettled) {
       attemptRunner.finish(runningAttempt)
       return DONE
@@ -175,13 +175,14 @@
 
   /** Asks another endpoint for the rest of the stream; one that was asked before and is silent too is given up. */
   #startSuccessor (runningAttempt: RunningAttempt, cause: SuccessionCause): void {
-    if (this.#parts.finalResponse.isSettled) return
+    if (this.#parts.finalResponse.isSettled || (this.#successor !== null && !canReplaceSuccessor(this.#parts))) return
     this.#endSuccessor(runningAttempt, true)
     const successor = new Successor(this.#dependencies, this.#plan, this.#parts, { cause, getLastEventId: () => this.#relay.lastEventId, onSend: () => { if (cause === LOSS_REASON.moved) this.#holdEvents(runningAttempt) } })
     this.#successor = successor
     successor.result.then(result => {
       if (this.#successor !== successor) return
       this.#parts.recorder.recordHandover(runningAttempt, successor, result, this.#relay.lastWriteAtMs)
+      clearTimeout(this.#holdTimer)
       if (result.type === 'taken') return this.#relay.supersede()
       if (this.#streaming === runningAttempt) this.#clearSuccessor()
     })
@@ -244,7 +245,7 @@
     }
     runningAttempt.attempt.cancel(LOSS_REASON.cancelled)
     attemptRunner.finish(runningAttempt, result.type === 'superseded' && successor?.cause === LOSS_REASON.moved)
-    const succession = finalResponse.isSettled ? null : await successor?.result ?? null
+    const succession = finalResponse.isSettled || successor === null ? null : await this.#awaitSuccessor(successor)
     this.#successor = null
     if (finalResponse.isSettled) return DONE
     if (succession?.type === 'taken') {
@@ -264,6 +265,12 @@
     return RETRY
   }
 
+  /** Waits for the successor of a stream that was cut. One that is silent is given up if another endpoint may be asked. */
+  async #awaitSuccessor (successor: Successor): Promise<SuccessionResult> {
+    const timer = setInterval(() => { if (canReplaceSuccessor(this.#parts)) successor.cancel(true) }, this.#pauseObjectiveMs * STALL_TIMEOUT_PAUSE_FACTOR)
+    return await successor.result.finally(() => clearInterval(timer))
+  }
+
   #recordResumed ({ endpoint }: RunningAttempt): void {
     this.#dependencies.decisionLog.record({ type: 'resumed', requestId: this.#plan.call.requestId, endpoint, lastEventId: this.#relay.lastEventId ?? '', afterMs: this.#parts.recorder.getAgeMs() })
   }
--- a/packages/knapweedshunt-gateway/src/flow/retryPermits.ts
+++ b/packages/knapweedshunt-gateway/src/flow/retryPermits.ts
@@ -2,6 +2,9 @@
 import type { RequestPlan } from './requestPlan.ts'
 import type { RunningAttempt } from './runningAttempt.ts'
 
+/** Maximum number of retries after endpoints that report that they did not run the request. */
+const MAX_NOT_RUN_RETRIES = 3
+
 /** Decides whether one request may be retried: limited by the route's number of endpoints, the deadline and the retry budget of the pool. */
 export class RetryPermits {
   readonly #dependencies: FlowDependencies
@@ -10,6 +13,8 @@
   #possibleExecutionCount = 0
   /** Number of them before another VM relayed the request to this one. */
   readonly #earlierCount: number
+  /** Number of endpoints that reported that they did not run the request. */
+  #rejectionCount = 0
   /** Whether a permit was taken from the budget and is not used yet. */
   #hasReservedPermit = false
 
@@ -47,10 +52,16 @@
     runningAttempt.countedEndpoints = 0
   }
 
+  /** Records that an endpoint rejected the attempt. */
+  recordRejected (runningAttempt: RunningAttempt): void {
+    this.#rejectionCount++
+    this.recordNotRun(runningAttempt)
+  }
+
   /** Uses the reserved permit or takes one from the budget; false if the request must not be retried. An optional retry uses only permits earned by successes. */
   tryTake (isOptional: boolean): boolean {
     const { route, body, deadlineAtMs, pool } = this.#plan
-    if (this.#possibleExecutionCount >= route.maxEndpoints || body.type === 'streamed' || performance.now() >= deadlineAtMs) return false
+    if (this.#possibleExecutionCount >= route.maxEndpoints || this.#rejectionCount > MAX_NOT_RUN_RETRIES || body.type === 'streamed' || performance.now() >= deadlineAtMs) return false
     const hasReservedPermit = this.#hasReservedPermit
     this.#hasReservedPermit = false
     return hasReservedPermit || this.#dependencies.tryTakeRetry(pool, isOptional)
--- a/packages/knapweedshunt-gateway/src/flow/selectTarget.ts
+++ b/packages/knapweedshunt-gateway/src/flow/selectTarget.ts
@@ -24,6 +24,8 @@
 /** What limits the choice of a target. */
 export interface TargetCriteria {
   triedEndpoints: string[]
+  /** Whether endpoints tried before are used again when no other is left; not while one of them is at work on the request. */
+  mayRepeat: boolean
   triedPeers: VmId[]
   /** Software version that the endpoint must have; null for any. */
   softwareVersion: string | null
@@ -56,11 +58,11 @@
     .exhaustive()
 }
 
-async function selectEndpoint (dependencies: FlowDependencies, plan: RequestPlan, { triedEndpoints, softwareVersion, isCancelled }: TargetCriteria): Promise<TargetSelection> {
+async function selectEndpoint (dependencies: FlowDependencies, plan: RequestPlan, { triedEndpoints, mayRepeat, softwareVersion, isCancelled }: TargetCriteria): Promise<TargetSelection> {
   const { chooser } = dependencies
   const { pool, route, call } = plan
   const homeLevels = chooser.findHomeLevels(plan.levels)
-  const choice = await waitForEndpoint(dependencies, plan, { homeLevels, triedEndpoints, softwareVersion, isCancelled })
+  const choice = await waitForEndpoint(dependencies, plan, { homeLevels, triedEndpoints, mayRepeat, softwareVersion, isCancelled })
   if (isCancelled()) return { type: 'cancelled' }
   if (choice.type === 'chosen') return { type: 'target', target: { type: 'endpoint', chosen: choice, homeLevels } }
   return { type: 'unplaced', choice, candidates: formatCandidates(chooser.countCandidates({ pool, prompt: route.usesPrefixes ? call.prompt : null, triedEndpoints, softwareVersion })) }
--- a/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
@@ -41,6 +41,8 @@
   /** Events held back, in order; null while events are forwarded as they arrive. */
   #heldEvents: StreamEvent[] | null = null
   #onFirstEvent: () => void = () => {}
+  /** Ends the wait for a caller that does not read. */
+  #endDrainWait: () => void = () => {}
 
   constructor (callerResponse: http.ServerResponse, isResumable: boolean, lastEventId: string | null) {
     this.#callerResponse = callerResponse
@@ -102,6 +104,7 @@
         if (!this.#writeOrHold(chunk, events)) {
           clearTimeout(stallTimer)
           if (!await this.#waitDrain()) return { type: 'callerLeft' }
+          if (this.#isSuperseded) return { type: 'superseded' }
           restartStallTimer()
         }
       }
@@ -137,6 +140,7 @@
     this.#isSuperseded = true
     this.#heldEvents = null
     this.#response?.destroy()
+    this.#endDrainWait()
   }
 
   /** Returns whether the caller reads on. */
@@ -180,10 +184,12 @@
       const settle = (isDrained: boolean) => {
         this.#callerResponse.removeListener('drain', onDrain)
         this.#callerResponse.removeListener('close', onClose)
+        this.#endDrainWait = () => {}
         resolve(isDrained)
       }
       const onDrain = () => settle(true)
       const onClose = () => settle(false)
+      this.#endDrainWait = onDrain
       this.#callerResponse.once('drain', onDrain)
       this.#callerResponse.once('close', onClose)
     })
--- a/packages/knapweedshunt-gateway/src/flow/successor.ts
+++ b/packages/knapweedshunt-gateway/src/flow/successor.ts
@@ -8,6 +8,8 @@
 import type { RequestPlan } from './requestPlan.ts'
 import type { RequestRecorder } from './requestRecorder.ts'
 import type { RunningAttempt } from './runningAttempt.ts'
+import { readResponseBody } from './readResponseBody.ts'
+import type { ResponseBody } from './readResponseBody.ts'
 import { describeSelection, selectTarget } from './selectTarget.ts'
 import { waitForFirstEvent } from './waitForFirstEvent.ts'
 
@@ -20,8 +22,8 @@
 /** A response whose head has arrived. */
 export type AnsweredOutcome = Extract<AttemptOutcome, { type: 'answered' }>
 
-/** A successor whose response has begun; the current attempt must be ended at once, so that only one goes on. */
-export interface TakenSuccession { type: 'taken', runningAttempt: RunningAttempt, outcome: AnsweredOutcome }
+/** A successor that serves the request; the current attempt must be ended at once, so that only one goes on. `body` is what was read of the response; null for a stream. */
+export interface TakenSuccession { type: 'taken', runningAttempt: RunningAttempt, outcome: AnsweredOutcome, body: ResponseBody | null }
 
 /** Whether another endpoint has taken over. */
 export type SuccessionResult = TakenSuccession | { type: 'failed', reason: string }
@@ -58,7 +60,11 @@
     this.#plan = plan
     this.#parts = parts
     this.cause = options.cause
-    this.result = this.#run(options)
+    this.result = this.#run(options).catch((error: Error): SuccessionResult => {
+      dependencies.log.warn('Asking another endpoint failed with an internal error.', { requestId: plan.call.requestId, reason: error.message })
+      this.cancel()
+      return { type: 'failed', reason: 'internal error' }
+    })
   }
 
   /** Endpoint that is asked; empty if none was chosen, or until another VM has said which one that is. */
@@ -69,7 +75,10 @@
   /** Ends the further attempt; its result is then that it failed. `isSilent` if it was given up because nothing came. */
   cancel (isSilent = false): void {
     this.#isCancelled = true
-    if (this.#runningAttempt !== null) this.#parts.attemptRunner.abandonAttempt(this.#runningAttempt, isSilent ? LOSS_REASON.silent : LOSS_REASON.cancelled)
+    const { attemptRunner } = this.#parts
+    if (this.#runningAttempt === null) return
+    if (isSilent) attemptRunner.abandonAttempt(this.#runningAttempt, LOSS_REASON.silent)
+    else attemptRunner.cancelUnneeded(this.#runningAttempt)
   }
 
   async #run ({ cause, getLastEventId, onSend }: SuccessorOptions): Promise<SuccessionResult> {
@@ -77,7 +86,7 @@
     const isOptional = cause === LOSS_REASON.moved
     if (!attemptRunner.canAskSuccessor) return { type: 'failed', reason: 'no other endpoint, or the access key is not usable' }
     if (!permits.tryReserve(isOptional)) return { type: 'failed', reason: 'no retry permit' }
-    const selection = await selectTarget(this.#dependencies, this.#plan, { triedEndpoints: [...attemptRunner.triedEndpoints], triedPeers: [...attemptRunner.triedPeers], softwareVersion: attemptRunner.softwareVersion, isCancelled: () => this.#hasEnded })
+    const selection = await selectTarget(this.#dependencies, this.#plan, { triedEndpoints: [...attemptRunner.triedEndpoints], mayRepeat: false, triedPeers: [...attemptRunner.triedPeers], softwareVersion: attemptRunner.softwareVersion, isCancelled: () => this.#hasEnded })
     if (selection.type !== 'target') return { type: 'failed', reason: describeSelection(selection) }
     if (this.#hasEnded || !permits.tryTake(isOptional)) return { type: 'failed', reason: 'not needed any more' }
     onSend()
@@ -107,10 +116,12 @@
       attemptRunner.finish(runningAttempt)
       return { type: 'failed', reason: `status ${status}` }
     }
-    const hasEvent = !this.#plan.route.isStream || await waitForFirstEvent(outcome.response)
+    const { isStream } = this.#plan.route
+    const body = isStream ? null : await readResponseBody(outcome.response)
+    const isLost = isStream ? !await waitForFirstEvent(outcome.response) : body?.type === 'cut'
     if (this.#hasEnded) return { type: 'failed', reason: 'not needed any more' }
-    if (hasEvent) return { type: 'taken', runningAttempt, outcome }
-    return this.#recordFailed(runningAttempt, { type: 'lost', loss: LOSS_REASON.cut, reason: 'ended before its first event' })
+    if (!isLost) return { type: 'taken', runningAttempt, outcome, body }
+    return this.#recordFailed(runningAttempt, { type: 'lost', loss: LOSS_REASON.cut, reason: isStream ? 'ended before its first event' : 'cut before its body was complete' })
   }
 
   #recordFailed (runningAttempt: RunningAttempt, outcome: FailedOutcome): SuccessionResult {
@@ -118,3 +129,8 @@
     return { type: 'failed', reason: describeFailedOutcome(outcome) }
   }
 }
+
+/** Whether a silent successor may be given up, as another endpoint may be asked in its place. */
+export function canReplaceSuccessor ({ attemptRunner, permits }: SuccessorParts): boolean {
+  return attemptRunner.canAskSuccessor && permits.tryReserve(false)
+}
--- a/packages/knapweedshunt-gateway/src/flow/waitForFirstEvent.ts
+++ b/packages/knapweedshunt-gateway/src/flow/waitForFirstEvent.ts
@@ -1,7 +1,7 @@
 import type http from 'node:http'
 import { EventSplitter } from './eventSplitter.ts'
 
-/** Waits until the first event of a stream is complete; false if the stream ended or was lost before. The bytes read are put back into the response. */
+/** Waits until the first event of a stream is complete, or the stream has ended without any; false if it was lost before. The bytes read are put back into the response. */
 export function waitForFirstEvent (response: http.IncomingMessage): Promise<boolean> {
   if (response.destroyed) return Promise.resolve(false)
   return new Promise(resolve => {
@@ -11,7 +11,7 @@
       response.removeListener('readable', onReadable)
       response.removeListener('end', onEnd)
       response.removeListener('close', onEnd)
-      if (hasEvent) response.unshift(Buffer.concat(chunks))
+      if (hasEvent && chunks.length > 0) response.unshift(Buffer.concat(chunks))
       resolve(hasEvent)
     }
     const onReadable = () => {
@@ -20,7 +20,7 @@
         if (splitter.addChunk(chunk).length > 0) return settle(true)
       }
     }
-    const onEnd = () => settle(false)
+    const onEnd = () => settle(chunks.length === 0 && response.complete)
     response.on('readable', onReadable)
     response.once('end', onEnd)
     response.once('close', onEnd)
