Fleet: a lease can be taken again after a release that found another holder

Callers see weights that one VM no longer rolls out, until it restarts: a VM that releases its lease and finds that another one has taken it stays in the state of releasing, in which it neither writes the row nor has a token. leaseRelease holds a lease, gives the row another holder, releases, and waits for that holder to expire: no token before (null), the next one now. There is nothing to release in that case, so the release ends with the read.

--- a/packages/knapweedshunt-fleet/src/leaseStateMachine.ts
+++ b/packages/knapweedshunt-fleet/src/leaseStateMachine.ts
@@ -85,7 +85,11 @@
     const isOwn = row?.holder === this.#holder
     if (!isOwn) this.#held = null
     if (row !== null && !isOwn) this.#previousHolderEndMs = this.#computePreviousHolderEndMs(row)
-    if (this.#isReleasing) return isOwn ? this.#buildWrite(snapshot.version, { ...row, durationMs: 0 }) : this.#finishCall(this.#options.intervalMs)
+    if (this.#isReleasing && isOwn) return this.#buildWrite(snapshot.version, { ...row, durationMs: 0 })
+    if (this.#isReleasing) {
+      this.#isReleasing = false
+      return this.#finishCall(this.#options.intervalMs)
+    }
     if (row !== null && !isOwn && !this.#expiryTracker.hasExpired(row, now)) return this.#finishCall(this.#options.intervalMs)
     return this.#buildWrite(snapshot.version, this.#buildRow(row))
   }
