Fleet: a lease row that cannot be read neither ends a process nor keeps the lease from being taken

Callers see VMs that end again and again, or older weights for good: another writer has left a lease row of odd type. LeaseTask took the value as it was, and the state machine read its fields. In the product's own control the error ended the lease task, which nobody awaits before the stop: an unhandled rejection, which ends the process, at each start. On a VM of the platform the lease task stayed in the state of a pending call and never took the lease again; where the row was replaced between the last renewal and the release, the error of the release ended the wave task. A row with an endless duration or a token that cannot be incremented kept all VMs from acting.

readLeaseRow checks the row. An unreadable one counts as the lease of an unknown holder that expires after this VM's own lease duration, since it may have replaced the row of a holder whose commands still run; its token is the row's version, which is no lower than any token written before.

--- a/packages/knapweedshunt-fleet/src/leaseTask.ts
+++ b/packages/knapweedshunt-fleet/src/leaseTask.ts
@@ -7,6 +7,7 @@
 import type { LeaseOptions } from './leaseOptions.ts'
 import { LEASE_TABLE } from './leaseState.ts'
 import type { LeaseRow } from './leaseState.ts'
+import { readLeaseRow } from './readLeaseRow.ts'
 import type { ReleasedLease, LeaseAction, LeaseEvent } from './leaseTypes.ts'
 
 const TICK_MS = 250
@@ -15,6 +16,7 @@
 export class LeaseTask {
   readonly #platform: Platform
   readonly #name: string
+  readonly #options: LeaseOptions
   readonly #machine: LeaseStateMachine
   /** Read or renewal in progress; null when there is none. */
   #pendingStep: Promise<void> | null = null
@@ -22,6 +24,7 @@
   constructor (platform: Platform, name: string, holder: Incarnation, options: LeaseOptions) {
     this.#platform = platform
     this.#name = name
+    this.#options = options
     this.#machine = new LeaseStateMachine(holder, options)
   }
 
@@ -73,7 +76,7 @@
   async #read (): Promise<LeaseEvent> {
     try {
       const row = await this.#platform.read(LEASE_TABLE, this.#name)
-      return { type: 'rowRead', snapshot: { version: row?.version ?? 0, row: row === null ? null : row.value as LeaseRow } }
+      return { type: 'rowRead', snapshot: { version: row?.version ?? 0, row: row === null ? null : readLeaseRow(row, this.#options.durationMs) } }
     } catch {
       return { type: 'readFailed' }
     }
--- a/packages/knapweedshunt-fleet/src/peerLeaseTracker.ts
+++ b/packages/knapweedshunt-fleet/src/peerLeaseTracker.ts
@@ -4,6 +4,7 @@
 import { buildFleetLeaseKey } from './leaseState.ts'
 import type { LeaseRow } from './leaseState.ts'
 import { LeaseExpiryTracker } from './leaseExpiryTracker.ts'
+import { readLeaseRow } from './readLeaseRow.ts'
 import type { PeerDataCentre, PeerLeaseState } from './plannerTypes.ts'
 
 /** Missed renewals after which another data centre's counts are treated as stale, well before its lease expires. */
@@ -22,7 +23,7 @@
   update (rows: Row[], dataCentres: DataCentreId[]): PeerDataCentre[] {
     return dataCentres.map(dataCentre => {
       const row = rows.find(entry => entry.key === buildFleetLeaseKey(dataCentre))
-      return { dataCentre, lease: this.#determineState(dataCentre, row === undefined ? null : row.value as LeaseRow) }
+      return { dataCentre, lease: this.#determineState(dataCentre, row === undefined ? null : readLeaseRow(row, this.#options.durationMs)) }
     })
   }
 
