--- a/packages/knapweedshunt-utils/src/requestJson.ts
+++ b/packages/knapweedshunt-utils/src/requestJson.ts
@@ -13,6 +13,8 @@
   timeoutMs: number
   signal?: AbortSignal
   agent?: http.Agent
+  /** Size above which the response is given up, in bytes; 64 MiB if not set. */
+  maxResponseBytes?: number
 }
 
 /** Response to a {@link JsonRequest}; `body` is undefined if the response body was empty. */
@@ -32,7 +34,7 @@
   const signal = AbortSignal.any(signals)
   try {
     const message = await sendRequest(call, bodyText, signal)
-    const responseText = await readBody(message, MAX_RESPONSE_BYTES)
+    const responseText = await readBody(message, call.maxResponseBytes ?? MAX_RESPONSE_BYTES)
     return { status: message.statusCode ?? 0, headers: message.headers, body: responseText === '' ? undefined : parseJson(responseText) }
   } catch (cause) {
     throw new HttpError(`${call.method} ${call.url} failed.`, { cause })
