Gateway: an endpoint whose row became unreadable is kept for 1.25 s

Callers get 503 while another writer's text lies over the row of a live endpoint: a row that cannot be read was treated like one that was deleted, in a feed of changes and in a full read. Such a row says neither that its endpoint serves nor that it is gone. What was known of it, draining included, is now kept for 1.25 s, in which endpoints write their rows again, and then given up: a text may also hide that the endpoint leaves, and a leaving one must get no requests 2 s after it said so. A deleted row still removes its endpoint at once.

--- a/packages/knapweedshunt-gateway/src/__tests__/decisions.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/decisions.test.ts
@@ -97,10 +97,10 @@
   const clock = install()
   try {
     const endpointRegistry = new EndpointRegistry(() => {}, () => {}, () => {})
-    endpointRegistry.applySnapshot([buildEntry('a'), buildEntry('b')], false)
+    endpointRegistry.applySnapshot([buildEntry('a'), buildEntry('b')], [], false)
     endpointRegistry.removeEntry('a')
     t.is(endpointRegistry.find('a'), undefined)
-    endpointRegistry.applySnapshot([], true)
+    endpointRegistry.applySnapshot([], [], true)
     t.not(endpointRegistry.find('b'), undefined)
     clock.tick(1_000)
     endpointRegistry.removeExpired()
@@ -113,6 +113,45 @@
   }
 })
 
+// Guards against a live endpoint that is given up at once because another writer replaced its row, and against one that leaves under such a row and stays in use.
+test.serial('an endpoint whose row became unreadable is kept for a while, as it was known', t => {
+  const clock = install()
+  try {
+    const endpointRegistry = new EndpointRegistry(() => {}, () => {}, () => {})
+    endpointRegistry.applySnapshot([buildEntry('a'), buildEntry('b'), buildEntry('c', { isDraining: true })], [], false)
+    endpointRegistry.handleUnreadable('a')
+    endpointRegistry.applySnapshot([buildEntry('b')], ['a', 'c', 'unknown'], false)
+    clock.tick(1_000)
+    endpointRegistry.handleUnreadable('a')
+    endpointRegistry.removeExpired()
+    t.deepEqual(endpointRegistry.list().map(record => [record.entry.endpoint, record.isDraining]), [['a', false], ['b', false], ['c', true]])
+    clock.tick(250)
+    endpointRegistry.removeExpired()
+    t.deepEqual(endpointRegistry.list().map(record => record.entry.endpoint), ['b'])
+  } finally {
+    clock.uninstall()
+  }
+})
+
+test.serial('an endpoint whose row became unreadable stays once it has written the row again, and goes with the row', t => {
+  const clock = install()
+  try {
+    const endpointRegistry = new EndpointRegistry(() => {}, () => {}, () => {})
+    endpointRegistry.applySnapshot([buildEntry('a'), buildEntry('b')], [], false)
+    endpointRegistry.handleUnreadable('a')
+    endpointRegistry.handleUnreadable('b')
+    endpointRegistry.removeEntry('b')
+    t.is(endpointRegistry.find('b'), undefined)
+    clock.tick(1_200)
+    endpointRegistry.applyEntry(buildEntry('a'))
+    clock.tick(60_000)
+    endpointRegistry.removeExpired()
+    t.not(endpointRegistry.find('a'), undefined)
+  } finally {
+    clock.uninstall()
+  }
+})
+
 test('a restarted endpoint gets a new record', t => {
   const endpointRegistry = new EndpointRegistry(() => {}, () => {}, () => {})
   endpointRegistry.applyEntry(buildEntry('a'))
--- a/packages/knapweedshunt-gateway/src/directory/directoryUpdater.ts
+++ b/packages/knapweedshunt-gateway/src/directory/directoryUpdater.ts
@@ -55,17 +55,22 @@
 
   /** Applies changes to the endpoint table. */
   applyEndpoints (update: TableUpdate): void {
-    const { directoryPort } = this.#dependencies
+    const { directoryPort, endpointRegistry } = this.#dependencies
     this.#hasEndpoints = true
     const results = update.rows.map(row => ({ row, result: 'isDeleted' in row && row.isDeleted ? null : directoryPort.decodeEndpoint(row) }))
     for (const { row, result } of results) if (result?.type === 'unreadable') this.#recordUnreadable(directoryPort.endpointTable, row, result.reason)
     if (update.type === 'rows') {
-      this.#dependencies.endpointRegistry.applySnapshot(results.flatMap(({ result }) => result?.type === 'endpoint' ? [result.entry] : []), update.isAfterOutage)
+      const entries = results.flatMap(({ result }) => result?.type === 'endpoint' ? [result.entry] : [])
+      const unreadable = results.flatMap(({ row, result }) => result?.type === 'unreadable' ? [row.key] : [])
+      endpointRegistry.applySnapshot(entries, unreadable, update.isAfterOutage)
       return
     }
     for (const { row, result } of results) {
-      if (result?.type === 'endpoint') this.#dependencies.endpointRegistry.applyEntry(result.entry)
-      else this.#dependencies.endpointRegistry.removeEntry(row.key)
+      match(result)
+        .with(null, () => endpointRegistry.removeEntry(row.key))
+        .with({ type: 'endpoint' }, ({ entry }) => endpointRegistry.applyEntry(entry))
+        .with({ type: 'unreadable' }, () => endpointRegistry.handleUnreadable(row.key))
+        .exhaustive()
     }
   }
 
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -230,8 +230,8 @@
   }
 
   #isUsableSource (record: EndpointRecord): boolean {
-    const { entry, health, isReached, missingSinceMs } = record
-    if (this.#dependencies.endpointRegistry.find(entry.endpoint) !== record || missingSinceMs !== null || record.isDraining) return false
+    const { entry, health, isReached, keptUntilMs } = record
+    if (this.#dependencies.endpointRegistry.find(entry.endpoint) !== record || keptUntilMs !== null || record.isDraining) return false
     return isReached && !health.isExcluded(0) && this.#dependencies.endpointPermits.getWaitMs(record) === 0 && !this.#dependencies.listLoadingEndpoints().has(entry.endpoint)
   }
 
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointRecord.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointRecord.ts
@@ -21,8 +21,8 @@
   loadAtMs = -Infinity
   /** Moving mean of the prompt tokens that a request of this VM has computed there. */
   meanPromptTokens = 0
-  /** Monotonic time since which the row is missing, when it may have expired in a store outage; null while it is present. */
-  missingSinceMs: number | null = null
+  /** Monotonic time until which the endpoint is kept although its row is missing, as it may have expired in a store outage, or cannot be read; null while the row can be read. */
+  keptUntilMs: number | null = null
 
   constructor (entry: EndpointEntry) {
     this.entry = entry
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointRegistry.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointRegistry.ts
@@ -6,6 +6,9 @@
 /** Time after a store outage within which endpoints write their expired rows again, in milliseconds; stated by the platform, plus a margin. */
 const RECOVERY_GRACE_MS = 2_300
 
+/** Time for which an endpoint is kept after its row was found to be unreadable, in milliseconds: endpoints write their rows within it. What the row said before may have been that the endpoint leaves, so the time ends before a leaving endpoint must get no more requests. */
+const UNREADABLE_GRACE_MS = 1_250
+
 /** Registry of the endpoints listed in the directory. */
 export class EndpointRegistry {
   readonly #records = new Map<EndpointName, EndpointRecord>()
@@ -37,11 +40,12 @@
     return pool === undefined ? records : records.filter(record => record.entry.pool === pool)
   }
 
-  /** Replaces the endpoints with a full read of the table; `isAfterOutage` is true when the store did not answer before it. */
-  applySnapshot (entries: EndpointEntry[], isAfterOutage: boolean): void {
+  /** Replaces the endpoints with a full read of the table, except those in `unreadable`, whose rows cannot be read; `isAfterOutage` is true when the store did not answer before it. */
+  applySnapshot (entries: EndpointEntry[], unreadable: EndpointName[], isAfterOutage: boolean): void {
     if (isAfterOutage) this.#recoveryUntilMs = performance.now() + RECOVERY_GRACE_MS
-    const present = new Set(entries.map(entry => entry.endpoint))
+    const present = new Set([...unreadable, ...entries.map(entry => entry.endpoint)])
     for (const name of this.#records.keys()) if (!present.has(name)) this.#handleMissing(name)
+    for (const name of unreadable) this.#handleUnreadable(name)
     for (const entry of entries) this.#upsert(entry)
     this.#onChange()
   }
@@ -52,18 +56,24 @@
     this.#onChange()
   }
 
-  /** Handles a row that was deleted or cannot be read. */
+  /** Handles a row that cannot be read: it says neither that its endpoint serves nor that it is gone, so what was known is kept for a while. */
+  handleUnreadable (endpoint: EndpointName): void {
+    this.#handleUnreadable(endpoint)
+    this.#onChange()
+  }
+
+  /** Handles a row that was deleted. */
   removeEntry (endpoint: EndpointName): void {
     this.#handleMissing(endpoint)
     this.#onChange()
   }
 
-  /** Removes the endpoints whose rows are still missing after the grace period. */
+  /** Removes the endpoints whose rows are still missing or unreadable after the grace period. */
   removeExpired (): void {
-    if (performance.now() < this.#recoveryUntilMs) return
+    const nowMs = performance.now()
     let isChanged = false
-    for (const [name, record] of this.#records) {
-      if (record.missingSinceMs === null) continue
+    for (const [name, { keptUntilMs }] of this.#records) {
+      if (keptUntilMs === null || nowMs < keptUntilMs) continue
       this.#remove(name)
       isChanged = true
     }
@@ -74,7 +84,14 @@
     const record = this.#records.get(name)
     if (record === undefined) return
     if (performance.now() >= this.#recoveryUntilMs) return this.#remove(name)
-    record.missingSinceMs ??= performance.now()
+    record.keptUntilMs = this.#recoveryUntilMs
+  }
+
+  #handleUnreadable (name: EndpointName): void {
+    const record = this.#records.get(name)
+    if (record === undefined || record.keptUntilMs !== null) return
+    record.keptUntilMs = performance.now() + UNREADABLE_GRACE_MS
+    this.#recordDecision({ type: 'endpointKept', endpoint: name, forMs: UNREADABLE_GRACE_MS })
   }
 
   #upsert (entry: EndpointEntry): void {
@@ -87,7 +104,7 @@
     }
     if (entry.isDraining && !known.entry.isDraining) this.#recordDecision({ type: 'endpointLeaving', endpoint: entry.endpoint, pool: entry.pool })
     known.entry = entry
-    known.missingSinceMs = null
+    known.keptUntilMs = null
   }
 
   #remove (name: EndpointName): void {
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -33,6 +33,8 @@
   | { type: 'endpointPresent', endpoint: EndpointName, pool: PoolName, incarnation: string, softwareVersion: string, isDraining: boolean }
   | { type: 'endpointLeaving', endpoint: EndpointName, pool: PoolName }
   | { type: 'endpointGone', endpoint: EndpointName }
+  /** Its row can no longer be read; what was known of it is used for a while. */
+  | { type: 'endpointKept', endpoint: EndpointName, forMs: number }
   /** Not used until it answers again; `reason` is the failure that was observed. */
   | { type: 'endpointOut', endpoint: EndpointName, reason: string }
   | { type: 'endpointBack', endpoint: EndpointName }
--- a/packages/knapweedshunt-gateway/src/records/decisionLog.ts
+++ b/packages/knapweedshunt-gateway/src/records/decisionLog.ts
@@ -35,6 +35,7 @@
   endpointPresent: 'Endpoint present.',
   endpointLeaving: 'Endpoint leaves.',
   endpointGone: 'Endpoint gone.',
+  endpointKept: 'Endpoint kept without a readable row.',
   endpointOut: 'Endpoint left out.',
   endpointBack: 'Endpoint used again.',
   poolReach: 'Reached endpoints of pool changed.',
--- a/packages/knapweedshunt-gateway/src/weights/weightsState.ts
+++ b/packages/knapweedshunt-gateway/src/weights/weightsState.ts
@@ -123,7 +123,7 @@
   }
 
   #listEndpoints (): WaveEndpoint[] {
-    return this.#dependencies.endpointRegistry.list().filter(record => !record.isDraining && record.missingSinceMs === null).flatMap(({ entry, load, inFlightCount }) => entry.models.map(({ model, version }) => ({
+    return this.#dependencies.endpointRegistry.list().filter(record => !record.isDraining && record.keptUntilMs === null).flatMap(({ entry, load, inFlightCount }) => entry.models.map(({ model, version }) => ({
       endpoint: entry.endpoint,
       incarnation: entry.incarnation,
       pool: entry.pool,
