Platform tables: a listener that fails does not end the following of a table

Callers see endpoints and configurations that a VM no longer learns of: an error of the listener counted as one of the store, so that the table was read in full again and again, each time with the same row and the same error, and was logged as not read. The follower now logs that the update was not applied, replaces changes that were not applied by one full read, and goes on.

--- a/packages/knapweedshunt-platform/src/__tests__/tableFollower.test.ts
+++ b/packages/knapweedshunt-platform/src/__tests__/tableFollower.test.ts
@@ -9,7 +9,7 @@
 const LOG = { debug () {}, info () {}, warn () {}, error () {} }
 const OPTIONS = { ...DEFAULT_TABLE_FOLLOWER_OPTIONS, table: 't', waitMs: 1_000 }
 
-interface TestContext { clock: Clock, follower: TableFollower, updates: TableUpdate[], feed: { read: () => Promise<TableSnapshot>, poll: (signal: AbortSignal) => Promise<TableChanges>, reads: number } }
+interface TestContext { clock: Clock, follower: TableFollower, updates: TableUpdate[], listener: { fails: (update: TableUpdate) => boolean }, feed: { read: () => Promise<TableSnapshot>, poll: (signal: AbortSignal) => Promise<TableChanges>, reads: number } }
 
 async function runWithFollower (check: (context: TestContext) => Promise<void>): Promise<void> {
   const clock = install()
@@ -25,10 +25,14 @@
     }
     const updates: TableUpdate[] = []
     const tableFeed: TableFeed = { readTable: () => { feed.reads++; return feed.read() }, pollChanges: (_table, _after, _wait, signal) => feed.poll(signal) }
-    const follower = new TableFollower(tableFeed, OPTIONS, LOG, update => updates.push(update))
+    const listener: TestContext['listener'] = { fails: () => false }
+    const follower = new TableFollower(tableFeed, OPTIONS, LOG, update => {
+      updates.push(update)
+      if (listener.fails(update)) throw new RangeError('Maximum call stack size exceeded')
+    })
     follower.run(abort.signal).catch(() => {})
     await clock.tickAsync(1)
-    await check({ clock, follower, updates, feed })
+    await check({ clock, follower, updates, listener, feed })
   } finally {
     abort.abort()
     await clock.tickAsync(5_000)
@@ -108,3 +112,20 @@
     })
   })
 }
+
+// Guards against a table that is read in full again and again, and never followed, because of a row that its listener cannot apply.
+test.serial('an update that its listener cannot apply is followed by one full read and by the changes after it', async t => {
+  await runWithFollower(async ({ clock, follower, updates, listener, feed }) => {
+    let version = 1
+    feed.poll = async () => {
+      await new Promise(resolve => setTimeout(resolve, 1_000))
+      return { type: 'changes', rows: [{ key: 'c', version: ++version, value: 3, isDeleted: false }], version, era: 1 }
+    }
+    feed.read = async () => ({ rows: [], version, era: 1 })
+    listener.fails = update => update.type === 'rows' || update.rows[0].version <= 2
+    await clock.tickAsync(4_100)
+    t.deepEqual(updates.map(update => update.type === 'rows' ? 'rows' : update.rows[0].version), ['rows', 2, 'rows', 3, 4])
+    t.is(feed.reads, 2)
+    t.true(follower.isReachable)
+  })
+})
--- a/packages/knapweedshunt-platform/src/tableFollower.ts
+++ b/packages/knapweedshunt-platform/src/tableFollower.ts
@@ -146,7 +146,17 @@
     if (this.#isUnreachable) this.#log.info('Table read again.', { table: this.#options.table })
     this.#isUnreachable = false
     this.#confirmedAtMs = sentAtMs
-    if (update !== null) this.#onUpdate(update)
+    if (update !== null) this.#passOn(update)
+  }
+
+  /** A listener that fails must not end the following of the table. Changes that it could not apply are replaced by one full read. */
+  #passOn (update: TableUpdate): void {
+    try {
+      this.#onUpdate(update)
+    } catch (error) {
+      this.#log.error('Update of table not applied.', { table: this.#options.table, update: update.type, rows: update.rows.length, reason: (error as Error).message.split('\n')[0] })
+      if (update.type === 'changes') this.#version = null
+    }
   }
 
   #recordFailure (error: Error): void {
