Gateway: an odd row of the roster is left out and logged once, the others are applied

Callers see retries, relays and weights decided by rows that no VM wrote: a row about a VM under another key counted as one more VM, a peer without a usable URL or key failed each request relayed to it, a wave of version 1e300 made its endpoints look newer than any target, and marks, evidence and versions carried numbers and names of any size. An error while one row was applied kept the rows after it from being applied. The table's full reads logged each such row again, with reasons that quote keys of any length.

A VM whose row becomes unreadable stays known, as before.

--- a/packages/knapweedshunt-gateway/src/directory/directoryUpdater.ts
+++ b/packages/knapweedshunt-gateway/src/directory/directoryUpdater.ts
@@ -1,9 +1,10 @@
-import type { Row, TableUpdate } from 'knapweedshunt-platform'
+import type { TableUpdate } from 'knapweedshunt-platform'
 import { match } from 'ts-pattern'
 import type { EndpointRegistry } from '../endpoints/endpointRegistry.ts'
 import type { DirectoryPort } from '../ports/directoryPort.ts'
 import type { GatewayConfig } from '../ports/gatewayConfig.ts'
 import type { DecisionLog } from '../records/decisionLog.ts'
+import type { UnreadableRowLog } from '../records/unreadableRowLog.ts'
 import type { WeightsState } from '../weights/weightsState.ts'
 import type { ConfigState } from './configState.ts'
 
@@ -14,6 +15,7 @@
   weightsState: WeightsState
   endpointRegistry: EndpointRegistry
   decisionLog: DecisionLog
+  unreadableRowLog: UnreadableRowLog
   onConfig (config: GatewayConfig): void
   onWeights (): void
 }
@@ -34,9 +36,10 @@
 
   /** Applies changes to the operator's resources. */
   applyResources (update: TableUpdate): void {
+    const { directoryPort, unreadableRowLog } = this.#dependencies
     for (const row of update.rows) {
       if ('isDeleted' in row && row.isDeleted) continue
-      match(this.#dependencies.directoryPort.decodeResource(row))
+      match(directoryPort.decodeResource(row))
         .with({ type: 'config' }, ({ config }) => {
           if (!this.#dependencies.configState.applyConfig(config)) return
           this.#dependencies.onConfig(config)
@@ -47,7 +50,7 @@
           this.#dependencies.onWeights()
           this.#dependencies.decisionLog.record({ type: 'weightsWished', ...weights })
         })
-        .with({ type: 'unreadable' }, ({ reason }) => this.#recordUnreadable(this.#dependencies.directoryPort.resourceTable, row, reason))
+        .with({ type: 'unreadable' }, ({ reason }) => unreadableRowLog.record(directoryPort.resourceTable, row, reason))
         .with({ type: 'other' }, () => {})
         .exhaustive()
     }
@@ -55,10 +58,10 @@
 
   /** Applies changes to the endpoint table. */
   applyEndpoints (update: TableUpdate): void {
-    const { directoryPort, endpointRegistry } = this.#dependencies
+    const { directoryPort, endpointRegistry, unreadableRowLog } = this.#dependencies
     this.#hasEndpoints = true
     const results = update.rows.map(row => ({ row, result: 'isDeleted' in row && row.isDeleted ? null : directoryPort.decodeEndpoint(row) }))
-    for (const { row, result } of results) if (result?.type === 'unreadable') this.#recordUnreadable(directoryPort.endpointTable, row, result.reason)
+    for (const { row, result } of results) if (result?.type === 'unreadable') unreadableRowLog.record(directoryPort.endpointTable, row, result.reason)
     if (update.type === 'rows') {
       const entries = results.flatMap(({ result }) => result?.type === 'endpoint' ? [result.entry] : [])
       const unreadable = results.flatMap(({ row, result }) => result?.type === 'unreadable' ? [row.key] : [])
@@ -73,8 +76,4 @@
         .exhaustive()
     }
   }
-
-  #recordUnreadable (table: string, { key }: Row, reason: string): void {
-    this.#dependencies.decisionLog.record({ type: 'rowUnreadable', table, key, reason })
-  }
 }
--- a/packages/knapweedshunt-gateway/src/directory/rosterRows.ts
+++ b/packages/knapweedshunt-gateway/src/directory/rosterRows.ts
@@ -12,16 +12,24 @@
 /** Prefixes of the keys of the roster table, by what the row holds. */
 export const ROSTER_KEY = { vm: 'vm/', wave: 'wave/', crash: 'crash/', part: 'part/', limit: 'limit/', versions: 'versions/' } as const
 
-const text = z.string().min(1)
+/** Longest names and texts, in characters. */
+const MAX_TEXT_LENGTH = 255
+
+const text = z.string().min(1).max(MAX_TEXT_LENGTH)
+const count = z.number().int().nonnegative()
+const peerUrl = z.url({ protocol: /^http$/, error: 'is no URL that begins with http://' }).max(MAX_TEXT_LENGTH)
+
+/** Keys are sent as header values. */
+const peerKey = z.string().regex(/^[\x21-\x7e]+$/, 'is not printable ASCII without spaces').max(MAX_TEXT_LENGTH)
 
 /** Row of one VM; earlier builds serve no calls of other VMs. */
-export const vmRowSchema = z.object({ vm: text, incarnation: text, dataCentre: z.string(), peer: z.object({ url: text, key: text }).nullish() })
+export const vmRowSchema = z.object({ vm: text, incarnation: text, dataCentre: z.string().max(MAX_TEXT_LENGTH), peer: z.object({ url: peerUrl, key: peerKey }).nullish() })
 
 /** Output type of {@link vmRowSchema}. */
 export type VmRow = z.output<typeof vmRowSchema>
 
 /** A mark with its sequence number among those of one VM incarnation, so that it is applied once however often the row is read; `atMs` is wall-clock time in Unix milliseconds. */
-const numberedMarkSchema = z.object({ n: z.number(), atMs: z.number(), mark: suspectMarkSchema })
+const numberedMarkSchema = z.object({ n: count, atMs: count, mark: suspectMarkSchema })
 
 /** Output type of the schema of a numbered mark. */
 export type NumberedMark = z.output<typeof numberedMarkSchema>
@@ -33,7 +41,7 @@
 export type CrashRow = z.output<typeof crashRowSchema>
 
 /** Row of what one VM knows about prompt parts that may crash endpoints; a row of its own, since earlier builds reject a crash row with marks that they do not know. `atMs` is wall-clock time in Unix milliseconds. */
-export const partRowSchema = z.object({ incarnation: text, atMs: z.number(), evidence: partEvidenceSchema })
+export const partRowSchema = z.object({ incarnation: text, atMs: count, evidence: partEvidenceSchema })
 
 /** Output type of {@link partRowSchema}. */
 export type PartRow = z.output<typeof partRowSchema>
@@ -64,7 +72,7 @@
 }
 
 /** Row of the software versions that the endpoints of a pool have; `changedAtMs` is the wall-clock time in Unix milliseconds since which they have them. */
-export const poolVersionsRowSchema = z.object({ pool: text, softwareVersions: z.array(z.string()), changedAtMs: z.number() })
+export const poolVersionsRowSchema = z.object({ pool: text, softwareVersions: z.array(z.string().max(MAX_TEXT_LENGTH)), changedAtMs: count })
 
 /** Output type of {@link poolVersionsRowSchema}. */
 export type PoolVersionsRow = z.output<typeof poolVersionsRowSchema>
@@ -73,10 +81,10 @@
 export const waveRowSchema = z.object({
   vm: text,
   pool: text,
-  model: z.string(),
-  version: z.number(),
-  loading: z.array(z.string()),
-  reached: z.array(z.string()),
-  endedFencing: z.number().nullable(),
+  model: text,
+  version: count,
+  loading: z.array(text),
+  reached: z.array(text),
+  endedFencing: count.nullable(),
   isLeaving: z.boolean()
 }) satisfies z.ZodType<WaveNotice>
--- a/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
+++ b/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
@@ -48,8 +48,8 @@
   onPoolVersions (row: PoolVersionsRow): void
   /** Called when a row of this VM could not be written. */
   onUnwritten (key: string, reason: string): void
-  /** Called for a row that does not match its schema; it is ignored. */
-  onUnreadable (key: string, reason: string): void
+  /** Called for a row that cannot be read or applied; it is ignored. */
+  onUnreadable (row: Row, reason: string): void
   onWaveNotice (notice: WaveNotice): void
 }
 
@@ -63,6 +63,8 @@
   /** Whether the marks and part evidence of this VM's previous incarnation were read; its rows must not be replaced before. */
   #hasAdoptedRows = false
   #hasPartEvidence = false
+  /** Where this VM serves calls of the others; null if it does not. */
+  #ownPeer: PeerAddress | null = null
 
   constructor (dependencies: VmRosterDependencies) {
     const { platform, self, signal, onMarkEvicted, onUnwritten } = dependencies
@@ -116,12 +118,13 @@
   /** Lists the other VMs that serve calls. */
   listPeers (): PeerView[] {
     this.#removeMissingVms()
-    return [...this.#vms].flatMap(([key, { row }]) => this.#isOwn(key) || row.peer == null ? [] : [{ vm: row.vm, dataCentre: row.dataCentre, address: row.peer }])
+    return [...this.#vms].flatMap(([key, { row }]) => this.#isOwn(key) || row.peer == null || row.peer.url === this.#ownPeer?.url ? [] : [{ vm: row.vm, dataCentre: row.dataCentre, address: row.peer }])
   }
 
   /** Writes this VM's row; `peer` is where it serves calls of the others, null if it does not. */
   announceSelf (peer: PeerAddress | null): void {
     const { self } = this.#dependencies
+    this.#ownPeer = peer
     this.#ownedRows.put(ROSTER_KEY.vm + self.vm, { ...self, peer })
   }
 
@@ -208,20 +211,34 @@
     return key === ROSTER_KEY.vm + this.#dependencies.self.vm
   }
 
-  #applyRow ({ key, value }: Row): void {
-    if (key.startsWith(ROSTER_KEY.vm)) return this.#parseRow(key, vmRowSchema, value, row => this.#applyVmRow(key, row))
-    if (key.startsWith(ROSTER_KEY.wave)) return this.#parseRow(key, waveRowSchema, value, notice => this.#applyWaveNotice(notice))
-    if (key.startsWith(ROSTER_KEY.part)) return this.#parseRow(key, partRowSchema, value, row => this.#applyPartRow(key, row))
-    if (key.startsWith(ROSTER_KEY.versions)) return this.#parseRow(key, poolVersionsRowSchema, value, row => this.#dependencies.onPoolVersions(row))
-    if (key.startsWith(ROSTER_KEY.limit)) return this.#parseRow(key, limitRowSchema, value, ({ vm, incarnation, report }) => this.#dependencies.onLimitReport({ vm, from: incarnation, report }))
-    if (key.startsWith(ROSTER_KEY.crash)) return this.#parseRow(key, crashRowSchema, value, row => this.#applyCrashRow(key, row))
+  /** A row that cannot be applied affects no other. */
+  #applyRow (row: Row): void {
+    try {
+      this.#parseRow(row)
+    } catch (error) {
+      this.#dependencies.onUnreadable(row, (error as Error).message)
+    }
   }
 
-  #parseRow<T> (key: string, schema: z.ZodType<T>, value: unknown, apply: (row: T) => void): void {
-    const result = schema.safeParse(value)
-    if (result.success) return apply(result.data)
-    const [issue] = result.error.issues
-    this.#dependencies.onUnreadable(key, `${issue.path.join('.')}: ${issue.message}`)
+  #parseRow (row: Row): void {
+    const { key } = row
+    if (key.startsWith(ROSTER_KEY.vm)) return this.#applyParsed(row, vmRowSchema, value => ROSTER_KEY.vm + value.vm, value => this.#applyVmRow(key, value))
+    if (key.startsWith(ROSTER_KEY.wave)) return this.#applyParsed(row, waveRowSchema, value => ROSTER_KEY.wave + value.pool, value => this.#applyWaveNotice(value))
+    if (key.startsWith(ROSTER_KEY.part)) return this.#applyParsed(row, partRowSchema, null, value => this.#applyPartRow(key, value))
+    if (key.startsWith(ROSTER_KEY.versions)) return this.#applyParsed(row, poolVersionsRowSchema, value => ROSTER_KEY.versions + value.pool, value => this.#dependencies.onPoolVersions(value))
+    if (key.startsWith(ROSTER_KEY.limit)) return this.#applyParsed(row, limitRowSchema, value => ROSTER_KEY.limit + value.vm, ({ vm, incarnation, report }) => this.#dependencies.onLimitReport({ vm, from: incarnation, report }))
+    if (key.startsWith(ROSTER_KEY.crash)) return this.#applyParsed(row, crashRowSchema, null, value => this.#applyCrashRow(key, value))
+  }
+
+  /** Applies a row that matches the schema; `buildKey` returns the key that such a row has. */
+  #applyParsed<T> (row: Row, schema: z.ZodType<T>, buildKey: ((value: T) => string) | null, apply: (value: T) => void): void {
+    const result = schema.safeParse(row.value)
+    if (!result.success) {
+      const [issue] = result.error.issues
+      return this.#dependencies.onUnreadable(row, `${issue.path.join('.')}: ${issue.message}`)
+    }
+    if (buildKey !== null && row.key !== buildKey(result.data)) return this.#dependencies.onUnreadable(row, `belongs under the key ${buildKey(result.data)}`)
+    apply(result.data)
   }
 
   #applyVmRow (key: string, row: VmRow): void {
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -38,6 +38,7 @@
 import type { VmSettings } from './ports/vmSettings.ts'
 import { DecisionLog } from './records/decisionLog.ts'
 import { GatewayMetrics } from './records/gatewayMetrics.ts'
+import { UnreadableRowLog } from './records/unreadableRowLog.ts'
 import { VmRetryBudget } from './shared/vmRetryBudget.ts'
 import { WeightsState } from './weights/weightsState.ts'
 
@@ -60,6 +61,7 @@
   readonly #incarnation = createIncarnation()
   readonly #rng
   readonly #decisionLog: DecisionLog
+  readonly #unreadableRowLog: UnreadableRowLog
   readonly #metrics = new GatewayMetrics()
   readonly #agent = new EndpointAgent()
   readonly #configState = new ConfigState()
@@ -101,6 +103,7 @@
     const seed = parseInt(this.#incarnation.slice(0, 8), 16)
     this.#rng = createRng(seed)
     this.#decisionLog = new DecisionLog(log)
+    this.#unreadableRowLog = new UnreadableRowLog(this.#decisionLog)
     this.#suspectTracker = new SuspectTracker({
       metrics: this.#metrics,
       decisionLog: this.#decisionLog,
@@ -125,7 +128,7 @@
       onLimitReport: received => this.#endpointLimits.applyReport(received),
       onMarkEvicted: mark => this.#suspectTracker.handleMarkEvicted(mark),
       onUnwritten: (key, reason) => this.#recordUnwrittenRow(key, reason),
-      onUnreadable: (key, reason) => this.#decisionLog.record({ type: 'rowUnreadable', table: ROSTER_TABLE, key, reason }),
+      onUnreadable: (row, reason) => this.#unreadableRowLog.record(ROSTER_TABLE, row, reason),
       onWaveNotice: notice => {
         this.#weightsState.recordServedVersion(notice.reached, notice.model, notice.version)
         setTimeout(() => this.#requestHandler.moveStreamsFrom(this.#weightsState.listLoadingEndpoints()), MOVE_STREAMS_DELAY_MS)
@@ -188,6 +191,7 @@
       weightsState: this.#weightsState,
       endpointRegistry: this.#endpointRegistry,
       decisionLog: this.#decisionLog,
+      unreadableRowLog: this.#unreadableRowLog,
       onConfig: config => {
         this.#callerServer.applyLimits(config.limits)
         this.#chooser.rebuild()
