Admission: a pool may be named like a property of objects; rates are bounded

Callers of a pool named 'constructor' are refused as endpoints_limited while its endpoints state limits: a VM's demand for the pool was looked up with the properties that every object has, and the split of the limit was no number. Demands are looked up among a report's own keys now. Rates in reports are bounded so that their sums stay finite.

--- a/packages/knapweedshunt-admission/src/__tests__/endpointRateLimits.test.ts
+++ b/packages/knapweedshunt-admission/src/__tests__/endpointRateLimits.test.ts
@@ -117,3 +117,12 @@
   t.is(limits.findLimit('e'), 2)
   t.is(limits.getOwnRatePerS('e'), 1)
 })
+
+// Guards against a pool whose limited endpoints get nothing because its name is that of a property of every object.
+test('a pool may have the name of a property of objects', t => {
+  const limits = new EndpointRateLimits('a', 'a@1')
+  limits.setVms(['a', 'b'])
+  limits.applyReport('b', 'b@1', { demands: {}, statements: [{ endpoint: 'e', pool: 'constructor', requestsPerS: 2, n: 1 }] })
+  limits.applyReport('a', 'a@1', { demands: {}, statements: [] })
+  t.is(limits.getOwnRatePerS('e'), 1)
+})
--- a/packages/knapweedshunt-admission/src/endpointLimitReport.ts
+++ b/packages/knapweedshunt-admission/src/endpointLimitReport.ts
@@ -1,7 +1,10 @@
 import { z } from 'zod'
 
 const text = z.string().min(1).max(255)
-const rate = z.number().nonnegative()
+/** Highest rate that is believed, in requests per second; sums of rates remain finite. */
+const MAX_RATE_PER_S = 1e15
+
+const rate = z.number().nonnegative().max(MAX_RATE_PER_S)
 
 /** A rate limit that an endpoint states, or no longer states, in requests per second for all VMs together. */
 const limitStatementSchema = z.object({
--- a/packages/knapweedshunt-admission/src/endpointRateLimits.ts
+++ b/packages/knapweedshunt-admission/src/endpointRateLimits.ts
@@ -233,7 +233,7 @@
   #computeOwnRate (endpoint: Incarnation, { pool, requestsPerS, fractions }: KnownLimit): number {
     if (!this.#vms.includes(this.#vm)) return 0
     const oldestMs = this.#lastReadAtMs - REPORT_TIMEOUT_MS
-    const reporting = [...this.#reports].flatMap(([vm, { demands, receivedAtMs }]): VmDemand[] => demands[pool] === undefined || receivedAtMs < oldestMs ? [] : [{ vm, demand: demands[pool] }])
+    const reporting = [...this.#reports].flatMap(([vm, { demands, receivedAtMs }]): VmDemand[] => !Object.hasOwn(demands, pool) || receivedAtMs < oldestMs ? [] : [{ vm, demand: demands[pool] }])
     const getFraction = (vm: VmId): number => {
       const fraction = fractions.get(vm) ?? computeFraction(endpoint, vm)
       fractions.set(vm, fraction)
