--- a/packages/knapweedshunt-orders/src/tableSweeper.ts
+++ b/packages/knapweedshunt-orders/src/tableSweeper.ts
@@ -25,9 +25,9 @@
   constructor (platform: Platform, bounds: OrderOptions) {
     this.#platform = platform
     this.#tables = [
-      { table: CLAIMS_TABLE, after: '', isExpired: (row, nowMs) => nowMs - (row.value as ClaimRow).claimedAtMs > bounds.tombstoneRetentionMs },
-      { table: OUTCOMES_TABLE, after: '', isExpired: (row, nowMs) => nowMs - (row.value as OutcomeRow).recordedAtMs > bounds.retentionMs },
-      { table: CLOSED_LEDGERS_TABLE, after: '', isExpired: (row, nowMs) => nowMs - (row.value as ClosedLedger).closedAtMs > bounds.retentionMs }
+      { table: CLAIMS_TABLE, after: '', isExpired: (row, nowMs) => computeAgeMs<ClaimRow>(row, 'claimedAtMs', nowMs) > bounds.tombstoneRetentionMs },
+      { table: OUTCOMES_TABLE, after: '', isExpired: (row, nowMs) => computeAgeMs<OutcomeRow>(row, 'recordedAtMs', nowMs) > bounds.retentionMs },
+      { table: CLOSED_LEDGERS_TABLE, after: '', isExpired: (row, nowMs) => computeAgeMs<ClosedLedger>(row, 'closedAtMs', nowMs) > bounds.retentionMs }
     ]
   }
 
@@ -55,3 +55,9 @@
     })
   }
 }
+
+/** Age of a row by the time in one of its fields; 0 when that cannot be read, as such a row may stand for an order that ran. */
+function computeAgeMs<T extends object> (row: Row, field: keyof T, nowMs: number): number {
+  const atMs = (row.value as Partial<T> | null | undefined)?.[field]
+  return typeof atMs === 'number' ? nowMs - atMs : 0
+}
