--- a/packages/knapweedshunt-resources/src/resourceStore.ts
+++ b/packages/knapweedshunt-resources/src/resourceStore.ts
@@ -5,6 +5,7 @@
 import { checkOps } from './checkOps.ts'
 import { checkReferences } from './checkReferences.ts'
 import { ResourceUnsettledError } from './resourceErrors.ts'
+import { parseChangeRow, parseResourceRow, parseRevisionRow } from './parseStoreRow.ts'
 import { buildChangeKey, buildTransaction, CHANGE_ID_PREFIX, CHANGE_PREFIX, HEAD_KEY, RESOURCE_TABLE, ROW_PREFIX } from './storeRows.ts'
 import type { Head } from './storeRows.ts'
 import { DEFAULT_STORE_OPTIONS } from './storeOptions.ts'
@@ -31,7 +32,7 @@
   /** Another change was committed first; `revision` is the head revision. */
   | { type: 'raced', revision: Revision }
 
-/** Store of the declared resources in the platform's tables. Every accepted change is one transaction and gets one global revision. */
+/** Store of the declared resources in the platform's tables. Every accepted change is one transaction and gets one global revision. Rows that cannot be read count as missing. */
 export class ResourceStore {
   readonly #platform: Platform
   readonly #options: StoreOptions
@@ -49,7 +50,7 @@
   /** Reads the accepted changes after a revision, oldest first and without a gap; null when compaction has deleted the next one. */
   async readChangesAfter (revision: Revision): Promise<ResourceChange[] | null> {
     const rows = await this.#platform.scan({ table: RESOURCE_TABLE, prefix: CHANGE_PREFIX, after: buildChangeKey(revision), limit: MAX_CHANGES_PER_SCAN })
-    const changes = rows.map(row => row.value as ResourceChange)
+    const changes = rows.map(parseChangeRow).filter(change => change !== null)
     if (changes.length > 0 && changes[0].revision !== revision + 1) return null
     const gapIndex = changes.findIndex((change, index) => change.revision !== revision + 1 + index)
     return gapIndex === -1 ? changes : changes.slice(0, gapIndex)
@@ -86,8 +87,8 @@
     const changes = await this.#platform.scan({ table: RESOURCE_TABLE, prefix: CHANGE_PREFIX, limit: MAX_CHANGES_PER_SCAN })
     const changeIds = lastExpiredIdRevision < 1 ? [] : await this.#platform.scan({ table: RESOURCE_TABLE, prefix: CHANGE_ID_PREFIX, limit: MAX_ROWS_PER_SCAN })
     const expiredRows = [
-      ...changes.filter(row => (row.value as ResourceChange).revision <= lastExpiredChangeRevision),
-      ...changeIds.filter(row => (row.value as { revision: Revision }).revision <= lastExpiredIdRevision)
+      ...changes.filter(row => (parseChangeRow(row)?.revision ?? 0) <= lastExpiredChangeRevision),
+      ...changeIds.filter(row => (parseRevisionRow(row) ?? 0) <= lastExpiredIdRevision)
     ]
     if (expiredRows.length === 0) return
     const writes: Transaction['writes'] = expiredRows.map(row => ({ type: 'delete', table: RESOURCE_TABLE, key: row.key }))
@@ -141,17 +142,24 @@
 
   async #readRows (): Promise<Resource[]> {
     const rows = await this.#platform.scan({ table: RESOURCE_TABLE, prefix: ROW_PREFIX, limit: MAX_ROWS_PER_SCAN })
-    return rows.map(row => row.value as Resource)
+    return rows.map(parseResourceRow).filter(resource => resource !== null)
   }
 
   async #readHeadRow (): Promise<Head> {
     const row = await this.#platform.read(RESOURCE_TABLE, HEAD_KEY)
     if (row === null) return { version: 0, revision: 0 }
-    return { version: row.version, revision: (row.value as { revision: Revision }).revision }
+    return { version: row.version, revision: parseRevisionRow(row) ?? await this.#findNewestRevision() }
+  }
+
+  /** Finds the newest revision among the changes and resources, for a head row that cannot be read; the next change writes it again. */
+  async #findNewestRevision (): Promise<Revision> {
+    const changes = await this.#platform.scan({ table: RESOURCE_TABLE, prefix: CHANGE_PREFIX, limit: MAX_ROWS_PER_SCAN })
+    const revisions = [...changes.map(row => parseChangeRow(row)?.revision ?? 0), ...(await this.#readRows()).map(resource => resource.revision)]
+    return revisions.reduce((newest, revision) => Math.max(newest, revision), 0)
   }
 
   async #readByChangeId (changeId: string): Promise<Revision | null> {
     const row: Row | null = await this.#platform.read(RESOURCE_TABLE, CHANGE_ID_PREFIX + changeId)
-    return row === null ? null : (row.value as { revision: Revision }).revision
+    return row === null ? null : parseRevisionRow(row)
   }
 }
