Fleet: a pool whose row cannot be read waits; the other pools and the process go on

Callers see older weights: the row of one pool's loads was taken as it was, so that an odd one ended the step for the pools after it, at each step again; an operator who listed the resources got an error in place of the list. One that was read in part was kept, and the next step's check of it, outside the error handling, would have ended the task. The row is parsed now; a pool with an unreadable one waits, since loads that the row may hold slots for must not be doubled, which is logged once and shown as the roll-out's progress (RowUnreadable).

--- a/packages/knapweedshunt-admin/src/__tests__/readProgress.test.ts
+++ b/packages/knapweedshunt-admin/src/__tests__/readProgress.test.ts
@@ -24,3 +24,12 @@
   t.is(await up(MODEL_POOL, [MODEL_POOL]), null)
   await t.throwsAsync(read({ read: async () => { throw new TypeError('broken') } })(rollouts[1], [MODEL_POOL, ...rollouts]), { instanceOf: TypeError })
 })
+
+// Guards against a list of resources that cannot be shown because of one row that another writer has left.
+test('a roll-out whose row cannot be read has no progress', async t => {
+  const rollout = buildRollout('a', 2)
+  for (const value of [undefined, null, 'x', 7, [], {}, { slots: 1 }]) {
+    const platform: Partial<AdminContext['platform']> = { read: async () => ({ key: 'pool/p', version: 1, value }) }
+    t.is((await readProgress({ platform } as AdminContext, rollout, [MODEL_POOL, rollout], []))?.reason, 'RowUnreadable')
+  }
+})
--- a/packages/knapweedshunt-admin/src/readProgress.ts
+++ b/packages/knapweedshunt-admin/src/readProgress.ts
@@ -1,5 +1,4 @@
-import { DEFAULT_PLANNER_OPTIONS, describeDrain, describeRollout, EMPTY_ROLLOUT_ROW, listPoolGoals, buildRolloutKey, ROLLOUT_TABLE } from 'knapweedshunt-fleet'
-import type { RolloutRow } from 'knapweedshunt-fleet'
+import { DEFAULT_PLANNER_OPTIONS, describeDrain, describeRollout, EMPTY_ROLLOUT_ROW, listPoolGoals, buildRolloutKey, parseRolloutRow, ROLLOUT_TABLE } from 'knapweedshunt-fleet'
 import { PlatformUnreachableError } from 'knapweedshunt-platform'
 import type { EndpointView, Resource, ResourceOf, StatusCondition } from 'knapweedshunt-types'
 import type { AdminContext } from './adminContext.ts'
@@ -21,8 +20,11 @@
   if (goal === undefined) return { type: 'Progress', status: 'false', reason: 'NoModelPool', message: `${rollout.spec.pool} is not a pool of model engines.` }
   if (goal.rollout?.name !== rollout.name) return { type: 'Progress', status: 'false', reason: 'Superseded', message: `${goal.rollout?.name} was written later and decides.` }
   try {
-    const row = await context.platform.read(ROLLOUT_TABLE, buildRolloutKey(goal.pool))
-    return describeRollout(goal, row === null ? EMPTY_ROLLOUT_ROW : row.value as RolloutRow, DEFAULT_PLANNER_OPTIONS)
+    const key = buildRolloutKey(goal.pool)
+    const read = await context.platform.read(ROLLOUT_TABLE, key)
+    const row = read === null ? EMPTY_ROLLOUT_ROW : parseRolloutRow(read)
+    if (row === null) return { type: 'Progress', status: 'unknown', reason: 'RowUnreadable', message: `The row ${key} in the table ${ROLLOUT_TABLE} cannot be read: delete it.` }
+    return describeRollout(goal, row, DEFAULT_PLANNER_OPTIONS)
   } catch (error) {
     if (!(error instanceof PlatformUnreachableError)) throw error
     return { type: 'Progress', status: 'unknown', reason: 'PlatformNotReached', message: 'The platform did not answer.' }
--- a/packages/knapweedshunt-fleet/src/fleetTask.ts
+++ b/packages/knapweedshunt-fleet/src/fleetTask.ts
@@ -8,6 +8,7 @@
 import { FLEET_LEASE_PREFIX, LEASE_TABLE } from './leaseState.ts'
 import { hasGoalWeights } from './listServingWeights.ts'
 import { CommandSender } from './commandSender.ts'
+import { parseRolloutRow } from './parseRolloutRow.ts'
 import { PeerLeaseTracker } from './peerLeaseTracker.ts'
 import { planPool } from './planPool.ts'
 import type { PlannedEndpoint, PoolInput } from './plannerTypes.ts'
@@ -30,6 +31,8 @@
   readonly #peerLeases: PeerLeaseTracker
   /** Rows as last read, so that a reconciled pool needs no further reads; cleared when the lease is lost. */
   #lastRows = new Map<PoolName, RolloutRow>()
+  /** Version of the row that was logged as unreadable, by pool. */
+  readonly #unreadableVersions = new Map<PoolName, number>()
 
   constructor (options: FleetOptions, ports: FleetPorts, lease: Lease) {
     this.#options = options
@@ -95,7 +98,8 @@
   async #reconcilePool (pool: PoolName, leases: Row[]): Promise<void> {
     const read = await this.#ports.platform.read(ROLLOUT_TABLE, buildRolloutKey(pool))
     const version = read?.version ?? 0
-    const row = read === null ? EMPTY_ROLLOUT_ROW : read.value as RolloutRow
+    const row = read === null ? EMPTY_ROLLOUT_ROW : parseRolloutRow(read)
+    if (row === null) return this.#recordUnreadable(pool, version)
     const reports = await this.#readReports(row)
     const snapshot = this.#ports.readResources()
     const localPool = this.#poolIndex.listPools(snapshot).find(entry => entry.goal.pool === pool)
@@ -108,6 +112,13 @@
     else if (plan.isComplete) await this.#completeRollout(input, version)
   }
 
+  /** Loads that the row may hold slots for must not be doubled, so the pool waits until an operator has deleted the row. */
+  #recordUnreadable (pool: PoolName, version: number): void {
+    if (this.#unreadableVersions.get(pool) === version) return
+    this.#unreadableVersions.set(pool, version)
+    this.#ports.log.error('State of roll-out cannot be read; the pool waits until the row is deleted.', { pool, table: ROLLOUT_TABLE, key: buildRolloutKey(pool) })
+  }
+
   /** Queries endpoints in load slots directly, since views received through gossip are seconds old. */
   async #readReports (row: RolloutRow): Promise<Map<EndpointName, EndpointView>> {
     const endpoints = this.#ports.readResources().resources.filter(resource => resource.kind === 'Endpoint')
