Orders: a claim or outcome that cannot be read ends no router and lets no order run twice

Callers see a router that ends while it runs an order whose claim or outcome another writer has replaced: the fields of the value were read as they were, in work that nobody awaits, so that the error ended the process. The rows are parsed now. One that cannot be read is no answer: the order is not sent again and not called unsent until the tables say more, and a claim that was replaced needs no release.

--- a/packages/knapweedshunt-orders/src/tableLedger.ts
+++ b/packages/knapweedshunt-orders/src/tableLedger.ts
@@ -9,6 +9,7 @@
 import type { OrderOptions } from './orderOptions.ts'
 import type { OrderRequest } from './orderRequest.ts'
 import type { OutcomeRow, RunOutcome } from './outcomeRow.ts'
+import { isClaimRow, parseClaimRow, parseOutcomeRow } from './parseOrderRow.ts'
 import { OutcomeWriter } from './outcomeWriter.ts'
 
 /** Table of {@link ClaimRow}, keyed by organisation and order key. */
@@ -48,7 +49,7 @@
       const result = await this.#committer.commit(change, 0)
       if (result.type === 'committed') return { type: 'claimed' }
       if (result.row === null) return { type: 'lost' }
-      const claim = result.row.value as ClaimRow
+      const claim = parseClaimRow(result.row)
       if (claim.nonce === nonce && claim.state === 'claimed') return { type: 'claimed' }
       return { type: 'known', ...await this.#readClaimOutcome(order, { claim, version: result.row.version }) }
     } catch (error) {
@@ -80,7 +81,9 @@
   async release (order: OrderRequest, nonce: string, signal: AbortSignal): Promise<void> {
     await this.#retry(signal, async () => {
       const row = await this.#platform.read(CLAIMS_TABLE, buildClaimKey(order))
-      const claim = row?.value as ClaimRow | undefined
+      // Another writer replaced the row, so that a delayed write of this run's claim fails its version check.
+      if (row !== null && !isClaimRow(row)) return true
+      const claim = row === null ? undefined : parseClaimRow(row)
       if (claim !== undefined && isSuperseded(claim, nonce)) return true
       const value = this.#buildClaim('released', order.digest, nonce)
       const result: RowChangeResult = await this.#committer.commit({ table: CLAIMS_TABLE, key: buildClaimKey(order), version: row?.version ?? 0, value }, 0)
@@ -92,14 +95,14 @@
   async readEntry (organisation: OrganisationName, key: string): Promise<LedgerEntry> {
     const row = await this.#platform.read(CLAIMS_TABLE, buildClaimKey({ organisation, key }))
     if (row === null) return { type: 'absent' }
-    const present = { claim: row.value as ClaimRow, version: row.version }
+    const present = { claim: parseClaimRow(row), version: row.version }
     return { type: 'present', ...await this.#readClaimOutcome({ organisation, key }, present) }
   }
 
   /** Reads a recorded outcome; null when there is none. Throws PlatformUnreachableError. */
   async readOutcome (order: Pick<OrderRequest, 'organisation' | 'key'>, nonce: string): Promise<OutcomeRow | null> {
     const row = await this.#platform.read(OUTCOMES_TABLE, buildOutcomeKey(order, nonce))
-    return row === null ? null : row.value as OutcomeRow
+    return row === null ? null : parseOutcomeRow(row)
   }
 
   async #readClaimOutcome (order: Pick<OrderRequest, 'organisation' | 'key'>, present: VersionedClaim): Promise<{ present: VersionedClaim, outcome: RunOutcome | null, expired: boolean }> {
