Streams: what began them is stored while their pool has several software versions, so that they go on after all VMs have ended at once

What began a stream was known to the VMs that served it and to its holders, in memory alone.

While a pool has several software versions, each stream is also told to two writers: few VMs that all VMs select alike, one of eight VMs, four to fifty. Each incarnation has rows of its own: it replaces none of an earlier one, reads them when it starts, and removes them once their streams cannot come back. A VM that gets a stream back asks holders and writers; where a VM does not answer, it reads that VM's rows, within a rate for all VMs. What is not found is refused as before, so nothing is guessed: keys are wide, contain the organisation, and a row that an older copy of the store brings back is still true. The first event waits for nothing.

Reading rows of silent VMs is not needed while one of the two writers is back.

--- a/packages/knapweedshunt-attempts/src/poolVersionHistory.ts
+++ b/packages/knapweedshunt-attempts/src/poolVersionHistory.ts
@@ -38,6 +38,11 @@
     return version === undefined || others.length > 0 ? null : version
   }
 
+  /** Whether several versions may have begun streams that may still be taken up again. */
+  hasSeveral (pool: string): boolean {
+    return (this.#pools.get(pool)?.lastPresentMs.size ?? 0) > 1
+  }
+
   #getOrCreate (pool: string): PoolVersions {
     const known = this.#pools.get(pool) ?? { sinceMs: performance.now(), lastPresentMs: new Map<string, number>() }
     this.#pools.set(pool, known)
--- a/packages/knapweedshunt-gateway/src/__tests__/streamOriginsSimulation.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/streamOriginsSimulation.ts
@@ -1,10 +1,16 @@
 import { createRng } from 'knapweedshunt-utils'
 import type { Rng } from 'knapweedshunt-utils'
+import { PlatformUnreachableError } from 'knapweedshunt-platform'
+import type { Platform, Row } from 'knapweedshunt-platform'
 import type { PoolVersionsRow } from '../directory/rosterRows.ts'
 import { EndpointRegistry } from '../endpoints/endpointRegistry.ts'
 import type { PeerView } from '../peers/peerAddress.ts'
+import { STREAM_TABLE } from '../peers/streamRow.ts'
 import { StreamOrigins } from '../peers/streamOrigins.ts'
+import { StreamRowReader } from '../peers/streamRowReader.ts'
+import { StreamRows } from '../peers/streamRows.ts'
 import { DecisionLog } from '../records/decisionLog.ts'
+import { GatewayMetrics } from '../records/gatewayMetrics.ts'
 
 const POOL = 'p'
 const RETENTION_MS = 8_000
@@ -24,7 +30,7 @@
   vmCount: number
   /** Times at which the endpoints are replaced by ones of the next version, one after the other. */
   releases: Array<{ atMs: number, gapMs: number }>
-  disturbances: Array<{ atMs: number, vm: number, type: 'restart' | 'cut' | 'outage' | 'restartAll', durationMs: number }>
+  disturbances: Array<{ atMs: number, vm: number, type: 'restart' | 'cut' | 'outage' | 'restartAll' | 'copy' | 'restore', durationMs: number }>
   /** Time until a change of the endpoints is seen by a VM, at most, in milliseconds. */
   maxDirectoryMs: number
   streamIntervalMs: number
@@ -32,12 +38,22 @@
   maxTakeUpMs: number
 }
 
+/** Streams that were taken up; those of `AfterRestart` began before all VMs ended, and were taken up after it. */
+export interface OriginsCounts {
+  asked: number
+  known: number
+  wrong: number
+  askedAfterRestart: number
+  knownAfterRestart: number
+}
+
 interface SimulatedEndpoint { endpoint: string, softwareVersion: string }
 
 interface SimulatedVm {
   view: PeerView
   start: number
   origins: StreamOrigins
+  streamRows: StreamRows
   registry: EndpointRegistry
   isCut: boolean
   isDown: boolean
@@ -50,12 +66,16 @@
   readonly #scenario: OriginsScenario
   readonly #rng: Rng
   readonly #vms: SimulatedVm[] = []
-  readonly #rows = new Map<string, PoolVersionsRow>()
+  #rows = new Map<string, PoolVersionsRow>()
+  #streamRows = new Map<string, Row>()
+  #copy = { rows: this.#rows, streamRows: this.#streamRows }
+  #rowVersion = 0
   #endpoints: SimulatedEndpoint[] = Array.from({ length: 6 }, (_, n) => ({ endpoint: `e${n}`, softwareVersion: 'v1' }))
   readonly #leaving = new Set<string>()
   #version = 1
   #isStoreDown = false
-  readonly counts = { asked: 0, known: 0, wrong: 0 }
+  readonly counts: OriginsCounts = { asked: 0, known: 0, wrong: 0, askedAfterRestart: 0, knownAfterRestart: 0 }
+  #restartedAllAtMs = -Infinity
 
   constructor (scenario: OriginsScenario) {
     this.#scenario = scenario
@@ -74,12 +94,28 @@
     const view: PeerView = { vm: `vm-${n}`, dataCentre: DATA_CENTRES[n % DATA_CENTRES.length], address: { url: '', key: String(start) } }
     const registry = new EndpointRegistry(() => {}, () => {}, () => {})
     const abort = new AbortController()
-    const vm: SimulatedVm = { view, start, registry, abort, isCut: false, isDown: false, endpointsReadAtMs: -Infinity, origins: null as unknown as StreamOrigins }
+    const vm: SimulatedVm = { view, start, registry, abort, isCut: false, isDown: false, endpointsReadAtMs: -Infinity, origins: null as unknown as StreamOrigins, streamRows: null as unknown as StreamRows }
+    const decisionLog = new DecisionLog(LOG)
+    const platform = this.#buildPlatform(vm)
+    vm.streamRows = new StreamRows({
+      platform,
+      vm: view.vm,
+      incarnation: String(start),
+      decisionLog,
+      metrics: new GatewayMetrics(),
+      signal: abort.signal,
+      randomizeDelayMs: meanMs => meanMs * (0.5 + this.#rng.drawFloat()),
+      isSweeper: () => n === 0,
+      getRetentionMs: () => RETENTION_MS,
+      onRestored: streams => vm.origins.applyRestored(streams)
+    })
     vm.origins = new StreamOrigins({
       vm: view.vm,
       dataCentre: view.dataCentre,
       endpointRegistry: registry,
-      decisionLog: new DecisionLog(LOG),
+      decisionLog,
+      streamRows: vm.streamRows,
+      streamRowReader: new StreamRowReader({ platform, decisionLog, signal: abort.signal, countVms: () => this.#vms.length }),
       signal: abort.signal,
       listPeers: () => this.#vms.filter(other => other.view.vm !== view.vm).map(other => other.view),
       call: (target, method, params) => this.#call(vm, target, method, params),
@@ -89,9 +125,36 @@
       writePoolVersions: async row => { await this.#writeRow(vm, row) }
     })
     this.#readDirectory(vm)
+    vm.streamRows.restore().catch(error => { throw error })
     return vm
   }
 
+  /** A write without an answer may have been carried out. */
+  #buildPlatform (vm: SimulatedVm): Platform {
+    const call = async <T>(perform: () => T): Promise<T> => {
+      await new Promise(resolve => setTimeout(resolve, CALL_MS))
+      if (!this.#canReachStore(vm)) throw new PlatformUnreachableError('no answer')
+      const answer = perform()
+      await new Promise(resolve => setTimeout(resolve, CALL_MS))
+      if (!this.#canReachStore(vm)) throw new PlatformUnreachableError('answer lost')
+      return answer
+    }
+    return {
+      read: async () => null,
+      scan: async ({ table, prefix = '', after = '', limit }) => await call(() => table !== STREAM_TABLE ? [] : [...this.#streamRows.values()].filter(({ key }) => key.startsWith(prefix) && key > after).sort((a, b) => a.key < b.key ? -1 : 1).slice(0, limit)),
+      transact: async ({ writes }) => await call(() => {
+        for (const write of writes) {
+          if (write.type === 'delete') this.#streamRows.delete(write.key)
+          else this.#streamRows.set(write.key, { key: write.key, version: ++this.#rowVersion, value: structuredClone(write.value) })
+        }
+        return { type: 'committed' as const }
+      }),
+      getObject: async () => null,
+      putObject: async () => {},
+      listVms: async () => []
+    }
+  }
+
   async #call (from: SimulatedVm, target: PeerView, method: string, params: unknown): Promise<unknown> {
     await new Promise(resolve => setTimeout(resolve, CALL_MS))
     const vm = this.#vms.find(one => one.view.vm === target.vm)
@@ -125,6 +188,7 @@
       if (vm.isDown) continue
       if (this.#canReachStore(vm)) vm.endpointsReadAtMs = performance.now()
       vm.origins.updateVersions()
+      vm.streamRows.update()
     }
   }
 
@@ -151,6 +215,16 @@
 
   #disturb (n: number, type: OriginsScenario['disturbances'][number]['type'], durationMs: number): void {
     const vm = this.#vms[n]
+    if (type === 'copy') {
+      this.#copy = { rows: new Map(this.#rows), streamRows: new Map(this.#streamRows) }
+      return
+    }
+    if (type === 'restore') {
+      this.#rows = new Map(this.#copy.rows)
+      this.#streamRows = new Map(this.#copy.streamRows)
+      for (const one of this.#vms) one.streamRows.rewrite()
+      return
+    }
     if (type === 'outage') {
       this.#isStoreDown = true
       setTimeout(() => {
@@ -167,6 +241,7 @@
       }, durationMs)
       return
     }
+    if (type === 'restartAll') this.#restartedAllAtMs = performance.now()
     const stopped = type === 'restartAll' ? [...this.#vms] : [vm]
     for (const one of stopped) {
       one.isDown = true
@@ -187,19 +262,23 @@
     const { endpoint, softwareVersion } = present[this.#rng.drawInt(present.length)].entry
     if (!this.#leaving.has(endpoint) && !this.#endpoints.some(one => one.endpoint === endpoint)) return
     const identity = { organisation: 'org', pool: POOL, firstRequestId: `r${this.#rng.drawInt(2 ** 30)}-${performance.now()}` }
+    const begunAtMs = performance.now()
     vm.origins.recordBegan(identity, softwareVersion)
     setTimeout(() => {
-      this.#takeUp(identity, softwareVersion).catch(error => { throw error })
+      this.#takeUp(identity, softwareVersion, begunAtMs).catch(error => { throw error })
     }, 10 + this.#rng.drawInt(this.#scenario.maxTakeUpMs))
   }
 
-  async #takeUp (identity: { organisation: string, pool: string, firstRequestId: string }, softwareVersion: string): Promise<void> {
+  async #takeUp (identity: { organisation: string, pool: string, firstRequestId: string }, softwareVersion: string, begunAtMs: number): Promise<void> {
     const vm = this.#vms[this.#rng.drawInt(this.#vms.length)]
     if (vm.isDown) return
     const origin = await vm.origins.findOrigin(identity)
+    const isAfterRestart = begunAtMs < this.#restartedAllAtMs
     this.counts.asked++
+    if (isAfterRestart) this.counts.askedAfterRestart++
     if (origin.type !== 'known') return
     this.counts.known++
+    if (isAfterRestart) this.counts.knownAfterRestart++
     if (origin.softwareVersion !== softwareVersion) this.counts.wrong++
   }
 }
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -31,6 +31,8 @@
 import { PeerClients } from './peers/peerClients.ts'
 import { PeerServer } from './peers/peerServer.ts'
 import { StreamOrigins } from './peers/streamOrigins.ts'
+import { StreamRowReader } from './peers/streamRowReader.ts'
+import { StreamRows } from './peers/streamRows.ts'
 import { RequestPlanner } from './flow/requestPlanner.ts'
 import { UnansweredAttempts } from './flow/unansweredAttempts.ts'
 import type { GatewayAddresses, GatewayDependencies } from './gatewayDependencies.ts'
@@ -70,6 +72,7 @@
   readonly #roster: VmRoster
   readonly #endpointLimits: EndpointLimits
   readonly #endpointPermits: EndpointPermits
+  readonly #streamRows: StreamRows
   readonly #streamOrigins: StreamOrigins
   readonly #relays: EndpointRelays
   readonly #peerClients = new PeerClients()
@@ -140,11 +143,24 @@
       announceReport: report => this.#roster.announceLimits(report)
     })
     this.#endpointPermits = new EndpointPermits({ endpointLimits: this.#endpointLimits, decisionLog: this.#decisionLog, countVms: () => this.#roster.countVms(), findEndpoint: endpoint => this.#endpointRegistry.find(endpoint), onLeaving: () => this.#chooser.rebuild() })
+    const streamStorage = { platform: dependencies.platform, decisionLog: this.#decisionLog, signal: this.#taskController.signal }
+    this.#streamRows = new StreamRows({
+      ...streamStorage,
+      vm: settings.vm,
+      incarnation: this.#incarnation,
+      metrics: this.#metrics,
+      randomizeDelayMs: meanMs => this.#randomizeDelayMs(meanMs),
+      isSweeper: () => this.#roster.isSharedWriter,
+      getRetentionMs: () => this.#computeStreamRetentionMs(),
+      onRestored: streams => this.#streamOrigins.applyRestored(streams)
+    })
     this.#streamOrigins = new StreamOrigins({
       vm: settings.vm,
       dataCentre: settings.dataCentre,
       endpointRegistry: this.#endpointRegistry,
       decisionLog: this.#decisionLog,
+      streamRows: this.#streamRows,
+      streamRowReader: new StreamRowReader({ ...streamStorage, countVms: () => this.#roster.countVms() }),
       signal: this.#taskController.signal,
       listPeers: () => this.#roster.listPeers(),
       call: (view, method, params) => this.#peerClients.call(view, method, params),
@@ -203,6 +219,7 @@
       onEndpoints: update => this.#directoryUpdater.applyEndpoints(update),
       onRoster: update => {
         this.#roster.applyUpdate(update)
+        if (update.type === 'rows') this.#streamRows.rewrite()
         this.#retryBudget.updateShare(this.#settings, this.#roster.countVms())
         this.#endpointLimits.update(performance.now())
       }
@@ -252,11 +269,13 @@
       this.#endpointMonitor.run(taskController.signal),
       this.#kvStoreMonitor.run(taskController.signal),
       this.#relays.run(taskController.signal),
+      this.#streamRows.restore(),
       waveTask.run(taskController.signal, { isStopping: () => this.#isStopping, isOutreached: () => this.#relays.isOutreached }),
       runEvery(SWEEP_INTERVAL_MS, taskController.signal, () => {
         this.#endpointRegistry.removeExpired()
         this.#readiness.update()
         this.#streamOrigins.updateVersions()
+        this.#streamRows.update()
         this.#endpointLimits.update(performance.now() - (this.#followers.roster.ageMs ?? Infinity))
       })
     ]
@@ -302,10 +321,14 @@
       checkKey: plan => this.#authenticator.check(plan),
       isKeyUsable: plan => this.#authenticator.isUsable(plan),
       getKeysAgeMs: () => this.#keyFreshness.ageMs,
-      randomizeDelayMs: meanMs => Math.round(meanMs * (0.5 + this.#rng.drawFloat()))
+      randomizeDelayMs: meanMs => this.#randomizeDelayMs(meanMs)
     }
   }
 
+  #randomizeDelayMs (meanMs: number): number {
+    return Math.round(meanMs * (0.5 + this.#rng.drawFloat()))
+  }
+
   /** A brittle endpoint that had to reject requests has ended under these, not under the ones that it ran. */
   #recordCrash (attempt: CrashedAttempt, evidence: LossReason): void {
     if (!this.#endpointPermits.isEndDoubtful(attempt.record)) return this.#suspectTracker.recordCrash(attempt, evidence)
@@ -337,6 +360,7 @@
     this.#metrics.addGauge('endpoints_limited', 'Endpoints that state a rate limit.', () => this.#endpointLimits.count)
     this.#metrics.addGauge('endpoints_backing_off', 'Endpoints that asked this VM to back off.', () => this.#endpointPermits.backoffCount)
     this.#metrics.addGauge('stream_origins', 'Streams whose software version this VM knows.', () => this.#streamOrigins.count)
+    this.#metrics.addGauge('stored_streams', 'Streams in this VM\'s rows.', () => this.#streamRows.count)
     this.#metrics.addGauge('endpoints_loading', 'Endpoints that load weights.', () => this.#weightsState.listLoadingEndpoints().size)
     this.#metrics.addGauge('keys_age_seconds', 'Age of the operator\'s rows.', () => Math.min(this.#keyFreshness.ageMs, Number.MAX_SAFE_INTEGER) / 1_000)
     this.#metrics.addGauge('vms', 'VMs that may be running.', () => this.#roster.countVms())
--- a/packages/knapweedshunt-gateway/src/peers/streamAnnouncer.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamAnnouncer.ts
@@ -10,7 +10,13 @@
 /** Pause after a failed call, in milliseconds. */
 const RETRY_INTERVAL_MS = 500
 
-interface PendingStream extends StreamVersion {
+/** A stream as it is told to a VM. */
+export interface AnnouncedStream extends StreamVersion {
+  /** Whether the VM writes it to the store. */
+  mustStore: boolean
+}
+
+interface PendingStream extends AnnouncedStream {
   pool: PoolName
   atMs: number
 }
@@ -41,7 +47,7 @@
   }
 
   /** Sends a stream to another VM soon. */
-  add (view: PeerView, pool: PoolName, stream: StreamVersion): void {
+  add (view: PeerView, pool: PoolName, stream: AnnouncedStream): void {
     const queue = this.#queues.get(view.vm) ?? { view, pending: [], isSending: false }
     this.#queues.set(view.vm, queue)
     queue.view = view
@@ -68,7 +74,7 @@
 
   async #send ({ view }: PeerQueue, batch: PendingStream[]): Promise<boolean> {
     try {
-      await this.#dependencies.call(view, 'streams.record', { pool: batch[0].pool, streams: batch.map(({ key, softwareVersion }) => ({ key, softwareVersion })) })
+      await this.#dependencies.call(view, 'streams.record', { pool: batch[0].pool, streams: batch.map(({ key, softwareVersion, mustStore }) => ({ key, softwareVersion, mustStore })) })
       return true
     } catch (error) {
       this.#dependencies.onFailed(view.vm, (error as Error).message)
--- a/packages/knapweedshunt-gateway/src/peers/streamMessages.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamMessages.ts
@@ -6,8 +6,8 @@
 const text = z.string().min(1).max(255)
 const softwareVersion = z.string().max(255)
 
-/** Params of `streams.record`: streams and the software versions that began them. */
-export const recordParamsSchema = z.object({ pool: text, streams: z.array(z.object({ key: text, softwareVersion })).max(MAX_MESSAGE_STREAMS) })
+/** Params of `streams.record`: streams and the software versions that began them, and whether the VM stores them; earlier builds do not say. */
+export const recordParamsSchema = z.object({ pool: text, streams: z.array(z.object({ key: text, softwareVersion, mustStore: z.boolean().default(false) })).max(MAX_MESSAGE_STREAMS) })
 
 /** Params of `streams.find`. */
 export const findParamsSchema = z.object({ pool: text, key: text })
--- a/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
@@ -1,5 +1,5 @@
-import { computeStreamKey, PoolVersionHistory, selectStreamHolders, StreamVersionTable } from 'knapweedshunt-attempts'
-import type { StreamVersion } from 'knapweedshunt-attempts'
+import { computeStreamKey, PoolVersionHistory, rankCandidates, selectStoringWriters, selectStreamHolders, selectStreamWriters, StreamVersionTable } from 'knapweedshunt-attempts'
+import type { HolderCandidate, PooledStream, StreamVersion } from 'knapweedshunt-attempts'
 import type { DataCentreId, OrganisationName, PoolName, RequestId, VmId } from 'knapweedshunt-types'
 import { groupBy } from 'knapweedshunt-utils'
 import type { PoolVersionsRow } from '../directory/rosterRows.ts'
@@ -10,6 +10,8 @@
 import { findParamsSchema, findResultSchema, recordParamsSchema } from './streamMessages.ts'
 import type { FindResult } from './streamMessages.ts'
 import type { StreamOrigin } from './streamOrigin.ts'
+import type { StreamRowReader } from './streamRowReader.ts'
+import type { StreamRows } from './streamRows.ts'
 
 /** Age of the endpoint table up to which it shows all software versions that serve, in milliseconds; over two long polls. */
 const MAX_ENDPOINTS_AGE_MS = 4_000
@@ -23,6 +25,20 @@
 /** Pause after a failed write of a pool's versions, in milliseconds. */
 const WRITE_RETRY_MS = 1_000
 
+/** Maximum number of VMs whose rows are searched for one stream. */
+const MAX_READ_VMS = 3
+
+/** How much is done for the streams of a pool so that others know them; each includes the one before. */
+const SHARING = {
+  none: 0,
+  /** They are told to their holders. */
+  told: 1,
+  /** They are also told to the VMs that store them. */
+  stored: 2
+} as const
+
+type Sharing = typeof SHARING[keyof typeof SHARING]
+
 /** A stream that a caller takes up again, or begins. */
 export interface StreamIdentity {
   organisation: OrganisationName
@@ -31,12 +47,20 @@
   firstRequestId: RequestId | null
 }
 
+/** What a holder answered; `result` is null if it did not. */
+interface HolderAnswer {
+  vm: VmId
+  result: FindResult | null
+}
+
 /** Dependencies of {@link StreamOrigins}. */
 export interface StreamOriginsDependencies {
   vm: VmId
   dataCentre: DataCentreId
   endpointRegistry: EndpointRegistry
   decisionLog: DecisionLog
+  streamRows: Pick<StreamRows, 'add' | 'waitUntilRestored'>
+  streamRowReader: Pick<StreamRowReader, 'find'>
   /** Ends all calls to other VMs. */
   signal: AbortSignal
   listPeers (): PeerView[]
@@ -53,19 +77,21 @@
 
 /**
  * Software versions of the endpoints that began streams. While the endpoints of a pool have several versions, each stream
- * is told to a few VMs, chosen by its key, before a caller can come back; any VM asks these. While they have one, nothing
- * is told.
+ * is told to a few VMs, chosen by its key, before a caller can come back; any VM asks these. Two more write it to the store,
+ * for the case that all VMs end at once. While the endpoints have one version, nothing is told or written.
  */
 export class StreamOrigins {
   readonly #dependencies: StreamOriginsDependencies
   readonly #table: StreamVersionTable
   readonly #history: PoolVersionHistory
   readonly #announcer: StreamAnnouncer
-  /** Pools whose streams are told to other VMs. */
-  readonly #announcedPools = new Set<PoolName>()
+  /** What is done for the streams of each pool. */
+  readonly #sharing = new Map<PoolName, Sharing>()
   /** Versions in each pool's row, as read or written last. */
   readonly #writtenVersions = new Map<PoolName, string>()
   #nextWriteAtMs = -Infinity
+  /** VMs that write streams to the store. */
+  #writers: HolderCandidate[] = []
 
   constructor (dependencies: StreamOriginsDependencies) {
     this.#dependencies = dependencies
@@ -84,17 +110,23 @@
 
   /** Records the software versions that the endpoints of each pool have now. If a pool has several all of a sudden, the streams that may be taken up again are told too. */
   updateVersions (): void {
+    this.#writers = selectStreamWriters(this.#listCandidates())
     for (const [pool, records] of groupBy(this.#dependencies.endpointRegistry.list(), ({ entry }) => entry.pool)) {
       const versions = [...new Set(records.map(({ entry }) => entry.softwareVersion))].sort()
       this.#history.recordPresent(pool, versions)
       this.#writeIfChanged(pool, versions)
-      const isAnnounced = this.#findOnlyVersion(pool) === null
-      if (isAnnounced && !this.#announcedPools.has(pool)) for (const stream of this.#table.list(pool)) this.#announce(pool, stream)
-      if (isAnnounced) this.#announcedPools.add(pool)
-      else this.#announcedPools.delete(pool)
+      const sharing = this.#determineSharing(pool)
+      const previous = this.#getSharing(pool)
+      this.#sharing.set(pool, sharing)
+      if (sharing > previous) for (const stream of this.#table.list(pool)) this.#announce(pool, stream)
     }
   }
 
+  /** Records streams that an earlier incarnation of this VM stored. */
+  applyRestored (streams: PooledStream[]): void {
+    for (const { key, pool, softwareVersion } of streams) this.#table.record(key, pool, softwareVersion)
+  }
+
   /** Applies the versions of a pool that another VM, or this one before it restarted, has written. */
   applyPoolVersions ({ pool, softwareVersions, changedAtMs }: PoolVersionsRow): void {
     this.#writtenVersions.set(pool, softwareVersions.join())
@@ -108,29 +140,46 @@
     if (firstRequestId === null) return
     const key = computeStreamKey(organisation, pool, firstRequestId)
     this.#table.record(key, pool, softwareVersion)
-    if (this.#announcedPools.has(pool)) this.#announce(pool, { key, softwareVersion })
+    if (this.#getSharing(pool) !== SHARING.none) this.#announce(pool, { key, softwareVersion })
   }
 
   /** Finds the version that began a stream. */
   async findOrigin ({ organisation, pool, firstRequestId }: StreamIdentity): Promise<StreamOrigin> {
     const key = computeStreamKey(organisation, pool, firstRequestId ?? '')
-    const known = this.#table.find(key)
-    if (known !== null) return { type: 'known', softwareVersion: known }
-    const version = await this.#askHolders(pool, key)
+    const version = await this.#findOwn(key) ?? await this.#askHolders(pool, key, firstRequestId !== null)
     return version === null ? { type: 'unknown' } : { type: 'known', softwareVersion: version }
   }
 
   /** Handles `streams.record`. Throws ZodError on invalid params. */
   handleRecord (params: unknown): object {
     const { pool, streams } = recordParamsSchema.parse(params)
-    for (const { key, softwareVersion } of streams) this.#table.record(key, pool, softwareVersion)
+    for (const { key, softwareVersion, mustStore } of streams) {
+      this.#table.record(key, pool, softwareVersion)
+      if (mustStore) this.#dependencies.streamRows.add({ key, pool, softwareVersion })
+    }
     return {}
   }
 
   /** Handles `streams.find`. Throws ZodError on invalid params. */
-  handleFind (params: unknown): FindResult {
+  async handleFind (params: unknown): Promise<FindResult> {
     const { pool, key } = findParamsSchema.parse(params)
-    return { softwareVersion: this.#table.find(key), onlyVersion: this.#findOnlyVersion(pool) }
+    return { softwareVersion: await this.#findOwn(key), onlyVersion: this.#findOnlyVersion(pool) }
+  }
+
+  async #findOwn (key: string): Promise<string | null> {
+    const known = this.#table.find(key)
+    if (known !== null) return known
+    await this.#dependencies.streamRows.waitUntilRestored()
+    return this.#table.find(key)
+  }
+
+  #getSharing (pool: PoolName): Sharing {
+    return this.#sharing.get(pool) ?? SHARING.none
+  }
+
+  #determineSharing (pool: PoolName): Sharing {
+    if (this.#history.hasSeveral(pool)) return SHARING.stored
+    return this.#findOnlyVersion(pool) === null ? SHARING.told : SHARING.none
   }
 
   /** An endpoint table that is too old may lack a version. */
@@ -151,43 +200,64 @@
   }
 
   #announce (pool: PoolName, stream: StreamVersion): void {
-    for (const view of this.#listHolders(stream.key)) this.#announcer.add(view, pool, stream)
+    const storing = this.#getSharing(pool) === SHARING.stored ? this.#selectStoring(stream.key) : []
+    const isStoring = (vm: VmId) => storing.some(writer => writer.vm === vm)
+    if (isStoring(this.#dependencies.vm)) this.#dependencies.streamRows.add({ ...stream, pool })
+    for (const view of this.#listPeers([...this.#selectHolders(stream.key), ...storing])) this.#announcer.add(view, pool, { ...stream, mustStore: isStoring(view.vm) })
   }
 
-  #selectHolders (key: string): Array<Pick<PeerView, 'vm' | 'dataCentre'>> {
+  #listCandidates (): HolderCandidate[] {
     const { vm, dataCentre, listPeers } = this.#dependencies
-    return selectStreamHolders(key, [{ vm, dataCentre }, ...listPeers()])
+    return [{ vm, dataCentre }, ...listPeers()]
   }
 
-  /** Lists the other VMs among the holders of a stream. */
-  #listHolders (key: string): PeerView[] {
-    const holders = this.#selectHolders(key)
-    return this.#dependencies.listPeers().filter(peer => holders.some(holder => holder.vm === peer.vm))
+  #selectHolders (key: string): HolderCandidate[] {
+    return selectStreamHolders(key, this.#listCandidates())
+  }
+
+  #selectStoring (key: string): HolderCandidate[] {
+    return selectStoringWriters(key, this.#writers)
+  }
+
+  /** Lists the other VMs among these. */
+  #listPeers (candidates: HolderCandidate[]): PeerView[] {
+    return this.#dependencies.listPeers().filter(peer => candidates.some(({ vm }) => vm === peer.vm))
   }
 
-  /** Resolves to the version that the first holder knows which knows any; if none does, to the only one that can have begun the stream, provided that most holders say so: one that is cut off may not have seen the newest version. */
-  async #askHolders (pool: PoolName, key: string): Promise<string | null> {
-    const calls = this.#listHolders(key).map(view => this.#askHolder(view, pool, key))
+  /** Resolves to the version that the first holder knows which knows any; if none does, to the only one that can have begun the stream, provided that most holders say so: one that is cut off may not have seen the newest version; else to what VMs that did not answer have stored. */
+  async #askHolders (pool: PoolName, key: string, mayBeStored: boolean): Promise<string | null> {
+    const holders = this.#selectHolders(key)
+    const storing = mayBeStored ? this.#selectStoring(key) : []
+    const calls = this.#listPeers([...holders, ...storing]).map(view => this.#askHolder(view, pool, key))
     const firstKnown = await Promise.any(calls.map(async call => {
-      const { softwareVersion } = await call
-      if (softwareVersion === null) throw new Error('not known')
-      return softwareVersion
-    })).catch(() => null) // All holders answered without the stream, or not at all.
+      const { result } = await call
+      if (result === null || result.softwareVersion === null) throw new Error('not known')
+      return result.softwareVersion
+    })).catch(() => null) // All answered without the stream, or not at all.
     if (firstKnown !== null) return firstKnown
-    const holders = this.#selectHolders(key)
-    const isHolder = holders.some(({ vm }) => vm === this.#dependencies.vm)
-    const claims = [...(await Promise.all(calls)).map(({ onlyVersion }) => onlyVersion), isHolder ? this.#findOnlyVersion(pool) : null].filter(version => version !== null)
-    return claims.length > holders.length / 2 && new Set(claims).size === 1 ? claims[0] : null
+    const answers = await Promise.all(calls)
+    const onlyVersions = new Map(answers.map(({ vm, result }) => [vm, result?.onlyVersion ?? null])).set(this.#dependencies.vm, this.#findOnlyVersion(pool))
+    const claims = holders.map(({ vm }) => onlyVersions.get(vm) ?? null).filter(version => version !== null)
+    if (claims.length > holders.length / 2 && new Set(claims).size === 1) return claims[0]
+    return mayBeStored ? await this.#findStored(key, answers.filter(({ result }) => result !== null).map(({ vm }) => vm)) : null
   }
 
-  async #askHolder (view: PeerView, pool: PoolName, key: string): Promise<FindResult> {
+  async #askHolder (view: PeerView, pool: PoolName, key: string): Promise<HolderAnswer> {
     try {
-      return findResultSchema.parse(await this.#dependencies.call(view, 'streams.find', { pool, key }))
+      return { vm: view.vm, result: findResultSchema.parse(await this.#dependencies.call(view, 'streams.find', { pool, key })) }
     } catch (error) {
       this.#dependencies.decisionLog.record({ type: 'streamUnasked', vm: view.vm, reason: (error as Error).message })
-      return NOTHING_FOUND
+      return { vm: view.vm, result: null }
     }
   }
-}
 
-const NOTHING_FOUND: FindResult = { softwareVersion: null, onlyVersion: null }
+  /** VMs that did not answer may be gone, and others may have become writers in their place; so the writers are ranked among the former. */
+  async #findStored (key: string, answered: VmId[]): Promise<string | null> {
+    const silent = this.#dependencies.listPeers().filter(({ vm }) => !answered.includes(vm))
+    for (const { vm } of rankCandidates(key, selectStreamWriters(silent)).slice(0, MAX_READ_VMS)) {
+      const version = await this.#dependencies.streamRowReader.find(vm, key)
+      if (version !== null) return version
+    }
+    return null
+  }
+}
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/peers/streamRow.ts
@@ -0,0 +1,65 @@
+import type { PooledStream } from 'knapweedshunt-attempts'
+import type { Row } from 'knapweedshunt-platform'
+import type { VmId } from 'knapweedshunt-types'
+import { groupBy } from 'knapweedshunt-utils'
+import { z } from 'zod'
+import type { DecisionLog } from '../records/decisionLog.ts'
+
+/** Name of the table of streams; no VM follows it. */
+export const STREAM_TABLE = 'knapweedshunt-streams'
+
+/** Maximum number of rows of one VM that are read; its incarnations write fewer. */
+export const MAX_VM_STREAM_ROWS = 100
+
+const KEY_BYTES = 16
+
+const STREAM_KEY = /^[0-9a-f]{32}$/
+
+/** Row of streams; `writtenAtMs` is wall-clock time in Unix milliseconds, `keys` joins the keys of the streams that one software version began in a pool, in base64. */
+const streamRowSchema = z.object({
+  writtenAtMs: z.number(),
+  groups: z.array(z.object({ pool: z.string().min(1), softwareVersion: z.string(), keys: z.base64() }))
+})
+
+/** Value of a row of streams. */
+export type StreamRow = z.output<typeof streamRowSchema>
+
+/** Builds the beginning of the keys of a VM's rows. */
+export function buildStreamRowPrefix (vm: VmId): string {
+  return `${encodeURIComponent(vm)}/`
+}
+
+/** Encodes streams as the value of a row. */
+export function encodeStreamRow (streams: readonly PooledStream[], writtenAtMs: number): StreamRow {
+  const groups = groupBy(streams, ({ pool, softwareVersion }) => JSON.stringify([pool, softwareVersion]))
+  return {
+    writtenAtMs,
+    groups: [...groups.values()].map(same => ({
+      pool: same[0].pool,
+      softwareVersion: same[0].softwareVersion,
+      keys: Buffer.from(same.map(({ key }) => key).join(''), 'hex').toString('base64')
+    }))
+  }
+}
+
+/** Whether a text is the key of a stream. */
+export function isStreamKey (text: string): boolean {
+  return STREAM_KEY.test(text)
+}
+
+/** Decodes a row; null if it cannot be read, which is logged. */
+export function decodeStreamRow (row: Row, decisionLog: DecisionLog): { writtenAtMs: number, streams: PooledStream[] } | null {
+  try {
+    const { writtenAtMs, groups } = streamRowSchema.parse(row.value)
+    return { writtenAtMs, streams: groups.flatMap(({ keys, ...group }) => splitKeys(keys).map(key => ({ ...group, key }))) }
+  } catch (error) {
+    decisionLog.record({ type: 'rowUnreadable', table: STREAM_TABLE, key: row.key, reason: (error as Error).message })
+    return null
+  }
+}
+
+function splitKeys (keys: string): string[] {
+  const bytes = Buffer.from(keys, 'base64')
+  if (bytes.length % KEY_BYTES !== 0) throw new RangeError(`The keys have ${bytes.length} bytes, which is no multiple of ${KEY_BYTES}.`)
+  return Array.from({ length: bytes.length / KEY_BYTES }, (_, n) => bytes.toString('hex', n * KEY_BYTES, (n + 1) * KEY_BYTES))
+}
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -55,6 +55,12 @@
   | { type: 'streamsUntold', vm: VmId, reason: string }
   /** Another VM could not be asked which software version began a stream. */
   | { type: 'streamUnasked', vm: VmId, reason: string }
+  /** Streams that earlier incarnations of this VM stored were read. */
+  | { type: 'streamsRestored', rows: number, streams: number }
+  /** Stored streams of a VM could not be read, this one's or those of one that does not answer. */
+  | { type: 'streamRowsUnread', vm: VmId, reason: string }
+  /** Streams were dropped from this VM's rows before they expired, as the rows are full. */
+  | { type: 'streamsEvicted', count: number }
   /** Another VM did not say which endpoints it reaches, or failed a request. */
   | { type: 'relayFailed', vm: VmId, reason: string }
   | { type: 'configTaken', revision: number, routes: number, organisations: number }
--- a/packages/knapweedshunt-gateway/src/records/gatewayMetrics.ts
+++ b/packages/knapweedshunt-gateway/src/records/gatewayMetrics.ts
@@ -29,6 +29,8 @@
   readonly #limitChanges = new Counter({ name: 'knapweedshunt_endpoint_limit_changes_total', help: 'Changes of the rate limits that endpoints state in their responses.', registers: [this.registry] })
   readonly #relays = new Counter({ name: 'knapweedshunt_relays_total', help: 'Requests sent to another VM that reaches more endpoints, or received from one.', labelNames: ['direction'], registers: [this.registry] })
   readonly #unwrittenRows = new Counter({ name: 'knapweedshunt_rows_unwritten_total', help: 'Failed writes of rows of this VM.', registers: [this.registry] })
+  readonly #restoredStreams = new Counter({ name: 'knapweedshunt_streams_restored_total', help: 'Streams whose software version this VM read from the store after its start.', registers: [this.registry] })
+  readonly #evictedStreams = new Counter({ name: 'knapweedshunt_streams_evicted_total', help: 'Streams dropped early from this VM\'s rows, as these were full.', registers: [this.registry] })
   readonly #gauges = new Map<string, Gauge>()
 
   /** Records an answered request; times in milliseconds. */
@@ -73,6 +75,16 @@
     this.#unwrittenRows.inc()
   }
 
+  /** Counts streams whose software version this VM read from the store after its start. */
+  recordRestoredStreams (count: number): void {
+    this.#restoredStreams.inc(count)
+  }
+
+  /** Counts streams that were dropped early from this VM's rows. */
+  recordEvictedStreams (count: number): void {
+    this.#evictedStreams.inc(count)
+  }
+
   /** Counts the tokens of a prompt that was sent, divided into those expected in the endpoint's cache and those to compute. */
   recordPrompt (tokens: number, expectedCachedTokens: number): void {
     const cached = Math.min(tokens, expectedCachedTokens)
