Router: a stream that a caller resumes goes on at the software version and weights that began it

Seen by callers: after reconnecting with Last-Event-ID they got the rest of an answer from an engine of another software version, or of other weights.

Cause: the request names its last event only, and no router kept what began the stream; a stream was bound to versions within one response alone.

The response that begins a stream now carries X-Stream-Token: pool, software version and weights version, with an HMAC over these, organisation and request. The caller sends it back, and any router reads it, also after a restart of all. A token only narrows the choice that the request itself allows. Without a readable one a stream goes on only if one version alone can have begun it, which routers know from endpoints' reports, response heads and a few peers; otherwise it is refused as not run. Endpoints that state another version are left out before anything is sent. Reports carry softwareVersion for this.

An attempt that states no version no longer clears the version of the stream.

--- a/packages/knapweedshunt-attempts/src/attemptOptions.ts
+++ b/packages/knapweedshunt-attempts/src/attemptOptions.ts
@@ -1,3 +1,5 @@
+import type { StreamVersions } from './streamVersions.ts'
+
 /** Options of the attempts of one request. */
 export interface AttemptOptions {
   requestId: string
@@ -5,6 +7,8 @@
   repeatable: boolean
   /** Index of the first token to deliver to the caller. */
   resumeFrom: number
+  /** What began the stream, if it was begun in another response; null if this one begins it. */
+  origin: StreamVersions | null
   /** Monotonic clock, in milliseconds. */
   deadlineAtMs: number
   /** Maximum number of attempts, including hedges. */
@@ -22,6 +26,7 @@
 
 /** Defaults of the options that do not depend on the request. */
 export const DEFAULT_ATTEMPT_OPTIONS = {
+  origin: null,
   maxAttempts: 4,
   backoffMs: 20,
   maxBackoffMs: 1_000,
--- a/packages/knapweedshunt-attempts/src/attemptStateMachine.ts
+++ b/packages/knapweedshunt-attempts/src/attemptStateMachine.ts
@@ -4,6 +4,7 @@
 import type { AttemptOptions } from './attemptOptions.ts'
 import type { AttemptAction, AttemptEvent, AttemptFailureReason, FailureCode, Usage } from './attemptTypes.ts'
 import type { LiveAttempt } from './liveAttempt.ts'
+import type { StreamVersions } from './streamVersions.ts'
 import type { TakeRetryPermit } from './takeRetryPermit.ts'
 
 type EventOf<T extends AttemptEvent['type']> = Extract<AttemptEvent, { type: T }>
@@ -36,6 +37,13 @@
     this.#takePermit = takePermit
     this.#rng = createRng(options.seed)
     this.#nextToken = options.resumeFrom
+    this.#weightsVersion = options.origin?.weightsVersion ?? ''
+    this.#softwareVersion = options.origin?.softwareVersion ?? ''
+  }
+
+  /** What began the stream, as far as it is known. */
+  get versions (): StreamVersions {
+    return { softwareVersion: this.#softwareVersion, weightsVersion: this.#weightsVersion }
   }
 
   /** Returns the first actions: placement of an attempt, and the timer of a hedge. */
@@ -82,12 +90,11 @@
     return []
   }
 
-  /** Moves on when the engine has other weights or another software version than those that produced the delivered tokens, since its tokens would not continue them. */
+  /** Moves on when the engine has other weights or another software version than those that produced the tokens before, in this response or in an earlier one, since its tokens would not continue them. */
   #handleHead ({ attempt, incarnation, weightsVersion, softwareVersion }: EventOf<'head'>): AttemptAction[] {
     this.#isSent = true
     const live = this.#liveAttempts.get(attempt)!
     this.#liveAttempts.set(attempt, { ...live, incarnation: incarnation || live.incarnation, weightsVersion, softwareVersion })
-    if (!this.#hasDeliveredTokens()) return []
     if (isOther(weightsVersion, this.#weightsVersion)) return [{ type: 'cancel', attempt }, ...this.#moveToNextEndpoint(attempt, 'weights_changed')]
     return isOther(softwareVersion, this.#softwareVersion) ? [{ type: 'cancel', attempt }, ...this.#moveToNextEndpoint(attempt, 'software_changed')] : []
   }
@@ -97,8 +104,8 @@
     if (n > this.#nextToken || !Number.isSafeInteger(n)) return this.#handleLostAttempt(attempt, [{ type: 'cancel', attempt }])
     this.#nextToken++
     const { weightsVersion, softwareVersion } = this.#liveAttempts.get(attempt)!
-    this.#weightsVersion = weightsVersion
-    this.#softwareVersion = softwareVersion
+    this.#weightsVersion ||= weightsVersion
+    this.#softwareVersion ||= softwareVersion
     return [...this.#cancelOthers(attempt), { type: 'deliver', n, text }]
   }
 
@@ -154,8 +161,9 @@
     return this.#endAttempt(attempt, () => this.#hasAttemptsLeft() ? this.#placeNext() : this.#fail(code))
   }
 
-  #handleUnplaceable (attempt: AttemptId, reason: 'no-endpoint' | 'all-excluded'): AttemptAction[] {
+  #handleUnplaceable (attempt: AttemptId, reason: EventOf<'unplaceable'>['reason']): AttemptAction[] {
     return this.#endAttempt(attempt, () => {
+      if (reason === 'other-software') return this.#fail('software_changed')
       if (reason === 'no-endpoint' || this.#excludedEndpoints.size === 0 || !this.#hasAttemptsLeft()) return this.#fail('no_endpoint')
       this.#excludedEndpoints.clear()
       return this.#placeAfterBackoff('no_endpoint')
--- a/packages/knapweedshunt-attempts/src/attemptTypes.ts
+++ b/packages/knapweedshunt-attempts/src/attemptTypes.ts
@@ -31,8 +31,8 @@
 /** Input of the state machine: an event of the request or of one of its attempts. */
 export type AttemptEvent =
   | { type: 'placed', attempt: AttemptId, endpoint: EndpointName, incarnation: Incarnation }
-  /** No endpoint is available for the attempt; `all-excluded` when the only usable endpoints are excluded because they were tried before. */
-  | { type: 'unplaceable', attempt: AttemptId, reason: 'no-endpoint' | 'all-excluded' }
+  /** No endpoint is available for the attempt; `all-excluded` when the only usable endpoints are excluded because they were tried before, `other-software` when they have another software version than the one that began the stream. */
+  | { type: 'unplaceable', attempt: AttemptId, reason: 'no-endpoint' | 'all-excluded' | 'other-software' }
   /** Only endpoints whose rate limits are used could take the attempt; one may be sent a request after `retryAfterMs`, null if that is not known. */
   | { type: 'limited', attempt: AttemptId, retryAfterMs: number | null }
   /** The request was quarantined because of another crash, reported here or by a peer. */
--- a/packages/knapweedshunt-attempts/src/poolVersionHistory.ts
+++ b/packages/knapweedshunt-attempts/src/poolVersionHistory.ts
@@ -38,6 +38,12 @@
     return version === undefined || others.length > 0 ? null : version
   }
 
+  /** Lists the versions that can have begun streams which may still be taken up again, as far as they were observed. */
+  list (pool: string): string[] {
+    const oldestMs = performance.now() - this.#getRetentionMs()
+    return [...this.#pools.get(pool)?.lastPresentMs ?? []].filter(([, lastMs]) => lastMs >= oldestMs).map(([version]) => version)
+  }
+
   #getOrCreate (pool: string): PoolVersions {
     const known = this.#pools.get(pool) ?? { sinceMs: performance.now(), lastPresentMs: new Map<string, number>() }
     this.#pools.set(pool, known)
--- a/packages/knapweedshunt-fakes/src/engineState.ts
+++ b/packages/knapweedshunt-fakes/src/engineState.ts
@@ -71,6 +71,7 @@
       endpoint: this.options.endpoint,
       incarnation: this.incarnation,
       weightsVersion: this.weightsVersion === '' ? null : this.weightsVersion,
+      softwareVersion: this.faults.softwareVersion,
       adapter: this.adapter,
       role: this.role,
       running: this.running,
--- a/packages/knapweedshunt-load/src/callCompletion.ts
+++ b/packages/knapweedshunt-load/src/callCompletion.ts
@@ -13,6 +13,8 @@
   maxTokens: number
   headers?: Record<string, string>
   agent?: http.Agent
+  /** Called with the headers of a response with status 200. */
+  onHead?: (headers: http.IncomingHttpHeaders) => void
   /** Called after each non-empty text, with the number of texts received so far. */
   onText?: (count: number) => void
 }
@@ -40,6 +42,7 @@
     const body = JSON.parse(await readBody(message, MAX_ERROR_BYTES)) as Chunk
     return { type: 'refused', status: message.statusCode ?? 0, code: body.error?.code ?? '' }
   }
+  call.onHead?.(message.headers)
   return readStream(call, message, startedAtMs)
 }
 
--- a/packages/knapweedshunt-membership/src/endpointMembership.ts
+++ b/packages/knapweedshunt-membership/src/endpointMembership.ts
@@ -138,8 +138,8 @@
   }
 }
 
-function buildInfo (i: number, incarnation: Incarnation, { weightsVersion, adapter, role }: LoadReport): EndpointInfo {
-  return { i, incarnation, weightsVersion, ...(adapter ? { adapter } : {}), ...(role && role !== 'serve' ? { role } : {}) }
+function buildInfo (i: number, incarnation: Incarnation, { weightsVersion, adapter, softwareVersion, role }: LoadReport): EndpointInfo {
+  return { i, incarnation, weightsVersion, ...(adapter ? { adapter } : {}), ...(softwareVersion ? { softwareVersion } : {}), ...(role && role !== 'serve' ? { role } : {}) }
 }
 
 function countSuspicions (reporters: KnownVm[]): Map<number, number> {
--- a/packages/knapweedshunt-membership/src/endpointStatusDelta.ts
+++ b/packages/knapweedshunt-membership/src/endpointStatusDelta.ts
@@ -1,12 +1,13 @@
 import type { EndpointRole, Incarnation, WeightsVersion } from 'knapweedshunt-types'
 
-/** Incarnation, weights and role of an endpoint, which rarely change. */
+/** Incarnation, weights, software version and role of an endpoint, which rarely change. */
 export interface EndpointInfo {
   /** Index of the endpoint in the sorted names of the data centre. */
   i: number
   incarnation: Incarnation
   weightsVersion: WeightsVersion | null
   adapter?: string
+  softwareVersion?: string
   role?: EndpointRole
 }
 
@@ -22,7 +23,7 @@
   set?: string
   /** Loads, as concatenated rows of {@link ROW_LENGTH} numbers. */
   rows?: number[]
-  /** Endpoints whose incarnation, weights or role changed. */
+  /** Endpoints whose incarnation, weights, software version or role changed. */
   boots?: EndpointInfo[]
   /** Indexes of all endpoints that the sender considers suspect or dead. */
   down?: number[]
--- a/packages/knapweedshunt-orders/src/signTicket.ts
+++ b/packages/knapweedshunt-orders/src/signTicket.ts
@@ -1,5 +1,4 @@
-import { createHmac } from 'node:crypto'
-import { isSameSecret } from 'knapweedshunt-utils'
+import { computeMac, isSameSecret } from 'knapweedshunt-utils'
 import type { Ticket } from './ticket.ts'
 
 const PURPOSE = 'order-ticket'
@@ -19,5 +18,5 @@
 }
 
 function hashBody (body: string, sharedKey: string): string {
-  return createHmac('sha256', sharedKey).update(`${PURPOSE}.${body}`).digest('base64url')
+  return computeMac(sharedKey, PURPOSE, body)
 }
--- a/packages/knapweedshunt-quickstart/src/__tests__/startRouterHarness.ts
+++ b/packages/knapweedshunt-quickstart/src/__tests__/startRouterHarness.ts
@@ -2,7 +2,7 @@
 import { startFakeEngine } from 'knapweedshunt-fakes'
 import type { EngineOptions, FakeEngine } from 'knapweedshunt-fakes'
 import { callCompletion } from 'knapweedshunt-load'
-import type { CompletionResult } from 'knapweedshunt-load'
+import type { CompletionCall, CompletionResult } from 'knapweedshunt-load'
 import { DEFAULT_ROUTER_OPTIONS, startRouter } from 'knapweedshunt-router'
 import type { RouterOptions, RunningRouter } from 'knapweedshunt-router'
 import { ACCESS_KEY, buildEnginePoolResources, buildHotelResources, MODEL } from './hotelResources.ts'
@@ -20,8 +20,10 @@
   pushSnapshot (states?: Record<string, 'live' | 'leaving' | 'dead'>): void
   /** Applies a snapshot to one router in which no engine can be reached at its address. */
   cutOff (router: number): void
+  /** Ends all routers and starts as many new ones, which know nothing of the earlier ones. */
+  restartRouters (): Promise<void>
   /** Sends a completion request to the router with this index, the first by default. */
-  requestCompletion (prompt: string, router?: number, call?: { maxTokens?: number, headers?: Record<string, string>, agent?: http.Agent }): Promise<CompletionResult>
+  requestCompletion (prompt: string, router?: number, call?: { maxTokens?: number, headers?: Record<string, string>, agent?: http.Agent, onHead?: CompletionCall['onHead'] }): Promise<CompletionResult>
   stop (): Promise<void>
 }
 
@@ -39,7 +41,8 @@
 export async function startRouterHarness (options: RouterHarnessOptions): Promise<RouterHarness> {
   const engines = await Promise.all(Array.from({ length: options.engines }, (_, i) => startFakeEngine({ endpoint: `language-${i + 1}`, ...options.engine })))
   const routerOptions = { ...DEFAULT_ROUTER_OPTIONS, platformUrl: UNREACHABLE_URL, peerKey: PEER_KEY, drainGraceMs: 50, ...options.router }
-  const routers = await Promise.all(Array.from({ length: options.routers ?? 1 }, (_, i) => startRouter({ ...routerOptions, vm: `vm-${i + 1}` })))
+  const startRouters = () => Promise.all(Array.from({ length: options.routers ?? 1 }, (_, i) => startRouter({ ...routerOptions, vm: `vm-${i + 1}` })))
+  const routers = await startRouters()
 
   function applySnapshot (router: RunningRouter, engineUrls: string[], revision: number, states: Record<string, 'live' | 'leaving' | 'dead'>) {
     const endpoints = engines.map((engine, i) => ({
@@ -64,6 +67,11 @@
     routers,
     pushSnapshot,
     cutOff: router => applySnapshot(routers[router], engines.map(() => UNREACHABLE_URL), 2, {}),
+    async restartRouters () {
+      await Promise.all(routers.map(router => router.stop()))
+      routers.splice(0, routers.length, ...await startRouters())
+      pushSnapshot()
+    },
     requestCompletion: (prompt, router = 0, call = {}) => callCompletion({ url: routers[router].callerUrl, accessKey: ACCESS_KEY, model: MODEL, prompt, marks: [], maxTokens: 12, ...call }),
     async stop () {
       await Promise.all(routers.map(router => router.stop()))
--- a/packages/knapweedshunt-router/src/__tests__/dataPathHarness.ts
+++ b/packages/knapweedshunt-router/src/__tests__/dataPathHarness.ts
@@ -171,6 +171,7 @@
     idempotencyKey: null,
     orderTicket: null,
     resumeFrom: 0,
+    streamToken: null,
     digest: requestId,
     work: { type: 'completion', path: '/v1/completions', body: {}, stream: true, salt, seed: 1 }
   }
--- a/packages/knapweedshunt-router/src/attemptLauncher.ts
+++ b/packages/knapweedshunt-router/src/attemptLauncher.ts
@@ -32,13 +32,13 @@
     this.#onEvent = onEvent
   }
 
-  /** Sends the attempt to an endpoint, or emits an event that says why it cannot be placed. */
-  place (action: PlaceAction): void {
+  /** Sends the attempt to an endpoint that may have the software version, empty for any, or emits an event that says why it cannot be placed. */
+  place (action: PlaceAction, softwareVersion = ''): void {
     const { attempt } = action
     match(this.#dataPath.suspectGuard.check(this.#request))
       .with({ type: 'quarantined' }, ({ retryAfterMs }) => this.#onEvent({ type: 'quarantined', attempt, retryAfterMs }))
-      .with({ type: 'suspect' }, () => this.#placeIsolated(action))
-      .with({ type: 'clear' }, () => this.#placeUnrestricted(action))
+      .with({ type: 'suspect' }, () => this.#placeIsolated(action, softwareVersion))
+      .with({ type: 'clear' }, () => this.#placeUnrestricted(action, softwareVersion))
       .exhaustive()
   }
 
@@ -51,15 +51,19 @@
     if (this.#request.work.type === 'completion') this.#dataPath.endpointClient.cancel(launched.url, attempt, this.#dataPath.agent)
   }
 
-  #placeUnrestricted (action: PlaceAction): void {
-    const { endpoints, endpointLimiter } = this.#dataPath
+  #placeUnrestricted (action: PlaceAction, softwareVersion: string): void {
+    const { attempt } = action
+    const { endpoints, endpointLimiter, softwareVersions } = this.#dataPath
     const usable = endpoints.listUsable(this.#request.pool)
+    const otherEndpoints = softwareVersions.listOthers(usable, softwareVersion)
+    if (usable.length > 0 && otherEndpoints.length === usable.length) return this.#onEvent({ type: 'unplaceable', attempt, reason: 'other-software' })
+    const excluded = [...action.excluded, ...otherEndpoints]
     const usedEndpoints = endpointLimiter.listUsed(usable)
     endpointLimiter.recordDemand(this.#request.pool)
-    const decision = this.#chooseEndpoint(action.excluded, usedEndpoints)
+    const decision = this.#chooseEndpoint(excluded, usedEndpoints)
     if (decision.type === 'placed') return this.#start(action, decision)
-    if (usedEndpoints.some(endpoint => !action.excluded.includes(endpoint))) return this.#onEvent({ type: 'limited', attempt: action.attempt, retryAfterMs: endpointLimiter.findWaitMs(usable) })
-    this.#onEvent({ type: 'unplaceable', attempt: action.attempt, reason: decision.reason })
+    if (usedEndpoints.some(endpoint => !excluded.includes(endpoint))) return this.#onEvent({ type: 'limited', attempt, retryAfterMs: endpointLimiter.findWaitMs(usable) })
+    this.#onEvent({ type: 'unplaceable', attempt, reason: decision.reason })
   }
 
   /** Excludes endpoints whose rate limit is used, full ones and those reserved for suspect requests. If no endpoint remains, full endpoints are allowed; if still none remains, reserved ones are too. */
@@ -75,11 +79,13 @@
     return this.#dataPath.placement.place({ pool, levels, excluded: triedEndpoints, unavailable: usedEndpoints, job })
   }
 
-  #placeIsolated (action: PlaceAction): void {
+  #placeIsolated (action: PlaceAction, softwareVersion: string): void {
     const { attempt, excluded } = action
     const usable = this.#dataPath.endpoints.listUsable(this.#request.pool)
     const used = this.#dataPath.endpointLimiter.listUsed(usable)
-    const untried = usable.filter(entry => !excluded.includes(entry.endpoint) && !used.includes(entry.endpoint))
+    const others = this.#dataPath.softwareVersions.listOthers(usable, softwareVersion)
+    if (usable.length > 0 && others.length === usable.length) return this.#onEvent({ type: 'unplaceable', attempt, reason: 'other-software' })
+    const untried = usable.filter(entry => !others.includes(entry.endpoint) && !excluded.includes(entry.endpoint) && !used.includes(entry.endpoint))
     if (untried.length === 0) return this.#onEvent({ type: 'unplaceable', attempt, reason: usable.length === 0 ? 'no-endpoint' : 'all-excluded' })
     this.#awaitingIsolation.add(attempt)
     const isQueued = this.#dataPath.suspectGuard.requestIsolation(this.#request, attempt, untried.map(entry => entry.endpoint), endpoint => this.#startIsolated(action, endpoint))
@@ -152,7 +158,7 @@
     const running = this.#dataPath.runningAttempts.find(attempt)
     if (running === undefined) return
     this.#reportOutcome(endpoint, event)
-    if (event.type === 'head') this.#handleHead(running, event)
+    if (event.type === 'head') this.#handleHead(running, endpoint, event)
     const isOverload = event.type === 'stalled' || (event.type === 'rejected' && event.status >= 429)
     if (isOverload) this.#dataPath.admission.recordOverload(endpoint)
     if (event.type === 'token' && !running.hasFirstToken) this.#recordFirstToken(running.startedAtMs, endpoint)
@@ -167,8 +173,9 @@
     if (event.type === 'broken' && event.reason !== 'lost') outcomeReporter.recordOutcome(endpoint, 'failed')
   }
 
-  #handleHead (running: RunningAttempt, { attempt, incarnation, weightsVersion }: Extract<AttemptEvent, { type: 'head' }>): void {
+  #handleHead (running: RunningAttempt, endpoint: EndpointName, { attempt, incarnation, weightsVersion, softwareVersion }: Extract<AttemptEvent, { type: 'head' }>): void {
     running.incarnation = incarnation
+    this.#dataPath.softwareVersions.recordStated(endpoint, this.#request.pool, incarnation, softwareVersion)
     this.#dataPath.placement.handleEvent({ type: 'answered', attempt, incarnation, weightsVersion: weightsVersion || null })
   }
 
--- a/packages/knapweedshunt-router/src/callerRequest.ts
+++ b/packages/knapweedshunt-router/src/callerRequest.ts
@@ -30,6 +30,8 @@
   orderTicket: string | null
   /** Number of the first token to deliver; greater than 0 after a reconnect. */
   resumeFrom: number
+  /** Token from the response that began the stream, as the caller sent it. */
+  streamToken: string | null
   /** Digest of the request's content; equal for a repeated request. */
   digest: string
   work: CallerWork
--- a/packages/knapweedshunt-router/src/dataPath.ts
+++ b/packages/knapweedshunt-router/src/dataPath.ts
@@ -19,6 +19,7 @@
 import type { RouterOptions } from './routerOptions.ts'
 import { RunningAttempts } from './runningAttempts.ts'
 import { parseSnapshot, parseViews } from './snapshotSchema.ts'
+import { SoftwareVersions } from './softwareVersions.ts'
 import { SuspectGuard } from './suspectGuard.ts'
 
 const MAX_SEED = 2 ** 31 - 1
@@ -41,6 +42,9 @@
   readonly peerExchange: PeerExchange
   readonly outcomeReporter: EndpointOutcomeReporter
   readonly stallLimits: StallLimits
+  readonly softwareVersions = new SoftwareVersions()
+  /** Shared key of the processes of the system. */
+  readonly peerKey: string
   readonly #rng = createRng(parseInt(createIncarnation().slice(0, SEED_HEX_DIGITS), 16))
   #resourceIndex: ResourceIndex | null = null
   #snapshot: RouterSnapshot | null = null
@@ -48,6 +52,7 @@
 
   constructor (options: RouterOptions, orders: RouterOrders, log: Logger, client: EndpointClient = HTTP_ENDPOINT_CLIENT) {
     const { vm, dataCentre, nearDataCentres, prefillTokensPerS, peerKey, endpointWindow } = options
+    this.peerKey = peerKey
     this.placement = new Placement(dataCentre, { seed: this.drawSeed(), nearDataCentres, prefillTokensPerS })
     this.admission = new AdmissionController({ vm, seed: this.drawSeed(), endpointWindow })
     this.metrics = new RouterMetrics(options.statsdHost, options.statsdPort)
@@ -59,7 +64,7 @@
     const incarnation = createIncarnation()
     this.endpointLimiter = new EndpointLimiter({ vm, incarnation, log, countInFlight: endpoint => this.runningAttempts.countOn(endpoint), broadcastReport: report => this.peerExchange.broadcastLimits(report) })
     this.outcomeReporter = new EndpointOutcomeReporter(vm, peerKey)
-    this.peerExchange = new PeerExchange({ vm, incarnation, dataCentre, peerKey, placement: this.placement, admission: this.admission, registry: this.suspectGuard.registry, partDetector: this.suspectGuard.partDetector, endpointLimiter: this.endpointLimiter, log })
+    this.peerExchange = new PeerExchange({ vm, incarnation, dataCentre, peerKey, placement: this.placement, admission: this.admission, registry: this.suspectGuard.registry, partDetector: this.suspectGuard.partDetector, endpointLimiter: this.endpointLimiter, softwareVersions: this.softwareVersions, log })
   }
 
   /** Index of the current resources; null before the first snapshot. */
@@ -105,6 +110,7 @@
     this.peerExchange.applyVms(snapshot.vms)
     this.endpointLimiter.applyVms(snapshot.vms)
     this.endpointLimiter.applyEndpoints(this.#endpoints.list())
+    this.softwareVersions.applyEndpoints(this.#endpoints.list())
     this.outcomeReporter.applyVms(snapshot.vms)
     this.placement.handleEvent({ type: 'snapshot', snapshot })
     this.admission.applySnapshot(snapshot, this.#endpoints, this.peerExchange.peerTimeoutMs)
--- a/packages/knapweedshunt-router/src/endpointTable.ts
+++ b/packages/knapweedshunt-router/src/endpointTable.ts
@@ -8,6 +8,8 @@
   /** Empty until the first report of the endpoint. */
   incarnation: Incarnation
   weightsVersion: WeightsVersion | null
+  /** Version of the endpoint's software from its report; empty if that states none, null before the first report. */
+  softwareVersion: string | null
   state: Liveness
   /** Whether the endpoint may receive new requests. */
   isUsable: boolean
@@ -71,6 +73,7 @@
     url,
     incarnation: view?.incarnation ?? '',
     weightsVersion: view?.weightsVersion ?? null,
+    softwareVersion: view?.load ? view.load.softwareVersion ?? '' : null,
     state,
     isUsable: !isExcluded && view?.load?.role !== 'drain' && SERVING_STATES.includes(state)
   }
--- a/packages/knapweedshunt-router/src/parseCallerRequest.ts
+++ b/packages/knapweedshunt-router/src/parseCallerRequest.ts
@@ -83,7 +83,8 @@
     deadlineAtMs: receivedAtMs + Math.min(headers.timeoutMs ?? route.spec.timeoutMs, route.spec.timeoutMs),
     idempotencyKey: headers.idempotencyKey,
     orderTicket: headers.orderTicket,
-    resumeFrom: headers.lastTokenNumber + 1
+    resumeFrom: headers.lastTokenNumber + 1,
+    streamToken: headers.streamToken
   }
 }
 
--- a/packages/knapweedshunt-router/src/peerExchange.ts
+++ b/packages/knapweedshunt-router/src/peerExchange.ts
@@ -4,12 +4,13 @@
 import { createRpcClient } from 'knapweedshunt-rpc'
 import type { RpcClient } from 'knapweedshunt-rpc'
 import type { Placement } from 'knapweedshunt-placement'
-import type { DataCentreId, Incarnation, Liveness, VmId, VmView } from 'knapweedshunt-types'
+import type { DataCentreId, Incarnation, Liveness, PoolName, VmId, VmView } from 'knapweedshunt-types'
 import { runEvery } from 'knapweedshunt-utils'
 import type { AdmissionController } from './admissionController.ts'
 import type { EndpointLimiter } from './endpointLimiter.ts'
-import { demandMessageSchema, limitsMessageSchema, marksMessageSchema, MAX_DEMANDS, MAX_HOT_KEYS, partsMessageSchema } from './peerMessages.ts'
+import { demandMessageSchema, limitsMessageSchema, marksMessageSchema, MAX_DEMANDS, MAX_HOT_KEYS, partsMessageSchema, versionsQuerySchema, versionsResultSchema } from './peerMessages.ts'
 import type { DemandMessage } from './peerMessages.ts'
+import type { SoftwareVersions } from './softwareVersions.ts'
 import { UnacknowledgedMarks } from './unacknowledgedMarks.ts'
 
 /** Interval between demand exchanges, in milliseconds. */
@@ -20,6 +21,9 @@
 
 /** Number of full rotations through the peers after which one that sent no message counts as timed out. */
 const PEER_TIMEOUT_ROUNDS = 3
+/** Number of peers that are asked for software versions, in this data centre and in other ones each. */
+const PEERS_PER_QUESTION = 4
+
 const CALL_TIMEOUT_MS = 1_000
 const REACHABLE_STATES: Liveness[] = ['live', 'suspect']
 
@@ -45,6 +49,7 @@
   registry: SuspectRegistry
   partDetector: CrashingPartDetector
   endpointLimiter: EndpointLimiter
+  softwareVersions: SoftwareVersions
   log: Logger
 }
 
@@ -127,6 +132,18 @@
     return this.#buildDemand()
   }
 
+  /** Handles `router.versions`. Throws ZodError on invalid params. */
+  handleVersions (params: unknown): object {
+    return { versions: this.#options.softwareVersions.listVersions(versionsQuerySchema.parse(params).pool) }
+  }
+
+  /** Asks some peers which software versions may have begun streams of a pool. Peers that do not answer are left out. */
+  async askVersions (pool: PoolName): Promise<string[]> {
+    const { local, remote } = this.#listPeers()
+    const answers = await Promise.all([...local.slice(0, PEERS_PER_QUESTION), ...remote.slice(0, PEERS_PER_QUESTION)].map(peer => this.#askVersions(peer, pool)))
+    return answers.flat()
+  }
+
   /** Stops the rounds and closes the connections to peers. */
   async close (): Promise<void> {
     this.#stopping.abort()
@@ -193,6 +210,15 @@
     }
   }
 
+  async #askVersions (peer: Peer, pool: PoolName): Promise<string[]> {
+    try {
+      return versionsResultSchema.parse(await peer.client.call('router.versions', { pool })).versions
+    } catch (error) {
+      this.#options.log.debug('Asking a peer for software versions failed.', { peer: peer.view.vm, reason: (error as Error).message })
+      return []
+    }
+  }
+
   #applyDemand ({ vm, incarnation, dataCentre, n, demands, hotKeys }: DemandMessage): void {
     this.#options.admission.applyPeerDemand(vm, demands)
     this.#options.placement.handleEvent({ type: 'peerDemand', vm, incarnation, dataCentre, n, demands: hotKeys })
--- a/packages/knapweedshunt-router/src/peerMessages.ts
+++ b/packages/knapweedshunt-router/src/peerMessages.ts
@@ -35,5 +35,13 @@
 /** Params of `router.parts`: what a VM knows of prompt parts that may crash endpoints. */
 export const partsMessageSchema = z.object({ vm: text, evidence: partEvidenceSchema })
 
+const MAX_VERSIONS = 64
+
+/** Params of `router.versions`. */
+export const versionsQuerySchema = z.object({ pool: text })
+
+/** Result of `router.versions`: software versions that may have begun streams of the pool; with an empty one if some endpoints state none. */
+export const versionsResultSchema = z.object({ versions: z.array(z.string().max(255)).max(MAX_VERSIONS) })
+
 /** Params of `router.limits`: what a VM knows of the rate limits of endpoints, and its demand while limits are in force. */
 export const limitsMessageSchema = z.object({ vm: text, incarnation: text, report: endpointLimitReportSchema })
--- a/packages/knapweedshunt-router/src/readHeaders.ts
+++ b/packages/knapweedshunt-router/src/readHeaders.ts
@@ -4,6 +4,7 @@
 const MAX_KEY_CHARS = 255
 const MAX_MARKS = 16
 const MAX_TICKET_CHARS = 2_048
+const MAX_STREAM_TOKEN_CHARS = 2_048
 const REQUEST_ID_PATTERN = /^[\w.-]{1,64}$/
 const KEY_PATTERN = /^[\x21-\x7e]+$/
 
@@ -23,6 +24,8 @@
   forbidsRepeat: boolean
   /** Number of the last token that the caller received; -1 for none. */
   lastTokenNumber: number
+  /** Token from the response that began the stream; null also for a text that is too long for one. */
+  streamToken: string | null
 }
 
 /** Reads and validates the headers. Throws a CallerError that names header and value. */
@@ -35,7 +38,8 @@
     idempotencyKey: readKey(headers),
     orderTicket: readTicket(headers),
     forbidsRepeat: readForbidsRepeat(headers),
-    lastTokenNumber: readInteger(headers, 'last-event-id', 0) ?? -1
+    lastTokenNumber: readInteger(headers, 'last-event-id', 0) ?? -1,
+    streamToken: readStreamToken(headers)
   }
 }
 
@@ -50,6 +54,11 @@
   throw createCallerError('header_invalid', 'The header x-request-id is wrong: send 1 to 64 letters, digits, dots, hyphens or underscores.')
 }
 
+function readStreamToken (headers: IncomingHttpHeaders): string | null {
+  const token = readText(headers, 'x-stream-token')
+  return token === null || token.length > MAX_STREAM_TOKEN_CHARS ? null : token
+}
+
 function readInteger (headers: IncomingHttpHeaders, name: string, minValue: number): number | null {
   const text = readText(headers, name)
   if (text === null) return null
--- a/packages/knapweedshunt-router/src/requestTask.ts
+++ b/packages/knapweedshunt-router/src/requestTask.ts
@@ -1,5 +1,5 @@
 import { AttemptStateMachine, DEFAULT_ATTEMPT_OPTIONS } from 'knapweedshunt-attempts'
-import type { AttemptAction, AttemptEvent, Usage } from 'knapweedshunt-attempts'
+import type { AttemptAction, AttemptEvent, StreamVersions, Usage } from 'knapweedshunt-attempts'
 import type { EndpointName } from 'knapweedshunt-types'
 import { AttemptLauncher } from './attemptLauncher.ts'
 import { buildFailureError } from './buildFailureError.ts'
@@ -18,14 +18,15 @@
   readonly #done: Promise<void>
   #resolveDone = () => {}
 
-  constructor (dataPath: DataPath, request: CallerRequest, sink: CallerSink) {
+  /** `origin`: what began the stream that the request resumes; null if it resumes none. */
+  constructor (dataPath: DataPath, request: CallerRequest, sink: CallerSink, origin: StreamVersions | null = null) {
     const { requestId, organisation, pool, repeatable, resumeFrom, deadlineAtMs } = request
     this.#dataPath = dataPath
     this.#request = request
     this.#sink = sink
     const isSuspect = dataPath.suspectGuard.check(request).type !== 'clear'
     const hedgeAfterMs = isSuspect ? null : dataPath.hedgeDelays.getDelayMs(request)
-    const options = { ...DEFAULT_ATTEMPT_OPTIONS, requestId, repeatable, resumeFrom, deadlineAtMs, hedgeAfterMs, seed: dataPath.drawSeed() }
+    const options = { ...DEFAULT_ATTEMPT_OPTIONS, requestId, repeatable, resumeFrom, origin, deadlineAtMs, hedgeAfterMs, seed: dataPath.drawSeed() }
     this.#stateMachine = new AttemptStateMachine(options, () => dataPath.retryBudget.tryTake(organisation, pool))
     this.#launcher = new AttemptLauncher(dataPath, request, sink, event => this.#handleEvent(event))
     this.#done = new Promise(resolve => { this.#resolveDone = resolve })
@@ -66,7 +67,7 @@
   #performAction (action: AttemptAction): void {
     switch (action.type) {
       case 'deliver': return this.#deliver(action.n, action.text)
-      case 'place': return this.#launcher.place(action)
+      case 'place': return this.#launcher.place(action, this.#stateMachine.versions.softwareVersion)
       case 'wait': return this.#scheduleEvent(action.ms, { type: 'waited', attempt: action.attempt })
       case 'hedgeAfter': return this.#scheduleEvent(action.ms, { type: 'hedgeDue' })
       case 'cancel': return this.#launcher.cancel(action.attempt)
@@ -78,7 +79,10 @@
   }
 
   #deliver (n: number, text: string): void {
-    if (n === this.#request.resumeFrom) this.#dataPath.metrics.recordFirstToken(this.#request, performance.now() - this.#request.receivedAtMs)
+    if (n === this.#request.resumeFrom) {
+      this.#dataPath.metrics.recordFirstToken(this.#request, performance.now() - this.#request.receivedAtMs)
+      this.#sink.begin?.(this.#stateMachine.versions)
+    }
     this.#sink.deliver(n, text)
   }
 
--- a/packages/knapweedshunt-router/src/responseSink.ts
+++ b/packages/knapweedshunt-router/src/responseSink.ts
@@ -1,9 +1,10 @@
 import type { ServerResponse } from 'node:http'
-import type { Usage, PlainAnswer } from 'knapweedshunt-attempts'
+import type { PlainAnswer, StreamVersions, Usage } from 'knapweedshunt-attempts'
 import { sendJsonResponse } from 'knapweedshunt-utils'
 import type { CallerErrorInstance } from './callerError.ts'
 import type { CallerRequest } from './callerRequest.ts'
 import type { CallerSink } from './callerSink.ts'
+import { signStreamToken } from './signStreamToken.ts'
 import { buildErrorBody, sendCallerError } from './sendCallerError.ts'
 
 const SLOW_CALLER_TIMEOUT_MS = 2_000
@@ -13,15 +14,22 @@
   readonly #response: ServerResponse
   readonly #request: CallerRequest
   readonly #isStreaming: boolean
+  readonly #sharedKey: string
   readonly #tokenTexts: string[] = []
+  #streamToken: string | null = null
   #usage: Usage | null = null
 
-  constructor (response: ServerResponse, request: CallerRequest) {
+  constructor (response: ServerResponse, request: CallerRequest, sharedKey: string) {
+    this.#sharedKey = sharedKey
     this.#response = response
     this.#request = request
     this.#isStreaming = request.work.type === 'completion' && request.work.stream
   }
 
+  begin (versions: StreamVersions): void {
+    this.#streamToken = signStreamToken({ ...versions, pool: this.#request.pool }, this.#request, this.#sharedKey)
+  }
+
   deliver (n: number, text: string): void {
     if (!this.#isStreaming) {
       this.#tokenTexts.push(text)
@@ -69,7 +77,8 @@
 
   #writeHead (): void {
     if (this.#response.headersSent) return
-    this.#response.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-store', 'x-request-id': this.#request.requestId })
+    const token = this.#streamToken === null ? {} : { 'x-stream-token': this.#streamToken }
+    this.#response.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-store', 'x-request-id': this.#request.requestId, ...token })
   }
 
   /** Destroys the connection of a caller that does not read the end of its response within `SLOW_CALLER_TIMEOUT_MS`. */
--- a/packages/knapweedshunt-router/src/serveCaller.ts
+++ b/packages/knapweedshunt-router/src/serveCaller.ts
@@ -4,6 +4,7 @@
 import { CallerError, createCallerError } from './callerError.ts'
 import type { CallerRequest } from './callerRequest.ts'
 import type { DataPath } from './dataPath.ts'
+import { determineOrigin } from './determineOrigin.ts'
 import { markOutcomeUnknown } from './orders/markOutcomeUnknown.ts'
 import { runOrder } from './orders/runOrder.ts'
 import { serveOrderPaths } from './orders/serveOrderPaths.ts'
@@ -34,11 +35,12 @@
 async function runRequest (dataPath: DataPath, request: CallerRequest, response: ServerResponse): Promise<void> {
   const callerAbort = new AbortController()
   response.once('close', () => { if (!response.writableFinished) callerAbort.abort() })
-  const sink = new ResponseSink(response, request)
+  const sink = new ResponseSink(response, request, dataPath.peerKey)
   if (!request.repeatable) return await runOrder(dataPath, request, sink)
+  const origin = await determineOrigin(dataPath, request)
   await admitRequest(dataPath, request, callerAbort.signal)
   try {
-    await new RequestTask(dataPath, request, sink).run(callerAbort.signal)
+    await new RequestTask(dataPath, request, sink, origin).run(callerAbort.signal)
   } finally {
     dataPath.admission.release(request.requestId)
   }
--- a/packages/knapweedshunt-router/src/snapshotSchema.ts
+++ b/packages/knapweedshunt-router/src/snapshotSchema.ts
@@ -9,6 +9,7 @@
   endpoint: z.string(),
   incarnation: z.string(),
   weightsVersion: z.string().nullable(),
+  softwareVersion: z.string().optional(),
   running: count,
   queued: count,
   queuedTokens: count,
--- a/packages/knapweedshunt-router/src/startRouter.ts
+++ b/packages/knapweedshunt-router/src/startRouter.ts
@@ -43,6 +43,7 @@
     'router.parts': params => dataPath.peerExchange.handleParts(params),
     'router.limits': params => dataPath.peerExchange.handleLimits(params),
     'router.demand': params => dataPath.peerExchange.handleDemand(params),
+    'router.versions': params => dataPath.peerExchange.handleVersions(params),
     'router.explain': params => explainRequest(dataPath, params),
     'router.figures': () => dataPath.metrics.listRows(),
     ...createOrderRpcMethods(dataPath)
--- a/packages/knapweedshunt-types/src/loadReport.ts
+++ b/packages/knapweedshunt-types/src/loadReport.ts
@@ -9,6 +9,8 @@
   weightsVersion: WeightsVersion | null
   /** Adapter in use; absent or empty if there is none. */
   adapter?: string
+  /** Version of the engine's software; absent if it states none. */
+  softwareVersion?: string
   /** Absent for endpoints that have no roles; these always serve. */
   role?: EndpointRole
   running: number
--- a/packages/knapweedshunt-utils/src/index.ts
+++ b/packages/knapweedshunt-utils/src/index.ts
@@ -1,6 +1,7 @@
 /** HTTP, timing, hashing and random-number helpers shared by all packages. */
 export * from './requestJson.ts'
 export * from './closeServer.ts'
+export * from './computeMac.ts'
 export * from './createIncarnation.ts'
 export * from './readElapsedMs.ts'
 export * from './groupBy.ts'
