Membership: EndpointRelays, which asks other VMs what they reach, leaves the gateway for the package of RelaySelector

The product's own router needs the same. The gateway hands in its registry, its peers and its log; encoding of JSON headers goes to utils.

--- a/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
@@ -10,7 +10,8 @@
 import type { EndpointMonitor } from '../endpoints/endpointMonitor.ts'
 import type { Quarantine } from '../directory/quarantine.ts'
 import type { EndpointPort } from '../ports/endpointPort.ts'
-import type { EndpointRelays } from '../peers/endpointRelays.ts'
+import type { EndpointRelays } from 'knapweedshunt-membership'
+import type { PeerView } from '../peers/peerAddress.ts'
 import type { StreamOrigins } from '../peers/streamOrigins.ts'
 import type { DecisionLog } from '../records/decisionLog.ts'
 import type { GatewayMetrics } from '../records/gatewayMetrics.ts'
@@ -32,7 +33,7 @@
   endpointPermits: EndpointPermits
   permitQueue: PermitQueue
   streamOrigins: StreamOrigins
-  relays: EndpointRelays
+  relays: EndpointRelays<PeerView>
   metrics: GatewayMetrics
   decisionLog: DecisionLog
   log: Logger
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -1,5 +1,6 @@
 import { setMaxListeners } from 'node:events'
 import { DEFAULT_WAVE_OPTIONS, WaveTask } from 'knapweedshunt-fleet'
+import { EndpointRelays } from 'knapweedshunt-membership'
 import { createIncarnation, createRng, runEvery, sleep } from 'knapweedshunt-utils'
 import { CallerRequestHandler } from './callers/callerRequestHandler.ts'
 import { CallerServer } from './callers/callerServer.ts'
@@ -23,11 +24,12 @@
 import { EndpointChooser } from './endpoints/endpointChooser.ts'
 import { KvStoreMonitor } from './endpoints/kvStoreMonitor.ts'
 import { EndpointMonitor } from './endpoints/endpointMonitor.ts'
+import { computePoolReach, listPoolReaches } from './endpoints/listPoolReaches.ts'
 import { CallerAuthenticator } from './flow/callerAuthenticator.ts'
 import type { CrashedAttempt } from './flow/crashedAttempt.ts'
 import type { FlowDependencies } from './flow/flowDependencies.ts'
 import { PermitQueue } from './flow/permitQueue.ts'
-import { EndpointRelays } from './peers/endpointRelays.ts'
+import type { PeerView } from './peers/peerAddress.ts'
 import { PeerClients } from './peers/peerClients.ts'
 import { PeerServer } from './peers/peerServer.ts'
 import { StreamOrigins } from './peers/streamOrigins.ts'
@@ -71,7 +73,7 @@
   readonly #endpointLimits: EndpointLimits
   readonly #endpointPermits: EndpointPermits
   readonly #streamOrigins: StreamOrigins
-  readonly #relays: EndpointRelays
+  readonly #relays: EndpointRelays<PeerView>
   readonly #peerClients = new PeerClients()
   readonly #peerServer: PeerServer
   readonly #weightsState: WeightsState
@@ -155,11 +157,12 @@
     })
     this.#relays = new EndpointRelays({
       dataCentre: settings.dataCentre,
-      endpointRegistry: this.#endpointRegistry,
-      decisionLog: this.#decisionLog,
+      listReaches: () => listPoolReaches(this.#endpointRegistry),
+      computeReach: pool => computePoolReach(this.#endpointRegistry, pool),
       listPeers: () => this.#roster.listPeers(),
-      call: (view, method, params) => this.#peerClients.call(view, method, params),
-      countRelayed: () => this.#requestHandler.relayedCount
+      askReach: view => this.#peerClients.call(view, 'endpoints.reach', {}),
+      countRelayed: () => this.#requestHandler.relayedCount,
+      onFailed: (vm, reason) => this.#decisionLog.record({ type: 'relayFailed', vm, reason })
     })
     this.#peerServer = new PeerServer({
       'endpoints.reach': () => this.#relays.handleReach(),
--- a/packages/knapweedshunt-gateway/src/peers/peerServer.ts
+++ b/packages/knapweedshunt-gateway/src/peers/peerServer.ts
@@ -1,4 +1,5 @@
 import http from 'node:http'
+import { RELAY_HEADER } from 'knapweedshunt-membership'
 import { createRpcHandler } from 'knapweedshunt-rpc'
 import type { RpcMethods } from 'knapweedshunt-rpc'
 import { closeServer, createIncarnation, isSameSecret, listen } from 'knapweedshunt-utils'
@@ -6,7 +7,7 @@
 import type { ListenAddress } from '../ports/vmSettings.ts'
 import { buildRefusal } from './buildRefusal.ts'
 import type { PeerAddress } from './peerAddress.ts'
-import { buildRelayAnswerHeaders, decodeRelayedRequest, RELAY_HEADER } from './relayHeaders.ts'
+import { buildRelayAnswerHeaders, decodeRelayedRequest } from './relayHeaders.ts'
 import type { RelayedRequest } from './relayedRequest.ts'
 
 /** Size of the headers that VMs add to a caller's, in bytes. */
--- a/packages/knapweedshunt-gateway/src/peers/relayHeaders.ts
+++ b/packages/knapweedshunt-gateway/src/peers/relayHeaders.ts
@@ -1,11 +1,10 @@
 import type http from 'node:http'
+import { RELAY_HEADER } from 'knapweedshunt-membership'
+import { decodeJsonHeader, encodeJsonHeader } from 'knapweedshunt-utils'
 import { z } from 'zod'
 import type { RelayAnswer } from './relayAnswer.ts'
 import type { RelayedRequest } from './relayedRequest.ts'
 
-/** Headers between two VMs, in lower case: the key of the VM that serves the request, the {@link RelayedRequest}, and the {@link RelayAnswer}, both as JSON. */
-export const RELAY_HEADER = { key: 'knapweedshunt-relay-key', request: 'knapweedshunt-relay-request', answer: 'knapweedshunt-relay-answer' } as const
-
 /** Maximum number of endpoints that a request was sent to before. */
 const MAX_TRIED_ENDPOINTS = 32
 
@@ -26,33 +25,20 @@
 
 /** Builds the headers of a relayed request; flat name-value pairs. */
 export function buildRelayRequestHeaders (key: string, request: RelayedRequest): string[] {
-  return [RELAY_HEADER.key, key, RELAY_HEADER.request, encodeJson(request)]
+  return [RELAY_HEADER.key, key, RELAY_HEADER.request, encodeJsonHeader(request)]
 }
 
 /** Builds the headers of the response to a relayed request; flat name-value pairs. */
 export function buildRelayAnswerHeaders (answer: RelayAnswer): string[] {
-  return [RELAY_HEADER.answer, encodeJson(answer)]
+  return [RELAY_HEADER.answer, encodeJsonHeader(answer)]
 }
 
 /** Decodes the relay header of a request; null if it is missing or malformed. */
 export function decodeRelayedRequest (headers: http.IncomingHttpHeaders): RelayedRequest | null {
-  return requestSchema.safeParse(parseJson(headers[RELAY_HEADER.request])).data ?? null
+  return requestSchema.safeParse(decodeJsonHeader(headers[RELAY_HEADER.request])).data ?? null
 }
 
 /** Decodes the relay header of a response; null if it is missing or malformed. */
 export function decodeRelayAnswer (headers: http.IncomingHttpHeaders): RelayAnswer | null {
-  return answerSchema.safeParse(parseJson(headers[RELAY_HEADER.answer])).data ?? null
-}
-
-/** A header value holds Latin-1 characters only. */
-function encodeJson (value: unknown): string {
-  return encodeURIComponent(JSON.stringify(value))
-}
-
-function parseJson (value: string | string[] | undefined): unknown {
-  try {
-    return JSON.parse(decodeURIComponent(String(value)))
-  } catch {
-    return null // The schema rejects it.
-  }
+  return answerSchema.safeParse(decodeJsonHeader(headers[RELAY_HEADER.answer])).data ?? null
 }
--- a/packages/knapweedshunt-gateway/src/shared/filterEndToEndHeaders.ts
+++ b/packages/knapweedshunt-gateway/src/shared/filterEndToEndHeaders.ts
@@ -1,4 +1,4 @@
-import { RELAY_HEADER } from '../peers/relayHeaders.ts'
+import { RELAY_HEADER } from 'knapweedshunt-membership'
 
 /** Names, in lower case, of headers that apply to a single connection (RFC 9110, section 7.6.1), content-length, and the headers between two VMs. */
 const CONNECTION_HEADERS = new Set<string>([...Object.values(RELAY_HEADER), 'connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect', 'content-length'])
--- a/packages/knapweedshunt-gateway/src/peers/endpointRelays.ts
+++ b/packages/knapweedshunt-membership/src/endpointRelays.ts
@@ -1,11 +1,11 @@
-import { RelaySelector } from 'knapweedshunt-membership'
-import type { PoolReach, ReachReport } from 'knapweedshunt-membership'
 import type { DataCentreId, PoolName, VmId } from 'knapweedshunt-types'
-import { groupBy, runEvery } from 'knapweedshunt-utils'
-import type { EndpointRegistry } from '../endpoints/endpointRegistry.ts'
-import type { DecisionLog } from '../records/decisionLog.ts'
-import type { PeerView } from './peerAddress.ts'
+import { runEvery } from 'knapweedshunt-utils'
+import type { PoolReach } from './poolReach.ts'
 import { reachReportSchema } from './reachMessages.ts'
+import type { ReachReport } from './reachReport.ts'
+import type { RelayPeer } from './relayPeer.ts'
+import type { RelayRoute } from './relayRoute.ts'
+import { RelaySelector } from './relaySelector.ts'
 
 /** Interval of the checks whether other VMs must be asked, in milliseconds. */
 const CHECK_INTERVAL_MS = 50
@@ -13,31 +13,27 @@
 /** Interval between two questions to the other VMs while this VM reaches few endpoints, in milliseconds. */
 const POLL_INTERVAL_MS = 500
 
-/** How a request gets to an endpoint of its pool. */
-export type RelayRoute =
-  | { type: 'direct' }
-  | { type: 'relay', peer: PeerView }
-  | { type: 'unreached' }
-
 /** Dependencies of {@link EndpointRelays}. */
-export interface EndpointRelaysDependencies {
+export interface EndpointRelaysDependencies<Peer extends RelayPeer> {
   dataCentre: DataCentreId
-  endpointRegistry: EndpointRegistry
-  decisionLog: DecisionLog
-  listPeers (): PeerView[]
-  call (view: PeerView, method: string, params: unknown): Promise<unknown>
+  listReaches (): PoolReach[]
+  computeReach (pool: PoolName): PoolReach
+  listPeers (): Peer[]
+  /** Asks another VM for its {@link ReachReport}. */
+  askReach (peer: Peer): Promise<unknown>
   /** Number of requests of other VMs that this one serves. */
   countRelayed (): number
+  onFailed (vm: VmId, reason: string): void
 }
 
 /** Other VMs through which this one serves while it reaches few endpoints of a pool. They are asked only while it does. */
-export class EndpointRelays {
-  readonly #dependencies: EndpointRelaysDependencies
+export class EndpointRelays<Peer extends RelayPeer> {
+  readonly #dependencies: EndpointRelaysDependencies<Peer>
   readonly #selector: RelaySelector
   #poll: Promise<void> | null = null
   #polledAtMs = -Infinity
 
-  constructor (dependencies: EndpointRelaysDependencies) {
+  constructor (dependencies: EndpointRelaysDependencies<Peer>) {
     this.#dependencies = dependencies
     this.#selector = new RelaySelector(dependencies.dataCentre)
   }
@@ -45,30 +41,35 @@
   /** Asks the other VMs while needed, until the signal aborts. */
   async run (signal: AbortSignal): Promise<void> {
     await runEvery(CHECK_INTERVAL_MS, signal, () => {
-      if (performance.now() - this.#polledAtMs >= POLL_INTERVAL_MS && this.#listReaches().some(reach => this.#selector.needsReports(reach))) this.#startPoll()
+      if (performance.now() - this.#polledAtMs >= POLL_INTERVAL_MS && this.#dependencies.listReaches().some(reach => this.#selector.needsReports(reach))) this.#startPoll()
     })
   }
 
   /** Whether this VM reaches no endpoint of a pool that has some. */
   isCutOff (pool: PoolName): boolean {
-    const { reached, known } = this.#computeReach(pool)
+    const { reached, known } = this.#dependencies.computeReach(pool)
     return known > 0 && reached === 0
   }
 
   /** Whether another VM reaches at least twice as many endpoints of some pool. */
   get isOutreached (): boolean {
-    return this.#listReaches().some(reach => this.#selector.select(reach, []).type === 'relay')
+    return this.#dependencies.listReaches().some(reach => this.#selector.select(reach, []).type === 'relay')
+  }
+
+  /** Whether this VM reaches so few endpoints of a pool that others may serve its requests. */
+  needsRelay (pool: PoolName): boolean {
+    return this.#selector.needsReports(this.#dependencies.computeReach(pool))
   }
 
   /** Selects how a request gets to an endpoint; `avoided` VMs were tried before. Waits for the first answers of the other VMs. */
-  async select (pool: PoolName, avoided: VmId[]): Promise<RelayRoute> {
-    const reach = this.#computeReach(pool)
+  async select (pool: PoolName, avoided: VmId[]): Promise<RelayRoute<Peer>> {
+    const reach = this.#dependencies.computeReach(pool)
     if (!this.#selector.needsReports(reach)) return { type: 'direct' }
     if (performance.now() - this.#polledAtMs >= POLL_INTERVAL_MS * 2) this.#startPoll()
     const decision = this.#selector.select(reach, avoided)
     if (decision.type !== 'relay' && this.#poll !== null) {
       await this.#poll
-      return this.#findPeer(this.#selector.select(this.#computeReach(pool), avoided))
+      return this.#findPeer(this.#selector.select(this.#dependencies.computeReach(pool), avoided))
     }
     return this.#findPeer(decision)
   }
@@ -86,15 +87,15 @@
   /** Records that another VM failed a request or could not be sent one. */
   recordFailure (vm: VmId, reason: string): void {
     this.#selector.recordFailure(vm)
-    this.#dependencies.decisionLog.record({ type: 'relayFailed', vm, reason })
+    this.#dependencies.onFailed(vm, reason)
   }
 
   /** Handles `endpoints.reach`. */
   handleReach (): ReachReport {
-    return { pools: this.#listReaches(), relayedCount: this.#dependencies.countRelayed() }
+    return { pools: this.#dependencies.listReaches(), relayedCount: this.#dependencies.countRelayed() }
   }
 
-  #findPeer (decision: ReturnType<RelaySelector['select']>): RelayRoute {
+  #findPeer (decision: ReturnType<RelaySelector['select']>): RelayRoute<Peer> {
     if (decision.type !== 'relay') return decision
     const peer = this.#dependencies.listPeers().find(({ vm }) => vm === decision.vm)
     return peer === undefined ? { type: 'direct' } : { type: 'relay', peer }
@@ -108,21 +109,12 @@
     this.#poll = poll
   }
 
-  async #ask (peer: PeerView): Promise<void> {
+  async #ask (peer: Peer): Promise<void> {
     try {
-      this.#selector.applyReport(peer.vm, reachReportSchema.parse(await this.#dependencies.call(peer, 'endpoints.reach', {})))
+      this.#selector.applyReport(peer.vm, reachReportSchema.parse(await this.#dependencies.askReach(peer)))
     } catch (error) {
       this.#selector.applyReport(peer.vm, null)
-      this.#dependencies.decisionLog.record({ type: 'relayFailed', vm: peer.vm, reason: (error as Error).message })
+      this.#dependencies.onFailed(peer.vm, (error as Error).message)
     }
   }
-
-  #listReaches (): PoolReach[] {
-    return [...groupBy(this.#dependencies.endpointRegistry.list(), ({ entry }) => entry.pool).keys()].map(pool => this.#computeReach(pool))
-  }
-
-  #computeReach (pool: PoolName): PoolReach {
-    const active = this.#dependencies.endpointRegistry.list(pool).filter(({ isDraining }) => !isDraining)
-    return { pool, reached: active.filter(({ isReached }) => isReached).length, known: active.length }
-  }
 }
--- a/packages/knapweedshunt-gateway/src/peers/reachMessages.ts
+++ b/packages/knapweedshunt-membership/src/reachMessages.ts
@@ -1,5 +1,5 @@
-import type { ReachReport } from 'knapweedshunt-membership'
 import { z } from 'zod'
+import type { ReachReport } from './reachReport.ts'
 
 /** Maximum number of pools in a report. */
 const MAX_POOLS = 1_000
