Membership: a request waits for the first VM that reaches enough endpoints, not for the slowest answer

With one VM hanging, each request that had to wait for reports waited until the question to it timed out, although others had answered. The new test hangs without the change.

--- a/packages/knapweedshunt-membership/src/endpointRelays.ts
+++ b/packages/knapweedshunt-membership/src/endpointRelays.ts
@@ -6,6 +6,7 @@
 import type { RelayPeer } from './relayPeer.ts'
 import type { RelayRoute } from './relayRoute.ts'
 import { RelaySelector } from './relaySelector.ts'
+import type { RelayDecision } from './relaySelector.ts'
 
 /** Interval of the checks whether other VMs must be asked, in milliseconds. */
 const CHECK_INTERVAL_MS = 50
@@ -30,6 +31,8 @@
 export class EndpointRelays<Peer extends RelayPeer> {
   readonly #dependencies: EndpointRelaysDependencies<Peer>
   readonly #selector: RelaySelector
+  /** Called after each answer of another VM. */
+  readonly #listeners = new Set<() => void>()
   #poll: Promise<void> | null = null
   #polledAtMs = -Infinity
 
@@ -61,17 +64,13 @@
     return this.#selector.needsReports(this.#dependencies.computeReach(pool))
   }
 
-  /** Selects how a request gets to an endpoint; `avoided` VMs were tried before. Waits for the first answers of the other VMs. */
+  /** Selects how a request gets to an endpoint; `avoided` VMs were tried before. Waits for the first answer of another VM that will do, or for all. */
   async select (pool: PoolName, avoided: VmId[]): Promise<RelayRoute<Peer>> {
     const reach = this.#dependencies.computeReach(pool)
     if (!this.#selector.needsReports(reach)) return { type: 'direct' }
     if (performance.now() - this.#polledAtMs >= POLL_INTERVAL_MS * 2) this.#startPoll()
     const decision = this.#selector.select(reach, avoided)
-    if (decision.type !== 'relay' && this.#poll !== null) {
-      await this.#poll
-      return this.#findPeer(this.#selector.select(this.#dependencies.computeReach(pool), avoided))
-    }
-    return this.#findPeer(decision)
+    return this.#findPeer(decision.type === 'relay' || this.#poll === null ? decision : await this.#awaitDecision(pool, avoided, this.#poll))
   }
 
   /** Records the start of a request through another VM. */
@@ -95,12 +94,28 @@
     return { pools: this.#dependencies.listReaches(), relayedCount: this.#dependencies.countRelayed() }
   }
 
-  #findPeer (decision: ReturnType<RelaySelector['select']>): RelayRoute<Peer> {
+  #findPeer (decision: RelayDecision): RelayRoute<Peer> {
     if (decision.type !== 'relay') return decision
     const peer = this.#dependencies.listPeers().find(({ vm }) => vm === decision.vm)
     return peer === undefined ? { type: 'direct' } : { type: 'relay', peer }
   }
 
+  #awaitDecision (pool: PoolName, avoided: VmId[], poll: Promise<void>): Promise<RelayDecision> {
+    const select = () => this.#selector.select(this.#dependencies.computeReach(pool), avoided)
+    return new Promise(resolve => {
+      const finish = (decision: RelayDecision) => {
+        this.#listeners.delete(handleAnswer)
+        resolve(decision)
+      }
+      const handleAnswer = () => {
+        const decision = select()
+        if (decision.type === 'relay') finish(decision)
+      }
+      this.#listeners.add(handleAnswer)
+      poll.then(() => finish(select()))
+    })
+  }
+
   #startPoll (): void {
     this.#polledAtMs = performance.now()
     const peers = this.#dependencies.listPeers()
@@ -116,5 +131,6 @@
       this.#selector.applyReport(peer.vm, null)
       this.#dependencies.onFailed(peer.vm, (error as Error).message)
     }
+    for (const listener of this.#listeners) listener()
   }
 }
