Router: a router that reaches few endpoints of a pool sends attempts through another one

Seen by callers: a router whose own links to the engines were down answered endpoint_failed although other routers reached them all.

Cause: the router had one way to an engine, its own. What it did not reach was taken for unreachable, and nobody was asked.

A failed connection now ends the reach of an endpoint, a response or a probe restores it. With fewer than half of a pool in reach the router asks its peers (router.reach) and sends the attempt to one that reaches twice as many, decided by EndpointRelays and RelaySelector, as in the gateway. The other router answers in the engines' own format and says in a header whether the response is an endpoint's; it reads the caller's key, routes, admits, places and retries itself, and relays nothing further. To the attempt state machine this is an attempt like others, so that streams go on after their last token, and an order goes elsewhere only after a refusal that rules out a run.

--- a/packages/knapweedshunt-attempts/src/attemptTypes.ts
+++ b/packages/knapweedshunt-attempts/src/attemptTypes.ts
@@ -24,6 +24,8 @@
   | 'lost'
   /** The response was not an event stream, or contained an event that cannot be parsed. */
   | 'malformed'
+  /** Another router, through which the attempt was sent, did not say how it ended; nothing is known of the endpoint. */
+  | 'relay'
 
 /** Which token timeout expired. */
 export type StallKind = 'first-token' | 'between-tokens'
--- a/packages/knapweedshunt-quickstart/src/__tests__/startRouterHarness.ts
+++ b/packages/knapweedshunt-quickstart/src/__tests__/startRouterHarness.ts
@@ -10,7 +10,8 @@
 /** Nothing listens there. */
 const UNREACHABLE_URL = 'http://127.0.0.1:9'
 
-const PEER_KEY = 'peer-key-of-the-harness'
+/** Shared key of the routers. */
+export const HARNESS_PEER_KEY = 'peer-key-of-the-harness'
 
 /** Routers and fake engines without control and platform; the test applies snapshots to the routers itself. */
 export interface RouterHarness {
@@ -40,7 +41,7 @@
 /** Starts fake engines and routers in this process and applies a first snapshot. */
 export async function startRouterHarness (options: RouterHarnessOptions): Promise<RouterHarness> {
   const engines = await Promise.all(Array.from({ length: options.engines }, (_, i) => startFakeEngine({ endpoint: `language-${i + 1}`, ...options.engine })))
-  const routerOptions = { ...DEFAULT_ROUTER_OPTIONS, platformUrl: UNREACHABLE_URL, peerKey: PEER_KEY, drainGraceMs: 50, ...options.router }
+  const routerOptions = { ...DEFAULT_ROUTER_OPTIONS, platformUrl: UNREACHABLE_URL, peerKey: HARNESS_PEER_KEY, drainGraceMs: 50, ...options.router }
   const startRouters = () => Promise.all(Array.from({ length: options.routers ?? 1 }, (_, i) => startRouter({ ...routerOptions, vm: `vm-${i + 1}` })))
   const routers = await startRouters()
 
--- a/packages/knapweedshunt-router/src/__tests__/dataPathHarness.ts
+++ b/packages/knapweedshunt-router/src/__tests__/dataPathHarness.ts
@@ -105,6 +105,7 @@
         this.attempts.push(attempt)
         return attempt.run()
       },
+      relay: async () => {},
       cancel: async (_url: string, attempt: string) => { this.cancelled.push(attempt) }
     }
     const log = { debug: noop, info: noop, warn: noop, error: noop }
@@ -173,6 +174,7 @@
     resumeFrom: 0,
     streamToken: null,
     digest: requestId,
+    relayHeaders: null,
     work: { type: 'completion', path: '/v1/completions', body: {}, stream: true, salt, seed: 1 }
   }
 }
--- a/packages/knapweedshunt-router/src/attemptLauncher.ts
+++ b/packages/knapweedshunt-router/src/attemptLauncher.ts
@@ -1,18 +1,29 @@
-import type { AttemptAction, AttemptEvent } from 'knapweedshunt-attempts'
+import type { AttemptAction, AttemptEvent, StreamVersions } from 'knapweedshunt-attempts'
 import type { PlacedDecision, PlaceDecision } from 'knapweedshunt-placement'
 import type { AttemptId, EndpointName } from 'knapweedshunt-types'
 import { match } from 'ts-pattern'
+import type { StallLimits } from './attemptCall.ts'
 import type { CallerRequest } from './callerRequest.ts'
 import type { CallerSink } from './callerSink.ts'
 import type { DataPath } from './dataPath.ts'
 import type { EndpointEntry } from './endpointTable.ts'
 import { computeCacheSalt } from './computeCacheSalt.ts'
+import type { RelayTarget } from './relays/relayTarget.ts'
 import type { RunningAttempt } from './runningAttempts.ts'
 
 type PlaceAction = Extract<AttemptAction, { type: 'place' }>
 
+/** Part before the VM's name in what stands for the endpoint of an attempt through another router. */
+const RELAY_PREFIX = 'vm:'
+
+const UNKNOWN_VERSIONS: StreamVersions = { softwareVersion: '', weightsVersion: '' }
+
+/** Events after which another router is left alone for a while. */
+const FAILED_RELAY_EVENTS: Array<AttemptEvent['type']> = ['refused', 'broken', 'stalled']
+
 interface LaunchedAttempt {
-  url: string
+  /** Null for an attempt through another router. */
+  url: string | null
   abort: AbortController
 }
 
@@ -24,6 +35,7 @@
   readonly #onEvent: (event: AttemptEvent) => void
   readonly #launched = new Map<AttemptId, LaunchedAttempt>()
   readonly #awaitingIsolation = new Set<AttemptId>()
+  readonly #awaitingRoute = new Set<AttemptId>()
 
   constructor (dataPath: DataPath, request: CallerRequest, sink: CallerSink, onEvent: (event: AttemptEvent) => void) {
     this.#dataPath = dataPath
@@ -32,8 +44,26 @@
     this.#onEvent = onEvent
   }
 
-  /** Sends the attempt to an endpoint that may have the software version, empty for any, or emits an event that says why it cannot be placed. */
-  place (action: PlaceAction, softwareVersion = ''): void {
+  /** Sends the attempt to an endpoint that may have the versions, empty for any, or to another router that reaches more endpoints, or emits an event that says why it cannot be placed. */
+  place (action: PlaceAction, versions: StreamVersions = UNKNOWN_VERSIONS): void {
+    const { pool, relayHeaders } = this.#request
+    if (relayHeaders === null || !this.#dataPath.relays.needsRelay(pool)) return this.#placeHere(action, versions.softwareVersion)
+    this.#placeByRoute(action, versions, relayHeaders).catch(error => this.#dataPath.log.error('Selecting another router failed with an internal error.', { requestId: this.#request.requestId, reason: String(error) }))
+  }
+
+  async #placeByRoute (action: PlaceAction, versions: StreamVersions, relayHeaders: Record<string, string>): Promise<void> {
+    const { attempt, excluded } = action
+    const triedVms = excluded.filter(name => name.startsWith(RELAY_PREFIX)).map(name => name.slice(RELAY_PREFIX.length))
+    this.#awaitingRoute.add(attempt)
+    const route = await this.#dataPath.relays.select(this.#request.pool, triedVms)
+    if (!this.#awaitingRoute.delete(attempt)) return
+    match(route)
+      .with({ type: 'relay' }, ({ peer }) => this.#startRelayed(action, peer, versions, relayHeaders))
+      .with({ type: 'direct' }, { type: 'unreached' }, () => this.#placeHere(action, versions.softwareVersion))
+      .exhaustive()
+  }
+
+  #placeHere (action: PlaceAction, softwareVersion: string): void {
     const { attempt } = action
     match(this.#dataPath.suspectGuard.check(this.#request))
       .with({ type: 'quarantined' }, ({ retryAfterMs }) => this.#onEvent({ type: 'quarantined', attempt, retryAfterMs }))
@@ -44,11 +74,12 @@
 
   /** Closes the attempt's connection and asks the engine to cancel its work. */
   cancel (attempt: AttemptId): void {
+    this.#awaitingRoute.delete(attempt)
     if (this.#awaitingIsolation.delete(attempt)) this.#dataPath.suspectGuard.handleFinish(attempt)
     const launched = this.#launched.get(attempt)
     if (launched === undefined) return
     launched.abort.abort()
-    if (this.#request.work.type === 'completion') this.#dataPath.endpointClient.cancel(launched.url, attempt, this.#dataPath.agent)
+    if (this.#request.work.type === 'completion' && launched.url !== null) this.#dataPath.endpointClient.cancel(launched.url, attempt, this.#dataPath.agent)
   }
 
   #placeUnrestricted (action: PlaceAction, softwareVersion: string): void {
@@ -140,6 +171,39 @@
     }).finally(() => this.#handleFinish(attempt, cachedTokens)).catch(error => this.#dataPath.log.error('Attempt failed with an internal error.', { requestId: this.#request.requestId, reason: String(error) }))
   }
 
+  #startRelayed ({ attempt, resumeFrom }: PlaceAction, { vm, url }: RelayTarget, versions: StreamVersions, callerHeaders: Record<string, string>): void {
+    const { agent, endpointClient, relays, peerKey, log } = this.#dataPath
+    const { pool, repeatable, requestId } = this.#request
+    const abort = new AbortController()
+    this.#launched.set(attempt, { url: null, abort })
+    relays.recordStart(vm)
+    this.#onEvent({ type: 'placed', attempt, endpoint: RELAY_PREFIX + vm, incarnation: '' })
+    endpointClient.relay({
+      attempt,
+      url,
+      request: this.#request,
+      salt: '',
+      resumeFrom,
+      key: peerKey,
+      relayed: { ...versions, from: this.#dataPath.vm, pool, repeatable, resumeFrom },
+      callerHeaders,
+      recordLimit () {},
+      recordSignals () {},
+      agent,
+      signal: abort.signal,
+      stallLimits: repeatable ? doubleLimits(this.#dataPath.stallLimits) : null,
+      emit: event => {
+        if (FAILED_RELAY_EVENTS.includes(event.type) && !abort.signal.aborted) relays.recordFailure(vm, event.type)
+        // The other router reports on the endpoint.
+        this.#onEvent(event.type === 'broken' ? { ...event, reason: 'relay' } : event)
+      },
+      waitDrain: () => this.#sink.waitDrain?.(abort.signal) ?? null
+    }).finally(() => {
+      this.#launched.delete(attempt)
+      relays.recordEnd(vm)
+    }).catch(error => log.error('Relayed attempt failed with an internal error.', { requestId, reason: String(error) }))
+  }
+
   #handleEndpointLoss (attempt: AttemptId): void {
     this.#onEvent({ type: 'broken', attempt, reason: 'lost' })
     this.#launched.get(attempt)?.abort.abort()
@@ -167,7 +231,9 @@
 
   /** Reports the outcome of an attempt to control. Losses are left out, since control reported them to the router in the first place. */
   #reportOutcome (endpoint: EndpointName, event: AttemptEvent): void {
-    const { outcomeReporter } = this.#dataPath
+    const { outcomeReporter, endpointReach } = this.#dataPath
+    if (event.type === 'head' || event.type === 'answer' || event.type === 'rejected') endpointReach.recordConnection(endpoint, true)
+    if (event.type === 'refused' || (event.type === 'broken' && event.reason === 'unreached')) endpointReach.recordConnection(endpoint, false)
     if (event.type === 'head') outcomeReporter.recordOutcome(endpoint, 'answered')
     if (event.type === 'refused') outcomeReporter.recordOutcome(endpoint, 'refused')
     if (event.type === 'broken' && event.reason !== 'lost') outcomeReporter.recordOutcome(endpoint, 'failed')
@@ -189,3 +255,8 @@
     return this.#request.levels.at(-1)?.tokens ?? 0
   }
 }
+
+/** The other router has the same limits for each of its own attempts. */
+function doubleLimits ({ firstTokenMs, betweenTokensMs }: StallLimits): StallLimits {
+  return { firstTokenMs: 2 * firstTokenMs, betweenTokensMs: 2 * betweenTokensMs }
+}
--- a/packages/knapweedshunt-router/src/callerRequest.ts
+++ b/packages/knapweedshunt-router/src/callerRequest.ts
@@ -34,5 +34,7 @@
   streamToken: string | null
   /** Digest of the request's content; equal for a repeated request. */
   digest: string
+  /** Headers of the caller that another router needs to serve the request; null if it must not be relayed. */
+  relayHeaders: Record<string, string> | null
   work: CallerWork
 }
--- a/packages/knapweedshunt-router/src/dataPath.ts
+++ b/packages/knapweedshunt-router/src/dataPath.ts
@@ -2,7 +2,8 @@
 import { RetryBudget } from 'knapweedshunt-attempts'
 import type { Logger } from 'knapweedshunt-logger'
 import { Placement } from 'knapweedshunt-placement'
-import type { RouterSnapshot } from 'knapweedshunt-types'
+import type { RouterSnapshot, VmId } from 'knapweedshunt-types'
+import { EndpointRelays } from 'knapweedshunt-membership'
 import { createIncarnation, createRng } from 'knapweedshunt-utils'
 import { AdmissionController } from './admissionController.ts'
 import type { StallLimits } from './attemptCall.ts'
@@ -10,11 +11,14 @@
 import type { EndpointClient } from './endpointClient.ts'
 import { EndpointLimiter } from './endpointLimiter.ts'
 import { EndpointOutcomeReporter } from './endpointOutcomeReporter.ts'
+import { EndpointReach } from './endpointReach.ts'
 import { EndpointTable } from './endpointTable.ts'
 import { RouterMetrics } from './routerMetrics.ts'
 import { HedgeDelays } from './hedgeDelays.ts'
 import type { RouterOrders } from './orders/routerOrders.ts'
 import { PeerExchange } from './peerExchange.ts'
+import { probeEndpoints } from './probeEndpoints.ts'
+import type { RelayTarget } from './relays/relayTarget.ts'
 import { ResourceIndex } from './resourceIndex.ts'
 import type { RouterOptions } from './routerOptions.ts'
 import { RunningAttempts } from './runningAttempts.ts'
@@ -41,6 +45,10 @@
   readonly endpointLimiter: EndpointLimiter
   readonly peerExchange: PeerExchange
   readonly outcomeReporter: EndpointOutcomeReporter
+  /** Name of this VM. */
+  readonly vm: VmId
+  readonly endpointReach = new EndpointReach()
+  readonly relays: EndpointRelays<RelayTarget>
   readonly stallLimits: StallLimits
   readonly softwareVersions = new SoftwareVersions()
   /** Shared key of the processes of the system. */
@@ -48,10 +56,14 @@
   readonly #rng = createRng(parseInt(createIncarnation().slice(0, SEED_HEX_DIGITS), 16))
   #resourceIndex: ResourceIndex | null = null
   #snapshot: RouterSnapshot | null = null
+  readonly #stopping = new AbortController()
+  readonly #tasks: Promise<unknown>
+  #relayedCount = 0
   #endpoints = new EndpointTable(null)
 
   constructor (options: RouterOptions, orders: RouterOrders, log: Logger, client: EndpointClient = HTTP_ENDPOINT_CLIENT) {
     const { vm, dataCentre, nearDataCentres, prefillTokensPerS, peerKey, endpointWindow } = options
+    this.vm = vm
     this.peerKey = peerKey
     this.placement = new Placement(dataCentre, { seed: this.drawSeed(), nearDataCentres, prefillTokensPerS })
     this.admission = new AdmissionController({ vm, seed: this.drawSeed(), endpointWindow })
@@ -65,6 +77,16 @@
     this.endpointLimiter = new EndpointLimiter({ vm, incarnation, log, countInFlight: endpoint => this.runningAttempts.countOn(endpoint), broadcastReport: report => this.peerExchange.broadcastLimits(report) })
     this.outcomeReporter = new EndpointOutcomeReporter(vm, peerKey)
     this.peerExchange = new PeerExchange({ vm, incarnation, dataCentre, peerKey, placement: this.placement, admission: this.admission, registry: this.suspectGuard.registry, partDetector: this.suspectGuard.partDetector, endpointLimiter: this.endpointLimiter, softwareVersions: this.softwareVersions, log })
+    this.relays = new EndpointRelays({
+      dataCentre,
+      listReaches: () => this.endpointReach.listReaches(),
+      computeReach: pool => this.endpointReach.computeReach(pool),
+      listPeers: () => this.peerExchange.listRelayTargets(),
+      askReach: ({ vm }) => this.peerExchange.askReach(vm),
+      countRelayed: () => this.#relayedCount,
+      onFailed: (vm, reason) => log.debug('Another router failed a relayed request, or does not say what it reaches.', { peer: vm, reason })
+    })
+    this.#tasks = Promise.all([this.relays.run(this.#stopping.signal), probeEndpoints(this.endpointReach, this.#stopping.signal)])
   }
 
   /** Index of the current resources; null before the first snapshot. */
@@ -110,6 +132,7 @@
     this.peerExchange.applyVms(snapshot.vms)
     this.endpointLimiter.applyVms(snapshot.vms)
     this.endpointLimiter.applyEndpoints(this.#endpoints.list())
+    this.endpointReach.applyEndpoints(this.#endpoints.list())
     this.softwareVersions.applyEndpoints(this.#endpoints.list())
     this.outcomeReporter.applyVms(snapshot.vms)
     this.placement.handleEvent({ type: 'snapshot', snapshot })
@@ -119,8 +142,20 @@
     return revision
   }
 
+  /** Counts a request of another router until it has ended. */
+  async trackRelayed (serving: Promise<void>): Promise<void> {
+    this.#relayedCount++
+    try {
+      await serving
+    } finally {
+      this.#relayedCount--
+    }
+  }
+
   /** Stops timers and closes all connections. */
   async close (): Promise<void> {
+    this.#stopping.abort()
+    await this.#tasks
     this.admission.close()
     await this.peerExchange.close()
     this.outcomeReporter.close()
--- a/packages/knapweedshunt-router/src/orders/attemptDispatcher.ts
+++ b/packages/knapweedshunt-router/src/orders/attemptDispatcher.ts
@@ -9,6 +9,7 @@
 import type { CallerRequest } from '../callerRequest.ts'
 import type { CallerSink } from '../callerSink.ts'
 import type { DataPath } from '../dataPath.ts'
+import { waitForAdmission } from '../waitForAdmission.ts'
 import { buildCompletionRecord } from './completionRecord.ts'
 
 const MIN_SERVER_ERROR_STATUS = 500
@@ -81,7 +82,7 @@
   async #admitAndPlace (pending: PendingAttempt, isResend: boolean): Promise<void> {
     const { attempt, abort } = pending
     try {
-      await this.#path.admission.waitForAdmission({ ...this.#request, requestId: attempt }, abort.signal)
+      await waitForAdmission(this.#path, { ...this.#request, requestId: attempt }, abort.signal)
     } catch (error) {
       if (!(error instanceof CallerError)) throw error
       this.#refusal = error
--- a/packages/knapweedshunt-router/src/orders/forwardedOrder.ts
+++ b/packages/knapweedshunt-router/src/orders/forwardedOrder.ts
@@ -21,6 +21,7 @@
     organisation: z.string(),
     pool: z.string(),
     digest: z.string(),
+    relayHeaders: z.null().default(null),
     orderTicket: z.string(),
     levels: z.array(z.unknown()),
     work: z.looseObject({ type: z.enum(['completion', 'service']) })
@@ -31,7 +32,7 @@
 
 /** Builds the params of `router.runTicket` from the request and the time left until its deadline. */
 export function buildForwardedOrder (request: CallerRequest): ForwardedOrder {
-  return { request, leftMs: request.deadlineAtMs - performance.now() }
+  return { request: { ...request, relayHeaders: null }, leftMs: request.deadlineAtMs - performance.now() }
 }
 
 /** Validates the params of `router.runTicket` and sets the deadline on the local monotonic clock. Throws ZodError. */
--- a/packages/knapweedshunt-router/src/parseCallerRequest.ts
+++ b/packages/knapweedshunt-router/src/parseCallerRequest.ts
@@ -84,7 +84,8 @@
     idempotencyKey: headers.idempotencyKey,
     orderTicket: headers.orderTicket,
     resumeFrom: headers.lastTokenNumber + 1,
-    streamToken: headers.streamToken
+    streamToken: headers.streamToken,
+    relayHeaders: headers.relayHeaders
   }
 }
 
--- a/packages/knapweedshunt-router/src/peerExchange.ts
+++ b/packages/knapweedshunt-router/src/peerExchange.ts
@@ -10,6 +10,7 @@
 import type { EndpointLimiter } from './endpointLimiter.ts'
 import { demandMessageSchema, limitsMessageSchema, marksMessageSchema, MAX_DEMANDS, MAX_HOT_KEYS, partsMessageSchema, versionsQuerySchema, versionsResultSchema } from './peerMessages.ts'
 import type { DemandMessage } from './peerMessages.ts'
+import type { RelayTarget } from './relays/relayTarget.ts'
 import type { SoftwareVersions } from './softwareVersions.ts'
 import { UnacknowledgedMarks } from './unacknowledgedMarks.ts'
 
@@ -144,6 +145,16 @@
     return answers.flat()
   }
 
+  /** Lists the routers that may serve requests of this one. */
+  listRelayTargets (): RelayTarget[] {
+    return [...this.#peers.values()].filter(({ view }) => view.state === 'live').map(({ view: { vm, dataCentre, routerUrl } }) => ({ vm, dataCentre, url: routerUrl }))
+  }
+
+  /** Asks a peer how many endpoints it reaches. Throws RpcError. */
+  async askReach (vm: VmId): Promise<unknown> {
+    return await this.#peers.get(vm)?.client.call('router.reach', {})
+  }
+
   /** Stops the rounds and closes the connections to peers. */
   async close (): Promise<void> {
     this.#stopping.abort()
--- a/packages/knapweedshunt-router/src/readHeaders.ts
+++ b/packages/knapweedshunt-router/src/readHeaders.ts
@@ -5,6 +5,9 @@
 const MAX_MARKS = 16
 const MAX_TICKET_CHARS = 2_048
 const MAX_STREAM_TOKEN_CHARS = 2_048
+
+/** The others are sent to the other router as this one understood them. */
+const RELAYED_HEADERS = ['authorization', 'x-prefix-marks']
 const REQUEST_ID_PATTERN = /^[\w.-]{1,64}$/
 const KEY_PATTERN = /^[\x21-\x7e]+$/
 
@@ -26,6 +29,8 @@
   lastTokenNumber: number
   /** Token from the response that began the stream; null also for a text that is too long for one. */
   streamToken: string | null
+  /** Headers that another router needs to serve the request. */
+  relayHeaders: Record<string, string>
 }
 
 /** Reads and validates the headers. Throws a CallerError that names header and value. */
@@ -39,7 +44,8 @@
     orderTicket: readTicket(headers),
     forbidsRepeat: readForbidsRepeat(headers),
     lastTokenNumber: readInteger(headers, 'last-event-id', 0) ?? -1,
-    streamToken: readStreamToken(headers)
+    streamToken: readStreamToken(headers),
+    relayHeaders: collectRelayHeaders(headers)
   }
 }
 
@@ -54,6 +60,10 @@
   throw createCallerError('header_invalid', 'The header x-request-id is wrong: send 1 to 64 letters, digits, dots, hyphens or underscores.')
 }
 
+function collectRelayHeaders (headers: IncomingHttpHeaders): Record<string, string> {
+  return Object.fromEntries(RELAYED_HEADERS.map(name => [name, readText(headers, name)]).filter(([, value]) => value !== null))
+}
+
 function readStreamToken (headers: IncomingHttpHeaders): string | null {
   const token = readText(headers, 'x-stream-token')
   return token === null || token.length > MAX_STREAM_TOKEN_CHARS ? null : token
--- /dev/null
+++ b/packages/knapweedshunt-router/src/relays/sendRelayRefusal.ts
@@ -0,0 +1,12 @@
+import type { ServerResponse } from 'node:http'
+import { sendJsonResponse } from 'knapweedshunt-utils'
+import type { CallerErrorInstance } from '../callerError.ts'
+import { buildAnswerHeader } from './relayHeaders.ts'
+
+const STATUS_REFUSED = 503
+
+/** Refuses a relayed attempt. */
+export function sendRelayRefusal (response: ServerResponse, { code, ran, retryAfterMs, message }: CallerErrorInstance): void {
+  if (response.headersSent) return
+  sendJsonResponse(response, STATUS_REFUSED, {}, buildAnswerHeader({ type: 'refused', code, ran, retryAfterMs, message }))
+}
--- a/packages/knapweedshunt-router/src/requestTask.ts
+++ b/packages/knapweedshunt-router/src/requestTask.ts
@@ -67,7 +67,7 @@
   #performAction (action: AttemptAction): void {
     switch (action.type) {
       case 'deliver': return this.#deliver(action.n, action.text)
-      case 'place': return this.#launcher.place(action, this.#stateMachine.versions.softwareVersion)
+      case 'place': return this.#launcher.place(action, this.#stateMachine.versions)
       case 'wait': return this.#scheduleEvent(action.ms, { type: 'waited', attempt: action.attempt })
       case 'hedgeAfter': return this.#scheduleEvent(action.ms, { type: 'hedgeDue' })
       case 'cancel': return this.#launcher.cancel(action.attempt)
--- a/packages/knapweedshunt-router/src/responseSink.ts
+++ b/packages/knapweedshunt-router/src/responseSink.ts
@@ -6,6 +6,7 @@
 import type { CallerSink } from './callerSink.ts'
 import { signStreamToken } from './signStreamToken.ts'
 import { buildErrorBody, sendCallerError } from './sendCallerError.ts'
+import { waitForDrain } from './waitForDrain.ts'
 
 const SLOW_CALLER_TIMEOUT_MS = 2_000
 
@@ -54,19 +55,7 @@
   }
 
   waitDrain (signal: AbortSignal): Promise<void> | null {
-    const response = this.#response
-    if (response.destroyed || !response.writableNeedDrain) return null
-    return new Promise(resolve => {
-      const finish = () => {
-        response.off('drain', finish)
-        response.off('close', finish)
-        signal.removeEventListener('abort', finish)
-        resolve()
-      }
-      response.once('drain', finish)
-      response.once('close', finish)
-      signal.addEventListener('abort', finish, { once: true })
-    })
+    return waitForDrain(this.#response, signal)
   }
 
   fail (error: CallerErrorInstance): void {
--- a/packages/knapweedshunt-router/src/runAttempt.ts
+++ b/packages/knapweedshunt-router/src/runAttempt.ts
@@ -53,7 +53,8 @@
   else if (typeof text === 'string' && LIMIT_PATTERN.test(text)) call.recordLimit(Number(text))
 }
 
-async function readPlainAnswer (call: AttemptCall, message: http.IncomingMessage): Promise<void> {
+/** Reads the response of a service, whatever its status. */
+export async function readPlainAnswer (call: AttemptCall, message: http.IncomingMessage): Promise<void> {
   const body = await readBody(message, MAX_RESPONSE_BYTES)
   const contentType = message.headers['content-type'] ?? 'application/octet-stream'
   call.emit({ type: 'answer', attempt: call.attempt, answer: { status: message.statusCode ?? 0, contentType, body } })
--- a/packages/knapweedshunt-router/src/serveCaller.ts
+++ b/packages/knapweedshunt-router/src/serveCaller.ts
@@ -1,6 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { createIncarnation } from 'knapweedshunt-utils'
-import { buildFailureError } from './buildFailureError.ts'
 import { CallerError, createCallerError } from './callerError.ts'
 import type { CallerRequest } from './callerRequest.ts'
 import type { DataPath } from './dataPath.ts'
@@ -9,7 +8,7 @@
 import { runOrder } from './orders/runOrder.ts'
 import { serveOrderPaths } from './orders/serveOrderPaths.ts'
 import { parseCallerRequest } from './parseCallerRequest.ts'
-import { RequestTask } from './requestTask.ts'
+import { runAdmitted } from './runAdmitted.ts'
 import { sendCallerError } from './sendCallerError.ts'
 import { ResponseSink } from './responseSink.ts'
 
@@ -33,28 +32,7 @@
 }
 
 async function runRequest (dataPath: DataPath, request: CallerRequest, response: ServerResponse): Promise<void> {
-  const callerAbort = new AbortController()
-  response.once('close', () => { if (!response.writableFinished) callerAbort.abort() })
   const sink = new ResponseSink(response, request, dataPath.peerKey)
   if (!request.repeatable) return await runOrder(dataPath, request, sink)
-  const origin = await determineOrigin(dataPath, request)
-  await admitRequest(dataPath, request, callerAbort.signal)
-  try {
-    await new RequestTask(dataPath, request, sink, origin).run(callerAbort.signal)
-  } finally {
-    dataPath.admission.release(request.requestId)
-  }
-}
-
-/** Refuses a quarantined request; waits until any other one is admitted. Throws CallerError. */
-async function admitRequest (dataPath: DataPath, request: CallerRequest, signal: AbortSignal): Promise<void> {
-  const state = dataPath.suspectGuard.check(request)
-  try {
-    if (state.type === 'quarantined') throw buildFailureError({ type: 'fail', code: 'request_quarantined', ran: 'not-run', retryAfterMs: state.retryAfterMs, message: null })
-    await dataPath.admission.waitForAdmission(request, signal)
-  } catch (error) {
-    if (error instanceof CallerError && !signal.aborted) dataPath.metrics.recordRefusal(request, error.code)
-    throw error
-  }
-  dataPath.metrics.recordQueueTime(request, performance.now() - request.receivedAtMs)
+  await runAdmitted(dataPath, request, response, sink, await determineOrigin(dataPath, request))
 }
--- a/packages/knapweedshunt-router/src/startRouter.ts
+++ b/packages/knapweedshunt-router/src/startRouter.ts
@@ -1,5 +1,6 @@
 import http from 'node:http'
 import { createLogger } from 'knapweedshunt-logger'
+import { RELAY_HEADER } from 'knapweedshunt-membership'
 import { createRpcHandler } from 'knapweedshunt-rpc'
 import { closeServer, createIncarnation, listen, sendJsonResponse } from 'knapweedshunt-utils'
 import { CallerServer } from './callerServer.ts'
@@ -9,6 +10,7 @@
 import { createOrderRpcMethods } from './orders/createOrderRpcMethods.ts'
 import { RouterOrders } from './orders/routerOrders.ts'
 import type { RouterOptions } from './routerOptions.ts'
+import { serveRelayed } from './relays/serveRelayed.ts'
 import { serveCaller } from './serveCaller.ts'
 
 /** A running router and the URLs it listens on. */
@@ -44,11 +46,15 @@
     'router.limits': params => dataPath.peerExchange.handleLimits(params),
     'router.demand': params => dataPath.peerExchange.handleDemand(params),
     'router.versions': params => dataPath.peerExchange.handleVersions(params),
+    'router.reach': () => dataPath.relays.handleReach(),
     'router.explain': params => explainRequest(dataPath, params),
     'router.figures': () => dataPath.metrics.listRows(),
     ...createOrderRpcMethods(dataPath)
   }, options.peerKey)
-  const peerServer = http.createServer((message, response) => rpc(message, response))
+  const peerServer = http.createServer((message, response) => {
+    if (message.headers[RELAY_HEADER.key] === undefined) return rpc(message, response)
+    return serveRelayed(dataPath, { maxBodyBytes: options.maxBodyBytes, isStopping: callerServer.isStopping }, message, response)
+  })
 
   const callerUrl = await callerServer.listen(options.caller)
   const peerUrl = await listen(peerServer, options.peer)
