--- a/packages/knapweedshunt-router/src/__tests__/dataPathHarness.ts
+++ b/packages/knapweedshunt-router/src/__tests__/dataPathHarness.ts
@@ -105,6 +105,7 @@
         this.attempts.push(attempt)
         return attempt.run()
       },
+      relay: async () => {},
       cancel: async (_url: string, attempt: string) => { this.cancelled.push(attempt) }
     }
     const log = { debug: noop, info: noop, warn: noop, error: noop }
@@ -171,7 +172,9 @@
     idempotencyKey: null,
     orderTicket: null,
     resumeFrom: 0,
+    streamToken: null,
     digest: requestId,
+    relayHeaders: null,
     work: { type: 'completion', path: '/v1/completions', body: {}, stream: true, salt, seed: 1 }
   }
 }
