Gateway: only the VM that has the caller records what began a relayed stream

Callers saw a stream with events of two software versions after a VM that reaches no endpoint had relayed it. Both VMs recorded the version that began the stream, each when its own first event came. When the answer was lost between the two, the first VM sent the request through another one, whose endpoint had another version, and the caller got that version's events. The holders of the stream kept what had been recorded first, so the caller's next try went on at the version of events that it had never seen.

What counts is the first event that reaches the caller, and only the VM that has the caller knows it. A version that this VM has not seen itself, as the other one may be ahead of it, is told to the holders too.

--- a/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
@@ -180,8 +180,9 @@
     const { attemptRunner } = this.#parts
     if (attemptRunner.softwareVersion !== null || softwareVersion === null) return
     attemptRunner.softwareVersion = softwareVersion
-    const { call, identity, pool } = this.#plan
-    if (call.lastEventId === null) this.#dependencies.streamOrigins.recordBegan({ organisation: identity?.organisation ?? '', pool, firstRequestId: call.requestId }, softwareVersion)
+    const { call, identity, pool, relayed } = this.#plan
+    // What a relayed stream begins with is known once its first event has reached the VM that has the caller.
+    if (call.lastEventId === null && relayed === null) this.#dependencies.streamOrigins.recordBegan({ organisation: identity?.organisation ?? '', pool, firstRequestId: call.requestId }, softwareVersion)
   }
 
   /** Builds what the VM that relayed the request is told with the response; null for a caller. */
--- a/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
@@ -108,7 +108,8 @@
     if (firstRequestId === null) return
     const key = computeStreamKey(organisation, pool, firstRequestId)
     this.#table.record(key, pool, softwareVersion)
-    if (this.#announcedPools.has(pool)) this.#announce(pool, { key, softwareVersion })
+    // Another VM, which relayed the stream, may have sent it to a version that this one has not seen.
+    if (this.#announcedPools.has(pool) || this.#history.findOnlyVersion(pool) !== softwareVersion) this.#announce(pool, { key, softwareVersion })
   }
 
   /** Finds the version that began a stream. */
