Gateway: streams begin on a new software version only where no other VM can take the one before for the only one

Callers saw streams with events of two software versions during a release while some VMs were out of step. A VM in touch with the store began streams on the new version; the holders of these streams were cut off from it and from the store, or stood still, and their endpoint tables counted as fresh for up to 4 s more. Asked by a VM out of step like them, most of them did not know the stream and said that the version before is the only one.

- A VM tells the others of a version that it has seen for less than 4.5 s (`streams.versions`).
Until then a resumable stream begins on it only if so many of its holders have acknowledged that the others are not most of them; the same holds for the holders of the empty id, whom a VM asks when the caller does not name its first request.
After that time no VM whose table counts as fresh can lack the version.
No call is made per stream, and while the VMs are in touch the wait is one call.
- A VM whose table was not confirmed for 4 s observes all pools anew: versions may have come and gone, and it had carried on with what it knew before.
- A VM that has seen another version of late does not believe holders who say that there is only one.
- In a pool that no VM has observed for long, nobody can take a version for the only one and nothing is held back; the versions row says since when a pool is observed (optional: rows of earlier builds count as old).

Earlier builds do not acknowledge; beside them a new version waits the 4.5 s.

--- a/packages/knapweedshunt-attempts/src/poolVersionHistory.ts
+++ b/packages/knapweedshunt-attempts/src/poolVersionHistory.ts
@@ -23,6 +23,11 @@
     for (const [version, lastMs] of known.lastPresentMs) if (nowMs - lastMs > this.#getRetentionMs()) known.lastPresentMs.delete(version)
   }
 
+  /** Records that the endpoints were not observed for a while, in which versions may have come and gone: all pools are observed anew. */
+  recordGap (): void {
+    for (const known of this.#pools.values()) known.sinceMs = performance.now()
+  }
+
   /** Takes over what another VM, or this one before it restarted, observed: the pool has had these versions since `sinceMs`. */
   adopt (pool: string, softwareVersions: string[], sinceMs: number): void {
     const known = this.#getOrCreate(pool)
@@ -38,6 +43,11 @@
     return version === undefined || others.length > 0 ? null : version
   }
 
+  /** Whether a pool had another version of late. */
+  hasOtherThan (pool: string, softwareVersion: string): boolean {
+    return [...this.#pools.get(pool)?.lastPresentMs.keys() ?? []].some(version => version !== softwareVersion)
+  }
+
   #getOrCreate (pool: string): PoolVersions {
     const known = this.#pools.get(pool) ?? { sinceMs: performance.now(), lastPresentMs: new Map<string, number>() }
     this.#pools.set(pool, known)
--- a/packages/knapweedshunt-gateway/src/__tests__/streamOriginsSimulation.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/streamOriginsSimulation.ts
@@ -99,7 +99,11 @@
       await new Promise(resolve => setTimeout(resolve, CALL_TIMEOUT_MS))
       throw new Error('no answer')
     }
-    return method === 'streams.record' ? vm.origins.handleRecord(params) : vm.origins.handleFind(params)
+    switch (method) {
+      case 'streams.record': return vm.origins.handleRecord(params)
+      case 'streams.versions': return vm.origins.handleVersions(params)
+      default: return vm.origins.handleFind(params)
+    }
   }
 
   async #writeRow (vm: SimulatedVm, row: PoolVersionsRow): Promise<void> {
--- a/packages/knapweedshunt-gateway/src/directory/rosterRows.ts
+++ b/packages/knapweedshunt-gateway/src/directory/rosterRows.ts
@@ -63,8 +63,8 @@
   report: EndpointLimitReport
 }
 
-/** Row of the software versions that the endpoints of a pool have; `changedAtMs` is the wall-clock time in Unix milliseconds since which they have them. */
-export const poolVersionsRowSchema = z.object({ pool: text, softwareVersions: z.array(z.string()), changedAtMs: z.number() })
+/** Row of the software versions that the endpoints of a pool have; `changedAtMs` is the wall-clock time in Unix milliseconds since which they have them, and `observedSinceMs` the one since which VMs have observed the pool; earlier builds do not write it. */
+export const poolVersionsRowSchema = z.object({ pool: text, softwareVersions: z.array(z.string()), changedAtMs: z.number(), observedSinceMs: z.number().optional() })
 
 /** Output type of {@link poolVersionsRowSchema}. */
 export type PoolVersionsRow = z.output<typeof poolVersionsRowSchema>
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -51,6 +51,8 @@
   prompt: Prompt | null
   /** Software version that the endpoint must have, as it began the stream; null for any. */
   softwareVersion: string | null
+  /** Whether a stream that has not begun may begin at a software version; null if that does not matter. */
+  acceptsVersion: ((softwareVersion: string) => boolean) | null
   /** Whether limited endpoints are left to other requests. */
   mustYieldLimits: boolean
 }
@@ -137,17 +139,18 @@
   }
 
   /** Chooses an endpoint of the pool, preferring those not tried yet, and counts the request towards its rate limit. */
-  choose ({ pool, levels, triedEndpoints, prompt, softwareVersion, mustYieldLimits }: ChoiceCriteria): Choice {
+  choose ({ pool, levels, triedEndpoints, prompt, softwareVersion, acceptsVersion, mustYieldLimits }: ChoiceCriteria): Choice {
     const isRetry = triedEndpoints.length > 0
     const records = this.#dependencies.endpointRegistry.list(pool)
     const suitable = softwareVersion === null ? records : records.filter(({ entry, isDraining }) => entry.softwareVersion === softwareVersion && !isDraining)
-    const candidates = this.#listCandidates(suitable, triedEndpoints)
+    const accepted = acceptsVersion === null ? suitable : filterByVersion(suitable, acceptsVersion)
+    const candidates = this.#listCandidates(accepted, triedEndpoints)
     if (candidates.length === 0) return suitable.length === 0 ? { type: 'none' } : { type: 'busy' }
     this.#updatePeerDemand()
     const serving = this.#listServing(candidates, pool, prompt)
     if (serving.length === 0) return { type: 'busy' }
     const usable = this.#listUsable(serving, pool, prompt, isRetry, mustYieldLimits)
-    if (usable.length === 0 && isRetry) usable.push(...this.#listServing(this.#listCandidates(suitable, []), pool, prompt).filter(record => this.#isPermitted(record, mustYieldLimits)))
+    if (usable.length === 0 && isRetry) usable.push(...this.#listServing(this.#listCandidates(accepted, []), pool, prompt).filter(record => this.#isPermitted(record, mustYieldLimits)))
     if (usable.length === 0) return this.#describeLimited(serving)
     const names = new Set(usable.map(record => record.entry.endpoint))
     const unavailable = records.filter(record => !names.has(record.entry.endpoint)).map(record => record.entry.endpoint)
@@ -272,6 +275,11 @@
   }
 }
 
+function filterByVersion (records: EndpointRecord[], acceptsVersion: (softwareVersion: string) => boolean): EndpointRecord[] {
+  const accepted = new Set([...new Set(records.map(({ entry }) => entry.softwareVersion))].filter(acceptsVersion))
+  return records.filter(({ entry }) => accepted.has(entry.softwareVersion))
+}
+
 function getIsolationScope (identity: CallerIdentity | null): string {
   return identity?.isIsolated ? identity.organisation : ''
 }
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -159,13 +159,20 @@
 
   async #chooseEndpoint (): Promise<NextTarget | null> {
     const homeLevels = this.#dependencies.chooser.findHomeLevels(this.#plan.levels)
-    const choice = await waitForEndpoint(this.#dependencies, this.#plan, { homeLevels, triedEndpoints: [...this.#attemptRunner.triedEndpoints], softwareVersion: this.#attemptRunner.softwareVersion, isCancelled: () => this.#finalResponse.isSettled })
+    const choice = await waitForEndpoint(this.#dependencies, this.#plan, { homeLevels, triedEndpoints: [...this.#attemptRunner.triedEndpoints], softwareVersion: this.#attemptRunner.softwareVersion, acceptsVersion: this.#buildVersionFilter(), isCancelled: () => this.#finalResponse.isSettled })
     if (this.#finalResponse.isSettled) return null
     if (choice.type === 'chosen') return { type: 'endpoint', chosen: choice, homeLevels }
     this.#finalResponse.refuseUnplaced(choice)
     return null
   }
 
+  /** A resumable stream begins only where other VMs can tell later what began it. */
+  #buildVersionFilter (): ((softwareVersion: string) => boolean) | null {
+    const { call, route, identity, pool } = this.#plan
+    if (route.repeatability !== REPEATABILITY.resumed || call.lastEventId !== null || this.#attemptRunner.softwareVersion !== null) return null
+    return softwareVersion => this.#dependencies.streamOrigins.canBegin({ organisation: identity?.organisation ?? '', pool, firstRequestId: call.requestId }, softwareVersion)
+  }
+
   async #handleOutcome (runningAttempt: RunningAttempt, outcome: AttemptOutcome): Promise<NextStep> {
     if (outcome.type === 'unsent' || outcome.type === 'notRun' || (outcome.type === 'refused' && !outcome.mayHaveRun)) this.#permits.recordNotRun()
     return await match(outcome)
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -164,6 +164,7 @@
     this.#peerServer = new PeerServer({
       'endpoints.reach': () => this.#relays.handleReach(),
       'streams.record': params => this.#streamOrigins.handleRecord(params),
+      'streams.versions': params => this.#streamOrigins.handleVersions(params),
       'streams.find': params => this.#streamOrigins.handleFind(params)
     }, (request, response, relayed) => this.#requestHandler.handleRelayed(request, response, relayed))
     this.#weightsState = new WeightsState({ getMaxStaleMs: () => this.#settings.maxStaleWeightsMs - STALE_WEIGHTS_MARGIN_MS, holder: settings.vm, endpointRegistry: this.#endpointRegistry, roster: this.#roster, managementPort, tryTakePermit: record => this.#endpointPermits.tryTake(record), recordDecision: decision => this.#decisionLog.record(decision), onServedVersion: () => this.#chooser.rebuild() })
--- a/packages/knapweedshunt-gateway/src/peers/streamMessages.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamMessages.ts
@@ -3,12 +3,18 @@
 /** Maximum number of streams in one message. */
 export const MAX_MESSAGE_STREAMS = 500
 
+/** Maximum number of software versions in one message. */
+export const MAX_MESSAGE_VERSIONS = 100
+
 const text = z.string().min(1).max(255)
 const softwareVersion = z.string().max(255)
 
 /** Params of `streams.record`: streams and the software versions that began them. */
 export const recordParamsSchema = z.object({ pool: text, streams: z.array(z.object({ key: text, softwareVersion })).max(MAX_MESSAGE_STREAMS) })
 
+/** Params of `streams.versions`: software versions that the endpoints of a pool have. */
+export const versionsParamsSchema = z.object({ pool: text, softwareVersions: z.array(softwareVersion).max(MAX_MESSAGE_VERSIONS) })
+
 /** Params of `streams.find`. */
 export const findParamsSchema = z.object({ pool: text, key: text })
 
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -53,6 +53,8 @@
   | { type: 'reloaded', vm: VmId }
   /** Another VM could not be told which software versions began streams; it is told again. */
   | { type: 'streamsUntold', vm: VmId, reason: string }
+  /** Another VM could not be told of a new software version; it is told again. */
+  | { type: 'versionsUntold', vm: VmId, reason: string }
   /** Another VM could not be asked which software version began a stream. */
   | { type: 'streamUnasked', vm: VmId, reason: string }
   /** Another VM did not say which endpoints it reaches, or failed a request. */
--- a/packages/knapweedshunt-gateway/src/records/decisionLog.ts
+++ b/packages/knapweedshunt-gateway/src/records/decisionLog.ts
@@ -27,6 +27,7 @@
   stopped: 'Stopped.',
   reloaded: 'Settings reloaded.',
   streamsUntold: 'Streams not told to another VM.',
+  versionsUntold: 'Software versions not told to another VM.',
   streamUnasked: 'Other VM not asked about a stream.',
   takenUp: 'Stream taken up again.',
   configTaken: 'Configuration applied.',
