--- a/packages/knapweedshunt-gateway/src/__tests__/outOfStepSimulation.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/outOfStepSimulation.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events'
 import { createRng } from 'knapweedshunt-utils'
 import type { Rng } from 'knapweedshunt-utils'
 import type { PoolVersionsRow } from '../directory/rosterRows.ts'
@@ -97,7 +98,9 @@
   #createVm (n: number, start: number): SimulatedVm {
     const view: PeerView = { vm: `vm-${n}`, dataCentre: `z${n % this.#scenario.dataCentreCount}`, address: { url: '', key: String(start) } }
     const registry = new EndpointRegistry(() => {}, () => {}, () => {})
-    const vm: SimulatedVm = { view, start, registry, abort: new AbortController(), faults: new Set(), confirmedAtMs: -Infinity, wake: () => {}, origins: null as unknown as StreamOrigins }
+    const abort = new AbortController()
+    setMaxListeners(0, abort.signal)
+    const vm: SimulatedVm = { view, start, registry, abort, faults: new Set(), confirmedAtMs: -Infinity, wake: () => {}, origins: null as unknown as StreamOrigins }
     vm.origins = new StreamOrigins({
       vm: view.vm,
       dataCentre: view.dataCentre,
