--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/__tests__/streamOrigins.test.ts
@@ -0,0 +1,126 @@
+import { setMaxListeners } from 'node:events'
+import { install } from '@sinonjs/fake-timers'
+import type { Clock } from '@sinonjs/fake-timers'
+import test from 'ava'
+import { computeStreamKey, selectStreamHolders } from 'knapweedshunt-attempts'
+import { EndpointRegistry } from '../endpoints/endpointRegistry.ts'
+import type { PeerView } from '../peers/peerAddress.ts'
+import { StreamOrigins } from '../peers/streamOrigins.ts'
+import { DecisionLog } from '../records/decisionLog.ts'
+
+const POOL = 'p'
+const RETENTION_MS = 5_000
+
+/** Time after which a pool is no longer new, in milliseconds. */
+const OBSERVED_MS = 20_000
+
+const UPDATE_INTERVAL_MS = 250
+
+const LOG = { debug () {}, info () {}, warn () {}, error () {} }
+const VM = { vm: 'vm-0', dataCentre: 'z1' }
+const PEERS: PeerView[] = Array.from({ length: 12 }, (_, n) => ({ vm: `vm-${n + 1}`, dataCentre: 'z1', address: { url: '', key: '1' } }))
+
+interface Setup {
+  clock: Clock
+  origins: StreamOrigins
+  /** Replaces the endpoints by one of each version. */
+  applyVersions: (versions: string[]) => void
+  /** Lets time pass while the endpoints are read. */
+  observe: (durationMs: number) => Promise<void>
+}
+
+async function runWithOrigins (call: (view: PeerView, method: string) => unknown, run: (setup: Setup) => Promise<void>): Promise<void> {
+  const clock = install()
+  const abort = new AbortController()
+  setMaxListeners(0, abort.signal)
+  try {
+    const registry = new EndpointRegistry(() => {}, () => {}, () => {})
+    const origins = new StreamOrigins({
+      ...VM,
+      endpointRegistry: registry,
+      decisionLog: new DecisionLog(LOG),
+      signal: abort.signal,
+      listPeers: () => PEERS,
+      call: async (view, method) => call(view, method),
+      getRetentionMs: () => RETENTION_MS,
+      getEndpointsAgeMs: () => 0,
+      isVersionsWriter: () => false,
+      writePoolVersions: async () => {}
+    })
+    const applyVersions = (versions: string[]) => {
+      registry.applySnapshot(versions.map(softwareVersion => ({ endpoint: softwareVersion, incarnation: softwareVersion, pool: POOL, address: '127.0.0.1:1', dataCentre: 'z1', slots: 8, isDraining: false, softwareVersion, models: [] })), false)
+      origins.updateVersions()
+    }
+    applyVersions(['v1'])
+    const observe = async (durationMs: number) => {
+      for (let ms = 0; ms < durationMs; ms += UPDATE_INTERVAL_MS) {
+        await clock.tickAsync(UPDATE_INTERVAL_MS)
+        origins.updateVersions()
+      }
+    }
+    await observe(OBSERVED_MS)
+    await run({ clock, origins, applyVersions, observe })
+  } finally {
+    abort.abort()
+    clock.uninstall()
+  }
+}
+
+function listHolders (firstRequestId: string): string[] {
+  return selectStreamHolders(computeStreamKey('org', POOL, firstRequestId), [VM, ...PEERS]).map(({ vm }) => vm)
+}
+
+// Guards against holders out of step whose word counts for more than what this VM has seen itself.
+test.serial('a VM that has seen two versions does not believe holders who say that there is one', async t => {
+  await runWithOrigins(() => ({ softwareVersion: null, onlyVersion: 'v1' }), async ({ clock, origins, applyVersions }) => {
+    const find = async () => {
+      const origin = origins.findOrigin({ organisation: 'org', pool: POOL, firstRequestId: 'r' })
+      await clock.tickAsync(10)
+      return await origin
+    }
+    t.deepEqual(await find(), { type: 'known', softwareVersion: 'v1' })
+    applyVersions(['v1', 'v2'])
+    t.deepEqual(await find(), { type: 'unknown' })
+  })
+})
+
+// Guards against a caller that does not name its first request, and so is answered by other VMs than the stream's holders.
+test.serial('a stream begins on a new version once its holders and those of the empty id have acknowledged the version', async t => {
+  const firstRequestId = Array.from({ length: 100 }, (_, n) => `r${n}`).find(id => !listHolders(id).some(vm => vm === VM.vm || listHolders('').includes(vm)))!
+  let informed: string[] = []
+  const call = ({ vm }: PeerView, method: string) => {
+    if (method === 'streams.versions' && !informed.includes(vm)) throw new Error('no answer')
+    return {}
+  }
+  await runWithOrigins(call, async ({ clock, origins, applyVersions }) => {
+    const identity = { organisation: 'org', pool: POOL, firstRequestId }
+    applyVersions(['v1', 'v2'])
+    await clock.tickAsync(500)
+    t.true(origins.canBegin(identity, 'v1'))
+    t.false(origins.canBegin(identity, 'v2'))
+    informed = listHolders(firstRequestId)
+    await clock.tickAsync(500)
+    t.false(origins.canBegin(identity, 'v2'))
+    informed = [...informed, ...listHolders('').slice(0, 1)]
+    await clock.tickAsync(500)
+    t.false(origins.canBegin(identity, 'v2'), 'one of three holders of the empty id')
+    informed = [...informed, ...listHolders('').slice(0, 2)]
+    await clock.tickAsync(500)
+    t.true(origins.canBegin(identity, 'v2'))
+  })
+})
+
+test.serial('a stream begins on a new version once no table that counts as fresh can lack it', async t => {
+  await runWithOrigins(() => { throw new Error('no answer') }, async ({ clock, origins, applyVersions, observe }) => {
+    const identity = { organisation: 'org', pool: POOL, firstRequestId: 'r' }
+    applyVersions(['v1', 'v2'])
+    await observe(4_250)
+    t.false(origins.canBegin(identity, 'v2'))
+    await observe(500)
+    t.true(origins.canBegin(identity, 'v2'))
+    // Without a read for longer than a table counts as fresh, other VMs may have forgotten the version.
+    await clock.tickAsync(4_250)
+    origins.updateVersions()
+    t.false(origins.canBegin(identity, 'v2'))
+  })
+})
