--- a/packages/knapweedshunt-gateway/src/flow/selectTarget.ts
+++ b/packages/knapweedshunt-gateway/src/flow/selectTarget.ts
@@ -3,6 +3,7 @@
 import type { Quarantine } from '../directory/quarantine.ts'
 import type { Choice, ChosenEndpoint } from '../endpoints/endpointChooser.ts'
 import { formatCandidates } from '../endpoints/candidateCounts.ts'
+import { REPEATABILITY } from '../ports/gatewayConfig.ts'
 import type { NextTarget } from './attemptRunner.ts'
 import type { FlowDependencies } from './flowDependencies.ts'
 import type { KeyRefusal } from './keyRefusal.ts'
@@ -62,12 +63,18 @@
   const { chooser } = dependencies
   const { pool, route, call } = plan
   const homeLevels = chooser.findHomeLevels(plan.levels)
-  const choice = await waitForEndpoint(dependencies, plan, { homeLevels, triedEndpoints, mayRepeat, softwareVersion, isCancelled })
+  const choice = await waitForEndpoint(dependencies, plan, { homeLevels, triedEndpoints, mayRepeat, softwareVersion, acceptsVersion: buildVersionFilter(dependencies, plan, softwareVersion), isCancelled })
   if (isCancelled()) return { type: 'cancelled' }
   if (choice.type === 'chosen') return { type: 'target', target: { type: 'endpoint', chosen: choice, homeLevels } }
   return { type: 'unplaced', choice, candidates: formatCandidates(chooser.countCandidates({ pool, prompt: route.usesPrefixes ? call.prompt : null, triedEndpoints, softwareVersion })) }
 }
 
+/** A resumable stream begins only where other VMs can tell later what began it. */
+function buildVersionFilter ({ streamOrigins }: FlowDependencies, { call, route, identity, pool }: RequestPlan, softwareVersion: string | null): ((softwareVersion: string) => boolean) | null {
+  if (route.repeatability !== REPEATABILITY.resumed || call.lastEventId !== null || softwareVersion !== null) return null
+  return version => streamOrigins.canBegin({ organisation: identity?.organisation ?? '', pool, firstRequestId: call.requestId }, version)
+}
+
 /** Says in a few words why no target was selected, for a log line. */
 export function describeSelection (selection: Exclude<TargetSelection, { type: 'target' }>): string {
   return match(selection)
