Quarantines of prompt parts end at all VMs once another VM serves the part

What callers saw: with streams that share a part and are cut by endpoints which live on, one of four VMs refused every request with the part for up to ten minutes, while the other three resumed and served all of theirs.

Cause: a VM that reads another one's quarantine drops it if it has served the part since the first crash, and says nothing. Its later clearings name only its own reports, so the VM that found the quarantine never hears that it is wrong.

Fix: the VM remembers the ids of quarantines that it refuted; the next request that is served with the part clears them by id and is announced. A part that crashes endpoints is never served, so it cannot be refuted.

--- a/packages/knapweedshunt-attempts/src/__tests__/crashingPartDetector.test.ts
+++ b/packages/knapweedshunt-attempts/src/__tests__/crashingPartDetector.test.ts
@@ -172,3 +172,18 @@
   started.applyEvidence(evidence, 1)
   t.is(started.check(['first0']).type, 'clear')
 }))
+
+// Guards against a part that stays quarantined at one VM although another, which did not count the crashes, serves requests with it.
+test.serial('a request served at one VM ends the quarantine that another VM found', runWithClock((t, clock) => {
+  const quarantining = new CrashingPartDetector()
+  const serving = new CrashingPartDetector()
+  for (let n = 0; n < 3; n++) crash(clock, quarantining, ['rare'], OTHERS)
+  t.is(quarantining.check(['rare']).type, 'quarantined')
+  serving.recordServed(['rare'])
+  serving.applyEvidence(copy(quarantining.buildEvidence()), 0)
+  t.is(serving.check(['rare']).type, 'clear')
+  clock.tick(PAUSE_MS)
+  t.true(serving.recordServed(['rare']).isAnnounced)
+  quarantining.applyEvidence(copy(serving.buildEvidence()), 0)
+  t.is(quarantining.check(['rare']).type, 'clear')
+}))
--- a/packages/knapweedshunt-attempts/src/crashingPartDetector.ts
+++ b/packages/knapweedshunt-attempts/src/crashingPartDetector.ts
@@ -109,7 +109,11 @@
   applyEvidence (evidence: PartEvidence, ageMs: number, isOwn = false): PartQuarantine[] {
     const nowMs = performance.now()
     for (const { part, ids } of evidence.clearings) for (const id of ids) this.#applyClearing(part, id)
-    const learnt = evidence.quarantines.flatMap(({ id, parts, crashCount, lostShare, firstCrashAgeMs, forMs }) => this.#addQuarantine({ id, parts: new Set(parts), crashCount, lostShare, firstCrashAtMs: nowMs - firstCrashAgeMs - ageMs, untilMs: nowMs + Math.min(forMs - ageMs, this.#options.quarantineMs) }))
+    const learnt = evidence.quarantines.flatMap(({ id, parts, crashCount, lostShare, firstCrashAgeMs, forMs }) => {
+      const firstCrashAtMs = nowMs - firstCrashAgeMs - ageMs
+      for (const part of parts) if (this.#outcomes.hasServedAfter(part, firstCrashAtMs)) this.#clearings.recordRefuted(part, id)
+      return this.#addQuarantine({ id, parts: new Set(parts), crashCount, lostShare, firstCrashAtMs, untilMs: nowMs + Math.min(forMs - ageMs, this.#options.quarantineMs) })
+    })
     const suspects = new Set<string>()
     for (const { id, endpoint, startedAgeMs, crashedAgeMs, lostShares } of evidence.reports) {
       const suspectParts = new Map(Object.entries(lostShares))
@@ -190,10 +194,11 @@
   #clearServed (part: string): { part: string, isAnnounced: boolean } | null {
     const reports = this.#reports.listByPart(part)
     const quarantines = this.#listQuarantines().filter(quarantine => quarantine.parts.has(part))
-    if (reports.length === 0 && quarantines.length === 0) return null
-    const ids = [...reports, ...quarantines].map(({ id }) => id)
+    const refutedIds = this.#clearings.takeRefuted(part)
+    if (reports.length === 0 && quarantines.length === 0 && refutedIds.length === 0) return null
+    const ids = [...[...reports, ...quarantines].map(({ id }) => id), ...refutedIds]
     const mustAnnounce = this.#clearings.recordOwn(part, ids)
-    const isPublished = quarantines.length > 0 || reports.some(report => report.isOwn)
+    const isPublished = refutedIds.length > 0 || quarantines.length > 0 || reports.some(report => report.isOwn)
     for (const id of ids) this.#clearPart(id, part)
     return { part, isAnnounced: mustAnnounce || isPublished }
   }
--- a/packages/knapweedshunt-attempts/src/partClearings.ts
+++ b/packages/knapweedshunt-attempts/src/partClearings.ts
@@ -16,6 +16,8 @@
   readonly #own = new Map<string, Clearing>()
   /** Parts that other VMs cleared, by the ids of reports and quarantines, which may arrive later or again. */
   readonly #receivedParts = new Map<string, Set<string>>()
+  /** Quarantines of other VMs, by parts that this VM has served since their first crash. */
+  readonly #refutedIds = new Map<string, Set<string>>()
 
   /** Records that this VM's request was served with a part. Returns whether the other VMs must hear of it: a part that is lost once is rarely lost again, and one in frequent use is served at all VMs. */
   recordOwn (part: string, ids: readonly string[]): boolean {
@@ -46,6 +48,21 @@
     return this.#receivedParts.get(id)?.has(part) ?? false
   }
 
+  /** Records that another VM quarantined a part that this VM has served meanwhile; the next request that is served with it says so. */
+  recordRefuted (part: string, id: string): void {
+    if (this.#own.get(part)?.ids.has(id) === true) return
+    this.#refutedIds.set(part, (this.#refutedIds.get(part) ?? new Set()).add(id))
+    const [oldest] = this.#refutedIds.keys()
+    if (this.#refutedIds.size > MAX_IDS) this.#refutedIds.delete(oldest)
+  }
+
+  /** Returns the quarantines that a request served with the part refutes, each once. */
+  takeRefuted (part: string): string[] {
+    const ids = [...this.#refutedIds.get(part) ?? []]
+    this.#refutedIds.delete(part)
+    return ids
+  }
+
   /** Removes this VM's clearings from before a time. */
   removeBefore (clearedAtMs: number): void {
     for (const [part, { atMs }] of this.#own) if (atMs < clearedAtMs) this.#own.delete(part)
