Quarantines can be listed and lifted at all VMs through the platform's store

What operators saw: a request or a prompt part that was quarantined by mistake, or whose cause was gone, was refused for ten minutes at every VM, and nothing but a restart of all VMs and the deletion of their rows ended it.

A row lift/... of the roster table names the target, who lifts it and why. Every VM ends what follows from crashes up to the lift, ignores older marks and reports whenever they arrive, withdraws them from its own rows, and logs the lift. Crashes after it count anew. VMs keep to a lift until it expires, write it again when the store has lost it, and delete it when it has expired.

The marks of quarantined requests tell from which crashes they follow; older builds ignore these fields.

Tests: attempts/quarantineLifts, platform/quarantineLifts (two and three VMs over sockets, lost answers, a restored store, the commands as processes), suspectSharingFuzz with lifts. The fuzz found two faults of the new code before it landed: a VM that starts counted old marks as of the time at which it read them, and a VM that learnt late kept a quarantine that rested in part on lifted crashes; both have a test in quarantineLifts. It fails when late marks are not compared with lifts, and when lost lifts are not written again.

The harness of the fuzz and of vmRoster's tests is extended; no check of theirs is changed.

--- a/packages/knapweedshunt-attempts/src/crashingPartDetector.ts
+++ b/packages/knapweedshunt-attempts/src/crashingPartDetector.ts
@@ -6,6 +6,7 @@
 import { CrashReportIndex } from './crashReportIndex.ts'
 import { PartClearings } from './partClearings.ts'
 import { EndpointLiveness } from './endpointLiveness.ts'
+import { LiftTimes } from './liftTimes.ts'
 import type { PartEvidence } from './partEvidence.ts'
 import { MAX_PUBLISHED } from './partEvidence.ts'
 import type { PartQuarantine } from './partQuarantine.ts'
@@ -25,6 +26,13 @@
   isAnnounced: boolean
 }
 
+/** What a lift has ended. */
+export interface LiftedPart {
+  quarantines: PartQuarantine[]
+  /** Number of crash reports that no longer count. */
+  reportCount: number
+}
+
 /** Maximum number of quarantines held; the one that ends first is evicted. */
 const MAX_QUARANTINES = 256
 
@@ -39,6 +47,7 @@
   readonly #reports: CrashReportIndex
   readonly #clearings = new PartClearings()
   readonly #liveness = new EndpointLiveness()
+  readonly #liftTimes = new LiftTimes()
   /** Monotonic time from which on this VM can tell which parts were served. */
   readonly #startedAtMs = performance.now()
   readonly #quarantines = new Map<string, PartQuarantine>()
@@ -88,6 +97,19 @@
     return { parts: cleared.map(({ part }) => part), isAnnounced: cleared.some(({ isAnnounced }) => isAnnounced) }
   }
 
+  /**
+   * Ends the quarantines with a part whose first crash was up to a monotonic time; crashes until then no longer count
+   * against it, nor against the parts that were lost with it, whenever their reports arrive. Returns what was lifted.
+   */
+  lift (part: string, liftedAtMs: number): LiftedPart {
+    this.#liftTimes.record(part, liftedAtMs)
+    const reports = this.#reports.listByPart(part).filter(({ crashedAtMs }) => crashedAtMs <= liftedAtMs)
+    for (const { id } of reports) this.#reports.retainParts(id, new Set())
+    const quarantines = this.#listQuarantines().filter(({ parts, firstCrashAtMs }) => parts.has(part) && firstCrashAtMs <= liftedAtMs)
+    for (const { id } of quarantines) this.#quarantines.delete(id)
+    return { quarantines, reportCount: reports.length }
+  }
+
   /** Builds what the other VMs must know: this VM's reports and clearings, and all quarantines. */
   buildEvidence (): PartEvidence {
     const nowMs = performance.now()
@@ -132,10 +154,16 @@
 
   #addReport (report: CrashReport): void {
     this.#removeExpiredReports()
+    if (this.#isLifted(report.suspectParts.keys(), report.crashedAtMs)) return
     this.#removeClearedParts(report.id, report.suspectParts, report.crashedAtMs)
     this.#reports.add(report)
   }
 
+  /** Whether one of the parts was lifted after a crash. */
+  #isLifted (parts: Iterable<string>, crashedAtMs: number): boolean {
+    return [...parts].some(part => crashedAtMs <= this.#liftTimes.find(part))
+  }
+
   /** Removes the parts that were cleared at another VM, or with which a request of this VM was served after the crash. */
   #removeClearedParts (id: string, parts: Set<string> | Map<string, number>, crashedAtMs: number): void {
     for (const part of parts.keys()) if (this.#clearings.isReceived(part, id) || this.#outcomes.hasServedAfter(part, crashedAtMs)) parts.delete(part)
@@ -180,7 +208,7 @@
   /** Adds a quarantine unless one in force covers it; returns it if it was added. */
   #addQuarantine (quarantine: PartQuarantine): PartQuarantine[] {
     const { id, parts, firstCrashAtMs, untilMs } = quarantine
-    if (this.#quarantines.has(id)) return []
+    if (this.#quarantines.has(id) || this.#isLifted(parts, firstCrashAtMs)) return []
     this.#removeClearedParts(id, parts, firstCrashAtMs)
     const known = this.#listQuarantines()
     const isCovered = known.some(other => other.untilMs >= untilMs && [...other.parts].every(part => parts.has(part)))
--- a/packages/knapweedshunt-attempts/src/suspectRegistry.ts
+++ b/packages/knapweedshunt-attempts/src/suspectRegistry.ts
@@ -1,6 +1,8 @@
 import type { EndpointName, OrganisationName } from 'knapweedshunt-types'
 import { createIncarnation, hashText } from 'knapweedshunt-utils'
 import { match } from 'ts-pattern'
+import { LiftTimes } from './liftTimes.ts'
+import { MAX_MARK_ENDPOINTS } from './suspectMark.ts'
 import type { MarkedCrash, SuspectMark } from './suspectMark.ts'
 
 /** Options of the suspect registry. */
@@ -32,14 +34,25 @@
   crashedAtMs: number
 }
 
+interface QuarantineEvidence {
+  crashCount: number
+  endpoints: EndpointName[]
+}
+
 interface SuspectEntry {
   crashes: Crash[]
   /** Ids of crashes that no longer count, because a success cleared them or a quarantine followed; their marks may still arrive. */
   settledIds: Set<string>
   quarantinedUntilMs: number
+  /** Time of the first crash that the quarantine follows from, or of the mark that told of it. */
+  firstCrashAtMs: number
+  /** Crashes that the quarantine follows from, as far as they are known. */
+  evidence: QuarantineEvidence
   expiresAtMs: number
 }
 
+const NO_EVIDENCE: QuarantineEvidence = { crashCount: 0, endpoints: [] }
+
 /** Maximum number of settled crash ids held for a request. */
 const MAX_SETTLED_IDS = 256
 
@@ -55,6 +68,7 @@
   /** Makes the crash ids of this registry unique among all VMs. */
   readonly #idPrefix = createIncarnation()
   #crashCount = 0
+  readonly #liftTimes = new LiftTimes()
 
   constructor (options: SuspectOptions = DEFAULT_SUSPECT_OPTIONS) {
     this.#options = options
@@ -87,14 +101,27 @@
     return { type: 'cleared', fingerprint, crashIds }
   }
 
-  /** Applies a mark received from a peer. */
-  applyMark (mark: SuspectMark): void {
+  /**
+   * Ends the quarantines of requests whose fingerprint begins so; their crashes up to a monotonic time no longer count,
+   * whenever their marks arrive. Returns the fingerprints that were suspect or quarantined.
+   */
+  lift (fingerprintStart: string, liftedAtMs: number): string[] {
+    this.#liftTimes.record(fingerprintStart, liftedAtMs)
+    return [...this.#entries].flatMap(([fingerprint, entry]) => fingerprint.startsWith(fingerprintStart) && liftEntry(entry, liftedAtMs) ? [fingerprint] : [])
+  }
+
+  /** Applies a mark of a peer, made `ageMs` ago; its ages and remaining time are as of now. */
+  applyMark (mark: SuspectMark, ageMs = 0): void {
     const nowMs = performance.now()
     match(mark)
       .with({ type: 'crashed' }, ({ fingerprint, crashes }) => {
         for (const crash of crashes) this.#addCrash(fingerprint, parseMarkedCrash(crash, nowMs), nowMs)
       })
-      .with({ type: 'quarantined' }, ({ fingerprint, forMs }) => this.#quarantine(this.#getOrCreateEntry(fingerprint, nowMs), nowMs + Math.min(forMs, this.#options.quarantineMs)))
+      .with({ type: 'quarantined' }, ({ fingerprint, forMs, crashCount = 0, firstCrashAgeMs = 0, endpoints = [] }) => {
+        const firstCrashAtMs = nowMs - ageMs - firstCrashAgeMs
+        if (firstCrashAtMs <= this.#liftTimes.findByPrefix(fingerprint)) return
+        this.#quarantine(this.#getOrCreateEntry(fingerprint, nowMs), firstCrashAtMs, nowMs + Math.min(forMs, this.#options.quarantineMs), { crashCount, endpoints })
+      })
       .with({ type: 'cleared' }, ({ fingerprint, crashIds }) => this.#clear(fingerprint, crashIds, nowMs))
       .exhaustive()
   }
@@ -117,10 +144,14 @@
 
   #addCrash (fingerprint: string, crash: Crash, nowMs: number): SuspectEntry {
     const entry = this.#getOrCreateEntry(fingerprint, nowMs)
+    if (crash.crashedAtMs <= this.#liftTimes.findByPrefix(fingerprint)) {
+      settle(entry, [...crash.ids])
+      return entry
+    }
     const known = entry.crashes.find(other => isSameCrash(other, crash))
     if (known !== undefined) for (const id of crash.ids) known.ids.add(id)
     else if (!hasAny(entry.settledIds, crash.ids)) entry.crashes.push(crash)
-    if (entry.crashes.length >= this.#options.maxCrashes) this.#quarantine(entry, nowMs + this.#options.quarantineMs)
+    if (entry.crashes.length >= this.#options.maxCrashes) this.#quarantine(entry, this.#findFirstCrash(entry.crashes), nowMs + this.#options.quarantineMs, { crashCount: entry.crashes.length, endpoints: entry.crashes.map(({ endpoint }) => endpoint) })
     return entry
   }
 
@@ -134,16 +165,24 @@
   }
 
   /** Quarantines a request. Afterwards it is still suspect, and one more crash quarantines it again. */
-  #quarantine (entry: SuspectEntry, untilMs: number): void {
+  #quarantine (entry: SuspectEntry, firstCrashAtMs: number, untilMs: number, evidence: QuarantineEvidence): void {
+    const known = entry.quarantinedUntilMs > firstCrashAtMs ? entry.evidence : NO_EVIDENCE
+    entry.evidence = { crashCount: Math.max(known.crashCount, evidence.crashCount), endpoints: [...new Set([...known.endpoints, ...evidence.endpoints])].slice(0, MAX_MARK_ENDPOINTS) }
+    entry.firstCrashAtMs = Math.max(entry.firstCrashAtMs, firstCrashAtMs)
     entry.quarantinedUntilMs = Math.max(entry.quarantinedUntilMs, untilMs)
     entry.expiresAtMs = Math.max(entry.expiresAtMs, entry.quarantinedUntilMs + this.#options.suspectMs)
     const removed = entry.crashes.splice(0, Math.max(0, entry.crashes.length - this.#options.maxCrashes + 1))
     settle(entry, removed.flatMap(crash => [...crash.ids]))
   }
 
+  /** Returns the time of the first of the latest crashes that a quarantine takes. */
+  #findFirstCrash (crashes: readonly Crash[]): number {
+    return crashes.map(({ crashedAtMs }) => crashedAtMs).sort((a, b) => b - a)[this.#options.maxCrashes - 1]
+  }
+
   #getOrCreateEntry (fingerprint: string, nowMs: number): SuspectEntry {
     this.check(fingerprint)
-    const entry = this.#entries.get(fingerprint) ?? { crashes: [], settledIds: new Set(), quarantinedUntilMs: 0, expiresAtMs: 0 }
+    const entry = this.#entries.get(fingerprint) ?? { crashes: [], settledIds: new Set(), quarantinedUntilMs: 0, firstCrashAtMs: -Infinity, evidence: NO_EVIDENCE, expiresAtMs: 0 }
     entry.expiresAtMs = Math.max(entry.expiresAtMs, nowMs + this.#options.suspectMs)
     this.#entries.delete(fingerprint)
     this.#entries.set(fingerprint, entry)
@@ -170,13 +209,23 @@
   }
 }
 
+/** Removes the crashes and the quarantine from up to a time; returns whether there were any. */
+function liftEntry (entry: SuspectEntry, liftedAtMs: number): boolean {
+  const lifted = entry.crashes.filter(({ crashedAtMs }) => crashedAtMs <= liftedAtMs)
+  const isQuarantineLifted = entry.quarantinedUntilMs > 0 && entry.firstCrashAtMs <= liftedAtMs
+  entry.crashes = entry.crashes.filter(crash => !lifted.includes(crash))
+  settle(entry, lifted.flatMap(crash => [...crash.ids]))
+  if (isQuarantineLifted) entry.quarantinedUntilMs = 0
+  return lifted.length > 0 || isQuarantineLifted
+}
+
 function hasAny (ids: ReadonlySet<string>, others: ReadonlySet<string>): boolean {
   return [...others].some(id => ids.has(id))
 }
 
 function buildMark (fingerprint: string, entry: SuspectEntry, nowMs: number): SuspectMark {
   const forMs = entry.quarantinedUntilMs - nowMs
-  if (forMs > 0) return { type: 'quarantined', fingerprint, forMs }
+  if (forMs > 0) return { type: 'quarantined', fingerprint, forMs, firstCrashAgeMs: Math.max(0, nowMs - entry.firstCrashAtMs), ...entry.evidence }
   return { type: 'crashed', fingerprint, crashes: entry.crashes.map(crash => buildMarkedCrash(crash, nowMs)) }
 }
 
--- a/packages/knapweedshunt-gateway/src/__tests__/simulatedFleet.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/simulatedFleet.ts
@@ -1,11 +1,14 @@
 import { CrashingPartDetector, SuspectRegistry } from 'knapweedshunt-attempts'
-import type { SuspectMark } from 'knapweedshunt-attempts'
+import type { QuarantineLift, QuarantineTarget, SuspectMark } from 'knapweedshunt-attempts'
 import { MemoryFeed, MemoryPlatform, MemoryTables } from 'knapweedshunt-fakes'
 import type { TablesCopy } from 'knapweedshunt-fakes'
+import { runEvery } from 'knapweedshunt-utils'
 import { DEFAULT_GUARDED_PLATFORM_OPTIONS, DEFAULT_TABLE_FOLLOWER_OPTIONS, GuardedPlatform, TableFollower } from 'knapweedshunt-platform'
+import { QuarantineLifts } from '../directory/quarantineLifts.ts'
 import { SUSPECT_OPTIONS } from '../directory/suspectOptions.ts'
-import { ROSTER_TABLE } from '../directory/rosterRows.ts'
+import { ROSTER_KEY, ROSTER_TABLE } from '../directory/rosterRows.ts'
 import { ROSTER_POLL_WAIT_MS, VmRoster } from '../directory/vmRoster.ts'
+import { liftQuarantine } from '../quarantines/liftQuarantine.ts'
 
 /** Time without a disturbance after which a VM, or the store, counts as undisturbed, in milliseconds. */
 export const STABLE_MS = 3_000
@@ -16,7 +19,7 @@
 const CRASH_DELAY_MS = 20
 
 /** Fingerprint of the request that crashes endpoints. */
-const CRASHING = 'crashing'
+const CRASHING = 'c4a5'.repeat(16)
 
 /** Part of prompts that crashes endpoints. */
 const CRASHING_PART = 'bad'
@@ -32,6 +35,18 @@
 
 const STORE_TIMEOUT_MS = 700
 
+/** Interval at which VMs write again what the store has lost, in milliseconds. */
+const SWEEP_INTERVAL_MS = 2_000
+
+/** Number of crashes that a quarantine takes. */
+const MIN_CRASHES = 3
+
+/** Time within which an undisturbed VM writes a lost lift again: a full read, two sweeps and a retry, in milliseconds. */
+const REWRITE_MS = 8_000
+
+/** Time after a lift up to which a crash may be taken for an earlier one, in milliseconds. */
+const LIFT_TOLERANCE_MS = 5_000
+
 /** One VM with its own view of the shared store. */
 class SimulatedVm {
   readonly platform: MemoryPlatform
@@ -39,6 +54,8 @@
   readonly registry = new SuspectRegistry(SUSPECT_OPTIONS)
   readonly partDetector = new CrashingPartDetector()
   readonly roster: VmRoster
+  readonly lifts: QuarantineLifts
+  readonly learntLiftTimes = new Set<number>()
   readonly #abort = new AbortController()
 
   constructor (tables: MemoryTables, name: string, incarnation: number) {
@@ -50,7 +67,7 @@
       self: { vm: name, incarnation: `${name}@${incarnation}`, dataCentre: 'z' },
       log: LOG,
       signal: this.#abort.signal,
-      onMark: ({ mark }) => this.registry.applyMark(mark),
+      onMark: ({ mark, ageMs }) => this.registry.applyMark(mark, ageMs),
       buildPartEvidence: () => this.partDetector.buildEvidence(),
       onPartEvidence: ({ evidence, ageMs, isOwn }) => { this.partDetector.applyEvidence(evidence, ageMs, isOwn) },
       onLimitReport: () => {},
@@ -60,11 +77,31 @@
       onUnreadable: () => {},
       onWaveNotice: () => {}
     })
-    const follower = new TableFollower(this.feed, { ...DEFAULT_TABLE_FOLLOWER_OPTIONS, table: ROSTER_TABLE, waitMs: ROSTER_POLL_WAIT_MS, seed: incarnation }, LOG, update => this.roster.applyUpdate(update))
+    this.lifts = new QuarantineLifts({
+      platform: guarded,
+      isSharedWriter: () => this.roster.isSharedWriter,
+      onLift: ({ lift: { atMs, target }, liftedAtMs }) => {
+        this.learntLiftTimes.add(atMs)
+        this.#applyLift(target, liftedAtMs)
+      },
+      onLost: () => {},
+      onUnreadable: () => {},
+      onUnwritten: () => {}
+    })
+    runEvery(SWEEP_INTERVAL_MS, this.#abort.signal, () => this.lifts.sweep()).catch(() => {})
+    const follower = new TableFollower(this.feed, { ...DEFAULT_TABLE_FOLLOWER_OPTIONS, table: ROSTER_TABLE, waitMs: ROSTER_POLL_WAIT_MS, seed: incarnation }, LOG, update => {
+      this.roster.applyUpdate(update)
+      this.lifts.applyUpdate(update)
+    })
     follower.run(this.#abort.signal).catch(() => {})
     this.roster.announceSelf(null)
   }
 
+  /** Whether the VM refuses the crashing request, or requests with the crashing part. */
+  isRefusingLifted (): boolean {
+    return this.registry.check(CRASHING).type === 'quarantined' || this.partDetector.check(['first', CRASHING_PART]).type === 'quarantined'
+  }
+
   recordCrash (fingerprint: string, endpoint: string, startedAtMs: number): void {
     this.#announce(this.registry.recordCrash(fingerprint, endpoint, startedAtMs))
   }
@@ -83,6 +120,15 @@
     if (this.partDetector.recordServed(parts).isAnnounced) setTimeout(() => this.roster.announceParts(), CLEARING_DELAY_MS)
   }
 
+  #applyLift (target: QuarantineTarget, liftedAtMs: number): void {
+    if (target.type === 'request') {
+      for (const fingerprint of this.registry.lift(target.fingerprint, liftedAtMs)) if (this.registry.check(fingerprint).type === 'clear') this.roster.removeMark(fingerprint)
+      return
+    }
+    const { quarantines, reportCount } = this.partDetector.lift(target.part, liftedAtMs)
+    if (quarantines.length > 0 || reportCount > 0) this.roster.announceParts()
+  }
+
   stop (): void {
     this.#abort.abort()
     this.feed.faults.isSilent = true
@@ -103,17 +149,30 @@
   #storeDisturbedAtMs = -Infinity
   #incarnationCount = 0
   #sendCount = 0
+  /** Number of late sends since the last lift. */
+  #lateSendsSinceLift = 0
+  /** Times at which endpoints crash under the request, or under a part, since the last lift; in order. */
+  #crashTimesMs: number[] = []
+  /** Time of the last lift that was asked for; earlier crashes do not count. */
+  #liftedAtMs = -Infinity
+  #lift: QuarantineLift | null = null
+  /** Times since which the store has, or lacks, the last lift or one after it; null if it does not. */
+  #liftPresentSinceMs: number | null = null
+  #liftAbsentSinceMs: number | null = null
   #thirdCrashAtMs = Infinity
   #partSendCount = 0
-  #partCrashCount = 0
   #soundCount = 0
   #stopTraffic: () => void = () => {}
   #fifthPartCrashAtMs = Infinity
-  /** Number of times that an undisturbed VM sent a request with the crashing part later than {@link STABLE_MS} after its fifth crash. */
+  /** Number of times that an undisturbed VM sent a request with the crashing part later than {@link STABLE_MS} after its fifth crash; with lifts the largest number between two of them. */
   latePartSendCount = 0
   /** Number of sound requests that were refused. */
   soundRefusedCount = 0
-  /** Number of times that an undisturbed VM sent the crashing request later than {@link STABLE_MS} after its third crash. */
+  /** Number of times that an undisturbed VM refused what was lifted and had crashed fewer than three endpoints since. */
+  liftedRefusedCount = 0
+  /** Number of times that an undisturbed VM knew a lift which the store had lost long ago. */
+  liftLostCount = 0
+  /** Number of times that an undisturbed VM sent the crashing request later than {@link STABLE_MS} after its third crash; with lifts the largest number between two of them. */
   lateSendCount = 0
 
   constructor (vmCount: number) {
@@ -125,9 +184,9 @@
     const vm = this.vms[i]
     if (vm.registry.check(CRASHING).type === 'quarantined') return
     const nowMs = performance.now()
-    if (nowMs > this.#thirdCrashAtMs + STABLE_MS && this.#isUndisturbed(i)) this.lateSendCount++
+    if (nowMs > this.#thirdCrashAtMs + STABLE_MS && this.#isUndisturbed(i)) this.lateSendCount = Math.max(this.lateSendCount, ++this.#lateSendsSinceLift)
     this.#sendCount++
-    if (this.#sendCount === 3) this.#thirdCrashAtMs = nowMs + CRASH_DELAY_MS
+    if (this.#recordCrashTime(nowMs) === 3) this.#thirdCrashAtMs = nowMs + CRASH_DELAY_MS
     const endpoint = `e${this.#sendCount % 3}`
     setTimeout(() => {
       vm.recordCrash(CRASHING, endpoint, nowMs)
@@ -148,15 +207,55 @@
     const parts = ['first', `other-${n}`, CRASHING_PART]
     if (vm.partDetector.check(parts).type === 'quarantined') return
     const nowMs = performance.now()
-    if (nowMs > this.#fifthPartCrashAtMs + STABLE_MS && this.#isUndisturbed(i)) this.latePartSendCount++
+    if (nowMs > this.#fifthPartCrashAtMs + STABLE_MS && this.#isUndisturbed(i)) this.latePartSendCount = Math.max(this.latePartSendCount, ++this.#lateSendsSinceLift)
+    if (this.#recordCrashTime(nowMs) === 5) this.#fifthPartCrashAtMs = nowMs + CRASH_DELAY_MS
     setTimeout(() => {
       vm.recordPartCrash(parts, `part-endpoint-${n}`, nowMs)
       vm.recordPartCrash(['first', `second-${n % SECOND_PARTS}`], `part-endpoint-${n}`, nowMs)
-      this.#partCrashCount++
-      if (this.#partCrashCount === 5) this.#fifthPartCrashAtMs = performance.now()
     }, CRASH_DELAY_MS)
   }
 
+  /** An operator lifts the quarantine; answers of the store may be lost, and writes without an answer may take effect later. */
+  lift (type: QuarantineTarget['type'], loseAnswers: number, applyLate: number): void {
+    const platform = new MemoryPlatform(this.tables)
+    Object.assign(platform.faults, { loseAnswers, applyLate, lateMs: 3_500 })
+    const nowMs = performance.now()
+    this.#lateSendsSinceLift = 0
+    this.#crashTimesMs = this.#crashTimesMs.filter(atMs => atMs >= nowMs)
+    this.#liftedAtMs = nowMs
+    this.#lift = null
+    this.#liftPresentSinceMs = null
+    this.#liftAbsentSinceMs = null
+    this.#thirdCrashAtMs = Infinity
+    this.#fifthPartCrashAtMs = Infinity
+    liftQuarantine(platform, { by: 'operator', reason: 'fuzz', target: type === 'request' ? { type, fingerprint: CRASHING.slice(0, 12) } : { type, part: CRASHING_PART } })
+      .then(lift => { if (this.#liftedAtMs === nowMs) this.#lift = lift })
+      .catch(() => {}) // A lift that fails after all its attempts is not checked.
+  }
+
+  /** Counts a crash; returns the number since the last lift that every VM must count. */
+  #recordCrashTime (sentAtMs: number): number {
+    this.#crashTimesMs.push(sentAtMs + CRASH_DELAY_MS)
+    return this.#crashTimesMs.filter(atMs => atMs > this.#liftedAtMs + LIFT_TOLERANCE_MS).length
+  }
+
+  /**
+   * Counts the undisturbed VMs that refuse what was lifted, and those that let the store lose the lift. Fewer crashes since
+   * the lift than a quarantine takes are no reason to refuse; those of requests that were under way at the lift count.
+   */
+  checkLifted (): void {
+    const lift = this.#lift
+    if (lift === null) return
+    const nowMs = performance.now()
+    const isPresent = this.tables.scan({ table: ROSTER_TABLE, prefix: ROSTER_KEY.lift, limit: 10 }).some(({ value }) => (value as QuarantineLift).atMs >= lift.atMs)
+    this.#liftPresentSinceMs = isPresent ? this.#liftPresentSinceMs ?? nowMs : null
+    this.#liftAbsentSinceMs = isPresent ? null : this.#liftAbsentSinceMs ?? nowMs
+    const isLearnt = nowMs > (this.#liftPresentSinceMs ?? Infinity) + STABLE_MS
+    if (isLearnt && this.#crashTimesMs.length < MIN_CRASHES) this.liftedRefusedCount += this.vms.filter((vm, i) => this.#isUndisturbed(i) && vm.isRefusingLifted()).length
+    const mustBeBack = nowMs > Math.max(this.#liftAbsentSinceMs ?? Infinity, this.#storeDisturbedAtMs) + REWRITE_MS
+    if (mustBeBack) this.liftLostCount += this.vms.filter((vm, i) => vm.learntLiftTimes.has(lift.atMs) && nowMs > this.#disturbedAtMs[i] + REWRITE_MS).length
+  }
+
   #serveSound (vm: SimulatedVm): void {
     const parts = ['first', `second-${++this.#soundCount % SECOND_PARTS}`]
     if (vm.partDetector.check(parts).type === 'quarantined') this.soundRefusedCount++
--- a/packages/knapweedshunt-gateway/src/directory/crashMarks.ts
+++ b/packages/knapweedshunt-gateway/src/directory/crashMarks.ts
@@ -38,6 +38,11 @@
     this.#setMarks([...others, { n: ++this.#lastNumber, atMs: Date.now(), mark }])
   }
 
+  /** Removes this VM's mark of a request. */
+  remove (fingerprint: string): void {
+    this.#setMarks(this.#marks.filter(({ mark }) => mark.fingerprint !== fingerprint))
+  }
+
   /** Takes over the marks of this VM's previous incarnation, as its row is about to be replaced. */
   adopt (row: CrashRow): void {
     if (row.incarnation === this.#incarnation) return
--- a/packages/knapweedshunt-gateway/src/directory/rosterRows.ts
+++ b/packages/knapweedshunt-gateway/src/directory/rosterRows.ts
@@ -1,16 +1,17 @@
 import { endpointLimitReportSchema } from 'knapweedshunt-admission'
 import type { EndpointLimitReport } from 'knapweedshunt-admission'
 import { partEvidenceSchema, suspectMarkSchema } from 'knapweedshunt-attempts'
-import type { PartEvidence } from 'knapweedshunt-attempts'
+import type { PartEvidence, QuarantineTarget } from 'knapweedshunt-attempts'
 import type { WaveNotice } from 'knapweedshunt-fleet'
 import type { Incarnation, VmId } from 'knapweedshunt-types'
+import { hashText } from 'knapweedshunt-utils'
 import { z } from 'zod'
 
 /** Name of the roster table, which all VMs share. */
 export const ROSTER_TABLE = 'knapweedshunt'
 
 /** Prefixes of the keys of the roster table, by what the row holds. */
-export const ROSTER_KEY = { vm: 'vm/', wave: 'wave/', crash: 'crash/', part: 'part/', limit: 'limit/', versions: 'versions/' } as const
+export const ROSTER_KEY = { vm: 'vm/', wave: 'wave/', crash: 'crash/', part: 'part/', limit: 'limit/', lift: 'lift/', versions: 'versions/' } as const
 
 const text = z.string().min(1)
 
@@ -69,6 +70,11 @@
 /** Output type of {@link poolVersionsRowSchema}. */
 export type PoolVersionsRow = z.output<typeof poolVersionsRowSchema>
 
+/** Returns the key of the row that lifts a quarantine; a hash, since a part's id may be too long for a key. */
+export function formatLiftKey (target: QuarantineTarget): string {
+  return `${ROSTER_KEY.lift}${target.type}/${hashText(target.type === 'request' ? target.fingerprint : target.part)}`
+}
+
 /** Row of a pool's last wave. */
 export const waveRowSchema = z.object({
   vm: text,
--- a/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
+++ b/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
@@ -1,5 +1,6 @@
 import { CrashingPartDetector, SuspectRegistry } from 'knapweedshunt-attempts'
 import type { PartEvidence, PartQuarantine, SuspectMark } from 'knapweedshunt-attempts'
+import { match } from 'ts-pattern'
 import type { LossReason } from '../endpoints/attemptOutcome.ts'
 import type { CrashedAttempt } from '../flow/crashedAttempt.ts'
 import type { RequestPlan } from '../flow/requestPlan.ts'
@@ -9,6 +10,7 @@
 import type { GatewayMetrics } from '../records/gatewayMetrics.ts'
 import type { ReceivedMark } from './crashMarks.ts'
 import type { Quarantine } from './quarantine.ts'
+import type { ReceivedLift } from './quarantineLifts.ts'
 import type { ReceivedPartEvidence } from './rosterRows.ts'
 import { SUSPECT_OPTIONS } from './suspectOptions.ts'
 
@@ -27,6 +29,8 @@
   decisionLog: DecisionLog
   /** Tells the other VMs of a request that may crash endpoints, or of its clearing. */
   announceMark (mark: SuspectMark): void
+  /** Withdraws what this VM has told the others of a request. */
+  removeMark (fingerprint: string): void
   /** Tells the other VMs what {@link SuspectTracker.buildPartEvidence} returns. */
   announceParts (): void
 }
@@ -98,11 +102,32 @@
   /** Applies a mark of another VM. */
   applyMark ({ mark, from, ageMs }: ReceivedMark): void {
     const { metrics, decisionLog } = this.#dependencies
-    this.#registry.applyMark(mark)
+    this.#registry.applyMark(mark, ageMs)
     metrics.recordMark('applied')
     decisionLog.record({ type: 'markApplied', fingerprint: formatFingerprint(mark.fingerprint), mark: mark.type, from, ageMs, ...this.#describeSuspect(mark.fingerprint) })
   }
 
+  /** Ends the quarantines that an operator has lifted. */
+  applyLift ({ lift: { id, target, by, reason }, ageMs, liftedAtMs }: ReceivedLift): void {
+    const { requests, parts } = match(target)
+      .with({ type: 'request' }, ({ fingerprint }) => ({ requests: this.#liftRequests(fingerprint, liftedAtMs), parts: [] }))
+      .with({ type: 'part' }, ({ part }) => ({ requests: [], parts: this.#liftPart(part, liftedAtMs) }))
+      .exhaustive()
+    this.#dependencies.decisionLog.record({ type: 'quarantineLifted', lift: id, target: target.type, name: target.type === 'request' ? formatFingerprint(target.fingerprint) : target.part, by, reason, ageMs, requests: requests.map(formatFingerprint).join(' '), quarantines: parts.map(quarantine => quarantine.id).join(' ') })
+  }
+
+  #liftRequests (fingerprintStart: string, liftedAtMs: number): string[] {
+    const lifted = this.#registry.lift(fingerprintStart, liftedAtMs)
+    for (const fingerprint of lifted) if (this.#registry.check(fingerprint).type === 'clear') this.#dependencies.removeMark(fingerprint)
+    return lifted
+  }
+
+  #liftPart (part: string, liftedAtMs: number): PartQuarantine[] {
+    const { quarantines, reportCount } = this.#partDetector.lift(part, liftedAtMs)
+    if (quarantines.length > 0 || reportCount > 0) this.#dependencies.announceParts()
+    return quarantines
+  }
+
   /** Records that a mark fell out of this VM's full row. */
   handleMarkEvicted (mark: SuspectMark): void {
     this.#dependencies.metrics.recordMark('evicted')
--- a/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
+++ b/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
@@ -152,6 +152,12 @@
     this.#publishMarks()
   }
 
+  /** Withdraws this VM's mark of a request. */
+  removeMark (fingerprint: string): void {
+    this.#crashMarks.remove(fingerprint)
+    this.#publishMarks()
+  }
+
   /** Publishes this VM's present knowledge of prompt parts that may crash endpoints. */
   announceParts (): void {
     this.#hasPartEvidence = true
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -8,6 +8,7 @@
 import { ConfigState } from './directory/configState.ts'
 import { DirectoryUpdater } from './directory/directoryUpdater.ts'
 import { KeyFreshness } from './directory/keyFreshness.ts'
+import { QuarantineLifts } from './directory/quarantineLifts.ts'
 import { Readiness } from './directory/readiness.ts'
 import { ROSTER_TABLE } from './directory/rosterRows.ts'
 import { SuspectTracker } from './directory/suspectTracker.ts'
@@ -44,6 +45,9 @@
 /** Interval of the removal of endpoints that did not return and of the readiness check, in milliseconds. */
 const SWEEP_INTERVAL_MS = 250
 
+/** Interval at which one VM removes rows of the roster that nobody needs any more, in milliseconds. */
+const ROSTER_SWEEP_INTERVAL_MS = 2_000
+
 /** Margin subtracted from the time limit for new weights, in milliseconds. It covers the network and the queue at an endpoint, where a long prompt ahead takes over a second. */
 const STALE_WEIGHTS_MARGIN_MS = 1_500
 
@@ -68,6 +72,7 @@
   readonly #endpointRegistry: EndpointRegistry
   readonly #unansweredAttempts: UnansweredAttempts
   readonly #roster: VmRoster
+  readonly #quarantineLifts: QuarantineLifts
   readonly #endpointLimits: EndpointLimits
   readonly #endpointPermits: EndpointPermits
   readonly #streamOrigins: StreamOrigins
@@ -105,6 +110,7 @@
       metrics: this.#metrics,
       decisionLog: this.#decisionLog,
       announceMark: mark => this.#roster.announceMark(mark),
+      removeMark: fingerprint => this.#roster.removeMark(fingerprint),
       announceParts: () => this.#roster.announceParts()
     })
     this.#endpointRegistry = new EndpointRegistry(decision => this.#decisionLog.record(decision), () => this.#handleEndpointsChanged(), record => {
@@ -131,6 +137,14 @@
         setTimeout(() => this.#requestHandler.moveStreamsFrom(this.#weightsState.listLoadingEndpoints()), MOVE_STREAMS_DELAY_MS)
       }
     })
+    this.#quarantineLifts = new QuarantineLifts({
+      platform: dependencies.platform,
+      isSharedWriter: () => this.#roster.isSharedWriter,
+      onLift: received => this.#suspectTracker.applyLift(received),
+      onLost: (key, { id }) => this.#decisionLog.record({ type: 'liftLost', key, lift: id }),
+      onUnreadable: (key, reason) => this.#decisionLog.record({ type: 'rowUnreadable', table: ROSTER_TABLE, key, reason }),
+      onUnwritten: (key, reason) => this.#recordUnwrittenRow(key, reason)
+    })
     this.#endpointLimits = new EndpointLimits({
       vm: settings.vm,
       incarnation: this.#incarnation,
@@ -203,6 +217,7 @@
       onEndpoints: update => this.#directoryUpdater.applyEndpoints(update),
       onRoster: update => {
         this.#roster.applyUpdate(update)
+        this.#quarantineLifts.applyUpdate(update)
         this.#retryBudget.updateShare(this.#settings, this.#roster.countVms())
         this.#endpointLimits.update(performance.now())
       }
@@ -253,6 +268,7 @@
       this.#kvStoreMonitor.run(taskController.signal),
       this.#relays.run(taskController.signal),
       waveTask.run(taskController.signal, { isStopping: () => this.#isStopping, isOutreached: () => this.#relays.isOutreached }),
+      runEvery(ROSTER_SWEEP_INTERVAL_MS, taskController.signal, () => this.#quarantineLifts.sweep()),
       runEvery(SWEEP_INTERVAL_MS, taskController.signal, () => {
         this.#endpointRegistry.removeExpired()
         this.#readiness.update()
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -1,4 +1,4 @@
-import type { SuspectMark } from 'knapweedshunt-attempts'
+import type { QuarantineTarget, SuspectMark } from 'knapweedshunt-attempts'
 import type { WaveDecision } from 'knapweedshunt-fleet'
 import type { LossReason } from '../endpoints/attemptOutcome.ts'
 import type { EndpointName, OrganisationName, PoolName, RequestId, VmId } from 'knapweedshunt-types'
@@ -82,6 +82,10 @@
   | { type: 'partsQuarantined', quarantine: string, parts: string, crashes: number, lostShare: number, from: string, forMs: number }
   /** A request with these prompt parts was served, so they are no longer suspect; `isAnnounced` if the other VMs are told. */
   | { type: 'partsCleared', requestId: RequestId, parts: string, isAnnounced: boolean }
+  /** An operator lifted the quarantine of requests or of a prompt part, `ageMs` ago by the clocks of both; `requests` joins the fingerprints that were suspect or quarantined here, `quarantines` the ids that ended. */
+  | { type: 'quarantineLifted', lift: string, target: QuarantineTarget['type'], name: string, by: string, reason: string, ageMs: number, requests: string, quarantines: string }
+  /** The store no longer has a lift that is in force, or has an older one; it is written again. */
+  | { type: 'liftLost', key: string, lift: string }
   /** A mark was removed from this VM's row before it expired, as the row is full. */
   | { type: 'markEvicted', fingerprint: string, mark: SuspectMark['type'] }
 
--- a/packages/knapweedshunt-gateway/src/records/decisionLog.ts
+++ b/packages/knapweedshunt-gateway/src/records/decisionLog.ts
@@ -55,6 +55,8 @@
   markApplied: 'Mark of another VM applied.',
   partsQuarantined: 'Prompt parts quarantined.',
   partsCleared: 'Suspect prompt parts cleared.',
+  quarantineLifted: 'Quarantine lifted.',
+  liftLost: 'Lift of a quarantine lost by the store.',
   markEvicted: 'Mark evicted.',
   rowUnwritten: 'Row of this VM not written.',
   linesLeftOut: 'Log lines suppressed by the rate limit.'
