--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 import { ConfigState } from './directory/configState.ts'
 import { DirectoryUpdater } from './directory/directoryUpdater.ts'
 import { KeyFreshness } from './directory/keyFreshness.ts'
+import { QuarantineLifts } from './directory/quarantineLifts.ts'
 import { Readiness } from './directory/readiness.ts'
 import { ROSTER_TABLE } from './directory/rosterRows.ts'
 import { SuspectTracker } from './directory/suspectTracker.ts'
@@ -49,6 +50,9 @@
 /** Interval of the removal of endpoints that did not return and of the readiness check, in milliseconds. */
 const SWEEP_INTERVAL_MS = 250
 
+/** Interval at which one VM removes rows of the roster that nobody needs any more, in milliseconds. */
+const ROSTER_SWEEP_INTERVAL_MS = 2_000
+
 /** Margin subtracted from the time limit for new weights, in milliseconds. It covers the network and the queue at an endpoint, where a long prompt ahead takes over a second. */
 const STALE_WEIGHTS_MARGIN_MS = 1_500
 
@@ -74,6 +78,7 @@
   readonly #endpointRegistry: EndpointRegistry
   readonly #unansweredAttempts: UnansweredAttempts
   readonly #roster: VmRoster
+  readonly #quarantineLifts: QuarantineLifts
   readonly #endpointLimits: EndpointLimits
   readonly #endpointPermits: EndpointPermits
   readonly #streamRows: StreamRows
@@ -113,6 +118,7 @@
       metrics: this.#metrics,
       decisionLog: this.#decisionLog,
       announceMark: mark => this.#roster.announceMark(mark),
+      removeMark: fingerprint => this.#roster.removeMark(fingerprint),
       announceParts: () => this.#roster.announceParts()
     })
     this.#endpointRegistry = new EndpointRegistry(decision => this.#decisionLog.record(decision), () => this.#handleEndpointsChanged(), record => {
@@ -139,6 +145,14 @@
         setTimeout(() => this.#requestHandler.moveStreamsFrom(this.#weightsState.listLoadingEndpoints()), MOVE_STREAMS_DELAY_MS)
       }
     })
+    this.#quarantineLifts = new QuarantineLifts({
+      platform: dependencies.platform,
+      isSharedWriter: () => this.#roster.isSharedWriter,
+      onLift: received => this.#suspectTracker.applyLift(received),
+      onLost: (key, { id }) => this.#decisionLog.record({ type: 'liftLost', key, lift: id }),
+      onUnreadable: (key, reason) => this.#decisionLog.record({ type: 'rowUnreadable', table: ROSTER_TABLE, key, reason }),
+      onUnwritten: (key, reason) => this.#recordUnwrittenRow(key, reason)
+    })
     this.#endpointLimits = new EndpointLimits({
       vm: settings.vm,
       incarnation: this.#incarnation,
@@ -228,6 +242,7 @@
       onRoster: update => {
         this.#roster.applyUpdate(update)
         if (update.type === 'rows') this.#streamRows.rewrite()
+        this.#quarantineLifts.applyUpdate(update)
         this.#retryBudget.updateShare(this.#settings, this.#roster.countVms())
         this.#endpointLimits.update(performance.now())
       }
@@ -279,6 +294,7 @@
       this.#relays.run(taskController.signal),
       this.#streamRows.restore(),
       waveTask.run(taskController.signal, { isStopping: () => this.#isStopping, isOutreached: () => this.#relays.isOutreached }),
+      runEvery(ROSTER_SWEEP_INTERVAL_MS, taskController.signal, () => this.#quarantineLifts.sweep()),
       runEvery(SWEEP_INTERVAL_MS, taskController.signal, () => {
         this.#endpointRegistry.removeExpired()
         this.#readiness.update()
