Gateway: an attempt that is cancelled without a response resets its connection

A request sent at 30.3 s into a data centre that was cut off was cancelled at its deadline, 33.5 s; its bytes reached the endpoint at 36.6 s, three seconds after that had said that it leaves.

Cause: the attempt's connection was closed in the regular way, after which the kernel goes on sending what is held up. A reset drops it. With a response under way the connection is closed as before, as the endpoint has the request then.

--- a/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
@@ -65,6 +65,8 @@
   /** Aborts the attempt and closes its connection; the first reason given is the one reported. */
   cancel (loss: LossReason): void {
     this.#loss ??= loss
+    // After a regular close, bytes that are held up on the way would still be delivered, and the request would run.
+    if (this.#isConnected && this.#response === null && this.#request?.destroyed === false) this.#request.socket?.resetAndDestroy()
     this.#request?.destroy()
   }
 
