Gateway: the time since which a pool is observed is written as a whole number

With the bounds that rows of the roster have now, VMs took the row of a pool's versions for unreadable (two lines for it in ten tests of oddRows), and ten streams that went on after a restart of all VMs were refused (streamVersions). All 48 tests of these files pass.

--- a/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
@@ -245,7 +245,7 @@
     if (previous === softwareVersions.join() || performance.now() < this.#nextWriteAtMs || !isVersionsWriter()) return
     this.#writtenVersions.set(pool, softwareVersions.join())
     const observedForMs = performance.now() - (this.#observedSinceMs.get(pool) ?? -Infinity)
-    writePoolVersions({ pool, softwareVersions, changedAtMs: Date.now(), ...Number.isFinite(observedForMs) && { observedSinceMs: Date.now() - observedForMs } }).catch(error => {
+    writePoolVersions({ pool, softwareVersions, changedAtMs: Date.now(), ...Number.isFinite(observedForMs) && { observedSinceMs: Math.max(0, Math.round(Date.now() - observedForMs)) } }).catch(error => {
       this.#writtenVersions.delete(pool)
       this.#nextWriteAtMs = performance.now() + WRITE_RETRY_MS
       decisionLog.record({ type: 'rowUnwritten', key: `versions of ${pool}`, reason: (error as Error).message })
