--- a/packages/knapweedshunt-gateway/src/__tests__/emptyStreamRows.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/emptyStreamRows.ts
@@ -1,8 +1,7 @@
-import type { StreamRowReader } from '../peers/streamRowReader.ts'
-import type { StreamRows } from '../peers/streamRows.ts'
+import type { StreamOriginsDependencies } from '../peers/streamOrigins.ts'
 
 /** Rows of streams of VMs that store none, so that what is known of a stream comes from other VMs alone. */
-export const EMPTY_STREAM_ROWS = {
-  streamRows: { add: () => {}, waitUntilRestored: async () => {} } as unknown as StreamRows,
-  streamRowReader: { find: async () => null } as unknown as StreamRowReader
+export const EMPTY_STREAM_ROWS: Pick<StreamOriginsDependencies, 'streamRows' | 'streamRowReader'> = {
+  streamRows: { add: () => {}, waitUntilRestored: async () => {} },
+  streamRowReader: { find: async () => null }
 }
