Table followers: what one learns of the store's return holds for all

Cause: a VM's data centre was cut off until 37.9 s. Its follower of the operator's rows had an answer at 37.95; that of the endpoints waited for its own hanging call and backoff until 38.93, and its full read then counted 2.3 s from itself, in which rows that are missing may have lapsed in an outage.

Now the followers of a store share its availability: it is out while the last call of each has failed, and the first answer ends the outage for all. Calls that hang and pauses end with it, and the grace period for missing rows counts from it (TableUpdate says for how long the store has been back instead of that there was an outage; the literals in tests follow).

--- a/packages/knapweedshunt-gateway/src/__tests__/chooser.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/chooser.test.ts
@@ -44,7 +44,7 @@
     findMinCurrentVersion: () => target.current,
     findMinAllowedVersion: () => 0
   })
-  endpointRegistry.applySnapshot(versions.map((version, n) => ({ endpoint: `e${n}`, incarnation: `e${n}@1`, pool: 'p', address: '127.0.0.1:1', dataCentre: 'z', slots: 64, isDraining: false, softwareVersion: 'v1', models: [{ model: 'm', version }] })), [], false)
+  endpointRegistry.applySnapshot(versions.map((version, n) => ({ endpoint: `e${n}`, incarnation: `e${n}@1`, pool: 'p', address: '127.0.0.1:1', dataCentre: 'z', slots: 64, isDraining: false, softwareVersion: 'v1', models: [{ model: 'm', version }] })), [], null)
   chooser.rebuild()
   const find = (endpoint: string): EndpointRecord => {
     const record = endpointRegistry.find(endpoint)
--- a/packages/knapweedshunt-gateway/src/__tests__/decisions.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/decisions.test.ts
@@ -97,10 +97,10 @@
   const clock = install()
   try {
     const endpointRegistry = new EndpointRegistry(() => {}, () => {}, () => {})
-    endpointRegistry.applySnapshot([buildEntry('a'), buildEntry('b')], [], false)
+    endpointRegistry.applySnapshot([buildEntry('a'), buildEntry('b')], [], null)
     endpointRegistry.removeEntry('a')
     t.is(endpointRegistry.find('a'), undefined)
-    endpointRegistry.applySnapshot([], [], true)
+    endpointRegistry.applySnapshot([], [], 0)
     t.not(endpointRegistry.find('b'), undefined)
     clock.tick(1_000)
     endpointRegistry.removeExpired()
@@ -113,14 +113,32 @@
   }
 })
 
+// Guards against an endpoint that has left and stays in use, as the grace period after an outage counts from a late read instead of the store's return.
+test.serial('the grace period for missing rows counts from the return of the store', t => {
+  const clock = install()
+  try {
+    const endpointRegistry = new EndpointRegistry(() => {}, () => {}, () => {})
+    endpointRegistry.applySnapshot([buildEntry('a'), buildEntry('b')], [], null)
+    endpointRegistry.applySnapshot([buildEntry('b')], [], 1_000)
+    t.not(endpointRegistry.find('a'), undefined)
+    clock.tick(1_300)
+    endpointRegistry.removeExpired()
+    t.is(endpointRegistry.find('a'), undefined)
+    endpointRegistry.applySnapshot([], [], 5_000)
+    t.is(endpointRegistry.find('b'), undefined)
+  } finally {
+    clock.uninstall()
+  }
+})
+
 // Guards against a live endpoint that is given up at once because another writer replaced its row, and against one that leaves under such a row and stays in use.
 test.serial('an endpoint whose row became unreadable is kept for a while, as it was known', t => {
   const clock = install()
   try {
     const endpointRegistry = new EndpointRegistry(() => {}, () => {}, () => {})
-    endpointRegistry.applySnapshot([buildEntry('a'), buildEntry('b'), buildEntry('c', { isDraining: true })], [], false)
+    endpointRegistry.applySnapshot([buildEntry('a'), buildEntry('b'), buildEntry('c', { isDraining: true })], [], null)
     endpointRegistry.handleUnreadable('a')
-    endpointRegistry.applySnapshot([buildEntry('b')], ['a', 'c', 'unknown'], false)
+    endpointRegistry.applySnapshot([buildEntry('b')], ['a', 'c', 'unknown'], null)
     clock.tick(1_000)
     endpointRegistry.handleUnreadable('a')
     endpointRegistry.removeExpired()
@@ -137,7 +155,7 @@
   const clock = install()
   try {
     const endpointRegistry = new EndpointRegistry(() => {}, () => {}, () => {})
-    endpointRegistry.applySnapshot([buildEntry('a'), buildEntry('b')], [], false)
+    endpointRegistry.applySnapshot([buildEntry('a'), buildEntry('b')], [], null)
     endpointRegistry.handleUnreadable('a')
     endpointRegistry.handleUnreadable('b')
     endpointRegistry.removeEntry('b')
--- a/packages/knapweedshunt-gateway/src/__tests__/oddRosterRows.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/oddRosterRows.test.ts
@@ -66,7 +66,7 @@
     for (const type of ['rows', 'changes'] as const) {
       const { roster, unreadable, calls } = buildRoster()
       const rows: Row[] = [[key, value] as [string, unknown], ...SOUND].map(([key, value], n) => ({ key, value, version: n + 1 }))
-      const update = type === 'rows' ? { type, rows, isAfterOutage: false } : { type, rows: rows.map(row => ({ ...row, isDeleted: false })) }
+      const update = type === 'rows' ? { type, rows, storeBackForMs: null } : { type, rows: rows.map(row => ({ ...row, isDeleted: false })) }
       t.notThrows(() => roster.applyUpdate(update))
       t.deepEqual(unreadable, [key])
       t.deepEqual(calls.filter(call => call !== 'mark fails'), SOUND_CALLS)
@@ -77,16 +77,16 @@
 
 test('a VM whose row became unreadable is still known', t => {
   const { roster } = buildRoster()
-  roster.applyUpdate({ type: 'rows', rows: [{ key: 'vm/a', value: VM, version: 1 }], isAfterOutage: false })
+  roster.applyUpdate({ type: 'rows', rows: [{ key: 'vm/a', value: VM, version: 1 }], storeBackForMs: null })
   roster.applyUpdate({ type: 'changes', rows: [{ key: 'vm/a', value: 7, version: 2, isDeleted: false }] })
-  roster.applyUpdate({ type: 'rows', rows: [{ key: 'vm/a', value: undefined, version: 3 }], isAfterOutage: false })
+  roster.applyUpdate({ type: 'rows', rows: [{ key: 'vm/a', value: undefined, version: 3 }], storeBackForMs: null })
   t.deepEqual(roster.listPeers().map(({ vm }) => vm), ['a'])
 })
 
 test('a VM is no peer of its own under another name', t => {
   const { roster } = buildRoster()
   roster.announceSelf(VM.peer)
-  roster.applyUpdate({ type: 'rows', rows: [{ key: 'vm/a', value: VM, version: 1 }], isAfterOutage: false })
+  roster.applyUpdate({ type: 'rows', rows: [{ key: 'vm/a', value: VM, version: 1 }], storeBackForMs: null })
   t.deepEqual(roster.listPeers(), [])
 })
 
--- a/packages/knapweedshunt-gateway/src/__tests__/outOfStepSimulation.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/outOfStepSimulation.ts
@@ -172,7 +172,7 @@
   #readEndpoints (vm: SimulatedVm, sentAtMs: number): void {
     vm.confirmedAtMs = sentAtMs
     if (this.#row !== null) vm.origins.applyPoolVersions(this.#row)
-    vm.registry.applySnapshot(this.#endpoints.map(({ endpoint, softwareVersion }) => ({ endpoint, incarnation: endpoint, pool: POOL, address: '127.0.0.1:1', dataCentre: 'z1', slots: 8, isDraining: false, softwareVersion, models: [] })), [], false)
+    vm.registry.applySnapshot(this.#endpoints.map(({ endpoint, softwareVersion }) => ({ endpoint, incarnation: endpoint, pool: POOL, address: '127.0.0.1:1', dataCentre: 'z1', slots: 8, isDraining: false, softwareVersion, models: [] })), [], null)
     vm.origins.updateVersions()
   }
 
--- a/packages/knapweedshunt-gateway/src/__tests__/streamOrigins.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/streamOrigins.test.ts
@@ -50,7 +50,7 @@
       writePoolVersions: async () => {}
     })
     const applyVersions = (versions: string[]) => {
-      registry.applySnapshot(versions.map(softwareVersion => ({ endpoint: softwareVersion, incarnation: softwareVersion, pool: POOL, address: '127.0.0.1:1', dataCentre: 'z1', slots: 8, isDraining: false, softwareVersion, models: [] })), [], false)
+      registry.applySnapshot(versions.map(softwareVersion => ({ endpoint: softwareVersion, incarnation: softwareVersion, pool: POOL, address: '127.0.0.1:1', dataCentre: 'z1', slots: 8, isDraining: false, softwareVersion, models: [] })), [], null)
       origins.updateVersions()
     }
     applyVersions(['v1'])
--- a/packages/knapweedshunt-gateway/src/__tests__/streamOriginsSimulation.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/streamOriginsSimulation.ts
@@ -182,7 +182,7 @@
   #readDirectory (vm: SimulatedVm): void {
     if (!this.#canReachStore(vm)) return
     for (const row of this.#rows.values()) vm.origins.applyPoolVersions(row)
-    vm.registry.applySnapshot(this.#endpoints.map(({ endpoint, softwareVersion }) => ({ endpoint, incarnation: `${endpoint}@${softwareVersion}`, pool: POOL, address: '127.0.0.1:1', dataCentre: 'z1', slots: 8, isDraining: false, softwareVersion, models: [] })), [], false)
+    vm.registry.applySnapshot(this.#endpoints.map(({ endpoint, softwareVersion }) => ({ endpoint, incarnation: `${endpoint}@${softwareVersion}`, pool: POOL, address: '127.0.0.1:1', dataCentre: 'z1', slots: 8, isDraining: false, softwareVersion, models: [] })), [], null)
     vm.endpointsReadAtMs = performance.now()
     vm.origins.updateVersions()
   }
--- a/packages/knapweedshunt-gateway/src/__tests__/vmRoster.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/vmRoster.test.ts
@@ -17,7 +17,7 @@
 /** Builds the roster of a VM that has read an empty table, so that it writes marks. */
 function buildRoster (platform: MemoryPlatform, vm: string, onMark: (mark: SuspectMark) => void): VmRoster {
   const roster = buildStartingRoster(platform, vm, 1, onMark)
-  roster.applyUpdate({ type: 'rows', rows: [], isAfterOutage: false })
+  roster.applyUpdate({ type: 'rows', rows: [], storeBackForMs: null })
   return roster
 }
 
@@ -45,7 +45,7 @@
 }
 
 async function readAll (platform: MemoryPlatform, roster: VmRoster): Promise<void> {
-  roster.applyUpdate({ type: 'rows', rows: await platform.scan({ table: ROSTER_TABLE, limit: 100 }), isAfterOutage: false })
+  roster.applyUpdate({ type: 'rows', rows: await platform.scan({ table: ROSTER_TABLE, limit: 100 }), storeBackForMs: null })
 }
 
 function buildMark (fingerprint: string, endpoint: string): SuspectMark {
@@ -256,7 +256,7 @@
     await clock.tickAsync(100)
     await readAll(platform, rosters[0])
     t.is(rosters[0].countVms(), 3)
-    rosters[0].applyUpdate({ type: 'rows', rows: [], isAfterOutage: true })
+    rosters[0].applyUpdate({ type: 'rows', rows: [], storeBackForMs: 0 })
     t.is(rosters[0].countVms(), 3)
     await clock.tickAsync(5_100)
     t.is(rosters[0].countVms(), 1)
--- a/packages/knapweedshunt-gateway/src/directory/directoryUpdater.ts
+++ b/packages/knapweedshunt-gateway/src/directory/directoryUpdater.ts
@@ -65,7 +65,7 @@
     if (update.type === 'rows') {
       const entries = results.flatMap(({ result }) => result?.type === 'endpoint' ? [result.entry] : [])
       const unreadable = results.flatMap(({ row, result }) => result?.type === 'unreadable' ? [row.key] : [])
-      endpointRegistry.applySnapshot(entries, unreadable, update.isAfterOutage)
+      endpointRegistry.applySnapshot(entries, unreadable, update.storeBackForMs)
       return
     }
     for (const { row, result } of results) {
--- a/packages/knapweedshunt-gateway/src/directory/tableFollowers.ts
+++ b/packages/knapweedshunt-gateway/src/directory/tableFollowers.ts
@@ -1,5 +1,5 @@
 import type { Logger } from 'knapweedshunt-logger'
-import { DEFAULT_TABLE_FOLLOWER_OPTIONS, TableFollower } from 'knapweedshunt-platform'
+import { DEFAULT_TABLE_FOLLOWER_OPTIONS, StoreAvailability, TableFollower } from 'knapweedshunt-platform'
 import type { TableFeed, TableUpdate } from 'knapweedshunt-platform'
 import type { Rng } from 'knapweedshunt-utils'
 import type { DirectoryPort } from '../ports/directoryPort.ts'
@@ -33,8 +33,9 @@
   readonly roster: TableFollower
 
   constructor ({ feed, directoryPort, log, rng, onResources, onEndpoints, onRoster }: TableFollowersDependencies) {
+    const availability = new StoreAvailability()
     const create = (table: string, waitMs: number, coalesceMs: number, onUpdate: (update: TableUpdate) => void) =>
-      new TableFollower(feed, { ...DEFAULT_TABLE_FOLLOWER_OPTIONS, table, waitMs, coalesceMs, seed: rng.drawInt(2 ** 30) }, log, onUpdate)
+      new TableFollower(feed, { ...DEFAULT_TABLE_FOLLOWER_OPTIONS, table, waitMs, coalesceMs, seed: rng.drawInt(2 ** 30) }, log, onUpdate, availability)
     this.resources = create(directoryPort.resourceTable, RESOURCE_POLL_WAIT_MS, 0, onResources)
     this.endpoints = create(directoryPort.endpointTable, ENDPOINT_POLL_WAIT_MS, ENDPOINT_POLL_PAUSE_MS, onEndpoints)
     this.roster = create(ROSTER_TABLE, ROSTER_POLL_WAIT_MS, 0, onRoster)
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointRegistry.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointRegistry.ts
@@ -40,9 +40,9 @@
     return pool === undefined ? records : records.filter(record => record.entry.pool === pool)
   }
 
-  /** Replaces the endpoints with a full read of the table, except those in `unreadable`, whose rows cannot be read; `isAfterOutage` is true when the store did not answer before it. */
-  applySnapshot (entries: EndpointEntry[], unreadable: EndpointName[], isAfterOutage: boolean): void {
-    if (isAfterOutage) this.#recoveryUntilMs = performance.now() + RECOVERY_GRACE_MS
+  /** Replaces the endpoints with a full read of the table, except those in `unreadable`, whose rows cannot be read; `storeBackForMs` is the time for which the store has answered again, in milliseconds, when it did not before; else null. */
+  applySnapshot (entries: EndpointEntry[], unreadable: EndpointName[], storeBackForMs: number | null): void {
+    if (storeBackForMs !== null) this.#recoveryUntilMs = performance.now() + RECOVERY_GRACE_MS - storeBackForMs
     const present = new Set([...unreadable, ...entries.map(entry => entry.endpoint)])
     for (const name of this.#records.keys()) if (!present.has(name)) this.#handleMissing(name)
     for (const name of unreadable) this.#handleUnreadable(name)
--- a/packages/knapweedshunt-platform/src/__tests__/tableFollower.test.ts
+++ b/packages/knapweedshunt-platform/src/__tests__/tableFollower.test.ts
@@ -62,7 +62,7 @@
     feed.read = async () => ({ rows: [{ key: 'b', version: 9, value: 2 }], version: 9, era: 1 })
     await clock.tickAsync(1_100)
     t.true(feed.reads >= 2)
-    t.deepEqual(updates.at(-1), { type: 'rows', rows: [{ key: 'b', version: 9, value: 2 }], isAfterOutage: false })
+    t.deepEqual(updates.at(-1), { type: 'rows', rows: [{ key: 'b', version: 9, value: 2 }], storeBackForMs: null })
   })
 })
 
@@ -71,7 +71,7 @@
     feed.poll = signal => new Promise((_resolve, reject) => signal.addEventListener('abort', () => reject(new PlatformUnreachableError('Poll aborted after its timeout.'))))
     await clock.tickAsync(2 * (1_000 + OPTIONS.timeoutMs) + 500)
     t.true(feed.reads >= 2)
-    t.true(updates.some(update => update.type === 'rows' && update.isAfterOutage))
+    t.true(updates.some(update => update.type === 'rows' && update.storeBackForMs !== null))
     t.true(follower.isReachable)
   })
 })
@@ -96,7 +96,7 @@
     }
     feed.read = async () => ({ rows: [{ key: 'b', version: 7, value: 2 }], version: 8, era: 2 })
     await clock.tickAsync(1_150)
-    t.deepEqual(updates.at(1), { type: 'rows', rows: [{ key: 'b', version: 7, value: 2 }], isAfterOutage: true })
+    t.deepEqual(updates.at(1), { type: 'rows', rows: [{ key: 'b', version: 7, value: 2 }], storeBackForMs: 0 })
   })
 })
 
--- a/packages/knapweedshunt-platform/src/tableFollower.ts
+++ b/packages/knapweedshunt-platform/src/tableFollower.ts
@@ -5,6 +5,7 @@
 import type { BackoffOptions } from './backoff.ts'
 import { PlatformUnreachableError } from './platformError.ts'
 import type { Row } from './row.ts'
+import { StoreAvailability } from './storeAvailability.ts'
 import type { ChangedRow, TableFeed } from './tableFeed.ts'
 
 /** Options of a table follower. */
@@ -32,8 +33,8 @@
 
 /** Update that a table follower passes to its listener. */
 export type TableUpdate =
-  /** All rows of the table; replaces all earlier ones. `isAfterOutage` is true if the store did not answer before, or was restored from a copy: rows that others write may be missing for a while. */
-  | { type: 'rows', rows: Row[], isAfterOutage: boolean }
+  /** All rows of the table; replaces all earlier ones. `storeBackForMs` is the time for which the store has answered again if it did not before, or was restored from a copy: rows that others write may be missing for a while; null without an outage. */
+  | { type: 'rows', rows: Row[], storeBackForMs: number | null }
   | { type: 'changes', rows: ChangedRow[] }
 
 /**
@@ -46,20 +47,25 @@
   readonly #onUpdate: (update: TableUpdate) => void
   readonly #log: Logger
   readonly #rng: Rng
+  readonly #availability: StoreAvailability
   #version: number | null = null
   /** Era of the last answer used; null if the store states none. */
   #era: number | null = null
   /** Whether the store was restored since the last full read. */
   #isRestored = false
   #confirmedAtMs: number | null = null
-  #isUnreachable = false
+  /** Time of the first of the calls that failed since the last answer, on the clock of {@link readElapsedMs}; null if the last call was answered. */
+  #failingSinceMs: number | null = null
   #refreshAbort = new AbortController()
 
-  constructor (feed: TableFeed, options: TableFollowerOptions, log: Logger, onUpdate: (update: TableUpdate) => void) {
+  /** Followers of one store share its availability. */
+  constructor (feed: TableFeed, options: TableFollowerOptions, log: Logger, onUpdate: (update: TableUpdate) => void, availability = new StoreAvailability()) {
     this.#feed = feed
     this.#options = options
     this.#log = log
     this.#onUpdate = onUpdate
+    this.#availability = availability
+    availability.addFollower(this)
     this.#rng = createRng(options.seed)
   }
 
@@ -70,7 +76,7 @@
 
   /** Whether the last call was answered; false before the first answer. */
   get isReachable (): boolean {
-    return !this.#isUnreachable && this.#confirmedAtMs !== null
+    return this.#failingSinceMs === null && this.#confirmedAtMs !== null
   }
 
   /** Aborts the current poll or pause and reads the table in full at once. */
@@ -84,16 +90,18 @@
     let backoff = new Backoff(this.#options.backoff, this.#rng)
     while (!signal.aborted) {
       this.#refreshAbort = new AbortController()
-      const signals = [signal, this.#refreshAbort.signal]
+      // A call that was sent while the store did not answer may hang although the store is back.
+      const { returnSignal } = this.#availability
+      const signals = this.#failingSinceMs !== null ? [signal, this.#refreshAbort.signal, returnSignal] : [signal, this.#refreshAbort.signal]
       try {
         await this.#readOrPoll(signals)
         backoff = new Backoff(this.#options.backoff, this.#rng)
       } catch (error) {
         if (signal.aborted) return
-        if (this.#refreshAbort.signal.aborted) continue
+        if (this.#refreshAbort.signal.aborted || (this.#failingSinceMs !== null && returnSignal.aborted)) continue
         this.#recordFailure(error as Error)
         this.#version = null
-        await this.#pause(backoff.drawDelay(), signals)
+        await this.#pause(backoff.drawDelay(), [signal, this.#refreshAbort.signal, this.#availability.returnSignal])
       }
     }
   }
@@ -105,9 +113,9 @@
       const snapshot = await runWithTimeout(timeoutMs, signals, signal => this.#feed.readTable(table, signal))
       this.#checkEra(snapshot.era)
       this.#version = snapshot.version
-      const isAfterOutage = this.#isUnreachable || this.#isRestored
+      const storeBackForMs = this.#findStoreBackForMs()
       this.#isRestored = false
-      this.#recordAnswer(sentAtMs, { type: 'rows', rows: snapshot.rows, isAfterOutage })
+      this.#recordAnswer(sentAtMs, { type: 'rows', rows: snapshot.rows, storeBackForMs })
       return
     }
     const version = this.#version
@@ -127,6 +135,11 @@
     if (changes.rows.length > 0 && this.#options.coalesceMs > 0) await this.#pause(this.#options.coalesceMs, signals)
   }
 
+  #findStoreBackForMs (): number | null {
+    if (this.#isRestored) return 0
+    return this.#failingSinceMs === null ? null : this.#availability.getBackForMs(this.#failingSinceMs)
+  }
+
   /** Whether the store was restored since the last answer. Throws PlatformUnreachableError when the era falls or is missing: such an answer is not from the store that was followed. */
   #checkEra (era: number | null): boolean {
     const knownEra = this.#era
@@ -143,8 +156,9 @@
   }
 
   #recordAnswer (sentAtMs: number, update: TableUpdate | null): void {
-    if (this.#isUnreachable) this.#log.info('Table read again.', { table: this.#options.table })
-    this.#isUnreachable = false
+    if (this.#failingSinceMs !== null) this.#log.info('Table read again.', { table: this.#options.table })
+    this.#failingSinceMs = null
+    this.#availability.recordAnswer(this)
     this.#confirmedAtMs = sentAtMs
     if (update !== null) this.#passOn(update)
   }
@@ -160,7 +174,8 @@
   }
 
   #recordFailure (error: Error): void {
-    if (!this.#isUnreachable) this.#log.warn('Table not read.', { table: this.#options.table, reason: error.message.split('\n')[0], ageMs: Math.round(this.ageMs ?? -1) })
-    this.#isUnreachable = true
+    if (this.#failingSinceMs === null) this.#log.warn('Table not read.', { table: this.#options.table, reason: error.message.split('\n')[0], ageMs: Math.round(this.ageMs ?? -1) })
+    this.#failingSinceMs ??= readElapsedMs()
+    this.#availability.recordFailure(this)
   }
 }
