Gateway: an endpoint's failure reaches its caller if no other endpoint serves the request

Callers got our 502 endpoint_refused for the endpoint's own 500: a complete failure was dropped for a retry, and the others rejected that. The buffered failure is kept now and forwarded instead of a refusal, unless the access key is not known to be valid.

--- a/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
+++ b/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
@@ -22,6 +22,9 @@
 /** Recorded status if the connection is closed without a complete response. */
 const STATUS_NONE = 0
 
+/** Refusals of a request whose access key is not known to be valid; its caller gets no response of an endpoint. */
+const KEY_REFUSALS: RefusalReason[] = ['unknown_key', 'keys_unconfirmed']
+
 /** Sends the router's own final response to one request, at most once, if no response of an endpoint can be forwarded. */
 export class FinalResponse {
   readonly #dependencies: FlowDependencies
@@ -30,6 +33,8 @@
   readonly #callerResponse: http.ServerResponse
   #isSettled = false
   #mayHaveRun = false
+  /** Forwards a failure of an endpoint that was kept while the request is retried; null without one. */
+  #forwardFailure: (() => void) | null = null
   /** Number of attempts started. */
   attemptCount = 0
 
@@ -50,6 +55,11 @@
     this.#mayHaveRun = true
   }
 
+  /** Keeps the failure response of an endpoint while the request is retried; the caller gets it if no endpoint serves the request. */
+  keepFailure (forward: () => void): void {
+    this.#forwardFailure = forward
+  }
+
   /** Marks the request as settled without sending a response. */
   settle (): void {
     this.#isSettled = true
@@ -117,6 +127,7 @@
   refuse (reason: RefusalReason, status: number, detail: string, meanRetryAfterMs = RETRY_AFTER_MS): void {
     if (this.#isSettled) return
     this.#isSettled = true
+    if (this.#forwardFailure !== null && !KEY_REFUSALS.includes(reason)) return this.#forwardFailure()
     const retryAfterMs = status === 503 ? this.#dependencies.randomizeDelayMs(meanRetryAfterMs) : null
     this.#recorder.recordRefused({ reason, status, mayHaveRun: this.#mayHaveRun, attempts: this.attemptCount, retryAfterMs: retryAfterMs ?? 0, detail })
     const answer = this.#plan.relayed === null ? null : buildRefusal(reason, this.#mayHaveRun, retryAfterMs)
--- a/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
@@ -96,6 +96,7 @@
     const isFailure = status >= MIN_SERVER_ERROR_STATUS
     reporter.recordObservation(runningAttempt, isFailure ? HEALTH_OBSERVATION.failed : HEALTH_OBSERVATION.served, `status ${status}`)
     if (isFailure && this.#isRepeatable && permits.tryTake(false)) {
+      if (body.type === 'buffered') finalResponse.keepFailure(() => this.#forwardBuffered(runningAttempt, response, status, body.bytes))
       response.destroy()
       attemptRunner.finish(runningAttempt)
       recorder.recordAttemptEnded(runningAttempt, 'failed', `status ${status}`, true)
@@ -108,18 +109,24 @@
       finalResponse.refuse('endpoint_refused', 502, `status ${status} without a report that the request did not run`)
       return DONE
     }
-    const firstByteMs = performance.now() - this.#plan.arrivedAtMs
-    this.#responseHeadWriter.writeHead(response, status, body.type === 'buffered' ? body.bytes.length : null, this.#buildRelayAnswer(runningAttempt))
-    if (body.type === 'large') return await this.#forwardLargeResponse(runningAttempt, response, body.firstChunks, firstByteMs)
-    this.#callerResponse.end(body.bytes)
+    if (body.type === 'large') return await this.#forwardLargeResponse(runningAttempt, response, body.firstChunks)
     attemptRunner.finish(runningAttempt)
-    recorder.recordAnswered(runningAttempt, status, firstByteMs, 0, body.bytes.length)
+    this.#forwardBuffered(runningAttempt, response, status, body.bytes)
     return DONE
   }
 
+  #forwardBuffered (runningAttempt: RunningAttempt, response: http.IncomingMessage, status: number, bytes: Buffer): void {
+    const firstByteMs = performance.now() - this.#plan.arrivedAtMs
+    this.#responseHeadWriter.writeHead(response, status, bytes.length, this.#buildRelayAnswer(runningAttempt))
+    this.#callerResponse.end(bytes)
+    this.#parts.recorder.recordAnswered(runningAttempt, status, firstByteMs, 0, bytes.length)
+  }
+
   /** Forwards a response above the buffer limit chunk by chunk; the request cannot be retried any more. */
-  async #forwardLargeResponse (runningAttempt: RunningAttempt, response: http.IncomingMessage, firstChunks: Buffer[], firstByteMs: number): Promise<NextStep> {
+  async #forwardLargeResponse (runningAttempt: RunningAttempt, response: http.IncomingMessage, firstChunks: Buffer[]): Promise<NextStep> {
     const { attemptRunner, recorder, reporter, finalResponse } = this.#parts
+    const firstByteMs = performance.now() - this.#plan.arrivedAtMs
+    this.#responseHeadWriter.writeHead(response, response.statusCode ?? 0, null, this.#buildRelayAnswer(runningAttempt))
     for (const chunk of firstChunks) this.#callerResponse.write(chunk)
     const result = await this.#relay.forward(response, { stallTimeoutMs: null, onStalled: () => {}, onChunk: () => {}, onNewEvents: () => {}, onFirstEvent: () => {} })
     attemptRunner.finish(runningAttempt)
