Gateway: a stream goes on at an endpoint that is counted already when its own is lost

A stream was broken off at a crash of its endpoint where the route allows two endpoints and an optional move had been given up before: the endpoint of that successor was counted, and nothing may be sent to a third. It has the request no longer, so the rest is sent there. Which endpoints may be chosen is one union now, EndpointScope: untried first, untried only (successors), or only these. A successor is not asked at the limit.

--- a/packages/knapweedshunt-gateway/src/__tests__/chooser.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/chooser.test.ts
@@ -7,7 +7,7 @@
 
 const PROMPT: Prompt = { model: 'm', parts: [{ id: 'a', tokens: 100 }, { id: 'b', tokens: 100 }], tokens: 200 }
 
-const CRITERIA: ChoiceCriteria = { pool: 'p', levels: [], triedEndpoints: [], prompt: PROMPT, softwareVersion: null, acceptsVersion: null, mayRepeat: true, mustYieldLimits: false }
+const CRITERIA: ChoiceCriteria = { pool: 'p', levels: [], triedEndpoints: [], prompt: PROMPT, softwareVersion: null, acceptsVersion: null, scope: { type: 'untriedFirst' }, mustYieldLimits: false }
 
 /** Rate limits of endpoints; the wait is the same for all that have one. */
 interface Limits {
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -2,12 +2,14 @@
 import type { ObjectiveWeights, PlacedDecision } from 'knapweedshunt-placement'
 import type { DataCentreId, EndpointName, PoolName, PrefixLevel, Resource, RouterSnapshot } from 'knapweedshunt-types'
 import { hashText } from 'knapweedshunt-utils'
+import { match } from 'ts-pattern'
 import type { ReportedLoad } from '../ports/endpointPort.ts'
 import type { GatewayPool } from '../ports/gatewayConfig.ts'
 import type { CallerIdentity, Prompt } from '../ports/callerCall.ts'
 import type { EndpointPermits } from './endpointPermits.ts'
 import type { EndpointRegistry } from './endpointRegistry.ts'
 import type { EndpointRecord } from './endpointRecord.ts'
+import type { EndpointScope } from './endpointScope.ts'
 import { countCandidates } from './candidateCounts.ts'
 import type { CandidateCounts, CandidateState } from './candidateCounts.ts'
 import { PromptSizePartition } from './promptSizePartition.ts'
@@ -50,8 +52,7 @@
   levels: PrefixLevel[]
   /** Endpoints tried before, which are avoided. */
   triedEndpoints: EndpointName[]
-  /** Whether endpoints tried before are used again when no other is left. */
-  mayRepeat: boolean
+  scope: EndpointScope
   prompt: Prompt | null
   /** Software version that the endpoint must have, as it began the stream; null for any. */
   softwareVersion: string | null
@@ -143,18 +144,18 @@
   }
 
   /** Chooses an endpoint of the pool, preferring those not tried yet, and counts the request towards its rate limit. */
-  choose ({ pool, levels, triedEndpoints, mayRepeat, prompt, softwareVersion, acceptsVersion, mustYieldLimits }: ChoiceCriteria): Choice {
+  choose ({ pool, levels, triedEndpoints, scope, prompt, softwareVersion, acceptsVersion, mustYieldLimits }: ChoiceCriteria): Choice {
     const isRetry = triedEndpoints.length > 0
     const records = this.#dependencies.endpointRegistry.list(pool)
     const suitable = softwareVersion === null ? records : records.filter(({ entry, isDraining }) => entry.softwareVersion === softwareVersion && !isDraining)
     const accepted = acceptsVersion === null ? suitable : filterByVersion(suitable, acceptsVersion)
-    const candidates = this.#listCandidates(accepted, triedEndpoints, mayRepeat)
+    const candidates = listCandidates(accepted, triedEndpoints, scope)
     if (candidates.length === 0) return suitable.length === 0 ? { type: 'none' } : { type: 'busy' }
     this.#updatePeerDemand()
     const serving = this.#listServing(candidates, pool, prompt)
     if (serving.length === 0) return { type: 'busy' }
     const usable = this.#listUsable(serving, pool, prompt, isRetry, mustYieldLimits)
-    if (usable.length === 0 && isRetry && mayRepeat) usable.push(...this.#listServing(this.#listCandidates(accepted, [], mayRepeat), pool, prompt).filter(record => this.#isPermitted(record, mustYieldLimits)))
+    if (usable.length === 0 && isRetry && scope.type === 'untriedFirst') usable.push(...this.#listServing(listCandidates(accepted, [], scope), pool, prompt).filter(record => this.#isPermitted(record, mustYieldLimits)))
     if (usable.length === 0) return this.#describeLimited(serving)
     const names = new Set(usable.map(record => record.entry.endpoint))
     const unavailable = records.filter(record => !names.has(record.entry.endpoint)).map(record => record.entry.endpoint)
@@ -246,13 +247,6 @@
     return version !== null && version >= this.#dependencies.findMinAllowedVersion(prompt.model)
   }
 
-  /** Lists the endpoints not tried yet, or all when each was tried and may be again; never draining ones. */
-  #listCandidates (records: EndpointRecord[], triedEndpoints: EndpointName[], mayRepeat: boolean): EndpointRecord[] {
-    const active = records.filter(record => !record.isDraining)
-    const untried = active.filter(record => !triedEndpoints.includes(record.entry.endpoint))
-    return untried.length > 0 || !mayRepeat ? untried : active
-  }
-
   #isUsableSource (record: EndpointRecord): boolean {
     const { entry, health, isReached, keptUntilMs } = record
     if (this.#dependencies.endpointRegistry.find(entry.endpoint) !== record || keptUntilMs !== null || record.isDraining) return false
@@ -301,6 +295,17 @@
   return records.filter(({ entry }) => accepted.has(entry.softwareVersion))
 }
 
+/** Lists the endpoints that may be chosen; never draining ones. */
+function listCandidates (records: EndpointRecord[], triedEndpoints: EndpointName[], scope: EndpointScope): EndpointRecord[] {
+  const active = records.filter(record => !record.isDraining)
+  const untried = active.filter(record => !triedEndpoints.includes(record.entry.endpoint))
+  return match(scope)
+    .with({ type: 'untriedFirst' }, () => untried.length > 0 ? untried : active)
+    .with({ type: 'untried' }, () => untried)
+    .with({ type: 'only' }, ({ endpoints }) => active.filter(record => endpoints.includes(record.entry.endpoint)))
+    .exhaustive()
+}
+
 function getIsolationScope (identity: CallerIdentity | null): string {
   return identity?.isIsolated ? identity.organisation : ''
 }
--- a/packages/knapweedshunt-gateway/src/flow/attemptRunner.ts
+++ b/packages/knapweedshunt-gateway/src/flow/attemptRunner.ts
@@ -110,6 +110,7 @@
   /** Cancels an attempt that is not needed, as another one serves the request. */
   cancelUnneeded (runningAttempt: RunningAttempt): void {
     runningAttempt.attempt.cancel(LOSS_REASON.cancelled)
+    this.#permits.recordUnneeded(runningAttempt)
     this.finish(runningAttempt)
   }
 
@@ -126,7 +127,7 @@
     const attemptNumber = ++this.#attemptCount
     return match(target)
       .with({ type: 'endpoint' }, ({ chosen, homeLevels }) => {
-        this.#permits.recordSent(1)
+        this.#permits.recordSent(1, chosen.record.entry.endpoint)
         this.#triedEndpoints.push(chosen.record.entry.endpoint)
         this.#recorder.recordSent(attemptNumber, chosen.record, lastEventId, chosen.decision)
         return launchAttempt(this.#dependencies, this.#plan, { chosen, homeLevels, attemptNumber, lastEventId })
@@ -142,7 +143,7 @@
   #launchRelay (peer: PeerView, attemptNumber: number, lastEventId: string | null): RunningAttempt {
     const { configRevision } = this.#plan
     const endpointsLeft = Math.max(1, this.#permits.endpointsLeft - 1)
-    this.#permits.recordSent(endpointsLeft)
+    this.#permits.recordSent(endpointsLeft, null)
     this.#triedPeers.push(peer.vm)
     const request = { from: this.#dependencies.vm, configRevision, endpointsLeft, triedEndpoints: [...this.#triedEndpoints], softwareVersion: this.softwareVersion }
     return launchRelay(this.#dependencies, this.#plan, { peer, attemptNumber, lastEventId, request })
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -125,7 +125,7 @@
   /** Selects where the request goes next; null if it has its final response. */
   async #selectTarget (): Promise<NextTarget | null> {
     const { triedEndpoints, triedPeers, softwareVersion } = this.#attemptRunner
-    const selection = await selectTarget(this.#dependencies, this.#plan, { triedEndpoints: [...triedEndpoints], mayRepeat: true, triedPeers: [...triedPeers], softwareVersion, isCancelled: () => this.#finalResponse.isSettled })
+    const selection = await selectTarget(this.#dependencies, this.#plan, { triedEndpoints: [...triedEndpoints], scope: this.#permits.scope, triedPeers: [...triedPeers], softwareVersion, isCancelled: () => this.#finalResponse.isSettled })
     if (this.#finalResponse.isSettled) return null
     if (selection.type === 'target') return selection.target
     match(selection)
--- a/packages/knapweedshunt-gateway/src/flow/retryPermits.ts
+++ b/packages/knapweedshunt-gateway/src/flow/retryPermits.ts
@@ -1,3 +1,5 @@
+import type { EndpointName } from 'knapweedshunt-types'
+import type { EndpointScope } from '../endpoints/endpointScope.ts'
 import type { FlowDependencies } from './flowDependencies.ts'
 import type { RequestPlan } from './requestPlan.ts'
 import type { RunningAttempt } from './runningAttempt.ts'
@@ -13,6 +15,8 @@
   #possibleExecutionCount = 0
   /** Number of them before another VM relayed the request to this one. */
   readonly #earlierCount: number
+  /** Counted endpoints that have the request no longer and had not answered it. */
+  readonly #unneededEndpoints = new Set<EndpointName>()
   /** Number of endpoints that reported that they did not run the request. */
   #rejectionCount = 0
   /** Whether a permit was taken from the budget and is not used yet. */
@@ -35,11 +39,22 @@
     return this.#possibleExecutionCount - this.#earlierCount
   }
 
-  /** Records that the request was sent to an endpoint, or to a VM that may send it to `endpointCount`. */
-  recordSent (endpointCount: number): void {
+  /** Which endpoints may be chosen for the next attempt. */
+  get scope (): EndpointScope {
+    return this.endpointsLeft > 0 ? { type: 'untriedFirst' } : { type: 'only', endpoints: [...this.#unneededEndpoints] }
+  }
+
+  /** Records that the request was sent to an endpoint, or, with `endpoint` null, to a VM that may send it to `endpointCount`. */
+  recordSent (endpointCount: number, endpoint: EndpointName | null): void {
+    if (endpoint !== null && this.#unneededEndpoints.delete(endpoint)) return
     this.#possibleExecutionCount += endpointCount
   }
 
+  /** Records that an attempt was cancelled before its response, as it was not needed: its endpoint is counted, so the request may be sent there again. */
+  recordUnneeded ({ target, attempt }: RunningAttempt): void {
+    if (target.type === 'endpoint' && !attempt.hasResponse) this.#unneededEndpoints.add(target.record.entry.endpoint)
+  }
+
   /** Records to how many endpoints the other VM has sent the request. */
   recordRelayed (runningAttempt: RunningAttempt, endpointCount: number): void {
     this.#possibleExecutionCount += endpointCount - runningAttempt.countedEndpoints
@@ -60,8 +75,8 @@
 
   /** Uses the reserved permit or takes one from the budget; false if the request must not be retried. An optional retry uses only permits earned by successes. */
   tryTake (isOptional: boolean): boolean {
-    const { route, body, deadlineAtMs, pool } = this.#plan
-    if (this.#possibleExecutionCount >= route.maxEndpoints || this.#rejectionCount > MAX_NOT_RUN_RETRIES || body.type === 'streamed' || performance.now() >= deadlineAtMs) return false
+    const { body, deadlineAtMs, pool } = this.#plan
+    if ((this.endpointsLeft === 0 && this.#unneededEndpoints.size === 0) || this.#rejectionCount > MAX_NOT_RUN_RETRIES || body.type === 'streamed' || performance.now() >= deadlineAtMs) return false
     const hasReservedPermit = this.#hasReservedPermit
     this.#hasReservedPermit = false
     return hasReservedPermit || this.#dependencies.tryTakeRetry(pool, isOptional)
--- a/packages/knapweedshunt-gateway/src/flow/selectTarget.ts
+++ b/packages/knapweedshunt-gateway/src/flow/selectTarget.ts
@@ -2,6 +2,7 @@
 import type { VmId } from 'knapweedshunt-types'
 import type { Quarantine } from '../directory/quarantine.ts'
 import type { Choice, ChosenEndpoint } from '../endpoints/endpointChooser.ts'
+import type { EndpointScope } from '../endpoints/endpointScope.ts'
 import { formatCandidates } from '../endpoints/candidateCounts.ts'
 import { REPEATABILITY } from '../ports/gatewayConfig.ts'
 import type { NextTarget } from './attemptRunner.ts'
@@ -25,8 +26,7 @@
 /** What limits the choice of a target. */
 export interface TargetCriteria {
   triedEndpoints: string[]
-  /** Whether endpoints tried before are used again when no other is left; not while one of them is at work on the request. */
-  mayRepeat: boolean
+  scope: EndpointScope
   triedPeers: VmId[]
   /** Software version that the endpoint must have; null for any. */
   softwareVersion: string | null
@@ -50,6 +50,7 @@
   const { relays } = dependencies
   const { pool, relayed } = plan
   if (relayed !== null) return relays.isCutOff(pool) ? { type: 'unreached' } : await selectEndpoint(dependencies, plan, criteria)
+  if (criteria.scope.type === 'only') return await selectEndpoint(dependencies, plan, criteria)
   const route = await relays.select(pool, criteria.triedPeers)
   if (criteria.isCancelled()) return { type: 'cancelled' }
   return match(route)
@@ -59,11 +60,11 @@
     .exhaustive()
 }
 
-async function selectEndpoint (dependencies: FlowDependencies, plan: RequestPlan, { triedEndpoints, mayRepeat, softwareVersion, isCancelled }: TargetCriteria): Promise<TargetSelection> {
+async function selectEndpoint (dependencies: FlowDependencies, plan: RequestPlan, { triedEndpoints, scope, softwareVersion, isCancelled }: TargetCriteria): Promise<TargetSelection> {
   const { chooser } = dependencies
   const { pool, route, call } = plan
   const homeLevels = chooser.findHomeLevels(plan.levels)
-  const choice = await waitForEndpoint(dependencies, plan, { homeLevels, triedEndpoints, mayRepeat, softwareVersion, acceptsVersion: buildVersionFilter(dependencies, plan, softwareVersion), isCancelled })
+  const choice = await waitForEndpoint(dependencies, plan, { homeLevels, triedEndpoints, scope, softwareVersion, acceptsVersion: buildVersionFilter(dependencies, plan, softwareVersion), isCancelled })
   if (isCancelled()) return { type: 'cancelled' }
   if (choice.type === 'chosen') return { type: 'target', target: { type: 'endpoint', chosen: choice, homeLevels } }
   return { type: 'unplaced', choice, candidates: formatCandidates(chooser.countCandidates({ pool, prompt: route.usesPrefixes ? call.prompt : null, triedEndpoints, softwareVersion })) }
--- a/packages/knapweedshunt-gateway/src/flow/successor.ts
+++ b/packages/knapweedshunt-gateway/src/flow/successor.ts
@@ -85,8 +85,9 @@
     const { attemptRunner, permits, finalResponse } = this.#parts
     const isOptional = cause === LOSS_REASON.moved
     if (!attemptRunner.canAskSuccessor) return { type: 'failed', reason: 'no other endpoint, or the access key is not usable' }
+    if (permits.endpointsLeft === 0) return { type: 'failed', reason: 'limit of endpoints reached' }
     if (!permits.tryReserve(isOptional)) return { type: 'failed', reason: 'no retry permit' }
-    const selection = await selectTarget(this.#dependencies, this.#plan, { triedEndpoints: [...attemptRunner.triedEndpoints], mayRepeat: false, triedPeers: [...attemptRunner.triedPeers], softwareVersion: attemptRunner.softwareVersion, isCancelled: () => this.#hasEnded })
+    const selection = await selectTarget(this.#dependencies, this.#plan, { triedEndpoints: [...attemptRunner.triedEndpoints], scope: { type: 'untried' }, triedPeers: [...attemptRunner.triedPeers], softwareVersion: attemptRunner.softwareVersion, isCancelled: () => this.#hasEnded })
     if (selection.type !== 'target') return { type: 'failed', reason: describeSelection(selection) }
     if (this.#hasEnded || !permits.tryTake(isOptional)) return { type: 'failed', reason: 'not needed any more' }
     onSend()
@@ -132,5 +133,5 @@
 
 /** Whether a silent successor may be given up, as another endpoint may be asked in its place. */
 export function canReplaceSuccessor ({ attemptRunner, permits }: SuccessorParts): boolean {
-  return attemptRunner.canAskSuccessor && permits.tryReserve(false)
+  return permits.endpointsLeft > 0 && attemptRunner.canAskSuccessor && permits.tryReserve(false)
 }
--- a/packages/knapweedshunt-gateway/src/flow/waitForEndpoint.ts
+++ b/packages/knapweedshunt-gateway/src/flow/waitForEndpoint.ts
@@ -1,6 +1,7 @@
 import type { EndpointName, PrefixLevel } from 'knapweedshunt-types'
 import { sleep } from 'knapweedshunt-utils'
 import type { Choice } from '../endpoints/endpointChooser.ts'
+import type { EndpointScope } from '../endpoints/endpointScope.ts'
 import type { FlowDependencies } from './flowDependencies.ts'
 import type { PermitWaiter } from './permitQueue.ts'
 import type { RequestPlan } from './requestPlan.ts'
@@ -18,8 +19,7 @@
   /** Prefix levels by which the endpoint is chosen. */
   homeLevels: PrefixLevel[]
   triedEndpoints: EndpointName[]
-  /** Whether endpoints tried before are used again when no other is left. */
-  mayRepeat: boolean
+  scope: EndpointScope
   /** Software version that the endpoint must have; null for any. */
   softwareVersion: string | null
   /** Whether a stream that has not begun may begin at a software version; null if that does not matter. */
@@ -29,7 +29,7 @@
 }
 
 /** Chooses an endpoint. If all are busy or limited, it waits up to a share of the objective, but not if that is known to be too short; returns the last choice. */
-export async function waitForEndpoint ({ chooser, endpointLimits, permitQueue }: FlowDependencies, plan: RequestPlan, { homeLevels, triedEndpoints, mayRepeat, softwareVersion, acceptsVersion, isCancelled }: EndpointSearch): Promise<Choice> {
+export async function waitForEndpoint ({ chooser, endpointLimits, permitQueue }: FlowDependencies, plan: RequestPlan, { homeLevels, triedEndpoints, scope, softwareVersion, acceptsVersion, isCancelled }: EndpointSearch): Promise<Choice> {
   const { pool, call, route, deadlineAtMs } = plan
   const prompt = route.usesPrefixes ? call.prompt : null
   const waitDeadlineAtMs = Math.min(deadlineAtMs, performance.now() + route.objectiveMs * MAX_WAIT_OBJECTIVE_SHARE)
@@ -38,7 +38,7 @@
   try {
     for (;;) {
       const aheadCount = permitQueue.countAhead(waiter)
-      const choice = chooser.choose({ pool, levels: homeLevels, triedEndpoints, mayRepeat, prompt, softwareVersion, acceptsVersion, mustYieldLimits: aheadCount > 0 })
+      const choice = chooser.choose({ pool, levels: homeLevels, triedEndpoints, scope, prompt, softwareVersion, acceptsVersion, mustYieldLimits: aheadCount > 0 })
       if (choice.type === 'chosen' || choice.type === 'none' || performance.now() >= waitDeadlineAtMs || isCancelled()) return choice
       if (choice.type === 'limited') {
         const waitMs = choice.waitMs + aheadCount / choice.permitsPerS * MS_PER_SECOND
