--- a/packages/knapweedshunt-gateway/src/__tests__/chooser.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/chooser.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { EndpointRegistry } from '../endpoints/endpointRegistry.ts'
 import { EndpointChooser } from '../endpoints/endpointChooser.ts'
-import type { ChoiceCriteria } from '../endpoints/endpointChooser.ts'
+import type { ChoiceCriteria } from '../endpoints/endpointFilter.ts'
 import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
 import type { Prompt } from '../ports/callerCall.ts'
 
