--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -10,7 +10,7 @@
 import { describeFailedOutcome, recordFailedOutcome } from './failedOutcome.ts'
 import { FinalResponse } from './finalResponse.ts'
 import type { FlowDependencies } from './flowDependencies.ts'
-import type { HeadRaceOptions } from './headRace.ts'
+import { buildHeadRaceOptions } from './buildHeadRaceOptions.ts'
 import { raceForHead } from './headRace.ts'
 import type { NextStep } from './nextStep.ts'
 import { DONE, RETRY } from './nextStep.ts'
@@ -21,7 +21,6 @@
 import { RetryPermits } from './retryPermits.ts'
 import type { RunningAttempt } from './runningAttempt.ts'
 import type { AnsweredOutcome, SuccessorParts, TakenSuccession } from './successor.ts'
-import { canReplaceSuccessor, Successor } from './successor.ts'
 import { selectTarget } from './selectTarget.ts'
 
 /** Maximum number of attempts that fail before a byte is sent, after which the request is refused. */
@@ -30,12 +29,6 @@
 /** Maximum number of other VMs to which a request is sent. */
 const MAX_RELAY_ATTEMPTS = 3
 
-/** Time without a response after which another endpoint is asked for a repeatable request, as a share of the objective. */
-const STALL_TIMEOUT_OBJECTIVE_SHARE = 0.6
-
-/** The same for another VM, which tries further endpoints itself meanwhile. */
-const RELAY_TIMEOUT_OBJECTIVE_SHARE = 1.2
-
 /** Runs the attempts of one checked request until it has its final response. */
 export class RequestTask {
   readonly #dependencies: FlowDependencies
@@ -115,8 +108,9 @@
     const target = await this.#selectTarget()
     if (target === null) return DONE
     this.#finalResponse.attemptCount++
-    const runningAttempt = this.#attemptRunner.start({ target, lastEventId: this.#responseForwarder.lastEventId })
-    const { outcome, taken } = await raceForHead(runningAttempt, this.#buildHeadRaceOptions(runningAttempt))
+    const { lastEventId } = this.#responseForwarder
+    const runningAttempt = this.#attemptRunner.start({ target, lastEventId })
+    const { outcome, taken } = await raceForHead(runningAttempt, buildHeadRaceOptions(this.#dependencies, this.#plan, this.#parts, runningAttempt, lastEventId))
     if (this.#finalResponse.isSettled) return DONE
     if (taken !== null) return await this.#followSuccessor(runningAttempt, outcome, taken)
     return outcome === null ? DONE : await this.#handleOutcome(runningAttempt, outcome)
@@ -138,20 +132,6 @@
     return null
   }
 
-  #buildHeadRaceOptions (runningAttempt: RunningAttempt): HeadRaceOptions {
-    const { route } = this.#plan
-    const { target, startedAtMs } = runningAttempt
-    const share = target.type === 'endpoint' ? STALL_TIMEOUT_OBJECTIVE_SHARE : RELAY_TIMEOUT_OBJECTIVE_SHARE
-    return {
-      silenceTimeoutMs: route.repeatability === REPEATABILITY.never ? null : route.objectiveMs * share,
-      // An engine that produces tokens for other requests is busy, not lost, and has already processed part of the prompt.
-      isBusy: () => target.type === 'endpoint' && route.usesPrefixes && target.record.lastReceivedAtMs > startedAtMs,
-      canReplace: () => !this.#finalResponse.isSettled && canReplaceSuccessor(this.#parts),
-      startSuccessor: () => new Successor(this.#dependencies, this.#plan, this.#parts, { cause: LOSS_REASON.silent, getLastEventId: () => this.#responseForwarder.lastEventId, onSend: () => {} }),
-      onSuccessorEnded: (successor, result) => this.#recorder.recordHandover(runningAttempt, successor, result, null)
-    }
-  }
-
   /** Goes on with the successor, whose response has begun. `outcome` is that of the attempt before; null if it is still silent. */
   async #followSuccessor (previous: RunningAttempt, outcome: AttemptOutcome | null, { runningAttempt, outcome: answered, body }: TakenSuccession): Promise<NextStep> {
     if (outcome === null) {
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -1,6 +1,5 @@
 import { setMaxListeners } from 'node:events'
 import { DEFAULT_WAVE_OPTIONS, WaveTask } from 'knapweedshunt-fleet'
-import { EndpointRelays } from 'knapweedshunt-membership'
 import { createIncarnation, createRng, runEvery, sleep } from 'knapweedshunt-utils'
 import { CallerRequestHandler } from './callers/callerRequestHandler.ts'
 import { CallerServer } from './callers/callerServer.ts'
@@ -25,22 +24,17 @@
 import { EndpointChooser } from './endpoints/endpointChooser.ts'
 import { KvStoreMonitor } from './endpoints/kvStoreMonitor.ts'
 import { EndpointMonitor } from './endpoints/endpointMonitor.ts'
-import { computePoolReach, listPoolReaches } from './endpoints/listPoolReaches.ts'
 import { CallerAuthenticator } from './flow/callerAuthenticator.ts'
 import type { CrashedAttempt } from './flow/crashedAttempt.ts'
 import type { FlowDependencies } from './flow/flowDependencies.ts'
 import { PermitQueue } from './flow/permitQueue.ts'
-import type { PeerView } from './peers/peerAddress.ts'
-import { PeerClients } from './peers/peerClients.ts'
-import { PeerServer } from './peers/peerServer.ts'
-import { StreamOrigins } from './peers/streamOrigins.ts'
-import { StreamRowReader } from './peers/streamRowReader.ts'
-import { StreamRows } from './peers/streamRows.ts'
+import { PeerServices } from './peers/peerServices.ts'
 import { RequestPlanner } from './flow/requestPlanner.ts'
 import { UnansweredAttempts } from './flow/unansweredAttempts.ts'
 import type { GatewayAddresses, GatewayDependencies } from './gatewayDependencies.ts'
 import { REPEATABILITY } from './ports/gatewayConfig.ts'
 import type { VmSettings } from './ports/vmSettings.ts'
+import { addGauges } from './records/addGauges.ts'
 import { DecisionLog } from './records/decisionLog.ts'
 import { GatewayMetrics } from './records/gatewayMetrics.ts'
 import { UnreadableRowLog } from './records/unreadableRowLog.ts'
@@ -81,11 +75,7 @@
   readonly #quarantineLifts: QuarantineLifts
   readonly #endpointLimits: EndpointLimits
   readonly #endpointPermits: EndpointPermits
-  readonly #streamRows: StreamRows
-  readonly #streamOrigins: StreamOrigins
-  readonly #relays: EndpointRelays<PeerView>
-  readonly #peerClients = new PeerClients()
-  readonly #peerServer: PeerServer
+  readonly #peerServices: PeerServices
   readonly #weightsState: WeightsState
   readonly #chooser: EndpointChooser
   readonly #endpointMonitor: EndpointMonitor
@@ -135,7 +125,7 @@
       onMark: received => this.#suspectTracker.applyMark(received),
       buildPartEvidence: () => this.#suspectTracker.buildPartEvidence(),
       onPartEvidence: received => this.#suspectTracker.applyPartEvidence(received),
-      onPoolVersions: row => this.#streamOrigins.applyPoolVersions(row),
+      onPoolVersions: row => this.#peerServices.streamOrigins.applyPoolVersions(row),
       onLimitReport: received => this.#endpointLimits.applyReport(received),
       onMarkEvicted: mark => this.#suspectTracker.handleMarkEvicted(mark),
       onUnwritten: (key, reason) => this.#recordUnwrittenRow(key, reason),
@@ -162,47 +152,22 @@
       announceReport: report => this.#roster.announceLimits(report)
     })
     this.#endpointPermits = new EndpointPermits({ endpointLimits: this.#endpointLimits, decisionLog: this.#decisionLog, countVms: () => this.#roster.countVms(), findEndpoint: endpoint => this.#endpointRegistry.find(endpoint), onLeaving: () => this.#chooser.rebuild() })
-    const streamStorage = { platform: dependencies.platform, decisionLog: this.#decisionLog, signal: this.#taskController.signal }
-    this.#streamRows = new StreamRows({
-      ...streamStorage,
-      vm: settings.vm,
-      incarnation: this.#incarnation,
-      metrics: this.#metrics,
-      randomizeDelayMs: meanMs => this.#randomizeDelayMs(meanMs),
-      isSweeper: () => this.#roster.isSharedWriter,
-      getRetentionMs: () => this.#computeStreamRetentionMs(),
-      onRestored: streams => this.#streamOrigins.applyRestored(streams)
-    })
-    this.#streamOrigins = new StreamOrigins({
+    this.#peerServices = new PeerServices({
+      platform: dependencies.platform,
       vm: settings.vm,
       dataCentre: settings.dataCentre,
+      incarnation: this.#incarnation,
       endpointRegistry: this.#endpointRegistry,
+      roster: this.#roster,
       decisionLog: this.#decisionLog,
-      streamRows: this.#streamRows,
-      streamRowReader: new StreamRowReader({ ...streamStorage, countVms: () => this.#roster.countVms() }),
+      metrics: this.#metrics,
       signal: this.#taskController.signal,
-      listPeers: () => this.#roster.listPeers(),
-      call: (view, method, params) => this.#peerClients.call(view, method, params),
-      getRetentionMs: () => this.#computeStreamRetentionMs(),
-      isVersionsWriter: () => this.#roster.isSharedWriter,
-      writePoolVersions: row => this.#roster.writePoolVersions(row),
-      getEndpointsAgeMs: () => this.#followers.endpoints.ageMs ?? Infinity
-    })
-    this.#relays = new EndpointRelays({
-      dataCentre: settings.dataCentre,
-      listReaches: () => listPoolReaches(this.#endpointRegistry),
-      computeReach: pool => computePoolReach(this.#endpointRegistry, pool),
-      listPeers: () => this.#roster.listPeers(),
-      askReach: view => this.#peerClients.call(view, 'endpoints.reach', {}),
+      randomizeDelayMs: meanMs => this.#randomizeDelayMs(meanMs),
+      getStreamRetentionMs: () => this.#computeStreamRetentionMs(),
+      getEndpointsAgeMs: () => this.#followers.endpoints.ageMs ?? Infinity,
       countRelayed: () => this.#requestHandler.relayedCount,
-      onFailed: (vm, reason) => this.#decisionLog.record({ type: 'relayFailed', vm, reason })
+      handleRelayed: (request, response, relayed) => this.#requestHandler.handleRelayed(request, response, relayed)
     })
-    this.#peerServer = new PeerServer({
-      'endpoints.reach': () => this.#relays.handleReach(),
-      'streams.record': params => this.#streamOrigins.handleRecord(params),
-      'streams.versions': params => this.#streamOrigins.handleVersions(params),
-      'streams.find': params => this.#streamOrigins.handleFind(params)
-    }, (request, response, relayed) => this.#requestHandler.handleRelayed(request, response, relayed))
     this.#weightsState = new WeightsState({ getMaxStaleMs: () => this.#settings.maxStaleWeightsMs - STALE_WEIGHTS_MARGIN_MS, holder: settings.vm, endpointRegistry: this.#endpointRegistry, roster: this.#roster, managementPort, tryTakePermit: record => this.#endpointPermits.tryTake(record), recordDecision: decision => this.#decisionLog.record(decision), onServedVersion: () => this.#chooser.rebuild() })
     this.#chooser = new EndpointChooser({
       dataCentre: settings.dataCentre,
@@ -241,7 +206,7 @@
       onEndpoints: update => this.#directoryUpdater.applyEndpoints(update),
       onRoster: update => {
         this.#roster.applyUpdate(update)
-        if (update.type === 'rows') this.#streamRows.rewrite()
+        if (update.type === 'rows') this.#peerServices.streamRows.rewrite()
         this.#quarantineLifts.applyUpdate(update)
         this.#retryBudget.updateShare(this.#settings, this.#roster.countVms())
         this.#endpointLimits.update(performance.now())
@@ -256,7 +221,20 @@
     this.#requestHandler = new CallerRequestHandler({ requestPlanner: this.#requestPlanner, flowDependencies: this.#flowDependencies })
     this.#callerServer = new CallerServer((request, response) => this.#requestHandler.handleRequest(request, response))
     this.#readiness = new Readiness({ configState: this.#configState, directoryUpdater: this.#directoryUpdater, rosterFollower: this.#followers.roster, keyFreshness: this.#keyFreshness, decisionLog: this.#decisionLog, isStopping: () => this.#isStopping })
-    this.#addGauges()
+    addGauges(this.#metrics, {
+      requestHandler: this.#requestHandler,
+      endpointRegistry: this.#endpointRegistry,
+      endpointMonitor: this.#endpointMonitor,
+      endpointLimits: this.#endpointLimits,
+      endpointPermits: this.#endpointPermits,
+      peerServices: this.#peerServices,
+      weightsState: this.#weightsState,
+      keyFreshness: this.#keyFreshness,
+      roster: this.#roster,
+      suspectTracker: this.#suspectTracker,
+      followers: this.#followers,
+      readiness: this.#readiness
+    })
   }
 
   /** Base URLs of the servers; null before the gateway listens. */
@@ -284,22 +262,22 @@
     const auxiliaryAddresses = await auxiliaryServers.start(settings.readiness, settings.metrics)
     this.#addresses = { callers: await this.#callerServer.start(settings.callers), ...auxiliaryAddresses }
     const taskController = this.#taskController
-    this.#roster.announceSelf(settings.peers === null ? null : await this.#peerServer.start(settings.peers))
+    this.#roster.announceSelf(settings.peers === null ? null : await this.#peerServices.start(settings.peers))
     const lease = { ...DEFAULT_WAVE_OPTIONS.lease, maxCommandMs: settings.leaseMs + DEFAULT_WAVE_OPTIONS.lease.guardMs }
     const waveTask = new WaveTask({ vm: settings.vm, incarnation: this.#incarnation, platform, ports: this.#weightsState.buildWavePorts(), log, options: { ...DEFAULT_WAVE_OPTIONS, lease } })
     const runningTasks = [
       this.#followers.run(taskController.signal),
       this.#endpointMonitor.run(taskController.signal),
       this.#kvStoreMonitor.run(taskController.signal),
-      this.#relays.run(taskController.signal),
-      this.#streamRows.restore(),
-      waveTask.run(taskController.signal, { isStopping: () => this.#isStopping, isOutreached: () => this.#relays.isOutreached }),
+      this.#peerServices.relays.run(taskController.signal),
+      this.#peerServices.streamRows.restore(),
+      waveTask.run(taskController.signal, { isStopping: () => this.#isStopping, isOutreached: () => this.#peerServices.relays.isOutreached }),
       runEvery(ROSTER_SWEEP_INTERVAL_MS, taskController.signal, () => this.#quarantineLifts.sweep()),
       runEvery(SWEEP_INTERVAL_MS, taskController.signal, () => {
         this.#endpointRegistry.removeExpired()
         this.#readiness.update()
-        this.#streamOrigins.updateVersions()
-        this.#streamRows.update()
+        this.#peerServices.streamOrigins.updateVersions()
+        this.#peerServices.streamRows.update()
         this.#endpointLimits.update(performance.now() - (this.#followers.roster.ageMs ?? Infinity))
       })
     ]
@@ -312,8 +290,7 @@
     await this.#roster.removeSelf()
     this.#callerServer.closeAllConnections()
     await auxiliaryServers.close()
-    await this.#peerServer.close()
-    this.#peerClients.close()
+    await this.#peerServices.close()
     this.#agent.destroy()
     this.#decisionLog.record({ type: 'stopped', vm: settings.vm, inFlight: this.#requestHandler.inFlight })
   }
@@ -329,8 +306,8 @@
       endpointLimits: this.#endpointLimits,
       endpointPermits: this.#endpointPermits,
       permitQueue: new PermitQueue(),
-      streamOrigins: this.#streamOrigins,
-      relays: this.#relays,
+      streamOrigins: this.#peerServices.streamOrigins,
+      relays: this.#peerServices.relays,
       metrics: this.#metrics,
       decisionLog: this.#decisionLog,
       log: this.#dependencies.log,
@@ -362,7 +339,7 @@
 
   #handleEndpointsChanged (): void {
     this.#chooser.rebuild()
-    this.#streamOrigins.updateVersions()
+    this.#peerServices.streamOrigins.updateVersions()
   }
 
   /** A caller takes up a stream again within the time that it waits in all. */
@@ -375,22 +352,4 @@
     this.#metrics.recordUnwrittenRow()
     this.#decisionLog.record({ type: 'rowUnwritten', key, reason })
   }
-
-  #addGauges (): void {
-    this.#metrics.addGauge('requests_in_flight', 'Requests under way.', () => this.#requestHandler.inFlight)
-    this.#metrics.addGauge('endpoints', 'Endpoints known.', () => this.#endpointRegistry.size)
-    this.#metrics.addGauge('endpoints_out', 'Endpoints left out because they do not answer.', () => this.#endpointMonitor.excludedCount)
-    this.#metrics.addGauge('endpoints_reached', 'Endpoints that this VM reaches.', () => this.#endpointRegistry.list().filter(record => record.isReached).length)
-    this.#metrics.addGauge('endpoints_limited', 'Endpoints that state a rate limit.', () => this.#endpointLimits.count)
-    this.#metrics.addGauge('endpoints_backing_off', 'Endpoints that asked this VM to back off.', () => this.#endpointPermits.backoffCount)
-    this.#metrics.addGauge('stream_origins', 'Streams whose software version this VM knows.', () => this.#streamOrigins.count)
-    this.#metrics.addGauge('stored_streams', 'Streams in this VM\'s rows.', () => this.#streamRows.count)
-    this.#metrics.addGauge('endpoints_loading', 'Endpoints that load weights.', () => this.#weightsState.listLoadingEndpoints().size)
-    this.#metrics.addGauge('keys_age_seconds', 'Age of the operator\'s rows.', () => Math.min(this.#keyFreshness.ageMs, Number.MAX_SAFE_INTEGER) / 1_000)
-    this.#metrics.addGauge('vms', 'VMs that may be running.', () => this.#roster.countVms())
-    this.#metrics.addGauge('suspect_requests', 'Requests held as suspect, quarantined or recently cleared.', () => this.#suspectTracker.requestCount)
-    this.#metrics.addGauge('part_quarantines', 'Quarantines of prompt parts in force.', () => this.#suspectTracker.partQuarantineCount)
-    this.#metrics.addGauge('roster_age_seconds', 'Time since the VM roster and the marks of other VMs were last read.', () => (this.#followers.roster.ageMs ?? Number.MAX_SAFE_INTEGER) / 1_000)
-    this.#metrics.addGauge('ready', 'Whether this VM wants callers.', () => this.isReady ? 1 : 0)
-  }
 }
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/records/addGauges.ts
@@ -0,0 +1,50 @@
+import type { CallerRequestHandler } from '../callers/callerRequestHandler.ts'
+import type { KeyFreshness } from '../directory/keyFreshness.ts'
+import type { Readiness } from '../directory/readiness.ts'
+import type { SuspectTracker } from '../directory/suspectTracker.ts'
+import type { TableFollowers } from '../directory/tableFollowers.ts'
+import type { VmRoster } from '../directory/vmRoster.ts'
+import type { EndpointLimits } from '../endpoints/endpointLimits.ts'
+import type { EndpointMonitor } from '../endpoints/endpointMonitor.ts'
+import type { EndpointPermits } from '../endpoints/endpointPermits.ts'
+import type { EndpointRegistry } from '../endpoints/endpointRegistry.ts'
+import type { PeerServices } from '../peers/peerServices.ts'
+import type { WeightsState } from '../weights/weightsState.ts'
+import type { GatewayMetrics } from './gatewayMetrics.ts'
+
+const MS_PER_SECOND = 1_000
+
+/** The parts of a gateway whose state gauges show. */
+export interface GaugeSources {
+  requestHandler: CallerRequestHandler
+  endpointRegistry: EndpointRegistry
+  endpointMonitor: EndpointMonitor
+  endpointLimits: EndpointLimits
+  endpointPermits: EndpointPermits
+  peerServices: PeerServices
+  weightsState: WeightsState
+  keyFreshness: KeyFreshness
+  roster: VmRoster
+  suspectTracker: SuspectTracker
+  followers: TableFollowers
+  readiness: Readiness
+}
+
+/** Adds the gauges of a gateway's state to its metrics. */
+export function addGauges (metrics: GatewayMetrics, { requestHandler, endpointRegistry, endpointMonitor, endpointLimits, endpointPermits, peerServices, weightsState, keyFreshness, roster, suspectTracker, followers, readiness }: GaugeSources): void {
+  metrics.addGauge('requests_in_flight', 'Requests under way.', () => requestHandler.inFlight)
+  metrics.addGauge('endpoints', 'Endpoints known.', () => endpointRegistry.size)
+  metrics.addGauge('endpoints_out', 'Endpoints left out because they do not answer.', () => endpointMonitor.excludedCount)
+  metrics.addGauge('endpoints_reached', 'Endpoints that this VM reaches.', () => endpointRegistry.list().filter(record => record.isReached).length)
+  metrics.addGauge('endpoints_limited', 'Endpoints that state a rate limit.', () => endpointLimits.count)
+  metrics.addGauge('endpoints_backing_off', 'Endpoints that asked this VM to back off.', () => endpointPermits.backoffCount)
+  metrics.addGauge('stream_origins', 'Streams whose software version this VM knows.', () => peerServices.streamOrigins.count)
+  metrics.addGauge('stored_streams', 'Streams in this VM\'s rows.', () => peerServices.streamRows.count)
+  metrics.addGauge('endpoints_loading', 'Endpoints that load weights.', () => weightsState.listLoadingEndpoints().size)
+  metrics.addGauge('keys_age_seconds', 'Age of the operator\'s rows.', () => Math.min(keyFreshness.ageMs, Number.MAX_SAFE_INTEGER) / MS_PER_SECOND)
+  metrics.addGauge('vms', 'VMs that may be running.', () => roster.countVms())
+  metrics.addGauge('suspect_requests', 'Requests held as suspect, quarantined or recently cleared.', () => suspectTracker.requestCount)
+  metrics.addGauge('part_quarantines', 'Quarantines of prompt parts in force.', () => suspectTracker.partQuarantineCount)
+  metrics.addGauge('roster_age_seconds', 'Time since the VM roster and the marks of other VMs were last read.', () => (followers.roster.ageMs ?? Number.MAX_SAFE_INTEGER) / MS_PER_SECOND)
+  metrics.addGauge('ready', 'Whether this VM wants callers.', () => readiness.isReady ? 1 : 0)
+}
