--- a/packages/knapweedshunt-attempts/src/__tests__/settledVersions.test.ts
+++ b/packages/knapweedshunt-attempts/src/__tests__/settledVersions.test.ts
@@ -1,20 +1,12 @@
-import { install } from '@sinonjs/fake-timers'
 import test from 'ava'
 import { PoolVersionHistory } from '../poolVersionHistory.ts'
 import { SettledVersions } from '../settledVersions.ts'
+import { runWithClock } from './runWithClock.ts'
 
 const SETTLE_MS = 4_000
 const RETENTION_MS = 10_000
 
-function runWithClock (run: (tick: (ms: number) => void) => void): void {
-  const clock = install()
-  try {
-    run(ms => { clock.tick(ms) })
-  } finally {
-    clock.uninstall()
-  }
-}
-
+// Guards against a version that counts as settled before reads have shown it for long enough, or still after it has left.
 test.serial('a version is settled once reads of the table have shown it for long enough', t => {
   runWithClock(tick => {
     const settled = new SettledVersions(SETTLE_MS)
@@ -30,6 +22,7 @@
   })
 })
 
+// Guards against a VM that waits anew for versions which others have observed, or that takes them for settled without a read of its own.
 test.serial('a version that others have observed for long enough is settled with the first read that shows it', t => {
   runWithClock(tick => {
     tick(SETTLE_MS)
--- a/packages/knapweedshunt-attempts/src/__tests__/streamSegments.test.ts
+++ b/packages/knapweedshunt-attempts/src/__tests__/streamSegments.test.ts
@@ -1,17 +1,12 @@
-import { install } from '@sinonjs/fake-timers'
 import test from 'ava'
 import { StreamSegments } from '../streamSegments.ts'
+import { runWithClock } from './runWithClock.ts'
 
 const RETENTION_MS = 8_000
 
 function runWithSegments (run: (segments: StreamSegments, tick: (ms: number) => void, evicted: number[]) => void): void {
-  const clock = install()
   const evicted: number[] = []
-  try {
-    run(new StreamSegments({ idPrefix: 'vm/1/', getRetentionMs: () => RETENTION_MS, onEvicted: count => evicted.push(count) }), ms => { clock.tick(ms) }, evicted)
-  } finally {
-    clock.uninstall()
-  }
+  runWithClock(tick => run(new StreamSegments({ idPrefix: 'vm/1/', getRetentionMs: () => RETENTION_MS, onEvicted: count => evicted.push(count) }), tick, evicted))
 }
 
 function buildStream (n: number) {
--- a/packages/knapweedshunt-attempts/src/__tests__/streamVersions.test.ts
+++ b/packages/knapweedshunt-attempts/src/__tests__/streamVersions.test.ts
@@ -1,20 +1,11 @@
-import { install } from '@sinonjs/fake-timers'
 import test from 'ava'
 import { PoolVersionHistory } from '../poolVersionHistory.ts'
 import { selectStreamHolders } from '../selectStreamHolders.ts'
 import { computeStreamKey, StreamVersionTable } from '../streamVersionTable.ts'
+import { runWithClock } from './runWithClock.ts'
 
 const RETENTION_MS = 10_000
 
-function runWithClock (run: (tick: (ms: number) => void) => void): void {
-  const clock = install()
-  try {
-    run(ms => { clock.tick(ms) })
-  } finally {
-    clock.uninstall()
-  }
-}
-
 test.serial('the version that began a stream is known until no caller takes it up again', t => {
   runWithClock(tick => {
     const table = new StreamVersionTable(() => RETENTION_MS)
