--- a/packages/knapweedshunt-quickstart/src/__tests__/hotelResources.ts
+++ b/packages/knapweedshunt-quickstart/src/__tests__/hotelResources.ts
@@ -6,6 +6,9 @@
 /** Model of the default pool, `language`. */
 export const MODEL = 'house-rules'
 
+/** Long enough that prefix-cache hits decide the placement. */
+export const PROMPT = 'The lift rules of the house. '.repeat(60)
+
 /** Builds the organisation, access key and priority class of a hotel. */
 export function buildHotelResources (): unknown[] {
   return [
--- a/packages/knapweedshunt-quickstart/src/__tests__/routerRelays.test.ts
+++ b/packages/knapweedshunt-quickstart/src/__tests__/routerRelays.test.ts
@@ -2,24 +2,16 @@
 import http from 'node:http'
 import { RELAY_HEADER } from 'knapweedshunt-membership'
 import { encodeJsonHeader, readBody, requestJson } from 'knapweedshunt-utils'
-import { ACCESS_KEY, MODEL } from './hotelResources.ts'
-import { HARNESS_PEER_KEY, startRouterHarness } from './startRouterHarness.ts'
-import type { RouterHarness, RouterHarnessOptions } from './startRouterHarness.ts'
+import { ACCESS_KEY, MODEL, PROMPT } from './hotelResources.ts'
+import { runWithHarness } from './runWithHarness.ts'
+import { sendAndLeave } from './sendAndLeave.ts'
+import { HARNESS_PEER_KEY } from './startRouterHarness.ts'
+import type { RouterHarness } from './startRouterHarness.ts'
 import { waitUntil } from './waitUntil.ts'
 
-const PROMPT = 'The lift rules of the house. '.repeat(60)
 const LONG_TOKENS = 60
 const TIMEOUT_MS = 20_000
 
-async function runWithHarness (options: RouterHarnessOptions, run: (harness: RouterHarness) => Promise<void>): Promise<void> {
-  const harness = await startRouterHarness(options)
-  try {
-    await run(harness)
-  } finally {
-    await harness.stop()
-  }
-}
-
 function countStarted (harness: RouterHarness): number {
   return harness.engines.reduce((sum, engine) => sum + engine.state.started, 0)
 }
@@ -110,6 +102,7 @@
   })
 })
 
+// Guards against a request that is said to have run although no engine was asked.
 test('a request is refused as not run when no router reaches an engine', async t => {
   await runWithHarness({ engines: 3, routers: 3 }, async harness => {
     for (const router of [0, 1, 2]) harness.cutOff(router)
@@ -122,6 +115,7 @@
   })
 })
 
+// Guards against a relayed stream that breaks off as its router stops, and against new ones that fail there.
 test('a stopping router completes what others relayed to it, and the next requests go to another', async t => {
   await runWithHarness({ engines: 3, routers: 3, engine: { tokenMs: 5 } }, async harness => {
     const texts = await readTexts(harness, 1, LONG_TOKENS)
@@ -141,13 +135,11 @@
   })
 })
 
+// Guards against an engine that stays at work, and places that stay taken, after the caller of a relayed request has left.
 test('a caller who leaves ends the request at the other router', async t => {
   await runWithHarness({ engines: 1, routers: 2, engine: { tokenMs: 5 }, timeoutMs: 120_000 }, async harness => {
     harness.cutOff(0)
-    const request = http.request(`${harness.routers[0].callerUrl}/v1/completions`, { method: 'POST', headers: { authorization: `Bearer ${ACCESS_KEY}` } })
-    request.on('error', () => {})
-    request.once('response', message => message.once('data', () => request.destroy()))
-    request.end(JSON.stringify({ model: MODEL, prompt: PROMPT, stream: true, max_tokens: 100_000 }))
+    sendAndLeave(harness)
     await waitUntil(() => harness.engines[0].state.running === 1)
     await waitUntil(() => harness.engines[0].state.running === 0)
     for (const { dataPath } of harness.routers) {
--- a/packages/knapweedshunt-quickstart/src/__tests__/streamTokens.test.ts
+++ b/packages/knapweedshunt-quickstart/src/__tests__/streamTokens.test.ts
@@ -3,14 +3,11 @@
 import { startFakeEngine } from 'knapweedshunt-fakes'
 import { callCompletion } from 'knapweedshunt-load'
 import { startDeployment } from '../startDeployment.ts'
-import { ACCESS_KEY, buildEnginePoolResources, buildHotelResources, MODEL } from './hotelResources.ts'
-import { startRouterHarness } from './startRouterHarness.ts'
+import { ACCESS_KEY, buildEnginePoolResources, buildHotelResources, MODEL, PROMPT } from './hotelResources.ts'
+import { runWithHarness } from './runWithHarness.ts'
 import type { RouterHarness, RouterHarnessOptions } from './startRouterHarness.ts'
 import { WAIT_TIMEOUT_MS, waitUntil } from './waitUntil.ts'
 
-/** Long enough that prefix-cache hits decide the placement. */
-const PROMPT = 'The lift rules of the house. '.repeat(60)
-
 interface BegunStream {
   texts: string[]
   token: string
@@ -18,13 +15,8 @@
   engineIndex: number
 }
 
-async function runWithHarness (options: RouterHarnessOptions, run: (harness: RouterHarness, stream: BegunStream) => Promise<void>): Promise<void> {
-  const harness = await startRouterHarness(options)
-  try {
-    await run(harness, await beginStream(harness))
-  } finally {
-    await harness.stop()
-  }
+async function runWithStream (options: RouterHarnessOptions, run: (harness: RouterHarness, stream: BegunStream) => Promise<void>): Promise<void> {
+  await runWithHarness(options, async harness => await run(harness, await beginStream(harness)))
 }
 
 async function beginStream (harness: RouterHarness): Promise<BegunStream> {
@@ -40,7 +32,7 @@
 
 // Guards against streams that are refused, or go on at another version, because no router remembers what began them.
 test('after a restart of all routers a stream goes on at its software version only', async t => {
-  await runWithHarness({ engines: 3, routers: 2 }, async (harness, { texts, token, engineIndex }) => {
+  await runWithStream({ engines: 3, routers: 2 }, async (harness, { texts, token, engineIndex }) => {
     harness.engines[engineIndex].state.faults.softwareVersion = 'v2'
     await harness.restartRouters()
     const resumed = await resume(harness, 1, token)
@@ -53,7 +45,7 @@
 
 // Guards against a guess by routers that have heard of no version yet.
 test('after a restart of all routers a number alone resumes nothing until versions are known', async t => {
-  await runWithHarness({ engines: 3, routers: 2 }, async (harness, { texts }) => {
+  await runWithStream({ engines: 3, routers: 2 }, async (harness, { texts }) => {
     const headers = { 'last-event-id': '6' }
     await harness.restartRouters()
     const received = harness.engines.map(engine => engine.state.received)
@@ -68,7 +60,7 @@
 
 // Guards against a token that is believed without a check.
 test('a forged token counts as none', async t => {
-  await runWithHarness({ engines: 3, routers: 2 }, async (harness, { token, engineIndex }) => {
+  await runWithStream({ engines: 3, routers: 2 }, async (harness, { token, engineIndex }) => {
     for (const [i, engine] of harness.engines.entries()) if (i !== engineIndex) engine.state.faults.softwareVersion = 'v2'
     harness.pushSnapshot({ [`language-${engineIndex + 1}`]: 'dead' })
     t.is((await harness.requestCompletion(PROMPT, 0)).type, 'answered')
@@ -84,15 +76,16 @@
 
 // Guards against a stream that is begun anew, or continued, by other weights after a roll-out.
 test('a caller that resumes after a roll-out is told that the weights changed', async t => {
-  await runWithHarness({ engines: 2, routers: 2 }, async (harness, { token }) => {
+  await runWithStream({ engines: 2, routers: 2 }, async (harness, { token }) => {
     for (const engine of harness.engines) engine.state.weightsVersion = 'w2'
     const result = await resume(harness, 1, token)
     t.is(result.type === 'refused' && result.code, 'weights_changed')
   })
 })
 
+// Guards against a new stream that is refused because its caller still holds the token of another.
 test('a token without an event id begins a new stream', async t => {
-  await runWithHarness({ engines: 2 }, async (harness, { texts, token }) => {
+  await runWithStream({ engines: 2 }, async (harness, { texts, token }) => {
     for (const engine of harness.engines) engine.state.faults.softwareVersion = 'v2'
     const result = await harness.requestCompletion(PROMPT, 0, { headers: { 'x-stream-token': token } })
     t.deepEqual(result.type === 'answered' && result.texts, texts)
