--- a/packages/knapweedshunt-gateway/src/__tests__/simulatedFleet.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/simulatedFleet.ts
@@ -1,43 +1,22 @@
-import { CrashingPartDetector, SuspectRegistry } from 'knapweedshunt-attempts'
-import type { QuarantineLift, QuarantineTarget, SuspectMark } from 'knapweedshunt-attempts'
-import { MemoryFeed, MemoryPlatform, MemoryTables } from 'knapweedshunt-fakes'
+import type { QuarantineLift, QuarantineTarget } from 'knapweedshunt-attempts'
+import { MemoryPlatform, MemoryTables } from 'knapweedshunt-fakes'
 import type { TablesCopy } from 'knapweedshunt-fakes'
-import { runEvery } from 'knapweedshunt-utils'
-import { DEFAULT_GUARDED_PLATFORM_OPTIONS, DEFAULT_TABLE_FOLLOWER_OPTIONS, GuardedPlatform, TableFollower } from 'knapweedshunt-platform'
-import { QuarantineLifts } from '../directory/quarantineLifts.ts'
-import { SUSPECT_OPTIONS } from '../directory/suspectOptions.ts'
 import { ROSTER_KEY, ROSTER_TABLE } from '../directory/rosterRows.ts'
-import { ROSTER_POLL_WAIT_MS, VmRoster } from '../directory/vmRoster.ts'
 import { liftQuarantine } from '../quarantines/liftQuarantine.ts'
+import { CRASHING, CRASHING_PART, SimulatedVm } from './simulatedVm.ts'
 
 /** Time without a disturbance after which a VM, or the store, counts as undisturbed, in milliseconds. */
 export const STABLE_MS = 3_000
 
-const LOG = { debug () {}, info () {}, warn () {}, error () {} }
-
 /** Time from sending a request until its endpoint has crashed, in milliseconds. */
 const CRASH_DELAY_MS = 20
 
-/** Fingerprint of the request that crashes endpoints. */
-const CRASHING = 'c4a5'.repeat(16)
-
-/** Part of prompts that crashes endpoints. */
-const CRASHING_PART = 'bad'
-
 /** Number of parts that sound requests share beside the first. */
 const SECOND_PARTS = 12
 
-/** Time for which cleared parts are gathered before they are announced, in milliseconds. */
-const CLEARING_DELAY_MS = 500
-
 /** Interval of the sound requests of each VM, in milliseconds. */
 const SOUND_INTERVAL_MS = 100
 
-const STORE_TIMEOUT_MS = 700
-
-/** Interval at which VMs write again what the store has lost, in milliseconds. */
-const SWEEP_INTERVAL_MS = 2_000
-
 /** Number of crashes that a quarantine takes. */
 const MIN_CRASHES = 3
 
@@ -47,99 +26,6 @@
 /** Time after a lift up to which a crash may be taken for an earlier one, in milliseconds. */
 const LIFT_TOLERANCE_MS = 5_000
 
-/** One VM with its own view of the shared store. */
-class SimulatedVm {
-  readonly platform: MemoryPlatform
-  readonly feed: MemoryFeed
-  readonly registry = new SuspectRegistry(SUSPECT_OPTIONS)
-  readonly partDetector = new CrashingPartDetector()
-  readonly roster: VmRoster
-  readonly lifts: QuarantineLifts
-  readonly learntLiftTimes = new Set<number>()
-  readonly #abort = new AbortController()
-
-  constructor (tables: MemoryTables, name: string, incarnation: number) {
-    this.platform = new MemoryPlatform(tables)
-    this.feed = new MemoryFeed(tables)
-    const guarded = new GuardedPlatform(this.platform, { ...DEFAULT_GUARDED_PLATFORM_OPTIONS, timeoutMs: STORE_TIMEOUT_MS, seed: incarnation })
-    this.roster = new VmRoster({
-      platform: guarded,
-      self: { vm: name, incarnation: `${name}@${incarnation}`, dataCentre: 'z' },
-      log: LOG,
-      signal: this.#abort.signal,
-      onMark: ({ mark, ageMs }) => this.registry.applyMark(mark, ageMs),
-      buildPartEvidence: () => this.partDetector.buildEvidence(),
-      onPartEvidence: ({ evidence, ageMs, isOwn }) => { this.partDetector.applyEvidence(evidence, ageMs, isOwn) },
-      onLimitReport: () => {},
-      onPoolVersions: () => {},
-      onMarkEvicted: () => {},
-      onUnwritten: () => {},
-      onUnreadable: () => {},
-      onWaveNotice: () => {}
-    })
-    this.lifts = new QuarantineLifts({
-      platform: guarded,
-      isSharedWriter: () => this.roster.isSharedWriter,
-      onLift: ({ lift: { atMs, target }, liftedAtMs }) => {
-        this.learntLiftTimes.add(atMs)
-        this.#applyLift(target, liftedAtMs)
-      },
-      onLost: () => {},
-      onUnreadable: () => {},
-      onUnwritten: () => {}
-    })
-    runEvery(SWEEP_INTERVAL_MS, this.#abort.signal, () => this.lifts.sweep()).catch(() => {})
-    const follower = new TableFollower(this.feed, { ...DEFAULT_TABLE_FOLLOWER_OPTIONS, table: ROSTER_TABLE, waitMs: ROSTER_POLL_WAIT_MS, seed: incarnation }, LOG, update => {
-      this.roster.applyUpdate(update)
-      this.lifts.applyUpdate(update)
-    })
-    follower.run(this.#abort.signal).catch(() => {})
-    this.roster.announceSelf(null)
-  }
-
-  /** Whether the VM refuses the crashing request, or requests with the crashing part. */
-  isRefusingLifted (): boolean {
-    return this.registry.check(CRASHING).type === 'quarantined' || this.partDetector.check(['first', CRASHING_PART]).type === 'quarantined'
-  }
-
-  recordCrash (fingerprint: string, endpoint: string, startedAtMs: number): void {
-    this.#announce(this.registry.recordCrash(fingerprint, endpoint, startedAtMs))
-  }
-
-  recordSuccess (fingerprint: string): void {
-    const cleared = this.registry.recordSuccess(fingerprint)
-    if (cleared !== null) this.#announce(cleared)
-  }
-
-  recordPartCrash (parts: string[], endpoint: string, startedAtMs: number): void {
-    this.partDetector.recordCrash(parts, endpoint, startedAtMs)
-    this.roster.announceParts()
-  }
-
-  recordPartsServed (parts: string[]): void {
-    if (this.partDetector.recordServed(parts).isAnnounced) setTimeout(() => this.roster.announceParts(), CLEARING_DELAY_MS)
-  }
-
-  #applyLift (target: QuarantineTarget, liftedAtMs: number): void {
-    if (target.type === 'request') {
-      for (const fingerprint of this.registry.lift(target.fingerprint, liftedAtMs)) if (this.registry.check(fingerprint).type === 'clear') this.roster.removeMark(fingerprint)
-      return
-    }
-    const { quarantines, reportCount } = this.partDetector.lift(target.part, liftedAtMs)
-    if (quarantines.length > 0 || reportCount > 0) this.roster.announceParts()
-  }
-
-  stop (): void {
-    this.#abort.abort()
-    this.feed.faults.isSilent = true
-    this.platform.faults.silent = true
-  }
-
-  #announce (mark: SuspectMark): void {
-    this.roster.announceMark(mark)
-  }
-}
-
 /** VMs that share marks of suspect requests through one store, with faults; runs under the fake clock. */
 export class SimulatedFleet {
   readonly tables = new MemoryTables()
@@ -279,17 +165,17 @@
 
   /** The store answers no VM for a time, either at once with an error or not at all. */
   stopStore (durationMs: number, isSilent: boolean): void {
-    this.vms.forEach(vm => setStoreFault(vm, true, isSilent))
+    this.vms.forEach(vm => vm.setStoreFault(true, isSilent))
     this.#storeDisturbedAtMs = Math.max(this.#storeDisturbedAtMs, performance.now() + durationMs)
-    setTimeout(() => this.vms.forEach(vm => setStoreFault(vm, false, isSilent)), durationMs)
+    setTimeout(() => this.vms.forEach(vm => vm.setStoreFault(false, isSilent)), durationMs)
   }
 
   /** One VM does not reach the store for a time. */
   disconnect (i: number, durationMs: number): void {
     const vm = this.vms[i]
-    setStoreFault(vm, true, true)
+    vm.setStoreFault(true, true)
     this.#disturbedAtMs[i] = Math.max(this.#disturbedAtMs[i], performance.now() + durationMs)
-    setTimeout(() => { if (this.vms[i] === vm) setStoreFault(vm, false, true) }, durationMs)
+    setTimeout(() => { if (this.vms[i] === vm) vm.setStoreFault(false, true) }, durationMs)
   }
 
   /** Open connections of all VMs to the store go silent; new ones work. */
@@ -333,8 +219,3 @@
     return performance.now() > Math.max(this.#storeDisturbedAtMs, this.#disturbedAtMs[i]) + STABLE_MS
   }
 }
-
-function setStoreFault (vm: SimulatedVm, isActive: boolean, isSilent: boolean): void {
-  vm.platform.faults[isSilent ? 'silent' : 'down'] = isActive
-  vm.feed.faults[isSilent ? 'isSilent' : 'isDown'] = isActive
-}
