--- a/packages/knapweedshunt-attempts/src/attemptStateMachine.ts
+++ b/packages/knapweedshunt-attempts/src/attemptStateMachine.ts
@@ -1,9 +1,9 @@
-import type { AttemptId, EndpointName, ExecutionState, WeightsVersion } from 'knapweedshunt-types'
-import { createRng } from 'knapweedshunt-utils'
-import type { Rng } from 'knapweedshunt-utils'
+import type { AttemptId, EndpointName, ExecutionState } from 'knapweedshunt-types'
 import type { AttemptOptions } from './attemptOptions.ts'
 import type { AttemptAction, AttemptEvent, AttemptFailureReason, FailureCode, Usage } from './attemptTypes.ts'
-import type { LiveAttempt } from './liveAttempt.ts'
+import { DeliveredTokens } from './deliveredTokens.ts'
+import { LiveAttempts } from './liveAttempts.ts'
+import { RetryDelays } from './retryDelays.ts'
 import type { StreamVersions } from './streamVersions.ts'
 import type { TakeRetryPermit } from './takeRetryPermit.ts'
 
@@ -19,33 +19,26 @@
 export class AttemptStateMachine {
   readonly #options: AttemptOptions
   readonly #takePermit: TakeRetryPermit
-  readonly #rng: Rng
-  readonly #liveAttempts = new Map<AttemptId, LiveAttempt>()
-  /** Live attempts that are silent and go on while another endpoint is asked. */
-  readonly #stalledAttempts = new Set<AttemptId>()
+  readonly #retryDelays: RetryDelays
+  readonly #liveAttempts = new LiveAttempts()
+  readonly #deliveredTokens: DeliveredTokens
   readonly #excludedEndpoints = new Set<EndpointName>()
   #createdCount = 0
   #placedCount = 0
-  #retryCount = 0
   #isSent = false
-  #nextToken: number
-  #weightsVersion: WeightsVersion = ''
-  #softwareVersion = ''
   #usage: Usage | null = null
   #isOver = false
 
   constructor (options: AttemptOptions, takePermit: TakeRetryPermit) {
     this.#options = options
     this.#takePermit = takePermit
-    this.#rng = createRng(options.seed)
-    this.#nextToken = options.resumeFrom
-    this.#weightsVersion = options.origin?.weightsVersion ?? ''
-    this.#softwareVersion = options.origin?.softwareVersion ?? ''
+    this.#retryDelays = new RetryDelays(options)
+    this.#deliveredTokens = new DeliveredTokens(options.resumeFrom, options.origin)
   }
 
   /** What began the stream, as far as it is known. */
   get versions (): StreamVersions {
-    return { softwareVersion: this.#softwareVersion, weightsVersion: this.#weightsVersion }
+    return this.#deliveredTokens.versions
   }
 
   /** Returns the first actions: placement of an attempt, and the timer of a hedge. */
@@ -57,8 +50,7 @@
 
   /** Applies an event and returns the resulting actions. Ignores events of attempts that have ended. */
   handleEvent (event: AttemptEvent): AttemptAction[] {
-    if (this.#isOver) return []
-    if ('attempt' in event && !this.#liveAttempts.has(event.attempt)) return []
+    if (this.#isOver || ('attempt' in event && !this.#liveAttempts.has(event.attempt))) return []
     return this.#handleEvent(event)
   }
 
@@ -86,7 +78,7 @@
   }
 
   #handlePlaced ({ attempt, endpoint, incarnation }: EventOf<'placed'>): AttemptAction[] {
-    this.#liveAttempts.set(attempt, { attempt, endpoint, incarnation, weightsVersion: '', softwareVersion: '' })
+    this.#liveAttempts.update({ attempt, endpoint, incarnation, weightsVersion: '', softwareVersion: '' })
     this.#excludedEndpoints.add(endpoint)
     this.#placedCount++
     return []
@@ -95,21 +87,19 @@
   /** Moves on when the engine has other weights or another software version than those that produced the tokens before, in this response or in an earlier one, since its tokens would not continue them. */
   #handleHead ({ attempt, incarnation, weightsVersion, softwareVersion }: EventOf<'head'>): AttemptAction[] {
     this.#isSent = true
-    const live = this.#liveAttempts.get(attempt)!
-    this.#liveAttempts.set(attempt, { ...live, incarnation: incarnation || live.incarnation, weightsVersion, softwareVersion })
-    if (isOther(weightsVersion, this.#weightsVersion)) return [{ type: 'cancel', attempt }, ...this.#moveToNextEndpoint(attempt, 'weights_changed')]
-    return isOther(softwareVersion, this.#softwareVersion) ? [{ type: 'cancel', attempt }, ...this.#moveToNextEndpoint(attempt, 'software_changed')] : []
+    const live = this.#liveAttempts.get(attempt)
+    this.#liveAttempts.update({ ...live, incarnation: incarnation || live.incarnation, weightsVersion, softwareVersion })
+    const change = this.#deliveredTokens.findChange({ weightsVersion, softwareVersion })
+    return change === null ? [] : [{ type: 'cancel', attempt }, ...this.#moveToNextEndpoint(attempt, change)]
   }
 
   #handleToken ({ attempt, n, text }: EventOf<'token'>): AttemptAction[] {
-    if (n < this.#nextToken) return []
-    if (n > this.#nextToken || !Number.isSafeInteger(n)) return this.#handleLostAttempt(attempt, [{ type: 'cancel', attempt }])
-    this.#nextToken++
-    this.#stalledAttempts.delete(attempt)
-    const { weightsVersion, softwareVersion } = this.#liveAttempts.get(attempt)!
-    this.#weightsVersion ||= weightsVersion
-    this.#softwareVersion ||= softwareVersion
-    return [...this.#cancelOthers(attempt), { type: 'deliver', n, text }]
+    const { next } = this.#deliveredTokens
+    if (n < next) return []
+    if (n > next || !Number.isSafeInteger(n)) return this.#handleLostAttempt(attempt, [{ type: 'cancel', attempt }])
+    this.#liveAttempts.setStalled(attempt, false)
+    this.#deliveredTokens.record(this.#liveAttempts.get(attempt))
+    return [...buildCancels(this.#liveAttempts.takeOthers(attempt)), { type: 'deliver', n, text }]
   }
 
   #recordUsage (usage: Usage): AttemptAction[] {
@@ -119,8 +109,7 @@
 
   /** Finishes the request. A stream that ends without usage, or with fewer tokens than its usage counts, was truncated. */
   #handleEnd (attempt: AttemptId): AttemptAction[] {
-    const isComplete = this.#usage !== null && this.#usage.completionTokens <= this.#nextToken
-    if (!isComplete) return this.#handleLostAttempt(attempt, [])
+    if (!this.#deliveredTokens.isComplete(this.#usage)) return this.#handleLostAttempt(attempt, [])
     return this.#endRequest([{ type: 'finish', usage: this.#usage }])
   }
 
@@ -132,7 +121,7 @@
 
   /** Fails the request with the engine's error: it concerns the request itself, so another endpoint would return it too. */
   #forwardRejection (attempt: AttemptId, message: string): AttemptAction[] {
-    this.#liveAttempts.delete(attempt)
+    this.#liveAttempts.remove(attempt)
     return this.#endRequest([{ type: 'fail', code: 'endpoint_rejected', ran: this.#getRan(), retryAfterMs: null, message }])
   }
 
@@ -144,20 +133,17 @@
   }
 
   #handleBroken (attempt: AttemptId, reason: AttemptFailureReason): AttemptAction[] {
-    const { endpoint } = this.#liveAttempts.get(attempt)!
+    const { endpoint } = this.#liveAttempts.get(attempt)
     // An endpoint that was silent before it was lost need not have crashed under this request.
-    const isCrash = endpoint !== null && (reason === 'reset' || reason === 'lost') && !this.#stalledAttempts.has(attempt)
+    const isCrash = endpoint !== null && (reason === 'reset' || reason === 'lost') && !this.#liveAttempts.isStalled(attempt)
     return this.#handleLostAttempt(attempt, isCrash ? [{ type: 'crashed', attempt, endpoint }] : [{ type: 'cancel', attempt }])
   }
 
   /** Asks another endpoint too: the stalled attempt goes on until the other one has delivered a token. Of two that stall, the newer is replaced. */
   #handleStalled (attempt: AttemptId): AttemptAction[] {
     this.#isSent = true
-    this.#stalledAttempts.add(attempt)
-    if (!this.#hasOnlyStalled()) return []
-    const newer = [...this.#liveAttempts.keys()].slice(1)
-    for (const other of newer) this.#liveAttempts.delete(other)
-    return [...newer.map<AttemptAction>(other => ({ type: 'cancel', attempt: other })), ...this.#askAnother()]
+    this.#liveAttempts.setStalled(attempt, true)
+    return this.#liveAttempts.hasOnlyStalled ? [...buildCancels(this.#liveAttempts.takeNewer()), ...this.#askAnother()] : []
   }
 
   /** Places an attempt beside a stalled one, if that is allowed. */
@@ -172,8 +158,7 @@
   }
 
   #retry (): AttemptAction[] {
-    if (!this.#options.repeatable) return this.#fail('endpoint_failed')
-    if (!this.#hasAttemptsLeft()) return this.#fail('endpoint_failed')
+    if (!this.#options.repeatable || !this.#hasAttemptsLeft()) return this.#fail('endpoint_failed')
     return this.#takePermit() ? this.#placeAfterBackoff('endpoint_failed') : this.#fail('retry_budget_spent')
   }
 
@@ -201,24 +186,19 @@
 
   /** Ends an attempt. Calls `onNoneLeft` for the next step unless another attempt is live; if all that are live have stalled, another endpoint is asked. */
   #endAttempt (attempt: AttemptId, onNoneLeft: () => AttemptAction[]): AttemptAction[] {
-    this.#liveAttempts.delete(attempt)
+    this.#liveAttempts.remove(attempt)
     if (this.#liveAttempts.size === 0) return onNoneLeft()
-    return this.#hasOnlyStalled() ? this.#askAnother() : []
+    return this.#liveAttempts.hasOnlyStalled ? this.#askAnother() : []
   }
 
   /** Ends an attempt for which no endpoint was chosen; stalled ones that are live go on by themselves. */
   #endUnplaced (attempt: AttemptId, onNoneLeft: () => AttemptAction[]): AttemptAction[] {
-    this.#liveAttempts.delete(attempt)
+    this.#liveAttempts.remove(attempt)
     return this.#liveAttempts.size === 0 ? onNoneLeft() : []
   }
 
-  #hasOnlyStalled (): boolean {
-    return [...this.#liveAttempts.keys()].every(attempt => this.#stalledAttempts.has(attempt))
-  }
-
   #handleHedgeDue (): AttemptAction[] {
-    const [only] = this.#liveAttempts.values()
-    const canHedge = this.#liveAttempts.size === 1 && only.endpoint !== null && !this.#hasDeliveredTokens() && this.#retryCount === 0
+    const canHedge = this.#liveAttempts.size === 1 && this.#liveAttempts.hasPlaced && !this.#deliveredTokens.hasAny && !this.#retryDelays.hasBackedOff
     if (!this.#options.repeatable || !canHedge || !this.#hasAttemptsLeft() || !this.#takePermit()) return []
     return this.#placeNext()
   }
@@ -227,63 +207,43 @@
     return [this.#place(this.#createAttempt())]
   }
 
-  /** Schedules the next attempt after exponential backoff with jitter; fails at once when the delay would pass the deadline. */
+  /** Schedules the next attempt after a backoff; fails at once when the delay would pass the deadline. */
   #placeAfterBackoff (code: FailureCode): AttemptAction[] {
-    const { backoffMs, maxBackoffMs, deadlineAtMs } = this.#options
-    const baseMs = Math.min(maxBackoffMs, backoffMs * 2 ** this.#retryCount)
-    const delayMs = Math.round(baseMs * (0.5 + this.#rng.drawFloat()))
-    this.#retryCount++
-    if (performance.now() + delayMs >= deadlineAtMs) return this.#fail(code)
+    const delayMs = this.#retryDelays.drawBackoffMs()
+    if (performance.now() + delayMs >= this.#options.deadlineAtMs) return this.#fail(code)
     return [{ type: 'wait', attempt: this.#createAttempt(), ms: delayMs }]
   }
 
   #createAttempt (): AttemptId {
-    this.#createdCount++
-    const attempt = `${this.#options.requestId}-${this.#createdCount}`
-    this.#liveAttempts.set(attempt, { attempt, endpoint: null, incarnation: '', weightsVersion: '', softwareVersion: '' })
+    const attempt = `${this.#options.requestId}-${++this.#createdCount}`
+    this.#liveAttempts.add(attempt)
     return attempt
   }
 
   #place (attempt: AttemptId): AttemptAction {
-    return { type: 'place', attempt, excluded: [...this.#excludedEndpoints], resumeFrom: this.#nextToken }
+    return { type: 'place', attempt, excluded: [...this.#excludedEndpoints], resumeFrom: this.#deliveredTokens.next }
   }
 
   #hasAttemptsLeft (): boolean {
     return this.#placedCount < this.#options.maxAttempts
   }
 
-  #hasDeliveredTokens (): boolean {
-    return this.#nextToken > this.#options.resumeFrom
-  }
-
-  #cancelOthers (winner: AttemptId): AttemptAction[] {
-    if (this.#liveAttempts.size === 1) return []
-    const others = [...this.#liveAttempts.keys()].filter(attempt => attempt !== winner)
-    for (const attempt of others) this.#liveAttempts.delete(attempt)
-    return others.map(attempt => ({ type: 'cancel', attempt }))
-  }
-
   /** Whether the request may have run. Bytes may have been sent as soon as an attempt is placed, unless the endpoint is known not to have started. */
   #getRan (): ExecutionState {
-    const isInFlight = [...this.#liveAttempts.values()].some(live => live.endpoint !== null)
-    return this.#isSent || isInFlight ? 'may-have-run' : 'not-run'
+    return this.#isSent || this.#liveAttempts.hasPlaced ? 'may-have-run' : 'not-run'
   }
 
   #fail (code: FailureCode, retryAfterMs: number = this.#options.retryAfterMs): AttemptAction[] {
-    const jitteredMs = Math.round(retryAfterMs * (1 + this.#rng.drawFloat()))
-    return this.#endRequest([{ type: 'fail', code, ran: this.#getRan(), retryAfterMs: jitteredMs, message: null }])
+    return this.#endRequest([{ type: 'fail', code, ran: this.#getRan(), retryAfterMs: this.#retryDelays.drawRetryAfterMs(retryAfterMs), message: null }])
   }
 
   /** Ends the request; cancels the live attempts before the given actions. */
   #endRequest (actions: AttemptAction[]): AttemptAction[] {
     this.#isOver = true
-    const cancels = [...this.#liveAttempts.keys()].map<AttemptAction>(attempt => ({ type: 'cancel', attempt }))
-    this.#liveAttempts.clear()
-    return [...cancels, ...actions]
+    return [...buildCancels(this.#liveAttempts.takeAll()), ...actions]
   }
 }
 
-/** Whether both versions are stated and differ. */
-function isOther (version: string, previous: string): boolean {
-  return version !== '' && previous !== '' && version !== previous
+function buildCancels (attempts: AttemptId[]): AttemptAction[] {
+  return attempts.map(attempt => ({ type: 'cancel', attempt }))
 }
