--- a/packages/knapweedshunt-router/src/peerExchange.ts
+++ b/packages/knapweedshunt-router/src/peerExchange.ts
@@ -1,17 +1,13 @@
 import type { EndpointLimitReport } from 'knapweedshunt-admission'
-import type { CrashingPartDetector, SuspectMark, SuspectRegistry } from 'knapweedshunt-attempts'
-import type { Logger } from 'knapweedshunt-logger'
+import type { SuspectMark } from 'knapweedshunt-attempts'
 import { createRpcClient } from 'knapweedshunt-rpc'
-import type { RpcClient } from 'knapweedshunt-rpc'
-import type { Placement } from 'knapweedshunt-placement'
-import type { DataCentreId, Incarnation, Liveness, PoolName, VmId, VmView } from 'knapweedshunt-types'
+import type { Liveness, PoolName, VmId, VmView } from 'knapweedshunt-types'
 import { runEvery } from 'knapweedshunt-utils'
-import type { AdmissionController } from './admissionController.ts'
-import type { EndpointLimiter } from './endpointLimiter.ts'
+import type { Peer } from './peer.ts'
+import type { PeerExchangeOptions } from './peerExchangeOptions.ts'
 import { demandMessageSchema, limitsMessageSchema, marksMessageSchema, MAX_DEMANDS, MAX_HOT_KEYS, partsMessageSchema, versionsQuerySchema, versionsResultSchema } from './peerMessages.ts'
 import type { DemandMessage } from './peerMessages.ts'
 import type { RelayTarget } from './relays/relayTarget.ts'
-import type { SoftwareVersions } from './softwareVersions.ts'
 import { UnacknowledgedMarks } from './unacknowledgedMarks.ts'
 
 /** Interval between demand exchanges, in milliseconds. */
@@ -22,38 +18,13 @@
 
 /** Number of full rotations through the peers after which one that sent no message counts as timed out. */
 const PEER_TIMEOUT_ROUNDS = 3
+
 /** Number of peers that are asked for software versions, in this data centre and in other ones each. */
 const PEERS_PER_QUESTION = 4
 
 const CALL_TIMEOUT_MS = 1_000
 const REACHABLE_STATES: Liveness[] = ['live', 'suspect']
 
-interface Peer {
-  view: VmView
-  client: RpcClient
-  unacknowledgedMarks: UnacknowledgedMarks
-  isSending: boolean
-  /** Whether the peer lacks the latest evidence of the part detector. */
-  needsParts: boolean
-  /** Whether the peer lacks the latest report about rate limits of endpoints. */
-  needsLimits: boolean
-}
-
-/** Options and collaborators of {@link PeerExchange}. */
-export interface PeerExchangeOptions {
-  vm: VmId
-  incarnation: Incarnation
-  dataCentre: DataCentreId
-  peerKey: string
-  placement: Placement
-  admission: AdmissionController
-  registry: SuspectRegistry
-  partDetector: CrashingPartDetector
-  endpointLimiter: EndpointLimiter
-  softwareVersions: SoftwareVersions
-  log: Logger
-}
-
 /** Sends marks of suspect requests, evidence about crashing parts of prompts and reports about rate limits of endpoints to all peer routers immediately, and exchanges demand with a few peers each round. */
 export class PeerExchange {
   readonly #options: PeerExchangeOptions
