--- a/packages/knapweedshunt-router/src/attemptLauncher.ts
+++ b/packages/knapweedshunt-router/src/attemptLauncher.ts
@@ -2,25 +2,20 @@
 import type { PlacedDecision, PlaceDecision } from 'knapweedshunt-placement'
 import type { AttemptId, EndpointName } from 'knapweedshunt-types'
 import { match } from 'ts-pattern'
-import type { StallLimits } from './attemptCall.ts'
 import type { CallerRequest } from './callerRequest.ts'
 import type { CallerSink } from './callerSink.ts'
 import type { DataPath } from './dataPath.ts'
 import type { EndpointEntry } from './endpointTable.ts'
 import { computeCacheSalt } from './computeCacheSalt.ts'
+import { launchRelay } from './relays/launchRelay.ts'
+import { listRelayVms } from './relays/relayName.ts'
 import type { RelayTarget } from './relays/relayTarget.ts'
 import type { RunningAttempt } from './runningAttempts.ts'
 
 type PlaceAction = Extract<AttemptAction, { type: 'place' }>
 
-/** Part before the VM's name in what stands for the endpoint of an attempt through another router. */
-const RELAY_PREFIX = 'vm:'
-
 const UNKNOWN_VERSIONS: StreamVersions = { softwareVersion: '', weightsVersion: '' }
 
-/** Events after which another router is left alone for a while. */
-const FAILED_RELAY_EVENTS: Array<AttemptEvent['type']> = ['refused', 'broken', 'stalled']
-
 interface LaunchedAttempt {
   /** Null for an attempt through another router. */
   url: string | null
@@ -53,9 +48,8 @@
 
   async #placeByRoute (action: PlaceAction, versions: StreamVersions, relayHeaders: Record<string, string>): Promise<void> {
     const { attempt, excluded } = action
-    const triedVms = excluded.filter(name => name.startsWith(RELAY_PREFIX)).map(name => name.slice(RELAY_PREFIX.length))
     this.#awaitingRoute.add(attempt)
-    const route = await this.#dataPath.relays.select(this.#request.pool, triedVms)
+    const route = await this.#dataPath.relays.select(this.#request.pool, listRelayVms(excluded))
     if (!this.#awaitingRoute.delete(attempt)) return
     match(route)
       .with({ type: 'relay' }, ({ peer }) => this.#startRelayed(action, peer, versions, relayHeaders))
@@ -171,37 +165,12 @@
     }).finally(() => this.#handleFinish(attempt, cachedTokens)).catch(error => this.#dataPath.log.error('Attempt failed with an internal error.', { requestId: this.#request.requestId, reason: String(error) }))
   }
 
-  #startRelayed ({ attempt, resumeFrom }: PlaceAction, { vm, url }: RelayTarget, versions: StreamVersions, callerHeaders: Record<string, string>): void {
-    const { agent, endpointClient, relays, peerKey, log } = this.#dataPath
-    const { pool, repeatable, requestId } = this.#request
+  #startRelayed ({ attempt, resumeFrom }: PlaceAction, target: RelayTarget, versions: StreamVersions, callerHeaders: Record<string, string>): void {
     const abort = new AbortController()
     this.#launched.set(attempt, { url: null, abort })
-    relays.recordStart(vm)
-    this.#onEvent({ type: 'placed', attempt, endpoint: RELAY_PREFIX + vm, incarnation: '' })
-    endpointClient.relay({
-      attempt,
-      url,
-      request: this.#request,
-      salt: '',
-      resumeFrom,
-      key: peerKey,
-      relayed: { ...versions, from: this.#dataPath.vm, pool, repeatable, resumeFrom },
-      callerHeaders,
-      recordLimit () {},
-      recordSignals () {},
-      agent,
-      signal: abort.signal,
-      stallLimits: repeatable ? doubleLimits(this.#dataPath.stallLimits) : null,
-      emit: event => {
-        if (FAILED_RELAY_EVENTS.includes(event.type) && !abort.signal.aborted) relays.recordFailure(vm, event.type)
-        // The other router reports on the endpoint.
-        this.#onEvent(event.type === 'broken' ? { ...event, reason: 'relay' } : event)
-      },
-      waitDrain: () => this.#sink.waitDrain?.(abort.signal) ?? null
-    }).finally(() => {
-      this.#launched.delete(attempt)
-      relays.recordEnd(vm)
-    }).catch(error => log.error('Relayed attempt failed with an internal error.', { requestId, reason: String(error) }))
+    launchRelay(this.#dataPath, { attempt, request: this.#request, sink: this.#sink, target, resumeFrom, versions, callerHeaders, signal: abort.signal, onEvent: this.#onEvent })
+      .finally(() => this.#launched.delete(attempt))
+      .catch(error => this.#dataPath.log.error('Relayed attempt failed with an internal error.', { requestId: this.#request.requestId, reason: String(error) }))
   }
 
   #handleEndpointLoss (attempt: AttemptId): void {
@@ -255,8 +224,3 @@
     return this.#request.levels.at(-1)?.tokens ?? 0
   }
 }
-
-/** The other router has the same limits for each of its own attempts. */
-function doubleLimits ({ firstTokenMs, betweenTokensMs }: StallLimits): StallLimits {
-  return { firstTokenMs: 2 * firstTokenMs, betweenTokensMs: 2 * betweenTokensMs }
-}
