--- a/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
+++ b/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
@@ -1,17 +1,17 @@
-import type { Logger } from 'knapweedshunt-logger'
-import type { ChangedRow, Platform, Row, TableUpdate } from 'knapweedshunt-platform'
+import type { ChangedRow, Row, TableUpdate } from 'knapweedshunt-platform'
 import type { EndpointLimitReport } from 'knapweedshunt-admission'
-import type { PartEvidence, SuspectMark } from 'knapweedshunt-attempts'
+import type { SuspectMark } from 'knapweedshunt-attempts'
 import type { ReceivedNotice, WaveNotice } from 'knapweedshunt-fleet'
 import type { PoolName, VmId } from 'knapweedshunt-types'
 import { hashText } from 'knapweedshunt-utils'
-import type { z } from 'zod'
+import { match } from 'ts-pattern'
 import type { PeerAddress, PeerView } from '../peers/peerAddress.ts'
 import { CrashMarks } from './crashMarks.ts'
-import type { ReceivedMark } from './crashMarks.ts'
 import { OwnedRows } from './ownedRows.ts'
-import { crashRowSchema, limitRowSchema, partRowSchema, poolVersionsRowSchema, ROSTER_KEY, ROSTER_TABLE, vmRowSchema, waveRowSchema } from './rosterRows.ts'
-import type { CrashRow, LimitRow, PartRow, PoolVersionsRow, ReceivedLimitReport, ReceivedPartEvidence, VmRow } from './rosterRows.ts'
+import { parseRosterRow } from './parseRosterRow.ts'
+import { ROSTER_KEY, ROSTER_TABLE } from './rosterRows.ts'
+import type { CrashRow, LimitRow, PartRow, PoolVersionsRow, VmRow } from './rosterRows.ts'
+import type { VmRosterDependencies } from './vmRosterDependencies.ts'
 
 /** Time for which the store may hold a long poll of the roster, in milliseconds. A connection that went silent is noticed only after it, and until then this VM learns of no crash at other VMs. */
 export const ROSTER_POLL_WAIT_MS = 2_000
@@ -30,29 +30,6 @@
   receivedAtMs: number
 }
 
-/** Dependencies of {@link VmRoster}. */
-export interface VmRosterDependencies {
-  platform: Platform
-  self: VmRow
-  log: Logger
-  /** Ends the writes of this VM's rows. */
-  signal: AbortSignal
-  onMark (received: ReceivedMark): void
-  /** Called for a mark that is removed from this VM's row because the row is full. */
-  onMarkEvicted (mark: SuspectMark): void
-  /** Builds this VM's row about prompt parts. */
-  buildPartEvidence (): PartEvidence
-  onPartEvidence (received: ReceivedPartEvidence): void
-  /** Called for the report of a VM, including this one's as the others read it. */
-  onLimitReport (received: ReceivedLimitReport): void
-  onPoolVersions (row: PoolVersionsRow): void
-  /** Called when a row of this VM could not be written. */
-  onUnwritten (key: string, reason: string): void
-  /** Called for a row that cannot be read or applied; it is ignored. */
-  onUnreadable (row: Row, reason: string): void
-  onWaveNotice (notice: WaveNotice): void
-}
-
 /** State that VMs share through the store: the VMs themselves, the endpoints that load weights, the requests suspected of crashing endpoints. */
 export class VmRoster {
   readonly #dependencies: VmRosterDependencies
@@ -219,32 +196,21 @@
 
   /** A row that cannot be applied affects no other. */
   #applyRow (row: Row): void {
+    const { onPoolVersions, onLimitReport, onUnreadable } = this.#dependencies
     try {
-      this.#parseRow(row)
+      match(parseRosterRow(row))
+        .with({ type: 'vm' }, ({ value }) => this.#applyVmRow(row.key, value))
+        .with({ type: 'wave' }, ({ value }) => this.#applyWaveNotice(value))
+        .with({ type: 'part' }, ({ value }) => this.#applyPartRow(row.key, value))
+        .with({ type: 'versions' }, ({ value }) => onPoolVersions(value))
+        .with({ type: 'limit' }, ({ value: { vm, incarnation, report } }) => onLimitReport({ vm, from: incarnation, report }))
+        .with({ type: 'crash' }, ({ value }) => this.#applyCrashRow(row.key, value))
+        .with({ type: 'unreadable' }, ({ reason }) => onUnreadable(row, reason))
+        .with({ type: 'other' }, () => {})
+        .exhaustive()
     } catch (error) {
-      this.#dependencies.onUnreadable(row, (error as Error).message)
-    }
-  }
-
-  #parseRow (row: Row): void {
-    const { key } = row
-    if (key.startsWith(ROSTER_KEY.vm)) return this.#applyParsed(row, vmRowSchema, value => ROSTER_KEY.vm + value.vm, value => this.#applyVmRow(key, value))
-    if (key.startsWith(ROSTER_KEY.wave)) return this.#applyParsed(row, waveRowSchema, value => ROSTER_KEY.wave + value.pool, value => this.#applyWaveNotice(value))
-    if (key.startsWith(ROSTER_KEY.part)) return this.#applyParsed(row, partRowSchema, null, value => this.#applyPartRow(key, value))
-    if (key.startsWith(ROSTER_KEY.versions)) return this.#applyParsed(row, poolVersionsRowSchema, value => ROSTER_KEY.versions + value.pool, value => this.#dependencies.onPoolVersions(value))
-    if (key.startsWith(ROSTER_KEY.limit)) return this.#applyParsed(row, limitRowSchema, value => ROSTER_KEY.limit + value.vm, ({ vm, incarnation, report }) => this.#dependencies.onLimitReport({ vm, from: incarnation, report }))
-    if (key.startsWith(ROSTER_KEY.crash)) return this.#applyParsed(row, crashRowSchema, null, value => this.#applyCrashRow(key, value))
-  }
-
-  /** Applies a row that matches the schema; `buildKey` returns the key that such a row has. */
-  #applyParsed<T> (row: Row, schema: z.ZodType<T>, buildKey: ((value: T) => string) | null, apply: (value: T) => void): void {
-    const result = schema.safeParse(row.value)
-    if (!result.success) {
-      const [issue] = result.error.issues
-      return this.#dependencies.onUnreadable(row, `${issue.path.join('.')}: ${issue.message}`)
+      onUnreadable(row, (error as Error).message)
     }
-    if (buildKey !== null && row.key !== buildKey(result.data)) return this.#dependencies.onUnreadable(row, `belongs under the key ${buildKey(result.data)}`)
-    apply(result.data)
   }
 
   #applyVmRow (key: string, row: VmRow): void {
