--- a/packages/knapweedshunt-admin/src/applyChange.ts
+++ b/packages/knapweedshunt-admin/src/applyChange.ts
@@ -1,5 +1,6 @@
 import { parseResource, ResourceInvalidError, ResourceUnsettledError } from 'knapweedshunt-resources'
 import type { Resource, ResourceOperation, Revision } from 'knapweedshunt-types'
+import { describeFirstIssue } from 'knapweedshunt-utils'
 import type { AdminContext } from './adminContext.ts'
 import { createAdminError } from './adminError.ts'
 import type { AdminErrorInstance } from './adminError.ts'
@@ -9,7 +10,7 @@
 /** Validates, authorises and commits a change; returns its revision. Throws AdminError. */
 export async function applyChange (context: AdminContext, role: OperatorRole, body: unknown): Promise<Revision> {
   const parsed = changeSchema.safeParse(body)
-  if (!parsed.success) throw createAdminError(400, 'change_invalid', `${parsed.error.issues[0].path.join('.')}: ${parsed.error.issues[0].message}.`)
+  if (!parsed.success) throw createAdminError(400, 'change_invalid', `${describeFirstIssue(parsed.error)}.`)
   try {
     const ops: ResourceOperation[] = parsed.data.ops.map(op => op.type === 'put' ? { type: 'put', resource: parseResource(op.resource) } : op)
     checkRole(role, ops)
--- a/packages/knapweedshunt-admin/src/explain.ts
+++ b/packages/knapweedshunt-admin/src/explain.ts
@@ -1,4 +1,5 @@
 import type { ExplainRequest, Explanation } from 'knapweedshunt-types'
+import { describeFirstIssue } from 'knapweedshunt-utils'
 import { z } from 'zod'
 import type { AdminContext } from './adminContext.ts'
 import { createAdminError } from './adminError.ts'
@@ -14,7 +15,7 @@
 /** Asks the local router which endpoint it would choose for a request. Throws AdminError. */
 export async function explain (context: AdminContext, role: OperatorRole, body: unknown): Promise<Explanation> {
   const parsed = explainSchema.safeParse(body)
-  if (!parsed.success) throw createAdminError(400, 'explain_invalid', `${parsed.error.issues[0].path.join('.')}: ${parsed.error.issues[0].message}.`)
+  if (!parsed.success) throw createAdminError(400, 'explain_invalid', `${describeFirstIssue(parsed.error)}.`)
   const request: ExplainRequest = parsed.data
   if (role.type === 'organisation' && role.organisation !== request.organisation) throw createAdminError(403, 'role_forbids', `This operator key may explain requests of ${role.organisation} only.`)
   const { resources } = await context.store.readSnapshot()
--- a/packages/knapweedshunt-gateway/src/directory/quarantineLifts.ts
+++ b/packages/knapweedshunt-gateway/src/directory/quarantineLifts.ts
@@ -1,6 +1,7 @@
 import { quarantineLiftSchema } from 'knapweedshunt-attempts'
 import type { QuarantineLift } from 'knapweedshunt-attempts'
 import type { ChangedRow, Platform, Row, TableUpdate } from 'knapweedshunt-platform'
+import { describeFirstIssue } from 'knapweedshunt-utils'
 import { ROSTER_KEY, ROSTER_TABLE } from './rosterRows.ts'
 import { SUSPECT_OPTIONS } from './suspectOptions.ts'
 
@@ -84,8 +85,7 @@
       this.#lostSinceMs.delete(result.data.id)
       return this.#applyLift(key, result.data)
     }
-    const [issue] = result.error.issues
-    this.#dependencies.onUnreadable(key, `${issue.path.join('.')}: ${issue.message}`)
+    this.#dependencies.onUnreadable(key, describeFirstIssue(result.error))
   }
 
   #applyLift (key: string, lift: QuarantineLift): void {
--- a/packages/knapweedshunt-gateway/src/peers/streamRow.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamRow.ts
@@ -1,7 +1,7 @@
 import type { PooledStream } from 'knapweedshunt-attempts'
 import type { Row } from 'knapweedshunt-platform'
 import type { VmId } from 'knapweedshunt-types'
-import { groupBy } from 'knapweedshunt-utils'
+import { describeFirstIssue, groupBy } from 'knapweedshunt-utils'
 import { z } from 'zod'
 import type { DecisionLog } from '../records/decisionLog.ts'
 
@@ -15,10 +15,12 @@
 
 const STREAM_KEY = /^[0-9a-f]{32}$/
 
+const streamKeys = z.base64().refine(keys => Buffer.byteLength(keys, 'base64') % KEY_BYTES === 0, `has a length that is no multiple of ${KEY_BYTES} bytes`)
+
 /** Row of streams; `writtenAtMs` is wall-clock time in Unix milliseconds, `keys` joins the keys of the streams that one software version began in a pool, in base64. */
 const streamRowSchema = z.object({
   writtenAtMs: z.number(),
-  groups: z.array(z.object({ pool: z.string().min(1), softwareVersion: z.string(), keys: z.base64() }))
+  groups: z.array(z.object({ pool: z.string().min(1), softwareVersion: z.string(), keys: streamKeys }))
 })
 
 /** Value of a row of streams. */
@@ -49,17 +51,16 @@
 
 /** Decodes a row; null if it cannot be read, which is logged. */
 export function decodeStreamRow (row: Row, decisionLog: DecisionLog): { writtenAtMs: number, streams: PooledStream[] } | null {
-  try {
-    const { writtenAtMs, groups } = streamRowSchema.parse(row.value)
-    return { writtenAtMs, streams: groups.flatMap(({ keys, ...group }) => splitKeys(keys).map(key => ({ ...group, key }))) }
-  } catch (error) {
-    decisionLog.record({ type: 'rowUnreadable', table: STREAM_TABLE, key: row.key, reason: (error as Error).message })
+  const result = streamRowSchema.safeParse(row.value)
+  if (!result.success) {
+    decisionLog.record({ type: 'rowUnreadable', table: STREAM_TABLE, key: row.key, reason: describeFirstIssue(result.error) })
     return null
   }
+  const { writtenAtMs, groups } = result.data
+  return { writtenAtMs, streams: groups.flatMap(({ keys, ...group }) => splitKeys(keys).map(key => ({ ...group, key }))) }
 }
 
 function splitKeys (keys: string): string[] {
   const bytes = Buffer.from(keys, 'base64')
-  if (bytes.length % KEY_BYTES !== 0) throw new RangeError(`The keys have ${bytes.length} bytes, which is no multiple of ${KEY_BYTES}.`)
   return Array.from({ length: bytes.length / KEY_BYTES }, (_, n) => bytes.toString('hex', n * KEY_BYTES, (n + 1) * KEY_BYTES))
 }
--- a/packages/knapweedshunt-orders/src/parseOrderRow.ts
+++ b/packages/knapweedshunt-orders/src/parseOrderRow.ts
@@ -1,5 +1,6 @@
 import { PlatformUnreachableError } from 'knapweedshunt-platform'
 import type { Row } from 'knapweedshunt-platform'
+import { describeFirstIssue } from 'knapweedshunt-utils'
 import { z } from 'zod'
 import type { ClaimRow } from './claimRow.ts'
 import type { OutcomeRow } from './outcomeRow.ts'
@@ -40,6 +41,5 @@
 function parseRow<T> (schema: z.ZodType<T>, { key, value }: Row): T {
   const result = schema.safeParse(value)
   if (result.success) return result.data
-  const [issue] = result.error.issues
-  throw new PlatformUnreachableError(`The row ${key} cannot be read: ${issue.path.join('.')}: ${issue.message}`)
+  throw new PlatformUnreachableError(`The row ${key} cannot be read: ${describeFirstIssue(result.error)}`)
 }
