--- a/packages/knapweedshunt-attempts/src/streamSegments.ts
+++ b/packages/knapweedshunt-attempts/src/streamSegments.ts
@@ -1,9 +1,11 @@
-import type { PooledStream, SegmentChanges, StreamSegment } from './streamSegment.ts'
+import type { PooledStream } from './pooledStream.ts'
+import type { SegmentChanges } from './segmentChanges.ts'
+import type { StreamSegment } from './streamSegment.ts'
 
-/** Maximum number of streams in a segment; a row of them takes an eighth of what the store accepts. */
+/** Maximum number of streams in a segment, which is one row. */
 const MAX_SEGMENT_STREAMS = 512
 
-/** Maximum number of segments; with them one read returns all rows of a VM. */
+/** Maximum number of segments; one read returns their rows. */
 const MAX_SEGMENTS = 40
 
 /** Maximum number of segments in one transaction. */
@@ -12,7 +14,7 @@
 /** Maximum number of removals in one transaction. */
 const MAX_REMOVED_SEGMENTS = 60
 
-/** Number of segments that a slow sequence of streams is divided into within the retention. */
+/** Number of segments that are opened within the retention, if none is full before. */
 const SEGMENTS_PER_RETENTION = 4
 
 interface KnownSegment {
