--- a/packages/knapweedshunt-admission/src/endpointLimitReport.ts
+++ b/packages/knapweedshunt-admission/src/endpointLimitReport.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod'
 
 const text = z.string().min(1).max(255)
-/** Highest rate that is believed, in requests per second; sums of rates remain finite. */
+/** Highest rate that is accepted, in requests per second; sums of rates remain finite. */
 const MAX_RATE_PER_S = 1e15
 
 const rate = z.number().nonnegative().max(MAX_RATE_PER_S)
--- a/packages/knapweedshunt-attempts/src/liftTimes.ts
+++ b/packages/knapweedshunt-attempts/src/liftTimes.ts
@@ -1,7 +1,7 @@
 /** Maximum number of lifts held; the oldest are evicted first. */
 const MAX_LIFTS = 256
 
-/** Monotonic times at which quarantines were lifted, by what they hold back. */
+/** Monotonic times at which quarantines were lifted, by the fingerprint or part that the lift names. */
 export class LiftTimes {
   readonly #times = new Map<string, number>()
 
@@ -19,7 +19,7 @@
     return this.#times.get(target) ?? -Infinity
   }
 
-  /** Returns the latest lift of a target with which the text begins; `-Infinity` if there is none. */
+  /** Returns when a target with which the text begins was lifted last; `-Infinity` if none was. */
   findByPrefix (text: string): number {
     let latestAtMs = -Infinity
     for (const [target, liftedAtMs] of this.#times) if (text.startsWith(target)) latestAtMs = Math.max(latestAtMs, liftedAtMs)
--- a/packages/knapweedshunt-attempts/src/partClearings.ts
+++ b/packages/knapweedshunt-attempts/src/partClearings.ts
@@ -48,7 +48,7 @@
     return this.#receivedParts.get(id)?.has(part) ?? false
   }
 
-  /** Records that another VM quarantined a part that this VM has served meanwhile; the next request that is served with it says so. */
+  /** Records that another VM quarantined a part that this VM has served meanwhile; its clearing is announced with the next request that is served with it. */
   recordRefuted (part: string, id: string): void {
     if (this.#own.get(part)?.ids.has(id) === true) return
     this.#refutedIds.set(part, (this.#refutedIds.get(part) ?? new Set()).add(id))
--- a/packages/knapweedshunt-attempts/src/quarantineLift.ts
+++ b/packages/knapweedshunt-attempts/src/quarantineLift.ts
@@ -8,7 +8,7 @@
 
 const text = z.string().trim().min(1, 'must not be empty').max(MAX_CHARS)
 
-/** Schema of what a quarantine holds back: requests whose fingerprint begins so, or prompts with a part. */
+/** Schema of what a quarantine refuses: requests, by the beginning of their fingerprint, or prompts with a part. */
 export const quarantineTargetSchema = z.discriminatedUnion('type', [
   z.object({ type: z.literal('request'), fingerprint: z.string().regex(/^[0-9a-f]+$/, 'is not hexadecimal').min(MIN_FINGERPRINT_CHARS).max(MAX_CHARS) }),
   z.object({ type: z.literal('part'), part: text.toLowerCase() })
--- a/packages/knapweedshunt-attempts/src/selectStreamWriters.ts
+++ b/packages/knapweedshunt-attempts/src/selectStreamWriters.ts
@@ -4,15 +4,16 @@
 /** Number of VMs of which one writes streams to the store. */
 const VMS_PER_WRITER = 8
 
-/** Minimum number of writers, so that streams are stored although one or two VMs do not answer. */
+/** Minimum number of writers; streams are stored although one or two of them do not answer. */
 const MIN_WRITERS = 4
 
-/** Maximum number of writers; together they use half of the writes that the store accepts. */
+/** Maximum number of writers, which limits the writes to the store. */
 const MAX_WRITERS = 50
 
 /** Number of writers that store one stream. */
-const COPIES = 2
+const WRITERS_PER_STREAM = 2
 
+/** Key by which VMs are ranked as writers. */
 const WRITERS_KEY = 'stream writers'
 
 /** Selects the VMs that write streams to the store, in different data centres as far as there are any: VMs that know the same candidates select the same ones. */
@@ -23,5 +24,5 @@
 
 /** Selects the writers that store one stream. */
 export function selectStoringWriters<T extends HolderCandidate> (key: string, writers: T[]): T[] {
-  return rankCandidates(key, writers).slice(0, COPIES)
+  return rankCandidates(key, writers).slice(0, WRITERS_PER_STREAM)
 }
--- a/packages/knapweedshunt-attempts/src/suspectRegistry.ts
+++ b/packages/knapweedshunt-attempts/src/suspectRegistry.ts
@@ -102,7 +102,7 @@
   }
 
   /**
-   * Ends the quarantines of requests whose fingerprint begins so; their crashes up to a monotonic time no longer count,
+   * Ends the quarantines of requests whose fingerprint begins with a text; their crashes up to a monotonic time no longer count,
    * whenever their marks arrive. Returns the fingerprints that were suspect or quarantined.
    */
   lift (fingerprintStart: string, liftedAtMs: number): string[] {
@@ -110,7 +110,7 @@
     return [...this.#entries].flatMap(([fingerprint, entry]) => fingerprint.startsWith(fingerprintStart) && liftEntry(entry, liftedAtMs) ? [fingerprint] : [])
   }
 
-  /** Applies a mark of a peer, made `ageMs` ago; its ages and remaining time are as of now. */
+  /** Applies a mark of a peer, made `ageMs` ago: its `firstCrashAgeMs` is as of then, its other ages and its remaining time as of now. */
   applyMark (mark: SuspectMark, ageMs = 0): void {
     const nowMs = performance.now()
     match(mark)
--- a/packages/knapweedshunt-fleet/src/fleetTask.ts
+++ b/packages/knapweedshunt-fleet/src/fleetTask.ts
@@ -112,7 +112,7 @@
     else if (plan.isComplete) await this.#completeRollout(input, version)
   }
 
-  /** Loads that the row may hold slots for must not be doubled, so the pool waits until an operator has deleted the row. */
+  /** The row may hold slots of loads under way, so the pool waits until an operator has deleted it. */
   #recordUnreadable (pool: PoolName, version: number): void {
     if (this.#unreadableVersions.get(pool) === version) return
     this.#unreadableVersions.set(pool, version)
--- a/packages/knapweedshunt-fleet/src/readLeaseRow.ts
+++ b/packages/knapweedshunt-fleet/src/readLeaseRow.ts
@@ -2,10 +2,10 @@
 import { z } from 'zod'
 import type { LeaseRow } from './leaseState.ts'
 
-/** Longest validity of a lease that is believed, in milliseconds; a row beyond it would keep all VMs from acting. */
+/** Longest validity of a lease that is accepted, in milliseconds. */
 const MAX_DURATION_MS = 300_000
 
-/** Highest fencing token that is believed; above it tokens could soon not be incremented any more. */
+/** Highest fencing token that is accepted; it can still be incremented exactly for as long as leases are taken. */
 const MAX_FENCING = 2 ** 48
 
 const text = z.string().max(255)
--- a/packages/knapweedshunt-gateway/src/directory/quarantineLifts.ts
+++ b/packages/knapweedshunt-gateway/src/directory/quarantineLifts.ts
@@ -43,8 +43,8 @@
 }
 
 /**
- * Lifts of quarantines, which operators write to the store. A VM that has learnt of a lift keeps to it until it expires,
- * whatever the store returns to; what the store has lost is written again, and what has expired is deleted.
+ * Lifts of quarantines, which operators write to the store. A VM that has learnt of a lift applies it until it expires,
+ * also if the store loses it; what the store has lost is written again, and what has expired is deleted.
  */
 export class QuarantineLifts {
   readonly #dependencies: QuarantineLiftsDependencies
@@ -112,7 +112,7 @@
     this.#dependencies.onLost(key, lift)
   }
 
-  /** A row that has changed meanwhile is left as it is; the feed of changes brings it. */
+  /** A row that has changed meanwhile is left as it is, since the follower of the table applies it. */
   async #write (key: string, value: QuarantineLift | null): Promise<void> {
     const { platform, onUnwritten } = this.#dependencies
     const checks = [{ table: ROSTER_TABLE, key, version: this.#stored.get(key)?.version ?? 0 }]
--- a/packages/knapweedshunt-gateway/src/flow/failedOutcome.ts
+++ b/packages/knapweedshunt-gateway/src/flow/failedOutcome.ts
@@ -14,7 +14,7 @@
 /** Losses that a crash of the endpoint causes. */
 const CRASH_LOSSES: LossReason[] = [LOSS_REASON.reset, LOSS_REASON.cut]
 
-/** The parts of one request's task to which the end of an attempt matters. */
+/** The parts of one request's task that record the end of an attempt. */
 export interface AttemptEndParts {
   attemptRunner: AttemptRunner
   permits: RetryPermits
@@ -48,7 +48,7 @@
   attemptRunner.finish(runningAttempt)
 }
 
-/** Says in a few words how an attempt failed, for a log line. */
+/** Describes how an attempt failed, for a log line. */
 export function describeFailedOutcome (outcome: FailedOutcome): string {
   return match(outcome)
     .with({ type: 'unsent' }, ({ reason }) => `not sent: ${reason}`)
--- a/packages/knapweedshunt-gateway/src/peers/streamRows.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamRows.ts
@@ -31,7 +31,7 @@
   signal: AbortSignal
   /** Draws a duration around the mean, so that VMs do not write at the same moment. */
   randomizeDelayMs (meanMs: number): number
-  /** Whether this VM removes what VMs that have not come back left behind. */
+  /** Whether this VM removes the rows of VMs that have not come back. */
   isSweeper (): boolean
   /** Time for which a stream may be taken up again, in milliseconds. */
   getRetentionMs (): number
@@ -40,7 +40,7 @@
 }
 
 /**
- * Streams that this VM holds, in the store, so that they are known after all VMs have ended at once. Each incarnation
+ * Streams that this VM writes to the store, so that they are known after all VMs have ended at once. Each incarnation
  * writes rows of its own; it takes over those of earlier ones and removes them when no caller takes up their streams.
  */
 export class StreamRows {
--- a/packages/knapweedshunt-gateway/src/peers/sweepStreamRows.ts
+++ b/packages/knapweedshunt-gateway/src/peers/sweepStreamRows.ts
@@ -2,7 +2,7 @@
 import type { DecisionLog } from '../records/decisionLog.ts'
 import { decodeStreamRow, STREAM_TABLE } from './streamRow.ts'
 
-/** Age from which rows are removed whoever wrote them, in milliseconds; far beyond the timeout of a route. */
+/** Age from which rows are removed whoever wrote them, in milliseconds; their streams can no longer be resumed. */
 const MAX_ROW_AGE_MS = 600_000
 
 /** Maximum number of rows that one call reads, or removes. */
--- a/packages/knapweedshunt-gateway/src/quarantines/listQuarantines.ts
+++ b/packages/knapweedshunt-gateway/src/quarantines/listQuarantines.ts
@@ -14,7 +14,7 @@
   return views.map(view => ({ ...view, lift: findLift(lifts, view) })).sort((a, b) => a.sinceMs - b.sinceMs)
 }
 
-/** Whether the quarantine holds back what the target names. */
+/** Whether the quarantine refuses what the target names. */
 export function isTarget ({ type, names }: QuarantineView, target: QuarantineTarget): boolean {
   if (target.type !== type) return false
   return target.type === 'request' ? names[0].startsWith(target.fingerprint) : names.includes(target.part)
@@ -40,7 +40,7 @@
         vms: [vm],
         lift: null
       }])
-  return mergeBy(views, ({ names }) => names[0])
+  return joinBy(views, ({ names }) => names[0])
 }
 
 function listParts (rows: readonly Row[]): QuarantineView[] {
@@ -58,19 +58,19 @@
     vms: [vm],
     lift: null
   })))
-  return mergeBy(views, ({ id }) => id).map(({ id, ...view }) => view)
+  return joinBy(views, ({ id }) => id).map(({ id, ...view }) => view)
 }
 
 /** Joins what several VMs say of the same quarantine. */
-function mergeBy<T extends QuarantineView> (views: T[], getKey: (view: T) => string): T[] {
-  const merged = new Map<string, T>()
+function joinBy<T extends QuarantineView> (views: T[], getKey: (view: T) => string): T[] {
+  const joined = new Map<string, T>()
   for (const view of views) {
-    const known = merged.get(getKey(view))
+    const known = joined.get(getKey(view))
     const endpoints = [...new Set([...known?.endpoints ?? [], ...view.endpoints])]
     const vms = [...new Set([...known?.vms ?? [], ...view.vms])]
-    merged.set(getKey(view), { ...view, endpoints, vms, sinceMs: Math.min(view.sinceMs, known?.sinceMs ?? Infinity), untilMs: Math.max(view.untilMs, known?.untilMs ?? 0), crashes: Math.max(view.crashes, known?.crashes ?? 0) })
+    joined.set(getKey(view), { ...view, endpoints, vms, sinceMs: Math.min(view.sinceMs, known?.sinceMs ?? Infinity), untilMs: Math.max(view.untilMs, known?.untilMs ?? 0), crashes: Math.max(view.crashes, known?.crashes ?? 0) })
   }
-  return [...merged.values()]
+  return [...joined.values()]
 }
 
 function findLift (lifts: QuarantineLift[], view: QuarantineView): QuarantineLift | null {
--- a/packages/knapweedshunt-gateway/src/quarantines/quarantineView.ts
+++ b/packages/knapweedshunt-gateway/src/quarantines/quarantineView.ts
@@ -1,6 +1,6 @@
 import type { QuarantineLift, QuarantineTarget } from 'knapweedshunt-attempts'
 
-/** A quarantine as the rows of the VMs tell it. Wall-clock times in Unix milliseconds. */
+/** A quarantine, from the rows of the VMs. Wall-clock times in Unix milliseconds. */
 export interface QuarantineView {
   type: QuarantineTarget['type']
   /** Fingerprint of the request, or the parts that a prompt must all have; lifting one of them ends the quarantine. */
--- a/packages/knapweedshunt-membership/src/endpointRelays.ts
+++ b/packages/knapweedshunt-membership/src/endpointRelays.ts
@@ -64,7 +64,7 @@
     return this.#selector.needsReports(this.#dependencies.computeReach(pool))
   }
 
-  /** Selects how a request gets to an endpoint; `avoided` VMs were tried before. Waits for the first answer of another VM that will do, or for all. */
+  /** Selects how a request gets to an endpoint; `avoided` VMs were tried before. Waits until the answers of the other VMs allow a relay, or all have come. */
   async select (pool: PoolName, avoided: VmId[]): Promise<RelayRoute<Peer>> {
     const reach = this.#dependencies.computeReach(pool)
     if (!this.#selector.needsReports(reach)) return { type: 'direct' }
--- a/packages/knapweedshunt-platform/src/tableFollower.ts
+++ b/packages/knapweedshunt-platform/src/tableFollower.ts
@@ -146,11 +146,11 @@
     if (this.#isUnreachable) this.#log.info('Table read again.', { table: this.#options.table })
     this.#isUnreachable = false
     this.#confirmedAtMs = sentAtMs
-    if (update !== null) this.#passOn(update)
+    if (update !== null) this.#deliverUpdate(update)
   }
 
-  /** A listener that fails must not end the following of the table. Changes that it could not apply are replaced by one full read. */
-  #passOn (update: TableUpdate): void {
+  /** The table is followed on after a listener has failed. Changes that it could not apply are replaced by one full read. */
+  #deliverUpdate (update: TableUpdate): void {
     try {
       this.#onUpdate(update)
     } catch (error) {
--- a/packages/knapweedshunt-router/src/callerSink.ts
+++ b/packages/knapweedshunt-router/src/callerSink.ts
@@ -4,7 +4,7 @@
 /** Destination of a request's result: a caller's connection, or a stored record that outlives it. */
 export interface CallerSink {
   /** Called before the first token with the versions of the endpoint that produces it, or that began the stream in an earlier response. */
-  begin? (versions: StreamVersions): void
+  startStream? (versions: StreamVersions): void
   deliver (n: number, text: string): void
   deliverAnswer (answer: PlainAnswer): void
   finish (usage: Usage | null): void
--- a/packages/knapweedshunt-router/src/readHeaders.ts
+++ b/packages/knapweedshunt-router/src/readHeaders.ts
@@ -6,7 +6,7 @@
 const MAX_TICKET_CHARS = 2_048
 const MAX_STREAM_TOKEN_CHARS = 2_048
 
-/** The others are sent to the other router as this one understood them. */
+/** Headers that another router gets as they came; the others are built anew from the parsed request. */
 const RELAYED_HEADERS = ['authorization', 'x-prefix-marks']
 const REQUEST_ID_PATTERN = /^[\w.-]{1,64}$/
 const KEY_PATTERN = /^[\x21-\x7e]+$/
--- a/packages/knapweedshunt-router/src/relays/relaySink.ts
+++ b/packages/knapweedshunt-router/src/relays/relaySink.ts
@@ -7,7 +7,7 @@
 import { buildAnswerHeader } from './relayHeaders.ts'
 import { sendRelayRefusal } from './sendRelayRefusal.ts'
 
-/** Writes a result to the router that relayed the attempt, as an engine would; what does not end well is cut off. */
+/** Writes a result to the router that relayed the attempt, as an engine would; the connection of a stream that fails is closed before its end. */
 export class RelaySink implements CallerSink {
   readonly #response: ServerResponse
   readonly #request: CallerRequest
@@ -17,7 +17,7 @@
     this.#request = request
   }
 
-  begin ({ softwareVersion, weightsVersion }: StreamVersions): void {
+  startStream ({ softwareVersion, weightsVersion }: StreamVersions): void {
     this.#writeHead({ 'x-software-version': softwareVersion, 'x-weights-version': weightsVersion })
   }
 
--- a/packages/knapweedshunt-router/src/relays/runRelay.ts
+++ b/packages/knapweedshunt-router/src/relays/runRelay.ts
@@ -22,7 +22,7 @@
   callerHeaders: Record<string, string>
 }
 
-/** Sends an attempt to another router and emits its response as events. Never rejects. A response without the router's word for it counts as lost. */
+/** Sends an attempt to another router and emits its response as events. Never rejects. A response without the router's answer header counts as lost. */
 export async function runRelay (call: RelayCall): Promise<void> {
   const { attempt, request, emit } = call
   const timer = new StallTimer(call.stallLimits, kind => emit({ type: 'stalled', attempt, kind }))
--- a/packages/knapweedshunt-router/src/requestTask.ts
+++ b/packages/knapweedshunt-router/src/requestTask.ts
@@ -81,7 +81,7 @@
   #deliver (n: number, text: string): void {
     if (n === this.#request.resumeFrom) {
       this.#dataPath.metrics.recordFirstToken(this.#request, performance.now() - this.#request.receivedAtMs)
-      this.#sink.begin?.(this.#stateMachine.versions)
+      this.#sink.startStream?.(this.#stateMachine.versions)
     }
     this.#sink.deliver(n, text)
   }
--- a/packages/knapweedshunt-router/src/responseSink.ts
+++ b/packages/knapweedshunt-router/src/responseSink.ts
@@ -27,7 +27,7 @@
     this.#isStreaming = request.work.type === 'completion' && request.work.stream
   }
 
-  begin (versions: StreamVersions): void {
+  startStream (versions: StreamVersions): void {
     this.#streamToken = signStreamToken({ ...versions, pool: this.#request.pool }, this.#request, this.#sharedKey)
   }
 
