--- a/packages/knapweedshunt-admin/src/readProgress.ts
+++ b/packages/knapweedshunt-admin/src/readProgress.ts
@@ -22,9 +22,9 @@
   try {
     const key = buildRolloutKey(goal.pool)
     const read = await context.platform.read(ROLLOUT_TABLE, key)
-    const row = read === null ? EMPTY_ROLLOUT_ROW : parseRolloutRow(read)
-    if (row === null) return { type: 'Progress', status: 'unknown', reason: 'RowUnreadable', message: `The row ${key} in the table ${ROLLOUT_TABLE} cannot be read: delete it.` }
-    return describeRollout(goal, row, DEFAULT_PLANNER_OPTIONS)
+    const parsed = read === null ? null : parseRolloutRow(read)
+    if (parsed?.type === 'unreadable') return { type: 'Progress', status: 'unknown', reason: 'RowUnreadable', message: `The row ${key} in the table ${ROLLOUT_TABLE} cannot be read: delete it.` }
+    return describeRollout(goal, parsed?.value ?? EMPTY_ROLLOUT_ROW, DEFAULT_PLANNER_OPTIONS)
   } catch (error) {
     if (!(error instanceof PlatformUnreachableError)) throw error
     return { type: 'Progress', status: 'unknown', reason: 'PlatformNotReached', message: 'The platform did not answer.' }
--- a/packages/knapweedshunt-fleet/src/fleetTask.ts
+++ b/packages/knapweedshunt-fleet/src/fleetTask.ts
@@ -1,3 +1,4 @@
+import { LoggedRows } from 'knapweedshunt-platform'
 import type { Row } from 'knapweedshunt-platform'
 import type { EndpointName, EndpointView, LoadReport, PoolName, ResourceOf, Revision } from 'knapweedshunt-types'
 import { runEvery } from 'knapweedshunt-utils'
@@ -31,8 +32,7 @@
   readonly #peerLeases: PeerLeaseTracker
   /** Rows as last read, so that a reconciled pool needs no further reads; cleared when the lease is lost. */
   #lastRows = new Map<PoolName, RolloutRow>()
-  /** Version of the row that was logged as unreadable, by pool. */
-  readonly #unreadableVersions = new Map<PoolName, number>()
+  readonly #loggedRows = new LoggedRows()
 
   constructor (options: FleetOptions, ports: FleetPorts, lease: Lease) {
     this.#options = options
@@ -98,8 +98,9 @@
   async #reconcilePool (pool: PoolName, leases: Row[]): Promise<void> {
     const read = await this.#ports.platform.read(ROLLOUT_TABLE, buildRolloutKey(pool))
     const version = read?.version ?? 0
-    const row = read === null ? EMPTY_ROLLOUT_ROW : parseRolloutRow(read)
-    if (row === null) return this.#recordUnreadable(pool, version)
+    const parsed = read === null ? null : parseRolloutRow(read)
+    if (parsed?.type === 'unreadable') return this.#recordUnreadable(pool, version, parsed.reason)
+    const row = parsed?.value ?? EMPTY_ROLLOUT_ROW
     const reports = await this.#readReports(row)
     const snapshot = this.#ports.readResources()
     const localPool = this.#poolIndex.listPools(snapshot).find(entry => entry.goal.pool === pool)
@@ -113,10 +114,10 @@
   }
 
   /** The row may hold slots of loads under way, so the pool waits until an operator has deleted it. */
-  #recordUnreadable (pool: PoolName, version: number): void {
-    if (this.#unreadableVersions.get(pool) === version) return
-    this.#unreadableVersions.set(pool, version)
-    this.#ports.log.error('State of roll-out cannot be read; the pool waits until the row is deleted.', { pool, table: ROLLOUT_TABLE, key: buildRolloutKey(pool) })
+  #recordUnreadable (pool: PoolName, version: number, reason: string): void {
+    const key = buildRolloutKey(pool)
+    if (!this.#loggedRows.tryAdd(ROLLOUT_TABLE, { key, version })) return
+    this.#ports.log.error('State of roll-out cannot be read; the pool waits until the row is deleted.', { pool, table: ROLLOUT_TABLE, key, reason })
   }
 
   /** Queries endpoints in load slots directly, since views received through gossip are seconds old. */
--- a/packages/knapweedshunt-fleet/src/parseRolloutRow.ts
+++ b/packages/knapweedshunt-fleet/src/parseRolloutRow.ts
@@ -1,4 +1,5 @@
-import type { Row } from 'knapweedshunt-platform'
+import type { ParsedRow, Row } from 'knapweedshunt-platform'
+import { describeFirstIssue } from 'knapweedshunt-utils'
 import { z } from 'zod'
 import type { RolloutRow } from './rolloutState.ts'
 
@@ -13,8 +14,8 @@
   revision: count
 }) satisfies z.ZodType<RolloutRow>
 
-/** Parses the row of a pool's loads; null when it cannot be read. */
-export function parseRolloutRow ({ value }: Row): RolloutRow | null {
+/** Parses the row of a pool's loads. */
+export function parseRolloutRow ({ value }: Row): ParsedRow<RolloutRow> {
   const result = rolloutRowSchema.safeParse(value)
-  return result.success ? result.data : null
+  return result.success ? { type: 'row', value: result.data } : { type: 'unreadable', reason: describeFirstIssue(result.error) }
 }
