--- a/packages/knapweedshunt-admin/src/startAdmin.ts
+++ b/packages/knapweedshunt-admin/src/startAdmin.ts
@@ -1,7 +1,7 @@
 import http from 'node:http'
 import { createLogger } from 'knapweedshunt-logger'
 import { createPlatformClient, DEFAULT_PLATFORM_TIMEOUT_MS } from 'knapweedshunt-platform'
-import { ResourceStore } from 'knapweedshunt-resources'
+import { DEFAULT_STORE_OPTIONS, ResourceStore } from 'knapweedshunt-resources'
 import { createRpcClient } from 'knapweedshunt-rpc'
 import { closeServer, listen } from 'knapweedshunt-utils'
 import type { AdminOptions } from './adminOptions.ts'
@@ -22,7 +22,7 @@
   const { peerKey: sharedKey } = options
   const control = createRpcClient({ url: options.controlUrl, sharedKey, timeoutMs: RPC_TIMEOUT_MS })
   const router = createRpcClient({ url: options.routerUrl, sharedKey, timeoutMs: RPC_TIMEOUT_MS })
-  const context = { platform, store: new ResourceStore(platform), control, router }
+  const context = { platform, store: new ResourceStore(platform, DEFAULT_STORE_OPTIONS, (table, key, reason) => log.error('Row of the resources cannot be read and counts as missing.', { table, key, reason })), control, router }
   const stopController = new AbortController()
   const server = http.createServer((message, response) => {
     if (message.url === '/healthz') return sendHealth(response)
--- a/packages/knapweedshunt-control/src/controlIo.ts
+++ b/packages/knapweedshunt-control/src/controlIo.ts
@@ -1,7 +1,7 @@
 import http from 'node:http'
 import type { Logger } from 'knapweedshunt-logger'
 import type { Platform } from 'knapweedshunt-platform'
-import { ResourceStore } from 'knapweedshunt-resources'
+import { DEFAULT_STORE_OPTIONS, ResourceStore } from 'knapweedshunt-resources'
 import type { ResourceSnapshot } from 'knapweedshunt-types'
 import { match } from 'ts-pattern'
 import type { ControlAction, ControlEvent } from './controlEvents.ts'
@@ -29,7 +29,7 @@
 
   constructor (options: ControlIoOptions) {
     this.#options = options
-    this.#store = new ResourceStore(options.platform)
+    this.#store = new ResourceStore(options.platform, DEFAULT_STORE_OPTIONS, (table, key, reason) => options.log.error('Row of the resources cannot be read and counts as missing.', { table, key, reason }))
   }
 
   /** Passes an event to the node and runs the resulting actions, including those that their results cause; resolves when all have ended. */
--- a/packages/knapweedshunt-control/src/fleet/startFleetTasks.ts
+++ b/packages/knapweedshunt-control/src/fleet/startFleetTasks.ts
@@ -38,7 +38,7 @@
     readRank: () => computeRank(self, context.listVms()),
     log
   }
-  const lease = new LeaseTask(platform, buildFleetLeaseKey(self.dataCentre), self.incarnation, options.lease)
+  const lease = new LeaseTask(platform, buildFleetLeaseKey(self.dataCentre), self.incarnation, options.lease, log)
   await Promise.all([
     lease.run(signal, () => ports.readRank() < options.maxContenders),
     new FleetTask(options, ports, lease).run(signal),
--- a/packages/knapweedshunt-fleet/src/leaseTask.ts
+++ b/packages/knapweedshunt-fleet/src/leaseTask.ts
@@ -1,5 +1,6 @@
-import { PlatformUnreachableError } from 'knapweedshunt-platform'
-import type { Platform } from 'knapweedshunt-platform'
+import type { Logger } from 'knapweedshunt-logger'
+import { LoggedRows, PlatformUnreachableError } from 'knapweedshunt-platform'
+import type { Platform, Row } from 'knapweedshunt-platform'
 import type { FencingToken, Incarnation } from 'knapweedshunt-types'
 import { sleep } from 'knapweedshunt-utils'
 import { match } from 'ts-pattern'
@@ -12,19 +13,24 @@
 
 const TICK_MS = 250
 
+const SILENT_LOG: Pick<Logger, 'warn'> = { warn () {} }
+
 /** Executes the actions of a {@link LeaseStateMachine} on the table service. */
 export class LeaseTask {
   readonly #platform: Platform
   readonly #name: string
   readonly #options: LeaseOptions
+  readonly #log: Pick<Logger, 'warn'>
+  readonly #loggedRows = new LoggedRows()
   readonly #machine: LeaseStateMachine
   /** Read or renewal in progress; null when there is none. */
   #pendingStep: Promise<void> | null = null
 
-  constructor (platform: Platform, name: string, holder: Incarnation, options: LeaseOptions) {
+  constructor (platform: Platform, name: string, holder: Incarnation, options: LeaseOptions, log: Pick<Logger, 'warn'> = SILENT_LOG) {
     this.#platform = platform
     this.#name = name
     this.#options = options
+    this.#log = log
     this.#machine = new LeaseStateMachine(holder, options)
   }
 
@@ -76,12 +82,16 @@
   async #read (): Promise<LeaseEvent> {
     try {
       const row = await this.#platform.read(LEASE_TABLE, this.#name)
-      return { type: 'rowRead', snapshot: { version: row?.version ?? 0, row: row === null ? null : readLeaseRow(row, this.#options.durationMs) } }
+      return { type: 'rowRead', snapshot: { version: row?.version ?? 0, row: row === null ? null : readLeaseRow(row, this.#options.durationMs, reason => this.#recordUnreadable(row, reason)) } }
     } catch {
       return { type: 'readFailed' }
     }
   }
 
+  #recordUnreadable (row: Row, reason: string): void {
+    if (this.#loggedRows.tryAdd(LEASE_TABLE, row)) this.#log.warn('Lease cannot be read; it is waited out.', { table: LEASE_TABLE, key: row.key, reason })
+  }
+
   async #write (version: number, row: LeaseRow): Promise<LeaseEvent> {
     try {
       const result = await this.#platform.transact({
--- a/packages/knapweedshunt-fleet/src/peerLeaseTracker.ts
+++ b/packages/knapweedshunt-fleet/src/peerLeaseTracker.ts
@@ -22,8 +22,9 @@
   /** Records lease rows as just read and returns the state of each data centre's lease. */
   update (rows: Row[], dataCentres: DataCentreId[]): PeerDataCentre[] {
     return dataCentres.map(dataCentre => {
+      // A lease that cannot be read is logged by the tasks of its own data centre.
       const row = rows.find(entry => entry.key === buildFleetLeaseKey(dataCentre))
-      return { dataCentre, lease: this.#determineState(dataCentre, row === undefined ? null : readLeaseRow(row, this.#options.durationMs)) }
+      return { dataCentre, lease: this.#determineState(dataCentre, row === undefined ? null : readLeaseRow(row, this.#options.durationMs, () => {})) }
     })
   }
 
--- a/packages/knapweedshunt-fleet/src/readLeaseRow.ts
+++ b/packages/knapweedshunt-fleet/src/readLeaseRow.ts
@@ -1,4 +1,5 @@
 import type { Row } from 'knapweedshunt-platform'
+import { describeFirstIssue } from 'knapweedshunt-utils'
 import { z } from 'zod'
 import type { LeaseRow } from './leaseState.ts'
 
@@ -20,9 +21,10 @@
 /**
  * Reads the row of a lease. One that cannot be read counts as the lease of an unknown holder, which expires `durationMs`
  * after it was first seen: it may have replaced the row of a holder that sends commands. Its token is the row's version,
- * which is no lower than any token written before, as each took a write.
+ * which is no lower than any token written before, as each took a write. `onUnreadable` is called with the reason.
  */
-export function readLeaseRow ({ value, version }: Row, durationMs: number): LeaseRow {
+export function readLeaseRow ({ value, version }: Row, durationMs: number, onUnreadable: (reason: string) => void): LeaseRow {
   const result = leaseRowSchema.safeParse(value)
+  if (!result.success) onUnreadable(describeFirstIssue(result.error))
   return result.success ? result.data : { holder: '', fencing: version, durationMs, nonce: `unreadable ${version}` }
 }
--- a/packages/knapweedshunt-fleet/src/waves/waveTask.ts
+++ b/packages/knapweedshunt-fleet/src/waves/waveTask.ts
@@ -48,7 +48,7 @@
   constructor (dependencies: WaveTaskDependencies) {
     this.#dependencies = dependencies
     this.#options = dependencies.options ?? DEFAULT_WAVE_OPTIONS
-    this.#lease = new LeaseTask(dependencies.platform, WAVE_LEASE, dependencies.incarnation, this.#options.lease)
+    this.#lease = new LeaseTask(dependencies.platform, WAVE_LEASE, dependencies.incarnation, this.#options.lease, dependencies.log)
   }
 
   /** Runs until the signal aborts, then releases the lease. */
--- a/packages/knapweedshunt-resources/src/resourceStore.ts
+++ b/packages/knapweedshunt-resources/src/resourceStore.ts
@@ -1,5 +1,5 @@
-import type { Platform, Row, Transaction } from 'knapweedshunt-platform'
-import { PlatformUnreachableError } from 'knapweedshunt-platform'
+import type { ParsedRow, Platform, Row, Transaction } from 'knapweedshunt-platform'
+import { LoggedRows, PlatformUnreachableError } from 'knapweedshunt-platform'
 import type { Resource, ResourceChange, ResourceOperation, ResourceSnapshot, Revision } from 'knapweedshunt-types'
 import { applyOps } from './applyOps.ts'
 import { checkOps } from './checkOps.ts'
@@ -36,10 +36,14 @@
 export class ResourceStore {
   readonly #platform: Platform
   readonly #options: StoreOptions
+  readonly #onUnreadable: (table: string, key: string, reason: string) => void
+  readonly #loggedRows = new LoggedRows()
 
-  constructor (platform: Platform, options: StoreOptions = DEFAULT_STORE_OPTIONS) {
+  /** `onUnreadable` is called for each row that cannot be read, once until it changes. */
+  constructor (platform: Platform, options: StoreOptions = DEFAULT_STORE_OPTIONS, onUnreadable: (table: string, key: string, reason: string) => void = () => {}) {
     this.#platform = platform
     this.#options = options
+    this.#onUnreadable = onUnreadable
   }
 
   /** Reads the newest accepted revision; 0 before the first change. */
@@ -50,7 +54,7 @@
   /** Reads the accepted changes after a revision, oldest first and without a gap; null when compaction has deleted the next one. */
   async readChangesAfter (revision: Revision): Promise<ResourceChange[] | null> {
     const rows = await this.#platform.scan({ table: RESOURCE_TABLE, prefix: CHANGE_PREFIX, after: buildChangeKey(revision), limit: MAX_CHANGES_PER_SCAN })
-    const changes = rows.map(parseChangeRow).filter(change => change !== null)
+    const changes = rows.map(row => this.#parse(parseChangeRow, row)).filter(change => change !== null)
     if (changes.length > 0 && changes[0].revision !== revision + 1) return null
     const gapIndex = changes.findIndex((change, index) => change.revision !== revision + 1 + index)
     return gapIndex === -1 ? changes : changes.slice(0, gapIndex)
@@ -87,8 +91,8 @@
     const changes = await this.#platform.scan({ table: RESOURCE_TABLE, prefix: CHANGE_PREFIX, limit: MAX_CHANGES_PER_SCAN })
     const changeIds = lastExpiredIdRevision < 1 ? [] : await this.#platform.scan({ table: RESOURCE_TABLE, prefix: CHANGE_ID_PREFIX, limit: MAX_ROWS_PER_SCAN })
     const expiredRows = [
-      ...changes.filter(row => (parseChangeRow(row)?.revision ?? 0) <= lastExpiredChangeRevision),
-      ...changeIds.filter(row => (parseRevisionRow(row) ?? 0) <= lastExpiredIdRevision)
+      ...changes.filter(row => (this.#parse(parseChangeRow, row)?.revision ?? 0) <= lastExpiredChangeRevision),
+      ...changeIds.filter(row => (this.#parse(parseRevisionRow, row)?.revision ?? 0) <= lastExpiredIdRevision)
     ]
     if (expiredRows.length === 0) return
     const writes: Transaction['writes'] = expiredRows.map(row => ({ type: 'delete', table: RESOURCE_TABLE, key: row.key }))
@@ -142,24 +146,31 @@
 
   async #readRows (): Promise<Resource[]> {
     const rows = await this.#platform.scan({ table: RESOURCE_TABLE, prefix: ROW_PREFIX, limit: MAX_ROWS_PER_SCAN })
-    return rows.map(parseResourceRow).filter(resource => resource !== null)
+    return rows.map(row => this.#parse(parseResourceRow, row)).filter(resource => resource !== null)
   }
 
   async #readHeadRow (): Promise<Head> {
     const row = await this.#platform.read(RESOURCE_TABLE, HEAD_KEY)
     if (row === null) return { version: 0, revision: 0 }
-    return { version: row.version, revision: parseRevisionRow(row) ?? await this.#findNewestRevision() }
+    return { version: row.version, revision: this.#parse(parseRevisionRow, row)?.revision ?? await this.#findNewestRevision() }
   }
 
   /** Finds the newest revision among the changes and resources, for a head row that cannot be read; the next change writes it again. */
   async #findNewestRevision (): Promise<Revision> {
     const changes = await this.#platform.scan({ table: RESOURCE_TABLE, prefix: CHANGE_PREFIX, limit: MAX_ROWS_PER_SCAN })
-    const revisions = [...changes.map(row => parseChangeRow(row)?.revision ?? 0), ...(await this.#readRows()).map(resource => resource.revision)]
+    const revisions = [...changes.map(row => this.#parse(parseChangeRow, row)?.revision ?? 0), ...(await this.#readRows()).map(resource => resource.revision)]
     return revisions.reduce((newest, revision) => Math.max(newest, revision), 0)
   }
 
   async #readByChangeId (changeId: string): Promise<Revision | null> {
     const row: Row | null = await this.#platform.read(RESOURCE_TABLE, CHANGE_ID_PREFIX + changeId)
-    return row === null ? null : parseRevisionRow(row)
+    return row === null ? null : this.#parse(parseRevisionRow, row)?.revision ?? null
+  }
+
+  #parse<T> (parse: (row: Row) => ParsedRow<T>, row: Row): T | null {
+    const result = parse(row)
+    if (result.type === 'row') return result.value
+    if (this.#loggedRows.tryAdd(RESOURCE_TABLE, row)) this.#onUnreadable(RESOURCE_TABLE, row.key, result.reason)
+    return null
   }
 }
