--- a/packages/knapweedshunt-gateway/src/directory/crashMarks.ts
+++ b/packages/knapweedshunt-gateway/src/directory/crashMarks.ts
@@ -1,6 +1,7 @@
 import { addElapsedTime } from 'knapweedshunt-attempts'
 import type { SuspectMark } from 'knapweedshunt-attempts'
 import type { Incarnation } from 'knapweedshunt-types'
+import { computeAgeMs } from './computeAgeMs.ts'
 import type { CrashRow, NumberedMark } from './rosterRows.ts'
 
 /** Maximum number of marks in a VM's row; with it a row stays within half of the size that the store accepts. */
@@ -76,11 +77,6 @@
   }
 }
 
-/** The clocks of two VMs differ, so a mark may seem to come from the future. */
-function computeAgeMs (atMs: number): number {
-  return Math.max(0, Date.now() - atMs)
-}
-
 function isExpired ({ atMs, mark }: NumberedMark): boolean {
   return mark.type === 'quarantined' ? computeAgeMs(atMs) >= mark.forMs : computeAgeMs(atMs) > MAX_MARK_AGE_MS
 }
--- a/packages/knapweedshunt-gateway/src/directory/quarantineLifts.ts
+++ b/packages/knapweedshunt-gateway/src/directory/quarantineLifts.ts
@@ -2,6 +2,7 @@
 import type { QuarantineLift } from 'knapweedshunt-attempts'
 import type { ChangedRow, Platform, Row, TableUpdate } from 'knapweedshunt-platform'
 import { describeFirstIssue } from 'knapweedshunt-utils'
+import { computeAgeMs } from './computeAgeMs.ts'
 import { ROSTER_KEY, ROSTER_TABLE } from './rosterRows.ts'
 import { SUSPECT_OPTIONS } from './suspectOptions.ts'
 
@@ -92,7 +93,7 @@
     const known = this.#known.get(key)
     if (isExpired(lift) || (known !== undefined && known.atMs >= lift.atMs)) return
     this.#known.set(key, lift)
-    const ageMs = computeAgeMs(lift)
+    const ageMs = computeAgeMs(lift.atMs)
     this.#dependencies.onLift({ lift, ageMs, liftedAtMs: performance.now() - Math.max(0, ageMs - LIFT_TOLERANCE_MS) })
   }
 
@@ -132,11 +133,6 @@
   }
 }
 
-/** The clocks of operators and VMs differ, so a lift may seem to come from the future. */
-function computeAgeMs ({ atMs }: QuarantineLift): number {
-  return Math.max(0, Date.now() - atMs)
-}
-
 function isExpired (lift: QuarantineLift): boolean {
-  return computeAgeMs(lift) >= LIFT_MS
+  return computeAgeMs(lift.atMs) >= LIFT_MS
 }
--- a/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
+++ b/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
@@ -6,6 +6,7 @@
 import { hashText } from 'knapweedshunt-utils'
 import { match } from 'ts-pattern'
 import type { PeerAddress, PeerView } from '../peers/peerAddress.ts'
+import { computeAgeMs } from './computeAgeMs.ts'
 import { CrashMarks } from './crashMarks.ts'
 import { OwnedRows } from './ownedRows.ts'
 import { parseRosterRow } from './parseRosterRow.ts'
@@ -229,7 +230,7 @@
     const { self, onPartEvidence } = this.#dependencies
     if (incarnation === self.incarnation) return
     const isOwn = key === ROSTER_KEY.part + self.vm
-    onPartEvidence({ evidence, from: incarnation, ageMs: Math.max(0, Date.now() - atMs), isOwn })
+    onPartEvidence({ evidence, from: incarnation, ageMs: computeAgeMs(atMs), isOwn })
     if (isOwn) this.announceParts()
   }
 
