--- a/packages/knapweedshunt-utils/src/index.ts
+++ b/packages/knapweedshunt-utils/src/index.ts
@@ -1,7 +1,6 @@
 /** HTTP, timing, hashing and random-number helpers shared by all packages. */
 export * from './requestJson.ts'
 export * from './closeServer.ts'
-export * from './computeMac.ts'
 export * from './createIncarnation.ts'
 export * from './describeFirstIssue.ts'
 export * from './readElapsedMs.ts'
@@ -17,4 +16,5 @@
 export * from './runEvery.ts'
 export * from './runWithTimeout.ts'
 export * from './sendJsonResponse.ts'
+export * from './signedJson.ts'
 export * from './sleep.ts'
