--- a/packages/knapweedshunt-attempts/src/crashingPartDetector.ts
+++ b/packages/knapweedshunt-attempts/src/crashingPartDetector.ts
@@ -26,7 +26,7 @@
   isAnnounced: boolean
 }
 
-/** What a lift has ended. */
+/** Quarantines and crash reports that a lift has ended. */
 export interface LiftedPart {
   quarantines: PartQuarantine[]
   /** Number of crash reports that no longer count. */
--- a/packages/knapweedshunt-attempts/src/poolVersionHistory.ts
+++ b/packages/knapweedshunt-attempts/src/poolVersionHistory.ts
@@ -54,7 +54,7 @@
     return [...this.#pools.get(pool)?.lastPresentMs ?? []].filter(([, lastMs]) => lastMs >= oldestMs).map(([version]) => version)
   }
 
-  /** Whether a pool had another version of late. */
+  /** Whether another version may have begun streams of the pool that may still be taken up again. */
   hasOtherThan (pool: string, softwareVersion: string): boolean {
     return [...this.#pools.get(pool)?.lastPresentMs.keys() ?? []].some(version => version !== softwareVersion)
   }
--- a/packages/knapweedshunt-attempts/src/settledVersions.ts
+++ b/packages/knapweedshunt-attempts/src/settledVersions.ts
@@ -27,7 +27,7 @@
     this.#pools.set(pool, known)
   }
 
-  /** Starts anew after a time in which the table was not read. */
+  /** Forgets all versions, after a time in which the table was not read. */
   clear (): void {
     this.#pools.clear()
     this.#settled.clear()
--- a/packages/knapweedshunt-gateway/src/directory/quarantineLifts.ts
+++ b/packages/knapweedshunt-gateway/src/directory/quarantineLifts.ts
@@ -27,7 +27,7 @@
 /** Dependencies of {@link QuarantineLifts}. */
 export interface QuarantineLiftsDependencies {
   platform: Platform
-  /** Whether this VM writes what no VM in particular owns. */
+  /** Whether this VM writes the rows that belong to no single VM. */
   isSharedWriter (): boolean
   onLift (received: ReceivedLift): void
   /** Called when the store no longer has a lift, or has an older one. */
@@ -65,7 +65,7 @@
     for (const { key, lift } of this.#listLost()) this.#recordLost(key, lift)
   }
 
-  /** Writes again the lifts that the store has lost and deletes the expired ones, if this VM is the one to do so. Others write what stays lost: that VM may have started later than the loss. */
+  /** Writes again the lifts that the store has lost and deletes the expired ones, if this VM writes the rows that belong to no single VM. Other VMs write lifts that stay lost, since that VM may not know them. */
   async sweep (): Promise<void> {
     const isSharedWriter = this.#dependencies.isSharedWriter()
     const oldestMs = performance.now() - TAKEOVER_MS
--- a/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
@@ -127,7 +127,7 @@
 
   /** Records whether another endpoint has taken over from an attempt; `result` is null if that is not needed any more. `lastBytesAtMs` is the time of the last bytes forwarded; null before the first. */
   recordHandover ({ attempt, attemptNumber, endpoint, startedAtMs }: RunningAttempt, { cause, endpoint: successor }: Successor, result: SuccessionResult | null, lastBytesAtMs: number | null): void {
-    // While nothing can be asked, one line for an attempt is enough.
+    // An attempt for which no endpoint could be chosen is logged once, however often it is tried.
     if (successor === '') {
       if (this.#unaskedAttempt === attemptNumber) return
       this.#unaskedAttempt = attemptNumber
--- a/packages/knapweedshunt-gateway/src/peers/versionNotices.ts
+++ b/packages/knapweedshunt-gateway/src/peers/versionNotices.ts
@@ -24,7 +24,7 @@
   onFailed (vm: VmId, reason: string): void
 }
 
-/** Tells the other VMs of software versions that this VM has seen lately, until each has acknowledged. */
+/** Tells the other VMs of software versions that are not settled, until each VM has acknowledged them. */
 export class VersionNotices {
   readonly #dependencies: VersionNoticesDependencies
   readonly #vms = new Map<VmId, InformedVm>()
--- a/packages/knapweedshunt-gateway/src/quarantines/waitUntilWithdrawn.ts
+++ b/packages/knapweedshunt-gateway/src/quarantines/waitUntilWithdrawn.ts
@@ -17,7 +17,7 @@
   vms: string[]
 }
 
-/** Waits until the VMs have withdrawn what was lifted, for some seconds. Throws PlatformError. */
+/** Waits until the VMs have withdrawn what was lifted, or {@link WITHDRAWAL_MS} have passed. Throws PlatformError. */
 export async function waitUntilWithdrawn (platform: Platform, lift: QuarantineLift): Promise<WithdrawalResult> {
   const deadlineMs = performance.now() + WITHDRAWAL_MS
   for (;;) {
--- a/packages/knapweedshunt-router/src/endpointReach.ts
+++ b/packages/knapweedshunt-router/src/endpointReach.ts
@@ -14,7 +14,7 @@
     for (const endpoint of this.#unreached) if (this.#entries.get(endpoint)?.url !== previous.get(endpoint)?.url) this.#unreached.delete(endpoint)
   }
 
-  /** Records that a connection was opened, or failed. */
+  /** Records whether a connection could be opened. */
   recordConnection (endpoint: EndpointName, isOpen: boolean): void {
     if (isOpen) this.#unreached.delete(endpoint)
     else if (this.#entries.has(endpoint)) this.#unreached.add(endpoint)
