--- a/packages/knapweedshunt-attempts/src/crashingPartDetector.ts
+++ b/packages/knapweedshunt-attempts/src/crashingPartDetector.ts
@@ -4,6 +4,8 @@
 import { DEFAULT_CRASHING_PART_OPTIONS } from './crashingPartOptions.ts'
 import type { CrashReport } from './crashReport.ts'
 import { CrashReportIndex } from './crashReportIndex.ts'
+import type { ClearedParts } from './clearedParts.ts'
+import type { LiftedPart } from './liftedPart.ts'
 import { PartClearings } from './partClearings.ts'
 import { EndpointLiveness } from './endpointLiveness.ts'
 import { LiftTimes } from './liftTimes.ts'
@@ -18,21 +20,6 @@
   | { type: 'clear' }
   | { type: 'quarantined', parts: string[], retryAfterMs: number }
 
-/** What a served request shows. */
-export interface ClearedParts {
-  /** Parts that were suspect or quarantined until now. */
-  parts: string[]
-  /** Whether the other VMs must hear of it, soon: what this VM has published is no longer true, or the part is lost again and again. */
-  isAnnounced: boolean
-}
-
-/** Quarantines and crash reports that a lift has ended. */
-export interface LiftedPart {
-  quarantines: PartQuarantine[]
-  /** Number of crash reports that no longer count. */
-  reportCount: number
-}
-
 /** Maximum number of quarantines held; the one that ends first is evicted. */
 const MAX_QUARANTINES = 256
 
