--- a/packages/knapweedshunt-gateway/src/directory/quarantineLifts.ts
+++ b/packages/knapweedshunt-gateway/src/directory/quarantineLifts.ts
@@ -1,6 +1,8 @@
 import { quarantineLiftSchema } from 'knapweedshunt-attempts'
 import type { QuarantineLift } from 'knapweedshunt-attempts'
 import type { ChangedRow, Platform, Row, TableUpdate } from 'knapweedshunt-platform'
+import { describeFirstIssue } from 'knapweedshunt-utils'
+import { computeAgeMs } from './computeAgeMs.ts'
 import { ROSTER_KEY, ROSTER_TABLE } from './rosterRows.ts'
 import { SUSPECT_OPTIONS } from './suspectOptions.ts'
 
@@ -25,7 +27,7 @@
 /** Dependencies of {@link QuarantineLifts}. */
 export interface QuarantineLiftsDependencies {
   platform: Platform
-  /** Whether this VM writes what no VM in particular owns. */
+  /** Whether this VM writes the rows that belong to no single VM. */
   isSharedWriter (): boolean
   onLift (received: ReceivedLift): void
   /** Called when the store no longer has a lift, or has an older one. */
@@ -42,8 +44,8 @@
 }
 
 /**
- * Lifts of quarantines, which operators write to the store. A VM that has learnt of a lift keeps to it until it expires,
- * whatever the store returns to; what the store has lost is written again, and what has expired is deleted.
+ * Lifts of quarantines, which operators write to the store. A VM that has learnt of a lift applies it until it expires,
+ * also if the store loses it; what the store has lost is written again, and what has expired is deleted.
  */
 export class QuarantineLifts {
   readonly #dependencies: QuarantineLiftsDependencies
@@ -63,7 +65,7 @@
     for (const { key, lift } of this.#listLost()) this.#recordLost(key, lift)
   }
 
-  /** Writes again the lifts that the store has lost and deletes the expired ones, if this VM is the one to do so. Others write what stays lost: that VM may have started later than the loss. */
+  /** Writes again the lifts that the store has lost and deletes the expired ones, if this VM writes the rows that belong to no single VM. Other VMs write lifts that stay lost, since that VM may not know them. */
   async sweep (): Promise<void> {
     const isSharedWriter = this.#dependencies.isSharedWriter()
     const oldestMs = performance.now() - TAKEOVER_MS
@@ -84,15 +86,14 @@
       this.#lostSinceMs.delete(result.data.id)
       return this.#applyLift(key, result.data)
     }
-    const [issue] = result.error.issues
-    this.#dependencies.onUnreadable(key, `${issue.path.join('.')}: ${issue.message}`)
+    this.#dependencies.onUnreadable(key, describeFirstIssue(result.error))
   }
 
   #applyLift (key: string, lift: QuarantineLift): void {
     const known = this.#known.get(key)
     if (isExpired(lift) || (known !== undefined && known.atMs >= lift.atMs)) return
     this.#known.set(key, lift)
-    const ageMs = computeAgeMs(lift)
+    const ageMs = computeAgeMs(lift.atMs)
     this.#dependencies.onLift({ lift, ageMs, liftedAtMs: performance.now() - Math.max(0, ageMs - LIFT_TOLERANCE_MS) })
   }
 
@@ -112,7 +113,7 @@
     this.#dependencies.onLost(key, lift)
   }
 
-  /** A row that has changed meanwhile is left as it is; the feed of changes brings it. */
+  /** A row that has changed meanwhile is left as it is, since the follower of the table applies it. */
   async #write (key: string, value: QuarantineLift | null): Promise<void> {
     const { platform, onUnwritten } = this.#dependencies
     const checks = [{ table: ROSTER_TABLE, key, version: this.#stored.get(key)?.version ?? 0 }]
@@ -132,11 +133,6 @@
   }
 }
 
-/** The clocks of operators and VMs differ, so a lift may seem to come from the future. */
-function computeAgeMs ({ atMs }: QuarantineLift): number {
-  return Math.max(0, Date.now() - atMs)
-}
-
 function isExpired (lift: QuarantineLift): boolean {
-  return computeAgeMs(lift) >= LIFT_MS
+  return computeAgeMs(lift.atMs) >= LIFT_MS
 }
