Gateway: while its endpoint table is old, a VM sends resumable streams only to endpoints whose reports confirm their rows

What callers saw: an endpoint ended and started again under its name and address with another software version while a VM did not read the store. A stream taken up at that VM went on at the other version; one that began there was recorded with the version of the old row and went on at that one.

Cause: the VM takes the version from its row, and nothing in a request names the start of an endpoint (Expect-Instance holds the name only).

Fix: once the endpoint table is older than 3.3 s, which tables in touch do not reach but for moments, the endpoint of a resumable stream is asked for its report. If that states another start than the row, or does not arrive, or may not be asked for, the endpoint is not used for this stream and others are tried (log: incarnationUnconfirmed). Streams share a report for 0.3 s; it takes a permit of EndpointPermits. A report or row without a start cannot tell, and the row is believed. Nothing is asked while the table is fresh, nor for other requests.

--- a/packages/knapweedshunt-gateway/src/directory/tableFollowers.ts
+++ b/packages/knapweedshunt-gateway/src/directory/tableFollowers.ts
@@ -10,7 +10,7 @@
 const RESOURCE_POLL_WAIT_MS = 1_500
 
 /** Time for which the store may hold a long poll of the endpoints, in milliseconds. A connection that went silent is noticed only after it, and until then this VM does not learn that an endpoint leaves. */
-const ENDPOINT_POLL_WAIT_MS = 1_500
+export const ENDPOINT_POLL_WAIT_MS = 1_500
 
 /** Pause after a poll that returned changes of endpoints, in milliseconds; far below the time within which a leaving endpoint must get no new requests. */
 const ENDPOINT_POLL_PAUSE_MS = 500
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -57,6 +57,8 @@
   softwareVersion: string | null
   /** Whether a stream that has not begun may begin at a software version; null if that does not matter. */
   acceptsVersion: ((softwareVersion: string) => boolean) | null
+  /** Endpoints that are not used, also when no other is left. */
+  excludedEndpoints?: readonly EndpointName[]
   /** Whether limited endpoints are left to other requests. */
   mustYieldLimits: boolean
 }
@@ -143,10 +145,11 @@
   }
 
   /** Chooses an endpoint of the pool, preferring those not tried yet, and counts the request towards its rate limit. */
-  choose ({ pool, levels, triedEndpoints, mayRepeat, prompt, softwareVersion, acceptsVersion, mustYieldLimits }: ChoiceCriteria): Choice {
+  choose ({ pool, levels, triedEndpoints, mayRepeat, prompt, softwareVersion, acceptsVersion, excludedEndpoints = [], mustYieldLimits }: ChoiceCriteria): Choice {
     const isRetry = triedEndpoints.length > 0
     const records = this.#dependencies.endpointRegistry.list(pool)
-    const suitable = softwareVersion === null ? records : records.filter(({ entry, isDraining }) => entry.softwareVersion === softwareVersion && !isDraining)
+    const allowed = excludedEndpoints.length === 0 ? records : records.filter(({ entry }) => !excludedEndpoints.includes(entry.endpoint))
+    const suitable = softwareVersion === null ? allowed : allowed.filter(({ entry, isDraining }) => entry.softwareVersion === softwareVersion && !isDraining)
     const accepted = acceptsVersion === null ? suitable : filterByVersion(suitable, acceptsVersion)
     const candidates = this.#listCandidates(accepted, triedEndpoints, mayRepeat)
     if (candidates.length === 0) return suitable.length === 0 ? { type: 'none' } : { type: 'busy' }
--- a/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
@@ -3,6 +3,7 @@
 import type { VmId } from 'knapweedshunt-types'
 import type { LossReason } from '../endpoints/attemptOutcome.ts'
 import type { EndpointChooser } from '../endpoints/endpointChooser.ts'
+import type { IncarnationChecks } from '../endpoints/incarnationChecks.ts'
 import type { KvStoreMonitor } from '../endpoints/kvStoreMonitor.ts'
 import type { EndpointLimits } from '../endpoints/endpointLimits.ts'
 import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
@@ -28,6 +29,7 @@
   agent: http.Agent
   chooser: EndpointChooser
   endpointMonitor: EndpointMonitor
+  incarnationChecks: IncarnationChecks
   kvStoreMonitor: KvStoreMonitor
   endpointLimits: EndpointLimits
   endpointPermits: EndpointPermits
--- a/packages/knapweedshunt-gateway/src/flow/selectTarget.ts
+++ b/packages/knapweedshunt-gateway/src/flow/selectTarget.ts
@@ -8,7 +8,7 @@
 import type { FlowDependencies } from './flowDependencies.ts'
 import type { KeyRefusal } from './keyRefusal.ts'
 import type { RequestPlan } from './requestPlan.ts'
-import { waitForEndpoint } from './waitForEndpoint.ts'
+import { waitForConfirmedEndpoint } from './waitForConfirmedEndpoint.ts'
 
 /** Where the next attempt of a request goes, or why there is none. */
 export type TargetSelection =
@@ -63,7 +63,7 @@
   const { chooser } = dependencies
   const { pool, route, call } = plan
   const homeLevels = chooser.findHomeLevels(plan.levels)
-  const choice = await waitForEndpoint(dependencies, plan, { homeLevels, triedEndpoints, mayRepeat, softwareVersion, acceptsVersion: buildVersionFilter(dependencies, plan, softwareVersion), isCancelled })
+  const choice = await waitForConfirmedEndpoint(dependencies, plan, { homeLevels, triedEndpoints, mayRepeat, softwareVersion, acceptsVersion: buildVersionFilter(dependencies, plan, softwareVersion), isCancelled })
   if (isCancelled()) return { type: 'cancelled' }
   if (choice.type === 'chosen') return { type: 'target', target: { type: 'endpoint', chosen: choice, homeLevels } }
   return { type: 'unplaced', choice, candidates: formatCandidates(chooser.countCandidates({ pool, prompt: route.usesPrefixes ? call.prompt : null, triedEndpoints, softwareVersion })) }
--- a/packages/knapweedshunt-gateway/src/flow/waitForEndpoint.ts
+++ b/packages/knapweedshunt-gateway/src/flow/waitForEndpoint.ts
@@ -24,12 +24,14 @@
   softwareVersion: string | null
   /** Whether a stream that has not begun may begin at a software version; null if that does not matter. */
   acceptsVersion: ((softwareVersion: string) => boolean) | null
+  /** Endpoints that are not used, also when no other is left. */
+  excludedEndpoints: readonly EndpointName[]
   /** Whether the request was settled while it waited. */
   isCancelled (): boolean
 }
 
 /** Chooses an endpoint. If all are busy or limited, it waits up to a share of the objective, but not if that is known to be too short; returns the last choice. */
-export async function waitForEndpoint ({ chooser, endpointLimits, permitQueue }: FlowDependencies, plan: RequestPlan, { homeLevels, triedEndpoints, mayRepeat, softwareVersion, acceptsVersion, isCancelled }: EndpointSearch): Promise<Choice> {
+export async function waitForEndpoint ({ chooser, endpointLimits, permitQueue }: FlowDependencies, plan: RequestPlan, { homeLevels, triedEndpoints, mayRepeat, softwareVersion, acceptsVersion, excludedEndpoints, isCancelled }: EndpointSearch): Promise<Choice> {
   const { pool, call, route, deadlineAtMs } = plan
   const prompt = route.usesPrefixes ? call.prompt : null
   const waitDeadlineAtMs = Math.min(deadlineAtMs, performance.now() + route.objectiveMs * MAX_WAIT_OBJECTIVE_SHARE)
@@ -38,7 +40,7 @@
   try {
     for (;;) {
       const aheadCount = permitQueue.countAhead(waiter)
-      const choice = chooser.choose({ pool, levels: homeLevels, triedEndpoints, mayRepeat, prompt, softwareVersion, acceptsVersion, mustYieldLimits: aheadCount > 0 })
+      const choice = chooser.choose({ pool, levels: homeLevels, triedEndpoints, mayRepeat, prompt, softwareVersion, acceptsVersion, excludedEndpoints, mustYieldLimits: aheadCount > 0 })
       if (choice.type === 'chosen' || choice.type === 'none' || performance.now() >= waitDeadlineAtMs || isCancelled()) return choice
       if (choice.type === 'limited') {
         const waitMs = choice.waitMs + aheadCount / choice.permitsPerS * MS_PER_SECOND
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -23,6 +23,7 @@
 import { EndpointRegistry } from './endpoints/endpointRegistry.ts'
 import type { EndpointRecord } from './endpoints/endpointRecord.ts'
 import { EndpointChooser } from './endpoints/endpointChooser.ts'
+import { IncarnationChecks } from './endpoints/incarnationChecks.ts'
 import { KvStoreMonitor } from './endpoints/kvStoreMonitor.ts'
 import { EndpointMonitor } from './endpoints/endpointMonitor.ts'
 import { computePoolReach, listPoolReaches } from './endpoints/listPoolReaches.ts'
@@ -325,6 +326,7 @@
       agent: this.#agent,
       chooser: this.#chooser,
       endpointMonitor: this.#endpointMonitor,
+      incarnationChecks: new IncarnationChecks({ managementPort: this.#dependencies.managementPort, decisionLog: this.#decisionLog, getEndpointsAgeMs: () => this.#followers.endpoints.ageMs ?? Infinity, tryTakePermit: record => this.#endpointPermits.tryTake(record) }),
       kvStoreMonitor: this.#kvStoreMonitor,
       endpointLimits: this.#endpointLimits,
       endpointPermits: this.#endpointPermits,
--- a/packages/knapweedshunt-gateway/src/ports/managementPort.ts
+++ b/packages/knapweedshunt-gateway/src/ports/managementPort.ts
@@ -1,9 +1,11 @@
-import type { EndpointName, FencingToken } from 'knapweedshunt-types'
+import type { EndpointName, FencingToken, Incarnation } from 'knapweedshunt-types'
 import type { EndpointEntry, ServedModel } from './endpointEntry.ts'
 import type { GatewayPool } from './gatewayConfig.ts'
 
 /** An endpoint's response to a report call. */
 export interface EndpointReport {
+  /** Incarnation that answered; null if the report or the endpoint's row does not state its start. */
+  incarnation: Incarnation | null
   models: ServedModel[]
   /** Whether a command is being carried out. */
   isBusy: boolean
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -40,6 +40,8 @@
   /** Not used until it answers again; `reason` is the failure that was observed. */
   | { type: 'endpointOut', endpoint: EndpointName, reason: string }
   | { type: 'endpointBack', endpoint: EndpointName }
+  /** Not sent a resumable stream, as the endpoint table is old and its report does not confirm the incarnation of its row; `reported` is the one that the report states, empty without one. */
+  | { type: 'incarnationUnconfirmed', endpoint: EndpointName, incarnation: string, reported: string, reason: string, tableAgeMs: number }
   /** The number of a pool's endpoints that this VM reaches changed. */
   | { type: 'poolReach', pool: PoolName, reached: number, known: number }
   /** The rate limit in an endpoint's responses changed, in requests per second for all VMs together; null for none. `requestId` names the request whose response said so, `from` the VM incarnation that read it, empty for this one; `ownRatePerS` is this VM's part. */
--- a/packages/knapweedshunt-gateway/src/records/decisionLog.ts
+++ b/packages/knapweedshunt-gateway/src/records/decisionLog.ts
@@ -43,6 +43,7 @@
   endpointKept: 'Endpoint kept without a readable row.',
   endpointOut: 'Endpoint left out.',
   endpointBack: 'Endpoint used again.',
+  incarnationUnconfirmed: 'Endpoint not used for a stream.',
   poolReach: 'Reached endpoints of pool changed.',
   limitStated: 'Rate limit of endpoint changed.',
   limitUnreadable: 'Rate limit of endpoint unreadable.',
