--- a/packages/knapweedshunt-gateway/src/__tests__/streamOrigins.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/streamOrigins.test.ts
@@ -30,7 +30,8 @@
   observe: (durationMs: number) => Promise<void>
 }
 
-async function runWithOrigins (call: (view: PeerView, method: string) => unknown, run: (setup: Setup) => Promise<void>): Promise<void> {
+/** Runs with a VM that has just started and read no endpoints. */
+async function runWithStarted (call: (view: PeerView, method: string) => unknown, run: (setup: Setup) => Promise<void>): Promise<void> {
   const clock = install()
   const abort = new AbortController()
   setMaxListeners(0, abort.signal)
@@ -53,14 +54,12 @@
       registry.applySnapshot(versions.map(softwareVersion => buildVersionEntry(softwareVersion, softwareVersion)), [], null)
       origins.updateVersions()
     }
-    applyVersions(['v1'])
     const observe = async (durationMs: number) => {
       for (let ms = 0; ms < durationMs; ms += UPDATE_INTERVAL_MS) {
         await clock.tickAsync(UPDATE_INTERVAL_MS)
         origins.updateVersions()
       }
     }
-    await observe(OBSERVED_MS)
     await run({ clock, origins, applyVersions, observe })
   } finally {
     abort.abort()
@@ -68,6 +67,15 @@
   }
 }
 
+/** Runs with a VM that has observed one software version for long enough. */
+async function runWithOrigins (call: (view: PeerView, method: string) => unknown, run: (setup: Setup) => Promise<void>): Promise<void> {
+  await runWithStarted(call, async setup => {
+    setup.applyVersions(['v1'])
+    await setup.observe(OBSERVED_MS)
+    await run(setup)
+  })
+}
+
 function listHolders (firstRequestId: string): string[] {
   return selectStreamHolders(computeStreamKey('org', POOL, firstRequestId), [VM, ...PEERS]).map(({ vm }) => vm)
 }
@@ -126,3 +134,18 @@
     t.false(origins.canBegin(identity, 'v2'))
   })
 })
+
+// Guards against a herd of VMs that have all just started, each of which tells the others what all have read from the store.
+test.serial('a VM that has just started does not tell others what it has read from the store', async t => {
+  const told: string[] = []
+  await runWithStarted((_view, method) => told.push(method), async ({ clock, origins, applyVersions }) => {
+    const restored = Array.from({ length: 20 }, (_, n) => ({ key: computeStreamKey('org', POOL, `r${n}`), pool: POOL, softwareVersion: 'v1' }))
+    origins.applyRestored(restored)
+    applyVersions(['v1', 'v2'])
+    await clock.tickAsync(1_000)
+    t.false(told.includes('streams.record'))
+    origins.recordBegan({ organisation: 'org', pool: POOL, firstRequestId: 'new' }, 'v1')
+    await clock.tickAsync(1_000)
+    t.true(told.includes('streams.record'))
+  })
+})
