--- a/packages/knapweedshunt-gateway/src/flow/attemptRunner.ts
+++ b/packages/knapweedshunt-gateway/src/flow/attemptRunner.ts
@@ -1,23 +1,18 @@
-import type { PrefixLevel, VmId } from 'knapweedshunt-types'
+import type { VmId } from 'knapweedshunt-types'
 import { match } from 'ts-pattern'
 import type { LossReason } from '../endpoints/attemptOutcome.ts'
 import { LOSS_REASON } from '../endpoints/attemptOutcome.ts'
-import type { ChosenEndpoint } from '../endpoints/endpointChooser.ts'
 import type { PeerView } from '../peers/peerAddress.ts'
 import type { AttemptReporter } from './attemptReporter.ts'
 import type { FlowDependencies } from './flowDependencies.ts'
 import { launchAttempt } from './launchAttempt.ts'
 import { launchRelay } from './launchRelay.ts'
+import type { NextTarget } from './nextTarget.ts'
 import type { RequestPlan } from './requestPlan.ts'
 import type { RequestRecorder } from './requestRecorder.ts'
 import type { RetryPermits } from './retryPermits.ts'
 import type { RunningAttempt } from './runningAttempt.ts'
 
-/** Where the next attempt of a request goes; `homeLevels` are the prefix levels by which the endpoint was chosen. */
-export type NextTarget =
-  | { type: 'endpoint', chosen: ChosenEndpoint, homeLevels: PrefixLevel[] }
-  | { type: 'peer', peer: PeerView }
-
 /** Parameters of the next attempt of a request. */
 export interface NextAttempt {
   target: NextTarget
--- a/packages/knapweedshunt-gateway/src/flow/headRace.ts
+++ b/packages/knapweedshunt-gateway/src/flow/headRace.ts
@@ -1,6 +1,7 @@
 import type { AttemptOutcome } from '../endpoints/attemptOutcome.ts'
 import type { RunningAttempt } from './runningAttempt.ts'
-import type { SuccessionResult, Successor, TakenSuccession } from './successor.ts'
+import type { SuccessionResult, TakenSuccession } from './succession.ts'
+import type { Successor } from './successor.ts'
 
 /** How the wait for the head of a response ended. */
 export interface HeadRaceResult {
--- a/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
@@ -7,7 +7,7 @@
 import type { FlowDependencies } from './flowDependencies.ts'
 import { formatFingerprint, formatParts } from './formatSuspects.ts'
 import type { RequestPlan } from './requestPlan.ts'
-import type { SuccessionResult, Successor } from './successor.ts'
+import type { AskedSuccession, SuccessionResult } from './succession.ts'
 
 const MIN_SERVER_ERROR_STATUS = 500
 
@@ -126,7 +126,7 @@
   }
 
   /** Records whether another endpoint has taken over from an attempt; `result` is null if that is not needed any more. `lastBytesAtMs` is the time of the last bytes forwarded; null before the first. */
-  recordHandover ({ attempt, attemptNumber, endpoint, startedAtMs }: RunningAttempt, { cause, endpoint: successor }: Successor, result: SuccessionResult | null, lastBytesAtMs: number | null): void {
+  recordHandover ({ attempt, attemptNumber, endpoint, startedAtMs }: RunningAttempt, { cause, endpoint: successor }: AskedSuccession, result: SuccessionResult | null, lastBytesAtMs: number | null): void {
     // An attempt for which no endpoint could be chosen is logged once, however often it is tried.
     if (successor === '') {
       if (this.#unaskedAttempt === attemptNumber) return
--- a/packages/knapweedshunt-gateway/src/flow/streamForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamForwarder.ts
@@ -10,7 +10,8 @@
 import { StreamRelay } from './streamRelay.ts'
 import type { RelayResult } from './streamRelay.ts'
 import { canReplaceSuccessor, Successor } from './successor.ts'
-import type { SuccessionCause, SuccessionResult, SuccessorParts } from './successor.ts'
+import type { SuccessorParts } from './successor.ts'
+import type { SuccessionCause, SuccessionResult } from './succession.ts'
 
 /** Pause after which another endpoint is asked for the rest of a resumable stream, as a multiple of the pause objective. */
 const STALL_TIMEOUT_PAUSE_FACTOR = 2
--- a/packages/knapweedshunt-gateway/src/flow/successor.ts
+++ b/packages/knapweedshunt-gateway/src/flow/successor.ts
@@ -1,5 +1,4 @@
 import { match } from 'ts-pattern'
-import type { AttemptOutcome } from '../endpoints/attemptOutcome.ts'
 import { LOSS_REASON } from '../endpoints/attemptOutcome.ts'
 import { HEALTH_OBSERVATION } from '../endpoints/endpointHealth.ts'
 import { describeFailedOutcome, recordFailedOutcome } from './failedOutcome.ts'
@@ -9,25 +8,13 @@
 import type { RequestRecorder } from './requestRecorder.ts'
 import type { RunningAttempt } from './runningAttempt.ts'
 import { readResponseBody } from './readResponseBody.ts'
-import type { ResponseBody } from './readResponseBody.ts'
 import { describeSelection, selectTarget } from './selectTarget.ts'
+import type { AnsweredOutcome, AskedSuccession, SuccessionCause, SuccessionResult } from './succession.ts'
 import { waitForFirstEvent } from './waitForFirstEvent.ts'
 
 const MIN_REDIRECT_STATUS = 300
 const MIN_SERVER_ERROR_STATUS = 500
 
-/** Why another endpoint is asked to take over from the current attempt. */
-export type SuccessionCause = typeof LOSS_REASON.silent | typeof LOSS_REASON.moved
-
-/** A response whose head has arrived. */
-export type AnsweredOutcome = Extract<AttemptOutcome, { type: 'answered' }>
-
-/** A successor that serves the request; the current attempt must be ended at once, so that only one goes on. `body` is what was read of the response; null for a stream. */
-export interface TakenSuccession { type: 'taken', runningAttempt: RunningAttempt, outcome: AnsweredOutcome, body: ResponseBody | null }
-
-/** Whether another endpoint has taken over. */
-export type SuccessionResult = TakenSuccession | { type: 'failed', reason: string }
-
 /** The parts of one request's task that a successor uses. */
 export interface SuccessorParts extends AttemptEndParts {
   recorder: RequestRecorder
@@ -46,7 +33,7 @@
  * One further attempt of a request, made while its current attempt goes on. The current attempt is given up only when
  * the response of the further one has begun; if that is rejected or lost, nothing has happened to the request.
  */
-export class Successor {
+export class Successor implements AskedSuccession {
   readonly cause: SuccessionCause
   readonly result: Promise<SuccessionResult>
   readonly #dependencies: FlowDependencies
