Gateway: log what replaced weights a request was sent to, and began on

The log told neither which weights the chosen endpoint had, nor how long these had been replaced, nor whether the age of the target version was known or assumed, so a late choice, a queue and a late notice looked alike.

'sent' now has the version, its age since replacement and the time left; 'begunOnReplaced' the same for the head of a response, with the wait; 'weightsWished' says whether the target was read with the whole table. No change of logic.

--- a/packages/knapweedshunt-gateway/src/directory/directoryUpdater.ts
+++ b/packages/knapweedshunt-gateway/src/directory/directoryUpdater.ts
@@ -46,9 +46,10 @@
           this.#dependencies.decisionLog.record({ type: 'configTaken', revision: config.revision, routes: config.routes.length, organisations: config.organisations?.length ?? 0 })
         })
         .with({ type: 'weights' }, ({ weights }) => {
-          if (!this.#dependencies.weightsState.applyTarget(weights, update.type === 'changes')) return
+          const isNew = update.type === 'changes'
+          if (!this.#dependencies.weightsState.applyTarget(weights, isNew)) return
           this.#dependencies.onWeights()
-          this.#dependencies.decisionLog.record({ type: 'weightsWished', ...weights })
+          this.#dependencies.decisionLog.record({ type: 'weightsWished', ...weights, isNew })
         })
         .with({ type: 'unreadable' }, ({ reason }) => unreadableRowLog.record(directoryPort.resourceTable, row, reason))
         .with({ type: 'other' }, () => {})
--- a/packages/knapweedshunt-gateway/src/flow/attemptReporter.ts
+++ b/packages/knapweedshunt-gateway/src/flow/attemptReporter.ts
@@ -45,17 +45,27 @@
   }
 
   /** Records what the head of a response says about the endpoint. */
-  recordResponseHead ({ target, startedAtMs }: RunningAttempt, head: ResponseHead): void {
+  recordResponseHead (runningAttempt: RunningAttempt, head: ResponseHead): void {
+    const { target, startedAtMs } = runningAttempt
     if (target.type !== 'endpoint') return
     const { record } = target
     const { chooser, endpointPermits } = this.#dependencies
     const { call } = this.#plan
     const model = call.prompt?.model
+    this.#recordReplacedWeights(runningAttempt, head.weightsVersion ?? (model === undefined ? null : record.findVersion(model)))
     if (head.weightsVersion !== null && model !== undefined && record.recordVersion(model, head.weightsVersion)) chooser.rebuild()
     if (head.load !== null) chooser.recordLoad(record, head.load)
     endpointPermits.recordResponse(record, head, call.requestId, startedAtMs)
   }
 
+  #recordReplacedWeights ({ endpoint, attemptNumber, startedAtMs }: RunningAttempt, version: number | null): void {
+    const { call } = this.#plan
+    if (call.prompt === null || version === null) return
+    const replacement = this.#dependencies.findReplacement(call.prompt.model, version)
+    if (replacement === null) return
+    this.#dependencies.decisionLog.record({ type: 'begunOnReplaced', requestId: call.requestId, attempt: attemptNumber, endpoint, version, replacedMs: Math.round(replacement.replacedMs), leftMs: Math.round(replacement.leftMs), waitedMs: Math.round(performance.now() - startedAtMs) })
+  }
+
   /** Records what a response that another VM relayed says about its endpoint; only leaving concerns this VM too. */
   recordRelayedHead ({ endpoint, incarnation }: ForwardedByPeer, head: ResponseHead): void {
     if (head.isLeaving) this.#dependencies.endpointPermits.recordLeaving(endpoint, incarnation)
--- a/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
@@ -16,6 +16,7 @@
 import type { StreamOrigins } from '../peers/streamOrigins.ts'
 import type { DecisionLog } from '../records/decisionLog.ts'
 import type { GatewayMetrics } from '../records/gatewayMetrics.ts'
+import type { WeightsReplacement } from '../weights/weightsState.ts'
 import type { CrashedAttempt } from './crashedAttempt.ts'
 import type { KeyRefusal } from './keyRefusal.ts'
 import type { PermitQueue } from './permitQueue.ts'
@@ -49,6 +50,8 @@
   recordUnanswered (attempt: CrashedAttempt): void
   /** Returns why the request must not be sent, if endpoints crashed under it or under parts of its prompt; otherwise null. */
   findQuarantine (plan: RequestPlan): Quarantine | null
+  /** Returns how long a version of a model's weights has been replaced; null while it is the newest one. */
+  findReplacement (model: string, version: number): WeightsReplacement | null
   /** Returns why the request must not be sent under its access key; null if it may be, or needs none. */
   checkKey (plan: RequestPlan): Promise<KeyRefusal | null>
   /** Whether the request can probably be sent on under its access key; true if it needs none. */
--- a/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
@@ -51,6 +51,8 @@
     const { endpointLimits } = this.#dependencies
     const limitPerS = endpointLimits.findLimit(record)
     const promptTokens = call.prompt?.tokens ?? 0
+    const weightsVersion = call.prompt === null ? null : record.findVersion(call.prompt.model)
+    const replacement = call.prompt === null || weightsVersion === null ? null : this.#dependencies.findReplacement(call.prompt.model, weightsVersion)
     if (promptTokens > 0) this.#dependencies.metrics.recordPrompt(promptTokens, expectedCachedTokens)
     this.#dependencies.decisionLog.record({
       type: 'sent',
@@ -75,7 +77,10 @@
       keysAgeMs: Math.round(Math.min(this.#dependencies.getKeysAgeMs(), Number.MAX_SAFE_INTEGER)),
       timeLeftMs: Math.round(deadlineAtMs - performance.now()),
       limitPerS,
-      ownLimitPerS: limitPerS === null ? null : endpointLimits.getOwnRatePerS(record)
+      ownLimitPerS: limitPerS === null ? null : endpointLimits.getOwnRatePerS(record),
+      weightsVersion,
+      weightsReplacedMs: replacement === null ? null : Math.round(replacement.replacedMs),
+      weightsLeftMs: replacement === null ? null : Math.round(replacement.leftMs)
     })
   }
 
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -321,6 +321,7 @@
       recordCrash: (attempt, evidence) => this.#recordCrash(attempt, evidence),
       recordUnanswered: attempt => this.#unansweredAttempts.recordEnd(attempt),
       findQuarantine: plan => this.#suspectTracker.findQuarantine(plan),
+      findReplacement: (model, version) => this.#weightsState.findReplacement(model, version),
       checkKey: plan => this.#authenticator.check(plan),
       isKeyUsable: plan => this.#authenticator.isUsable(plan),
       getKeysAgeMs: () => this.#keyFreshness.ageMs,
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -11,12 +11,14 @@
 
 /** A decision about one request; times in milliseconds. */
 export type RequestDecision =
-  /** Sent to an endpoint; of a resumed stream `firstRequestId` names the request that brought its first event and `lastEventId` the last event that the caller has, else both are empty; `prefix` joins the first characters of the keys of the prompt's prefix levels, outermost first; `limitPerS` is the endpoint's rate limit for all VMs together and `ownLimitPerS` this VM's part of it, in requests per second, null for none; `parts` joins the ids of the parts that other prompts may share. `fingerprint` begins the hash by which repetitions of the request are recognised. */
-  | { type: 'sent', requestId: RequestId, attempt: number, pool: PoolName, endpoint: EndpointName, incarnation: string, softwareVersion: string, firstRequestId: RequestId, lastEventId: string, rank: number, prefix: string, parts: string, fingerprint: string, expectedCachedTokens: number, promptTokens: number, expectedWaitMs: number, open: number, loadAgeMs: number, configRevision: number, keysAgeMs: number, timeLeftMs: number, limitPerS: number | null, ownLimitPerS: number | null }
+  /** Sent to an endpoint; of a resumed stream `firstRequestId` names the request that brought its first event and `lastEventId` the last event that the caller has, else both are empty; `prefix` joins the first characters of the keys of the prompt's prefix levels, outermost first; `limitPerS` is the endpoint's rate limit for all VMs together and `ownLimitPerS` this VM's part of it, in requests per second, null for none; `parts` joins the ids of the parts that other prompts may share. `fingerprint` begins the hash by which repetitions of the request are recognised. `weightsVersion` is the version that the endpoint is known to serve, `weightsReplacedMs` the time since a newer one was set, null for none, and `weightsLeftMs` the time for which requests may still be sent to the replaced one. */
+  | { type: 'sent', requestId: RequestId, attempt: number, pool: PoolName, endpoint: EndpointName, incarnation: string, softwareVersion: string, firstRequestId: RequestId, lastEventId: string, rank: number, prefix: string, parts: string, fingerprint: string, expectedCachedTokens: number, promptTokens: number, expectedWaitMs: number, open: number, loadAgeMs: number, configRevision: number, keysAgeMs: number, timeLeftMs: number, limitPerS: number | null, ownLimitPerS: number | null, weightsVersion: number | null, weightsReplacedMs: number | null, weightsLeftMs: number | null }
   /** Sent to another VM, as this one reaches few endpoints of the pool; `lastEventId` is the last event that the caller has, else empty. */
   | { type: 'relayed', requestId: RequestId, attempt: number, pool: PoolName, vm: VmId, lastEventId: string, timeLeftMs: number }
   /** Received from another VM, which tried the endpoints in `tried`; `softwareVersion` is the one at which a stream must go on, null for any. */
   | { type: 'relayReceived', requestId: RequestId, from: VmId, tried: string, endpointsLeft: number, softwareVersion: string | null }
+  /** An endpoint's response began on replaced weights: `replacedMs` after a newer version was set, `waitedMs` after the attempt was sent; `leftMs` is the time for which a request might still have been sent there. */
+  | { type: 'begunOnReplaced', requestId: RequestId, attempt: number, endpoint: EndpointName, version: number, replacedMs: number, leftMs: number, waitedMs: number }
   /** An attempt ended without a response; `relayVm` is the VM that relayed it, empty without one; `isRetried` if another endpoint is tried. */
   | { type: 'attemptEnded', requestId: RequestId, attempt: number, endpoint: EndpointName, relayVm: VmId, outcome: string, reason: string, isRetried: boolean, afterMs: number }
   /** Another endpoint was asked to take over from an attempt that goes on meanwhile: `cause` is why, `successor` the endpoint, empty if none was chosen, `reason` why it has not taken over, and `silentMs` the time since the last bytes were forwarded, or since the attempt was sent. */
@@ -77,8 +79,8 @@
   | { type: 'rowUnreadable', table: string, key: string, reason: string }
   /** A row of this VM could not be written to the store; it is tried again. */
   | { type: 'rowUnwritten', key: string, reason: string }
-  /** The target version of a model's weights changed. */
-  | { type: 'weightsWished', model: string, version: number }
+  /** The target version of a model's weights changed; `isNew` is false if it was read with the whole table, so that its age is assumed. */
+  | { type: 'weightsWished', model: string, version: number, isNew: boolean }
   /** `count` log lines of a kind were suppressed by the rate limit. */
   | { type: 'linesLeftOut', kind: string, count: number }
 
--- a/packages/knapweedshunt-gateway/src/weights/weightsState.ts
+++ b/packages/knapweedshunt-gateway/src/weights/weightsState.ts
@@ -18,6 +18,14 @@
 /** Maximum number of target versions held per model. */
 const MAX_TARGET_HISTORY = 16
 
+/** How long a version of a model's weights has been replaced. */
+export interface WeightsReplacement {
+  /** Time since the oldest newer target version was set, in milliseconds. */
+  replacedMs: number
+  /** Time for which a request may still be sent to an endpoint with the replaced version, in milliseconds; negative once that is over. */
+  leftMs: number
+}
+
 /** Dependencies of {@link WeightsState}. */
 export interface WeightsStateDependencies {
   /** Returns the time after which no request may start on a replaced version, in milliseconds. */
@@ -70,6 +78,14 @@
     return this.#targetHistory.get(model)?.find(target => target.atMs <= sinceMs)?.version ?? 0
   }
 
+  /** Returns how long a version has been replaced; null while it is the newest one. */
+  findReplacement (model: string, version: number): WeightsReplacement | null {
+    const replacedBy = this.#targetHistory.get(model)?.findLast(target => target.version > version)
+    if (replacedBy === undefined) return null
+    const replacedMs = performance.now() - replacedBy.atMs
+    return { replacedMs, leftMs: this.#dependencies.getMaxStaleMs() - replacedMs }
+  }
+
   /** Target version of a model; null when none is set. */
   findTargetVersion (model: string): number | null {
     return this.#targets.get(model) ?? null
