Log: callers that leave, with the state of their request, sends after that, and time for which the process does nothing

No logic changes. To distinguish why endpoints work for callers that have left: callerLeft (state of the request, whether its attempt goes on, how long before the close the end of the caller's bytes was read), callerLeftMs on each send, the deadline of a relayed request at the VM that got it, and held-up time as a line and a gauge.

--- a/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
@@ -3,7 +3,7 @@
 import type { AttemptReporter } from './attemptReporter.ts'
 import type { PeerView } from '../peers/peerAddress.ts'
 import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
-import type { RefusalReason } from '../records/decision.ts'
+import type { RefusalReason, RequestState } from '../records/decision.ts'
 import type { FlowDependencies } from './flowDependencies.ts'
 import { formatFingerprint, formatParts } from './formatSuspects.ts'
 import type { RequestPlan } from './requestPlan.ts'
@@ -33,6 +33,8 @@
   readonly #reporter: AttemptReporter
   /** Last attempt of which it is recorded that no other endpoint could be asked. */
   #unaskedAttempt = 0
+  /** Monotonic time at which the caller left, in milliseconds; null while it is there. */
+  #callerLeftAtMs: number | null = null
 
   constructor (dependencies: FlowDependencies, plan: RequestPlan, reporter: AttemptReporter) {
     this.#dependencies = dependencies
@@ -75,7 +77,8 @@
       keysAgeMs: Math.round(Math.min(this.#dependencies.getKeysAgeMs(), Number.MAX_SAFE_INTEGER)),
       timeLeftMs: Math.round(deadlineAtMs - performance.now()),
       limitPerS,
-      ownLimitPerS: limitPerS === null ? null : endpointLimits.getOwnRatePerS(record)
+      ownLimitPerS: limitPerS === null ? null : endpointLimits.getOwnRatePerS(record),
+      callerLeftMs: this.#getCallerLeftMs()
     })
   }
 
@@ -83,15 +86,39 @@
   recordRelayed (attempt: number, peer: PeerView, lastEventId: string | null): void {
     const { call, pool, deadlineAtMs } = this.#plan
     this.#dependencies.metrics.recordRelay('sent')
-    this.#dependencies.decisionLog.record({ type: 'relayed', requestId: call.requestId, attempt, pool, vm: peer.vm, lastEventId: lastEventId ?? '', timeLeftMs: Math.round(deadlineAtMs - performance.now()) })
+    this.#dependencies.decisionLog.record({ type: 'relayed', requestId: call.requestId, attempt, pool, vm: peer.vm, lastEventId: lastEventId ?? '', timeLeftMs: Math.round(deadlineAtMs - performance.now()), callerLeftMs: this.#getCallerLeftMs() })
   }
 
   /** Records that the request comes from another VM. */
   recordReceivedRelay (): void {
-    const { call, relayed } = this.#plan
+    const { call, relayed, deadlineAtMs } = this.#plan
     if (relayed === null) return
     this.#dependencies.metrics.recordRelay('received')
-    this.#dependencies.decisionLog.record({ type: 'relayReceived', requestId: call.requestId, from: relayed.from, tried: relayed.triedEndpoints.join(), endpointsLeft: relayed.endpointsLeft, softwareVersion: relayed.softwareVersion })
+    this.#dependencies.decisionLog.record({ type: 'relayReceived', requestId: call.requestId, from: relayed.from, tried: relayed.triedEndpoints.join(), endpointsLeft: relayed.endpointsLeft, softwareVersion: relayed.softwareVersion, timeLeftMs: Math.round(deadlineAtMs - performance.now()) })
+  }
+
+  /** Records that the caller has left; `isKept` if the attempt under way goes on, `endedAtMs` is when the end of the caller's bytes was read. */
+  recordCallerLeft (runningAttempt: RunningAttempt | null, isKept: boolean, endedAtMs: number | null): void {
+    const { call, route, deadlineAtMs } = this.#plan
+    const nowMs = performance.now()
+    this.#callerLeftAtMs ??= nowMs
+    this.#dependencies.decisionLog.record({
+      type: 'callerLeft',
+      requestId: call.requestId,
+      route: route.name,
+      state: classifyState(runningAttempt),
+      attempt: runningAttempt?.attemptNumber ?? 0,
+      endpoint: runningAttempt?.endpoint ?? '',
+      relayVm: runningAttempt === null ? '' : getRelayVm(runningAttempt),
+      isKept,
+      endedMs: endedAtMs === null ? null : Math.round(nowMs - endedAtMs),
+      afterMs: this.getAgeMs(),
+      timeLeftMs: Math.round(deadlineAtMs - nowMs)
+    })
+  }
+
+  #getCallerLeftMs (): number | null {
+    return this.#callerLeftAtMs === null ? null : Math.round(performance.now() - this.#callerLeftAtMs)
   }
 
   /** Records that the caller takes up a stream again; `softwareVersion` is null if it is not known what began it. */
@@ -147,6 +174,12 @@
   }
 }
 
+function classifyState (runningAttempt: RunningAttempt | null): RequestState {
+  if (runningAttempt === null) return 'choosing'
+  if (!runningAttempt.attempt.isSent) return 'connecting'
+  return runningAttempt.attempt.hasResponse ? 'answering' : 'silent'
+}
+
 /** VM that relayed the attempt; empty without one. */
 function getRelayVm ({ target }: RunningAttempt): string {
   return target.type === 'peer' ? target.peer.vm : ''
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -43,6 +43,8 @@
   readonly #parts: SuccessorParts
   readonly #responseForwarder: ResponseForwarder
   #unsentCount = 0
+  /** Monotonic time at which the end of the caller's bytes was read, in milliseconds; null before. */
+  #callerEndedAtMs: number | null = null
 
   constructor (dependencies: FlowDependencies, plan: RequestPlan, callerResponse: http.ServerResponse) {
     this.#dependencies = dependencies
@@ -62,6 +64,10 @@
     const { deadlineAtMs, route } = this.#plan
     const deadline = setTimeout(() => this.#handleDeadline(), Math.max(0, deadlineAtMs - performance.now()))
     this.#callerResponse.once('close', () => this.#handleConnectionClosed())
+    const { socket } = this.#callerResponse
+    const onEnd = () => { this.#callerEndedAtMs = performance.now() }
+    socket?.once('end', onEnd)
+    if (this.#callerResponse.destroyed) this.#recorder.recordCallerLeft(null, true, null)
     this.#recorder.recordReceivedRelay()
     try {
       let step: NextStep = await this.#findOrigin() ? RETRY : DONE
@@ -72,6 +78,7 @@
       this.#finalResponse.fail('internal', (error as Error).message)
     } finally {
       clearTimeout(deadline)
+      socket?.removeListener('end', onEnd)
       this.#finalResponse.settle()
     }
   }
@@ -233,7 +240,9 @@
   #handleConnectionClosed (): void {
     if (this.#finalResponse.isSettled || this.#callerResponse.writableFinished) return
     const isRunning = this.#attemptRunner.current !== null
-    if (!this.#isRepeatable && !this.#plan.route.isStream && isRunning) return
+    const isKept = !this.#isRepeatable && !this.#plan.route.isStream && isRunning
+    this.#recorder.recordCallerLeft(this.#attemptRunner.current, isKept, this.#callerEndedAtMs)
+    if (isKept) return
     this.#finalResponse.handleCallerLeft(isRunning)
     this.#attemptRunner.abandon(LOSS_REASON.cancelled)
   }
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -37,6 +37,7 @@
 import type { VmSettings } from './ports/vmSettings.ts'
 import { addGauges } from './records/addGauges.ts'
 import { DecisionLog } from './records/decisionLog.ts'
+import { DelayWatch } from './records/delayWatch.ts'
 import { GatewayMetrics } from './records/gatewayMetrics.ts'
 import { UnreadableRowLog } from './records/unreadableRowLog.ts'
 import { VmRetryBudget } from './shared/vmRetryBudget.ts'
@@ -90,6 +91,7 @@
   readonly #callerServer: CallerServer
   readonly #requestHandler: CallerRequestHandler
   readonly #readiness: Readiness
+  readonly #delayWatch = new DelayWatch(delayMs => this.#decisionLog.record({ type: 'heldUp', delayMs: Math.round(delayMs), inFlight: this.#requestHandler.inFlight }))
   /** Ends the tasks once all requests are answered. */
   readonly #taskController = new AbortController()
   #isStopping = false
@@ -234,7 +236,8 @@
       roster: this.#roster,
       suspectTracker: this.#suspectTracker,
       followers: this.#followers,
-      readiness: this.#readiness
+      readiness: this.#readiness,
+      delayWatch: this.#delayWatch
     })
   }
 
@@ -271,6 +274,7 @@
       this.#endpointMonitor.run(taskController.signal),
       this.#kvStoreMonitor.run(taskController.signal),
       this.#peerServices.relays.run(taskController.signal),
+      this.#delayWatch.run(taskController.signal),
       this.#peerServices.streamRows.restore(),
       waveTask.run(taskController.signal, { isStopping: () => this.#isStopping, isOutreached: () => this.#peerServices.relays.isOutreached }),
       runEvery(ROSTER_SWEEP_INTERVAL_MS, taskController.signal, () => this.#quarantineLifts.sweep()),
--- a/packages/knapweedshunt-gateway/src/records/addGauges.ts
+++ b/packages/knapweedshunt-gateway/src/records/addGauges.ts
@@ -10,6 +10,7 @@
 import type { EndpointRegistry } from '../endpoints/endpointRegistry.ts'
 import type { PeerServices } from '../peers/peerServices.ts'
 import type { WeightsState } from '../weights/weightsState.ts'
+import type { DelayWatch } from './delayWatch.ts'
 import type { GatewayMetrics } from './gatewayMetrics.ts'
 
 const MS_PER_SECOND = 1_000
@@ -28,10 +29,11 @@
   suspectTracker: SuspectTracker
   followers: TableFollowers
   readiness: Readiness
+  delayWatch: DelayWatch
 }
 
 /** Adds the gauges of a gateway's state to its metrics. */
-export function addGauges (metrics: GatewayMetrics, { requestHandler, endpointRegistry, endpointMonitor, endpointLimits, endpointPermits, peerServices, weightsState, keyFreshness, roster, suspectTracker, followers, readiness }: GaugeSources): void {
+export function addGauges (metrics: GatewayMetrics, { requestHandler, endpointRegistry, endpointMonitor, endpointLimits, endpointPermits, peerServices, weightsState, keyFreshness, roster, suspectTracker, followers, readiness, delayWatch }: GaugeSources): void {
   metrics.addGauge('requests_in_flight', 'Requests under way.', () => requestHandler.inFlight)
   metrics.addGauge('endpoints', 'Endpoints known.', () => endpointRegistry.size)
   metrics.addGauge('endpoints_out', 'Endpoints left out because they do not answer.', () => endpointMonitor.excludedCount)
@@ -46,5 +48,6 @@
   metrics.addGauge('suspect_requests', 'Requests held as suspect, quarantined or recently cleared.', () => suspectTracker.requestCount)
   metrics.addGauge('part_quarantines', 'Quarantines of prompt parts in force.', () => suspectTracker.partQuarantineCount)
   metrics.addGauge('roster_age_seconds', 'Time since the VM roster and the marks of other VMs were last read.', () => (followers.roster.ageMs ?? Number.MAX_SAFE_INTEGER) / MS_PER_SECOND)
+  metrics.addGauge('held_up_seconds', 'Longest time for which the process did nothing since the last reading.', () => delayWatch.takeMaxDelayMs() / MS_PER_SECOND)
   metrics.addGauge('ready', 'Whether this VM wants callers.', () => readiness.isReady ? 1 : 0)
 }
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -9,18 +9,23 @@
   | 'no_config' | 'config_behind' | 'relay_full' | 'relay_key' | 'relay_refused' | 'endpoints_unreached' | 'stream_unknown' | 'keys_unconfirmed' | 'quarantined' | 'no_endpoint' | 'no_free_endpoint' | 'endpoints_limited' | 'endpoint_refused'
   | 'stopping' | 'timeout' | 'endpoint_lost' | 'stream_cut' | 'caller_left' | 'internal'
 
+/** How far a request has got: between two attempts, or in one that has no connection yet, no response, or the head of one. */
+export type RequestState = 'choosing' | 'connecting' | 'silent' | 'answering'
+
 /** A decision about one request; times in milliseconds. */
 export type RequestDecision =
-  /** Sent to an endpoint; of a resumed stream `firstRequestId` names the request that brought its first event and `lastEventId` the last event that the caller has, else both are empty; `prefix` joins the first characters of the keys of the prompt's prefix levels, outermost first; `limitPerS` is the endpoint's rate limit for all VMs together and `ownLimitPerS` this VM's part of it, in requests per second, null for none; `parts` joins the ids of the parts that other prompts may share. `fingerprint` begins the hash by which repetitions of the request are recognised. */
-  | { type: 'sent', requestId: RequestId, attempt: number, pool: PoolName, endpoint: EndpointName, incarnation: string, softwareVersion: string, firstRequestId: RequestId, lastEventId: string, rank: number, prefix: string, parts: string, fingerprint: string, expectedCachedTokens: number, promptTokens: number, expectedWaitMs: number, open: number, loadAgeMs: number, configRevision: number, keysAgeMs: number, timeLeftMs: number, limitPerS: number | null, ownLimitPerS: number | null }
-  /** Sent to another VM, as this one reaches few endpoints of the pool; `lastEventId` is the last event that the caller has, else empty. */
-  | { type: 'relayed', requestId: RequestId, attempt: number, pool: PoolName, vm: VmId, lastEventId: string, timeLeftMs: number }
+  /** Sent to an endpoint; of a resumed stream `firstRequestId` names the request that brought its first event and `lastEventId` the last event that the caller has, else both are empty; `prefix` joins the first characters of the keys of the prompt's prefix levels, outermost first; `limitPerS` is the endpoint's rate limit for all VMs together and `ownLimitPerS` this VM's part of it, in requests per second, null for none; `parts` joins the ids of the parts that other prompts may share. `fingerprint` begins the hash by which repetitions of the request are recognised. `callerLeftMs` is the time since the caller left, null while it is there. */
+  | { type: 'sent', requestId: RequestId, attempt: number, pool: PoolName, endpoint: EndpointName, incarnation: string, softwareVersion: string, firstRequestId: RequestId, lastEventId: string, rank: number, prefix: string, parts: string, fingerprint: string, expectedCachedTokens: number, promptTokens: number, expectedWaitMs: number, open: number, loadAgeMs: number, configRevision: number, keysAgeMs: number, timeLeftMs: number, limitPerS: number | null, ownLimitPerS: number | null, callerLeftMs: number | null }
+  /** Sent to another VM, as this one reaches few endpoints of the pool; `lastEventId` is the last event that the caller has, else empty; `callerLeftMs` as in `sent`. */
+  | { type: 'relayed', requestId: RequestId, attempt: number, pool: PoolName, vm: VmId, lastEventId: string, timeLeftMs: number, callerLeftMs: number | null }
   /** Received from another VM, which tried the endpoints in `tried`; `softwareVersion` is the one at which a stream must go on, null for any. */
-  | { type: 'relayReceived', requestId: RequestId, from: VmId, tried: string, endpointsLeft: number, softwareVersion: string | null }
+  | { type: 'relayReceived', requestId: RequestId, from: VmId, tried: string, endpointsLeft: number, softwareVersion: string | null, timeLeftMs: number }
   /** An attempt ended without a response; `relayVm` is the VM that relayed it, empty without one; `isRetried` if another endpoint is tried. */
   | { type: 'attemptEnded', requestId: RequestId, attempt: number, endpoint: EndpointName, relayVm: VmId, outcome: string, reason: string, isRetried: boolean, afterMs: number }
   /** Another endpoint was asked to take over from an attempt that goes on meanwhile: `cause` is why, `successor` the endpoint, empty if none was chosen, `reason` why it has not taken over, and `silentMs` the time since the last bytes were forwarded, or since the attempt was sent. */
   | { type: 'handover', requestId: RequestId, attempt: number, endpoint: EndpointName, successor: EndpointName, cause: LossReason, isTaken: boolean, reason: string, hasResponse: boolean, silentMs: number }
+  /** The caller, or the VM that relays the request, left before the request had its answer; `state` is how far the request had got, `isKept` whether its attempt goes on, and `endedMs` the time since the end of the caller's bytes was read, null if it was not. */
+  | { type: 'callerLeft', requestId: RequestId, route: string, state: RequestState, attempt: number, endpoint: EndpointName, relayVm: VmId, isKept: boolean, endedMs: number | null, afterMs: number, timeLeftMs: number }
   /** A caller takes up a stream again; `softwareVersion` is that of the endpoint that began it, null if it is not known. */
   | { type: 'takenUp', requestId: RequestId, firstRequestId: RequestId, softwareVersion: string | null, afterMs: number }
   /** A stream is resumed at another endpoint; `endpoint` is the previous one. */
@@ -79,6 +84,8 @@
   | { type: 'rowUnwritten', key: string, reason: string }
   /** The target version of a model's weights changed. */
   | { type: 'weightsWished', model: string, version: number }
+  /** The process did nothing for `delayMs`, for want of processor time or because of long work of its own. */
+  | { type: 'heldUp', delayMs: number, inFlight: number }
   /** `count` log lines of a kind were suppressed by the rate limit. */
   | { type: 'linesLeftOut', kind: string, count: number }
 
--- a/packages/knapweedshunt-gateway/src/records/decisionLog.ts
+++ b/packages/knapweedshunt-gateway/src/records/decisionLog.ts
@@ -19,6 +19,7 @@
   relayReceived: 'Request of another VM received.',
   relayFailed: 'Other VM failed.',
   attemptEnded: 'Attempt ended.',
+  callerLeft: 'Caller left.',
   handover: 'Other endpoint asked to take over.',
   resumed: 'Stream resumed.',
   answered: 'Request answered.',
@@ -66,6 +67,7 @@
   liftLost: 'Lift of a quarantine lost by the store.',
   markEvicted: 'Mark evicted.',
   rowUnwritten: 'Row of this VM not written.',
+  heldUp: 'Process held up.',
   linesLeftOut: 'Log lines suppressed by the rate limit.'
 }
 
@@ -107,7 +109,7 @@
 
 /** Whether the decision is about a failed or slow request or a change of the process state; such lines have a separate, higher rate limit. */
 function isNotableDecision (decision: Decision): boolean {
-  if (decision.type === 'sent') return decision.attempt > 1
+  if (decision.type === 'sent') return decision.attempt > 1 || decision.callerLeftMs !== null
   if (decision.type === 'answered') return decision.status >= 500 || decision.attempts > 1 || decision.firstByteMs >= SLOW_RESPONSE_MS
   return true
 }
