Gateway: an id is sent once on each connection to an endpoint

Callers saw: 503 for orders that had run, and orders that ran twice, when an endpoint wrote an earlier refusal once more on a kept connection. Cause: a response is matched to its request by id. Our own retry, and a caller that sends the same id again, put that id on the same kept connection, so the copy of the earlier refusal matched. Why it works: the agent knows the ids that each connection has carried; one that it has carried goes over a connection of its own, on which no earlier response can arrive.

--- a/packages/knapweedshunt-gateway/src/__tests__/cancelledAttempt.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/cancelledAttempt.test.ts
@@ -1,8 +1,8 @@
-import http from 'node:http'
 import net from 'node:net'
 import test from 'ava'
 import { Attempt } from '../endpoints/attempt.ts'
 import { LOSS_REASON } from '../endpoints/attemptOutcome.ts'
+import { EndpointAgent } from '../endpoints/endpointAgent.ts'
 import type { EndpointPort } from '../ports/endpointPort.ts'
 
 // Guards against a request that its VM has cancelled and that still reaches the endpoint when a partition heals: only a reset drops the bytes held up.
@@ -16,7 +16,7 @@
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
   t.teardown(() => server.close())
   const { port } = server.address() as net.AddressInfo
-  const agent = new http.Agent({ keepAlive: true })
+  const agent = new EndpointAgent()
   const attempt = new Attempt({} as EndpointPort, agent, { method: 'GET', target: '/', address: `127.0.0.1:${port}`, headers: ['Host', 'h'], body: { type: 'none' }, requestId: 'r', isRelayed: false })
   await new Promise(resolve => server.once('connection', socket => socket.once('data', resolve)))
   attempt.cancel(LOSS_REASON.cancelled)
--- a/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
@@ -4,6 +4,7 @@
 import type { RelayAnswer } from '../peers/relayAnswer.ts'
 import type { EndpointPort } from '../ports/endpointPort.ts'
 import type { AttemptOutcome, LossReason } from './attemptOutcome.ts'
+import type { EndpointAgent } from './endpointAgent.ts'
 import { LOSS_REASON } from './attemptOutcome.ts'
 
 /** Connect timeout, in milliseconds; far above the round trip between data centres of a region, below the first retransmission of a lost SYN. */
@@ -45,7 +46,7 @@
   #settle: (outcome: AttemptOutcome) => void = () => {}
   #connectTimer: NodeJS.Timeout | undefined
 
-  constructor (endpointPort: EndpointPort, agent: http.Agent, call: AttemptCall) {
+  constructor (endpointPort: EndpointPort, agent: EndpointAgent, call: AttemptCall) {
     this.#endpointPort = endpointPort
     this.#call = call
     this.outcome = new Promise(resolve => { this.#settle = resolve })
@@ -70,16 +71,18 @@
     this.#request?.destroy()
   }
 
-  #send (agent: http.Agent): void {
-    const { method, target, address, headers } = this.#call
+  #send (agent: EndpointAgent): void {
+    const { method, target, address, headers, requestId } = this.#call
     const [host, port] = address.split(':')
     try {
-      this.#request = http.request({ host, port: Number(port), method, path: target, headers: this.#buildHeaders(headers), agent, setHost: false })
+      const needsOwnConnection = agent.hasCarried(host, Number(port), requestId)
+      this.#request = http.request({ host, port: Number(port), method, path: target, headers: this.#buildHeaders(headers), agent: needsOwnConnection ? false : agent, setHost: false })
     } catch (error) {
       this.#settle({ type: 'unsent', reason: (error as Error).message })
       return
     }
     this.#request.once('socket', socket => {
+      agent.recordCarried(socket, requestId)
       if (!socket.connecting) return this.#handleConnected()
       this.#connectTimer = setTimeout(() => this.#request?.destroy(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`)), CONNECT_TIMEOUT_MS)
       socket.once('connect', () => this.#handleConnected())
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointAgent.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointAgent.ts
@@ -1,6 +1,7 @@
 import http from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
+import { CarriedIds } from './carriedIds.ts'
 
 /** Idle timeout of a connection whose endpoint advertises none, in milliseconds; short, as the endpoint may close it at any time. */
 const DEFAULT_IDLE_TIMEOUT_MS = 600
@@ -10,18 +11,30 @@
 
 const MS_PER_SECOND = 1_000
 
-/** Pools connections to endpoints: closes idle ones before the endpoint does, and any on which unsolicited bytes arrive. */
+/** Pools connections to endpoints: closes idle ones before the endpoint does, and any on which unsolicited bytes arrive. An id is sent once on each connection. */
 export class EndpointAgent extends http.Agent {
+  readonly #carriedIds = new CarriedIds()
+
   constructor () {
     super({ keepAlive: true, scheduling: 'lifo', noDelay: true })
   }
 
+  /** Whether an idle connection to the address has carried a request with the id, so that this one needs a connection of its own. */
+  hasCarried (host: string, port: number, requestId: string): boolean {
+    return this.freeSockets[this.getName({ host, port })]?.some(socket => this.#carriedIds.has(socket, requestId)) ?? false
+  }
+
+  /** Records that a connection carries a request. */
+  recordCarried (socket: Socket, requestId: string): void {
+    this.#carriedIds.record(socket, requestId)
+  }
+
   /** Called by Node.js when a connection becomes idle. */
   override keepSocketAlive (socket: Duplex & { _httpMessage?: { res?: http.IncomingMessage } }): boolean {
     const advertisedS = /timeout=(\d+)/.exec(String(socket._httpMessage?.res?.headers['keep-alive'] ?? ''))?.[1]
     const idleTimeoutMs = advertisedS === undefined ? DEFAULT_IDLE_TIMEOUT_MS : Number(advertisedS) * MS_PER_SECOND * IDLE_TIMEOUT_SHARE
-    if (idleTimeoutMs <= 0) return false
     const tcp = socket as Socket
+    if (idleTimeoutMs <= 0 || this.#carriedIds.isFull(tcp)) return false
     tcp.setKeepAlive(true, MS_PER_SECOND)
     tcp.setTimeout(idleTimeoutMs)
     tcp.on('timeout', destroyIdleSocket)
--- a/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
@@ -1,7 +1,7 @@
-import type http from 'node:http'
 import type { Logger } from 'knapweedshunt-logger'
 import type { VmId } from 'knapweedshunt-types'
 import type { LossReason } from '../endpoints/attemptOutcome.ts'
+import type { EndpointAgent } from '../endpoints/endpointAgent.ts'
 import type { EndpointChooser } from '../endpoints/endpointChooser.ts'
 import type { IncarnationChecks } from '../endpoints/incarnationChecks.ts'
 import type { KvStoreMonitor } from '../endpoints/kvStoreMonitor.ts'
@@ -27,7 +27,7 @@
   /** Name of this VM. */
   vm: VmId
   endpointPort: EndpointPort
-  agent: http.Agent
+  agent: EndpointAgent
   chooser: EndpointChooser
   endpointMonitor: EndpointMonitor
   incarnationChecks: IncarnationChecks
