Gateway: one owner of the response to a caller, and of whether that caller is there

Callers saw: a plain 200 or a 204 of another endpoint in the middle of their stream, which then looked complete; streams left open for a minute; a VM whose process ended in a timer. Endpoints saw: orders sent on after their callers had left, and work on streams whose callers had half-closed their connections. Cause: nothing owned the state of a request. That its caller had left was heard by one handler and forgotten for orders; whether the response had begun was assumed by each of the three places that write it, and writeHead threw outside the task, after the request had been marked as settled. Why it works: CallerResponse alone writes: one head, one body, one end; its methods do not throw. A response that is no event stream does not go on with a stream that has begun, wherever it comes from. The caller's end shows at the socket, also while bytes to it are unread and from arrival on. All that sends asks; an order that an endpoint may be running goes on and is not sent again; one at another VM loses its connection to that VM, which decides in the same way. Errors in timers and listeners end their request only, and a task that ends leaves no response open.

--- a/packages/knapweedshunt-gateway/src/callers/callerRequestHandler.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerRequestHandler.ts
@@ -7,16 +7,16 @@
 import { RETRY_OTHER_VM_MS } from '../flow/retryOtherVm.ts'
 import { buildRefusal } from '../peers/buildRefusal.ts'
 import type { RelayedRequest } from '../peers/relayedRequest.ts'
-import { abortResponse } from '../shared/abortResponse.ts'
+import { buildRouterResponse } from '../shared/buildRouterResponse.ts'
 import { CallerError, createCallerError } from '../shared/callerError.ts'
-import { sendRouterResponse } from '../shared/sendRouterResponse.ts'
+import { CallerResponse } from '../shared/callerResponse.ts'
 
 /** Maximum number of requests of other VMs in flight; each holds a body and a response in memory. */
 const MAX_RELAYED_REQUESTS = 400
 
 interface ArrivedRequest {
   request: http.IncomingMessage
-  response: http.ServerResponse
+  callerResponse: CallerResponse
   /** Null until it was read. */
   requestId: string | null
   arrivedAtMs: number
@@ -84,18 +84,18 @@
 
   #startRequest (request: http.IncomingMessage, response: http.ServerResponse, relayed: RelayedRequest | null): void {
     this.#inFlight++
-    this.#processRequest(request, response, relayed).finally(() => { this.#inFlight-- }).catch(error => {
+    const callerResponse = new CallerResponse(response)
+    this.#processRequest({ request, callerResponse, requestId: null, arrivedAtMs: performance.now(), relayed }).finally(() => { this.#inFlight-- }).catch(error => {
       this.#dependencies.flowDependencies.log.error('Request failed with an internal error.', { reason: (error as Error).message })
-      abortResponse(response)
+      callerResponse.abort()
     })
   }
 
-  async #processRequest (request: http.IncomingMessage, response: http.ServerResponse, relayed: RelayedRequest | null): Promise<void> {
-    const arrival: ArrivedRequest = { request, response, requestId: null, arrivedAtMs: performance.now(), relayed }
+  async #processRequest (arrival: ArrivedRequest): Promise<void> {
     try {
       const plan = await this.#planRequest(arrival)
-      if (response.writableEnded) return
-      const task = new RequestTask(this.#dependencies.flowDependencies, plan, response)
+      if (arrival.callerResponse.phase === 'ended') return
+      const task = new RequestTask(this.#dependencies.flowDependencies, plan, arrival.callerResponse)
       this.#tasks.add(task)
       await task.run().finally(() => this.#tasks.delete(task))
     } catch (error) {
@@ -115,8 +115,8 @@
   }
 
   /** Refuses a request that was not sent to any endpoint, unless it was refused already. */
-  #refuse ({ response, requestId, arrivedAtMs, relayed }: ArrivedRequest, { routerResponse, message }: InstanceType<typeof CallerError>): void {
-    if (response.writableEnded) return
+  #refuse ({ callerResponse, requestId, arrivedAtMs, relayed }: ArrivedRequest, { routerResponse, message }: InstanceType<typeof CallerError>): void {
+    if (callerResponse.phase === 'ended') return
     const { metrics, decisionLog, endpointPort } = this.#dependencies.flowDependencies
     metrics.recordRefusal(routerResponse.code)
     decisionLog.record({
@@ -132,7 +132,7 @@
       retryAfterMs: routerResponse.retryAfterMs ?? 0,
       detail: message
     })
-    sendRouterResponse(response, requestId, routerResponse, endpointPort, relayed === null ? null : buildRefusal(routerResponse.code, false, routerResponse.retryAfterMs))
+    callerResponse.sendWhole(buildRouterResponse(requestId, routerResponse, endpointPort, relayed === null ? null : buildRefusal(routerResponse.code, false, routerResponse.retryAfterMs)))
   }
 }
 
--- a/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
+++ b/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
@@ -1,11 +1,11 @@
-import type http from 'node:http'
 import { match } from 'ts-pattern'
 import type { Choice, ChosenEndpoint } from '../endpoints/endpointChooser.ts'
 import type { Quarantine } from '../directory/quarantine.ts'
 import type { RefusedByPeer } from '../endpoints/attemptOutcome.ts'
 import { buildRefusal } from '../peers/buildRefusal.ts'
 import type { RefusalReason } from '../records/decision.ts'
-import { sendRouterResponse } from '../shared/sendRouterResponse.ts'
+import { buildRouterResponse } from '../shared/buildRouterResponse.ts'
+import type { CallerResponse } from '../shared/callerResponse.ts'
 import { formatKeysAge } from './callerAuthenticator.ts'
 import type { FlowDependencies } from './flowDependencies.ts'
 import type { KeyRefusal } from './keyRefusal.ts'
@@ -30,7 +30,7 @@
   readonly #dependencies: FlowDependencies
   readonly #plan: RequestPlan
   readonly #recorder: RequestRecorder
-  readonly #callerResponse: http.ServerResponse
+  readonly #callerResponse: CallerResponse
   #isSettled = false
   #mayHaveRun = false
   /** Forwards a failure of an endpoint that was kept while the request is retried; null without one. */
@@ -38,7 +38,7 @@
   /** Number of attempts started. */
   attemptCount = 0
 
-  constructor (dependencies: FlowDependencies, plan: RequestPlan, recorder: RequestRecorder, callerResponse: http.ServerResponse) {
+  constructor (dependencies: FlowDependencies, plan: RequestPlan, recorder: RequestRecorder, callerResponse: CallerResponse) {
     this.#dependencies = dependencies
     this.#plan = plan
     this.#recorder = recorder
@@ -126,11 +126,12 @@
   /** Refuses the request with the status; a 503 carries a retry-after time around the mean given. If a response has already started, its connection is closed instead, so that the caller does not take it for complete. */
   refuse (reason: RefusalReason, status: number, detail: string, meanRetryAfterMs = RETRY_AFTER_MS): void {
     if (this.#isSettled) return
+    if (this.#callerResponse.hasCallerLeft) return this.handleCallerLeft(false)
     this.#isSettled = true
-    if (this.#forwardFailure !== null && !KEY_REFUSALS.includes(reason)) return this.#forwardFailure()
+    if (this.#forwardFailure !== null && this.#callerResponse.phase === 'waiting' && !KEY_REFUSALS.includes(reason)) return this.#forwardFailure()
     const retryAfterMs = status === 503 ? this.#dependencies.randomizeDelayMs(meanRetryAfterMs) : null
     this.#recorder.recordRefused({ reason, status, mayHaveRun: this.#mayHaveRun, attempts: this.attemptCount, retryAfterMs: retryAfterMs ?? 0, detail })
     const answer = this.#plan.relayed === null ? null : buildRefusal(reason, this.#mayHaveRun, retryAfterMs)
-    sendRouterResponse(this.#callerResponse, this.#plan.call.requestId, { status: status === STATUS_NONE ? 502 : status, code: reason, retryAfterMs, closesConnection: false }, this.#dependencies.endpointPort, answer)
+    this.#callerResponse.sendWhole(buildRouterResponse(this.#plan.call.requestId, { status: status === STATUS_NONE ? 502 : status, code: reason, retryAfterMs, closesConnection: false }, this.#dependencies.endpointPort, answer))
   }
 }
--- a/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
@@ -102,8 +102,8 @@
     this.#dependencies.decisionLog.record({ type: 'relayReceived', requestId: call.requestId, from: relayed.from, tried: relayed.triedEndpoints.join(), endpointsLeft: relayed.endpointsLeft, softwareVersion: relayed.softwareVersion, timeLeftMs: Math.round(deadlineAtMs - performance.now()) })
   }
 
-  /** Records that the caller has left; `isKept` if the attempt under way goes on, `endedAtMs` is when the end of the caller's bytes was read. */
-  recordCallerLeft (runningAttempt: RunningAttempt | null, isKept: boolean, endedAtMs: number | null): void {
+  /** Records that the caller has left; `isKept` if the attempt under way goes on. */
+  recordCallerLeft (runningAttempt: RunningAttempt | null, isKept: boolean): void {
     const { call, route, deadlineAtMs } = this.#plan
     const nowMs = performance.now()
     this.#callerLeftAtMs ??= nowMs
@@ -116,7 +116,6 @@
       endpoint: runningAttempt?.endpoint ?? '',
       relayVm: runningAttempt === null ? '' : getRelayVm(runningAttempt),
       isKept,
-      endedMs: endedAtMs === null ? null : Math.round(nowMs - endedAtMs),
       afterMs: this.getAgeMs(),
       timeLeftMs: Math.round(deadlineAtMs - nowMs)
     })
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -1,9 +1,9 @@
-import type http from 'node:http'
 import { match } from 'ts-pattern'
 import type { AttemptOutcome, LossReason, RefusedByPeer } from '../endpoints/attemptOutcome.ts'
 import { LOSS_REASON } from '../endpoints/attemptOutcome.ts'
 import { HEALTH_OBSERVATION } from '../endpoints/endpointHealth.ts'
 import { REPEATABILITY } from '../ports/gatewayConfig.ts'
+import type { CallerResponse } from '../shared/callerResponse.ts'
 import { AttemptReporter } from './attemptReporter.ts'
 import { AttemptRunner } from './attemptRunner.ts'
 import { describeFailedOutcome, recordFailedOutcome } from './failedOutcome.ts'
@@ -34,7 +34,7 @@
 export class RequestTask {
   readonly #dependencies: FlowDependencies
   readonly #plan: RequestPlan
-  readonly #callerResponse: http.ServerResponse
+  readonly #callerResponse: CallerResponse
   readonly #permits: RetryPermits
   readonly #reporter: AttemptReporter
   readonly #recorder: RequestRecorder
@@ -43,10 +43,8 @@
   readonly #parts: SuccessorParts
   readonly #responseForwarder: ResponseForwarder
   #unsentCount = 0
-  /** Monotonic time at which the end of the caller's bytes was read, in milliseconds; null before. */
-  #callerEndedAtMs: number | null = null
 
-  constructor (dependencies: FlowDependencies, plan: RequestPlan, callerResponse: http.ServerResponse) {
+  constructor (dependencies: FlowDependencies, plan: RequestPlan, callerResponse: CallerResponse) {
     this.#dependencies = dependencies
     this.#plan = plan
     this.#callerResponse = callerResponse
@@ -61,25 +59,24 @@
 
   /** Runs until the request has its final response or its caller has disconnected. */
   async run (): Promise<void> {
-    const { deadlineAtMs, route } = this.#plan
-    const deadline = setTimeout(() => this.#handleDeadline(), Math.max(0, deadlineAtMs - performance.now()))
-    this.#callerResponse.once('close', () => this.#handleConnectionClosed())
-    const { socket } = this.#callerResponse
-    const onEnd = () => { this.#callerEndedAtMs = performance.now() }
-    socket?.once('end', onEnd)
-    if (this.#callerResponse.destroyed) this.#recorder.recordCallerLeft(null, true, null)
-    this.#recorder.recordReceivedRelay()
+    const { deadlineAtMs } = this.#plan
+    const deadline = setTimeout(() => this.#runGuarded(() => this.#handleDeadline()), Math.max(0, deadlineAtMs - performance.now()))
+    const { leaveSignal } = this.#callerResponse
+    const handleLeft = () => this.#runGuarded(() => this.#handleCallerLeft())
+    if (leaveSignal.aborted) handleLeft()
+    else leaveSignal.addEventListener('abort', handleLeft, { once: true })
     try {
-      let step: NextStep = await this.#findOrigin() ? RETRY : DONE
+      this.#recorder.recordReceivedRelay()
+      let step: NextStep = !this.#finalResponse.isSettled && await this.#findOrigin() ? RETRY : DONE
       while (step.type === 'retry' && !this.#finalResponse.isSettled) step = await this.#runNextAttempt()
     } catch (error) {
-      this.#dependencies.log.warn('Request failed with an internal error.', { requestId: this.#plan.call.requestId, route: route.name, reason: (error as Error).message })
-      this.#attemptRunner.abandon(LOSS_REASON.cancelled)
-      this.#finalResponse.fail('internal', (error as Error).message)
+      this.#handleInternalError(error as Error)
     } finally {
       clearTimeout(deadline)
-      socket?.removeListener('end', onEnd)
+      leaveSignal.removeEventListener('abort', handleLeft)
       this.#finalResponse.settle()
+      // Whatever ended the task, its caller does not wait any longer.
+      this.#callerResponse.abort()
     }
   }
 
@@ -167,7 +164,7 @@
 
   #handleUnsent (runningAttempt: RunningAttempt, reason: string): NextStep {
     this.#unsentCount++
-    const isRetried = this.#unsentCount < MAX_UNSENT_ATTEMPTS && performance.now() < this.#plan.deadlineAtMs
+    const isRetried = !this.#callerResponse.hasCallerLeft && this.#unsentCount < MAX_UNSENT_ATTEMPTS && performance.now() < this.#plan.deadlineAtMs
     this.#recorder.recordAttemptEnded(runningAttempt, 'unsent', reason, isRetried)
     if (isRetried) return RETRY
     this.#finalResponse.fail('no_free_endpoint', reason)
@@ -175,7 +172,7 @@
   }
 
   #handleNotRun (runningAttempt: RunningAttempt, status: number): NextStep {
-    const isRetried = this.#permits.tryTake(false)
+    const isRetried = this.#tryTakeRetry()
     this.#recorder.recordAttemptEnded(runningAttempt, 'notRun', `status ${status}`, isRetried)
     if (isRetried) return this.#recordRetry()
     this.#finalResponse.fail('endpoint_refused', `status ${status}`)
@@ -184,7 +181,7 @@
 
   /** Another VM may accept what this one refused for a reason of its own. */
   #handleRefused (runningAttempt: RunningAttempt, refusal: RefusedByPeer): NextStep {
-    const isRetried = refusal.isLocal && this.#attemptRunner.triedPeers.length < MAX_RELAY_ATTEMPTS
+    const isRetried = !this.#callerResponse.hasCallerLeft && refusal.isLocal && this.#attemptRunner.triedPeers.length < MAX_RELAY_ATTEMPTS
     this.#recorder.recordAttemptEnded(runningAttempt, 'refused', refusal.reason, isRetried)
     if (isRetried) return RETRY
     this.#finalResponse.refuseRelayed(refusal)
@@ -192,13 +189,18 @@
   }
 
   #handleLost (runningAttempt: RunningAttempt, loss: LossReason, reason: string): NextStep {
-    const isRetried = this.#isRepeatable && this.#permits.tryTake(false)
+    const isRetried = this.#isRepeatable && this.#tryTakeRetry()
     this.#recorder.recordAttemptEnded(runningAttempt, loss, reason, isRetried)
     if (isRetried) return this.#recordRetry()
     this.#finalResponse.fail('endpoint_lost', `${loss}: ${reason}`)
     return DONE
   }
 
+  /** Takes a permit to send the request once more; false for a caller that has left. */
+  #tryTakeRetry (): boolean {
+    return !this.#callerResponse.hasCallerLeft && this.#permits.tryTake(false)
+  }
+
   #recordRetry (): NextStep {
     this.#dependencies.metrics.recordRetry(this.#plan.pool)
     return RETRY
@@ -236,14 +238,33 @@
     this.#finalResponse.handleDeadline()
   }
 
-  /** Handles a disconnect of the caller. An order continues without its caller; repeatable requests and streams are cancelled at the endpoint too. */
-  #handleConnectionClosed (): void {
-    if (this.#finalResponse.isSettled || this.#callerResponse.writableFinished) return
-    const isRunning = this.#attemptRunner.current !== null
-    const isKept = !this.#isRepeatable && !this.#plan.route.isStream && isRunning
-    this.#recorder.recordCallerLeft(this.#attemptRunner.current, isKept, this.#callerEndedAtMs)
+  /** Ends what was begun for a caller that has left. Only an order that an endpoint may be running goes on; it is not sent again. */
+  #handleCallerLeft (): void {
+    if (this.#finalResponse.isSettled) return
+    const { current } = this.#attemptRunner
+    const isSent = this.#attemptRunner.isSent
+    const isOrder = !this.#isRepeatable && !this.#plan.route.isStream
+    const isKept = isOrder && isSent && current?.target.type === 'endpoint'
+    this.#recorder.recordCallerLeft(current, isKept)
     if (isKept) return
-    this.#finalResponse.handleCallerLeft(isRunning)
+    this.#finalResponse.handleCallerLeft(isSent)
+    this.#attemptRunner.abandon(LOSS_REASON.cancelled)
+  }
+
+  /** Runs what a timer or a listener calls, so that an error there ends this request only. */
+  #runGuarded (handle: () => void): void {
+    try {
+      handle()
+    } catch (error) {
+      this.#handleInternalError(error as Error)
+    }
+  }
+
+  #handleInternalError ({ message }: Error): void {
+    const { call, route } = this.#plan
+    this.#dependencies.log.warn('Request failed with an internal error.', { requestId: call.requestId, route: route.name, reason: message })
     this.#attemptRunner.abandon(LOSS_REASON.cancelled)
+    this.#finalResponse.fail('internal', message)
+    this.#callerResponse.abort()
   }
 }
--- a/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
@@ -4,13 +4,15 @@
 import type { RelayAnswer } from '../peers/relayAnswer.ts'
 import { REPEATABILITY } from '../ports/gatewayConfig.ts'
 import type { FlowDependencies } from './flowDependencies.ts'
+import type { CallerResponse } from '../shared/callerResponse.ts'
 import type { ForwardResult } from './forwardResult.ts'
+import { buildResponseStart } from './buildResponseStart.ts'
+import { isEventStream } from './isEventStream.ts'
 import type { NextStep } from './nextStep.ts'
 import { DONE, RETRY } from './nextStep.ts'
 import { readResponseBody } from './readResponseBody.ts'
 import type { ResponseBody } from './readResponseBody.ts'
 import type { RequestPlan } from './requestPlan.ts'
-import { ResponseHeadWriter } from './responseHeadWriter.ts'
 import type { RunningAttempt } from './runningAttempt.ts'
 import { StreamForwarder } from './streamForwarder.ts'
 import { StreamRelay } from './streamRelay.ts'
@@ -22,19 +24,20 @@
 const MIN_REDIRECT_STATUS = 300
 const MIN_SERVER_ERROR_STATUS = 500
 
+/** Reason of a failure: the caller has left, or Node.js rejects a name or value of the head. */
+const UNWRITABLE_HEAD = 'the head of the response cannot be written to the caller'
+
 /** Forwards the responses of endpoints to the caller of one request. */
 export class ResponseForwarder {
   readonly #plan: RequestPlan
-  readonly #callerResponse: http.ServerResponse
+  readonly #callerResponse: CallerResponse
   readonly #parts: SuccessorParts
-  readonly #responseHeadWriter: ResponseHeadWriter
   readonly #streamForwarder: StreamForwarder
 
-  constructor (dependencies: FlowDependencies, plan: RequestPlan, callerResponse: http.ServerResponse, parts: SuccessorParts) {
+  constructor (dependencies: FlowDependencies, plan: RequestPlan, callerResponse: CallerResponse, parts: SuccessorParts) {
     this.#plan = plan
     this.#callerResponse = callerResponse
     this.#parts = parts
-    this.#responseHeadWriter = new ResponseHeadWriter(callerResponse, plan.call.method)
     this.#streamForwarder = new StreamForwarder(dependencies, plan, callerResponse, parts)
   }
 
@@ -46,8 +49,12 @@
   /** Forwards a response whose head has arrived; `body` is what was read of it, null if nothing was. */
   async forward (runningAttempt: RunningAttempt, response: http.IncomingMessage, body: ResponseBody | null): Promise<ForwardResult> {
     const status = response.statusCode ?? 0
+    if (this.#callerResponse.phase === 'begun') {
+      if (!isEventStream(response)) return this.#rejectResponse(runningAttempt, status)
+      return await this.#streamForwarder.forward(runningAttempt, response)
+    }
     if (!this.#plan.route.isStream || status >= MIN_REDIRECT_STATUS) return await this.#forwardResponse(runningAttempt, response, status, body ?? await readResponseBody(response))
-    if (!this.#callerResponse.headersSent) this.#responseHeadWriter.writeHead(response, status, null, this.#buildRelayAnswer(runningAttempt))
+    if (!this.#tryBegin(runningAttempt, response, null)) return { type: 'lost', reason: UNWRITABLE_HEAD }
     return await this.#streamForwarder.forward(runningAttempt, response)
   }
 
@@ -89,9 +96,29 @@
     return DONE
   }
 
+  /** Drops a response that is not the rest of the stream that has begun; the rest is asked of another endpoint, or the stream is broken off. */
+  #rejectResponse (runningAttempt: RunningAttempt, status: number): NextStep {
+    const { attemptRunner, permits, recorder, reporter, finalResponse } = this.#parts
+    const reason = `status ${status} where the rest of a stream was expected`
+    reporter.recordObservation(runningAttempt, HEALTH_OBSERVATION.failed, reason)
+    runningAttempt.attempt.cancel(LOSS_REASON.cancelled)
+    attemptRunner.finish(runningAttempt)
+    if (finalResponse.isSettled) return DONE
+    const isRetried = this.#isRepeatable && permits.tryTake(false)
+    recorder.recordAttemptEnded(runningAttempt, 'failed', reason, isRetried)
+    if (isRetried) return RETRY
+    finalResponse.abortResponse(reason)
+    return DONE
+  }
+
+  /** Writes the head of a response; `length` is the size of its body, null if it is not known yet. */
+  #tryBegin (runningAttempt: RunningAttempt, response: http.IncomingMessage, length: number | null): boolean {
+    return this.#callerResponse.tryBegin(buildResponseStart(response, { method: this.#plan.call.method, length, answer: this.#buildRelayAnswer(runningAttempt) }))
+  }
+
   #forwardBuffered (runningAttempt: RunningAttempt, response: http.IncomingMessage, status: number, bytes: Buffer): void {
     const firstByteMs = performance.now() - this.#plan.arrivedAtMs
-    this.#responseHeadWriter.writeHead(response, status, bytes.length, this.#buildRelayAnswer(runningAttempt))
+    if (!this.#tryBegin(runningAttempt, response, bytes.length)) return this.#parts.finalResponse.fail('endpoint_lost', UNWRITABLE_HEAD)
     this.#callerResponse.end(bytes)
     this.#parts.recorder.recordAnswered(runningAttempt, status, firstByteMs, 0, bytes.length)
   }
@@ -100,7 +127,12 @@
   async #forwardLargeResponse (runningAttempt: RunningAttempt, response: http.IncomingMessage, firstChunks: Buffer[]): Promise<NextStep> {
     const { attemptRunner, recorder, reporter, finalResponse } = this.#parts
     const firstByteMs = performance.now() - this.#plan.arrivedAtMs
-    this.#responseHeadWriter.writeHead(response, response.statusCode ?? 0, null, this.#buildRelayAnswer(runningAttempt))
+    if (!this.#tryBegin(runningAttempt, response, null)) {
+      runningAttempt.attempt.cancel(LOSS_REASON.cancelled)
+      attemptRunner.finish(runningAttempt)
+      finalResponse.fail('endpoint_lost', UNWRITABLE_HEAD)
+      return DONE
+    }
     for (const chunk of firstChunks) this.#callerResponse.write(chunk)
     const relay = new StreamRelay(this.#callerResponse, false, null)
     const result = await relay.forward(response, { stallTimeoutMs: null, onStalled: () => {}, onChunk: () => {}, onNewEvents: () => {}, onFirstEvent: () => {} })
--- a/packages/knapweedshunt-gateway/src/flow/streamForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamForwarder.ts
@@ -2,6 +2,7 @@
 import { LOSS_REASON } from '../endpoints/attemptOutcome.ts'
 import { HEALTH_OBSERVATION } from '../endpoints/endpointHealth.ts'
 import { REPEATABILITY } from '../ports/gatewayConfig.ts'
+import type { CallerResponse } from '../shared/callerResponse.ts'
 import type { FlowDependencies } from './flowDependencies.ts'
 import type { ForwardResult } from './forwardResult.ts'
 import { DONE, RETRY } from './nextStep.ts'
@@ -29,7 +30,7 @@
 export class StreamForwarder {
   readonly #dependencies: FlowDependencies
   readonly #plan: RequestPlan
-  readonly #callerResponse: http.ServerResponse
+  readonly #callerResponse: CallerResponse
   readonly #parts: SuccessorParts
   readonly #relay: StreamRelay
   /** Attempt whose stream is being forwarded; null if none is. */
@@ -38,7 +39,7 @@
   #successor: Successor | null = null
   #holdTimer: NodeJS.Timeout | undefined
 
-  constructor (dependencies: FlowDependencies, plan: RequestPlan, callerResponse: http.ServerResponse, parts: SuccessorParts) {
+  constructor (dependencies: FlowDependencies, plan: RequestPlan, callerResponse: CallerResponse, parts: SuccessorParts) {
     this.#dependencies = dependencies
     this.#plan = plan
     this.#callerResponse = callerResponse
--- a/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
@@ -1,7 +1,9 @@
 import type http from 'node:http'
+import type { CallerResponse } from '../shared/callerResponse.ts'
 import { EventEndTracker } from './eventEndTracker.ts'
 import { EventSplitter } from './eventSplitter.ts'
 import type { StreamEvent } from './eventSplitter.ts'
+import { isEventStream } from './isEventStream.ts'
 
 /** Result of forwarding the stream of one endpoint. */
 export type RelayResult =
@@ -28,7 +30,7 @@
 
 /** Forwards the event streams of consecutive endpoints to one caller. */
 export class StreamRelay {
-  readonly #callerResponse: http.ServerResponse
+  readonly #callerResponse: CallerResponse
   readonly #isResumable: boolean
   #lastEventId: string | null
   #bytes = 0
@@ -42,9 +44,9 @@
   #heldEvents: StreamEvent[] | null = null
   #onFirstEvent: () => void = () => {}
   /** Ends the wait for a caller that does not read. */
-  #endDrainWait: () => void = () => {}
+  #drainWait = new AbortController()
 
-  constructor (callerResponse: http.ServerResponse, isResumable: boolean, lastEventId: string | null) {
+  constructor (callerResponse: CallerResponse, isResumable: boolean, lastEventId: string | null) {
     this.#callerResponse = callerResponse
     this.#isResumable = isResumable
     this.#lastEventId = lastEventId
@@ -95,7 +97,7 @@
       restartStallTimer()
       for await (const chunk of response as AsyncIterable<Buffer>) {
         options.onChunk()
-        if (this.#callerResponse.destroyed) return { type: 'callerLeft' }
+        if (this.#callerResponse.hasCallerLeft) return { type: 'callerLeft' }
         endTracker.addChunk(chunk)
         const events = this.#isResumable ? splitter.addChunk(chunk) : null
         // Bytes that complete no event are no progress.
@@ -103,13 +105,14 @@
         if (events?.some(event => this.#isNewEvent(event))) options.onNewEvents()
         if (!this.#writeOrHold(chunk, events)) {
           clearTimeout(stallTimer)
-          if (!await this.#waitDrain()) return { type: 'callerLeft' }
+          this.#drainWait = new AbortController()
+          if (!await this.#callerResponse.waitDrain(this.#drainWait.signal)) return { type: 'callerLeft' }
           if (this.#isSuperseded) return { type: 'superseded' }
           restartStallTimer()
         }
       }
     } catch (error) {
-      if (this.#callerResponse.destroyed) return { type: 'callerLeft' }
+      if (this.#callerResponse.hasCallerLeft) return { type: 'callerLeft' }
       return this.#isSuperseded ? { type: 'superseded' } : { type: 'cut', reason: (error as Error).message }
     } finally {
       clearTimeout(stallTimer)
@@ -132,7 +135,7 @@
   release (): void {
     const events = this.#heldEvents
     this.#heldEvents = null
-    if (events !== null && !this.#callerResponse.destroyed) this.#writeEvents(events)
+    if (events !== null && !this.#callerResponse.hasCallerLeft) this.#writeEvents(events)
   }
 
   /** Ends the forwarding of the current response, as another endpoint has taken over, and drops the events held back. */
@@ -140,7 +143,7 @@
     this.#isSuperseded = true
     this.#heldEvents = null
     this.#response?.destroy()
-    this.#endDrainWait()
+    this.#drainWait.abort()
   }
 
   /** Returns whether the caller reads on. */
@@ -176,26 +179,4 @@
     this.#bytes += bytes.length
     return this.#callerResponse.write(bytes)
   }
-
-  /** Waits until the caller has read the buffered data; false if it disconnected. */
-  #waitDrain (): Promise<boolean> {
-    if (this.#callerResponse.destroyed) return Promise.resolve(false)
-    return new Promise(resolve => {
-      const settle = (isDrained: boolean) => {
-        this.#callerResponse.removeListener('drain', onDrain)
-        this.#callerResponse.removeListener('close', onClose)
-        this.#endDrainWait = () => {}
-        resolve(isDrained)
-      }
-      const onDrain = () => settle(true)
-      const onClose = () => settle(false)
-      this.#endDrainWait = onDrain
-      this.#callerResponse.once('drain', onDrain)
-      this.#callerResponse.once('close', onClose)
-    })
-  }
-}
-
-function isEventStream ({ headers }: http.IncomingMessage): boolean {
-  return headers['content-type']?.toLowerCase().startsWith('text/event-stream') ?? false
 }
--- a/packages/knapweedshunt-gateway/src/flow/successor.ts
+++ b/packages/knapweedshunt-gateway/src/flow/successor.ts
@@ -7,12 +7,12 @@
 import type { RequestPlan } from './requestPlan.ts'
 import type { RequestRecorder } from './requestRecorder.ts'
 import type { RunningAttempt } from './runningAttempt.ts'
+import { isEventStream } from './isEventStream.ts'
 import { readResponseBody } from './readResponseBody.ts'
 import { describeSelection, selectTarget } from './selectTarget.ts'
 import type { AnsweredOutcome, AskedSuccession, SuccessionCause, SuccessionResult } from './succession.ts'
 import { waitForFirstEvent } from './waitForFirstEvent.ts'
 
-const MIN_REDIRECT_STATUS = 300
 const MIN_SERVER_ERROR_STATUS = 500
 
 /** The parts of one request's task that a successor uses. */
@@ -97,7 +97,7 @@
     const { attemptRunner, reporter, finalResponse } = this.#parts
     const status = outcome.response.statusCode ?? 0
     finalResponse.recordMayHaveRun()
-    if (status >= (this.#plan.route.isStream ? MIN_REDIRECT_STATUS : MIN_SERVER_ERROR_STATUS)) {
+    if (this.#plan.route.isStream ? !isEventStream(outcome.response) : status >= MIN_SERVER_ERROR_STATUS) {
       reporter.recordResponseHead(runningAttempt, outcome.head)
       reporter.recordObservation(runningAttempt, HEALTH_OBSERVATION.failed, `status ${status}`)
       runningAttempt.attempt.cancel(LOSS_REASON.cancelled)
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -26,8 +26,8 @@
   | { type: 'attemptEnded', requestId: RequestId, attempt: number, endpoint: EndpointName, relayVm: VmId, outcome: string, reason: string, isRetried: boolean, afterMs: number }
   /** Another endpoint was asked to take over from an attempt that goes on meanwhile: `cause` is why, `successor` the endpoint, empty if none was chosen, `reason` why it has not taken over, and `silentMs` the time since the last bytes were forwarded, or since the attempt was sent. */
   | { type: 'handover', requestId: RequestId, attempt: number, endpoint: EndpointName, successor: EndpointName, cause: LossReason, isTaken: boolean, reason: string, hasResponse: boolean, silentMs: number }
-  /** The caller, or the VM that relays the request, left before the request had its answer; `state` is how far the request had got, `isKept` whether its attempt goes on, and `endedMs` the time since the end of the caller's bytes was read, null if it was not. */
-  | { type: 'callerLeft', requestId: RequestId, route: string, state: RequestState, attempt: number, endpoint: EndpointName, relayVm: VmId, isKept: boolean, endedMs: number | null, afterMs: number, timeLeftMs: number }
+  /** The caller, or the VM that relays the request, left before the request had its answer; `state` is how far the request had got, and `isKept` whether its attempt goes on. */
+  | { type: 'callerLeft', requestId: RequestId, route: string, state: RequestState, attempt: number, endpoint: EndpointName, relayVm: VmId, isKept: boolean, afterMs: number, timeLeftMs: number }
   /** A caller takes up a stream again; `softwareVersion` is that of the endpoint that began it, null if it is not known. */
   | { type: 'takenUp', requestId: RequestId, firstRequestId: RequestId, softwareVersion: string | null, afterMs: number }
   /** A stream is resumed at another endpoint; `endpoint` is the previous one. */
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
@@ -0,0 +1,119 @@
+import type http from 'node:http'
+import type { Socket } from 'node:net'
+import type { ResponseStart, WholeResponse } from './responseStart.ts'
+
+/** How far the response to a caller has got. */
+export type ResponsePhase = 'waiting' | 'begun' | 'ended'
+
+/**
+ * The response to one caller, and whether that caller is still there. Nothing else writes to the caller: one head, then
+ * the body, then one end. What comes too late is dropped, and no method throws, so that timers and listeners may call it.
+ */
+export class CallerResponse {
+  readonly #response: http.ServerResponse
+  readonly #socket: Socket | null
+  readonly #leaveController = new AbortController()
+  #phase: ResponsePhase = 'waiting'
+  /** Whether a length or chunks delimit the body, so that an early end of the connection shows that it is not complete. */
+  #isFramed = true
+
+  constructor (response: http.ServerResponse) {
+    this.#response = response
+    this.#socket = response.req.socket ?? null
+    if (this.#socket === null || this.#socket.destroyed || this.#socket.readableEnded) {
+      this.#leaveController.abort()
+      return
+    }
+    // The response closes only when all that was written is out; a half-closed connection shows at once that its caller has left.
+    this.#socket.once('end', this.#handleLeft)
+    this.#socket.once('close', this.#handleLeft)
+    response.once('close', this.#handleLeft)
+    response.once('finish', this.#removeListeners)
+  }
+
+  /** How far the response has got. */
+  get phase (): ResponsePhase {
+    return this.#phase
+  }
+
+  /** Whether the caller closed its connection before the response was complete. */
+  get hasCallerLeft (): boolean {
+    return this.#leaveController.signal.aborted
+  }
+
+  /** Aborts when the caller leaves. */
+  get leaveSignal (): AbortSignal {
+    return this.#leaveController.signal
+  }
+
+  /** Writes the head; false if one was written before, the caller has left, or the head cannot be written. */
+  tryBegin ({ status, message, headers, isFramed, closesConnection }: ResponseStart): boolean {
+    if (this.#phase !== 'waiting' || this.hasCallerLeft) return false
+    this.#isFramed = isFramed
+    if (!isFramed) this.#response.useChunkedEncodingByDefault = false
+    if (closesConnection) this.#response.shouldKeepAlive = false
+    this.#response.sendDate = false
+    try {
+      if (message === '') this.#response.writeHead(status, headers)
+      else this.#response.writeHead(status, message, headers)
+    } catch {
+      return false
+    }
+    this.#phase = 'begun'
+    return true
+  }
+
+  /** Sends a whole response; if one has begun, it is aborted instead. */
+  sendWhole ({ start, body }: WholeResponse): void {
+    if (this.tryBegin(start)) this.end(body)
+    else this.abort()
+  }
+
+  /** Writes a part of the body; returns whether the caller reads on. */
+  write (bytes: Buffer): boolean {
+    return this.#phase !== 'begun' || this.hasCallerLeft || this.#response.write(bytes)
+  }
+
+  /** Ends a response whose body is complete. */
+  end (bytes?: Buffer): void {
+    if (this.#phase !== 'begun') return
+    this.#phase = 'ended'
+    this.#response.end(bytes)
+  }
+
+  /** Ends a response that is not complete, so that its caller does not take it for complete. */
+  abort (): void {
+    if (this.#phase === 'ended') return
+    this.#phase = 'ended'
+    // Without a length or chunks only a reset shows the caller that the response is not complete.
+    if (this.#isFramed) this.#response.destroy()
+    else this.#socket?.resetAndDestroy()
+  }
+
+  /** Waits until the caller has read what was written, or until the signal aborts; false if it has left. */
+  waitDrain (signal: AbortSignal): Promise<boolean> {
+    if (this.hasCallerLeft) return Promise.resolve(false)
+    const { leaveSignal } = this
+    return new Promise(resolve => {
+      const settle = () => {
+        this.#response.removeListener('drain', settle)
+        for (const one of [signal, leaveSignal]) one.removeEventListener('abort', settle)
+        resolve(!this.hasCallerLeft)
+      }
+      this.#response.once('drain', settle)
+      for (const one of [signal, leaveSignal]) one.addEventListener('abort', settle)
+    })
+  }
+
+  readonly #handleLeft = (): void => {
+    this.#removeListeners()
+    if (!this.#response.writableFinished) this.#leaveController.abort()
+  }
+
+  readonly #removeListeners = (): void => {
+    this.#socket?.removeListener('end', this.#handleLeft)
+    this.#socket?.removeListener('close', this.#handleLeft)
+    this.#response.removeListener('close', this.#handleLeft)
+    this.#response.removeListener('finish', this.#removeListeners)
+  }
+}
