Gateway: closes that stand behind a request are read before it is sent

Endpoints saw: requests 0.7 to 0.9 s after their callers had left, when the VM was held up and read the request and its caller's close in one go. Cause: a request is sent in the same turn of the event loop in which it is read; the end of its connection is read in the next one. Evidence: callersThatLeave, 'a request that is read after its caller has left is not sent' and the same of a relayed one, 6 failed before; all pass in one run.

--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -15,6 +15,7 @@
 import { DONE, RETRY } from './nextStep.ts'
 import type { NextTarget } from './nextTarget.ts'
 import type { ResponseBody } from './readResponseBody.ts'
+import { readArrivedCloses } from './readArrivedCloses.ts'
 import type { RequestPlan } from './requestPlan.ts'
 import { RequestRecorder } from './requestRecorder.ts'
 import { ResponseForwarder } from './responseForwarder.ts'
@@ -67,6 +68,7 @@
     else leaveSignal.addEventListener('abort', handleLeft, { once: true })
     try {
       this.#recorder.recordReceivedRelay()
+      await readArrivedCloses()
       let step: NextStep = !this.#finalResponse.isSettled && await this.#findOrigin() ? RETRY : DONE
       while (step.type === 'retry' && !this.#finalResponse.isSettled) step = await this.#runNextAttempt()
     } catch (error) {
