Gateway: a request that has not begun is withdrawn when its endpoint's weights have been replaced for too long

Callers saw: answers of weights that had been replaced for longer than the bound (VERSION). Why it works: an attempt knows the weights it was sent to. While it has no response, it is withdrawn 0.6 s before the bound, as its connection is reset; repeatable requests go to other endpoints, others are answered 502. An endpoint whose responses took longer lately than the time left gets no more requests. Where the weights of all endpoints are too old a request is refused at once.

--- a/packages/knapweedshunt-gateway/src/__tests__/weightsState.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/weightsState.test.ts
@@ -30,6 +30,21 @@
   })
 })
 
+// Guards against requests that stand in the queue of an endpoint until its weights have been replaced for too long.
+test.serial('a request is sent to replaced weights only if it begins in time, and is withdrawn otherwise', t => {
+  runWithClock((weights, clock) => {
+    weights.applyTarget({ model: 'm', version: 2 }, true)
+    clock.tick(4_000)
+    t.is(weights.findMinAllowedVersion('m', 2_000), 0)
+    t.is(weights.findMinAllowedVersion('m', 3_000), 2)
+    clock.tick(2_000)
+    t.is(weights.findMinAllowedVersion('m'), 2)
+    t.is(weights.findMinBeginVersion('m'), 0)
+    clock.tick(900)
+    t.is(weights.findMinBeginVersion('m'), 2)
+  })
+})
+
 test.serial('replaced weights still count as current for a while', t => {
   runWithClock((weights, clock) => {
     weights.applyTarget({ model: 'm', version: 2 }, true)
--- a/packages/knapweedshunt-gateway/src/callers/callerRequestHandler.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerRequestHandler.ts
@@ -70,6 +70,11 @@
     for (const task of this.#tasks) task.moveStreamFrom(endpoints)
   }
 
+  /** Withdraws requests that have not begun and may not begin any more where they were sent. */
+  withdrawOverdue (): void {
+    for (const task of this.#tasks) task.withdrawOverdue()
+  }
+
   /** Handles one request of a caller; unexpected errors are logged and close the connection. */
   handleRequest (request: http.IncomingMessage, response: http.ServerResponse): void {
     this.#startRequest(request, response, null)
--- a/packages/knapweedshunt-gateway/src/endpoints/attemptOutcome.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/attemptOutcome.ts
@@ -14,7 +14,9 @@
   garbled: 'garbled',
   cancelled: 'cancelled',
   /** The endpoint is about to load weights; the stream resumes at another endpoint. */
-  moved: 'moved'
+  moved: 'moved',
+  /** The endpoint's weights were replaced so long ago that no request may begin on them any more. */
+  withdrawn: 'withdrawn'
 } as const
 
 /** One of {@link LOSS_REASON}. */
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointFilter.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointFilter.ts
@@ -20,6 +20,8 @@
 export type UnplacedChoice =
   /** The pool has endpoints, but all are excluded, loading or full at present. */
   | { type: 'busy' }
+  /** The weights of all candidates were replaced too long ago; `isLoading` if some of them load new ones. */
+  | { type: 'replaced', isLoading: boolean }
   /** All endpoints that could accept the request asked this VM to back off, or state rate limits of which this VM has used its parts: `waitMs` is the time until it may send one a request, infinite if it may not, and `permitsPerS` the sum of the parts. */
   | { type: 'limited', waitMs: number, permitsPerS: number }
   /** The pool has no endpoint, or none of the software version. */
@@ -58,8 +60,8 @@
   findTargetVersion (model: string): number | null
   /** Oldest version of a model that still counts as current. */
   findMinCurrentVersion (model: string): number
-  /** Oldest version of a model on which a request may still start. */
-  findMinAllowedVersion (model: string): number
+  /** Oldest version of a model to which a request may still be sent, if its response begins after the delay given, in milliseconds. */
+  findMinAllowedVersion (model: string, headDelayMs: number): number
 }
 
 /** Finds the endpoints that may be sent a request now. */
@@ -81,10 +83,12 @@
     const candidates = listCandidates(accepted, triedEndpoints, scope)
     if (candidates.length === 0) return suitable.length === 0 ? { type: 'none' } : { type: 'busy' }
     const serving = this.#listServing(candidates, pool, prompt)
-    if (serving.length === 0) return { type: 'busy' }
-    const usable = this.#listUsable(serving, pool, prompt, isRetry, mustYieldLimits)
-    if (usable.length === 0 && isRetry && scope.type === 'untriedFirst') usable.push(...this.#listServing(listCandidates(accepted, [], scope), pool, prompt).filter(record => this.#isPermitted(record, mustYieldLimits)))
-    return usable.length === 0 ? this.#describeLimited(serving) : { type: 'usable', records: usable }
+    const usable = serving.length === 0 ? [] : this.#listUsable(serving, pool, prompt, isRetry, mustYieldLimits)
+    if (usable.length > 0) return { type: 'usable', records: usable }
+    const tried = isRetry && scope.type === 'untriedFirst' ? this.#listServing(listCandidates(accepted, [], scope), pool, prompt) : []
+    const permitted = tried.filter(record => this.#isPermitted(record, mustYieldLimits))
+    if (permitted.length > 0) return { type: 'usable', records: permitted }
+    return serving.length + tried.length === 0 ? this.#describeUnserving(candidates, prompt) : this.#describeLimited(serving.length > 0 ? serving : tried)
   }
 
   /** Whether the pool has an endpoint that was not tried, is not draining, may be sent a request now and has the software version, if one is given. */
@@ -124,6 +128,12 @@
     return endpointPermits.getWaitMs(record) === 0 && (!mustYieldLimits || endpointPermits.findLimit(record) === null)
   }
 
+  #describeUnserving (candidates: EndpointRecord[], prompt: Prompt | null): UnplacedChoice {
+    if (candidates.some(record => this.#isServing(record, prompt))) return { type: 'busy' }
+    const loading = this.#dependencies.listLoadingEndpoints()
+    return { type: 'replaced', isLoading: candidates.some(record => loading.has(record.entry.endpoint)) }
+  }
+
   #describeLimited (records: EndpointRecord[]): UnplacedChoice {
     const { endpointPermits } = this.#dependencies
     return { type: 'limited', waitMs: Math.min(...records.map(record => endpointPermits.getWaitMs(record))), permitsPerS: records.reduce((sum, record) => sum + endpointPermits.getOwnRatePerS(record), 0) }
@@ -155,7 +165,7 @@
   #isServing (record: EndpointRecord, prompt: Prompt | null): boolean {
     if (prompt === null || record.entry.models.length === 0) return true
     const version = record.findVersion(prompt.model)
-    return version !== null && version >= this.#dependencies.findMinAllowedVersion(prompt.model)
+    return version !== null && version >= this.#dependencies.findMinAllowedVersion(prompt.model, record.headDelays.estimateMs())
   }
 
   #computeConnectionLimit (pool: PoolName): number {
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointRecord.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointRecord.ts
@@ -1,6 +1,7 @@
 import type { EndpointEntry } from '../ports/endpointEntry.ts'
 import type { ReportedLoad } from '../ports/endpointPort.ts'
 import { EndpointHealth } from './endpointHealth.ts'
+import { HeadDelays } from './headDelays.ts'
 
 /** Weight of the newest request in the moving mean of prompt tokens. */
 const MEAN_TOKENS_WEIGHT = 0.1
@@ -9,6 +10,7 @@
 export class EndpointRecord {
   entry: EndpointEntry
   readonly health = new EndpointHealth()
+  readonly headDelays = new HeadDelays()
   /** Whether a response to this VM said that the endpoint is about to stop; that is final for its incarnation. */
   isLeaving = false
   /** Whether this VM reaches the endpoint; false from a failed connection or probe until it answers a probe. */
--- a/packages/knapweedshunt-gateway/src/flow/attemptReporter.ts
+++ b/packages/knapweedshunt-gateway/src/flow/attemptReporter.ts
@@ -49,6 +49,7 @@
     const { target, startedAtMs } = runningAttempt
     if (target.type !== 'endpoint') return
     const { record } = target
+    record.headDelays.recordHead(startedAtMs)
     const { chooser, endpointPermits } = this.#dependencies
     const { call } = this.#plan
     const model = call.prompt?.model
@@ -87,6 +88,7 @@
     match(target)
       .with({ type: 'endpoint' }, ({ record, expectedCachedTokens }) => {
         record.inFlightCount--
+        record.headDelays.recordEnd(startedAtMs)
         this.#dependencies.endpointMonitor.recordEnd(record, startedAtMs)
         this.#dependencies.chooser.placement.handleEvent({ type: 'finished', attempt: attemptId, cachedTokens: hasReadPrompt ? expectedCachedTokens : null })
       })
--- a/packages/knapweedshunt-gateway/src/flow/attemptRunner.ts
+++ b/packages/knapweedshunt-gateway/src/flow/attemptRunner.ts
@@ -102,6 +102,16 @@
     for (const runningAttempt of [this.#current, this.#successor]) if (runningAttempt !== null) this.abandonAttempt(runningAttempt, loss)
   }
 
+  /** Ends the attempts without a response whose endpoints have weights on which they may not begin any more; such an attempt counts as lost. */
+  withdrawOverdue (): void {
+    const model = this.#plan.call.prompt?.model
+    if (model === undefined) return
+    for (const runningAttempt of [this.#current, this.#successor]) {
+      if (runningAttempt === null || runningAttempt.weightsVersion === null || !runningAttempt.attempt.isSent || runningAttempt.attempt.hasResponse) continue
+      if (!this.#dependencies.mayBegin(model, runningAttempt.weightsVersion)) runningAttempt.attempt.cancel(LOSS_REASON.withdrawn)
+    }
+  }
+
   /** Cancels an attempt that is not needed, as another one serves the request. */
   cancelUnneeded (runningAttempt: RunningAttempt): void {
     runningAttempt.attempt.cancel(LOSS_REASON.cancelled)
--- a/packages/knapweedshunt-gateway/src/flow/failedOutcome.ts
+++ b/packages/knapweedshunt-gateway/src/flow/failedOutcome.ts
@@ -40,7 +40,7 @@
     })
     .with({ type: 'lost' }, ({ loss, reason }) => {
       finalResponse.recordMayHaveRun()
-      reporter.recordObservation(runningAttempt, loss === LOSS_REASON.reset ? HEALTH_OBSERVATION.down : HEALTH_OBSERVATION.failed, reason)
+      if (loss !== LOSS_REASON.withdrawn) reporter.recordObservation(runningAttempt, loss === LOSS_REASON.reset ? HEALTH_OBSERVATION.down : HEALTH_OBSERVATION.failed, reason)
       if (CRASH_LOSSES.includes(loss)) reporter.recordCrash(runningAttempt, loss)
       if (loss === LOSS_REASON.silent) reporter.recordUnanswered(runningAttempt)
     })
--- a/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
+++ b/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
@@ -19,6 +19,10 @@
 /** Longest mean of the retry-after time given when all endpoints asked this VM to back off or their rate limits are used, in milliseconds; that holds for this VM, and others may be sent the request. */
 const MAX_LIMITED_RETRY_AFTER_MS = 2_000
 
+/** Mean of the retry-after time given while the weights of all endpoints were replaced too long ago, in milliseconds: some load new ones, or none does yet. */
+const LOADING_RETRY_AFTER_MS = 500
+const REPLACED_RETRY_AFTER_MS = 1_500
+
 /** Recorded status if the connection is closed without a complete response. */
 const STATUS_NONE = 0
 
@@ -81,6 +85,7 @@
     match(choice)
       .with({ type: 'none' }, () => this.fail('no_endpoint', 'the pool has no endpoint, or none of the software version that began the stream'))
       .with({ type: 'busy' }, () => this.fail('no_free_endpoint', `no endpoint can accept the request: ${candidates}`))
+      .with({ type: 'replaced' }, ({ isLoading }) => this.refuse('weights_replaced', this.#mayHaveRun ? 502 : 503, `the weights of all endpoints were replaced too long ago: ${candidates}`, isLoading ? LOADING_RETRY_AFTER_MS : REPLACED_RETRY_AFTER_MS))
       .with({ type: 'limited' }, ({ waitMs }) => this.refuse('endpoints_limited', this.#mayHaveRun ? 502 : 503, 'all endpoints asked this VM to back off, or state rate limits of which the parts of this VM are used', Math.min(MAX_LIMITED_RETRY_AFTER_MS, Math.max(RETRY_AFTER_MS, waitMs))))
       .exhaustive()
   }
--- a/packages/knapweedshunt-gateway/src/flow/launchAttempt.ts
+++ b/packages/knapweedshunt-gateway/src/flow/launchAttempt.ts
@@ -25,12 +25,13 @@
   const { call, route, identity, body } = plan
   const { record, decision } = chosen
   const cacheSalt = route.usesPrefixes && call.prompt !== null ? dependencies.chooser.computeCacheSalt(call.prompt, identity, record) : null
+  const weightsVersion = call.prompt === null ? null : record.findVersion(call.prompt.model)
   const headers = dependencies.endpointPort.buildAttemptHeaders(plan.headers, {
     endpoint: record.entry.endpoint,
     timeLeftMs: Math.max(1, Math.floor(plan.deadlineAtMs - performance.now())),
     organisation: identity?.organisation ?? null,
     cacheSalt,
-    weightsVersion: cacheSalt === null || call.prompt === null ? null : record.findVersion(call.prompt.model),
+    weightsVersion: cacheSalt === null ? null : weightsVersion,
     ...findPrefixTransfers(dependencies, plan, chosen, cacheSalt),
     priority: route.usesPrefixes ? plan.priority : null,
     lastEventId
@@ -41,10 +42,11 @@
   const expectedCachedTokens = decision.expectedCachedTokens ?? 0
   const startedAtMs = performance.now()
   record.inFlightCount++
+  record.headDelays.recordStart(startedAtMs)
   record.recordPromptTokens(promptTokens - expectedCachedTokens)
   dependencies.chooser.placement.handleEvent({ type: 'started', attempt: attemptId, endpoint: record.entry.endpoint, tokens: promptTokens, levels: homeLevels, decision })
   dependencies.endpointMonitor.recordStart(record, startedAtMs)
-  return { attempt, target: { type: 'endpoint', record, expectedCachedTokens, cacheSalt }, softwareVersion: record.entry.softwareVersion, endpoint: record.entry.endpoint, attemptNumber, countedEndpoints: 1, startedAtMs, attemptId }
+  return { attempt, target: { type: 'endpoint', record, expectedCachedTokens, cacheSalt }, softwareVersion: record.entry.softwareVersion, weightsVersion, endpoint: record.entry.endpoint, attemptNumber, countedEndpoints: 1, startedAtMs, attemptId }
 }
 
 /** Chooses from where the endpoint fetches the KV cache of the prompt's shared prefix, and to which store it saves it; null for no transfer. */
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -95,6 +95,11 @@
     this.#responseForwarder.moveStreamFrom(endpoints)
   }
 
+  /** Withdraws what has not begun and may not begin any more where it was sent. */
+  withdrawOverdue (): void {
+    this.#attemptRunner.withdrawOverdue()
+  }
+
   get #isRepeatable (): boolean {
     return this.#plan.route.repeatability !== REPEATABILITY.never
   }
--- a/packages/knapweedshunt-gateway/src/flow/waitForEndpoint.ts
+++ b/packages/knapweedshunt-gateway/src/flow/waitForEndpoint.ts
@@ -41,7 +41,8 @@
     for (;;) {
       const aheadCount = permitQueue.countAhead(waiter)
       const choice = chooser.choose({ pool, levels: homeLevels, triedEndpoints, scope, prompt, softwareVersion, acceptsVersion, excludedEndpoints, mustYieldLimits: aheadCount > 0 })
-      if (choice.type === 'chosen' || choice.type === 'none' || performance.now() >= waitDeadlineAtMs || isCancelled()) return choice
+      // Weights take longer to load than this wait.
+      if (choice.type === 'chosen' || choice.type === 'none' || choice.type === 'replaced' || performance.now() >= waitDeadlineAtMs || isCancelled()) return choice
       if (choice.type === 'limited') {
         const waitMs = choice.waitMs + aheadCount / choice.permitsPerS * MS_PER_SECOND
         if (performance.now() + waitMs > waitDeadlineAtMs) return { ...choice, waitMs }
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -41,7 +41,7 @@
 import { GatewayMetrics } from './records/gatewayMetrics.ts'
 import { UnreadableRowLog } from './records/unreadableRowLog.ts'
 import { VmRetryBudget } from './shared/vmRetryBudget.ts'
-import { WeightsState } from './weights/weightsState.ts'
+import { SEND_MARGIN_MS, WeightsState } from './weights/weightsState.ts'
 
 /** Interval of the removal of endpoints that did not return and of the readiness check, in milliseconds. */
 const SWEEP_INTERVAL_MS = 250
@@ -49,9 +49,6 @@
 /** Interval at which one VM removes rows of the roster that nobody needs any more, in milliseconds. */
 const ROSTER_SWEEP_INTERVAL_MS = 2_000
 
-/** Margin subtracted from the time limit for new weights, in milliseconds. It covers the network and the queue at an endpoint, where a long prompt ahead takes over a second. */
-const STALE_WEIGHTS_MARGIN_MS = 1_500
-
 /** Delay after the notice that endpoints load weights until their remaining streams are moved, in milliseconds; most streams end earlier. */
 const MOVE_STREAMS_DELAY_MS = 300
 
@@ -171,7 +168,7 @@
       countRelayed: () => this.#requestHandler.relayedCount,
       handleRelayed: (request, response, relayed) => this.#requestHandler.handleRelayed(request, response, relayed)
     })
-    this.#weightsState = new WeightsState({ getMaxStaleMs: () => this.#settings.maxStaleWeightsMs - STALE_WEIGHTS_MARGIN_MS, holder: settings.vm, endpointRegistry: this.#endpointRegistry, roster: this.#roster, managementPort, tryTakePermit: record => this.#endpointPermits.tryTake(record), recordDecision: decision => this.#decisionLog.record(decision), onServedVersion: () => this.#chooser.rebuild() })
+    this.#weightsState = new WeightsState({ getMaxStaleMs: () => this.#settings.maxStaleWeightsMs - SEND_MARGIN_MS, holder: settings.vm, endpointRegistry: this.#endpointRegistry, roster: this.#roster, managementPort, tryTakePermit: record => this.#endpointPermits.tryTake(record), recordDecision: decision => this.#decisionLog.record(decision), onServedVersion: () => this.#chooser.rebuild() })
     this.#chooser = new EndpointChooser({
       dataCentre: settings.dataCentre,
       nearDataCentres: settings.nearDataCentres,
@@ -184,7 +181,7 @@
       listLoadingEndpoints: () => this.#weightsState.listLoadingEndpoints(),
       findTargetVersion: model => this.#weightsState.findTargetVersion(model),
       findMinCurrentVersion: model => this.#weightsState.findMinCurrentVersion(model),
-      findMinAllowedVersion: model => this.#weightsState.findMinAllowedVersion(model)
+      findMinAllowedVersion: (model, headDelayMs) => this.#weightsState.findMinAllowedVersion(model, headDelayMs)
     })
     this.#endpointMonitor = new EndpointMonitor({ managementPort, decisionLog: this.#decisionLog, findPool: pool => this.#configState.findPool(pool) ?? null, listEndpoints: pool => this.#endpointRegistry.list(pool), tryTakePermit: record => this.#endpointPermits.tryTake(record), isCurrent })
     this.#directoryUpdater = new DirectoryUpdater({
@@ -280,6 +277,7 @@
       runEvery(ROSTER_SWEEP_INTERVAL_MS, taskController.signal, () => this.#quarantineLifts.sweep()),
       runEvery(SWEEP_INTERVAL_MS, taskController.signal, () => {
         this.#endpointRegistry.removeExpired()
+        this.#requestHandler.withdrawOverdue()
         this.#readiness.update()
         this.#peerServices.streamOrigins.updateVersions()
         this.#peerServices.streamRows.update()
@@ -325,6 +323,7 @@
       recordCrash: (attempt, evidence) => this.#recordCrash(attempt, evidence),
       recordUnanswered: attempt => this.#unansweredAttempts.recordEnd(attempt),
       findQuarantine: plan => this.#suspectTracker.findQuarantine(plan),
+      mayBegin: (model, version) => version >= this.#weightsState.findMinBeginVersion(model),
       findReplacement: (model, version) => this.#weightsState.findReplacement(model, version),
       checkKey: plan => this.#authenticator.check(plan),
       isKeyUsable: plan => this.#authenticator.isUsable(plan),
--- a/packages/knapweedshunt-gateway/src/weights/weightsState.ts
+++ b/packages/knapweedshunt-gateway/src/weights/weightsState.ts
@@ -9,6 +9,12 @@
 /** Age of a wave's notice from which on its endpoints are used again, in milliseconds: the lease holder is gone by then. */
 const MAX_NOTICE_AGE_MS = 4_000
 
+/** Time before the limit for replaced weights from which on no request is sent to them, in milliseconds. It covers the network and the queue at an endpoint, where a long prompt ahead takes over a second. */
+export const SEND_MARGIN_MS = 1_500
+
+/** Time before that limit at which requests that were sent and have not begun are withdrawn, in milliseconds. It covers the network, the interval of the checks and an event loop that is late. */
+const WITHDRAWAL_MARGIN_MS = 600
+
 /** Fraction of the staleness time that counts as elapsed for a target version read at start-up, as the time at which it was set is unknown. */
 const ASSUMED_AGE_SHARE = 0.5
 
@@ -28,7 +34,7 @@
 
 /** Dependencies of {@link WeightsState}. */
 export interface WeightsStateDependencies {
-  /** Returns the time after which no request may start on a replaced version, in milliseconds. */
+  /** Returns the time after which no request may be sent to a replaced version, in milliseconds: the limit for its start, less {@link SEND_MARGIN_MS}. */
   getMaxStaleMs (): number
   /** Name of this VM as lease holder; endpoints receive it with each load command. */
   holder: string
@@ -62,9 +68,15 @@
     return true
   }
 
-  /** Oldest version on which a request may still start; 0 when any may be used. */
-  findMinAllowedVersion (model: string): number {
-    return this.#findTargetAtAge(model, this.#dependencies.getMaxStaleMs())
+  /** Oldest version to which a request may still be sent, if its response begins after the delay given, in milliseconds; 0 when any may be used. */
+  findMinAllowedVersion (model: string, headDelayMs = 0): number {
+    const queuedMs = Math.max(0, headDelayMs - (SEND_MARGIN_MS - WITHDRAWAL_MARGIN_MS))
+    return this.#findTargetAtAge(model, this.#dependencies.getMaxStaleMs() - queuedMs)
+  }
+
+  /** Oldest version on which a request that was sent may still begin; 0 when any may be used. */
+  findMinBeginVersion (model: string): number {
+    return this.#findTargetAtAge(model, this.#dependencies.getMaxStaleMs() + SEND_MARGIN_MS - WITHDRAWAL_MARGIN_MS)
   }
 
   /** Oldest version that still counts as current; 0 when any does. */
