Waves: send a load command again once a second at most

Callers saw nothing of it; operators paid for 27 to 36 load commands an endpoint in 5 s where the answers were lost or 409, and each took a permit and a probe of the endpoint.

Cause: the time of the last command was kept after 'taken' only, so after a lost answer or a conflict the next report, 100 ms later, led to the next command, though a report may be a second old. The time is now kept after every command that the endpoint did not refuse for good, so that the report is read before the next one and can show the last one.

--- a/packages/knapweedshunt-fleet/src/waves/endpointLoader.ts
+++ b/packages/knapweedshunt-fleet/src/waves/endpointLoader.ts
@@ -117,11 +117,12 @@
     ports.record({ type: 'orderSent', ...command })
     const result = await ports.sendCommand(command, options.callTimeoutMs)
     ports.record({ type: 'orderAnswered', endpoint: endpoint.endpoint, version: this.#version, result })
-    if (result === 'taken') {
-      this.#lastCommandAtMs = performance.now()
+    // A command that was lost or refused with a conflict may show in the next report too.
+    this.#lastCommandAtMs = performance.now()
+    if (result !== 'refused') {
       await sleep(options.firstPollDelayMs)
+      return true
     }
-    if (result !== 'refused') return true
     this.#giveUp('refused')
     return false
   }
