Waves: give up a load whose command had no effect, and let others load

Endpoints that had to load waited for ever where as many others as may load at a time refused their commands or lost the answers: of four endpoints two got 54 and 52 commands in 6 s and the others none, so that requests were refused once the old weights were too old.

Cause: a load ended after 'refused' only, never after a lost answer or 409, and each load in progress holds one of the pool's places. A load now sends one command. If the reports after it show no effect, the load is given up, announced as such, so that the endpoint serves on, and tried again a report's age after the command; after a second failure the backoff comes on top. Endpoints whose load failed come last.

The new tests of waves.test.ts fail without the change (three of three).

--- a/packages/knapweedshunt-fleet/src/__tests__/waves.test.ts
+++ b/packages/knapweedshunt-fleet/src/__tests__/waves.test.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '@sinonjs/fake-timers'
 import test from 'ava'
 import { MemoryPlatform } from 'knapweedshunt-fakes'
+import { groupBy } from 'knapweedshunt-utils'
 import { planWave } from '../waves/planWave.ts'
 import { DEFAULT_WAVE_OPTIONS } from '../waves/waveOptions.ts'
 import { WaveTask } from '../waves/waveTask.ts'
@@ -13,7 +14,7 @@
   return { endpoint: `e${n}`, incarnation: `e${n}@1`, pool: 'p', model: 'm', version, running }
 }
 
-const INPUT = { target: 2, inProgress: [], draining: [], backingOff: [], sinceCommandMs: Infinity, parallelShare: 0.2 }
+const INPUT = { target: 2, inProgress: [], draining: [], backingOff: [], failed: [], sinceCommandMs: Infinity, parallelShare: 0.2 }
 
 test('only a share of the pool loads at a time, oldest weights and fewest requests first', t => {
   const endpoints = [buildEndpoint(1, 1, 9), buildEndpoint(2, 1, 0), buildEndpoint(3, 0, 5), buildEndpoint(4, 2), buildEndpoint(5, 1, 1), buildEndpoint(6, 1, 2)]
@@ -33,6 +34,10 @@
   t.deepEqual(planWave({ ...INPUT, endpoints: [buildEndpoint(1, 1), buildEndpoint(2, 1)], backingOff: ['e1'] }).toLoad, ['e2'])
 })
 
+test('endpoints whose last load was given up load after the others', t => {
+  t.deepEqual(planWave({ ...INPUT, endpoints: [buildEndpoint(1, 0), buildEndpoint(2, 1)], failed: ['e1'] }).toLoad, ['e2'])
+})
+
 interface SentCommand { vm: string, atMs: number, command: WaveCommand }
 
 /** Simulates endpoints and VMs under the fake clock. */
@@ -50,6 +55,8 @@
   targetVersion = 1
   /** Delay after which endpoints execute commands, in milliseconds; when set, the sender gets no answer. */
   commandDelayMs = 0
+  /** Endpoints that refuse each command. */
+  readonly refusingEndpoints = new Set<string>()
   /** Polls of endpoints that were sent no command yet. */
   pollsBeforeCommand = 0
 
@@ -91,7 +98,7 @@
     if (this.cutVms.has(vm)) return 'lost' as const
     this.sentCommands.push({ vm, atMs: performance.now(), command })
     const run = (): 'taken' | 'conflict' => {
-      if (this.loadingEndpoints.has(command.endpoint) || (this.commandsTaken.get(command.endpoint) ?? 0) !== command.ordersTaken) return 'conflict'
+      if (this.refusingEndpoints.has(command.endpoint) || this.loadingEndpoints.has(command.endpoint) || (this.commandsTaken.get(command.endpoint) ?? 0) !== command.ordersTaken) return 'conflict'
       this.commandsTaken.set(command.endpoint, command.ordersTaken + 1)
       this.loadingEndpoints.add(command.endpoint)
       setTimeout(() => { this.loadingEndpoints.delete(command.endpoint); this.versions.set(command.endpoint, command.version) }, 300)
@@ -204,6 +211,34 @@
   })
 })
 
+// Guards against a wave that stops for the whole pool because as many endpoints as load at a time refuse their load commands.
+test.serial('endpoints that refuse their commands do not delay the others, and are sent one a second at most', async t => {
+  await run(10, async (fleet, clock) => {
+    for (let n = 0; n < 5; n++) fleet.refusingEndpoints.add(`e${n}`)
+    fleet.start('a', 0)
+    fleet.targetVersion = 2
+    await clock.tickAsync(5_000)
+    t.deepEqual([...fleet.versions.values()].slice(5), [2, 2, 2, 2, 2])
+    const times = groupBy(fleet.sentCommands, sent => sent.command.endpoint)
+    for (const sent of times.values()) for (const [n, { atMs }] of sent.slice(1).entries()) t.true(atMs - sent[n].atMs >= 1_000)
+  })
+})
+
+// Guards against an endpoint that keeps its place and gets no requests after its command was lost.
+test.serial('an endpoint whose command had no effect is sent another one about a second later', async t => {
+  await run(1, async (fleet, clock) => {
+    fleet.refusingEndpoints.add('e0')
+    fleet.start('a', 0)
+    fleet.targetVersion = 2
+    await clock.tickAsync(900)
+    t.is(fleet.sentCommands.length, 1)
+    t.deepEqual(fleet.notice?.notice.loading, [])
+    fleet.refusingEndpoints.clear()
+    await clock.tickAsync(1_100)
+    t.true(fleet.isAt(2))
+  })
+})
+
 test.serial('a command executed late does not restore old weights', async t => {
   await run(3, async (fleet, clock) => {
     fleet.start('a', 0)
--- a/packages/knapweedshunt-fleet/src/waves/endpointLoader.ts
+++ b/packages/knapweedshunt-fleet/src/waves/endpointLoader.ts
@@ -3,6 +3,14 @@
 import type { WaveOptions } from './waveOptions.ts'
 import type { WaveEndpoint, WaveGoal, WavePorts, WaveReport } from './waveTypes.ts'
 
+/** The load's command, once it was sent. */
+interface SentCommand {
+  ordersTaken: number
+  /** Time from which on reports without an effect of the command mean that it had none. */
+  effectDueAtMs: number
+  endedAtMs: number
+}
+
 /** Collaborators and inputs of an {@link EndpointLoader}. */
 export interface EndpointLoaderDependencies {
   goal: WaveGoal
@@ -13,21 +21,24 @@
   ports: WavePorts
   /** Fencing number while commands may be sent, else null. */
   readFencing (): FencingToken | null
+  /** Loads of this endpoint that were given up before, one after the other. */
+  failureCount: number
 }
 
 /**
  * Brings one endpoint to the target version. It starts when all VMs have been told to stop sending new requests to the
  * endpoint. The load command is sent once the running requests have ended, or after {@link WaveOptions.maxDrainMs}, in which
- * case the remaining ones continue under the new weights. Each command carries the number of commands the endpoint has taken
- * so far, so that the endpoint refuses a delayed copy that arrives after another command.
+ * case the remaining ones continue under the new weights. The command carries the number of commands the endpoint has taken
+ * so far, so that the endpoint refuses a delayed copy that arrives after another command. A load sends one command; it is
+ * given up when that has no effect, so that the endpoint serves and others load until the next try.
  */
 export class EndpointLoader {
   readonly #dependencies: EndpointLoaderDependencies
   #isDone = false
   #backoffUntilMs: number | null = null
   #isStopped = false
-  #lastCommandAtMs = -Infinity
   #isDraining = true
+  #sent: SentCommand | null = null
   readonly #startedAtMs = performance.now()
   #version: number
 
@@ -83,17 +94,24 @@
       unansweredPolls = report === null ? unansweredPolls + 1 : 0
       if (unansweredPolls >= options.maxUnansweredPolls) return this.#giveUp('no report')
       if (report !== null && this.#handleReached(report)) return
+      if (report !== null && this.#hasFailed(report)) return this.#giveUp('no effect')
       if (report !== null && this.#isCommandDue(report) && !await this.#sendCommand(report)) return
       await sleep(options.pollIntervalMs)
     }
   }
 
-  /** The delays allow for old reports, which may miss requests that arrived just before the notice, or the last command. */
+  /** Whether the command had no effect, or another one than was asked for. */
+  #hasFailed (report: WaveReport): boolean {
+    if (this.#sent === null || report.isBusy) return false
+    const hasEffect = report.ordersTaken !== this.#sent.ordersTaken
+    return performance.now() >= (hasEffect ? this.#sent.endedAtMs + this.#dependencies.options.reportLagMs : this.#sent.effectDueAtMs)
+  }
+
+  /** The delays allow for old reports, which may miss requests that arrived just before the notice. */
   #isCommandDue (report: WaveReport): boolean {
     const { options } = this.#dependencies
-    const nowMs = performance.now()
-    if (report.isBusy || nowMs - this.#lastCommandAtMs < options.reportLagMs) return false
-    const waitedMs = nowMs - this.#startedAtMs
+    if (report.isBusy || this.#sent !== null) return false
+    const waitedMs = performance.now() - this.#startedAtMs
     return waitedMs >= options.maxDrainMs || (report.running === 0 && waitedMs >= options.minDrainMs)
   }
 
@@ -117,8 +135,9 @@
     ports.record({ type: 'orderSent', ...command })
     const result = await ports.sendCommand(command, options.callTimeoutMs)
     ports.record({ type: 'orderAnswered', endpoint: endpoint.endpoint, version: this.#version, result })
-    // A command that was lost or refused with a conflict may show in the next report too.
-    this.#lastCommandAtMs = performance.now()
+    const endedAtMs = performance.now()
+    const isAccepted = result === 'taken' || result === 'holds'
+    this.#sent = { ordersTaken: report.ordersTaken, effectDueAtMs: endedAtMs + (isAccepted ? options.reportLagMs : options.firstPollDelayMs), endedAtMs }
     if (result !== 'refused') {
       await sleep(options.firstPollDelayMs)
       return true
@@ -127,8 +146,12 @@
     return false
   }
 
+  /** An endpoint that took no command may take the next one a report's age later; one that fails again is left for longer. */
   #giveUp (reason: string): void {
-    this.#backoffUntilMs = performance.now() + this.#dependencies.options.backoffMs
+    const { options, failureCount } = this.#dependencies
+    const nowMs = performance.now()
+    const isRepeated = failureCount > 0 || this.#sent === null || reason === 'refused'
+    this.#backoffUntilMs = isRepeated ? nowMs + options.backoffMs : Math.max(nowMs, (this.#sent?.endedAtMs ?? nowMs) + options.reportLagMs - options.minDrainMs)
     this.#dependencies.ports.record({ type: 'loadGivenUp', endpoint: this.endpoint, version: this.#version, reason })
   }
 }
--- a/packages/knapweedshunt-fleet/src/waves/planWave.ts
+++ b/packages/knapweedshunt-fleet/src/waves/planWave.ts
@@ -14,6 +14,8 @@
   sinceCommandMs: number
   /** Endpoints whose load was given up and whose backoff has not passed. */
   backingOff: EndpointName[]
+  /** Endpoints whose last load was given up: the others load first. */
+  failed: EndpointName[]
   /** See `WaveOptions.parallelShare`. */
   parallelShare: number
 }
@@ -31,11 +33,11 @@
 /** Time after which even a single free slot is filled, in milliseconds; until then loads start in batches, since each batch costs a notice. */
 const MAX_BATCH_WAIT_MS = 300
 
-/** Plans the next step: as many loads as may run in parallel, endpoints with the oldest weights first, then those with the fewest requests. Pure function. */
+/** Plans the next step: as many loads as may run in parallel, endpoints whose last load did not fail first, then those with the oldest weights and the fewest requests. Pure function. */
 export function planWave (input: WaveInput): WavePlan {
-  const { endpoints, target, inProgress, backingOff } = input
+  const { endpoints, target, inProgress, backingOff, failed } = input
   const outdated = endpoints.filter(one => one.version < target && !inProgress.includes(one.endpoint) && !backingOff.includes(one.endpoint))
-  outdated.sort((a, b) => a.version - b.version || a.running - b.running || (a.endpoint < b.endpoint ? -1 : 1))
+  outdated.sort((a, b) => Number(failed.includes(a.endpoint)) - Number(failed.includes(b.endpoint)) || a.version - b.version || a.running - b.running || (a.endpoint < b.endpoint ? -1 : 1))
   const maxParallelLoads = Math.max(1, Math.ceil(endpoints.length * input.parallelShare))
   const freeSlots = Math.min(maxParallelLoads - input.draining.length, 2 * maxParallelLoads - inProgress.length)
   const isBatchReady = freeSlots >= maxParallelLoads / 2 || input.sinceCommandMs >= MAX_BATCH_WAIT_MS
--- a/packages/knapweedshunt-fleet/src/waves/waveTask.ts
+++ b/packages/knapweedshunt-fleet/src/waves/waveTask.ts
@@ -39,6 +39,8 @@
   readonly #options: WaveOptions
   readonly #lease: LeaseTask
   readonly #loaders = new Map<EndpointName, EndpointLoader>()
+  /** Loads of each endpoint that were given up, one after the other. */
+  readonly #failureCounts = new Map<EndpointName, number>()
   /** Last notice that this VM announced for each pool. */
   readonly #lastNotices = new Map<PoolName, WaveNotice>()
   #workSinceMs: number | null = null
@@ -88,6 +90,7 @@
   /** Releases the lease when no work is left, and announces that release and that all endpoints may be used again. */
   async #finishWork (goals: WaveGoal[], endpoints: WaveEndpoint[]): Promise<void> {
     this.#workSinceMs = null
+    this.#failureCounts.clear()
     if (this.#fencing === null) return
     this.#updateFencing(null)
     const endedFencing = await this.#lease.release()
@@ -142,9 +145,11 @@
         draining: poolLoaders.filter(one => !one.isBackingOff(nowMs) && one.isDraining).map(one => one.endpoint),
         sinceCommandMs: nowMs - this.#lastCommandAtMs,
         backingOff: poolLoaders.filter(one => one.isBackingOff(nowMs)).map(one => one.endpoint),
+        failed: members.filter(one => this.#failureCounts.has(one.endpoint)).map(one => one.endpoint),
         parallelShare: this.#options.parallelShare
       })
-      if (plan.toLoad.length > 0) await this.#announce({ vm: this.#dependencies.vm, pool, model: goal.model, version: goal.version, loading: plan.loading, reached: plan.reached, endedFencing: null, isLeaving: false })
+      const hasGivenUp = poolLoaders.some(one => one.isBackingOff(nowMs) && this.#lastNotices.get(pool)?.loading.includes(one.endpoint))
+      if (plan.toLoad.length > 0 || hasGivenUp) await this.#announce({ vm: this.#dependencies.vm, pool, model: goal.model, version: goal.version, loading: plan.loading, reached: plan.reached, endedFencing: null, isLeaving: false })
       if (plan.toLoad.length > 0) this.#lastCommandAtMs = performance.now()
       for (const name of plan.toLoad) this.#startLoad(goal, members.find(member => member.endpoint === name))
     }
@@ -168,6 +173,7 @@
       endpoint,
       options: this.#options,
       ports: this.#dependencies.ports,
+      failureCount: this.#failureCounts.get(endpoint.endpoint) ?? 0,
       readFencing: () => this.#lease.readFencing(false)
     })
     this.#loaders.set(endpoint.endpoint, loader)
@@ -180,6 +186,8 @@
     for (const [name, loader] of this.#loaders) {
       const endpoint = endpoints.find(one => one.endpoint === name)
       if (loader.isDone || loader.isRetryDue(nowMs) || endpoint?.incarnation !== loader.incarnation) {
+        if (loader.isRetryDue(nowMs)) this.#failureCounts.set(name, (this.#failureCounts.get(name) ?? 0) + 1)
+        else this.#failureCounts.delete(name)
         loader.stop()
         this.#loaders.delete(name)
       }
