Leases: a step of the wall clock does not shorten the wait for the last command

A VM whose wall clock jumped forward while it waited for the last command of the holder before it could send its own too early, so that two holders sent commands to one endpoint within the time in which they must not.

Cause: the wait was measured with readElapsedMs, which counts a forward step as elapsed. That is right for the end of a VM's own lease, and wrong for a wait. The wait, and the time of an announced release, are on the monotonic clock now, which at most runs slow when the VM is suspended.

The new test of leaseSuspend failed before (1920 ms between holders, 3000 required). Two existing tests of the file pass the time of the release on the monotonic clock, as the parameter is defined now; their checks are the same.

--- a/packages/knapweedshunt-fleet/src/__tests__/leaseSuspend.test.ts
+++ b/packages/knapweedshunt-fleet/src/__tests__/leaseSuspend.test.ts
@@ -2,7 +2,6 @@
 import type { Clock } from '@sinonjs/fake-timers'
 import test from 'ava'
 import { MemoryPlatform } from 'knapweedshunt-fakes'
-import { readElapsedMs } from 'knapweedshunt-utils'
 import { LeaseTask } from '../leaseTask.ts'
 
 const OPTIONS = { durationMs: 2_000, guardMs: 300, intervalMs: 500, maxCommandMs: 3_000 }
@@ -72,6 +71,25 @@
   })
 })
 
+// Guards against two holders that send commands to one endpoint within the longest command's time, after a step of the wall clock.
+test.serial('a jump of the wall clock does not shorten the wait for the longest command', async t => {
+  await run(async ({ clock, first, second }) => {
+    await contendUntilHeld(clock, first, 500)
+    let lastMs = 0
+    while (second.readFencing(true) === null && performance.now() < 20_000) {
+      if (first.readFencing(false) !== null) lastMs = performance.now()
+      second.runOnce().catch(() => {})
+      await clock.tickAsync(10)
+    }
+    // Less than the rest of the lease, which may therefore still be held.
+    clock.setSystemTime(Date.now() + 1_500)
+    t.not(second.readFencing(true), null)
+    t.is(second.readFencing(false), null)
+    t.not(await contendUntilHeld(clock, second, 20_000), null)
+    t.true(performance.now() - lastMs >= OPTIONS.maxCommandMs, `${performance.now() - lastMs} ms between holders`)
+  })
+})
+
 test.serial('last holder takes the lease again at once, with a greater fencing number', async t => {
   await run(async ({ clock, first }) => {
     await contendUntilHeld(clock, first, 500)
@@ -90,7 +108,7 @@
     t.not(fencing, null)
     t.is(first.readFencing(true), null)
     const endedAtMs = performance.now()
-    const ended = { fencing: fencing ?? 0, atMs: readElapsedMs() }
+    const ended = { fencing: fencing ?? 0, atMs: performance.now() }
     await clock.tickAsync(2_000)
     second.recordReleasedLease(ended)
     t.not(await contendUntilHeld(clock, second, 6_000), null)
@@ -103,7 +121,7 @@
   await run(async ({ clock, first, second }) => {
     await contendUntilHeld(clock, first, 500)
     const fencing = await first.release() ?? 0
-    const ended = { fencing, atMs: readElapsedMs() }
+    const ended = { fencing, atMs: performance.now() }
     await clock.tickAsync(5_000)
     t.is(await contendUntilHeld(clock, first, 500), 0, 'the last holder may take the lease again at once')
     await first.release()
--- a/packages/knapweedshunt-fleet/src/leaseStateMachine.ts
+++ b/packages/knapweedshunt-fleet/src/leaseStateMachine.ts
@@ -26,7 +26,7 @@
   #isCallPending = false
   #isReleasing = false
   #nextCallAtMs = 0
-  /** Latest time by {@link readElapsedMs} at which the previous holder sent a command, from which its longest command is waited out; -Infinity when there was no other holder. */
+  /** Latest time by the monotonic clock, which a step of the wall clock does not advance, at which the previous holder sent a command, from which its longest command is waited out; -Infinity when there was no other holder. */
   #previousHolderEndMs = -Infinity
   #releasedLease: ReleasedLease | null = null
 
@@ -40,7 +40,7 @@
     const now = readElapsedMs()
     const held = this.#held
     if (held === null || this.#isReleasing || now >= held.validUntilMs - this.#options.guardMs) return null
-    if (!checksFencing && now < held.previousHolderEndMs + this.#options.maxCommandMs) return null
+    if (!checksFencing && performance.now() < held.previousHolderEndMs + this.#options.maxCommandMs) return null
     return held.fencing
   }
 
@@ -97,7 +97,7 @@
   /** A lease that was released, and not acquired since, ended when the release was announced; any other ends now at the latest. */
   #computePreviousHolderEndMs (row: LeaseRow): number {
     const isKnown = row.durationMs === 0 && row.fencing === this.#releasedLease?.fencing
-    return isKnown && this.#releasedLease !== null ? this.#releasedLease.atMs : readElapsedMs()
+    return isKnown && this.#releasedLease !== null ? this.#releasedLease.atMs : performance.now()
   }
 
   /** A renewal keeps the fencing token; an acquisition increments it, also when the last holder was this VM. */
--- a/packages/knapweedshunt-fleet/src/leaseTypes.ts
+++ b/packages/knapweedshunt-fleet/src/leaseTypes.ts
@@ -38,15 +38,15 @@
 /** A lease whose holder has announced its release. */
 export interface ReleasedLease {
   fencing: FencingToken
-  /** Time by `readElapsedMs` at which the announcement was received, or later. */
+  /** Time by the monotonic clock at which the announcement was received, or later. */
   atMs: number
 }
 
 /** A held lease, as its holder tracks it. */
 export interface HeldLease {
   fencing: number
-  /** Time by `readElapsedMs` since which no other holder has sent a command; -Infinity when there was no other holder. */
+  /** Time by the monotonic clock since which no other holder has sent a command; -Infinity when there was no other holder. */
   previousHolderEndMs: number
-  /** Expiry by the same clock, counted from when the last applied write was sent. */
+  /** Expiry by `readElapsedMs`, counted from when the last applied write was sent. */
   validUntilMs: number
 }
--- a/packages/knapweedshunt-fleet/src/waves/waveTask.ts
+++ b/packages/knapweedshunt-fleet/src/waves/waveTask.ts
@@ -1,7 +1,7 @@
 import type { Logger } from 'knapweedshunt-logger'
 import type { Platform } from 'knapweedshunt-platform'
 import type { EndpointName, FencingToken, Incarnation, PoolName, VmId } from 'knapweedshunt-types'
-import { groupBy, readElapsedMs, sleep } from 'knapweedshunt-utils'
+import { groupBy, sleep } from 'knapweedshunt-utils'
 import { LeaseTask } from '../leaseTask.ts'
 import { EndpointLoader } from './endpointLoader.ts'
 import { planWave } from './planWave.ts'
@@ -109,7 +109,7 @@
   #recordEndedLease (notices: ReceivedNotice[]): void {
     const [newest] = notices.toSorted((a, b) => a.ageMs - b.ageMs)
     const fencing = newest?.notice.endedFencing ?? null
-    if (fencing !== null) this.#lease.recordReleasedLease({ fencing, atMs: readElapsedMs() - newest.ageMs })
+    if (fencing !== null) this.#lease.recordReleasedLease({ fencing, atMs: performance.now() - newest.ageMs })
   }
 
   /** The VM that sent the last commands may contend at once, while these may still run. The others follow by rank once it is silent, leaves, or its commands must have ended. */
