Waves: the waits after a killed lease holder overlap

When the VM that sends load commands was killed, the next command came 6.8 to 7.2 s later; in the meantime requests could only begin on replaced weights, late, or be refused.

Cause: waits one after the other. Other VMs read the lease row only once the holder had been silent for 1.2 s and 0.25 s a rank, waited 2 s for a change from that read on, then 3.3 s from the acquisition for the holder's last command, then drained.

- The first three VMs by rank read the row from the beginning of the work on, the others once the holder is late.
The wait for the last command counts from the end of a lease that was last renewed when the row last changed.
- A lease of waves lasts 1 s while the store answers at once, up to 2 s while it is slow, and is renewed while a step waits for an answer of the store.
- The first batch is announced and drains in the last 600 ms of the wait.

The wait itself is as long as before and on the same condition: a holder may send commands for a lease's duration after its last renewal was read, less the guard. Renewals that the store has lost are covered now: after a gap in a VM's reads the count begins anew.

--- a/packages/knapweedshunt-fleet/src/__tests__/waves.test.ts
+++ b/packages/knapweedshunt-fleet/src/__tests__/waves.test.ts
@@ -176,6 +176,33 @@
   })
 })
 
+/** Time after the naming of weights within which all endpoints must have them, in milliseconds. */
+const BOUND_MS = 6_000
+
+/** Time for which no other holder may send commands after a holder's last one, in milliseconds. */
+const LEASE_MS = 3_000
+
+// Guards against waits that follow one another before the next VM sends commands: silence of the holder, expiry of its lease, its last command, draining.
+for (const killedAfterMs of [300, 600, 900]) {
+  test.serial(`lease holder killed after ${killedAfterMs} ms: all endpoints have the weights in time, and no other VM sends commands too early`, async t => {
+    await run(12, async (fleet, clock) => {
+      for (const [rank, vm] of ['a', 'b', 'c', 'd', 'e'].entries()) fleet.start(vm, rank)
+      fleet.targetVersion = 2
+      await clock.tickAsync(killedAfterMs)
+      const [{ vm: holder }] = fleet.sentCommands
+      fleet.disconnectedVms.add(holder)
+      fleet.cutVms.add(holder)
+      const killedAtMs = performance.now()
+      await clock.tickAsync(BOUND_MS - killedAfterMs)
+      const last = Math.max(...fleet.sentCommands.filter(sent => sent.vm === holder).map(sent => sent.atMs))
+      const first = Math.min(...fleet.sentCommands.filter(sent => sent.vm !== holder).map(sent => sent.atMs))
+      t.log(`next command ${first - killedAtMs} ms after the kill, ${first - last} ms after the last one`)
+      t.true(first - last >= LEASE_MS)
+      t.true(fleet.isAt(2))
+    })
+  })
+}
+
 // Guards against a holder that keeps renewing a lease whose work it cannot do, as it reaches no endpoint.
 test.serial('lease holder without links to endpoints: another VM loads the weights', async t => {
   await run(12, async (fleet, clock) => {
--- a/packages/knapweedshunt-fleet/src/leaseOptions.ts
+++ b/packages/knapweedshunt-fleet/src/leaseOptions.ts
@@ -2,6 +2,8 @@
 export interface LeaseOptions {
   /** Validity of the lease after each acquisition or renewal. */
   durationMs: number
+  /** Validity while the platform answers at once, if shorter: the next holder has to wait less. */
+  minDurationMs?: number
   /** The holder stops sending commands this long before expiry; covers clock drift and a pause between the check and the send. */
   guardMs: number
   /** Time between two renewals, or between two reads of a lease held by another contender. */
--- a/packages/knapweedshunt-fleet/src/leaseStateMachine.ts
+++ b/packages/knapweedshunt-fleet/src/leaseStateMachine.ts
@@ -8,6 +8,12 @@
 
 const MAX_PENDING = 16
 
+/** Intervals without a read after which a row may have changed unseen, and back. */
+const MAX_GAP_INTERVALS = 3
+
+/** Reads and writes, with a reserve, that take place between the sending of a write and the answer to the next one. */
+const CALLS_PER_RENEWAL = 4
+
 /**
  * State machine of one contender for a lease. Performs no I/O: it handles events, returns actions and reads the clocks.
  *
@@ -25,8 +31,12 @@
   #pending: PendingWrite[] = []
   #isCallPending = false
   #isReleasing = false
+  #mayAcquire = false
   #nextCallAtMs = 0
-  /** Latest time by the monotonic clock, which a step of the wall clock does not advance, at which the previous holder sent a command, from which its longest command is waited out; -Infinity when there was no other holder. */
+  #calledAtMs = 0
+  /** Duration of the last read. */
+  #readMs = 0
+  /** Latest time by the monotonic clock, which a step of the wall clock does not advance, at which the previous holder may have sent a command, from which its longest command is waited out; -Infinity when there was no other holder. */
   #previousHolderEndMs = -Infinity
   #releasedLease: ReleasedLease | null = null
 
@@ -44,6 +54,12 @@
     return held.fencing
   }
 
+  /** Time until commands may be sent to an endpoint that does not check fencing tokens, if the lease is kept; null when it is not held. */
+  computeWaitMs (): number | null {
+    if (this.#held === null || this.readFencing(true) === null) return null
+    return Math.max(0, this.#held.previousHolderEndMs + this.#options.maxCommandMs - performance.now())
+  }
+
   /** Whether this contender may hold the lease: it has acquired it, and its release is not known to have been applied. */
   get isHeld (): boolean {
     return this.#held !== null
@@ -57,54 +73,73 @@
   /** Handles one event and returns the actions to execute. */
   handleEvent (event: LeaseEvent): LeaseAction[] {
     return match(event)
-      .with({ type: 'tick' }, () => this.#handleTick())
+      .with({ type: 'tick' }, () => this.#handleTick(true))
+      .with({ type: 'followTick' }, () => this.#handleTick(false))
       .with({ type: 'rowRead' }, ({ snapshot }) => this.#handleRowRead(snapshot))
-      .with({ type: 'readFailed' }, { type: 'writeUnanswered' }, () => this.#finishCall(this.#options.intervalMs))
+      .with({ type: 'readFailed' }, () => this.#handleReadFailed())
+      .with({ type: 'writeUnanswered' }, () => this.#finishCall(this.#options.intervalMs))
       .with({ type: 'writeConflicted' }, () => this.#finishCall(0))
       .with({ type: 'writeCommitted' }, () => this.#handleWriteCommitted())
       .with({ type: 'release' }, () => this.#handleRelease())
       .exhaustive()
   }
 
-  #handleTick (): LeaseAction[] {
+  #handleTick (mayAcquire: boolean): LeaseAction[] {
     if (this.#isCallPending || performance.now() < this.#nextCallAtMs) return []
+    this.#mayAcquire = mayAcquire
     this.#isCallPending = true
+    this.#calledAtMs = performance.now()
     return [{ type: 'read' }]
   }
 
   #handleRelease (): LeaseAction[] {
     this.#isReleasing = true
     this.#nextCallAtMs = 0
-    return this.#handleTick()
+    return this.#handleTick(true)
+  }
+
+  #handleReadFailed (): LeaseAction[] {
+    this.#expiryTracker.recordGap()
+    return this.#finishCall(this.#options.intervalMs)
   }
 
   #handleRowRead (snapshot: LeaseSnapshot): LeaseAction[] {
     const now = performance.now()
+    this.#readMs = now - this.#calledAtMs
     this.#resolvePendingWrite(snapshot.row)
     const { row } = snapshot
     const isOwn = row?.holder === this.#holder
     if (!isOwn) this.#held = null
-    if (row !== null && !isOwn) this.#previousHolderEndMs = this.#computePreviousHolderEndMs(row)
+    const hasExpired = row === null || isOwn || this.#expiryTracker.hasExpired(row, now)
+    if (row !== null && !isOwn) this.#previousHolderEndMs = this.#computePreviousHolderEndMs(row, now)
     if (this.#isReleasing && isOwn) return this.#buildWrite(snapshot.version, { ...row, durationMs: 0 })
     if (this.#isReleasing) {
       this.#isReleasing = false
       return this.#finishCall(this.#options.intervalMs)
     }
-    if (row !== null && !isOwn && !this.#expiryTracker.hasExpired(row, now)) return this.#finishCall(this.#options.intervalMs)
+    if (!hasExpired || !this.#mayAcquire) return this.#finishCall(this.#options.intervalMs)
     return this.#buildWrite(snapshot.version, this.#buildRow(row))
   }
 
-  /** A lease that was released, and not acquired since, ended when the release was announced; any other ends now at the latest. */
-  #computePreviousHolderEndMs (row: LeaseRow): number {
-    const isKnown = row.durationMs === 0 && row.fencing === this.#releasedLease?.fencing
-    return isKnown && this.#releasedLease !== null ? this.#releasedLease.atMs : performance.now()
+  /** A lease that was released, and not acquired since, ended when the release was announced, or now at the latest; any other ends when it has not been renewed in time. */
+  #computePreviousHolderEndMs (row: LeaseRow, now: number): number {
+    const holderEndMs = this.#expiryTracker.computeHolderEndMs(row, now, MAX_GAP_INTERVALS * this.#options.intervalMs)
+    if (row.durationMs > 0) return holderEndMs
+    const isKnown = row.fencing === this.#releasedLease?.fencing
+    return isKnown && this.#releasedLease !== null ? this.#releasedLease.atMs : now
+  }
+
+  /** Slow answers need a longer lease, as its time runs from when a renewal is sent. */
+  #computeDurationMs (): number {
+    const { durationMs, minDurationMs = durationMs } = this.#options
+    return Math.min(durationMs, Math.round(minDurationMs + CALLS_PER_RENEWAL * this.#readMs))
   }
 
   /** A renewal keeps the fencing token; an acquisition increments it, also when the last holder was this VM. */
   #buildRow (row: LeaseRow | null): LeaseRow {
     const isRenewal = this.#held !== null && readElapsedMs() < this.#held.validUntilMs && row?.fencing === this.#held.fencing
     const fencing = isRenewal ? row.fencing : (row?.fencing ?? 0) + 1
-    return { holder: this.#holder, fencing, durationMs: this.#options.durationMs, nonce: '' }
+    return { holder: this.#holder, fencing, durationMs: this.#computeDurationMs(), nonce: '' }
   }
 
   #buildWrite (version: number, row: LeaseRow): LeaseAction[] {
--- a/packages/knapweedshunt-fleet/src/leaseTask.ts
+++ b/packages/knapweedshunt-fleet/src/leaseTask.ts
@@ -39,6 +39,11 @@
     return this.#machine.readFencing(checksFencing)
   }
 
+  /** Time until commands may be sent to an endpoint that does not check fencing tokens; null when the lease is not held. */
+  computeWaitMs (): number | null {
+    return this.#machine.computeWaitMs()
+  }
+
   /** Contends until the signal aborts, then releases the lease. `isContender` is evaluated at each tick while the lease is not held. */
   async run (signal: AbortSignal, isContender: () => boolean): Promise<void> {
     while (!signal.aborted) {
@@ -48,6 +53,12 @@
     await this.release()
   }
 
+  /** Reads the row if that is due, without acquiring the lease: its expiry is then known sooner. */
+  async followOnce (): Promise<void> {
+    this.#pendingStep ??= this.#handleEvent({ type: 'followTick' }).finally(() => { this.#pendingStep = null })
+    await this.#pendingStep
+  }
+
   /** Performs one read or renewal if one is due. For callers that need the lease only occasionally and don't use `run`. */
   async runOnce (): Promise<void> {
     this.#pendingStep ??= this.#handleEvent({ type: 'tick' }).finally(() => { this.#pendingStep = null })
--- a/packages/knapweedshunt-fleet/src/leaseTypes.ts
+++ b/packages/knapweedshunt-fleet/src/leaseTypes.ts
@@ -11,6 +11,8 @@
 export type LeaseEvent =
   /** Periodic tick. */
   | { type: 'tick' }
+  /** Periodic tick of a contender that only follows the row, to know for how long it has not changed. */
+  | { type: 'followTick' }
   /** A read succeeded. */
   | { type: 'rowRead', snapshot: LeaseSnapshot }
   /** A read failed or was not answered. */
@@ -45,7 +47,7 @@
 /** A held lease, as its holder tracks it. */
 export interface HeldLease {
   fencing: number
-  /** Time by the monotonic clock since which no other holder has sent a command; -Infinity when there was no other holder. */
+  /** Time by the monotonic clock after which no other holder has sent a command, and may be ahead; -Infinity when there was no other holder. */
   previousHolderEndMs: number
   /** Expiry by `readElapsedMs`, counted from when the last applied write was sent. */
   validUntilMs: number
--- a/packages/knapweedshunt-fleet/src/waves/endpointLoader.ts
+++ b/packages/knapweedshunt-fleet/src/waves/endpointLoader.ts
@@ -19,6 +19,8 @@
   endpoint: WaveEndpoint
   options: WaveOptions
   ports: WavePorts
+  /** Time until commands may be sent, in milliseconds. */
+  readWaitMs (): number
   /** Fencing number while commands may be sent, else null. */
   readFencing (): FencingToken | null
   /** Loads of this endpoint that were given up before, one after the other. */
@@ -82,12 +84,12 @@
     this.#isStopped = true
   }
 
-  /** Runs until the endpoint has the target version, the load is given up, the lease is lost, or {@link stop} is called. */
+  /** Runs until the endpoint has the target version, the load is given up, or {@link stop} is called. */
   async run (): Promise<void> {
     const { ports, options, endpoint } = this.#dependencies
     let unansweredPolls = 0
     // Before this time no command may be sent, whatever a report says.
-    await sleep(options.minDrainMs)
+    await sleep(Math.max(options.minDrainMs, this.#dependencies.readWaitMs()))
     while (!this.#isStopped) {
       const report = await ports.readReport(endpoint.endpoint, options.callTimeoutMs)
       if (this.#isStopped) return
@@ -124,11 +126,11 @@
     return true
   }
 
-  /** Sends the load command; false when the loader must end: the lease is lost, or the endpoint refused. */
+  /** Sends the load command if it may be sent now; false when the endpoint refused it, which ends the load. */
   async #sendCommand (report: WaveReport): Promise<boolean> {
     const { goal, ports, endpoint, options } = this.#dependencies
     const fencing = this.#dependencies.readFencing()
-    if (fencing === null) return false
+    if (fencing === null) return true
     this.#isDraining = false
     this.#version = this.#dependencies.readTargetVersion()
     const command = { endpoint: endpoint.endpoint, model: goal.model, version: this.#version, fencing, ordersTaken: report.ordersTaken, waitsForRequests: report.running === 0 }
--- a/packages/knapweedshunt-fleet/src/waves/waveOptions.ts
+++ b/packages/knapweedshunt-fleet/src/waves/waveOptions.ts
@@ -31,7 +31,7 @@
 
 /** Defaults for endpoints that load within a second, and a table service that answers within tens of milliseconds. */
 export const DEFAULT_WAVE_OPTIONS: WaveOptions = {
-  lease: { durationMs: 2_000, guardMs: 300, intervalMs: 500, maxCommandMs: 3_200 },
+  lease: { durationMs: 2_000, minDurationMs: 1_000, guardMs: 300, intervalMs: 250, maxCommandMs: 3_200 },
   stepIntervalMs: 60,
   parallelShare: 0.2,
   callTimeoutMs: 400,
--- a/packages/knapweedshunt-fleet/src/waves/waveTask.ts
+++ b/packages/knapweedshunt-fleet/src/waves/waveTask.ts
@@ -12,6 +12,9 @@
 /** Name of the lease that permits a VM to send load commands to endpoints. */
 export const WAVE_LEASE = 'waves'
 
+/** Number of VMs, by rank, that follow the row of the lease while there is work. */
+const FOLLOWER_COUNT = 3
+
 /** Collaborators and inputs of a {@link WaveTask}. */
 export interface WaveTaskDependencies {
   vm: VmId
@@ -55,14 +58,28 @@
 
   /** Runs until the signal aborts, then releases the lease. */
   async run (signal: AbortSignal, { isStopping, isOutreached }: WaveConditions): Promise<void> {
+    const renewing = this.#renewLease(signal)
     while (!signal.aborted) {
       if (isOutreached()) await this.#handOver()
       else await this.#step(isStopping())
       await sleep(this.#options.stepIntervalMs, signal)
     }
+    await renewing
     await this.#handOver()
   }
 
+  /** Renews the lease while it is held, also while a step waits for an answer of the table service. */
+  async #renewLease (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      if (this.#lease.readFencing(true) !== null) this.#lease.runOnce().catch(error => this.#recordFailedStep(error))
+      await sleep(this.#options.stepIntervalMs, signal)
+    }
+  }
+
+  #recordFailedStep (error: Error): void {
+    this.#dependencies.log.warn('Lease read or renewal failed.', { reason: error.message })
+  }
+
   /** Releases the lease, if it is held, so that other VMs need not wait until it expires. */
   async #handOver (): Promise<void> {
     if (this.#lease.readFencing(true) === null) return
@@ -81,8 +98,10 @@
     const isHeld = this.#lease.readFencing(true) !== null
     const notices = this.#listNotices(endpoints)
     if (!isHeld) this.#recordEndedLease(notices)
-    if (isHeld || (!isStopping && this.#shouldContend(notices))) this.#lease.runOnce().catch(error => this.#dependencies.log.warn('Lease read or renewal failed.', { reason: (error as Error).message }))
-    this.#updateFencing(this.#lease.readFencing(false))
+    if (!isHeld && !isStopping) this.#followLease(notices)
+    const waitMs = this.#lease.computeWaitMs()
+    // While the commands of the last holder are waited for, the endpoints that load first already drain.
+    this.#updateFencing(waitMs !== null && waitMs <= this.#options.maxDrainMs ? this.#lease.readFencing(true) : null)
     if (this.#fencing === null) return
     for (const goal of outdatedGoals) await this.#stepGoal(goal, endpoints.filter(one => one.model === goal.model))
   }
@@ -112,13 +131,23 @@
     if (fencing !== null) this.#lease.recordReleasedLease({ fencing, atMs: performance.now() - newest.ageMs })
   }
 
+  /** The first VMs by rank follow the lease from the beginning, so that its expiry is known when the holder is missed; the others once it is late. */
+  #followLease (notices: ReceivedNotice[]): void {
+    if (this.#shouldContend(notices)) this.#lease.runOnce().catch(error => this.#recordFailedStep(error))
+    else if (this.#dependencies.ports.readRank() < FOLLOWER_COUNT || this.#measureSilenceMs(notices) >= this.#options.takeoverDelayMs / 2) this.#lease.followOnce().catch(error => this.#recordFailedStep(error))
+  }
+
+  /** Time since the last notice, or since there is work. */
+  #measureSilenceMs (notices: ReceivedNotice[]): number {
+    return Math.min(performance.now() - (this.#workSinceMs ?? performance.now()), ...notices.map(one => one.ageMs))
+  }
+
   /** The VM that sent the last commands may contend at once, while these may still run. The others follow by rank once it is silent, leaves, or its commands must have ended. */
   #shouldContend (notices: ReceivedNotice[]): boolean {
     const { ports, vm } = this.#dependencies
     if (notices.some(one => one.notice.vm === vm)) return true
     const { takeoverDelayMs, rankDelayMs, lease } = this.#options
-    const sinceMs = performance.now() - (this.#workSinceMs ?? performance.now())
-    const silentMs = Math.min(sinceMs, ...notices.map(one => one.ageMs))
+    const silentMs = this.#measureSilenceMs(notices)
     if (notices.every(one => one.notice.isLeaving)) return silentMs >= ports.readRank() * rankDelayMs
     const hasEnded = notices.every(one => one.notice.endedFencing !== null && one.ageMs >= lease.maxCommandMs)
     return silentMs >= (hasEnded ? rankDelayMs : takeoverDelayMs) + ports.readRank() * rankDelayMs
@@ -174,6 +203,7 @@
       options: this.#options,
       ports: this.#dependencies.ports,
       failureCount: this.#failureCounts.get(endpoint.endpoint) ?? 0,
+      readWaitMs: () => this.#lease.computeWaitMs() ?? 0,
       readFencing: () => this.#lease.readFencing(false)
     })
     this.#loaders.set(endpoint.endpoint, loader)
