Leases: fencing numbers increase although the store returns to an older copy

A store that returned to an older copy, or without the row of a lease, let the next holder take a fencing number that was used before, and without the row it did not wait for the last holder's commands at all. Endpoints that check fencing numbers would refuse all commands of such a holder; others would be sent those of two holders at once.

Cause: the number came from the row alone. A VM now takes one greater than every number that it has read or written, and waits for the holder of a row that it has read and that is gone. Not covered: numbers that a VM has not read, as when it did not follow the lease or was started since.

The three new tests of leaseOlderCopy failed before.

--- a/packages/knapweedshunt-fleet/src/__tests__/leaseOlderCopy.test.ts
+++ b/packages/knapweedshunt-fleet/src/__tests__/leaseOlderCopy.test.ts
@@ -93,3 +93,36 @@
     })
   })
 }
+
+// Guards against two holders with one fencing number, and against a successor that waits for nobody, when the store has lost the row.
+for (const [copy, hasRow] of [['with an older holder', true], ['without the row', false]] as const) {
+  test.serial(`fencing numbers increase, and the last holder is waited for, when the store returns to a copy ${copy}`, async t => {
+    await run(async ({ clock, store, first, second }) => {
+      await advance(clock, 500, [first])
+      const older = store.readRow()
+      await advance(clock, 100, [first])
+      await first.release()
+      await advance(clock, 500, [first, second])
+      const before = first.readFencing(true) ?? 0
+      t.is(before, 2)
+      store.silentVms.add('second')
+      await advance(clock, 300, [first, second])
+      await store.restore(hasRow ? older : undefined)
+      store.silentVms.clear()
+      store.silentVms.add('first')
+      const betweenMs = await measureBetweenHolders(clock, first, second)
+      t.true((second.readFencing(false) ?? 0) > before)
+      t.true(betweenMs >= OPTIONS.maxCommandMs, `${betweenMs} ms between holders`)
+    })
+  })
+}
+
+test.serial('a holder whose row was lost by the store goes on with a greater fencing number', async t => {
+  await run(async ({ clock, store, first }) => {
+    await advance(clock, 1_000, [first])
+    t.is(first.readFencing(false), 1)
+    await store.restore(undefined)
+    await advance(clock, 1_000, [first])
+    t.is(first.readFencing(false), 2)
+  })
+})
--- a/packages/knapweedshunt-fleet/src/leaseStateMachine.ts
+++ b/packages/knapweedshunt-fleet/src/leaseStateMachine.ts
@@ -39,6 +39,10 @@
   /** Latest time by the monotonic clock, which a step of the wall clock does not advance, at which the previous holder may have sent a command, from which its longest command is waited out; -Infinity when there was no other holder. */
   #previousHolderEndMs = -Infinity
   #releasedLease: ReleasedLease | null = null
+  /** Greatest fencing token read or written; a store that returned to an older copy may hold a smaller one. */
+  #maxFencing = 0
+  /** Whether the last row that was read was another holder's. */
+  #wasForeign = false
 
   constructor (holder: Incarnation, options: LeaseOptions) {
     this.#holder = holder
@@ -112,6 +116,10 @@
     if (!isOwn) this.#held = null
     const hasExpired = row === null || isOwn || this.#expiryTracker.hasExpired(row, now)
     if (row !== null && !isOwn) this.#previousHolderEndMs = this.#computePreviousHolderEndMs(row, now)
+    // Rows are never deleted, so the store has lost the row, and perhaps a renewal that was written just before.
+    if (row === null && this.#wasForeign) this.#previousHolderEndMs = now + this.#options.durationMs
+    this.#wasForeign = row !== null && !isOwn
+    this.#maxFencing = Math.max(this.#maxFencing, row?.fencing ?? 0)
     if (this.#isReleasing && isOwn) return this.#buildWrite(snapshot.version, { ...row, durationMs: 0 })
     if (this.#isReleasing) {
       this.#isReleasing = false
@@ -138,12 +146,13 @@
   /** A renewal keeps the fencing token; an acquisition increments it, also when the last holder was this VM. */
   #buildRow (row: LeaseRow | null): LeaseRow {
     const isRenewal = this.#held !== null && readElapsedMs() < this.#held.validUntilMs && row?.fencing === this.#held.fencing
-    const fencing = isRenewal ? row.fencing : (row?.fencing ?? 0) + 1
+    const fencing = isRenewal ? row.fencing : this.#maxFencing + 1
     return { holder: this.#holder, fencing, durationMs: this.#computeDurationMs(), nonce: '' }
   }
 
   #buildWrite (version: number, row: LeaseRow): LeaseAction[] {
     const value: LeaseRow = { ...row, nonce: createIncarnation() }
+    this.#maxFencing = Math.max(this.#maxFencing, row.fencing)
     this.#pending.push({ row: value, sentAtMs: readElapsedMs() })
     this.#pending = this.#pending.slice(-MAX_PENDING)
     return [{ type: 'write', version, row: value }]
