Gateway: use replaced weights of unknown age for 2 s only

A VM that started after weights had been replaced sent requests to the replaced ones after their bound: half the bound counted as elapsed, whatever the true age, so that at a bound of 10 s they were used for 4.25 s.

Cause: a full read of the table does not tell when a version was set. Two seconds are left now for a version that was read so, though it may not count as set before an older version that the VM knows. The notices of waves tell the least age of the version, which a starting VM reads with the roster, so that it uses no weights that are known to be too old; this also corrects the age at a VM that received the change late. VMs of the version before ignore the new field of a notice, and leave it out.

Of the tests in weightsState.test.ts four fail on the code before; one of these is an existing one, now stricter (2 s in place of 3 s).

--- a/packages/knapweedshunt-fleet/src/waves/waveTypes.ts
+++ b/packages/knapweedshunt-fleet/src/waves/waveTypes.ts
@@ -32,6 +32,8 @@
   endedFencing: FencingToken | null
   /** The holder shuts down: another VM may take over without waiting for it. */
   isLeaving: boolean
+  /** Least time since the version was set, in milliseconds; absent when it is not known. */
+  versionAgeMs?: number
 }
 
 /** A notice as one VM received it; the age is in milliseconds, by that VM's clock. */
--- a/packages/knapweedshunt-gateway/src/__tests__/oddRosterRows.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/oddRosterRows.test.ts
@@ -53,6 +53,7 @@
   ['VM at no URL', 'vm/x', { ...VM, vm: 'x', peer: { url: 'x', key: 'k' } }], ['VM at a port out of range', 'vm/x', { ...VM, vm: 'x', peer: { url: 'http://127.0.0.1:65536', key: 'k' } }],
   ['VM with another protocol', 'vm/x', { ...VM, vm: 'x', peer: { url: 'file:///x', key: 'k' } }], ['VM with a key of two lines', 'vm/x', { ...VM, vm: 'x', peer: { url: 'http://127.0.0.1:81', key: 'k\nk' } }],
   ['wave under another key', 'wave/x', WAVE], ['wave with version 1e300', 'wave/x', { ...WAVE, pool: 'x', version: 1e300 }], ['wave with a deep list', 'wave/x', { ...WAVE, pool: 'x', loading: nest(200_000) }], ['wave with an odd token', 'wave/x', { ...WAVE, pool: 'x', endedFencing: 1.5 }],
+  ['wave with a negative age', 'wave/x', { ...WAVE, pool: 'x', versionAgeMs: -1 }],
   ['mark of a newer build', 'crash/x', { incarnation: 'x@1', marks: [{ n: 1, atMs: 1, mark: { type: 'unknown', fingerprint: 'f' } }] }], ['mark numbered 1e300', 'crash/x', { incarnation: 'x@1', marks: [{ ...CRASH.marks[0], n: 1e300 }] }],
   ['mark that fails', 'crash/x', { incarnation: 'x@1', marks: [{ n: 1, atMs: Date.now(), mark: { type: 'cleared', fingerprint: 'fails', crashIds: [] } }] }],
   ['evidence with an odd share', 'part/x', { ...PART, evidence: { ...PART.evidence, reports: [{ id: 'r', endpoint: 'e', startedAgeMs: 1, crashedAgeMs: 1, lostShares: { part: 7 } }] } }], ['evidence from 1e300', 'part/x', { ...PART, atMs: 1e300 }],
--- a/packages/knapweedshunt-gateway/src/__tests__/weightsState.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/weightsState.test.ts
@@ -1,10 +1,14 @@
 import { install } from '@sinonjs/fake-timers'
 import type { Clock } from '@sinonjs/fake-timers'
 import test from 'ava'
+import type { WaveNotice } from 'knapweedshunt-fleet'
 import { WeightsState } from '../weights/weightsState.ts'
 
-function createWeightsState (): WeightsState {
-  return new WeightsState({ getMaxStaleMs: () => 6_000, holder: 'vm', recordDecision: () => {}, onServedVersion: () => {} } as unknown as ConstructorParameters<typeof WeightsState>[0])
+const NOTICE: WaveNotice = { vm: 'vm-2', pool: 'p', model: 'm', version: 2, loading: [], reached: [], endedFencing: null, isLeaving: false }
+
+function createWeightsState (notices: WaveNotice[] = [], noticeAgeMs = 0): WeightsState {
+  const roster = { listWaveNotices: () => notices, findWaveNotice: () => ({ notice: notices[0], ageMs: noticeAgeMs }) }
+  return new WeightsState({ getMaxStaleMs: () => 6_000, holder: 'vm', roster, recordDecision: () => {}, onServedVersion: () => {} } as unknown as ConstructorParameters<typeof WeightsState>[0])
 }
 
 /** Runs steps on a state under the fake clock. */
@@ -49,11 +53,51 @@
   runWithClock((weights, clock) => {
     weights.applyTarget({ model: 'm', version: 4 }, false)
     t.is(weights.findMinAllowedVersion('m'), 0)
-    clock.tick(3_000)
+    clock.tick(2_000)
     t.is(weights.findMinAllowedVersion('m'), 4)
   })
 })
 
+// Guards against requests to weights that were replaced beyond their bound before the VM started, or before it received the change.
+test.serial('the age of a version is known from the notice of a wave', t => {
+  for (const isNew of [false, true]) {
+    runWithClock(weights => {
+      weights.applyTarget({ model: 'm', version: 2 }, isNew)
+      weights.applyVersionAge({ ...NOTICE, versionAgeMs: 5_900 })
+      t.is(weights.findMinAllowedVersion('m'), 0)
+      weights.applyVersionAge({ ...NOTICE, versionAgeMs: 6_000 })
+      t.is(weights.findMinAllowedVersion('m'), 2)
+      weights.applyVersionAge({ ...NOTICE, versionAgeMs: 10 })
+      t.is(weights.findMinAllowedVersion('m'), 2)
+    })
+  }
+  const later = createWeightsState([{ ...NOTICE, versionAgeMs: 4_000 }], 2_000)
+  later.applyTarget({ model: 'm', version: 2 }, false)
+  t.is(later.findMinAllowedVersion('m'), 2)
+})
+
+test.serial('notices without an age, or of another version, change nothing', t => {
+  runWithClock(weights => {
+    weights.applyTarget({ model: 'm', version: 2 }, true)
+    weights.applyVersionAge(NOTICE)
+    weights.applyVersionAge({ ...NOTICE, version: 3, versionAgeMs: 9_000 })
+    weights.applyVersionAge({ ...NOTICE, model: 'n', versionAgeMs: 9_000 })
+    t.is(weights.findMinAllowedVersion('m'), 0)
+  })
+})
+
+test.serial('a version read with the whole table was set after the one before it', t => {
+  runWithClock((weights, clock) => {
+    weights.applyTarget({ model: 'm', version: 2 }, true)
+    clock.tick(1_000)
+    weights.applyTarget({ model: 'm', version: 3 }, false)
+    clock.tick(4_900)
+    t.is(weights.findMinAllowedVersion('m'), 0)
+    clock.tick(200)
+    t.is(weights.findMinAllowedVersion('m'), 3)
+  })
+})
+
 test('an older target version is ignored', t => {
   const weights = createWeightsState()
   t.true(weights.applyTarget({ model: 'm', version: 2 }, true))
--- a/packages/knapweedshunt-gateway/src/directory/rosterRows.ts
+++ b/packages/knapweedshunt-gateway/src/directory/rosterRows.ts
@@ -92,5 +92,6 @@
   loading: z.array(text),
   reached: z.array(text),
   endedFencing: count.nullable(),
-  isLeaving: z.boolean()
+  isLeaving: z.boolean(),
+  versionAgeMs: z.number().nonnegative().optional()
 }) satisfies z.ZodType<WaveNotice>
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -132,6 +132,7 @@
       onUnwritten: (key, reason) => this.#recordUnwrittenRow(key, reason),
       onUnreadable: (row, reason) => this.#unreadableRowLog.record(ROSTER_TABLE, row, reason),
       onWaveNotice: notice => {
+        this.#weightsState.applyVersionAge(notice)
         this.#weightsState.recordServedVersion(notice.reached, notice.model, notice.version)
         setTimeout(() => this.#requestHandler.moveStreamsFrom(this.#weightsState.listLoadingEndpoints()), MOVE_STREAMS_DELAY_MS)
       }
--- a/packages/knapweedshunt-gateway/src/weights/weightsState.ts
+++ b/packages/knapweedshunt-gateway/src/weights/weightsState.ts
@@ -1,4 +1,4 @@
-import type { WaveDecision, WaveEndpoint, WaveGoal, WavePorts } from 'knapweedshunt-fleet'
+import type { WaveDecision, WaveEndpoint, WaveGoal, WaveNotice, WavePorts } from 'knapweedshunt-fleet'
 import type { EndpointName } from 'knapweedshunt-types'
 import type { VmRoster } from '../directory/vmRoster.ts'
 import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
@@ -9,8 +9,8 @@
 /** Age of a wave's notice from which on its endpoints are used again, in milliseconds: the lease holder is gone by then. */
 const MAX_NOTICE_AGE_MS = 4_000
 
-/** Fraction of the staleness time that counts as elapsed for a target version read at start-up, as the time at which it was set is unknown. */
-const ASSUMED_AGE_SHARE = 0.5
+/** Time for which requests may go on to weights that a full read of the table shows to be replaced, in milliseconds: they may have been replaced long ago, or just now for all VMs. */
+const UNKNOWN_AGE_LEFT_MS = 2_000
 
 /** Time for which replaced weights still count as current, in milliseconds; after that, the users value responses from replaced weights less. */
 const CURRENT_GRACE_MS = 1_500
@@ -18,6 +18,15 @@
 /** Maximum number of target versions held per model. */
 const MAX_TARGET_HISTORY = 16
 
+/** A target version of a model. Times are on the monotonic clock, and negative for what happened before this VM started. */
+interface TargetVersion {
+  version: number
+  /** Time at which it was set, as far as is known or has to be assumed. */
+  atMs: number
+  /** Time at which it had been set for certain. */
+  knownAtMs: number
+}
+
 /** How long a version of a model's weights has been replaced. */
 export interface WeightsReplacement {
   /** Time since the oldest newer target version was set, in milliseconds. */
@@ -46,8 +55,8 @@
 export class WeightsState {
   readonly #dependencies: WeightsStateDependencies
   readonly #targets = new Map<string, number>()
-  /** Target versions seen by this VM with the time at which each was set, newest first. */
-  readonly #targetHistory = new Map<string, Array<{ version: number, atMs: number }>>()
+  /** Target versions seen by this VM, newest first. */
+  readonly #targetHistory = new Map<string, TargetVersion[]>()
 
   constructor (dependencies: WeightsStateDependencies) {
     this.#dependencies = dependencies
@@ -57,11 +66,23 @@
   applyTarget ({ model, version }: TargetWeights, isNew: boolean): boolean {
     if ((this.#targets.get(model) ?? 0) >= version) return false
     this.#targets.set(model, version)
-    const atMs = performance.now() - (isNew ? 0 : this.#dependencies.getMaxStaleMs() * ASSUMED_AGE_SHARE)
-    this.#targetHistory.set(model, [{ version, atMs }, ...this.#targetHistory.get(model) ?? []].slice(0, MAX_TARGET_HISTORY))
+    const nowMs = performance.now()
+    const history = this.#targetHistory.get(model) ?? []
+    const assumedAtMs = isNew ? nowMs : nowMs - Math.max(0, this.#dependencies.getMaxStaleMs() - UNKNOWN_AGE_LEFT_MS)
+    // A version is set after the ones before it.
+    this.#targetHistory.set(model, [{ version, atMs: Math.max(assumedAtMs, history[0]?.atMs ?? -Infinity), knownAtMs: nowMs }, ...history].slice(0, MAX_TARGET_HISTORY))
+    for (const notice of this.#dependencies.roster.listWaveNotices()) this.applyVersionAge(notice, this.#dependencies.roster.findWaveNotice(notice.pool)?.ageMs)
     return true
   }
 
+  /** Applies the age of a version by a wave's notice, which reaches VMs that did not see the version being set. The notice may be older than it seems, so that the age is a least one. */
+  applyVersionAge ({ model, version, versionAgeMs }: WaveNotice, noticeAgeMs = 0): void {
+    const target = this.#targetHistory.get(model)?.find(one => one.version === version)
+    if (target === undefined || versionAgeMs === undefined) return
+    target.knownAtMs = Math.min(target.knownAtMs, performance.now() - noticeAgeMs - versionAgeMs)
+    target.atMs = Math.min(target.atMs, target.knownAtMs)
+  }
+
   /** Oldest version on which a request may still start; 0 when any may be used. */
   findMinAllowedVersion (model: string): number {
     return this.#findTargetAtAge(model, this.#dependencies.getMaxStaleMs())
@@ -130,7 +151,7 @@
         const result = await managementPort.sendLoadCommand({ ...command, address: record.entry.address, holder }, timeoutMs)
         return result.type
       },
-      announce: notice => roster.announceWave(notice),
+      announce: notice => roster.announceWave({ ...notice, ...this.#buildVersionAge(notice) }),
       readNotice: pool => roster.findWaveNotice(pool),
       readRank: () => roster.computeRank(),
       record: decision => this.#dependencies.recordDecision(decision),
@@ -138,6 +159,11 @@
     }
   }
 
+  #buildVersionAge ({ model, version }: WaveNotice): Pick<WaveNotice, 'versionAgeMs'> {
+    const target = this.#targetHistory.get(model)?.find(one => one.version === version)
+    return target === undefined ? {} : { versionAgeMs: Math.floor(performance.now() - target.knownAtMs) }
+  }
+
   #listEndpoints (): WaveEndpoint[] {
     return this.#dependencies.endpointRegistry.list().filter(record => !record.isDraining && record.keptUntilMs === null).flatMap(({ entry, load, inFlightCount }) => entry.models.map(({ model, version }) => ({
       endpoint: entry.endpoint,
