--- a/packages/knapweedshunt-fleet/src/waves/endpointLoader.ts
+++ b/packages/knapweedshunt-fleet/src/waves/endpointLoader.ts
@@ -3,6 +3,14 @@
 import type { WaveOptions } from './waveOptions.ts'
 import type { WaveEndpoint, WaveGoal, WavePorts, WaveReport } from './waveTypes.ts'
 
+/** The load's command, once it was sent. */
+interface SentCommand {
+  ordersTaken: number
+  /** Time from which on reports without an effect of the command mean that it had none. */
+  effectDueAtMs: number
+  endedAtMs: number
+}
+
 /** Collaborators and inputs of an {@link EndpointLoader}. */
 export interface EndpointLoaderDependencies {
   goal: WaveGoal
@@ -11,23 +19,28 @@
   endpoint: WaveEndpoint
   options: WaveOptions
   ports: WavePorts
+  /** Time until commands may be sent, in milliseconds. */
+  readWaitMs (): number
   /** Fencing number while commands may be sent, else null. */
   readFencing (): FencingToken | null
+  /** Loads of this endpoint that were given up before, one after the other. */
+  failureCount: number
 }
 
 /**
  * Brings one endpoint to the target version. It starts when all VMs have been told to stop sending new requests to the
  * endpoint. The load command is sent once the running requests have ended, or after {@link WaveOptions.maxDrainMs}, in which
- * case the remaining ones continue under the new weights. Each command carries the number of commands the endpoint has taken
- * so far, so that the endpoint refuses a delayed copy that arrives after another command.
+ * case the remaining ones continue under the new weights. The command carries the number of commands the endpoint has taken
+ * so far, so that the endpoint refuses a delayed copy that arrives after another command. A load sends one command; it is
+ * given up when that has no effect, so that the endpoint serves and others load until the next try.
  */
 export class EndpointLoader {
   readonly #dependencies: EndpointLoaderDependencies
   #isDone = false
   #backoffUntilMs: number | null = null
   #isStopped = false
-  #lastCommandAtMs = -Infinity
   #isDraining = true
+  #sent: SentCommand | null = null
   readonly #startedAtMs = performance.now()
   #version: number
 
@@ -71,29 +84,36 @@
     this.#isStopped = true
   }
 
-  /** Runs until the endpoint has the target version, the load is given up, the lease is lost, or {@link stop} is called. */
+  /** Runs until the endpoint has the target version, the load is given up, or {@link stop} is called. */
   async run (): Promise<void> {
     const { ports, options, endpoint } = this.#dependencies
     let unansweredPolls = 0
     // Before this time no command may be sent, whatever a report says.
-    await sleep(options.minDrainMs)
+    await sleep(Math.max(options.minDrainMs, this.#dependencies.readWaitMs()))
     while (!this.#isStopped) {
       const report = await ports.readReport(endpoint.endpoint, options.callTimeoutMs)
       if (this.#isStopped) return
       unansweredPolls = report === null ? unansweredPolls + 1 : 0
       if (unansweredPolls >= options.maxUnansweredPolls) return this.#giveUp('no report')
       if (report !== null && this.#handleReached(report)) return
+      if (report !== null && this.#hasFailed(report)) return this.#giveUp('no effect')
       if (report !== null && this.#isCommandDue(report) && !await this.#sendCommand(report)) return
       await sleep(options.pollIntervalMs)
     }
   }
 
-  /** The delays allow for old reports, which may miss requests that arrived just before the notice, or the last command. */
+  /** Whether the command had no effect, or another one than was asked for. */
+  #hasFailed (report: WaveReport): boolean {
+    if (this.#sent === null || report.isBusy) return false
+    const hasEffect = report.ordersTaken !== this.#sent.ordersTaken
+    return performance.now() >= (hasEffect ? this.#sent.endedAtMs + this.#dependencies.options.reportLagMs : this.#sent.effectDueAtMs)
+  }
+
+  /** The delays allow for old reports, which may miss requests that arrived just before the notice. */
   #isCommandDue (report: WaveReport): boolean {
     const { options } = this.#dependencies
-    const nowMs = performance.now()
-    if (report.isBusy || nowMs - this.#lastCommandAtMs < options.reportLagMs) return false
-    const waitedMs = nowMs - this.#startedAtMs
+    if (report.isBusy || this.#sent !== null) return false
+    const waitedMs = performance.now() - this.#startedAtMs
     return waitedMs >= options.maxDrainMs || (report.running === 0 && waitedMs >= options.minDrainMs)
   }
 
@@ -106,28 +126,34 @@
     return true
   }
 
-  /** Sends the load command; false when the loader must end: the lease is lost, or the endpoint refused. */
+  /** Sends the load command if it may be sent now; false when the endpoint refused it, which ends the load. */
   async #sendCommand (report: WaveReport): Promise<boolean> {
     const { goal, ports, endpoint, options } = this.#dependencies
     const fencing = this.#dependencies.readFencing()
-    if (fencing === null) return false
+    if (fencing === null) return true
     this.#isDraining = false
     this.#version = this.#dependencies.readTargetVersion()
     const command = { endpoint: endpoint.endpoint, model: goal.model, version: this.#version, fencing, ordersTaken: report.ordersTaken, waitsForRequests: report.running === 0 }
     ports.record({ type: 'orderSent', ...command })
     const result = await ports.sendCommand(command, options.callTimeoutMs)
     ports.record({ type: 'orderAnswered', endpoint: endpoint.endpoint, version: this.#version, result })
-    if (result === 'taken') {
-      this.#lastCommandAtMs = performance.now()
+    const endedAtMs = performance.now()
+    const isAccepted = result === 'taken' || result === 'holds'
+    this.#sent = { ordersTaken: report.ordersTaken, effectDueAtMs: endedAtMs + (isAccepted ? options.reportLagMs : options.firstPollDelayMs), endedAtMs }
+    if (result !== 'refused') {
       await sleep(options.firstPollDelayMs)
+      return true
     }
-    if (result !== 'refused') return true
     this.#giveUp('refused')
     return false
   }
 
+  /** An endpoint that took no command may take the next one a report's age later; one that fails again is left for longer. */
   #giveUp (reason: string): void {
-    this.#backoffUntilMs = performance.now() + this.#dependencies.options.backoffMs
+    const { options, failureCount } = this.#dependencies
+    const nowMs = performance.now()
+    const isRepeated = failureCount > 0 || this.#sent === null || reason === 'refused'
+    this.#backoffUntilMs = isRepeated ? nowMs + options.backoffMs : Math.max(nowMs, (this.#sent?.endedAtMs ?? nowMs) + options.reportLagMs - options.minDrainMs)
     this.#dependencies.ports.record({ type: 'loadGivenUp', endpoint: this.endpoint, version: this.#version, reason })
   }
 }
--- a/packages/knapweedshunt-fleet/src/waves/waveTask.ts
+++ b/packages/knapweedshunt-fleet/src/waves/waveTask.ts
@@ -1,7 +1,7 @@
 import type { Logger } from 'knapweedshunt-logger'
 import type { Platform } from 'knapweedshunt-platform'
 import type { EndpointName, FencingToken, Incarnation, PoolName, VmId } from 'knapweedshunt-types'
-import { groupBy, readElapsedMs, sleep } from 'knapweedshunt-utils'
+import { groupBy, sleep } from 'knapweedshunt-utils'
 import { LeaseTask } from '../leaseTask.ts'
 import { EndpointLoader } from './endpointLoader.ts'
 import { planWave } from './planWave.ts'
@@ -12,6 +12,9 @@
 /** Name of the lease that permits a VM to send load commands to endpoints. */
 export const WAVE_LEASE = 'waves'
 
+/** Number of VMs, by rank, that follow the row of the lease while there is work. */
+const FOLLOWER_COUNT = 3
+
 /** Collaborators and inputs of a {@link WaveTask}. */
 export interface WaveTaskDependencies {
   vm: VmId
@@ -39,6 +42,8 @@
   readonly #options: WaveOptions
   readonly #lease: LeaseTask
   readonly #loaders = new Map<EndpointName, EndpointLoader>()
+  /** Loads of each endpoint that were given up, one after the other. */
+  readonly #failureCounts = new Map<EndpointName, number>()
   /** Last notice that this VM announced for each pool. */
   readonly #lastNotices = new Map<PoolName, WaveNotice>()
   #workSinceMs: number | null = null
@@ -53,14 +58,28 @@
 
   /** Runs until the signal aborts, then releases the lease. */
   async run (signal: AbortSignal, { isStopping, isOutreached }: WaveConditions): Promise<void> {
+    const renewing = this.#renewLease(signal)
     while (!signal.aborted) {
       if (isOutreached()) await this.#handOver()
       else await this.#step(isStopping())
       await sleep(this.#options.stepIntervalMs, signal)
     }
+    await renewing
     await this.#handOver()
   }
 
+  /** Renews the lease while it is held, also while a step waits for an answer of the table service. */
+  async #renewLease (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      if (this.#lease.readFencing(true) !== null) this.#lease.runOnce().catch(error => this.#recordFailedStep(error))
+      await sleep(this.#options.stepIntervalMs, signal)
+    }
+  }
+
+  #recordFailedStep (error: Error): void {
+    this.#dependencies.log.warn('Lease read or renewal failed.', { reason: error.message })
+  }
+
   /** Releases the lease, if it is held, so that other VMs need not wait until it expires. */
   async #handOver (): Promise<void> {
     if (this.#lease.readFencing(true) === null) return
@@ -79,8 +98,10 @@
     const isHeld = this.#lease.readFencing(true) !== null
     const notices = this.#listNotices(endpoints)
     if (!isHeld) this.#recordEndedLease(notices)
-    if (isHeld || (!isStopping && this.#shouldContend(notices))) this.#lease.runOnce().catch(error => this.#dependencies.log.warn('Lease read or renewal failed.', { reason: (error as Error).message }))
-    this.#updateFencing(this.#lease.readFencing(false))
+    if (!isHeld && !isStopping) this.#followLease(notices)
+    const waitMs = this.#lease.computeWaitMs()
+    // While the commands of the last holder are waited for, the endpoints that load first already drain.
+    this.#updateFencing(waitMs !== null && waitMs <= this.#options.maxDrainMs ? this.#lease.readFencing(true) : null)
     if (this.#fencing === null) return
     for (const goal of outdatedGoals) await this.#stepGoal(goal, endpoints.filter(one => one.model === goal.model))
   }
@@ -88,6 +109,7 @@
   /** Releases the lease when no work is left, and announces that release and that all endpoints may be used again. */
   async #finishWork (goals: WaveGoal[], endpoints: WaveEndpoint[]): Promise<void> {
     this.#workSinceMs = null
+    this.#failureCounts.clear()
     if (this.#fencing === null) return
     this.#updateFencing(null)
     const endedFencing = await this.#lease.release()
@@ -106,7 +128,18 @@
   #recordEndedLease (notices: ReceivedNotice[]): void {
     const [newest] = notices.toSorted((a, b) => a.ageMs - b.ageMs)
     const fencing = newest?.notice.endedFencing ?? null
-    if (fencing !== null) this.#lease.recordReleasedLease({ fencing, atMs: readElapsedMs() - newest.ageMs })
+    if (fencing !== null) this.#lease.recordReleasedLease({ fencing, atMs: performance.now() - newest.ageMs })
+  }
+
+  /** The first VMs by rank follow the lease from the beginning, so that its expiry is known when the holder is missed; the others once it is late. */
+  #followLease (notices: ReceivedNotice[]): void {
+    if (this.#shouldContend(notices)) this.#lease.runOnce().catch(error => this.#recordFailedStep(error))
+    else if (this.#dependencies.ports.readRank() < FOLLOWER_COUNT || this.#measureSilenceMs(notices) >= this.#options.takeoverDelayMs / 2) this.#lease.followOnce().catch(error => this.#recordFailedStep(error))
+  }
+
+  /** Time since the last notice, or since there is work. */
+  #measureSilenceMs (notices: ReceivedNotice[]): number {
+    return Math.min(performance.now() - (this.#workSinceMs ?? performance.now()), ...notices.map(one => one.ageMs))
   }
 
   /** The VM that sent the last commands may contend at once, while these may still run. The others follow by rank once it is silent, leaves, or its commands must have ended. */
@@ -114,8 +147,7 @@
     const { ports, vm } = this.#dependencies
     if (notices.some(one => one.notice.vm === vm)) return true
     const { takeoverDelayMs, rankDelayMs, lease } = this.#options
-    const sinceMs = performance.now() - (this.#workSinceMs ?? performance.now())
-    const silentMs = Math.min(sinceMs, ...notices.map(one => one.ageMs))
+    const silentMs = this.#measureSilenceMs(notices)
     if (notices.every(one => one.notice.isLeaving)) return silentMs >= ports.readRank() * rankDelayMs
     const hasEnded = notices.every(one => one.notice.endedFencing !== null && one.ageMs >= lease.maxCommandMs)
     return silentMs >= (hasEnded ? rankDelayMs : takeoverDelayMs) + ports.readRank() * rankDelayMs
@@ -142,9 +174,11 @@
         draining: poolLoaders.filter(one => !one.isBackingOff(nowMs) && one.isDraining).map(one => one.endpoint),
         sinceCommandMs: nowMs - this.#lastCommandAtMs,
         backingOff: poolLoaders.filter(one => one.isBackingOff(nowMs)).map(one => one.endpoint),
+        failed: members.filter(one => this.#failureCounts.has(one.endpoint)).map(one => one.endpoint),
         parallelShare: this.#options.parallelShare
       })
-      if (plan.toLoad.length > 0) await this.#announce({ vm: this.#dependencies.vm, pool, model: goal.model, version: goal.version, loading: plan.loading, reached: plan.reached, endedFencing: null, isLeaving: false })
+      const hasGivenUp = poolLoaders.some(one => one.isBackingOff(nowMs) && this.#lastNotices.get(pool)?.loading.includes(one.endpoint))
+      if (plan.toLoad.length > 0 || hasGivenUp) await this.#announce({ vm: this.#dependencies.vm, pool, model: goal.model, version: goal.version, loading: plan.loading, reached: plan.reached, endedFencing: null, isLeaving: false })
       if (plan.toLoad.length > 0) this.#lastCommandAtMs = performance.now()
       for (const name of plan.toLoad) this.#startLoad(goal, members.find(member => member.endpoint === name))
     }
@@ -168,6 +202,8 @@
       endpoint,
       options: this.#options,
       ports: this.#dependencies.ports,
+      failureCount: this.#failureCounts.get(endpoint.endpoint) ?? 0,
+      readWaitMs: () => this.#lease.computeWaitMs() ?? 0,
       readFencing: () => this.#lease.readFencing(false)
     })
     this.#loaders.set(endpoint.endpoint, loader)
@@ -180,6 +216,8 @@
     for (const [name, loader] of this.#loaders) {
       const endpoint = endpoints.find(one => one.endpoint === name)
       if (loader.isDone || loader.isRetryDue(nowMs) || endpoint?.incarnation !== loader.incarnation) {
+        if (loader.isRetryDue(nowMs)) this.#failureCounts.set(name, (this.#failureCounts.get(name) ?? 0) + 1)
+        else this.#failureCounts.delete(name)
         loader.stop()
         this.#loaders.delete(name)
       }
