Gateway: endpoint rows that were read together are followed up once

Callers saw: on large deployments VMs had no processor time, so requests were served late, refused, or sent on after their callers had left.

Cause: each row of the endpoint table made a VM rebuild placement over all endpoints and look at all software versions again. N rows of one poll cost N rebuilds of N endpoints, in each VM, at the start and after each crash of many endpoints.

Why it works: rows of one poll are applied in order and followed up once. Lists of endpoints are kept between changes.

Test: 'changes that were read together are followed up once'; the interface that it uses is new, before it the number of follow-ups was that of the rows.

--- a/packages/knapweedshunt-gateway/src/__tests__/decisions.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/decisions.test.ts
@@ -98,7 +98,7 @@
   try {
     const endpointRegistry = new EndpointRegistry(() => {}, () => {}, () => {})
     endpointRegistry.applySnapshot([buildEntry('a'), buildEntry('b')], [], null)
-    endpointRegistry.removeEntry('a')
+    endpointRegistry.applyChanges([{ type: 'deleted', endpoint: 'a' }])
     t.is(endpointRegistry.find('a'), undefined)
     endpointRegistry.applySnapshot([], [], 0)
     t.not(endpointRegistry.find('b'), undefined)
@@ -137,10 +137,10 @@
   try {
     const endpointRegistry = new EndpointRegistry(() => {}, () => {}, () => {})
     endpointRegistry.applySnapshot([buildEntry('a'), buildEntry('b'), buildEntry('c', { isDraining: true })], [], null)
-    endpointRegistry.handleUnreadable('a')
+    endpointRegistry.applyChanges([{ type: 'unreadable', endpoint: 'a' }])
     endpointRegistry.applySnapshot([buildEntry('b')], ['a', 'c', 'unknown'], null)
     clock.tick(1_000)
-    endpointRegistry.handleUnreadable('a')
+    endpointRegistry.applyChanges([{ type: 'unreadable', endpoint: 'a' }])
     endpointRegistry.removeExpired()
     t.deepEqual(endpointRegistry.list().map(record => [record.entry.endpoint, record.isDraining]), [['a', false], ['b', false], ['c', true]])
     clock.tick(250)
@@ -156,12 +156,12 @@
   try {
     const endpointRegistry = new EndpointRegistry(() => {}, () => {}, () => {})
     endpointRegistry.applySnapshot([buildEntry('a'), buildEntry('b')], [], null)
-    endpointRegistry.handleUnreadable('a')
-    endpointRegistry.handleUnreadable('b')
-    endpointRegistry.removeEntry('b')
+    endpointRegistry.applyChanges([{ type: 'unreadable', endpoint: 'a' }])
+    endpointRegistry.applyChanges([{ type: 'unreadable', endpoint: 'b' }])
+    endpointRegistry.applyChanges([{ type: 'deleted', endpoint: 'b' }])
     t.is(endpointRegistry.find('b'), undefined)
     clock.tick(1_200)
-    endpointRegistry.applyEntry(buildEntry('a'))
+    endpointRegistry.applyChanges([{ type: 'entry', entry: buildEntry('a') }])
     clock.tick(60_000)
     endpointRegistry.removeExpired()
     t.not(endpointRegistry.find('a'), undefined)
@@ -170,13 +170,33 @@
   }
 })
 
+// Guards against a VM that is busy for seconds after a crash of many endpoints, as each of their rows made it rebuild the choice among all.
+test('changes that were read together are followed up once', t => {
+  let followUps = 0
+  const endpointRegistry = new EndpointRegistry(() => {}, () => { followUps++ }, () => {})
+  endpointRegistry.applySnapshot([buildEntry('a'), buildEntry('b')], [], null)
+  t.deepEqual(endpointRegistry.list('p').map(({ entry }) => entry.endpoint), ['a', 'b'])
+  followUps = 0
+  endpointRegistry.applyChanges([
+    { type: 'entry', entry: buildEntry('a', { incarnation: 'a@2' }) },
+    { type: 'deleted', endpoint: 'b' },
+    { type: 'entry', entry: buildEntry('c') },
+    { type: 'entry', entry: buildEntry('d', { pool: 'other' }) }
+  ])
+  t.is(followUps, 1)
+  t.deepEqual(endpointRegistry.list('p').map(({ entry }) => [entry.endpoint, entry.incarnation]), [['a', 'a@2'], ['c', 'c@1']])
+  t.deepEqual(endpointRegistry.list('other').map(({ entry }) => entry.endpoint), ['d'])
+  endpointRegistry.applyChanges([{ type: 'entry', entry: buildEntry('d') }])
+  t.deepEqual([endpointRegistry.list('p').length, endpointRegistry.list('other').length, endpointRegistry.list().length], [3, 0, 3])
+})
+
 test('a restarted endpoint gets a new record', t => {
   const endpointRegistry = new EndpointRegistry(() => {}, () => {}, () => {})
-  endpointRegistry.applyEntry(buildEntry('a'))
+  endpointRegistry.applyChanges([{ type: 'entry', entry: buildEntry('a') }])
   const before = endpointRegistry.find('a')
-  endpointRegistry.applyEntry(buildEntry('a', { isDraining: true }))
+  endpointRegistry.applyChanges([{ type: 'entry', entry: buildEntry('a', { isDraining: true }) }])
   t.is(endpointRegistry.find('a'), before)
-  endpointRegistry.applyEntry(buildEntry('a', { incarnation: 'a@2' }))
+  endpointRegistry.applyChanges([{ type: 'entry', entry: buildEntry('a', { incarnation: 'a@2' }) }])
   t.not(endpointRegistry.find('a'), before)
 })
 
--- a/packages/knapweedshunt-gateway/src/directory/directoryUpdater.ts
+++ b/packages/knapweedshunt-gateway/src/directory/directoryUpdater.ts
@@ -1,6 +1,6 @@
 import type { TableUpdate } from 'knapweedshunt-platform'
 import { match } from 'ts-pattern'
-import type { EndpointRegistry } from '../endpoints/endpointRegistry.ts'
+import type { EndpointChange, EndpointRegistry } from '../endpoints/endpointRegistry.ts'
 import type { DirectoryPort } from '../ports/directoryPort.ts'
 import type { GatewayConfig } from '../ports/gatewayConfig.ts'
 import type { DecisionLog } from '../records/decisionLog.ts'
@@ -68,12 +68,10 @@
       endpointRegistry.applySnapshot(entries, unreadable, update.storeBackForMs)
       return
     }
-    for (const { row, result } of results) {
-      match(result)
-        .with(null, () => endpointRegistry.removeEntry(row.key))
-        .with({ type: 'endpoint' }, ({ entry }) => endpointRegistry.applyEntry(entry))
-        .with({ type: 'unreadable' }, () => endpointRegistry.handleUnreadable(row.key))
-        .exhaustive()
-    }
+    endpointRegistry.applyChanges(results.map(({ row, result }) => match(result)
+      .with(null, (): EndpointChange => ({ type: 'deleted', endpoint: row.key }))
+      .with({ type: 'endpoint' }, ({ entry }): EndpointChange => ({ type: 'entry', entry }))
+      .with({ type: 'unreadable' }, (): EndpointChange => ({ type: 'unreadable', endpoint: row.key }))
+      .exhaustive()))
   }
 }
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointFilter.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointFilter.ts
@@ -164,13 +164,13 @@
   }
 }
 
-function filterByVersion (records: EndpointRecord[], acceptsVersion: (softwareVersion: string) => boolean): EndpointRecord[] {
+function filterByVersion (records: readonly EndpointRecord[], acceptsVersion: (softwareVersion: string) => boolean): EndpointRecord[] {
   const accepted = new Set([...new Set(records.map(({ entry }) => entry.softwareVersion))].filter(acceptsVersion))
   return records.filter(({ entry }) => accepted.has(entry.softwareVersion))
 }
 
 /** Lists the endpoints that may be chosen; never draining ones. */
-function listCandidates (records: EndpointRecord[], triedEndpoints: EndpointName[], scope: EndpointScope): EndpointRecord[] {
+function listCandidates (records: readonly EndpointRecord[], triedEndpoints: EndpointName[], scope: EndpointScope): EndpointRecord[] {
   const active = records.filter(record => !record.isDraining)
   const untried = active.filter(record => !triedEndpoints.includes(record.entry.endpoint))
   return match(scope)
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointMonitor.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointMonitor.ts
@@ -43,7 +43,7 @@
   decisionLog: DecisionLog
   findPool (pool: PoolName): GatewayPool | null
   /** Lists the endpoints of a pool, or all. */
-  listEndpoints (pool?: PoolName): EndpointRecord[]
+  listEndpoints (pool?: PoolName): readonly EndpointRecord[]
   /** Counts a probe towards the endpoint's rate limit; false if it may not be sent one now. */
   tryTakePermit (record: EndpointRecord): boolean
   /** Whether the record is still the one in the registry for its endpoint. */
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointRegistry.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointRegistry.ts
@@ -1,4 +1,6 @@
 import type { EndpointName, PoolName } from 'knapweedshunt-types'
+import { groupBy } from 'knapweedshunt-utils'
+import { match } from 'ts-pattern'
 import type { EndpointEntry } from '../ports/endpointEntry.ts'
 import type { EndpointDecision } from '../records/decision.ts'
 import { EndpointRecord } from './endpointRecord.ts'
@@ -9,6 +11,13 @@
 /** Time for which an endpoint is kept after its row was found to be unreadable, in milliseconds: endpoints write their rows within it. What the row said before may have been that the endpoint leaves, so the time ends before a leaving endpoint must get no more requests. */
 const UNREADABLE_GRACE_MS = 1_250
 
+/** A change of the endpoint table. */
+export type EndpointChange =
+  | { type: 'entry', entry: EndpointEntry }
+  | { type: 'deleted', endpoint: EndpointName }
+  /** The row says neither that its endpoint serves nor that it is gone, so what was known is kept for a while. */
+  | { type: 'unreadable', endpoint: EndpointName }
+
 /** Registry of the endpoints listed in the directory. */
 export class EndpointRegistry {
   readonly #records = new Map<EndpointName, EndpointRecord>()
@@ -17,6 +26,8 @@
   readonly #onIncarnationEnded: (record: EndpointRecord) => void
   /** Until then a missing row may have expired during the store outage. */
   #recoveryUntilMs = -Infinity
+  /** Results of {@link list} since the last change; null before they are asked for. */
+  #listed: { all: EndpointRecord[], byPool: Map<PoolName, EndpointRecord[]> } | null = null
 
   constructor (recordDecision: (decision: EndpointDecision) => void, onChange: () => void, onIncarnationEnded: (record: EndpointRecord) => void) {
     this.#recordDecision = recordDecision
@@ -35,9 +46,14 @@
   }
 
   /** Lists the endpoints of a pool, or all endpoints. */
-  list (pool?: PoolName): EndpointRecord[] {
-    const records = [...this.#records.values()]
-    return pool === undefined ? records : records.filter(record => record.entry.pool === pool)
+  list (pool?: PoolName): readonly EndpointRecord[] {
+    const { all, byPool } = this.#getListed()
+    return pool === undefined ? all : byPool.get(pool) ?? []
+  }
+
+  /** Lists the pools that have endpoints. */
+  listPools (): PoolName[] {
+    return [...this.#getListed().byPool.keys()]
   }
 
   /** Replaces the endpoints with a full read of the table, except those in `unreadable`, whose rows cannot be read; `storeBackForMs` is the time for which the store has answered again, in milliseconds, when it did not before; else null. */
@@ -50,22 +66,16 @@
     this.#onChange()
   }
 
-  /** Applies one added or changed row. */
-  applyEntry (entry: EndpointEntry): void {
-    this.#upsert(entry)
-    this.#onChange()
-  }
-
-  /** Handles a row that cannot be read: it says neither that its endpoint serves nor that it is gone, so what was known is kept for a while. */
-  handleUnreadable (endpoint: EndpointName): void {
-    this.#handleUnreadable(endpoint)
-    this.#onChange()
-  }
-
-  /** Handles a row that was deleted. */
-  removeEntry (endpoint: EndpointName): void {
-    this.#handleMissing(endpoint)
-    this.#onChange()
+  /** Applies rows that were added, changed or deleted, in order; what follows from them is done once for all. */
+  applyChanges (changes: EndpointChange[]): void {
+    for (const change of changes) {
+      match(change)
+        .with({ type: 'entry' }, ({ entry }) => this.#upsert(entry))
+        .with({ type: 'deleted' }, ({ endpoint }) => this.#handleMissing(endpoint))
+        .with({ type: 'unreadable' }, ({ endpoint }) => this.#handleUnreadable(endpoint))
+        .exhaustive()
+    }
+    if (changes.length > 0) this.#onChange()
   }
 
   /** Removes the endpoints whose rows are still missing or unreadable after the grace period. */
@@ -80,6 +90,13 @@
     if (isChanged) this.#onChange()
   }
 
+  #getListed (): { all: EndpointRecord[], byPool: Map<PoolName, EndpointRecord[]> } {
+    if (this.#listed !== null) return this.#listed
+    const all = [...this.#records.values()]
+    this.#listed = { all, byPool: groupBy(all, ({ entry }) => entry.pool) }
+    return this.#listed
+  }
+
   #handleMissing (name: EndpointName): void {
     const record = this.#records.get(name)
     if (record === undefined) return
@@ -98,11 +115,13 @@
     const known = this.#records.get(entry.endpoint)
     if (known === undefined || known.entry.incarnation !== entry.incarnation) {
       this.#records.set(entry.endpoint, new EndpointRecord(entry))
+      this.#listed = null
       this.#recordDecision({ type: 'endpointPresent', endpoint: entry.endpoint, pool: entry.pool, incarnation: entry.incarnation, softwareVersion: entry.softwareVersion, isDraining: entry.isDraining })
       if (known !== undefined) this.#onIncarnationEnded(known)
       return
     }
     if (entry.isDraining && !known.entry.isDraining) this.#recordDecision({ type: 'endpointLeaving', endpoint: entry.endpoint, pool: entry.pool })
+    if (known.entry.pool !== entry.pool) this.#listed = null
     known.entry = entry
     known.keptUntilMs = null
   }
@@ -110,6 +129,7 @@
   #remove (name: EndpointName): void {
     const record = this.#records.get(name)
     this.#records.delete(name)
+    this.#listed = null
     this.#recordDecision({ type: 'endpointGone', endpoint: name })
     if (record !== undefined) this.#onIncarnationEnded(record)
   }
