Gateway: what follows from the list of VMs is computed when it changes

Callers saw: late answers on large deployments, where VMs have a fraction of a core each.

Cause: each VM hashed and sorted the names of all VMs four times a second, for its rank and for the VMs that write streams, and went through all VMs for each endpoint that it considered for a request, only to count them.

Why it works: names, peers and rank are kept until a row adds, changes or removes a VM; without missing VMs there is nothing to expire. Guarded by the tests of vmRoster, oddRosterRows and streamOrigins and the fuzzes, unchanged.

--- a/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
+++ b/packages/knapweedshunt-gateway/src/directory/vmRoster.ts
@@ -26,6 +26,14 @@
   missingSinceMs: number | null
 }
 
+interface DerivedVms {
+  names: VmId[]
+  /** The other VMs that serve calls. */
+  peers: PeerView[]
+  /** Rank of this VM. */
+  rank: number
+}
+
 interface TimedNotice {
   notice: WaveNotice
   receivedAtMs: number
@@ -37,6 +45,10 @@
   readonly #ownedRows: OwnedRows
   readonly #crashMarks: CrashMarks
   readonly #vms = new Map<string, KnownVm>()
+  /** Whether a VM is missing, as far as this VM has looked. */
+  #hasMissingVms = false
+  /** What follows from {@link #vms}; null after a change of the VMs. */
+  #derived: DerivedVms | null = null
   readonly #waveNotices = new Map<PoolName, TimedNotice>()
   /** Whether the marks and part evidence of this VM's previous incarnation were read; its rows must not be replaced before. */
   #hasAdoptedRows = false
@@ -61,7 +73,7 @@
   /** Lists the VMs that may be running, including this one; empty before the first full read. */
   listVms (): VmId[] {
     this.#removeMissingVms()
-    return this.#hasAdoptedRows ? [...this.#vms.values()].map(({ row }) => row.vm) : []
+    return this.#hasAdoptedRows ? this.#getDerived().names : []
   }
 
   /** Whether this VM writes what no VM in particular owns; false while the other VMs are not known. */
@@ -72,8 +84,7 @@
   /** Rank of this VM in an order that all VMs agree on, 0 first. */
   computeRank (): number {
     this.#removeMissingVms()
-    const names = [...this.#vms.values()].map(({ row }) => hashText(row.vm)).sort()
-    return names.indexOf(hashText(this.#dependencies.self.vm))
+    return this.#getDerived().rank
   }
 
   /** Finds the last notice of a pool's wave; null when there was none. */
@@ -96,13 +107,14 @@
   /** Lists the other VMs that serve calls. */
   listPeers (): PeerView[] {
     this.#removeMissingVms()
-    return [...this.#vms].flatMap(([key, { row }]) => this.#isOwn(key) || row.peer == null || row.peer.url === this.#ownPeer?.url ? [] : [{ vm: row.vm, dataCentre: row.dataCentre, address: row.peer }])
+    return this.#getDerived().peers
   }
 
   /** Writes this VM's row; `peer` is where it serves calls of the others, null if it does not. */
   announceSelf (peer: PeerAddress | null): void {
     const { self } = this.#dependencies
     this.#ownPeer = peer
+    this.#derived = null
     this.#ownedRows.put(ROSTER_KEY.vm + self.vm, { ...self, peer })
   }
 
@@ -153,8 +165,27 @@
   }
 
   #removeMissingVms (): void {
+    if (!this.#hasMissingVms) return
     const oldestMs = performance.now() - ROW_RECOVERY_MS
-    for (const [key, { missingSinceMs }] of this.#vms) if (missingSinceMs !== null && missingSinceMs <= oldestMs) this.#vms.delete(key)
+    for (const [key, { missingSinceMs }] of this.#vms) if (missingSinceMs !== null && missingSinceMs <= oldestMs) this.#removeVm(key)
+    this.#hasMissingVms = [...this.#vms.values()].some(({ missingSinceMs }) => missingSinceMs !== null)
+  }
+
+  #removeVm (key: string): void {
+    this.#vms.delete(key)
+    this.#derived = null
+  }
+
+  /** These are needed for each request, while VMs change seldom. */
+  #getDerived (): DerivedVms {
+    if (this.#derived !== null) return this.#derived
+    const ranked = [...this.#vms.values()].map(({ row }) => hashText(row.vm)).sort()
+    this.#derived = {
+      names: [...this.#vms.values()].map(({ row }) => row.vm),
+      peers: [...this.#vms].flatMap(([key, { row }]) => this.#isOwn(key) || row.peer == null || row.peer.url === this.#ownPeer?.url ? [] : [{ vm: row.vm, dataCentre: row.dataCentre, address: row.peer }]),
+      rank: ranked.indexOf(hashText(this.#dependencies.self.vm))
+    }
+    return this.#derived
   }
 
   #publishMarks (): void {
@@ -175,7 +206,11 @@
   /** VMs that the snapshot lacks are kept for a while: a restored store lists them again once they have written their rows. */
   #applySnapshot (rows: Row[]): void {
     const presentKeys = new Set(rows.map(row => row.key))
-    for (const [key, known] of this.#vms) if (!presentKeys.has(key) && !this.#isOwn(key)) known.missingSinceMs ??= performance.now()
+    for (const [key, known] of this.#vms) {
+      if (presentKeys.has(key) || this.#isOwn(key)) continue
+      known.missingSinceMs ??= performance.now()
+      this.#hasMissingVms = true
+    }
     for (const row of rows) this.#applyRow(row)
     if (!this.#hasAdoptedRows) {
       this.#hasAdoptedRows = true
@@ -188,7 +223,7 @@
   #applyChange (row: ChangedRow): void {
     this.#ownedRows.reconcileRow(row.key, row.isDeleted ? null : row.value)
     if (!row.isDeleted) this.#applyRow(row)
-    else if (!this.#isOwn(row.key)) this.#vms.delete(row.key)
+    else if (!this.#isOwn(row.key)) this.#removeVm(row.key)
   }
 
   #isOwn (key: string): boolean {
@@ -215,7 +250,9 @@
   }
 
   #applyVmRow (key: string, row: VmRow): void {
-    if (!this.#isOwn(key)) this.#vms.set(key, { row, missingSinceMs: null })
+    if (this.#isOwn(key)) return
+    this.#vms.set(key, { row, missingSinceMs: null })
+    this.#derived = null
   }
 
   /** A starting VM applies the marks of all VMs, including those that its previous incarnation wrote. */
--- a/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
@@ -100,8 +100,8 @@
   /** Versions in each pool's row, as read or written last. */
   readonly #writtenVersions = new Map<PoolName, string>()
   #nextWriteAtMs = -Infinity
-  /** VMs that write streams to the store. */
-  #writers: HolderCandidate[] = []
+  /** VMs that write streams to the store, and the VMs of which they were selected. */
+  #writers: { peers: readonly PeerView[], selected: HolderCandidate[] } | null = null
 
   constructor (dependencies: StreamOriginsDependencies) {
     this.#dependencies = dependencies
@@ -121,7 +121,6 @@
 
   /** Records the software versions that the endpoints of each pool have now. If a pool has several all of a sudden, the streams that may be taken up again are told too. */
   updateVersions (): void {
-    this.#writers = selectStreamWriters(this.#listCandidates())
     this.#updateConfirmed()
     for (const [pool, records] of groupBy(this.#dependencies.endpointRegistry.list(), ({ entry }) => entry.pool)) {
       const versions = [...new Set(records.map(({ entry }) => entry.softwareVersion))].sort()
@@ -269,7 +268,13 @@
   }
 
   #selectStoring (key: string): HolderCandidate[] {
-    return selectStoringWriters(key, this.#writers)
+    return selectStoringWriters(key, this.#getWriters())
+  }
+
+  #getWriters (): HolderCandidate[] {
+    const peers = this.#dependencies.listPeers()
+    if (this.#writers?.peers !== peers) this.#writers = { peers, selected: selectStreamWriters(this.#listCandidates()) }
+    return this.#writers.selected
   }
 
   /** Lists the other VMs among these. */
