Gateway: software versions of a new pool are not told to each VM

Callers saw: requests that were late or sent on after their callers had left, on large deployments.

Cause: a VM that starts told each other VM the versions that it had just read, which the others read at the same time: with the square of the VMs calls, and as many connections. VMs without processor time did not answer within 250 ms and got the call of each other VM anew every 350 ms.

Why it works: while a pool is new no VM takes a version for the only one and any stream may begin on any version, so nothing depends on the others' word; it is told from 4.5 s before that ends, after which versions seen earlier are settled. Failed calls are repeated after 100, 200, then 400 ms.

Test: 'versions of a new pool are not told to other VMs …' failed before (without the condition, all twelve VMs are told within 9 s). streamOriginsFuzz and outOfStepVmsFuzz pass.

--- a/packages/knapweedshunt-gateway/src/__tests__/streamOrigins.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/streamOrigins.test.ts
@@ -31,7 +31,7 @@
 }
 
 /** Runs with a VM that has just started and read no endpoints. */
-async function runWithStarted (call: (view: PeerView, method: string) => unknown, run: (setup: Setup) => Promise<void>): Promise<void> {
+async function runWithStarted (call: (view: PeerView, method: string, params: unknown) => unknown, run: (setup: Setup) => Promise<void>): Promise<void> {
   const clock = install()
   const abort = new AbortController()
   setMaxListeners(0, abort.signal)
@@ -44,7 +44,7 @@
       ...EMPTY_STREAM_ROWS,
       signal: abort.signal,
       listPeers: () => PEERS,
-      call: async (view, method) => call(view, method),
+      call: async (view, method, params) => call(view, method, params),
       getRetentionMs: () => RETENTION_MS,
       getEndpointsAgeMs: () => 0,
       isVersionsWriter: () => false,
@@ -120,6 +120,27 @@
   })
 })
 
+// Guards against VMs that start together and spend their processor time on telling each other what all of them read at the same time.
+test.serial('versions of a new pool are not told to other VMs, but ones that are not settled when it ceases to be new are', async t => {
+  const told = new Set<string>()
+  const call = ({ vm }: PeerView, method: string, params: unknown) => {
+    if (method === 'streams.versions') for (const version of (params as { softwareVersions: string[] }).softwareVersions) told.add(`${vm} ${version}`)
+    return {}
+  }
+  await runWithStarted(call, async ({ origins, applyVersions, observe }) => {
+    const identity = { organisation: 'org', pool: POOL, firstRequestId: 'r' }
+    applyVersions(['v1'])
+    await observe(9_000)
+    t.is(told.size, 0)
+    t.true(origins.canBegin(identity, 'v1'))
+    applyVersions(['v1', 'v2'])
+    t.true(origins.canBegin(identity, 'v2'))
+    await observe(3_000)
+    t.deepEqual([...told].sort(), PEERS.map(({ vm }) => `${vm} v2`).sort())
+    t.true(origins.canBegin(identity, 'v2'))
+  })
+})
+
 test.serial('a stream begins on a new version once no table that counts as fresh can lack it', async t => {
   await runWithOrigins(() => { throw new Error('no answer') }, async ({ clock, origins, applyVersions, observe }) => {
     const identity = { organisation: 'org', pool: POOL, firstRequestId: 'r' }
--- a/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
@@ -128,7 +128,8 @@
       if (!this.#observedSinceMs.has(pool)) this.#observedSinceMs.set(pool, performance.now())
       this.#writeIfChanged(pool, versions)
       this.#settledVersions.recordPresent(pool, versions, performance.now() - this.#dependencies.getEndpointsAgeMs())
-      this.#notices.announce(pool, this.#settledVersions.listUnsettled(pool))
+      // All versions of a new pool may begin streams untold, and are settled before that ends.
+      this.#notices.announce(pool, this.#isNewPool(pool, SETTLE_MS) ? [] : this.#settledVersions.listUnsettled(pool))
       const sharing = this.#determineSharing(pool)
       const previous = this.#sharing.get(pool)
       this.#sharing.set(pool, sharing)
@@ -223,9 +224,9 @@
     return this.#dependencies.getRetentionMs() + MAX_LEAVING_MS
   }
 
-  /** Whether no VM has observed a pool for long enough to take a version for the only one. */
-  #isNewPool (pool: PoolName): boolean {
-    return performance.now() - (this.#observedSinceMs.get(pool) ?? -Infinity) < this.#historyMs
+  /** Whether no VM has observed a pool, or will have within `forMs`, for long enough to take a version for the only one. */
+  #isNewPool (pool: PoolName, forMs = 0): boolean {
+    return performance.now() + forMs - (this.#observedSinceMs.get(pool) ?? -Infinity) < this.#historyMs
   }
 
   /** Versions may have come and gone between two reads that are too far apart. */
--- a/packages/knapweedshunt-gateway/src/peers/versionNotices.ts
+++ b/packages/knapweedshunt-gateway/src/peers/versionNotices.ts
@@ -3,8 +3,9 @@
 import type { PeerView } from './peerAddress.ts'
 import { MAX_MESSAGE_VERSIONS } from './streamMessages.ts'
 
-/** Pause after a failed call, in milliseconds. */
+/** Pause after the first failed call, in milliseconds; it doubles with each further one, as VMs that have no processor time to answer get the calls of all others. */
 const RETRY_INTERVAL_MS = 100
+const MAX_RETRY_INTERVAL_MS = 400
 
 interface InformedVm {
   view: PeerView
@@ -71,11 +72,17 @@
   async #sendAll (vm: InformedVm): Promise<void> {
     const { signal } = this.#dependencies
     vm.isSending = true
+    let pauseMs = RETRY_INTERVAL_MS
     while (!signal.aborted) {
       const next = [...vm.pending].find(([, versions]) => versions.length > 0)
       if (next === undefined) break
       const [pool, versions] = next
-      if (!await this.#send(vm, pool, versions.slice(0, MAX_MESSAGE_VERSIONS))) await sleep(RETRY_INTERVAL_MS, signal)
+      if (await this.#send(vm, pool, versions.slice(0, MAX_MESSAGE_VERSIONS))) {
+        pauseMs = RETRY_INTERVAL_MS
+        continue
+      }
+      await sleep(pauseMs, signal)
+      pauseMs = Math.min(2 * pauseMs, MAX_RETRY_INTERVAL_MS)
     }
     vm.isSending = false
   }
