Relays: VMs are compared by the endpoints that one of them has lost

Cause: a VM that reached fewer than half of a pool's endpoints sent requests through any VM that counted twice as many as reached. Every endpoint counts as reached until a request fails there, so a VM that had tried crashed endpoints took one that had not for better connected. It asked all other VMs, twice a second, and let each request wait for all answers: questions with the square of the VMs when endpoints of a pool crash for all of them.

Why it works: a VM names some of the endpoints that it has lost, and the other one says from how many of these it has had an answer since. A VM that reaches some endpoints relays only if there is such an answer, and does not wait for it; one that reaches none also if the other has not heard from them. Four VMs of each data centre are asked at a time, in turn. VMs of earlier builds are compared as before.

--- a/packages/knapweedshunt-gateway/src/endpoints/endpointMonitor.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointMonitor.ts
@@ -88,12 +88,12 @@
 
   /** Records that bytes arrived from the endpoint. */
   recordReceivedBytes (record: EndpointRecord): void {
-    record.lastReceivedAtMs = performance.now()
+    record.lastReceivedAtMs = record.answeredAtMs = performance.now()
   }
 
   /** Records what an attempt showed about its endpoint, and excludes the endpoint if it counts as down. */
   recordObservation (record: EndpointRecord, observation: HealthObservation, reason: string): void {
-    if (observation === HEALTH_OBSERVATION.served) record.lastReceivedAtMs = performance.now()
+    if (observation === HEALTH_OBSERVATION.served) this.recordReceivedBytes(record)
     const isExcluded = record.health.recordObservation(observation)
     if (observation === HEALTH_OBSERVATION.unreached) this.#setReached(record, false)
     if (isExcluded) this.#exclude(record, reason)
@@ -114,6 +114,7 @@
   #setReached (record: EndpointRecord, isReached: boolean): void {
     if (record.isReached === isReached) return
     record.isReached = isReached
+    record.lostAtMs = isReached ? null : performance.now()
     const endpoints = this.#dependencies.listEndpoints(record.entry.pool)
     if (!isReached) this.#recordLoss()
     this.#dependencies.decisionLog.record({ type: 'poolReach', pool: record.entry.pool, reached: endpoints.filter(one => one.isReached).length, known: endpoints.length })
@@ -171,6 +172,7 @@
       return this.#exclude(record, 'no answer to a probe')
     }
     record.health.recordProbeSuccess()
+    record.answeredAtMs = performance.now()
     this.#setReached(record, true)
     if (this.#excluded.delete(record)) this.#handleBack(record)
     if (monitored.startTimesMs.length === 0) this.#monitored.delete(record)
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointRecord.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointRecord.ts
@@ -13,6 +13,10 @@
   isLeaving = false
   /** Whether this VM reaches the endpoint; false from a failed connection or probe until it answers a probe. */
   isReached = true
+  /** Monotonic time at which this VM lost the endpoint; null while it reaches it. */
+  lostAtMs: number | null = null
+  /** Monotonic time of the endpoint's last answer to this VM; -Infinity before the first. */
+  answeredAtMs = -Infinity
   /** Attempts of this VM in flight. */
   inFlightCount = 0
   /** Monotonic time at which the last byte arrived from the endpoint. */
--- a/packages/knapweedshunt-gateway/src/peers/peerServices.ts
+++ b/packages/knapweedshunt-gateway/src/peers/peerServices.ts
@@ -5,6 +5,7 @@
 import type { VmRoster } from '../directory/vmRoster.ts'
 import type { EndpointRegistry } from '../endpoints/endpointRegistry.ts'
 import { computePoolReach, listPoolReaches } from '../endpoints/listPoolReaches.ts'
+import { listLostEndpoints, summarizeLostEndpoints } from '../endpoints/lostEndpoints.ts'
 import type { DecisionLog } from '../records/decisionLog.ts'
 import type { ListenAddress } from '../ports/vmSettings.ts'
 import type { GatewayMetrics } from '../records/gatewayMetrics.ts'
@@ -78,12 +79,14 @@
       listReaches: () => listPoolReaches(endpointRegistry),
       computeReach: pool => computePoolReach(endpointRegistry, pool),
       listPeers: () => roster.listPeers(),
-      askReach: view => this.#clients.call(view, 'endpoints.reach', {}),
+      listLost: () => listLostEndpoints(endpointRegistry),
+      summarizeLost: lost => summarizeLostEndpoints(endpointRegistry, lost),
+      askReach: (view, lost) => this.#clients.call(view, 'endpoints.reach', { lost }),
       countRelayed,
       onFailed: (peer, reason) => decisionLog.record({ type: 'relayFailed', vm: peer, reason })
     })
     this.#server = new PeerServer({
-      'endpoints.reach': () => this.relays.handleReach(),
+      'endpoints.reach': params => this.relays.handleReach(params),
       'streams.record': params => this.streamOrigins.handleRecord(params),
       'streams.versions': params => this.streamOrigins.handleVersions(params),
       'streams.find': params => this.streamOrigins.handleFind(params)
--- a/packages/knapweedshunt-membership/src/endpointRelays.ts
+++ b/packages/knapweedshunt-membership/src/endpointRelays.ts
@@ -1,7 +1,10 @@
+import { randomInt } from 'node:crypto'
 import type { DataCentreId, PoolName, VmId } from 'knapweedshunt-types'
-import { runEvery } from 'knapweedshunt-utils'
+import { groupBy, runEvery } from 'knapweedshunt-utils'
+import type { LostEndpoint } from './lostEndpoint.ts'
+import type { LostSummary } from './lostSummary.ts'
 import type { PoolReach } from './poolReach.ts'
-import { reachReportSchema } from './reachMessages.ts'
+import { MAX_LOST_ENDPOINTS, reachParamsSchema, reachReportSchema } from './reachMessages.ts'
 import type { ReachReport } from './reachReport.ts'
 import type { RelayPeer } from './relayPeer.ts'
 import type { RelayRoute } from './relayRoute.ts'
@@ -11,17 +14,26 @@
 /** Interval of the checks whether other VMs must be asked, in milliseconds. */
 const CHECK_INTERVAL_MS = 50
 
-/** Interval between two questions to the other VMs while this VM reaches few endpoints, in milliseconds. */
+/** Interval between two questions to other VMs while this VM reaches few endpoints, in milliseconds. */
 const POLL_INTERVAL_MS = 500
 
+/** Number of VMs of each data centre that are asked at a time. */
+const ASKED_PER_DATA_CENTRE = 4
+
+const MAX_FIRST_TURN = 1_000
+
 /** Dependencies of {@link EndpointRelays}. */
 export interface EndpointRelaysDependencies<Peer extends RelayPeer> {
   dataCentre: DataCentreId
   listReaches (): PoolReach[]
   computeReach (pool: PoolName): PoolReach
   listPeers (): Peer[]
+  /** Lists endpoints that this VM does not reach, some of each pool. Without it VMs are compared by numbers. */
+  listLost? (): LostEndpoint[]
+  /** Summarizes what this VM knows of a pool's endpoints that another VM has lost. */
+  summarizeLost? (lost: LostEndpoint[]): LostSummary
   /** Asks another VM for its {@link ReachReport}. */
-  askReach (peer: Peer): Promise<unknown>
+  askReach (peer: Peer, lost: LostEndpoint[]): Promise<unknown>
   /** Number of requests of other VMs that this one serves. */
   countRelayed (): number
   onFailed (vm: VmId, reason: string): void
@@ -35,10 +47,13 @@
   readonly #listeners = new Set<() => void>()
   #poll: Promise<void> | null = null
   #polledAtMs = -Infinity
+  /** Which VMs are asked next; VMs begin with different ones. */
+  #turn: number
 
   constructor (dependencies: EndpointRelaysDependencies<Peer>) {
     this.#dependencies = dependencies
     this.#selector = new RelaySelector(dependencies.dataCentre)
+    this.#turn = randomInt(MAX_FIRST_TURN)
   }
 
   /** Asks the other VMs while needed, until the signal aborts. */
@@ -70,7 +85,8 @@
     if (!this.#selector.needsReports(reach)) return { type: 'direct' }
     if (performance.now() - this.#polledAtMs >= POLL_INTERVAL_MS * 2) this.#startPoll()
     const decision = this.#selector.select(reach, avoided)
-    return this.#findPeer(decision.type === 'relay' || this.#poll === null ? decision : await this.#awaitDecision(pool, avoided, this.#poll))
+    // A VM that reaches endpoints uses these while nobody has said that the others are its own loss.
+    return this.#findPeer(decision.type === 'relay' || reach.reached > 0 || this.#poll === null ? decision : await this.#awaitDecision(pool, avoided, this.#poll))
   }
 
   /** Records the start of a request through another VM. */
@@ -89,9 +105,15 @@
     this.#dependencies.onFailed(vm, reason)
   }
 
-  /** Handles `endpoints.reach`. */
-  handleReach (): ReachReport {
-    return { pools: this.#dependencies.listReaches(), relayedCount: this.#dependencies.countRelayed() }
+  /** Handles `endpoints.reach`. Throws ZodError on invalid params. */
+  handleReach (params: unknown = {}): ReachReport {
+    const { listReaches, countRelayed, summarizeLost } = this.#dependencies
+    const lost = groupBy(reachParamsSchema.parse(params).lost, ({ pool }) => pool)
+    const pools = listReaches().map(reach => {
+      const asked = lost.get(reach.pool)
+      return asked === undefined || summarizeLost === undefined ? reach : { ...reach, lost: summarizeLost(asked) }
+    })
+    return { pools, relayedCount: countRelayed() }
   }
 
   #findPeer (decision: RelayDecision): RelayRoute<Peer> {
@@ -120,13 +142,24 @@
     this.#polledAtMs = performance.now()
     const peers = this.#dependencies.listPeers()
     this.#selector.applyVms(peers)
-    const poll = Promise.all(peers.map(peer => this.#ask(peer))).then(() => { if (this.#poll === poll) this.#poll = null })
+    const lost = (this.#dependencies.listLost?.() ?? []).slice(0, MAX_LOST_ENDPOINTS)
+    const poll = Promise.all(this.#selectAsked(peers).map(peer => this.#ask(peer, lost))).then(() => { if (this.#poll === poll) this.#poll = null })
     this.#poll = poll
   }
 
-  async #ask (peer: Peer): Promise<void> {
+  /** VMs of a data centre take turns, so that VMs which all lose endpoints at a time do not spend their processor time on each other's questions. */
+  #selectAsked (peers: Peer[]): Peer[] {
+    this.#turn++
+    return [...groupBy(peers, ({ dataCentre }) => dataCentre).values()].flatMap(group => {
+      if (group.length <= ASKED_PER_DATA_CENTRE) return group
+      const first = this.#turn * ASKED_PER_DATA_CENTRE
+      return Array.from({ length: ASKED_PER_DATA_CENTRE }, (_, n) => group[(first + n) % group.length])
+    })
+  }
+
+  async #ask (peer: Peer, lost: LostEndpoint[]): Promise<void> {
     try {
-      this.#selector.applyReport(peer.vm, reachReportSchema.parse(await this.#dependencies.askReach(peer)))
+      this.#selector.applyReport(peer.vm, reachReportSchema.parse(await this.#dependencies.askReach(peer, lost)))
     } catch (error) {
       this.#selector.applyReport(peer.vm, null)
       this.#dependencies.onFailed(peer.vm, (error as Error).message)
--- a/packages/knapweedshunt-membership/src/relaySelector.ts
+++ b/packages/knapweedshunt-membership/src/relaySelector.ts
@@ -1,4 +1,5 @@
 import type { DataCentreId, VmId } from 'knapweedshunt-types'
+import type { LostSummary } from './lostSummary.ts'
 import type { PoolReach } from './poolReach.ts'
 import type { ReachReport } from './reachReport.ts'
 import type { RelayOptions } from './relayOptions.ts'
@@ -84,11 +85,16 @@
     const nowMs = performance.now()
     const { maxReportAgeMs, failureTimeoutMs, minReachFactor } = this.#options
     if (report === null || nowMs - reportedAtMs > maxReportAgeMs || nowMs - failedAtMs < failureTimeoutMs) return false
-    const reached = report.pools.find(({ pool }) => pool === own.pool)?.reached ?? 0
-    return reached > 0 && reached >= own.reached * minReachFactor
+    const { reached, lost } = report.pools.find(({ pool }) => pool === own.pool) ?? { reached: 0 }
+    return reached > 0 && reached >= own.reached * minReachFactor && (lost === undefined || isOwnLoss(lost, own))
   }
 
   #computeLoad ({ dataCentre, report, inFlightCount }: RelayVm): number {
     return Math.max(inFlightCount, report?.relayedCount ?? 0) + (dataCentre === this.#dataCentre ? 0 : this.#options.remoteHandicap)
   }
 }
+
+/** Whether endpoints are out of reach of this VM rather than down. One that reaches none has nothing to lose by asking a VM that has not heard from them lately. */
+function isOwnLoss ({ answered, unheard }: LostSummary, { reached }: PoolReach): boolean {
+  return answered > 0 || (reached === 0 && unheard > 0)
+}
