Gateway: rows that all VMs write at a time are read in a few polls

Cause: the poll of the roster ended with each row that any VM wrote. After a crash each VM writes its marks, then their clearings: rows with the number of VMs, each a poll of every VM.

Why it works: six polls in a row return at once, then the VM pauses for 100 ms after each until the store had nothing for as long. Single changes are learned of as before; in a burst 100 ms later, far within the 3 s after which a quarantine must hold, and less than what waves wait for their notice.

Tried and reverted: a pause after each poll with changes. The quarantineLifts test of a lift that the store has lost failed twice: a store without an era that is restored within the pause is not noticed. Tried and left out: clearings gathered for 2 s; the row's readers then learn of them later than a vmRoster test allows.

Test: rosterPolls failed before. quarantineLifts, store, suspectRequests, weights and the platform package: 57 passed.

--- a/packages/knapweedshunt-gateway/src/directory/tableFollowers.ts
+++ b/packages/knapweedshunt-gateway/src/directory/tableFollowers.ts
@@ -15,6 +15,12 @@
 /** Pause after a poll that returned changes of endpoints, in milliseconds; far below the time within which a leaving endpoint must get no new requests. */
 const ENDPOINT_POLL_PAUSE_MS = 500
 
+/** Pause after a poll that returned changes of the roster, in milliseconds: after a crash each VM writes, and each write would be a poll of each VM. It is shorter than the time that VMs are given to learn of a wave. */
+const ROSTER_POLL_PAUSE_MS = 100
+
+/** Number of polls of the roster with changes before such a pause; single changes are learned of at once. */
+const ROSTER_POLLS_BEFORE_PAUSE = 6
+
 /** Dependencies of {@link TableFollowers}. */
 export interface TableFollowersDependencies {
   feed: TableFeed
@@ -34,11 +40,11 @@
 
   constructor ({ feed, directoryPort, log, rng, onResources, onEndpoints, onRoster }: TableFollowersDependencies) {
     const availability = new StoreAvailability()
-    const create = (table: string, waitMs: number, coalesceMs: number, onUpdate: (update: TableUpdate) => void) =>
-      new TableFollower(feed, { ...DEFAULT_TABLE_FOLLOWER_OPTIONS, table, waitMs, coalesceMs, seed: rng.drawInt(2 ** 30) }, log, onUpdate, availability)
-    this.resources = create(directoryPort.resourceTable, RESOURCE_POLL_WAIT_MS, 0, onResources)
-    this.endpoints = create(directoryPort.endpointTable, ENDPOINT_POLL_WAIT_MS, ENDPOINT_POLL_PAUSE_MS, onEndpoints)
-    this.roster = create(ROSTER_TABLE, ROSTER_POLL_WAIT_MS, 0, onRoster)
+    const create = (table: string, waitMs: number, coalescing: { coalesceMs: number, coalesceAfter: number }, onUpdate: (update: TableUpdate) => void) =>
+      new TableFollower(feed, { ...DEFAULT_TABLE_FOLLOWER_OPTIONS, ...coalescing, table, waitMs, seed: rng.drawInt(2 ** 30) }, log, onUpdate, availability)
+    this.resources = create(directoryPort.resourceTable, RESOURCE_POLL_WAIT_MS, { coalesceMs: 0, coalesceAfter: 0 }, onResources)
+    this.endpoints = create(directoryPort.endpointTable, ENDPOINT_POLL_WAIT_MS, { coalesceMs: ENDPOINT_POLL_PAUSE_MS, coalesceAfter: 0 }, onEndpoints)
+    this.roster = create(ROSTER_TABLE, ROSTER_POLL_WAIT_MS, { coalesceMs: ROSTER_POLL_PAUSE_MS, coalesceAfter: ROSTER_POLLS_BEFORE_PAUSE }, onRoster)
   }
 
   /** Follows all tables until the signal aborts. */
--- a/packages/knapweedshunt-platform/src/tableFollower.ts
+++ b/packages/knapweedshunt-platform/src/tableFollower.ts
@@ -17,6 +17,8 @@
   timeoutMs: number
   /** Pause after a poll that returned changes, in milliseconds; further changes in this time are read by one poll. 0 for none. */
   coalesceMs: number
+  /** Number of polls with changes in a row, each shorter than the pause, without a pause between them. */
+  coalesceAfter: number
   backoff: BackoffOptions
   /** Seed of the jitter of backoff. */
   seed: number
@@ -27,6 +29,7 @@
   waitMs: 5_000,
   timeoutMs: 700,
   coalesceMs: 0,
+  coalesceAfter: 0,
   backoff: { initialDelayMs: 60, maxDelayMs: 400 },
   seed: 1
 }
@@ -57,6 +60,8 @@
   /** Time of the first of the calls that failed since the last answer, on the clock of {@link readElapsedMs}; null if the last call was answered. */
   #failingSinceMs: number | null = null
   #refreshAbort = new AbortController()
+  /** Polls with changes in a row, each shorter than the pause. */
+  #quickPolls = 0
 
   /** Followers of one store share its availability. */
   constructor (feed: TableFeed, options: TableFollowerOptions, log: Logger, onUpdate: (update: TableUpdate) => void, availability = new StoreAvailability()) {
@@ -132,7 +137,14 @@
     }
     this.#version = Math.max(version, changes.version)
     this.#recordAnswer(sentAtMs, changes.rows.length === 0 ? null : { type: 'changes', rows: changes.rows })
-    if (changes.rows.length > 0 && this.#options.coalesceMs > 0) await this.#pause(this.#options.coalesceMs, signals)
+    if (changes.rows.length > 0) await this.#coalesce(readElapsedMs() - sentAtMs, signals)
+  }
+
+  async #coalesce (pollMs: number, signals: AbortSignal[]): Promise<void> {
+    const { coalesceMs, coalesceAfter } = this.#options
+    if (coalesceMs === 0) return
+    this.#quickPolls = pollMs < coalesceMs ? this.#quickPolls + 1 : 1
+    if (this.#quickPolls > coalesceAfter) await this.#pause(coalesceMs, signals)
   }
 
   #findStoreBackForMs (): number | null {
