Gateway: after a crash a few endpoints are probed, not all at once

Cause: two endpoints out of reach within a second, as after a crash, made every VM probe all endpoints that it had not heard from in 150 ms: 83 VMs 98 endpoints each, over as many new connections, with 250 ms for an answer. A VM with a third of a core cannot read that many answers in time, so it took endpoints that answered for lost, relayed, and probed the lost ones in turn.

Why it works: six endpoints are probed first, those heard from last; twice as many follow as long as half of a group or more do not answer. A VM that has lost its links still knows it of 140 endpoints after five groups; one whose endpoints crashed sends six probes.

Tests: endpointMonitor, 'after two endpoints crashed a few others are probed …' failed before (139 probes). relays, unreachedEndpoints and keptAttempts: 29 passed, all requests at cut VMs served from 3 s after the cut.

--- a/packages/knapweedshunt-gateway/src/endpoints/endpointMonitor.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointMonitor.ts
@@ -22,10 +22,13 @@
 /** Number of excluded endpoints of a pool that are probed within the interval; the others take turns. */
 const PROBED_PER_INTERVAL = 2
 
-/** Number of endpoints that become unreached within the window, in milliseconds, after which all are probed: this VM may have lost its links. */
+/** Number of endpoints that become unreached within the window, in milliseconds, after which others are probed: this VM may have lost its links. */
 const SUSPICIOUS_LOSS_COUNT = 2
 const SUSPICIOUS_LOSS_WINDOW_MS = 1_000
 
+/** Number of endpoints that are probed first then. While half of them or more do not answer, twice as many follow: a VM that probes all at once may not have the processor time to read the answers in time. */
+const FIRST_PROBES = 6
+
 /** Time since the last byte within which an endpoint counts as reached without a probe, in milliseconds. */
 const RECENT_BYTE_MS = 150
 
@@ -57,6 +60,7 @@
   readonly #excluded = new Set<EndpointRecord>()
   /** Monotonic times at which endpoints became unreached. */
   #lossTimesMs: number[] = []
+  #isCheckingLinks = false
 
   constructor (dependencies: EndpointMonitorDependencies) {
     this.#dependencies = dependencies
@@ -120,15 +124,24 @@
     this.#dependencies.decisionLog.record({ type: 'poolReach', pool: record.entry.pool, reached: endpoints.filter(one => one.isReached).length, known: endpoints.length })
   }
 
-  /** Several endpoints lost at a time: probes those that did not answer lately, rather than wait until a request fails at each. */
+  /** Several endpoints lost at a time: probes others that did not answer lately, rather than wait until a request fails at each. */
   #recordLoss (): void {
     const nowMs = performance.now()
     this.#lossTimesMs = [...this.#lossTimesMs.filter(atMs => nowMs - atMs < SUSPICIOUS_LOSS_WINDOW_MS), nowMs]
-    if (this.#lossTimesMs.length !== SUSPICIOUS_LOSS_COUNT) return
-    for (const record of this.#dependencies.listEndpoints()) {
-      if (record.isDraining || this.#excluded.has(record) || nowMs - record.lastReceivedAtMs < RECENT_BYTE_MS) continue
-      const monitored = this.#getOrCreate(record)
-      if (!monitored.isProbing && this.#dependencies.tryTakePermit(record)) this.#probe(monitored, nowMs).catch(() => {}) // The port does not throw.
+    if (this.#lossTimesMs.length < SUSPICIOUS_LOSS_COUNT || this.#isCheckingLinks) return
+    this.#isCheckingLinks = true
+    this.#checkLinks().catch(() => {}).finally(() => { this.#isCheckingLinks = false }) // The port does not throw.
+  }
+
+  /** Ends with the first group of endpoints most of which answer: the others were lost for a reason of their own. */
+  async #checkLinks (): Promise<void> {
+    const startedAtMs = performance.now()
+    const unheard = this.#dependencies.listEndpoints().filter(record => record.isReached && !record.isDraining && !this.#excluded.has(record) && startedAtMs - record.lastReceivedAtMs >= RECENT_BYTE_MS)
+    unheard.sort((a, b) => b.lastReceivedAtMs - a.lastReceivedAtMs)
+    for (let count = FIRST_PROBES; unheard.length > 0; count *= 2) {
+      const group = unheard.splice(0, count).filter(record => !this.#getOrCreate(record).isProbing && this.#dependencies.tryTakePermit(record))
+      await Promise.all(group.map(record => this.#probe(this.#getOrCreate(record), performance.now())))
+      if (group.filter(({ isReached }) => !isReached).length < group.length / 2) return
     }
   }
 
