Gateway: placement learns of changed endpoints when it is needed next

Callers saw: late answers while endpoints load new weights or restart, on large deployments.

Why it works: a change marks placement as outdated; the next choice, start or end of an attempt, or reported load rebuilds it first, so nothing is decided on the older state.

Test: 'changes between two requests reach placement together …' (fails with a rebuild at each call, as before). attempts, weights, movedStreams, passThrough, endpointLimits: 57 passed; chooser, decisions, weightsState: 29 passed.

--- a/packages/knapweedshunt-gateway/src/__tests__/chooser.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/chooser.test.ts
@@ -17,6 +17,8 @@
 
 interface Setup {
   chooser: EndpointChooser
+  /** Counts how often placement was given all pools and endpoints. */
+  countBuilds (): number
   find (endpoint: string): EndpointRecord
   /** Chooses an endpoint for this many requests with different prefixes; returns the endpoints chosen. */
   choose (prefixCount: number, prompt?: Prompt): Set<string>
@@ -25,12 +27,13 @@
 function createSetup (versions: number[], target: { newest: number, current: number } = { newest: 0, current: 0 }, limits: Limits = { limited: [], waitMs: 0 }): Setup {
   const endpointRegistry = new EndpointRegistry(() => {}, () => {}, () => {})
   const pool = { pool: 'p', maxConnections: 1_000, models: ['m'], healthPath: '/' }
+  let builds = 0
   const chooser = new EndpointChooser({
     dataCentre: 'z',
     nearDataCentres: ['z'],
     seed: 1,
     endpointRegistry,
-    listPools: () => [pool],
+    listPools: () => { builds++; return [pool] },
     findPool: () => pool,
     countVms: () => 1,
     endpointPermits: {
@@ -55,7 +58,7 @@
     const chosen = Array.from({ length: prefixCount }, (_, n) => chooser.choose({ ...CRITERIA, levels: [{ key: `key${n}`, tokens: 100 }], triedEndpoints: [], prompt }))
     return new Set(chosen.map(choice => choice.type === 'chosen' ? choice.record.entry.endpoint : choice.type))
   }
-  return { chooser, find, choose }
+  return { chooser, countBuilds: () => builds, find, choose }
 }
 
 test('endpoints with current weights are preferred once there are enough of them', t => {
@@ -64,6 +67,22 @@
   t.is(createSetup([2, 2, 1], { newest: 2, current: 1 }).choose(40).size, 3, 'weights replaced just now still count as current')
 })
 
+// Guards against VMs that are busy with the endpoints of a release: each response with new weights made them rebuild placement.
+test('changes between two requests reach placement together, before the next choice', t => {
+  const { chooser, countBuilds, find, choose } = createSetup([1, 1, 1])
+  choose(3)
+  const before = countBuilds()
+  for (let n = 0; n < 100; n++) chooser.rebuild()
+  t.is(countBuilds(), before)
+  find('e0').isLeaving = true
+  find('e2').isLeaving = true
+  t.deepEqual([...choose(5)], ['e1'])
+  t.is(countBuilds(), before + 1)
+  chooser.rebuild()
+  t.is(chooser.placement.countInFlight('e1'), 0)
+  t.is(countBuilds(), before + 2)
+})
+
 test('a retry goes to the newest weights, however few endpoints have them', t => {
   const { chooser } = createSetup([1, 2, 1], { newest: 2, current: 1 })
   const choice = chooser.choose({ ...CRITERIA, levels: [{ key: 'k', tokens: 100 }], triedEndpoints: ['e0'], prompt: PROMPT })
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointChooser.ts
@@ -50,6 +50,8 @@
   readonly #prefixLocations = new PrefixLocations(record => this.#isUsableSource(record))
   readonly #filter: EndpointFilter
   #revision = 0
+  /** Whether the placement module lacks a change of the pools or endpoints. */
+  #needsRebuild = false
   #demandAtMs = performance.now()
   #demandSequence = 0
   #reportSequence = 0
@@ -63,11 +65,19 @@
 
   /** Placement module; receives the start and finish of each attempt. */
   get placement (): Placement {
+    this.#ensureBuilt()
     return this.#placement
   }
 
-  /** Passes all pools and endpoints to the placement module after a change to either. */
+  /** Handles a change of the pools or endpoints. Changes come by the hundred, so that placement learns of them when it is needed next. */
   rebuild (): void {
+    this.#needsRebuild = true
+  }
+
+  /** Passes all pools and endpoints to the placement module if either has changed. */
+  #ensureBuilt (): void {
+    if (!this.#needsRebuild) return
+    this.#needsRebuild = false
     const { endpointRegistry } = this.#dependencies
     const resources: Resource[] = this.#dependencies.listPools().map(pool => this.#buildPool(pool.pool, pool.models))
     for (const record of endpointRegistry.list()) resources.push(buildEndpoint(record))
@@ -106,6 +116,7 @@
   choose (criteria: ChoiceCriteria): Choice {
     const { pool, levels } = criteria
     const { endpointRegistry, endpointPermits } = this.#dependencies
+    this.#ensureBuilt()
     this.#updatePeerDemand()
     const filtered = this.#filter.filter(criteria)
     if (filtered.type !== 'usable') return filtered
@@ -135,7 +146,7 @@
   /** Records the load reported in a response and passes it to the placement module. */
   recordLoad (record: EndpointRecord, load: ReportedLoad): void {
     record.recordLoad(load)
-    this.#placement.handleEvent({ type: 'snapshot', snapshot: { resources: { revision: this.#revision, resources: [] }, vms: [], endpoints: [this.#buildView(record)] } })
+    this.placement.handleEvent({ type: 'snapshot', snapshot: { resources: { revision: this.#revision, resources: [] }, vms: [], endpoints: [this.#buildView(record)] } })
   }
 
   #isUsableSource (record: EndpointRecord): boolean {
