--- a/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
@@ -100,8 +100,8 @@
   /** Versions in each pool's row, as read or written last. */
   readonly #writtenVersions = new Map<PoolName, string>()
   #nextWriteAtMs = -Infinity
-  /** VMs that write streams to the store. */
-  #writers: HolderCandidate[] = []
+  /** VMs that write streams to the store, and the VMs of which they were selected. */
+  #writers: { peers: readonly PeerView[], selected: HolderCandidate[] } | null = null
 
   constructor (dependencies: StreamOriginsDependencies) {
     this.#dependencies = dependencies
@@ -121,7 +121,6 @@
 
   /** Records the software versions that the endpoints of each pool have now. If a pool has several all of a sudden, the streams that may be taken up again are told too. */
   updateVersions (): void {
-    this.#writers = selectStreamWriters(this.#listCandidates())
     this.#updateConfirmed()
     for (const [pool, records] of groupBy(this.#dependencies.endpointRegistry.list(), ({ entry }) => entry.pool)) {
       const versions = [...new Set(records.map(({ entry }) => entry.softwareVersion))].sort()
@@ -129,7 +128,8 @@
       if (!this.#observedSinceMs.has(pool)) this.#observedSinceMs.set(pool, performance.now())
       this.#writeIfChanged(pool, versions)
       this.#settledVersions.recordPresent(pool, versions, performance.now() - this.#dependencies.getEndpointsAgeMs())
-      this.#notices.announce(pool, this.#settledVersions.listUnsettled(pool))
+      // All versions of a new pool may begin streams untold, and are settled before that ends.
+      this.#notices.announce(pool, this.#isNewPool(pool, SETTLE_MS) ? [] : this.#settledVersions.listUnsettled(pool))
       const sharing = this.#determineSharing(pool)
       const previous = this.#sharing.get(pool)
       this.#sharing.set(pool, sharing)
@@ -224,9 +224,9 @@
     return this.#dependencies.getRetentionMs() + MAX_LEAVING_MS
   }
 
-  /** Whether no VM has observed a pool for long enough to take a version for the only one. */
-  #isNewPool (pool: PoolName): boolean {
-    return performance.now() - (this.#observedSinceMs.get(pool) ?? -Infinity) < this.#historyMs
+  /** Whether no VM has observed a pool, or will have within `forMs`, for long enough to take a version for the only one. */
+  #isNewPool (pool: PoolName, forMs = 0): boolean {
+    return performance.now() + forMs - (this.#observedSinceMs.get(pool) ?? -Infinity) < this.#historyMs
   }
 
   /** Versions may have come and gone between two reads that are too far apart. */
@@ -269,7 +269,13 @@
   }
 
   #selectStoring (key: string): HolderCandidate[] {
-    return selectStoringWriters(key, this.#writers)
+    return selectStoringWriters(key, this.#getWriters())
+  }
+
+  #getWriters (): HolderCandidate[] {
+    const peers = this.#dependencies.listPeers()
+    if (this.#writers?.peers !== peers) this.#writers = { peers, selected: selectStreamWriters(this.#listCandidates()) }
+    return this.#writers.selected
   }
 
   /** Lists the other VMs among these. */
