Router: an answer without a length whose connection is reset is not complete

Callers got 200 with part of a service's body, framed by its length as if it were whole, when the service, or the router that relayed the request, wrote a body without a length or chunks and its connection was reset. Cause: Node.js ends such a body like a complete one, and the error of the connection came after the head, when the promise that it rejects was settled. The gateway's Attempt handles this, runAttempt and runRelay did not. The error of the request now destroys the message, so that reading it throws.

--- a/packages/knapweedshunt-router/src/relays/runRelay.ts
+++ b/packages/knapweedshunt-router/src/relays/runRelay.ts
@@ -7,6 +7,7 @@
 import { readEngineStream } from '../readEngineStream.ts'
 import { readPlainAnswer } from '../runAttempt.ts'
 import { StallTimer } from '../stallTimer.ts'
+import { waitForHead } from '../waitForHead.ts'
 import type { RelayAnswer } from './relayAnswer.ts'
 import type { RelayedAttempt } from './relayedAttempt.ts'
 import { buildRelayHeaders, decodeRelayAnswer } from './relayHeaders.ts'
@@ -44,7 +45,7 @@
   }
 }
 
-function sendRelay ({ url, request, agent, signal, key, relayed, callerHeaders }: RelayCall): Promise<http.IncomingMessage> {
+async function sendRelay ({ url, request, agent, signal, key, relayed, callerHeaders }: RelayCall): Promise<http.IncomingMessage> {
   const { method, path, contentType, body } = match(request.work)
     .with({ type: 'completion' }, work => ({ method: 'POST', path: work.path as string, contentType: 'application/json', body: JSON.stringify(work.body) }))
     .with({ type: 'service' }, work => ({ ...work, path: SERVICES_PATH + work.path }))
@@ -60,12 +61,9 @@
   }
   if (!request.repeatable) headers['x-repeatable'] = 'false'
   if (request.idempotencyKey !== null) headers['idempotency-key'] = request.idempotencyKey
-  return new Promise((resolve, reject) => {
-    const sent = http.request(url + path, { method, headers, agent: request.repeatable ? agent : false, signal })
-    sent.once('response', resolve)
-    sent.on('error', reject)
-    sent.end(body)
-  })
+  const sent = http.request(url + path, { method, headers, agent: request.repeatable ? agent : false, signal })
+  sent.end(body)
+  return await waitForHead(sent)
 }
 
 /** A refusal that rules out a run lets the request go on elsewhere. */
--- a/packages/knapweedshunt-router/src/runAttempt.ts
+++ b/packages/knapweedshunt-router/src/runAttempt.ts
@@ -7,6 +7,7 @@
 import { readBackpressureSignals } from './readBackpressureSignals.ts'
 import { readRejection } from './readRejection.ts'
 import { StallTimer } from './stallTimer.ts'
+import { waitForHead } from './waitForHead.ts'
 
 const MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 const STATUS_OK = 200
@@ -36,14 +37,11 @@
 }
 
 /** Sends a non-repeatable request on a new connection: an endpoint may close a keep-alive connection just as it is reused, and it would be unknown whether the request was read. */
-function sendAttempt (call: AttemptCall): Promise<http.IncomingMessage> {
+async function sendAttempt (call: AttemptCall): Promise<http.IncomingMessage> {
   const { path, method, headers, body } = buildEndpointCall(call)
-  return new Promise((resolve, reject) => {
-    const request = http.request(call.url + path, { method, headers, agent: call.request.repeatable ? call.agent : false, signal: call.signal })
-    request.once('response', resolve)
-    request.on('error', reject)
-    request.end(body)
-  })
+  const request = http.request(call.url + path, { method, headers, agent: call.request.repeatable ? call.agent : false, signal: call.signal })
+  request.end(body)
+  return await waitForHead(request)
 }
 
 /** A value that is not a rate is ignored: what the endpoint stated before stays in force. */
--- /dev/null
+++ b/packages/knapweedshunt-router/src/waitForHead.ts
@@ -0,0 +1,13 @@
+import type http from 'node:http'
+
+/** Waits for the head of the response to a request; rejects with the error of its connection. */
+export function waitForHead (request: http.ClientRequest): Promise<http.IncomingMessage> {
+  return new Promise((resolve, reject) => {
+    request.once('response', message => {
+      // Node.js ends a body without a length as if it were complete, also after a connection reset.
+      request.on('error', error => { if (!message.complete) message.destroy(error) })
+      resolve(message)
+    })
+    request.on('error', reject)
+  })
+}
