Router: a request whose caller left before it was admitted is not sent

Engines worked for callers that had left while the origin of a resumed stream was asked of other routers. Cause: runAdmitted waits for 'close' of the response, which a response that has closed before does not emit again. Evidence: requestEnds.test.ts, one attempt was sent before. It now asks whether the response has closed before it listens; nothing waits in between.

--- a/packages/knapweedshunt-router/src/runAdmitted.ts
+++ b/packages/knapweedshunt-router/src/runAdmitted.ts
@@ -10,6 +10,8 @@
 
 /** Runs a request once it is admitted, until its response has ended or its sender has left. `origin`: what began the stream that it resumes; null for none. Throws CallerError. */
 export async function runAdmitted (dataPath: DataPath, request: CallerRequest, response: ServerResponse, sink: CallerSink, origin: StreamVersions | null): Promise<void> {
+  // A response that has closed does not say so again.
+  if (response.closed) return
   const callerAbort = new AbortController()
   response.once('close', () => { if (!response.writableFinished) callerAbort.abort() })
   await admitRequest(dataPath, request, callerAbort.signal)
