Router: an error while an event is handled ends its request only

A caller waited without an end, over its deadline too, when its answer could not be written (a service that answers with status 099, which Node.js reads and does not write): the state machine had finished, so no later event had an effect. Evidence: requestEnds.test.ts ('an answer that cannot be written ends its request'), failed before. RequestTask handles each event under a catch that cancels the attempts, sends the caller an error and ends the task.

--- a/packages/knapweedshunt-router/src/__tests__/requestEnds.test.ts
+++ b/packages/knapweedshunt-router/src/__tests__/requestEnds.test.ts
@@ -25,3 +25,17 @@
   t.is(harness.attempts.length, 0)
   t.is(harness.countLeaks(), 0)
 })
+
+// Guards against a caller that waits without an end because its answer could not be written.
+test('an answer that cannot be written ends its request', async t => {
+  const harness = new DataPathHarness(true)
+  t.teardown(() => harness.path.close())
+  harness.sink.deliverAnswer = () => { throw new RangeError('Invalid status code: 99') }
+  await harness.admit()
+  const running = harness.run().then(() => 'ended')
+  const { latestAttempt } = harness
+  t.notThrows(() => latestAttempt?.end({ type: 'answer', attempt: latestAttempt.call.attempt, answer: { status: 99, contentType: 'text/plain', body: '' } }))
+  t.is(await Promise.race([running, sleep(MAX_END_MS, 'waits')]), 'ended')
+  t.is(typeof harness.sink.result === 'object' && harness.sink.result.code, 'internal')
+  t.is(harness.countLeaks(), 0)
+})
--- a/packages/knapweedshunt-router/src/requestTask.ts
+++ b/packages/knapweedshunt-router/src/requestTask.ts
@@ -3,6 +3,7 @@
 import type { EndpointName } from 'knapweedshunt-types'
 import { AttemptLauncher } from './attemptLauncher.ts'
 import { buildFailureError } from './buildFailureError.ts'
+import { createCallerError } from './callerError.ts'
 import type { CallerRequest } from './callerRequest.ts'
 import type { CallerSink } from './callerSink.ts'
 import type { DataPath } from './dataPath.ts'
@@ -17,6 +18,7 @@
   readonly #timers = new Set<NodeJS.Timeout>()
   readonly #done: Promise<void>
   #resolveDone = () => {}
+  #hasFailed = false
 
   /** `origin`: what began the stream that the request resumes; null if it resumes none. */
   constructor (dataPath: DataPath, request: CallerRequest, sink: CallerSink, origin: StreamVersions | null = null) {
@@ -47,8 +49,26 @@
     for (const timer of this.#timers) clearTimeout(timer)
   }
 
+  /** Handles an event of an attempt or a timer; an error ends this request only. */
   #handleEvent (event: AttemptEvent): void {
-    this.#performActions(this.#stateMachine.handleEvent(event))
+    if (this.#hasFailed) return
+    try {
+      this.#performActions(this.#stateMachine.handleEvent(event))
+    } catch (error) {
+      this.#handleInternalError(error)
+    }
+  }
+
+  #handleInternalError (error: unknown): void {
+    this.#hasFailed = true
+    this.#dataPath.log.error('Request failed with an internal error.', { requestId: this.#request.requestId, reason: String(error) })
+    for (const action of this.#stateMachine.handleEvent({ type: 'callerGone' })) if (action.type === 'cancel') this.#launcher.cancel(action.attempt)
+    try {
+      this.#sink.fail(createCallerError('internal', 'The router failed inside.', 'may-have-run'))
+    } catch (failure) {
+      this.#dataPath.log.error('Sending an error to the caller failed.', { requestId: this.#request.requestId, reason: String(failure) })
+    }
+    this.#resolveDone()
   }
 
   #scheduleEvent (delayMs: number, event: AttemptEvent): void {
