Gateway: an error in a timer or a promise's callback ends its request only

A VM ended with all its requests when recording a handover failed: the interval and the promises' callbacks of raceForHead, and the stall timer, hold timer, interval and promise's callback of StreamForwarder ran outside their task. Where the process lived on, raceForHead did not settle before the deadline.

--- a/packages/knapweedshunt-gateway/src/flow/headRace.ts
+++ b/packages/knapweedshunt-gateway/src/flow/headRace.ts
@@ -24,9 +24,9 @@
   onSuccessorEnded (successor: Successor, result: SuccessionResult | null): void
 }
 
-/** Waits for the head of the response to an attempt, or to a successor that is started while the attempt is silent, whichever comes first. An attempt that fails while its successor is under way leaves the request to the successor. */
+/** Waits for the head of the response to an attempt, or to a successor that is started while the attempt is silent, whichever comes first. An attempt that fails while its successor is under way leaves the request to the successor. Rejects on an internal error. */
 export function raceForHead ({ attempt }: RunningAttempt, { silenceTimeoutMs, isBusy, canReplace, startSuccessor, onSuccessorEnded }: HeadRaceOptions): Promise<HeadRaceResult> {
-  return new Promise(resolve => {
+  return new Promise((resolve, reject) => {
     let successor: Successor | null = null
     let outcome: AttemptOutcome | null = null
     let timer: NodeJS.Timeout | undefined
@@ -34,18 +34,26 @@
       clearInterval(timer)
       resolve({ outcome, taken })
     }
+    const runGuarded = (handle: () => void) => {
+      try {
+        handle()
+      } catch (error) {
+        clearInterval(timer)
+        reject(error)
+      }
+    }
     const replaceSuccessor = () => {
       if (successor === null ? outcome !== null || isBusy() : !canReplace()) return
       endSuccessor(true)
       const started = startSuccessor()
       successor = started
-      started.result.then(result => {
+      started.result.then(result => runGuarded(() => {
         if (successor !== started) return
         successor = null
         onSuccessorEnded(started, result)
         if (result.type === 'taken') settle(result)
         else if (outcome !== null) settle(null)
-      })
+      }))
     }
     const endSuccessor = (isSilent: boolean) => {
       if (successor === null) return
@@ -54,11 +62,11 @@
       ended.cancel(isSilent)
       onSuccessorEnded(ended, null)
     }
-    if (silenceTimeoutMs !== null) timer = setInterval(replaceSuccessor, silenceTimeoutMs)
-    attempt.outcome.then(ended => {
+    if (silenceTimeoutMs !== null) timer = setInterval(() => runGuarded(replaceSuccessor), silenceTimeoutMs)
+    attempt.outcome.then(ended => runGuarded(() => {
       outcome = ended
       if (ended.type === 'answered') endSuccessor(false)
       if (successor === null) settle(null)
-    })
+    }))
   })
 }
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -54,7 +54,7 @@
     this.#recorder = new RequestRecorder(dependencies, plan, this.#reporter)
     this.#finalResponse = new FinalResponse(dependencies, plan, this.#recorder, callerResponse)
     this.#attemptRunner = new AttemptRunner(dependencies, plan, this.#permits, this.#reporter, this.#recorder)
-    this.#parts = { attemptRunner: this.#attemptRunner, permits: this.#permits, recorder: this.#recorder, reporter: this.#reporter, finalResponse: this.#finalResponse }
+    this.#parts = { attemptRunner: this.#attemptRunner, permits: this.#permits, recorder: this.#recorder, reporter: this.#reporter, finalResponse: this.#finalResponse, runGuarded: handle => this.#runGuarded(handle) }
     this.#responseForwarder = new ResponseForwarder(dependencies, plan, callerResponse, this.#parts)
   }
 
@@ -84,6 +84,10 @@
 
   /** Ends the request at once, as this VM stops: with an answer, or with an aborted response if one has begun. */
   stop (): void {
+    this.#runGuarded(() => this.#handleStop())
+  }
+
+  #handleStop (): void {
     if (this.#finalResponse.isSettled) return
     if (this.#attemptRunner.isSent) this.#finalResponse.recordMayHaveRun()
     this.#finalResponse.fail('stopping', 'the VM stops before the request is answered')
@@ -92,12 +96,12 @@
 
   /** Moves a resumable stream away from one of these endpoints, so that the endpoint need not wait for its end. */
   moveStreamFrom (endpoints: ReadonlySet<string>): void {
-    this.#responseForwarder.moveStreamFrom(endpoints)
+    this.#runGuarded(() => this.#responseForwarder.moveStreamFrom(endpoints))
   }
 
   /** Withdraws what has not begun and may not begin any more where it was sent. */
   withdrawOverdue (): void {
-    this.#attemptRunner.withdrawOverdue()
+    this.#runGuarded(() => this.#attemptRunner.withdrawOverdue())
   }
 
   get #isRepeatable (): boolean {
--- a/packages/knapweedshunt-gateway/src/flow/streamForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamForwarder.ts
@@ -67,7 +67,7 @@
     this.#streaming = runningAttempt
     const result = await this.#relay.forward(response, {
       stallTimeoutMs: this.#isResumable ? this.#pauseObjectiveMs * stallFactor : null,
-      onStalled: () => this.#startSuccessor(runningAttempt, LOSS_REASON.silent),
+      onStalled: () => this.#parts.runGuarded(() => this.#startSuccessor(runningAttempt, LOSS_REASON.silent)),
       onChunk: () => reporter.recordReceivedBytes(runningAttempt),
       onNewEvents: () => this.#handleNewEvents(),
       onFirstEvent: () => this.#bindVersion(runningAttempt)
@@ -102,19 +102,19 @@
     this.#endSuccessor(runningAttempt, true)
     const successor = new Successor(this.#dependencies, this.#plan, this.#parts, { cause, getLastEventId: () => this.#relay.lastEventId, onSend: () => { if (cause === LOSS_REASON.moved) this.#holdEvents(runningAttempt) } })
     this.#successor = successor
-    successor.result.then(result => {
+    successor.result.then(result => this.#parts.runGuarded(() => {
       if (this.#successor !== successor) return
       this.#parts.recorder.recordHandover(runningAttempt, successor, result, this.#relay.lastWriteAtMs)
       clearTimeout(this.#holdTimer)
       if (result.type === 'taken') return this.#relay.supersede()
       if (this.#streaming === runningAttempt) this.#clearSuccessor()
-    })
+    }))
   }
 
   /** The other endpoint goes on after the last event forwarded, so what follows is held back until it is known which endpoint's events count. */
   #holdEvents (runningAttempt: RunningAttempt): void {
     this.#relay.hold()
-    this.#holdTimer = setTimeout(() => this.#endSuccessor(runningAttempt), this.#pauseObjectiveMs * MAX_HOLD_PAUSE_SHARE)
+    this.#holdTimer = setTimeout(() => this.#parts.runGuarded(() => this.#endSuccessor(runningAttempt)), this.#pauseObjectiveMs * MAX_HOLD_PAUSE_SHARE)
   }
 
   /** A stream that goes on by itself needs no other endpoint for its pause. */
@@ -185,7 +185,7 @@
 
   /** Waits for the successor of a stream that was cut. One that is silent is given up if another endpoint may be asked. */
   async #awaitSuccessor (successor: Successor): Promise<SuccessionResult> {
-    const timer = setInterval(() => { if (canReplaceSuccessor(this.#parts)) successor.cancel(true) }, this.#pauseObjectiveMs * STALL_TIMEOUT_PAUSE_FACTOR)
+    const timer = setInterval(() => this.#parts.runGuarded(() => { if (canReplaceSuccessor(this.#parts)) successor.cancel(true) }), this.#pauseObjectiveMs * STALL_TIMEOUT_PAUSE_FACTOR)
     return await successor.result.finally(() => clearInterval(timer))
   }
 
--- a/packages/knapweedshunt-gateway/src/flow/successor.ts
+++ b/packages/knapweedshunt-gateway/src/flow/successor.ts
@@ -18,6 +18,8 @@
 /** The parts of one request's task that a successor uses. */
 export interface SuccessorParts extends AttemptEndParts {
   recorder: RequestRecorder
+  /** Runs what a timer or a listener calls, so that an error there ends this request only. */
+  runGuarded (handle: () => void): void
 }
 
 /** What is asked of a successor. */
