Gateway: a head that cannot be written does not keep the next one from being written

Callers got a closed connection in place of 502 when an endpoint answered with a reason phrase that Node.js reads and does not write. Cause: ServerResponse keeps the phrase that it rejects, and rejects the router's own head for it. Evidence: unwritableHeads.test.ts, ECONNRESET before. CallerResponse clears the phrase, so that the next head gets that of its status.

--- a/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
+++ b/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
@@ -57,6 +57,8 @@
       if (message === '') this.#response.writeHead(status, headers)
       else this.#response.writeHead(status, message, headers)
     } catch {
+      // Node.js keeps a reason phrase that it rejects, and would reject the next head for it.
+      this.#response.statusMessage = ''
       return false
     }
     this.#phase = 'begun'
