Router: a stream whose caller half-closes its connection unread ends at once

Engines worked on for callers that had closed their side and did not read. Cause: the response emits 'close' only when all that was written is out, which a caller that does not read never lets happen; Node.js has ended the connection by then.

--- a/packages/knapweedshunt-router/src/runAdmitted.ts
+++ b/packages/knapweedshunt-router/src/runAdmitted.ts
@@ -10,15 +10,27 @@
 
 /** Runs a request once it is admitted, until its response has ended or its sender has left. `origin`: what began the stream that it resumes; null for none. Throws CallerError. */
 export async function runAdmitted (dataPath: DataPath, request: CallerRequest, response: ServerResponse, sink: CallerSink, origin: StreamVersions | null): Promise<void> {
-  // A response that has closed does not say so again.
-  if (response.closed) return
+  const { socket } = response.req
   const callerAbort = new AbortController()
-  response.once('close', () => { if (!response.writableFinished) callerAbort.abort() })
-  await admitRequest(dataPath, request, callerAbort.signal)
+  const handleLeft = () => {
+    if (response.writableFinished) return
+    callerAbort.abort()
+    response.destroy()
+  }
+  // What has happened before does not happen again.
+  if (response.closed || socket.readableEnded) return handleLeft()
+  response.once('close', handleLeft)
+  // The response closes only when all that was written is out; a half-closed connection shows at once that its caller has left.
+  socket.once('end', handleLeft)
   try {
-    await new RequestTask(dataPath, request, sink, origin).run(callerAbort.signal)
+    await admitRequest(dataPath, request, callerAbort.signal)
+    try {
+      await new RequestTask(dataPath, request, sink, origin).run(callerAbort.signal)
+    } finally {
+      dataPath.admission.release(request.requestId)
+    }
   } finally {
-    dataPath.admission.release(request.requestId)
+    socket.removeListener('end', handleLeft)
   }
 }
 
