Control: a VM that is cut off from endpoints does not make them dead for the others

Callers at sound VMs of the product's own router: endpoints that run were taken for dead, and got no requests, because another VM of the data centre had lost its links to them. With two VMs and four endpoints three of four were lost to the sound VM.

Cause: an endpoint is polled by one VM, and its word alone made the endpoint dead for all. A VM that loses its own links cannot be told from one whose endpoints have ended.

Fix: a VM reports a death only if at least half of the endpoints that it polls have answered for 2.5 s, or if others confirm it; else it reports the endpoint as lost, which is suspect for the others, of earlier builds too. The next VMs by rank poll what is reported down, and the report of one that reaches the endpoint is used. If all of them poll in vain the endpoint is dead. Each VM polls at least four endpoints, so that small data centres detect a death as fast as before. The count of recoveries is taken over by the next poller. The summary for other data centres no longer names endpoints that only its writer does not reach.

A change of the down lists gets a version of its own: one held back by a later change let a peer see a new incarnation as dead.

Evidence: unreachedEndpoints.test.ts and unreachedEndpointsFuzz.test.ts. On the code before, the cut, the pause and the fuzz test failed (e0 to e2 dead at the sound VM of two); the two tests of single and common deaths passed before and after; those of earlier builds need the new fields.

--- a/packages/knapweedshunt-control/src/loadPollScheduler.ts
+++ b/packages/knapweedshunt-control/src/loadPollScheduler.ts
@@ -34,7 +34,7 @@
 
   /** Lists the polls that are due in this tick. */
   listDuePolls (vms: VmMembership, tickCount: number): LoadPoll[] {
-    const assigned = this.#endpoints.listAssigned(vms.self, vms.listLive())
+    const assigned = this.#endpoints.listAssigned(vms.self, vms.listLive(), vms.listReporters())
     const due = assigned.filter(endpoint => hashToUint32(endpoint) % this.#pollTicks === tickCount % this.#pollTicks)
     return due.map(endpoint => ({ endpoint, url: this.#urls.get(endpoint) ?? '' }))
   }
--- a/packages/knapweedshunt-control/src/messageSchemas.ts
+++ b/packages/knapweedshunt-control/src/messageSchemas.ts
@@ -17,7 +17,7 @@
 })
 const rows = z.array(count).refine(numbers => numbers.length % ROW_LENGTH === 0, `must be rows of ${ROW_LENGTH} numbers`)
 const boot = z.object({ i: count, incarnation, weightsVersion: z.string().nullable(), adapter: z.string().optional(), softwareVersion: z.string().optional(), role: z.enum(ENDPOINT_ROLES).optional() })
-const endpointStatus = z.object({ set: z.string().optional(), rows: rows.optional(), boots: z.array(boot).optional(), down: z.array(count).optional(), dead: z.array(count).optional() })
+const endpointStatus = z.object({ set: z.string().optional(), rows: rows.optional(), boots: z.array(boot).optional(), down: z.array(count).optional(), dead: z.array(count).optional(), lost: z.array(count).optional(), extra: z.array(count).optional() })
 const failureReport = z.object({ suspects: z.array(z.string()), dead: z.array(z.object({ vm: z.string(), order: count })) })
 const delta = z.object({
   k: z.string().min(1),
--- a/packages/knapweedshunt-control/src/summaryWriter.ts
+++ b/packages/knapweedshunt-control/src/summaryWriter.ts
@@ -1,5 +1,5 @@
 import type { DataCentreDirectory, EndpointMembership, VmMembership } from 'knapweedshunt-membership'
-import type { EndpointView, Revision } from 'knapweedshunt-types'
+import type { Revision } from 'knapweedshunt-types'
 
 /** Updates the summary of the own data centre when it is due. Performs no I/O. */
 export class SummaryWriter {
@@ -16,11 +16,6 @@
     const floor = views.reduce((least, view) => view.state === 'live' ? Math.min(least, view.appliedRevision) : least, Infinity)
     if (dataCentres.ownAgeMs < this.#intervalMs && floor === this.#floor) return
     this.#floor = floor
-    const endpointViews = endpoints.listEndpoints(vms.self, vms.listReporters())
-    dataCentres.updateOwn(views, endpointViews.filter(isOutOfService).map(view => view.endpoint))
+    dataCentres.updateOwn(views, endpoints.listOutOfService(vms.self, vms.listReporters()))
   }
 }
-
-function isOutOfService (view: EndpointView): boolean {
-  return view.state !== 'live' || view.load?.role === 'drain'
-}
--- a/packages/knapweedshunt-membership/src/endpointFailureDetector.ts
+++ b/packages/knapweedshunt-membership/src/endpointFailureDetector.ts
@@ -12,6 +12,7 @@
   #lastHeardAtMs: number | null = null
   #failureTimesMs: number[] = []
   #consecutiveRefusals = 0
+  #isLastPollAnswered = false
   #recoveries = 0
   #isDead = false
 
@@ -39,10 +40,17 @@
     return this.#lastHeardAtMs === null ? 0 : performance.now() - this.#lastHeardAtMs
   }
 
-  /** Records a load report; it revives a dead endpoint under a new incarnation. */
-  recordLoad (load: LoadReport): void {
-    if (load.incarnation !== this.#incarnation) this.#recoveries = 0
+  /** Whether the last poll was answered, and not too long ago. */
+  get isReached (): boolean {
+    return this.#isLastPollAnswered && this.silentMs < this.#options.suspectAfterMs
+  }
+
+  /** Records a load report; it revives a dead endpoint under a new incarnation. `recoveries` replaces the own count of incarnations when other VMs have polled the endpoint too. */
+  recordLoad (load: LoadReport, recoveries?: number): void {
+    if (recoveries !== undefined) this.#recoveries = recoveries
+    else if (load.incarnation !== this.#incarnation) this.#recoveries = 0
     else if (this.evaluate() === 'dead') this.#recoveries++
+    this.#isLastPollAnswered = true
     this.#isDead = false
     this.#incarnation = load.incarnation
     this.#load = load
@@ -53,6 +61,7 @@
   /** Records a poll without an answer; `isRefused` when the connection was refused. */
   recordUnansweredPoll (isRefused: boolean): void {
     this.#lastHeardAtMs ??= performance.now()
+    this.#isLastPollAnswered = false
     this.#consecutiveRefusals = isRefused ? this.#consecutiveRefusals + 1 : 0
     this.evaluate()
   }
--- a/packages/knapweedshunt-membership/src/endpointStatusDelta.ts
+++ b/packages/knapweedshunt-membership/src/endpointStatusDelta.ts
@@ -27,6 +27,10 @@
   boots?: EndpointInfo[]
   /** Indexes of all endpoints that the sender considers suspect or dead. */
   down?: number[]
-  /** Indexes of all endpoints that the sender considers dead. */
+  /** Indexes of all endpoints that are dead by the sender's report. */
   dead?: number[]
+  /** Indexes of all endpoints that do not answer the sender although it may be the sender that is cut off. Earlier builds do not send it. */
+  lost?: number[]
+  /** Indexes of all endpoints that answer the sender besides those for which it ranks first. Earlier builds do not send it. */
+  extra?: number[]
 }
--- a/packages/knapweedshunt-membership/src/endpointStatusTable.ts
+++ b/packages/knapweedshunt-membership/src/endpointStatusTable.ts
@@ -21,6 +21,9 @@
   readonly infos = new Map<number, Versioned<EndpointInfo>>()
   down: Versioned<number[]> = { version: 0, value: [] }
   dead: Versioned<number[]> = { version: 0, value: [] }
+  lost: Versioned<number[]> = { version: 0, value: [] }
+  /** Null at a VM of an earlier build. */
+  extra: Versioned<number[] | null> = { version: 0, value: null }
   #endpointSetHashVersion = 0
 
   /** Clears the table when the set of endpoints changes, since indexes refer to the sorted names of the set. */
@@ -32,6 +35,18 @@
     this.infos.clear()
     this.down = { version: 0, value: [] }
     this.dead = { version: 0, value: [] }
+    this.lost = { version: 0, value: [] }
+    this.extra = { version: 0, value: null }
+  }
+
+  /** Whether the reporting VM has a report of the endpoint and does not consider it suspect or dead. */
+  isReached (index: number): boolean {
+    return this.infos.has(index) && !this.down.value.includes(index)
+  }
+
+  /** Whether the reporting VM polls the endpoint in vain for as long as a dead one. */
+  isUnanswered (index: number): boolean {
+    return this.dead.value.includes(index) || this.lost.value.includes(index)
   }
 
   /** Records a load if it changed enough to affect placement. */
@@ -54,10 +69,18 @@
     this.infos.delete(index)
   }
 
-  /** Records which endpoints are suspect or dead, and which of those are dead. */
-  updateDown (down: number[], dead: number[], version: number): void {
+  /** Records which endpoints answer the VM besides those for which it ranks first. */
+  updateExtra (extra: number[], version: number): void {
+    if (extra.join() !== this.extra.value?.join()) this.extra = { version, value: extra }
+  }
+
+  /** Records which endpoints are suspect or dead, which of those are dead, and which may be dead or out of this VM's reach. Returns whether that changed. */
+  updateDown ({ down, dead, lost }: { down: number[], dead: number[], lost: number[] }, version: number): boolean {
+    const { down: formerDown, dead: formerDead, lost: formerLost } = this
+    if (lost.join() !== this.lost.value.join()) this.lost = { version, value: lost }
     if (down.join() !== this.down.value.join()) this.down = { version, value: down }
     if (dead.join() !== this.dead.value.join()) this.dead = { version, value: dead }
+    return this.down !== formerDown || this.dead !== formerDead || this.lost !== formerLost
   }
 
   /** Builds the parts with a version above `afterVersion` and up to `maxVersion`; undefined when there are none. */
@@ -67,12 +90,16 @@
     const infos = [...this.infos.values()].filter(isInRange).map(one => one.value)
     const hasDown = isInRange(this.down)
     const hasDead = isInRange(this.dead)
-    if (loads.length + infos.length === 0 && !hasDown && !hasDead) return undefined
+    const hasLost = isInRange(this.lost)
+    const hasExtra = this.extra.value !== null && isInRange(this.extra)
+    if (loads.length + infos.length === 0 && !hasDown && !hasDead && !hasLost && !hasExtra) return undefined
     const delta: EndpointStatusDelta = {}
     if (this.#endpointSetHashVersion > afterVersion) delta.set = this.endpointSetHash
     if (infos.length > 0) delta.boots = infos
     if (hasDown) delta.down = this.down.value
     if (hasDead) delta.dead = this.dead.value
+    if (hasLost) delta.lost = this.lost.value
+    if (hasExtra) delta.extra = this.extra.value ?? []
     if (loads.length > 0) delta.rows = loads.flatMap(([index, { value }]) => [index, value.running, value.queued, Math.ceil(value.queuedTokens / TOKENS_PER_UNIT)])
     return delta
   }
@@ -88,6 +115,8 @@
     for (const info of delta.boots ?? []) this.infos.set(info.i, { version, value: info })
     if (delta.down) this.down = { version, value: delta.down }
     if (delta.dead) this.dead = { version, value: delta.dead }
+    if (delta.lost) this.lost = { version, value: delta.lost }
+    if (delta.extra) this.extra = { version, value: delta.extra }
   }
 }
 
