Control: a dead endpoint stays dead when another VM begins to poll it

Routers could see a dead endpoint as live for a moment, with the incarnation that had been dead, after VMs were paused or resumed.

Cause: the VM that polled it dropped its report with the endpoint, and the others used what the new poller had reported at an earlier time.

Fix: the former poller goes on reporting the death until another VM reaches the endpoint, and earlier reports of a new poller do not show for 4 s that it reaches the endpoint.

--- a/packages/knapweedshunt-membership/src/endpointMembership.ts
+++ b/packages/knapweedshunt-membership/src/endpointMembership.ts
@@ -16,6 +16,15 @@
 /** VMs by rank that poll an endpoint which the first one has lost, besides those that have lost most of theirs. */
 const MAX_POLLERS = 8
 
+/** Time in which a VM that begins to poll an endpoint notices that it is down, and the others learn it. */
+const NEW_POLLER_MS = 4_000
+
+/** A VM that ranks first for an endpoint since a moment ago: what it reported up to a version may be old. */
+interface NewPoller {
+  version: number
+  untilMs: number
+}
+
 /** Membership of the endpoints of one data centre. The VMs divide the polling among themselves and exchange the load reports. Performs no I/O. */
 export class EndpointMembership {
   readonly #options: EndpointOptions
@@ -33,6 +42,7 @@
   #connectedAtMs: number | null = null
   #others = new Map<VmId, KnownVm>()
   #mostlyDown = new Set<VmId>()
+  readonly #newPollers = new Map<number, NewPoller>()
   /** Endpoints whose death this VM reports; final until they answer again. */
   readonly #dead = new Set<EndpointName>()
 
@@ -46,6 +56,8 @@
     this.#indexes = new Map(this.#names.map((name, index) => [name, index]))
     this.#endpointSetHash = `${this.#names.length}-${hashToUint32(this.#names.join()).toString(36)}`
     this.#assignmentKey = ''
+    this.#pollers = []
+    this.#newPollers.clear()
     for (const name of this.#detectors.keys()) if (!this.#indexes.has(name)) this.#detectors.delete(name)
     for (const name of this.#dead) if (!this.#indexes.has(name)) this.#dead.delete(name)
     this.#extra = new Set([...this.#extra].filter(name => this.#indexes.has(name)))
@@ -58,6 +70,7 @@
     this.#live = live
     this.#assign(self)
     this.#applyReporters(self, reporters)
+    this.#removeReachedFromDead()
     const former = this.#extra
     this.#extra = new Set([...this.#standby, ...this.#listTakenOver(self.view.vm)])
     for (const name of former) if (!this.#extra.has(name)) this.#stopPolling(self, name)
@@ -71,7 +84,9 @@
     if (key === this.#assignmentKey) return
     this.#assignmentKey = key
     const { vm } = self.view
-    this.#pollers = this.#names.map(name => findTopRankedVm(name, this.#live) ?? vm)
+    const pollers = this.#names.map(name => findTopRankedVm(name, this.#live) ?? vm)
+    this.#recordNewPollers(pollers)
+    this.#pollers = pollers
     this.#assignedCounts.clear()
     for (const poller of this.#pollers) this.#assignedCounts.set(poller, (this.#assignedCounts.get(poller) ?? 0) + 1)
     this.#assigned = this.#names.filter((_, index) => this.#pollers[index] === vm)
@@ -82,6 +97,22 @@
     for (const name of unassigned) if (!this.#extra.has(name)) this.#stopPolling(self, name)
   }
 
+  /** Removes the deaths that this VM reported of endpoints that it no longer polls, once another VM reaches them. */
+  #removeReachedFromDead (): void {
+    for (const name of this.#dead) {
+      const index = this.#indexes.get(name)!
+      if (!this.#detectors.has(name) && [...this.#others.keys()].some(vm => this.#isReachedBy(vm, index))) this.#dead.delete(name)
+    }
+  }
+
+  #recordNewPollers (pollers: VmId[]): void {
+    pollers.forEach((vm, index) => {
+      const other = this.#others.get(vm)
+      if (this.#pollers[index] === undefined || this.#pollers[index] === vm || other === undefined || this.#isPolledBy(other, index)) return
+      this.#newPollers.set(index, { version: other.version, untilMs: performance.now() + NEW_POLLER_MS })
+    })
+  }
+
   /** Lists the endpoints whose first VM by rank has lost them, perhaps as it is cut off, if no VM between that one and this one reaches them. */
   #listTakenOver (vm: VmId): EndpointName[] {
     const taken: EndpointName[] = []
@@ -110,7 +141,13 @@
 
   #isReachedBy (vm: VmId, index: number): boolean {
     const other = this.#others.get(vm)
-    return other !== undefined && this.#isPolledBy(other, index) && other.endpointStatus.isReached(index)
+    return other !== undefined && this.#isPolledBy(other, index) && other.endpointStatus.isReached(index) && !this.#isOldReport(other, index)
+  }
+
+  #isOldReport ({ view, endpointStatus }: KnownVm, index: number): boolean {
+    const newPoller = this.#newPollers.get(index)
+    if (newPoller === undefined || this.#pollers[index] !== view.vm || performance.now() >= newPoller.untilMs) return false
+    return (endpointStatus.infos.get(index)?.version ?? 0) <= newPoller.version
   }
 
   #isPolledBy ({ view, endpointStatus }: KnownVm, index: number): boolean {
@@ -177,6 +214,11 @@
       else if (isConnected || this.#isDeathConfirmed(name, index, self.view.vm)) this.#dead.add(name)
       if (state === 'dead') (this.#dead.has(name) ? dead : lost).push(index)
     }
+    for (const name of this.#dead) {
+      if (this.#detectors.has(name)) continue
+      down.push(this.#indexes.get(name)!)
+      dead.push(this.#indexes.get(name)!)
+    }
     for (const indexes of [down, dead, lost]) indexes.sort(compareNumbers)
     self.endpointStatus.resetForSet(this.#endpointSetHash, self.version + 1)
     // Later changes get a later version, or they would hold this one back in a delta that has the endpoint's new incarnation.
@@ -199,7 +241,7 @@
   /** Whether another VM reports the death, or every VM that polls an endpoint which others have lost polls this one in vain. One of an earlier build does not poll it and leaves it unconfirmed. */
   #isDeathConfirmed (name: EndpointName, index: number, vm: VmId): boolean {
     const others = [...this.#others.values()].filter(one => this.#isPolledBy(one, index))
-    if (others.some(one => one.endpointStatus.isReached(index))) return false
+    if (others.some(one => this.#isReachedBy(one.view.vm, index))) return false
     if (others.some(one => this.#isDeadBy(one, index))) return true
     const candidates = this.#listCandidates(name).filter(one => one !== vm)
     return candidates.every(one => {
@@ -246,9 +288,10 @@
     if (own?.isPolled && own.load) return this.#describePolled(name, own)
     const poller = this.#others.get(this.#pollers[index])
     const reporters = [...(poller ? [poller] : []), ...this.#others.values()].filter(one => one.endpointStatus.infos.has(index))
-    const reporter = reporters.find(one => this.#isPolledBy(one, index) && one.endpointStatus.isReached(index)) ?? reporters[0]
-    const isDead = this.#dead.has(name) || [...this.#others.values()].some(one => this.#isDeadBy(one, index))
-    if (reporter) return this.#describeReported(name, index, reporter, own, { suspicions: suspicionCounts.get(index) ?? 0, isDead })
+    const reaching = reporters.find(one => this.#isReachedBy(one.view.vm, index))
+    const reporter = reaching ?? reporters[0]
+    const isReportedDead = this.#dead.has(name) || [...this.#others.values()].some(one => this.#isDeadBy(one, index))
+    if (reporter) return this.#describeReported(name, index, reporter, own, { suspicions: suspicionCounts.get(index) ?? 0, isDead: isReportedDead && reaching === undefined })
     if (own?.isPolled) return this.#describePolled(name, own)
     const isDown = own !== undefined || poller?.endpointStatus.down.value.includes(index)
     return isDown ? { endpoint: name, incarnation: '', state: own?.evaluate() ?? 'suspect', weightsVersion: null, load: null, loadAgeMs: 0 } : null
@@ -267,7 +310,7 @@
     const isStale = ageMs >= this.#options.deadAfterMs
     const isLocallySuspect = own !== undefined && own.evaluate() !== 'live'
     const isSuspect = down.value.includes(index) || suspicions >= MIN_SUSPICIONS || isStale || isLocallySuspect
-    const state: Liveness = isDead && !reporter.endpointStatus.isReached(index) ? 'dead' : isSuspect ? 'suspect' : 'live'
+    const state: Liveness = isDead ? 'dead' : isSuspect ? 'suspect' : 'live'
     const reportedLoad = loads.get(index)?.value
     const load: LoadReport | null = reportedLoad ? { endpoint, ...info, ...reportedLoad, atMs: 0 } : null
     return { endpoint, incarnation, state, weightsVersion, load, loadAgeMs: ageMs }
@@ -278,7 +321,6 @@
     const index = this.#indexes.get(name)
     if (index !== undefined) self.endpointStatus.removeEndpoint(index)
     this.#detectors.delete(name)
-    this.#dead.delete(name)
   }
 
   #getOrCreateDetector (name: EndpointName): EndpointFailureDetector {
