--- a/packages/knapweedshunt-gateway/src/flow/launchAttempt.ts
+++ b/packages/knapweedshunt-gateway/src/flow/launchAttempt.ts
@@ -25,7 +25,7 @@
   const { call, route, identity, body } = plan
   const { record, decision } = chosen
   const cacheSalt = route.usesPrefixes && call.prompt !== null ? dependencies.chooser.computeCacheSalt(call.prompt, identity, record) : null
-  const weightsVersion = call.prompt === null ? null : record.findVersion(call.prompt.model)
+  const weightsVersion = route.usesPrefixes && call.prompt !== null ? record.findVersion(call.prompt.model) : null
   const headers = dependencies.endpointPort.buildAttemptHeaders(plan.headers, {
     endpoint: record.entry.endpoint,
     timeLeftMs: Math.max(1, Math.floor(plan.deadlineAtMs - performance.now())),
--- a/packages/knapweedshunt-gateway/src/flow/runningAttempt.ts
+++ b/packages/knapweedshunt-gateway/src/flow/runningAttempt.ts
@@ -7,7 +7,7 @@
   target: AttemptTarget
   /** Software version of the endpoint that serves the attempt; null until another VM has said which one that is. */
   softwareVersion: string | null
-  /** Version of the prompt's weights that the endpoint was known to serve; null without a prompt, and for another VM. */
+  /** Version of the prompt's weights that the endpoint was known to serve; null on routes without prefixes, and for another VM. */
   weightsVersion: number | null
   /** Endpoint that serves the attempt; empty until another VM has said which one that is. */
   endpoint: string
