--- a/packages/knapweedshunt-fleet/src/leaseTask.ts
+++ b/packages/knapweedshunt-fleet/src/leaseTask.ts
@@ -54,7 +54,7 @@
   }
 
   /** Reads the row if that is due, without acquiring the lease: its expiry is then known sooner. */
-  async followOnce (): Promise<void> {
+  async watchOnce (): Promise<void> {
     this.#pendingStep ??= this.#handleEvent({ type: 'followTick' }).finally(() => { this.#pendingStep = null })
     await this.#pendingStep
   }
--- a/packages/knapweedshunt-fleet/src/waves/waveTask.ts
+++ b/packages/knapweedshunt-fleet/src/waves/waveTask.ts
@@ -98,7 +98,7 @@
     const isHeld = this.#lease.readFencing(true) !== null
     const notices = this.#listNotices(endpoints)
     if (!isHeld) this.#recordEndedLease(notices)
-    if (!isHeld && !isStopping) this.#followLease(notices)
+    if (!isHeld && !isStopping) this.#watchLease(notices)
     const waitMs = this.#lease.computeWaitMs()
     // While the commands of the last holder are waited for, the endpoints that load first already drain.
     this.#updateFencing(waitMs !== null && waitMs <= this.#options.maxDrainMs ? this.#lease.readFencing(true) : null)
@@ -132,9 +132,9 @@
   }
 
   /** The first VMs by rank follow the lease from the beginning, so that its expiry is known when the holder is missed; the others once it is late. */
-  #followLease (notices: ReceivedNotice[]): void {
+  #watchLease (notices: ReceivedNotice[]): void {
     if (this.#shouldContend(notices)) this.#lease.runOnce().catch(error => this.#recordFailedStep(error))
-    else if (this.#dependencies.ports.readRank() < FOLLOWER_COUNT || this.#measureSilenceMs(notices) >= this.#options.takeoverDelayMs / 2) this.#lease.followOnce().catch(error => this.#recordFailedStep(error))
+    else if (this.#dependencies.ports.readRank() < FOLLOWER_COUNT || this.#measureSilenceMs(notices) >= this.#options.takeoverDelayMs / 2) this.#lease.watchOnce().catch(error => this.#recordFailedStep(error))
   }
 
   /** Time since the last notice, or since there is work. */
--- a/packages/knapweedshunt-gateway/src/callers/callerRequestHandler.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerRequestHandler.ts
@@ -71,8 +71,8 @@
   }
 
   /** Withdraws requests that have not begun and may not begin any more where they were sent. */
-  withdrawOverdue (): void {
-    for (const task of this.#tasks) task.withdrawOverdue()
+  cancelOverdue (): void {
+    for (const task of this.#tasks) task.cancelOverdue()
   }
 
   /** Handles one request of a caller; unexpected errors are logged and close the connection. */
--- a/packages/knapweedshunt-gateway/src/flow/attemptRunner.ts
+++ b/packages/knapweedshunt-gateway/src/flow/attemptRunner.ts
@@ -103,12 +103,12 @@
   }
 
   /** Ends the attempts without a response whose endpoints have weights on which they may not begin any more; such an attempt counts as lost. */
-  withdrawOverdue (): void {
+  cancelOverdue (): void {
     const model = this.#plan.call.prompt?.model
     if (model === undefined) return
     for (const runningAttempt of [this.#current, this.#successor]) {
       if (runningAttempt === null || runningAttempt.weightsVersion === null || !runningAttempt.attempt.isSent || runningAttempt.attempt.hasResponse) continue
-      if (!this.#dependencies.mayBegin(model, runningAttempt.weightsVersion)) runningAttempt.attempt.cancel(LOSS_REASON.withdrawn)
+      if (!this.#dependencies.canBeginOn(model, runningAttempt.weightsVersion)) runningAttempt.attempt.cancel(LOSS_REASON.withdrawn)
     }
   }
 
--- a/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
@@ -51,7 +51,7 @@
   /** Returns why the request must not be sent, if endpoints crashed under it or under parts of its prompt; otherwise null. */
   findQuarantine (plan: RequestPlan): Quarantine | null
   /** Whether a request that was sent may still begin on a version of a model's weights. */
-  mayBegin (model: string, version: number): boolean
+  canBeginOn (model: string, version: number): boolean
   /** Returns how long a version of a model's weights has been replaced; null while it is the newest one. */
   findReplacement (model: string, version: number): WeightsReplacement | null
   /** Returns why the request must not be sent under its access key; null if it may be, or needs none. */
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -100,8 +100,8 @@
   }
 
   /** Withdraws what has not begun and may not begin any more where it was sent. */
-  withdrawOverdue (): void {
-    this.#runGuarded(() => this.#attemptRunner.withdrawOverdue())
+  cancelOverdue (): void {
+    this.#runGuarded(() => this.#attemptRunner.cancelOverdue())
   }
 
   get #isRepeatable (): boolean {
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -278,7 +278,7 @@
       runEvery(ROSTER_SWEEP_INTERVAL_MS, taskController.signal, () => this.#quarantineLifts.sweep()),
       runEvery(SWEEP_INTERVAL_MS, taskController.signal, () => {
         this.#endpointRegistry.removeExpired()
-        this.#requestHandler.withdrawOverdue()
+        this.#requestHandler.cancelOverdue()
         this.#readiness.update()
         this.#peerServices.streamOrigins.updateVersions()
         this.#peerServices.streamRows.update()
@@ -324,7 +324,7 @@
       recordCrash: (attempt, evidence) => this.#recordCrash(attempt, evidence),
       recordUnanswered: attempt => this.#unansweredAttempts.recordEnd(attempt),
       findQuarantine: plan => this.#suspectTracker.findQuarantine(plan),
-      mayBegin: (model, version) => version >= this.#weightsState.findMinBeginVersion(model),
+      canBeginOn: (model, version) => version >= this.#weightsState.findMinBeginVersion(model),
       findReplacement: (model, version) => this.#weightsState.findReplacement(model, version),
       checkKey: plan => this.#authenticator.check(plan),
       isKeyUsable: plan => this.#authenticator.isUsable(plan),
--- a/packages/knapweedshunt-membership/src/endpointMembership.ts
+++ b/packages/knapweedshunt-membership/src/endpointMembership.ts
@@ -68,7 +68,7 @@
     self.endpointStatus.resetForSet(this.#endpointSetHash, self.version + 1)
     if (this.#live.length === 1 && live.length > 1) this.#dead.clear()
     this.#live = live
-    this.#assign(self)
+    this.#updateAssignment(self)
     this.#applyReporters(self, reporters)
     this.#removeReachedFromDead()
     const former = this.#extra
@@ -79,7 +79,7 @@
     return [...this.#assigned, ...this.#extra]
   }
 
-  #assign (self: KnownVm): void {
+  #updateAssignment (self: KnownVm): void {
     const key = `${this.#endpointSetHash}|${self.view.incarnation}|${this.#live.join()}`
     if (key === this.#assignmentKey) return
     this.#assignmentKey = key
--- a/packages/knapweedshunt-platform/src/tableFollower.ts
+++ b/packages/knapweedshunt-platform/src/tableFollower.ts
@@ -137,10 +137,10 @@
     }
     this.#version = Math.max(version, changes.version)
     this.#recordAnswer(sentAtMs, changes.rows.length === 0 ? null : { type: 'changes', rows: changes.rows })
-    if (changes.rows.length > 0) await this.#coalesce(readElapsedMs() - sentAtMs, signals)
+    if (changes.rows.length > 0) await this.#awaitFurtherChanges(readElapsedMs() - sentAtMs, signals)
   }
 
-  async #coalesce (pollMs: number, signals: AbortSignal[]): Promise<void> {
+  async #awaitFurtherChanges (pollMs: number, signals: AbortSignal[]): Promise<void> {
     const { coalesceMs, coalesceAfter } = this.#options
     if (coalesceMs === 0) return
     this.#quickPolls = pollMs < coalesceMs ? this.#quickPolls + 1 : 1
