Review: generation numbers go back after a restored store

The store comes back from a copy 3 to 4 s old, in which two waves of new weights were rolled out. Then three VMs are stopped and started again one after the other, and new weights are named.

--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,82 +1,74 @@
-import { call } from '../stand-ins/caller.mjs'
-import { Deployment, HAS_TROUBLE, HOST, KEY } from '../stand-ins/deployment.mjs'
+import { Deployment, HAS_TROUBLE } from '../stand-ins/deployment.mjs'
 import { sleep } from '../stand-ins/http.mjs'
+import { ModelServer } from '../stand-ins/modelServer.mjs'
 
-const ORDERS = 10
-const NOTES = 10
-const ORDER_WORK_MS = 900
-const EVENT_COUNT = 40
-const EVENT_INTERVAL_MS = 50
-const SIGNAL_GAP_MS = 500
-/** With one signal nothing is lost. */
-const SIGNALS = Number(process.env.SIGNALS ?? 2)
+const MODEL = 'model-a'
+const AWAY_MS = 1_000
+const LEASE_MS = 3_000
 
 const deployment = new Deployment()
-const ran = new Set()
-const events = Array.from({ length: EVENT_COUNT }, (_, i) => `id: ${i + 1}\ndata: token ${i + 1}\n\n`)
+const { store } = deployment
+const state = { version: 1 }
 
-function serveOrder (request, response) {
-  const id = request.headers['request-id']
-  ran.add(id)
-  deployment.note(`server runs ${id}`)
-  request.resume()
-  setTimeout(() => {
-    response.writeHead(200, { 'Content-Type': 'text/plain', 'Request-Id': id, 'Response-Stamp': `stamp-${id}`, 'Content-Length': 4 }).end('done')
-    deployment.note(`server has answered ${id}${response.destroyed ? ', its channel is closed' : ''}`)
-  }, ORDER_WORK_MS)
+/** Names new weights, and waits until all servers have them and no VM sends orders any more. */
+async function rollOut () {
+  store.put('op', `version/${MODEL}`, { model: MODEL, version: ++state.version })
+  deployment.log(`version ${state.version} is named`)
+  const untilMs = performance.now() + 20_000
+  while (servers.some(({ version }) => version < state.version) || !isLeaseFree()) {
+    if (performance.now() > untilMs) await deployment.finish(2, `version ${state.version} is not in place`)
+    await sleep(20)
+  }
+  deployment.log(`version ${state.version} is in place`)
 }
 
-function serveNote (request, response) {
-  const id = request.headers['request-id']
-  ran.add(id)
-  deployment.note(`server runs ${id}`)
-  request.resume()
-  response.writeHead(200, { 'Content-Type': 'text/event-stream', 'Request-Id': id, 'Response-Stamp': `stamp-${id}` })
-  let sent = 0
-  const timer = setInterval(() => {
-    if (response.destroyed) return clearInterval(timer)
-    response.write(events[sent++])
-    if (sent < EVENT_COUNT) return
-    clearInterval(timer)
-    response.end()
-  }, EVENT_INTERVAL_MS)
+/** Whether the lease is released, by the row of the project itself; only the order of events in this script depends on it. */
+function isLeaseFree () {
+  return [...store.values('leases').values()].every(row => row.durationMs === 0)
 }
 
 await deployment.start({
-  routes: [
-    { name: 'orders', prefix: '/orders/', kind: 'unsafe', service: 'dispatch-app', timeout_ms: 3_000 },
-    { name: 'notes', prefix: '/notes/', kind: 'streaming', service: 'lm-pool', gap_aim_ms: 400 }
-  ],
-  services: [{ name: 'dispatch-app' }, { name: 'lm-pool' }]
+  routes: [{ name: 'notes', prefix: '/notes/', kind: 'streaming', service: 'lm-pool', sticky: true, gap_aim_ms: 400 }],
+  services: [{ name: 'lm-pool', engine: { slots: 64, kv_capacity: 100_000, kv_token_bytes: 327_680, link_mbps: 550_000, models: [{ name: MODEL }] } }]
 })
-await deployment.addServer('i-1', 'dispatch-app', serveOrder, { slots: 64 })
-await deployment.addServer('i-2', 'lm-pool', serveNote, { slots: 64 })
-const vm = await deployment.addVm('front-1')
-await deployment.addVm('front-2')
+const servers = [new ModelServer(deployment, 'i-1', 'lm-pool', MODEL), new ModelServer(deployment, 'i-2', 'lm-pool', MODEL)]
+for (const server of servers) await server.start()
+store.put('op', `version/${MODEL}`, { model: MODEL, version: state.version })
+for (const name of ['front-1', 'front-2', 'front-3']) await deployment.addVm(name)
 await deployment.waitUntilReady()
 
-async function send (id, path, timeLeftMs, whole) {
-  deployment.note(`caller sends ${id}`)
-  const answer = await call({ address: vm.front, method: 'POST', path, host: HOST, headers: { 'Request-Id': id, Credential: KEY, 'Deadline-Ms': timeLeftMs }, body: id, timeoutMs: timeLeftMs })
-  const isServed = answer.status === 200 && answer.isWhole && answer.body.toString() === whole
-  deployment.log(`caller of ${id}: status ${answer.status}, channel ${answer.end}, ${answer.isWhole ? 'a whole answer' : 'no whole answer'}, after ${Math.round(answer.endedAtMs - answer.sentAtMs)} ms; ${ran.has(id) ? 'ran' : 'did not run'}`)
-  return { id, isServed, isAnswered: answer.isWhole }
-}
-
-const answers = [
-  ...Array.from({ length: ORDERS }, (_, i) => send(`order-${i}`, '/orders/1', 3_000, 'done')),
-  ...Array.from({ length: NOTES }, (_, i) => send(`note-${i}`, '/notes/1', 15_000, events.join('')))
-]
-await sleep(200)
+await rollOut()
+await sleep(1_500)
+const copy = store.copy()
+const copiedAtMs = performance.now()
+deployment.log('the store is copied')
+await rollOut()
+await rollOut()
 if (HAS_TROUBLE) {
-  for (let i = 0; i < SIGNALS; i++) {
-    if (i > 0) await sleep(SIGNAL_GAP_MS)
-    deployment.signal(vm, 'SIGTERM')
-  }
-  await sleep(100)
-  deployment.log(vm.exit === null ? 'the process goes on' : `the process has ended with ${vm.exit}`)
+  store.leave()
+  deployment.log('the store is away')
+  await sleep(AWAY_MS)
+  store.restore(copy)
+  deployment.log(`the store is back from a copy of ${Math.round(performance.now() - copiedAtMs)} ms ago`)
+}
+// Everything has been calm for longer than stable_window_ms when the machines are stopped and started in turn.
+await sleep(5_000)
+for (const vm of deployment.vms) {
+  deployment.signal(vm, 'SIGTERM')
+  while (vm.exit === null) await sleep(50)
+  deployment.startProcess(vm)
+  while (!await deployment.isReady(vm)) await sleep(50)
+  deployment.log(`${vm.name} is ready again`)
+  await sleep(1_000)
 }
-const results = await Promise.all(answers)
-const lost = results.filter(({ id, isAnswered }) => !isAnswered && ran.has(id))
-if (lost.length === 0 && results.some(({ isServed }) => !isServed)) await deployment.finish(2, 'requests were not served')
-await deployment.finish(lost.length > 0 ? 1 : 0, `${lost.length} of ${results.length} requests that were passed on got no complete answer (LOST)`)
+await sleep(5_000)
+await rollOut()
+
+const broken = servers.flatMap(({ id, orders }) => orders.flatMap((later, i) => orders.slice(0, i).flatMap(earlier => {
+  const pair = `${id}: ${earlier.holder} with ${earlier.fence}, then ${later.holder} with ${later.fence}, ${Math.round(later.atMs - earlier.atMs)} ms later`
+  if (later.fence < earlier.fence) return [`${pair}: a lower generation number after a higher one`]
+  if (later.holder !== earlier.holder && later.fence === earlier.fence) return [`${pair}: two holders with one generation number`]
+  return later.holder !== earlier.holder && later.atMs - earlier.atMs < LEASE_MS ? [`${pair}: holders take turns within lease_ms`] : []
+})))
+for (const line of broken) deployment.log(line)
+await deployment.finish(broken.length > 0 ? 1 : 0, `${broken.length} pairs of orders break the rule (ONE)`)
--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -35,6 +35,11 @@
   #record = fs.createWriteStream(process.env.RECORD ?? 'record.txt')
   #startedAtMs = performance.now()
 
+  constructor () {
+    process.once('SIGTERM', () => this.finish(2, 'the run took too long'))
+    process.once('uncaughtException', error => this.finish(2, error.stack))
+  }
+
   /** An address of this run that nothing else uses. */
   newHost () {
     return `${this.#network}.${++this.#hostCount}`
