--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -28,7 +28,7 @@
   store = new PlatformStore()
   vms = []
   #directory = fs.mkdtempSync(path.join(os.tmpdir(), 'review-'))
-  #servers = []
+  #servers = new Set()
   // Addresses of this run: the first is the store's, the others are those of VMs and servers.
   #network = `127.${20 + process.pid % 200}.${Math.floor(process.pid / 200) % 250}`
   #hostCount = 0
@@ -77,28 +77,47 @@
     })
   }
 
-  /** Starts a server and lists it in the store; `serve` answers the requests of callers. */
+  /** Starts a server and lists it in the store; `serve` answers the requests of callers. Returns how it ends and starts again under its id. */
   async addServer (id, service, serve, { zone = 'zone-a', ...entry } = {}) {
     const host = this.newHost()
-    const server = http.createServer({ keepAlive: true, keepAliveTimeout: 5_000 }, (request, response) => this.#serveOne(id, row.born, serve, request, response))
-    await new Promise(resolve => server.listen(0, host, resolve))
-    this.#servers.push(server)
-    const address = `${host}:${server.address().port}`
-    const row = { service, address, zone, version: 'v1', slots: 6, state: 'ready', cold_left_ms: 0, born: Date.now(), ...entry }
-    let seq = 0
-    const beat = () => this.store.put('servers', id, { ...row, seq: ++seq })
-    beat()
-    server.unref()
+    const row = { service, address: '', zone, version: 'v1', slots: 6, state: 'ready', cold_left_ms: 0, ...entry }
+    const life = { server: null, port: 0, seq: 0 }
+    const beat = () => { if (life.server !== null) this.store.put('servers', id, { ...row, seq: ++life.seq }) }
+    const start = async () => {
+      Object.assign(row, { born: Date.now() })
+      const server = http.createServer({ keepAlive: true, keepAliveTimeout: 5_000 }, (request, response) => this.#serveOne(id, row, serve, request, response))
+      await new Promise(resolve => server.listen(life.port, host, resolve))
+      server.unref()
+      this.#servers.add(server)
+      Object.assign(life, { server, port: server.address().port, seq: 0 })
+      row.address = `${host}:${life.port}`
+      beat()
+    }
+    await start()
     setInterval(beat, 1_200).unref()
-    return address
+    return {
+      /** Ends all channels and starts again after a while, in milliseconds, under the same id, with another software version. */
+      restart: async (version, downMs) => {
+        this.log(`${id} ends`)
+        const { server } = life
+        life.server = null
+        this.#servers.delete(server)
+        server.close()
+        server.closeAllConnections()
+        await new Promise(resolve => setTimeout(resolve, downMs))
+        row.version = version
+        await start()
+        this.log(`${id} has started again as ${version}`)
+      }
+    }
   }
 
-  #serveOne (id, born, serve, request, response) {
+  #serveOne (id, { born, version }, serve, request, response) {
     const expected = request.headers['expect-instance']
     if (expected !== undefined && expected !== id) return response.writeHead(421, { 'Instance-Id': id, 'Not-Executed': '1', 'Content-Length': 0 }).end()
     if (request.url === '/-/report') return sendJson(response, 200, { stage: 'both', models: [], busy: false, seq: 0, queued: 0, running: 0, kv_used: 0, kv_total: 0, handles: 0, born })
     if (request.url === '/health') return response.writeHead(200, { 'Instance-Id': id, 'Content-Length': 0 }).end()
-    serve(request, response)
+    serve(request, response, { id, version })
   }
 
   /** Starts a VM; `front` of the result is where callers connect. */
