--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -16,17 +16,11 @@
 /** Time for which an idle connection stays open beyond the idle timeout announced to callers, in milliseconds, so that a request sent at the last moment is still read. */
 const KEEP_ALIVE_MARGIN_MS = 2_000
 
-/** Requests on one connection of a caller. */
-interface CallerConnection {
-  pendingCount: number
-  /** Whether the response to a request that has arrived is the last one. */
-  isClosing: boolean
-}
-
 /** HTTP server for callers. */
 export class CallerServer {
   readonly #server: http.Server
-  readonly #connections = new WeakMap<Socket, CallerConnection>()
+  /** Responses of each connection that are not out yet, in the order of their requests; a connection without any is not listed. */
+  readonly #pendingResponses = new Map<Socket, Set<http.ServerResponse>>()
   #isKeepAliveDisabled = false
 
   constructor (onRequest: (request: http.IncomingMessage, response: http.ServerResponse) => void) {
@@ -51,23 +45,25 @@
 
   /** Returns whether the request can be answered; nothing can follow the last response of a connection, so a request behind it is not run. */
   #tryAccept (socket: Socket, response: http.ServerResponse): boolean {
-    const connection = this.#connections.get(socket) ?? { pendingCount: 0, isClosing: false }
-    this.#connections.set(socket, connection)
-    if (connection.isClosing) return false
+    const pending = this.#pendingResponses.get(socket) ?? new Set()
+    const isLastAnnounced = [...pending].some(({ shouldKeepAlive }) => !shouldKeepAlive)
+    if (isLastAnnounced || !socket.writable) return false
+    this.#pendingResponses.set(socket, pending.add(response))
     if (this.#isKeepAliveDisabled) response.shouldKeepAlive = false
-    connection.isClosing = !response.shouldKeepAlive
-    connection.pendingCount++
     response.once('close', () => {
-      connection.pendingCount--
-      // If the headers were sent before keep-alive was disabled, the connection is still open.
-      if (this.#isKeepAliveDisabled && connection.pendingCount === 0) socket.end()
+      pending.delete(response)
+      if (pending.size === 0) this.#pendingResponses.delete(socket)
     })
     return true
   }
 
-  /** Closes each connection after the responses in progress. */
+  /** From now on each connection closes after a response that says so: the one to its latest request if that response has not begun, otherwise the next one. */
   disableKeepAlive (): void {
     this.#isKeepAliveDisabled = true
+    for (const pending of this.#pendingResponses.values()) {
+      const last = [...pending].at(-1)
+      if (last !== undefined && !last.headersSent) last.shouldKeepAlive = false
+    }
   }
 
   /** Stops accepting connections. */
