A stop does not cut a response that its caller reads slowly

A caller that reads slowly got a part of its answer when its VM stopped. Node.js counts a connection as idle once its response has ended, also while bytes wait to be sent, and closing the listener or idle connections destroys it.

A response now ends once what was written before is out, and the stop waits for responses that are not out.

--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -66,6 +66,11 @@
     }
   }
 
+  /** Number of responses that are not out yet. */
+  get pendingCount (): number {
+    return [...this.#pendingResponses.values()].reduce((sum, { size }) => sum + size, 0)
+  }
+
   /** Stops accepting connections. */
   closeListener (): void {
     this.#server.close()
--- a/packages/knapweedshunt-gateway/src/callers/drainCallers.ts
+++ b/packages/knapweedshunt-gateway/src/callers/drainCallers.ts
@@ -11,7 +11,7 @@
 
 const DRAIN_POLL_INTERVAL_MS = 50
 
-/** Serves requests until the load balancers have switched to other VMs, then waits until all requests are answered or the grace time has nearly passed; those that remain are ended. */
+/** Serves requests until the load balancers have switched to other VMs, then waits until all responses are out or the grace time has nearly passed; those that remain are ended. */
 export async function drainCallers (callerServer: CallerServer, requestHandler: CallerRequestHandler, stopWindow: StopWindow, drainGraceMs: number): Promise<void> {
   const drainDeadlineAtMs = performance.now() + drainGraceMs * DRAIN_DEADLINE_GRACE_SHARE
   stopWindow.setEnd(drainDeadlineAtMs)
@@ -20,7 +20,7 @@
   requestHandler.refuseNewRequests()
   callerServer.closeListener()
   callerServer.closeIdleConnections()
-  while (requestHandler.inFlight > 0 && performance.now() < drainDeadlineAtMs) {
+  while ((requestHandler.inFlight > 0 || callerServer.pendingCount > 0) && performance.now() < drainDeadlineAtMs) {
     await sleep(DRAIN_POLL_INTERVAL_MS)
     callerServer.closeIdleConnections()
   }
--- a/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
+++ b/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
@@ -80,7 +80,11 @@
   end (bytes?: Buffer): void {
     if (this.#phase !== 'begun') return
     this.#phase = 'ended'
-    this.#response.end(bytes)
+    const endResponse = () => { this.#response.end() }
+    // Node.js counts the connection as idle once the response has ended, and closes it at a stop even if bytes wait to be sent.
+    if (bytes !== undefined) this.#response.write(bytes, endResponse)
+    else if (this.#socket !== null && this.#socket.writableLength > 0) this.#socket.write('', endResponse)
+    else endResponse()
   }
 
   /** Ends a response that is not complete, so that its caller does not take it for complete. */
