--- a/packages/knapweedshunt-fleet/src/__tests__/leaseOlderCopy.test.ts
+++ b/packages/knapweedshunt-fleet/src/__tests__/leaseOlderCopy.test.ts
@@ -15,6 +15,11 @@
 class RestoredStore {
   readonly memory = new MemoryPlatform()
   readonly silentVms = new Set<string>()
+  /** Null for a store that states no era. */
+  era: number | null = null
+
+  /** Called before each transaction is applied. */
+  beforeTransaction: () => void = () => {}
 
   buildPlatform (vm: string): Platform {
     const { memory } = this
@@ -22,7 +27,12 @@
     return {
       ...memory,
       read: (table, key) => call(() => memory.read(table, key)),
-      transact: transaction => call(() => memory.transact(transaction)),
+      readWithEra: (table, key) => call(async () => ({ era: this.era, row: await memory.read(table, key) })),
+      transact: transaction => call(async () => {
+        this.beforeTransaction()
+        const result = await memory.transact(transaction)
+        return result.type === 'committed' ? { ...result, era: this.era } : result
+      }),
       scan: request => memory.scan(request),
       getObject: name => memory.getObject(name),
       putObject: (name, text) => memory.putObject(name, text),
@@ -126,3 +136,66 @@
     t.is(first.readFencing(false), 2)
   })
 })
+
+/** Lets a VM take and release the lease some times; returns its last fencing number. */
+async function takeOften (clock: Clock, task: LeaseTask, count: number): Promise<number> {
+  let fencing = 0
+  for (let n = 0; n < count; n++) {
+    await advance(clock, 1_000, [task])
+    fencing = task.readFencing(true) ?? 0
+    await task.release()
+  }
+  return fencing
+}
+
+// Guards against fencing numbers that go back when the store has lost them and no process remembers them.
+for (const [copy, hasRow, firstEra] of [['with an older number', true, 0], ['with an older number', true, 7], ['without the row', false, 1]] as const) {
+  test.serial(`fencing numbers increase when the store of era ${firstEra} returns to a copy ${copy} and all VMs were restarted since`, async t => {
+    await run(async ({ clock, store, first }) => {
+      store.era = firstEra
+      await takeOften(clock, first, 2)
+      const older = store.readRow()
+      const before = await takeOften(clock, first, 3)
+      await store.restore(hasRow ? older : undefined)
+      store.era++
+      const restarted = new LeaseTask(store.buildPlatform('restarted'), NAME, 'restarted', OPTIONS)
+      const after = await takeOften(clock, restarted, 1)
+      t.true(after > before, `${after} after ${before}`)
+      store.era++
+      t.true(await takeOften(clock, new LeaseTask(store.buildPlatform('next'), NAME, 'next', OPTIONS), 1) > after)
+    })
+  })
+}
+
+// Guards against a holder that was counted in before the store returned to an older copy, with a number that was given out again.
+test.serial('a lease that is written while the store returns to an older copy is taken anew', async t => {
+  await run(async ({ clock, store, first }) => {
+    store.era = 1
+    const before = await takeOften(clock, first, 1)
+    store.beforeTransaction = () => {
+      store.era = 2
+      store.beforeTransaction = () => {}
+    }
+    const numbers = new Set<number | null>()
+    for (let n = 0; n < 100; n++) {
+      await advance(clock, STEP_MS, [first])
+      numbers.add(first.readFencing(true))
+    }
+    numbers.delete(null)
+    t.deepEqual(numbers.size, 1)
+    t.true([...numbers].every(number => Number(number) > before + 1), `${[...numbers].join()} after ${before}`)
+  })
+})
+
+// Guards against a holder that goes on with its number although another VM may have been given it in the lost time.
+test.serial('a holder takes a greater number once the era of the store has risen', async t => {
+  await run(async ({ clock, store, first }) => {
+    store.era = 1
+    await advance(clock, 1_000, [first])
+    const before = first.readFencing(true) ?? 0
+    t.true(before > 0)
+    store.era = 2
+    await advance(clock, 1_000, [first])
+    t.true((first.readFencing(true) ?? 0) > before + 1)
+  })
+})
--- a/packages/knapweedshunt-fleet/src/leaseStateMachine.ts
+++ b/packages/knapweedshunt-fleet/src/leaseStateMachine.ts
@@ -4,6 +4,7 @@
 import type { LeaseOptions } from './leaseOptions.ts'
 import type { LeaseRow } from './leaseState.ts'
 import type { ReleasedLease, HeldLease, LeaseAction, LeaseEvent, PendingWrite, LeaseSnapshot } from './leaseTypes.ts'
+import { computeMinFencing } from './computeMinFencing.ts'
 import { LeaseExpiryTracker } from './leaseExpiryTracker.ts'
 
 const MAX_PENDING = 16
@@ -22,6 +23,7 @@
  * - A contender's time runs from when it observed the row change, on the monotonic clock, which is not affected by changes
  *   of the wall clock. It therefore sees the lease expire only after the holder has stopped, whatever the clocks show.
  * - Every write checks the version that was read, so of two writes based on one read only one is applied.
+ * - A token of an earlier era of the store counts no more: the store may give it out again.
  */
 export class LeaseStateMachine {
   readonly #holder: Incarnation
@@ -41,6 +43,8 @@
   #releasedLease: ReleasedLease | null = null
   /** Greatest fencing token read or written; a store that returned to an older copy may hold a smaller one. */
   #maxFencing = 0
+  /** Lowest token of the latest era of the store that is known. */
+  #minFencing = 0
   /** Whether the last row that was read was another holder's. */
   #wasForeign = false
 
@@ -53,7 +57,7 @@
   readFencing (checksFencing: boolean): FencingToken | null {
     const now = readElapsedMs()
     const held = this.#held
-    if (held === null || this.#isReleasing || now >= held.validUntilMs - this.#options.guardMs) return null
+    if (held === null || held.fencing < this.#minFencing || this.#isReleasing || now >= held.validUntilMs - this.#options.guardMs) return null
     if (!checksFencing && performance.now() < held.previousHolderEndMs + this.#options.maxCommandMs) return null
     return held.fencing
   }
@@ -83,7 +87,7 @@
       .with({ type: 'readFailed' }, () => this.#handleReadFailed())
       .with({ type: 'writeUnanswered' }, () => this.#finishCall(this.#options.intervalMs))
       .with({ type: 'writeConflicted' }, () => this.#finishCall(0))
-      .with({ type: 'writeCommitted' }, () => this.#handleWriteCommitted())
+      .with({ type: 'writeCommitted' }, ({ era }) => this.#handleWriteCommitted(era))
       .with({ type: 'release' }, () => this.#handleRelease())
       .exhaustive()
   }
@@ -110,6 +114,7 @@
   #handleRowRead (snapshot: LeaseSnapshot): LeaseAction[] {
     const now = performance.now()
     this.#readMs = now - this.#calledAtMs
+    this.#minFencing = Math.max(this.#minFencing, computeMinFencing(snapshot.era))
     this.#resolvePendingWrite(snapshot.row)
     const { row } = snapshot
     const isOwn = row?.holder === this.#holder
@@ -145,8 +150,8 @@
 
   /** A renewal keeps the fencing token; an acquisition increments it, also when the last holder was this VM. */
   #buildRow (row: LeaseRow | null): LeaseRow {
-    const isRenewal = this.#held !== null && readElapsedMs() < this.#held.validUntilMs && row?.fencing === this.#held.fencing
-    const fencing = isRenewal ? row.fencing : this.#maxFencing + 1
+    const isRenewal = this.#held !== null && readElapsedMs() < this.#held.validUntilMs && row?.fencing === this.#held.fencing && row.fencing >= this.#minFencing
+    const fencing = isRenewal ? row.fencing : Math.max(this.#maxFencing, this.#minFencing) + 1
     return { holder: this.#holder, fencing, durationMs: this.#computeDurationMs(), nonce: '' }
   }
 
@@ -158,9 +163,11 @@
     return [{ type: 'write', version, row: value }]
   }
 
-  #handleWriteCommitted (): LeaseAction[] {
+  #handleWriteCommitted (era: number | null): LeaseAction[] {
+    this.#minFencing = Math.max(this.#minFencing, computeMinFencing(era))
     this.#resolvePendingWrite(this.#pending.at(-1)?.row ?? null)
-    return this.#finishCall(this.isHeld ? this.#options.intervalMs : 0)
+    const isCurrent = this.#held !== null && this.#held.fencing >= this.#minFencing
+    return this.#finishCall(isCurrent ? this.#options.intervalMs : 0)
   }
 
   /** A pending write whose nonce is in the row has been applied; the lease runs from when that write was sent. */
--- a/packages/knapweedshunt-fleet/src/leaseTask.ts
+++ b/packages/knapweedshunt-fleet/src/leaseTask.ts
@@ -1,6 +1,6 @@
 import type { Logger } from 'knapweedshunt-logger'
 import { LoggedRows, PlatformUnreachableError } from 'knapweedshunt-platform'
-import type { Platform, Row } from 'knapweedshunt-platform'
+import type { Platform, Row, RowWithEra } from 'knapweedshunt-platform'
 import type { FencingToken, Incarnation } from 'knapweedshunt-types'
 import { sleep } from 'knapweedshunt-utils'
 import { match } from 'ts-pattern'
@@ -92,13 +92,17 @@
 
   async #read (): Promise<LeaseEvent> {
     try {
-      const row = await this.#platform.read(LEASE_TABLE, this.#name)
-      return { type: 'rowRead', snapshot: { version: row?.version ?? 0, row: row === null ? null : readLeaseRow(row, this.#options.durationMs, reason => this.#recordUnreadable(row, reason)) } }
+      const { row, era } = await this.#readRow()
+      return { type: 'rowRead', snapshot: { era, version: row?.version ?? 0, row: row === null ? null : readLeaseRow(row, this.#options.durationMs, reason => this.#recordUnreadable(row, reason)) } }
     } catch {
       return { type: 'readFailed' }
     }
   }
 
+  async #readRow (): Promise<RowWithEra> {
+    return await this.#platform.readWithEra?.(LEASE_TABLE, this.#name) ?? { row: await this.#platform.read(LEASE_TABLE, this.#name), era: null }
+  }
+
   #recordUnreadable (row: Row, reason: string): void {
     if (this.#loggedRows.tryAdd(LEASE_TABLE, row)) this.#log.warn('Lease cannot be read; it is waited out.', { table: LEASE_TABLE, key: row.key, reason })
   }
@@ -109,7 +113,7 @@
         checks: [{ table: LEASE_TABLE, key: this.#name, version }],
         writes: [{ type: 'put', table: LEASE_TABLE, key: this.#name, value: row }]
       })
-      return { type: result.type === 'committed' ? 'writeCommitted' : 'writeConflicted' }
+      return result.type === 'committed' ? { type: 'writeCommitted', era: result.era ?? null } : { type: 'writeConflicted' }
     } catch (error) {
       return { type: error instanceof PlatformUnreachableError ? 'writeUnanswered' : 'writeConflicted' }
     }
--- a/packages/knapweedshunt-fleet/src/leaseTypes.ts
+++ b/packages/knapweedshunt-fleet/src/leaseTypes.ts
@@ -1,10 +1,11 @@
 import type { FencingToken } from 'knapweedshunt-types'
 import type { LeaseRow } from './leaseState.ts'
 
-/** A lease row as read: its table version (0 when absent) and value (null when absent). */
+/** A lease row as read: its table version (0 when absent), its value (null when absent), and the era of the store (null if it states none). */
 export interface LeaseSnapshot {
   version: number
   row: LeaseRow | null
+  era: number | null
 }
 
 /** Event that a contender handles. */
@@ -17,7 +18,8 @@
   | { type: 'rowRead', snapshot: LeaseSnapshot }
   /** A read failed or was not answered. */
   | { type: 'readFailed' }
-  | { type: 'writeCommitted' }
+  /** `era` is that of the store that applied the write; null if it states none. */
+  | { type: 'writeCommitted', era: number | null }
   /** Another write was applied first, or the platform refused the write. */
   | { type: 'writeConflicted' }
   /** No answer: the write may have been applied, or may still be. */
--- a/packages/knapweedshunt-platform/src/guardedPlatform.ts
+++ b/packages/knapweedshunt-platform/src/guardedPlatform.ts
@@ -4,7 +4,7 @@
 import type { BackoffOptions } from './backoff.ts'
 import { CircuitBreaker } from './circuitBreaker.ts'
 import type { CircuitBreakerOptions } from './circuitBreaker.ts'
-import type { Platform } from './platform.ts'
+import type { Platform, RowWithEra } from './platform.ts'
 import { PlatformError, PlatformUnreachableError, PlatformUnsentError } from './platformError.ts'
 import { TokenBucket } from './tokenBucket.ts'
 import type { TokenBucketOptions } from './tokenBucket.ts'
@@ -62,6 +62,7 @@
   }
 
   readonly read: Platform['read'] = (table, key) => this.#callWithRetries(() => this.#inner.read(table, key))
+  readonly readWithEra = (table: string, key: string): Promise<RowWithEra> => this.#callWithRetries(async () => await this.#inner.readWithEra?.(table, key) ?? { row: await this.#inner.read(table, key), era: null })
   readonly scan: Platform['scan'] = request => this.#callWithRetries(() => this.#inner.scan(request))
   readonly getObject: Platform['getObject'] = name => this.#callWithRetries(() => this.#inner.getObject(name))
   readonly listVms: Platform['listVms'] = () => this.#callWithRetries(() => this.#inner.listVms())
--- a/packages/knapweedshunt-platform/src/transaction.ts
+++ b/packages/knapweedshunt-platform/src/transaction.ts
@@ -20,6 +20,7 @@
 
 /** Result of a transaction that the platform answered. */
 export type TransactionResult =
-  | { type: 'committed' }
+  /** `era` is that of the store that applied the writes; absent or null from a store that states none. */
+  | { type: 'committed', era?: number | null }
   /** At least one check failed and no write took effect; `rows` are the present rows of the failed checks (version 0 if absent). */
   | { type: 'conflict', rows: Array<Row & { table: string }> }
