--- a/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
@@ -20,7 +20,7 @@
     const ended = new Promise<void>(resolve => { markEnded = resolve })
     const server = new CallerServer((_request, response) => {
       const callerResponse = new CallerResponse(response)
-      callerResponse.tryBegin({ status: 200, message: '', headers: ['Content-Length', String(BODY_BYTES)], isFramed: true, closesConnection: false })
+      callerResponse.tryBegin({ status: 200, message: '', headers: ['Content-Length', String(BODY_BYTES)], closesConnection: false })
       endResponse(callerResponse, Buffer.alloc(BODY_BYTES))
       markEnded()
     })
--- a/packages/knapweedshunt-gateway/src/flow/buildResponseStart.ts
+++ b/packages/knapweedshunt-gateway/src/flow/buildResponseStart.ts
@@ -14,13 +14,12 @@
   answer: RelayAnswer | null
 }
 
-/** Builds the head of the response to a caller from that of the endpoint's; it is delimited in the same way. */
+/** Builds the head of the response to a caller from that of the endpoint's. The length of a body that is not known yet is left out, however the endpoint delimits it. */
 export function buildResponseStart (response: http.IncomingMessage, { method, length, answer }: ResponseStartOptions): ResponseStart {
   const status = response.statusCode ?? 0
   const headers = filterEndToEndHeaders(response.rawHeaders)
   if (answer !== null) headers.push(...buildRelayAnswerHeaders(answer))
-  const isFramed = response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined
   const isBodiless = method === 'HEAD' || status === 204 || status === 304
-  if (isFramed && length !== null && !isBodiless) headers.push('Content-Length', String(length))
-  return { status, message: response.statusMessage ?? '', headers, isFramed, closesConnection: !isFramed }
+  if (length !== null && !isBodiless) headers.push('Content-Length', String(length))
+  return { status, message: response.statusMessage ?? '', headers, closesConnection: false }
 }
--- a/packages/knapweedshunt-gateway/src/shared/buildRouterResponse.ts
+++ b/packages/knapweedshunt-gateway/src/shared/buildRouterResponse.ts
@@ -8,5 +8,5 @@
 export function buildRouterResponse (requestId: string | null, { status, code, retryAfterMs, closesConnection }: RouterResponse, endpointPort: EndpointPort, answer: RelayAnswer | null): WholeResponse {
   const body = Buffer.from(JSON.stringify({ error: { code } }))
   const headers = [...endpointPort.buildRouterHeaders(requestId, retryAfterMs), ...(answer === null ? [] : buildRelayAnswerHeaders(answer)), 'Content-Type', 'application/json', 'Content-Length', String(body.length)]
-  return { start: { status, message: '', headers, isFramed: true, closesConnection }, body }
+  return { start: { status, message: '', headers, closesConnection }, body }
 }
--- a/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
+++ b/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
@@ -14,8 +14,8 @@
   readonly #socket: Socket | null
   readonly #leaveController = new AbortController()
   #phase: ResponsePhase = 'waiting'
-  /** Whether a length or chunks delimit the body, so that an early end of the connection shows that it is not complete. */
-  #isFramed = true
+  /** Whether only the end of the connection delimits the body, as the caller's protocol version has no chunks. */
+  #isEndedByClose = false
 
   constructor (response: http.ServerResponse) {
     this.#response = response
@@ -47,11 +47,11 @@
   }
 
   /** Writes the head; false if one was written before, the caller has left, or the head cannot be written. */
-  tryBegin ({ status, message, headers, isFramed, closesConnection }: ResponseStart): boolean {
+  tryBegin ({ status, message, headers, closesConnection }: ResponseStart): boolean {
     if (this.#phase !== 'waiting' || this.hasCallerLeft) return false
-    this.#isFramed = isFramed
-    if (!isFramed) this.#response.useChunkedEncodingByDefault = false
-    if (closesConnection) this.#response.shouldKeepAlive = false
+    // If this process is killed, the system closes the connection in the regular way; only chunks or a length show that the body is not complete.
+    this.#isEndedByClose = !this.#response.useChunkedEncodingByDefault && !headers.some((name, i) => i % 2 === 0 && name.toLowerCase() === 'content-length')
+    if (closesConnection || this.#isEndedByClose) this.#response.shouldKeepAlive = false
     this.#response.sendDate = false
     try {
       if (message === '') this.#response.writeHead(status, headers)
@@ -91,9 +91,9 @@
   abort (): void {
     if (this.#phase === 'ended') return
     this.#phase = 'ended'
-    // Without a length or chunks only a reset shows the caller that the response is not complete.
-    if (this.#isFramed) this.#response.destroy()
-    else this.#socket?.resetAndDestroy()
+    // Only a reset shows that a body which the end of the connection delimits is not complete.
+    if (this.#isEndedByClose) this.#socket?.resetAndDestroy()
+    else this.#response.destroy()
   }
 
   /** Waits until the caller has read what was written, or until the signal aborts; false if it has left. */
--- a/packages/knapweedshunt-gateway/src/shared/responseStart.ts
+++ b/packages/knapweedshunt-gateway/src/shared/responseStart.ts
@@ -5,8 +5,6 @@
   message: string
   /** Flat list of names and values. */
   headers: string[]
-  /** Whether a length or chunks delimit the body, rather than the end of the connection. */
-  isFramed: boolean
   /** Whether the connection is closed after the response. */
   closesConnection: boolean
 }
