--- a/packages/knapweedshunt-gateway/src/endpoints/endpointAgent.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointAgent.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { CarriedIds } from './carriedIds.ts'
+import { parseIdleTimeoutMs } from './parseIdleTimeoutMs.ts'
 
 /** Idle timeout of a connection whose endpoint advertises none, in milliseconds; short, as the endpoint may close it at any time. */
 const DEFAULT_IDLE_TIMEOUT_MS = 600
@@ -9,7 +10,8 @@
 /** Fraction of the endpoint's advertised idle timeout during which a connection is reused; the rest covers network latency and late timers. */
 const IDLE_TIMEOUT_SHARE = 0.6
 
-const MS_PER_SECOND = 1_000
+/** Delay of the operating system's keep-alive probes, in milliseconds. */
+const PROBE_DELAY_MS = 1_000
 
 /** Pools connections to endpoints: closes idle ones before the endpoint does, and any on which unsolicited bytes arrive. An id is sent once on each connection. */
 export class EndpointAgent extends http.Agent {
@@ -31,11 +33,11 @@
 
   /** Called by Node.js when a connection becomes idle. */
   override keepSocketAlive (socket: Duplex & { _httpMessage?: { res?: http.IncomingMessage } }): boolean {
-    const advertisedS = /timeout=(\d+)/.exec(String(socket._httpMessage?.res?.headers['keep-alive'] ?? ''))?.[1]
-    const idleTimeoutMs = advertisedS === undefined ? DEFAULT_IDLE_TIMEOUT_MS : Number(advertisedS) * MS_PER_SECOND * IDLE_TIMEOUT_SHARE
+    const advertisedMs = parseIdleTimeoutMs(String(socket._httpMessage?.res?.headers['keep-alive'] ?? ''))
+    const idleTimeoutMs = advertisedMs === null ? DEFAULT_IDLE_TIMEOUT_MS : advertisedMs * IDLE_TIMEOUT_SHARE
     const tcp = socket as Socket
     if (idleTimeoutMs <= 0 || this.#carriedIds.isFull(tcp)) return false
-    tcp.setKeepAlive(true, MS_PER_SECOND)
+    tcp.setKeepAlive(true, PROBE_DELAY_MS)
     tcp.setTimeout(idleTimeoutMs)
     tcp.on('timeout', destroyIdleSocket)
     tcp.on('data', destroyIdleSocket)
