--- a/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
@@ -135,14 +135,14 @@
     }
     for (const chunk of firstChunks) this.#callerResponse.write(chunk)
     const relay = new StreamRelay(this.#callerResponse, false, null)
-    const result = await relay.forward(response, { stallTimeoutMs: null, onStalled: () => {}, onChunk: () => {}, onNewEvents: () => {}, onFirstEvent: () => {} })
+    const result = await relay.forward(response, { stallTimeoutMs: null, onStalled: () => {}, onChunk: () => {}, onNewEvents: () => {}, onHeldTooMuch: () => {}, onFirstEvent: () => {} })
     attemptRunner.finish(runningAttempt)
     if (result.type === 'callerLeft') {
       if (!finalResponse.isSettled) finalResponse.handleCallerLeft(true)
       return DONE
     }
     if (result.type !== 'complete') {
-      const reason = result.type === 'cut' ? result.reason : result.type
+      const reason = result.type === 'superseded' ? result.type : result.reason
       reporter.recordObservation(runningAttempt, HEALTH_OBSERVATION.failed, reason)
       reporter.recordCrash(runningAttempt, LOSS_REASON.cut)
       recorder.recordAttemptEnded(runningAttempt, LOSS_REASON.cut, reason, false)
--- a/packages/knapweedshunt-gateway/src/flow/streamForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamForwarder.ts
@@ -70,10 +70,11 @@
       onStalled: () => this.#parts.runGuarded(() => this.#startSuccessor(runningAttempt, LOSS_REASON.silent)),
       onChunk: () => reporter.recordReceivedBytes(runningAttempt),
       onNewEvents: () => this.#handleNewEvents(),
+      onHeldTooMuch: () => this.#parts.runGuarded(() => this.#endSuccessor(runningAttempt)),
       onFirstEvent: () => this.#bindVersion(runningAttempt)
     })
     this.#streaming = null
-    if (result.type === 'superseded' || result.type === 'cut') return await this.#handleInterrupted(runningAttempt, result)
+    if (result.type === 'superseded' || result.type === 'cut' || result.type === 'garbled') return await this.#handleInterrupted(runningAttempt, result)
     this.#endSuccessor(runningAttempt)
     if (finalResponse.isSettled || result.type === 'callerLeft') {
       runningAttempt.attempt.cancel(LOSS_REASON.cancelled)
@@ -152,9 +153,10 @@
     const { attemptRunner, permits, recorder, reporter, finalResponse } = this.#parts
     const successor = this.#successor
     clearTimeout(this.#holdTimer)
-    const reason = result.type === 'cut' ? result.reason : 'another endpoint goes on with the stream'
-    if (result.type === 'cut' && !finalResponse.isSettled) {
-      reporter.recordCrash(runningAttempt, LOSS_REASON.cut)
+    const loss = result.type === 'garbled' ? LOSS_REASON.garbled : LOSS_REASON.cut
+    const reason = result.type === 'cut' || result.type === 'garbled' ? result.reason : 'another endpoint goes on with the stream'
+    if (result.type !== 'superseded' && !finalResponse.isSettled) {
+      if (result.type === 'cut') reporter.recordCrash(runningAttempt, LOSS_REASON.cut)
       reporter.recordObservation(runningAttempt, HEALTH_OBSERVATION.failed, reason)
     }
     if (result.type === 'superseded' && successor?.cause === LOSS_REASON.silent) {
@@ -168,13 +170,13 @@
     if (finalResponse.isSettled) return DONE
     if (succession?.type === 'taken') {
       this.#relay.supersede()
-      recorder.recordAttemptEnded(runningAttempt, result.type === 'cut' ? LOSS_REASON.cut : successor?.cause ?? LOSS_REASON.silent, reason, true)
+      recorder.recordAttemptEnded(runningAttempt, result.type === 'superseded' ? successor?.cause ?? LOSS_REASON.silent : loss, reason, true)
       this.#recordResumed(runningAttempt)
       return { type: 'handedOver', taken: succession }
     }
     this.#relay.release()
     const isRetried = this.#isResumable && permits.tryTake(false)
-    recorder.recordAttemptEnded(runningAttempt, LOSS_REASON.cut, reason, isRetried)
+    recorder.recordAttemptEnded(runningAttempt, loss, reason, isRetried)
     if (!isRetried) {
       finalResponse.abortResponse(reason)
       return DONE
--- a/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
@@ -1,15 +1,20 @@
 import type http from 'node:http'
 import type { CallerResponse } from '../shared/callerResponse.ts'
 import { EventEndTracker } from './eventEndTracker.ts'
-import { EventSplitter } from './eventSplitter.ts'
+import { EVENT_TOO_LONG, EventSplitter, MAX_EVENT_BYTES } from './eventSplitter.ts'
 import type { StreamEvent } from './eventSplitter.ts'
 import { isEventStream } from './isEventStream.ts'
 
+/** Bytes that it takes to hold back one event, besides its own. */
+const HELD_EVENT_OVERHEAD_BYTES = 200
+
 /** Result of forwarding the stream of one endpoint. */
 export type RelayResult =
   | { type: 'complete' }
   /** The connection was closed early. */
   | { type: 'cut', reason: string }
+  /** The bytes are no event stream. */
+  | { type: 'garbled', reason: string }
   /** Another endpoint has taken over. */
   | { type: 'superseded' }
   | { type: 'callerLeft' }
@@ -24,6 +29,8 @@
   onChunk (): void
   /** Called for events that the caller does not have yet. */
   onNewEvents (): void
+  /** Called when more events are held back than should be; they are kept until they are released. */
+  onHeldTooMuch (): void
   /** Called before the first event of a resumable stream is forwarded. */
   onFirstEvent (): void
 }
@@ -42,7 +49,9 @@
   #isSuperseded = false
   /** Events held back, in order; null while events are forwarded as they arrive. */
   #heldEvents: StreamEvent[] | null = null
+  #heldBytes = 0
   #onFirstEvent: () => void = () => {}
+  #onHeldTooMuch: () => void = () => {}
   /** Ends the wait for a caller that does not read. */
   #drainWait = new AbortController()
 
@@ -72,6 +81,11 @@
     return this.#lastWriteAtMs
   }
 
+  /** Bytes of the events that are held back, with what it takes to hold them. */
+  get heldBytes (): number {
+    return this.#heldBytes
+  }
+
   /** Longest time between two writes to the caller, in milliseconds. */
   get longestPauseMs (): number {
     return this.#longestPauseMs
@@ -85,6 +99,7 @@
     this.#response = response
     this.#isSuperseded = false
     this.#onFirstEvent = options.onFirstEvent
+    this.#onHeldTooMuch = options.onHeldTooMuch
     const restartStallTimer = () => {
       clearTimeout(stallTimer)
       if (options.stallTimeoutMs !== null) stallTimer = setTimeout(handleStall, options.stallTimeoutMs)
@@ -100,6 +115,7 @@
         if (this.#callerResponse.hasCallerLeft) return { type: 'callerLeft' }
         endTracker.addChunk(chunk)
         const events = this.#isResumable ? splitter.addChunk(chunk) : null
+        if (splitter.isTooLong) return { type: 'garbled', reason: EVENT_TOO_LONG }
         // Bytes that complete no event are no progress.
         if (events === null || events.length > 0) restartStallTimer()
         if (events?.some(event => this.#isNewEvent(event))) options.onNewEvents()
@@ -135,6 +151,7 @@
   release (): void {
     const events = this.#heldEvents
     this.#heldEvents = null
+    this.#heldBytes = 0
     if (events !== null && !this.#callerResponse.hasCallerLeft) this.#writeEvents(events)
   }
 
@@ -142,6 +159,7 @@
   supersede (): void {
     this.#isSuperseded = true
     this.#heldEvents = null
+    this.#heldBytes = 0
     this.#response?.destroy()
     this.#drainWait.abort()
   }
@@ -150,7 +168,11 @@
   #writeOrHold (chunk: Buffer, events: StreamEvent[] | null): boolean {
     if (events === null) return this.#write(chunk)
     if (this.#heldEvents === null) return this.#writeEvents(events)
-    this.#heldEvents.push(...events)
+    for (const event of events) {
+      this.#heldEvents.push(event)
+      this.#heldBytes += event.bytes.length + HELD_EVENT_OVERHEAD_BYTES
+    }
+    if (this.#heldBytes > MAX_EVENT_BYTES) this.#onHeldTooMuch()
     return true
   }
 
--- a/packages/knapweedshunt-gateway/src/flow/successor.ts
+++ b/packages/knapweedshunt-gateway/src/flow/successor.ts
@@ -1,6 +1,7 @@
 import { match } from 'ts-pattern'
 import { LOSS_REASON } from '../endpoints/attemptOutcome.ts'
 import { HEALTH_OBSERVATION } from '../endpoints/endpointHealth.ts'
+import { EVENT_TOO_LONG } from './eventSplitter.ts'
 import { describeFailedOutcome, recordFailedOutcome } from './failedOutcome.ts'
 import type { AttemptEndParts, FailedOutcome } from './failedOutcome.ts'
 import type { FlowDependencies } from './flowDependencies.ts'
@@ -108,9 +109,13 @@
     }
     const { isStream } = this.#plan.route
     const body = isStream ? null : await readResponseBody(outcome.response)
-    const isLost = isStream ? !await waitForFirstEvent(outcome.response) : body?.type === 'cut'
+    const firstEvent = isStream ? await waitForFirstEvent(outcome.response) : null
     if (this.#hasEnded) return { type: 'failed', reason: 'not needed any more' }
-    if (!isLost) return { type: 'taken', runningAttempt, outcome, body }
+    if (firstEvent === 'tooLong') {
+      runningAttempt.attempt.cancel(LOSS_REASON.garbled)
+      return this.#recordFailed(runningAttempt, { type: 'lost', loss: LOSS_REASON.garbled, reason: EVENT_TOO_LONG })
+    }
+    if (firstEvent !== 'lost' && body?.type !== 'cut') return { type: 'taken', runningAttempt, outcome, body }
     return this.#recordFailed(runningAttempt, { type: 'lost', loss: LOSS_REASON.cut, reason: isStream ? 'ended before its first event' : 'cut before its body was complete' })
   }
 
--- a/packages/knapweedshunt-gateway/src/flow/waitForFirstEvent.ts
+++ b/packages/knapweedshunt-gateway/src/flow/waitForFirstEvent.ts
@@ -1,26 +1,31 @@
 import type http from 'node:http'
 import { EventSplitter } from './eventSplitter.ts'
 
-/** Waits until the first event of a stream is complete, or the stream has ended without any; false if it was lost before. The bytes read are put back into the response. */
-export function waitForFirstEvent (response: http.IncomingMessage): Promise<boolean> {
-  if (response.destroyed) return Promise.resolve(false)
+/** How the wait for the first event of a stream ended: `arrived` also if the stream has ended as a whole without any event, `lost` if it was cut before, `tooLong` if the event exceeds the limit of {@link EventSplitter}. */
+export type FirstEventResult = 'arrived' | 'lost' | 'tooLong'
+
+/** Waits until the first event of a stream is complete. The bytes read are put back into the response if it has arrived. */
+export function waitForFirstEvent (response: http.IncomingMessage): Promise<FirstEventResult> {
+  if (response.destroyed) return Promise.resolve('lost')
   return new Promise(resolve => {
     const splitter = new EventSplitter()
-    const chunks: Buffer[] = []
-    const settle = (hasEvent: boolean) => {
+    const settle = (result: FirstEventResult) => {
       response.removeListener('readable', onReadable)
       response.removeListener('end', onEnd)
       response.removeListener('close', onEnd)
-      if (hasEvent && chunks.length > 0) response.unshift(Buffer.concat(chunks))
-      resolve(hasEvent)
+      resolve(result)
     }
     const onReadable = () => {
       for (let chunk = response.read() as Buffer | null; chunk !== null; chunk = response.read() as Buffer | null) {
-        chunks.push(chunk)
-        if (splitter.addChunk(chunk).length > 0) return settle(true)
+        const { incompleteEvent } = splitter
+        if (splitter.addChunk(chunk).length > 0) {
+          settle('arrived')
+          return response.unshift(Buffer.concat([incompleteEvent, chunk]))
+        }
+        if (splitter.isTooLong) return settle('tooLong')
       }
     }
-    const onEnd = () => settle(chunks.length === 0 && response.complete)
+    const onEnd = () => settle(splitter.incompleteEvent.length === 0 && response.complete ? 'arrived' : 'lost')
     response.on('readable', onReadable)
     response.once('end', onEnd)
     response.once('close', onEnd)
