--- a/packages/knapweedshunt-platform/src/createPlatformClient.ts
+++ b/packages/knapweedshunt-platform/src/createPlatformClient.ts
@@ -18,6 +18,9 @@
 /** Default timeout of one HTTP call to the platform, in milliseconds. */
 export const DEFAULT_PLATFORM_TIMEOUT_MS = 2_000
 
+/** Size of a response, in bytes: a scan returns whole tables. */
+const MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+
 const FIRST_SERVER_ERROR = 500
 const FIRST_CLIENT_ERROR = 400
 
@@ -27,7 +30,7 @@
   async function call (method: JsonRequest['method'], path: string, body?: unknown): Promise<JsonResponse> {
     let answer: JsonResponse
     try {
-      answer = await requestJson({ method, url: options.url + path, body, timeoutMs: options.timeoutMs, agent })
+      answer = await requestJson({ method, url: options.url + path, body, timeoutMs: options.timeoutMs, agent, maxResponseBytes: MAX_RESPONSE_BYTES })
     } catch (cause) {
       throw new PlatformUnreachableError('Platform call failed without an HTTP answer.', { cause })
     }
--- a/packages/knapweedshunt-rpc/src/rpcClient.ts
+++ b/packages/knapweedshunt-rpc/src/rpcClient.ts
@@ -4,6 +4,9 @@
 import { RpcError } from './rpcError.ts'
 import { RPC_PATH } from './rpcServer.ts'
 
+/** Size of a response, in bytes: a snapshot of all resources, or whole tables. */
+const MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+
 /** Options of {@link createRpcClient}. */
 export interface RpcClientOptions {
   /** Base URL of the peer, without {@link RPC_PATH}. */
@@ -24,7 +27,7 @@
   const agent = new http.Agent({ keepAlive: true })
   const headers = { authorization: `Bearer ${options.sharedKey}` }
   const client: JSONRPCClient = new JSONRPCClient(async request => {
-    const response = await requestJson({ method: 'POST', url: options.url + RPC_PATH, body: request, headers, timeoutMs: options.timeoutMs, agent })
+    const response = await requestJson({ method: 'POST', url: options.url + RPC_PATH, body: request, headers, timeoutMs: options.timeoutMs, agent, maxResponseBytes: MAX_RESPONSE_BYTES })
     if (response.status === 200) client.receive(response.body as never)
     else if (response.status !== 204) throw new RpcError(`Peer responded with HTTP status ${response.status}.`)
   })
--- a/packages/knapweedshunt-utils/src/requestJson.ts
+++ b/packages/knapweedshunt-utils/src/requestJson.ts
@@ -13,7 +13,7 @@
   timeoutMs: number
   signal?: AbortSignal
   agent?: http.Agent
-  /** Size above which the response is given up, in bytes; 64 MiB if not set. */
+  /** Size above which the response is given up, in bytes; {@link DEFAULT_MAX_RESPONSE_BYTES} if not set. */
   maxResponseBytes?: number
 }
 
@@ -24,7 +24,8 @@
   body: unknown
 }
 
-const MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+/** Default for the size of a response, in bytes: that of a report or an answer to a command. */
+const DEFAULT_MAX_RESPONSE_BYTES = 256 * 1024
 
 /** Sends the request and reads the response. Throws HttpError on timeout, abort or connection failure, and if the response is too large, truncated or not JSON; HTTP error statuses are returned. */
 export async function requestJson (call: JsonRequest): Promise<JsonResponse> {
@@ -34,7 +35,7 @@
   const signal = AbortSignal.any(signals)
   try {
     const message = await sendRequest(call, bodyText, signal)
-    const responseText = await readBody(message, call.maxResponseBytes ?? MAX_RESPONSE_BYTES)
+    const responseText = await readBody(message, call.maxResponseBytes ?? DEFAULT_MAX_RESPONSE_BYTES)
     return { status: message.statusCode ?? 0, headers: message.headers, body: responseText === '' ? undefined : parseJson(responseText) }
   } catch (cause) {
     throw new HttpError(`${call.method} ${call.url} failed.`, { cause })
