--- a/packages/knapweedshunt-settings/src/createCommand.ts
+++ b/packages/knapweedshunt-settings/src/createCommand.ts
@@ -11,7 +11,7 @@
 
 const EXIT_CODE_FAILURE = 1
 
-/** Creates the command that runs a program. SIGINT and SIGTERM abort its signal. Exit codes: 0 on completion, 2 on invalid settings, 1 on any other error. */
+/** Creates the command that runs a program. SIGINT and SIGTERM abort its signal; a second SIGINT ends the process at once. Exit codes: 0 on completion, 2 on invalid settings, 1 on any other error. */
 export function createCommand<T extends SettingTable> (program: Program<T>): CommandDef {
   return defineCommand({
     meta: { name: program.name, description: program.description },
@@ -24,7 +24,7 @@
   const controller = new AbortController()
   const abort = () => controller.abort()
   process.once('SIGINT', abort)
-  process.once('SIGTERM', abort)
+  process.on('SIGTERM', abort) // A repeated one must not end the process while it finishes its work.
   try {
     await program.run(readSettings(program.settings, args, process.env), controller.signal)
     process.exitCode = 0
