A stream without a length does not end as complete because its endpoint's process ended

When such a stream has ended, the VM connects to the endpoint once more. If that is refused, the stream counts as cut: a resumable one goes on at another endpoint, any other is broken off.

--- a/packages/knapweedshunt-gateway/src/flow/streamForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamForwarder.ts
@@ -1,6 +1,7 @@
 import type http from 'node:http'
 import { LOSS_REASON } from '../endpoints/attemptOutcome.ts'
 import { HEALTH_OBSERVATION } from '../endpoints/endpointHealth.ts'
+import { isConnectionRefused } from '../endpoints/isConnectionRefused.ts'
 import { REPEATABILITY } from '../ports/gatewayConfig.ts'
 import type { CallerResponse } from '../shared/callerResponse.ts'
 import type { FlowDependencies } from './flowDependencies.ts'
@@ -23,6 +24,9 @@
 /** Longest time for which events are held back while another endpoint is asked for the rest of the stream, as a share of the pause objective. */
 const MAX_HOLD_PAUSE_SHARE = 0.75
 
+/** Timeout of the check whether an endpoint still listens, in milliseconds; the network round trip takes one or two. */
+const END_CHECK_TIMEOUT_MS = 100
+
 /** Pause objective of a stream whose route sets none, in milliseconds. */
 const DEFAULT_PAUSE_OBJECTIVE_MS = 500
 
@@ -65,7 +69,7 @@
     reporter.recordPromptComputed(runningAttempt)
     const stallFactor = runningAttempt.target.type === 'endpoint' ? STALL_TIMEOUT_PAUSE_FACTOR : RELAY_TIMEOUT_PAUSE_FACTOR
     this.#streaming = runningAttempt
-    const result = await this.#relay.forward(response, {
+    const relayed = await this.#relay.forward(response, {
       stallTimeoutMs: this.#isResumable ? this.#pauseObjectiveMs * stallFactor : null,
       onStalled: () => this.#parts.runGuarded(() => this.#startSuccessor(runningAttempt, LOSS_REASON.silent)),
       onChunk: () => reporter.recordReceivedBytes(runningAttempt),
@@ -74,6 +78,7 @@
       onFirstEvent: () => this.#bindVersion(runningAttempt)
     })
     this.#streaming = null
+    const result = await this.#checkEnd(runningAttempt, response, relayed)
     if (result.type === 'superseded' || result.type === 'cut' || result.type === 'garbled') return await this.#handleInterrupted(runningAttempt, result)
     this.#endSuccessor(runningAttempt)
     if (finalResponse.isSettled || result.type === 'callerLeft') {
@@ -89,6 +94,14 @@
     return DONE
   }
 
+  /** A stream that the end of its connection delimits also ends so if the process of its endpoint ends; nothing listens there then. */
+  async #checkEnd ({ target }: RunningAttempt, { headers }: http.IncomingMessage, result: RelayResult): Promise<RelayResult> {
+    const isDelimited = headers['transfer-encoding'] !== undefined || headers['content-length'] !== undefined
+    if (result.type !== 'complete' || isDelimited || target.type !== 'endpoint') return result
+    const hasEnded = await isConnectionRefused(target.record.entry.address, END_CHECK_TIMEOUT_MS)
+    return hasEnded ? { type: 'cut', reason: 'ended with the process of its endpoint, which refuses connections' } : result
+  }
+
   get #isResumable (): boolean {
     return this.#plan.route.repeatability === REPEATABILITY.resumed
   }
