--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -1,7 +1,7 @@
 import { setMaxListeners } from 'node:events'
 import { RunTimes } from 'knapweedshunt-admission'
 import { DEFAULT_WAVE_OPTIONS, WaveTask } from 'knapweedshunt-fleet'
-import { createIncarnation, createRng, runEvery, sleep } from 'knapweedshunt-utils'
+import { createIncarnation, createRng, runEvery, waitForAbort } from 'knapweedshunt-utils'
 import { CallerRequestHandler } from './callers/callerRequestHandler.ts'
 import { CallerServer } from './callers/callerServer.ts'
 import { drainCallers } from './callers/drainCallers.ts'
@@ -306,7 +306,7 @@
         this.#endpointLimits.update(performance.now() - (this.#followers.roster.ageMs ?? Infinity))
       })
     ]
-    await sleep(2 ** 30, signal)
+    await waitForAbort(signal)
     this.#isStopping = true
     this.#decisionLog.record({ type: 'stopping', vm: this.#settings.vm, inFlight: this.#requestHandler.inFlight })
     await drainCallers(this.#callerServer, this.#requestHandler, this.#stopWindow, this.#settings.drainGraceMs)
