Events up to 1 MiB are served; long events of all streams share 16 MiB

An event may have 1 MiB, as in the product's own router. So that many of them do not exceed a VM's memory, buffers above 64 KiB are taken from 16 MiB for all streams; a stream that finds none there ends as garbled.

--- a/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
@@ -20,6 +20,7 @@
 import type { WeightsReplacement } from '../weights/weightsState.ts'
 import type { CrashedAttempt } from './crashedAttempt.ts'
 import type { KeyRefusal } from './keyRefusal.ts'
+import type { EventMemory } from './eventMemory.ts'
 import type { PermitQueue } from './permitQueue.ts'
 import type { PoolOverload } from './poolOverload.ts'
 import type { RequestPlan } from './requestPlan.ts'
@@ -38,6 +39,7 @@
   endpointLimits: EndpointLimits
   endpointPermits: EndpointPermits
   permitQueue: PermitQueue
+  eventMemory: EventMemory
   streamOrigins: StreamOrigins
   relays: EndpointRelays<PeerView>
   /** Run times of this VM's requests, by route. */
--- a/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
@@ -29,12 +29,14 @@
 
 /** Forwards the responses of endpoints to the caller of one request. */
 export class ResponseForwarder {
+  readonly #dependencies: FlowDependencies
   readonly #plan: RequestPlan
   readonly #callerResponse: CallerResponse
   readonly #parts: SuccessorParts
   readonly #streamForwarder: StreamForwarder
 
   constructor (dependencies: FlowDependencies, plan: RequestPlan, callerResponse: CallerResponse, parts: SuccessorParts) {
+    this.#dependencies = dependencies
     this.#plan = plan
     this.#callerResponse = callerResponse
     this.#parts = parts
@@ -134,7 +136,7 @@
       return DONE
     }
     for (const chunk of firstChunks) this.#callerResponse.write(chunk)
-    const relay = new StreamRelay(this.#callerResponse, false, null)
+    const relay = new StreamRelay(this.#callerResponse, false, null, this.#dependencies.eventMemory)
     const result = await relay.forward(response, { stallTimeoutMs: null, onStalled: () => {}, onChunk: () => {}, onNewEvents: () => {}, onHeldTooMuch: () => {}, onFirstEvent: () => {} })
     attemptRunner.finish(runningAttempt)
     if (result.type === 'callerLeft') {
--- a/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
@@ -1,10 +1,14 @@
 import type http from 'node:http'
 import type { CallerResponse } from '../shared/callerResponse.ts'
 import { EventEndTracker } from './eventEndTracker.ts'
-import { EVENT_TOO_LONG, EventSplitter, MAX_EVENT_BYTES } from './eventSplitter.ts'
+import type { EventMemory } from './eventMemory.ts'
+import { EVENT_TOO_LONG, EventSplitter } from './eventSplitter.ts'
 import type { StreamEvent } from './eventSplitter.ts'
 import { isEventStream } from './isEventStream.ts'
 
+/** Bytes of events that are held back, beyond which that should end. */
+export const MAX_HELD_BYTES = 128 * 1024
+
 /** Bytes that it takes to hold back one event, besides its own. */
 const HELD_EVENT_OVERHEAD_BYTES = 200
 
@@ -39,6 +43,7 @@
 export class StreamRelay {
   readonly #callerResponse: CallerResponse
   readonly #isResumable: boolean
+  readonly #memory: EventMemory
   #lastEventId: string | null
   #bytes = 0
   #firstWriteAtMs: number | null = null
@@ -55,8 +60,9 @@
   /** Ends the wait for a caller that does not read. */
   #drainWait = new AbortController()
 
-  constructor (callerResponse: CallerResponse, isResumable: boolean, lastEventId: string | null) {
+  constructor (callerResponse: CallerResponse, isResumable: boolean, lastEventId: string | null, memory: EventMemory) {
     this.#callerResponse = callerResponse
+    this.#memory = memory
     this.#isResumable = isResumable
     this.#lastEventId = lastEventId
   }
@@ -93,7 +99,15 @@
 
   /** Forwards the stream of one endpoint. Of a resumable stream only complete events are forwarded, each at most once. */
   async forward (response: http.IncomingMessage, options: RelayOptions): Promise<RelayResult> {
-    const splitter = new EventSplitter()
+    const splitter = new EventSplitter(this.#memory)
+    try {
+      return await this.#forwardEvents(response, splitter, options)
+    } finally {
+      splitter.release()
+    }
+  }
+
+  async #forwardEvents (response: http.IncomingMessage, splitter: EventSplitter, options: RelayOptions): Promise<RelayResult> {
     const endTracker = new EventEndTracker()
     let stallTimer: NodeJS.Timeout | undefined
     this.#response = response
@@ -172,7 +186,7 @@
       this.#heldEvents.push(event)
       this.#heldBytes += event.bytes.length + HELD_EVENT_OVERHEAD_BYTES
     }
-    if (this.#heldBytes > MAX_EVENT_BYTES) this.#onHeldTooMuch()
+    if (this.#heldBytes > MAX_HELD_BYTES) this.#onHeldTooMuch()
     return true
   }
 
--- a/packages/knapweedshunt-gateway/src/flow/successor.ts
+++ b/packages/knapweedshunt-gateway/src/flow/successor.ts
@@ -109,7 +109,7 @@
     }
     const { isStream } = this.#plan.route
     const body = isStream ? null : await readResponseBody(outcome.response)
-    const firstEvent = isStream ? await waitForFirstEvent(outcome.response) : null
+    const firstEvent = isStream ? await waitForFirstEvent(outcome.response, this.#dependencies.eventMemory) : null
     if (this.#hasEnded) return { type: 'failed', reason: 'not needed any more' }
     if (firstEvent === 'tooLong') {
       runningAttempt.attempt.cancel(LOSS_REASON.garbled)
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -29,6 +29,7 @@
 import { CallerAuthenticator } from './flow/callerAuthenticator.ts'
 import type { CrashedAttempt } from './flow/crashedAttempt.ts'
 import type { FlowDependencies } from './flow/flowDependencies.ts'
+import { EventMemory } from './flow/eventMemory.ts'
 import { PermitQueue } from './flow/permitQueue.ts'
 import { PoolOverload } from './flow/poolOverload.ts'
 import { PeerClients } from './peers/peerClients.ts'
@@ -333,6 +334,7 @@
       endpointLimits: this.#endpointLimits,
       endpointPermits: this.#endpointPermits,
       permitQueue: new PermitQueue(),
+      eventMemory: new EventMemory(),
       streamOrigins: this.#peerServices.streamOrigins,
       relays: this.#peerServices.relays,
       runTimes: this.#runTimes,
