Log and metrics tell how the connection of a body without a length ended

The log line of an answered request could not tell the hypotheses on MIXED apart: connection reset right behind the last bytes, endpoint's process ended (closed), or a body that the VM itself cut. Its field bodyEnd, and knapweedshunt_body_ends_total, say now what delimited the body: framed, closed or reset. No change of logic.

Node.js reports a regular end of the connection if a reset is polled together with the last bytes; the address of the peer is gone then, and an empty write returns ECONNRESET, or EPIPE if the peer had closed before it reset.

--- a/packages/knapweedshunt-gateway/src/__tests__/records.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/records.test.ts
@@ -12,7 +12,7 @@
   return { lines, log: { debug: write, info: write, warn: write, error: write } }
 }
 
-const ANSWERED = { type: 'answered', requestId: 'r', route: 'x', organisation: 'o', endpoint: 'e', relayVm: '', status: 200, attempts: 1, firstByteMs: 5, longestPauseMs: 0, totalMs: 9, bytes: 1 } as const
+const ANSWERED = { type: 'answered', requestId: 'r', route: 'x', organisation: 'o', endpoint: 'e', relayVm: '', status: 200, attempts: 1, firstByteMs: 5, longestPauseMs: 0, totalMs: 9, bytes: 1, bodyEnd: 'framed' } as const
 
 test.serial('log lines of a kind are rate limited: failures before routine lines, and the omitted ones are counted', t => {
   const clock = install()
--- a/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
@@ -1,5 +1,7 @@
 import http from 'node:http'
 import type { Readable } from 'node:stream'
+import { watchBodyEnd } from 'knapweedshunt-utils'
+import type { ConnectionEnd } from 'knapweedshunt-utils'
 import { decodeRelayAnswer } from '../peers/relayHeaders.ts'
 import type { RelayAnswer } from '../peers/relayAnswer.ts'
 import type { EndpointPort } from '../ports/endpointPort.ts'
@@ -43,6 +45,7 @@
   #request: http.ClientRequest | null = null
   #isConnected = false
   #response: http.IncomingMessage | null = null
+  #connectionEnd: ConnectionEnd | null = null
   #loss: LossReason | null = null
   #settle: (outcome: AttemptOutcome) => void = () => {}
   #connectTimer: NodeJS.Timeout | undefined
@@ -64,6 +67,11 @@
     return this.#response !== null
   }
 
+  /** How the connection of a body ended that only this end delimits; null for any other body, and before. */
+  get connectionEnd (): ConnectionEnd | null {
+    return this.#connectionEnd
+  }
+
   /** Aborts the attempt and closes its connection; the first reason given is the one reported. */
   cancel (loss: LossReason): void {
     this.#loss ??= loss
@@ -120,6 +128,7 @@
     this.#response = response
     const head = this.#endpointPort.decodeResponseHead(response.headers)
     const status = response.statusCode ?? 0
+    watchBodyEnd(response, end => { this.#connectionEnd = end })
     response.on('error', () => {}) // The reader of the body handles the error itself.
     if (head.requestId !== null && head.requestId !== this.#call.requestId) return this.#rejectResponse(`response carries the id of another request: ${head.requestId}`)
     // What arrives on a connection that served another request before may be a late copy of that request's response.
--- a/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
@@ -195,8 +195,10 @@
     const organisation = identity?.organisation ?? ''
     const totalMs = this.getAgeMs()
     if (status < MIN_SERVER_ERROR_STATUS) this.#reporter.recordSuccess(runningAttempt, status)
+    const bodyEnd = runningAttempt.attempt.connectionEnd ?? 'framed'
+    this.#dependencies.metrics.recordBodyEnd(bodyEnd)
     this.#dependencies.metrics.recordResponse({ route: route.name, organisation, priority: String(identity?.priority ?? route.priority) }, firstByteMs, totalMs)
-    this.#dependencies.decisionLog.record({ type: 'answered', requestId: call.requestId, route: route.name, organisation, endpoint: runningAttempt.endpoint, relayVm: getRelayVm(runningAttempt), status, attempts: runningAttempt.attemptNumber, firstByteMs: Math.round(firstByteMs), longestPauseMs: Math.round(longestPauseMs), totalMs, bytes })
+    this.#dependencies.decisionLog.record({ type: 'answered', requestId: call.requestId, route: route.name, organisation, endpoint: runningAttempt.endpoint, relayVm: getRelayVm(runningAttempt), status, attempts: runningAttempt.attemptNumber, firstByteMs: Math.round(firstByteMs), longestPauseMs: Math.round(longestPauseMs), totalMs, bytes, bodyEnd })
   }
 }
 
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -1,6 +1,7 @@
 import type { QuarantineTarget, SuspectMark } from 'knapweedshunt-attempts'
 import type { WaveDecision } from 'knapweedshunt-fleet'
 import type { LossReason } from '../endpoints/attemptOutcome.ts'
+import type { ConnectionEnd } from 'knapweedshunt-utils'
 import type { EndpointName, OrganisationName, PoolName, RequestId, VmId } from 'knapweedshunt-types'
 
 /** Reason why a request was refused. The values are sent to callers, logged and used as a metric label. */
@@ -12,6 +13,9 @@
 /** How far a request has got: between two attempts, or in one that has no connection yet, no response, or the head of one. */
 export type RequestState = 'choosing' | 'connecting' | 'silent' | 'answering'
 
+/** What delimited the body of a response: its length or chunks, or the end of its connection. */
+export type BodyEnd = 'framed' | ConnectionEnd
+
 /** A decision about one request; times in milliseconds. */
 export type RequestDecision =
   /** Sent to an endpoint; of a resumed stream `firstRequestId` names the request that brought its first event and `lastEventId` the last event that the caller has, else both are empty; `prefix` joins the first characters of the keys of the prompt's prefix levels, outermost first; `limitPerS` is the endpoint's rate limit for all VMs together and `ownLimitPerS` this VM's part of it, in requests per second, null for none; `parts` joins the ids of the parts that other prompts may share. `fingerprint` begins the hash by which repetitions of the request are recognised. `weightsVersion` is the version that the endpoint is known to serve, `weightsReplacedMs` the time since a newer one was set, null for none, and `weightsLeftMs` the time for which requests may still be sent to the replaced one. `callerLeftMs` is the time since the caller left, null while it is there. */
@@ -32,8 +36,8 @@
   | { type: 'takenUp', requestId: RequestId, firstRequestId: RequestId, softwareVersion: string | null, afterMs: number }
   /** A stream is resumed at another endpoint; `endpoint` is the previous one. */
   | { type: 'resumed', requestId: RequestId, endpoint: EndpointName, lastEventId: string, afterMs: number }
-  /** An endpoint's response was forwarded completely; `relayVm` is the VM that relayed it, empty without one. */
-  | { type: 'answered', requestId: RequestId, route: string, organisation: OrganisationName, endpoint: EndpointName, relayVm: VmId, status: number, attempts: number, firstByteMs: number, longestPauseMs: number, totalMs: number, bytes: number }
+  /** An endpoint's response was forwarded completely; `relayVm` is the VM that relayed it, empty without one. `bodyEnd` is what delimited its body: `framed` for a length or chunks, else how the connection ended. */
+  | { type: 'answered', requestId: RequestId, route: string, organisation: OrganisationName, endpoint: EndpointName, relayVm: VmId, status: number, attempts: number, firstByteMs: number, longestPauseMs: number, totalMs: number, bytes: number, bodyEnd: BodyEnd }
   /** The router sent its own response or closed the connection without one. */
   | { type: 'refused', requestId: RequestId, route: string, organisation: OrganisationName, status: number, reason: RefusalReason, ran: 'not-run' | 'may-have-run', attempts: number, totalMs: number, retryAfterMs: number, detail: string }
 
--- a/packages/knapweedshunt-gateway/src/records/gatewayMetrics.ts
+++ b/packages/knapweedshunt-gateway/src/records/gatewayMetrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { BodyEnd } from './decision.ts'
 
 /** Upper bounds of the latency buckets, in seconds; densest around the objectives of a few hundred milliseconds. */
 const LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3, 6, 15]
@@ -28,6 +29,7 @@
   readonly #partQuarantines = new Counter({ name: 'knapweedshunt_part_quarantines_total', help: 'Quarantines of prompt parts that began here or were learnt from another VM.', registers: [this.registry] })
   readonly #limitChanges = new Counter({ name: 'knapweedshunt_endpoint_limit_changes_total', help: 'Changes of the rate limits that endpoints state in their responses.', registers: [this.registry] })
   readonly #relays = new Counter({ name: 'knapweedshunt_relays_total', help: 'Requests sent to another VM that reaches more endpoints, or received from one.', labelNames: ['direction'], registers: [this.registry] })
+  readonly #bodyEnds = new Counter({ name: 'knapweedshunt_body_ends_total', help: 'Responses forwarded completely, by what delimited their bodies: length or chunks (framed), or the end of the connection and how it ended.', labelNames: ['end'], registers: [this.registry] })
   readonly #unwrittenRows = new Counter({ name: 'knapweedshunt_rows_unwritten_total', help: 'Failed writes of rows of this VM.', registers: [this.registry] })
   readonly #restoredStreams = new Counter({ name: 'knapweedshunt_streams_restored_total', help: 'Streams whose software version this VM read from the store after its start.', registers: [this.registry] })
   readonly #evictedStreams = new Counter({ name: 'knapweedshunt_streams_evicted_total', help: 'Streams dropped early from this VM\'s rows, as these were full.', registers: [this.registry] })
@@ -70,6 +72,11 @@
     this.#relays.inc({ direction })
   }
 
+  /** Counts a response by what delimited its body. */
+  recordBodyEnd (end: BodyEnd): void {
+    this.#bodyEnds.inc({ end })
+  }
+
   /** Counts a row of this VM that could not be written. */
   recordUnwrittenRow (): void {
     this.#unwrittenRows.inc()
--- a/packages/knapweedshunt-utils/src/index.ts
+++ b/packages/knapweedshunt-utils/src/index.ts
@@ -1,6 +1,7 @@
 /** HTTP, timing, hashing and random-number helpers shared by all packages. */
 export * from './requestJson.ts'
 export * from './closeServer.ts'
+export * from './connectionEnd.ts'
 export * from './createIncarnation.ts'
 export * from './describeFirstIssue.ts'
 export * from './readElapsedMs.ts'
@@ -19,3 +20,4 @@
 export * from './signedJson.ts'
 export * from './sleep.ts'
 export * from './waitForAbort.ts'
+export * from './watchBodyEnd.ts'
