--- a/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
@@ -1,12 +1,13 @@
 import http from 'node:http'
 import type { Readable } from 'node:stream'
-import { watchBodyEnd } from 'knapweedshunt-utils'
+import { CONNECTION_END, watchBodyEnd } from 'knapweedshunt-utils'
 import type { ConnectionEnd } from 'knapweedshunt-utils'
 import { decodeRelayAnswer } from '../peers/relayHeaders.ts'
 import type { RelayAnswer } from '../peers/relayAnswer.ts'
 import type { EndpointPort } from '../ports/endpointPort.ts'
 import type { AttemptOutcome, LossReason } from './attemptOutcome.ts'
 import type { EndpointAgent } from './endpointAgent.ts'
+import { EndpointConnectionError } from './endpointConnectionError.ts'
 import { LOSS_REASON } from './attemptOutcome.ts'
 
 /** Connect timeout, in milliseconds; far above the round trip between data centres of a region, below the first retransmission of a lost SYN. */
@@ -128,7 +129,7 @@
     this.#response = response
     const head = this.#endpointPort.decodeResponseHead(response.headers)
     const status = response.statusCode ?? 0
-    watchBodyEnd(response, end => { this.#connectionEnd = end })
+    watchBodyEnd(response, end => this.#handleBodyEnd(response, end))
     response.on('error', () => {}) // The reader of the body handles the error itself.
     if (head.requestId !== null && head.requestId !== this.#call.requestId) return this.#rejectResponse(`response carries the id of another request: ${head.requestId}`)
     // What arrives on a connection that served another request before may be a late copy of that request's response.
@@ -144,6 +145,12 @@
     this.#settle({ type: 'answered', head, response, relayedBy: answer })
   }
 
+  /** Fails the body of a response whose connection was reset. */
+  #handleBodyEnd (response: http.IncomingMessage, end: ConnectionEnd): void {
+    this.#connectionEnd = end
+    if (end === CONNECTION_END.reset) response.destroy(new EndpointConnectionError('The connection was reset at the end of a body without a length.'))
+  }
+
   #settleRefused (response: http.IncomingMessage, answer: Extract<RelayAnswer, { type: 'refused' }>, status: number): void {
     discardBody(response)
     this.#settle({ ...answer, status })
--- a/packages/knapweedshunt-gateway/src/flow/readResponseBody.ts
+++ b/packages/knapweedshunt-gateway/src/flow/readResponseBody.ts
@@ -22,7 +22,7 @@
       resolve(body)
     }
     const onEnd = () => settle(response.complete ? { type: 'buffered', bytes: Buffer.concat(chunks) } : { type: 'cut', reason: 'ended early' })
-    const onClose = () => settle({ type: 'cut', reason: 'connection closed' })
+    const onClose = () => settle({ type: 'cut', reason: response.errored?.message ?? 'connection closed' })
     const onData = (chunk: Buffer) => {
       totalBytes += chunk.length
       chunks.push(chunk)
--- a/packages/knapweedshunt-gateway/src/flow/waitForFirstEvent.ts
+++ b/packages/knapweedshunt-gateway/src/flow/waitForFirstEvent.ts
@@ -28,7 +28,8 @@
         if (splitter.isTooLong) return settle('tooLong')
       }
     }
-    const onEnd = () => settle(splitter.incompleteEvent.length === 0 && response.complete ? 'arrived' : 'lost')
+    // Node.js sets `complete` for a body without a length also if it was destroyed.
+    const onEnd = () => settle(splitter.incompleteEvent.length === 0 && response.complete && response.errored === null ? 'arrived' : 'lost')
     response.on('readable', onReadable)
     response.once('end', onEnd)
     response.once('close', onEnd)
