Router: a stream that is reset behind its [DONE] is complete

A stream that had arrived up to its [DONE] ended as broken (reason reset, or relay) if its connection was reset before the engine closed it: the attempt counted against the endpoint, and a repeatable request went on at another one although nothing was missing. The reader threw the connection's error whatever it had read.

The error counts now only if [DONE] has not arrived; a malformed stream fails as before.

Test, on: 'a stream that is reset after its end is complete: reset later' got head, token, broken; 'reset at once' passes before too, as Node.js reports no error there. Both pass now. Its server, startUnframedServer, is among the fakes.

--- a/packages/knapweedshunt-router/src/readEngineStream.ts
+++ b/packages/knapweedshunt-router/src/readEngineStream.ts
@@ -23,7 +23,7 @@
   })
 })
 
-/** Reads an engine's event stream up to `[DONE]`. Throws EndpointError when the stream is malformed, or the connection's error. */
+/** Reads an engine's event stream up to `[DONE]`. Throws EndpointError when the stream is malformed, or the connection's error if it fails before `[DONE]`. */
 export async function readEngineStream (call: AttemptCall, message: IncomingMessage, timer: StallTimer): Promise<void> {
   const { attempt } = call
   if (!EVENT_STREAM_PATTERN.test(message.headers['content-type'] ?? '')) {
@@ -51,13 +51,18 @@
     }
   })
   message.setEncoding('utf8')
-  for await (const chunk of message) {
-    const previousTokenCount = tokenCount
-    parser.feed(chunk as string)
-    if (tokenCount === previousTokenCount) continue
-    timer.stop()
-    await call.waitDrain()
-    if (!hasEnded) timer.start('between-tokens')
+  try {
+    for await (const chunk of message) {
+      const previousTokenCount = tokenCount
+      parser.feed(chunk as string)
+      if (tokenCount === previousTokenCount) continue
+      timer.stop()
+      await call.waitDrain()
+      if (!hasEnded) timer.start('between-tokens')
+    }
+  } catch (error) {
+    // Nothing of the stream is missing if its connection fails behind `[DONE]`.
+    if (!hasEnded || error instanceof EndpointError) throw error
   }
   return hasEnded
 }
