JSON clients do not take the part of a response that had arrived at a reset or a timeout

requestJson returned what had arrived of a response without a length when its connection was reset or its timeout passed, if this part parses: nothing at all, or a number. Callers saw: - the platform's client: a row, rows and outcomes that are undefined, - the store's client: a transaction that is committed without the store's answer to it, - the load tool: an order that ran (status 503, its refusal lost), a refusal without its code. Parts of objects do not parse. Health checks need the status alone and are as before.

Node.js ends such a body regularly and reports the error on the request only, where requestJson and the load tool listened for errors before the head. The router's waitForHead, which gives the error to the response, moves to utils, and both use it. In the load tool a stream whose connection fails behind its [DONE] stays answered.

--- a/packages/knapweedshunt-load/src/callCompletion.ts
+++ b/packages/knapweedshunt-load/src/callCompletion.ts
@@ -1,6 +1,6 @@
 import http from 'node:http'
 import { createParser } from 'eventsource-parser'
-import { HttpError, readBody } from 'knapweedshunt-utils'
+import { HttpError, readBody, waitForHead } from 'knapweedshunt-utils'
 
 /** Parameters of one streamed completion request. */
 export interface CompletionCall {
@@ -34,7 +34,7 @@
 
 const MAX_ERROR_BYTES = 65_536
 
-/** Sends the request and reads the event stream. Throws HttpError when the connection fails before the response headers arrive. */
+/** Sends the request and reads the event stream. Throws HttpError when the connection fails before the response headers, or before the whole body of a refusal, arrive. */
 export async function callCompletion (call: CompletionCall): Promise<CompletionResult> {
   const startedAtMs = performance.now()
   const message = await sendCall(call)
@@ -46,7 +46,7 @@
   return readStream(call, message, startedAtMs)
 }
 
-function sendCall (call: CompletionCall): Promise<http.IncomingMessage> {
+async function sendCall (call: CompletionCall): Promise<http.IncomingMessage> {
   const body = JSON.stringify({ model: call.model, prompt: call.prompt, stream: true, max_tokens: call.maxTokens })
   const headers: Record<string, string> = {
     authorization: `Bearer ${call.accessKey}`,
@@ -55,12 +55,13 @@
     ...call.headers
   }
   if (call.marks.length > 0) headers['x-prefix-marks'] = call.marks.join(',')
-  return new Promise((resolve, reject) => {
-    const request = http.request(`${call.url}/v1/completions`, { method: 'POST', headers, agent: call.agent })
-    request.once('response', resolve)
-    request.once('error', cause => reject(new HttpError('The connection to the router failed.', { cause })))
-    request.end(body)
-  })
+  const request = http.request(`${call.url}/v1/completions`, { method: 'POST', headers, agent: call.agent })
+  request.end(body)
+  try {
+    return await waitForHead(request)
+  } catch (cause) {
+    throw new HttpError('The connection to the router failed.', { cause })
+  }
 }
 
 async function readStream (call: CompletionCall, message: http.IncomingMessage, startedAtMs: number): Promise<CompletionResult> {
@@ -87,7 +88,8 @@
   try {
     for await (const piece of message) parser.feed(piece as string)
   } catch {
-    return { type: 'cut', texts }
+    // Nothing of the stream is missing if its connection fails behind `[DONE]`.
+    if (message.errored === null) return { type: 'cut', texts }
   }
   if (!isDone) return { type: 'cut', texts }
   const usage = usageChunks.at(-1)?.usage
--- a/packages/knapweedshunt-router/src/runAttempt.ts
+++ b/packages/knapweedshunt-router/src/runAttempt.ts
@@ -1,5 +1,5 @@
 import http from 'node:http'
-import { readBody } from 'knapweedshunt-utils'
+import { readBody, waitForHead } from 'knapweedshunt-utils'
 import type { AttemptCall } from './attemptCall.ts'
 import { buildEndpointCall } from './buildEndpointCall.ts'
 import { isConnectionRefused, classifyFailure } from './endpointError.ts'
@@ -7,7 +7,6 @@
 import { readBackpressureSignals } from './readBackpressureSignals.ts'
 import { readRejection } from './readRejection.ts'
 import { StallTimer } from './stallTimer.ts'
-import { waitForHead } from './waitForHead.ts'
 
 const MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 const STATUS_OK = 200
--- a/packages/knapweedshunt-utils/src/readBody.ts
+++ b/packages/knapweedshunt-utils/src/readBody.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http'
 import { BodyTooLargeError, BodyTruncatedError } from './httpErrors.ts'
 
-/** Reads a complete body as UTF-8 text. Throws BodyTooLargeError above `maxBytes` and BodyTruncatedError if the connection closes early. */
+/** Reads a complete body as UTF-8 text. Throws BodyTooLargeError above `maxBytes` and BodyTruncatedError if the connection closes early; for a response this takes a message of `waitForHead`. */
 export async function readBody (message: IncomingMessage, maxBytes: number): Promise<string> {
   const chunks: Buffer[] = []
   let sizeBytes = 0
--- a/packages/knapweedshunt-utils/src/requestJson.ts
+++ b/packages/knapweedshunt-utils/src/requestJson.ts
@@ -2,6 +2,7 @@
 import { HttpError } from './httpErrors.ts'
 import { parseJson } from './parseJson.ts'
 import { readBody } from './readBody.ts'
+import { waitForHead } from './waitForHead.ts'
 
 /** An HTTP request with a JSON body whose response is JSON. */
 export interface JsonRequest {
@@ -42,12 +43,9 @@
   }
 }
 
-function sendRequest (call: JsonRequest, bodyText: string, signal: AbortSignal): Promise<http.IncomingMessage> {
-  return new Promise((resolve, reject) => {
-    const headers = { ...call.headers, 'content-type': 'application/json', 'content-length': Buffer.byteLength(bodyText) }
-    const request = http.request(call.url, { method: call.method, headers, signal, agent: call.agent })
-    request.once('response', resolve)
-    request.once('error', reject)
-    request.end(bodyText)
-  })
+async function sendRequest (call: JsonRequest, bodyText: string, signal: AbortSignal): Promise<http.IncomingMessage> {
+  const headers = { ...call.headers, 'content-type': 'application/json', 'content-length': Buffer.byteLength(bodyText) }
+  const request = http.request(call.url, { method: call.method, headers, signal, agent: call.agent })
+  request.end(bodyText)
+  return await waitForHead(request)
 }
--- a/packages/knapweedshunt-router/src/waitForHead.ts
+++ b/packages/knapweedshunt-utils/src/waitForHead.ts
@@ -1,6 +1,11 @@
 import type http from 'node:http'
 
-/** Waits for the head of the response to a request; rejects with the error of its connection. */
+/**
+ * Waits for the head of the response to a request; rejects with the error of its connection.
+ *
+ * A body that is not whole when its connection fails or is aborted ends with that error. Its reader must rely on it, as Node.js may
+ * set `complete` although bytes are missing.
+ */
 export function waitForHead (request: http.ClientRequest): Promise<http.IncomingMessage> {
   return new Promise((resolve, reject) => {
     request.once('response', message => {
