Clients do not take a body without a length for whole if its reset came with its last bytes

Node.js reports a regular end if it polls the reset together with the last bytes, so there is no error that waitForHead could pass on. Readers get the error in place of the end, before Node.js sets `complete`. A response without a body by its status is complete by then and stays whole, as does one whose peer closed and then reset.

--- a/packages/knapweedshunt-load/src/__tests__/resetAnswers.test.ts
+++ b/packages/knapweedshunt-load/src/__tests__/resetAnswers.test.ts
@@ -16,7 +16,7 @@
   return server
 }
 
-for (const end of [UNFRAMED_END.resetLater]) {
+for (const end of [UNFRAMED_END.resetAtOnce, UNFRAMED_END.resetLater]) {
   // Guards against an order that counts as run because its refusal was reset before the first byte of the body.
   test(`an order whose answer is reset does not count as run: ${end}`, async t => {
     const server = await startServer(t, { status: 503, body: '', end })
--- a/packages/knapweedshunt-platform/src/__tests__/resetAnswers.test.ts
+++ b/packages/knapweedshunt-platform/src/__tests__/resetAnswers.test.ts
@@ -13,7 +13,7 @@
   return server
 }
 
-for (const end of [UNFRAMED_END.resetLater]) {
+for (const end of [UNFRAMED_END.resetAtOnce, UNFRAMED_END.resetLater]) {
   // Guards against a row, rows or an outcome that are undefined because the connection was reset before the first byte of the body.
   test(`an answer of the platform that is reset is no answer: ${end}`, async t => {
     const client = createPlatformClient({ url: (await startServer(t, { body: '', end })).url, timeoutMs: TIMEOUT_MS })
--- a/packages/knapweedshunt-utils/src/__tests__/requestJson.test.ts
+++ b/packages/knapweedshunt-utils/src/__tests__/requestJson.test.ts
@@ -13,7 +13,7 @@
   return server
 }
 
-for (const end of [UNFRAMED_END.resetLater]) {
+for (const end of [UNFRAMED_END.resetAtOnce, UNFRAMED_END.resetLater]) {
   for (const [name, body] of [['empty', ''], ['number', '12'], ['object', '{}']]) {
     // Guards against a part of a JSON document that parses and counts as the whole because its connection was reset.
     test(`a response without a length that is reset is truncated: ${end}, ${name}`, async t => {
@@ -38,3 +38,9 @@
     t.is(server.requests, 1)
   })
 }
+
+// Guards against a response that has no body by its status and is refused because its connection was reset.
+test('a response without a body is whole before its connection is reset', async t => {
+  const server = await startServer(t, { status: 204, body: '', end: UNFRAMED_END.resetAtOnce })
+  t.like(await requestJson({ method: 'POST', url: server.url, body: {}, timeoutMs: TIMEOUT_MS }), { status: 204, body: undefined })
+})
--- a/packages/knapweedshunt-utils/src/waitForHead.ts
+++ b/packages/knapweedshunt-utils/src/waitForHead.ts
@@ -1,16 +1,22 @@
 import type http from 'node:http'
+import { CONNECTION_END } from './connectionEnd.ts'
+import { ConnectionResetError } from './httpErrors.ts'
+import { watchBodyEnd } from './watchBodyEnd.ts'
 
 /**
  * Waits for the head of the response to a request; rejects with the error of its connection.
  *
- * A body that is not whole when its connection fails or is aborted ends with that error. Its reader must rely on it, as Node.js may
- * set `complete` although bytes are missing.
+ * A body that is not whole when its connection fails, is reset or is aborted ends with an error: that of the connection, or ConnectionResetError.
+ * Its reader must rely on this error, as Node.js may set `complete` although bytes are missing.
  */
 export function waitForHead (request: http.ClientRequest): Promise<http.IncomingMessage> {
   return new Promise((resolve, reject) => {
     request.once('response', message => {
       // Node.js ends a body without a length as if it were complete, also after a connection reset.
       request.on('error', error => { if (!message.complete) message.destroy(error) })
+      watchBodyEnd(message, end => {
+        if (end === CONNECTION_END.reset && !message.complete) message.destroy(new ConnectionResetError('The connection was reset behind the last bytes of a body without a length.'))
+      })
       resolve(message)
     })
     request.on('error', reject)
