A response without a body by its status is whole when its connection is reset

Such a response has no length either, but is complete with its head; a reset behind it is no matter. watchBodyEnd says nothing of it, for all its users (before: each of them had to ask). The gateway uses the error class of the other clients.

--- a/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
@@ -1,13 +1,12 @@
 import http from 'node:http'
 import type { Readable } from 'node:stream'
-import { CONNECTION_END, watchBodyEnd } from 'knapweedshunt-utils'
+import { CONNECTION_END, ConnectionResetError, watchBodyEnd } from 'knapweedshunt-utils'
 import type { ConnectionEnd } from 'knapweedshunt-utils'
 import { decodeRelayAnswer } from '../peers/relayHeaders.ts'
 import type { RelayAnswer } from '../peers/relayAnswer.ts'
 import type { EndpointPort } from '../ports/endpointPort.ts'
 import type { AttemptOutcome, LossReason } from './attemptOutcome.ts'
 import type { EndpointAgent } from './endpointAgent.ts'
-import { EndpointConnectionError } from './endpointConnectionError.ts'
 import { LOSS_REASON } from './attemptOutcome.ts'
 
 /** Connect timeout, in milliseconds; far above the round trip between data centres of a region, below the first retransmission of a lost SYN. */
@@ -148,7 +147,7 @@
   /** Fails the body of a response whose connection was reset. */
   #handleBodyEnd (response: http.IncomingMessage, end: ConnectionEnd): void {
     this.#connectionEnd = end
-    if (end === CONNECTION_END.reset) response.destroy(new EndpointConnectionError('The connection was reset at the end of a body without a length.'))
+    if (end === CONNECTION_END.reset) response.destroy(new ConnectionResetError('The connection was reset behind the last bytes of a body without a length.'))
   }
 
   #settleRefused (response: http.IncomingMessage, answer: Extract<RelayAnswer, { type: 'refused' }>, status: number): void {
--- a/packages/knapweedshunt-utils/src/waitForHead.ts
+++ b/packages/knapweedshunt-utils/src/waitForHead.ts
@@ -15,7 +15,7 @@
       // Node.js ends a body without a length as if it were complete, also after a connection reset.
       request.on('error', error => { if (!message.complete) message.destroy(error) })
       watchBodyEnd(message, end => {
-        if (end === CONNECTION_END.reset && !message.complete) message.destroy(new ConnectionResetError('The connection was reset behind the last bytes of a body without a length.'))
+        if (end === CONNECTION_END.reset) message.destroy(new ConnectionResetError('The connection was reset behind the last bytes of a body without a length.'))
       })
       resolve(message)
     })
--- a/packages/knapweedshunt-utils/src/watchBodyEnd.ts
+++ b/packages/knapweedshunt-utils/src/watchBodyEnd.ts
@@ -14,7 +14,10 @@
 export function watchBodyEnd (response: IncomingMessage, onEnd: (end: ConnectionEnd) => void): void {
   if (!isEndDelimited(response)) return
   const { socket } = response
-  const handleEnd = () => onEnd(readConnectionEnd(socket))
+  const handleEnd = () => {
+    // A response without a body by its status or method is complete before.
+    if (!response.complete) onEnd(readConnectionEnd(socket))
+  }
   // Before the listener of `node:http`, which ends the body.
   socket.prependOnceListener('end', handleEnd)
   response.once('close', () => socket.removeListener('end', handleEnd))
