Informational heads without an end are given up after 64

Cause: Node.js limits the length of an informational head, not their number, and emits an event for each. The VM reads its store and its probes late and counts keys as unconfirmed and endpoints as unreached. Silence is detected, as only the head of the response counts, but the connection is read at full speed until then. Health checks, management calls and JSON requests were read until their timeout in the same way.

Not limited yet: waitForHead of the product's own router.

--- a/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
@@ -1,6 +1,6 @@
 import http from 'node:http'
 import type { Readable } from 'node:stream'
-import { watchBodyEnd } from 'knapweedshunt-utils'
+import { watchBodyEnd, watchInformationalHeads } from 'knapweedshunt-utils'
 import type { ConnectionEnd } from 'knapweedshunt-utils'
 import { decodeRelayAnswer } from '../peers/relayHeaders.ts'
 import type { RelayAnswer } from '../peers/relayAnswer.ts'
@@ -96,6 +96,7 @@
       this.#connectTimer = setTimeout(() => this.#request?.destroy(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`)), CONNECT_TIMEOUT_MS)
       socket.once('connect', () => this.#handleConnected())
     })
+    watchInformationalHeads(this.#request, error => this.#rejectResponse(error.message))
     this.#request.once('response', response => this.#handleResponse(response))
     this.#request.on('error', error => this.#handleError(error))
     this.#request.once('close', () => this.#handleError(new Error('connection closed')))
--- a/packages/knapweedshunt-utils/src/requestJson.ts
+++ b/packages/knapweedshunt-utils/src/requestJson.ts
@@ -2,6 +2,7 @@
 import { HttpError } from './httpErrors.ts'
 import { parseJson } from './parseJson.ts'
 import { readBody } from './readBody.ts'
+import { watchInformationalHeads } from './watchInformationalHeads.ts'
 
 /** An HTTP request with a JSON body whose response is JSON. */
 export interface JsonRequest {
@@ -46,6 +47,7 @@
   return new Promise((resolve, reject) => {
     const headers = { ...call.headers, 'content-type': 'application/json', 'content-length': Buffer.byteLength(bodyText) }
     const request = http.request(call.url, { method: call.method, headers, signal, agent: call.agent })
+    watchInformationalHeads(request, error => request.destroy(error))
     request.once('response', resolve)
     request.once('error', reject)
     request.end(bodyText)
