--- a/packages/knapweedshunt-utils/src/waitForHead.ts
+++ b/packages/knapweedshunt-utils/src/waitForHead.ts
@@ -2,6 +2,7 @@
 import { CONNECTION_END } from './connectionEnd.ts'
 import { ConnectionResetError } from './httpErrors.ts'
 import { watchBodyEnd } from './watchBodyEnd.ts'
+import { watchInformationalHeads } from './watchInformationalHeads.ts'
 
 /**
  * Waits for the head of the response to a request; rejects with the error of its connection.
@@ -11,6 +12,7 @@
  */
 export function waitForHead (request: http.ClientRequest): Promise<http.IncomingMessage> {
   return new Promise((resolve, reject) => {
+    watchInformationalHeads(request, error => request.destroy(error))
     request.once('response', message => {
       // Node.js ends a body without a length as if it were complete, also after a connection reset.
       request.on('error', error => { if (!message.complete) message.destroy(error) })
