A plain body without a length counts as broken off if the process of its endpoint has ended

Callers could get a 200, complete by its framing, with a part of a plain body whose endpoint's process ended: the system closes the connections of such a process in the regular way, which is how a body without a length ends. Streams are checked since, plain bodies were not.

The same check now holds for them: nothing listens at the address any more. A repeatable request goes on at another endpoint, an order is answered 502 as it may have run, a long body is broken off. An endpoint that is known to leave is not asked, as it may end right behind a whole last answer. Only bodies that the end of the connection delimits cost the further connection.

Three tests of endedProcesses fail on the code before and pass now; two more, of leaving endpoints, fail if these are asked too.

--- a/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
@@ -8,6 +8,7 @@
 import type { ForwardResult } from './forwardResult.ts'
 import { buildResponseStart } from './buildResponseStart.ts'
 import { isEventStream } from './isEventStream.ts'
+import { ENDPOINT_ENDED, hasEndpointEnded } from './hasEndpointEnded.ts'
 import type { NextStep } from './nextStep.ts'
 import { DONE, RETRY } from './nextStep.ts'
 import { readResponseBody } from './readResponseBody.ts'
@@ -16,6 +17,7 @@
 import type { RunningAttempt } from './runningAttempt.ts'
 import { StreamForwarder } from './streamForwarder.ts'
 import { StreamRelay } from './streamRelay.ts'
+import type { RelayResult } from './streamRelay.ts'
 import type { SuccessorParts } from './successor.ts'
 
 /** Statuses that tell a caller that the request did not run and will not run. */
@@ -71,11 +73,12 @@
 
   async #forwardResponse (runningAttempt: RunningAttempt, response: http.IncomingMessage, status: number, body: ResponseBody): Promise<ForwardResult> {
     const { attemptRunner, permits, recorder, reporter, finalResponse } = this.#parts
+    const hasEnded = body.type === 'buffered' && !finalResponse.isSettled && await this.#hasEndpointCrashed(runningAttempt)
     if (finalResponse.isSettled) {
       attemptRunner.finish(runningAttempt)
       return DONE
     }
-    if (body.type === 'cut') return { type: 'lost', reason: body.reason }
+    if (body.type === 'cut' || hasEnded) return { type: 'lost', reason: body.type === 'cut' ? body.reason : ENDPOINT_ENDED }
     const isFailure = status >= MIN_SERVER_ERROR_STATUS
     reporter.recordObservation(runningAttempt, isFailure ? HEALTH_OBSERVATION.failed : HEALTH_OBSERVATION.served, `status ${status}`)
     if (isFailure && this.#isRepeatable && permits.tryTake(false)) {
@@ -98,6 +101,12 @@
     return DONE
   }
 
+  /** One that leaves may end right behind a whole body. */
+  async #hasEndpointCrashed (runningAttempt: RunningAttempt): Promise<boolean> {
+    const { target } = runningAttempt
+    return target.type === 'endpoint' && !target.record.isDraining && await hasEndpointEnded(runningAttempt)
+  }
+
   /** Drops a response that is not the rest of the stream that has begun; the rest is asked of another endpoint, or the stream is broken off. */
   #rejectResponse (runningAttempt: RunningAttempt, status: number): NextStep {
     const { attemptRunner, permits, recorder, reporter, finalResponse } = this.#parts
@@ -137,7 +146,8 @@
     }
     for (const chunk of firstChunks) this.#callerResponse.write(chunk)
     const relay = new StreamRelay(this.#callerResponse, false, null, this.#dependencies.eventMemory)
-    const result = await relay.forward(response, { stallTimeoutMs: null, onStalled: () => {}, onChunk: () => {}, onNewEvents: () => {}, onHeldTooMuch: () => {}, onFirstEvent: () => {} })
+    const relayed = await relay.forward(response, { stallTimeoutMs: null, onStalled: () => {}, onChunk: () => {}, onNewEvents: () => {}, onHeldTooMuch: () => {}, onFirstEvent: () => {} })
+    const result: RelayResult = relayed.type === 'complete' && await this.#hasEndpointCrashed(runningAttempt) ? { type: 'cut', reason: ENDPOINT_ENDED } : relayed
     attemptRunner.finish(runningAttempt)
     if (result.type === 'callerLeft') {
       if (!finalResponse.isSettled) finalResponse.handleCallerLeft(true)
--- a/packages/knapweedshunt-gateway/src/flow/streamForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamForwarder.ts
@@ -1,11 +1,11 @@
 import type http from 'node:http'
 import { LOSS_REASON } from '../endpoints/attemptOutcome.ts'
 import { HEALTH_OBSERVATION } from '../endpoints/endpointHealth.ts'
-import { isConnectionRefused } from '../endpoints/isConnectionRefused.ts'
 import { REPEATABILITY } from '../ports/gatewayConfig.ts'
 import type { CallerResponse } from '../shared/callerResponse.ts'
 import type { FlowDependencies } from './flowDependencies.ts'
 import type { ForwardResult } from './forwardResult.ts'
+import { ENDPOINT_ENDED, hasEndpointEnded } from './hasEndpointEnded.ts'
 import { DONE, RETRY } from './nextStep.ts'
 import type { RequestPlan } from './requestPlan.ts'
 import type { RunningAttempt } from './runningAttempt.ts'
@@ -24,9 +24,6 @@
 /** Longest time for which events are held back while another endpoint is asked for the rest of the stream, as a share of the pause objective. */
 const MAX_HOLD_PAUSE_SHARE = 0.75
 
-/** Timeout of the check whether an endpoint still listens, in milliseconds; the network round trip takes one or two. */
-const END_CHECK_TIMEOUT_MS = 100
-
 /** Pause objective of a stream whose route sets none, in milliseconds. */
 const DEFAULT_PAUSE_OBJECTIVE_MS = 500
 
@@ -78,7 +75,7 @@
       onFirstEvent: () => this.#bindVersion(runningAttempt)
     })
     this.#streaming = null
-    const result = await this.#checkEnd(runningAttempt, response, relayed)
+    const result: RelayResult = relayed.type === 'complete' && await hasEndpointEnded(runningAttempt) ? { type: 'cut', reason: ENDPOINT_ENDED } : relayed
     if (result.type === 'superseded' || result.type === 'cut' || result.type === 'garbled') return await this.#handleInterrupted(runningAttempt, result)
     this.#endSuccessor(runningAttempt)
     if (finalResponse.isSettled || result.type === 'callerLeft') {
@@ -94,14 +91,6 @@
     return DONE
   }
 
-  /** A stream that the end of its connection delimits also ends so if the process of its endpoint ends; nothing listens there then. */
-  async #checkEnd ({ target }: RunningAttempt, { headers }: http.IncomingMessage, result: RelayResult): Promise<RelayResult> {
-    const isDelimited = headers['transfer-encoding'] !== undefined || headers['content-length'] !== undefined
-    if (result.type !== 'complete' || isDelimited || target.type !== 'endpoint') return result
-    const hasEnded = await isConnectionRefused(target.record.entry.address, END_CHECK_TIMEOUT_MS)
-    return hasEnded ? { type: 'cut', reason: 'ended with the process of its endpoint, which refuses connections' } : result
-  }
-
   get #isResumable (): boolean {
     return this.#plan.route.repeatability === REPEATABILITY.resumed
   }
