--- a/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
@@ -174,6 +174,8 @@
   /** Records an attempt that ended without a response. */
   recordAttemptEnded (runningAttempt: RunningAttempt, outcome: string, reason: string, isRetried: boolean): void {
     const { call } = this.#plan
+    const { connectionEnd } = runningAttempt.attempt
+    if (connectionEnd !== null) this.#dependencies.metrics.recordBodyEnd(connectionEnd)
     this.#dependencies.decisionLog.record({ type: 'attemptEnded', requestId: call.requestId, attempt: runningAttempt.attemptNumber, endpoint: runningAttempt.endpoint, relayVm: getRelayVm(runningAttempt), outcome, reason, isRetried, afterMs: Math.round(performance.now() - runningAttempt.startedAtMs) })
   }
 
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -36,7 +36,7 @@
   | { type: 'takenUp', requestId: RequestId, firstRequestId: RequestId, softwareVersion: string | null, afterMs: number }
   /** A stream is resumed at another endpoint; `endpoint` is the previous one. */
   | { type: 'resumed', requestId: RequestId, endpoint: EndpointName, lastEventId: string, afterMs: number }
-  /** An endpoint's response was forwarded completely; `relayVm` is the VM that relayed it, empty without one. `bodyEnd` is what delimited its body: `framed` for a length or chunks, else how the connection ended. */
+  /** An endpoint's response was forwarded completely; `relayVm` is the VM that relayed it, empty without one. `bodyEnd` is what delimited its body: `framed` for a length or chunks, else how the connection ended; a response whose connection was reset is not forwarded. */
   | { type: 'answered', requestId: RequestId, route: string, organisation: OrganisationName, endpoint: EndpointName, relayVm: VmId, status: number, attempts: number, firstByteMs: number, longestPauseMs: number, totalMs: number, bytes: number, bodyEnd: BodyEnd }
   /** The router sent its own response or closed the connection without one. */
   | { type: 'refused', requestId: RequestId, route: string, organisation: OrganisationName, status: number, reason: RefusalReason, ran: 'not-run' | 'may-have-run', attempts: number, totalMs: number, retryAfterMs: number, detail: string }
--- a/packages/knapweedshunt-gateway/src/records/gatewayMetrics.ts
+++ b/packages/knapweedshunt-gateway/src/records/gatewayMetrics.ts
@@ -29,7 +29,7 @@
   readonly #partQuarantines = new Counter({ name: 'knapweedshunt_part_quarantines_total', help: 'Quarantines of prompt parts that began here or were learnt from another VM.', registers: [this.registry] })
   readonly #limitChanges = new Counter({ name: 'knapweedshunt_endpoint_limit_changes_total', help: 'Changes of the rate limits that endpoints state in their responses.', registers: [this.registry] })
   readonly #relays = new Counter({ name: 'knapweedshunt_relays_total', help: 'Requests sent to another VM that reaches more endpoints, or received from one.', labelNames: ['direction'], registers: [this.registry] })
-  readonly #bodyEnds = new Counter({ name: 'knapweedshunt_body_ends_total', help: 'Responses forwarded completely, by what delimited their bodies: length or chunks (framed), or the end of the connection and how it ended.', labelNames: ['end'], registers: [this.registry] })
+  readonly #bodyEnds = new Counter({ name: 'knapweedshunt_body_ends_total', help: 'Responses that ended, by what delimited their bodies: length or chunks (framed, only if forwarded completely), or the end of the connection and how it ended.', labelNames: ['end'], registers: [this.registry] })
   readonly #unwrittenRows = new Counter({ name: 'knapweedshunt_rows_unwritten_total', help: 'Failed writes of rows of this VM.', registers: [this.registry] })
   readonly #restoredStreams = new Counter({ name: 'knapweedshunt_streams_restored_total', help: 'Streams whose software version this VM read from the store after its start.', registers: [this.registry] })
   readonly #evictedStreams = new Counter({ name: 'knapweedshunt_streams_evicted_total', help: 'Streams dropped early from this VM\'s rows, as these were full.', registers: [this.registry] })
