Streams with more events than an engine produces take turns

Cause: 64 KiB of such events are split, compared and written in 2 to 20 ms, and the next chunk is read at once. Nothing slows the endpoint down if the caller reads, or if the events are dropped as the caller has them, so that a few streams keep the event loop from all other connections.

Fix: a stream that exceeds 4,000 events at once and 2,000 a second waits for a turn after each chunk, which also stops reading from its endpoint. The turns of all such streams of a VM follow one another, and three quarters of the time is left to other work, however many they are. Slower streams never wait. The time of a turn counts up to 50 ms, so that a process that was held up does not let the stream wait for it.

Left: the flood goes on, slower, until the route's timeout or the deadline. Events that the caller has already postpone the stall timeout. The first chunks of streams that begin together are read without turns. A stream that takes turns beside many others may reach its stall timeout: another endpoint is asked then.

--- a/packages/knapweedshunt-gateway/src/__tests__/endlessEvents.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/endlessEvents.test.ts
@@ -3,6 +3,7 @@
 import test from 'ava'
 import { EventMemory } from '../flow/eventMemory.ts'
 import { EventSplitter, MAX_EVENT_BYTES } from '../flow/eventSplitter.ts'
+import { EventTurns } from '../flow/eventTurns.ts'
 import { MAX_HELD_BYTES, StreamRelay } from '../flow/streamRelay.ts'
 import { waitForFirstEvent } from '../flow/waitForFirstEvent.ts'
 import type { CallerResponse } from '../shared/callerResponse.ts'
@@ -48,7 +49,7 @@
 test('a resumable stream ends when an event is too long', async t => {
   const { response, countSentBytes } = buildEndlessResponse(Buffer.alloc(CHUNK_BYTES, 'x'), 'id: 1\ndata: t1\n\nid: 2\ndata: ')
   const { callerResponse, written } = buildCaller()
-  const relay = new StreamRelay(callerResponse, true, null, new EventMemory())
+  const relay = new StreamRelay(callerResponse, true, null, new EventMemory(), new EventTurns())
   t.like(await relay.forward(response, RELAY_OPTIONS), { type: 'garbled' })
   t.is(Buffer.concat(written).toString(), 'id: 1\ndata: t1\n\n')
   t.is(relay.lastEventId, '1')
@@ -59,7 +60,7 @@
 test('events that are held back are limited', async t => {
   const { response } = buildEndlessResponse(Buffer.from(`id: 1\ndata: ${'x'.repeat(CHUNK_BYTES)}\n\n`))
   const { callerResponse } = buildCaller()
-  const relay = new StreamRelay(callerResponse, true, null, new EventMemory())
+  const relay = new StreamRelay(callerResponse, true, null, new EventMemory(), new EventTurns())
   let heldBytes = 0
   relay.hold()
   const result = await relay.forward(response, {
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/__tests__/eventTurns.test.ts
@@ -0,0 +1,95 @@
+import type http from 'node:http'
+import { Readable } from 'node:stream'
+import FakeTimers from '@sinonjs/fake-timers'
+import test from 'ava'
+import type { ExecutionContext } from 'ava'
+import { EventMemory } from '../flow/eventMemory.ts'
+import { EventRate } from '../flow/eventRate.ts'
+import { EventTurns } from '../flow/eventTurns.ts'
+import { StreamRelay } from '../flow/streamRelay.ts'
+import type { CallerResponse } from '../shared/callerResponse.ts'
+
+function installClock (t: ExecutionContext): FakeTimers.Clock {
+  const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance'] })
+  t.teardown(() => clock.uninstall())
+  return clock
+}
+
+// Guards against a sound stream that is slowed down.
+test.serial('a stream may send as fast as engines produce, and a repeated beginning at once', t => {
+  const clock = installClock(t)
+  const rate = new EventRate()
+  rate.recordEvents(3_999)
+  for (let i = 0; i < 1_000; i++) {
+    clock.tick(10)
+    rate.recordEvents(20)
+    t.false(rate.isExceeded)
+  }
+})
+
+// Guards against a flood that never counts as one, and a stream that counts as one for ever.
+test.serial('a stream with too many events counts as one until it slows down', t => {
+  const clock = installClock(t)
+  const rate = new EventRate()
+  rate.recordEvents(1e6)
+  t.true(rate.isExceeded)
+  clock.tick(10)
+  rate.recordEvents(1_000)
+  t.true(rate.isExceeded)
+  clock.tick(10)
+  rate.recordEvents(10)
+  t.false(rate.isExceeded)
+})
+
+// Guards against many floods that together leave no time to other work.
+test.serial('turns follow one another, with rests between them', async t => {
+  const clock = installClock(t)
+  const turns = new EventTurns()
+  const { signal } = new AbortController()
+  const begunAtMs: number[] = []
+  const waits = [10, 10, 5].map(turnMs => turns.wait(turnMs, signal).then(() => begunAtMs.push(performance.now())))
+  await clock.tickAsync(1_000)
+  await Promise.all(waits)
+  t.deepEqual(begunAtMs, [30, 70, 95])
+})
+
+// Guards against a stream that waits for long after the process was held up in its turn.
+test.serial('a turn in which the process was held up causes no long rest', async t => {
+  const clock = installClock(t)
+  const wait = new EventTurns().wait(5_000, new AbortController().signal)
+  await clock.tickAsync(200)
+  await wait
+  t.pass()
+})
+
+// Guards against a stream that another endpoint has taken over and that still waits.
+test.serial('the wait for a turn ends with its signal', async t => {
+  installClock(t)
+  const turns = new EventTurns()
+  const controller = new AbortController()
+  turns.wait(50, new AbortController().signal)
+  const wait = turns.wait(50, controller.signal)
+  controller.abort()
+  await wait
+  t.pass()
+})
+
+const EVENT_COUNT = 50_000
+const CHUNK_EVENTS = 2_000
+
+/** Pause objective of a stream, in milliseconds. */
+const PAUSE_OBJECTIVE_MS = 400
+
+// Guards against turns that break the pause objective of a stream whose events come all at once.
+test.serial('a stream whose events come all at once is forwarded whole and without long pauses', async t => {
+  const events = Array.from({ length: EVENT_COUNT }, (_, n) => `id: ${n + 1}\ndata: t${n + 1}\n\n`)
+  const chunks = Array.from({ length: EVENT_COUNT / CHUNK_EVENTS }, (_, n) => Buffer.from(events.slice(n * CHUNK_EVENTS, (n + 1) * CHUNK_EVENTS).join('')))
+  const response = Object.assign(Readable.from(chunks), { complete: true, headers: { 'content-type': 'text/event-stream' } }) as unknown as http.IncomingMessage
+  const written: Buffer[] = []
+  const callerResponse = { hasCallerLeft: false, write: (bytes: Buffer) => written.push(bytes) > 0 } as unknown as CallerResponse
+  const relay = new StreamRelay(callerResponse, true, null, new EventMemory(), new EventTurns())
+  const result = await relay.forward(response, { stallTimeoutMs: 2 * PAUSE_OBJECTIVE_MS, onStalled: () => t.fail(), onChunk: () => {}, onNewEvents: () => {}, onFirstEvent: () => {}, onHeldTooMuch: () => {} })
+  t.like(result, { type: 'complete' })
+  t.is(Buffer.concat(written).toString(), events.join(''))
+  t.true(relay.longestPauseMs < PAUSE_OBJECTIVE_MS, `${relay.longestPauseMs} ms`)
+})
--- a/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
@@ -21,6 +21,7 @@
 import type { CrashedAttempt } from './crashedAttempt.ts'
 import type { KeyRefusal } from './keyRefusal.ts'
 import type { EventMemory } from './eventMemory.ts'
+import type { EventTurns } from './eventTurns.ts'
 import type { PermitQueue } from './permitQueue.ts'
 import type { PoolOverload } from './poolOverload.ts'
 import type { RequestPlan } from './requestPlan.ts'
@@ -40,6 +41,7 @@
   endpointPermits: EndpointPermits
   permitQueue: PermitQueue
   eventMemory: EventMemory
+  eventTurns: EventTurns
   streamOrigins: StreamOrigins
   relays: EndpointRelays<PeerView>
   /** Run times of this VM's requests, by route. */
--- a/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
@@ -136,7 +136,7 @@
       return DONE
     }
     for (const chunk of firstChunks) this.#callerResponse.write(chunk)
-    const relay = new StreamRelay(this.#callerResponse, false, null, this.#dependencies.eventMemory)
+    const relay = new StreamRelay(this.#callerResponse, false, null, this.#dependencies.eventMemory, this.#dependencies.eventTurns)
     const result = await relay.forward(response, { stallTimeoutMs: null, onStalled: () => {}, onChunk: () => {}, onNewEvents: () => {}, onHeldTooMuch: () => {}, onFirstEvent: () => {} })
     attemptRunner.finish(runningAttempt)
     if (result.type === 'callerLeft') {
--- a/packages/knapweedshunt-gateway/src/flow/streamForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamForwarder.ts
@@ -48,7 +48,7 @@
     this.#plan = plan
     this.#callerResponse = callerResponse
     this.#parts = parts
-    this.#relay = new StreamRelay(callerResponse, this.#isResumable, plan.call.lastEventId, dependencies.eventMemory)
+    this.#relay = new StreamRelay(callerResponse, this.#isResumable, plan.call.lastEventId, dependencies.eventMemory, dependencies.eventTurns)
   }
 
   /** Id of the last complete event forwarded; null before the first, unless the caller sent one. */
--- a/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
@@ -2,8 +2,10 @@
 import type { CallerResponse } from '../shared/callerResponse.ts'
 import { EventEndTracker } from './eventEndTracker.ts'
 import type { EventMemory } from './eventMemory.ts'
+import { EventRate } from './eventRate.ts'
 import { EVENT_TOO_LONG, EventSplitter } from './eventSplitter.ts'
 import type { StreamEvent } from './eventSplitter.ts'
+import type { EventTurns } from './eventTurns.ts'
 import { isEventStream } from './isEventStream.ts'
 
 /** Bytes of events that are held back, beyond which that should end. */
@@ -44,6 +46,7 @@
   readonly #callerResponse: CallerResponse
   readonly #isResumable: boolean
   readonly #memory: EventMemory
+  readonly #turns: EventTurns
   #lastEventId: string | null
   #bytes = 0
   #firstWriteAtMs: number | null = null
@@ -57,12 +60,13 @@
   #heldBytes = 0
   #onFirstEvent: () => void = () => {}
   #onHeldTooMuch: () => void = () => {}
-  /** Ends the wait for a caller that does not read. */
-  #drainWait = new AbortController()
+  /** Ends the wait for a caller that does not read, or for a turn. */
+  #wait = new AbortController()
 
-  constructor (callerResponse: CallerResponse, isResumable: boolean, lastEventId: string | null, memory: EventMemory) {
+  constructor (callerResponse: CallerResponse, isResumable: boolean, lastEventId: string | null, memory: EventMemory, turns: EventTurns) {
     this.#callerResponse = callerResponse
     this.#memory = memory
+    this.#turns = turns
     this.#isResumable = isResumable
     this.#lastEventId = lastEventId
   }
@@ -109,6 +113,7 @@
 
   async #forwardEvents (response: http.IncomingMessage, splitter: EventSplitter, options: RelayOptions): Promise<RelayResult> {
     const endTracker = new EventEndTracker()
+    const eventRate = new EventRate()
     let stallTimer: NodeJS.Timeout | undefined
     this.#response = response
     this.#isSuperseded = false
@@ -125,6 +130,7 @@
     try {
       restartStallTimer()
       for await (const chunk of response as AsyncIterable<Buffer>) {
+        const startedAtMs = performance.now()
         options.onChunk()
         if (this.#callerResponse.hasCallerLeft) return { type: 'callerLeft' }
         endTracker.addChunk(chunk)
@@ -133,13 +139,21 @@
         // Bytes that complete no event are no progress.
         if (events === null || events.length > 0) restartStallTimer()
         if (events?.some(event => this.#isNewEvent(event))) options.onNewEvents()
-        if (!this.#writeOrHold(chunk, events)) {
+        const readsOn = this.#writeOrHold(chunk, events)
+        const turnMs = performance.now() - startedAtMs
+        if (!readsOn) {
           clearTimeout(stallTimer)
-          this.#drainWait = new AbortController()
-          if (!await this.#callerResponse.waitDrain(this.#drainWait.signal)) return { type: 'callerLeft' }
+          this.#wait = new AbortController()
+          if (!await this.#callerResponse.waitDrain(this.#wait.signal)) return { type: 'callerLeft' }
           if (this.#isSuperseded) return { type: 'superseded' }
           restartStallTimer()
         }
+        eventRate.recordEvents(events?.length ?? 0)
+        if (eventRate.isExceeded) {
+          this.#wait = new AbortController()
+          await this.#turns.wait(turnMs, this.#wait.signal)
+          if (this.#isSuperseded) return { type: 'superseded' }
+        }
       }
     } catch (error) {
       if (this.#callerResponse.hasCallerLeft) return { type: 'callerLeft' }
@@ -175,7 +189,7 @@
     this.#heldEvents = null
     this.#heldBytes = 0
     this.#response?.destroy()
-    this.#drainWait.abort()
+    this.#wait.abort()
   }
 
   /** Returns whether the caller reads on. */
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -30,6 +30,7 @@
 import type { CrashedAttempt } from './flow/crashedAttempt.ts'
 import type { FlowDependencies } from './flow/flowDependencies.ts'
 import { EventMemory } from './flow/eventMemory.ts'
+import { EventTurns } from './flow/eventTurns.ts'
 import { PermitQueue } from './flow/permitQueue.ts'
 import { PoolOverload } from './flow/poolOverload.ts'
 import { PeerClients } from './peers/peerClients.ts'
@@ -335,6 +336,7 @@
       endpointPermits: this.#endpointPermits,
       permitQueue: new PermitQueue(),
       eventMemory: new EventMemory(),
+      eventTurns: new EventTurns(),
       streamOrigins: this.#peerServices.streamOrigins,
       relays: this.#peerServices.relays,
       runTimes: this.#runTimes,
