A stream that waits does not keep the events that it has forwarded

Cause: the events of the last chunk are objects of many times their bytes, and the function that waits for the caller or for a turn holds them meanwhile.

Fix: they are let go before the wait.

--- a/packages/knapweedshunt-gateway/src/__tests__/eventTurns.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/eventTurns.test.ts
@@ -1,5 +1,7 @@
 import type http from 'node:http'
 import { Readable } from 'node:stream'
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
 import FakeTimers from '@sinonjs/fake-timers'
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
@@ -84,12 +86,42 @@
 test.serial('a stream whose events come all at once is forwarded whole and without long pauses', async t => {
   const events = Array.from({ length: EVENT_COUNT }, (_, n) => `id: ${n + 1}\ndata: t${n + 1}\n\n`)
   const chunks = Array.from({ length: EVENT_COUNT / CHUNK_EVENTS }, (_, n) => Buffer.from(events.slice(n * CHUNK_EVENTS, (n + 1) * CHUNK_EVENTS).join('')))
-  const response = Object.assign(Readable.from(chunks), { complete: true, headers: { 'content-type': 'text/event-stream' } }) as unknown as http.IncomingMessage
   const written: Buffer[] = []
   const callerResponse = { hasCallerLeft: false, write: (bytes: Buffer) => written.push(bytes) > 0 } as unknown as CallerResponse
   const relay = new StreamRelay(callerResponse, true, null, new EventMemory(), new EventTurns())
-  const result = await relay.forward(response, { stallTimeoutMs: 2 * PAUSE_OBJECTIVE_MS, onStalled: () => t.fail(), onChunk: () => {}, onNewEvents: () => {}, onFirstEvent: () => {}, onHeldTooMuch: () => {} })
+  const result = await relay.forward(buildResponse(chunks), { stallTimeoutMs: 2 * PAUSE_OBJECTIVE_MS, onStalled: () => t.fail(), onChunk: () => {}, onNewEvents: () => {}, onFirstEvent: () => {}, onHeldTooMuch: () => {} })
   t.like(result, { type: 'complete' })
   t.is(Buffer.concat(written).toString(), events.join(''))
   t.true(relay.longestPauseMs < PAUSE_OBJECTIVE_MS, `${relay.longestPauseMs} ms`)
 })
+
+function buildResponse (chunks: Buffer[]): http.IncomingMessage {
+  return Object.assign(Readable.from(chunks), { complete: true, headers: { 'content-type': 'text/event-stream' } }) as unknown as http.IncomingMessage
+}
+
+function collectGarbage (): void {
+  setFlagsFromString('--expose-gc')
+  runInNewContext('gc')()
+}
+
+// Guards against thousands of small events that are kept for each stream that waits, at many times the memory of their bytes.
+test.serial('events that were forwarded are not kept while the stream waits', async t => {
+  const written: Array<WeakRef<Buffer>> = []
+  const drained = new AbortController()
+  const callerResponse = {
+    hasCallerLeft: false,
+    write: (bytes: Buffer) => {
+      written.push(new WeakRef(bytes))
+      return false
+    },
+    waitDrain: () => new Promise<boolean>(resolve => drained.signal.addEventListener('abort', () => resolve(true)))
+  } as unknown as CallerResponse
+  const relay = new StreamRelay(callerResponse, true, null, new EventMemory(), new EventTurns())
+  const result = relay.forward(buildResponse([Buffer.from('id: 1\ndata: t1\n\n')]), { stallTimeoutMs: null, onStalled: () => {}, onChunk: () => {}, onNewEvents: () => {}, onFirstEvent: () => {}, onHeldTooMuch: () => {} })
+  while (written.length === 0) await new Promise(resolve => setImmediate(resolve))
+  await new Promise(resolve => setTimeout(resolve, 10))
+  collectGarbage()
+  t.is(written[0].deref(), undefined)
+  drained.abort()
+  t.like(await result, { type: 'complete' })
+})
--- a/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
@@ -134,13 +134,16 @@
         options.onChunk()
         if (this.#callerResponse.hasCallerLeft) return { type: 'callerLeft' }
         endTracker.addChunk(chunk)
-        const events = this.#isResumable ? splitter.addChunk(chunk) : null
+        let events = this.#isResumable ? splitter.addChunk(chunk) : null
         if (splitter.isTooLong) return { type: 'garbled', reason: EVENT_TOO_LONG }
         // Bytes that complete no event are no progress.
         if (events === null || events.length > 0) restartStallTimer()
         if (events?.some(event => this.#isNewEvent(event))) options.onNewEvents()
         const readsOn = this.#writeOrHold(chunk, events)
         const turnMs = performance.now() - startedAtMs
+        eventRate.recordEvents(events?.length ?? 0)
+        // Small events take many times the memory of their bytes, and the wait may be long.
+        events = null
         if (!readsOn) {
           clearTimeout(stallTimer)
           this.#wait = new AbortController()
@@ -148,7 +151,6 @@
           if (this.#isSuperseded) return { type: 'superseded' }
           restartStallTimer()
         }
-        eventRate.recordEvents(events?.length ?? 0)
         if (eventRate.isExceeded) {
           this.#wait = new AbortController()
           await this.#turns.wait(turnMs, this.#wait.signal)
