--- a/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
@@ -145,7 +145,7 @@
       return DONE
     }
     for (const chunk of firstChunks) this.#callerResponse.write(chunk)
-    const relay = new StreamRelay(this.#callerResponse, false, null, this.#dependencies.eventMemory)
+    const relay = new StreamRelay(this.#callerResponse, false, null, this.#dependencies.eventMemory, this.#dependencies.eventTurns)
     const relayed = await relay.forward(response, { stallTimeoutMs: null, onStalled: () => {}, onChunk: () => {}, onNewEvents: () => {}, onHeldTooMuch: () => {}, onFirstEvent: () => {} })
     const result: RelayResult = relayed.type === 'complete' && await this.#hasEndpointCrashed(runningAttempt) ? { type: 'cut', reason: ENDPOINT_ENDED } : relayed
     attemptRunner.finish(runningAttempt)
