--- a/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
+++ b/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
@@ -1,4 +1,4 @@
-import { CrashingPartDetector, SuspectRegistry } from 'knapweedshunt-attempts'
+import { CrashingPartDetector, EndpointLifespans, RecentLosses, SuspectRegistry } from 'knapweedshunt-attempts'
 import type { PartEvidence, PartQuarantine, SuspectMark } from 'knapweedshunt-attempts'
 import { match } from 'ts-pattern'
 import type { LossReason } from '../endpoints/attemptOutcome.ts'
@@ -9,6 +9,7 @@
 import type { DecisionLog } from '../records/decisionLog.ts'
 import type { GatewayMetrics } from '../records/gatewayMetrics.ts'
 import type { ReceivedMark } from './crashMarks.ts'
+import { CrashReviews } from './crashReviews.ts'
 import type { Quarantine } from './quarantine.ts'
 import type { ReceivedLift } from './quarantineLifts.ts'
 import type { ReceivedPartEvidence } from './rosterRows.ts'
@@ -40,10 +41,15 @@
   readonly #dependencies: SuspectTrackerDependencies
   readonly #registry = new SuspectRegistry(SUSPECT_OPTIONS)
   readonly #partDetector = new CrashingPartDetector()
+  readonly #lifespans = new EndpointLifespans()
+  readonly #losses = new RecentLosses()
+  readonly #reviews: CrashReviews
   #hasScheduledAnnouncement = false
 
   constructor (dependencies: SuspectTrackerDependencies) {
     this.#dependencies = dependencies
+    const { metrics, decisionLog } = dependencies
+    this.#reviews = new CrashReviews({ lifespans: this.#lifespans, losses: this.#losses, metrics, decisionLog })
   }
 
   /** Number of requests held as suspect, quarantined or recently cleared. */
@@ -65,12 +71,24 @@
     return null
   }
 
+  /** Records that bytes arrived from an endpoint on a connection that was established at a monotonic time. */
+  recordReceived ({ entry }: EndpointRecord, openedAtMs: number): void {
+    this.#lifespans.recordReceived(entry.incarnation, openedAtMs)
+  }
+
+  /** Looks again at the latest crashes. */
+  review (): void {
+    this.#reviews.review()
+  }
+
   /** Records that an endpoint may have crashed while it ran the request. */
   recordCrash ({ requestId, fingerprint, sharedParts, record, startedAtMs }: CrashedAttempt, evidence: LossReason): void {
     const { metrics, decisionLog, announceMark, announceParts } = this.#dependencies
     const { endpoint, incarnation } = record.entry
     const mark = this.#registry.recordCrash(fingerprint, incarnation, startedAtMs)
     const quarantines = this.#partDetector.recordCrash(sharedParts, incarnation, startedAtMs)
+    this.#losses.recordLost(incarnation)
+    this.#reviews.add({ requestId, fingerprint, incarnation, startedAtMs, crashedAtMs: performance.now() })
     metrics.recordMark('recorded')
     decisionLog.record({ type: 'crashMarked', requestId, fingerprint: formatFingerprint(fingerprint), parts: formatParts(sharedParts), endpoint, incarnation, evidence, ...this.#describeSuspect(fingerprint) })
     this.#recordQuarantines(quarantines, '')
@@ -88,6 +106,7 @@
       announceMark(cleared)
     }
     this.#partDetector.recordAlive(record.entry.incarnation, startedAtMs)
+    this.#losses.recordServed()
     if (status >= MIN_UNGENERATED_STATUS) return
     const { parts, isAnnounced } = this.#partDetector.recordServed(sharedParts)
     if (parts.length > 0) decisionLog.record({ type: 'partsCleared', requestId: call.requestId, parts: formatParts(parts), isAnnounced })
--- a/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
@@ -44,6 +44,7 @@
   readonly #call: AttemptCall
   #request: http.ClientRequest | null = null
   #isConnected = false
+  #openedAtMs: number | null = null
   #response: http.IncomingMessage | null = null
   #connectionEnd: ConnectionEnd | null = null
   #loss: LossReason | null = null
@@ -67,6 +68,11 @@
     return this.#response !== null
   }
 
+  /** Monotonic time at which the connection was established, which may have served other requests before; null before that. */
+  get openedAtMs (): number | null {
+    return this.#openedAtMs
+  }
+
   /** How the connection of a body ended that only this end delimits; null for any other body, and before. */
   get connectionEnd (): ConnectionEnd | null {
     return this.#connectionEnd
@@ -92,9 +98,12 @@
     }
     this.#request.once('socket', socket => {
       agent.recordCarried(socket, requestId)
-      if (!socket.connecting) return this.#handleConnected()
+      if (!socket.connecting) return this.#handleConnected(agent.findOpenedAtMs(socket))
       this.#connectTimer = setTimeout(() => this.#request?.destroy(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`)), CONNECT_TIMEOUT_MS)
-      socket.once('connect', () => this.#handleConnected())
+      socket.once('connect', () => {
+        agent.recordOpened(socket)
+        this.#handleConnected(agent.findOpenedAtMs(socket))
+      })
     })
     watchInformationalHeads(this.#request, error => this.#rejectResponse(error.message))
     this.#request.once('response', response => this.#handleResponse(response))
@@ -120,8 +129,9 @@
     body.rest.pipe(request)
   }
 
-  #handleConnected (): void {
+  #handleConnected (openedAtMs: number | null): void {
     clearTimeout(this.#connectTimer)
+    this.#openedAtMs = openedAtMs
     this.#isConnected = true
   }
 
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointAgent.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointAgent.ts
@@ -16,6 +16,7 @@
 /** Pools connections to endpoints: closes idle ones before the endpoint does, and any on which unsolicited bytes arrive. An id is sent once on each connection. */
 export class EndpointAgent extends http.Agent {
   readonly #carriedIds = new CarriedIds()
+  readonly #openedAtMs = new WeakMap<Socket, number>()
 
   constructor () {
     super({ keepAlive: true, scheduling: 'lifo', noDelay: true })
@@ -31,6 +32,16 @@
     this.#carriedIds.record(socket, requestId)
   }
 
+  /** Records that a connection was established now. */
+  recordOpened (socket: Socket): void {
+    this.#openedAtMs.set(socket, performance.now())
+  }
+
+  /** Returns the monotonic time at which a connection was established, in milliseconds; null if that is not known. */
+  findOpenedAtMs (socket: Socket): number | null {
+    return this.#openedAtMs.get(socket) ?? null
+  }
+
   /** Called by Node.js when a connection becomes idle. */
   override keepSocketAlive (socket: Duplex & { _httpMessage?: { res?: http.IncomingMessage } }): boolean {
     const advertisedMs = parseIdleTimeoutMs(String(socket._httpMessage?.res?.headers['keep-alive'] ?? ''))
--- a/packages/knapweedshunt-gateway/src/flow/attemptReporter.ts
+++ b/packages/knapweedshunt-gateway/src/flow/attemptReporter.ts
@@ -40,8 +40,10 @@
   }
 
   /** Records that bytes of the response arrived. */
-  recordReceivedBytes ({ target }: RunningAttempt): void {
-    if (target.type === 'endpoint') this.#dependencies.endpointMonitor.recordReceivedBytes(target.record)
+  recordReceivedBytes ({ target, attempt }: RunningAttempt): void {
+    if (target.type !== 'endpoint') return
+    this.#dependencies.endpointMonitor.recordReceivedBytes(target.record)
+    if (attempt.openedAtMs !== null) this.#dependencies.recordReceived(target.record, attempt.openedAtMs)
   }
 
   /** Records what the head of a response says about the endpoint. */
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -302,6 +302,7 @@
       runEvery(SWEEP_INTERVAL_MS, taskController.signal, () => {
         this.#endpointRegistry.removeExpired()
         this.#requestHandler.cancelOverdue()
+        this.#suspectTracker.review()
         this.#readiness.update()
         this.#peerServices.streamOrigins.updateVersions()
         this.#peerServices.streamRows.update()
@@ -351,6 +352,7 @@
         this.#suspectTracker.recordAnswered(plan, record, startedAtMs, status)
       },
       recordCrash: (attempt, evidence) => this.#recordCrash(attempt, evidence),
+      recordReceived: (record, openedAtMs) => this.#suspectTracker.recordReceived(record, openedAtMs),
       recordUnanswered: attempt => this.#unansweredAttempts.recordEnd(attempt),
       findQuarantine: plan => this.#suspectTracker.findQuarantine(plan),
       canBeginOn: (model, version) => version >= this.#weightsState.findMinBeginVersion(model),
--- a/packages/knapweedshunt-gateway/src/records/decisionLog.ts
+++ b/packages/knapweedshunt-gateway/src/records/decisionLog.ts
@@ -60,6 +60,7 @@
   weightsReached: 'Weights reached.',
   loadGivenUp: 'Load given up for now.',
   crashMarked: 'Crash marked.',
+  crashReviewed: 'Crash reviewed.',
   crashDoubted: 'Crash not marked.',
   suspectCleared: 'Suspect request cleared.',
   markApplied: 'Mark of another VM applied.',
--- a/packages/knapweedshunt-gateway/src/records/gatewayMetrics.ts
+++ b/packages/knapweedshunt-gateway/src/records/gatewayMetrics.ts
@@ -53,7 +53,7 @@
   }
 
   /** Counts a mark of a request that may crash endpoints. */
-  recordMark (event: 'recorded' | 'applied' | 'cleared' | 'evicted'): void {
+  recordMark (event: 'recorded' | 'applied' | 'cleared' | 'livedOn' | 'evicted'): void {
     this.#marks.inc({ event })
   }
 
