--- a/packages/knapweedshunt-quickstart/src/__tests__/startRouterHarness.ts
+++ b/packages/knapweedshunt-quickstart/src/__tests__/startRouterHarness.ts
@@ -19,6 +19,8 @@
   routers: RunningRouter[]
   /** Applies a snapshot of the current engines to all routers; `states` overrides the state `live` by endpoint name. */
   pushSnapshot (states?: Record<string, 'live' | 'leaving' | 'dead'>): void
+  /** Applies a snapshot to all routers in which each engine has reported its load just now. */
+  pushReports (): void
   /** Applies a snapshot to one router in which no engine can be reached at its address. */
   cutOff (router: number): void
   /** Ends all routers and starts as many new ones, which know nothing of the earlier ones. */
@@ -45,13 +47,13 @@
   const startRouters = () => Promise.all(Array.from({ length: options.routers ?? 1 }, (_, i) => startRouter({ ...routerOptions, vm: `vm-${i + 1}` })))
   const routers = await startRouters()
 
-  function applySnapshot (router: RunningRouter, engineUrls: string[], revision: number, states: Record<string, 'live' | 'leaving' | 'dead'>) {
+  function applySnapshot (router: RunningRouter, engineUrls: string[], revision: number, states: Record<string, 'live' | 'leaving' | 'dead'>, hasReports = false) {
     const endpoints = engines.map((engine, i) => ({
       endpoint: `language-${i + 1}`,
       incarnation: engine.state.incarnation,
       state: states[`language-${i + 1}`] ?? 'live',
       weightsVersion: engine.state.weightsVersion,
-      load: null,
+      load: hasReports ? { endpoint: `language-${i + 1}`, incarnation: engine.state.incarnation, running: 0, queued: 0, queuedTokens: 0, atMs: 0, weightsVersion: engine.state.weightsVersion } : null,
       loadAgeMs: 0
     }))
     const vms = routers.map((router, i) => ({ vm: `vm-${i + 1}`, incarnation: `i-${i + 1}`, dataCentre: 'dc-1', controlUrl: '', routerUrl: router.peerUrl, state: 'live', appliedRevision: 1 }))
@@ -67,6 +69,9 @@
     engines,
     routers,
     pushSnapshot,
+    pushReports () {
+      for (const router of routers) applySnapshot(router, engines.map(engine => engine.url), 1, {}, true)
+    },
     cutOff: router => applySnapshot(routers[router], engines.map(() => UNREACHABLE_URL), 2, {}),
     async restartRouters () {
       await Promise.all(routers.map(router => router.stop()))
