--- a/packages/knapweedshunt-attempts/src/__tests__/quarantineLifts.test.ts
+++ b/packages/knapweedshunt-attempts/src/__tests__/quarantineLifts.test.ts
@@ -40,6 +40,11 @@
   return mark!
 }
 
+/** Returns the mark as an earlier build writes it. */
+function withoutCrashes (mark: SuspectMark): SuspectMark {
+  return mark.type === 'quarantined' ? { ...mark, crashes: undefined } : mark
+}
+
 function crashPart (clock: Clock, detector: CrashingPartDetector, count: number, parts = ['first0', 'bad']): void {
   for (let n = 0; n < count; n++) {
     clock.tick(500)
@@ -104,8 +109,11 @@
   t.is(registry.check(FINGERPRINT).type, 'suspect')
   t.is(registry.countCrashes(FINGERPRINT), 1)
   other.lift(START, liftedAtMs)
-  other.applyMark(quarantined)
+  other.applyMark(withoutCrashes(quarantined))
   t.is(other.check(FINGERPRINT).type, 'clear')
+  other.applyMark(quarantined)
+  t.is(other.check(FINGERPRINT).type, 'suspect')
+  t.is(other.countCrashes(FINGERPRINT), 1)
 }))
 
 test.serial('a quarantine that is newer than the lift holds', runWithClock((t, clock) => {
--- /dev/null
+++ b/packages/knapweedshunt-attempts/src/suspectEntry.ts
@@ -0,0 +1,107 @@
+import type { EndpointName } from 'knapweedshunt-types'
+import { MAX_MARK_CRASHES, MAX_MARK_ENDPOINTS } from './suspectMark.ts'
+import type { MarkedCrash, SuspectMark } from './suspectMark.ts'
+
+/** Crash of an endpoint while it ran a request. Monotonic times, in milliseconds. */
+export interface Crash {
+  ids: Set<string>
+  endpoint: EndpointName
+  startedAtMs: number
+  crashedAtMs: number
+}
+
+/** Quarantine in a mark that does not name its crashes. Monotonic times, in milliseconds. */
+export interface ToldQuarantine {
+  untilMs: number
+  firstCrashAtMs: number
+  crashCount: number
+  endpoints: EndpointName[]
+}
+
+/** What is held against a request. Monotonic times, in milliseconds. */
+export interface SuspectEntry {
+  crashes: Crash[]
+  /** Ids of crashes that no longer count; their marks may still arrive. */
+  settledIds: Set<string>
+  told: ToldQuarantine | null
+  expiresAtMs: number
+}
+
+/** Maximum number of settled crash ids held for a request. */
+const MAX_SETTLED_IDS = 256
+
+/** Creates an entry against which nothing is held. */
+export function createSuspectEntry (): SuspectEntry {
+  return { crashes: [], settledIds: new Set(), told: null, expiresAtMs: 0 }
+}
+
+/** Whether two records describe the same crash: by id, or because a crash ends all attempts on its endpoint, so that attempts which overlap on one endpoint were ended by the same crash. */
+export function isSameCrash (a: Crash, b: Crash): boolean {
+  if (hasAny(a.ids, b.ids)) return true
+  return a.endpoint === b.endpoint && a.startedAtMs < b.crashedAtMs && b.startedAtMs < a.crashedAtMs
+}
+
+/** Adds a crash to an entry, unless it is held already or no longer counts. */
+export function addCrash (entry: SuspectEntry, crash: Crash): void {
+  const known = entry.crashes.find(other => isSameCrash(other, crash))
+  if (known !== undefined) for (const id of crash.ids) known.ids.add(id)
+  else if (!hasAny(entry.settledIds, crash.ids)) entry.crashes.push(crash)
+}
+
+/** Records that crashes no longer count, and removes them; the oldest ids are dropped beyond a limit. */
+export function settleCrashes (entry: SuspectEntry, crashIds: Iterable<string>): void {
+  for (const id of crashIds) entry.settledIds.add(id)
+  entry.crashes = entry.crashes.filter(crash => !hasAny(entry.settledIds, crash.ids))
+  for (const oldest of entry.settledIds) {
+    if (entry.settledIds.size <= MAX_SETTLED_IDS) break
+    entry.settledIds.delete(oldest)
+  }
+}
+
+/** Keeps only the latest crashes; the others no longer count. */
+export function retainLatestCrashes (entry: SuspectEntry, count: number): void {
+  settleCrashes(entry, sortByTime(entry.crashes).slice(count).flatMap(({ ids }) => [...ids]))
+}
+
+/** Removes the crashes and the quarantine from up to a time; returns whether there were any. */
+export function liftSuspectEntry (entry: SuspectEntry, liftedAtMs: number): boolean {
+  const lifted = entry.crashes.filter(({ crashedAtMs }) => crashedAtMs <= liftedAtMs)
+  const isToldLifted = entry.told !== null && entry.told.firstCrashAtMs <= liftedAtMs
+  settleCrashes(entry, lifted.flatMap(({ ids }) => [...ids]))
+  if (isToldLifted) entry.told = null
+  return lifted.length > 0 || isToldLifted
+}
+
+/** Returns a time by which a crash must have happened for as many of the latest crashes to be later. */
+export function findFirstOfLatest (crashes: readonly Crash[], count: number): number {
+  return sortByTime(crashes)[count - 1].crashedAtMs
+}
+
+/** Builds the mark that tells peers of the crashes of a request. */
+export function buildCrashedMark (fingerprint: string, crashes: readonly Crash[], nowMs: number): SuspectMark {
+  return { type: 'crashed', fingerprint, crashes: listMarkedCrashes(crashes, nowMs) }
+}
+
+/** Builds the mark that tells peers of the quarantine of a request and the crashes that it follows from. */
+export function buildQuarantinedMark (fingerprint: string, { crashes, told }: SuspectEntry, forMs: number, firstCrashAtMs: number, nowMs: number): SuspectMark {
+  const endpoints = [...new Set([...crashes.map(({ endpoint }) => endpoint), ...told?.endpoints ?? []])].slice(0, MAX_MARK_ENDPOINTS)
+  return { type: 'quarantined', fingerprint, forMs, crashCount: Math.max(crashes.length, told?.crashCount ?? 0), firstCrashAgeMs: Math.max(0, nowMs - firstCrashAtMs), endpoints, crashes: listMarkedCrashes(crashes, nowMs) }
+}
+
+/** Converts a crash of a mark to monotonic times. */
+export function parseMarkedCrash ({ ids, endpoint, startedAgeMs, crashedAgeMs }: MarkedCrash, nowMs: number): Crash {
+  return { ids: new Set(ids), endpoint, startedAtMs: nowMs - startedAgeMs, crashedAtMs: nowMs - crashedAgeMs }
+}
+
+function listMarkedCrashes (crashes: readonly Crash[], nowMs: number): MarkedCrash[] {
+  return sortByTime(crashes).slice(0, MAX_MARK_CRASHES).map(({ ids, endpoint, startedAtMs, crashedAtMs }) => ({ ids: [...ids], endpoint, startedAgeMs: nowMs - startedAtMs, crashedAgeMs: nowMs - crashedAtMs }))
+}
+
+/** Sorts crashes by time, the latest first. */
+function sortByTime (crashes: readonly Crash[]): Crash[] {
+  return [...crashes].sort((a, b) => b.crashedAtMs - a.crashedAtMs)
+}
+
+function hasAny (ids: ReadonlySet<string>, others: ReadonlySet<string>): boolean {
+  return [...others].some(id => ids.has(id))
+}
