A clearing does not replace one that other VMs have not read yet

What callers saw: requests refused as quarantined at one VM for crashes that another one had cleared. Cause: a VM told one mark a request, the newest. A clearing that followed another one, or a crash that followed a clearing, replaced it before the other VMs had read it; the crashes that it named counted there until they expired. Evidence: with clearings in quick succession four of the tests of repeated requests failed at the VM that got them; the log shows the second clearing alone. Why it works: a VM tells the latest crashes and all recent clearings of a request (64 crashes at most); crashes that are cleared are left out. The same for marks that a peer of the product's router has not acknowledged.

--- a/packages/knapweedshunt-attempts/src/suspectMark.ts
+++ b/packages/knapweedshunt-attempts/src/suspectMark.ts
@@ -24,6 +24,9 @@
 /** Maximum number of crashes that a VM writes in one mark; the row of a VM holds many marks. */
 export const MAX_MARK_CRASHES = 3
 
+/** Maximum number of crashes that a VM clears in one mark. */
+export const MAX_MARK_CLEARED_IDS = 64
+
 /** Maximum number of endpoints in the mark of a quarantine. */
 export const MAX_MARK_ENDPOINTS = 16
 
--- a/packages/knapweedshunt-gateway/src/directory/crashMarks.ts
+++ b/packages/knapweedshunt-gateway/src/directory/crashMarks.ts
@@ -1,4 +1,4 @@
-import { addElapsedTime } from 'knapweedshunt-attempts'
+import { addElapsedTime, mergeMarks } from 'knapweedshunt-attempts'
 import type { SuspectMark } from 'knapweedshunt-attempts'
 import type { Incarnation } from 'knapweedshunt-types'
 import { computeAgeMs } from './computeAgeMs.ts'
@@ -33,10 +33,12 @@
     this.#onEvicted = onEvicted
   }
 
-  /** Adds a mark of this VM, which replaces its earlier mark of the same request. */
+  /** Adds a mark of this VM, which replaces or joins its earlier marks of the same request. */
   add (mark: SuspectMark): void {
     const others = this.#marks.filter(known => known.mark.fingerprint !== mark.fingerprint)
-    this.#setMarks([...others, { n: ++this.#lastNumber, atMs: Date.now(), mark }])
+    const known = this.#marks.filter(numbered => numbered.mark.fingerprint === mark.fingerprint && !isExpired(numbered))
+    const merged = mergeMarks(known.map(({ mark, atMs }) => addElapsedTime(mark, computeAgeMs(atMs))), mark)
+    this.#setMarks([...others, ...merged.map(one => ({ n: ++this.#lastNumber, atMs: Date.now(), mark: one }))])
   }
 
   /** Removes this VM's mark of a request. */
--- a/packages/knapweedshunt-router/src/unacknowledgedMarks.ts
+++ b/packages/knapweedshunt-router/src/unacknowledgedMarks.ts
@@ -1,32 +1,37 @@
-import { addElapsedTime } from 'knapweedshunt-attempts'
+import { addElapsedTime, mergeMarks } from 'knapweedshunt-attempts'
 import type { SuspectMark } from 'knapweedshunt-attempts'
 import { MAX_MARKS } from './peerMessages.ts'
 
-interface TimedMark {
-  mark: SuspectMark
+/** A request has two marks at most. */
+const MAX_REQUESTS = MAX_MARKS / 2
+
+interface TimedMarks {
+  marks: SuspectMark[]
   addedAtMs: number
 }
 
-/** Marks that one peer has not acknowledged; a newer mark of a request replaces the older one. */
+/** Marks that one peer has not acknowledged; a newer mark of a request replaces or joins the older ones. */
 export class UnacknowledgedMarks {
-  readonly #marksByFingerprint = new Map<string, TimedMark>()
+  readonly #marksByFingerprint = new Map<string, TimedMarks>()
 
-  /** Number of unacknowledged marks. */
+  /** Number of requests with unacknowledged marks. */
   get size (): number {
     return this.#marksByFingerprint.size
   }
 
-  /** Adds a mark; beyond `MAX_MARKS` the oldest one is evicted. */
+  /** Adds a mark; beyond `MAX_REQUESTS` the marks of the oldest request are evicted. */
   add (mark: SuspectMark, nowMs: number): void {
+    const known = this.#marksByFingerprint.get(mark.fingerprint)
+    const knownMarks = known?.marks.map(one => addElapsedTime(one, nowMs - known.addedAtMs)) ?? []
     this.#marksByFingerprint.delete(mark.fingerprint)
-    this.#marksByFingerprint.set(mark.fingerprint, { mark, addedAtMs: nowMs })
+    this.#marksByFingerprint.set(mark.fingerprint, { marks: mergeMarks(knownMarks, mark), addedAtMs: nowMs })
     const [oldest] = this.#marksByFingerprint.keys()
-    if (this.#marksByFingerprint.size > MAX_MARKS) this.#marksByFingerprint.delete(oldest)
+    if (this.#marksByFingerprint.size > MAX_REQUESTS) this.#marksByFingerprint.delete(oldest)
   }
 
   /** Removes and returns all marks, with their ages and remaining times adjusted to `nowMs`. */
   drain (nowMs: number): SuspectMark[] {
-    const marks = [...this.#marksByFingerprint.values()].map(({ mark, addedAtMs }) => addElapsedTime(mark, nowMs - addedAtMs))
+    const marks = [...this.#marksByFingerprint.values()].flatMap(({ marks, addedAtMs }) => marks.map(mark => addElapsedTime(mark, nowMs - addedAtMs)))
     this.#marksByFingerprint.clear()
     return marks
   }
