--- /dev/null
+++ b/packages/knapweedshunt-attempts/src/__tests__/survivedCrashes.test.ts
@@ -0,0 +1,81 @@
+import test from 'ava'
+import { EndpointLifespans } from '../endpointLifespans.ts'
+import { SuspectRegistry } from '../suspectRegistry.ts'
+import { runWithClock } from './runWithClock.ts'
+
+const OPTIONS = { maxCrashes: 3, suspectMs: 60_000, quarantineMs: 600_000, maxEntries: 10 }
+
+const ENDPOINTS = ['e1', 'e2', 'e3']
+
+/** A VM with a connection to each endpoint that brings bytes as long as the endpoint lives. */
+class ObservingVm {
+  readonly lifespans = new EndpointLifespans()
+  readonly registry = new SuspectRegistry(OPTIONS, this.lifespans)
+  readonly #openedAtMs = performance.now()
+
+  receive (endpoints = ENDPOINTS): void {
+    for (const endpoint of endpoints) this.lifespans.recordReceived(endpoint, this.#openedAtMs)
+  }
+
+  lose (endpoint: string): void {
+    this.registry.recordCrash('f', endpoint, performance.now() - 100)
+  }
+}
+
+// Guards against endpoints that live on and count as crashed.
+test.serial('crashes of endpoints that are seen to have lived on do not count, and peers are told', t => runWithClock(tick => {
+  const [vm, peer] = [new ObservingVm(), new SuspectRegistry(OPTIONS)]
+  tick(5_000)
+  for (const endpoint of ENDPOINTS) vm.lose(endpoint)
+  for (const mark of vm.registry.listMarks()) peer.applyMark(mark)
+  t.is(peer.check('f').type, 'quarantined')
+  tick(400)
+  vm.receive()
+  for (const mark of vm.registry.takeSurvived()) peer.applyMark(mark)
+  t.is(vm.registry.check('f').type, 'clear')
+  t.is(peer.check('f').type, 'clear')
+  t.deepEqual(vm.registry.takeSurvived(), [])
+}))
+
+// Guards against a crash that is taken for survived as bytes arrived shortly before or after it.
+test.serial('crashes of endpoints that were heard last when they crashed count', t => runWithClock(tick => {
+  const vm = new ObservingVm()
+  tick(5_000)
+  vm.receive()
+  for (const endpoint of ENDPOINTS) vm.lose(endpoint)
+  tick(20)
+  vm.receive()
+  tick(5_000)
+  t.deepEqual(vm.registry.takeSurvived(), [])
+  t.is(vm.registry.check('f').type, 'quarantined')
+}))
+
+// Guards against crashes that a peer reports by a wrong clock and that are taken for survived.
+test.serial('a crash that a peer reports counts unless the endpoint lived until the report arrived', t => runWithClock(tick => {
+  const [vm, other] = [new ObservingVm(), new ObservingVm()]
+  tick(5_000)
+  vm.receive()
+  for (const endpoint of ENDPOINTS) other.lose(endpoint)
+  tick(100)
+  for (const mark of other.registry.listMarks()) vm.registry.applyMark(mark)
+  t.is(vm.registry.check('f').type, 'quarantined')
+  tick(200)
+  vm.receive(ENDPOINTS.slice(0, 1))
+  t.is(vm.registry.check('f').type, 'suspect')
+  t.is(vm.registry.countCrashes('f'), 2)
+}))
+
+// Guards against a peer that keeps a quarantine because it does not know what this VM has seen.
+test.serial('a success is announced although the crashes of a peer do not count here', t => runWithClock(tick => {
+  const [vm, other] = [new ObservingVm(), new ObservingVm()]
+  tick(5_000)
+  for (const endpoint of ENDPOINTS) other.lose(endpoint)
+  for (const mark of other.registry.listMarks()) vm.registry.applyMark(mark)
+  tick(400)
+  vm.receive()
+  t.is(vm.registry.check('f').type, 'clear')
+  const cleared = vm.registry.recordSuccess('f')
+  t.is(cleared?.type, 'cleared')
+  other.registry.applyMark(cleared!)
+  t.is(other.registry.check('f').type, 'clear')
+}))
--- a/packages/knapweedshunt-attempts/src/suspectEntry.ts
+++ b/packages/knapweedshunt-attempts/src/suspectEntry.ts
@@ -1,4 +1,5 @@
 import type { EndpointName } from 'knapweedshunt-types'
+import { MAX_IN_FLIGHT_MS } from './endpointLifespans.ts'
 import { MAX_MARK_CRASHES, MAX_MARK_ENDPOINTS } from './suspectMark.ts'
 import type { MarkedCrash, SuspectMark } from './suspectMark.ts'
 
@@ -8,6 +9,13 @@
   endpoint: EndpointName
   startedAtMs: number
   crashedAtMs: number
+  /** Period in which the endpoint's process ended if it did. */
+  earliestEndAtMs: number
+  latestEndAtMs: number
+  /** Whether this registry recorded the crash. */
+  isOwn: boolean
+  /** Whether the endpoint's process is known to have lived on, so that it did not crash. */
+  hasLivedOn: boolean
 }
 
 /** Quarantine in a mark that does not name its crashes. Monotonic times, in milliseconds. */
@@ -27,6 +35,9 @@
   expiresAtMs: number
 }
 
+/** Error of ages that VMs state by their wall clocks, in milliseconds. */
+const MAX_CLOCK_ERROR_MS = 2_000
+
 /** Maximum number of settled crash ids held for a request. */
 const MAX_SETTLED_IDS = 256
 
@@ -44,10 +55,20 @@
 /** Adds a crash to an entry, unless it is held already or no longer counts. */
 export function addCrash (entry: SuspectEntry, crash: Crash): void {
   const known = entry.crashes.find(other => isSameCrash(other, crash))
-  if (known !== undefined) for (const id of crash.ids) known.ids.add(id)
+  if (known !== undefined) joinCrash(known, crash)
   else if (!hasAny(entry.settledIds, crash.ids)) entry.crashes.push(crash)
 }
 
+/** What this VM saw tells more exactly when the endpoint may have ended than what a peer says; of two losses here it must have lived through both. */
+function joinCrash (known: Crash, crash: Crash): void {
+  for (const id of crash.ids) known.ids.add(id)
+  if (!crash.isOwn) return
+  known.earliestEndAtMs = known.isOwn ? Math.min(known.earliestEndAtMs, crash.earliestEndAtMs) : crash.earliestEndAtMs
+  known.latestEndAtMs = crash.latestEndAtMs
+  known.isOwn = true
+  known.hasLivedOn = false
+}
+
 /** Records that crashes no longer count, and removes them; the oldest ids are dropped beyond a limit. */
 export function settleCrashes (entry: SuspectEntry, crashIds: Iterable<string>): void {
   for (const id of crashIds) entry.settledIds.add(id)
@@ -72,6 +93,11 @@
   return lifted.length > 0 || isToldLifted
 }
 
+/** Lists the crashes that count: those whose endpoints are not known to have lived on. */
+export function listCounted ({ crashes }: SuspectEntry): Crash[] {
+  return crashes.filter(({ hasLivedOn }) => !hasLivedOn)
+}
+
 /** Returns a time by which a crash must have happened for as many of the latest crashes to be later. */
 export function findFirstOfLatest (crashes: readonly Crash[], count: number): number {
   return sortByTime(crashes)[count - 1].crashedAtMs
@@ -83,14 +109,22 @@
 }
 
 /** Builds the mark that tells peers of the quarantine of a request and the crashes that it follows from. */
-export function buildQuarantinedMark (fingerprint: string, { crashes, told }: SuspectEntry, forMs: number, firstCrashAtMs: number, nowMs: number): SuspectMark {
+export function buildQuarantinedMark (fingerprint: string, entry: SuspectEntry, forMs: number, firstCrashAtMs: number, nowMs: number): SuspectMark {
+  const { told } = entry
+  const crashes = listCounted(entry)
   const endpoints = [...new Set([...crashes.map(({ endpoint }) => endpoint), ...told?.endpoints ?? []])].slice(0, MAX_MARK_ENDPOINTS)
   return { type: 'quarantined', fingerprint, forMs, crashCount: Math.max(crashes.length, told?.crashCount ?? 0), firstCrashAgeMs: Math.max(0, nowMs - firstCrashAtMs), endpoints, crashes: listMarkedCrashes(crashes, nowMs) }
 }
 
+/** Creates the record of a crash that this VM sees now. */
+export function createOwnCrash (id: string, endpoint: EndpointName, startedAtMs: number, nowMs: number): Crash {
+  return { ids: new Set([id]), endpoint, startedAtMs, crashedAtMs: nowMs, earliestEndAtMs: Math.max(startedAtMs, nowMs - MAX_IN_FLIGHT_MS), latestEndAtMs: nowMs, isOwn: true, hasLivedOn: false }
+}
+
 /** Converts a crash of a mark to monotonic times. */
 export function parseMarkedCrash ({ ids, endpoint, startedAgeMs, crashedAgeMs }: MarkedCrash, nowMs: number): Crash {
-  return { ids: new Set(ids), endpoint, startedAtMs: nowMs - startedAgeMs, crashedAtMs: nowMs - crashedAgeMs }
+  const startedAtMs = nowMs - startedAgeMs
+  return { ids: new Set(ids), endpoint, startedAtMs, crashedAtMs: nowMs - crashedAgeMs, earliestEndAtMs: startedAtMs - MAX_CLOCK_ERROR_MS, latestEndAtMs: nowMs, isOwn: false, hasLivedOn: false }
 }
 
 function listMarkedCrashes (crashes: readonly Crash[], nowMs: number): MarkedCrash[] {
--- a/packages/knapweedshunt-attempts/src/suspectRegistry.ts
+++ b/packages/knapweedshunt-attempts/src/suspectRegistry.ts
@@ -1,8 +1,9 @@
 import type { EndpointName, OrganisationName } from 'knapweedshunt-types'
 import { createIncarnation, hashText } from 'knapweedshunt-utils'
 import { match } from 'ts-pattern'
+import { EndpointLifespans } from './endpointLifespans.ts'
 import { LiftTimes } from './liftTimes.ts'
-import { addCrash, buildCrashedMark, buildQuarantinedMark, createSuspectEntry, findFirstOfLatest, liftSuspectEntry, parseMarkedCrash, retainLatestCrashes, settleCrashes } from './suspectEntry.ts'
+import { addCrash, buildCrashedMark, buildQuarantinedMark, createOwnCrash, createSuspectEntry, findFirstOfLatest, listCounted, liftSuspectEntry, parseMarkedCrash, retainLatestCrashes, settleCrashes } from './suspectEntry.ts'
 import type { Crash, SuspectEntry } from './suspectEntry.ts'
 import type { SuspectMark } from './suspectMark.ts'
 
@@ -21,6 +22,9 @@
 /** Quarantines a request for ten minutes after two crashes. */
 export const DEFAULT_SUSPECT_OPTIONS: SuspectOptions = { maxCrashes: 2, suspectMs: 600_000, quarantineMs: 600_000, maxEntries: 10_000 }
 
+/** Time after a crash in which its endpoint may turn out to have lived on, in milliseconds. */
+const SURVIVAL_WINDOW_MS = 30_000
+
 /** Whether and how a request may run. */
 export type SuspectState =
   | { type: 'clear' }
@@ -44,9 +48,13 @@
   readonly #idPrefix = createIncarnation()
   #crashCount = 0
   readonly #liftTimes = new LiftTimes()
+  readonly #lifespans: EndpointLifespans
+  /** Requests under which this VM saw a crash lately, by the time of the latest one. */
+  readonly #crashedLately = new Map<string, number>()
 
-  constructor (options: SuspectOptions = DEFAULT_SUSPECT_OPTIONS) {
+  constructor (options: SuspectOptions = DEFAULT_SUSPECT_OPTIONS, lifespans = new EndpointLifespans()) {
     this.#options = options
+    this.#lifespans = lifespans
   }
 
   /** Number of requests held. */
@@ -57,8 +65,23 @@
   /** Records the crash of an endpoint during an attempt that started at `startedAtMs`. Returns the mark to send to peers. */
   recordCrash (fingerprint: string, endpoint: EndpointName, startedAtMs: number): SuspectMark {
     const nowMs = performance.now()
-    const ids = new Set([`${this.#idPrefix}-${++this.#crashCount}`])
-    return this.#buildMark(fingerprint, this.#addCrash(fingerprint, { ids, endpoint, startedAtMs, crashedAtMs: nowMs }, nowMs), nowMs)
+    const crash = createOwnCrash(`${this.#idPrefix}-${++this.#crashCount}`, endpoint, startedAtMs, nowMs)
+    this.#crashedLately.set(fingerprint, nowMs)
+    return this.#buildMark(fingerprint, this.#addCrash(fingerprint, crash, nowMs), nowMs)
+  }
+
+  /** Returns the marks that tell peers which of the crashes that this VM saw were none, as the endpoints lived on; each once. */
+  takeSurvived (): SuspectMark[] {
+    const oldestMs = performance.now() - SURVIVAL_WINDOW_MS
+    return [...this.#crashedLately].flatMap(([fingerprint, crashedAtMs]) => {
+      if (crashedAtMs < oldestMs) this.#crashedLately.delete(fingerprint)
+      const entry = this.#entries.get(fingerprint)
+      if (entry === undefined) return []
+      this.#checkSurvival(entry)
+      const crashIds = entry.crashes.flatMap(({ ids, isOwn, hasLivedOn }) => isOwn && hasLivedOn ? [...ids] : [])
+      settleCrashes(entry, crashIds)
+      return crashIds.length === 0 ? [] : [{ type: 'cleared', fingerprint, crashIds }]
+    })
   }
 
   /** Returns the marks of all requests held, for a peer that starts without any. */
@@ -69,8 +92,10 @@
 
   /** Records that a request succeeded. Returns the mark to send to peers if that clears a suspect or quarantined request, otherwise null. */
   recordSuccess (fingerprint: string): SuspectMark | null {
-    if (this.check(fingerprint).type === 'clear') return null
-    const entry = this.#getOrCreateEntry(fingerprint, performance.now())
+    const isClear = this.check(fingerprint).type === 'clear'
+    const entry = this.#entries.get(fingerprint)
+    // Peers may not know that the endpoints of crashes lived on.
+    if (entry === undefined || (isClear && entry.crashes.length === 0)) return null
     const crashIds = entry.crashes.flatMap(crash => [...crash.ids])
     settleCrashes(entry, crashIds)
     entry.told = null
@@ -103,18 +128,24 @@
     const nowMs = performance.now()
     const entry = this.#entries.get(fingerprint)
     if (entry === undefined) return { type: 'clear' }
+    this.#checkSurvival(entry)
     const untilMs = this.#findQuarantineEnd(entry)
     if (untilMs > nowMs) return { type: 'quarantined', retryAfterMs: untilMs - nowMs }
     // One more crash after a quarantine quarantines the request again.
     if (untilMs > -Infinity) retainLatestCrashes(entry, this.#options.maxCrashes - 1)
     if (entry.expiresAtMs <= nowMs) this.#entries.delete(fingerprint)
-    else if (entry.crashes.length > 0 || entry.told !== null) return { type: 'suspect' }
+    else if (listCounted(entry).length > 0 || entry.told !== null) return { type: 'suspect' }
     return { type: 'clear' }
   }
 
-  /** Counts the crashes that are held against a request. */
+  /** Counts the crashes that count against a request. */
   countCrashes (fingerprint: string): number {
-    return this.check(fingerprint).type === 'clear' ? 0 : this.#entries.get(fingerprint)?.crashes.length ?? 0
+    const entry = this.check(fingerprint).type === 'clear' ? undefined : this.#entries.get(fingerprint)
+    return entry === undefined ? 0 : listCounted(entry).length
+  }
+
+  #checkSurvival ({ crashes }: SuspectEntry): void {
+    for (const crash of crashes) crash.hasLivedOn ||= this.#lifespans.hasLivedThrough(crash.endpoint, crash.earliestEndAtMs, crash.latestEndAtMs)
   }
 
   /** A quarantine holds while its crashes count; marks of earlier builds do not name them. */
@@ -146,14 +177,17 @@
   }
 
   /** Returns when the quarantine of a request ends or ended; `-Infinity` without one. */
-  #findQuarantineEnd ({ crashes, told }: SuspectEntry): number {
+  #findQuarantineEnd (entry: SuspectEntry): number {
     const { maxCrashes, quarantineMs } = this.#options
+    const { told } = entry
+    const crashes = listCounted(entry)
     const untilMs = crashes.length < maxCrashes ? -Infinity : Math.max(...crashes.map(({ crashedAtMs }) => crashedAtMs)) + quarantineMs
     return Math.max(untilMs, told?.untilMs ?? -Infinity)
   }
 
   #buildMark (fingerprint: string, entry: SuspectEntry, nowMs: number): SuspectMark {
-    const { crashes, told } = entry
+    const { told } = entry
+    const crashes = listCounted(entry)
     const { maxCrashes } = this.#options
     const forMs = this.#findQuarantineEnd(entry) - nowMs
     if (forMs <= 0) return buildCrashedMark(fingerprint, crashes, nowMs)
--- a/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
+++ b/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
@@ -1,6 +1,7 @@
 import { CrashingPartDetector, EndpointLifespans, RecentLosses, SuspectRegistry } from 'knapweedshunt-attempts'
 import type { PartEvidence, PartQuarantine, SuspectMark } from 'knapweedshunt-attempts'
 import { match } from 'ts-pattern'
+import { LOSS_REASON } from '../endpoints/attemptOutcome.ts'
 import type { LossReason } from '../endpoints/attemptOutcome.ts'
 import type { CrashedAttempt } from '../flow/crashedAttempt.ts'
 import type { RequestPlan } from '../flow/requestPlan.ts'
@@ -10,6 +11,7 @@
 import type { GatewayMetrics } from '../records/gatewayMetrics.ts'
 import type { ReceivedMark } from './crashMarks.ts'
 import { CrashReviews } from './crashReviews.ts'
+import { DirectorySurvivals } from './directorySurvivals.ts'
 import type { Quarantine } from './quarantine.ts'
 import type { ReceivedLift } from './quarantineLifts.ts'
 import type { ReceivedPartEvidence } from './rosterRows.ts'
@@ -28,6 +30,8 @@
 export interface SuspectTrackerDependencies {
   metrics: GatewayMetrics
   decisionLog: DecisionLog
+  /** Whether the record's incarnation of its endpoint is still listed. */
+  isCurrent (record: EndpointRecord): boolean
   /** Tells the other VMs of a request that may crash endpoints, or of its clearing. */
   announceMark (mark: SuspectMark): void
   /** Withdraws what this VM has told the others of a request. */
@@ -39,17 +43,19 @@
 /** Requests, and parts of prompts, that may crash endpoints: collects what this VM sees and what the others report, and decides which requests are quarantined. */
 export class SuspectTracker {
   readonly #dependencies: SuspectTrackerDependencies
-  readonly #registry = new SuspectRegistry(SUSPECT_OPTIONS)
   readonly #partDetector = new CrashingPartDetector()
   readonly #lifespans = new EndpointLifespans()
+  readonly #registry = new SuspectRegistry(SUSPECT_OPTIONS, this.#lifespans)
   readonly #losses = new RecentLosses()
   readonly #reviews: CrashReviews
+  readonly #survivals: DirectorySurvivals
   #hasScheduledAnnouncement = false
 
   constructor (dependencies: SuspectTrackerDependencies) {
     this.#dependencies = dependencies
-    const { metrics, decisionLog } = dependencies
+    const { metrics, decisionLog, isCurrent } = dependencies
     this.#reviews = new CrashReviews({ lifespans: this.#lifespans, losses: this.#losses, metrics, decisionLog })
+    this.#survivals = new DirectorySurvivals({ lifespans: this.#lifespans, isCurrent })
   }
 
   /** Number of requests held as suspect, quarantined or recently cleared. */
@@ -76,9 +82,11 @@
     this.#lifespans.recordReceived(entry.incarnation, openedAtMs)
   }
 
-  /** Looks again at the latest crashes. */
-  review (): void {
+  /** Withdraws the crashes of endpoints that have lived on, and logs what is known of the latest ones; `directoryAtMs` is the monotonic time as of which the endpoint table is confirmed. */
+  review (directoryAtMs: number): void {
+    this.#survivals.update(directoryAtMs)
     this.#reviews.review()
+    for (const mark of this.#registry.takeSurvived()) this.#dependencies.announceMark(mark)
   }
 
   /** Records that an endpoint may have crashed while it ran the request. */
@@ -88,6 +96,7 @@
     const mark = this.#registry.recordCrash(fingerprint, incarnation, startedAtMs)
     const quarantines = this.#partDetector.recordCrash(sharedParts, incarnation, startedAtMs)
     this.#losses.recordLost(incarnation)
+    if (evidence !== LOSS_REASON.silent) this.#survivals.add(record, startedAtMs)
     this.#reviews.add({ requestId, fingerprint, incarnation, startedAtMs, crashedAtMs: performance.now() })
     metrics.recordMark('recorded')
     decisionLog.record({ type: 'crashMarked', requestId, fingerprint: formatFingerprint(fingerprint), parts: formatParts(sharedParts), endpoint, incarnation, evidence, ...this.#describeSuspect(fingerprint) })
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -115,9 +115,11 @@
     this.#rng = createRng(seed)
     this.#decisionLog = new DecisionLog(log)
     this.#unreadableRowLog = new UnreadableRowLog(this.#decisionLog)
+    const isCurrent = (record: EndpointRecord) => this.#endpointRegistry.find(record.entry.endpoint) === record
     this.#suspectTracker = new SuspectTracker({
       metrics: this.#metrics,
       decisionLog: this.#decisionLog,
+      isCurrent,
       announceMark: mark => this.#roster.announceMark(mark),
       removeMark: fingerprint => this.#roster.removeMark(fingerprint),
       announceParts: () => this.#roster.announceParts()
@@ -126,7 +128,6 @@
       this.#unansweredAttempts.handleIncarnationEnded(record)
       this.#endpointPermits.handleIncarnationEnded(record)
     })
-    const isCurrent = (record: EndpointRecord) => this.#endpointRegistry.find(record.entry.endpoint) === record
     this.#unansweredAttempts = new UnansweredAttempts({ isCurrent, recordCrash: attempt => this.#recordCrash(attempt, LOSS_REASON.silent) })
     this.#roster = new VmRoster({
       platform: dependencies.platform,
@@ -302,7 +303,7 @@
       runEvery(SWEEP_INTERVAL_MS, taskController.signal, () => {
         this.#endpointRegistry.removeExpired()
         this.#requestHandler.cancelOverdue()
-        this.#suspectTracker.review()
+        this.#suspectTracker.review(performance.now() - (this.#followers.endpoints.ageMs ?? Infinity))
         this.#readiness.update()
         this.#peerServices.streamOrigins.updateVersions()
         this.#peerServices.streamRows.update()
