--- a/packages/knapweedshunt-attempts/src/__tests__/endpointLifespans.test.ts
+++ b/packages/knapweedshunt-attempts/src/__tests__/endpointLifespans.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava'
+import { computeOwnEndPeriod, hasSurvived } from '../endPeriod.ts'
 import { EndpointLifespans, MAX_IN_FLIGHT_MS } from '../endpointLifespans.ts'
 import { runWithClock } from './runWithClock.ts'
 
@@ -13,7 +14,7 @@
   const reopenedAtMs = performance.now()
   tick(1_000)
   lifespans.recordReceived('e@1', reopenedAtMs)
-  t.false(lifespans.hasLivedOn('e@1', openedAtMs + 10, crashedAtMs))
+  t.false(hasSurvived(lifespans, 'e@1', computeOwnEndPeriod(openedAtMs + 10, crashedAtMs)))
 }))
 
 // Guards against bytes that arrive after the end of their process.
@@ -24,10 +25,10 @@
   const lostAtMs = performance.now()
   tick(MAX_IN_FLIGHT_MS - 10)
   lifespans.recordReceived('e@1', openedAtMs)
-  t.false(lifespans.hasLivedOn('e@1', lostAtMs - 50, lostAtMs))
+  t.false(hasSurvived(lifespans, 'e@1', computeOwnEndPeriod(lostAtMs - 50, lostAtMs)))
   tick(20)
   lifespans.recordReceived('e@1', openedAtMs)
-  t.true(lifespans.hasLivedOn('e@1', lostAtMs - 50, lostAtMs))
+  t.true(hasSurvived(lifespans, 'e@1', computeOwnEndPeriod(lostAtMs - 50, lostAtMs)))
 }))
 
 test.serial('connections that overlap show one lifespan', t => runWithClock(tick => {
--- a/packages/knapweedshunt-attempts/src/__tests__/survivedCrashes.test.ts
+++ b/packages/knapweedshunt-attempts/src/__tests__/survivedCrashes.test.ts
@@ -1,4 +1,6 @@
 import test from 'ava'
+import { CrashingPartDetector } from '../crashingPartDetector.ts'
+import { DEFAULT_CRASHING_PART_OPTIONS } from '../crashingPartOptions.ts'
 import { EndpointLifespans } from '../endpointLifespans.ts'
 import { SuspectRegistry } from '../suspectRegistry.ts'
 import { runWithClock } from './runWithClock.ts'
@@ -79,3 +81,45 @@
   other.registry.applyMark(cleared!)
   t.is(other.registry.check('f').type, 'clear')
 }))
+
+/** Loses attempts with these parts, one after the other, while others are served. */
+function loseParts (tick: (ms: number) => void, detector: CrashingPartDetector, count: number): void {
+  for (let n = 0; n < count; n++) {
+    tick(200)
+    for (let i = 0; i < 10; i++) detector.recordServed([`other${i}`])
+    const startedAtMs = performance.now()
+    tick(50)
+    detector.recordCrash(['shared', 'lost'], ENDPOINTS[n % ENDPOINTS.length], startedAtMs)
+  }
+}
+
+// Guards against prompt parts that stay quarantined although the endpoints have lived on, here and at peers.
+test.serial('the quarantine of parts ends at all VMs when their endpoints are seen to have lived on', t => runWithClock(tick => {
+  const vm = new ObservingVm()
+  const detector = new CrashingPartDetector(DEFAULT_CRASHING_PART_OPTIONS, vm.lifespans)
+  const peer = new CrashingPartDetector()
+  tick(5_000)
+  vm.receive()
+  loseParts(tick, detector, 3)
+  t.is(detector.check(['shared', 'lost']).type, 'quarantined')
+  peer.applyEvidence(detector.buildEvidence(), 0)
+  t.is(peer.check(['shared', 'lost']).type, 'quarantined')
+  tick(300)
+  vm.receive()
+  t.true(detector.dropSurvived().isAnnounced)
+  t.is(detector.check(['shared', 'lost']).type, 'clear')
+  peer.applyEvidence(detector.buildEvidence(), 0)
+  t.is(peer.check(['shared', 'lost']).type, 'clear')
+  t.false(detector.dropSurvived().isAnnounced)
+}))
+
+test.serial('parts that were lost with endpoints that ended stay quarantined', t => runWithClock(tick => {
+  const vm = new ObservingVm()
+  const detector = new CrashingPartDetector(DEFAULT_CRASHING_PART_OPTIONS, vm.lifespans)
+  tick(5_000)
+  vm.receive()
+  loseParts(tick, detector, 3)
+  tick(2_000)
+  t.false(detector.dropSurvived().isAnnounced)
+  t.is(detector.check(['shared', 'lost']).type, 'quarantined')
+}))
--- a/packages/knapweedshunt-attempts/src/crashReportIndex.ts
+++ b/packages/knapweedshunt-attempts/src/crashReportIndex.ts
@@ -15,6 +15,11 @@
     return this.#reports.has(id)
   }
 
+  /** Lists all reports, oldest first. */
+  list (): CrashReport[] {
+    return [...this.#reports.values()]
+  }
+
   /** Lists this VM's own reports, oldest first. */
   listOwn (): CrashReport[] {
     return [...this.#reports.values()].filter(report => report.isOwn)
--- a/packages/knapweedshunt-attempts/src/crashingPartDetector.ts
+++ b/packages/knapweedshunt-attempts/src/crashingPartDetector.ts
@@ -7,11 +7,15 @@
 import type { ClearedParts } from './clearedParts.ts'
 import type { LiftedPart } from './liftedPart.ts'
 import { PartClearings } from './partClearings.ts'
+import { EndpointLifespans } from './endpointLifespans.ts'
+import { encodePartEvidence } from './encodePartEvidence.ts'
 import { EndpointLiveness } from './endpointLiveness.ts'
+import { computeOwnEndPeriod, computeReportedEndPeriod, hasSurvived } from './endPeriod.ts'
 import { LiftTimes } from './liftTimes.ts'
 import type { PartEvidence } from './partEvidence.ts'
 import { MAX_PUBLISHED } from './partEvidence.ts'
 import type { PartQuarantine } from './partQuarantine.ts'
+import { PartQuarantineTable } from './partQuarantineTable.ts'
 import { RecentOutcomes } from './recentOutcomes.ts'
 import { summarizeCrashes } from './summarizeCrashes.ts'
 
@@ -20,9 +24,6 @@
   | { type: 'clear' }
   | { type: 'quarantined', parts: string[], retryAfterMs: number }
 
-/** Maximum number of quarantines held; the one that ends first is evicted. */
-const MAX_QUARANTINES = 256
-
 /**
  * Finds parts of prompts that crash every endpoint which begins an answer on them. Each crash is reported with the parts
  * of the attempts that it ended; a part with which a request is served is no longer suspect. A part is quarantined when
@@ -37,27 +38,32 @@
   readonly #liftTimes = new LiftTimes()
   /** Monotonic time from which on this VM can tell which parts were served. */
   readonly #startedAtMs = performance.now()
-  readonly #quarantines = new Map<string, PartQuarantine>()
+  readonly #quarantines = new PartQuarantineTable()
+  /** Whether a quarantine was withdrawn that the other VMs may hold. */
+  #hasWithdrawn = false
+  readonly #lifespans: EndpointLifespans
   /** Makes ids unique among all VMs. */
   readonly #idPrefix = createIncarnation()
   #idCount = 0
 
-  constructor (options: CrashingPartOptions = DEFAULT_CRASHING_PART_OPTIONS) {
+  constructor (options: CrashingPartOptions = DEFAULT_CRASHING_PART_OPTIONS, lifespans = new EndpointLifespans()) {
     this.#options = options
+    this.#lifespans = lifespans
     this.#outcomes = new RecentOutcomes(options.reportMs)
     this.#reports = new CrashReportIndex(options.maxReports)
   }
 
   /** Number of quarantines in force. */
   get quarantineCount (): number {
-    return this.#listQuarantines().length
+    return this.#quarantines.list().length
   }
 
   /** Returns whether a request with these shared parts may be sent. */
   check (parts: readonly string[]): PartCheck {
-    if (this.#quarantines.size === 0) return { type: 'clear' }
+    const quarantines = this.#quarantines.list()
+    if (quarantines.length === 0) return { type: 'clear' }
     const held = new Set(parts)
-    const matching = this.#listQuarantines().filter(quarantine => [...quarantine.parts].every(part => held.has(part)))
+    const matching = quarantines.filter(quarantine => [...quarantine.parts].every(part => held.has(part)))
     if (matching.length === 0) return { type: 'clear' }
     const last = matching.reduce((latest, quarantine) => quarantine.untilMs > latest.untilMs ? quarantine : latest)
     return { type: 'quarantined', parts: [...last.parts], retryAfterMs: last.untilMs - performance.now() }
@@ -68,7 +74,8 @@
     if (parts.length === 0) return []
     const suspectParts = new Map(parts.map(part => [part, this.#estimateLostShare(part, endpoint)]))
     this.#outcomes.record(parts, endpoint)
-    this.#addReport({ id: this.#createId(), endpoint, startedAtMs, crashedAtMs: performance.now(), suspectParts, isOwn: true })
+    const crashedAtMs = performance.now()
+    this.#addReport({ id: this.#createId(), endpoint, startedAtMs, crashedAtMs, endPeriod: computeOwnEndPeriod(startedAtMs, crashedAtMs), suspectParts, isOwn: true })
     return this.#quarantineSuspects(new Set(suspectParts.keys()))
   }
 
@@ -77,6 +84,19 @@
     this.#liveness.recordServed(endpoint, startedAtMs)
   }
 
+  /** Drops the crashes of endpoints that have lived on. Returns whether the other VMs must hear of it, and the quarantines that follow from what is left. */
+  dropSurvived (): { isAnnounced: boolean, quarantines: PartQuarantine[] } {
+    const survived = this.#reports.list().filter(({ endpoint, endPeriod }) => hasSurvived(this.#lifespans, endpoint, endPeriod))
+    const quarantines = survived.flatMap(({ id, suspectParts, isOwn }) => [...suspectParts.keys()].flatMap(part => {
+      if (isOwn) this.#clearings.recordOwn(part, [id])
+      this.#reports.clearPart(id, part)
+      return this.#reconsider(id, part)
+    }))
+    const isAnnounced = this.#hasWithdrawn || quarantines.length > 0 || survived.some(({ isOwn }) => isOwn)
+    this.#hasWithdrawn = false
+    return { isAnnounced, quarantines }
+  }
+
   /** Records that an endpoint served a request with these shared parts completely. */
   recordServed (parts: readonly string[]): ClearedParts {
     if (parts.length > 0) this.#outcomes.record(parts, null)
@@ -92,23 +112,15 @@
     this.#liftTimes.record(part, liftedAtMs)
     const reports = this.#reports.listByPart(part).filter(({ crashedAtMs }) => crashedAtMs <= liftedAtMs)
     for (const { id } of reports) this.#reports.retainParts(id, new Set())
-    const quarantines = this.#listQuarantines().filter(({ parts, firstCrashAtMs }) => parts.has(part) && firstCrashAtMs <= liftedAtMs)
-    for (const { id } of quarantines) this.#quarantines.delete(id)
+    const quarantines = this.#quarantines.list().filter(({ parts, firstCrashAtMs }) => parts.has(part) && firstCrashAtMs <= liftedAtMs)
+    for (const { id } of quarantines) this.#quarantines.remove(id)
     return { quarantines, reportCount: reports.length }
   }
 
   /** Builds what the other VMs must know: this VM's reports and clearings, and all quarantines. */
   buildEvidence (): PartEvidence {
-    const nowMs = performance.now()
     this.#removeExpiredReports()
-    const reports = this.#reports.listOwn().slice(-MAX_PUBLISHED.reports)
-    const quarantines = this.#listQuarantines().sort((a, b) => b.untilMs - a.untilMs).slice(0, MAX_PUBLISHED.quarantines)
-    const clearings = this.#clearings.listOwn().slice(-MAX_PUBLISHED.clearings)
-    return {
-      reports: reports.map(({ id, endpoint, startedAtMs, crashedAtMs, suspectParts }) => ({ id, endpoint, startedAgeMs: nowMs - startedAtMs, crashedAgeMs: nowMs - crashedAtMs, lostShares: Object.fromEntries([...suspectParts].slice(0, MAX_PUBLISHED.parts)) })),
-      quarantines: quarantines.map(({ id, parts, crashCount, lostShare, firstCrashAtMs, untilMs }) => ({ id, parts: [...parts], crashCount, lostShare, firstCrashAgeMs: nowMs - firstCrashAtMs, forMs: untilMs - nowMs })),
-      clearings: clearings.map(({ part, ids }) => ({ part, ids: ids.slice(-MAX_PUBLISHED.ids) }))
-    }
+    return encodePartEvidence(this.#reports.listOwn(), this.#quarantines.list(), this.#clearings.listOwn())
   }
 
   /**
@@ -117,7 +129,7 @@
    */
   applyEvidence (evidence: PartEvidence, ageMs: number, isOwn = false): PartQuarantine[] {
     const nowMs = performance.now()
-    for (const { part, ids } of evidence.clearings) for (const id of ids) this.#applyClearing(part, id)
+    const reconsidered = evidence.clearings.flatMap(({ part, ids }) => ids.flatMap(id => this.#applyClearing(part, id)))
     const learnt = evidence.quarantines.flatMap(({ id, parts, crashCount, lostShare, firstCrashAgeMs, forMs }) => {
       const firstCrashAtMs = nowMs - firstCrashAgeMs - ageMs
       for (const part of parts) if (this.#outcomes.hasServedAfter(part, firstCrashAtMs)) this.#clearings.recordRefuted(part, id)
@@ -129,10 +141,10 @@
       // A list of the maximum length may have been cut off.
       if (suspectParts.size < MAX_PUBLISHED.parts) this.#reports.retainParts(id, new Set(suspectParts.keys()))
       if (this.#reports.has(id) || crashedAgeMs + ageMs >= this.#options.reportMs) continue
-      this.#addReport({ id, endpoint, startedAtMs: nowMs - startedAgeMs - ageMs, crashedAtMs: nowMs - crashedAgeMs - ageMs, suspectParts, isOwn })
+      this.#addReport({ id, endpoint, startedAtMs: nowMs - startedAgeMs - ageMs, crashedAtMs: nowMs - crashedAgeMs - ageMs, endPeriod: computeReportedEndPeriod(nowMs - startedAgeMs - ageMs), suspectParts, isOwn })
       for (const part of suspectParts.keys()) suspects.add(part)
     }
-    return [...learnt, ...this.#quarantineSuspects(suspects)]
+    return [...reconsidered, ...learnt, ...this.#quarantineSuspects(suspects)]
   }
 
   #createId (): string {
@@ -173,7 +185,16 @@
     const certain = reports.filter(({ endpoint, crashedAtMs }) => !this.#liveness.isAliveAfter(endpoint, crashedAtMs))
     const isInUse = this.#outcomes.hasServedAfter(part, -Infinity)
     const found = this.#findQuarantine(part, certain, isInUse ? minDoubtfulCrashes : minCrashes) ?? this.#findQuarantine(part, reports, minDoubtfulCrashes)
-    return found === null ? [] : this.#addQuarantine(found)
+    return found === null ? [] : this.#addQuarantine(found, reports)
+  }
+
+  /** Withdraws this VM's quarantines of a part that follow from a report which no longer counts, unless what is left suffices. */
+  #reconsider (reportId: string, part: string): PartQuarantine[] {
+    const withdrawn = this.#quarantines.removeByReport(reportId, part)
+    if (withdrawn.length === 0) return []
+    for (const { id, parts } of withdrawn) for (const one of parts) this.#clearings.recordOwn(one, [id])
+    this.#hasWithdrawn = true
+    return this.#quarantineIfLikely(part)
   }
 
   /** Finds the quarantine that follows from these reports; null if they are too few or may be chance. */
@@ -189,26 +210,25 @@
 
   /** Whether a quarantine of other parts accounts for the crash. */
   #isExplained ({ suspectParts }: CrashReport, part: string): boolean {
-    return this.#listQuarantines().some(({ parts }) => !parts.has(part) && [...parts].every(other => suspectParts.has(other)))
+    return this.#quarantines.list().some(({ parts }) => !parts.has(part) && [...parts].every(other => suspectParts.has(other)))
   }
 
   /** Adds a quarantine unless one in force covers it; returns it if it was added. */
-  #addQuarantine (quarantine: PartQuarantine): PartQuarantine[] {
+  #addQuarantine (quarantine: PartQuarantine, reports: readonly CrashReport[] = []): PartQuarantine[] {
     const { id, parts, firstCrashAtMs, untilMs } = quarantine
     if (this.#quarantines.has(id) || this.#isLifted(parts, firstCrashAtMs)) return []
     this.#removeClearedParts(id, parts, firstCrashAtMs)
-    const known = this.#listQuarantines()
+    const known = this.#quarantines.list()
     const isCovered = known.some(other => other.untilMs >= untilMs && [...other.parts].every(part => parts.has(part)))
     if (isCovered || parts.size === 0 || untilMs <= performance.now()) return []
-    this.#quarantines.set(id, quarantine)
-    if (known.length >= MAX_QUARANTINES) this.#quarantines.delete(known.reduce((first, other) => other.untilMs < first.untilMs ? other : first).id)
+    this.#quarantines.add(quarantine, new Set(reports.map(report => report.id)))
     return [quarantine]
   }
 
   /** Clears a part that was served now; null if it was not suspect. */
   #clearServed (part: string): { part: string, isAnnounced: boolean } | null {
     const reports = this.#reports.listByPart(part)
-    const quarantines = this.#listQuarantines().filter(quarantine => quarantine.parts.has(part))
+    const quarantines = this.#quarantines.list().filter(quarantine => quarantine.parts.has(part))
     const refutedIds = this.#clearings.takeRefuted(part)
     if (reports.length === 0 && quarantines.length === 0 && refutedIds.length === 0) return null
     const ids = [...[...reports, ...quarantines].map(({ id }) => id), ...refutedIds]
@@ -218,24 +238,16 @@
     return { part, isAnnounced: mustAnnounce || isPublished }
   }
 
-  #applyClearing (part: string, id: string): void {
+  #applyClearing (part: string, id: string): PartQuarantine[] {
     this.#clearings.recordReceived(part, id)
     this.#clearPart(id, part)
+    return this.#reconsider(id, part)
   }
 
   /** Removes a part from a report or a quarantine, which holds as long as one of its parts may be the cause. */
   #clearPart (id: string, part: string): void {
     this.#reports.clearPart(id, part)
-    const quarantine = this.#quarantines.get(id)
-    quarantine?.parts.delete(part)
-    if (quarantine?.parts.size === 0) this.#quarantines.delete(id)
-  }
-
-  /** Lists the quarantines in force and removes the others. */
-  #listQuarantines (): PartQuarantine[] {
-    const nowMs = performance.now()
-    for (const { id, untilMs } of this.#quarantines.values()) if (untilMs <= nowMs) this.#quarantines.delete(id)
-    return [...this.#quarantines.values()]
+    this.#quarantines.clearPart(id, part)
   }
 
   #removeExpiredReports (): void {
--- a/packages/knapweedshunt-attempts/src/endpointLifespans.ts
+++ b/packages/knapweedshunt-attempts/src/endpointLifespans.ts
@@ -45,11 +45,6 @@
     if (this.#lifespans.size > MAX_INCARNATIONS) this.#lifespans.delete(oldest)
   }
 
-  /** Whether the process is known to have lived on when an attempt that began at `startedAtMs` lost its connection. */
-  hasLivedOn (endpoint: EndpointName, startedAtMs: number, lostAtMs: number): boolean {
-    return this.hasLivedThrough(endpoint, Math.max(startedAtMs, lostAtMs - MAX_IN_FLIGHT_MS), lostAtMs)
-  }
-
   /** Whether one process of the incarnation is known to have lived through the whole period. */
   hasLivedThrough (endpoint: EndpointName, fromMs: number, untilMs: number): boolean {
     return this.#lifespans.get(endpoint)?.some(lifespan => lifespan.fromMs <= fromMs && lifespan.untilMs >= untilMs) ?? false
--- a/packages/knapweedshunt-attempts/src/suspectEntry.ts
+++ b/packages/knapweedshunt-attempts/src/suspectEntry.ts
@@ -1,5 +1,6 @@
 import type { EndpointName } from 'knapweedshunt-types'
-import { MAX_IN_FLIGHT_MS } from './endpointLifespans.ts'
+import { computeOwnEndPeriod, computeReportedEndPeriod } from './endPeriod.ts'
+import type { EndPeriod } from './endPeriod.ts'
 import { MAX_MARK_CRASHES, MAX_MARK_ENDPOINTS } from './suspectMark.ts'
 import type { MarkedCrash, SuspectMark } from './suspectMark.ts'
 
@@ -10,8 +11,7 @@
   startedAtMs: number
   crashedAtMs: number
   /** Period in which the endpoint's process ended if it did. */
-  earliestEndAtMs: number
-  latestEndAtMs: number
+  endPeriod: EndPeriod
   /** Whether this registry recorded the crash. */
   isOwn: boolean
   /** Whether the endpoint's process is known to have lived on, so that it did not crash. */
@@ -35,9 +35,6 @@
   expiresAtMs: number
 }
 
-/** Error of ages that VMs state by their wall clocks, in milliseconds. */
-const MAX_CLOCK_ERROR_MS = 2_000
-
 /** Maximum number of settled crash ids held for a request. */
 const MAX_SETTLED_IDS = 256
 
@@ -63,8 +60,8 @@
 function joinCrash (known: Crash, crash: Crash): void {
   for (const id of crash.ids) known.ids.add(id)
   if (!crash.isOwn) return
-  known.earliestEndAtMs = known.isOwn ? Math.min(known.earliestEndAtMs, crash.earliestEndAtMs) : crash.earliestEndAtMs
-  known.latestEndAtMs = crash.latestEndAtMs
+  const { earliestAtMs, latestAtMs } = crash.endPeriod
+  known.endPeriod = { earliestAtMs: known.isOwn ? Math.min(known.endPeriod.earliestAtMs, earliestAtMs) : earliestAtMs, latestAtMs }
   known.isOwn = true
   known.hasLivedOn = false
 }
@@ -118,13 +115,13 @@
 
 /** Creates the record of a crash that this VM sees now. */
 export function createOwnCrash (id: string, endpoint: EndpointName, startedAtMs: number, nowMs: number): Crash {
-  return { ids: new Set([id]), endpoint, startedAtMs, crashedAtMs: nowMs, earliestEndAtMs: Math.max(startedAtMs, nowMs - MAX_IN_FLIGHT_MS), latestEndAtMs: nowMs, isOwn: true, hasLivedOn: false }
+  return { ids: new Set([id]), endpoint, startedAtMs, crashedAtMs: nowMs, endPeriod: computeOwnEndPeriod(startedAtMs, nowMs), isOwn: true, hasLivedOn: false }
 }
 
 /** Converts a crash of a mark to monotonic times. */
 export function parseMarkedCrash ({ ids, endpoint, startedAgeMs, crashedAgeMs }: MarkedCrash, nowMs: number): Crash {
   const startedAtMs = nowMs - startedAgeMs
-  return { ids: new Set(ids), endpoint, startedAtMs, crashedAtMs: nowMs - crashedAgeMs, earliestEndAtMs: startedAtMs - MAX_CLOCK_ERROR_MS, latestEndAtMs: nowMs, isOwn: false, hasLivedOn: false }
+  return { ids: new Set(ids), endpoint, startedAtMs, crashedAtMs: nowMs - crashedAgeMs, endPeriod: computeReportedEndPeriod(startedAtMs), isOwn: false, hasLivedOn: false }
 }
 
 function listMarkedCrashes (crashes: readonly Crash[], nowMs: number): MarkedCrash[] {
--- a/packages/knapweedshunt-attempts/src/suspectRegistry.ts
+++ b/packages/knapweedshunt-attempts/src/suspectRegistry.ts
@@ -2,6 +2,7 @@
 import { createIncarnation, hashText } from 'knapweedshunt-utils'
 import { match } from 'ts-pattern'
 import { EndpointLifespans } from './endpointLifespans.ts'
+import { hasSurvived } from './endPeriod.ts'
 import { LiftTimes } from './liftTimes.ts'
 import { addCrash, buildCrashedMark, buildQuarantinedMark, createOwnCrash, createSuspectEntry, findFirstOfLatest, listCounted, liftSuspectEntry, parseMarkedCrash, retainLatestCrashes, settleCrashes } from './suspectEntry.ts'
 import type { Crash, SuspectEntry } from './suspectEntry.ts'
@@ -145,7 +146,7 @@
   }
 
   #checkSurvival ({ crashes }: SuspectEntry): void {
-    for (const crash of crashes) crash.hasLivedOn ||= this.#lifespans.hasLivedThrough(crash.endpoint, crash.earliestEndAtMs, crash.latestEndAtMs)
+    for (const crash of crashes) crash.hasLivedOn ||= hasSurvived(this.#lifespans, crash.endpoint, crash.endPeriod)
   }
 
   /** A quarantine holds while its crashes count; marks of earlier builds do not name them. */
--- a/packages/knapweedshunt-gateway/src/directory/crashReviews.ts
+++ b/packages/knapweedshunt-gateway/src/directory/crashReviews.ts
@@ -1,3 +1,4 @@
+import { computeOwnEndPeriod, hasSurvived } from 'knapweedshunt-attempts'
 import type { EndpointLifespans, RecentLosses } from 'knapweedshunt-attempts'
 import type { EndpointName, RequestId } from 'knapweedshunt-types'
 import { formatFingerprint } from '../flow/formatSuspects.ts'
@@ -56,7 +57,7 @@
 
   #reviewOne ({ requestId, fingerprint, incarnation, startedAtMs, crashedAtMs }: MarkedAttempt): void {
     const { lifespans, losses, metrics, decisionLog } = this.#dependencies
-    const hasLivedOn = lifespans.hasLivedOn(incarnation, startedAtMs, crashedAtMs)
+    const hasLivedOn = hasSurvived(lifespans, incarnation, computeOwnEndPeriod(startedAtMs, crashedAtMs))
     const { share, endpointCount } = losses.summarizeWithout(new Set([incarnation]), crashedAtMs - LOSSES_BEFORE_MS, crashedAtMs + REVIEW_DELAY_MS)
     if (hasLivedOn) metrics.recordMark('livedOn')
     decisionLog.record({ type: 'crashReviewed', requestId, fingerprint: formatFingerprint(fingerprint), incarnation, hasLivedOn, lostShare: Number(share.toFixed(3)), lostEndpoints: endpointCount })
--- a/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
+++ b/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
@@ -1,4 +1,4 @@
-import { CrashingPartDetector, EndpointLifespans, RecentLosses, SuspectRegistry } from 'knapweedshunt-attempts'
+import { CrashingPartDetector, DEFAULT_CRASHING_PART_OPTIONS, EndpointLifespans, RecentLosses, SuspectRegistry } from 'knapweedshunt-attempts'
 import type { PartEvidence, PartQuarantine, SuspectMark } from 'knapweedshunt-attempts'
 import { match } from 'ts-pattern'
 import { LOSS_REASON } from '../endpoints/attemptOutcome.ts'
@@ -32,6 +32,8 @@
   decisionLog: DecisionLog
   /** Whether the record's incarnation of its endpoint is still listed. */
   isCurrent (record: EndpointRecord): boolean
+  /** Probes an endpoint. */
+  probe (record: EndpointRecord): void
   /** Tells the other VMs of a request that may crash endpoints, or of its clearing. */
   announceMark (mark: SuspectMark): void
   /** Withdraws what this VM has told the others of a request. */
@@ -43,8 +45,8 @@
 /** Requests, and parts of prompts, that may crash endpoints: collects what this VM sees and what the others report, and decides which requests are quarantined. */
 export class SuspectTracker {
   readonly #dependencies: SuspectTrackerDependencies
-  readonly #partDetector = new CrashingPartDetector()
   readonly #lifespans = new EndpointLifespans()
+  readonly #partDetector = new CrashingPartDetector(DEFAULT_CRASHING_PART_OPTIONS, this.#lifespans)
   readonly #registry = new SuspectRegistry(SUSPECT_OPTIONS, this.#lifespans)
   readonly #losses = new RecentLosses()
   readonly #reviews: CrashReviews
@@ -53,9 +55,9 @@
 
   constructor (dependencies: SuspectTrackerDependencies) {
     this.#dependencies = dependencies
-    const { metrics, decisionLog, isCurrent } = dependencies
+    const { metrics, decisionLog, isCurrent, probe } = dependencies
     this.#reviews = new CrashReviews({ lifespans: this.#lifespans, losses: this.#losses, metrics, decisionLog })
-    this.#survivals = new DirectorySurvivals({ lifespans: this.#lifespans, isCurrent })
+    this.#survivals = new DirectorySurvivals({ lifespans: this.#lifespans, isCurrent, isRefused: attempt => this.findQuarantine(attempt) !== null, probe })
   }
 
   /** Number of requests held as suspect, quarantined or recently cleared. */
@@ -87,16 +89,20 @@
     this.#survivals.update(directoryAtMs)
     this.#reviews.review()
     for (const mark of this.#registry.takeSurvived()) this.#dependencies.announceMark(mark)
+    const { isAnnounced, quarantines } = this.#partDetector.dropSurvived()
+    this.#recordQuarantines(quarantines, '')
+    if (isAnnounced) this.#scheduleAnnouncement()
   }
 
   /** Records that an endpoint may have crashed while it ran the request. */
-  recordCrash ({ requestId, fingerprint, sharedParts, record, startedAtMs }: CrashedAttempt, evidence: LossReason): void {
+  recordCrash (attempt: CrashedAttempt, evidence: LossReason): void {
+    const { requestId, fingerprint, sharedParts, record, startedAtMs } = attempt
     const { metrics, decisionLog, announceMark, announceParts } = this.#dependencies
     const { endpoint, incarnation } = record.entry
     const mark = this.#registry.recordCrash(fingerprint, incarnation, startedAtMs)
     const quarantines = this.#partDetector.recordCrash(sharedParts, incarnation, startedAtMs)
     this.#losses.recordLost(incarnation)
-    if (evidence !== LOSS_REASON.silent) this.#survivals.add(record, startedAtMs)
+    if (evidence !== LOSS_REASON.silent) this.#survivals.add(attempt)
     this.#reviews.add({ requestId, fingerprint, incarnation, startedAtMs, crashedAtMs: performance.now() })
     metrics.recordMark('recorded')
     decisionLog.record({ type: 'crashMarked', requestId, fingerprint: formatFingerprint(fingerprint), parts: formatParts(sharedParts), endpoint, incarnation, evidence, ...this.#describeSuspect(fingerprint) })
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointMonitor.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointMonitor.ts
@@ -90,6 +90,12 @@
     if (monitored.startTimesMs.length === 0 && !this.#excluded.has(record)) this.#monitored.delete(record)
   }
 
+  /** Probes an endpoint now, unless that is under way or not permitted. */
+  probe (record: EndpointRecord): void {
+    const monitored = this.#getOrCreate(record)
+    if (!monitored.isProbing && this.#dependencies.tryTakePermit(record)) this.#probe(monitored, performance.now()).catch(() => {}) // The port does not throw.
+  }
+
   /** Records that bytes arrived from the endpoint. */
   recordReceivedBytes (record: EndpointRecord): void {
     record.lastReceivedAtMs = record.answeredAtMs = performance.now()
@@ -186,6 +192,7 @@
     }
     record.health.recordProbeSuccess()
     record.answeredAtMs = performance.now()
+    record.answeredProbeAtMs = nowMs
     this.#setReached(record, true)
     if (this.#excluded.delete(record)) this.#handleBack(record)
     if (monitored.startTimesMs.length === 0) this.#monitored.delete(record)
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointRecord.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointRecord.ts
@@ -19,6 +19,8 @@
   lostAtMs: number | null = null
   /** Monotonic time of the endpoint's last answer to this VM; -Infinity before the first. */
   answeredAtMs = -Infinity
+  /** Monotonic time at which the last probe began that the endpoint answered; -Infinity before the first. */
+  answeredProbeAtMs = -Infinity
   /** Attempts of this VM in flight. */
   inFlightCount = 0
   /** Monotonic time at which the last byte arrived from the endpoint. */
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -120,6 +120,7 @@
       metrics: this.#metrics,
       decisionLog: this.#decisionLog,
       isCurrent,
+      probe: record => this.#endpointMonitor.probe(record),
       announceMark: mark => this.#roster.announceMark(mark),
       removeMark: fingerprint => this.#roster.removeMark(fingerprint),
       announceParts: () => this.#roster.announceParts()
