A request whose crashes came with those of other endpoints is tried again (STARVED)

What callers saw: requests that were under way when endpoints ended together were refused for ten minutes at all VMs; popular ones, as they are often under way. Cause: three crashes under a request quarantined it, whatever else ended at the same moment. Why it works: a crash that came with the loss of two other endpoints or more, within 100 ms and without this request, tells little of it. With fewer than two others the request is held for 3 s, then sent once at a time; a success clears it, and after three such attempts it is quarantined as before (holds of 3, 3 and 30 s).

--- a/packages/knapweedshunt-attempts/src/__tests__/quarantineLifts.test.ts
+++ b/packages/knapweedshunt-attempts/src/__tests__/quarantineLifts.test.ts
@@ -9,7 +9,7 @@
 import { suspectMarkSchema } from '../suspectMark.ts'
 import { SuspectRegistry } from '../suspectRegistry.ts'
 
-const OPTIONS = { maxCrashes: 3, suspectMs: 60_000, quarantineMs: 600_000, maxEntries: 10 }
+const OPTIONS = { maxCrashes: 3, suspectMs: 60_000, quarantineMs: 600_000, maxEntries: 10, doubt: null }
 
 const FINGERPRINT = 'f'.repeat(64)
 
--- a/packages/knapweedshunt-attempts/src/__tests__/survivedCrashes.test.ts
+++ b/packages/knapweedshunt-attempts/src/__tests__/survivedCrashes.test.ts
@@ -5,7 +5,7 @@
 import { SuspectRegistry } from '../suspectRegistry.ts'
 import { runWithClock } from './runWithClock.ts'
 
-const OPTIONS = { maxCrashes: 3, suspectMs: 60_000, quarantineMs: 600_000, maxEntries: 10 }
+const OPTIONS = { maxCrashes: 3, suspectMs: 60_000, quarantineMs: 600_000, maxEntries: 10, doubt: null }
 
 const ENDPOINTS = ['e1', 'e2', 'e3']
 
--- a/packages/knapweedshunt-attempts/src/__tests__/suspectMarks.test.ts
+++ b/packages/knapweedshunt-attempts/src/__tests__/suspectMarks.test.ts
@@ -3,7 +3,7 @@
 import { suspectMarkSchema } from '../suspectMark.ts'
 import { SuspectRegistry } from '../suspectRegistry.ts'
 
-const OPTIONS = { maxCrashes: 3, suspectMs: 60_000, quarantineMs: 600_000, maxEntries: 10 }
+const OPTIONS = { maxCrashes: 3, suspectMs: 60_000, quarantineMs: 600_000, maxEntries: 10, doubt: null }
 
 function createRegistries (): [SuspectRegistry, SuspectRegistry, SuspectRegistry] {
   return [new SuspectRegistry(OPTIONS), new SuspectRegistry(OPTIONS), new SuspectRegistry(OPTIONS)]
--- a/packages/knapweedshunt-attempts/src/recentLosses.ts
+++ b/packages/knapweedshunt-attempts/src/recentLosses.ts
@@ -1,58 +1,32 @@
 import type { EndpointName } from 'knapweedshunt-types'
 
-/** Length of a bucket, in milliseconds. */
-const BUCKET_MS = 250
-
-/** Time for which buckets are held, in milliseconds. */
+/** Time for which losses are held, in milliseconds. */
 const KEEP_MS = 60_000
 
-/** Number of served attempts that are assumed beside those counted, so that few attempts show little. */
-const ASSUMED_SERVED = 8
+/** Losses of an endpoint that are nearer than this count as one, in milliseconds. */
+const MIN_DISTANCE_MS = 50
 
-interface Bucket {
-  startedAtMs: number
-  servedCount: number
-  lostCounts: Map<EndpointName, number>
-}
+/** Maximum number of losses held; the oldest are dropped first. */
+const MAX_LOSSES = 2_048
 
-/** Losses in a period. */
-export interface LossSummary {
-  /** Share of the attempts that were lost. */
-  share: number
-  /** Number of endpoint incarnations with which attempts were lost. */
-  endpointCount: number
+interface Loss {
+  endpoint: EndpointName
+  atMs: number
 }
 
-/** Number of attempts of this VM that endpoints served lately, and that were lost with each incarnation of an endpoint. */
+/** When attempts were lost with incarnations of endpoints lately, at this VM and, as far as they say, at others. */
 export class RecentLosses {
-  #buckets: Bucket[] = []
-
-  /** Records an attempt that was served. */
-  recordServed (): void {
-    this.#getBucket().servedCount++
-  }
-
-  /** Records an attempt that was lost with an incarnation of an endpoint. */
-  recordLost (endpoint: EndpointName): void {
-    const { lostCounts } = this.#getBucket()
-    lostCounts.set(endpoint, (lostCounts.get(endpoint) ?? 0) + 1)
-  }
+  #losses: Loss[] = []
 
-  /** Summarises the losses in a period of monotonic time, apart from those with some endpoints. */
-  summarizeWithout (endpoints: ReadonlySet<EndpointName>, fromMs: number, untilMs: number): LossSummary {
-    const buckets = this.#buckets.filter(({ startedAtMs }) => startedAtMs + BUCKET_MS >= fromMs && startedAtMs <= untilMs)
-    const lost = buckets.flatMap(({ lostCounts }) => [...lostCounts]).filter(([endpoint]) => !endpoints.has(endpoint))
-    const lostCount = lost.reduce((sum, [, count]) => sum + count, 0)
-    const servedCount = buckets.reduce((sum, bucket) => sum + bucket.servedCount, 0)
-    return { share: lostCount / (lostCount + servedCount + ASSUMED_SERVED), endpointCount: new Set(lost.map(([endpoint]) => endpoint)).size }
+  /** Records that attempts were lost with an incarnation of an endpoint at a monotonic time. */
+  record (endpoint: EndpointName, atMs: number): void {
+    if (this.#losses.some(loss => loss.endpoint === endpoint && Math.abs(loss.atMs - atMs) < MIN_DISTANCE_MS)) return
+    const oldestMs = performance.now() - KEEP_MS
+    this.#losses = [...this.#losses, { endpoint, atMs }].filter(loss => loss.atMs >= oldestMs).slice(-MAX_LOSSES)
   }
 
-  #getBucket (): Bucket {
-    const nowMs = performance.now()
-    const last = this.#buckets.at(-1)
-    if (last !== undefined && nowMs - last.startedAtMs < BUCKET_MS) return last
-    const bucket = { startedAtMs: nowMs, servedCount: 0, lostCounts: new Map() }
-    this.#buckets = [...this.#buckets.filter(({ startedAtMs }) => nowMs - startedAtMs < KEEP_MS), bucket]
-    return bucket
+  /** Counts the endpoints, apart from some, with which attempts were lost within a time before or after a moment. */
+  countEndpointsAround (atMs: number, distanceMs: number, except: ReadonlySet<EndpointName>): number {
+    return new Set(this.#losses.filter(loss => Math.abs(loss.atMs - atMs) <= distanceMs && !except.has(loss.endpoint)).map(({ endpoint }) => endpoint)).size
   }
 }
--- a/packages/knapweedshunt-attempts/src/suspectEntry.ts
+++ b/packages/knapweedshunt-attempts/src/suspectEntry.ts
@@ -26,12 +26,24 @@
   endpoints: EndpointName[]
 }
 
+/** Decision whether crashes may have another cause than the request; it holds until others count. */
+export interface SuspectDoubt {
+  crashCount: number
+  lastCrashAtMs: number
+  isDoubtful: boolean
+  isFinal: boolean
+}
+
 /** What is held against a request. Monotonic times, in milliseconds. */
 export interface SuspectEntry {
   crashes: Crash[]
   /** Ids of crashes that no longer count; their marks may still arrive. */
   settledIds: Set<string>
   told: ToldQuarantine | null
+  /** Whether the crashes may have another cause, as far as that was decided; null before. */
+  doubt: SuspectDoubt | null
+  /** Time until which no other attempt is sent, as one is under way to find out. */
+  probedUntilMs: number
   expiresAtMs: number
 }
 
@@ -40,7 +52,7 @@
 
 /** Creates an entry against which nothing is held. */
 export function createSuspectEntry (): SuspectEntry {
-  return { crashes: [], settledIds: new Set(), told: null, expiresAtMs: 0 }
+  return { crashes: [], settledIds: new Set(), told: null, doubt: null, probedUntilMs: -Infinity, expiresAtMs: 0 }
 }
 
 /** Whether two records describe the same crash: by id, or because a crash ends all attempts on its endpoint, so that attempts which overlap on one endpoint were ended by the same crash. */
--- a/packages/knapweedshunt-attempts/src/suspectRegistry.ts
+++ b/packages/knapweedshunt-attempts/src/suspectRegistry.ts
@@ -4,6 +4,9 @@
 import { EndpointLifespans } from './endpointLifespans.ts'
 import { hasSurvived } from './endPeriod.ts'
 import { LiftTimes } from './liftTimes.ts'
+import { RecentLosses } from './recentLosses.ts'
+import { areDoubtful, areLossesKnown } from './suspectDoubt.ts'
+import type { DoubtOptions } from './suspectDoubt.ts'
 import { addCrash, buildCrashedMark, buildQuarantinedMark, createOwnCrash, createSuspectEntry, findFirstOfLatest, listCounted, liftSuspectEntry, parseMarkedCrash, retainLatestCrashes, settleCrashes } from './suspectEntry.ts'
 import type { Crash, SuspectEntry } from './suspectEntry.ts'
 import type { SuspectMark } from './suspectMark.ts'
@@ -18,10 +21,15 @@
   quarantineMs: number
   /** Maximum number of requests held; the least recently reported are evicted first. */
   maxEntries: number
+  /** What follows if the crashes may have another cause; null to quarantine all the same. */
+  doubt: DoubtOptions | null
 }
 
 /** Quarantines a request for ten minutes after two crashes. */
-export const DEFAULT_SUSPECT_OPTIONS: SuspectOptions = { maxCrashes: 2, suspectMs: 600_000, quarantineMs: 600_000, maxEntries: 10_000 }
+export const DEFAULT_SUSPECT_OPTIONS: SuspectOptions = { maxCrashes: 2, suspectMs: 600_000, quarantineMs: 600_000, maxEntries: 10_000, doubt: null }
+
+/** Hexadecimal digits of the hash by which VMs wait for different times. */
+const SPREAD_HASH_DIGITS = 8
 
 /** Time after a crash in which its endpoint may turn out to have lived on, in milliseconds. */
 const SURVIVAL_WINDOW_MS = 30_000
@@ -53,9 +61,12 @@
   /** Requests under which this VM saw a crash lately, by the time of the latest one. */
   readonly #crashedLately = new Map<string, number>()
 
-  constructor (options: SuspectOptions = DEFAULT_SUSPECT_OPTIONS, lifespans = new EndpointLifespans()) {
+  readonly #losses: RecentLosses
+
+  constructor (options: SuspectOptions = DEFAULT_SUSPECT_OPTIONS, lifespans = new EndpointLifespans(), losses = new RecentLosses()) {
     this.#options = options
     this.#lifespans = lifespans
+    this.#losses = losses
   }
 
   /** Number of requests held. */
@@ -91,6 +102,13 @@
     return [...this.#entries].flatMap(([fingerprint, entry]) => this.check(fingerprint).type === 'clear' ? [] : [this.#buildMark(fingerprint, entry, nowMs)])
   }
 
+  /** Records that the request is sent. While its crashes may have another cause, one attempt at a time shows whether it crashes endpoints. */
+  recordSent (fingerprint: string): void {
+    const { doubt, maxCrashes } = this.#options
+    const entry = this.#entries.get(fingerprint)
+    if (doubt !== null && entry !== undefined && listCounted(entry).length >= maxCrashes) entry.probedUntilMs = performance.now() + doubt.probeMs
+  }
+
   /** Records that a request succeeded. Returns the mark to send to peers if that clears a suspect or quarantined request, otherwise null. */
   recordSuccess (fingerprint: string): SuspectMark | null {
     const isClear = this.check(fingerprint).type === 'clear'
@@ -130,10 +148,10 @@
     const entry = this.#entries.get(fingerprint)
     if (entry === undefined) return { type: 'clear' }
     this.#checkSurvival(entry)
-    const untilMs = this.#findQuarantineEnd(entry)
+    const untilMs = this.#findQuarantineEnd(fingerprint, entry)
     if (untilMs > nowMs) return { type: 'quarantined', retryAfterMs: untilMs - nowMs }
     // One more crash after a quarantine quarantines the request again.
-    if (untilMs > -Infinity) retainLatestCrashes(entry, this.#options.maxCrashes - 1)
+    if (untilMs > -Infinity && !this.#isDoubtful(entry)) retainLatestCrashes(entry, this.#options.maxCrashes - 1)
     if (entry.expiresAtMs <= nowMs) this.#entries.delete(fingerprint)
     else if (listCounted(entry).length > 0 || entry.told !== null) return { type: 'suspect' }
     return { type: 'clear' }
@@ -161,37 +179,57 @@
     const known = entry.told
     const untilMs = Math.max(known?.untilMs ?? 0, nowMs + Math.min(forMs, this.#options.quarantineMs))
     entry.told = { untilMs, firstCrashAtMs: Math.max(known?.firstCrashAtMs ?? -Infinity, firstCrashAtMs), crashCount: Math.max(known?.crashCount ?? 0, crashCount), endpoints: [...new Set([...known?.endpoints ?? [], ...endpoints])] }
-    this.#updateExpiry(entry)
+    this.#updateExpiry(fingerprint, entry)
   }
 
   #addCrash (fingerprint: string, crash: Crash, nowMs: number): SuspectEntry {
+    this.#losses.record(crash.endpoint, crash.crashedAtMs)
     const entry = this.#getOrCreateEntry(fingerprint, nowMs)
     if (crash.crashedAtMs <= this.#liftTimes.findByPrefix(fingerprint)) settleCrashes(entry, crash.ids)
     else addCrash(entry, crash)
-    this.#updateExpiry(entry)
+    this.#updateExpiry(fingerprint, entry)
     return entry
   }
 
   /** A request is still suspect after its quarantine. */
-  #updateExpiry (entry: SuspectEntry): void {
-    entry.expiresAtMs = Math.max(entry.expiresAtMs, this.#findQuarantineEnd(entry) + this.#options.suspectMs)
+  #updateExpiry (fingerprint: string, entry: SuspectEntry): void {
+    entry.expiresAtMs = Math.max(entry.expiresAtMs, this.#findQuarantineEnd(fingerprint, entry) + this.#options.suspectMs)
+  }
+
+  /** Whether enough crashes count for a quarantine, but they may have another cause. */
+  #isDoubtful (entry: SuspectEntry): boolean {
+    const { maxCrashes, doubt } = this.#options
+    const crashes = listCounted(entry)
+    if (doubt === null || crashes.length < maxCrashes || crashes.length >= maxCrashes + doubt.holdsMs.length) return false
+    const lastCrashAtMs = Math.max(...crashes.map(({ crashedAtMs }) => crashedAtMs))
+    const known = entry.doubt !== null && entry.doubt.crashCount === crashes.length && entry.doubt.lastCrashAtMs === lastCrashAtMs ? entry.doubt : null
+    if (known?.isFinal === true) return known.isDoubtful
+    entry.doubt = { crashCount: crashes.length, lastCrashAtMs, isDoubtful: known?.isDoubtful === true || areDoubtful(crashes, this.#losses, doubt), isFinal: areLossesKnown(crashes) }
+    return entry.doubt.isDoubtful
   }
 
   /** Returns when the quarantine of a request ends or ended; `-Infinity` without one. */
-  #findQuarantineEnd (entry: SuspectEntry): number {
-    const { maxCrashes, quarantineMs } = this.#options
-    const { told } = entry
+  #findQuarantineEnd (fingerprint: string, entry: SuspectEntry): number {
+    const { maxCrashes, quarantineMs, doubt } = this.#options
+    const toldUntilMs = entry.told?.untilMs ?? -Infinity
     const crashes = listCounted(entry)
-    const untilMs = crashes.length < maxCrashes ? -Infinity : Math.max(...crashes.map(({ crashedAtMs }) => crashedAtMs)) + quarantineMs
-    return Math.max(untilMs, told?.untilMs ?? -Infinity)
+    if (crashes.length < maxCrashes) return toldUntilMs
+    const lastCrashAtMs = Math.max(...crashes.map(({ crashedAtMs }) => crashedAtMs))
+    if (doubt === null || !this.#isDoubtful(entry)) return Math.max(toldUntilMs, lastCrashAtMs + quarantineMs)
+    return Math.max(toldUntilMs, lastCrashAtMs + doubt.holdsMs[crashes.length - maxCrashes] + this.#computeSpreadMs(fingerprint, crashes.length, doubt), entry.probedUntilMs)
+  }
+
+  /** Computes by how much longer than others this VM waits before it sends the request again, so that rarely two do at the same time. */
+  #computeSpreadMs (fingerprint: string, crashCount: number, { holdSpreadMs }: DoubtOptions): number {
+    return holdSpreadMs * parseInt(hashText(this.#idPrefix, fingerprint, String(crashCount)).slice(0, SPREAD_HASH_DIGITS), 16) / 16 ** SPREAD_HASH_DIGITS
   }
 
   #buildMark (fingerprint: string, entry: SuspectEntry, nowMs: number): SuspectMark {
     const { told } = entry
     const crashes = listCounted(entry)
     const { maxCrashes } = this.#options
-    const forMs = this.#findQuarantineEnd(entry) - nowMs
-    if (forMs <= 0) return buildCrashedMark(fingerprint, crashes, nowMs)
+    const forMs = this.#findQuarantineEnd(fingerprint, entry) - nowMs
+    if (forMs <= 0 || this.#isDoubtful(entry)) return buildCrashedMark(fingerprint, crashes, nowMs)
     const firstCrashAtMs = Math.max(told?.firstCrashAtMs ?? -Infinity, crashes.length < maxCrashes ? -Infinity : findFirstOfLatest(crashes, maxCrashes))
     return buildQuarantinedMark(fingerprint, entry, forMs, firstCrashAtMs, nowMs)
   }
--- a/packages/knapweedshunt-gateway/src/__tests__/vmRoster.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/vmRoster.test.ts
@@ -67,7 +67,7 @@
 
 test('marks of one VM quarantine a request at the others after the same number of crashes', async t => {
   const platform = new MemoryPlatform()
-  const options = { maxCrashes: 3, suspectMs: 60_000, quarantineMs: 600_000, maxEntries: 10 }
+  const options = { maxCrashes: 3, suspectMs: 60_000, quarantineMs: 600_000, maxEntries: 10, doubt: null }
   const [own, other] = [new SuspectRegistry(options), new SuspectRegistry(options)]
   const writer = buildRoster(platform, 'a', () => {})
   const reader = buildRoster(platform, 'b', mark => other.applyMark(mark))
@@ -100,7 +100,7 @@
 
 test('a cleared mark clears the request at the other VMs', async t => {
   const platform = new MemoryPlatform()
-  const options = { maxCrashes: 2, suspectMs: 60_000, quarantineMs: 600_000, maxEntries: 10 }
+  const options = { maxCrashes: 2, suspectMs: 60_000, quarantineMs: 600_000, maxEntries: 10, doubt: null }
   const [own, other] = [new SuspectRegistry(options), new SuspectRegistry(options)]
   const writer = buildRoster(platform, 'a', () => {})
   const reader = buildRoster(platform, 'b', mark => other.applyMark(mark))
--- a/packages/knapweedshunt-gateway/src/directory/crashMarks.ts
+++ b/packages/knapweedshunt-gateway/src/directory/crashMarks.ts
@@ -38,7 +38,8 @@
     const others = this.#marks.filter(known => known.mark.fingerprint !== mark.fingerprint)
     const known = this.#marks.filter(numbered => numbered.mark.fingerprint === mark.fingerprint && !isExpired(numbered))
     const merged = mergeMarks(known.map(({ mark, atMs }) => addElapsedTime(mark, computeAgeMs(atMs))), mark)
-    this.#setMarks([...others, ...merged.map(one => ({ n: ++this.#lastNumber, atMs: Date.now(), mark: one }))])
+    // What the other VMs have been told already keeps its number, so that they do not apply it again.
+    this.#setMarks([...others, ...merged.map(one => known.find(told => isSameClearing(told.mark, one)) ?? { n: ++this.#lastNumber, atMs: Date.now(), mark: one })])
   }
 
   /** Removes this VM's mark of a request. */
@@ -79,6 +80,10 @@
   }
 }
 
+function isSameClearing (a: SuspectMark, b: SuspectMark): boolean {
+  return a.type === 'cleared' && b.type === 'cleared' && a.crashIds.join() === b.crashIds.join()
+}
+
 function isExpired ({ atMs, mark }: NumberedMark): boolean {
   return mark.type === 'quarantined' ? computeAgeMs(atMs) >= mark.forMs : computeAgeMs(atMs) > MAX_MARK_AGE_MS
 }
--- a/packages/knapweedshunt-gateway/src/directory/crashReviews.ts
+++ b/packages/knapweedshunt-gateway/src/directory/crashReviews.ts
@@ -1,4 +1,4 @@
-import { computeOwnEndPeriod, hasSurvived } from 'knapweedshunt-attempts'
+import { COINCIDENCE_MS, computeOwnEndPeriod, hasSurvived } from 'knapweedshunt-attempts'
 import type { EndpointLifespans, RecentLosses } from 'knapweedshunt-attempts'
 import type { EndpointName, RequestId } from 'knapweedshunt-types'
 import { formatFingerprint } from '../flow/formatSuspects.ts'
@@ -8,9 +8,6 @@
 /** Time after a crash at which it is reviewed, in milliseconds: bytes that other connections still bring have arrived by then. */
 const REVIEW_DELAY_MS = 500
 
-/** Time before a crash in which losses at other endpoints count, in milliseconds. */
-const LOSSES_BEFORE_MS = 1_000
-
 /** Maximum number of crashes that wait for their review; the oldest are dropped first. */
 const MAX_WAITING = 1_000
 
@@ -58,8 +55,8 @@
   #reviewOne ({ requestId, fingerprint, incarnation, startedAtMs, crashedAtMs }: MarkedAttempt): void {
     const { lifespans, losses, metrics, decisionLog } = this.#dependencies
     const hasLivedOn = hasSurvived(lifespans, incarnation, computeOwnEndPeriod(startedAtMs, crashedAtMs))
-    const { share, endpointCount } = losses.summarizeWithout(new Set([incarnation]), crashedAtMs - LOSSES_BEFORE_MS, crashedAtMs + REVIEW_DELAY_MS)
+    const coincidentCount = losses.countEndpointsAround(crashedAtMs, COINCIDENCE_MS, new Set([incarnation]))
     if (hasLivedOn) metrics.recordMark('livedOn')
-    decisionLog.record({ type: 'crashReviewed', requestId, fingerprint: formatFingerprint(fingerprint), incarnation, hasLivedOn, lostShare: Number(share.toFixed(3)), lostEndpoints: endpointCount })
+    decisionLog.record({ type: 'crashReviewed', requestId, fingerprint: formatFingerprint(fingerprint), incarnation, hasLivedOn, coincident: coincidentCount })
   }
 }
--- a/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
+++ b/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
@@ -47,8 +47,8 @@
   readonly #dependencies: SuspectTrackerDependencies
   readonly #lifespans = new EndpointLifespans()
   readonly #partDetector = new CrashingPartDetector(DEFAULT_CRASHING_PART_OPTIONS, this.#lifespans)
-  readonly #registry = new SuspectRegistry(SUSPECT_OPTIONS, this.#lifespans)
   readonly #losses = new RecentLosses()
+  readonly #registry = new SuspectRegistry(SUSPECT_OPTIONS, this.#lifespans, this.#losses)
   readonly #reviews: CrashReviews
   readonly #survivals: DirectorySurvivals
   #hasScheduledAnnouncement = false
@@ -79,6 +79,11 @@
     return null
   }
 
+  /** Records that a request is sent to an endpoint. */
+  recordSent ({ fingerprint }: Pick<RequestPlan, 'fingerprint'>): void {
+    this.#registry.recordSent(fingerprint)
+  }
+
   /** Records that bytes arrived from an endpoint on a connection that was established at a monotonic time. */
   recordReceived ({ entry }: EndpointRecord, openedAtMs: number): void {
     this.#lifespans.recordReceived(entry.incarnation, openedAtMs)
@@ -101,7 +106,6 @@
     const { endpoint, incarnation } = record.entry
     const mark = this.#registry.recordCrash(fingerprint, incarnation, startedAtMs)
     const quarantines = this.#partDetector.recordCrash(sharedParts, incarnation, startedAtMs)
-    this.#losses.recordLost(incarnation)
     if (evidence !== LOSS_REASON.silent) this.#survivals.add(attempt)
     this.#reviews.add({ requestId, fingerprint, incarnation, startedAtMs, crashedAtMs: performance.now() })
     metrics.recordMark('recorded')
@@ -121,7 +125,6 @@
       announceMark(cleared)
     }
     this.#partDetector.recordAlive(record.entry.incarnation, startedAtMs)
-    this.#losses.recordServed()
     if (status >= MIN_UNGENERATED_STATUS) return
     const { parts, isAnnounced } = this.#partDetector.recordServed(sharedParts)
     if (parts.length > 0) decisionLog.record({ type: 'partsCleared', requestId: call.requestId, parts: formatParts(parts), isAnnounced })
--- a/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
+++ b/packages/knapweedshunt-gateway/src/flow/flowDependencies.ts
@@ -57,6 +57,8 @@
   recordSuccess (plan: RequestPlan, record: EndpointRecord, startedAtMs: number, status: number): void
   /** Records that an endpoint may have crashed while it ran the request; `evidence` is how the attempt ended. */
   recordCrash (attempt: CrashedAttempt, evidence: LossReason): void
+  /** Records that a request is sent to an endpoint. */
+  recordSent (plan: RequestPlan): void
   /** Records that bytes arrived from an endpoint on a connection that was established at a monotonic time. */
   recordReceived (record: EndpointRecord, openedAtMs: number): void
   /** Records an attempt that was given up before an answer began, or whose stream stalled: its endpoint may have crashed. */
--- a/packages/knapweedshunt-gateway/src/flow/launchAttempt.ts
+++ b/packages/knapweedshunt-gateway/src/flow/launchAttempt.ts
@@ -36,6 +36,7 @@
     priority: route.usesPrefixes ? plan.priority : null,
     lastEventId
   })
+  dependencies.recordSent(plan)
   const attempt = new Attempt(dependencies.endpointPort, dependencies.agent, { method: call.method, target: call.target, address: record.entry.address, headers, body, requestId: call.requestId, isRelayed: false })
   const attemptId = `${call.requestId}-${attemptNumber}`
   const promptTokens = call.prompt?.tokens ?? 0
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -354,6 +354,7 @@
         this.#suspectTracker.recordAnswered(plan, record, startedAtMs, status)
       },
       recordCrash: (attempt, evidence) => this.#recordCrash(attempt, evidence),
+      recordSent: plan => this.#suspectTracker.recordSent(plan),
       recordReceived: (record, openedAtMs) => this.#suspectTracker.recordReceived(record, openedAtMs),
       recordUnanswered: attempt => this.#unansweredAttempts.recordEnd(attempt),
       findQuarantine: plan => this.#suspectTracker.findQuarantine(plan),
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -101,8 +101,8 @@
 export type SuspectDecision =
   /** An endpoint ended a connection while it may have run the request; `evidence` is how the attempt ended. */
   | { type: 'crashMarked', requestId: RequestId, fingerprint: string, parts: string, endpoint: EndpointName, incarnation: string, evidence: LossReason, crashes: number, isQuarantined: boolean }
-  /** What is known a while after a crash was marked: `hasLivedOn` if a connection that was open before shows that the endpoint's process did not end, `lostShare` the share of attempts that were lost with other endpoints around that time, `lostEndpoints` the number of these. */
-  | { type: 'crashReviewed', requestId: RequestId, fingerprint: string, incarnation: string, hasLivedOn: boolean, lostShare: number, lostEndpoints: number }
+  /** What is known a while after a crash was marked: `hasLivedOn` if a connection that was open before shows that the endpoint's process did not end, `coincident` the number of other endpoints with which attempts were lost around that time. */
+  | { type: 'crashReviewed', requestId: RequestId, fingerprint: string, incarnation: string, hasLivedOn: boolean, coincident: number }
   /** A brittle endpoint ended a connection while it had to reject requests; that counts against none of them. */
   | { type: 'crashDoubted', requestId: RequestId, endpoint: EndpointName, incarnation: string, evidence: LossReason }
   /** The request was served, which clears it. */
