--- a/packages/knapweedshunt-router/src/dataPath.ts
+++ b/packages/knapweedshunt-router/src/dataPath.ts
@@ -139,6 +139,8 @@
     this.admission.applySnapshot(snapshot, this.#endpoints, this.peerExchange.peerTimeoutMs)
     this.orders.applySnapshot(snapshot)
     this.runningAttempts.applyTable(this.#endpoints, previousEndpoints)
+    const clearedCount = this.suspectGuard.applyReports(snapshot.endpoints)
+    if (clearedCount > 0) this.log.info('Requests cleared, as the endpoints that they were lost with have lived on.', { requests: clearedCount })
     return revision
   }
 
--- a/packages/knapweedshunt-router/src/suspectGuard.ts
+++ b/packages/knapweedshunt-router/src/suspectGuard.ts
@@ -1,8 +1,9 @@
-import { computeFingerprint, CrashingPartDetector, SuspectIsolator, SuspectRegistry } from 'knapweedshunt-attempts'
+import { computeFingerprint, CrashingPartDetector, DEFAULT_CRASHING_PART_OPTIONS, DEFAULT_SUSPECT_OPTIONS, EndpointLifespans, SuspectIsolator, SuspectRegistry } from 'knapweedshunt-attempts'
 import type { IsolationGrant, SuspectMark, SuspectState } from 'knapweedshunt-attempts'
-import type { AttemptId, EndpointName, PoolName } from 'knapweedshunt-types'
+import type { AttemptId, EndpointName, EndpointView, PoolName } from 'knapweedshunt-types'
 import { hashText } from 'knapweedshunt-utils'
 import type { CallerRequest } from './callerRequest.ts'
+import { EndpointReports } from './endpointReports.ts'
 
 /** How the guard tells peers what it knows. */
 export interface SuspectBroadcasts {
@@ -13,8 +14,10 @@
 
 /** Isolates requests that may crash endpoints, refuses those with parts that do, and broadcasts what it knows to peers. */
 export class SuspectGuard {
-  readonly registry = new SuspectRegistry()
-  readonly partDetector = new CrashingPartDetector()
+  readonly #lifespans = new EndpointLifespans()
+  readonly #reports = new EndpointReports(this.#lifespans)
+  readonly registry = new SuspectRegistry(DEFAULT_SUSPECT_OPTIONS, this.#lifespans)
+  readonly partDetector = new CrashingPartDetector(DEFAULT_CRASHING_PART_OPTIONS, this.#lifespans)
   readonly isolator = new SuspectIsolator()
   readonly #broadcasts: SuspectBroadcasts
   readonly #grantCallbacks = new Map<AttemptId, (endpoint: EndpointName) => void>()
@@ -35,10 +38,19 @@
   recordCrash (request: CallerRequest, endpoint: EndpointName, startedAtMs: number): void {
     this.#broadcasts.broadcastMark(this.registry.recordCrash(computeRequestFingerprint(request), endpoint, startedAtMs))
     if (request.sharedParts.length === 0) return
-    this.partDetector.recordCrash(request.sharedParts, `${endpoint}@${Math.round(startedAtMs)}`, startedAtMs)
+    this.partDetector.recordCrash(request.sharedParts, this.#reports.findIncarnation(endpoint) ?? `${endpoint}@${Math.round(startedAtMs)}`, startedAtMs)
     this.#broadcasts.broadcastParts()
   }
 
+  /** Applies the load reports of endpoints; crashes of those that have lived on no longer count. Returns the number of requests that this clears. */
+  applyReports (endpoints: readonly EndpointView[]): number {
+    this.#reports.apply(endpoints)
+    const marks = this.registry.takeSurvived()
+    for (const mark of marks) this.#broadcasts.broadcastMark(mark)
+    if (this.partDetector.dropSurvived().isAnnounced) this.#broadcasts.broadcastParts()
+    return marks.length
+  }
+
   /** Records that an endpoint completed the request, which may clear its suspicion and that of its parts. */
   recordSuccess (request: CallerRequest): void {
     const mark = this.registry.recordSuccess(computeRequestFingerprint(request))
