--- a/packages/knapweedshunt-attempts/src/suspectMark.ts
+++ b/packages/knapweedshunt-attempts/src/suspectMark.ts
@@ -18,6 +18,9 @@
   /** The request succeeded, so these crashes no longer count; others do, whichever mark arrives first. */
   | { type: 'cleared', fingerprint: string, crashIds: string[] }
 
+/** Mark that clears crashes. */
+export type ClearedMark = Extract<SuspectMark, { type: 'cleared' }>
+
 /** Maximum number of crashes in one mark. */
 const MAX_CRASHES = 256
 
--- a/packages/knapweedshunt-attempts/src/suspectRegistry.ts
+++ b/packages/knapweedshunt-attempts/src/suspectRegistry.ts
@@ -9,7 +9,7 @@
 import type { DoubtOptions } from './suspectDoubt.ts'
 import { addCrash, buildCrashedMark, buildQuarantinedMark, createOwnCrash, createSuspectEntry, findFirstOfLatest, listCounted, liftSuspectEntry, parseMarkedCrash, retainLatestCrashes, settleCrashes } from './suspectEntry.ts'
 import type { Crash, SuspectEntry } from './suspectEntry.ts'
-import type { SuspectMark } from './suspectMark.ts'
+import type { ClearedMark, SuspectMark } from './suspectMark.ts'
 
 /** Options of the suspect registry. */
 export interface SuspectOptions {
@@ -39,7 +39,8 @@
   | { type: 'clear' }
   /** Must run without other requests on its endpoint. */
   | { type: 'suspect' }
-  | { type: 'quarantined', retryAfterMs: number }
+  /** `isDoubtful` if the crashes may have another cause, so that the request is tried again soon. */
+  | { type: 'quarantined', retryAfterMs: number, isDoubtful: boolean }
 
 /** Identifies a request: the same for each repetition by its caller, different for different organisations. */
 export function computeFingerprint (organisation: OrganisationName, digest: string): string {
@@ -83,7 +84,7 @@
   }
 
   /** Returns the marks that tell peers which of the crashes that this VM saw were none, as the endpoints lived on; each once. */
-  takeSurvived (): SuspectMark[] {
+  takeSurvived (): ClearedMark[] {
     const oldestMs = performance.now() - SURVIVAL_WINDOW_MS
     return [...this.#crashedLately].flatMap(([fingerprint, crashedAtMs]) => {
       if (crashedAtMs < oldestMs) this.#crashedLately.delete(fingerprint)
@@ -149,7 +150,7 @@
     if (entry === undefined) return { type: 'clear' }
     this.#checkSurvival(entry)
     const untilMs = this.#findQuarantineEnd(fingerprint, entry)
-    if (untilMs > nowMs) return { type: 'quarantined', retryAfterMs: untilMs - nowMs }
+    if (untilMs > nowMs) return { type: 'quarantined', retryAfterMs: untilMs - nowMs, isDoubtful: this.#isDoubtful(entry) }
     // One more crash after a quarantine quarantines the request again.
     if (untilMs > -Infinity && !this.#isDoubtful(entry)) retainLatestCrashes(entry, this.#options.maxCrashes - 1)
     if (entry.expiresAtMs <= nowMs) this.#entries.delete(fingerprint)
--- a/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
+++ b/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
@@ -1,5 +1,5 @@
 import { CrashingPartDetector, DEFAULT_CRASHING_PART_OPTIONS, EndpointLifespans, RecentLosses, SuspectRegistry } from 'knapweedshunt-attempts'
-import type { PartEvidence, PartQuarantine, SuspectMark } from 'knapweedshunt-attempts'
+import type { ClearedMark, PartEvidence, PartQuarantine, SuspectMark } from 'knapweedshunt-attempts'
 import { match } from 'ts-pattern'
 import { LOSS_REASON } from '../endpoints/attemptOutcome.ts'
 import type { LossReason } from '../endpoints/attemptOutcome.ts'
@@ -73,7 +73,7 @@
   /** Returns why a request must not be sent; null if it may be. */
   findQuarantine ({ fingerprint, sharedParts }: Pick<RequestPlan, 'fingerprint' | 'sharedParts'>): Quarantine | null {
     const requestState = this.#registry.check(fingerprint)
-    if (requestState.type === 'quarantined') return { detail: `the request ${formatFingerprint(fingerprint)} is quarantined: several endpoints crashed while running it`, retryAfterMs: requestState.retryAfterMs }
+    if (requestState.type === 'quarantined') return { detail: `the request ${formatFingerprint(fingerprint)} is quarantined: several endpoints crashed while running it${requestState.isDoubtful ? ', and others with them' : ''}`, retryAfterMs: requestState.retryAfterMs }
     const partState = this.#partDetector.check(sharedParts)
     if (partState.type === 'quarantined') return { detail: `prompts with ${formatParts(partState.parts)} are quarantined: several endpoints crashed while answering them`, retryAfterMs: partState.retryAfterMs }
     return null
@@ -93,7 +93,7 @@
   review (directoryAtMs: number): void {
     this.#survivals.update(directoryAtMs)
     this.#reviews.review()
-    for (const mark of this.#registry.takeSurvived()) this.#dependencies.announceMark(mark)
+    for (const mark of this.#registry.takeSurvived()) this.#announceSurvived(mark)
     const { isAnnounced, quarantines } = this.#partDetector.dropSurvived()
     this.#recordQuarantines(quarantines, '')
     if (isAnnounced) this.#scheduleAnnouncement()
@@ -176,6 +176,12 @@
     this.#recordQuarantines(this.#partDetector.applyEvidence(evidence, ageMs, isOwn), from)
   }
 
+  #announceSurvived (mark: ClearedMark): void {
+    const { fingerprint, crashIds } = mark
+    this.#dependencies.decisionLog.record({ type: 'crashesSurvived', fingerprint: formatFingerprint(fingerprint), count: crashIds.length, ...this.#describeSuspect(fingerprint) })
+    this.#dependencies.announceMark(mark)
+  }
+
   /** Announces the parts that are cleared within a short time together. */
   #scheduleAnnouncement (): void {
     if (this.#hasScheduledAnnouncement) return
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -103,6 +103,8 @@
   | { type: 'crashMarked', requestId: RequestId, fingerprint: string, parts: string, endpoint: EndpointName, incarnation: string, evidence: LossReason, crashes: number, isQuarantined: boolean }
   /** What is known a while after a crash was marked: `hasLivedOn` if a connection that was open before shows that the endpoint's process did not end, `coincident` the number of other endpoints with which attempts were lost around that time. */
   | { type: 'crashReviewed', requestId: RequestId, fingerprint: string, incarnation: string, hasLivedOn: boolean, coincident: number }
+  /** Endpoints have lived on, so that `count` losses under the request are no crashes; the other VMs are told. */
+  | { type: 'crashesSurvived', fingerprint: string, count: number, crashes: number, isQuarantined: boolean }
   /** A brittle endpoint ended a connection while it had to reject requests; that counts against none of them. */
   | { type: 'crashDoubted', requestId: RequestId, endpoint: EndpointName, incarnation: string, evidence: LossReason }
   /** The request was served, which clears it. */
--- a/packages/knapweedshunt-gateway/src/records/decisionLog.ts
+++ b/packages/knapweedshunt-gateway/src/records/decisionLog.ts
@@ -61,6 +61,7 @@
   loadGivenUp: 'Load given up for now.',
   crashMarked: 'Crash marked.',
   crashReviewed: 'Crash reviewed.',
+  crashesSurvived: 'Crashes no longer counted.',
   crashDoubted: 'Crash not marked.',
   suspectCleared: 'Suspect request cleared.',
   markApplied: 'Mark of another VM applied.',
--- a/packages/knapweedshunt-router/src/suspectGuard.ts
+++ b/packages/knapweedshunt-router/src/suspectGuard.ts
@@ -31,7 +31,7 @@
     const requestState = this.registry.check(computeRequestFingerprint(request))
     if (requestState.type === 'quarantined') return requestState
     const partState = this.partDetector.check(request.sharedParts)
-    return partState.type === 'quarantined' ? { type: 'quarantined', retryAfterMs: partState.retryAfterMs } : requestState
+    return partState.type === 'quarantined' ? { type: 'quarantined', retryAfterMs: partState.retryAfterMs, isDoubtful: false } : requestState
   }
 
   /** Records that an endpoint crashed while it ran the request. */
