--- a/packages/knapweedshunt-attempts/src/__tests__/doubtfulCrashes.test.ts
+++ b/packages/knapweedshunt-attempts/src/__tests__/doubtfulCrashes.test.ts
@@ -10,7 +10,7 @@
 
 const HOLD_MS = DOUBT.holdsMs[0] + DOUBT.holdSpreadMs
 
-const createRegistry = () => new SuspectRegistry(OPTIONS, new EndpointLifespans(), new RecentLosses())
+const createRegistry = (endpointCount = 4) => new SuspectRegistry(OPTIONS, new EndpointLifespans(), new RecentLosses(() => endpointCount))
 
 /** The request is lost with an endpoint, and others with as many other endpoints at the same time. */
 function crash (registry: SuspectRegistry, n: number, otherCount: number): void {
@@ -98,3 +98,12 @@
   tick(HOLD_MS)
   t.is(registry.check('f').type, 'suspect')
 }))
+
+// Guards against several crashing requests that excuse each other.
+test.serial('of many endpoints more must be lost at the same time', t => runWithClock(tick => {
+  const registry = createRegistry(16)
+  tick(1_000)
+  crashTogether(tick, registry, 3)
+  const state = registry.check('f')
+  t.true(state.type === 'quarantined' && state.retryAfterMs > 500_000)
+}))
--- a/packages/knapweedshunt-attempts/src/mergeMarks.ts
+++ b/packages/knapweedshunt-attempts/src/joinMarks.ts
@@ -6,7 +6,7 @@
  * Returns the marks to tell of one request instead of those told before and a new one: at most one of crashes, the latest,
  * and one of all clearings, since a peer may not have read an earlier clearing yet. Crashes that are cleared are left out.
  */
-export function mergeMarks (known: readonly SuspectMark[], mark: SuspectMark): SuspectMark[] {
+export function joinMarks (known: readonly SuspectMark[], mark: SuspectMark): SuspectMark[] {
   const ofCrashes = [...known, mark].findLast(({ type }) => type !== 'cleared')
   const { fingerprint } = mark
   const crashIds = [...known, mark].flatMap(one => one.type === 'cleared' ? one.crashIds : [])
--- a/packages/knapweedshunt-attempts/src/suspectDoubt.ts
+++ b/packages/knapweedshunt-attempts/src/suspectDoubt.ts
@@ -1,3 +1,4 @@
+import { COINCIDENCE_MS } from './recentLosses.ts'
 import type { RecentLosses } from './recentLosses.ts'
 import type { Crash } from './suspectEntry.ts'
 
@@ -13,19 +14,13 @@
   probeMs: number
 }
 
-/** Time between ends of endpoints that have one cause, as far as several VMs notice them, in milliseconds. */
-export const COINCIDENCE_MS = 100
-
-/** Number of other endpoints that are lost with one that ends, from which on the cause is likely not a request that it ran. */
-const MIN_OTHERS = 2
-
-/** Whether the crashes may have another cause than the request: most came together with the loss of other endpoints, which did not run it. */
-export function areDoubtful (crashes: readonly Crash[], losses: RecentLosses, { minSolitary }: DoubtOptions): boolean {
+/** Whether the crashes probably have another cause than the request: most came together with the loss of other endpoints, which did not run it. */
+export function hasOtherCause (crashes: readonly Crash[], losses: RecentLosses, { minSolitary }: DoubtOptions): boolean {
   const endpoints = new Set(crashes.map(({ endpoint }) => endpoint))
-  return crashes.filter(({ crashedAtMs }) => losses.countEndpointsAround(crashedAtMs, COINCIDENCE_MS, endpoints) < MIN_OTHERS).length < minSolitary
+  return crashes.filter(({ crashedAtMs }) => !losses.isCommon(crashedAtMs, endpoints)).length < minSolitary
 }
 
 /** Whether all losses that coincide with the crashes are known. */
-export function areLossesKnown (crashes: readonly Crash[]): boolean {
+export function hasAllLosses (crashes: readonly Crash[]): boolean {
   return performance.now() > Math.max(...crashes.map(({ crashedAtMs }) => crashedAtMs)) + 2 * COINCIDENCE_MS
 }
--- a/packages/knapweedshunt-attempts/src/suspectRegistry.ts
+++ b/packages/knapweedshunt-attempts/src/suspectRegistry.ts
@@ -5,7 +5,7 @@
 import { hasSurvived } from './endPeriod.ts'
 import { LiftTimes } from './liftTimes.ts'
 import { RecentLosses } from './recentLosses.ts'
-import { areDoubtful, areLossesKnown } from './suspectDoubt.ts'
+import { hasOtherCause, hasAllLosses } from './suspectDoubt.ts'
 import type { DoubtOptions } from './suspectDoubt.ts'
 import { addCrash, buildCrashedMark, buildQuarantinedMark, createOwnCrash, createSuspectEntry, findFirstOfLatest, listCounted, liftSuspectEntry, parseMarkedCrash, retainLatestCrashes, settleCrashes } from './suspectEntry.ts'
 import type { Crash, SuspectEntry } from './suspectEntry.ts'
@@ -205,7 +205,7 @@
     const lastCrashAtMs = Math.max(...crashes.map(({ crashedAtMs }) => crashedAtMs))
     const known = entry.doubt !== null && entry.doubt.crashCount === crashes.length && entry.doubt.lastCrashAtMs === lastCrashAtMs ? entry.doubt : null
     if (known?.isFinal === true) return known.isDoubtful
-    entry.doubt = { crashCount: crashes.length, lastCrashAtMs, isDoubtful: known?.isDoubtful === true || areDoubtful(crashes, this.#losses, doubt), isFinal: areLossesKnown(crashes) }
+    entry.doubt = { crashCount: crashes.length, lastCrashAtMs, isDoubtful: known?.isDoubtful === true || hasOtherCause(crashes, this.#losses, doubt), isFinal: hasAllLosses(crashes) }
     return entry.doubt.isDoubtful
   }
 
--- a/packages/knapweedshunt-gateway/src/directory/crashMarks.ts
+++ b/packages/knapweedshunt-gateway/src/directory/crashMarks.ts
@@ -1,4 +1,4 @@
-import { addElapsedTime, mergeMarks } from 'knapweedshunt-attempts'
+import { addElapsedTime, joinMarks } from 'knapweedshunt-attempts'
 import type { SuspectMark } from 'knapweedshunt-attempts'
 import type { Incarnation } from 'knapweedshunt-types'
 import { computeAgeMs } from './computeAgeMs.ts'
@@ -37,9 +37,9 @@
   add (mark: SuspectMark): void {
     const others = this.#marks.filter(known => known.mark.fingerprint !== mark.fingerprint)
     const known = this.#marks.filter(numbered => numbered.mark.fingerprint === mark.fingerprint && !isExpired(numbered))
-    const merged = mergeMarks(known.map(({ mark, atMs }) => addElapsedTime(mark, computeAgeMs(atMs))), mark)
+    const joined = joinMarks(known.map(({ mark, atMs }) => addElapsedTime(mark, computeAgeMs(atMs))), mark)
     // What the other VMs have been told already keeps its number, so that they do not apply it again.
-    this.#setMarks([...others, ...merged.map(one => known.find(told => isSameClearing(told.mark, one)) ?? { n: ++this.#lastNumber, atMs: Date.now(), mark: one })])
+    this.#setMarks([...others, ...joined.map(one => known.find(told => isSameClearing(told.mark, one)) ?? { n: ++this.#lastNumber, atMs: Date.now(), mark: one })])
   }
 
   /** Removes this VM's mark of a request. */
--- a/packages/knapweedshunt-gateway/src/directory/crashReviews.ts
+++ b/packages/knapweedshunt-gateway/src/directory/crashReviews.ts
@@ -1,4 +1,4 @@
-import { COINCIDENCE_MS, computeOwnEndPeriod, hasSurvived } from 'knapweedshunt-attempts'
+import { computeOwnEndPeriod, hasSurvived } from 'knapweedshunt-attempts'
 import type { EndpointLifespans, RecentLosses } from 'knapweedshunt-attempts'
 import type { EndpointName, RequestId } from 'knapweedshunt-types'
 import { formatFingerprint } from '../flow/formatSuspects.ts'
@@ -55,7 +55,7 @@
   #reviewOne ({ requestId, fingerprint, incarnation, startedAtMs, crashedAtMs }: MarkedAttempt): void {
     const { lifespans, losses, metrics, decisionLog } = this.#dependencies
     const hasLivedOn = hasSurvived(lifespans, incarnation, computeOwnEndPeriod(startedAtMs, crashedAtMs))
-    const coincidentCount = losses.countEndpointsAround(crashedAtMs, COINCIDENCE_MS, new Set([incarnation]))
+    const coincidentCount = losses.countCoincident(crashedAtMs, new Set([incarnation]))
     if (hasLivedOn) metrics.recordMark('livedOn')
     decisionLog.record({ type: 'crashReviewed', requestId, fingerprint: formatFingerprint(fingerprint), incarnation, hasLivedOn, coincident: coincidentCount })
   }
--- a/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
+++ b/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
@@ -32,6 +32,8 @@
   decisionLog: DecisionLog
   /** Whether the record's incarnation of its endpoint is still listed. */
   isCurrent (record: EndpointRecord): boolean
+  /** Counts the endpoints of all pools. */
+  countEndpoints (): number
   /** Probes an endpoint. */
   probe (record: EndpointRecord): void
   /** Tells the other VMs of a request that may crash endpoints, or of its clearing. */
@@ -47,15 +49,17 @@
   readonly #dependencies: SuspectTrackerDependencies
   readonly #lifespans = new EndpointLifespans()
   readonly #partDetector = new CrashingPartDetector(DEFAULT_CRASHING_PART_OPTIONS, this.#lifespans)
-  readonly #losses = new RecentLosses()
-  readonly #registry = new SuspectRegistry(SUSPECT_OPTIONS, this.#lifespans, this.#losses)
+  readonly #losses: RecentLosses
+  readonly #registry: SuspectRegistry
   readonly #reviews: CrashReviews
   readonly #survivals: DirectorySurvivals
   #hasScheduledAnnouncement = false
 
   constructor (dependencies: SuspectTrackerDependencies) {
     this.#dependencies = dependencies
-    const { metrics, decisionLog, isCurrent, probe } = dependencies
+    const { metrics, decisionLog, isCurrent, countEndpoints, probe } = dependencies
+    this.#losses = new RecentLosses(countEndpoints)
+    this.#registry = new SuspectRegistry(SUSPECT_OPTIONS, this.#lifespans, this.#losses)
     this.#reviews = new CrashReviews({ lifespans: this.#lifespans, losses: this.#losses, metrics, decisionLog })
     this.#survivals = new DirectorySurvivals({ lifespans: this.#lifespans, isCurrent, isRefused: attempt => this.findQuarantine(attempt) !== null, probe })
   }
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -120,6 +120,7 @@
       metrics: this.#metrics,
       decisionLog: this.#decisionLog,
       isCurrent,
+      countEndpoints: () => this.#endpointRegistry.size,
       probe: record => this.#endpointMonitor.probe(record),
       announceMark: mark => this.#roster.announceMark(mark),
       removeMark: fingerprint => this.#roster.removeMark(fingerprint),
--- a/packages/knapweedshunt-router/src/unacknowledgedMarks.ts
+++ b/packages/knapweedshunt-router/src/unacknowledgedMarks.ts
@@ -1,4 +1,4 @@
-import { addElapsedTime, mergeMarks } from 'knapweedshunt-attempts'
+import { addElapsedTime, joinMarks } from 'knapweedshunt-attempts'
 import type { SuspectMark } from 'knapweedshunt-attempts'
 import { MAX_MARKS } from './peerMessages.ts'
 
@@ -24,7 +24,7 @@
     const known = this.#marksByFingerprint.get(mark.fingerprint)
     const knownMarks = known?.marks.map(one => addElapsedTime(one, nowMs - known.addedAtMs)) ?? []
     this.#marksByFingerprint.delete(mark.fingerprint)
-    this.#marksByFingerprint.set(mark.fingerprint, { marks: mergeMarks(knownMarks, mark), addedAtMs: nowMs })
+    this.#marksByFingerprint.set(mark.fingerprint, { marks: joinMarks(knownMarks, mark), addedAtMs: nowMs })
     const [oldest] = this.#marksByFingerprint.keys()
     if (this.#marksByFingerprint.size > MAX_REQUESTS) this.#marksByFingerprint.delete(oldest)
   }
