A quarantine told without its crashes is passed on as such; crashes held for a request are limited

By reading of the change: a VM that held a quarantine of an earlier build named its own crashes in the mark, so that a VM that starts took these for all of them.

--- a/packages/knapweedshunt-attempts/src/__tests__/suspectMarks.test.ts
+++ b/packages/knapweedshunt-attempts/src/__tests__/suspectMarks.test.ts
@@ -53,3 +53,19 @@
   t.is(a.check('f').type, 'quarantined')
   t.deepEqual(suspectMarkSchema.parse({ type: 'cleared', fingerprint: 'f' }), { type: 'cleared', fingerprint: 'f', crashIds: [] })
 })
+
+// Guards against a quarantine that a VM which starts does not learn of, as an earlier build told it without its crashes.
+test('a quarantine that was told without its crashes is passed on', t => {
+  const [a, b] = createRegistries()
+  a.applyMark({ type: 'quarantined', fingerprint: 'f', forMs: 500_000 })
+  a.recordCrash('f', 'e1', performance.now() - 10)
+  for (const mark of a.listMarks()) b.applyMark(send(mark))
+  t.is(b.check('f').type, 'quarantined')
+})
+
+test('the number of crashes held for a request is limited', t => {
+  const [a] = createRegistries()
+  for (let n = 0; n < 300; n++) a.recordCrash('f', `e${n}`, performance.now() - 10)
+  t.true(a.countCrashes('f') <= 64)
+  t.is(a.check('f').type, 'quarantined')
+})
--- a/packages/knapweedshunt-attempts/src/suspectEntry.ts
+++ b/packages/knapweedshunt-attempts/src/suspectEntry.ts
@@ -47,6 +47,9 @@
   expiresAtMs: number
 }
 
+/** Maximum number of crashes held for a request; the latest are kept. */
+const MAX_CRASHES = 64
+
 /** Maximum number of settled crash ids held for a request. */
 const MAX_SETTLED_IDS = 256
 
@@ -66,6 +69,7 @@
   const known = entry.crashes.find(other => isSameCrash(other, crash))
   if (known !== undefined) joinCrash(known, crash)
   else if (!hasAny(entry.settledIds, crash.ids)) entry.crashes.push(crash)
+  if (entry.crashes.length > MAX_CRASHES) retainLatestCrashes(entry, MAX_CRASHES)
 }
 
 /** What this VM saw tells more exactly when the endpoint may have ended than what a peer says; of two losses here it must have lived through both. */
@@ -117,12 +121,12 @@
   return { type: 'crashed', fingerprint, crashes: listMarkedCrashes(crashes, nowMs) }
 }
 
-/** Builds the mark that tells peers of the quarantine of a request and the crashes that it follows from. */
+/** Builds the mark that tells peers of the quarantine of a request and the crashes that it follows from; one that was told without its crashes is passed on so. */
 export function buildQuarantinedMark (fingerprint: string, entry: SuspectEntry, forMs: number, firstCrashAtMs: number, nowMs: number): SuspectMark {
   const { told } = entry
   const crashes = listCounted(entry)
   const endpoints = [...new Set([...crashes.map(({ endpoint }) => endpoint), ...told?.endpoints ?? []])].slice(0, MAX_MARK_ENDPOINTS)
-  return { type: 'quarantined', fingerprint, forMs, crashCount: Math.max(crashes.length, told?.crashCount ?? 0), firstCrashAgeMs: Math.max(0, nowMs - firstCrashAtMs), endpoints, crashes: listMarkedCrashes(crashes, nowMs) }
+  return { type: 'quarantined', fingerprint, forMs, crashCount: Math.max(crashes.length, told?.crashCount ?? 0), firstCrashAgeMs: Math.max(0, nowMs - firstCrashAtMs), endpoints, ...told === null && { crashes: listMarkedCrashes(crashes, nowMs) } }
 }
 
 /** Creates the record of a crash that this VM sees now. */
