--- a/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
@@ -33,12 +33,12 @@
     await ended
     t.is(server.pendingCount, 1)
     server.disableKeepAlive()
-    server.closeListener()
-    server.closeIdleConnections()
+    await server.closeListener()
+    await server.closeIdleConnections()
     socket.resume()
     while (server.pendingCount > 0) {
       await sleep(5)
-      server.closeIdleConnections()
+      await server.closeIdleConnections()
     }
     if (!socket.closed) await new Promise(resolve => socket.once('close', resolve))
     t.true(receivedBytes > BODY_BYTES)
--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -1,6 +1,6 @@
 import http from 'node:http'
 import type { Socket } from 'node:net'
-import { listen } from 'knapweedshunt-utils'
+import { listen, waitForArrivals } from 'knapweedshunt-utils'
 import type { CallerLimits } from '../ports/gatewayConfig.ts'
 import type { ListenAddress } from '../ports/vmSettings.ts'
 
@@ -71,13 +71,15 @@
     return [...this.#pendingResponses.values()].reduce((sum, { size }) => sum + size, 0)
   }
 
-  /** Stops accepting connections. */
-  closeListener (): void {
+  /** Stops accepting connections, once those that have arrived are accepted and their requests read. */
+  async closeListener (): Promise<void> {
+    await waitForArrivals(this.#server)
     this.#server.close()
   }
 
-  /** Closes connections without a request in flight. */
-  closeIdleConnections (): void {
+  /** Closes connections without a request in flight, once the requests that have arrived are read. */
+  async closeIdleConnections (): Promise<void> {
+    await waitForArrivals(this.#server)
     this.#server.closeIdleConnections()
   }
 
--- a/packages/knapweedshunt-gateway/src/callers/drainCallers.ts
+++ b/packages/knapweedshunt-gateway/src/callers/drainCallers.ts
@@ -18,11 +18,11 @@
   callerServer.disableKeepAlive()
   await sleep(Math.min(LOAD_BALANCER_NOTICE_MS, drainGraceMs / 2))
   requestHandler.refuseNewRequests()
-  callerServer.closeListener()
-  callerServer.closeIdleConnections()
+  await callerServer.closeListener()
+  await callerServer.closeIdleConnections()
   while ((requestHandler.inFlight > 0 || callerServer.pendingCount > 0) && performance.now() < drainDeadlineAtMs) {
     await sleep(DRAIN_POLL_INTERVAL_MS)
-    callerServer.closeIdleConnections()
+    await callerServer.closeIdleConnections()
   }
   requestHandler.stopRequests()
 }
--- a/packages/knapweedshunt-utils/src/closeServer.ts
+++ b/packages/knapweedshunt-utils/src/closeServer.ts
@@ -1,16 +1,18 @@
 import type http from 'node:http'
+import { sleep } from './sleep.ts'
+import { waitForArrivals } from './waitForArrivals.ts'
 
-/** Interval between checks for idle connections. */
+/** Interval between checks for idle connections, in milliseconds. */
 const IDLE_CHECK_INTERVAL_MS = 50
 
-/** Stops accepting connections and closes each open one once it is idle; resolves when all are closed. */
-export function closeServer (server: http.Server): Promise<void> {
-  return new Promise(resolve => {
-    const timer = setInterval(() => server.closeIdleConnections(), IDLE_CHECK_INTERVAL_MS)
-    server.close(() => {
-      clearInterval(timer)
-      resolve()
-    })
+/** Stops accepting connections and closes each open one once it is idle; what has arrived before is read and answered. Resolves when all are closed. */
+export async function closeServer (server: http.Server): Promise<void> {
+  await waitForArrivals(server)
+  const closed = new AbortController()
+  server.close(() => closed.abort())
+  while (!closed.signal.aborted) {
+    await sleep(IDLE_CHECK_INTERVAL_MS, closed.signal)
+    await waitForArrivals(server)
     server.closeIdleConnections()
-  })
+  }
 }
--- /dev/null
+++ b/packages/knapweedshunt-utils/src/waitForArrivals.ts
@@ -0,0 +1,20 @@
+import type http from 'node:http'
+import { setImmediate } from 'node:timers/promises'
+
+/** Turns of the event loop without an arrival after which all that had arrived has been read: a connection is accepted in one turn and its request read in the next. */
+const QUIET_TURNS = 2
+
+/** Maximum number of turns while more keeps arriving; a turn accepts one connection, and no more wait to be accepted than this. */
+const MAX_TURNS = 1_000
+
+/** Resolves once the connections and requests that have reached this process are read. After the process was held up, timers run before that, and a connection that is closed with unread bytes is reset. */
+export async function waitForArrivals (server: http.Server): Promise<void> {
+  let quietTurns = 0
+  const markArrival = () => { quietTurns = 0 }
+  server.on('connection', markArrival).on('request', markArrival)
+  for (let turn = 0; turn < MAX_TURNS && quietTurns < QUIET_TURNS; turn++) {
+    quietTurns++
+    await setImmediate()
+  }
+  server.off('connection', markArrival).off('request', markArrival)
+}
