--- a/packages/knapweedshunt-attempts/src/__tests__/survivedCrashes.test.ts
+++ b/packages/knapweedshunt-attempts/src/__tests__/survivedCrashes.test.ts
@@ -123,3 +123,42 @@
   t.false(detector.dropSurvived().isAnnounced)
   t.is(detector.check(['shared', 'lost']).type, 'quarantined')
 }))
+
+// Guards against a quarantine that stays at the other VMs because the one that found it is gone.
+test.serial('the quarantine of parts ends at a VM that learnt of it when it sees that an endpoint has lived on', t => runWithClock(tick => {
+  const [finder, vm] = [new ObservingVm(), new ObservingVm()]
+  const detector = new CrashingPartDetector(DEFAULT_CRASHING_PART_OPTIONS, finder.lifespans)
+  const learning = new CrashingPartDetector(DEFAULT_CRASHING_PART_OPTIONS, vm.lifespans)
+  tick(5_000)
+  vm.receive()
+  loseParts(tick, detector, 3)
+  const evidence = detector.buildEvidence()
+  tick(DEFAULT_CRASHING_PART_OPTIONS.reportMs)
+  learning.applyEvidence(evidence, DEFAULT_CRASHING_PART_OPTIONS.reportMs)
+  t.is(learning.check(['shared', 'lost']).type, 'quarantined')
+  t.deepEqual(new Set(learning.listOpen().map(({ crash }) => crash.endpoint)), new Set(ENDPOINTS))
+  tick(300)
+  vm.receive(['e2'])
+  learning.dropSurvived()
+  t.is(learning.check(['shared', 'lost']).type, 'clear')
+  // Guards against the row of the VM that is gone, which still tells of it.
+  tick(100)
+  learning.applyEvidence(evidence, DEFAULT_CRASHING_PART_OPTIONS.reportMs + 400)
+  t.is(learning.check(['shared', 'lost']).type, 'clear')
+}))
+
+// Guards against a quarantine that a VM withdraws and takes up again from one that has not heard of it.
+test.serial('a quarantine of parts that was withdrawn is not learnt from another VM', t => runWithClock(tick => {
+  const vm = new ObservingVm()
+  const detector = new CrashingPartDetector(DEFAULT_CRASHING_PART_OPTIONS, vm.lifespans)
+  const peer = new CrashingPartDetector()
+  tick(5_000)
+  vm.receive()
+  loseParts(tick, detector, 3)
+  peer.applyEvidence(detector.buildEvidence(), 0)
+  tick(300)
+  vm.receive()
+  detector.dropSurvived()
+  detector.applyEvidence(peer.buildEvidence(), 0)
+  t.is(detector.check(['shared', 'lost']).type, 'clear')
+}))
--- a/packages/knapweedshunt-attempts/src/crashingPartDetector.ts
+++ b/packages/knapweedshunt-attempts/src/crashingPartDetector.ts
@@ -10,10 +10,12 @@
 import { EndpointLifespans } from './endpointLifespans.ts'
 import { encodePartEvidence } from './encodePartEvidence.ts'
 import { EndpointLiveness } from './endpointLiveness.ts'
+import type { HeldCrash, OpenCrash } from './heldCrash.ts'
 import { computeOwnEndPeriod, computeReportedEndPeriod, hasSurvived } from './endPeriod.ts'
 import { LiftTimes } from './liftTimes.ts'
 import type { PartEvidence } from './partEvidence.ts'
 import { MAX_PUBLISHED } from './partEvidence.ts'
+import { parseQuarantinedCrash } from './parseQuarantinedCrash.ts'
 import type { PartQuarantine } from './partQuarantine.ts'
 import { PartQuarantineTable } from './partQuarantineTable.ts'
 import { RecentOutcomes } from './recentOutcomes.ts'
@@ -84,14 +86,25 @@
     this.#liveness.recordServed(endpoint, startedAtMs)
   }
 
+  /** Lists the crashes that count as long as their endpoints are not known to have lived on. */
+  listOpen (): OpenCrash[] {
+    const reported = this.#reports.list().map(crash => ({ crash, isRefused: this.check([...crash.suspectParts.keys()]).type === 'quarantined' }))
+    return [...reported, ...this.#quarantines.list().flatMap(({ crashes }) => crashes.map(crash => ({ crash, isRefused: true })))]
+  }
+
   /** Drops the crashes of endpoints that have lived on. Returns whether the other VMs must hear of it, and the quarantines that follow from what is left. */
   dropSurvived (): { isAnnounced: boolean, quarantines: PartQuarantine[] } {
-    const survived = this.#reports.list().filter(({ endpoint, endPeriod }) => hasSurvived(this.#lifespans, endpoint, endPeriod))
-    const quarantines = survived.flatMap(({ id, suspectParts, isOwn }) => [...suspectParts.keys()].flatMap(part => {
-      if (isOwn) this.#clearings.recordOwn(part, [id])
+    const hasLivedOn = ({ endpoint, endPeriod }: HeldCrash) => hasSurvived(this.#lifespans, endpoint, endPeriod)
+    const survived = this.#reports.list().filter(hasLivedOn)
+    const parts = [
+      ...survived.flatMap(({ id, suspectParts }) => [...suspectParts.keys()].map(part => ({ id, part }))),
+      ...this.#quarantines.list().flatMap(quarantine => quarantine.crashes.filter(hasLivedOn).flatMap(({ id }) => [...quarantine.parts].map(part => ({ id, part }))))
+    ]
+    const quarantines = parts.flatMap(({ id, part }) => {
+      this.#clearings.recordOwn(part, [id])
       this.#reports.clearPart(id, part)
       return this.#reconsider(id, part)
-    }))
+    })
     const isAnnounced = this.#hasWithdrawn || quarantines.length > 0 || survived.some(({ isOwn }) => isOwn)
     this.#hasWithdrawn = false
     return { isAnnounced, quarantines }
@@ -130,10 +143,10 @@
   applyEvidence (evidence: PartEvidence, ageMs: number, isOwn = false): PartQuarantine[] {
     const nowMs = performance.now()
     const reconsidered = evidence.clearings.flatMap(({ part, ids }) => ids.flatMap(id => this.#applyClearing(part, id)))
-    const learnt = evidence.quarantines.flatMap(({ id, parts, crashCount, lostShare, firstCrashAgeMs, forMs }) => {
+    const learnt = evidence.quarantines.flatMap(({ id, parts, crashCount, lostShare, crashes, firstCrashAgeMs, forMs }) => {
       const firstCrashAtMs = nowMs - firstCrashAgeMs - ageMs
       for (const part of parts) if (this.#outcomes.hasServedAfter(part, firstCrashAtMs)) this.#clearings.recordRefuted(part, id)
-      return this.#addQuarantine({ id, parts: new Set(parts), crashCount, lostShare, firstCrashAtMs, untilMs: nowMs + Math.min(forMs - ageMs, this.#options.quarantineMs) })
+      return this.#addQuarantine({ id, parts: new Set(parts), crashCount, lostShare, crashes: crashes.map(crash => parseQuarantinedCrash(crash, nowMs - ageMs)), firstCrashAtMs, untilMs: nowMs + Math.min(forMs - ageMs, this.#options.quarantineMs) })
     })
     const suspects = new Set<string>()
     for (const { id, endpoint, startedAgeMs, crashedAgeMs, lostShares } of evidence.reports) {
@@ -165,7 +178,7 @@
 
   /** Removes the parts that were cleared at another VM, or with which a request of this VM was served after the crash. */
   #removeClearedParts (id: string, parts: Set<string> | Map<string, number>, crashedAtMs: number): void {
-    for (const part of parts.keys()) if (this.#clearings.isReceived(part, id) || this.#outcomes.hasServedAfter(part, crashedAtMs)) parts.delete(part)
+    for (const part of parts.keys()) if (this.#clearings.isCleared(part, id) || this.#outcomes.hasServedAfter(part, crashedAtMs)) parts.delete(part)
   }
 
   /** Estimates the share of attempts without a part that this VM lost lately; `endpoint` is the one that crashes now. */
@@ -185,15 +198,16 @@
     const certain = reports.filter(({ endpoint, crashedAtMs }) => !this.#liveness.isAliveAfter(endpoint, crashedAtMs))
     const isInUse = this.#outcomes.hasServedAfter(part, -Infinity)
     const found = this.#findQuarantine(part, certain, isInUse ? minDoubtfulCrashes : minCrashes) ?? this.#findQuarantine(part, reports, minDoubtfulCrashes)
-    return found === null ? [] : this.#addQuarantine(found, reports)
+    return found === null ? [] : this.#addQuarantine(found)
   }
 
-  /** Withdraws this VM's quarantines of a part that follow from a report which no longer counts, unless what is left suffices. */
+  /** Withdraws the quarantines of a part that follow from a report which no longer counts, unless what is left suffices. */
   #reconsider (reportId: string, part: string): PartQuarantine[] {
-    const withdrawn = this.#quarantines.removeByReport(reportId, part)
+    const withdrawn = this.#quarantines.removeByCrash(reportId, part)
     if (withdrawn.length === 0) return []
     for (const { id, parts } of withdrawn) for (const one of parts) this.#clearings.recordOwn(one, [id])
-    this.#hasWithdrawn = true
+    // The VMs that learnt of a quarantine withdraw it by themselves.
+    this.#hasWithdrawn ||= withdrawn.some(({ id }) => id.startsWith(this.#idPrefix))
     return this.#quarantineIfLikely(part)
   }
 
@@ -205,7 +219,7 @@
     const baselineShare = Math.max(lostShare, this.#outcomes.estimateLostShareWithout(part, endpoints, firstCrashAtMs))
     if (sequentialCount < minCrashes || baselineShare ** sequentialCount > maxChance) return null
     const durationMs = baselineShare < minUncertainShare ? quarantineMs : uncertainQuarantineMs
-    return { id: this.#createId(), parts: commonParts, crashCount: sequentialCount, lostShare: baselineShare, firstCrashAtMs, untilMs: performance.now() + durationMs }
+    return { id: this.#createId(), parts: commonParts, crashCount: sequentialCount, lostShare: baselineShare, crashes: reports.map(({ id, endpoint, endPeriod, startedAtMs }) => ({ id, endpoint, endPeriod, startedAtMs })), firstCrashAtMs, untilMs: performance.now() + durationMs }
   }
 
   /** Whether a quarantine of other parts accounts for the crash. */
@@ -214,14 +228,15 @@
   }
 
   /** Adds a quarantine unless one in force covers it; returns it if it was added. */
-  #addQuarantine (quarantine: PartQuarantine, reports: readonly CrashReport[] = []): PartQuarantine[] {
-    const { id, parts, firstCrashAtMs, untilMs } = quarantine
+  #addQuarantine (quarantine: PartQuarantine): PartQuarantine[] {
+    const { id, parts, crashes, firstCrashAtMs, untilMs } = quarantine
     if (this.#quarantines.has(id) || this.#isLifted(parts, firstCrashAtMs)) return []
+    if (crashes.some(crash => [...parts].some(part => this.#clearings.isCleared(part, crash.id)))) return []
     this.#removeClearedParts(id, parts, firstCrashAtMs)
     const known = this.#quarantines.list()
     const isCovered = known.some(other => other.untilMs >= untilMs && [...other.parts].every(part => parts.has(part)))
     if (isCovered || parts.size === 0 || untilMs <= performance.now()) return []
-    this.#quarantines.add(quarantine, new Set(reports.map(report => report.id)))
+    this.#quarantines.add(quarantine)
     return [quarantine]
   }
 
--- a/packages/knapweedshunt-attempts/src/encodePartEvidence.ts
+++ b/packages/knapweedshunt-attempts/src/encodePartEvidence.ts
@@ -1,7 +1,7 @@
 import type { CrashReport } from './crashReport.ts'
 import { MAX_PUBLISHED } from './partEvidence.ts'
 import type { PartEvidence } from './partEvidence.ts'
-import type { PartQuarantine } from './partQuarantine.ts'
+import type { PartQuarantine, QuarantinedCrash } from './partQuarantine.ts'
 
 /** Encodes what a VM tells the others about prompt parts, within the limits of a row. */
 export function encodePartEvidence (ownReports: readonly CrashReport[], quarantines: readonly PartQuarantine[], ownClearings: PartEvidence['clearings']): PartEvidence {
@@ -11,7 +11,11 @@
   const clearings = ownClearings.slice(-MAX_PUBLISHED.clearings)
   return {
     reports: reports.map(({ id, endpoint, startedAtMs, crashedAtMs, suspectParts }) => ({ id, endpoint, startedAgeMs: nowMs - startedAtMs, crashedAgeMs: nowMs - crashedAtMs, lostShares: Object.fromEntries([...suspectParts].slice(0, MAX_PUBLISHED.parts)) })),
-    quarantines: latestQuarantines.map(({ id, parts, crashCount, lostShare, firstCrashAtMs, untilMs }) => ({ id, parts: [...parts], crashCount, lostShare, firstCrashAgeMs: nowMs - firstCrashAtMs, forMs: untilMs - nowMs })),
+    quarantines: latestQuarantines.map(({ id, parts, crashCount, lostShare, crashes, firstCrashAtMs, untilMs }) => ({ id, parts: [...parts], crashCount, lostShare, crashes: encodeCrashes(crashes, nowMs), firstCrashAgeMs: nowMs - firstCrashAtMs, forMs: untilMs - nowMs })),
     clearings: clearings.map(({ part, ids }) => ({ part, ids: ids.slice(-MAX_PUBLISHED.ids) }))
   }
 }
+
+function encodeCrashes (crashes: readonly QuarantinedCrash[], nowMs: number): PartEvidence['quarantines'][number]['crashes'] {
+  return crashes.slice(0, MAX_PUBLISHED.crashes).map(({ id, endpoint, startedAtMs }) => ({ id, endpoint, startedAgeMs: nowMs - startedAtMs }))
+}
--- a/packages/knapweedshunt-attempts/src/partClearings.ts
+++ b/packages/knapweedshunt-attempts/src/partClearings.ts
@@ -43,9 +43,9 @@
     if (this.#receivedParts.size > MAX_IDS) this.#receivedParts.delete(oldest)
   }
 
-  /** Whether another VM cleared the part from this report or quarantine. */
-  isReceived (part: string, id: string): boolean {
-    return this.#receivedParts.get(id)?.has(part) ?? false
+  /** Whether the part was cleared from this report or quarantine, here or by another VM. */
+  isCleared (part: string, id: string): boolean {
+    return this.#receivedParts.get(id)?.has(part) === true || this.#own.get(part)?.ids.has(id) === true
   }
 
   /** Records that another VM quarantined a part that this VM has served meanwhile; its clearing is announced with the next request that is served with it. */
--- a/packages/knapweedshunt-attempts/src/partQuarantineTable.ts
+++ b/packages/knapweedshunt-attempts/src/partQuarantineTable.ts
@@ -3,11 +3,9 @@
 /** Maximum number of quarantines held; the one that ends first is evicted. */
 const MAX_QUARANTINES = 256
 
-/** Quarantines of prompt parts in force, and the crash reports that those of this VM follow from. */
+/** Quarantines of prompt parts in force. */
 export class PartQuarantineTable {
   readonly #quarantines = new Map<string, PartQuarantine>()
-  /** Ids of reports by the id of the quarantine. */
-  readonly #reportIds = new Map<string, ReadonlySet<string>>()
 
   /** Whether a quarantine with this id is held. */
   has (id: string): boolean {
@@ -21,17 +19,14 @@
     return [...this.#quarantines.values()]
   }
 
-  /** Adds a quarantine; `reportIds` names the reports that it follows from, if this VM decided on it. */
-  add (quarantine: PartQuarantine, reportIds: ReadonlySet<string>): void {
+  add (quarantine: PartQuarantine): void {
     const known = this.list()
     this.#quarantines.set(quarantine.id, quarantine)
-    this.#reportIds.set(quarantine.id, reportIds)
     if (known.length >= MAX_QUARANTINES) this.remove(known.reduce((first, other) => other.untilMs < first.untilMs ? other : first).id)
   }
 
   remove (id: string): void {
     this.#quarantines.delete(id)
-    this.#reportIds.delete(id)
   }
 
   /** Removes a part from a quarantine, which holds as long as one of its parts may be the cause. */
@@ -41,9 +36,9 @@
     if (quarantine?.parts.size === 0) this.remove(id)
   }
 
-  /** Removes the quarantines of a part that follow from a report; returns them. */
-  removeByReport (reportId: string, part: string): PartQuarantine[] {
-    const affected = this.list().filter(({ id, parts }) => parts.has(part) && this.#reportIds.get(id)?.has(reportId) === true)
+  /** Removes the quarantines of a part that follow from a crash; returns them. */
+  removeByCrash (crashId: string, part: string): PartQuarantine[] {
+    const affected = this.list().filter(({ parts, crashes }) => parts.has(part) && crashes.some(({ id }) => id === crashId))
     for (const { id } of affected) this.remove(id)
     return affected
   }
--- a/packages/knapweedshunt-attempts/src/suspectEntry.ts
+++ b/packages/knapweedshunt-attempts/src/suspectEntry.ts
@@ -1,17 +1,14 @@
 import type { EndpointName } from 'knapweedshunt-types'
 import { computeOwnEndPeriod, computeReportedEndPeriod } from './endPeriod.ts'
-import type { EndPeriod } from './endPeriod.ts'
+import type { HeldCrash } from './heldCrash.ts'
 import { MAX_MARK_CRASHES, MAX_MARK_ENDPOINTS } from './suspectMark.ts'
 import type { MarkedCrash, SuspectMark } from './suspectMark.ts'
 
 /** Crash of an endpoint while it ran a request. Monotonic times, in milliseconds. */
-export interface Crash {
+export interface Crash extends HeldCrash {
   ids: Set<string>
-  endpoint: EndpointName
   startedAtMs: number
   crashedAtMs: number
-  /** Period in which the endpoint's process ended if it did. */
-  endPeriod: EndPeriod
   /** Whether this registry recorded the crash. */
   isOwn: boolean
   /** Whether the endpoint's process is known to have lived on, so that it did not crash. */
--- a/packages/knapweedshunt-attempts/src/suspectRegistry.ts
+++ b/packages/knapweedshunt-attempts/src/suspectRegistry.ts
@@ -3,6 +3,7 @@
 import { match } from 'ts-pattern'
 import { EndpointLifespans } from './endpointLifespans.ts'
 import { hasSurvived } from './endPeriod.ts'
+import type { OpenCrash } from './heldCrash.ts'
 import { LiftTimes } from './liftTimes.ts'
 import { RecentLosses } from './recentLosses.ts'
 import { hasOtherCause, hasAllLosses } from './suspectDoubt.ts'
@@ -31,9 +32,6 @@
 /** Hexadecimal digits of the hash by which VMs wait for different times. */
 const SPREAD_HASH_DIGITS = 8
 
-/** Time after a crash in which its endpoint may turn out to have lived on, in milliseconds. */
-const SURVIVAL_WINDOW_MS = 30_000
-
 /** Whether and how a request may run. */
 export type SuspectState =
   | { type: 'clear' }
@@ -83,9 +81,18 @@
     return this.#buildMark(fingerprint, this.#addCrash(fingerprint, crash, nowMs), nowMs)
   }
 
+  /** Lists the crashes that count as long as their endpoints are not known to have lived on. */
+  listOpen (): OpenCrash[] {
+    return [...this.#entries].flatMap(([fingerprint, entry]) => {
+      if (entry.crashes.length === 0) return []
+      const isRefused = this.check(fingerprint).type === 'quarantined'
+      return listCounted(entry).map(crash => ({ crash, isRefused }))
+    })
+  }
+
   /** Returns the marks that tell peers which of the crashes that this VM saw were none, as the endpoints lived on; each once. */
   takeSurvived (): ClearedMark[] {
-    const oldestMs = performance.now() - SURVIVAL_WINDOW_MS
+    const oldestMs = performance.now() - this.#options.suspectMs
     return [...this.#crashedLately].flatMap(([fingerprint, crashedAtMs]) => {
       if (crashedAtMs < oldestMs) this.#crashedLately.delete(fingerprint)
       const entry = this.#entries.get(fingerprint)
--- a/packages/knapweedshunt-gateway/src/directory/directorySurvivals.ts
+++ b/packages/knapweedshunt-gateway/src/directory/directorySurvivals.ts
@@ -1,79 +1,73 @@
 import { MAX_IN_FLIGHT_MS } from 'knapweedshunt-attempts'
-import type { EndpointLifespans } from 'knapweedshunt-attempts'
+import type { EndpointLifespans, HeldCrash, OpenCrash } from 'knapweedshunt-attempts'
+import type { EndpointName } from 'knapweedshunt-types'
 import type { EndpointRecord } from '../endpoints/endpointRecord.ts'
-import type { CrashedAttempt } from '../flow/crashedAttempt.ts'
 
 /** Time within which the directory shows that an endpoint has started again, in milliseconds: two heartbeats. */
 const DIRECTORY_DELAY_MS = 2_500
 
-/** Time without an answer after which an endpoint is probed if the answer is needed, and between two probes, in milliseconds. */
+/** Minimum time between two probes of an endpoint whose answer is needed, in milliseconds. */
 const PROBE_INTERVAL_MS = 1_000
 
-/** Time for which a lost connection is held, in milliseconds. */
-const KEEP_MS = 30_000
-
-/** Maximum number of lost connections held; the oldest are dropped first. */
-const MAX_LOST = 1_000
-
-/** A connection on which an attempt was lost. Monotonic times, in milliseconds. */
-interface LostConnection {
-  attempt: CrashedAttempt
-  lostAtMs: number
-  probedAtMs: number
-  /** Monotonic time of an answer of the endpoint after the loss; null before one. */
-  answeredAtMs: number | null
+/** First answer of an endpoint since a crash. Monotonic times, in milliseconds. */
+interface AnswerSince {
+  /** Latest time at which the endpoint's process would have ended. */
+  crashedAtMs: number
+  answeredAtMs: number
 }
 
 /** Dependencies of {@link DirectorySurvivals}. */
 export interface DirectorySurvivalsDependencies {
   lifespans: EndpointLifespans
-  /** Whether the record's incarnation of its endpoint is still listed. */
-  isCurrent (record: EndpointRecord): boolean
-  /** Whether the request of the attempt is refused for its crashes. */
-  isRefused (attempt: CrashedAttempt): boolean
+  /** Finds the record of an incarnation that the directory lists. */
+  findIncarnation (incarnation: EndpointName): EndpointRecord | null
   /** Probes an endpoint. */
   probe (record: EndpointRecord): void
 }
 
-/** Finds endpoints that have lived on after they ended a connection: one that answers afterwards, and that the directory still lists with the same start when it would list another, is the process of before. */
+/** Finds endpoints that have lived on after crashes that this VM or another one has recorded: one that answers afterwards, and that the directory still lists with the same start when it would list another, is the process of before. */
 export class DirectorySurvivals {
   readonly #dependencies: DirectorySurvivalsDependencies
-  #lost: LostConnection[] = []
+  readonly #answers = new WeakMap<HeldCrash, AnswerSince>()
+  readonly #probedAtMs = new WeakMap<EndpointRecord, number>()
 
   constructor (dependencies: DirectorySurvivalsDependencies) {
     this.#dependencies = dependencies
   }
 
-  /** Adds the connection of an attempt that was lost now. */
-  add (attempt: CrashedAttempt): void {
-    const nowMs = performance.now()
-    this.#lost = [...this.#lost, { attempt, lostAtMs: nowMs, probedAtMs: nowMs, answeredAtMs: null }].slice(-MAX_LOST)
+  /** Looks at the answers since the crashes; `directoryAtMs` is the monotonic time as of which the endpoint table is confirmed. */
+  update (openCrashes: Iterable<OpenCrash>, directoryAtMs: number): void {
+    for (const { crash, isRefused } of openCrashes) {
+      const record = this.#dependencies.findIncarnation(crash.endpoint)
+      if (record === null) continue
+      const answeredAtMs = this.#findAnswer(crash, record)
+      if (answeredAtMs !== null) this.#recordAlive(crash, answeredAtMs, directoryAtMs)
+      else if (isRefused) this.#probeIfDue(record)
+    }
   }
 
-  /** Looks at the answers since; `directoryAtMs` is the monotonic time as of which the endpoint table is confirmed. */
-  update (directoryAtMs: number): void {
-    const oldestMs = performance.now() - KEEP_MS
-    this.#lost = this.#lost.filter(lost => lost.lostAtMs >= oldestMs && this.#dependencies.isCurrent(lost.attempt.record) && !this.#isSettled(lost, directoryAtMs))
+  #findAnswer (crash: HeldCrash, record: EndpointRecord): number | null {
+    const crashedAtMs = crash.endPeriod.latestAtMs
+    const known = this.#answers.get(crash)
+    if (known?.crashedAtMs === crashedAtMs) return known.answeredAtMs
+    if (!hasAnsweredAfter(record, crashedAtMs)) return null
+    this.#answers.set(crash, { crashedAtMs, answeredAtMs: record.answeredAtMs })
+    return record.answeredAtMs
   }
 
-  #isSettled (lost: LostConnection, directoryAtMs: number): boolean {
-    const { lostAtMs, attempt: { record, startedAtMs } } = lost
-    lost.answeredAtMs ??= findAnswerAfter(record, lostAtMs)
-    if (lost.answeredAtMs === null) this.#probeIfNeeded(lost)
-    if (lost.answeredAtMs === null || directoryAtMs < lost.answeredAtMs + DIRECTORY_DELAY_MS) return false
-    this.#dependencies.lifespans.recordAlive(record.entry.incarnation, startedAtMs, lostAtMs)
-    return true
+  #recordAlive ({ endpoint, endPeriod: { earliestAtMs, latestAtMs } }: HeldCrash, answeredAtMs: number, directoryAtMs: number): void {
+    if (directoryAtMs >= answeredAtMs + DIRECTORY_DELAY_MS) this.#dependencies.lifespans.recordAlive(endpoint, earliestAtMs, latestAtMs)
   }
 
-  #probeIfNeeded (lost: LostConnection): void {
+  #probeIfDue (record: EndpointRecord): void {
     const nowMs = performance.now()
-    if (nowMs - lost.probedAtMs < PROBE_INTERVAL_MS || !this.#dependencies.isRefused(lost.attempt)) return
-    lost.probedAtMs = nowMs
-    this.#dependencies.probe(lost.attempt.record)
+    if (nowMs - (this.#probedAtMs.get(record) ?? -Infinity) < PROBE_INTERVAL_MS) return
+    this.#probedAtMs.set(record, nowMs)
+    this.#dependencies.probe(record)
   }
 }
 
-/** Returns the time of an answer that the endpoint's process gave after a monotonic time; null if there is none. Bytes of other connections may have been sent before. */
-function findAnswerAfter ({ answeredAtMs, answeredProbeAtMs }: EndpointRecord, lostAtMs: number): number | null {
-  return answeredProbeAtMs > lostAtMs || answeredAtMs > lostAtMs + MAX_IN_FLIGHT_MS ? answeredAtMs : null
+/** Whether the endpoint's process has answered after a monotonic time. Bytes of other connections may have been sent before. */
+function hasAnsweredAfter ({ answeredAtMs, answeredProbeAtMs }: EndpointRecord, crashedAtMs: number): boolean {
+  return answeredProbeAtMs > crashedAtMs || answeredAtMs > crashedAtMs + MAX_IN_FLIGHT_MS
 }
--- a/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
+++ b/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
@@ -1,7 +1,7 @@
 import { CrashingPartDetector, DEFAULT_CRASHING_PART_OPTIONS, EndpointLifespans, RecentLosses, SuspectRegistry } from 'knapweedshunt-attempts'
 import type { ClearedMark, PartEvidence, PartQuarantine, SuspectMark } from 'knapweedshunt-attempts'
+import type { EndpointName } from 'knapweedshunt-types'
 import { match } from 'ts-pattern'
-import { LOSS_REASON } from '../endpoints/attemptOutcome.ts'
 import type { LossReason } from '../endpoints/attemptOutcome.ts'
 import type { CrashedAttempt } from '../flow/crashedAttempt.ts'
 import type { RequestPlan } from '../flow/requestPlan.ts'
@@ -30,8 +30,8 @@
 export interface SuspectTrackerDependencies {
   metrics: GatewayMetrics
   decisionLog: DecisionLog
-  /** Whether the record's incarnation of its endpoint is still listed. */
-  isCurrent (record: EndpointRecord): boolean
+  /** Finds the record of an incarnation that the directory lists. */
+  findIncarnation (incarnation: EndpointName): EndpointRecord | null
   /** Counts the endpoints of all pools. */
   countEndpoints (): number
   /** Probes an endpoint. */
@@ -57,11 +57,11 @@
 
   constructor (dependencies: SuspectTrackerDependencies) {
     this.#dependencies = dependencies
-    const { metrics, decisionLog, isCurrent, countEndpoints, probe } = dependencies
+    const { metrics, decisionLog, findIncarnation, countEndpoints, probe } = dependencies
     this.#losses = new RecentLosses(countEndpoints)
     this.#registry = new SuspectRegistry(SUSPECT_OPTIONS, this.#lifespans, this.#losses)
     this.#reviews = new CrashReviews({ lifespans: this.#lifespans, losses: this.#losses, metrics, decisionLog })
-    this.#survivals = new DirectorySurvivals({ lifespans: this.#lifespans, isCurrent, isRefused: attempt => this.findQuarantine(attempt) !== null, probe })
+    this.#survivals = new DirectorySurvivals({ lifespans: this.#lifespans, findIncarnation, probe })
   }
 
   /** Number of requests held as suspect, quarantined or recently cleared. */
@@ -95,7 +95,7 @@
 
   /** Withdraws the crashes of endpoints that have lived on, and logs what is known of the latest ones; `directoryAtMs` is the monotonic time as of which the endpoint table is confirmed. */
   review (directoryAtMs: number): void {
-    this.#survivals.update(directoryAtMs)
+    this.#survivals.update([...this.#registry.listOpen(), ...this.#partDetector.listOpen()], directoryAtMs)
     this.#reviews.review()
     for (const mark of this.#registry.takeSurvived()) this.#announceSurvived(mark)
     const { isAnnounced, quarantines } = this.#partDetector.dropSurvived()
@@ -110,7 +110,6 @@
     const { endpoint, incarnation } = record.entry
     const mark = this.#registry.recordCrash(fingerprint, incarnation, startedAtMs)
     const quarantines = this.#partDetector.recordCrash(sharedParts, incarnation, startedAtMs)
-    if (evidence !== LOSS_REASON.silent) this.#survivals.add(attempt)
     this.#reviews.add({ requestId, fingerprint, incarnation, startedAtMs, crashedAtMs: performance.now() })
     metrics.recordMark('recorded')
     decisionLog.record({ type: 'crashMarked', requestId, fingerprint: formatFingerprint(fingerprint), parts: formatParts(sharedParts), endpoint, incarnation, evidence, ...this.#describeSuspect(fingerprint) })
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointRegistry.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointRegistry.ts
@@ -18,6 +18,13 @@
   /** The row says neither that its endpoint serves nor that it is gone, so what was known is kept for a while. */
   | { type: 'unreadable', endpoint: EndpointName }
 
+/** All endpoints, by what they are looked up. */
+interface ListedEndpoints {
+  all: EndpointRecord[]
+  byPool: Map<PoolName, EndpointRecord[]>
+  byIncarnation: Map<EndpointName, EndpointRecord>
+}
+
 /** Registry of the endpoints listed in the directory. */
 export class EndpointRegistry {
   readonly #records = new Map<EndpointName, EndpointRecord>()
@@ -27,7 +34,7 @@
   /** Until then a missing row may have expired during the store outage. */
   #recoveryUntilMs = -Infinity
   /** Results of {@link list} since the last change; null before they are asked for. */
-  #listed: { all: EndpointRecord[], byPool: Map<PoolName, EndpointRecord[]> } | null = null
+  #listed: ListedEndpoints | null = null
 
   constructor (recordDecision: (decision: EndpointDecision) => void, onChange: () => void, onIncarnationEnded: (record: EndpointRecord) => void) {
     this.#recordDecision = recordDecision
@@ -45,6 +52,12 @@
     return this.#records.get(endpoint)
   }
 
+  /** Finds the record of an incarnation whose row is listed; null if the endpoint is gone, has started again, or is only kept for a while. */
+  findIncarnation (incarnation: EndpointName): EndpointRecord | null {
+    const record = this.#getListed().byIncarnation.get(incarnation)
+    return record === undefined || record.keptUntilMs !== null ? null : record
+  }
+
   /** Lists the endpoints of a pool, or all endpoints. */
   list (pool?: PoolName): readonly EndpointRecord[] {
     const { all, byPool } = this.#getListed()
@@ -90,10 +103,10 @@
     if (isChanged) this.#onChange()
   }
 
-  #getListed (): { all: EndpointRecord[], byPool: Map<PoolName, EndpointRecord[]> } {
+  #getListed (): ListedEndpoints {
     if (this.#listed !== null) return this.#listed
     const all = [...this.#records.values()]
-    this.#listed = { all, byPool: groupBy(all, ({ entry }) => entry.pool) }
+    this.#listed = { all, byPool: groupBy(all, ({ entry }) => entry.pool), byIncarnation: new Map(all.map(record => [record.entry.incarnation, record])) }
     return this.#listed
   }
 
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -119,7 +119,7 @@
     this.#suspectTracker = new SuspectTracker({
       metrics: this.#metrics,
       decisionLog: this.#decisionLog,
-      isCurrent,
+      findIncarnation: incarnation => this.#endpointRegistry.findIncarnation(incarnation),
       countEndpoints: () => this.#endpointRegistry.size,
       probe: record => this.#endpointMonitor.probe(record),
       announceMark: mark => this.#roster.announceMark(mark),
