Router: a mark that a peer did not acknowledge does not replace a newer one

A peer that did not answer for a second could miss the latest crash of a request, and send it once more.

Cause: marks whose call failed were added again as if they were new, so that they took the place of marks added meanwhile, and their ages began anew.

Why the fix works: they are put back with the time that has passed, and the newer marks are added after them.

--- a/packages/knapweedshunt-router/src/peerExchange.ts
+++ b/packages/knapweedshunt-router/src/peerExchange.ts
@@ -157,14 +157,15 @@
   async #sendMarks (peer: Peer): Promise<void> {
     if (peer.isSending || peer.unacknowledgedMarks.size === 0) return
     peer.isSending = true
-    const marks = peer.unacknowledgedMarks.drain(performance.now())
+    const drainedAtMs = performance.now()
+    const marks = peer.unacknowledgedMarks.drain(drainedAtMs)
     try {
       await peer.client.call('router.marks', { vm: this.#options.vm, marks })
       peer.isSending = false
       this.#sendMarks(peer)
     } catch (error) {
       peer.isSending = false
-      for (const mark of marks) peer.unacknowledgedMarks.add(mark, performance.now())
+      peer.unacknowledgedMarks.restore(marks, drainedAtMs, performance.now())
       this.#options.log.warn('Sending marks to peer failed; retrying next round.', { peer: peer.view.vm, reason: (error as Error).message })
     }
   }
--- a/packages/knapweedshunt-router/src/unacknowledgedMarks.ts
+++ b/packages/knapweedshunt-router/src/unacknowledgedMarks.ts
@@ -35,4 +35,11 @@
     this.#marksByFingerprint.clear()
     return marks
   }
+
+  /** Puts back marks that were drained at a monotonic time; those added since are newer. */
+  restore (drained: readonly SuspectMark[], drainedAtMs: number, nowMs: number): void {
+    const newer = this.drain(nowMs)
+    for (const mark of drained) this.add(addElapsedTime(mark, nowMs - drainedAtMs), nowMs)
+    for (const mark of newer) this.add(mark, nowMs)
+  }
 }
