--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -1,6 +1,6 @@
 import http from 'node:http'
 import type { Socket } from 'node:net'
-import { listen, waitForArrivals } from 'knapweedshunt-utils'
+import { closeOnIdleTimeout, listen, waitForArrivals } from 'knapweedshunt-utils'
 import type { CallerLimits } from '../ports/gatewayConfig.ts'
 import type { ListenAddress } from '../ports/vmSettings.ts'
 
@@ -29,6 +29,7 @@
     })
     this.#server.requestTimeout = 0 // The body has its own size and idle limits.
     this.#server.on('clientError', respondToClientError)
+    closeOnIdleTimeout(this.#server)
     this.applyLimits(INITIAL_LIMITS)
   }
 
--- a/packages/knapweedshunt-router/src/callerServer.ts
+++ b/packages/knapweedshunt-router/src/callerServer.ts
@@ -1,7 +1,7 @@
 import http from 'node:http'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Duplex } from 'node:stream'
-import { closeServer, createIncarnation, listen, sleep } from 'knapweedshunt-utils'
+import { closeOnIdleTimeout, closeServer, createIncarnation, listen, sleep } from 'knapweedshunt-utils'
 import type { ListenOptions } from 'knapweedshunt-utils'
 import { answerClientError } from './answerClientError.ts'
 import { createCallerError } from './callerError.ts'
@@ -38,6 +38,7 @@
     this.#options = options
     const { requestTimeoutMs } = options
     this.#server = http.createServer({ requestTimeout: requestTimeoutMs, headersTimeout: requestTimeoutMs, connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS }, (message, response) => this.#handleRequest(message, response))
+    closeOnIdleTimeout(this.#server)
     this.#server.on('connection', socket => this.#trackConnection(socket))
     this.#server.on('clientError', (error, socket) => answerClientError(error, socket, this.#responses.get(socket)?.headersSent ?? false))
   }
--- a/packages/knapweedshunt-utils/src/index.ts
+++ b/packages/knapweedshunt-utils/src/index.ts
@@ -1,5 +1,6 @@
 /** HTTP, timing, hashing and random-number helpers shared by all packages. */
 export * from './requestJson.ts'
+export * from './closeOnIdleTimeout.ts'
 export * from './closeServer.ts'
 export * from './connectionEnd.ts'
 export * from './createIncarnation.ts'
