A quarantine of a part that follows from the crashes of several VMs is announced

Cause, traced before: two VMs quarantined the part when the other one's report arrived. SuspectTracker.applyPartEvidence recorded that and told nobody; rows are written after crashes of the VM's own and clearings only.

Why the fix works: a quarantine that this VM finds, and of which it recorded one of the crashes, is announced with the next gathered announcement. VMs that recorded none stay silent, so that not all VMs write.

--- a/packages/knapweedshunt-attempts/src/crashingPartDetector.ts
+++ b/packages/knapweedshunt-attempts/src/crashingPartDetector.ts
@@ -160,6 +160,11 @@
     return [...reconsidered, ...learnt, ...this.#quarantineSuspects(suspects)]
   }
 
+  /** Whether the other VMs must hear of a quarantine: this VM found it, and recorded one of its crashes, as only some of those do that find it. */
+  mustAnnounce ({ id, crashes }: PartQuarantine): boolean {
+    return id.startsWith(this.#idPrefix) && crashes.some(crash => crash.id.startsWith(this.#idPrefix))
+  }
+
   #createId (): string {
     return `${this.#idPrefix}-${++this.#idCount}`
   }
--- a/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
+++ b/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
@@ -20,8 +20,8 @@
 /** Statuses from here on are no answer that an endpoint generated from the prompt. */
 const MIN_UNGENERATED_STATUS = 300
 
-/** Time for which cleared parts are gathered before they are announced, in milliseconds. */
-const CLEARING_DELAY_MS = 500
+/** Time for which cleared and quarantined parts are gathered before they are announced, in milliseconds. */
+const ANNOUNCEMENT_DELAY_MS = 500
 
 /** Digits of a share of lost attempts in a log line. */
 const LOST_SHARE_DIGITS = 3
@@ -176,7 +176,9 @@
 
   /** Applies what another VM, or this one before its restart, knows about prompt parts. */
   applyPartEvidence ({ evidence, from, ageMs, isOwn }: ReceivedPartEvidence): void {
-    this.#recordQuarantines(this.#partDetector.applyEvidence(evidence, ageMs, isOwn), from)
+    const quarantines = this.#partDetector.applyEvidence(evidence, ageMs, isOwn)
+    this.#recordQuarantines(quarantines, from)
+    if (quarantines.some(quarantine => this.#partDetector.mustAnnounce(quarantine))) this.#scheduleAnnouncement()
   }
 
   #announceSurvived (mark: ClearedMark): void {
@@ -185,14 +187,14 @@
     this.#dependencies.announceMark(mark)
   }
 
-  /** Announces the parts that are cleared within a short time together. */
+  /** Announces what is learnt of parts within a short time together. */
   #scheduleAnnouncement (): void {
     if (this.#hasScheduledAnnouncement) return
     this.#hasScheduledAnnouncement = true
     setTimeout(() => {
       this.#hasScheduledAnnouncement = false
       this.#dependencies.announceParts()
-    }, CLEARING_DELAY_MS).unref()
+    }, ANNOUNCEMENT_DELAY_MS).unref()
   }
 
   #recordQuarantines (quarantines: PartQuarantine[], from: string): void {
