Crashes are compared with the directory at half the rate, and only where it can tell something

Cause: each 250 ms all requests under suspicion were checked for a quarantine, though that matters only for endpoints that are listed and have not answered; requests that were cleared stayed in the list of those that crashed lately; and each chunk of a response rebuilt the lifespans of its endpoint.

Now the check is made when an endpoint would be probed, every 500 ms; cleared requests leave the list; bytes on a connection that was opened within the latest lifespan extend it in place.

--- a/packages/knapweedshunt-attempts/src/crashingPartDetector.ts
+++ b/packages/knapweedshunt-attempts/src/crashingPartDetector.ts
@@ -88,8 +88,8 @@
 
   /** Lists the crashes that count as long as their endpoints are not known to have lived on. */
   listOpen (): OpenCrash[] {
-    const reported = this.#reports.list().map(crash => ({ crash, isRefused: this.check([...crash.suspectParts.keys()]).type === 'quarantined' }))
-    return [...reported, ...this.#quarantines.list().flatMap(({ crashes }) => crashes.map(crash => ({ crash, isRefused: true })))]
+    const reported = this.#reports.list().map(crash => ({ crash, isRefused: () => this.check([...crash.suspectParts.keys()]).type === 'quarantined' }))
+    return [...reported, ...this.#quarantines.list().flatMap(({ crashes }) => crashes.map(crash => ({ crash, isRefused: () => true })))]
   }
 
   /** Drops the crashes of endpoints that have lived on. Returns whether the other VMs must hear of it, and the quarantines that follow from what is left. */
--- a/packages/knapweedshunt-attempts/src/endpointLifespans.ts
+++ b/packages/knapweedshunt-attempts/src/endpointLifespans.ts
@@ -3,7 +3,7 @@
 /** Time that bytes may have been on their way after the process that sent them had ended, in milliseconds. */
 export const MAX_IN_FLIGHT_MS = 150
 
-/** Maximum number of incarnations held; the least recently heard ones are evicted. */
+/** Maximum number of incarnations held; those whose lifespans were joined longest ago are evicted. */
 const MAX_INCARNATIONS = 4_096
 
 /** Maximum number of lifespans held for an incarnation; the oldest is dropped first. */
@@ -25,7 +25,11 @@
 
   /** Records that bytes arrived now on a connection that was opened at a monotonic time. */
   recordReceived (endpoint: EndpointName, openedAtMs: number): void {
-    this.recordAlive(endpoint, openedAtMs, performance.now() - MAX_IN_FLIGHT_MS)
+    const untilMs = performance.now() - MAX_IN_FLIGHT_MS
+    const latest = this.#lifespans.get(endpoint)?.at(-1)
+    // Nearly all bytes arrive on connections that were opened within the latest lifespan.
+    if (latest !== undefined && openedAtMs >= latest.fromMs && openedAtMs <= latest.untilMs) latest.untilMs = Math.max(latest.untilMs, untilMs)
+    else this.recordAlive(endpoint, openedAtMs, untilMs)
   }
 
   /** Records that one process of the incarnation lived through a period. */
--- a/packages/knapweedshunt-attempts/src/heldCrash.ts
+++ b/packages/knapweedshunt-attempts/src/heldCrash.ts
@@ -13,6 +13,6 @@
 export interface OpenCrash {
   /** The same object as long as the crash is held. */
   crash: HeldCrash
-  /** Whether requests are refused for it. */
-  isRefused: boolean
+  /** Returns whether requests are refused for it. */
+  isRefused (): boolean
 }
--- a/packages/knapweedshunt-attempts/src/suspectRegistry.ts
+++ b/packages/knapweedshunt-attempts/src/suspectRegistry.ts
@@ -83,11 +83,14 @@
 
   /** Lists the crashes that count as long as their endpoints are not known to have lived on. */
   listOpen (): OpenCrash[] {
-    return [...this.#entries].flatMap(([fingerprint, entry]) => {
-      if (entry.crashes.length === 0) return []
-      const isRefused = this.check(fingerprint).type === 'quarantined'
-      return listCounted(entry).map(crash => ({ crash, isRefused }))
-    })
+    const open: OpenCrash[] = []
+    for (const [fingerprint, entry] of this.#entries) {
+      if (entry.crashes.length === 0) continue
+      this.#checkSurvival(entry)
+      const isRefused = () => this.check(fingerprint).type === 'quarantined'
+      for (const crash of listCounted(entry)) open.push({ crash, isRefused })
+    }
+    return open
   }
 
   /** Returns the marks that tell peers which of the crashes that this VM saw were none, as the endpoints lived on; each once. */
@@ -96,7 +99,10 @@
     return [...this.#crashedLately].flatMap(([fingerprint, crashedAtMs]) => {
       if (crashedAtMs < oldestMs) this.#crashedLately.delete(fingerprint)
       const entry = this.#entries.get(fingerprint)
-      if (entry === undefined) return []
+      if (entry === undefined || entry.crashes.length === 0) {
+        this.#crashedLately.delete(fingerprint)
+        return []
+      }
       this.#checkSurvival(entry)
       const crashIds = entry.crashes.flatMap(({ ids, isOwn, hasLivedOn }) => isOwn && hasLivedOn ? [...ids] : [])
       settleCrashes(entry, crashIds)
--- a/packages/knapweedshunt-gateway/src/__tests__/directorySurvivals.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/directorySurvivals.test.ts
@@ -19,7 +19,7 @@
   look (tick: (ms: number) => void, durationMs: number, isRefused = true): boolean {
     for (let passedMs = 0; passedMs < durationMs; passedMs += 250) {
       tick(250)
-      this.#survivals.update([{ crash: this.#crash, isRefused }], performance.now())
+      this.#survivals.update([{ crash: this.#crash, isRefused: () => isRefused }], performance.now())
     }
     return this.lifespans.hasLivedThrough(INCARNATION, this.#crash.endPeriod.earliestAtMs, this.#crash.endPeriod.latestAtMs)
   }
--- a/packages/knapweedshunt-gateway/src/directory/directorySurvivals.ts
+++ b/packages/knapweedshunt-gateway/src/directory/directorySurvivals.ts
@@ -42,7 +42,7 @@
       if (record === null) continue
       const answeredAtMs = this.#findAnswer(crash, record)
       if (answeredAtMs !== null) this.#recordAlive(crash, answeredAtMs, directoryAtMs)
-      else if (isRefused) this.#probeIfDue(record)
+      else if (this.#isProbeDue(record) && isRefused()) this.#probe(record)
     }
   }
 
@@ -59,10 +59,12 @@
     if (directoryAtMs >= answeredAtMs + DIRECTORY_DELAY_MS) this.#dependencies.lifespans.recordAlive(endpoint, earliestAtMs, latestAtMs)
   }
 
-  #probeIfDue (record: EndpointRecord): void {
-    const nowMs = performance.now()
-    if (nowMs - (this.#probedAtMs.get(record) ?? -Infinity) < PROBE_INTERVAL_MS) return
-    this.#probedAtMs.set(record, nowMs)
+  #isProbeDue (record: EndpointRecord): boolean {
+    return performance.now() - (this.#probedAtMs.get(record) ?? -Infinity) >= PROBE_INTERVAL_MS
+  }
+
+  #probe (record: EndpointRecord): void {
+    this.#probedAtMs.set(record, performance.now())
     this.#dependencies.probe(record)
   }
 }
--- a/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
+++ b/packages/knapweedshunt-gateway/src/directory/suspectTracker.ts
@@ -23,6 +23,9 @@
 /** Time for which cleared and quarantined parts are gathered before they are announced, in milliseconds. */
 const ANNOUNCEMENT_DELAY_MS = 500
 
+/** Interval at which the directory is compared with crashes, in milliseconds. */
+const SURVIVAL_INTERVAL_MS = 500
+
 /** Digits of a share of lost attempts in a log line. */
 const LOST_SHARE_DIGITS = 3
 
@@ -53,6 +56,7 @@
   readonly #registry: SuspectRegistry
   readonly #reviews: CrashReviews
   readonly #survivals: DirectorySurvivals
+  #survivalsDueAtMs = -Infinity
   #hasScheduledAnnouncement = false
 
   constructor (dependencies: SuspectTrackerDependencies) {
@@ -95,7 +99,7 @@
 
   /** Withdraws the crashes of endpoints that have lived on, and logs what is known of the latest ones; `directoryAtMs` is the monotonic time as of which the endpoint table is confirmed. */
   review (directoryAtMs: number): void {
-    this.#survivals.update([...this.#registry.listOpen(), ...this.#partDetector.listOpen()], directoryAtMs)
+    this.#updateSurvivals(directoryAtMs)
     this.#reviews.review()
     for (const mark of this.#registry.takeSurvived()) this.#announceSurvived(mark)
     const { isAnnounced, quarantines } = this.#partDetector.dropSurvived()
@@ -103,6 +107,13 @@
     if (isAnnounced) this.#scheduleAnnouncement()
   }
 
+  #updateSurvivals (directoryAtMs: number): void {
+    const nowMs = performance.now()
+    if (nowMs < this.#survivalsDueAtMs) return
+    this.#survivalsDueAtMs = nowMs + SURVIVAL_INTERVAL_MS
+    this.#survivals.update([...this.#registry.listOpen(), ...this.#partDetector.listOpen()], directoryAtMs)
+  }
+
   /** Records that an endpoint may have crashed while it ran the request. */
   recordCrash (attempt: CrashedAttempt, evidence: LossReason): void {
     const { requestId, fingerprint, sharedParts, record, startedAtMs } = attempt
