--- a/packages/knapweedshunt-attempts/src/__tests__/survivedCrashes.test.ts
+++ b/packages/knapweedshunt-attempts/src/__tests__/survivedCrashes.test.ts
@@ -93,14 +93,20 @@
   }
 }
 
-// Guards against prompt parts that stay quarantined although the endpoints have lived on, here and at peers.
-test.serial('the quarantine of parts ends at all VMs when their endpoints are seen to have lived on', t => runWithClock(tick => {
+/** Starts two VMs; the first one loses attempts with two parts until it quarantines them. */
+function quarantineParts (tick: (ms: number) => void): { vm: ObservingVm, detector: CrashingPartDetector, peer: CrashingPartDetector } {
   const vm = new ObservingVm()
   const detector = new CrashingPartDetector(DEFAULT_CRASHING_PART_OPTIONS, vm.lifespans)
   const peer = new CrashingPartDetector()
   tick(5_000)
   vm.receive()
   loseParts(tick, detector, 3)
+  return { vm, detector, peer }
+}
+
+// Guards against prompt parts that stay quarantined although the endpoints have lived on, here and at peers.
+test.serial('the quarantine of parts ends at all VMs when their endpoints are seen to have lived on', t => runWithClock(tick => {
+  const { vm, detector, peer } = quarantineParts(tick)
   t.is(detector.check(['shared', 'lost']).type, 'quarantined')
   peer.applyEvidence(detector.buildEvidence(), 0)
   t.is(peer.check(['shared', 'lost']).type, 'quarantined')
@@ -149,12 +155,7 @@
 
 // Guards against a quarantine that a VM withdraws and takes up again from one that has not heard of it.
 test.serial('a quarantine of parts that was withdrawn is not learnt from another VM', t => runWithClock(tick => {
-  const vm = new ObservingVm()
-  const detector = new CrashingPartDetector(DEFAULT_CRASHING_PART_OPTIONS, vm.lifespans)
-  const peer = new CrashingPartDetector()
-  tick(5_000)
-  vm.receive()
-  loseParts(tick, detector, 3)
+  const { vm, detector, peer } = quarantineParts(tick)
   peer.applyEvidence(detector.buildEvidence(), 0)
   tick(300)
   vm.receive()
