STARVED: a VM that was held up takes endpoints and other VMs for unreached, though their answers have arrived

What callers saw: at VMs whose processes were held up for 200 to 370 ms at a time, requests waited, went by other VMs or were refused, as probes of up to 18 sound endpoints at once had failed.

Cause: after a pause, timers run before the sockets are read, so a timeout of 250 or 300 ms that ran out in the pause counts an answer as missing which lies unread; and what was to be sent had not been sent.

Fix: startTimeout. A timeout that finds the process late is longer by as much, at most twice as long, and runs out after arrivals are read.

--- a/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
@@ -1,6 +1,6 @@
 import http from 'node:http'
 import type { Readable } from 'node:stream'
-import { CONNECTION_END, ConnectionResetError, watchBodyEnd, watchInformationalHeads } from 'knapweedshunt-utils'
+import { CONNECTION_END, ConnectionResetError, startTimeout, watchBodyEnd, watchInformationalHeads } from 'knapweedshunt-utils'
 import type { ConnectionEnd } from 'knapweedshunt-utils'
 import { decodeRelayAnswer } from '../peers/relayHeaders.ts'
 import type { RelayAnswer } from '../peers/relayAnswer.ts'
@@ -49,7 +49,7 @@
   #connectionEnd: ConnectionEnd | null = null
   #loss: LossReason | null = null
   #settle: (outcome: AttemptOutcome) => void = () => {}
-  #connectTimer: NodeJS.Timeout | undefined
+  #stopConnectTimeout = () => {}
 
   constructor (endpointPort: EndpointPort, agent: EndpointAgent, call: AttemptCall) {
     this.#endpointPort = endpointPort
@@ -99,7 +99,7 @@
     this.#request.once('socket', socket => {
       agent.recordCarried(socket, requestId)
       if (!socket.connecting) return this.#handleConnected(agent.findOpenedAtMs(socket))
-      this.#connectTimer = setTimeout(() => this.#request?.destroy(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`)), CONNECT_TIMEOUT_MS)
+      this.#stopConnectTimeout = startTimeout(CONNECT_TIMEOUT_MS, () => this.#request?.destroy(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`)))
       socket.once('connect', () => {
         agent.recordOpened(socket)
         this.#handleConnected(agent.findOpenedAtMs(socket))
@@ -130,7 +130,7 @@
   }
 
   #handleConnected (openedAtMs: number | null): void {
-    clearTimeout(this.#connectTimer)
+    this.#stopConnectTimeout()
     this.#openedAtMs = openedAtMs
     this.#isConnected = true
   }
@@ -172,7 +172,7 @@
   }
 
   #handleError (error: Error): void {
-    clearTimeout(this.#connectTimer)
+    this.#stopConnectTimeout()
     // Node.js ends a body without a length as if it were complete, also after a connection reset.
     if (this.#response !== null && !this.#response.complete) this.#response.destroy(error)
     if (!this.#isConnected) return this.#settle({ type: 'unsent', reason: error.message })
--- a/packages/knapweedshunt-utils/src/requestJson.ts
+++ b/packages/knapweedshunt-utils/src/requestJson.ts
@@ -2,6 +2,7 @@
 import { HttpError } from './httpErrors.ts'
 import { parseJson } from './parseJson.ts'
 import { readBody } from './readBody.ts'
+import { runWithTimeout } from './runWithTimeout.ts'
 import { waitForHead } from './waitForHead.ts'
 
 /** An HTTP request with a JSON body whose response is JSON. */
@@ -31,13 +32,16 @@
 /** Sends the request and reads the response. Throws HttpError on timeout, abort or connection failure, and if the response is too large, truncated or not JSON; HTTP error statuses are returned. */
 export async function requestJson (call: JsonRequest): Promise<JsonResponse> {
   const bodyText = call.body === undefined ? '' : JSON.stringify(call.body)
-  const signals = [AbortSignal.timeout(call.timeoutMs)]
-  if (call.signal) signals.push(call.signal)
-  const signal = AbortSignal.any(signals)
   try {
-    const message = await sendRequest(call, bodyText, signal)
-    const responseText = await readBody(message, call.maxResponseBytes ?? DEFAULT_MAX_RESPONSE_BYTES)
-    return { status: message.statusCode ?? 0, headers: message.headers, body: responseText === '' ? undefined : parseJson(responseText) }
+    return await runWithTimeout(call.timeoutMs, call.signal === undefined ? [] : [call.signal], async signal => {
+      try {
+        const message = await sendRequest(call, bodyText, signal)
+        const responseText = await readBody(message, call.maxResponseBytes ?? DEFAULT_MAX_RESPONSE_BYTES)
+        return { status: message.statusCode ?? 0, headers: message.headers, body: responseText === '' ? undefined : parseJson(responseText) }
+      } catch (error) {
+        throw signal.aborted ? signal.reason : error
+      }
+    })
   } catch (cause) {
     throw new HttpError(`${call.method} ${call.url} failed.`, { cause })
   }
