STARVED: a VM that was held up takes all its streams for stalled, though their events have arrived

What callers saw: nothing at once; their streams go on. But a VM without processor time asks other endpoints for each of them, which takes permits of the retry reserve and processor time from other requests.

The stall timeout ran out in the pause, and its timer ran before the events were read.

Fix: startTimeout for the stall timeout as well.

Not changed: the wait of the product's router for the platform, whose calls have timeouts of their own.

--- a/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
@@ -1,4 +1,5 @@
 import type http from 'node:http'
+import { startTimeout } from 'knapweedshunt-utils'
 import type { CallerResponse } from '../shared/callerResponse.ts'
 import { EventEndTracker } from './eventEndTracker.ts'
 import type { EventMemory } from './eventMemory.ts'
@@ -114,21 +115,21 @@
   async #forwardEvents (response: http.IncomingMessage, splitter: EventSplitter, options: RelayOptions): Promise<RelayResult> {
     const endTracker = new EventEndTracker()
     const eventRate = new EventRate()
-    let stallTimer: NodeJS.Timeout | undefined
+    let stopStallTimeout = () => {}
     this.#response = response
     this.#isSuperseded = false
     this.#onFirstEvent = options.onFirstEvent
     this.#onHeldTooMuch = options.onHeldTooMuch
-    const restartStallTimer = () => {
-      clearTimeout(stallTimer)
-      if (options.stallTimeoutMs !== null) stallTimer = setTimeout(handleStall, options.stallTimeoutMs)
+    const restartStallTimeout = () => {
+      stopStallTimeout()
+      if (options.stallTimeoutMs !== null) stopStallTimeout = startTimeout(options.stallTimeoutMs, handleStall)
     }
     const handleStall = () => {
       options.onStalled()
-      restartStallTimer()
+      restartStallTimeout()
     }
     try {
-      restartStallTimer()
+      restartStallTimeout()
       for await (const chunk of response as AsyncIterable<Buffer>) {
         const startedAtMs = performance.now()
         options.onChunk()
@@ -137,7 +138,7 @@
         let events = this.#isResumable ? splitter.addChunk(chunk) : null
         if (splitter.isTooLong) return { type: 'garbled', reason: EVENT_TOO_LONG }
         // Bytes that complete no event are no progress.
-        if (events === null || events.length > 0) restartStallTimer()
+        if (events === null || events.length > 0) restartStallTimeout()
         if (events?.some(event => this.#isNewEvent(event))) options.onNewEvents()
         const readsOn = this.#writeOrHold(chunk, events)
         const turnMs = performance.now() - startedAtMs
@@ -145,11 +146,11 @@
         // Small events take many times the memory of their bytes, and the wait may be long.
         events = null
         if (!readsOn) {
-          clearTimeout(stallTimer)
+          stopStallTimeout()
           this.#wait = new AbortController()
           if (!await this.#callerResponse.waitDrain(this.#wait.signal)) return { type: 'callerLeft' }
           if (this.#isSuperseded) return { type: 'superseded' }
-          restartStallTimer()
+          restartStallTimeout()
         }
         if (eventRate.isExceeded) {
           this.#wait = new AbortController()
@@ -161,7 +162,7 @@
       if (this.#callerResponse.hasCallerLeft) return { type: 'callerLeft' }
       return this.#isSuperseded ? { type: 'superseded' } : { type: 'cut', reason: (error as Error).message }
     } finally {
-      clearTimeout(stallTimer)
+      stopStallTimeout()
       this.#response = null
     }
     if (this.#isSuperseded) return { type: 'superseded' }
