Gateway: a log line says what was asked for a stream that nobody knows

Callers saw stream_unknown with one fixed detail. Nothing told whether the other VMs answered, whether they had read the rows of their earlier incarnations, or whether the store was read.

--- a/packages/knapweedshunt-gateway/src/peers/streamMessages.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamMessages.ts
@@ -18,8 +18,8 @@
 /** Params of `streams.find`. */
 export const findParamsSchema = z.object({ pool: text, key: text })
 
-/** Result of `streams.find`: what began the stream, or else the only version that can have begun one lately; null for what is not known. */
-export const findResultSchema = z.object({ softwareVersion: softwareVersion.nullable(), onlyVersion: softwareVersion.nullable() })
+/** Result of `streams.find`: what began the stream, or else the only version that can have begun one lately; null for what is not known. `isRestored` if the VM has read the rows of its earlier incarnations; earlier builds do not say. */
+export const findResultSchema = z.object({ softwareVersion: softwareVersion.nullable(), onlyVersion: softwareVersion.nullable(), isRestored: z.boolean().default(true) })
 
 /** Output type of {@link findResultSchema}. */
 export type FindResult = z.output<typeof findResultSchema>
--- a/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
@@ -63,7 +63,7 @@
   dataCentre: DataCentreId
   endpointRegistry: EndpointRegistry
   decisionLog: DecisionLog
-  streamRows: Pick<StreamRows, 'add' | 'waitUntilRestored'>
+  streamRows: Pick<StreamRows, 'add' | 'isRestored' | 'waitUntilRestored'>
   streamRowReader: Pick<StreamRowReader, 'find'>
   /** Ends all calls to other VMs. */
   signal: AbortSignal
@@ -169,9 +169,9 @@
   }
 
   /** Finds the version that began a stream. */
-  async findOrigin ({ organisation, pool, firstRequestId }: StreamIdentity): Promise<StreamOrigin> {
-    const key = computeStreamKey(organisation, pool, firstRequestId ?? '')
-    const version = await this.#findOwn(key) ?? await this.#askHolders(pool, key, firstRequestId !== null)
+  async findOrigin (identity: StreamIdentity): Promise<StreamOrigin> {
+    const key = computeStreamKey(identity.organisation, identity.pool, identity.firstRequestId ?? '')
+    const version = await this.#findOwn(key) ?? await this.#askHolders(identity, key)
     return version === null ? { type: 'unknown' } : { type: 'known', softwareVersion: version }
   }
 
@@ -195,7 +195,7 @@
   /** Handles `streams.find`. Throws ZodError on invalid params. */
   async handleFind (params: unknown): Promise<FindResult> {
     const { pool, key } = findParamsSchema.parse(params)
-    return { softwareVersion: await this.#findOwn(key), onlyVersion: this.#findOnlyVersion(pool) }
+    return { softwareVersion: await this.#findOwn(key), onlyVersion: this.#findOnlyVersion(pool), isRestored: this.#dependencies.streamRows.isRestored }
   }
 
   async #findOwn (key: string): Promise<string | null> {
@@ -292,7 +292,9 @@
   }
 
   /** Resolves to the version that the first holder knows which knows any; if none does, to the only one that can have begun the stream, provided that most holders say so and this VM has seen no other: one that is cut off may not have seen the newest version; else to what VMs that did not answer have stored. */
-  async #askHolders (pool: PoolName, key: string, mayBeStored: boolean): Promise<string | null> {
+  async #askHolders (identity: StreamIdentity, key: string): Promise<string | null> {
+    const { pool } = identity
+    const mayBeStored = identity.firstRequestId !== null
     const holders = this.#selectHolders(key)
     const storing = mayBeStored ? this.#selectStoring(key) : []
     const calls = this.#listPeers([...holders, ...storing]).map(view => this.#askHolder(view, pool, key))
@@ -306,7 +308,24 @@
     const onlyVersions = new Map(answers.map(({ vm, result }) => [vm, result?.onlyVersion ?? null])).set(this.#dependencies.vm, this.#findOnlyVersion(pool))
     const claims = holders.map(({ vm }) => onlyVersions.get(vm) ?? null).filter(version => version !== null)
     if (claims.length > holders.length / 2 && new Set(claims).size === 1 && !this.#history.hasOtherThan(pool, claims[0])) return claims[0]
-    return mayBeStored ? await this.#findStored(key, answers.filter(({ result }) => result !== null).map(({ vm }) => vm)) : null
+    const searched = mayBeStored ? this.#selectSearched(key, answers.filter(({ result }) => result !== null).map(({ vm }) => vm)) : []
+    const stored = await this.#findStored(key, searched)
+    if (stored === null) this.#recordUnknown(identity, answers, searched.length)
+    return stored
+  }
+
+  #recordUnknown ({ pool, firstRequestId }: StreamIdentity, answers: HolderAnswer[], searchedVms: number): void {
+    const results = answers.map(({ result }) => result).filter(result => result !== null)
+    this.#dependencies.decisionLog.record({
+      type: 'streamUnknown',
+      pool,
+      firstRequestId: firstRequestId ?? '',
+      askedVms: answers.length,
+      answeredVms: results.length,
+      restoringVms: results.filter(({ isRestored }) => !isRestored).length,
+      searchedVms,
+      isRestored: this.#dependencies.streamRows.isRestored
+    })
   }
 
   async #askHolder (view: PeerView, pool: PoolName, key: string): Promise<HolderAnswer> {
@@ -319,9 +338,14 @@
   }
 
   /** VMs that did not answer may be gone, and others may have become writers in their place; so the writers are ranked among the former. */
-  async #findStored (key: string, answered: VmId[]): Promise<string | null> {
+  #selectSearched (key: string, answered: VmId[]): VmId[] {
     const silent = this.#dependencies.listPeers().filter(({ vm }) => !answered.includes(vm))
-    for (const { vm } of rankCandidates(key, selectStreamWriters(silent)).slice(0, MAX_READ_VMS)) {
+    return rankCandidates(key, selectStreamWriters(silent)).slice(0, MAX_READ_VMS).map(({ vm }) => vm)
+  }
+
+  /** Finds what began a stream in the rows of these VMs. */
+  async #findStored (key: string, vms: VmId[]): Promise<string | null> {
+    for (const vm of vms) {
       const version = await this.#dependencies.streamRowReader.find(vm, key)
       if (version !== null) return version
     }
--- a/packages/knapweedshunt-gateway/src/peers/streamRowReader.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamRowReader.ts
@@ -59,7 +59,10 @@
     const past = this.#pastReads.get(vm)
     if (past !== undefined && nowMs - past.sentAtMs < READ_VALIDITY_MS) return await past.versions
     const sentAtMs = Math.max(nowMs, this.#nextReadAtMs)
-    if (sentAtMs - nowMs > MAX_WAIT_MS) return null
+    if (sentAtMs - nowMs > MAX_WAIT_MS) {
+      this.#dependencies.decisionLog.record({ type: 'streamRowsUnread', vm, reason: 'beyond the rate of reads' })
+      return null
+    }
     this.#nextReadAtMs = sentAtMs + this.#dependencies.countVms() * MS_PER_SECOND / MAX_READS_PER_S
     const versions = this.#read(vm, sentAtMs - nowMs)
     this.#pastReads.set(vm, { sentAtMs, versions })
--- a/packages/knapweedshunt-gateway/src/peers/streamRows.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamRows.ts
@@ -72,6 +72,11 @@
     return this.#segments.size
   }
 
+  /** Whether the rows of this VM's earlier incarnations were read. */
+  get isRestored (): boolean {
+    return this.#restoreController.signal.aborted
+  }
+
   /** Adds a stream, which is written soon. */
   add (stream: PooledStream): void {
     if (!isStreamKey(stream.key)) return
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -90,6 +90,8 @@
   | { type: 'versionsUntold', vm: VmId, reason: string }
   /** Another VM could not be asked which software version began a stream. */
   | { type: 'streamUnasked', vm: VmId, reason: string }
+  /** It is not known which software version began a stream: of `askedVms` other VMs `answeredVms` answered, `restoringVms` of them before they had read the rows of their earlier incarnations, as this VM had if `isRestored`; `searchedVms` is how many VMs' rows were looked up in the store. */
+  | { type: 'streamUnknown', pool: PoolName, firstRequestId: RequestId, askedVms: number, answeredVms: number, restoringVms: number, searchedVms: number, isRestored: boolean }
   /** Streams that earlier incarnations of this VM stored were read. */
   | { type: 'streamsRestored', rows: number, streams: number }
   /** Stored streams of a VM could not be read, this one's or those of one that does not answer. */
