Gateway: a stream begins once the store holds what begins it, so that it goes on after all VMs have ended at once

Callers saw: after all VMs lost power in a release, streams that they took up again were refused as stream_unknown on each try, although endpoints of the right software version stood there.

Cause: what began a stream was written behind: callers got the first event at once, and the store held the stream 125 to 375 ms later. What began in between was known to VMs alone, and lost with them.

Now the first event of a resumable stream waits, while its pool has several software versions, until one of the stream's two writers has stored it: writers answer streams.record once it is written. The wait is 100 ms at most, so that streams begin while the store is away; those are logged (streamUnstored). A writer writes at once if it has not lately, and each 80 ms else, or less often with more than 16 writers, so that all together write 200 times a second at most, as before. Calls about streams to one VM may overlap, as an answer takes longer than before.

Writers of earlier builds answer at once; their streams are stored as before.

--- a/packages/knapweedshunt-attempts/src/selectStreamWriters.ts
+++ b/packages/knapweedshunt-attempts/src/selectStreamWriters.ts
@@ -16,10 +16,14 @@
 /** Key by which VMs are ranked as writers. */
 const WRITERS_KEY = 'stream writers'
 
+/** Counts the VMs of a deployment that write streams to the store. */
+export function countStreamWriters (vms: number): number {
+  return Math.min(MAX_WRITERS, Math.max(MIN_WRITERS, Math.ceil(vms / VMS_PER_WRITER)))
+}
+
 /** Selects the VMs that write streams to the store, in different data centres as far as there are any: VMs that know the same candidates select the same ones. */
 export function selectStreamWriters<T extends HolderCandidate> (candidates: T[]): T[] {
-  const count = Math.min(MAX_WRITERS, Math.max(MIN_WRITERS, Math.ceil(candidates.length / VMS_PER_WRITER)))
-  return rankCandidates(WRITERS_KEY, candidates).slice(0, count)
+  return rankCandidates(WRITERS_KEY, candidates).slice(0, countStreamWriters(candidates.length))
 }
 
 /** Selects the writers that store one stream. */
--- a/packages/knapweedshunt-gateway/src/__tests__/streamOriginsSimulation.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/streamOriginsSimulation.ts
@@ -102,6 +102,7 @@
       randomizeDelayMs: meanMs => meanMs * (0.5 + this.#rng.drawFloat()),
       isSweeper: () => n === 0,
       getRetentionMs: () => RETENTION_MS,
+      countVms: () => this.#vms.length,
       onRestored: streams => vm.origins.applyRestored(streams)
     })
     vm.origins = new StreamOrigins({
--- a/packages/knapweedshunt-gateway/src/__tests__/streamRows.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/streamRows.test.ts
@@ -33,7 +33,7 @@
 
 function openRows (platform: MemoryPlatform, vm: string, incarnation: string): OpenedRows {
   const [restored, log, abort, rng]: [PooledStream[], RecordingLog, AbortController, ReturnType<typeof createRng>] = [[], new RecordingLog(), new AbortController(), createRng(vm.length + Number(vm.slice(3)))]
-  const rows = new StreamRows({ platform, vm, incarnation, decisionLog: log, metrics: new GatewayMetrics(), signal: abort.signal, randomizeDelayMs: meanMs => meanMs * (0.5 + rng.drawFloat()), isSweeper: () => false, getRetentionMs: () => RETENTION_MS, onRestored: streams => restored.push(...streams) })
+  const rows = new StreamRows({ platform, vm, incarnation, decisionLog: log, metrics: new GatewayMetrics(), signal: abort.signal, randomizeDelayMs: meanMs => meanMs * (0.5 + rng.drawFloat()), isSweeper: () => false, getRetentionMs: () => RETENTION_MS, countVms: () => 8, onRestored: streams => restored.push(...streams) })
   return { rows, restored, log, abort }
 }
 
@@ -55,15 +55,15 @@
     const platform = new MemoryPlatform()
     const first = openRows(platform, 'vm-1', 'a')
     const other = openRows(platform, 'vm-10', 'b')
-    for (let n = 0; n < 3; n++) first.rows.add(buildStream(n, `v${n % 2}`))
-    other.rows.add(buildStream(9))
+    for (let n = 0; n < 3; n++) first.rows.store(buildStream(n, `v${n % 2}`))
+    other.rows.store(buildStream(9))
     await clock.tickAsync(1_000)
     first.abort.abort()
     const second = openRows(platform, 'vm-1', 'c')
     await second.rows.restore()
     t.deepEqual(second.restored.map(({ softwareVersion }) => softwareVersion), ['v0', 'v0', 'v1'])
     t.deepEqual(second.restored.map(({ key }) => key).sort(), [0, 1, 2].map(n => buildStream(n).key).sort())
-    second.rows.add(buildStream(4))
+    second.rows.store(buildStream(4))
     await clock.tickAsync(1_000)
     t.deepEqual(platform.listKeys(STREAM_TABLE).map(key => key.split('/').slice(0, 2).join('/')), ['vm-1/a', 'vm-1/c', 'vm-10/b'])
     other.abort.abort()
--- a/packages/knapweedshunt-gateway/src/__tests__/streamRowsLoad.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/streamRowsLoad.ts
@@ -67,13 +67,14 @@
     randomizeDelayMs: meanMs => meanMs * (0.5 + rng.drawFloat()),
     isSweeper: () => false,
     getRetentionMs: () => RETENTION_MS,
+    countVms: () => load.vms,
     onRestored: () => {}
   }))
   let [streams, copies, unwrittenSum, samples] = [0, 0, 0, 0]
   for (let ms = 0; ms < load.durationS * MS_PER_SECOND; ms += STEP_MS) {
     for (; streams < load.streamsPerS * ms / MS_PER_SECOND; streams++) {
       const key = computeStreamKey('org', 'p', `r${streams}`)
-      for (let copy = 0; copy < COPIES; copy++, copies++) rows[(streams + copy * rng.drawInt(rows.length - 1) + copy) % rows.length].add({ key, pool: 'p', softwareVersion: `v${streams % 2}` })
+      for (let copy = 0; copy < COPIES; copy++, copies++) rows[(streams + copy * rng.drawInt(rows.length - 1) + copy) % rows.length].store({ key, pool: 'p', softwareVersion: `v${streams % 2}` })
     }
     await tick(STEP_MS)
     for (const one of rows) one.update()
--- a/packages/knapweedshunt-gateway/src/flow/streamForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamForwarder.ts
@@ -35,6 +35,8 @@
   /** Asked to go on with that stream; null if none is. */
   #successor: Successor | null = null
   #holdTimer: NodeJS.Timeout | undefined
+  /** Resolves when the first event may be forwarded; undefined before it arrives. */
+  #recorded: Promise<void> | undefined
 
   constructor (dependencies: FlowDependencies, plan: RequestPlan, callerResponse: CallerResponse, parts: SuccessorParts) {
     this.#dependencies = dependencies
@@ -134,13 +136,21 @@
   }
 
   /** From the first event on, the stream goes on at this software version only, also over the caller's tries. */
-  #bindVersion ({ softwareVersion }: RunningAttempt): void {
+  #bindVersion ({ softwareVersion }: RunningAttempt): Promise<void> | undefined {
     const { attemptRunner } = this.#parts
-    if (attemptRunner.softwareVersion !== null || softwareVersion === null) return
+    if (attemptRunner.softwareVersion !== null || softwareVersion === null) return this.#recorded
     attemptRunner.softwareVersion = softwareVersion
-    const { call, identity, pool, relayed } = this.#plan
+    const { call, relayed } = this.#plan
     // What a relayed stream begins with is known once its first event has reached the VM that has the caller.
-    if (call.lastEventId === null && relayed === null) this.#dependencies.streamOrigins.recordBegan({ organisation: identity?.organisation ?? '', pool, firstRequestId: call.requestId }, softwareVersion)
+    if (call.lastEventId === null && relayed === null) this.#recorded = this.#recordBegan(softwareVersion)
+    return this.#recorded
+  }
+
+  async #recordBegan (softwareVersion: string): Promise<void> {
+    const { call: { requestId }, identity, pool } = this.#plan
+    const { decisionLog, streamOrigins } = this.#dependencies
+    const isStored = await streamOrigins.recordBegan({ organisation: identity?.organisation ?? '', pool, firstRequestId: requestId }, softwareVersion)
+    if (!isStored) decisionLog.record({ type: 'streamUnstored', requestId, softwareVersion, afterMs: this.#parts.recorder.getAgeMs() })
   }
 
   /** Goes on with the successor if it takes over; otherwise the rest of a stream that was cut is asked of another endpoint. */
--- a/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
@@ -41,8 +41,8 @@
   onNewEvents (): void
   /** Called when more events are held back than should be; they are kept until they are released. */
   onHeldTooMuch (): void
-  /** Called before the first event of a resumable stream is forwarded. */
-  onFirstEvent (): void
+  /** Called before the first event of a resumable stream is forwarded, which waits for the result. */
+  onFirstEvent (): Promise<void> | void
 }
 
 /** Forwards the event streams of consecutive endpoints to one caller. */
@@ -63,7 +63,7 @@
   /** Events held back, in order; null while events are forwarded as they arrive. */
   #heldEvents: StreamEvent[] | null = null
   #heldBytes = 0
-  #onFirstEvent: () => void = () => {}
+  #onFirstEvent: RelayOptions['onFirstEvent'] = () => {}
   #onHeldTooMuch: () => void = () => {}
   /** Ends the wait for a caller that does not read, or for a turn. */
   #wait = new AbortController()
@@ -143,7 +143,7 @@
     try {
       restartStallTimeout()
       for await (const chunk of response as AsyncIterable<Buffer>) {
-        const startedAtMs = performance.now()
+        let startedAtMs = performance.now()
         options.onChunk()
         if (this.#callerResponse.hasCallerLeft) return { type: 'callerLeft' }
         endTracker.addChunk(chunk)
@@ -153,6 +153,14 @@
         // Bytes that complete no event are no progress.
         if (events === null || events.length > 0) restartStallTimeout()
         if (events?.some(event => this.#isNewEvent(event))) options.onNewEvents()
+        if (this.#mustBegin(events)) {
+          stopStallTimeout()
+          await options.onFirstEvent()
+          if (this.#callerResponse.hasCallerLeft) return { type: 'callerLeft' }
+          if (this.#isSuperseded) return { type: 'superseded' }
+          restartStallTimeout()
+          startedAtMs = performance.now()
+        }
         const readsOn = this.#writeOrHold(chunk, events)
         const turnMs = performance.now() - startedAtMs
         eventRate.recordEvents(events?.length ?? 0)
@@ -214,6 +222,11 @@
     this.#wait.abort()
   }
 
+  /** Whether the first event of the stream is among these and would be forwarded now. */
+  #mustBegin (events: StreamEvent[] | null): boolean {
+    return events !== null && this.#heldEvents === null && this.#firstWriteAtMs === null && events.some(event => this.#isNewEvent(event))
+  }
+
   /** Returns whether the caller reads on. */
   #writeOrHold (chunk: Buffer, events: StreamEvent[] | null): boolean {
     if (events === null) return this.#write(chunk)
--- a/packages/knapweedshunt-gateway/src/peers/peerServices.ts
+++ b/packages/knapweedshunt-gateway/src/peers/peerServices.ts
@@ -67,6 +67,7 @@
       randomizeDelayMs,
       isSweeper: () => roster.isSharedWriter,
       getRetentionMs: getStreamRetentionMs,
+      countVms: () => roster.countVms(),
       onRestored: streams => this.streamOrigins.applyRestored(streams)
     })
     this.streamOrigins = new StreamOrigins({
--- a/packages/knapweedshunt-gateway/src/peers/streamAnnouncer.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamAnnouncer.ts
@@ -10,6 +10,9 @@
 /** Pause after a failed call, in milliseconds. */
 const RETRY_INTERVAL_MS = 500
 
+/** Maximum number of calls to one VM that are in flight at once; it answers those about streams that it stores once they are written. */
+const MAX_CALLS = 8
+
 /** A stream as it is told to a VM. */
 export interface AnnouncedStream extends StreamVersion {
   /** Whether the VM writes it to the store. */
@@ -19,12 +22,17 @@
 interface PendingStream extends AnnouncedStream {
   pool: PoolName
   atMs: number
+  /** Called when the VM has acknowledged the stream. */
+  onTold (): void
 }
 
 interface PeerQueue {
   view: PeerView
+  /** Streams that are not in a call. */
   pending: PendingStream[]
-  isSending: boolean
+  callCount: number
+  isScheduled: boolean
+  retryAtMs: number
 }
 
 /** Dependencies of {@link StreamAnnouncer}. */
@@ -46,30 +54,48 @@
     this.#dependencies = dependencies
   }
 
-  /** Sends a stream to another VM soon. */
-  add (view: PeerView, pool: PoolName, stream: AnnouncedStream): void {
-    const queue = this.#queues.get(view.vm) ?? { view, pending: [], isSending: false }
+  /** Sends a stream to another VM soon; resolves when that VM has acknowledged it. */
+  add (view: PeerView, pool: PoolName, stream: AnnouncedStream): Promise<void> {
+    const queue = this.#queues.get(view.vm) ?? { view, pending: [], callCount: 0, isScheduled: false, retryAtMs: -Infinity }
     this.#queues.set(view.vm, queue)
     queue.view = view
-    queue.pending.push({ ...stream, pool, atMs: performance.now() })
-    if (queue.isSending) return
-    queue.isSending = true
-    this.#sendAll(queue).catch(() => {}) // Failed calls are reported by onFailed.
+    return new Promise(resolve => {
+      queue.pending.push({ ...stream, pool, atMs: performance.now(), onTold: resolve })
+      this.#schedule(queue)
+    })
+  }
+
+  #schedule (queue: PeerQueue): void {
+    if (queue.isScheduled || queue.callCount >= MAX_CALLS || queue.pending.length === 0) return
+    queue.isScheduled = true
+    this.#sendNext(queue).catch(() => {}) // Failed calls are reported by onFailed.
   }
 
-  async #sendAll (queue: PeerQueue): Promise<void> {
+  async #sendNext (queue: PeerQueue): Promise<void> {
     const { signal } = this.#dependencies
-    await sleep(BATCH_MS, signal)
-    while (queue.pending.length > 0 && !signal.aborted) {
-      const oldestMs = performance.now() - this.#dependencies.getRetentionMs()
-      queue.pending = queue.pending.filter(({ atMs }) => atMs >= oldestMs)
-      const [first] = queue.pending
-      if (first === undefined) break
-      const batch = queue.pending.filter(({ pool }) => pool === first.pool).slice(0, MAX_MESSAGE_STREAMS)
-      if (await this.#send(queue, batch)) queue.pending = queue.pending.filter(stream => !batch.includes(stream))
-      else await sleep(RETRY_INTERVAL_MS, signal)
+    await sleep(Math.max(BATCH_MS, queue.retryAtMs - performance.now()), signal)
+    queue.isScheduled = false
+    const batch = this.#takeBatch(queue)
+    if (batch.length === 0 || signal.aborted) return
+    queue.callCount++
+    this.#schedule(queue)
+    const isTold = await this.#send(queue, batch)
+    queue.callCount--
+    if (isTold) {
+      for (const { onTold } of batch) onTold()
+    } else {
+      queue.pending.unshift(...batch)
+      queue.retryAtMs = performance.now() + RETRY_INTERVAL_MS
     }
-    queue.isSending = false
+    this.#schedule(queue)
+  }
+
+  #takeBatch (queue: PeerQueue): PendingStream[] {
+    const oldestMs = performance.now() - this.#dependencies.getRetentionMs()
+    const pending = queue.pending.filter(({ atMs }) => atMs >= oldestMs)
+    const batch = pending.filter(({ pool }) => pool === pending[0].pool).slice(0, MAX_MESSAGE_STREAMS)
+    queue.pending = pending.filter(stream => !batch.includes(stream))
+    return batch
   }
 
   async #send ({ view }: PeerQueue, batch: PendingStream[]): Promise<boolean> {
--- a/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
@@ -1,7 +1,7 @@
 import { computeStreamKey, PoolVersionHistory, rankCandidates, selectStoringWriters, selectStreamHolders, selectStreamWriters, SettledVersions, StreamVersionTable } from 'knapweedshunt-attempts'
 import type { HolderCandidate, PooledStream, StreamVersion } from 'knapweedshunt-attempts'
 import type { DataCentreId, OrganisationName, PoolName, RequestId, VmId } from 'knapweedshunt-types'
-import { groupBy, readElapsedMs } from 'knapweedshunt-utils'
+import { groupBy, readElapsedMs, sleep } from 'knapweedshunt-utils'
 import type { PoolVersionsRow } from '../directory/rosterRows.ts'
 import type { EndpointRegistry } from '../endpoints/endpointRegistry.ts'
 import type { DecisionLog } from '../records/decisionLog.ts'
@@ -29,6 +29,9 @@
 /** Pause after a failed write of a pool's versions, in milliseconds. */
 const WRITE_RETRY_MS = 1_000
 
+/** Longest wait until the store holds what began a stream, in milliseconds; the stream begins then all the same. */
+const MAX_STORE_WAIT_MS = 100
+
 /** Maximum number of VMs whose rows are searched for one stream. */
 const MAX_READ_VMS = 3
 
@@ -63,7 +66,7 @@
   dataCentre: DataCentreId
   endpointRegistry: EndpointRegistry
   decisionLog: DecisionLog
-  streamRows: Pick<StreamRows, 'add' | 'isRestored' | 'waitUntilRestored'>
+  streamRows: Pick<StreamRows, 'store' | 'isRestored' | 'waitUntilRestored'>
   streamRowReader: Pick<StreamRowReader, 'find'>
   /** Ends all calls to other VMs. */
   signal: AbortSignal
@@ -81,8 +84,8 @@
 
 /**
  * Software versions of the endpoints that began streams. While the endpoints of a pool have several versions, each stream
- * is told to a few VMs, chosen by its key, before a caller can come back; any VM asks these. Two more write it to the store,
- * for the case that all VMs end at once. While the endpoints have one version, nothing is told or written.
+ * is told to a few VMs, chosen by its key, before a caller can come back; any VM asks these. Two more write it to the store
+ * before the caller gets its first event, for the case that all VMs end at once. While the endpoints have one version, nothing is told or written.
  */
 export class StreamOrigins {
   readonly #dependencies: StreamOriginsDependencies
@@ -160,12 +163,18 @@
     return [firstRequestId ?? '', ''].every(id => this.#isKnownToHolders(computeStreamKey(organisation, pool, id), pool, softwareVersion))
   }
 
-  /** Records the version that began a stream; must be called before its first event is forwarded. */
-  recordBegan ({ organisation, pool, firstRequestId }: StreamIdentity, softwareVersion: string): void {
-    if (firstRequestId === null) return
+  /** Records the version that began a stream; must be called before its first event is forwarded, which must wait for the result: whether the stream is known after an end of all VMs, as far as it is to be stored. */
+  async recordBegan ({ organisation, pool, firstRequestId }: StreamIdentity, softwareVersion: string): Promise<boolean> {
+    if (firstRequestId === null) return true
     const key = computeStreamKey(organisation, pool, firstRequestId)
     this.#table.record(key, pool, softwareVersion)
-    if (this.#getSharing(pool) !== SHARING.none || this.#findOnlyVersion(pool) !== softwareVersion) this.#announce(pool, { key, softwareVersion })
+    if (this.#getSharing(pool) === SHARING.none && this.#findOnlyVersion(pool) === softwareVersion) return true
+    const stored = this.#announce(pool, { key, softwareVersion })
+    if (stored.length === 0) return true
+    const timeout = new AbortController()
+    const isStored = await Promise.race([...stored.map(async one => { await one; return true }), sleep(MAX_STORE_WAIT_MS, timeout.signal).then(() => false)])
+    timeout.abort()
+    return isStored
   }
 
   /** Finds the version that began a stream. */
@@ -175,13 +184,11 @@
     return version === null ? { type: 'unknown' } : { type: 'known', softwareVersion: version }
   }
 
-  /** Handles `streams.record`. Throws ZodError on invalid params. */
-  handleRecord (params: unknown): object {
+  /** Handles `streams.record`; resolves when the streams are stored that must be, or after a while. Throws ZodError on invalid params. */
+  async handleRecord (params: unknown): Promise<object> {
     const { pool, streams } = recordParamsSchema.parse(params)
-    for (const { key, softwareVersion, mustStore } of streams) {
-      this.#table.record(key, pool, softwareVersion)
-      if (mustStore) this.#dependencies.streamRows.add({ key, pool, softwareVersion })
-    }
+    for (const { key, softwareVersion } of streams) this.#table.record(key, pool, softwareVersion)
+    await Promise.all(streams.filter(({ mustStore }) => mustStore).map(({ key, softwareVersion }) => this.#dependencies.streamRows.store({ key, pool, softwareVersion })))
     return {}
   }
 
@@ -252,11 +259,16 @@
     })
   }
 
-  #announce (pool: PoolName, stream: StreamVersion): void {
+  /** Tells a stream to its holders and writers; each promise resolves when one of the latter has stored it, or after a while. */
+  #announce (pool: PoolName, stream: StreamVersion): Array<Promise<void>> {
     const storing = this.#getSharing(pool) === SHARING.stored ? this.#selectStoring(stream.key) : []
     const isStoring = (vm: VmId) => storing.some(writer => writer.vm === vm)
-    if (isStoring(this.#dependencies.vm)) this.#dependencies.streamRows.add({ ...stream, pool })
-    for (const view of this.#listPeers([...this.#selectHolders(stream.key), ...storing])) this.#announcer.add(view, pool, { ...stream, mustStore: isStoring(view.vm) })
+    const stored = isStoring(this.#dependencies.vm) ? [this.#dependencies.streamRows.store({ ...stream, pool })] : []
+    for (const view of this.#listPeers([...this.#selectHolders(stream.key), ...storing])) {
+      const told = this.#announcer.add(view, pool, { ...stream, mustStore: isStoring(view.vm) })
+      if (isStoring(view.vm)) stored.push(told)
+    }
+    return stored
   }
 
   #listCandidates (): HolderCandidate[] {
--- a/packages/knapweedshunt-gateway/src/peers/streamRows.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamRows.ts
@@ -1,5 +1,5 @@
 import { setMaxListeners } from 'node:events'
-import { StreamSegments } from 'knapweedshunt-attempts'
+import { countStreamWriters, StreamSegments } from 'knapweedshunt-attempts'
 import type { PooledStream, SegmentChanges } from 'knapweedshunt-attempts'
 import type { Platform, TransactionWrite } from 'knapweedshunt-platform'
 import type { VmId } from 'knapweedshunt-types'
@@ -9,8 +9,19 @@
 import { buildStreamRowPrefix, decodeStreamRow, encodeStreamRow, isStreamKey, MAX_VM_STREAM_ROWS, STREAM_TABLE } from './streamRow.ts'
 import { sweepStreamRows } from './sweepStreamRows.ts'
 
-/** Time between two writes of one VM, in milliseconds; the number of VMs that write is limited. */
-const WRITE_INTERVAL_MS = 250
+/** Minimum time between two writes of one VM, in milliseconds. */
+const MIN_WRITE_INTERVAL_MS = 80
+
+/** Writes of all VMs together, per second. */
+const MAX_WRITES_PER_S = 200
+
+const MS_PER_SECOND = 1_000
+
+/** Time for which streams are gathered for a write when there was none lately, in milliseconds. */
+const GATHER_MS = 5
+
+/** Longest wait for the write of a stream, in milliseconds; less than other VMs wait for an answer. */
+const MAX_WRITE_WAIT_MS = 150
 
 /** Pause after a failed call, in milliseconds. */
 const RETRY_INTERVAL_MS = 500
@@ -35,6 +46,7 @@
   isSweeper (): boolean
   /** Time for which a stream may be taken up again, in milliseconds. */
   getRetentionMs (): number
+  countVms (): number
   /** Called with the streams that earlier incarnations of this VM stored. */
   onRestored (streams: PooledStream[]): void
 }
@@ -48,7 +60,10 @@
   readonly #segments: StreamSegments
   readonly #prefix: string
   readonly #restoreController = new AbortController()
+  /** Aborted when the streams, by their keys, are in the store. */
+  readonly #writeControllers = new Map<string, AbortController>()
   #isWriting = false
+  #nextWriteAtMs = -Infinity
   #nextSweepAtMs = performance.now() + SWEEP_INTERVAL_MS
 
   constructor (dependencies: StreamRowsDependencies) {
@@ -77,11 +92,16 @@
     return this.#restoreController.signal.aborted
   }
 
-  /** Adds a stream, which is written soon. */
-  add (stream: PooledStream): void {
-    if (!isStreamKey(stream.key)) return
+  /** Adds a stream, which is written soon; waits until it is in the store, but not for long. */
+  async store (stream: PooledStream): Promise<void> {
+    const { key } = stream
+    if (!isStreamKey(key)) return
+    const controller = this.#writeControllers.get(key) ?? new AbortController()
+    this.#writeControllers.set(key, controller)
     this.#segments.add(stream)
     this.#scheduleWrite()
+    await sleep(MAX_WRITE_WAIT_MS, controller.signal)
+    this.#writeControllers.delete(key)
   }
 
   /** Removes rows that are no longer needed. */
@@ -137,19 +157,26 @@
 
   async #writeUntilDone (): Promise<void> {
     const { signal, randomizeDelayMs } = this.#dependencies
-    await sleep(randomizeDelayMs(WRITE_INTERVAL_MS), signal)
+    await sleep(Math.max(randomizeDelayMs(GATHER_MS), this.#nextWriteAtMs - performance.now()), signal)
     while (this.#segments.hasChanges && !signal.aborted) {
+      const startedAtMs = performance.now()
       const isWritten = await this.#write(this.#segments.takeChanges())
-      await sleep(randomizeDelayMs(isWritten ? WRITE_INTERVAL_MS : RETRY_INTERVAL_MS), signal)
+      this.#nextWriteAtMs = startedAtMs + randomizeDelayMs(isWritten ? this.#writeIntervalMs : RETRY_INTERVAL_MS)
+      await sleep(Math.max(0, this.#nextWriteAtMs - performance.now()), signal)
     }
     this.#isWriting = false
   }
 
+  get #writeIntervalMs (): number {
+    return Math.max(MIN_WRITE_INTERVAL_MS, countStreamWriters(this.#dependencies.countVms()) * MS_PER_SECOND / MAX_WRITES_PER_S)
+  }
+
   async #write (changes: SegmentChanges): Promise<boolean> {
     const puts = changes.changed.map(({ id, streams }): TransactionWrite => ({ type: 'put', table: STREAM_TABLE, key: id, value: encodeStreamRow(streams, Date.now()) }))
     const deletions = changes.removedIds.map((key): TransactionWrite => ({ type: 'delete', table: STREAM_TABLE, key }))
     try {
       await this.#dependencies.platform.transact({ checks: [], writes: [...puts, ...deletions] })
+      for (const { key } of changes.changed.flatMap(({ streams }) => streams)) this.#writeControllers.get(key)?.abort()
       return true
     } catch (error) {
       this.#segments.handleUnwritten(changes)
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -43,6 +43,8 @@
   | { type: 'callerLeft', requestId: RequestId, route: string, state: RequestState, attempt: number, endpoint: EndpointName, relayVm: VmId, isKept: boolean, afterMs: number, timeLeftMs: number }
   /** A caller takes up a stream again; `softwareVersion` is that of the endpoint that began it, null if it is not known. */
   | { type: 'takenUp', requestId: RequestId, firstRequestId: RequestId, softwareVersion: string | null, afterMs: number }
+  /** A stream begins although no VM has stored the software version of the endpoint that begins it. */
+  | { type: 'streamUnstored', requestId: RequestId, softwareVersion: string, afterMs: number }
   /** A stream is resumed at another endpoint; `endpoint` is the previous one. */
   | { type: 'resumed', requestId: RequestId, endpoint: EndpointName, lastEventId: string, afterMs: number }
   /** The forwarding of a response has ended before the response was complete: `bytes` of its body were forwarded, `pendingBytes` is what all responses of this VM hold that their callers have not taken, `forMs` the time since the attempt was sent. */
--- a/packages/knapweedshunt-gateway/src/records/decisionLog.ts
+++ b/packages/knapweedshunt-gateway/src/records/decisionLog.ts
@@ -36,6 +36,7 @@
   streamsUntold: 'Streams not told to another VM.',
   versionsUntold: 'Software versions not told to another VM.',
   streamUnasked: 'Other VM not asked about a stream.',
+  streamUnstored: 'Stream begins before its software version is stored.',
   streamUnknown: 'Software version of a stream not found.',
   takenUp: 'Stream taken up again.',
   streamsRestored: 'Stored streams read.',
