Gateway: the rows of VMs that answer before they have read them are looked up in the store

What callers may see: after all VMs have ended at once, and while the store answers in more than 150 ms, streams that they take up again are refused as stream_unknown although the store holds what began them.

Cause: a VM that has just started answers that it does not know a stream after 150 ms at most, read or not, and counted as one that knows: only the rows of VMs that do not answer are looked up. The VM that is asked did the same with its own rows.

The new test of streamOrigins finds 'unknown' on the code before.

--- a/packages/knapweedshunt-gateway/src/__tests__/streamOrigins.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/streamOrigins.test.ts
@@ -2,7 +2,7 @@
 import { install } from '@sinonjs/fake-timers'
 import type { Clock } from '@sinonjs/fake-timers'
 import test from 'ava'
-import { computeStreamKey, selectStreamHolders } from 'knapweedshunt-attempts'
+import { computeStreamKey, selectStoringWriters, selectStreamHolders, selectStreamWriters } from 'knapweedshunt-attempts'
 import { EndpointRegistry } from '../endpoints/endpointRegistry.ts'
 import type { PeerView } from '../peers/peerAddress.ts'
 import { StreamOrigins } from '../peers/streamOrigins.ts'
@@ -31,7 +31,7 @@
 }
 
 /** Runs with a VM that has just started and read no endpoints. */
-async function runWithStarted (call: (view: PeerView, method: string, params: unknown) => unknown, run: (setup: Setup) => Promise<void>): Promise<void> {
+async function runWithStarted (call: (view: PeerView, method: string, params: unknown) => unknown, run: (setup: Setup) => Promise<void>, streamRows: Partial<typeof EMPTY_STREAM_ROWS> = {}): Promise<void> {
   const clock = install()
   const abort = new AbortController()
   setMaxListeners(0, abort.signal)
@@ -42,6 +42,7 @@
       endpointRegistry: registry,
       decisionLog: new DecisionLog(LOG),
       ...EMPTY_STREAM_ROWS,
+      ...streamRows,
       signal: abort.signal,
       listPeers: () => PEERS,
       call: async (view, method, params) => call(view, method, params),
@@ -80,6 +81,24 @@
   return selectStreamHolders(computeStreamKey('org', POOL, firstRequestId), [VM, ...PEERS]).map(({ vm }) => vm)
 }
 
+// Guards against streams that are refused because the VMs that stored them answer before they have read their rows.
+test.serial('rows of VMs that answer before they have read them are looked up in the store', async t => {
+  const identity = { organisation: 'org', pool: POOL, firstRequestId: 'r' }
+  const storing = selectStoringWriters(computeStreamKey('org', POOL, 'r'), selectStreamWriters([VM, ...PEERS])).map(({ vm }) => vm)
+  const find = async (isRestored: boolean) => {
+    let origin: unknown
+    await runWithStarted(() => ({ softwareVersion: null, onlyVersion: null, isRestored }), async ({ clock, origins, applyVersions }) => {
+      applyVersions(['v1', 'v2'])
+      const found = origins.findOrigin(identity)
+      await clock.tickAsync(10)
+      origin = await found
+    }, { streamRowReader: { find: async vm => storing.includes(vm) ? 'v1' : null } })
+    return origin
+  }
+  t.deepEqual(await find(false), { type: 'known', softwareVersion: 'v1' })
+  t.deepEqual(await find(true), { type: 'unknown' })
+})
+
 // Guards against holders out of step whose word counts for more than what this VM has seen itself.
 test.serial('a VM that has seen two versions does not believe holders who say that there is one', async t => {
   await runWithOrigins(() => ({ softwareVersion: null, onlyVersion: 'v1' }), async ({ clock, origins, applyVersions }) => {
--- a/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
@@ -320,7 +320,7 @@
     const onlyVersions = new Map(answers.map(({ vm, result }) => [vm, result?.onlyVersion ?? null])).set(this.#dependencies.vm, this.#findOnlyVersion(pool))
     const claims = holders.map(({ vm }) => onlyVersions.get(vm) ?? null).filter(version => version !== null)
     if (claims.length > holders.length / 2 && new Set(claims).size === 1 && !this.#history.hasOtherThan(pool, claims[0])) return claims[0]
-    const searched = mayBeStored ? this.#selectSearched(key, answers.filter(({ result }) => result !== null).map(({ vm }) => vm)) : []
+    const searched = mayBeStored ? this.#selectSearched(key, answers.filter(({ result }) => result?.isRestored === true).map(({ vm }) => vm)) : []
     const stored = await this.#findStored(key, searched)
     if (stored === null) this.#recordUnknown(identity, answers, searched.length)
     return stored
@@ -349,10 +349,11 @@
     }
   }
 
-  /** VMs that did not answer may be gone, and others may have become writers in their place; so the writers are ranked among the former. */
+  /** VMs that did not answer may be gone, and others may have become writers in their place; so the writers are ranked among the former. A VM that has not read its own rows does not know what they hold. */
   #selectSearched (key: string, answered: VmId[]): VmId[] {
-    const silent = this.#dependencies.listPeers().filter(({ vm }) => !answered.includes(vm))
-    return rankCandidates(key, selectStreamWriters(silent)).slice(0, MAX_READ_VMS).map(({ vm }) => vm)
+    const { vm: ownVm, streamRows } = this.#dependencies
+    const unanswered = this.#listCandidates().filter(({ vm }) => vm === ownVm ? !streamRows.isRestored : !answered.includes(vm))
+    return rankCandidates(key, selectStreamWriters(unanswered)).slice(0, MAX_READ_VMS).map(({ vm }) => vm)
   }
 
   /** Finds what began a stream in the rows of these VMs. */
