Gateway: what begins a stream is written within the wait for its first event

Cause: the time between two writes was drawn from 40 to 120 ms, so that both writers could be later than the wait allows.

Now two thirds of that time are fixed: 50 to 70 ms with up to 12 writers, and the wait ends after 80 ms.

--- a/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
@@ -30,7 +30,7 @@
 const WRITE_RETRY_MS = 1_000
 
 /** Longest wait until the store holds what began a stream, in milliseconds; the stream begins then all the same. */
-const MAX_STORE_WAIT_MS = 100
+const MAX_STORE_WAIT_MS = 80
 
 /** Maximum number of VMs whose rows are searched for one stream. */
 const MAX_READ_VMS = 3
--- a/packages/knapweedshunt-gateway/src/peers/streamRows.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamRows.ts
@@ -9,8 +9,11 @@
 import { buildStreamRowPrefix, decodeStreamRow, encodeStreamRow, isStreamKey, MAX_VM_STREAM_ROWS, STREAM_TABLE } from './streamRow.ts'
 import { sweepStreamRows } from './sweepStreamRows.ts'
 
-/** Minimum time between two writes of one VM, in milliseconds. */
-const MIN_WRITE_INTERVAL_MS = 80
+/** Minimum mean time between two writes of one VM, in milliseconds. */
+const MIN_WRITE_INTERVAL_MS = 60
+
+/** Part of the time between two writes that is drawn; with the other part, a stream is written before the wait for it ends. */
+const DRAWN_INTERVAL_SHARE = 1 / 3
 
 /** Writes of all VMs together, per second. */
 const MAX_WRITES_PER_S = 200
@@ -161,14 +164,16 @@
     while (this.#segments.hasChanges && !signal.aborted) {
       const startedAtMs = performance.now()
       const isWritten = await this.#write(this.#segments.takeChanges())
-      this.#nextWriteAtMs = startedAtMs + randomizeDelayMs(isWritten ? this.#writeIntervalMs : RETRY_INTERVAL_MS)
+      this.#nextWriteAtMs = startedAtMs + (isWritten ? this.#drawWriteIntervalMs() : randomizeDelayMs(RETRY_INTERVAL_MS))
       await sleep(Math.max(0, this.#nextWriteAtMs - performance.now()), signal)
     }
     this.#isWriting = false
   }
 
-  get #writeIntervalMs (): number {
-    return Math.max(MIN_WRITE_INTERVAL_MS, countStreamWriters(this.#dependencies.countVms()) * MS_PER_SECOND / MAX_WRITES_PER_S)
+  #drawWriteIntervalMs (): number {
+    const { countVms, randomizeDelayMs } = this.#dependencies
+    const meanMs = Math.max(MIN_WRITE_INTERVAL_MS, countStreamWriters(countVms()) * MS_PER_SECOND / MAX_WRITES_PER_S)
+    return meanMs * (1 - DRAWN_INTERVAL_SHARE) + randomizeDelayMs(meanMs * DRAWN_INTERVAL_SHARE)
   }
 
   async #write (changes: SegmentChanges): Promise<boolean> {
