--- a/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
@@ -1,7 +1,7 @@
 import { computeStreamKey, PoolVersionHistory, rankCandidates, selectStoringWriters, selectStreamHolders, selectStreamWriters, SettledVersions, StreamVersionTable } from 'knapweedshunt-attempts'
 import type { HolderCandidate, PooledStream, StreamVersion } from 'knapweedshunt-attempts'
 import type { DataCentreId, OrganisationName, PoolName, RequestId, VmId } from 'knapweedshunt-types'
-import { groupBy, readElapsedMs } from 'knapweedshunt-utils'
+import { groupBy, readElapsedMs, sleep } from 'knapweedshunt-utils'
 import type { PoolVersionsRow } from '../directory/rosterRows.ts'
 import type { EndpointRegistry } from '../endpoints/endpointRegistry.ts'
 import type { DecisionLog } from '../records/decisionLog.ts'
@@ -29,6 +29,9 @@
 /** Pause after a failed write of a pool's versions, in milliseconds. */
 const WRITE_RETRY_MS = 1_000
 
+/** Longest wait until the store holds what began a stream, in milliseconds; the stream begins then all the same. */
+const MAX_STORE_WAIT_MS = 80
+
 /** Maximum number of VMs whose rows are searched for one stream. */
 const MAX_READ_VMS = 3
 
@@ -63,7 +66,7 @@
   dataCentre: DataCentreId
   endpointRegistry: EndpointRegistry
   decisionLog: DecisionLog
-  streamRows: Pick<StreamRows, 'add' | 'waitUntilRestored'>
+  streamRows: Pick<StreamRows, 'store' | 'isRestored' | 'waitUntilRestored'>
   streamRowReader: Pick<StreamRowReader, 'find'>
   /** Ends all calls to other VMs. */
   signal: AbortSignal
@@ -81,8 +84,8 @@
 
 /**
  * Software versions of the endpoints that began streams. While the endpoints of a pool have several versions, each stream
- * is told to a few VMs, chosen by its key, before a caller can come back; any VM asks these. Two more write it to the store,
- * for the case that all VMs end at once. While the endpoints have one version, nothing is told or written.
+ * is told to a few VMs, chosen by its key, before a caller can come back; any VM asks these. Two more write it to the store
+ * before the caller gets its first event, for the case that all VMs end at once. While the endpoints have one version, nothing is told or written.
  */
 export class StreamOrigins {
   readonly #dependencies: StreamOriginsDependencies
@@ -160,28 +163,32 @@
     return [firstRequestId ?? '', ''].every(id => this.#isKnownToHolders(computeStreamKey(organisation, pool, id), pool, softwareVersion))
   }
 
-  /** Records the version that began a stream; must be called before its first event is forwarded. */
-  recordBegan ({ organisation, pool, firstRequestId }: StreamIdentity, softwareVersion: string): void {
-    if (firstRequestId === null) return
+  /** Records the version that began a stream; must be called before its first event is forwarded, which must wait for the result: whether the stream is known after an end of all VMs, as far as it is to be stored. */
+  async recordBegan ({ organisation, pool, firstRequestId }: StreamIdentity, softwareVersion: string): Promise<boolean> {
+    if (firstRequestId === null) return true
     const key = computeStreamKey(organisation, pool, firstRequestId)
     this.#table.record(key, pool, softwareVersion)
-    if (this.#getSharing(pool) !== SHARING.none || this.#findOnlyVersion(pool) !== softwareVersion) this.#announce(pool, { key, softwareVersion })
+    if (this.#getSharing(pool) === SHARING.none && this.#findOnlyVersion(pool) === softwareVersion) return true
+    const stored = this.#announce(pool, { key, softwareVersion })
+    if (stored.length === 0) return true
+    const timeout = new AbortController()
+    const isStored = await Promise.race([...stored.map(async one => { await one; return true }), sleep(MAX_STORE_WAIT_MS, timeout.signal).then(() => false)])
+    timeout.abort()
+    return isStored
   }
 
   /** Finds the version that began a stream. */
-  async findOrigin ({ organisation, pool, firstRequestId }: StreamIdentity): Promise<StreamOrigin> {
-    const key = computeStreamKey(organisation, pool, firstRequestId ?? '')
-    const version = await this.#findOwn(key) ?? await this.#askHolders(pool, key, firstRequestId !== null)
+  async findOrigin (identity: StreamIdentity): Promise<StreamOrigin> {
+    const key = computeStreamKey(identity.organisation, identity.pool, identity.firstRequestId ?? '')
+    const version = await this.#findOwn(key) ?? await this.#askHolders(identity, key)
     return version === null ? { type: 'unknown' } : { type: 'known', softwareVersion: version }
   }
 
-  /** Handles `streams.record`. Throws ZodError on invalid params. */
-  handleRecord (params: unknown): object {
+  /** Handles `streams.record`; resolves when the streams are stored that must be, or after a while. Throws ZodError on invalid params. */
+  async handleRecord (params: unknown): Promise<object> {
     const { pool, streams } = recordParamsSchema.parse(params)
-    for (const { key, softwareVersion, mustStore } of streams) {
-      this.#table.record(key, pool, softwareVersion)
-      if (mustStore) this.#dependencies.streamRows.add({ key, pool, softwareVersion })
-    }
+    for (const { key, softwareVersion } of streams) this.#table.record(key, pool, softwareVersion)
+    await Promise.all(streams.filter(({ mustStore }) => mustStore).map(({ key, softwareVersion }) => this.#dependencies.streamRows.store({ key, pool, softwareVersion })))
     return {}
   }
 
@@ -195,7 +202,7 @@
   /** Handles `streams.find`. Throws ZodError on invalid params. */
   async handleFind (params: unknown): Promise<FindResult> {
     const { pool, key } = findParamsSchema.parse(params)
-    return { softwareVersion: await this.#findOwn(key), onlyVersion: this.#findOnlyVersion(pool) }
+    return { softwareVersion: await this.#findOwn(key), onlyVersion: this.#findOnlyVersion(pool), isRestored: this.#dependencies.streamRows.isRestored }
   }
 
   async #findOwn (key: string): Promise<string | null> {
@@ -252,11 +259,16 @@
     })
   }
 
-  #announce (pool: PoolName, stream: StreamVersion): void {
+  /** Tells a stream to its holders and writers; each promise resolves when one of the latter has stored it, or after a while. */
+  #announce (pool: PoolName, stream: StreamVersion): Array<Promise<void>> {
     const storing = this.#getSharing(pool) === SHARING.stored ? this.#selectStoring(stream.key) : []
     const isStoring = (vm: VmId) => storing.some(writer => writer.vm === vm)
-    if (isStoring(this.#dependencies.vm)) this.#dependencies.streamRows.add({ ...stream, pool })
-    for (const view of this.#listPeers([...this.#selectHolders(stream.key), ...storing])) this.#announcer.add(view, pool, { ...stream, mustStore: isStoring(view.vm) })
+    const stored = isStoring(this.#dependencies.vm) ? [this.#dependencies.streamRows.store({ ...stream, pool })] : []
+    for (const view of this.#listPeers([...this.#selectHolders(stream.key), ...storing])) {
+      const told = this.#announcer.add(view, pool, { ...stream, mustStore: isStoring(view.vm) })
+      if (isStoring(view.vm)) stored.push(told)
+    }
+    return stored
   }
 
   #listCandidates (): HolderCandidate[] {
@@ -292,7 +304,9 @@
   }
 
   /** Resolves to the version that the first holder knows which knows any; if none does, to the only one that can have begun the stream, provided that most holders say so and this VM has seen no other: one that is cut off may not have seen the newest version; else to what VMs that did not answer have stored. */
-  async #askHolders (pool: PoolName, key: string, mayBeStored: boolean): Promise<string | null> {
+  async #askHolders (identity: StreamIdentity, key: string): Promise<string | null> {
+    const { pool } = identity
+    const mayBeStored = identity.firstRequestId !== null
     const holders = this.#selectHolders(key)
     const storing = mayBeStored ? this.#selectStoring(key) : []
     const calls = this.#listPeers([...holders, ...storing]).map(view => this.#askHolder(view, pool, key))
@@ -306,7 +320,24 @@
     const onlyVersions = new Map(answers.map(({ vm, result }) => [vm, result?.onlyVersion ?? null])).set(this.#dependencies.vm, this.#findOnlyVersion(pool))
     const claims = holders.map(({ vm }) => onlyVersions.get(vm) ?? null).filter(version => version !== null)
     if (claims.length > holders.length / 2 && new Set(claims).size === 1 && !this.#history.hasOtherThan(pool, claims[0])) return claims[0]
-    return mayBeStored ? await this.#findStored(key, answers.filter(({ result }) => result !== null).map(({ vm }) => vm)) : null
+    const searched = mayBeStored ? this.#selectSearched(key, answers.filter(({ result }) => result?.isRestored === true).map(({ vm }) => vm)) : []
+    const stored = await this.#findStored(key, searched)
+    if (stored === null) this.#recordUnknown(identity, answers, searched.length)
+    return stored
+  }
+
+  #recordUnknown ({ pool, firstRequestId }: StreamIdentity, answers: HolderAnswer[], searchedVms: number): void {
+    const results = answers.map(({ result }) => result).filter(result => result !== null)
+    this.#dependencies.decisionLog.record({
+      type: 'streamUnknown',
+      pool,
+      firstRequestId: firstRequestId ?? '',
+      askedVms: answers.length,
+      answeredVms: results.length,
+      restoringVms: results.filter(({ isRestored }) => !isRestored).length,
+      searchedVms,
+      isRestored: this.#dependencies.streamRows.isRestored
+    })
   }
 
   async #askHolder (view: PeerView, pool: PoolName, key: string): Promise<HolderAnswer> {
@@ -318,10 +349,16 @@
     }
   }
 
-  /** VMs that did not answer may be gone, and others may have become writers in their place; so the writers are ranked among the former. */
-  async #findStored (key: string, answered: VmId[]): Promise<string | null> {
-    const silent = this.#dependencies.listPeers().filter(({ vm }) => !answered.includes(vm))
-    for (const { vm } of rankCandidates(key, selectStreamWriters(silent)).slice(0, MAX_READ_VMS)) {
+  /** VMs that did not answer may be gone, and others may have become writers in their place; so the writers are ranked among the former. A VM that has not read its own rows does not know what they hold. */
+  #selectSearched (key: string, answered: VmId[]): VmId[] {
+    const { vm: ownVm, streamRows } = this.#dependencies
+    const unanswered = this.#listCandidates().filter(({ vm }) => vm === ownVm ? !streamRows.isRestored : !answered.includes(vm))
+    return rankCandidates(key, selectStreamWriters(unanswered)).slice(0, MAX_READ_VMS).map(({ vm }) => vm)
+  }
+
+  /** Finds what began a stream in the rows of these VMs. */
+  async #findStored (key: string, vms: VmId[]): Promise<string | null> {
+    for (const vm of vms) {
       const version = await this.#dependencies.streamRowReader.find(vm, key)
       if (version !== null) return version
     }
