Requests that are read and not accepted are counted and logged

A request that Node.js has parsed behind the last response of its connection, or on one that is being closed, is dropped: no line and no metric showed it. Now a line `requestsUnaccepted` tells, when the connection has closed, why, how many there were and how long the first one had waited, and knapweedshunt_unaccepted_requests_total counts them.

--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -3,8 +3,9 @@
 import { closeOnIdleTimeout, listen, waitForArrivals } from 'knapweedshunt-utils'
 import type { CallerLimits } from '../ports/gatewayConfig.ts'
 import type { ListenAddress } from '../ports/vmSettings.ts'
-import type { ConnectionEviction } from '../records/decision.ts'
+import type { ConnectionEviction, UnacceptedReason } from '../records/decision.ts'
 import { ConnectionTable } from './connectionTable.ts'
+import type { UnacceptedRequests } from './unacceptedRequests.ts'
 
 /** Maximum size of the headers that Node.js reads, in bytes; the configured limit is checked afterwards. */
 export const MAX_READABLE_HEADER_BYTES = 128 * 1024
@@ -30,9 +31,11 @@
   /** Ends a request whose caller sends nothing, so that its connection closes; false if there is none. */
   tryEndStill (): boolean
   onEvicted (reason: ConnectionEviction): void
+  /** Called when a connection has closed on which requests were read that could not be answered. */
+  onUnaccepted (requests: UnacceptedRequests): void
 }
 
-const UNBOUNDED: CallerServerOptions = { maxConnections: Infinity, tryEndStill: () => false, onEvicted () {} }
+const UNBOUNDED: CallerServerOptions = { maxConnections: Infinity, tryEndStill: () => false, onEvicted () {}, onUnaccepted () {} }
 
 /** HTTP server for callers. */
 export class CallerServer {
@@ -43,6 +46,7 @@
   readonly #connections: ConnectionTable<Socket>
   /** Bytes that each connection without a request under way had sent when its last one ended. */
   readonly #bytesAtIdle = new WeakMap<Socket, number>()
+  readonly #unaccepted = new Map<Socket, UnacceptedRequests>()
   #turnTimer: NodeJS.Immediate | null = null
   #isKeepAliveDisabled = false
 
@@ -57,6 +61,9 @@
       socket.once('close', () => {
         this.#pendingResponses.delete(socket)
         this.#connections.remove(socket)
+        const unaccepted = this.#unaccepted.get(socket)
+        if (unaccepted !== undefined) this.#options.onUnaccepted(unaccepted)
+        this.#unaccepted.delete(socket)
       })
       this.#addConnection(socket)
       if (this.#connections.isOverfull) this.#makeRoom(socket)
@@ -84,7 +91,10 @@
   #tryAccept (socket: Socket, response: http.ServerResponse): boolean {
     const pending = this.#pendingResponses.get(socket) ?? new Set()
     const isLastAnnounced = [...pending].some(({ shouldKeepAlive }) => !shouldKeepAlive)
-    if (isLastAnnounced || !socket.writable) return false
+    if (isLastAnnounced || !socket.writable) {
+      this.#recordUnaccepted(socket, isLastAnnounced ? 'behindLastResponse' : 'connectionClosing')
+      return false
+    }
     this.#pendingResponses.set(socket, pending.add(response))
     this.#connections.recordBusy(socket)
     if (this.#isKeepAliveDisabled) response.shouldKeepAlive = false
@@ -98,6 +108,14 @@
     return true
   }
 
+  #recordUnaccepted (socket: Socket, reason: UnacceptedReason): void {
+    const requests = this.#unaccepted.get(socket) ?? { reason, count: 0, sinceMs: performance.now() }
+    requests.count++
+    // A socket that has closed emits nothing more.
+    if (!socket.destroyed) this.#unaccepted.set(socket, requests)
+    else this.#options.onUnaccepted(requests)
+  }
+
   #addConnection (socket: Socket): void {
     this.#connections.add(socket)
     this.#turnTimer ??= setImmediate(() => this.#advanceTurn())
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -308,7 +308,11 @@
     this.#callerServer = new CallerServer((request, response) => this.#requestHandler.handleRequest(request, response), {
       maxConnections: callerBounds.maxConnections,
       tryEndStill: () => this.#callerMemory.tryEndStill(EVICTION_REASON.connection),
-      onEvicted: reason => callerEvictionLog.record(reason, 0)
+      onEvicted: reason => callerEvictionLog.record(reason, 0),
+      onUnaccepted: ({ reason, count, sinceMs }) => {
+        this.#metrics.recordUnaccepted(reason, count)
+        this.#decisionLog.record({ type: 'requestsUnaccepted', reason, count, waitedMs: Math.round(performance.now() - sinceMs), isStopping: this.#isStopping })
+      }
     })
     this.#readiness = new Readiness({ configState: this.#configState, directoryUpdater: this.#directoryUpdater, rosterFollower: this.#followers.roster, keyFreshness: this.#keyFreshness, decisionLog: this.#decisionLog, isStopping: () => this.#isStopping })
     addGauges(this.#metrics, {
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -17,6 +17,9 @@
 /** Which connection of a caller was closed as there were too many: one without a request, one whose head had not ended, or a new one. */
 export type ConnectionEviction = 'idleConnection' | 'unfinishedHead' | 'newConnection'
 
+/** Why a request that was read cannot be answered: the response before it is the last one of its connection, or the connection is being closed. */
+export type UnacceptedReason = 'behindLastResponse' | 'connectionClosing'
+
 /** How far a request has got: between two attempts, or in one that has no connection yet, no response, or the head of one. */
 export type RequestState = 'choosing' | 'connecting' | 'silent' | 'answering'
 
@@ -114,6 +117,8 @@
   | { type: 'heldUp', delayMs: number, inFlight: number }
   /** Callers took more than they may, so that some gave way: how many within the last second, why, and the bytes that they held. */
   | { type: 'callersEvicted', reason: EvictionReason | ConnectionEviction, count: number, bytes: number, connections: number }
+  /** A connection of a caller has closed on which `count` requests were read and neither run nor answered, the first one `waitedMs` before. */
+  | { type: 'requestsUnaccepted', reason: UnacceptedReason, count: number, waitedMs: number, isStopping: boolean }
   /** `count` log lines of a kind were suppressed by the rate limit. */
   | { type: 'linesLeftOut', kind: string, count: number }
 
--- a/packages/knapweedshunt-gateway/src/records/gatewayMetrics.ts
+++ b/packages/knapweedshunt-gateway/src/records/gatewayMetrics.ts
@@ -1,6 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import type { EvictionReason } from '../callers/callerMemory.ts'
-import type { BodyEnd, ConnectionEviction } from './decision.ts'
+import type { BodyEnd, ConnectionEviction, UnacceptedReason } from './decision.ts'
 
 /** Upper bounds of the latency buckets, in seconds; densest around the objectives of a few hundred milliseconds. */
 const LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3, 6, 15]
@@ -38,6 +38,7 @@
   readonly #usageCalls = new Counter({ name: 'knapweedshunt_usage_calls_total', help: 'Calls of this VM to others about limits of organisations, by kind and outcome.', labelNames: ['kind', 'outcome'], registers: [this.registry] })
   readonly #divisions = new Gauge({ name: 'knapweedshunt_prompt_endpoints', help: 'Endpoints of a pool that this VM uses for short and for long prompts; all for both while it is not divided.', labelNames: ['pool', 'prompts'], registers: [this.registry] })
   readonly #callerEvictions = new Counter({ name: 'knapweedshunt_caller_evictions_total', help: 'Bodies and connections of callers that gave way to others, by reason.', labelNames: ['reason'], registers: [this.registry] })
+  readonly #unaccepted = new Counter({ name: 'knapweedshunt_unaccepted_requests_total', help: 'Requests that were read and neither run nor answered, by reason.', labelNames: ['reason'], registers: [this.registry] })
   readonly #gauges = new Map<string, Gauge>()
 
   /** Records an answered request; times in milliseconds. */
@@ -102,6 +103,11 @@
     this.#callerEvictions.inc({ reason })
   }
 
+  /** Counts requests of one connection that were read and neither run nor answered. */
+  recordUnaccepted (reason: UnacceptedReason, count: number): void {
+    this.#unaccepted.inc({ reason }, count)
+  }
+
   /** Counts streams whose software version this VM read from the store after its start. */
   recordRestoredStreams (count: number): void {
     this.#restoredStreams.inc(count)
