Requests read behind an unanswered one are answered in a planned stop

What callers saw: of several requests sent on one connection without waiting, those that were read after a SIGTERM behind an order under way got no answer; their connection closed behind that order's response, up to 1.5 s later.

Cause: in a stop each response was made the last one of its connection when its request was accepted, and a request behind the last response is dropped, also while that response has not begun. Now the announcement of the close belongs to the request that was read last: one that is read behind a response which has not begun takes it over. A response that is complete but waits for the one before it keeps its head until its turn, as this head would announce the close; only the last response of a connection waits so. The refusal of a stopping VM closes a connection only if nothing was read behind it. Refusals that close the connection for another reason, bodies that are delimited by its end, and the caller's own Connection: close stay the end.

--- a/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
@@ -1,6 +1,7 @@
 import net from 'node:net'
 import { setImmediate } from 'node:timers/promises'
 import test from 'ava'
+import type { ExecutionContext } from 'ava'
 import { sleep } from 'knapweedshunt-utils'
 import { HeldUpCallers } from '../../../knapweedshunt-utils/src/__tests__/heldUpCallers.ts'
 import { CallerServer } from '../callers/callerServer.ts'
@@ -70,3 +71,81 @@
   t.true(performance.now() - openedAtMs >= 1_900)
   await server.closeListener()
 })
+
+/** Opens a connection to a server that stops; responses are answered by the test, in any order. Resolves to what the caller receives, too. */
+async function openStopping (t: ExecutionContext) {
+  const responses: CallerResponse[] = []
+  const unaccepted: Array<{ reason: string, count: number }> = []
+  const server = new CallerServer((_request, response) => { responses.push(new CallerResponse(response)) }, { maxConnections: Infinity, tryEndStill: () => false, onEvicted () {}, onUnaccepted: ({ reason, count }) => { unaccepted.push({ reason, count }) } })
+  const address = new URL(await server.start({ host: '127.0.0.1', port: 0 }))
+  const socket = net.connect({ host: address.hostname, port: Number(address.port), noDelay: true })
+  t.teardown(async () => {
+    socket.destroy()
+    await server.closeListener()
+  })
+  const received = { text: '' }
+  socket.on('data', chunk => { received.text += chunk.toString() })
+  const closed = new Promise(resolve => socket.once('close', resolve))
+  server.disableKeepAlive()
+  const send = async (head = '') => {
+    socket.write(`GET / HTTP/1.1\r\nHost: h\r\n${head}\r\n`)
+    await sleep(50)
+  }
+  const answer = (n: number, text: string, closesConnection = false) => responses[n].sendWhole({ start: { status: 200, message: '', headers: ['Content-Length', String(text.length)], closesConnection }, body: Buffer.from(text) })
+  return { responses, unaccepted, received, closed, send, answer }
+}
+
+// Guards against a response behind the last one of its connection, and against requests that vanish without a trace.
+test('a request behind a refusal that closes the connection is not run in a stop', async t => {
+  const { responses, unaccepted, received, closed, send, answer } = await openStopping(t)
+  await send()
+  await send()
+  answer(1, 'refused', true)
+  await send()
+  answer(0, 'first')
+  await closed
+  t.is(responses.length, 2)
+  t.regex(received.text, /first.*connection: close.*refused$/is)
+  t.deepEqual(unaccepted, [{ reason: 'behindLastResponse', count: 1 }])
+})
+
+test('a request behind a response that has said that it is the last is not run in a stop', async t => {
+  const { responses, unaccepted, received, closed, send } = await openStopping(t)
+  await send()
+  responses[0].tryBegin({ status: 200, message: '', headers: ['Content-Length', '4'], closesConnection: false })
+  await send()
+  responses[0].end(Buffer.from('once'))
+  await closed
+  t.is(responses.length, 1)
+  t.regex(received.text, /connection: close.*once$/is)
+  t.deepEqual(unaccepted, [{ reason: 'behindLastResponse', count: 1 }])
+})
+
+test('a request whose caller closes the connection is the last one in a stop', async t => {
+  const { received, closed, send, answer } = await openStopping(t)
+  await send()
+  await send('Connection: close\r\n')
+  answer(1, 'last')
+  answer(0, 'first')
+  await closed
+  t.regex(received.text, /connection: keep-alive.*first.*connection: close.*last$/is)
+})
+
+test('a response that waits for its turn in a stop keeps its parts in order, whether it is followed or not', async t => {
+  const { responses, received, closed, send, answer } = await openStopping(t)
+  await send()
+  await send()
+  responses[1].tryBegin({ status: 200, message: '', headers: ['Content-Length', '4'], closesConnection: false })
+  t.true(responses[1].write(Buffer.from('on')))
+  await send()
+  responses[1].end(Buffer.from('ce'))
+  responses[2].tryBegin({ status: 200, message: '', headers: ['Content-Length', '65538'], closesConnection: false })
+  t.false(responses[2].write(Buffer.alloc(65_536, '.')))
+  t.is(responses[2].unsentBytes, 65_536)
+  const drained = responses[2].waitDrain(new AbortController().signal)
+  answer(0, 'first')
+  t.true(await drained)
+  responses[2].end(Buffer.from('er'))
+  await closed
+  t.deepEqual(received.text.replaceAll('.', '').match(/first|once|er$|connection: close/gi)?.map(part => part.toLowerCase()), ['first', 'once', 'connection: close', 'er'])
+})
--- a/packages/knapweedshunt-gateway/src/callers/callerRequestHandler.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerRequestHandler.ts
@@ -61,7 +61,7 @@
 
   /** Ends all requests in flight at once: each gets an answer, or its response is aborted. */
   stopRequests (): void {
-    for (const arrival of this.#arrivals) this.#refuse(arrival, createStoppingError())
+    for (const arrival of this.#arrivals) this.#refuse(arrival, createStoppingError(arrival))
     for (const task of this.#tasks) task.stop()
   }
 
@@ -117,7 +117,7 @@
     const { requestPlanner, flowDependencies } = this.#dependencies
     const call = flowDependencies.endpointPort.decodeCall(arrival.request)
     arrival.requestId = call.requestId
-    if (this.#isRefusing) throw createStoppingError()
+    if (this.#isRefusing) throw createStoppingError(arrival)
     if (arrival.relayed !== null && this.#relayedCount > MAX_RELAYED_REQUESTS) throw createCallerError(503, 'relay_full', `This VM serves ${MAX_RELAYED_REQUESTS} requests of other VMs.`, { retryAfterMs: RETRY_OTHER_VM_MS })
     this.#arrivals.add(arrival)
     return await requestPlanner.createPlan(arrival.request, call, arrival.arrivedAtMs, arrival.relayed).finally(() => this.#arrivals.delete(arrival))
@@ -145,6 +145,7 @@
   }
 }
 
-function createStoppingError (): InstanceType<typeof CallerError> {
-  return createCallerError(503, 'stopping', 'This VM is stopping.', { retryAfterMs: RETRY_OTHER_VM_MS, closesConnection: true })
+/** Connections of callers are closed by their server, which knows whether another request was read. */
+function createStoppingError ({ relayed }: ArrivedRequest): InstanceType<typeof CallerError> {
+  return createCallerError(503, 'stopping', 'This VM is stopping.', { retryAfterMs: RETRY_OTHER_VM_MS, closesConnection: relayed !== null })
 }
--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -4,6 +4,7 @@
 import type { CallerLimits } from '../ports/gatewayConfig.ts'
 import type { ListenAddress } from '../ports/vmSettings.ts'
 import type { ConnectionEviction, UnacceptedReason } from '../records/decision.ts'
+import { FOLLOWED_EVENT } from '../shared/responseHold.ts'
 import { ConnectionTable } from './connectionTable.ts'
 import type { UnacceptedRequests } from './unacceptedRequests.ts'
 
@@ -42,6 +43,8 @@
   readonly #server: http.Server
   /** Responses of each connection that are not out yet, in the order of their requests; a connection without any is not listed. */
   readonly #pendingResponses = new Map<Socket, Set<http.ServerResponse>>()
+  /** Responses that announce the close of their connection for no other reason than that this server stops. */
+  readonly #closedByStop = new WeakSet<http.ServerResponse>()
   readonly #options: CallerServerOptions
   readonly #connections: ConnectionTable<Socket>
   /** Bytes that each connection without a request under way had sent when its last one ended. */
@@ -90,14 +93,20 @@
   /** Returns whether the request can be answered; nothing can follow the last response of a connection, so a request behind it is not run. */
   #tryAccept (socket: Socket, response: http.ServerResponse): boolean {
     const pending = this.#pendingResponses.get(socket) ?? new Set()
-    const isLastAnnounced = [...pending].some(({ shouldKeepAlive }) => !shouldKeepAlive)
+    const last = [...pending].at(-1)
+    const isLastAnnounced = [...pending].some(one => !one.shouldKeepAlive && !this.#canBeFollowed(one))
     if (isLastAnnounced || !socket.writable) {
       this.#recordUnaccepted(socket, isLastAnnounced ? 'behindLastResponse' : 'connectionClosing')
       return false
     }
+    if (last !== undefined && this.#canBeFollowed(last)) {
+      this.#closedByStop.delete(last)
+      last.shouldKeepAlive = true
+      last.emit(FOLLOWED_EVENT)
+    }
     this.#pendingResponses.set(socket, pending.add(response))
     this.#connections.recordBusy(socket)
-    if (this.#isKeepAliveDisabled) response.shouldKeepAlive = false
+    if (this.#isKeepAliveDisabled) this.#announceClose(response)
     response.once('close', () => {
       pending.delete(response)
       if (pending.size > 0) return
@@ -108,6 +117,17 @@
     return true
   }
 
+  #announceClose (response: http.ServerResponse): void {
+    if (!response.shouldKeepAlive || response.headersSent) return
+    response.shouldKeepAlive = false
+    this.#closedByStop.add(response)
+  }
+
+  /** Whether another response can take over the announcement of the close. */
+  #canBeFollowed (response: http.ServerResponse): boolean {
+    return this.#closedByStop.has(response) && !response.headersSent
+  }
+
   #recordUnaccepted (socket: Socket, reason: UnacceptedReason): void {
     const requests = this.#unaccepted.get(socket) ?? { reason, count: 0, sinceMs: performance.now() }
     requests.count++
@@ -144,12 +164,12 @@
     return this.#connections.size
   }
 
-  /** From now on each connection closes after a response that says so: the one to its latest request if that response has not begun, otherwise the next one. */
+  /** From now on each connection closes after a response that says so: the one to the latest request that was read when it begins, unless it has begun already. */
   disableKeepAlive (): void {
     this.#isKeepAliveDisabled = true
     for (const pending of this.#pendingResponses.values()) {
       const last = [...pending].at(-1)
-      if (last !== undefined && !last.headersSent) last.shouldKeepAlive = false
+      if (last !== undefined) this.#announceClose(last)
     }
   }
 
--- a/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
+++ b/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
@@ -1,5 +1,6 @@
-import type http from 'node:http'
+import http from 'node:http'
 import type { Socket } from 'node:net'
+import { ResponseHold } from './responseHold.ts'
 import type { ResponseStart, WholeResponse } from './responseStart.ts'
 
 /** How far the response to a caller has got. */
@@ -16,6 +17,7 @@
   #phase: ResponsePhase = 'waiting'
   /** Whether only the end of the connection delimits the body, as the caller's protocol version has no chunks. */
   #isEndedByClose = false
+  #hold: ResponseHold | null = null
 
   constructor (response: http.ServerResponse) {
     this.#response = response
@@ -43,7 +45,7 @@
 
   /** Bytes written that the caller's connection has not taken. */
   get unsentBytes (): number {
-    return this.#response.writableLength
+    return this.#response.writableLength + (this.#hold?.heldBytes ?? 0)
   }
 
   /** Aborts when the caller leaves. */
@@ -56,11 +58,17 @@
     if (this.#phase !== 'waiting' || this.hasCallerLeft) return false
     // If this process is killed, the system closes the connection in the regular way; only chunks or a length show that the body is not complete.
     this.#isEndedByClose = !this.#response.useChunkedEncodingByDefault && !headers.some((name, i) => i % 2 === 0 && name.toLowerCase() === 'content-length')
-    if (closesConnection || this.#isEndedByClose) this.#response.shouldKeepAlive = false
+    const mayBeFollowed = !closesConnection && !this.#isEndedByClose
+    if (!mayBeFollowed) this.#response.shouldKeepAlive = false
     this.#response.sendDate = false
+    const writeHead = (response: http.ServerResponse) => message === '' ? response.writeHead(status, headers) : response.writeHead(status, message, headers)
     try {
-      if (message === '') this.#response.writeHead(status, headers)
-      else this.#response.writeHead(status, message, headers)
+      // A head that announces the close while it waits could not be changed when another request is read.
+      if (mayBeFollowed && this.#response.socket === null && !this.#response.shouldKeepAlive) {
+        writeHead(new http.ServerResponse(this.#response.req))
+        this.#hold = new ResponseHold(this.#response, () => { this.#hold = null })
+        this.#hold.add(() => writeHead(this.#response))
+      } else writeHead(this.#response)
     } catch {
       // Node.js keeps a reason phrase that it rejects, and would reject the next head for it.
       this.#response.statusMessage = ''
@@ -78,13 +86,19 @@
 
   /** Writes a part of the body; returns whether the caller reads on. */
   write (bytes: Buffer): boolean {
-    return this.#phase !== 'begun' || this.hasCallerLeft || this.#response.write(bytes)
+    if (this.#phase !== 'begun' || this.hasCallerLeft) return true
+    return this.#hold === null ? this.#response.write(bytes) : this.#hold.add(() => this.#response.write(bytes), bytes.length)
   }
 
   /** Ends a response whose body is complete. */
   end (bytes?: Buffer): void {
     if (this.#phase !== 'begun') return
     this.#phase = 'ended'
+    if (this.#hold === null) this.#writeEnd(bytes)
+    else this.#hold.add(() => this.#writeEnd(bytes), bytes?.length)
+  }
+
+  #writeEnd (bytes?: Buffer): void {
     const endResponse = () => { this.#response.end() }
     // Node.js counts the connection as idle once the response has ended, and closes it at a stop even if bytes wait to be sent.
     if (bytes !== undefined) this.#response.write(bytes, endResponse)
@@ -96,6 +110,7 @@
   abort (): void {
     if (this.#phase === 'ended') return
     this.#phase = 'ended'
+    this.#hold?.clear()
     // Only a reset shows that a body which the end of the connection delimits is not complete.
     if (this.#isEndedByClose) this.#socket?.resetAndDestroy()
     else this.#response.destroy()
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/shared/responseHold.ts
@@ -0,0 +1,51 @@
+import type http from 'node:http'
+
+/** Event of a response behind which another request of its connection was accepted, so that it is not the last one any more. */
+export const FOLLOWED_EVENT = 'followed'
+
+/** Output of a response that waits behind another one, until it is settled whether it is the last of its connection: its turn has come, or it is followed. */
+export class ResponseHold {
+  readonly #response: http.ServerResponse
+  readonly #onReleased: () => void
+  #actions: Array<() => void> = []
+  #heldBytes = 0
+  #needsDrain = false
+
+  /** `onReleased` is called right before the output is written. */
+  constructor (response: http.ServerResponse, onReleased: () => void) {
+    this.#response = response
+    this.#onReleased = onReleased
+    // When the event occurs, the socket is not ready to be written to.
+    response.once('socket', () => process.nextTick(this.#release)).once(FOLLOWED_EVENT, this.#release)
+  }
+
+  /** Bytes that are held. */
+  get heldBytes (): number {
+    return this.#heldBytes
+  }
+
+  /** Adds an action that writes so many bytes; returns whether there is room for more. */
+  add (action: () => void, bytes = 0): boolean {
+    this.#actions.push(action)
+    this.#heldBytes += bytes
+    this.#needsDrain = this.#heldBytes >= this.#response.writableHighWaterMark
+    return !this.#needsDrain
+  }
+
+  /** Drops what is held. */
+  clear (): void {
+    this.#actions = []
+    this.#heldBytes = 0
+  }
+
+  readonly #release = (): void => {
+    const actions = this.#actions
+    const needsDrain = this.#needsDrain
+    this.clear()
+    this.#needsDrain = false
+    if (this.#response.destroyed) return
+    this.#onReleased()
+    for (const act of actions) act()
+    if (needsDrain && !this.#response.writableNeedDrain) this.#response.emit('drain')
+  }
+}
