Steps of a planned stop are logged with their times

Nothing showed what holds a process that does not end after its SIGTERM. A line `stopPhase` now tells when each step was done, with the requests in flight and the connections of callers then.

--- a/packages/knapweedshunt-gateway/src/__tests__/drainCallers.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/drainCallers.test.ts
@@ -24,7 +24,7 @@
     })
     const requestHandler = { inFlight: 0, refuseNewRequests: () => { isRefusing = true }, stopRequests: () => {} } as unknown as CallerRequestHandler
     const callers = await HeldUpCallers.open({ ...calls, url: await server.start({ host: '127.0.0.1', port: 0 }) })
-    const drained = drainCallers(server, requestHandler, new StopWindow({ findLongestMs: () => null }), DRAIN_GRACE_MS)
+    const drained = drainCallers({ callerServer: server, requestHandler, stopWindow: new StopWindow({ findLongestMs: () => null }), drainGraceMs: DRAIN_GRACE_MS, recordPhase () {} })
     const outcomes = await callers.callWhileHeldUp(HOLD_MS)
     t.deepEqual(outcomes, Array<string>(COUNT).fill('503'))
     await drained
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -56,6 +56,7 @@
 import { REPEATABILITY } from './ports/gatewayConfig.ts'
 import type { VmSettings } from './ports/vmSettings.ts'
 import { addGauges } from './records/addGauges.ts'
+import type { StopPhase } from './records/decision.ts'
 import { DecisionLog } from './records/decisionLog.ts'
 import { DelayWatch } from './records/delayWatch.ts'
 import { GatewayMetrics } from './records/gatewayMetrics.ts'
@@ -390,13 +391,19 @@
     await waitForAbort(signal)
     this.#isStopping = true
     this.#decisionLog.record({ type: 'stopping', vm: this.#settings.vm, inFlight: this.#requestHandler.inFlight })
-    await drainCallers(this.#callerServer, this.#requestHandler, this.#stopWindow, this.#settings.drainGraceMs)
+    const stoppedAtMs = performance.now()
+    const recordPhase = (phase: StopPhase) => this.#decisionLog.record({ type: 'stopPhase', phase, sinceStopMs: Math.round(performance.now() - stoppedAtMs), inFlight: this.#requestHandler.inFlight, connections: this.#callerServer.connectionCount })
+    await drainCallers({ callerServer: this.#callerServer, requestHandler: this.#requestHandler, stopWindow: this.#stopWindow, drainGraceMs: this.#settings.drainGraceMs, recordPhase })
     taskController.abort()
     await Promise.all(runningTasks)
+    recordPhase('tasksEnded')
     await this.#roster.removeSelf()
+    recordPhase('rowRemoved')
     this.#callerServer.closeAllConnections()
+    recordPhase('callersClosed')
     await auxiliaryServers.close()
     await this.#peerServices.close()
+    recordPhase('serversClosed')
     this.#tableClients.close()
     this.#agent.destroy()
     this.#decisionLog.record({ type: 'stopped', vm: settings.vm, inFlight: this.#requestHandler.inFlight })
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -17,6 +17,9 @@
 /** Which connection of a caller was closed as there were too many: one without a request, one whose head had not ended, or a new one. */
 export type ConnectionEviction = 'idleConnection' | 'unfinishedHead' | 'newConnection'
 
+/** A step of a planned stop that is done: new requests are refused, the listener is closed, responses are out or cut, tasks have ended, this VM's row is removed, connections of callers and then of the other servers are closed. */
+export type StopPhase = 'refusing' | 'listenerClosed' | 'drained' | 'tasksEnded' | 'rowRemoved' | 'callersClosed' | 'serversClosed'
+
 /** Why a request that was read cannot be answered: the response before it is the last one of its connection, or the connection is being closed. */
 export type UnacceptedReason = 'behindLastResponse' | 'connectionClosing'
 
@@ -117,6 +120,8 @@
   | { type: 'heldUp', delayMs: number, inFlight: number }
   /** Callers took more than they may, so that some gave way: how many within the last second, why, and the bytes that they held. */
   | { type: 'callersEvicted', reason: EvictionReason | ConnectionEviction, count: number, bytes: number, connections: number }
+  /** A step of a planned stop is done, `sinceStopMs` after the stop signal. */
+  | { type: 'stopPhase', phase: StopPhase, sinceStopMs: number, inFlight: number, connections: number }
   /** A connection of a caller has closed on which `count` requests were read and neither run nor answered, the first one `waitedMs` before. */
   | { type: 'requestsUnaccepted', reason: UnacceptedReason, count: number, waitedMs: number, isStopping: boolean }
   /** `count` log lines of a kind were suppressed by the rate limit. */
--- a/packages/knapweedshunt-gateway/src/records/decisionLog.ts
+++ b/packages/knapweedshunt-gateway/src/records/decisionLog.ts
@@ -78,6 +78,7 @@
   rowUnwritten: 'Row of this VM not written.',
   heldUp: 'Process held up.',
   callersEvicted: 'Callers gave way.',
+  stopPhase: 'Step of the stop done.',
   requestsUnaccepted: 'Requests read and not answered.',
   linesLeftOut: 'Log lines suppressed by the rate limit.'
 }
