A stop ends by the grace time although requests keep arriving

Cause: before the listener and idle connections are closed, a stop turns the event loop until nothing arrives any more, up to 1,000 turns. The wait was bounded in turns and not in time: refused callers that come again make each turn bring an arrival, and a turn may take long. The deadline of the drain was asked only after it. Class: a bound in another unit than the promise. The deadline is a signal now that ends these waits, and after it the servers for other VMs, readiness and metrics close all connections; they waited for one with an unfinished head as well.

--- a/packages/knapweedshunt-gateway/src/__tests__/drainCallers.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/drainCallers.test.ts
@@ -1,8 +1,10 @@
+import net from 'node:net'
+import { setImmediate } from 'node:timers/promises'
+import FakeTimers from '@sinonjs/fake-timers'
 import test from 'ava'
 import { CallerServer } from '../callers/callerServer.ts'
 import type { CallerRequestHandler } from '../callers/callerRequestHandler.ts'
 import { drainCallers } from '../callers/drainCallers.ts'
-import { StopWindow } from '../flow/stopWindow.ts'
 import { HeldUpCallers } from '../../../knapweedshunt-utils/src/__tests__/heldUpCallers.ts'
 
 const COUNT = 30
@@ -11,6 +13,10 @@
 const DRAIN_GRACE_MS = 400
 const HOLD_MS = 300
 
+/** Duration of a turn of the event loop beside a crowd, in milliseconds, and turns until the end of a wait shows. */
+const SLOW_TURN_MS = 50
+const QUIET_TURNS = 2
+
 for (const [title, calls] of Object.entries({
   'kept connections': { keptCount: COUNT, newCount: 0 },
   'new connections': { keptCount: 0, newCount: COUNT }
@@ -24,9 +30,34 @@
     })
     const requestHandler = { inFlight: 0, refuseNewRequests: () => { isRefusing = true }, stopRequests: () => {} } as unknown as CallerRequestHandler
     const callers = await HeldUpCallers.open({ ...calls, url: await server.start({ host: '127.0.0.1', port: 0 }) })
-    const drained = drainCallers({ callerServer: server, requestHandler, stopWindow: new StopWindow({ findLongestMs: () => null }), drainGraceMs: DRAIN_GRACE_MS, recordPhase () {} })
+    const drained = drainCallers({ callerServer: server, requestHandler, drainGraceMs: DRAIN_GRACE_MS, deadline: new AbortController().signal, recordPhase () {} })
     const outcomes = await callers.callWhileHeldUp(HOLD_MS)
     t.deepEqual(outcomes, Array<string>(COUNT).fill('503'))
     await drained
   })
 }
+
+// Guards against a process that does not end as more and more requests arrive while each turn of its event loop takes long.
+test.serial('a stop ends by its deadline although requests keep arriving', async t => {
+  const server = new CallerServer(() => {})
+  const address = new URL(await server.start({ host: '127.0.0.1', port: 0 }))
+  const socket = net.connect({ host: address.hostname, port: Number(address.port), noDelay: true })
+  await new Promise<void>(resolve => socket.once('connect', () => resolve()))
+  const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance'] })
+  t.teardown(() => {
+    clock.uninstall()
+    socket.destroy()
+  })
+  const requestHandler = { inFlight: 0, refuseNewRequests () {}, stopRequests () {} } as unknown as CallerRequestHandler
+  const deadline = new AbortController()
+  setTimeout(() => deadline.abort(), DRAIN_GRACE_MS)
+  const drained = drainCallers({ callerServer: server, requestHandler, drainGraceMs: DRAIN_GRACE_MS, deadline: deadline.signal, recordPhase () {} })
+  const state = { isDrained: false }
+  drained.finally(() => { state.isDrained = true }).catch(() => {})
+  while (!state.isDrained) {
+    socket.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+    clock.tick(SLOW_TURN_MS)
+    await setImmediate()
+  }
+  t.true(performance.now() <= DRAIN_GRACE_MS + QUIET_TURNS * SLOW_TURN_MS, `${performance.now()}`)
+})
--- a/packages/knapweedshunt-gateway/src/callers/auxiliaryServers.ts
+++ b/packages/knapweedshunt-gateway/src/callers/auxiliaryServers.ts
@@ -32,12 +32,12 @@
     return { readiness: await listen(this.#readiness, readiness), metrics: metrics === null ? null : await listen(this.#metrics, metrics) }
   }
 
-  /** Closes the servers and their connections at once. */
-  async close (): Promise<void> {
+  /** Closes the servers and their connections at once; requests that have just arrived are answered, until the signal aborts. */
+  async close (signal: AbortSignal): Promise<void> {
     for (const server of [this.#readiness, this.#metrics]) {
       if (!server.listening) continue
       server.closeAllConnections()
-      await closeServer(server)
+      await closeServer(server, signal)
     }
   }
 }
--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -178,15 +178,15 @@
     return [...this.#pendingResponses.values()].reduce((sum, { size }) => sum + size, 0)
   }
 
-  /** Stops accepting connections, once those that have arrived are accepted and their requests read. */
-  async closeListener (): Promise<void> {
-    await waitForArrivals(this.#server)
+  /** Stops accepting connections, once those that have arrived are accepted and their requests read, or the signal aborts. */
+  async closeListener (signal?: AbortSignal): Promise<void> {
+    await waitForArrivals(this.#server, signal)
     this.#server.close()
   }
 
-  /** Closes connections without a request in flight, once the requests that have arrived are read. */
-  async closeIdleConnections (): Promise<void> {
-    await waitForArrivals(this.#server)
+  /** Closes connections without a request in flight, once the requests that have arrived are read, or the signal aborts. */
+  async closeIdleConnections (signal?: AbortSignal): Promise<void> {
+    await waitForArrivals(this.#server, signal)
     this.#server.closeIdleConnections()
   }
 
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -70,6 +70,9 @@
 /** Interval at which one VM removes rows of the roster that nobody needs any more, in milliseconds. */
 const ROSTER_SWEEP_INTERVAL_MS = 2_000
 
+/** Share of the drain grace time after which requests in flight are cut off and all connections are closed. */
+const DRAIN_DEADLINE_GRACE_SHARE = 0.93
+
 /** Delay after the notice that endpoints load weights until their remaining streams are moved, in milliseconds; most streams end earlier. */
 const MOVE_STREAMS_DELAY_MS = 300
 
@@ -393,7 +396,11 @@
     this.#decisionLog.record({ type: 'stopping', vm: this.#settings.vm, inFlight: this.#requestHandler.inFlight })
     const stoppedAtMs = performance.now()
     const recordPhase = (phase: StopPhase) => this.#decisionLog.record({ type: 'stopPhase', phase, sinceStopMs: Math.round(performance.now() - stoppedAtMs), inFlight: this.#requestHandler.inFlight, connections: this.#callerServer.connectionCount })
-    await drainCallers({ callerServer: this.#callerServer, requestHandler: this.#requestHandler, stopWindow: this.#stopWindow, drainGraceMs: this.#settings.drainGraceMs, recordPhase })
+    const { drainGraceMs } = this.#settings
+    const deadline = new AbortController()
+    this.#stopWindow.setEnd(stoppedAtMs + drainGraceMs * DRAIN_DEADLINE_GRACE_SHARE)
+    setTimeout(() => deadline.abort(), drainGraceMs * DRAIN_DEADLINE_GRACE_SHARE).unref()
+    await drainCallers({ callerServer: this.#callerServer, requestHandler: this.#requestHandler, drainGraceMs, deadline: deadline.signal, recordPhase })
     taskController.abort()
     await Promise.all(runningTasks)
     recordPhase('tasksEnded')
@@ -401,8 +408,8 @@
     recordPhase('rowRemoved')
     this.#callerServer.closeAllConnections()
     recordPhase('callersClosed')
-    await auxiliaryServers.close()
-    await this.#peerServices.close()
+    await auxiliaryServers.close(deadline.signal)
+    await this.#peerServices.close(deadline.signal)
     recordPhase('serversClosed')
     this.#tableClients.close()
     this.#agent.destroy()
--- a/packages/knapweedshunt-gateway/src/peers/peerServer.ts
+++ b/packages/knapweedshunt-gateway/src/peers/peerServer.ts
@@ -37,11 +37,11 @@
     return { url: await listen(this.#server, address), key: this.#key }
   }
 
-  /** Closes the server and its connections at once. */
-  async close (): Promise<void> {
+  /** Closes the server and its connections at once; requests that have just arrived are answered, until the signal aborts. */
+  async close (signal: AbortSignal): Promise<void> {
     if (!this.#server.listening) return
     this.#server.closeAllConnections()
-    await closeServer(this.#server)
+    await closeServer(this.#server, signal)
   }
 
   #serveRelayed (request: http.IncomingMessage, response: http.ServerResponse): void {
--- a/packages/knapweedshunt-gateway/src/peers/peerServices.ts
+++ b/packages/knapweedshunt-gateway/src/peers/peerServices.ts
@@ -116,8 +116,8 @@
     return await this.#server.start(address)
   }
 
-  async close (): Promise<void> {
-    await this.#server.close()
+  async close (signal: AbortSignal): Promise<void> {
+    await this.#server.close(signal)
     this.#clients.close()
   }
 }
--- a/packages/knapweedshunt-utils/src/__tests__/closeServer.test.ts
+++ b/packages/knapweedshunt-utils/src/__tests__/closeServer.test.ts
@@ -1,4 +1,5 @@
 import http from 'node:http'
+import net from 'node:net'
 import test from 'ava'
 import { closeServer, listen } from '../index.ts'
 import { HeldUpCallers } from './heldUpCallers.ts'
@@ -19,3 +20,21 @@
     await closed
   })
 }
+
+// Guards against a server that stays open for a caller whose request does not end.
+test('a server closes all connections once its signal aborts', async t => {
+  const server = http.createServer(() => t.fail())
+  const address = new URL(await listen(server, { host: '127.0.0.1', port: 0 }))
+  const socket = net.connect(Number(address.port), address.hostname, () => socket.write('GET / HTTP/1.1\r\n'))
+  const closed = new Promise(resolve => socket.once('close', resolve))
+  socket.on('error', () => {})
+  const connection = await new Promise<net.Socket>(resolve => server.once('connection', resolve))
+  await new Promise(resolve => setTimeout(resolve, 100))
+  const stop = new AbortController()
+  const serverClosed = closeServer(server, stop.signal)
+  await new Promise(resolve => setTimeout(resolve, 100))
+  t.false(connection.destroyed)
+  stop.abort()
+  await serverClosed
+  await closed
+})
--- a/packages/knapweedshunt-utils/src/waitForArrivals.ts
+++ b/packages/knapweedshunt-utils/src/waitForArrivals.ts
@@ -7,12 +7,12 @@
 /** Maximum number of turns while more keeps arriving; a turn accepts one connection, and no more wait to be accepted than this. */
 const MAX_TURNS = 1_000
 
-/** Resolves once the connections and requests that have reached this process are read. After the process was held up, timers run before that, and a connection that is closed with unread bytes is reset. */
-export async function waitForArrivals (server: http.Server): Promise<void> {
+/** Resolves once the connections and requests that have reached this process are read. After the process was held up, timers run before that, and a connection that is closed with unread bytes is reset. Waits no longer once the signal aborts: arrivals need not end, and a turn may take long. */
+export async function waitForArrivals (server: http.Server, signal?: AbortSignal): Promise<void> {
   let quietTurns = 0
   const markArrival = () => { quietTurns = 0 }
   server.on('connection', markArrival).on('request', markArrival)
-  for (let turn = 0; turn < MAX_TURNS && quietTurns < QUIET_TURNS; turn++) {
+  for (let turn = 0; turn < MAX_TURNS && quietTurns < QUIET_TURNS && signal?.aborted !== true; turn++) {
     quietTurns++
     await setImmediate()
   }
