A refusal does not close a connection on which another request was accepted

What callers saw: of two requests sent at once on one connection, the first refused with a close (431 for its head, 401, 503 while keys are unconfirmed), the second is accepted, may be passed on, and ends without an answer. Found by reading, with no planned work; that it was seen by anyone is not shown.

Cause: requests that arrive in one read are accepted before the first of them is refused, and the refusal then makes its response the last one of the connection. A refusal closes its connection so that the rest of its body is not read; a request behind it can only be read once that body has ended, so the close is not needed then. A refused body that has not ended still closes its connection.

The test of callerServer fails before: the second response is not received.

--- a/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
@@ -72,8 +72,8 @@
   await server.closeListener()
 })
 
-/** Opens a connection to a server that stops; responses are answered by the test, in any order. Resolves to what the caller receives, too. */
-async function openStopping (t: ExecutionContext) {
+/** Opens a connection to a server that stops, or not; responses are answered by the test, in any order. Resolves to what the caller receives, too. */
+async function openConnection (t: ExecutionContext, isStopping = true) {
   const responses: CallerResponse[] = []
   const unaccepted: Array<{ reason: string, count: number }> = []
   const server = new CallerServer((_request, response) => { responses.push(new CallerResponse(response)) }, { maxConnections: Infinity, tryEndStill: () => false, onEvicted () {}, onUnaccepted: ({ reason, count }) => { unaccepted.push({ reason, count }) } })
@@ -86,9 +86,9 @@
   const received = { text: '' }
   socket.on('data', chunk => { received.text += chunk.toString() })
   const closed = new Promise(resolve => socket.once('close', resolve))
-  server.disableKeepAlive()
-  const send = async (head = '') => {
-    socket.write(`GET / HTTP/1.1\r\nHost: h\r\n${head}\r\n`)
+  if (isStopping) server.disableKeepAlive()
+  const send = async (head = '', count = 1) => {
+    socket.write(`GET / HTTP/1.1\r\nHost: h\r\n${head}\r\n`.repeat(count))
     await sleep(50)
   }
   const answer = (n: number, text: string, closesConnection = false) => responses[n].sendWhole({ start: { status: 200, message: '', headers: ['Content-Length', String(text.length)], closesConnection }, body: Buffer.from(text) })
@@ -97,7 +97,7 @@
 
 // Guards against a response behind the last one of its connection, and against requests that vanish without a trace.
 test('a request behind a refusal that closes the connection is not run in a stop', async t => {
-  const { responses, unaccepted, received, closed, send, answer } = await openStopping(t)
+  const { responses, unaccepted, received, closed, send, answer } = await openConnection(t)
   await send()
   await send()
   answer(1, 'refused', true)
@@ -110,7 +110,7 @@
 })
 
 test('a request behind a response that has said that it is the last is not run in a stop', async t => {
-  const { responses, unaccepted, received, closed, send } = await openStopping(t)
+  const { responses, unaccepted, received, closed, send } = await openConnection(t)
   await send()
   responses[0].tryBegin({ status: 200, message: '', headers: ['Content-Length', '4'], closesConnection: false })
   await send()
@@ -122,7 +122,7 @@
 })
 
 test('a request whose caller closes the connection is the last one in a stop', async t => {
-  const { received, closed, send, answer } = await openStopping(t)
+  const { received, closed, send, answer } = await openConnection(t)
   await send()
   await send('Connection: close\r\n')
   answer(1, 'last')
@@ -132,7 +132,7 @@
 })
 
 test('a response that waits for its turn in a stop keeps its parts in order, whether it is followed or not', async t => {
-  const { responses, received, closed, send, answer } = await openStopping(t)
+  const { responses, received, closed, send, answer } = await openConnection(t)
   await send()
   await send()
   responses[1].tryBegin({ status: 200, message: '', headers: ['Content-Length', '4'], closesConnection: false })
@@ -149,3 +149,13 @@
   await closed
   t.deepEqual(received.text.replaceAll('.', '').match(/first|once|er$|connection: close/gi)?.map(part => part.toLowerCase()), ['first', 'once', 'connection: close', 'er'])
 })
+
+// Guards against a request that runs behind a refusal that closes its connection.
+test('a refusal closes its connection only if no other request was accepted behind it', async t => {
+  const { received, closed, send, answer } = await openConnection(t, false)
+  await send('', 2)
+  answer(0, 'refused', true)
+  answer(1, 'second', true)
+  await closed
+  t.regex(received.text, /connection: keep-alive.*refused.*connection: close.*second$/is)
+})
--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -102,8 +102,8 @@
     if (last !== undefined && this.#canBeFollowed(last)) {
       this.#closedByStop.delete(last)
       last.shouldKeepAlive = true
-      last.emit(FOLLOWED_EVENT)
     }
+    last?.emit(FOLLOWED_EVENT)
     this.#pendingResponses.set(socket, pending.add(response))
     this.#connections.recordBusy(socket)
     if (this.#isKeepAliveDisabled) this.#announceClose(response)
