--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -56,6 +56,7 @@
 import { REPEATABILITY } from './ports/gatewayConfig.ts'
 import type { VmSettings } from './ports/vmSettings.ts'
 import { addGauges } from './records/addGauges.ts'
+import type { StopPhase } from './records/decision.ts'
 import { DecisionLog } from './records/decisionLog.ts'
 import { DelayWatch } from './records/delayWatch.ts'
 import { GatewayMetrics } from './records/gatewayMetrics.ts'
@@ -69,6 +70,9 @@
 /** Interval at which one VM removes rows of the roster that nobody needs any more, in milliseconds. */
 const ROSTER_SWEEP_INTERVAL_MS = 2_000
 
+/** Share of the drain grace time after which requests in flight are cut off and all connections are closed. */
+const DRAIN_DEADLINE_GRACE_SHARE = 0.93
+
 /** Delay after the notice that endpoints load weights until their remaining streams are moved, in milliseconds; most streams end earlier. */
 const MOVE_STREAMS_DELAY_MS = 300
 
@@ -308,7 +312,11 @@
     this.#callerServer = new CallerServer((request, response) => this.#requestHandler.handleRequest(request, response), {
       maxConnections: callerBounds.maxConnections,
       tryEndStill: () => this.#callerMemory.tryEndStill(EVICTION_REASON.connection),
-      onEvicted: reason => callerEvictionLog.record(reason, 0)
+      onEvicted: reason => callerEvictionLog.record(reason, 0),
+      onUnaccepted: ({ reason, count, sinceMs }) => {
+        this.#metrics.recordUnaccepted(reason, count)
+        this.#decisionLog.record({ type: 'requestsUnaccepted', reason, count, waitedMs: Math.round(performance.now() - sinceMs), isStopping: this.#isStopping })
+      }
     })
     this.#readiness = new Readiness({ configState: this.#configState, directoryUpdater: this.#directoryUpdater, rosterFollower: this.#followers.roster, keyFreshness: this.#keyFreshness, decisionLog: this.#decisionLog, isStopping: () => this.#isStopping })
     addGauges(this.#metrics, {
@@ -386,13 +394,23 @@
     await waitForAbort(signal)
     this.#isStopping = true
     this.#decisionLog.record({ type: 'stopping', vm: this.#settings.vm, inFlight: this.#requestHandler.inFlight })
-    await drainCallers(this.#callerServer, this.#requestHandler, this.#stopWindow, this.#settings.drainGraceMs)
+    const stoppedAtMs = performance.now()
+    const recordPhase = (phase: StopPhase) => this.#decisionLog.record({ type: 'stopPhase', phase, sinceStopMs: Math.round(performance.now() - stoppedAtMs), inFlight: this.#requestHandler.inFlight, connections: this.#callerServer.connectionCount })
+    const { drainGraceMs } = this.#settings
+    const deadline = new AbortController()
+    this.#stopWindow.setEnd(stoppedAtMs + drainGraceMs * DRAIN_DEADLINE_GRACE_SHARE)
+    setTimeout(() => deadline.abort(), drainGraceMs * DRAIN_DEADLINE_GRACE_SHARE).unref()
+    await drainCallers({ callerServer: this.#callerServer, requestHandler: this.#requestHandler, drainGraceMs, deadline: deadline.signal, recordPhase })
     taskController.abort()
     await Promise.all(runningTasks)
+    recordPhase('tasksEnded')
     await this.#roster.removeSelf()
+    recordPhase('rowRemoved')
     this.#callerServer.closeAllConnections()
-    await auxiliaryServers.close()
-    await this.#peerServices.close()
+    recordPhase('callersClosed')
+    await auxiliaryServers.close(deadline.signal)
+    await this.#peerServices.close(deadline.signal)
+    recordPhase('serversClosed')
     this.#tableClients.close()
     this.#agent.destroy()
     this.#decisionLog.record({ type: 'stopped', vm: settings.vm, inFlight: this.#requestHandler.inFlight })
