--- a/packages/knapweedshunt-gateway/src/__tests__/streamRowsLoad.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/streamRowsLoad.ts
@@ -12,7 +12,7 @@
 const COPIES = 2
 
 const RETENTION_MS = 18_000
-const STEP_MS = 50
+const STEP_MS = 10
 const SAMPLE_MS = 700
 const MS_PER_SECOND = 1_000
 const LOG = { debug () {}, info () {}, warn () {}, error () {} }
