--- a/packages/knapweedshunt-gateway/src/peers/streamAnnouncer.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamAnnouncer.ts
@@ -11,7 +11,7 @@
 const RETRY_INTERVAL_MS = 500
 
 /** Maximum number of calls to one VM that are in flight at once; it answers those about streams that it stores once they are written. */
-const MAX_CALLS = 8
+const MAX_CALLS = 4
 
 /** A stream as it is told to a VM. */
 export interface AnnouncedStream extends StreamVersion {
@@ -33,6 +33,8 @@
   callCount: number
   isScheduled: boolean
   retryAtMs: number
+  /** Whether the last call failed; there is one call at a time then. */
+  isFailing: boolean
 }
 
 /** Dependencies of {@link StreamAnnouncer}. */
@@ -56,7 +58,7 @@
 
   /** Sends a stream to another VM soon; resolves when that VM has acknowledged it. */
   add (view: PeerView, pool: PoolName, stream: AnnouncedStream): Promise<void> {
-    const queue = this.#queues.get(view.vm) ?? { view, pending: [], callCount: 0, isScheduled: false, retryAtMs: -Infinity }
+    const queue = this.#queues.get(view.vm) ?? { view, pending: [], callCount: 0, isScheduled: false, retryAtMs: -Infinity, isFailing: false }
     this.#queues.set(view.vm, queue)
     queue.view = view
     return new Promise(resolve => {
@@ -66,7 +68,7 @@
   }
 
   #schedule (queue: PeerQueue): void {
-    if (queue.isScheduled || queue.callCount >= MAX_CALLS || queue.pending.length === 0) return
+    if (queue.isScheduled || queue.callCount >= (queue.isFailing ? 1 : MAX_CALLS) || queue.pending.length === 0) return
     queue.isScheduled = true
     this.#sendNext(queue).catch(() => {}) // Failed calls are reported by onFailed.
   }
@@ -81,6 +83,7 @@
     this.#schedule(queue)
     const isTold = await this.#send(queue, batch)
     queue.callCount--
+    queue.isFailing = !isTold
     if (isTold) {
       for (const { onTold } of batch) onTold()
     } else {
