A request that cannot be read is refused in its turn

What callers saw: behind an order under way on the same connection, a head that did not end within the header timeout, was too large or could not be read was refused at once: its 408, 431 or 400 took the place of the order's answer, which never came. 408 promises that the request has not run. Found by reading; that it was seen by anyone is not shown.

Cause: the refusals of the HTTP parser were written to the socket without regard to the responses that are not out yet. They wait for them now.

Tests: the three of callerServer fail before (the refusal is received first and the order counts as left).

--- a/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
@@ -86,13 +86,14 @@
   const received = { text: '' }
   socket.on('data', chunk => { received.text += chunk.toString() })
   const closed = new Promise(resolve => socket.once('close', resolve))
+  server.applyLimits({ maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 100, idleTimeoutMs: 15_000 })
   if (isStopping) server.disableKeepAlive()
   const send = async (head = '', count = 1) => {
     socket.write(`GET / HTTP/1.1\r\nHost: h\r\n${head}\r\n`.repeat(count))
     await sleep(50)
   }
   const answer = (n: number, text: string, closesConnection = false) => responses[n].sendWhole({ start: { status: 200, message: '', headers: ['Content-Length', String(text.length)], closesConnection }, body: Buffer.from(text) })
-  return { responses, unaccepted, received, closed, send, answer }
+  return { responses, unaccepted, received, closed, socket, send, answer }
 }
 
 // Guards against a response behind the last one of its connection, and against requests that vanish without a trace.
@@ -159,3 +160,22 @@
   await closed
   t.regex(received.text, /connection: keep-alive.*refused.*connection: close.*second$/is)
 })
+
+// Guards against the refusal of a head in place of the answer to the request before it, which has run.
+for (const [title, { text, status }] of Object.entries({
+  'a head that does not end': { text: 'GET / HTTP/1.1\r\nHo', status: '408' },
+  'a head that cannot be read': { text: 'no request\r\n\r\n', status: '400' },
+  'a head that is too large': { text: `GET / HTTP/1.1\r\nX: ${'x'.repeat(140_000)}\r\n\r\n`, status: '431' }
+})) {
+  test(`${title} is refused in its turn`, async t => {
+    const { responses, received, closed, socket, send, answer } = await openConnection(t, false)
+    await send()
+    socket.write(text)
+    await sleep(1_200)
+    t.is(received.text, '')
+    t.false(responses[0].hasCallerLeft)
+    answer(0, 'first')
+    await closed
+    t.deepEqual(received.text.match(/(?<=HTTP\/1.1 )\d+|first/g), ['200', 'first', status])
+  })
+}
--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -49,6 +49,8 @@
   readonly #connections: ConnectionTable<Socket>
   /** Bytes that each connection without a request under way had sent when its last one ended. */
   readonly #bytesAtIdle = new WeakMap<Socket, number>()
+  /** Connections with a request whose head cannot be read behind responses that are not out yet. */
+  readonly #unreadable = new WeakMap<Socket, NodeJS.ErrnoException>()
   readonly #unaccepted = new Map<Socket, UnacceptedRequests>()
   #turnTimer: NodeJS.Immediate | null = null
   #isKeepAliveDisabled = false
@@ -72,7 +74,7 @@
       if (this.#connections.isOverfull) this.#makeRoom(socket)
     })
     this.#server.requestTimeout = 0 // The body has its own size and idle limits.
-    this.#server.on('clientError', respondToClientError)
+    this.#server.on('clientError', (error, socket) => this.#handleClientError(error, socket as Socket))
     closeOnIdleTimeout(this.#server)
     this.applyLimits(INITIAL_LIMITS)
   }
@@ -95,7 +97,7 @@
     const pending = this.#pendingResponses.get(socket) ?? new Set()
     const last = [...pending].at(-1)
     const isLastAnnounced = [...pending].some(one => !one.shouldKeepAlive && !this.#canBeFollowed(one))
-    if (isLastAnnounced || !socket.writable) {
+    if (isLastAnnounced || !socket.writable || this.#unreadable.has(socket)) {
       this.#recordUnaccepted(socket, isLastAnnounced ? 'behindLastResponse' : 'connectionClosing')
       return false
     }
@@ -113,10 +115,25 @@
       this.#pendingResponses.delete(socket)
       this.#bytesAtIdle.set(socket, socket.bytesRead)
       this.#connections.recordIdle(socket)
+      const error = this.#unreadable.get(socket)
+      if (error === undefined) return
+      respondToClientError(error, socket)
+      socket.resume()
     })
     return true
   }
 
+  /** Refuses a request that cannot be read, once the requests before it on its connection are answered. */
+  #handleClientError (error: NodeJS.ErrnoException, socket: Socket): void {
+    const pending = [...this.#pendingResponses.get(socket) ?? []]
+    const isBodyUnreadable = pending.at(-1)?.req.complete === false
+    if (pending.length <= Number(isBodyUnreadable) || !socket.writable || socket.readableEnded || error.code === 'ECONNRESET') return respondToClientError(error, socket)
+    // The parser cannot go on; what else the caller sends must not be read for nothing.
+    if (error.code !== 'ERR_HTTP_REQUEST_TIMEOUT') socket.pause()
+    // A body that does not go on is refused by its reader.
+    if (!isBodyUnreadable) this.#unreadable.set(socket, this.#unreadable.get(socket) ?? error)
+  }
+
   #announceClose (response: http.ServerResponse): void {
     if (!response.shouldKeepAlive || response.headersSent) return
     response.shouldKeepAlive = false
