Gauge for connections that wait to be accepted

Beside 900 callers over three VMs that send chunks of one byte, first requests of new connections wait for seconds where nothing of the VM shows it. The gauge says for how long each turn of the event loop has accepted a connection: only a turn without one shows that none was left.

--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -4,6 +4,7 @@
 import type { CallerLimits } from '../ports/gatewayConfig.ts'
 import type { ListenAddress } from '../ports/vmSettings.ts'
 import type { ConnectionEviction } from '../records/decision.ts'
+import { AcceptWatch } from './acceptWatch.ts'
 import { ConnectionTable } from './connectionTable.ts'
 
 /** Maximum size of the headers that Node.js reads, in bytes; the configured limit is checked afterwards. */
@@ -43,6 +44,7 @@
   readonly #connections: ConnectionTable<Socket>
   /** Bytes that each connection without a request under way had sent when its last one ended. */
   readonly #bytesAtIdle = new WeakMap<Socket, number>()
+  readonly #acceptWatch = new AcceptWatch()
   #turnTimer: NodeJS.Immediate | null = null
   #isKeepAliveDisabled = false
 
@@ -52,6 +54,7 @@
     this.#server = http.createServer({ maxHeaderSize: MAX_READABLE_HEADER_BYTES, connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_INTERVAL_MS, keepAlive: true, noDelay: true }, (request, response) => {
       if (this.#tryAccept(request.socket, response)) onRequest(request, response)
     })
+    this.#server.on('connection', () => this.#acceptWatch.recordAccepted())
     // Node.js does not close a response that still waits behind another one.
     this.#server.on('connection', socket => {
       socket.once('close', () => {
@@ -126,6 +129,11 @@
     return this.#connections.size
   }
 
+  /** Returns the longest time since the last call in which connections may have waited to be accepted, in milliseconds. */
+  takeMaxBacklogMs (): number {
+    return this.#acceptWatch.takeMaxBacklogMs()
+  }
+
   /** From now on each connection closes after a response that says so: the one to its latest request if that response has not begun, otherwise the next one. */
   disableKeepAlive (): void {
     this.#isKeepAliveDisabled = true
