Limit the time that one connection is parsed for in a turn of the event loop

What callers saw: beside 900 callers over three VMs that send 18,000 chunks of one byte, the first request of each new connection took 8.0 s (median of 96), and 94 of 624 orders with a deadline of 6 s began at an endpoint 6.0 to 8.2 s after they were sent. Requests on connections that were accepted took 0.25 s.

Cause: the listen queue of each VM held 310 connections all the time (none was dropped: ListenOverflows 0), and 39 connections were accepted a second. libuv accepts one connection a turn, and a read of 64 kB in such chunks is parsed whole within the turn, 10,900 calls, also after the body was refused and its connection closed at 1,024 chunks. What waits in the queue has no deadline: the VM cannot see it. The class: no bound on the processor time of one caller in a turn.

Now connections are parsed in slices of 2 kB; one that takes longer than 0.25 ms goes on in another turn, at most eight in each, and what a connection had sent is not parsed once it is closed. The bytes are put back into the connection's stream, so that the kernel slows the caller as before. This holds for the callers' servers, readiness, metrics and other VMs.

--- a/packages/knapweedshunt-gateway/src/callers/auxiliaryServers.ts
+++ b/packages/knapweedshunt-gateway/src/callers/auxiliaryServers.ts
@@ -1,5 +1,5 @@
 import http from 'node:http'
-import { closeServer, listen } from 'knapweedshunt-utils'
+import { closeServer, limitParsing, listen } from 'knapweedshunt-utils'
 import type { ListenAddress } from '../ports/vmSettings.ts'
 import type { GatewayMetrics } from '../records/gatewayMetrics.ts'
 
@@ -25,6 +25,8 @@
         error => response.writeHead(500).end((error as Error).message)
       )
     })
+    limitParsing(this.#readiness)
+    limitParsing(this.#metrics)
   }
 
   /** Starts the servers; without an address there is none for metrics. */
--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -1,6 +1,6 @@
 import http from 'node:http'
 import type { Socket } from 'node:net'
-import { closeOnIdleTimeout, listen, waitForArrivals } from 'knapweedshunt-utils'
+import { closeOnIdleTimeout, limitParsing, listen, waitForArrivals } from 'knapweedshunt-utils'
 import type { CallerLimits } from '../ports/gatewayConfig.ts'
 import type { ListenAddress } from '../ports/vmSettings.ts'
 import type { ConnectionEviction } from '../records/decision.ts'
@@ -67,6 +67,7 @@
     this.#server.requestTimeout = 0 // The body has its own size and idle limits.
     this.#server.on('clientError', respondToClientError)
     closeOnIdleTimeout(this.#server)
+    limitParsing(this.#server)
     this.applyLimits(INITIAL_LIMITS)
   }
 
--- a/packages/knapweedshunt-gateway/src/peers/peerServer.ts
+++ b/packages/knapweedshunt-gateway/src/peers/peerServer.ts
@@ -2,7 +2,7 @@
 import { RELAY_HEADER } from 'knapweedshunt-membership'
 import { createRpcHandler } from 'knapweedshunt-rpc'
 import type { RpcMethods } from 'knapweedshunt-rpc'
-import { closeServer, createIncarnation, isSameSecret, listen } from 'knapweedshunt-utils'
+import { closeServer, createIncarnation, isSameSecret, limitParsing, listen } from 'knapweedshunt-utils'
 import { MAX_READABLE_HEADER_BYTES } from '../callers/callerServer.ts'
 import type { ListenAddress } from '../ports/vmSettings.ts'
 import { buildRefusal } from './buildRefusal.ts'
@@ -29,6 +29,7 @@
       if (request.headers[RELAY_HEADER.key] !== undefined) this.#serveRelayed(request, response)
       else handleCall(request, response).catch(() => response.destroy())
     })
+    limitParsing(this.#server)
     this.#server.requestTimeout = 0 // The body has its own size and idle limits.
   }
 
--- a/packages/knapweedshunt-router/src/callerServer.ts
+++ b/packages/knapweedshunt-router/src/callerServer.ts
@@ -1,7 +1,7 @@
 import http from 'node:http'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Duplex } from 'node:stream'
-import { closeOnIdleTimeout, closeServer, createIncarnation, listen, sleep } from 'knapweedshunt-utils'
+import { closeOnIdleTimeout, closeServer, createIncarnation, limitParsing, listen, sleep } from 'knapweedshunt-utils'
 import type { ListenOptions } from 'knapweedshunt-utils'
 import { answerClientError } from './answerClientError.ts'
 import { createCallerError } from './callerError.ts'
@@ -39,6 +39,7 @@
     const { requestTimeoutMs } = options
     this.#server = http.createServer({ requestTimeout: requestTimeoutMs, headersTimeout: requestTimeoutMs, connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS }, (message, response) => this.#handleRequest(message, response))
     closeOnIdleTimeout(this.#server)
+    limitParsing(this.#server)
     this.#server.on('connection', socket => this.#trackConnection(socket))
     this.#server.on('clientError', (error, socket) => answerClientError(error, socket, this.#responses.get(socket)?.headersSent ?? false))
   }
--- /dev/null
+++ b/packages/knapweedshunt-utils/src/__tests__/limitParsing.test.ts
@@ -0,0 +1,79 @@
+import { once } from 'node:events'
+import http from 'node:http'
+import net from 'node:net'
+import type { AddressInfo } from 'node:net'
+import test from 'ava'
+import type { ExecutionContext } from 'ava'
+import { sleep } from '../index.ts'
+import { limitParsing, SLICE_BYTES } from '../limitParsing.ts'
+
+const HEAD = 'POST /tiny HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
+const CHUNK = '1\r\nx\r\n'
+const CHUNK_COUNT = 10_000
+
+/** Starts a server and opens connections to it. */
+async function connect (t: ExecutionContext, onRequest: http.RequestListener, count: number): Promise<net.Socket[]> {
+  const server = http.createServer(onRequest)
+  limitParsing(server)
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const sockets = Array.from({ length: count }, () => net.connect((server.address() as AddressInfo).port, '127.0.0.1'))
+  t.teardown(() => {
+    for (const socket of sockets) socket.destroy()
+    server.close()
+  })
+  await Promise.all(sockets.map(async socket => await once(socket, 'connect')))
+  while (await new Promise(resolve => server.getConnections((_error, open) => resolve(open))) !== count) await sleep(1)
+  return sockets
+}
+
+// Guards against a connection whose very small chunks keep others from being read for as long as a whole read of them takes.
+test('other connections are read before very many chunks of one have been', async t => {
+  const count = { chunks: 0, atOther: Infinity }
+  const [tiny, other] = await connect(t, (request, response) => {
+    if (request.url === '/tiny') request.on('data', () => { count.chunks++ })
+    else {
+      count.atOther = count.chunks
+      response.end()
+    }
+  }, 2)
+  tiny.write(HEAD + CHUNK.repeat(CHUNK_COUNT))
+  other.write('GET /other HTTP/1.1\r\nHost: h\r\n\r\n')
+  while (count.chunks < CHUNK_COUNT) await sleep(1)
+  t.true(count.atOther < CHUNK_COUNT / 2, `${count.atOther} chunks`)
+})
+
+// Guards against processor time for what a connection had sent before it was closed.
+test('bytes of a connection that was closed are not parsed', async t => {
+  let chunksAfterClose = 0
+  const [tiny] = await connect(t, request => {
+    request.socket.destroy()
+    request.push = () => {
+      chunksAfterClose++
+      return true
+    }
+  }, 1)
+  tiny.on('error', () => {})
+  tiny.write(HEAD + CHUNK.repeat(CHUNK_COUNT))
+  await once(tiny, 'close')
+  t.true(chunksAfterClose <= SLICE_BYTES / CHUNK.length, `${chunksAfterClose} chunks`)
+})
+
+test('bodies in chunks of any size arrive whole, also at readers that pause', async t => {
+  const sizes = [1, 1, 7, 60_000, 1, 300, 1, 200_000, 3]
+  const parts = Array.from({ length: 6_000 }, (_, n) => String(n % 10).repeat(n % 700 === 0 ? sizes[n / 700] : 1))
+  const body = parts.join('')
+  const sockets = await connect(t, async (request, response) => {
+    let text = ''
+    for await (const chunk of request) {
+      text += chunk
+      if (text.length % 500 === 0) await sleep(1)
+    }
+    response.end(text === body ? 'whole' : 'broken')
+  }, 150)
+  const answers = await Promise.all(sockets.map(async socket => {
+    socket.write(HEAD + parts.map(part => `${part.length.toString(16)}\r\n${part}\r\n`).join('') + '0\r\n\r\n')
+    const [answer] = await once(socket, 'data') as [Buffer]
+    return /whole|broken/.exec(answer.toString())?.[0]
+  }))
+  t.deepEqual(answers, answers.map(() => 'whole'))
+})
--- /dev/null
+++ b/packages/knapweedshunt-utils/src/limitParsing.ts
@@ -0,0 +1,55 @@
+import type http from 'node:http'
+import type { Socket } from 'node:net'
+
+/** Bytes of a connection that are parsed at a time. */
+export const SLICE_BYTES = 2 * 1024
+
+/** Time that parsing one connection may take in a turn of the event loop, in milliseconds. */
+const TURN_MS = 0.25
+
+/** Number of connections of a server whose bytes may wait for another turn, each with up to two reads in memory, and of those that go on in a turn. */
+const MAX_WAITING = 128
+const MAX_RESUMED = 8
+
+/** Has a server parse each connection in slices and go on in another turn of the event loop once they took long: very small chunks take several times as long as others of the same size, and a turn accepts one connection. What a closed connection had sent is not parsed any more. */
+export function limitParsing (server: http.Server): void {
+  const waiting = new Set<Socket>()
+  const resume = () => {
+    for (const socket of [...waiting].slice(0, MAX_RESUMED)) {
+      waiting.delete(socket)
+      socket.resume()
+    }
+    if (waiting.size > 0) setImmediate(resume)
+  }
+  /** Puts bytes back until the connection is resumed, here or by the server that paused it; false if too many wait. */
+  const tryDefer = (socket: Socket, bytes: Buffer) => {
+    if (!socket.isPaused()) {
+      if (waiting.size >= MAX_WAITING) return false
+      if (waiting.size === 0) setImmediate(resume)
+      waiting.add(socket)
+    }
+    putBack(socket, bytes)
+    return true
+  }
+  server.on('connection', (socket: Socket) => {
+    const parsers = socket.listeners('data') as Array<(bytes: Buffer) => void>
+    // With a listener of others the server does not read the descriptor past the stream.
+    socket.on('data', (bytes: Buffer) => {
+      // The server resumes a connection whose request is read.
+      if (waiting.has(socket)) return putBack(socket, bytes)
+      const startMs = performance.now()
+      for (let end = 0; end < bytes.length && !socket.destroyed;) {
+        const slice = bytes.subarray(end, end += SLICE_BYTES)
+        for (const parse of parsers) parse(slice)
+        if (end < bytes.length && !socket.destroyed && performance.now() - startMs >= TURN_MS && tryDefer(socket, bytes.subarray(end))) return
+      }
+    })
+    for (const parse of parsers) socket.removeListener('data', parse)
+    socket.once('close', () => waiting.delete(socket))
+  })
+}
+
+function putBack (socket: Socket, bytes: Buffer): void {
+  socket.pause()
+  socket.unshift(bytes)
+}
