--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -1,10 +1,11 @@
 import http from 'node:http'
 import type { Socket } from 'node:net'
-import { closeOnIdleTimeout, listen, waitForArrivals } from 'knapweedshunt-utils'
+import { closeOnIdleTimeout, limitParsing, listen, waitForArrivals } from 'knapweedshunt-utils'
 import type { CallerLimits } from '../ports/gatewayConfig.ts'
 import type { ListenAddress } from '../ports/vmSettings.ts'
 import type { ConnectionEviction, UnacceptedReason } from '../records/decision.ts'
 import { FOLLOWED_EVENT } from '../shared/responseHold.ts'
+import { AcceptWatch } from './acceptWatch.ts'
 import { ConnectionTable } from './connectionTable.ts'
 import type { UnacceptedRequests } from './unacceptedRequests.ts'
 
@@ -52,6 +53,7 @@
   /** Connections with a request whose head cannot be read behind responses that are not out yet. */
   readonly #unreadable = new WeakMap<Socket, NodeJS.ErrnoException>()
   readonly #unaccepted = new Map<Socket, UnacceptedRequests>()
+  readonly #acceptWatch = new AcceptWatch()
   #turnTimer: NodeJS.Immediate | null = null
   #isKeepAliveDisabled = false
 
@@ -61,6 +63,7 @@
     this.#server = http.createServer({ maxHeaderSize: MAX_READABLE_HEADER_BYTES, connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_INTERVAL_MS, keepAlive: true, noDelay: true }, (request, response) => {
       if (this.#tryAccept(request.socket, response)) onRequest(request, response)
     })
+    this.#server.on('connection', () => this.#acceptWatch.recordAccepted())
     // Node.js does not close a response that still waits behind another one.
     this.#server.on('connection', socket => {
       socket.once('close', () => {
@@ -76,6 +79,7 @@
     this.#server.requestTimeout = 0 // The body has its own size and idle limits.
     this.#server.on('clientError', (error, socket) => this.#handleClientError(error, socket as Socket))
     closeOnIdleTimeout(this.#server)
+    limitParsing(this.#server)
     this.applyLimits(INITIAL_LIMITS)
   }
 
@@ -181,6 +185,11 @@
     return this.#connections.size
   }
 
+  /** Returns the longest time since the last call in which connections may have waited to be accepted, in milliseconds. */
+  takeMaxBacklogMs (): number {
+    return this.#acceptWatch.takeMaxBacklogMs()
+  }
+
   /** From now on each connection closes after a response that says so: the one to the latest request that was read when it begins, unless it has begun already. */
   disableKeepAlive (): void {
     this.#isKeepAliveDisabled = true
