No request runs behind a response that was aborted before its turn

What callers saw: of three requests sent on one connection while the first is under way, the second's endpoint breaks off in the middle of its body; the third, read after that, is passed on, and ends without an answer when the connection is destroyed at the second's turn.

Cause: a response that waits for its turn and is aborted destroys the connection later, but still counts as one that may be followed: in service as shouldKeepAlive is true, in a stop as it is held and has no head.

Found by reading.

--- a/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
@@ -179,3 +179,27 @@
     t.deepEqual(received.text.match(/(?<=HTTP\/1.1 )\d+|first/g), ['200', 'first', status])
   })
 }
+
+// Guards against a request that runs behind a response that ends its connection although it is not complete.
+for (const isStopping of [true, false]) {
+  test(`a request behind a response that was aborted before its turn is not run, ${isStopping ? 'in a stop' : 'in service'}`, async t => {
+    const { responses, unaccepted, received, closed, send, answer } = await openConnection(t, isStopping)
+    await send()
+    await send()
+    responses[1].tryBegin({ status: 200, message: '', headers: ['Content-Length', '4'], closesConnection: false })
+    responses[1].abort()
+    await send()
+    answer(0, 'first')
+    await closed
+    t.is(responses.length, 2)
+    t.regex(received.text, /first$/)
+    t.deepEqual(unaccepted, [{ reason: 'behindLastResponse', count: 1 }])
+  })
+}
+
+test('a request whose body cannot be parsed is refused at once', async t => {
+  const { received, closed, send } = await openConnection(t, false)
+  await send('Transfer-Encoding: chunked\r\n\r\nno size\r\n')
+  await closed
+  t.regex(received.text, /^HTTP\/1.1 400 /)
+})
--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -100,7 +100,8 @@
   #tryAccept (socket: Socket, response: http.ServerResponse): boolean {
     const pending = this.#pendingResponses.get(socket) ?? new Set()
     const last = [...pending].at(-1)
-    const isLastAnnounced = [...pending].some(one => !one.shouldKeepAlive && !this.#canBeFollowed(one))
+    // A response that was aborted before its turn destroys the connection when its turn comes.
+    const isLastAnnounced = [...pending].some(one => one.destroyed || (!one.shouldKeepAlive && !this.#canBeFollowed(one)))
     if (isLastAnnounced || !socket.writable || this.#unreadable.has(socket)) {
       this.#recordUnaccepted(socket, isLastAnnounced ? 'behindLastResponse' : 'connectionClosing')
       return false
