Connections that take long to parse wait in the VM, not in the queue of new ones

Cause: eight connections that waited went on in each turn, so that turns, each of which accepts one connection, lasted for milliseconds and little of the crowd was ever inside. Now two go on, eight once three quarters of the places are taken, and there is a place for each 64 kB of a tenth of the VM's memory (128 before).

--- a/packages/knapweedshunt-gateway/src/callers/callerLimits.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerLimits.ts
@@ -24,6 +24,10 @@
 const READ_AHEAD_SHARE = 1 / 20
 const COLLECTED_SHARE = 1 / 40
 
+/** Share of the VM's memory for bytes that wait to be parsed, and the size of one read, in bytes. */
+const PARSING_SHARE = 1 / 10
+const READ_BYTES = 64 * 1024
+
 /** What all callers of a VM together may take. */
 export interface CallerBounds {
   maxConnections: number
@@ -35,6 +39,8 @@
   readAheadBytes: number
   /** Bytes of bodies that may arrive until the buffers of those that were handed on are collected. */
   collectedBytes: number
+  /** Connections whose bytes may wait to be parsed. */
+  maxParsingWaits: number
 }
 
 /** Computes what callers may take from the memory and the descriptors of the VM. */
@@ -47,6 +53,7 @@
     keptBytes: Math.floor(memoryBytes * KEPT_SHARE),
     firstPartBytes: Math.floor(memoryBytes * FIRST_PART_SHARE),
     readAheadBytes: Math.floor(memoryBytes * READ_AHEAD_SHARE),
-    collectedBytes: Math.floor(memoryBytes * COLLECTED_SHARE)
+    collectedBytes: Math.floor(memoryBytes * COLLECTED_SHARE),
+    maxParsingWaits: Math.floor(memoryBytes * PARSING_SHARE / READ_BYTES)
   }
 }
--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -28,6 +28,8 @@
 /** Bounds on the connections of a {@link CallerServer}. */
 export interface CallerServerOptions {
   maxConnections: number
+  /** Connections whose bytes may wait to be parsed, as parsing takes long; a small number if absent. */
+  maxParsingWaits?: number
   /** Ends a request whose caller sends nothing, so that its connection closes; false if there is none. */
   tryEndStill (): boolean
   onEvicted (reason: ConnectionEviction): void
@@ -67,7 +69,7 @@
     this.#server.requestTimeout = 0 // The body has its own size and idle limits.
     this.#server.on('clientError', respondToClientError)
     closeOnIdleTimeout(this.#server)
-    limitParsing(this.#server)
+    limitParsing(this.#server, options.maxParsingWaits)
     this.applyLimits(INITIAL_LIMITS)
   }
 
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -307,6 +307,7 @@
     this.#requestHandler = new CallerRequestHandler({ requestPlanner: this.#requestPlanner, flowDependencies: this.#flowDependencies })
     this.#callerServer = new CallerServer((request, response) => this.#requestHandler.handleRequest(request, response), {
       maxConnections: callerBounds.maxConnections,
+      maxParsingWaits: callerBounds.maxParsingWaits,
       tryEndStill: () => this.#callerMemory.tryEndStill(EVICTION_REASON.connection),
       onEvicted: reason => callerEvictionLog.record(reason, 0)
     })
--- a/packages/knapweedshunt-utils/src/limitParsing.ts
+++ b/packages/knapweedshunt-utils/src/limitParsing.ts
@@ -7,15 +7,20 @@
 /** Time that parsing one connection may take in a turn of the event loop, in milliseconds. */
 const TURN_MS = 0.25
 
-/** Number of connections of a server whose bytes may wait for another turn, each with up to two reads in memory, and of those that go on in a turn. */
-const MAX_WAITING = 128
-const MAX_RESUMED = 8
+/** Number of connections of a server whose bytes may wait for another turn, if its owner states none. Each has one read in memory, at times two. */
+const DEFAULT_MAX_WAITING = 32
+
+/** Number of these that go on in a turn: few, as a turn accepts one connection, and more once most of the places are taken. */
+const RESUMED_COUNT = 2
+const CROWDED_RESUMED_COUNT = 8
+const CROWDED_SHARE = 3 / 4
 
 /** Has a server parse each connection in slices and go on in another turn of the event loop once they took long: very small chunks take several times as long as others of the same size, and a turn accepts one connection. What a closed connection had sent is not parsed any more. */
-export function limitParsing (server: http.Server): void {
+export function limitParsing (server: http.Server, maxWaiting = DEFAULT_MAX_WAITING): void {
   const waiting = new Set<Socket>()
   const resume = () => {
-    for (const socket of [...waiting].slice(0, MAX_RESUMED)) {
+    const count = waiting.size < maxWaiting * CROWDED_SHARE ? RESUMED_COUNT : CROWDED_RESUMED_COUNT
+    for (const socket of [...waiting].slice(0, count)) {
       waiting.delete(socket)
       socket.resume()
     }
@@ -24,7 +29,7 @@
   /** Puts bytes back until the connection is resumed, here or by the server that paused it; false if too many wait. */
   const tryDefer = (socket: Socket, bytes: Buffer) => {
     if (!socket.isPaused()) {
-      if (waiting.size >= MAX_WAITING) return false
+      if (waiting.size >= maxWaiting) return false
       if (waiting.size === 0) setImmediate(resume)
       waiting.add(socket)
     }
