Router: requests sent one behind the other in a drain are answered

What callers saw: of several requests sent on one connection in a drain, all ran, the first was answered with Connection: close, and the others ended without an answer when the connection closed behind it.

Now the response that is sent next announces it, if no other request was read behind it; a request behind one that has announced it is not run, which is logged. A response that is done before its turn keeps the connection, which closes once it is idle.

--- a/packages/knapweedshunt-router/src/callerServer.ts
+++ b/packages/knapweedshunt-router/src/callerServer.ts
@@ -1,6 +1,7 @@
 import http from 'node:http'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Duplex } from 'node:stream'
+import type { Logger } from 'knapweedshunt-logger'
 import { closeOnIdleTimeout, closeServer, createIncarnation, listen, sleep } from 'knapweedshunt-utils'
 import type { ListenOptions } from 'knapweedshunt-utils'
 import { answerClientError } from './answerClientError.ts'
@@ -16,6 +17,7 @@
   requestTimeoutMs: number
   /** Time between the start of a drain, when readiness ends, and the closing of idle connections, in milliseconds. */
   drainGraceMs: number
+  log: Logger
   serve: ServeRequest
 }
 
@@ -30,7 +32,8 @@
   readonly #options: CallerServerOptions
   readonly #server: http.Server
   readonly #sockets = new Set<Duplex>()
-  readonly #responses = new Map<Duplex, ServerResponse>()
+  /** Responses of each connection that are not out yet, in the order of their requests; a connection without any is not listed. */
+  readonly #responses = new Map<Duplex, Set<ServerResponse>>()
   readonly #requestsInFlight = new Set<Promise<void>>()
   #connectionsAtStop: Set<Duplex> | null = null
 
@@ -40,7 +43,7 @@
     this.#server = http.createServer({ requestTimeout: requestTimeoutMs, headersTimeout: requestTimeoutMs, connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS }, (message, response) => this.#handleRequest(message, response))
     closeOnIdleTimeout(this.#server)
     this.#server.on('connection', socket => this.#trackConnection(socket))
-    this.#server.on('clientError', (error, socket) => answerClientError(error, socket, this.#responses.get(socket)?.headersSent ?? false))
+    this.#server.on('clientError', (error, socket) => answerClientError(error, socket, [...this.#responses.get(socket) ?? []].at(-1)?.headersSent ?? false))
   }
 
   /** Whether the server is draining. */
@@ -65,17 +68,39 @@
 
   #trackConnection (socket: Duplex): void {
     this.#sockets.add(socket)
-    socket.once('close', () => this.#sockets.delete(socket))
+    // Node.js does not close a response that still waits behind another one.
+    socket.once('close', () => {
+      this.#sockets.delete(socket)
+      this.#responses.delete(socket)
+    })
   }
 
   #handleRequest (message: IncomingMessage, response: ServerResponse): void {
-    this.#responses.set(message.socket, response)
-    response.once('close', () => this.#responses.delete(message.socket))
-    if (this.#connectionsAtStop !== null) response.setHeader('connection', 'close')
+    const pending = this.#responses.get(message.socket) ?? new Set()
+    const [first] = pending
+    if (first?.headersSent && first.getHeader('connection') === 'close') {
+      this.#options.log.warn('Request not accepted: the response before it closes its connection.')
+      return
+    }
+    this.#responses.set(message.socket, pending.add(response))
+    this.#announceClose(pending)
+    response.once('close', () => {
+      pending.delete(response)
+      if (pending.size === 0) this.#responses.delete(message.socket)
+      else this.#announceClose(pending)
+    })
     if (this.#connectionsAtStop?.has(message.socket) === false && message.url !== '/healthz' && message.url !== '/readyz') {
       return sendCallerError(response, createCallerError('shutting_down', 'The router is stopping: connect again.', 'not-run', STOPPING_RETRY_AFTER_MS), createIncarnation())
     }
     const serving = this.#options.serve(message, response).finally(() => this.#requestsInFlight.delete(serving))
     this.#requestsInFlight.add(serving)
   }
+
+  /** In a drain the response that is sent next closes its connection if no other request was read behind it. */
+  #announceClose (pending: Iterable<ServerResponse>): void {
+    const [first, next] = pending
+    if (!this.isStopping || first.headersSent) return
+    if (next === undefined) first.setHeader('connection', 'close')
+    else if (first.hasHeader('connection')) first.removeHeader('connection')
+  }
 }
--- a/packages/knapweedshunt-router/src/startRouter.ts
+++ b/packages/knapweedshunt-router/src/startRouter.ts
@@ -32,6 +32,7 @@
   const callerServer: CallerServer = new CallerServer({
     requestTimeoutMs: options.requestTimeoutMs,
     drainGraceMs: options.drainGraceMs,
+    log,
     serve: async (message, response): Promise<void> => {
       if (message.url === '/healthz') return sendJsonResponse(response, 200, { ok: true })
       if (message.url === '/readyz') return sendReadiness(response, dataPath.resourceIndex !== null && !callerServer.isStopping)
