Gateway: a stream is not moved to another software version than the one that began it

What callers may see: a stream whose first pieces come from one software version and the others from another (ORDER). Where the first event waits for the store, the caller can get the other version's stream alone, which is recorded under the first version, so that it is joined when it is taken up again.

Cause: a stream that is moved as its endpoint loads weights asks for a successor with the software version known then: none before the first event. Choosing takes a read of the endpoint's row, and a wait while endpoints are busy; if the first event comes meanwhile, an endpoint of any version is asked all the same. Class: a decision that is taken once, while its premise changes later. The version is compared once more right before the request is sent. Silent endpoints are not concerned: their successor is given up at an event.

--- a/packages/knapweedshunt-gateway/src/flow/successor.ts
+++ b/packages/knapweedshunt-gateway/src/flow/successor.ts
@@ -7,6 +7,7 @@
 import { describeFailedOutcome, recordFailedOutcome } from './failedOutcome.ts'
 import type { AttemptEndParts, FailedOutcome } from './failedOutcome.ts'
 import type { FlowDependencies } from './flowDependencies.ts'
+import type { NextTarget } from './nextTarget.ts'
 import type { RequestPlan } from './requestPlan.ts'
 import type { RequestRecorder } from './requestRecorder.ts'
 import type { RunningAttempt } from './runningAttempt.ts'
@@ -83,6 +84,7 @@
     if (!permits.tryReserve(isOptional)) return { type: 'failed', reason: 'no retry permit' }
     const selection = await selectTarget(this.#dependencies, this.#plan, { triedEndpoints: [...attemptRunner.triedEndpoints], scope: { type: 'untried' }, triedPeers: [...attemptRunner.triedPeers], softwareVersion: attemptRunner.softwareVersion, maxWaitMs: computeMaxWaitMs(this.#plan.route, false), isCancelled: () => this.#hasEnded })
     if (selection.type !== 'target') return { type: 'failed', reason: describeSelection(selection) }
+    if (!this.#canGoOnAt(selection.target)) return { type: 'failed', reason: 'the stream has begun at another software version' }
     if (this.#hasEnded || !permits.tryTake(isOptional)) return { type: 'failed', reason: 'not needed any more' }
     onSend()
     this.#dependencies.metrics.recordRetry(this.#plan.pool)
@@ -96,6 +98,12 @@
       .otherwise(failed => this.#recordFailed(runningAttempt, failed))
   }
 
+  /** The first event may have come while the endpoint was chosen; another VM is told the version when it is asked. */
+  #canGoOnAt (target: NextTarget): boolean {
+    const { softwareVersion } = this.#parts.attemptRunner
+    return softwareVersion === null || target.type === 'peer' || target.chosen.record.entry.softwareVersion === softwareVersion
+  }
+
   get #hasEnded (): boolean {
     return this.#isCancelled || this.#parts.finalResponse.isSettled
   }
