Gateway: VMs of earlier builds get their answers about streams at once

What callers may see while VMs of two builds serve: streams that began at a VM of the earlier build shortly before it ended are refused as stream_unknown.

Cause: earlier builds make one call about streams to a VM at a time, and forward first events without a wait. Since a writer answers them up to 150 ms later, and what they gather meanwhile is told to that VM only then. A VM now says that it waits for the store (waitsUntilStored); others are answered at once, and their streams are stored as before.

The test of streamOrigins fails before: no answer comes.

--- a/packages/knapweedshunt-gateway/src/__tests__/streamOrigins.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/streamOrigins.test.ts
@@ -99,6 +99,17 @@
   t.deepEqual(await find(true), { type: 'unknown' })
 })
 
+// Guards against streams of earlier builds, which make one call at a time, that are told late because the calls before are answered late.
+test.serial('VMs of earlier builds do not wait until their streams are stored', async t => {
+  await runWithStarted(() => ({}), async ({ clock, origins }) => {
+    const answered: string[] = []
+    const tell = (name: string, options: object) => origins.handleRecord({ pool: POOL, streams: [{ key: 'k', softwareVersion: 'v1', mustStore: true }], ...options }).then(() => answered.push(name))
+    Promise.all([tell('earlier', {}), tell('same', { waitsUntilStored: true })]).catch(() => {})
+    await clock.tickAsync(10)
+    t.deepEqual(answered, ['earlier'])
+  }, { streamRows: { ...EMPTY_STREAM_ROWS.streamRows, store: () => new Promise(() => {}) } })
+})
+
 // Guards against holders out of step whose word counts for more than what this VM has seen itself.
 test.serial('a VM that has seen two versions does not believe holders who say that there is one', async t => {
   await runWithOrigins(() => ({ softwareVersion: null, onlyVersion: 'v1' }), async ({ clock, origins, applyVersions }) => {
--- a/packages/knapweedshunt-gateway/src/peers/streamAnnouncer.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamAnnouncer.ts
@@ -103,7 +103,7 @@
 
   async #send ({ view }: PeerQueue, batch: PendingStream[]): Promise<boolean> {
     try {
-      await this.#dependencies.call(view, 'streams.record', { pool: batch[0].pool, streams: batch.map(({ key, softwareVersion, mustStore }) => ({ key, softwareVersion, mustStore })) })
+      await this.#dependencies.call(view, 'streams.record', { pool: batch[0].pool, waitsUntilStored: true, streams: batch.map(({ key, softwareVersion, mustStore }) => ({ key, softwareVersion, mustStore })) })
       return true
     } catch (error) {
       this.#dependencies.onFailed(view.vm, (error as Error).message)
--- a/packages/knapweedshunt-gateway/src/peers/streamMessages.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamMessages.ts
@@ -9,8 +9,8 @@
 const text = z.string().min(1).max(255)
 const softwareVersion = z.string().max(255)
 
-/** Params of `streams.record`: streams and the software versions that began them, and whether the VM stores them; earlier builds do not say. */
-export const recordParamsSchema = z.object({ pool: text, streams: z.array(z.object({ key: text, softwareVersion, mustStore: z.boolean().default(false) })).max(MAX_MESSAGE_STREAMS) })
+/** Params of `streams.record`: streams and the software versions that began them, and whether the VM stores them and answers only then; earlier builds do not say. */
+export const recordParamsSchema = z.object({ pool: text, streams: z.array(z.object({ key: text, softwareVersion, mustStore: z.boolean().default(false) })).max(MAX_MESSAGE_STREAMS), waitsUntilStored: z.boolean().default(false) })
 
 /** Params of `streams.versions`: software versions that the endpoints of a pool have. */
 export const versionsParamsSchema = z.object({ pool: text, softwareVersions: z.array(softwareVersion).max(MAX_MESSAGE_VERSIONS) })
--- a/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamOrigins.ts
@@ -184,11 +184,12 @@
     return version === null ? { type: 'unknown' } : { type: 'known', softwareVersion: version }
   }
 
-  /** Handles `streams.record`; resolves when the streams are stored that must be, or after a while. Throws ZodError on invalid params. */
+  /** Handles `streams.record`; resolves when the streams are stored that must be, or after a while, if the caller waits for that. Throws ZodError on invalid params. */
   async handleRecord (params: unknown): Promise<object> {
-    const { pool, streams } = recordParamsSchema.parse(params)
+    const { pool, streams, waitsUntilStored } = recordParamsSchema.parse(params)
     for (const { key, softwareVersion } of streams) this.#table.record(key, pool, softwareVersion)
-    await Promise.all(streams.filter(({ mustStore }) => mustStore).map(({ key, softwareVersion }) => this.#dependencies.streamRows.store({ key, pool, softwareVersion })))
+    const stored = Promise.all(streams.filter(({ mustStore }) => mustStore).map(({ key, softwareVersion }) => this.#dependencies.streamRows.store({ key, pool, softwareVersion })))
+    if (waitsUntilStored) await stored
     return {}
   }
 
