--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -3,8 +3,10 @@
 import { closeOnIdleTimeout, listen, waitForArrivals } from 'knapweedshunt-utils'
 import type { CallerLimits } from '../ports/gatewayConfig.ts'
 import type { ListenAddress } from '../ports/vmSettings.ts'
-import type { ConnectionEviction } from '../records/decision.ts'
+import type { ConnectionEviction, UnacceptedReason } from '../records/decision.ts'
+import { FOLLOWED_EVENT } from '../shared/responseHold.ts'
 import { ConnectionTable } from './connectionTable.ts'
+import type { UnacceptedRequests } from './unacceptedRequests.ts'
 
 /** Maximum size of the headers that Node.js reads, in bytes; the configured limit is checked afterwards. */
 export const MAX_READABLE_HEADER_BYTES = 128 * 1024
@@ -30,19 +32,24 @@
   /** Ends a request whose caller sends nothing, so that its connection closes; false if there is none. */
   tryEndStill (): boolean
   onEvicted (reason: ConnectionEviction): void
+  /** Called when a connection has closed on which requests were read that could not be answered. */
+  onUnaccepted (requests: UnacceptedRequests): void
 }
 
-const UNBOUNDED: CallerServerOptions = { maxConnections: Infinity, tryEndStill: () => false, onEvicted () {} }
+const UNBOUNDED: CallerServerOptions = { maxConnections: Infinity, tryEndStill: () => false, onEvicted () {}, onUnaccepted () {} }
 
 /** HTTP server for callers. */
 export class CallerServer {
   readonly #server: http.Server
   /** Responses of each connection that are not out yet, in the order of their requests; a connection without any is not listed. */
   readonly #pendingResponses = new Map<Socket, Set<http.ServerResponse>>()
+  /** Responses that announce the close of their connection for no other reason than that this server stops. */
+  readonly #closedByStop = new WeakSet<http.ServerResponse>()
   readonly #options: CallerServerOptions
   readonly #connections: ConnectionTable<Socket>
   /** Bytes that each connection without a request under way had sent when its last one ended. */
   readonly #bytesAtIdle = new WeakMap<Socket, number>()
+  readonly #unaccepted = new Map<Socket, UnacceptedRequests>()
   #turnTimer: NodeJS.Immediate | null = null
   #isKeepAliveDisabled = false
 
@@ -57,6 +64,9 @@
       socket.once('close', () => {
         this.#pendingResponses.delete(socket)
         this.#connections.remove(socket)
+        const unaccepted = this.#unaccepted.get(socket)
+        if (unaccepted !== undefined) this.#options.onUnaccepted(unaccepted)
+        this.#unaccepted.delete(socket)
       })
       this.#addConnection(socket)
       if (this.#connections.isOverfull) this.#makeRoom(socket)
@@ -83,11 +93,20 @@
   /** Returns whether the request can be answered; nothing can follow the last response of a connection, so a request behind it is not run. */
   #tryAccept (socket: Socket, response: http.ServerResponse): boolean {
     const pending = this.#pendingResponses.get(socket) ?? new Set()
-    const isLastAnnounced = [...pending].some(({ shouldKeepAlive }) => !shouldKeepAlive)
-    if (isLastAnnounced || !socket.writable) return false
+    const last = [...pending].at(-1)
+    const isLastAnnounced = [...pending].some(one => !one.shouldKeepAlive && !this.#canBeFollowed(one))
+    if (isLastAnnounced || !socket.writable) {
+      this.#recordUnaccepted(socket, isLastAnnounced ? 'behindLastResponse' : 'connectionClosing')
+      return false
+    }
+    if (last !== undefined && this.#canBeFollowed(last)) {
+      this.#closedByStop.delete(last)
+      last.shouldKeepAlive = true
+    }
+    last?.emit(FOLLOWED_EVENT)
     this.#pendingResponses.set(socket, pending.add(response))
     this.#connections.recordBusy(socket)
-    if (this.#isKeepAliveDisabled) response.shouldKeepAlive = false
+    if (this.#isKeepAliveDisabled) this.#announceClose(response)
     response.once('close', () => {
       pending.delete(response)
       if (pending.size > 0) return
@@ -98,6 +117,25 @@
     return true
   }
 
+  #announceClose (response: http.ServerResponse): void {
+    if (!response.shouldKeepAlive || response.headersSent) return
+    response.shouldKeepAlive = false
+    this.#closedByStop.add(response)
+  }
+
+  /** Whether another response can take over the announcement of the close. */
+  #canBeFollowed (response: http.ServerResponse): boolean {
+    return this.#closedByStop.has(response) && !response.headersSent
+  }
+
+  #recordUnaccepted (socket: Socket, reason: UnacceptedReason): void {
+    const requests = this.#unaccepted.get(socket) ?? { reason, count: 0, sinceMs: performance.now() }
+    requests.count++
+    // A socket that has closed emits nothing more.
+    if (!socket.destroyed) this.#unaccepted.set(socket, requests)
+    else this.#options.onUnaccepted(requests)
+  }
+
   #addConnection (socket: Socket): void {
     this.#connections.add(socket)
     this.#turnTimer ??= setImmediate(() => this.#advanceTurn())
@@ -126,12 +164,12 @@
     return this.#connections.size
   }
 
-  /** From now on each connection closes after a response that says so: the one to its latest request if that response has not begun, otherwise the next one. */
+  /** From now on each connection closes after a response that says so: the one to the latest request that was read when it begins, unless it has begun already. */
   disableKeepAlive (): void {
     this.#isKeepAliveDisabled = true
     for (const pending of this.#pendingResponses.values()) {
       const last = [...pending].at(-1)
-      if (last !== undefined && !last.headersSent) last.shouldKeepAlive = false
+      if (last !== undefined) this.#announceClose(last)
     }
   }
 
@@ -140,15 +178,15 @@
     return [...this.#pendingResponses.values()].reduce((sum, { size }) => sum + size, 0)
   }
 
-  /** Stops accepting connections, once those that have arrived are accepted and their requests read. */
-  async closeListener (): Promise<void> {
-    await waitForArrivals(this.#server)
+  /** Stops accepting connections, once those that have arrived are accepted and their requests read, or the signal aborts. */
+  async closeListener (signal?: AbortSignal): Promise<void> {
+    await waitForArrivals(this.#server, signal)
     this.#server.close()
   }
 
-  /** Closes connections without a request in flight, once the requests that have arrived are read. */
-  async closeIdleConnections (): Promise<void> {
-    await waitForArrivals(this.#server)
+  /** Closes connections without a request in flight, once the requests that have arrived are read, or the signal aborts. */
+  async closeIdleConnections (signal?: AbortSignal): Promise<void> {
+    await waitForArrivals(this.#server, signal)
     this.#server.closeIdleConnections()
   }
 
