Requests of one connection have a bound; those beyond it wait

Cause: each request that Node.js parses was accepted and run at once, and kept with its plan, its task and its answer until its turn. Node.js stops reading a connection whose answers are not taken, but not one whose requests have no answer yet: a read of 64 kB brings more than a hundred, and the next one comes in the next turn.

Eight requests of a connection are under way at a time; the others that were read wait in order, unplanned, and the connection is not read until all are started. A request counts until its response is out, so that a caller that reads nothing holds eight. What waits on all connections has a bound too, from the memory; beyond it the connection on which most wait is closed, logged and counted as waitingRequests. Deadlines count from the read, as before. The time of a head does not run while its connection is not read: Node.js would report it as late, and 408 would stand between other responses. That a response is followed by another one is kept for responses that are created later.

--- a/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
@@ -5,6 +5,7 @@
 import { sleep } from 'knapweedshunt-utils'
 import { HeldUpCallers } from '../../../knapweedshunt-utils/src/__tests__/heldUpCallers.ts'
 import { CallerServer } from '../callers/callerServer.ts'
+import { MAX_STARTED_REQUESTS } from '../callers/pipelinedRequests.ts'
 import { CallerResponse } from '../shared/callerResponse.ts'
 
 /** More than the buffers of a connection hold, in bytes. */
@@ -76,7 +77,7 @@
 async function openConnection (t: ExecutionContext, isStopping = true) {
   const responses: CallerResponse[] = []
   const unaccepted: Array<{ reason: string, count: number }> = []
-  const server = new CallerServer((_request, response) => { responses.push(new CallerResponse(response)) }, { maxConnections: Infinity, tryEndStill: () => false, onEvicted () {}, onUnaccepted: ({ reason, count }) => { unaccepted.push({ reason, count }) } })
+  const server = new CallerServer((_request, response) => { responses.push(new CallerResponse(response)) }, { maxConnections: Infinity, maxWaitingRequests: Infinity, tryEndStill: () => false, onEvicted () {}, onUnaccepted: ({ reason, count }) => { unaccepted.push({ reason, count }) } })
   const address = new URL(await server.start({ host: '127.0.0.1', port: 0 }))
   const socket = net.connect({ host: address.hostname, port: Number(address.port), noDelay: true })
   t.teardown(async () => {
@@ -159,3 +160,80 @@
   await closed
   t.regex(received.text, /connection: keep-alive.*refused.*connection: close.*second$/is)
 })
+
+const buildPipelined = (count: number) => Array.from({ length: count }, (_, n) => `POST /${n} HTTP/1.1\r\nHost: h\r\nContent-Length: 400\r\n\r\n${'x'.repeat(400)}`).join('')
+
+/** Sends requests without waiting to a server that answers each with its path, after a while; resolves to the paths that were answered, and how many ran at a time. */
+async function callPipelined (t: ExecutionContext, text: string, { count, delayMs, headersTimeoutMs = 60_000 }: { count: number, delayMs: number, headersTimeoutMs?: number }): Promise<{ paths: string[], mostRunning: number, text: string }> {
+  let running = 0
+  let mostRunning = 0
+  const server = new CallerServer(async (request, response) => {
+    mostRunning = Math.max(mostRunning, ++running)
+    const bytes = (await request.toArray()).reduce((sum, { length }) => sum + length, 0)
+    // Answers are ready out of order.
+    await sleep(delayMs * (1 + Number(request.url?.slice(1)) % 3))
+    running--
+    response.end(`<${request.url}:${bytes}>`)
+  })
+  server.applyLimits({ maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: headersTimeoutMs, idleTimeoutMs: 5_000 })
+  const address = new URL(await server.start({ host: '127.0.0.1', port: 0 }))
+  const socket = net.connect(Number(address.port), address.hostname, () => socket.write(text))
+  t.teardown(async () => {
+    socket.destroy()
+    await server.closeListener()
+  })
+  let received = ''
+  socket.on('data', chunk => { received += chunk.toString() })
+  const listPaths = () => received.match(/<[^>]*>/g) ?? []
+  while (listPaths().length < count && !socket.closed) await sleep(5)
+  return { paths: listPaths(), mostRunning, text: received }
+}
+
+const listExpected = (count: number) => Array.from({ length: count }, (_, n) => `</${n}:400>`)
+
+// Guards against a bound on requests of one connection that a caller with a few of them meets.
+test('a few requests sent without waiting are all answered, in order, and run at the same time', async t => {
+  const { paths, mostRunning } = await callPipelined(t, buildPipelined(6), { count: 6, delayMs: 100 })
+  t.deepEqual(paths, listExpected(6))
+  t.is(mostRunning, 6)
+})
+
+// Guards against requests of one connection that all run at once, and against any that are lost behind the bound.
+test('a single connection with many pipelined requests gets all its answers in order when it reads', async t => {
+  const { paths, mostRunning } = await callPipelined(t, buildPipelined(2_000), { count: 2_000, delayMs: 1 })
+  t.deepEqual(paths, listExpected(2_000))
+  t.is(mostRunning, MAX_STARTED_REQUESTS)
+})
+
+// Guards against 408 in the middle of other responses, for a head whose rest was not read.
+test('a head that has not ended behind requests that wait is not late', async t => {
+  const { paths, text } = await callPipelined(t, buildPipelined(160), { count: 160, delayMs: 50, headersTimeoutMs: 300 })
+  t.deepEqual(paths, listExpected(160))
+  t.notRegex(text, / 408 /)
+})
+
+// Guards against a head whose time never ends because requests had waited before it.
+test('a head that does not end is late, also behind requests that waited', async t => {
+  const { paths, text } = await callPipelined(t, `${buildPipelined(20)}GET / HTTP/1.1\r\n`, { count: 21, delayMs: 100, headersTimeoutMs: 300 })
+  t.deepEqual(paths, listExpected(20))
+  t.regex(text, /<\/19:400>HTTP\/1.1 408 /)
+})
+
+// Guards against requests that wait on many connections and together take more memory than there is.
+test('the connection on which most requests wait is closed when too many do', async t => {
+  const evicted: string[] = []
+  let runs = 0
+  const server = new CallerServer(() => { runs++ }, { maxConnections: Infinity, maxWaitingRequests: 50, tryEndStill: () => false, onEvicted: reason => { evicted.push(reason) }, onUnaccepted () {} })
+  const address = new URL(await server.start({ host: '127.0.0.1', port: 0 }))
+  const sockets = [40, 30].map(count => {
+    const socket = net.connect(Number(address.port), address.hostname, () => socket.write(buildPipelined(count)))
+    return socket.on('error', () => {}).resume()
+  })
+  await new Promise(resolve => sockets[0].once('close', resolve))
+  t.deepEqual(evicted, ['waitingRequests'])
+  t.is(server.waitingCount, 30 - MAX_STARTED_REQUESTS)
+  t.is(runs, 2 * MAX_STARTED_REQUESTS)
+  t.false(sockets[1].closed)
+  sockets[1].destroy()
+  await server.closeListener()
+})
--- a/packages/knapweedshunt-gateway/src/callers/callerLimits.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerLimits.ts
@@ -24,9 +24,15 @@
 const READ_AHEAD_SHARE = 1 / 20
 const COLLECTED_SHARE = 1 / 40
 
+/** Memory that a request takes while it waits behind others of its connection, in bytes, and the share of the VM's memory that all of them may take. */
+const WAITING_REQUEST_BYTES = 8 * 1024
+const WAITING_SHARE = 1 / 12
+
 /** What all callers of a VM together may take. */
 export interface CallerBounds {
   maxConnections: number
+  /** Requests that wait behind others of their connections. */
+  maxWaitingRequests: number
   /** Bytes of bodies that are kept. */
   keptBytes: number
   /** Bytes beyond them that only first parts of bodies may take. */
@@ -44,6 +50,7 @@
   const derivedConnections = Math.min(descriptors * CALLER_CONNECTION_SHARE, memoryBytes * CONNECTION_MEMORY_SHARE / CONNECTION_BYTES)
   return {
     maxConnections: maxCallerConnections ?? Math.max(1, Math.floor(derivedConnections)),
+    maxWaitingRequests: Math.floor(memoryBytes * WAITING_SHARE / WAITING_REQUEST_BYTES),
     keptBytes: Math.floor(memoryBytes * KEPT_SHARE),
     firstPartBytes: Math.floor(memoryBytes * FIRST_PART_SHARE),
     readAheadBytes: Math.floor(memoryBytes * READ_AHEAD_SHARE),
--- a/packages/knapweedshunt-gateway/src/callers/callerRequestHandler.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerRequestHandler.ts
@@ -75,22 +75,22 @@
     for (const task of this.#tasks) task.cancelOverdue()
   }
 
-  /** Handles one request of a caller; unexpected errors are logged and close the connection. */
-  handleRequest (request: http.IncomingMessage, response: http.ServerResponse): void {
-    this.#startRequest(request, response, null)
+  /** Handles one request of a caller, which was read at a monotonic time; unexpected errors are logged and close the connection. */
+  handleRequest (request: http.IncomingMessage, response: http.ServerResponse, arrivedAtMs: number): void {
+    this.#startRequest(request, response, null, arrivedAtMs)
   }
 
   /** Handles one request that another VM relays. */
   handleRelayed (request: http.IncomingMessage, response: http.ServerResponse, relayed: RelayedRequest): void {
     this.#relayedCount++
     response.once('close', () => { this.#relayedCount-- })
-    this.#startRequest(request, response, relayed)
+    this.#startRequest(request, response, relayed, performance.now())
   }
 
-  #startRequest (request: http.IncomingMessage, response: http.ServerResponse, relayed: RelayedRequest | null): void {
+  #startRequest (request: http.IncomingMessage, response: http.ServerResponse, relayed: RelayedRequest | null, arrivedAtMs: number): void {
     this.#inFlight++
     const callerResponse = new CallerResponse(response)
-    this.#processRequest({ request, callerResponse, requestId: null, arrivedAtMs: performance.now(), relayed }).finally(() => { this.#inFlight-- }).catch(error => {
+    this.#processRequest({ request, callerResponse, requestId: null, arrivedAtMs, relayed }).finally(() => { this.#inFlight-- }).catch(error => {
       this.#dependencies.flowDependencies.log.error('Request failed with an internal error.', { reason: (error as Error).message })
       callerResponse.abort()
     })
--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -4,8 +4,9 @@
 import type { CallerLimits } from '../ports/gatewayConfig.ts'
 import type { ListenAddress } from '../ports/vmSettings.ts'
 import type { ConnectionEviction, UnacceptedReason } from '../records/decision.ts'
-import { FOLLOWED_EVENT } from '../shared/responseHold.ts'
+import { recordFollowed } from '../shared/responseHold.ts'
 import { ConnectionTable } from './connectionTable.ts'
+import { PipelinedRequests } from './pipelinedRequests.ts'
 import type { UnacceptedRequests } from './unacceptedRequests.ts'
 
 /** Maximum size of the headers that Node.js reads, in bytes; the configured limit is checked afterwards. */
@@ -29,6 +30,8 @@
 /** Bounds on the connections of a {@link CallerServer}. */
 export interface CallerServerOptions {
   maxConnections: number
+  /** Requests that may wait behind others of their connections. */
+  maxWaitingRequests: number
   /** Ends a request whose caller sends nothing, so that its connection closes; false if there is none. */
   tryEndStill (): boolean
   onEvicted (reason: ConnectionEviction): void
@@ -36,7 +39,10 @@
   onUnaccepted (requests: UnacceptedRequests): void
 }
 
-const UNBOUNDED: CallerServerOptions = { maxConnections: Infinity, tryEndStill: () => false, onEvicted () {}, onUnaccepted () {} }
+const UNBOUNDED: CallerServerOptions = { maxConnections: Infinity, maxWaitingRequests: Infinity, tryEndStill: () => false, onEvicted () {}, onUnaccepted () {} }
+
+/** Runs a request, which was read at this monotonic time. */
+type RequestListener = (request: http.IncomingMessage, response: http.ServerResponse, arrivedAtMs: number) => void
 
 /** HTTP server for callers. */
 export class CallerServer {
@@ -47,17 +53,20 @@
   readonly #closedByStop = new WeakSet<http.ServerResponse>()
   readonly #options: CallerServerOptions
   readonly #connections: ConnectionTable<Socket>
+  readonly #pipelinedRequests: PipelinedRequests
   /** Bytes that each connection without a request under way had sent when its last one ended. */
   readonly #bytesAtIdle = new WeakMap<Socket, number>()
   readonly #unaccepted = new Map<Socket, UnacceptedRequests>()
   #turnTimer: NodeJS.Immediate | null = null
   #isKeepAliveDisabled = false
 
-  constructor (onRequest: (request: http.IncomingMessage, response: http.ServerResponse) => void, options: CallerServerOptions = UNBOUNDED) {
+  constructor (onRequest: RequestListener, options: CallerServerOptions = UNBOUNDED) {
     this.#options = options
     this.#connections = new ConnectionTable(options.maxConnections)
+    this.#pipelinedRequests = new PipelinedRequests({ maxWaiting: options.maxWaitingRequests, onEvicted: () => options.onEvicted('waitingRequests') })
     this.#server = http.createServer({ maxHeaderSize: MAX_READABLE_HEADER_BYTES, connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_INTERVAL_MS, keepAlive: true, noDelay: true }, (request, response) => {
-      if (this.#tryAccept(request.socket, response)) onRequest(request, response)
+      const arrivedAtMs = performance.now()
+      if (this.#tryAccept(request.socket, response)) this.#pipelinedRequests.enqueue(request.socket, response, () => onRequest(request, response, arrivedAtMs))
     })
     // Node.js does not close a response that still waits behind another one.
     this.#server.on('connection', socket => {
@@ -72,7 +81,7 @@
       if (this.#connections.isOverfull) this.#makeRoom(socket)
     })
     this.#server.requestTimeout = 0 // The body has its own size and idle limits.
-    this.#server.on('clientError', respondToClientError)
+    this.#server.on('clientError', (error, socket) => this.#handleClientError(error, socket as Socket))
     closeOnIdleTimeout(this.#server)
     this.applyLimits(INITIAL_LIMITS)
   }
@@ -103,7 +112,7 @@
       this.#closedByStop.delete(last)
       last.shouldKeepAlive = true
     }
-    last?.emit(FOLLOWED_EVENT)
+    if (last !== undefined) recordFollowed(last)
     this.#pendingResponses.set(socket, pending.add(response))
     this.#connections.recordBusy(socket)
     if (this.#isKeepAliveDisabled) this.#announceClose(response)
@@ -117,6 +126,16 @@
     return true
   }
 
+  /** Responds to a head that is malformed or late. The time of a head does not run while its connection is not read. */
+  #handleClientError (error: NodeJS.ErrnoException, socket: Socket, requestCount = this.#pipelinedRequests.countRequests(socket)): void {
+    const remainingMs = this.#server.headersTimeout - this.#pipelinedRequests.measureReadMs(socket)
+    if (error.code !== 'ERR_HTTP_REQUEST_TIMEOUT' || remainingMs <= 0) return respondToClientError(error, socket)
+    // Node.js reports a late head once.
+    setTimeout(() => {
+      if (!socket.destroyed && this.#pipelinedRequests.countRequests(socket) === requestCount) this.#handleClientError(error, socket, requestCount)
+    }, remainingMs).unref()
+  }
+
   #announceClose (response: http.ServerResponse): void {
     if (!response.shouldKeepAlive || response.headersSent) return
     response.shouldKeepAlive = false
@@ -173,6 +192,11 @@
     }
   }
 
+  /** Number of requests that wait behind others of their connections. */
+  get waitingCount (): number {
+    return this.#pipelinedRequests.waitingCount
+  }
+
   /** Number of responses that are not out yet. */
   get pendingCount (): number {
     return [...this.#pendingResponses.values()].reduce((sum, { size }) => sum + size, 0)
--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/callers/pipelinedRequests.ts
@@ -0,0 +1,103 @@
+import type http from 'node:http'
+import type { Socket } from 'node:net'
+
+/** Requests of one connection that are under way at a time. */
+export const MAX_STARTED_REQUESTS = 8
+
+/** Options of {@link PipelinedRequests}. */
+export interface PipelinedRequestsOptions {
+  /** Requests that may wait, on all connections together. */
+  maxWaiting: number
+  /** Called when a connection was closed as its requests took too much of that. */
+  onEvicted (): void
+}
+
+/** Requests of one connection whose responses are not out. */
+interface Pipeline {
+  requestCount: number
+  startedCount: number
+  /** Starts of the others, in order. */
+  waiting: Array<() => void>
+  /** Monotonic time at which the connection was last read again; -Infinity if it was always. */
+  resumedAtMs: number
+}
+
+/** Bounds the requests under way on each connection. Those that were read beyond it wait, in order, and the connection is not read until all of them are started. */
+export class PipelinedRequests {
+  readonly #options: PipelinedRequestsOptions
+  readonly #pipelines = new Map<Socket, Pipeline>()
+  #waitingCount = 0
+
+  constructor (options: PipelinedRequestsOptions) {
+    this.#options = options
+  }
+
+  /** Number of requests that wait. */
+  get waitingCount (): number {
+    return this.#waitingCount
+  }
+
+  /** Starts a request, at once or as soon as enough responses before it are out. */
+  enqueue (socket: Socket, response: http.ServerResponse, start: () => void): void {
+    const pipeline = this.#pipelines.get(socket) ?? this.#addPipeline(socket)
+    pipeline.requestCount++
+    const startCounted = () => {
+      pipeline.startedCount++
+      response.once('close', () => {
+        pipeline.startedCount--
+        this.#startNext(socket, pipeline)
+      })
+      start()
+    }
+    if (pipeline.startedCount < MAX_STARTED_REQUESTS) return startCounted()
+    pipeline.waiting.push(startCounted)
+    this.#waitingCount++
+    socket.pause()
+    if (this.#waitingCount > this.#options.maxWaiting) this.#evictLargest()
+  }
+
+  /** Number of requests that were read on a connection. */
+  countRequests (socket: Socket): number {
+    return this.#pipelines.get(socket)?.requestCount ?? 0
+  }
+
+  /** Time since requests last waited on a connection, in milliseconds: 0 while some do, and the connection is not read. */
+  measureReadMs (socket: Socket): number {
+    const pipeline = this.#pipelines.get(socket)
+    if (pipeline === undefined) return Infinity
+    return pipeline.waiting.length > 0 ? 0 : performance.now() - pipeline.resumedAtMs
+  }
+
+  #addPipeline (socket: Socket): Pipeline {
+    const pipeline: Pipeline = { requestCount: 0, startedCount: 0, waiting: [], resumedAtMs: -Infinity }
+    this.#pipelines.set(socket, pipeline)
+    // Node.js resumes a connection to read the body of a request, also of one that is whole.
+    socket.on('resume', () => { if (pipeline.waiting.length > 0) socket.pause() })
+    socket.once('close', () => this.#removePipeline(socket, pipeline))
+    return pipeline
+  }
+
+  #removePipeline (socket: Socket, pipeline: Pipeline): void {
+    this.#waitingCount -= pipeline.waiting.length
+    pipeline.waiting = []
+    this.#pipelines.delete(socket)
+  }
+
+  #startNext (socket: Socket, pipeline: Pipeline): void {
+    if (socket.destroyed) return
+    const start = pipeline.waiting.shift()
+    if (start === undefined) return
+    this.#waitingCount--
+    start()
+    if (pipeline.waiting.length > 0) return
+    pipeline.resumedAtMs = performance.now()
+    socket.resume()
+  }
+
+  #evictLargest (): void {
+    const [[socket, pipeline]] = [...this.#pipelines].sort(([, a], [, b]) => b.waiting.length - a.waiting.length)
+    this.#removePipeline(socket, pipeline)
+    this.#options.onEvicted()
+    socket.destroy()
+  }
+}
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -309,8 +309,8 @@
     this.#kvStoreMonitor = new KvStoreMonitor({ managementPort, log, findStore: () => this.#configState.config?.kvStores[0] ?? null })
     this.#flowDependencies = this.#buildFlowDependencies()
     this.#requestHandler = new CallerRequestHandler({ requestPlanner: this.#requestPlanner, flowDependencies: this.#flowDependencies })
-    this.#callerServer = new CallerServer((request, response) => this.#requestHandler.handleRequest(request, response), {
-      maxConnections: callerBounds.maxConnections,
+    this.#callerServer = new CallerServer((request, response, arrivedAtMs) => this.#requestHandler.handleRequest(request, response, arrivedAtMs), {
+      ...callerBounds,
       tryEndStill: () => this.#callerMemory.tryEndStill(EVICTION_REASON.connection),
       onEvicted: reason => callerEvictionLog.record(reason, 0),
       onUnaccepted: ({ reason, count, sinceMs }) => {
--- a/packages/knapweedshunt-gateway/src/records/addGauges.ts
+++ b/packages/knapweedshunt-gateway/src/records/addGauges.ts
@@ -48,6 +48,7 @@
 export function addGauges (metrics: GatewayMetrics, { requestHandler, callerMemory, callerServer, forwardedResponses, responseMemory, endpointRegistry, endpointMonitor, endpointLimits, endpointPermits, poolOverload, peerServices, weightsState, keyFreshness, roster, suspectTracker, followers, readiness, delayWatch, usageLimits }: GaugeSources): void {
   metrics.addGauge('requests_in_flight', 'Requests under way.', () => requestHandler.inFlight)
   metrics.addGauge('caller_connections', 'Connections of callers.', () => callerServer.connectionCount)
+  metrics.addGauge('caller_requests_waiting', 'Requests that wait behind others of their connections.', () => callerServer.waitingCount)
   metrics.addGauge('caller_body_bytes', 'Memory taken for bodies of requests.', () => callerMemory.takenBytes)
   metrics.addGauge('caller_bodies_arriving', 'Bodies of requests that have not arrived whole.', () => callerMemory.arrivingCount)
   metrics.addGauge('responses_forwarded', 'Responses whose bodies are being forwarded as they arrive.', () => forwardedResponses.count)
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -14,8 +14,8 @@
   | 'no_config' | 'config_behind' | 'relay_full' | 'relay_key' | 'relay_refused' | 'endpoints_unreached' | 'stream_unknown' | 'keys_unconfirmed' | 'quarantined' | 'no_endpoint' | 'no_free_endpoint' | 'endpoints_limited' | 'weights_replaced' | 'endpoint_refused'
   | 'callers_full' | 'usage_limited' | 'overloaded' | 'stopping' | 'timeout' | 'endpoint_lost' | 'stream_cut' | 'caller_left' | 'internal'
 
-/** Which connection of a caller was closed as there were too many: one without a request, one whose head had not ended, or a new one. */
-export type ConnectionEviction = 'idleConnection' | 'unfinishedHead' | 'newConnection'
+/** Which connection of a caller was closed as there were too many: one without a request, one whose head had not ended, or a new one; or the one on which most requests waited, as too many did. */
+export type ConnectionEviction = 'idleConnection' | 'unfinishedHead' | 'newConnection' | 'waitingRequests'
 
 /** A step of a planned stop that is done: new requests are refused, the listener is closed, responses are out or cut, tasks have ended, this VM's row is removed, connections of callers and then of the other servers are closed. */
 export type StopPhase = 'refusing' | 'listenerClosed' | 'drained' | 'tasksEnded' | 'rowRemoved' | 'callersClosed' | 'serversClosed'
--- a/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
+++ b/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
@@ -1,6 +1,6 @@
 import http from 'node:http'
 import type { Socket } from 'node:net'
-import { FOLLOWED_EVENT, ResponseHold } from './responseHold.ts'
+import { isFollowed, ResponseHold } from './responseHold.ts'
 import type { ResponseStart, WholeResponse } from './responseStart.ts'
 
 /** How far the response to a caller has got. */
@@ -17,8 +17,6 @@
   #phase: ResponsePhase = 'waiting'
   /** Whether only the end of the connection delimits the body, as the caller's protocol version has no chunks. */
   #isEndedByClose = false
-  /** Whether another request of the connection was accepted behind this one. */
-  #isFollowed = false
   #hold: ResponseHold | null = null
 
   constructor (response: http.ServerResponse) {
@@ -33,7 +31,6 @@
     this.#socket.once('close', this.#handleLeft)
     response.once('close', this.#handleLeft)
     response.once('finish', this.#removeListeners)
-    response.once(FOLLOWED_EVENT, () => { this.#isFollowed = true })
   }
 
   /** How far the response has got. */
@@ -61,7 +58,7 @@
     if (this.#phase !== 'waiting' || this.hasCallerLeft) return false
     // If this process is killed, the system closes the connection in the regular way; only chunks or a length show that the body is not complete.
     this.#isEndedByClose = !this.#response.useChunkedEncodingByDefault && !headers.some((name, i) => i % 2 === 0 && name.toLowerCase() === 'content-length')
-    const mayBeFollowed = !this.#isEndedByClose && (!closesConnection || this.#isFollowed)
+    const mayBeFollowed = !this.#isEndedByClose && (!closesConnection || isFollowed(this.#response))
     if (!mayBeFollowed) this.#response.shouldKeepAlive = false
     this.#response.sendDate = false
     const writeHead = (response: http.ServerResponse) => message === '' ? response.writeHead(status, headers) : response.writeHead(status, message, headers)
--- a/packages/knapweedshunt-gateway/src/shared/responseHold.ts
+++ b/packages/knapweedshunt-gateway/src/shared/responseHold.ts
@@ -1,7 +1,20 @@
 import type http from 'node:http'
 
 /** Event of a response behind which another request of its connection was accepted, so that it is not the last one any more. */
-export const FOLLOWED_EVENT = 'followed'
+const FOLLOWED_EVENT = 'followed'
+
+const followedResponses = new WeakSet<http.ServerResponse>()
+
+/** Records that another request of its connection was accepted behind a response. */
+export function recordFollowed (response: http.ServerResponse): void {
+  followedResponses.add(response)
+  response.emit(FOLLOWED_EVENT)
+}
+
+/** Whether another request of its connection was accepted behind a response. */
+export function isFollowed (response: http.ServerResponse): boolean {
+  return followedResponses.has(response)
+}
 
 /** Output of a response that waits behind another one, until it is settled whether it is the last of its connection: its turn has come, or it is followed. */
 export class ResponseHold {
