--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -4,9 +4,10 @@
 import type { CallerLimits } from '../ports/gatewayConfig.ts'
 import type { ListenAddress } from '../ports/vmSettings.ts'
 import type { ConnectionEviction, UnacceptedReason } from '../records/decision.ts'
-import { FOLLOWED_EVENT } from '../shared/responseHold.ts'
+import { recordFollowed } from '../shared/responseHold.ts'
 import { AcceptWatch } from './acceptWatch.ts'
 import { ConnectionTable } from './connectionTable.ts'
+import { PipelinedRequests } from './pipelinedRequests.ts'
 import type { UnacceptedRequests } from './unacceptedRequests.ts'
 
 /** Maximum size of the headers that Node.js reads, in bytes; the configured limit is checked afterwards. */
@@ -32,6 +33,8 @@
   maxConnections: number
   /** Connections whose bytes may wait to be parsed, as parsing takes long; a small number if absent. */
   maxParsingWaits?: number
+  /** Requests that may wait behind others of their connections. */
+  maxWaitingRequests: number
   /** Ends a request whose caller sends nothing, so that its connection closes; false if there is none. */
   tryEndStill (): boolean
   onEvicted (reason: ConnectionEviction): void
@@ -39,7 +42,10 @@
   onUnaccepted (requests: UnacceptedRequests): void
 }
 
-const UNBOUNDED: CallerServerOptions = { maxConnections: Infinity, tryEndStill: () => false, onEvicted () {}, onUnaccepted () {} }
+const UNBOUNDED: CallerServerOptions = { maxConnections: Infinity, maxWaitingRequests: Infinity, tryEndStill: () => false, onEvicted () {}, onUnaccepted () {} }
+
+/** Runs a request, which was read at this monotonic time. */
+type RequestListener = (request: http.IncomingMessage, response: http.ServerResponse, arrivedAtMs: number) => void
 
 /** HTTP server for callers. */
 export class CallerServer {
@@ -50,6 +56,7 @@
   readonly #closedByStop = new WeakSet<http.ServerResponse>()
   readonly #options: CallerServerOptions
   readonly #connections: ConnectionTable<Socket>
+  readonly #pipelinedRequests: PipelinedRequests
   /** Bytes that each connection without a request under way had sent when its last one ended. */
   readonly #bytesAtIdle = new WeakMap<Socket, number>()
   /** Connections with a request whose head cannot be read behind responses that are not out yet. */
@@ -59,11 +66,13 @@
   #turnTimer: NodeJS.Immediate | null = null
   #isKeepAliveDisabled = false
 
-  constructor (onRequest: (request: http.IncomingMessage, response: http.ServerResponse) => void, options: CallerServerOptions = UNBOUNDED) {
+  constructor (onRequest: RequestListener, options: CallerServerOptions = UNBOUNDED) {
     this.#options = options
     this.#connections = new ConnectionTable(options.maxConnections)
+    this.#pipelinedRequests = new PipelinedRequests({ maxWaiting: options.maxWaitingRequests, onEvicted: () => options.onEvicted('waitingRequests') })
     this.#server = http.createServer({ maxHeaderSize: MAX_READABLE_HEADER_BYTES, connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_INTERVAL_MS, keepAlive: true, noDelay: true }, (request, response) => {
-      if (this.#tryAccept(request.socket, response)) onRequest(request, response)
+      const arrivedAtMs = performance.now()
+      if (this.#tryAccept(request.socket, response)) this.#pipelinedRequests.enqueue(request.socket, response, () => onRequest(request, response, arrivedAtMs))
     })
     this.#server.on('connection', () => this.#acceptWatch.recordAccepted())
     // Node.js does not close a response that still waits behind another one.
@@ -112,7 +121,7 @@
       this.#closedByStop.delete(last)
       last.shouldKeepAlive = true
     }
-    last?.emit(FOLLOWED_EVENT)
+    if (last !== undefined) recordFollowed(last)
     this.#pendingResponses.set(socket, pending.add(response))
     this.#connections.recordBusy(socket)
     if (this.#isKeepAliveDisabled) this.#announceClose(response)
@@ -130,8 +139,16 @@
     return true
   }
 
-  /** Refuses a request that cannot be read, once the requests before it on its connection are answered. */
-  #handleClientError (error: NodeJS.ErrnoException, socket: Socket): void {
+  /** Refuses a head that is malformed or late, once the requests before it on its connection are answered. The time of a head does not run while its connection is not read. */
+  #handleClientError (error: NodeJS.ErrnoException, socket: Socket, requestCount = this.#pipelinedRequests.countRequests(socket)): void {
+    const remainingMs = this.#server.headersTimeout - this.#pipelinedRequests.measureReadMs(socket)
+    if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' && remainingMs > 0) {
+      // Node.js reports a late head once.
+      setTimeout(() => {
+        if (!socket.destroyed && this.#pipelinedRequests.countRequests(socket) === requestCount) this.#handleClientError(error, socket, requestCount)
+      }, remainingMs).unref()
+      return
+    }
     const pending = [...this.#pendingResponses.get(socket) ?? []]
     const isBodyUnreadable = pending.at(-1)?.req.complete === false
     if (pending.length <= Number(isBodyUnreadable) || !socket.writable || socket.readableEnded || error.code === 'ECONNRESET') return respondToClientError(error, socket)
@@ -202,6 +219,11 @@
     }
   }
 
+  /** Number of requests that wait behind others of their connections. */
+  get waitingCount (): number {
+    return this.#pipelinedRequests.waitingCount
+  }
+
   /** Number of responses that are not out yet. */
   get pendingCount (): number {
     return [...this.#pendingResponses.values()].reduce((sum, { size }) => sum + size, 0)
