A body that was given up is not kept by its request

Cause: a body that is passed on as it arrives has a listener for the end of its request. Its scope holds the first part and the rest of the body. The request lives as long as its connection, up to two seconds after the body gave its memory back, or until its caller goes on. The listener is removed with the others now.

--- a/packages/knapweedshunt-gateway/src/__tests__/callerBodies.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/callerBodies.test.ts
@@ -1,8 +1,10 @@
 import http from 'node:http'
+import { queryObjects } from 'node:v8'
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 import { sleep } from 'knapweedshunt-utils'
 import { BodyReadAhead } from '../callers/bodyReadAhead.ts'
+import { BoundedBody } from '../callers/boundedBody.ts'
 import { CallerMemory, FIRST_PART_BYTES } from '../callers/callerMemory.ts'
 import { readRequestBody } from '../callers/readRequestBody.ts'
 import type { RequestBody } from '../endpoints/attempt.ts'
@@ -94,3 +96,17 @@
   t.is(reader.errorCount, 1)
   t.is(reader.memory.takenBytes, 0)
 })
+
+// Guards against bodies that have given their memory back and are still kept, as long as the connections of their callers stay open.
+test.serial('a streamed body that was given up is not kept by its request', async t => {
+  const reader = await new BodyReader().start(t)
+  const request = reader.send('x'.repeat(400_000), 500_000)
+  await reader.waitForBodies(1)
+  t.is(queryObjects(BoundedBody), 1)
+  // A variable of this function would keep the body.
+  const release = () => (reader.bodies.pop() as StreamedBody).release()
+  release()
+  await sleep(100)
+  t.is(queryObjects(BoundedBody), 0)
+  t.false(request.destroyed)
+})
--- a/packages/knapweedshunt-gateway/src/callers/readRequestBody.ts
+++ b/packages/knapweedshunt-gateway/src/callers/readRequestBody.ts
@@ -105,10 +105,13 @@
   // Errors are reported to the reader of `rest`, and to this listener if there is none.
   rest.on('error', () => {})
   const handleCut = () => { if (!request.complete) rest.destroy(new Error('The caller disconnected before the end of the body.')) }
-  request.once('end', () => share.finish())
+  const handleEnd = () => share.finish()
+  request.once('end', handleEnd)
   request.once('close', handleCut)
   rest.once('close', () => {
     share.finish()
+    // The request lives as long as its connection; a listener would keep the body.
+    request.removeListener('end', handleEnd)
     request.removeListener('close', handleCut)
     request.unpipe(rest)
     // A caller whose upload was answered early loses the answer if the connection is closed with bytes unread.
