Gateway: streams do not wait for a store whose writes fail

A writer whose last write failed is known not to store a stream soon; it answers at once and writes again as before.

--- a/packages/knapweedshunt-gateway/src/__tests__/streamRows.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/streamRows.test.ts
@@ -3,6 +3,7 @@
 import test from 'ava'
 import { computeStreamKey } from 'knapweedshunt-attempts'
 import type { PooledStream } from 'knapweedshunt-attempts'
+import type { Platform } from 'knapweedshunt-platform'
 import { createRng } from 'knapweedshunt-utils'
 import { encodeStreamRow, STREAM_TABLE } from '../peers/streamRow.ts'
 import { StreamRowReader } from '../peers/streamRowReader.ts'
@@ -31,7 +32,7 @@
   abort: AbortController
 }
 
-function openRows (platform: MemoryPlatform, vm: string, incarnation: string): OpenedRows {
+function openRows (platform: Platform, vm: string, incarnation: string): OpenedRows {
   const [restored, log, abort, rng]: [PooledStream[], RecordingLog, AbortController, ReturnType<typeof createRng>] = [[], new RecordingLog(), new AbortController(), createRng(vm.length + Number(vm.slice(3)))]
   const rows = new StreamRows({ platform, vm, incarnation, decisionLog: log, metrics: new GatewayMetrics(), signal: abort.signal, randomizeDelayMs: meanMs => meanMs * (0.5 + rng.drawFloat()), isSweeper: () => false, getRetentionMs: () => RETENTION_MS, countVms: () => 8, onRestored: streams => restored.push(...streams) })
   return { rows, restored, log, abort }
@@ -71,6 +72,35 @@
   })
 })
 
+// Guards against first events that all wait for a store that is known to be away.
+test.serial('streams do not wait for the store while writes fail', async t => {
+  await runWithClock(async clock => {
+    const platform = new MemoryPlatform()
+    let isAway = true
+    const transact: Platform['transact'] = async transaction => {
+      if (isAway) throw new Error('The store is away.')
+      return await platform.transact(transaction)
+    }
+    const { rows, abort } = openRows({ ...platform, transact }, 'vm-1', 'a')
+    const measureWaitMs = async (n: number) => {
+      const startedAtMs = performance.now()
+      const stored = rows.store(buildStream(n)).then(() => performance.now() - startedAtMs)
+      await clock.tickAsync(1_000)
+      return await stored
+    }
+    t.true(await measureWaitMs(1) > 0)
+    t.is(await measureWaitMs(2), 0)
+    isAway = false
+    await clock.tickAsync(1_000)
+    t.true(await measureWaitMs(3) > 0)
+    abort.abort()
+    const restarted = openRows(platform, 'vm-1', 'b')
+    await restarted.rows.restore()
+    restarted.abort.abort()
+    t.is(restarted.restored.length, 3)
+  })
+})
+
 // Guards against streams of a row that another writer or another build has made unreadable.
 test.serial('a row that cannot be read is logged and ignored', async t => {
   const platform = new MemoryPlatform()
--- a/packages/knapweedshunt-gateway/src/peers/streamRows.ts
+++ b/packages/knapweedshunt-gateway/src/peers/streamRows.ts
@@ -66,6 +66,8 @@
   /** Aborted when the streams, by their keys, are in the store. */
   readonly #writeControllers = new Map<string, AbortController>()
   #isWriting = false
+  /** Whether the last write failed. */
+  #isFailing = false
   #nextWriteAtMs = -Infinity
   #nextSweepAtMs = performance.now() + SWEEP_INTERVAL_MS
 
@@ -95,14 +97,15 @@
     return this.#restoreController.signal.aborted
   }
 
-  /** Adds a stream, which is written soon; waits until it is in the store, but not for long. */
+  /** Adds a stream, which is written soon; waits until it is in the store, but not for long, and not while writes fail. */
   async store (stream: PooledStream): Promise<void> {
     const { key } = stream
     if (!isStreamKey(key)) return
-    const controller = this.#writeControllers.get(key) ?? new AbortController()
-    this.#writeControllers.set(key, controller)
     this.#segments.add(stream)
     this.#scheduleWrite()
+    if (this.#isFailing) return
+    const controller = this.#writeControllers.get(key) ?? new AbortController()
+    this.#writeControllers.set(key, controller)
     await sleep(MAX_WRITE_WAIT_MS, controller.signal)
     this.#writeControllers.delete(key)
   }
@@ -164,6 +167,7 @@
     while (this.#segments.hasChanges && !signal.aborted) {
       const startedAtMs = performance.now()
       const isWritten = await this.#write(this.#segments.takeChanges())
+      this.#isFailing = !isWritten
       this.#nextWriteAtMs = startedAtMs + (isWritten ? this.#drawWriteIntervalMs() : randomizeDelayMs(RETRY_INTERVAL_MS))
       await sleep(Math.max(0, this.#nextWriteAtMs - performance.now()), signal)
     }
