Gateway: a stream that is cut while its first event waits is not closed unread

Callers saw 'socket hang up': no answer at all, where they got the first events and a response that is not complete before.

Cause: since first events wait for the store, the end of the stream may arrive meanwhile. It was handled in the turn in which the head and the event were written; an abort then drops both, as Node.js sends them at the end of the turn.

The relay now lets them leave first.

--- a/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
@@ -153,7 +153,8 @@
         // Bytes that complete no event are no progress.
         if (events === null || events.length > 0) restartStallTimeout()
         if (events?.some(event => this.#isNewEvent(event))) options.onNewEvents()
-        if (this.#mustBegin(events)) {
+        const isFirst = this.#mustBegin(events)
+        if (isFirst) {
           stopStallTimeout()
           await options.onFirstEvent()
           if (this.#callerResponse.hasCallerLeft) return { type: 'callerLeft' }
@@ -166,6 +167,8 @@
         eventRate.recordEvents(events?.length ?? 0)
         // Small events take many times the memory of their bytes, and the wait may be long.
         events = null
+        // If the end of the stream has arrived meanwhile, it must not be handled before the head is sent.
+        if (isFirst) await new Promise<void>(resolve => process.nextTick(resolve))
         if (!readsOn) {
           stopStallTimeout()
           this.#wait = new AbortController()
