Don't parse a connection whose parser the server has paused

Callers saw: a caller that pipelines a request behind over 16 KB of waiting responses ended the process (ERR_INTERNAL_ASSERTION in socketOnData, an uncaught exception), and so every other connection of it.

Cause: Node.js pauses the parser (socket._paused) when responses wait, and asserts that it is given nothing more. limitParsing gave it the next slice of the same read, and a resume by others (PipelinedRequests) the next read.

Why it works: the bytes are put back, and the server resumes the connection itself once it has resumed the parser.

--- a/packages/knapweedshunt-utils/src/__tests__/limitParsing.test.ts
+++ b/packages/knapweedshunt-utils/src/__tests__/limitParsing.test.ts
@@ -77,3 +77,57 @@
   }))
   t.deepEqual(answers, answers.map(() => 'whole'))
 })
+
+// Guards against an assertion of Node.js that ends the process, when a connection is parsed on whose parser is paused.
+test('requests behind responses that wait are not parsed until the server goes on', async t => {
+  const urls: string[] = []
+  let endFirst = () => {}
+  const [socket] = await connect(t, (request, response) => {
+    urls.push(request.url ?? '')
+    if (request.url === '/first') endFirst = () => response.end()
+    else response.end(request.url === '/large' ? 'x'.repeat(40_000) : '')
+    if (request.url === '/paused') request.socket.resume()
+  }, 1)
+  socket.resume()
+  const send = (...paths: string[]) => socket.write(paths.map(path => `GET ${path} HTTP/1.1\r\nHost: h\r\n\r\n`).join(''))
+  send('/first', '/large')
+  while (urls.length < 2) await sleep(1)
+  send('/paused')
+  while (urls.length < 3) await sleep(1)
+  const later = Array.from({ length: 500 }, (_, index) => `/${index}`)
+  send(...later)
+  await sleep(50)
+  t.is(urls.length, 3)
+  endFirst()
+  while (urls.length < 3 + later.length) await sleep(1)
+  t.deepEqual(urls.slice(3), later)
+})
+
+// Guards against the same assertion within one read, whose first bytes have the parser paused.
+test('a body behind responses that wait arrives whole', async t => {
+  const sizes: number[] = []
+  const urls: string[] = []
+  let endFirst = () => {}
+  const [socket] = await connect(t, async (request, response) => {
+    urls.push(request.url ?? '')
+    if (request.url === '/first') endFirst = () => response.end()
+    else if (request.url === '/large') response.end('x'.repeat(40_000))
+    else {
+      let size = 0
+      for await (const chunk of request) size += chunk.length
+      sizes.push(size)
+      response.end()
+    }
+  }, 1)
+  socket.setNoDelay(true).resume()
+  // Only a read that is parsed fast is parsed in one turn.
+  for (const round of Array.from({ length: 200 }, (_, index) => index + 1)) {
+    socket.write('GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /large HTTP/1.1\r\nHost: h\r\n\r\n')
+    while (urls.length < 3 * round - 1) await sleep(1)
+    socket.write(`POST /body HTTP/1.1\r\nHost: h\r\nContent-Length: 6000\r\n\r\n${'x'.repeat(6_000)}`)
+    while (urls.length < 3 * round) await sleep(1)
+    endFirst()
+    while (sizes.length < round) await sleep(1)
+  }
+  t.true(sizes.every(size => size === 6_000))
+})
--- a/packages/knapweedshunt-utils/src/limitParsing.ts
+++ b/packages/knapweedshunt-utils/src/limitParsing.ts
@@ -41,11 +41,15 @@
     // With a listener of others the server does not read the descriptor past the stream.
     socket.on('data', (bytes: Buffer) => {
       // The server resumes a connection whose request is read.
-      if (waiting.has(socket)) return putBack(socket, bytes)
+      if (waiting.has(socket) || isParserPaused(socket)) return putBack(socket, bytes)
       const startMs = performance.now()
       for (let end = 0; end < bytes.length && !socket.destroyed;) {
         const slice = bytes.subarray(end, end += SLICE_BYTES)
         for (const parse of parsers) parse(slice)
+        if (isParserPaused(socket)) {
+          if (end < bytes.length && !socket.destroyed) putBack(socket, bytes.subarray(end))
+          return
+        }
         if (end < bytes.length && !socket.destroyed && performance.now() - startMs >= TURN_MS && tryDefer(socket, bytes.subarray(end))) return
       }
     })
@@ -54,6 +58,11 @@
   })
 }
 
+/** Whether the server has paused the parser of a connection, as too much of its responses waits. It throws if it is given more, and resumes the connection itself. */
+function isParserPaused (socket: Socket): boolean {
+  return '_paused' in socket && socket._paused === true
+}
+
 function putBack (socket: Socket, bytes: Buffer): void {
   socket.pause()
   socket.unshift(bytes)
