--- a/packages/knapweedshunt-utils/src/__tests__/limitParsing.test.ts
+++ b/packages/knapweedshunt-utils/src/__tests__/limitParsing.test.ts
@@ -58,6 +58,23 @@
   t.true(chunksAfterClose <= SLICE_BYTES / CHUNK.length, `${chunksAfterClose} chunks`)
 })
 
+// Guards against a long body that is cut into small pieces and waits for other turns, so that its upload takes longer beside other work.
+test('a body without chunks is parsed in large pieces', async t => {
+  const count = { pieces: 0, reads: 0, bytes: 0 }
+  const [socket] = await connect(t, request => {
+    request.socket.on('data', () => { count.reads++ })
+    request.on('data', (piece: Buffer) => {
+      count.pieces++
+      count.bytes += piece.length
+    })
+  }, 1)
+  const body = Buffer.alloc(12_000_000, 'x')
+  socket.write(`POST /long HTTP/1.1\r\nHost: h\r\nContent-Length: ${body.length}\r\n\r\n`)
+  socket.write(body)
+  while (count.bytes < body.length) await sleep(1)
+  t.true(count.pieces < 10 * count.reads, `${count.pieces} pieces of ${count.reads} reads`)
+})
+
 test('bodies in chunks of any size arrive whole, also at readers that pause', async t => {
   const sizes = [1, 1, 7, 60_000, 1, 300, 1, 200_000, 3]
   const parts = Array.from({ length: 6_000 }, (_, n) => String(n % 10).repeat(n % 700 === 0 ? sizes[n / 700] : 1))
--- a/packages/knapweedshunt-utils/src/limitParsing.ts
+++ b/packages/knapweedshunt-utils/src/limitParsing.ts
@@ -1,11 +1,15 @@
 import type http from 'node:http'
 import type { Socket } from 'node:net'
 
-/** Bytes of a connection that are parsed at a time. */
+/** Bytes of a connection that are parsed first, and at most at a time while parsing them is fast. */
 export const SLICE_BYTES = 2 * 1024
+const MAX_SLICE_BYTES = 16 * 1024
 
-/** Time that parsing one connection may take in a turn of the event loop, in milliseconds. */
-const TURN_MS = 0.25
+/** Processor time that parsing one connection may take in a turn of the event loop unless it is fast, in microseconds. */
+const TURN_US = 250
+
+/** Processor time up to which parsing is fast, in microseconds for each byte. */
+const FAST_US_PER_BYTE = 0.05
 
 /** Number of connections of a server whose bytes may wait for another turn, if its owner states none. Each has one read in memory, at times two. */
 const DEFAULT_MAX_WAITING = 32
@@ -42,15 +46,22 @@
     socket.on('data', (bytes: Buffer) => {
       // The server resumes a connection whose request is read.
       if (waiting.has(socket) || isParserPaused(socket)) return putBack(socket, bytes)
-      const startMs = performance.now()
+      const startUs = readProcessorUs()
+      let usedUs = 0
+      let wasFast = true
+      let size = SLICE_BYTES
       for (let end = 0; end < bytes.length && !socket.destroyed;) {
-        const slice = bytes.subarray(end, end += SLICE_BYTES)
+        const slice = bytes.subarray(end, end += size)
         for (const parse of parsers) parse(slice)
-        if (isParserPaused(socket)) {
-          if (end < bytes.length && !socket.destroyed) putBack(socket, bytes.subarray(end))
-          return
-        }
-        if (end < bytes.length && !socket.destroyed && performance.now() - startMs >= TURN_MS && tryDefer(socket, bytes.subarray(end))) return
+        if (end >= bytes.length || socket.destroyed) return
+        if (isParserPaused(socket)) return putBack(socket, bytes.subarray(end))
+        const sliceUs = readProcessorUs() - startUs - usedUs
+        usedUs += sliceUs
+        const isFast = sliceUs < slice.length * FAST_US_PER_BYTE
+        // One slow slice may be a garbage collection.
+        if (!isFast && !wasFast && usedUs >= TURN_US && tryDefer(socket, bytes.subarray(end))) return
+        wasFast = isFast
+        size = isFast ? Math.min(2 * size, MAX_SLICE_BYTES) : SLICE_BYTES
       }
     })
     for (const parse of parsers) socket.removeListener('data', parse)
@@ -63,6 +74,12 @@
   return '_paused' in socket && socket._paused === true
 }
 
+/** Returns the processor time of this process so far, in microseconds: other than time, it stands still while others use the processor. */
+function readProcessorUs (): number {
+  const { user, system } = process.cpuUsage()
+  return user + system
+}
+
 function putBack (socket: Socket, bytes: Buffer): void {
   socket.pause()
   socket.unshift(bytes)
