Wait in a stop for requests that were read and wait to be parsed

What callers saw: in a stop beside callers with very small chunks, a connection closed although several of its requests had been sent and read: they ended without an answer.

Cause: since connections are parsed in slices, what was read may wait for a later turn, two connections go on in each, and the wait for arrivals takes two turns without a new connection or request for quiet. A connection whose requests end with a slice has none under way by then and counts as idle. The class: a step added before a check whose premise (what was read is known) it takes away.

limitParsing says on the server when connections go on, and the wait counts it as an arrival; it ends with the stop's signal as before.

Also one timer at most resumes connections: a connection that closed while it was the only one to wait left a second one behind.

--- a/packages/knapweedshunt-utils/src/__tests__/limitParsing.test.ts
+++ b/packages/knapweedshunt-utils/src/__tests__/limitParsing.test.ts
@@ -4,7 +4,7 @@
 import type { AddressInfo } from 'node:net'
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
-import { sleep } from '../index.ts'
+import { sleep, waitForArrivals } from '../index.ts'
 import { limitParsing, SLICE_BYTES } from '../limitParsing.ts'
 
 const HEAD = 'POST /tiny HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
@@ -12,8 +12,8 @@
 const CHUNK_COUNT = 10_000
 
 /** Starts a server and opens connections to it. */
-async function connect (t: ExecutionContext, onRequest: http.RequestListener, count: number): Promise<net.Socket[]> {
-  const server = http.createServer(onRequest)
+async function connect (t: ExecutionContext, onRequest: http.RequestListener, count: number, server = http.createServer()): Promise<net.Socket[]> {
+  server.on('request', onRequest)
   limitParsing(server)
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
   const sockets = Array.from({ length: count }, () => net.connect((server.address() as AddressInfo).port, '127.0.0.1'))
@@ -148,3 +148,24 @@
   }
   t.true(sizes.every(size => size === 6_000))
 })
+
+// Guards against a stop that closes connections as idle, and loses the requests on them that were read and wait to be parsed.
+test('arrivals are those too that wait to be parsed', async t => {
+  const server = http.createServer()
+  const answered: string[] = []
+  const [orders, ...tiny] = await connect(t, (request, response) => {
+    if (request.url === '/tiny') return
+    const endMs = performance.now() + 2
+    while (performance.now() < endMs);
+    answered.push(request.url ?? '')
+    response.end()
+  }, 25, server)
+  const head = 'POST /order HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nPadding: '
+  const order = head + 'x'.repeat(SLICE_BYTES - head.length - 4) + '\r\n\r\n'
+  for (const socket of tiny) socket.write(HEAD + CHUNK.repeat(CHUNK_COUNT))
+  orders.write(order.repeat(5))
+  while (answered.length === 0) await sleep(1)
+  await waitForArrivals(server)
+  server.closeIdleConnections()
+  t.is(answered.length, 5)
+})
--- a/packages/knapweedshunt-utils/src/limitParsing.ts
+++ b/packages/knapweedshunt-utils/src/limitParsing.ts
@@ -19,22 +19,27 @@
 const CROWDED_RESUMED_COUNT = 8
 const CROWDED_SHARE = 3 / 4
 
+/** Event of a server whose connections are parsed in slices: some that waited go on. */
+export const PARSING_RESUMED = 'parsingResumed'
+
 /** Has a server parse each connection in slices and go on in another turn of the event loop once they took long: very small chunks take several times as long as others of the same size, and a turn accepts one connection. What a closed connection had sent is not parsed any more. */
 export function limitParsing (server: http.Server, maxWaiting = DEFAULT_MAX_WAITING): void {
   const waiting = new Set<Socket>()
+  let timer: NodeJS.Immediate | null = null
   const resume = () => {
+    server.emit(PARSING_RESUMED)
     const count = waiting.size < maxWaiting * CROWDED_SHARE ? RESUMED_COUNT : CROWDED_RESUMED_COUNT
     for (const socket of [...waiting].slice(0, count)) {
       waiting.delete(socket)
       socket.resume()
     }
-    if (waiting.size > 0) setImmediate(resume)
+    timer = waiting.size > 0 ? setImmediate(resume) : null
   }
   /** Puts bytes back until the connection is resumed, here or by the server that paused it; false if too many wait. */
   const tryDefer = (socket: Socket, bytes: Buffer) => {
     if (!socket.isPaused()) {
       if (waiting.size >= maxWaiting) return false
-      if (waiting.size === 0) setImmediate(resume)
+      timer ??= setImmediate(resume)
       waiting.add(socket)
     }
     putBack(socket, bytes)
--- a/packages/knapweedshunt-utils/src/waitForArrivals.ts
+++ b/packages/knapweedshunt-utils/src/waitForArrivals.ts
@@ -1,5 +1,6 @@
 import type http from 'node:http'
 import { setImmediate } from 'node:timers/promises'
+import { PARSING_RESUMED } from './limitParsing.ts'
 
 /** Turns of the event loop without an arrival after which all that had arrived has been read: a connection is accepted in one turn and its request read in the next. */
 const QUIET_TURNS = 2
@@ -11,10 +12,10 @@
 export async function waitForArrivals (server: http.Server, signal?: AbortSignal): Promise<void> {
   let quietTurns = 0
   const markArrival = () => { quietTurns = 0 }
-  server.on('connection', markArrival).on('request', markArrival)
+  server.on('connection', markArrival).on('request', markArrival).on(PARSING_RESUMED, markArrival)
   for (let turn = 0; turn < MAX_TURNS && quietTurns < QUIET_TURNS && signal?.aborted !== true; turn++) {
     quietTurns++
     await setImmediate()
   }
-  server.off('connection', markArrival).off('request', markArrival)
+  server.off('connection', markArrival).off('request', markArrival).off(PARSING_RESUMED, markArrival)
 }
