Keep the bound on connections that take long to parse

Cause: once a body is refused its bytes cost 50 us a kB only, just what let pass as fast, and two slow slices in succession were allowed.

What distinguishes an upload is that its request states a length: the parser hands its rest on as it is, so that it is cut into slices of 16 kB, in which the work of each piece does not count. All else goes on while a kB takes less than 10 us.

--- a/packages/knapweedshunt-utils/src/limitParsing.ts
+++ b/packages/knapweedshunt-utils/src/limitParsing.ts
@@ -1,7 +1,7 @@
 import type http from 'node:http'
 import type { Socket } from 'node:net'
 
-/** Bytes of a connection that are parsed first, and at most at a time while parsing them is fast. */
+/** Bytes of a connection that are parsed first, and at most at a time: within a body without chunks, and while parsing is fast. */
 export const SLICE_BYTES = 2 * 1024
 const MAX_SLICE_BYTES = 16 * 1024
 
@@ -9,7 +9,7 @@
 const TURN_US = 250
 
 /** Processor time up to which parsing is fast, in microseconds for each byte. */
-const FAST_US_PER_BYTE = 0.05
+const FAST_US_PER_BYTE = 0.01
 
 /** Number of connections of a server whose bytes may wait for another turn, if its owner states none. Each has one read in memory, at times two. */
 const DEFAULT_MAX_WAITING = 32
@@ -45,6 +45,16 @@
     putBack(socket, bytes)
     return true
   }
+  /** Requests whose bodies have a length and are not whole yet. */
+  const sizedRequests = new WeakMap<Socket, http.IncomingMessage>()
+  server.prependListener('request', request => {
+    if (request.headers['content-length'] !== undefined) sizedRequests.set(request.socket, request)
+  })
+  /** Chooses how much of a connection is parsed next; the rest of a body with a length takes the parser no time. */
+  const chooseSize = (socket: Socket, fastSize: number) => {
+    if (sizedRequests.get(socket)?.complete === true) sizedRequests.delete(socket)
+    return sizedRequests.has(socket) ? MAX_SLICE_BYTES : Math.min(fastSize, MAX_SLICE_BYTES)
+  }
   server.on('connection', (socket: Socket) => {
     const parsers = socket.listeners('data') as Array<(bytes: Buffer) => void>
     // With a listener of others the server does not read the descriptor past the stream.
@@ -53,20 +63,18 @@
       if (waiting.has(socket) || isParserPaused(socket)) return putBack(socket, bytes)
       const startUs = readProcessorUs()
       let usedUs = 0
-      let wasFast = true
-      let size = SLICE_BYTES
+      let size = chooseSize(socket, SLICE_BYTES)
       for (let end = 0; end < bytes.length && !socket.destroyed;) {
         const slice = bytes.subarray(end, end += size)
         for (const parse of parsers) parse(slice)
+        size = chooseSize(socket, 2 * size)
         if (end >= bytes.length || socket.destroyed) return
         if (isParserPaused(socket)) return putBack(socket, bytes.subarray(end))
         const sliceUs = readProcessorUs() - startUs - usedUs
         usedUs += sliceUs
-        const isFast = sliceUs < slice.length * FAST_US_PER_BYTE
-        // One slow slice may be a garbage collection.
-        if (!isFast && !wasFast && usedUs >= TURN_US && tryDefer(socket, bytes.subarray(end))) return
-        wasFast = isFast
-        size = isFast ? Math.min(2 * size, MAX_SLICE_BYTES) : SLICE_BYTES
+        if (sliceUs < slice.length * FAST_US_PER_BYTE) continue
+        size = chooseSize(socket, SLICE_BYTES)
+        if (usedUs >= TURN_US && tryDefer(socket, bytes.subarray(end))) return
       }
     })
     for (const parse of parsers) socket.removeListener('data', parse)
