Connections that are closed without an answer are counted and logged

The log said 'Request refused.' with a status that never left, so that it was not told from a refusal that reached its caller.

Now a line `unanswered` and knapweedshunt_unanswered_requests_total say that a response was aborted before any of it was written though its caller waited. Bytes that were written in the same turn count as written.

--- a/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestRecorder.ts
@@ -176,6 +176,13 @@
     })
   }
 
+  /** Records that the connection was closed without an answer, though the caller waited for one. */
+  recordUnanswered (): void {
+    const { call, route } = this.#plan
+    this.#dependencies.metrics.recordUnanswered()
+    this.#dependencies.decisionLog.record({ type: 'unanswered', requestId: call.requestId, route: route.name, afterMs: this.getAgeMs() })
+  }
+
   /** Records an attempt that ended without a response. */
   recordAttemptEnded (runningAttempt: RunningAttempt, outcome: string, reason: string, isRetried: boolean): void {
     const { call } = this.#plan
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -84,6 +84,7 @@
       this.#recorder.recordEnd()
       // Whatever ended the task, its caller does not wait any longer.
       this.#callerResponse.abort()
+      if (this.#callerResponse.isUnanswered) this.#recorder.recordUnanswered()
       this.#responseMemory.release()
     }
   }
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -59,6 +59,8 @@
   | { type: 'answered', requestId: RequestId, route: string, organisation: OrganisationName, endpoint: EndpointName, relayVm: VmId, status: number, attempts: number, firstByteMs: number, longestPauseMs: number, totalMs: number, bytes: number, bodyEnd: BodyEnd }
   /** The router sent its own response or closed the connection without one. */
   | { type: 'refused', requestId: RequestId, route: string, organisation: OrganisationName, status: number, reason: RefusalReason, ran: 'not-run' | 'may-have-run', attempts: number, totalMs: number, retryAfterMs: number, detail: string }
+  /** The connection of a caller that waited was closed before any byte of an answer was written. */
+  | { type: 'unanswered', requestId: RequestId, route: string, afterMs: number }
 
 /** A decision about an endpoint. */
 export type EndpointDecision =
--- a/packages/knapweedshunt-gateway/src/records/decisionLog.ts
+++ b/packages/knapweedshunt-gateway/src/records/decisionLog.ts
@@ -29,6 +29,7 @@
   unfinished: 'Response not finished.',
   answered: 'Request answered.',
   refused: 'Request refused.',
+  unanswered: 'Connection closed without an answer.',
   started: 'Started.',
   stopping: 'Stopping.',
   stopped: 'Stopped.',
--- a/packages/knapweedshunt-gateway/src/records/gatewayMetrics.ts
+++ b/packages/knapweedshunt-gateway/src/records/gatewayMetrics.ts
@@ -39,6 +39,7 @@
   readonly #divisions = new Gauge({ name: 'knapweedshunt_prompt_endpoints', help: 'Endpoints of a pool that this VM uses for short and for long prompts; all for both while it is not divided.', labelNames: ['pool', 'prompts'], registers: [this.registry] })
   readonly #callerEvictions = new Counter({ name: 'knapweedshunt_caller_evictions_total', help: 'Bodies and connections of callers that gave way to others, by reason.', labelNames: ['reason'], registers: [this.registry] })
   readonly #unaccepted = new Counter({ name: 'knapweedshunt_unaccepted_requests_total', help: 'Requests that were read and neither run nor answered, by reason.', labelNames: ['reason'], registers: [this.registry] })
+  readonly #unanswered = new Counter({ name: 'knapweedshunt_unanswered_requests_total', help: 'Requests whose connection was closed without an answer, though their callers waited.', registers: [this.registry] })
   readonly #gauges = new Map<string, Gauge>()
 
   /** Records an answered request; times in milliseconds. */
@@ -108,6 +109,11 @@
     this.#unaccepted.inc({ reason }, count)
   }
 
+  /** Counts a request whose connection was closed without an answer. */
+  recordUnanswered (): void {
+    this.#unanswered.inc()
+  }
+
   /** Counts streams whose software version this VM read from the store after its start. */
   recordRestoredStreams (count: number): void {
     this.#restoredStreams.inc(count)
--- a/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
+++ b/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
@@ -18,6 +18,8 @@
   /** Whether only the end of the connection delimits the body, as the caller's protocol version has no chunks. */
   #isEndedByClose = false
   #hold: ResponseHold | null = null
+  #hasWritten = false
+  #isUnanswered = false
 
   constructor (response: http.ServerResponse) {
     this.#response = response
@@ -43,6 +45,11 @@
     return this.#leaveController.signal.aborted
   }
 
+  /** Whether the response was aborted before any of it was written, though the caller waited for it. */
+  get isUnanswered (): boolean {
+    return this.#isUnanswered
+  }
+
   /** Bytes written that the caller's connection has not taken. */
   get unsentBytes (): number {
     return this.#response.writableLength + (this.#hold?.heldBytes ?? 0)
@@ -87,6 +94,7 @@
   /** Writes a part of the body; returns whether the caller reads on. */
   write (bytes: Buffer): boolean {
     if (this.#phase !== 'begun' || this.hasCallerLeft) return true
+    this.#hasWritten = true
     return this.#hold === null ? this.#response.write(bytes) : this.#hold.add(() => this.#response.write(bytes), bytes.length)
   }
 
@@ -110,6 +118,7 @@
   abort (): void {
     if (this.#phase === 'ended') return
     this.#phase = 'ended'
+    this.#isUnanswered = !this.#hasWritten && !this.hasCallerLeft
     this.#hold?.clear()
     // Only a reset shows that a body which the end of the connection delimits is not complete.
     if (this.#isEndedByClose) this.#socket?.resetAndDestroy()
