Gateway: a stream of which nothing has been sent is still answered

Cause: a response counted as begun once the endpoint's head had arrived, but Node.js sends the head with the first bytes of the body. What ended the request in between (its deadline, a stop, a stream that broke off without retries left) aborted a response of which nothing had left. Since first events wait for the store, up to 80 ms, every stream whose deadline falls into that time is met; a stream that ends behind its head was met before.

The head of a stream is now checked when it arrives and written with the first bytes; until then a refusal takes its place (504 after the deadline, else 502). As before, nothing but a stream may follow once an endpoint's stream had begun.

--- a/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
@@ -5,6 +5,7 @@
 import { REPEATABILITY } from '../ports/gatewayConfig.ts'
 import type { FlowDependencies } from './flowDependencies.ts'
 import type { CallerResponse } from '../shared/callerResponse.ts'
+import type { ResponseStart } from '../shared/responseStart.ts'
 import type { ForwardResult } from './forwardResult.ts'
 import { buildResponseStart } from './buildResponseStart.ts'
 import { isEventStream } from './isEventStream.ts'
@@ -53,12 +54,12 @@
   /** Forwards a response whose head has arrived; `body` is what was read of it, null if nothing was. */
   async forward (runningAttempt: RunningAttempt, response: http.IncomingMessage, body: ResponseBody | null): Promise<ForwardResult> {
     const status = response.statusCode ?? 0
-    if (this.#callerResponse.phase === 'begun') {
-      if (!isEventStream(response)) return this.#rejectResponse(runningAttempt, status)
-      return await this.#streamForwarder.forward(runningAttempt, response)
-    }
+    const hasBegun = this.#callerResponse.phase === 'begun'
+    if ((hasBegun || this.#callerResponse.isPrepared) && !isEventStream(response)) return this.#rejectResponse(runningAttempt, status)
+    if (hasBegun) return await this.#streamForwarder.forward(runningAttempt, response)
     if (!this.#plan.route.isStream || status >= MIN_REDIRECT_STATUS) return await this.#forwardResponse(runningAttempt, response, status, body ?? await readResponseBody(response, this.#parts.responseMemory))
-    if (!this.#tryBegin(runningAttempt, response, null)) return { type: 'lost', reason: UNWRITABLE_HEAD }
+    // Until the first event leaves, which may wait, the caller can still get another response.
+    if (!this.#callerResponse.tryPrepare(this.#buildStart(runningAttempt, response, null))) return { type: 'lost', reason: UNWRITABLE_HEAD }
     return await this.#streamForwarder.forward(runningAttempt, response)
   }
 
@@ -124,7 +125,11 @@
 
   /** Writes the head of a response; `length` is the size of its body, null if it is not known yet. */
   #tryBegin (runningAttempt: RunningAttempt, response: http.IncomingMessage, length: number | null): boolean {
-    return this.#callerResponse.tryBegin(buildResponseStart(response, { method: this.#plan.call.method, length, answer: this.#buildRelayAnswer(runningAttempt) }))
+    return this.#callerResponse.tryBegin(this.#buildStart(runningAttempt, response, length))
+  }
+
+  #buildStart (runningAttempt: RunningAttempt, response: http.IncomingMessage, length: number | null): ResponseStart {
+    return buildResponseStart(response, { method: this.#plan.call.method, length, answer: this.#buildRelayAnswer(runningAttempt) })
   }
 
   #forwardBuffered (runningAttempt: RunningAttempt, response: http.IncomingMessage, status: number, bytes: Buffer): void {
--- a/packages/knapweedshunt-gateway/src/flow/streamForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamForwarder.ts
@@ -58,7 +58,7 @@
     this.#startSuccessor(runningAttempt, LOSS_REASON.moved)
   }
 
-  /** Forwards a stream whose head has been written. */
+  /** Forwards a stream; the head of the response is prepared, or written before. */
   async forward (runningAttempt: RunningAttempt, response: http.IncomingMessage): Promise<ForwardResult> {
     const { attemptRunner, recorder, reporter, finalResponse } = this.#parts
     reporter.recordPromptComputed(runningAttempt)
--- a/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
@@ -27,6 +27,7 @@
   | { type: 'garbled', reason: string }
   /** Another endpoint has taken over. */
   | { type: 'superseded' }
+  /** The caller has left, or got another response. */
   | { type: 'callerLeft' }
 
 /** Options for forwarding the stream of one endpoint. */
@@ -157,7 +158,7 @@
         if (isFirst) {
           stopStallTimeout()
           await options.onFirstEvent()
-          if (this.#callerResponse.hasCallerLeft) return { type: 'callerLeft' }
+          if (this.#callerResponse.hasCallerLeft || this.#callerResponse.phase === 'ended') return { type: 'callerLeft' }
           if (this.#isSuperseded) return { type: 'superseded' }
           restartStallTimeout()
           startedAtMs = performance.now()
--- a/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
+++ b/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
@@ -18,6 +18,8 @@
   /** Whether only the end of the connection delimits the body, as the caller's protocol version has no chunks. */
   #isEndedByClose = false
   #hold: ResponseHold | null = null
+  /** Head that is written with the first bytes of the body; null without one. */
+  #preparedStart: ResponseStart | null = null
   #hasWritten = false
   #isUnanswered = false
 
@@ -45,6 +47,11 @@
     return this.#leaveController.signal.aborted
   }
 
+  /** Whether a head waits for the first bytes of its body. */
+  get isPrepared (): boolean {
+    return this.#preparedStart !== null
+  }
+
   /** Whether the response was aborted before any of it was written, though the caller waited for it. */
   get isUnanswered (): boolean {
     return this.#isUnanswered
@@ -60,22 +67,34 @@
     return this.#leaveController.signal
   }
 
+  /** Keeps a head that is written with the first bytes of the body, and until then gives way to another one; false if a head was written before, the caller has left, or this one cannot be written. */
+  tryPrepare (start: ResponseStart): boolean {
+    if (this.#phase !== 'waiting' || this.hasCallerLeft) return false
+    try {
+      writeHead(new http.ServerResponse(this.#response.req), start)
+    } catch {
+      return false
+    }
+    this.#preparedStart = start
+    return true
+  }
+
   /** Writes the head, which closes the connection only if no other request was accepted behind this one; false if one was written before, the caller has left, or the head cannot be written. */
-  tryBegin ({ status, message, headers, closesConnection }: ResponseStart): boolean {
+  tryBegin (start: ResponseStart): boolean {
     if (this.#phase !== 'waiting' || this.hasCallerLeft) return false
+    const { headers, closesConnection } = start
     // If this process is killed, the system closes the connection in the regular way; only chunks or a length show that the body is not complete.
     this.#isEndedByClose = !this.#response.useChunkedEncodingByDefault && !headers.some((name, i) => i % 2 === 0 && name.toLowerCase() === 'content-length')
     const mayBeFollowed = !this.#isEndedByClose && (!closesConnection || isFollowed(this.#response))
     if (!mayBeFollowed) this.#response.shouldKeepAlive = false
     this.#response.sendDate = false
-    const writeHead = (response: http.ServerResponse) => message === '' ? response.writeHead(status, headers) : response.writeHead(status, message, headers)
     try {
       // A head that announces the close while it waits could not be changed when another request is read.
       if (mayBeFollowed && this.#response.socket === null && !this.#response.shouldKeepAlive) {
-        writeHead(new http.ServerResponse(this.#response.req))
+        writeHead(new http.ServerResponse(this.#response.req), start)
         this.#hold = new ResponseHold(this.#response, () => { this.#hold = null })
-        this.#hold.add(() => writeHead(this.#response))
-      } else writeHead(this.#response)
+        this.#hold.add(() => writeHead(this.#response, start))
+      } else writeHead(this.#response, start)
     } catch {
       // Node.js keeps a reason phrase that it rejects, and would reject the next head for it.
       this.#response.statusMessage = ''
@@ -93,6 +112,7 @@
 
   /** Writes a part of the body; returns whether the caller reads on. */
   write (bytes: Buffer): boolean {
+    this.#beginPrepared()
     if (this.#phase !== 'begun' || this.hasCallerLeft) return true
     this.#hasWritten = true
     return this.#hold === null ? this.#response.write(bytes) : this.#hold.add(() => this.#response.write(bytes), bytes.length)
@@ -100,12 +120,19 @@
 
   /** Ends a response whose body is complete. */
   end (bytes?: Buffer): void {
+    this.#beginPrepared()
     if (this.#phase !== 'begun') return
     this.#phase = 'ended'
     if (this.#hold === null) this.#writeEnd(bytes)
     else this.#hold.add(() => this.#writeEnd(bytes), bytes?.length)
   }
 
+  #beginPrepared (): void {
+    const start = this.#preparedStart
+    this.#preparedStart = null
+    if (start !== null) this.tryBegin(start)
+  }
+
   #writeEnd (bytes?: Buffer): void {
     const endResponse = () => { this.#response.end() }
     // Node.js counts the connection as idle once the response has ended, and closes it at a stop even if bytes wait to be sent.
@@ -152,3 +179,8 @@
     this.#response.removeListener('finish', this.#removeListeners)
   }
 }
+
+function writeHead (response: http.ServerResponse, { status, message, headers }: ResponseStart): void {
+  if (message === '') response.writeHead(status, headers)
+  else response.writeHead(status, message, headers)
+}
