Gateway: what was written of a response leaves before it is aborted

What callers saw: a connection that closes without an answer, or without the events that were written last.

The test of (firstEvents) passes without its special case in the relay, which goes: the abort itself now writes out what the connection holds.

--- a/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
@@ -154,8 +154,7 @@
         // Bytes that complete no event are no progress.
         if (events === null || events.length > 0) restartStallTimeout()
         if (events?.some(event => this.#isNewEvent(event))) options.onNewEvents()
-        const isFirst = this.#mustBegin(events)
-        if (isFirst) {
+        if (this.#mustBegin(events)) {
           stopStallTimeout()
           await options.onFirstEvent()
           if (this.#callerResponse.hasCallerLeft || this.#callerResponse.phase === 'ended') return { type: 'callerLeft' }
@@ -168,8 +167,6 @@
         eventRate.recordEvents(events?.length ?? 0)
         // Small events take many times the memory of their bytes, and the wait may be long.
         events = null
-        // If the end of the stream has arrived meanwhile, it must not be handled before the head is sent.
-        if (isFirst) await new Promise<void>(resolve => process.nextTick(resolve))
         if (!readsOn) {
           stopStallTimeout()
           this.#wait = new AbortController()
--- a/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
+++ b/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
@@ -147,6 +147,8 @@
     this.#phase = 'ended'
     this.#isUnanswered = !this.#hasWritten && !this.hasCallerLeft
     this.#hold?.clear()
+    // Node.js sends what was written at the end of the turn, and drops it if the connection is destroyed before.
+    this.#response.socket?.uncork()
     // Only a reset shows that a body which the end of the connection delimits is not complete.
     if (this.#isEndedByClose) this.#socket?.resetAndDestroy()
     else this.#response.destroy()
