Gateway: a kept failure that cannot be written does not stand for an answer

What callers saw: a connection that closes without an answer: the first endpoint failed with a head that Node.js rejects (a control character in its reason phrase), and the retry failed too.

Cause: the failure that is kept while a request is retried counted as the answer before it was known whether it can be written; the refusal in its place was dropped, as the request was settled.

--- a/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
+++ b/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
@@ -38,7 +38,7 @@
   #isSettled = false
   #mayHaveRun = false
   /** Forwards a failure of an endpoint that was kept while the request is retried; null without one. */
-  #forwardFailure: (() => void) | null = null
+  #tryForwardFailure: (() => boolean) | null = null
   /** Number of attempts started. */
   attemptCount = 0
 
@@ -59,14 +59,14 @@
     this.#mayHaveRun = true
   }
 
-  /** Keeps the failure response of an endpoint while the request is retried; the caller gets it if no endpoint serves the request. */
-  keepFailure (forward: () => void): void {
-    this.#forwardFailure = forward
+  /** Keeps the failure response of an endpoint while the request is retried; the caller gets it if no endpoint serves the request. `tryForward` returns false if it cannot be written. */
+  keepFailure (tryForward: () => boolean): void {
+    this.#tryForwardFailure = tryForward
   }
 
   /** Drops the failure that was kept, as the caller gets another response. */
   dropFailure (): void {
-    this.#forwardFailure = null
+    this.#tryForwardFailure = null
   }
 
   /** Marks the request as settled without sending a response. */
@@ -152,7 +152,7 @@
     if (this.#isSettled) return
     if (this.#callerResponse.hasCallerLeft) return this.handleCallerLeft(false)
     this.#isSettled = true
-    if (this.#forwardFailure !== null && this.#callerResponse.phase === 'waiting' && !KEY_REFUSALS.includes(reason)) return this.#forwardFailure()
+    if (this.#callerResponse.phase === 'waiting' && !KEY_REFUSALS.includes(reason) && this.#tryForwardFailure?.() === true) return
     const retryAfterMs = status === 503 ? delayMs : null
     this.#recorder.recordRefused({ reason, status, mayHaveRun: this.#mayHaveRun, attempts: this.attemptCount, retryAfterMs: retryAfterMs ?? 0, detail })
     const answer = this.#plan.relayed === null ? null : buildRefusal(reason, this.#mayHaveRun, retryAfterMs)
--- a/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
+++ b/packages/knapweedshunt-gateway/src/flow/responseForwarder.ts
@@ -83,7 +83,7 @@
     const isFailure = status >= MIN_SERVER_ERROR_STATUS
     reporter.recordObservation(runningAttempt, isFailure ? HEALTH_OBSERVATION.failed : HEALTH_OBSERVATION.served, `status ${status}`)
     if (isFailure && this.#isRepeatable && permits.tryTake(false)) {
-      if (body.type === 'buffered') finalResponse.keepFailure(() => this.#forwardBuffered(runningAttempt, response, status, body.bytes))
+      if (body.type === 'buffered') finalResponse.keepFailure(() => this.#tryForwardBuffered(runningAttempt, response, status, body.bytes))
       response.destroy()
       attemptRunner.finish(runningAttempt)
       recorder.recordAttemptEnded(runningAttempt, 'failed', `status ${status}`, true)
@@ -98,7 +98,7 @@
     }
     if (body.type === 'large') return await this.#forwardLargeResponse(runningAttempt, response, body.firstChunks)
     attemptRunner.finish(runningAttempt)
-    this.#forwardBuffered(runningAttempt, response, status, body.bytes)
+    if (!this.#tryForwardBuffered(runningAttempt, response, status, body.bytes)) finalResponse.fail('endpoint_lost', UNWRITABLE_HEAD)
     return DONE
   }
 
@@ -132,11 +132,13 @@
     return buildResponseStart(response, { method: this.#plan.call.method, length, answer: this.#buildRelayAnswer(runningAttempt) })
   }
 
-  #forwardBuffered (runningAttempt: RunningAttempt, response: http.IncomingMessage, status: number, bytes: Buffer): void {
+  /** False if the head cannot be written. */
+  #tryForwardBuffered (runningAttempt: RunningAttempt, response: http.IncomingMessage, status: number, bytes: Buffer): boolean {
     const firstByteMs = performance.now() - this.#plan.arrivedAtMs
-    if (!this.#tryBegin(runningAttempt, response, bytes.length)) return this.#parts.finalResponse.fail('endpoint_lost', UNWRITABLE_HEAD)
+    if (!this.#tryBegin(runningAttempt, response, bytes.length)) return false
     this.#callerResponse.end(bytes)
     this.#parts.recorder.recordAnswered(runningAttempt, status, firstByteMs, 0, bytes.length)
+    return true
   }
 
   /** Forwards a response above the buffer limit chunk by chunk; the request cannot be retried any more. */
