A stream that breaks off before its turn does not take its connection with it

What callers saw, of several requests sent on one connection without waiting: the connection closes behind the response in front of a stream that broke off or reached its deadline; the stream and all requests behind it, which had run, end without an answer.

Cause: what is written of a response that waits for its turn went into the queue of Node.js, from which nothing can be taken back, though nothing of it had been sent; the only end left was to close the connection.

Evidence: the new test, in service and in a stop, received only 'first' before, and 'first', the refusal and 'third' now.

A response without a length is now held until its turn, as those of a stop were, so that a refusal can take its place; its endpoint is read no further than the high-water mark of a response, as before. Once it is complete it goes into the queue of Node.js as before.

--- a/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
@@ -133,6 +133,24 @@
   t.regex(received.text, /connection: keep-alive.*first.*connection: close.*last$/is)
 })
 
+for (const isStopping of [false, true]) {
+  // Guards against requests that run and get no answer, as a stream in front of them broke off before its turn and took the connection with it.
+  test(`a stream that breaks off before its turn is refused, and what is behind it answered: ${isStopping ? 'in a stop' : 'in service'}`, async t => {
+    const { responses, received, send, answer } = await openConnection(t, isStopping)
+    await send('', 3)
+    responses[1].tryPrepare({ status: 200, message: '', headers: ['Content-Type', 'text/event-stream'], closesConnection: false })
+    responses[1].write(Buffer.from('event'))
+    t.true(responses[1].isReplaceable)
+    answer(1, 'refused')
+    answer(2, 'third')
+    await setImmediate()
+    answer(0, 'first')
+    await sleep(50)
+    t.regex(received.text, /first.*refused.*third$/is)
+    t.false(received.text.includes('event'))
+  })
+}
+
 test('a response that waits for its turn in a stop keeps its parts in order, whether it is followed or not', async t => {
   const { responses, received, closed, send, answer } = await openConnection(t)
   await send()
--- a/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
+++ b/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
@@ -138,9 +138,9 @@
     this.refuse('timeout', this.#mayHaveRun ? 504 : 503, 'the deadline of the request has passed')
   }
 
-  /** Ends a stream that cannot be completed: the connection is closed if a part of it was written, else the request is refused. */
+  /** Ends a stream that cannot be completed: the connection is closed if a part of it was sent, else the request is refused. */
   abortResponse (detail: string): void {
-    this.refuse('stream_cut', this.#callerResponse.phase === 'begun' ? STATUS_NONE : 502, detail)
+    this.refuse('stream_cut', this.#callerResponse.isReplaceable ? 502 : STATUS_NONE, detail)
   }
 
   /** Refuses the request with the status; a 503 carries a retry-after time around the mean given. If a response has already started, its connection is closed instead, so that the caller does not take it for complete. */
--- a/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
+++ b/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
@@ -47,6 +47,11 @@
     return this.#leaveController.signal.aborted
   }
 
+  /** Whether nothing of the response has been sent, as none was written or its turn has not come. */
+  get isReplaceable (): boolean {
+    return this.#phase === 'waiting' || (this.#phase === 'begun' && this.#hold !== null)
+  }
+
   /** Whether a head waits for the first bytes of its body. */
   get isPrepared (): boolean {
     return this.#preparedStart !== null
@@ -84,15 +89,16 @@
     if (this.#phase !== 'waiting' || this.hasCallerLeft) return false
     const { headers, closesConnection } = start
     // If this process is killed, the system closes the connection in the regular way; only chunks or a length show that the body is not complete.
-    this.#isEndedByClose = !this.#response.useChunkedEncodingByDefault && !headers.some((name, i) => i % 2 === 0 && name.toLowerCase() === 'content-length')
+    const hasLength = headers.some((name, i) => i % 2 === 0 && name.toLowerCase() === 'content-length')
+    this.#isEndedByClose = !this.#response.useChunkedEncodingByDefault && !hasLength
     const mayBeFollowed = !this.#isEndedByClose && (!closesConnection || isFollowed(this.#response))
     if (!mayBeFollowed) this.#response.shouldKeepAlive = false
     this.#response.sendDate = false
     try {
-      // A head that announces the close while it waits could not be changed when another request is read.
-      if (mayBeFollowed && this.#response.socket === null && !this.#response.shouldKeepAlive) {
+      // A head that announces the close while it waits could not be changed when another request is read, and a stream that breaks off could not be refused.
+      if (this.#hold !== null || (mayBeFollowed && this.#response.socket === null && !(this.#response.shouldKeepAlive && hasLength))) {
         writeHead(new http.ServerResponse(this.#response.req), start)
-        this.#hold = new ResponseHold(this.#response, () => { this.#hold = null })
+        this.#hold ??= new ResponseHold(this.#response, () => { this.#hold = null })
         this.#hold.add(() => writeHead(this.#response, start))
       } else writeHead(this.#response, start)
     } catch {
@@ -104,8 +110,12 @@
     return true
   }
 
-  /** Sends a whole response; if one has begun, it is aborted instead. */
+  /** Sends a whole response in place of what was not sent yet; if a part was sent, the response is aborted instead. */
   sendWhole ({ start, body }: WholeResponse): void {
+    if (this.#phase === 'begun' && this.isReplaceable) {
+      this.#hold?.clear()
+      this.#phase = 'waiting'
+    }
     if (this.tryBegin(start)) this.end(body)
     else this.abort()
   }
@@ -123,8 +133,9 @@
     this.#beginPrepared()
     if (this.#phase !== 'begun') return
     this.#phase = 'ended'
-    if (this.#hold === null) this.#writeEnd(bytes)
-    else this.#hold.add(() => this.#writeEnd(bytes), bytes?.length)
+    if (this.#hold === null) return this.#writeEnd(bytes)
+    this.#hold.add(() => this.#writeEnd(bytes), bytes?.length)
+    this.#hold.complete()
   }
 
   #beginPrepared (): void {
@@ -145,7 +156,7 @@
   abort (): void {
     if (this.#phase === 'ended') return
     this.#phase = 'ended'
-    this.#isUnanswered = !this.#hasWritten && !this.hasCallerLeft
+    this.#isUnanswered = (!this.#hasWritten || this.#hold !== null) && !this.hasCallerLeft
     this.#hold?.clear()
     // Node.js sends what was written at the end of the turn, and drops it if the connection is destroyed before.
     this.#response.socket?.uncork()
--- a/packages/knapweedshunt-gateway/src/shared/responseHold.ts
+++ b/packages/knapweedshunt-gateway/src/shared/responseHold.ts
@@ -16,20 +16,21 @@
   return followedResponses.has(response)
 }
 
-/** Output of a response that waits behind another one, until it is settled whether it is the last of its connection: its turn has come, or it is followed. */
+/** Output of a response that waits behind another one, until its turn has come, or it is complete and settled that it is not the last of its connection. */
 export class ResponseHold {
   readonly #response: http.ServerResponse
   readonly #onReleased: () => void
   #actions: Array<() => void> = []
   #heldBytes = 0
   #needsDrain = false
+  #isComplete = false
 
   /** `onReleased` is called right before the output is written. */
   constructor (response: http.ServerResponse, onReleased: () => void) {
     this.#response = response
     this.#onReleased = onReleased
     // When the event occurs, the socket is not ready to be written to.
-    response.once('socket', () => process.nextTick(this.#release)).once(FOLLOWED_EVENT, this.#release)
+    response.once('socket', () => process.nextTick(this.#release)).on(FOLLOWED_EVENT, this.#releaseComplete)
   }
 
   /** Bytes that are held. */
@@ -45,12 +46,22 @@
     return !this.#needsDrain
   }
 
+  /** Records that nothing more is added. */
+  complete (): void {
+    this.#isComplete = true
+    if (this.#response.shouldKeepAlive) this.#releaseComplete()
+  }
+
   /** Drops what is held. */
   clear (): void {
     this.#actions = []
     this.#heldBytes = 0
   }
 
+  readonly #releaseComplete = (): void => {
+    if (this.#isComplete) this.#release()
+  }
+
   readonly #release = (): void => {
     const actions = this.#actions
     const needsDrain = this.#needsDrain
