Notice callers that leave behind requests that wait

What callers saw: a caller that closed, half-closed or reset its connection behind some 90 requests of it was not noticed: work for its 8 requests under way went on, and the others were started as these ended. Found by a review, not followed up.

Cause: bytes behind the requests that wait are put back into the socket. Node.js reports the end of a connection only once these are read, and reads nothing, so that not even a reset shows, while 16 kB of them wait. The class: a connection that is paused to bound its work is not watched either.

While requests wait, connections with such bytes are checked every 0.5 s: a reset shows in the peer's name whatever waits; for a regular end the descriptor is read ahead, unparsed, up to 1 MB of a connection and 4 MB of all. What was not started is dropped then, and the connection ends as any other that is half-closed.

Evidence: without the fix six of the nine cases of the new test failed in one run, five in another: 90 and 300 requests in each way of leaving, but a reset behind 90 only in the first, as it depends on the time that parsing took how much is put back. 'Value is not `true`: false': requests under way don't know 2 s later that their caller has left. The cases of 20 requests, with nothing put back, passed. With it the file passed (29 tests) in three of three runs at load 10 to 15.

Not noticed: a regular close behind more bytes than are read ahead, until the connection is read up to there.

--- a/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
@@ -11,6 +11,9 @@
 /** More than the buffers of a connection hold, in bytes. */
 const BODY_BYTES = 16_000_000
 
+/** Time after which no work goes on for a caller that has left, in milliseconds. */
+const MAX_LEFT_UNNOTICED_MS = 2_000
+
 // Guards against a connection that counts as idle as soon as its response has ended, while bytes wait for a caller that reads slowly.
 for (const [title, endResponse] of [
   ['in one part', (response: CallerResponse, body: Buffer) => response.end(body)],
@@ -294,3 +297,37 @@
   t.is(runs, MAX_STARTED_REQUESTS)
   await server.closeListener()
 })
+
+// Guards against work for a caller that left behind requests that wait: its connection is not read, so that its end does not show.
+for (const [title, leave] of [
+  ['closes its connection', (socket: net.Socket) => socket.destroy()],
+  ['half-closes its connection', (socket: net.Socket) => socket.end()],
+  ['resets its connection', (socket: net.Socket) => socket.resetAndDestroy()]
+] as const) {
+  for (const count of [20, 90, 300]) {
+    test(`no request is begun for a caller that ${title} behind ${count} requests`, async t => {
+      const started: CallerResponse[] = []
+      const server = new CallerServer((request, response) => {
+        request.resume()
+        started.push(new CallerResponse(response))
+      })
+      const address = new URL(await server.start({ host: '127.0.0.1', port: 0 }))
+      const socket = net.connect(Number(address.port), address.hostname).on('error', () => {}).resume()
+      t.teardown(async () => {
+        socket.destroy()
+        server.closeAllConnections()
+        await server.closeListener()
+      })
+      await new Promise(resolve => socket.write(buildPipelined(count), resolve))
+      while (started.length < MAX_STARTED_REQUESTS) await sleep(5)
+      await sleep(100)
+      leave(socket)
+      await sleep(MAX_LEFT_UNNOTICED_MS)
+      t.true(started.every(({ hasCallerLeft }) => hasCallerLeft))
+      t.is(server.waitingCount, 0)
+      started[0].sendWhole({ start: { status: 200, message: '', headers: ['Content-Length', '0'], closesConnection: false }, body: Buffer.alloc(0) })
+      await sleep(100)
+      t.is(started.length, MAX_STARTED_REQUESTS)
+    })
+  }
+}
--- a/packages/knapweedshunt-gateway/src/callers/pipelinedRequests.ts
+++ b/packages/knapweedshunt-gateway/src/callers/pipelinedRequests.ts
@@ -1,9 +1,17 @@
 import type http from 'node:http'
 import type { Socket } from 'node:net'
+import { CONNECTION_END, probeConnectionEnd } from 'knapweedshunt-utils'
 
 /** Requests of one connection that are under way at a time. */
 export const MAX_STARTED_REQUESTS = 8
 
+/** Interval at which connections that are not read are checked for their end, in milliseconds. */
+const END_CHECK_INTERVAL_MS = 500
+
+/** Bytes up to which such checks read ahead: of a connection, and of all together. */
+const MAX_UNPARSED_BYTES = 1024 * 1024
+const MAX_TOTAL_UNPARSED_BYTES = 4 * MAX_UNPARSED_BYTES
+
 /** Options of {@link PipelinedRequests}. */
 export interface PipelinedRequestsOptions {
   /** Requests that may wait, on all connections together. */
@@ -27,6 +35,7 @@
   readonly #options: PipelinedRequestsOptions
   readonly #pipelines = new Map<Socket, Pipeline>()
   #waitingCount = 0
+  #endTimer: NodeJS.Timeout | null = null
 
   constructor (options: PipelinedRequestsOptions) {
     this.#options = options
@@ -53,6 +62,7 @@
     pipeline.waiting.push(startCounted)
     this.#waitingCount++
     socket.pause()
+    this.#endTimer ??= setInterval(() => this.#checkEnds(), END_CHECK_INTERVAL_MS).unref()
     if (this.#waitingCount > this.#options.maxWaiting) this.#evictLargest()
   }
 
@@ -94,6 +104,39 @@
     socket.resume()
   }
 
+  /** Gives up connections that their callers have ended. Node.js does not report an end behind bytes that are not read. */
+  #checkEnds (): void {
+    const unread = [...this.#pipelines].filter(([socket, { waiting }]) => waiting.length > 0 && socket.readableLength > 0)
+    let freeBytes = MAX_TOTAL_UNPARSED_BYTES - unread.reduce((sum, [{ readableLength }]) => sum + readableLength, 0)
+    for (const [socket, pipeline] of unread) {
+      const { readableLength } = socket
+      const end = probeConnectionEnd(socket, Math.min(MAX_UNPARSED_BYTES, readableLength + freeBytes))
+      freeBytes -= socket.readableLength - readableLength
+      switch (end) {
+        case null:
+          break
+        case CONNECTION_END.closed:
+          this.#skipToEnd(socket, pipeline)
+          break
+        case CONNECTION_END.reset:
+          socket.destroy()
+          break
+        default:
+          end satisfies never
+      }
+    }
+    if (this.#waitingCount > 0 || this.#endTimer === null) return
+    clearInterval(this.#endTimer)
+    this.#endTimer = null
+  }
+
+  /** Drops the requests that are not started and has the connection end as any other that is half-closed. */
+  #skipToEnd (socket: Socket, pipeline: Pipeline): void {
+    this.#removePipeline(socket, pipeline)
+    socket.removeAllListeners('data')
+    socket.resume()
+  }
+
   #evictLargest (): void {
     const [[socket, pipeline]] = [...this.#pipelines].sort(([, a], [, b]) => b.waiting.length - a.waiting.length)
     this.#removePipeline(socket, pipeline)
