The time of a head stands still while its connection is not read

What callers saw: 408 for a request whose head they had sent in time, behind other requests of their connection or beside callers whose bytes take long to parse. Suspected in a review, shown now.

Cause: three parts pause a connection, the bound on its requests, limitParsing and Node.js itself, whose parser pauses behind responses that wait. Node.js counts the time of a head meanwhile, and only the first of the three was taken off. The class: a fact about a connection that is kept by one of several owners.

The caller server looks at the connection now: paused or not, and since when it is read again. This covers whoever pauses it, as bytes that are put back always pause it.

A head that does not end is late as before, also behind responses that waited.

--- a/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
@@ -331,3 +331,79 @@
     })
   }
 }
+
+/** Sends a request that is answered late, one whose response is so large that the parser pauses behind it, one more and the begin of a head; then its rest, if any, in time. */
+async function callPausedParser (t: ExecutionContext, rest: string | null): Promise<{ text: string, urls: string[] }> {
+  const headerTimeoutMs = 300
+  const urls: string[] = []
+  let endFirst = () => {}
+  const server = new CallerServer((request, response) => {
+    urls.push(request.url ?? '')
+    if (request.url === '/first') endFirst = () => response.end()
+    else response.end('x'.repeat(request.url === '/large' ? 40_000 : 0))
+  })
+  server.applyLimits({ maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs, idleTimeoutMs: 5_000 })
+  const address = new URL(await server.start({ host: '127.0.0.1', port: 0 }))
+  const socket = net.connect(Number(address.port), address.hostname).setNoDelay(true)
+  t.teardown(async () => {
+    socket.destroy()
+    server.closeAllConnections()
+    await server.closeListener()
+  })
+  let text = ''
+  socket.on('data', chunk => { text += chunk.toString() })
+  const send = (...paths: string[]) => socket.write(paths.map(path => `GET ${path} HTTP/1.1\r\nHost: h\r\n\r\n`).join(''))
+  send('/first', '/large')
+  while (urls.length < 2) await sleep(1)
+  socket.write('GET /third HTTP/1.1\r\nHost: h\r\n\r\nGET /fourth HTTP/1.1\r\n')
+  while (urls.length < 3) await sleep(1)
+  if (rest !== null) socket.write(rest)
+  // Node.js looks for late heads every 0.5 s.
+  await sleep(headerTimeoutMs + 1_200)
+  endFirst()
+  const endedAtMs = performance.now()
+  while (urls.length < 4 && !socket.closed && performance.now() < endedAtMs + 2_000) await sleep(5)
+  await sleep(100)
+  return { text, urls }
+}
+
+// Guards against 408 for a head whose rest came in time and was not read, as the parser was paused behind responses that wait.
+test('a head that is whole behind responses that wait is not late', async t => {
+  const { text, urls } = await callPausedParser(t, 'Host: h\r\n\r\n')
+  t.deepEqual(urls, ['/first', '/large', '/third', '/fourth'])
+  t.notRegex(text, / 408 /)
+})
+
+// Guards against a head whose time never ends because the parser was paused before it.
+test('a head that does not end behind responses that waited is late', async t => {
+  const { text, urls } = await callPausedParser(t, null)
+  t.deepEqual(urls, ['/first', '/large', '/third'])
+  t.regex(text, /HTTP\/1.1 408 /)
+})
+
+// Guards against the same beside connections whose bytes take long to parse: a head waits for its turn in parts.
+test.serial('heads that wait to be parsed in parts beside many others are not late', async t => {
+  const server = new CallerServer((request, response) => { request.resume().once('end', () => response.end()) }, { maxConnections: Infinity, maxParsingWaits: Infinity, maxWaitingRequests: Infinity, tryEndStill: () => false, onEvicted () {}, onUnaccepted () {} })
+  server.applyLimits({ maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 100, idleTimeoutMs: 5_000 })
+  const address = new URL(await server.start({ host: '127.0.0.1', port: 0 }))
+  const sockets: net.Socket[] = []
+  t.teardown(async () => {
+    for (const socket of sockets) socket.destroy()
+    await server.closeListener()
+  })
+  const open = (text: string) => {
+    const socket = net.connect(Number(address.port), address.hostname, () => socket.write(text)).on('error', () => {})
+    sockets.push(socket)
+    return socket
+  }
+  const buildTiny = (count: number) => `POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(count)}`
+  for (let n = 0; n < 800; n++) open(buildTiny(4_000)).resume()
+  const answers = await Promise.all(Array.from({ length: 40 }, async (_, n) => {
+    await sleep(20 * n)
+    let text = ''
+    const socket = open(`${buildTiny(600)}0\r\n\r\nGET /late HTTP/1.1\r\nHost: h\r\nPadding: ${'x'.repeat(6_000)}\r\n\r\n`).on('data', chunk => { text += chunk.toString() })
+    while (!socket.closed && (text.match(/HTTP/g) ?? []).length < 2) await sleep(5)
+    return text.match(/HTTP\/1.1 [0-9]+/g)?.join()
+  }))
+  t.deepEqual(answers, answers.map(() => 'HTTP/1.1 200,HTTP/1.1 200'))
+})
--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -61,6 +61,8 @@
   readonly #bytesAtIdle = new WeakMap<Socket, number>()
   /** Connections with a request whose head cannot be read behind responses that are not out yet. */
   readonly #unreadable = new WeakMap<Socket, NodeJS.ErrnoException>()
+  /** Monotonic time at which each connection was last read again. */
+  readonly #resumedAtMs = new WeakMap<Socket, number>()
   readonly #unaccepted = new Map<Socket, UnacceptedRequests>()
   readonly #acceptWatch = new AcceptWatch()
   #turnTimer: NodeJS.Immediate | null = null
@@ -77,6 +79,7 @@
     this.#server.on('connection', () => this.#acceptWatch.recordAccepted())
     // Node.js does not close a response that still waits behind another one.
     this.#server.on('connection', socket => {
+      socket.on('resume', () => this.#resumedAtMs.set(socket, performance.now()))
       socket.once('close', () => {
         this.#pendingResponses.delete(socket)
         this.#connections.remove(socket)
@@ -141,7 +144,7 @@
 
   /** Refuses a head that is malformed or late, once the requests before it on its connection are answered. The time of a head does not run while its connection is not read. */
   #handleClientError (error: NodeJS.ErrnoException, socket: Socket, requestCount = this.#pipelinedRequests.countRequests(socket)): void {
-    const remainingMs = this.#server.headersTimeout - this.#pipelinedRequests.measureReadMs(socket)
+    const remainingMs = this.#server.headersTimeout - this.#measureReadMs(socket)
     if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' && remainingMs > 0) {
       // Node.js reports a late head once.
       setTimeout(() => {
@@ -158,6 +161,11 @@
     if (!isBodyUnreadable) this.#unreadable.set(socket, this.#unreadable.get(socket) ?? error)
   }
 
+  /** Time for which a connection has been read without a pause, in milliseconds; 0 while it is not, as others wait before it. */
+  #measureReadMs (socket: Socket): number {
+    return socket.isPaused() ? 0 : performance.now() - (this.#resumedAtMs.get(socket) ?? -Infinity)
+  }
+
   #announceClose (response: http.ServerResponse): void {
     if (!response.shouldKeepAlive || response.headersSent) return
     response.shouldKeepAlive = false
--- a/packages/knapweedshunt-gateway/src/callers/pipelinedRequests.ts
+++ b/packages/knapweedshunt-gateway/src/callers/pipelinedRequests.ts
@@ -26,8 +26,6 @@
   startedCount: number
   /** Starts of the others, in order. */
   waiting: Array<() => void>
-  /** Monotonic time at which the connection was last read again; -Infinity if it was always. */
-  resumedAtMs: number
 }
 
 /** Bounds the requests under way on each connection. Those that were read beyond it wait, in order, and the connection is not read until all of them are started. */
@@ -71,15 +69,8 @@
     return this.#pipelines.get(socket)?.requestCount ?? 0
   }
 
-  /** Time since requests last waited on a connection, in milliseconds: 0 while some do, and the connection is not read. */
-  measureReadMs (socket: Socket): number {
-    const pipeline = this.#pipelines.get(socket)
-    if (pipeline === undefined) return Infinity
-    return pipeline.waiting.length > 0 ? 0 : performance.now() - pipeline.resumedAtMs
-  }
-
   #addPipeline (socket: Socket): Pipeline {
-    const pipeline: Pipeline = { requestCount: 0, startedCount: 0, waiting: [], resumedAtMs: -Infinity }
+    const pipeline: Pipeline = { requestCount: 0, startedCount: 0, waiting: [] }
     this.#pipelines.set(socket, pipeline)
     // Node.js resumes a connection to read the body of a request, also of one that is whole.
     socket.on('resume', () => { if (pipeline.waiting.length > 0) socket.pause() })
@@ -99,9 +90,7 @@
     if (start === undefined) return
     this.#waitingCount--
     start()
-    if (pipeline.waiting.length > 0) return
-    pipeline.resumedAtMs = performance.now()
-    socket.resume()
+    if (pipeline.waiting.length === 0) socket.resume()
   }
 
   /** Gives up connections that their callers have ended. Node.js does not report an end behind bytes that are not read. */
