Extract the bound on connections from the caller server

ServerConnections decides which connection of a server gives way, so that the servers for readiness, metrics and other VMs can have the same bound.

--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -6,8 +6,8 @@
 import type { ConnectionEviction, UnacceptedReason } from '../records/decision.ts'
 import { recordFollowed } from '../shared/responseHold.ts'
 import { AcceptWatch } from './acceptWatch.ts'
-import { ConnectionTable } from './connectionTable.ts'
 import { PipelinedRequests } from './pipelinedRequests.ts'
+import { ServerConnections } from './serverConnections.ts'
 import type { UnacceptedRequests } from './unacceptedRequests.ts'
 
 /** Maximum size of the headers that Node.js reads, in bytes; the configured limit is checked afterwards. */
@@ -26,8 +26,6 @@
 const READABLE_HEADERS_FACTOR = 2
 const READABLE_PATH_BYTES = 16 * 1024
 
-const TIMEOUT_RESPONSE = 'HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n'
-
 /** Bounds on the connections of a {@link CallerServer}. */
 export interface CallerServerOptions {
   maxConnections: number
@@ -55,22 +53,18 @@
   /** Responses that announce the close of their connection for no other reason than that this server stops. */
   readonly #closedByStop = new WeakSet<http.ServerResponse>()
   readonly #options: CallerServerOptions
-  readonly #connections: ConnectionTable<Socket>
+  readonly #connections: ServerConnections
   readonly #pipelinedRequests: PipelinedRequests
-  /** Bytes that each connection without a request under way had sent when its last one ended. */
-  readonly #bytesAtIdle = new WeakMap<Socket, number>()
   /** Connections with a request whose head cannot be read behind responses that are not out yet. */
   readonly #unreadable = new WeakMap<Socket, NodeJS.ErrnoException>()
   /** Monotonic time at which each connection was last read again. */
   readonly #resumedAtMs = new WeakMap<Socket, number>()
   readonly #unaccepted = new Map<Socket, UnacceptedRequests>()
   readonly #acceptWatch = new AcceptWatch()
-  #turnTimer: NodeJS.Immediate | null = null
   #isKeepAliveDisabled = false
 
   constructor (onRequest: RequestListener, options: CallerServerOptions = UNBOUNDED) {
     this.#options = options
-    this.#connections = new ConnectionTable(options.maxConnections)
     this.#pipelinedRequests = new PipelinedRequests({ maxWaiting: options.maxWaitingRequests, onEvicted: () => options.onEvicted('waitingRequests') })
     this.#server = http.createServer({ maxHeaderSize: MAX_READABLE_HEADER_BYTES, connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_INTERVAL_MS, keepAlive: true, noDelay: true }, (request, response) => {
       const arrivedAtMs = performance.now()
@@ -82,14 +76,12 @@
       socket.on('resume', () => this.#resumedAtMs.set(socket, performance.now()))
       socket.once('close', () => {
         this.#pendingResponses.delete(socket)
-        this.#connections.remove(socket)
         const unaccepted = this.#unaccepted.get(socket)
         if (unaccepted !== undefined) this.#options.onUnaccepted(unaccepted)
         this.#unaccepted.delete(socket)
       })
-      this.#addConnection(socket)
-      if (this.#connections.isOverfull) this.#makeRoom(socket)
     })
+    this.#connections = new ServerConnections(this.#server, { ...options, tryEndRequest: () => options.tryEndStill() })
     this.#server.requestTimeout = 0 // The body has its own size and idle limits.
     this.#server.on('clientError', (error, socket) => this.#handleClientError(error, socket as Socket))
     closeOnIdleTimeout(this.#server)
@@ -132,7 +124,6 @@
       pending.delete(response)
       if (pending.size > 0) return
       this.#pendingResponses.delete(socket)
-      this.#bytesAtIdle.set(socket, socket.bytesRead)
       this.#connections.recordIdle(socket)
       const error = this.#unreadable.get(socket)
       if (error === undefined) return
@@ -185,29 +176,6 @@
     else this.#options.onUnaccepted(requests)
   }
 
-  #addConnection (socket: Socket): void {
-    this.#connections.add(socket)
-    this.#turnTimer ??= setImmediate(() => this.#advanceTurn())
-  }
-
-  #advanceTurn (): void {
-    this.#turnTimer = this.#connections.advanceTurn() ? setImmediate(() => this.#advanceTurn()) : null
-  }
-
-  /** Closes the connection that has had no request for longest, else one whose caller sends nothing, else the new one. */
-  #makeRoom (newcomer: Socket): void {
-    const idle = this.#connections.evictIdle()
-    if (idle !== null) {
-      const hasHead = idle.bytesRead > (this.#bytesAtIdle.get(idle) ?? 0)
-      this.#options.onEvicted(hasHead ? 'unfinishedHead' : 'idleConnection')
-      if (hasHead && idle.writable) idle.end(TIMEOUT_RESPONSE)
-      idle.destroySoon()
-    } else if (!this.#options.tryEndStill()) {
-      this.#options.onEvicted('newConnection')
-      newcomer.destroy()
-    }
-  }
-
   /** Number of open connections. */
   get connectionCount (): number {
     return this.#connections.size
