Bound the connections to the servers for readiness, metrics and other VMs

Cause: only the server for callers bounds its connections.

These servers share BoundedServer now, with the bound of the caller server: the connection without a request for longest gives way, else the new one, so that a call of another VM under way is not closed. Other VMs get 0.25 of the sockets, at most one for each 20 kB of a tenth of the memory; checks and collectors 0.02 each. 400 VMs do not meet it: 450 at 88 MB. callersEvicted and knapweedshunt_caller_evictions_total name the server.

--- /dev/null
+++ b/packages/knapweedshunt-gateway/src/callers/boundedServer.ts
@@ -0,0 +1,57 @@
+import http from 'node:http'
+import type { Socket } from 'node:net'
+import { closeServer, limitParsing, listen } from 'knapweedshunt-utils'
+import type { ListenAddress } from '../ports/vmSettings.ts'
+import type { ConnectionEviction } from '../records/decision.ts'
+import { ServerConnections } from './serverConnections.ts'
+
+/** Bounds of a {@link BoundedServer}. */
+export interface ServerBounds {
+  maxConnections: number
+  /** Called for a connection that gave way, with the number of connections then. */
+  onEvicted (reason: ConnectionEviction, connectionCount: number): void
+}
+
+/** HTTP server for other parts of the deployment: health checks, collectors of metrics, other VMs. */
+export class BoundedServer {
+  readonly #server: http.Server
+  readonly #connections: ServerConnections
+  /** Number of responses of each connection that are not out. */
+  readonly #pendingCounts = new WeakMap<Socket, number>()
+
+  constructor (options: http.ServerOptions, { maxConnections, onEvicted }: ServerBounds, onRequest: http.RequestListener) {
+    this.#server = http.createServer(options, (request, response) => {
+      this.#trackPending(request.socket, response)
+      onRequest(request, response)
+    })
+    this.#connections = new ServerConnections(this.#server, { maxConnections, tryEndRequest: () => false, onEvicted: reason => onEvicted(reason, this.connectionCount) })
+    limitParsing(this.#server)
+  }
+
+  /** Number of open connections. */
+  get connectionCount (): number {
+    return this.#connections.size
+  }
+
+  /** Starts to listen; resolves to the base URL. */
+  async start (address: ListenAddress): Promise<string> {
+    return await listen(this.#server, address)
+  }
+
+  /** Closes the server and its connections at once; requests that have just arrived are answered, until the signal aborts. */
+  async close (signal: AbortSignal): Promise<void> {
+    if (!this.#server.listening) return
+    this.#server.closeAllConnections()
+    await closeServer(this.#server, signal)
+  }
+
+  #trackPending (socket: Socket, response: http.ServerResponse): void {
+    this.#pendingCounts.set(socket, (this.#pendingCounts.get(socket) ?? 0) + 1)
+    this.#connections.recordBusy(socket)
+    response.once('close', () => {
+      const pendingCount = (this.#pendingCounts.get(socket) ?? 0) - 1
+      this.#pendingCounts.set(socket, pendingCount)
+      if (pendingCount === 0) this.#connections.recordIdle(socket)
+    })
+  }
+}
--- a/packages/knapweedshunt-gateway/src/callers/callerLimits.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerLimits.ts
@@ -14,9 +14,14 @@
 /** Share of the connections that callers may open; each of their requests may need one to an endpoint, and the store, other VMs, readiness checks and metrics need theirs. */
 const CALLER_CONNECTION_SHARE = 0.45
 
-/** Memory that a connection of a caller takes, in bytes, and the share of the VM's memory that all of them may take. */
+/** Shares of the connections that other VMs may open, and health checks and collectors of metrics each. */
+const PEER_CONNECTION_SHARE = 0.25
+const CHECK_CONNECTION_SHARE = 0.02
+
+/** Memory that a connection takes, in bytes, and the shares of the VM's memory that those of callers and of other VMs may take. */
 const CONNECTION_BYTES = 20 * 1024
 const CONNECTION_MEMORY_SHARE = 1 / 5
+const PEER_CONNECTION_MEMORY_SHARE = 1 / 10
 
 /** Shares of the VM's memory for bodies: those that are kept, the first parts of others, and rests that are read ahead. */
 const KEPT_SHARE = 1 / 10
@@ -51,11 +56,10 @@
 
 /** Computes what callers may take from the memory and the descriptors of the VM. */
 export function computeCallerBounds ({ memoryMb, maxDescriptors, maxCallerConnections }: Pick<VmSettings, 'memoryMb' | 'maxDescriptors' | 'maxCallerConnections'>): CallerBounds {
-  const memoryBytes = (memoryMb ?? DEFAULT_MEMORY_MB) * BYTES_PER_MB
-  const descriptors = Math.max(0, (maxDescriptors ?? DEFAULT_DESCRIPTORS) - FILE_DESCRIPTORS)
-  const derivedConnections = Math.min(descriptors * CALLER_CONNECTION_SHARE, memoryBytes * CONNECTION_MEMORY_SHARE / CONNECTION_BYTES)
+  const memoryBytes = computeMemoryBytes(memoryMb)
+  const sockets = computeSockets(maxDescriptors)
   return {
-    maxConnections: maxCallerConnections ?? Math.max(1, Math.floor(derivedConnections)),
+    maxConnections: maxCallerConnections ?? roundConnections(Math.min(sockets * CALLER_CONNECTION_SHARE, memoryBytes * CONNECTION_MEMORY_SHARE / CONNECTION_BYTES)),
     maxWaitingRequests: Math.floor(memoryBytes * WAITING_SHARE / WAITING_REQUEST_BYTES),
     keptBytes: Math.floor(memoryBytes * KEPT_SHARE),
     firstPartBytes: Math.floor(memoryBytes * FIRST_PART_SHARE),
@@ -64,3 +68,32 @@
     maxParsingWaits: Math.floor(memoryBytes * PARSING_SHARE / READ_BYTES)
   }
 }
+
+/** Connections to the servers of a VM that are not for callers. */
+export interface InternalBounds {
+  peerConnections: number
+  /** Connections to the server for readiness, and to the one for metrics. */
+  checkConnections: number
+}
+
+/** Computes how many connections other VMs, health checks and collectors of metrics may open. */
+export function computeInternalBounds ({ memoryMb, maxDescriptors }: Pick<VmSettings, 'memoryMb' | 'maxDescriptors'>): InternalBounds {
+  const sockets = computeSockets(maxDescriptors)
+  return {
+    peerConnections: roundConnections(Math.min(sockets * PEER_CONNECTION_SHARE, computeMemoryBytes(memoryMb) * PEER_CONNECTION_MEMORY_SHARE / CONNECTION_BYTES)),
+    checkConnections: roundConnections(sockets * CHECK_CONNECTION_SHARE)
+  }
+}
+
+function computeMemoryBytes (memoryMb: number | null): number {
+  return (memoryMb ?? DEFAULT_MEMORY_MB) * BYTES_PER_MB
+}
+
+/** Number of descriptors that are left for connections. */
+function computeSockets (maxDescriptors: number | null): number {
+  return Math.max(0, (maxDescriptors ?? DEFAULT_DESCRIPTORS) - FILE_DESCRIPTORS)
+}
+
+function roundConnections (count: number): number {
+  return Math.max(1, Math.floor(count))
+}
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -7,12 +7,13 @@
 import { BodyReadAhead } from './callers/bodyReadAhead.ts'
 import { BufferCollector } from './callers/bufferCollector.ts'
 import { CallerEvictionLog } from './callers/callerEvictionLog.ts'
-import { computeCallerBounds } from './callers/callerLimits.ts'
+import { computeCallerBounds, computeInternalBounds } from './callers/callerLimits.ts'
 import { CallerMemory, EVICTION_REASON } from './callers/callerMemory.ts'
 import { CallerServer } from './callers/callerServer.ts'
 import { ProcessLoad } from './callers/processLoad.ts'
 import { drainCallers } from './callers/drainCallers.ts'
 import { AuxiliaryServers } from './callers/auxiliaryServers.ts'
+import type { ServerBounds } from './callers/boundedServer.ts'
 import { ConfigState } from './directory/configState.ts'
 import { DirectoryUpdater } from './directory/directoryUpdater.ts'
 import { computeMaxKeyAgeMs, KeyFreshness } from './directory/keyFreshness.ts'
@@ -56,7 +57,7 @@
 import { REPEATABILITY } from './ports/gatewayConfig.ts'
 import type { VmSettings } from './ports/vmSettings.ts'
 import { addGauges } from './records/addGauges.ts'
-import type { StopPhase } from './records/decision.ts'
+import type { ServerName, StopPhase } from './records/decision.ts'
 import { DecisionLog } from './records/decisionLog.ts'
 import { DelayWatch } from './records/delayWatch.ts'
 import { GatewayMetrics } from './records/gatewayMetrics.ts'
@@ -212,6 +213,7 @@
       roster: this.#roster,
       decisionLog: this.#decisionLog,
       metrics: this.#metrics,
+      serverBounds: this.#buildServerBounds('peers', computeInternalBounds(settings).peerConnections),
       signal: this.#taskController.signal,
       randomizeDelayMs: meanMs => this.#randomizeDelayMs(meanMs),
       getStreamRetentionMs: () => this.#computeStreamRetentionMs(),
@@ -292,7 +294,7 @@
     this.#keyFreshness = new KeyFreshness(this.#followers.resources, () => this.#settings.maxRevocationMs)
     this.#authenticator = new CallerAuthenticator(this.#configState, this.#keyFreshness)
     const callerBounds = computeCallerBounds(settings)
-    const callerEvictionLog = new CallerEvictionLog(this.#metrics, this.#decisionLog, () => this.#callerServer.connectionCount)
+    const callerEvictionLog = new CallerEvictionLog('callers', this.#metrics, this.#decisionLog)
     const processLoad = new ProcessLoad()
     const bufferCollector = new BufferCollector(callerBounds.collectedBytes)
     this.#callerMemory = new CallerMemory({
@@ -300,7 +302,7 @@
       isBusy: () => processLoad.isBusy,
       onArrived: bytes => bufferCollector.recordArrived(bytes),
       onEvicted: (reason, bytes) => {
-        callerEvictionLog.record(reason, bytes)
+        callerEvictionLog.record(reason, bytes, this.#callerServer.connectionCount)
         bufferCollector.recordEvicted(bytes)
       }
     })
@@ -312,7 +314,7 @@
     this.#callerServer = new CallerServer((request, response, arrivedAtMs) => this.#requestHandler.handleRequest(request, response, arrivedAtMs), {
       ...callerBounds,
       tryEndStill: () => this.#callerMemory.tryEndStill(EVICTION_REASON.connection),
-      onEvicted: reason => callerEvictionLog.record(reason, 0),
+      onEvicted: reason => callerEvictionLog.record(reason, 0, this.#callerServer.connectionCount),
       onUnaccepted: ({ reason, count, sinceMs }) => {
         this.#metrics.recordUnaccepted(reason, count)
         this.#decisionLog.record({ type: 'requestsUnaccepted', reason, count, waitedMs: Math.round(performance.now() - sinceMs), isStopping: this.#isStopping })
@@ -365,7 +367,13 @@
     const heapLimitMb = Math.round(getHeapStatistics().heap_size_limit / BYTES_PER_MB)
     this.#decisionLog.record({ type: 'started', vm: settings.vm, incarnation: this.#incarnation, dataCentre: settings.dataCentre, heapLimitMb, memoryMb: settings.memoryMb })
     if (settings.memoryMb !== null && heapLimitMb > settings.memoryMb * MAX_HEAP_SHARE) log.warn('The JavaScript heap may outgrow the memory of the VM.', { heapLimitMb, memoryMb: settings.memoryMb })
-    const auxiliaryServers = new AuxiliaryServers(() => this.isReady, this.#metrics)
+    const { checkConnections } = computeInternalBounds(settings)
+    const auxiliaryServers = new AuxiliaryServers({
+      metrics: this.#metrics,
+      readinessBounds: this.#buildServerBounds('readiness', checkConnections),
+      metricsBounds: this.#buildServerBounds('metrics', checkConnections),
+      isReady: () => this.isReady
+    })
     const auxiliaryAddresses = await auxiliaryServers.start(settings.readiness, settings.metrics)
     this.#addresses = { callers: await this.#callerServer.start(settings.callers), ...auxiliaryAddresses }
     const taskController = this.#taskController
@@ -416,6 +424,11 @@
     this.#decisionLog.record({ type: 'stopped', vm: settings.vm, inFlight: this.#requestHandler.inFlight })
   }
 
+  #buildServerBounds (server: ServerName, maxConnections: number): ServerBounds {
+    const evictionLog = new CallerEvictionLog(server, this.#metrics, this.#decisionLog)
+    return { maxConnections, onEvicted: (reason, connectionCount) => evictionLog.record(reason, 0, connectionCount) }
+  }
+
   #buildFlowDependencies (): FlowDependencies {
     return {
       vm: this.#settings.vm,
--- a/packages/knapweedshunt-gateway/src/peers/peerServer.ts
+++ b/packages/knapweedshunt-gateway/src/peers/peerServer.ts
@@ -1,8 +1,10 @@
-import http from 'node:http'
+import type http from 'node:http'
 import { RELAY_HEADER } from 'knapweedshunt-membership'
 import { createRpcHandler } from 'knapweedshunt-rpc'
 import type { RpcMethods } from 'knapweedshunt-rpc'
-import { closeServer, createIncarnation, isSameSecret, limitParsing, listen } from 'knapweedshunt-utils'
+import { createIncarnation, isSameSecret } from 'knapweedshunt-utils'
+import { BoundedServer } from '../callers/boundedServer.ts'
+import type { ServerBounds } from '../callers/boundedServer.ts'
 import { MAX_READABLE_HEADER_BYTES } from '../callers/callerServer.ts'
 import type { ListenAddress } from '../ports/vmSettings.ts'
 import { buildRefusal } from './buildRefusal.ts'
@@ -19,30 +21,27 @@
 /** Serves the calls of the other VMs and the requests that they relay. The key that they must send is drawn at each start; they read it from this VM's row. */
 export class PeerServer {
   readonly #key = createIncarnation() + createIncarnation()
-  readonly #server: http.Server
+  readonly #server: BoundedServer
   readonly #handleRelayed: RelayHandler
 
-  constructor (methods: RpcMethods, handleRelayed: RelayHandler) {
+  constructor (methods: RpcMethods, handleRelayed: RelayHandler, bounds: ServerBounds) {
     const handleCall = createRpcHandler(methods, this.#key)
     this.#handleRelayed = handleRelayed
-    this.#server = http.createServer({ maxHeaderSize: MAX_READABLE_HEADER_BYTES + MAX_RELAY_HEADER_BYTES, noDelay: true }, (request, response) => {
+    // The body has its own size and idle limits.
+    this.#server = new BoundedServer({ maxHeaderSize: MAX_READABLE_HEADER_BYTES + MAX_RELAY_HEADER_BYTES, noDelay: true, requestTimeout: 0 }, bounds, (request, response) => {
       if (request.headers[RELAY_HEADER.key] !== undefined) this.#serveRelayed(request, response)
       else handleCall(request, response).catch(() => response.destroy())
     })
-    limitParsing(this.#server)
-    this.#server.requestTimeout = 0 // The body has its own size and idle limits.
   }
 
   /** Starts to listen; resolves to the address for the other VMs. */
   async start (address: ListenAddress): Promise<PeerAddress> {
-    return { url: await listen(this.#server, address), key: this.#key }
+    return { url: await this.#server.start(address), key: this.#key }
   }
 
   /** Closes the server and its connections at once; requests that have just arrived are answered, until the signal aborts. */
   async close (signal: AbortSignal): Promise<void> {
-    if (!this.#server.listening) return
-    this.#server.closeAllConnections()
-    await closeServer(this.#server, signal)
+    await this.#server.close(signal)
   }
 
   #serveRelayed (request: http.IncomingMessage, response: http.ServerResponse): void {
--- a/packages/knapweedshunt-gateway/src/peers/peerServices.ts
+++ b/packages/knapweedshunt-gateway/src/peers/peerServices.ts
@@ -3,6 +3,7 @@
 import type { Platform } from 'knapweedshunt-platform'
 import type { DataCentreId, VmId } from 'knapweedshunt-types'
 import type { BodyMemory } from 'knapweedshunt-utils'
+import type { ServerBounds } from '../callers/boundedServer.ts'
 import type { VmRoster } from '../directory/vmRoster.ts'
 import type { EndpointRegistry } from '../endpoints/endpointRegistry.ts'
 import { computePoolReach, listPoolReaches } from '../endpoints/listPoolReaches.ts'
@@ -28,6 +29,8 @@
   roster: VmRoster
   decisionLog: DecisionLog
   metrics: GatewayMetrics
+  /** Bounds of the server for other VMs. */
+  serverBounds: ServerBounds
   /** Memory for the responses of other VMs. */
   responseMemory: BodyMemory
   /** Ends all calls to other VMs, and what is read and written for them. */
@@ -56,7 +59,7 @@
   readonly #clients: PeerClients
   readonly #server: PeerServer
 
-  constructor ({ platform, vm, dataCentre, incarnation, endpointRegistry, roster, decisionLog, metrics, responseMemory, signal, randomizeDelayMs, getStreamRetentionMs, getEndpointsAgeMs, countRelayed, handleRelayed, handleTablePoll, handleUsageExchange, handleUsageCollect }: PeerServicesDependencies) {
+  constructor ({ platform, vm, dataCentre, incarnation, endpointRegistry, roster, decisionLog, metrics, serverBounds, responseMemory, signal, randomizeDelayMs, getStreamRetentionMs, getEndpointsAgeMs, countRelayed, handleRelayed, handleTablePoll, handleUsageExchange, handleUsageCollect }: PeerServicesDependencies) {
     this.#clients = new PeerClients(responseMemory)
     const storage = { platform, decisionLog, signal }
     this.streamRows = new StreamRows({
@@ -104,7 +107,7 @@
       'tables.changes': handleTablePoll,
       'usage.exchange': handleUsageExchange,
       'usage.collect': handleUsageCollect
-    }, handleRelayed)
+    }, handleRelayed, serverBounds)
   }
 
   /** Calls a method of a VM. Throws RpcError. */
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -14,7 +14,10 @@
   | 'no_config' | 'config_behind' | 'relay_full' | 'relay_key' | 'relay_refused' | 'endpoints_unreached' | 'stream_unknown' | 'keys_unconfirmed' | 'quarantined' | 'no_endpoint' | 'no_free_endpoint' | 'endpoints_limited' | 'weights_replaced' | 'endpoint_refused'
   | 'callers_full' | 'usage_limited' | 'overloaded' | 'stopping' | 'timeout' | 'endpoint_lost' | 'stream_cut' | 'caller_left' | 'internal'
 
-/** Which connection of a caller was closed as there were too many: one without a request, one whose head had not ended, or a new one; or the one on which most requests waited, as too many did. */
+/** A server of a VM: for callers, readiness checks, metrics, or other VMs. */
+export type ServerName = 'callers' | 'readiness' | 'metrics' | 'peers'
+
+/** Which connection to a server was closed as there were too many: one without a request, one whose head had not ended, or a new one; or the one on which most requests waited, as too many did. */
 export type ConnectionEviction = 'idleConnection' | 'unfinishedHead' | 'newConnection' | 'waitingRequests'
 
 /** A step of a planned stop that is done: new requests are refused, the listener is closed, responses are out or cut, tasks have ended, this VM's row is removed, connections of callers and then of the other servers are closed. */
@@ -124,8 +127,8 @@
   | { type: 'weightsWished', model: string, version: number, isNew: boolean }
   /** The process did nothing for `delayMs`, for want of processor time or because of long work of its own. */
   | { type: 'heldUp', delayMs: number, inFlight: number }
-  /** Callers took more than they may, so that some gave way: how many within the last second, why, and the bytes that they held. */
-  | { type: 'callersEvicted', reason: EvictionReason | ConnectionEviction, count: number, bytes: number, connections: number }
+  /** Callers of a server took more than they may, so that some gave way: how many within the last second, why, and the bytes that they held. */
+  | { type: 'callersEvicted', server: ServerName, reason: EvictionReason | ConnectionEviction, count: number, bytes: number, connections: number }
   /** A step of a planned stop is done, `sinceStopMs` after the stop signal. */
   | { type: 'stopPhase', phase: StopPhase, sinceStopMs: number, inFlight: number, connections: number }
   /** A connection of a caller has closed on which `count` requests were read and neither run nor answered, the first one `waitedMs` before. */
--- a/packages/knapweedshunt-gateway/src/records/gatewayMetrics.ts
+++ b/packages/knapweedshunt-gateway/src/records/gatewayMetrics.ts
@@ -1,6 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import type { EvictionReason } from '../callers/callerMemory.ts'
-import type { BodyEnd, ConnectionEviction, UnacceptedReason } from './decision.ts'
+import type { BodyEnd, ConnectionEviction, ServerName, UnacceptedReason } from './decision.ts'
 
 /** Upper bounds of the latency buckets, in seconds; densest around the objectives of a few hundred milliseconds. */
 const LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3, 6, 15]
@@ -37,7 +37,7 @@
   readonly #usage = new Counter({ name: 'knapweedshunt_usage_units_total', help: 'Requests or tokens that count towards limits of organisations, by what was decided; returned if no endpoint ran the request.', labelNames: ['organisation', 'outcome'], registers: [this.registry] })
   readonly #usageCalls = new Counter({ name: 'knapweedshunt_usage_calls_total', help: 'Calls of this VM to others about limits of organisations, by kind and outcome.', labelNames: ['kind', 'outcome'], registers: [this.registry] })
   readonly #divisions = new Gauge({ name: 'knapweedshunt_prompt_endpoints', help: 'Endpoints of a pool that this VM uses for short and for long prompts; all for both while it is not divided.', labelNames: ['pool', 'prompts'], registers: [this.registry] })
-  readonly #callerEvictions = new Counter({ name: 'knapweedshunt_caller_evictions_total', help: 'Bodies and connections of callers that gave way to others, by reason.', labelNames: ['reason'], registers: [this.registry] })
+  readonly #callerEvictions = new Counter({ name: 'knapweedshunt_caller_evictions_total', help: 'Bodies and connections that gave way to others, by server and reason.', labelNames: ['server', 'reason'], registers: [this.registry] })
   readonly #unaccepted = new Counter({ name: 'knapweedshunt_unaccepted_requests_total', help: 'Requests that were read and neither run nor answered, by reason.', labelNames: ['reason'], registers: [this.registry] })
   readonly #unanswered = new Counter({ name: 'knapweedshunt_unanswered_requests_total', help: 'Requests whose connection was closed without an answer, though their callers waited.', registers: [this.registry] })
   readonly #gauges = new Map<string, Gauge>()
@@ -99,9 +99,9 @@
     this.#unwrittenRows.inc()
   }
 
-  /** Counts a body or connection of a caller that gave way. */
-  recordCallerEviction (reason: EvictionReason | ConnectionEviction): void {
-    this.#callerEvictions.inc({ reason })
+  /** Counts a body or connection that gave way. */
+  recordCallerEviction (server: ServerName, reason: EvictionReason | ConnectionEviction): void {
+    this.#callerEvictions.inc({ server, reason })
   }
 
   /** Counts requests of one connection that were read and neither run nor answered. */
