Bound the requests of a connection at the ports that are not for callers

Cause: these servers run each request that a read brings at once. Node.js stops reading a connection only when its answers are not taken, which takes megabytes on loopback.

BoundedServer uses PipelinedRequests: 8 requests of a connection are under way, the others wait and the connection is not read; 16 may wait on all connections of a server, beyond which the one on which most wait is closed. It is closed too if a new connection finds no room and none is without a request. Clients of these servers wait for each answer.

--- a/packages/knapweedshunt-gateway/src/__tests__/boundedServer.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/boundedServer.test.ts
@@ -6,7 +6,9 @@
 import { createRpcClient } from 'knapweedshunt-rpc'
 import { sleep } from 'knapweedshunt-utils'
 import { AuxiliaryServers } from '../callers/auxiliaryServers.ts'
+import { BoundedServer } from '../callers/boundedServer.ts'
 import { computeInternalBounds } from '../callers/callerLimits.ts'
+import { MAX_STARTED_REQUESTS } from '../callers/pipelinedRequests.ts'
 import { PeerServer } from '../peers/peerServer.ts'
 import { GatewayMetrics } from '../records/gatewayMetrics.ts'
 
@@ -78,6 +80,52 @@
   t.deepEqual(await calls, Array<string>(MAX_CONNECTIONS).fill('done'))
 })
 
+/** Starts a server that answers requests for `/` only. */
+async function startHalfSilentServer (t: ExecutionContext, maxConnections: number) {
+  const evicted: string[] = []
+  const counts = { started: 0 }
+  const server = new BoundedServer({}, { maxConnections, onEvicted: reason => { evicted.push(reason) } }, (request, response) => {
+    counts.started++
+    if (request.url === '/') response.end()
+  })
+  t.teardown(async () => await server.close(AbortSignal.abort()))
+  return { url: new URL(await server.start(LOOPBACK)), evicted, counts }
+}
+
+const SILENT_REQUEST = 'GET /silent HTTP/1.1\r\nHost: h\r\n\r\n'
+
+// Guards against callers of other ports whose requests all run at once, and wait in memory without a bound.
+test('requests of one connection are bounded at other ports, and those that wait on all connections together', async t => {
+  const { url, evicted, counts } = await startHalfSilentServer(t, 100)
+  await openConnections(t, url, 1, SILENT_REQUEST.repeat(20))
+  t.is(counts.started, MAX_STARTED_REQUESTS)
+  t.deepEqual(evicted, [])
+  await openConnections(t, url, 20, SILENT_REQUEST.repeat(40))
+  t.deepEqual(evicted, Array<string>(21).fill('waitingRequests'))
+  t.is(await call(url), 200)
+})
+
+// Guards against callers that keep all connections of a port by requests whose answers they do not read.
+test('a connection on which requests wait gives way to a new one', async t => {
+  const { url, evicted } = await startHalfSilentServer(t, 2)
+  await openConnections(t, url, 2, SILENT_REQUEST.repeat(14))
+  t.deepEqual(evicted, [])
+  t.is(await call(url), 200)
+  t.deepEqual(evicted, ['waitingRequests'])
+})
+
+// Guards against answers that are lost or out of order behind the bound.
+test('a connection with a few requests sent without waiting gets all its answers at the port for readiness', async t => {
+  const { readiness } = await startServers(t)
+  const count = 20
+  const socket = net.connect(Number(readiness.port), readiness.hostname, () => socket.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n'.repeat(count)))
+  t.teardown(() => socket.destroy())
+  let received = ''
+  socket.on('data', chunk => { received += chunk.toString() })
+  while (received.split('HTTP/1.1 200').length <= count && !socket.closed) await sleep(5)
+  t.is(received.split('HTTP/1.1 200').length - 1, count)
+})
+
 // Guards against a bound that a large deployment meets: each VM keeps a few connections to each other one, and one that reads the tables has three polls of each of those it serves.
 test('the connections of other VMs have a bound that 400 VMs do not meet', t => {
   t.deepEqual(computeInternalBounds({ memoryMb: 160, maxDescriptors: 800 }), { peerConnections: 150, checkConnections: 12 })
--- a/packages/knapweedshunt-gateway/src/callers/boundedServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/boundedServer.ts
@@ -3,8 +3,12 @@
 import { closeServer, limitParsing, listen } from 'knapweedshunt-utils'
 import type { ListenAddress } from '../ports/vmSettings.ts'
 import type { ConnectionEviction } from '../records/decision.ts'
+import { PipelinedRequests } from './pipelinedRequests.ts'
 import { ServerConnections } from './serverConnections.ts'
 
+/** Requests that may wait behind others of their connections. Clients of these servers wait for each answer. */
+const MAX_WAITING_REQUESTS = 16
+
 /** Bounds of a {@link BoundedServer}. */
 export interface ServerBounds {
   maxConnections: number
@@ -12,19 +16,24 @@
   onEvicted (reason: ConnectionEviction, connectionCount: number): void
 }
 
-/** HTTP server for other parts of the deployment: health checks, collectors of metrics, other VMs. */
+/** HTTP server for other parts of the deployment: health checks, collectors of metrics, other VMs. Its connections and the requests under way on each are bounded. */
 export class BoundedServer {
   readonly #server: http.Server
   readonly #connections: ServerConnections
+  readonly #pipelinedRequests: PipelinedRequests
   /** Number of responses of each connection that are not out. */
   readonly #pendingCounts = new WeakMap<Socket, number>()
 
   constructor (options: http.ServerOptions, { maxConnections, onEvicted }: ServerBounds, onRequest: http.RequestListener) {
     this.#server = http.createServer(options, (request, response) => {
+      // The parser goes on to the end of its bytes on a connection that gave way.
+      if (request.socket.destroyed) return
       this.#trackPending(request.socket, response)
-      onRequest(request, response)
+      this.#pipelinedRequests.enqueue(request.socket, response, () => onRequest(request, response))
     })
-    this.#connections = new ServerConnections(this.#server, { maxConnections, tryEndRequest: () => false, onEvicted: reason => onEvicted(reason, this.connectionCount) })
+    const recordEvicted = (reason: ConnectionEviction) => onEvicted(reason, this.connectionCount)
+    this.#pipelinedRequests = new PipelinedRequests({ maxWaiting: MAX_WAITING_REQUESTS, onEvicted: () => recordEvicted('waitingRequests') })
+    this.#connections = new ServerConnections(this.#server, { maxConnections, tryEndRequest: () => this.#pipelinedRequests.tryEvictLargest(), onEvicted: recordEvicted })
     limitParsing(this.#server)
   }
 
--- a/packages/knapweedshunt-gateway/src/callers/pipelinedRequests.ts
+++ b/packages/knapweedshunt-gateway/src/callers/pipelinedRequests.ts
@@ -61,7 +61,17 @@
     this.#waitingCount++
     socket.pause()
     this.#endTimer ??= setInterval(() => this.#checkEnds(), END_CHECK_INTERVAL_MS).unref()
-    if (this.#waitingCount > this.#options.maxWaiting) this.#evictLargest()
+    if (this.#waitingCount > this.#options.maxWaiting) this.tryEvictLargest()
+  }
+
+  /** Closes the connection on which most requests wait; false if none does. */
+  tryEvictLargest (): boolean {
+    if (this.#waitingCount === 0) return false
+    const [[socket, pipeline]] = [...this.#pipelines].sort(([, a], [, b]) => b.waiting.length - a.waiting.length)
+    this.#removePipeline(socket, pipeline)
+    this.#options.onEvicted()
+    socket.destroy()
+    return true
   }
 
   /** Number of requests that were read on a connection. */
@@ -125,11 +135,4 @@
     socket.removeAllListeners('data')
     socket.resume()
   }
-
-  #evictLargest (): void {
-    const [[socket, pipeline]] = [...this.#pipelines].sort(([, a], [, b]) => b.waiting.length - a.waiting.length)
-    this.#removePipeline(socket, pipeline)
-    this.#options.onEvicted()
-    socket.destroy()
-  }
 }
