Close connections whose callers take nothing of their answers for 60 s

Cause: the idle timeout holds without a request only, and a response that waits for its caller has no time limit of its own.

Each server looks four times in that time at what its connections took of what was written, and closes one of which no look found progress while bytes wait. Looks are counted, so that a process that was held up does not find all of them stalled. A caller that reads slowly, and one whose answer has no bytes yet, are not concerned. Logged and counted as unread.

--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -6,6 +6,7 @@
 import type { ConnectionEviction, UnacceptedReason } from '../records/decision.ts'
 import { recordFollowed } from '../shared/responseHold.ts'
 import { AcceptWatch } from './acceptWatch.ts'
+import { closeUnreadConnections, DEFAULT_UNREAD_TIMEOUT_MS } from './closeUnreadConnections.ts'
 import { PipelinedRequests } from './pipelinedRequests.ts'
 import { ServerConnections } from './serverConnections.ts'
 import type { UnacceptedRequests } from './unacceptedRequests.ts'
@@ -33,6 +34,8 @@
   maxParsingWaits?: number
   /** Requests that may wait behind others of their connections. */
   maxWaitingRequests: number
+  /** Time after which a connection is closed whose caller takes no bytes, in milliseconds; {@link DEFAULT_UNREAD_TIMEOUT_MS} if absent. */
+  unreadTimeoutMs?: number
   /** Ends a request whose caller sends nothing, so that its connection closes; false if there is none. */
   tryEndStill (): boolean
   onEvicted (reason: ConnectionEviction): void
@@ -85,6 +88,7 @@
     this.#server.requestTimeout = 0 // The body has its own size and idle limits.
     this.#server.on('clientError', (error, socket) => this.#handleClientError(error, socket as Socket))
     closeOnIdleTimeout(this.#server)
+    closeUnreadConnections(this.#server, { timeoutMs: options.unreadTimeoutMs ?? DEFAULT_UNREAD_TIMEOUT_MS, onClosed: () => options.onEvicted('unread') })
     limitParsing(this.#server, options.maxParsingWaits)
     this.applyLimits(INITIAL_LIMITS)
   }
--- a/packages/knapweedshunt-gateway/src/records/decision.ts
+++ b/packages/knapweedshunt-gateway/src/records/decision.ts
@@ -17,8 +17,8 @@
 /** A server of a VM: for callers, readiness checks, metrics, or other VMs. */
 export type ServerName = 'callers' | 'readiness' | 'metrics' | 'peers'
 
-/** Which connection to a server was closed as there were too many: one without a request, one whose head had not ended, or a new one; or the one on which most requests waited, as too many did. */
-export type ConnectionEviction = 'idleConnection' | 'unfinishedHead' | 'newConnection' | 'waitingRequests'
+/** Which connection to a server was closed as there were too many: one without a request, one whose head had not ended, or a new one; or the one on which most requests waited, as too many did; or one whose caller took nothing of its answers for too long. */
+export type ConnectionEviction = 'idleConnection' | 'unfinishedHead' | 'newConnection' | 'waitingRequests' | 'unread'
 
 /** A step of a planned stop that is done: new requests are refused, the listener is closed, responses are out or cut, tasks have ended, this VM's row is removed, connections of callers and then of the other servers are closed. */
 export type StopPhase = 'refusing' | 'listenerClosed' | 'drained' | 'tasksEnded' | 'rowRemoved' | 'callersClosed' | 'serversClosed'
