No warning of leaked listeners for connections with many requests

Node.js warned on standard error of 11 'close' listeners of a connection with eight requests under way, and of waits for arrivals of many connections at once (callerServer.test.ts: 12 warnings, on 2). Both numbers are bounded by what they belong to: 8 requests of a connection, the connections themselves.

--- a/packages/knapweedshunt-gateway/src/callers/pipelinedRequests.ts
+++ b/packages/knapweedshunt-gateway/src/callers/pipelinedRequests.ts
@@ -82,6 +82,8 @@
   #addPipeline (socket: Socket): Pipeline {
     const pipeline: Pipeline = { requestCount: 0, startedCount: 0, waiting: [] }
     this.#pipelines.set(socket, pipeline)
+    // Each request that is started listens to the socket; their number is bounded here.
+    socket.setMaxListeners(0)
     // Node.js resumes a connection to read the body of a request, also of one that is whole.
     socket.on('resume', () => { if (pipeline.waiting.length > 0) socket.pause() })
     socket.once('close', () => this.#removePipeline(socket, pipeline))
--- a/packages/knapweedshunt-utils/src/waitForArrivals.ts
+++ b/packages/knapweedshunt-utils/src/waitForArrivals.ts
@@ -12,6 +12,8 @@
 export async function waitForArrivals (server: http.Server, signal?: AbortSignal): Promise<void> {
   let quietTurns = 0
   const markArrival = () => { quietTurns = 0 }
+  // Many connections may wait at a time.
+  server.setMaxListeners(0)
   server.on('connection', markArrival).on('request', markArrival).on(PARSING_RESUMED, markArrival)
   for (let turn = 0; turn < MAX_TURNS && quietTurns < QUIET_TURNS && signal?.aborted !== true; turn++) {
     quietTurns++
