--- a/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
@@ -12,7 +12,7 @@
 const BODY_BYTES = 16_000_000
 
 /** Time after which no work goes on for a caller that has left, in milliseconds. */
-const MAX_LEFT_UNNOTICED_MS = 2_000
+const MAX_LEFT_UNNOTICED_MS = 500
 
 // Guards against a connection that counts as idle as soon as its response has ended, while bytes wait for a caller that reads slowly.
 for (const [title, endResponse] of [
--- a/packages/knapweedshunt-gateway/src/callers/pipelinedRequests.ts
+++ b/packages/knapweedshunt-gateway/src/callers/pipelinedRequests.ts
@@ -6,7 +6,7 @@
 export const MAX_STARTED_REQUESTS = 8
 
 /** Interval at which connections that are not read are checked for their end, in milliseconds. */
-const END_CHECK_INTERVAL_MS = 500
+const END_CHECK_INTERVAL_MS = 200
 
 /** Bytes up to which such checks read ahead: of a connection, and of all together. */
 const MAX_UNPARSED_BYTES = 1024 * 1024
