Don't wait in a stop for bodies in very small chunks

What callers may see: beside callers that send very small chunks, a stop closes its listener and idle connections after the full 1,000 turns, and so late that its deadline may come first; idle connections stay open as long. Found in review.

Cause: each turn in which waiting connections go on counts as an arrival, and with such callers some always do.

What the wait is for is requests on connections that would count as idle. One within a body does not, whatever of it waits.

--- a/packages/knapweedshunt-utils/src/__tests__/limitParsing.test.ts
+++ b/packages/knapweedshunt-utils/src/__tests__/limitParsing.test.ts
@@ -197,3 +197,24 @@
   server.closeIdleConnections()
   t.is(answered.length, 5)
 })
+
+// Guards against a stop, and an idle timeout, that last for as long as callers send very small chunks.
+test('bytes of bodies that wait to be parsed are no arrivals', async t => {
+  const server = http.createServer()
+  const count = { requests: 0, chunks: 0, turns: 0 }
+  const tiny = await connect(t, request => {
+    count.requests++
+    request.on('data', () => { count.chunks++ })
+  }, 20, server)
+  for (const socket of tiny) socket.write(HEAD + CHUNK.repeat(CHUNK_COUNT))
+  while (count.requests < tiny.length) await sleep(0)
+  const countTurn = () => {
+    count.turns++
+    timer = setImmediate(countTurn)
+  }
+  let timer = setImmediate(countTurn)
+  await waitForArrivals(server)
+  clearImmediate(timer)
+  t.true(count.turns < 10, `${count.turns} turns`)
+  t.true(count.chunks < tiny.length * CHUNK_COUNT)
+})
--- a/packages/knapweedshunt-utils/src/limitParsing.ts
+++ b/packages/knapweedshunt-utils/src/limitParsing.ts
@@ -19,15 +19,18 @@
 const CROWDED_RESUMED_COUNT = 8
 const CROWDED_SHARE = 3 / 4
 
-/** Event of a server whose connections are parsed in slices: some that waited go on. */
+/** Event of a server whose connections are parsed in slices: some that waited go on, and what they have sent may begin a request. */
 export const PARSING_RESUMED = 'parsingResumed'
 
 /** Has a server parse each connection in slices and go on in another turn of the event loop once they took long: very small chunks take several times as long as others of the same size, and a turn accepts one connection. What a closed connection had sent is not parsed any more. */
 export function limitParsing (server: http.Server, maxWaiting = DEFAULT_MAX_WAITING): void {
   const waiting = new Set<Socket>()
+  /** Requests whose bodies are not whole. */
+  const unfinished = new WeakMap<Socket, http.IncomingMessage>()
   let timer: NodeJS.Immediate | null = null
   const resume = () => {
-    server.emit(PARSING_RESUMED)
+    // The connections of the others do not count as idle; with very small chunks their bytes may wait without an end.
+    if ([...waiting].some(socket => !unfinished.has(socket))) server.emit(PARSING_RESUMED)
     const count = waiting.size < maxWaiting * CROWDED_SHARE ? RESUMED_COUNT : CROWDED_RESUMED_COUNT
     for (const socket of [...waiting].slice(0, count)) {
       waiting.delete(socket)
@@ -47,8 +50,14 @@
   }
   /** Bytes that are certainly still to come of a body whose length its request states. */
   const bodyBytes = new WeakMap<Socket, number>()
-  server.prependListener('request', request => bodyBytes.set(request.socket, Number(request.headers['content-length'] ?? 0)))
-  const recordParsed = (socket: Socket, bytes: number) => bodyBytes.set(socket, (bodyBytes.get(socket) ?? 0) - bytes)
+  server.prependListener('request', request => {
+    unfinished.set(request.socket, request)
+    bodyBytes.set(request.socket, Number(request.headers['content-length'] ?? 0))
+  })
+  const recordParsed = (socket: Socket, bytes: number) => {
+    if (unfinished.get(socket)?.complete === true) unfinished.delete(socket)
+    bodyBytes.set(socket, (bodyBytes.get(socket) ?? 0) - bytes)
+  }
   /** Chooses how much of a connection is parsed next; the rest of a body with a length takes the parser no time, what follows it may. */
   const chooseSize = (socket: Socket, fastSize: number) => Math.min(MAX_SLICE_BYTES, Math.max(fastSize, bodyBytes.get(socket) ?? 0))
   server.on('connection', (socket: Socket) => {
