Keep the bound on a connection whose parser is paused

What callers may see: a caller that pipelines requests with long responses has all of a read parsed in one turn, while all others wait: 640 of 640 requests of 0.1 ms each.

Cause: what is put back because the parser is paused waits for the server only, and the server resumes the connection in the same turn once the responses are out; the time that a turn may take then counts from the start.

Such a connection now waits for another turn too once its time is used, if there is room. The server pauses it again if it is resumed before the parser is.

--- a/packages/knapweedshunt-utils/src/limitParsing.ts
+++ b/packages/knapweedshunt-utils/src/limitParsing.ts
@@ -38,13 +38,16 @@
     }
     timer = waiting.size > 0 ? setImmediate(resume) : null
   }
+  /** Has a connection wait for another turn; false if too many wait. */
+  const tryWait = (socket: Socket) => {
+    if (waiting.size >= maxWaiting) return false
+    timer ??= setImmediate(resume)
+    waiting.add(socket)
+    return true
+  }
   /** Puts bytes back until the connection is resumed, here or by the server that paused it; false if too many wait. */
   const tryDefer = (socket: Socket, bytes: Buffer) => {
-    if (!socket.isPaused()) {
-      if (waiting.size >= maxWaiting) return false
-      timer ??= setImmediate(resume)
-      waiting.add(socket)
-    }
+    if (!socket.isPaused() && !tryWait(socket)) return false
     putBack(socket, bytes)
     return true
   }
@@ -75,9 +78,13 @@
         recordParsed(socket, slice.length)
         size = chooseSize(socket, 2 * size)
         if (end >= bytes.length || socket.destroyed) return
-        if (isParserPaused(socket)) return putBack(socket, bytes.subarray(end))
         const sliceUs = readProcessorUs() - startUs - usedUs
         usedUs += sliceUs
+        if (isParserPaused(socket)) {
+          // The server may resume it in this turn, and pauses it again if it is resumed too early.
+          if (usedUs >= TURN_US) tryWait(socket)
+          return putBack(socket, bytes.subarray(end))
+        }
         if (sliceUs < slice.length * FAST_US_PER_BYTE) continue
         size = chooseSize(socket, SLICE_BYTES)
         if (usedUs >= TURN_US && tryDefer(socket, bytes.subarray(end))) return
