A caller that half-closes behind unfinished requests gets no 400 in place of an answer

What callers saw: a caller that half-closed its connection behind some 20 to 90 whole requests of it received '400 Bad Request', where the answer to its first request is due, which ran. The same, since before, behind a running request and a head that had not ended.

Cause: the end of the bytes is an error of the parser, if it comes within a request; what was dropped unparsed for a caller that has left ends so too. The answer to that error was written at once, before those of the requests ahead of it.

A connection whose caller has ended it now ends without that answer, as it does behind whole requests, unless nothing else is due.

--- a/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
@@ -332,6 +332,23 @@
   }
 }
 
+for (const [title, text] of [
+  ['whole requests that are not parsed', buildPipelined(90)],
+  ['a head that has not ended', `${buildPipelined(1)}GET / HTTP/1.1\r\n`]
+]) {
+  // Guards against 400 in place of the answer to a request that runs, as what is behind it was not read to its end.
+  test(`a caller that half-closes its connection behind ${title} gets no answer of another request`, async t => {
+    const { responses, received, socket } = await openConnection(t, false)
+    const ended = new Promise(resolve => socket.once('end', resolve))
+    socket.write(text)
+    while (responses.length === 0) await sleep(5)
+    await sleep(100)
+    socket.end()
+    await ended
+    t.is(received.text, '')
+  })
+}
+
 /** Sends a request that is answered late, one whose response is so large that the parser pauses behind it, one more and the begin of a head; then its rest, if any, in time. */
 async function callPausedParser (t: ExecutionContext, rest: string | null): Promise<{ text: string, urls: string[] }> {
   const headerTimeoutMs = 300
--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -149,7 +149,12 @@
     }
     const pending = [...this.#pendingResponses.get(socket) ?? []]
     const isBodyUnreadable = pending.at(-1)?.req.complete === false
-    if (pending.length <= Number(isBodyUnreadable) || !socket.writable || socket.readableEnded || error.code === 'ECONNRESET') return respondToClientError(error, socket)
+    if (pending.length <= Number(isBodyUnreadable) || !socket.writable || error.code === 'ECONNRESET') return respondToClientError(error, socket)
+    // The caller has left; an answer to what it did not finish would stand for that of the first request.
+    if (socket.readableEnded) {
+      socket.end()
+      return
+    }
     // The parser cannot go on; what else the caller sends must not be read for nothing.
     if (error.code !== 'ERR_HTTP_REQUEST_TIMEOUT') socket.pause()
     // A body that does not go on is refused by its reader.
