A caller that takes a large answer slowly is not closed as one that takes nothing

What callers may see: an answer that was written at once, or several that were joined behind one another, is cut after 60 s although its caller reads all the while. An answer of 256 kB needs a caller slower than some 4 kB/s.

Cause: the socket counts bytes as taken once their whole write is. The handle knows how much of it the system has not taken; a decrease counts as taken now.

Callers that read nothing are closed as before.

--- a/packages/knapweedshunt-gateway/src/__tests__/closeUnreadConnections.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/closeUnreadConnections.test.ts
@@ -15,9 +15,10 @@
 
 const LOOPBACK = { host: '127.0.0.1', port: 0 }
 
-/** Answers a request for `/silent` after more than the timeout, others with a large body. */
+/** Answers a request for `/silent` after more than the timeout, others with a large body, for `/whole` in one write. */
 function handleRequest (request: http.IncomingMessage, response: http.ServerResponse): void {
   if (request.url === '/silent') setTimeout(() => response.end(), 2 * TIMEOUT_MS)
+  else if (request.url === '/whole') response.end(Buffer.alloc(CHUNK_COUNT * CHUNK.length))
   else Readable.from(Array.from({ length: CHUNK_COUNT }, () => CHUNK)).on('error', () => {}).pipe(response)
 }
 
@@ -71,7 +72,7 @@
       http.get(new URL(path, url), { agent: false }, message => { readSlowly(message).then(resolve, reject) }).once('error', reject)
     })
     const startedAtMs = performance.now()
-    t.deepEqual(await Promise.all([get('/'), get('/silent')]), [CHUNK_COUNT * CHUNK.length, 0])
+    t.deepEqual(await Promise.all([get('/'), get('/whole'), get('/silent')]), [CHUNK_COUNT * CHUNK.length, CHUNK_COUNT * CHUNK.length, 0])
     t.true(performance.now() - startedAtMs > 2 * TIMEOUT_MS)
     t.deepEqual(evicted, [])
   })
--- a/packages/knapweedshunt-gateway/src/callers/closeUnreadConnections.ts
+++ b/packages/knapweedshunt-gateway/src/callers/closeUnreadConnections.ts
@@ -16,17 +16,20 @@
 
 interface Progress {
   takenBytes: number
+  queuedBytes: number
   stalledChecks: number
 }
 
-/** Has a server close connections on which bytes wait and none were taken for a while. What was written at once counts as taken once all of it is. */
+/** Has a server close connections on which bytes wait and none were taken for a while. */
 export function closeUnreadConnections (server: http.Server, { timeoutMs, onClosed }: UnreadOptions): void {
   const connections = new Map<Socket, Progress>()
   const checkConnections = () => {
     for (const [socket, progress] of connections) {
       const takenBytes = socket.bytesWritten - socket.writableLength
-      progress.stalledChecks = socket.writableLength === 0 || takenBytes > progress.takenBytes ? 0 : progress.stalledChecks + 1
-      progress.takenBytes = takenBytes
+      const queuedBytes = countQueuedBytes(socket)
+      const hasTaken = takenBytes > progress.takenBytes || queuedBytes < progress.queuedBytes
+      progress.stalledChecks = socket.writableLength === 0 || hasTaken ? 0 : progress.stalledChecks + 1
+      Object.assign(progress, { takenBytes, queuedBytes })
       if (progress.stalledChecks < CHECK_COUNT) continue
       connections.delete(socket)
       onClosed()
@@ -34,7 +37,7 @@
     }
   }
   server.on('connection', (socket: Socket) => {
-    connections.set(socket, { takenBytes: 0, stalledChecks: 0 })
+    connections.set(socket, { takenBytes: 0, queuedBytes: 0, stalledChecks: 0 })
     socket.once('close', () => connections.delete(socket))
   })
   server.on('listening', () => {
@@ -42,3 +45,8 @@
     server.once('close', () => clearInterval(timer))
   })
 }
+
+/** Bytes of the write under way that the system has not taken; the socket counts a write only once it is whole. */
+function countQueuedBytes (socket: Socket): number {
+  return (socket as Socket & { _handle?: { writeQueueSize: number } | null })._handle?.writeQueueSize ?? 0
+}
