A refused body that does not go on leaves the requests before it their answers

What callers saw, of requests sent on one connection without waiting: a request whose body was refused, or answered early, and did not go on, closed the connection 2 s later. Requests before it, which ran, ended without an answer.

Cause: the rest of a body that nobody needs has 2 s, whoever else waits on its connection. The class is that of: one request ends what others share.

The 2 s begin anew once the response ahead is out, so that the response to the body leaves too. A rest that is too long closes its connection at once as before.

--- a/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/callerServer.test.ts
@@ -1,3 +1,4 @@
+import type http from 'node:http'
 import net from 'node:net'
 import { setImmediate } from 'node:timers/promises'
 import test from 'ava'
@@ -5,6 +6,7 @@
 import { sleep } from 'knapweedshunt-utils'
 import { HeldUpCallers } from '../../../knapweedshunt-utils/src/__tests__/heldUpCallers.ts'
 import { CallerServer } from '../callers/callerServer.ts'
+import { discardBody } from '../callers/discardBody.ts'
 import { MAX_STARTED_REQUESTS } from '../callers/pipelinedRequests.ts'
 import { CallerResponse } from '../shared/callerResponse.ts'
 
@@ -78,9 +80,13 @@
 
 /** Opens a connection to a server that stops, or not; responses are answered by the test, in any order. Resolves to what the caller receives, too. */
 async function openConnection (t: ExecutionContext, isStopping = true) {
+  const requests: http.IncomingMessage[] = []
   const responses: CallerResponse[] = []
   const unaccepted: Array<{ reason: string, count: number }> = []
-  const server = new CallerServer((_request, response) => { responses.push(new CallerResponse(response)) }, { maxConnections: Infinity, maxWaitingRequests: Infinity, tryEndStill: () => false, onEvicted () {}, onUnaccepted: ({ reason, count }) => { unaccepted.push({ reason, count }) } })
+  const server = new CallerServer((request, response) => {
+    requests.push(request)
+    responses.push(new CallerResponse(response))
+  }, { maxConnections: Infinity, maxWaitingRequests: Infinity, tryEndStill: () => false, onEvicted () {}, onUnaccepted: ({ reason, count }) => { unaccepted.push({ reason, count }) } })
   const address = new URL(await server.start({ host: '127.0.0.1', port: 0 }))
   const socket = net.connect({ host: address.hostname, port: Number(address.port), noDelay: true })
   t.teardown(async () => {
@@ -97,7 +103,7 @@
     await sleep(50)
   }
   const answer = (n: number, text: string, closesConnection = false) => responses[n].sendWhole({ start: { status: 200, message: '', headers: ['Content-Length', String(text.length)], closesConnection }, body: Buffer.from(text) })
-  return { responses, unaccepted, received, closed, socket, send, answer }
+  return { requests, responses, unaccepted, received, closed, socket, send, answer }
 }
 
 // Guards against a response behind the last one of its connection, and against requests that vanish without a trace.
@@ -349,6 +355,20 @@
   })
 }
 
+// Guards against a request that runs and gets no answer, as the body of a refused one behind it does not go on.
+test('a body that does not go on behind a request that runs does not close its connection before that is answered', async t => {
+  const { responses, requests, received, closed, socket, send, answer } = await openConnection(t, false)
+  await send()
+  socket.write('POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nx')
+  while (responses.length < 2) await sleep(5)
+  answer(1, 'refused')
+  discardBody(requests[1])
+  await sleep(2_500)
+  answer(0, 'first')
+  await closed
+  t.regex(received.text, /first.*refused$/is)
+})
+
 /** Sends a request that is answered late, one whose response is so large that the parser pauses behind it, one more and the begin of a head; then its rest, if any, in time. */
 async function callPausedParser (t: ExecutionContext, rest: string | null): Promise<{ text: string, urls: string[] }> {
   const headerTimeoutMs = 300
--- a/packages/knapweedshunt-gateway/src/callers/callerServer.ts
+++ b/packages/knapweedshunt-gateway/src/callers/callerServer.ts
@@ -8,6 +8,7 @@
 import { AcceptWatch } from './acceptWatch.ts'
 import { closeUnreadConnections, DEFAULT_UNREAD_TIMEOUT_MS } from './closeUnreadConnections.ts'
 import { PipelinedRequests } from './pipelinedRequests.ts'
+import { recordResponseAhead } from './responseAhead.ts'
 import { ServerConnections } from './serverConnections.ts'
 import type { UnacceptedRequests } from './unacceptedRequests.ts'
 
@@ -120,7 +121,10 @@
       this.#closedByStop.delete(last)
       last.shouldKeepAlive = true
     }
-    if (last !== undefined) recordFollowed(last)
+    if (last !== undefined) {
+      recordFollowed(last)
+      recordResponseAhead(response.req, last)
+    }
     this.#pendingResponses.set(socket, pending.add(response))
     this.#connections.recordBusy(socket)
     if (this.#isKeepAliveDisabled) this.#announceClose(response)
