--- a/packages/knapweedshunt-gateway/src/__tests__/boundedServer.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/boundedServer.test.ts
@@ -101,6 +101,7 @@
   t.is(counts.started, MAX_STARTED_REQUESTS)
   t.deepEqual(evicted, [])
   await openConnections(t, url, 20, SILENT_REQUEST.repeat(40))
+  while (evicted.length < 21) await sleep(5)
   t.deepEqual(evicted, Array<string>(21).fill('waitingRequests'))
   t.is(await call(url), 200)
 })
