--- a/.ci/summary.mjs
+++ b/.ci/summary.mjs
@@ -30,10 +30,10 @@
   return known.some(title => name === title || name.endsWith(` › ${title}`))
 }
 
-/** Returns the report of a failed test: the indented lines behind its result. What is long is cut, so that the end of the output tells what failed. */
+/** Returns the report of a failed test: what it logged and the indented lines behind its result. What is long is cut, so that the end of the output tells what failed. */
 function describe (name) {
   const first = lines.findIndex(line => /^not ok \d+/.test(line) && nameOf(line) === name) + 1
-  const count = lines.slice(first).findIndex(line => !line.startsWith(' '))
+  const count = lines.slice(first).findIndex(line => !/^[ #]/.test(line))
   return lines.slice(first, first + count).join('\n').slice(0, MAX_REPORT_CHARS)
 }
 
