--- a/review/stand-ins-2/plainServer.mjs
+++ b/review/stand-ins-2/plainServer.mjs
@@ -1,20 +1,22 @@
 import http from 'node:http'
-import { listen } from './store.mjs'
 
-/** Program of one server of a plain service: `ID PIECES PIECE_BYTES GAP_MS`. Its answers have no length and end with their channels. Prints its address. */
+/** Program of one server of a plain service: `ID PORT PIECES PIECE_BYTES GAP_MS`. Its answers have no length and end with their channels; on paths with `stream` they are events. Prints its address. */
 
-const [id, pieces, pieceBytes, gapMs] = process.argv.slice(2).map((word, n) => n === 0 ? word : Number(word))
+const [id, ...figures] = process.argv.slice(2)
+const [port, pieces, pieceBytes, gapMs] = figures.map(Number)
 
 const server = http.createServer((request, response) => {
   request.resume()
   const { headers, url, socket } = request
   if (headers['expect-instance'] !== undefined && headers['expect-instance'] !== id) return response.writeHead(421, { 'Not-Executed': '1', 'Content-Length': 0 }).end()
   if (url === '/health') return response.writeHead(200, { 'Instance-Id': id, 'Content-Length': 0 }).end()
-  socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${headers['request-id']}\r\nResponse-Stamp: s.${id}\r\nServer-Load: 1,0,32\r\nConnection: close\r\n\r\n`)
-  let sent = 0
+  const isStream = url.includes('stream')
+  socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${headers['request-id']}\r\nResponse-Stamp: s.${id}\r\nServer-Load: 1,0,32\r\n${isStream ? 'Content-Type: text/event-stream\r\n' : ''}Connection: close\r\n\r\n`)
+  let sent = Number(headers['last-event-id'] ?? 0)
   const timer = setInterval(() => {
-    socket.write(Buffer.alloc(pieceBytes, 'b'))
-    if (++sent < pieces) return
+    sent++
+    socket.write(isStream ? `id: ${sent}\ndata: piece ${sent}\n\n` : Buffer.alloc(pieceBytes, 'b'))
+    if (sent < pieces) return
     clearInterval(timer)
     socket.end()
   }, gapMs)
@@ -22,4 +24,4 @@
   socket.on('error', () => {})
 })
 
-console.log(await listen(server))
+server.listen(port, '127.0.0.1', () => console.log(`127.0.0.1:${server.address().port}`))
--- a/review/stand-ins-2/plainService.mjs
+++ b/review/stand-ins-2/plainService.mjs
@@ -15,18 +15,25 @@
 
   static async start (store, id, service, answer) {
     const server = new PlainServer()
-    Object.assign(server, { store, id, service })
-    server.#child = spawn(process.execPath, [PROGRAM, id, String(answer.pieces), String(answer.pieceBytes), String(answer.gapMs)], { stdio: ['ignore', 'pipe', 'inherit'] })
-    const [text] = await once(server.#child.stdout, 'data')
-    server.address = text.toString().trim()
-    server.write()
-    server.#timer = setInterval(() => server.#checkIns++, HEARTBEAT_MS)
+    Object.assign(server, { store, id, service, answer, address: '127.0.0.1:0' })
+    await server.begin()
     return server
   }
 
+  /** Starts the process, at the address that it had before if it had one. */
+  async begin () {
+    const { pieces, pieceBytes, gapMs } = this.answer
+    this.#child = spawn(process.execPath, [PROGRAM, this.id, this.address.split(':')[1], String(pieces), String(pieceBytes), String(gapMs)], { stdio: ['ignore', 'pipe', 'inherit'] })
+    const [text] = await once(this.#child.stdout, 'data')
+    this.address = text.toString().trim()
+    this.born = Date.now()
+    this.write()
+    this.#timer = setInterval(() => this.#checkIns++, HEARTBEAT_MS)
+  }
+
   write () {
-    const { service, address, state } = this
-    this.store.put('servers', this.id, JSON.stringify({ service, address, zone: 'z-a', version: 'v1', slots: 32, state, cold_left_ms: 0, born: 1_796_000_000_000, seq: this.#checkIns }))
+    const { service, address, state, born } = this
+    this.store.put('servers', this.id, JSON.stringify({ service, address, zone: 'z-a', version: 'v1', slots: 32, state, cold_left_ms: 0, born, seq: this.#checkIns }))
   }
 
   /** Reports that the server leaves. */
@@ -37,12 +44,17 @@
 
   /** Ends the process; its entry is removed as it has left. */
   async exit () {
+    await this.crash()
+    this.store.remove('servers', this.id)
+  }
+
+  /** Ends the process, which says nothing of it. */
+  async crash () {
     clearInterval(this.#timer)
     if (this.#child.exitCode === null && this.#child.signalCode === null) {
       const ended = once(this.#child, 'exit')
       this.#child.kill('SIGKILL')
       await ended
     }
-    this.store.remove('servers', this.id)
   }
 }
