Metrics: parts in which responses of endpoints arrive, and their size

Nothing showed how many chunks a VM reads: with chunks of one byte its memory goes far beyond the bytes that the other gauges count.

--- a/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
@@ -114,7 +114,7 @@
       })
     })
     watchInformationalHeads(this.#request, error => this.#rejectResponse(error.message))
-    watchFraming(this.#request, error => this.#handleFramingTooLong(error))
+    watchFraming(this.#request, error => this.#handleFramingTooLong(error), bytes => agent.recordPart(bytes))
     this.#request.once('response', response => this.#handleResponse(response))
     this.#request.once('upgrade', response => this.#handleResponse(response))
     this.#request.on('error', error => this.#handleError(error))
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointAgent.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointAgent.ts
@@ -18,11 +18,29 @@
 export class EndpointAgent extends http.Agent {
   readonly #carriedIds = new CarriedIds()
   readonly #openedAtMs = new WeakMap<Socket, number>()
+  #partCount = 0
+  #partBytes = 0
 
   constructor () {
     super({ ...SHARED_READ, keepAlive: true, scheduling: 'lifo', noDelay: true })
   }
 
+  /** Number of parts in which the bodies of all responses arrived so far: at least one for each chunk and each read. */
+  get partCount (): number {
+    return this.#partCount
+  }
+
+  /** Size of these parts, in bytes. */
+  get partBytes (): number {
+    return this.#partBytes
+  }
+
+  /** Counts a part of the body of a response. */
+  recordPart (bytes: number): void {
+    this.#partCount++
+    this.#partBytes += bytes
+  }
+
   /** Whether an idle connection to the address has carried a request with the id, so that this one needs a connection of its own. */
   hasCarried (host: string, port: number, requestId: string): boolean {
     return this.freeSockets[this.getName({ host, port })]?.some(socket => this.#carriedIds.has(socket, requestId)) ?? false
--- a/packages/knapweedshunt-gateway/src/gateway.ts
+++ b/packages/knapweedshunt-gateway/src/gateway.ts
@@ -328,6 +328,7 @@
       callerServer: this.#callerServer,
       forwardedResponses: this.#forwardedResponses,
       responseMemory: this.#responseMemory,
+      agent: this.#agent,
       endpointRegistry: this.#endpointRegistry,
       endpointMonitor: this.#endpointMonitor,
       endpointLimits: this.#endpointLimits,
--- a/packages/knapweedshunt-gateway/src/records/addGauges.ts
+++ b/packages/knapweedshunt-gateway/src/records/addGauges.ts
@@ -6,6 +6,7 @@
 import type { SuspectTracker } from '../directory/suspectTracker.ts'
 import type { TableFollowers } from '../directory/tableFollowers.ts'
 import type { VmRoster } from '../directory/vmRoster.ts'
+import type { EndpointAgent } from '../endpoints/endpointAgent.ts'
 import type { EndpointLimits } from '../endpoints/endpointLimits.ts'
 import type { EndpointMonitor } from '../endpoints/endpointMonitor.ts'
 import type { EndpointPermits } from '../endpoints/endpointPermits.ts'
@@ -28,6 +29,7 @@
   callerServer: CallerServer
   forwardedResponses: ForwardedResponses
   responseMemory: BodyMemory
+  agent: EndpointAgent
   endpointRegistry: EndpointRegistry
   endpointMonitor: EndpointMonitor
   endpointLimits: EndpointLimits
@@ -45,7 +47,7 @@
 }
 
 /** Adds the gauges of a gateway's state to its metrics. */
-export function addGauges (metrics: GatewayMetrics, { requestHandler, callerMemory, callerServer, forwardedResponses, responseMemory, endpointRegistry, endpointMonitor, endpointLimits, endpointPermits, poolOverload, peerServices, weightsState, keyFreshness, roster, suspectTracker, followers, readiness, delayWatch, usageLimits }: GaugeSources): void {
+export function addGauges (metrics: GatewayMetrics, { requestHandler, callerMemory, callerServer, forwardedResponses, responseMemory, agent, endpointRegistry, endpointMonitor, endpointLimits, endpointPermits, poolOverload, peerServices, weightsState, keyFreshness, roster, suspectTracker, followers, readiness, delayWatch, usageLimits }: GaugeSources): void {
   metrics.addGauge('requests_in_flight', 'Requests under way.', () => requestHandler.inFlight)
   metrics.addGauge('caller_connections', 'Connections of callers.', () => callerServer.connectionCount)
   metrics.addGauge('accept_backlog_seconds', 'Longest time since the last reading in which every turn of the event loop accepted a connection of a caller, so that others may have waited.', () => callerServer.takeMaxBacklogMs() / MS_PER_SECOND)
@@ -55,6 +57,8 @@
   metrics.addGauge('responses_forwarded', 'Responses whose bodies are being forwarded as they arrive.', () => forwardedResponses.count)
   metrics.addGauge('response_pending_bytes', 'Bytes of these responses that were read and not yet taken by the connections of their callers.', () => forwardedResponses.sumPendingBytes())
   metrics.addGauge('response_memory_bytes', 'Memory taken for bodies of responses that are buffered.', () => responseMemory.takenBytes)
+  metrics.addGauge('response_parts', 'Parts in which the bodies of responses of endpoints arrived since the start: at least one for each chunk and each read.', () => agent.partCount)
+  metrics.addGauge('response_part_bytes', 'Size of these parts.', () => agent.partBytes)
   metrics.addGauge('memory_resident_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss())
   metrics.addGauge('memory_heap_bytes', 'JavaScript heap in use, with garbage that is not collected yet.', () => process.memoryUsage().heapUsed)
   metrics.addGauge('memory_buffer_bytes', 'Buffers outside the heap, with those that are not collected yet.', () => process.memoryUsage().arrayBuffers)
