Bodies of responses are joined before they reach their readers

Callers saw a VM end ('Reached heap limit') beside one endpoint that answers in chunks of one byte. The parser of Node.js hands out each chunk as an object with a buffer of its own, about 370 bytes, and every reader kept and counted such parts by their bytes: 256 KiB that may be buffered were up to 97 MB.

limitResponse bounds what any response costs, for requests to endpoints, other VMs, the store, management and health checks, in both routers: the parts of one read are joined, and so are those that arrive while the reader lags behind. What a read brings is still handed on with it, so that a token of a stream waits for no other.

--- a/packages/knapweedshunt-gateway/src/callers/boundedBody.ts
+++ b/packages/knapweedshunt-gateway/src/callers/boundedBody.ts
@@ -1,6 +1,6 @@
 import { Transform } from 'node:stream'
 import type { TransformCallback } from 'node:stream'
-import { BodyBuffer } from './bodyBuffer.ts'
+import { BodyBuffer } from 'knapweedshunt-utils'
 
 /** Size from which on joined chunks are handed on at once, in bytes. */
 const MIN_CHUNK_BYTES = 4 * 1024
--- a/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
@@ -1,6 +1,6 @@
 import http from 'node:http'
 import type { Readable } from 'node:stream'
-import { CONNECTION_END, ConnectionResetError, isFinalStatus, SHARED_READ, startTimeout, watchBodyEnd, watchFraming, watchInformationalHeads } from 'knapweedshunt-utils'
+import { CONNECTION_END, ConnectionResetError, isFinalStatus, limitResponse, SHARED_READ, startTimeout, watchBodyEnd } from 'knapweedshunt-utils'
 import type { ConnectionEnd } from 'knapweedshunt-utils'
 import type { PoolName } from 'knapweedshunt-types'
 import { decodeRelayAnswer } from '../peers/relayHeaders.ts'
@@ -113,8 +113,7 @@
         this.#handleConnected(agent.findOpenedAtMs(socket))
       })
     })
-    watchInformationalHeads(this.#request, error => this.#rejectResponse(error.message))
-    watchFraming(this.#request, error => this.#handleFramingTooLong(error), bytes => agent.recordPart(bytes))
+    limitResponse(this.#request, error => this.#handleMalformed(error), bytes => agent.recordPart(bytes))
     this.#request.once('response', response => this.#handleResponse(response))
     this.#request.once('upgrade', response => this.#handleResponse(response))
     this.#request.on('error', error => this.#handleError(error))
@@ -192,7 +191,7 @@
     return outcome.type === 'answered' && error ? { type: 'lost', loss: this.bodyLoss, reason: error.message } : outcome
   }
 
-  #handleFramingTooLong (error: Error): void {
+  #handleMalformed (error: Error): void {
     this.#isBodyGarbled = true
     this.#response?.destroy(error)
     this.#rejectResponse(error.message)
--- a/packages/knapweedshunt-gateway/src/flow/readResponseBody.ts
+++ b/packages/knapweedshunt-gateway/src/flow/readResponseBody.ts
@@ -1,4 +1,5 @@
 import type http from 'node:http'
+import { BodyBuffer } from 'knapweedshunt-utils'
 import type { BodyShare } from 'knapweedshunt-utils'
 
 /** Responses up to this size, in bytes, are buffered completely before they are forwarded, so that the request can be retried if the response is cut off. */
@@ -15,8 +16,7 @@
 export function readResponseBody (response: http.IncomingMessage, memory: BodyShare): Promise<ResponseBody> {
   if (response.errored !== null) return Promise.resolve({ type: 'cut', reason: response.errored.message })
   return new Promise(resolve => {
-    const chunks: Buffer[] = []
-    let totalBytes = 0
+    const buffer = new BodyBuffer()
     // A failure of an earlier attempt may still be kept.
     const { keptBytes } = memory
     const settle = (body: ResponseBody) => {
@@ -25,14 +25,13 @@
       response.removeListener('close', onClose)
       resolve(body)
     }
-    const onEnd = () => settle(response.complete ? { type: 'buffered', bytes: Buffer.concat(chunks) } : { type: 'cut', reason: 'ended early' })
+    const onEnd = () => settle(response.complete ? { type: 'buffered', bytes: buffer.join() } : { type: 'cut', reason: 'ended early' })
     const onClose = () => settle({ type: 'cut', reason: response.errored?.message ?? 'connection closed' })
     const onData = (chunk: Buffer) => {
-      totalBytes += chunk.length
-      chunks.push(chunk)
-      if (totalBytes <= MAX_BUFFERED_RESPONSE_BYTES && memory.tryResize(keptBytes + totalBytes)) return
+      buffer.add(chunk)
+      if (buffer.length <= MAX_BUFFERED_RESPONSE_BYTES && memory.tryResize(keptBytes + buffer.capacity)) return
       response.pause()
-      settle({ type: 'large', firstChunks: chunks })
+      settle({ type: 'large', firstChunks: buffer.list() })
     }
     response.on('data', onData)
     response.once('end', onEnd)
--- a/packages/knapweedshunt-gateway/src/__tests__/bodyBuffer.test.ts
+++ b/packages/knapweedshunt-utils/src/__tests__/bodyBuffer.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check'
 import test from 'ava'
-import { BodyBuffer } from '../callers/bodyBuffer.ts'
+import { BodyBuffer } from '../bodyBuffer.ts'
 
 const BODY = Buffer.from(Array.from({ length: 100_000 }, (_, n) => n % 251))
 
--- a/packages/knapweedshunt-utils/src/waitForHead.ts
+++ b/packages/knapweedshunt-utils/src/waitForHead.ts
@@ -2,9 +2,8 @@
 import { CONNECTION_END } from './connectionEnd.ts'
 import { ConnectionResetError, ResponseMalformedError } from './httpErrors.ts'
 import { isFinalStatus } from './isFinalStatus.ts'
+import { limitResponse } from './limitResponse.ts'
 import { watchBodyEnd } from './watchBodyEnd.ts'
-import { watchFraming } from './watchFraming.ts'
-import { watchInformationalHeads } from './watchInformationalHeads.ts'
 
 /**
  * Waits for the head of the response to a request; rejects with the error of its connection, or with ResponseMalformedError.
@@ -15,8 +14,7 @@
 export function waitForHead (request: http.ClientRequest): Promise<http.IncomingMessage> {
   return new Promise((resolve, reject) => {
     let head: http.IncomingMessage | null = null
-    watchInformationalHeads(request, error => request.destroy(error))
-    watchFraming(request, error => (head ?? request).destroy(error))
+    limitResponse(request, error => (head ?? request).destroy(error))
     const rejectStatus = ({ statusCode }: http.IncomingMessage) => {
       reject(new ResponseMalformedError(`The status ${statusCode} is not that of a final response.`))
       request.destroy()
--- a/packages/knapweedshunt-utils/src/watchFraming.ts
+++ b/packages/knapweedshunt-utils/src/watchFraming.ts
@@ -5,8 +5,8 @@
 /** Largest number of bytes between two parts of a response, in bytes. Node.js limits heads, chunk extensions and trailers, but neither line ends before a head nor the digits of a chunk size. */
 const MAX_FRAMING_BYTES = 64 * 1024
 
-/** Calls `onPart` for each part of the body that the parser hands out, with its size in bytes, and `onTooLong` once if more than {@link MAX_FRAMING_BYTES} bytes of a response arrive without a head or any byte of the body among them. */
-export function watchFraming (request: ClientRequest, onTooLong: (error: Error) => void, onPart: (bytes: number) => void = () => {}): void {
+/** Calls `onTooLong` once if more than {@link MAX_FRAMING_BYTES} bytes of a response arrive without a head or any byte of the body among them. */
+export function watchFraming (request: ClientRequest, onTooLong: (error: Error) => void): void {
   let framingBytes = 0
   let hasAdvanced = false
   let stop = () => {}
@@ -32,7 +32,6 @@
     response.push = (chunk, encoding) => {
       recordAdvance()
       if (chunk === null) stop()
-      else onPart(chunk.length)
       return push.call(response, chunk, encoding)
     }
   })
