Connections that bring very small parts are parsed in slices and turns

Callers saw a VM stand still beside endpoints that answer in chunks of one byte: one read is thousands of chunks that are parsed in one turn of the event loop, held up for 0.2 to 0.4 s at a time by 12 connections.

Client connections (ResponseAgent, PacedSocket) hand bytes to the parser in slices of 2 KiB while these bring many small parts. A connection whose bytes wait is not read on, and one with bytes behind a whole response is closed.

--- a/packages/knapweedshunt-control/src/controlIo.ts
+++ b/packages/knapweedshunt-control/src/controlIo.ts
@@ -1,8 +1,8 @@
-import http from 'node:http'
 import type { Logger } from 'knapweedshunt-logger'
 import type { Platform } from 'knapweedshunt-platform'
 import { DEFAULT_STORE_OPTIONS, ResourceStore } from 'knapweedshunt-resources'
 import type { ResourceSnapshot } from 'knapweedshunt-types'
+import { ResponseAgent } from 'knapweedshunt-utils'
 import { match } from 'ts-pattern'
 import type { ControlAction, ControlEvent } from './controlEvents.ts'
 import type { ExchangeAnswer, ExchangeRequest } from './controlMessages.ts'
@@ -25,7 +25,7 @@
 export class ControlIo {
   readonly #options: ControlIoOptions
   readonly #store: ResourceStore
-  readonly #agent = new http.Agent({ keepAlive: true })
+  readonly #agent = new ResponseAgent({ keepAlive: true })
 
   constructor (options: ControlIoOptions) {
     this.#options = options
--- a/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
@@ -1,6 +1,6 @@
 import http from 'node:http'
 import type { Readable } from 'node:stream'
-import { CONNECTION_END, ConnectionResetError, isFinalStatus, limitResponse, SHARED_READ, startTimeout, watchBodyEnd } from 'knapweedshunt-utils'
+import { CONNECTION_END, ConnectionResetError, isFinalStatus, limitResponse, ResponseAgent, startTimeout, watchBodyEnd } from 'knapweedshunt-utils'
 import type { ConnectionEnd } from 'knapweedshunt-utils'
 import type { PoolName } from 'knapweedshunt-types'
 import { decodeRelayAnswer } from '../peers/relayHeaders.ts'
@@ -99,7 +99,7 @@
     const [host, port] = address.split(':')
     try {
       const needsOwnConnection = agent.hasCarried(host, Number(port), requestId)
-      this.#request = http.request({ host, port: Number(port), method, path: target, headers: this.#buildHeaders(headers), agent: needsOwnConnection ? new http.Agent(SHARED_READ) : agent, setHost: false })
+      this.#request = http.request({ host, port: Number(port), method, path: target, headers: this.#buildHeaders(headers), agent: needsOwnConnection ? new ResponseAgent() : agent, setHost: false })
     } catch (error) {
       this.#settle({ type: 'unsent', reason: (error as Error).message })
       return
--- a/packages/knapweedshunt-gateway/src/endpoints/endpointAgent.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/endpointAgent.ts
@@ -1,7 +1,7 @@
-import http from 'node:http'
+import type http from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
-import { SHARED_READ } from 'knapweedshunt-utils'
+import { PacedSocket, ResponseAgent } from 'knapweedshunt-utils'
 import { CarriedIds } from './carriedIds.ts'
 import { parseIdleTimeoutMs } from './parseIdleTimeoutMs.ts'
 
@@ -15,14 +15,14 @@
 const PROBE_DELAY_MS = 1_000
 
 /** Pools connections to endpoints: closes idle ones before the endpoint does, and any on which unsolicited bytes arrive. An id is sent once on each connection. */
-export class EndpointAgent extends http.Agent {
+export class EndpointAgent extends ResponseAgent {
   readonly #carriedIds = new CarriedIds()
   readonly #openedAtMs = new WeakMap<Socket, number>()
   #partCount = 0
   #partBytes = 0
 
   constructor () {
-    super({ ...SHARED_READ, keepAlive: true, scheduling: 'lifo', noDelay: true })
+    super({ keepAlive: true, scheduling: 'lifo', noDelay: true })
   }
 
   /** Number of parts in which the bodies of all responses arrived so far: at least one for each chunk and each read. */
@@ -66,6 +66,7 @@
     const advertisedMs = parseIdleTimeoutMs(String(socket._httpMessage?.res?.headers['keep-alive'] ?? ''))
     const idleTimeoutMs = advertisedMs === null ? DEFAULT_IDLE_TIMEOUT_MS : advertisedMs * IDLE_TIMEOUT_SHARE
     const tcp = socket as Socket
+    if (tcp instanceof PacedSocket && !tcp.tryReset()) return false
     if (idleTimeoutMs <= 0 || this.#carriedIds.isFull(tcp)) return false
     tcp.setKeepAlive(true, PROBE_DELAY_MS)
     tcp.setTimeout(idleTimeoutMs)
--- a/packages/knapweedshunt-platform/src/createPlatformClient.ts
+++ b/packages/knapweedshunt-platform/src/createPlatformClient.ts
@@ -1,6 +1,5 @@
-import http from 'node:http'
 import type { VmListEntry } from 'knapweedshunt-types'
-import { buildCausedError, requestJson } from 'knapweedshunt-utils'
+import { buildCausedError, requestJson, ResponseAgent } from 'knapweedshunt-utils'
 import type { JsonResponse, JsonRequest } from 'knapweedshunt-utils'
 import type { Platform } from './platform.ts'
 import { PlatformRefusedError, PlatformUnreachableError } from './platformError.ts'
@@ -26,7 +25,7 @@
 
 /** Creates an HTTP client of the platform. A 5xx status or no answer throws PlatformUnreachableError; a 4xx status other than 404 throws PlatformRefusedError. */
 export function createPlatformClient (options: PlatformClientOptions): Platform {
-  const agent = new http.Agent({ keepAlive: true })
+  const agent = new ResponseAgent({ keepAlive: true })
   async function call (method: JsonRequest['method'], path: string, body?: unknown): Promise<JsonResponse> {
     let answer: JsonResponse
     try {
--- a/packages/knapweedshunt-router/src/dataPath.ts
+++ b/packages/knapweedshunt-router/src/dataPath.ts
@@ -1,10 +1,9 @@
-import http from 'node:http'
 import { RetryBudget } from 'knapweedshunt-attempts'
 import type { Logger } from 'knapweedshunt-logger'
 import { Placement } from 'knapweedshunt-placement'
 import type { RouterSnapshot, VmId } from 'knapweedshunt-types'
 import { EndpointRelays } from 'knapweedshunt-membership'
-import { BodyMemory, createIncarnation, createRng } from 'knapweedshunt-utils'
+import { BodyMemory, createIncarnation, createRng, ResponseAgent } from 'knapweedshunt-utils'
 import { AdmissionController } from './admissionController.ts'
 import type { StallLimits } from './attemptCall.ts'
 import { HTTP_ENDPOINT_CLIENT } from './endpointClient.ts'
@@ -37,7 +36,7 @@
   readonly placement: Placement
   readonly admission: AdmissionController
   readonly metrics: RouterMetrics
-  readonly agent = new http.Agent({ keepAlive: true })
+  readonly agent = new ResponseAgent({ keepAlive: true })
   readonly orders: RouterOrders
   readonly log: Logger
   readonly endpointClient: EndpointClient
--- a/packages/knapweedshunt-router/src/relays/runRelay.ts
+++ b/packages/knapweedshunt-router/src/relays/runRelay.ts
@@ -1,6 +1,6 @@
 import http from 'node:http'
 import type { AttemptEvent } from 'knapweedshunt-attempts'
-import { NoRoomError, waitForHead } from 'knapweedshunt-utils'
+import { NoRoomError, ResponseAgent, waitForHead } from 'knapweedshunt-utils'
 import { match } from 'ts-pattern'
 import type { AttemptCall } from '../attemptCall.ts'
 import { EndpointError, isConnectionRefused } from '../endpointError.ts'
@@ -61,7 +61,7 @@
   }
   if (!request.repeatable) headers['x-repeatable'] = 'false'
   if (request.idempotencyKey !== null) headers['idempotency-key'] = request.idempotencyKey
-  const sent = http.request(url + path, { method, headers, agent: request.repeatable ? agent : false, signal })
+  const sent = http.request(url + path, { method, headers, agent: request.repeatable ? agent : new ResponseAgent(), signal })
   sent.end(body)
   return await waitForHead(sent)
 }
--- a/packages/knapweedshunt-router/src/runAttempt.ts
+++ b/packages/knapweedshunt-router/src/runAttempt.ts
@@ -1,5 +1,5 @@
 import http from 'node:http'
-import { readBody, waitForHead } from 'knapweedshunt-utils'
+import { readBody, ResponseAgent, waitForHead } from 'knapweedshunt-utils'
 import type { AttemptCall } from './attemptCall.ts'
 import { buildEndpointCall } from './buildEndpointCall.ts'
 import { isConnectionRefused, classifyFailure } from './endpointError.ts'
@@ -38,7 +38,7 @@
 /** Sends a non-repeatable request on a new connection: an endpoint may close a keep-alive connection just as it is reused, and it would be unknown whether the request was read. */
 async function sendAttempt (call: AttemptCall): Promise<http.IncomingMessage> {
   const { path, method, headers, body } = buildEndpointCall(call)
-  const request = http.request(call.url + path, { method, headers, agent: call.request.repeatable ? call.agent : false, signal: call.signal })
+  const request = http.request(call.url + path, { method, headers, agent: call.request.repeatable ? call.agent : new ResponseAgent(), signal: call.signal })
   request.end(body)
   return await waitForHead(request)
 }
--- a/packages/knapweedshunt-rpc/src/rpcClient.ts
+++ b/packages/knapweedshunt-rpc/src/rpcClient.ts
@@ -1,6 +1,5 @@
-import http from 'node:http'
 import { isJSONRPCResponse, JSONRPCClient } from 'json-rpc-2.0'
-import { buildCausedError, requestJson } from 'knapweedshunt-utils'
+import { buildCausedError, requestJson, ResponseAgent } from 'knapweedshunt-utils'
 import type { BodyMemory } from 'knapweedshunt-utils'
 import { RpcError } from './rpcError.ts'
 import { RPC_PATH } from './rpcServer.ts'
@@ -32,7 +31,7 @@
 
 /** Creates a client. It connects on the first call. */
 export function createRpcClient (options: RpcClientOptions): RpcClient {
-  const agent = new http.Agent({ keepAlive: true })
+  const agent = new ResponseAgent({ keepAlive: true })
   const headers = { authorization: `Bearer ${options.sharedKey}` }
   const client: JSONRPCClient<CallState> = new JSONRPCClient<CallState>(async (request, state) => {
     const response = await requestJson({ method: 'POST', url: options.url + RPC_PATH, body: request, headers, timeoutMs: options.timeoutMs, agent, maxResponseBytes: MAX_RESPONSE_BYTES, ...options.memory && { memory: options.memory } }).catch((error: unknown) => {
--- a/packages/knapweedshunt-utils/src/__tests__/joinParts.test.ts
+++ b/packages/knapweedshunt-utils/src/__tests__/joinParts.test.ts
@@ -2,7 +2,7 @@
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 import fc from 'fast-check'
-import { limitResponse, readBody, sleep, waitForHead } from '../index.ts'
+import { limitResponse, readBody, ResponseAgent, sleep, waitForHead } from '../index.ts'
 import { CHUNKED_HEAD, startRawServer } from './floodServer.ts'
 
 const BODY_BYTES = 20_000
@@ -16,23 +16,25 @@
   return chunks.join('')
 }
 
-async function fetchHead (t: ExecutionContext, port: number, agent = new http.Agent()): Promise<http.IncomingMessage> {
+async function fetchHead (t: ExecutionContext, port: number, agent: http.Agent = new ResponseAgent()): Promise<http.IncomingMessage> {
   t.teardown(() => agent.destroy())
   return await waitForHead(http.get({ host: '127.0.0.1', port, agent }))
 }
 
-// Guards against a body that costs a buffer and an object for each of its chunks, hundreds of times its bytes.
-test('the chunks of one read reach the reader as one', async t => {
-  const { port } = await startRawServer(t, socket => socket.write(`${CHUNKED_HEAD}${encodeChunks('x'.repeat(BODY_BYTES), 1)}0\r\n\r\n`))
-  let parts = 0
-  let bytes = 0
-  for await (const part of await fetchHead(t, port) as AsyncIterable<Buffer>) {
-    parts++
-    bytes += part.length
-  }
-  t.is(bytes, BODY_BYTES)
-  t.true(parts < BODY_BYTES / 100, `${parts} parts`)
-})
+for (const [name, agent] of [['paced', new ResponseAgent()], ['other', new http.Agent()]] as const) {
+  // Guards against a body that costs a buffer and an object for each of its chunks, hundreds of times its bytes.
+  test(`the chunks of one read reach the reader as one: ${name} connections`, async t => {
+    const { port } = await startRawServer(t, socket => socket.write(`${CHUNKED_HEAD}${encodeChunks('x'.repeat(BODY_BYTES), 1)}0\r\n\r\n`))
+    let parts = 0
+    let bytes = 0
+    for await (const part of await fetchHead(t, port, agent) as AsyncIterable<Buffer>) {
+      parts++
+      bytes += part.length
+    }
+    t.is(bytes, BODY_BYTES)
+    t.true(parts < BODY_BYTES / 100, `${parts} parts`)
+  })
+}
 
 // Guards against tokens of a stream that wait for others.
 test('a chunk that arrives by itself reaches the reader at once', async t => {
@@ -114,7 +116,7 @@
 for (const [name, readAll] of Object.entries(READERS)) {
   // Guards against bytes that are lost, doubled or out of order where parts are joined, and against a reader that waits for ever.
   test(`a body is read whole, however it is cut: ${name}`, async t => {
-    const agent = new http.Agent({ keepAlive: true })
+    const agent = new ResponseAgent({ keepAlive: true })
     t.teardown(() => agent.destroy())
     let pieces: string[] = []
     const { port } = await startRawServer(t, async socket => {
@@ -143,7 +145,7 @@
 // Guards against a client request that costs more than its bytes, as it is not bounded.
 test('parts that the parser hands out are counted', async t => {
   const { port } = await startRawServer(t, socket => socket.write(`${CHUNKED_HEAD}${encodeChunks('x'.repeat(100), 1)}0\r\n\r\n`))
-  const request = http.get({ host: '127.0.0.1', port, agent: new http.Agent() })
+  const request = http.get({ host: '127.0.0.1', port, agent: new ResponseAgent() })
   let parts = 0
   limitResponse(request, error => t.fail(error.message), () => parts++)
   const response = await new Promise<http.IncomingMessage>(resolve => request.once('response', resolve))
--- a/packages/knapweedshunt-utils/src/__tests__/sharedRead.test.ts
+++ b/packages/knapweedshunt-utils/src/__tests__/responseAgent.test.ts
@@ -1,7 +1,7 @@
 import http from 'node:http'
 import type { AddressInfo } from 'node:net'
 import test from 'ava'
-import { SHARED_READ } from '../sharedRead.ts'
+import { ResponseAgent } from '../responseAgent.ts'
 
 const RESPONSE_COUNT = 20
 const BODY_BYTES = 300_000
@@ -21,7 +21,7 @@
 test('connections that share a read buffer keep their bytes apart', async t => {
   const server = http.createServer((request, response) => response.end(Buffer.alloc(BODY_BYTES, Number(request.url?.slice(1)))))
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-  const agent = new http.Agent({ ...SHARED_READ, keepAlive: true })
+  const agent = new ResponseAgent({ keepAlive: true })
   t.teardown(() => {
     agent.destroy()
     server.close()
--- a/packages/knapweedshunt-utils/src/joinParts.ts
+++ b/packages/knapweedshunt-utils/src/joinParts.ts
@@ -1,6 +1,7 @@
 import type { ClientRequest, IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import { BodyBuffer } from './bodyBuffer.ts'
+import { PacedSocket } from './pacedSocket.ts'
 
 /**
  * Joins the parts of a body before they reach its reader: those of one read, and those that arrive while the reader lags
@@ -16,7 +17,11 @@
     const handleParsed = () => joiner?.handleParsed(socket)
     socket.on('data', handleParsed)
     request.once('response', response => {
-      joiner = new PartJoiner(response, onPart, () => socket.removeListener('data', handleParsed))
+      const recordPart = (bytes: number) => {
+        if (socket instanceof PacedSocket) socket.recordPart()
+        onPart(bytes)
+      }
+      joiner = new PartJoiner(response, recordPart, () => socket.removeListener('data', handleParsed))
     })
     request.once('close', () => socket.removeListener('data', handleParsed))
   })
--- /dev/null
+++ b/packages/knapweedshunt-utils/src/pacedSocket.ts
@@ -0,0 +1,151 @@
+import { Socket } from 'node:net'
+import type { OnReadOpts, SocketConstructorOpts } from 'node:net'
+import { Duplex } from 'node:stream'
+import { ParsingTurns } from './parsingTurns.ts'
+import type { ParsingConnection } from './parsingTurns.ts'
+
+/** Size of the buffer into which all connections read, in bytes. */
+const READ_BUFFER_BYTES = 16 * 1024
+
+const READ_BUFFER = Buffer.allocUnsafeSlow(READ_BUFFER_BYTES)
+
+/** Bytes of a connection that are parsed first, and at a time while they come in small parts. */
+const SLICE_BYTES = 2 * 1024
+
+/** Parts of a slice from which on they count as small, if their mean size with their framing is below this, in bytes. */
+const MIN_SMALL_PARTS = 32
+const SMALL_PART_BYTES = 64
+
+/** Longest time that counts as the cost of a slice, in milliseconds; beyond it the process was held up by something else. */
+const MAX_SLICE_MS = 10
+
+const SHARED_READ: { onread: OnReadOpts } = {
+  onread: {
+    buffer: READ_BUFFER,
+    callback (this: PacedSocket, byteCount: number, buffer: Uint8Array): boolean {
+      return this.receive(buffer.subarray(0, byteCount))
+    }
+  }
+}
+
+const NO_BYTES = Buffer.alloc(0)
+
+/** Turns of all connections of the process, which has one event loop. */
+const PROCESS_TURNS = new ParsingTurns()
+
+/** Returns the number of connections of the process that wait for a turn to be parsed. */
+export function countParsingWaits (): number {
+  return PROCESS_TURNS.waitingCount
+}
+
+/**
+ * Client connection that costs the process little, whatever arrives on it. All connections read into one buffer and copy
+ * what has arrived: otherwise Node.js allocates 64 KiB for each read. What comes in very small parts is handed to the
+ * parser in slices, in turns with all other such connections.
+ */
+export class PacedSocket extends Socket implements ParsingConnection {
+  readonly #turns: ParsingTurns
+  /** Bytes that were read and not handed on. */
+  #rest: Buffer = NO_BYTES
+  #sliceBytes = SLICE_BYTES
+  #partCount = 0
+  #hasSmallParts = false
+  #usedMs = 0
+
+  constructor (options: SocketConstructorOpts = {}, turns: ParsingTurns = PROCESS_TURNS) {
+    super({ ...options, ...SHARED_READ })
+    this.#turns = turns
+    this.on('resume', () => this.#readOn())
+    this.once('close', () => {
+      turns.remove(this)
+      this.#rest = NO_BYTES
+    })
+  }
+
+  /** Time that parsing small parts has taken so far, in milliseconds. */
+  get usedMs (): number {
+    return this.#usedMs
+  }
+
+  /** Records that the parser handed out a part of a body. */
+  recordPart (): void {
+    this.#partCount++
+  }
+
+  /** Takes bytes that have arrived; returns whether more may be read now. */
+  receive (bytes: Uint8Array): boolean {
+    this.#rest = this.#rest.length === 0 ? Buffer.from(bytes) : Buffer.concat([this.#rest, bytes])
+    if (!this.#hasSmallParts) return this.#pushSlices()
+    this.#turns.enqueue(this)
+    return false
+  }
+
+  /** Prepares for the next response on this connection; false if bytes wait that belong to none. */
+  tryReset (): boolean {
+    this.#hasSmallParts = false
+    return this.#rest.length === 0
+  }
+
+  /** Called by {@link ParsingTurns}. */
+  takeTurn (): void {
+    if (!this.#canPush()) return
+    this.#pushSlice()
+  }
+
+  /** Called by Node.js when more bytes are wanted. */
+  override _read (size: number): void {
+    if (this.#rest.length === 0) super._read(size)
+    // What is pushed before this returns is parsed later, and its cost would not be known.
+    else process.nextTick(() => this.#readOn())
+  }
+
+  /** A socket with a read buffer reads on whenever it is asked for bytes, also while some wait here. */
+  override read (size?: number): unknown {
+    return this.#rest.length === 0 ? super.read(size) : Duplex.prototype.read.call(this, size)
+  }
+
+  /** See {@link read}. */
+  override resume (): this {
+    return this.#rest.length === 0 ? super.resume() : Duplex.prototype.resume.call(this) as this
+  }
+
+  #readOn (): void {
+    if (!this.#canPush()) return
+    if (this.#hasSmallParts) this.#turns.enqueue(this)
+    else this.#pushSlices()
+  }
+
+  /** What is pushed while the connection is paused would be parsed at once when it is resumed. */
+  #canPush (): boolean {
+    return this.#rest.length > 0 && !this.destroyed && this.readableFlowing !== false
+  }
+
+  /** Pushes slices while they have no small parts; returns whether all are pushed and more is wanted. */
+  #pushSlices (): boolean {
+    let readsOn = true
+    while (this.#canPush()) {
+      readsOn = this.#pushSlice()
+      if (this.#hasSmallParts) break
+    }
+    return readsOn && this.#rest.length === 0
+  }
+
+  /** Returns whether more is wanted. */
+  #pushSlice (): boolean {
+    const slice = this.#rest.subarray(0, this.#sliceBytes)
+    this.#rest = this.#rest.subarray(slice.length)
+    const startedAtMs = performance.now()
+    this.#partCount = 0
+    const readsOn = this.push(slice)
+    this.#hasSmallParts = this.#partCount >= MIN_SMALL_PARTS && slice.length < this.#partCount * SMALL_PART_BYTES
+    this.#sliceBytes = this.#hasSmallParts ? SLICE_BYTES : Math.min(READ_BUFFER_BYTES, 2 * this.#sliceBytes)
+    if (this.#hasSmallParts) {
+      const usedMs = Math.min(MAX_SLICE_MS, performance.now() - startedAtMs)
+      this.#usedMs += usedMs
+      this.#turns.recordUsed(usedMs)
+    }
+    // The parser stops listening behind a whole response: bytes that follow it must not reach the next one on this connection.
+    if (this.#rest.length > 0 && this.listenerCount('data') === 0 && this.readableFlowing !== null) this.destroy()
+    return readsOn
+  }
+}
