Writes that a caller's connection has not taken are counted, not only their bytes

Chunks of one byte that arrive one a packet cannot be joined by read. What waited for a caller that does not read was bounded by its bytes: up to 2,700 writes of several objects each, for each response. A response waits for its caller after 64 writes, and one behind another counts 256 bytes for each. Found by reading; what arrives meanwhile is joined.

--- a/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
+++ b/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
@@ -3,6 +3,9 @@
 import { isFollowed, ResponseHold } from './responseHold.ts'
 import type { ResponseStart, WholeResponse } from './responseStart.ts'
 
+/** Writes that may wait for the connection of the caller; each costs objects beyond its bytes. */
+const MAX_UNSENT_WRITES = 64
+
 /** How far the response to a caller has got. */
 export type ResponsePhase = 'waiting' | 'begun' | 'ended'
 
@@ -21,6 +24,9 @@
   /** Head that is written with the first bytes of the body; null without one. */
   #preparedStart: ResponseStart | null = null
   #hasWritten = false
+  #unsentWrites = 0
+  /** Ends the wait for writes that the connection has not taken. */
+  #onDrained = () => {}
   #isUnanswered = false
 
   constructor (response: http.ServerResponse) {
@@ -125,7 +131,16 @@
     this.#beginPrepared()
     if (this.#phase !== 'begun' || this.hasCallerLeft) return true
     this.#hasWritten = true
-    return this.#hold === null ? this.#response.write(bytes) : this.#hold.add(() => this.#response.write(bytes), bytes.length)
+    return this.#hold === null ? this.#writePart(bytes) : this.#hold.add(() => this.#writePart(bytes), bytes.length)
+  }
+
+  #writePart (bytes: Buffer): boolean {
+    this.#unsentWrites++
+    const readsOn = this.#response.write(bytes, () => {
+      this.#unsentWrites--
+      if (this.#unsentWrites === 0 && !this.#response.writableNeedDrain) this.#onDrained()
+    })
+    return readsOn && this.#unsentWrites < MAX_UNSENT_WRITES
   }
 
   /** Ends a response whose body is complete. */
@@ -172,10 +187,12 @@
     return new Promise(resolve => {
       const settle = () => {
         this.#response.removeListener('drain', settle)
+        this.#onDrained = () => {}
         for (const one of [signal, leaveSignal]) one.removeEventListener('abort', settle)
         resolve(!this.hasCallerLeft)
       }
       this.#response.once('drain', settle)
+      this.#onDrained = settle
       for (const one of [signal, leaveSignal]) one.addEventListener('abort', settle)
     })
   }
--- a/packages/knapweedshunt-gateway/src/shared/responseHold.ts
+++ b/packages/knapweedshunt-gateway/src/shared/responseHold.ts
@@ -3,6 +3,9 @@
 /** Event of a response behind which another request of its connection was accepted, so that it is not the last one any more. */
 const FOLLOWED_EVENT = 'followed'
 
+/** What it costs to hold one action, in bytes. */
+const ACTION_OVERHEAD_BYTES = 256
+
 const followedResponses = new WeakSet<http.ServerResponse>()
 
 /** Records that another request of its connection was accepted behind a response. */
@@ -33,7 +36,7 @@
     response.once('socket', () => process.nextTick(this.#release)).on(FOLLOWED_EVENT, this.#releaseComplete)
   }
 
-  /** Bytes that are held. */
+  /** Bytes that are held, with what it costs to hold them. */
   get heldBytes (): number {
     return this.#heldBytes
   }
@@ -41,7 +44,7 @@
   /** Adds an action that writes so many bytes; returns whether there is room for more. */
   add (action: () => void, bytes = 0): boolean {
     this.#actions.push(action)
-    this.#heldBytes += bytes
+    this.#heldBytes += bytes + ACTION_OVERHEAD_BYTES
     this.#needsDrain = this.#heldBytes >= this.#response.writableHighWaterMark
     return !this.#needsDrain
   }
