Small events are handled in slices and turns, from the first one on

Callers saw their requests wait for seconds while many streams of small events without an end began: each stream may send 4,000 events at once before it takes turns, a bound for each without one over all. Turns were spaced in time only, so that after a long turn of the event loop many came due at once, and a turn accepts one connection.

Slices with many small events take turns with the connections whose chunks are small (ParsingTurns): at most 2 ms of them in a turn of the event loop, and a quarter of the time.

New gauge: parsing_waits.

--- a/packages/knapweedshunt-gateway/src/__tests__/eventTurns.test.ts
+++ b/packages/knapweedshunt-gateway/src/__tests__/eventTurns.test.ts
@@ -100,6 +100,32 @@
   return Object.assign(Readable.from(chunks), { complete: true, headers: { 'content-type': 'text/event-stream' } }) as unknown as http.IncomingMessage
 }
 
+const STREAM_COUNT = 100
+const PLAY_MS = 2_000
+
+/** Longest time for which other work may wait, in milliseconds; 100 chunks of 60 kB of small events take several times as long. */
+const MAX_HELD_UP_MS = 250
+
+// Guards against the first events of many streams, which each may send at once: together they hold the process up for seconds.
+test.serial('the first events of many streams leave turns to other work', async t => {
+  const chunk = Buffer.from('data: token\n\n'.repeat(5_000))
+  const callerResponse = { hasCallerLeft: false, write: () => true } as unknown as CallerResponse
+  const [memory, eventTurns, forwardingTurns] = [new EventMemory(), new EventTurns(), new ForwardingTurns()]
+  let longestMs = 0
+  let lastMs = performance.now()
+  const timer = setInterval(() => {
+    longestMs = Math.max(longestMs, performance.now() - lastMs)
+    lastMs = performance.now()
+  }, 1)
+  const responses = Array.from({ length: STREAM_COUNT }, () => buildResponse([chunk, chunk, chunk]))
+  const relays = responses.map(response => new StreamRelay(callerResponse, true, null, memory, eventTurns, forwardingTurns).forward(response, { stallTimeoutMs: null, onStalled: () => {}, onChunk: () => {}, onNewEvents: () => {}, onFirstEvent: () => {}, onHeldTooMuch: () => {} }))
+  await new Promise(resolve => setTimeout(resolve, PLAY_MS))
+  clearInterval(timer)
+  for (const response of responses) response.destroy()
+  await Promise.allSettled(relays)
+  t.true(longestMs < MAX_HELD_UP_MS, `${Math.round(longestMs)} ms`)
+})
+
 function collectGarbage (): void {
   setFlagsFromString('--expose-gc')
   runInNewContext('gc')()
--- a/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
@@ -1,5 +1,5 @@
 import type http from 'node:http'
-import { startTimeout } from 'knapweedshunt-utils'
+import { PROCESS_TURNS, SliceSize, startTimeout } from 'knapweedshunt-utils'
 import type { CallerResponse } from '../shared/callerResponse.ts'
 import { EventEndTracker } from './eventEndTracker.ts'
 import type { EventMemory } from './eventMemory.ts'
@@ -126,6 +126,9 @@
   async #forwardEvents (response: http.IncomingMessage, splitter: EventSplitter, options: RelayOptions): Promise<RelayResult> {
     const endTracker = new EventEndTracker()
     const eventRate = new EventRate()
+    const sliceSize = new SliceSize()
+    /** Time that slices with many small events took, in milliseconds. */
+    let usedMs = 0
     let receivedBytes = 0
     let allowedBytes = TURN_BYTES
     let stopStallTimeout = () => {}
@@ -143,7 +146,7 @@
     }
     try {
       restartStallTimeout()
-      for await (const chunk of response as AsyncIterable<Buffer>) {
+      for await (const chunk of this.#isResumable ? readSlices(response, sliceSize) : response as AsyncIterable<Buffer>) {
         let startedAtMs = performance.now()
         options.onChunk()
         if (this.#callerResponse.hasCallerLeft) return { type: 'callerLeft' }
@@ -165,6 +168,7 @@
         const readsOn = this.#writeOrHold(chunk, events)
         const turnMs = performance.now() - startedAtMs
         eventRate.recordEvents(events?.length ?? 0)
+        sliceSize.record(chunk.length, events?.length ?? 0)
         // Small events take many times the memory of their bytes, and the wait may be long.
         events = null
         if (!readsOn) {
@@ -180,6 +184,12 @@
           if (!this.#forwardingTurns.tryTake()) await this.#forwardingTurns.wait(estimateRest(response, receivedBytes), this.#wait.signal)
           if (this.#isSuperseded) return { type: 'superseded' }
         }
+        if (sliceSize.hasSmallParts) {
+          usedMs += turnMs
+          this.#wait = new AbortController()
+          await PROCESS_TURNS.wait(usedMs, turnMs, this.#wait.signal)
+          if (this.#isSuperseded) return { type: 'superseded' }
+        }
         if (eventRate.isExceeded) {
           this.#wait = new AbortController()
           await this.#eventTurns.wait(turnMs, this.#wait.signal)
@@ -267,6 +277,17 @@
   }
 }
 
+/** Reads a response in slices, each of the size that is chosen once the one before it was handled. */
+async function * readSlices (response: http.IncomingMessage, sliceSize: SliceSize): AsyncGenerator<Buffer> {
+  for await (const chunk of response as AsyncIterable<Buffer>) {
+    for (let start = 0; start < chunk.length;) {
+      const slice = chunk.subarray(start, start + sliceSize.bytes)
+      start += slice.length
+      yield slice
+    }
+  }
+}
+
 /** Estimates how many bytes of a response are left; of one that states no length more than of any other. */
 function estimateRest ({ headers }: http.IncomingMessage, receivedBytes: number): number {
   const length = Number(headers['content-length'] ?? NaN)
--- a/packages/knapweedshunt-gateway/src/records/addGauges.ts
+++ b/packages/knapweedshunt-gateway/src/records/addGauges.ts
@@ -13,6 +13,7 @@
 import type { EndpointRegistry } from '../endpoints/endpointRegistry.ts'
 import type { ForwardedResponses } from '../flow/forwardedResponses.ts'
 import type { PoolOverload } from '../flow/poolOverload.ts'
+import { PROCESS_TURNS } from 'knapweedshunt-utils'
 import type { BodyMemory } from 'knapweedshunt-utils'
 import type { UsageLimits } from '../limits/usageLimits.ts'
 import type { PeerServices } from '../peers/peerServices.ts'
@@ -59,6 +60,7 @@
   metrics.addGauge('response_memory_bytes', 'Memory taken for bodies of responses that are buffered.', () => responseMemory.takenBytes)
   metrics.addGauge('response_parts', 'Parts in which the bodies of responses of endpoints arrived since the start: at least one for each chunk and each read.', () => agent.partCount)
   metrics.addGauge('response_part_bytes', 'Size of these parts.', () => agent.partBytes)
+  metrics.addGauge('parsing_waits', 'Connections whose bytes come in very small parts and wait for a turn.', () => PROCESS_TURNS.waitingCount)
   metrics.addGauge('memory_resident_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss())
   metrics.addGauge('memory_heap_bytes', 'JavaScript heap in use, with garbage that is not collected yet.', () => process.memoryUsage().heapUsed)
   metrics.addGauge('memory_buffer_bytes', 'Buffers outside the heap, with those that are not collected yet.', () => process.memoryUsage().arrayBuffers)
--- a/packages/knapweedshunt-utils/src/pacedSocket.ts
+++ b/packages/knapweedshunt-utils/src/pacedSocket.ts
@@ -1,24 +1,15 @@
 import { Socket } from 'node:net'
 import type { OnReadOpts, SocketConstructorOpts } from 'node:net'
 import { Duplex } from 'node:stream'
-import { ParsingTurns } from './parsingTurns.ts'
-import type { ParsingConnection } from './parsingTurns.ts'
+import { PROCESS_TURNS } from './parsingTurns.ts'
+import type { ParsingConnection, ParsingTurns } from './parsingTurns.ts'
+import { SliceSize } from './sliceSize.ts'
 
 /** Size of the buffer into which all connections read, in bytes. */
 const READ_BUFFER_BYTES = 16 * 1024
 
 const READ_BUFFER = Buffer.allocUnsafeSlow(READ_BUFFER_BYTES)
 
-/** Bytes of a connection that are parsed first, and at a time while they come in small parts. */
-const SLICE_BYTES = 2 * 1024
-
-/** Parts of a slice from which on they count as small, if their mean size with their framing is below this, in bytes. */
-const MIN_SMALL_PARTS = 32
-const SMALL_PART_BYTES = 64
-
-/** Longest time that counts as the cost of a slice, in milliseconds; beyond it the process was held up by something else. */
-const MAX_SLICE_MS = 10
-
 const SHARED_READ: { onread: OnReadOpts } = {
   onread: {
     buffer: READ_BUFFER,
@@ -30,14 +21,6 @@
 
 const NO_BYTES = Buffer.alloc(0)
 
-/** Turns of all connections of the process, which has one event loop. */
-const PROCESS_TURNS = new ParsingTurns()
-
-/** Returns the number of connections of the process that wait for a turn to be parsed. */
-export function countParsingWaits (): number {
-  return PROCESS_TURNS.waitingCount
-}
-
 /**
  * Client connection that costs the process little, whatever arrives on it. All connections read into one buffer and copy
  * what has arrived: otherwise Node.js allocates 64 KiB for each read. What comes in very small parts is handed to the
@@ -47,9 +30,8 @@
   readonly #turns: ParsingTurns
   /** Bytes that were read and not handed on. */
   #rest: Buffer = NO_BYTES
-  #sliceBytes = SLICE_BYTES
+  readonly #sliceSize = new SliceSize()
   #partCount = 0
-  #hasSmallParts = false
   #usedMs = 0
 
   constructor (options: SocketConstructorOpts = {}, turns: ParsingTurns = PROCESS_TURNS) {
@@ -75,14 +57,14 @@
   /** Takes bytes that have arrived; returns whether more may be read now. */
   receive (bytes: Uint8Array): boolean {
     this.#rest = this.#rest.length === 0 ? Buffer.from(bytes) : Buffer.concat([this.#rest, bytes])
-    if (!this.#hasSmallParts) return this.#pushSlices()
+    if (!this.#sliceSize.hasSmallParts) return this.#pushSlices()
     this.#turns.enqueue(this)
     return false
   }
 
   /** Prepares for the next response on this connection; false if bytes wait that belong to none. */
   tryReset (): boolean {
-    this.#hasSmallParts = false
+    this.#sliceSize.reset()
     return this.#rest.length === 0
   }
 
@@ -111,7 +93,7 @@
 
   #readOn (): void {
     if (!this.#canPush()) return
-    if (this.#hasSmallParts) this.#turns.enqueue(this)
+    if (this.#sliceSize.hasSmallParts) this.#turns.enqueue(this)
     else this.#pushSlices()
   }
 
@@ -125,22 +107,21 @@
     let readsOn = true
     while (this.#canPush()) {
       readsOn = this.#pushSlice()
-      if (this.#hasSmallParts) break
+      if (this.#sliceSize.hasSmallParts) break
     }
     return readsOn && this.#rest.length === 0
   }
 
   /** Returns whether more is wanted. */
   #pushSlice (): boolean {
-    const slice = this.#rest.subarray(0, this.#sliceBytes)
+    const slice = this.#rest.subarray(0, this.#sliceSize.bytes)
     this.#rest = this.#rest.subarray(slice.length)
     const startedAtMs = performance.now()
     this.#partCount = 0
     const readsOn = this.push(slice)
-    this.#hasSmallParts = this.#partCount >= MIN_SMALL_PARTS && slice.length < this.#partCount * SMALL_PART_BYTES
-    this.#sliceBytes = this.#hasSmallParts ? SLICE_BYTES : Math.min(READ_BUFFER_BYTES, 2 * this.#sliceBytes)
-    if (this.#hasSmallParts) {
-      const usedMs = Math.min(MAX_SLICE_MS, performance.now() - startedAtMs)
+    this.#sliceSize.record(slice.length, this.#partCount)
+    if (this.#sliceSize.hasSmallParts) {
+      const usedMs = performance.now() - startedAtMs
       this.#usedMs += usedMs
       this.#turns.recordUsed(usedMs)
     }
--- a/packages/knapweedshunt-utils/src/parsingTurns.ts
+++ b/packages/knapweedshunt-utils/src/parsingTurns.ts
@@ -1,15 +1,18 @@
-/** Share of the time that connections may use to parse very small parts, and the most that they may save up, in milliseconds. */
+/** Share of the time that connections may use to handle very small parts, and the most that they may save up, in milliseconds. */
 const TIME_SHARE = 0.25
 const MAX_SAVED_MS = 200
 
-/** Time after which a turn of the event loop ends, in milliseconds. */
+/** Time used after which a turn of the event loop ends, in milliseconds; a turn accepts one connection. */
 const MAX_TURN_MS = 2
 
-/** A connection that has read bytes which it may parse in its turn. */
+/** Longest time that counts as the cost of a slice, in milliseconds; beyond it the process was held up by something else. */
+const MAX_SLICE_MS = 10
+
+/** A connection that has read bytes which it may handle in its turn. */
 export interface ParsingConnection {
   /** Time that it has used so far, in milliseconds. */
   readonly usedMs: number
-  /** Parses the next bytes, and records the time that it took. */
+  /** Handles the next bytes, and records the time that it takes. */
   takeTurn (): void
 }
 
@@ -26,6 +29,8 @@
   readonly #waiting = new Set<ParsingConnection>()
   #isNextByArrival = false
   #isScheduled = false
+  /** Time used in this turn of the event loop, in milliseconds. */
+  #turnUsedMs = 0
 
   /** Number of connections that wait. */
   get waitingCount (): number {
@@ -38,6 +43,25 @@
     this.#schedule()
   }
 
+  /** Waits for a turn that is expected to take so long, of a connection that has used so much time so far, both in milliseconds; or until the signal aborts. */
+  wait (usedMs: number, expectedMs: number, signal: AbortSignal): Promise<void> {
+    if (signal.aborted) return Promise.resolve()
+    return new Promise(resolve => {
+      const settle = () => {
+        this.remove(connection)
+        signal.removeEventListener('abort', settle)
+        resolve()
+      }
+      const takeTurn = () => {
+        this.recordUsed(expectedMs)
+        settle()
+      }
+      const connection = { usedMs, takeTurn }
+      signal.addEventListener('abort', settle)
+      this.enqueue(connection)
+    })
+  }
+
   /** Removes a connection that was closed. */
   remove (connection: ParsingConnection): void {
     this.#waiting.delete(connection)
@@ -45,8 +69,10 @@
 
   /** Records time that a connection has used, in milliseconds, in a turn or without one. */
   recordUsed (usedMs: number): void {
+    const countedMs = Math.min(MAX_SLICE_MS, usedMs)
     this.#refill()
-    this.#savedMs -= usedMs
+    this.#savedMs -= countedMs
+    this.#turnUsedMs += countedMs
   }
 
   #schedule (): void {
@@ -60,9 +86,9 @@
 
   #runTurns (): void {
     this.#isScheduled = false
-    const startedAtMs = performance.now()
+    this.#turnUsedMs = 0
     this.#refill()
-    while (this.#waiting.size > 0 && this.#savedMs > 0 && performance.now() - startedAtMs < MAX_TURN_MS) {
+    while (this.#waiting.size > 0 && this.#savedMs > 0 && this.#turnUsedMs < MAX_TURN_MS) {
       const connection = this.#pickNext()
       this.#waiting.delete(connection)
       connection.takeTurn()
@@ -82,7 +108,10 @@
 
   #refill (): void {
     const nowMs = performance.now()
-    this.#savedMs = Math.min(MAX_SAVED_MS, this.#savedMs + (nowMs - this.#savedAtMs) * TIME_SHARE)
+    this.#savedMs = Math.min(MAX_SAVED_MS, this.#savedMs + Math.max(0, nowMs - this.#savedAtMs) * TIME_SHARE)
     this.#savedAtMs = nowMs
   }
 }
+
+/** Turns of all connections of the process, which has one event loop. */
+export const PROCESS_TURNS = new ParsingTurns()
