--- a/packages/knapweedshunt-utils/src/requestJson.ts
+++ b/packages/knapweedshunt-utils/src/requestJson.ts
@@ -4,9 +4,13 @@
 import { HttpError } from './httpErrors.ts'
 import { parseJson } from './parseJson.ts'
 import { readBody } from './readBody.ts'
+import { ResponseAgent } from './responseAgent.ts'
 import { runWithTimeout } from './runWithTimeout.ts'
 import { waitForHead } from './waitForHead.ts'
 
+/** The same options as those of `http.globalAgent`. */
+const defaultAgent = new ResponseAgent({ keepAlive: true, scheduling: 'lifo', timeout: 5_000 })
+
 /** An HTTP request with a JSON body whose response is JSON. */
 export interface JsonRequest {
   method: 'GET' | 'POST' | 'PUT' | 'DELETE'
@@ -56,7 +60,7 @@
 
 async function sendRequest (call: JsonRequest, bodyText: string, signal: AbortSignal): Promise<http.IncomingMessage> {
   const headers = { ...call.headers, 'content-type': 'application/json', 'content-length': Buffer.byteLength(bodyText) }
-  const request = http.request(call.url, { method: call.method, headers, signal, agent: call.agent })
+  const request = http.request(call.url, { method: call.method, headers, signal, agent: call.agent ?? defaultAgent })
   request.end(bodyText)
   return await waitForHead(request)
 }
