--- a/packages/knapweedshunt-gateway/src/shared/responseHold.ts
+++ b/packages/knapweedshunt-gateway/src/shared/responseHold.ts
@@ -3,8 +3,8 @@
 /** Event of a response behind which another request of its connection was accepted, so that it is not the last one any more. */
 const FOLLOWED_EVENT = 'followed'
 
-/** What it costs to hold one action, in bytes. */
-const ACTION_OVERHEAD_BYTES = 256
+/** Number of actions that may be held; each costs objects beyond its bytes. */
+const MAX_HELD_ACTIONS = 64
 
 const followedResponses = new WeakSet<http.ServerResponse>()
 
@@ -36,7 +36,7 @@
     response.once('socket', () => process.nextTick(this.#release)).on(FOLLOWED_EVENT, this.#releaseComplete)
   }
 
-  /** Bytes that are held, with what it costs to hold them. */
+  /** Bytes that are held. */
   get heldBytes (): number {
     return this.#heldBytes
   }
@@ -44,8 +44,8 @@
   /** Adds an action that writes so many bytes; returns whether there is room for more. */
   add (action: () => void, bytes = 0): boolean {
     this.#actions.push(action)
-    this.#heldBytes += bytes + ACTION_OVERHEAD_BYTES
-    this.#needsDrain = this.#heldBytes >= this.#response.writableHighWaterMark
+    this.#heldBytes += bytes
+    this.#needsDrain = this.#heldBytes >= this.#response.writableHighWaterMark || this.#actions.length >= MAX_HELD_ACTIONS
     return !this.#needsDrain
   }
 
