Turns of small parts are never refused to those that wait; joined parts are progress

Each turn runs at least 2 ms now, with a rest as long, and fresh slices are not counted. Test 'short responses in small chunks leave turns to a stream of small chunks'. - Slices grew with lone tokens and kept their size for the next response, so that 192 connections parsed 16 KiB each at once (held up for 0.8 to 1.5 s). They grow with full slices only, up to 4 KiB, and begin anew. Test 'small parts behind others are parsed in small slices'.

Parts are handed on when a connection gets no more to parse in this turn.

--- a/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
+++ b/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
@@ -136,9 +136,9 @@
 
   #writePart (bytes: Buffer): boolean {
     this.#unsentWrites++
-    const readsOn = this.#response.write(bytes, () => {
+    const readsOn = this.#response.write(bytes, error => {
       this.#unsentWrites--
-      if (this.#unsentWrites === 0 && !this.#response.writableNeedDrain) this.#onDrained()
+      if (error == null && this.#unsentWrites === 0 && !this.#response.writableNeedDrain) this.#onDrained()
     })
     return readsOn && this.#unsentWrites < MAX_UNSENT_WRITES
   }
--- a/packages/knapweedshunt-utils/src/__tests__/joinParts.test.ts
+++ b/packages/knapweedshunt-utils/src/__tests__/joinParts.test.ts
@@ -79,6 +79,14 @@
   t.true(sizes.length <= 5, `${sizes.length} parts`)
 })
 
+// Guards against a sound body that counts as framing without an end, as its reader lags behind and its chunks are joined meanwhile.
+test('small chunks are progress also while the reader lags behind', async t => {
+  const { port } = await startRawServer(t, socket => socket.write(`${CHUNKED_HEAD}${encodeChunks('x'.repeat(60_000), 1)}0\r\n\r\n`))
+  const response = await fetchHead(t, port)
+  await sleep(300)
+  t.is(await readBody(response, 1024 * 1024), 'x'.repeat(60_000))
+})
+
 const READERS: Record<string, (response: http.IncomingMessage) => Promise<string>> = {
   iterator: async response => {
     const parts: Buffer[] = []
--- a/packages/knapweedshunt-utils/src/__tests__/pacedSocket.test.ts
+++ b/packages/knapweedshunt-utils/src/__tests__/pacedSocket.test.ts
@@ -41,6 +41,61 @@
   t.true(longestMs < 20 + MAX_HELD_UP_MS, `${Math.round(longestMs)} ms between two tokens`)
 })
 
+// Guards against a sound stream of small chunks that never goes on, as short responses of small chunks use the time of all turns.
+test.serial('short responses in small chunks leave turns to a stream of small chunks', async t => {
+  const { port } = await startRawServer(t, async (socket, path) => {
+    socket.write(CHUNKED_HEAD)
+    if (path === '/short') {
+      socket.write(`${'1\r\nx\r\n'.repeat(330)}0\r\n\r\n`)
+      return
+    }
+    for (let n = 0; n < 50 && !socket.destroyed; n++) {
+      socket.write('6\r\ntokens\r\n'.repeat(40))
+      await sleep(40)
+    }
+    socket.write('0\r\n\r\n')
+  })
+  const agent = new ResponseAgent({ keepAlive: true })
+  t.teardown(() => agent.destroy())
+  const fetch = async (path: string) => await readBody(await waitForHead(http.get({ host: '127.0.0.1', port, path, agent })), 1024 * 1024)
+  const done = new AbortController()
+  const callers = Array.from({ length: 30 }, async () => { while (!done.signal.aborted) await fetch('/short') })
+  const startedAtMs = performance.now()
+  t.is(await fetch('/stream'), 'tokens'.repeat(2_000))
+  const tookMs = performance.now() - startedAtMs
+  done.abort()
+  await Promise.all(callers)
+  t.true(tookMs < 6_000, `${Math.round(tookMs)} ms`)
+})
+
+// Guards against slices that have grown with large parts, or with lone ones, when small parts follow.
+test.serial('small parts behind others are parsed in small slices', async t => {
+  const { port } = await startRawServer(t, async socket => {
+    socket.write(CHUNKED_HEAD)
+    for (let n = 0; n < 3; n++) {
+      socket.write('5\r\ntoken\r\n')
+      await sleep(20)
+    }
+    for (let n = 0; n < 3; n++) {
+      socket.write(ONE_BYTE_CHUNKS)
+      await sleep(300)
+    }
+    socket.end('0\r\n\r\n')
+  })
+  const agent = new ResponseAgent()
+  t.teardown(() => agent.destroy())
+  let longestMs = 0
+  let lastMs = performance.now()
+  const timer = setInterval(() => {
+    longestMs = Math.max(longestMs, performance.now() - lastMs)
+    lastMs = performance.now()
+  }, 1)
+  const bodies = await Promise.all(Array.from({ length: 40 }, async () => await readBody(await waitForHead(http.get({ host: '127.0.0.1', port, agent })), 1024 * 1024)))
+  clearInterval(timer)
+  t.deepEqual(bodies.map(({ length }) => length), Array(40).fill(30_015))
+  t.true(longestMs < 2 * MAX_HELD_UP_MS, `${Math.round(longestMs)} ms`)
+})
+
 // Guards against a connection that reads on while its bytes wait for a turn, and keeps them all.
 test.serial('a connection whose bytes wait is not read on', async t => {
   const { port, sockets } = await startRawServer(t, socket => {
--- a/packages/knapweedshunt-utils/src/joinParts.ts
+++ b/packages/knapweedshunt-utils/src/joinParts.ts
@@ -1,7 +1,7 @@
 import type { ClientRequest, IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import { BodyBuffer } from './bodyBuffer.ts'
-import { PacedSocket } from './pacedSocket.ts'
+import { PacedSocket, PARSED } from './pacedSocket.ts'
 
 /**
  * Joins the parts of a body before they reach its reader: those of one read, and those that arrive while the reader lags
@@ -12,19 +12,24 @@
  */
 export function joinParts (request: ClientRequest, onPart: (bytes: number) => void): void {
   let joiner: PartJoiner | null = null
+  let stop = () => {}
   request.once('socket', (socket: Socket) => {
-    // After the listener of `node:http`, which parses the bytes.
+    // Of another connection after the listener of `node:http`, which parses the bytes.
+    const event = socket instanceof PacedSocket ? PARSED : 'data'
     const handleParsed = () => joiner?.handleParsed(socket)
-    socket.on('data', handleParsed)
-    request.once('response', response => {
-      const recordPart = (bytes: number) => {
-        if (socket instanceof PacedSocket) socket.recordPart()
-        onPart(bytes)
-      }
-      joiner = new PartJoiner(response, recordPart, () => socket.removeListener('data', handleParsed))
-    })
-    request.once('close', () => socket.removeListener('data', handleParsed))
+    socket.on(event, handleParsed)
+    stop = () => socket.removeListener(event, handleParsed)
+  })
+  // Before listeners of the socket event add theirs: each part is progress, also if it is not handed on.
+  request.once('response', response => {
+    const { socket } = response
+    const recordPart = (bytes: number) => {
+      if (socket instanceof PacedSocket) socket.recordPart()
+      onPart(bytes)
+    }
+    joiner = new PartJoiner(response, recordPart, () => stop())
   })
+  request.once('close', () => stop())
 }
 
 /** Parts of the body of one response that its reader has not got. */
--- a/packages/knapweedshunt-utils/src/limitResponse.ts
+++ b/packages/knapweedshunt-utils/src/limitResponse.ts
@@ -13,6 +13,6 @@
 export function limitResponse (request: ClientRequest, onMalformed: (error: Error) => void, onPart: (bytes: number) => void = () => {}): void {
   watchInformationalHeads(request, onMalformed)
   joinParts(request, onPart)
-  // Behind the parts that are joined, each of which is progress.
+  // It sees each part that the parser hands out, before it is joined.
   watchFraming(request, onMalformed)
 }
--- a/packages/knapweedshunt-utils/src/pacedSocket.ts
+++ b/packages/knapweedshunt-utils/src/pacedSocket.ts
@@ -19,6 +19,9 @@
   }
 }
 
+/** Event of a connection when the parser has handled what it was given, and gets no more in this turn. */
+export const PARSED = 'parsed'
+
 const NO_BYTES = Buffer.alloc(0)
 
 /**
@@ -65,13 +68,21 @@
   /** Prepares for the next response on this connection; false if bytes wait that belong to none. */
   tryReset (): boolean {
     this.#sliceSize.reset()
+    this.#usedMs = 0
     return this.#rest.length === 0
   }
 
   /** Called by {@link ParsingTurns}. */
-  takeTurn (): void {
-    if (!this.#canPush()) return
-    this.#pushSlice()
+  takeTurn (maxMs: number): number {
+    const startedAtMs = performance.now()
+    let turnMs = 0
+    while (this.#canPush() && turnMs <= maxMs) {
+      this.#pushSlice()
+      turnMs = performance.now() - startedAtMs
+    }
+    this.emit(PARSED)
+    this.#usedMs += turnMs
+    return turnMs
   }
 
   /** Called by Node.js when more bytes are wanted. */
@@ -109,6 +120,7 @@
       readsOn = this.#pushSlice()
       if (this.#sliceSize.hasSmallParts) break
     }
+    this.emit(PARSED)
     return readsOn && this.#rest.length === 0
   }
 
@@ -116,15 +128,9 @@
   #pushSlice (): boolean {
     const slice = this.#rest.subarray(0, this.#sliceSize.bytes)
     this.#rest = this.#rest.subarray(slice.length)
-    const startedAtMs = performance.now()
     this.#partCount = 0
     const readsOn = this.push(slice)
     this.#sliceSize.record(slice.length, this.#partCount)
-    if (this.#sliceSize.hasSmallParts) {
-      const usedMs = performance.now() - startedAtMs
-      this.#usedMs += usedMs
-      this.#turns.recordUsed(usedMs)
-    }
     // The parser stops listening behind a whole response: bytes that follow it must not reach the next one on this connection.
     if (this.#rest.length > 0 && this.listenerCount('data') === 0 && this.readableFlowing !== null) this.destroy()
     return readsOn
--- a/packages/knapweedshunt-utils/src/parsingTurns.ts
+++ b/packages/knapweedshunt-utils/src/parsingTurns.ts
@@ -1,10 +1,13 @@
-/** Share of the time that connections may use to handle very small parts, and the most that they may save up, in milliseconds. */
-const TIME_SHARE = 0.25
-const MAX_SAVED_MS = 200
-
 /** Time used after which a turn of the event loop ends, in milliseconds; a turn accepts one connection. */
 const MAX_TURN_MS = 2
 
+/** Time left to other work after a turn, as a multiple of the time that it took, and the longest one in milliseconds. */
+const REST_FACTOR = 1
+const MAX_REST_MS = 10
+
+/** Time that may be used without rests, saved up at the same rate, in milliseconds. */
+const MAX_SAVED_MS = 200
+
 /** Longest time that counts as the cost of a slice, in milliseconds; beyond it the process was held up by something else. */
 const MAX_SLICE_MS = 10
 
@@ -12,8 +15,8 @@
 export interface ParsingConnection {
   /** Time that it has used so far, in milliseconds. */
   readonly usedMs: number
-  /** Handles the next bytes, and records the time that it takes. */
-  takeTurn (): void
+  /** Handles the next slice, or more while it has not used `maxMs` milliseconds; returns the time that it used. */
+  takeTurn (maxMs: number): number
 }
 
 /**
@@ -22,15 +25,15 @@
  * an end, and the others to the one that waits longest.
  */
 export class ParsingTurns {
-  /** Time that may be used now, in milliseconds; negative if more was used. */
+  /** Time that may be used without rests, in milliseconds. */
   #savedMs = MAX_SAVED_MS
   #savedAtMs = performance.now()
+  /** Time that the last turn took, in milliseconds. */
+  #lastTurnMs = 0
   /** Connections in the order of their arrival. */
   readonly #waiting = new Set<ParsingConnection>()
   #isNextByArrival = false
   #isScheduled = false
-  /** Time used in this turn of the event loop, in milliseconds. */
-  #turnUsedMs = 0
 
   /** Number of connections that wait. */
   get waitingCount (): number {
@@ -53,8 +56,8 @@
         resolve()
       }
       const takeTurn = () => {
-        this.recordUsed(expectedMs)
         settle()
+        return expectedMs
       }
       const connection = { usedMs, takeTurn }
       signal.addEventListener('abort', settle)
@@ -67,32 +70,28 @@
     this.#waiting.delete(connection)
   }
 
-  /** Records time that a connection has used, in milliseconds, in a turn or without one. */
-  recordUsed (usedMs: number): void {
-    const countedMs = Math.min(MAX_SLICE_MS, usedMs)
-    this.#refill()
-    this.#savedMs -= countedMs
-    this.#turnUsedMs += countedMs
-  }
-
   #schedule (): void {
     if (this.#isScheduled || this.#waiting.size === 0) return
     this.#isScheduled = true
-    this.#refill()
-    const run = () => this.#runTurns()
+    const run = () => this.#runTurn()
     if (this.#savedMs > 0) setImmediate(run)
-    else setTimeout(run, Math.ceil(-this.#savedMs / TIME_SHARE))
+    else setTimeout(run, Math.min(MAX_REST_MS, Math.ceil(this.#lastTurnMs * REST_FACTOR)))
   }
 
-  #runTurns (): void {
-    this.#isScheduled = false
-    this.#turnUsedMs = 0
-    this.#refill()
-    while (this.#waiting.size > 0 && this.#savedMs > 0 && this.#turnUsedMs < MAX_TURN_MS) {
+  /** Whatever was used before, some connections go on: else fresh ones could keep others from it for ever. */
+  #runTurn (): void {
+    this.#lastTurnMs = 0
+    while (this.#waiting.size > 0 && this.#lastTurnMs < MAX_TURN_MS) {
       const connection = this.#pickNext()
       this.#waiting.delete(connection)
-      connection.takeTurn()
+      const maxMs = this.#waiting.size === 0 ? MAX_TURN_MS - this.#lastTurnMs : 0
+      this.#lastTurnMs += Math.min(MAX_SLICE_MS, connection.takeTurn(maxMs))
     }
+    const nowMs = performance.now()
+    const refilledMs = Math.max(0, nowMs - this.#savedAtMs) / (1 + REST_FACTOR)
+    this.#savedAtMs = nowMs
+    this.#savedMs = Math.max(0, Math.min(MAX_SAVED_MS, this.#savedMs + refilledMs) - this.#lastTurnMs)
+    this.#isScheduled = false
     this.#schedule()
   }
 
@@ -105,12 +104,6 @@
     for (const connection of this.#waiting) if (connection.usedMs < least.usedMs) least = connection
     return least
   }
-
-  #refill (): void {
-    const nowMs = performance.now()
-    this.#savedMs = Math.min(MAX_SAVED_MS, this.#savedMs + Math.max(0, nowMs - this.#savedAtMs) * TIME_SHARE)
-    this.#savedAtMs = nowMs
-  }
 }
 
 /** Turns of all connections of the process, which has one event loop. */
--- a/packages/knapweedshunt-utils/src/sliceSize.ts
+++ b/packages/knapweedshunt-utils/src/sliceSize.ts
@@ -1,6 +1,6 @@
 /** Sizes of slices, in bytes: the first one and those with small parts, and others. */
 const MIN_BYTES = 2 * 1024
-const MAX_BYTES = 16 * 1024
+const MAX_BYTES = 4 * 1024
 
 /** Parts of a slice from which on they count as small, if their mean size is below this, in bytes. */
 const MIN_SMALL_PARTS = 32
@@ -24,11 +24,13 @@
   /** Records a slice, and the number of parts that were found in it. */
   record (bytes: number, partCount: number): void {
     this.#hasSmallParts = partCount >= MIN_SMALL_PARTS && bytes < partCount * SMALL_PART_BYTES
-    this.#bytes = this.#hasSmallParts ? MIN_BYTES : Math.min(MAX_BYTES, 2 * this.#bytes)
+    if (this.#hasSmallParts) this.#bytes = MIN_BYTES
+    else if (bytes >= this.#bytes) this.#bytes = Math.min(MAX_BYTES, 2 * this.#bytes)
   }
 
-  /** Forgets the last slice. */
+  /** Forgets all slices. */
   reset (): void {
     this.#hasSmallParts = false
+    this.#bytes = MIN_BYTES
   }
 }
