Product's own router: an event that is not complete is kept as bytes

What callers saw: the router's process ended, out of memory, and all requests with it, while engines sent events of many short lines without an end, with or without comments between them.

Cause: each line of an event that was not complete was kept as strings, some ten times its size, and each kept the chunk that it was a part of. A comment counted as the end of an event, so that what was kept before it no longer counted against the router's memory; it was bounded for each stream only.

Change: EventSplitter keeps what belongs to no complete event as bytes, counted by their capacity; the parser gets complete events only. 1 MiB without an event is malformed, also if it is comments only, and counts bytes in place of characters.

--- a/packages/knapweedshunt-router/src/readEngineStream.ts
+++ b/packages/knapweedshunt-router/src/readEngineStream.ts
@@ -6,13 +6,14 @@
 import { z } from 'zod'
 import type { AttemptCall } from './attemptCall.ts'
 import { EndpointError } from './endpointError.ts'
+import { EventSplitter } from './eventSplitter.ts'
 import type { StallTimer } from './stallTimer.ts'
 
 const END_OF_STREAM_DATA = '[DONE]'
 const EVENT_STREAM_PATTERN = /^text\/event-stream\b/
 
-/** Longest server-sent event, in characters. */
-const MAX_EVENT_CHARS = 1024 * 1024
+/** Longest server-sent event, with the comments before it, in bytes. */
+const MAX_EVENT_BYTES = 1024 * 1024
 
 /** Memory that a kept token takes beside its text, in bytes. */
 const KEPT_TOKEN_OVERHEAD_BYTES = 16
@@ -44,15 +45,9 @@
   let hasEnded = false
   let tokenCount = 0
   let keptBytes = 0
-  let unfinishedChars = 0
+  const splitter = new EventSplitter()
   const parser = createParser({
-    maxBufferSize: MAX_EVENT_CHARS,
-    onError (error) {
-      if (error.type === 'max-buffer-size-exceeded') throw new EndpointError('An event exceeds the maximum buffer size.', { cause: error })
-    },
-    onComment () { unfinishedChars = 0 },
     onEvent (event) {
-      unfinishedChars = 0
       if (hasEnded) return
       if (event.data === END_OF_STREAM_DATA) hasEnded = true
       else if (emitEvent(call, event)) {
@@ -61,13 +56,12 @@
       }
     }
   })
-  message.setEncoding('utf8')
   try {
     for await (const chunk of message) {
       const previousTokenCount = tokenCount
-      unfinishedChars += (chunk as string).length
-      parser.feed(chunk as string)
-      if (!call.share.tryResize(keptBytes + unfinishedChars)) throw new NoRoomError('The router has no room for the response.')
+      parser.feed(splitter.add(chunk as Buffer))
+      if (splitter.length > MAX_EVENT_BYTES) throw new EndpointError(`An event exceeds ${MAX_EVENT_BYTES} bytes.`)
+      if (!call.share.tryResize(keptBytes + splitter.capacity)) throw new NoRoomError('The router has no room for the response.')
       if (tokenCount === previousTokenCount) continue
       timer.stop()
       await call.waitDrain()
