Servers for other programs and operators parse very small chunks in slices

What callers saw: nothing so far. By a test: the servers of router (for peers), control and admin parsed all chunks of one read in one turn of the event loop, 10,000 of one byte, and a read of each other connection behind it; in a router the data path waits for as long.

Cause: only the server for callers had limitParsing.

Change: these three servers have it too.

A body that is not read, without the key, reaches no reader: its chunks cost the parser's time only.

--- a/packages/knapweedshunt-admin/src/startAdmin.ts
+++ b/packages/knapweedshunt-admin/src/startAdmin.ts
@@ -3,7 +3,7 @@
 import { createPlatformClient, DEFAULT_PLATFORM_TIMEOUT_MS } from 'knapweedshunt-platform'
 import { DEFAULT_STORE_OPTIONS, ResourceStore } from 'knapweedshunt-resources'
 import { createRpcClient } from 'knapweedshunt-rpc'
-import { closeServer, listen } from 'knapweedshunt-utils'
+import { closeServer, limitParsing, listen } from 'knapweedshunt-utils'
 import type { AdminOptions } from './adminOptions.ts'
 import { serveAdmin } from './serveAdmin.ts'
 
@@ -28,6 +28,7 @@
     if (message.url === '/healthz') return sendHealth(response)
     return serveAdmin(context, options.operatorKeys, message, response, stopController.signal)
   })
+  limitParsing(server)
   const url = await listen(server, options.listen)
   log.info('Admin listens.', { url })
   async function stop () {
--- a/packages/knapweedshunt-control/src/startControl.ts
+++ b/packages/knapweedshunt-control/src/startControl.ts
@@ -4,7 +4,7 @@
 import { ResourceStore } from 'knapweedshunt-resources'
 import { createRpcHandler } from 'knapweedshunt-rpc'
 import type { RpcHandler } from 'knapweedshunt-rpc'
-import { closeServer, createIncarnation, createRng, listen, runEvery, sendJsonResponse, sleep } from 'knapweedshunt-utils'
+import { closeServer, createIncarnation, createRng, limitParsing, listen, runEvery, sendJsonResponse, sleep } from 'knapweedshunt-utils'
 import { ControlIo } from './controlIo.ts'
 import { ControlNode } from './controlNode.ts'
 import type { ControlOptions } from './controlOptions.ts'
@@ -31,6 +31,7 @@
   const stopping = new AbortController()
   let rpc: RpcHandler | null = null
   const server = http.createServer((message, response) => rpc === null ? refuseWhileStarting(response) : rpc(message, response))
+  limitParsing(server)
   const url = await listen(server, options.listen)
   const node = createNode(options, url)
   const routerPusher = new RouterPusher(node, clients.getOrOpen(options.routerUrl), log)
--- a/packages/knapweedshunt-router/src/startRouter.ts
+++ b/packages/knapweedshunt-router/src/startRouter.ts
@@ -2,7 +2,7 @@
 import { createLogger } from 'knapweedshunt-logger'
 import { RELAY_HEADER } from 'knapweedshunt-membership'
 import { createRpcHandler } from 'knapweedshunt-rpc'
-import { closeServer, createIncarnation, listen, sendJsonResponse } from 'knapweedshunt-utils'
+import { closeServer, createIncarnation, limitParsing, listen, sendJsonResponse } from 'knapweedshunt-utils'
 import { CallerServer } from './callerServer.ts'
 import { DataPath } from './dataPath.ts'
 import { createGuardedPlatform } from './orders/createGuardedPlatform.ts'
@@ -56,6 +56,7 @@
     if (message.headers[RELAY_HEADER.key] === undefined) return rpc(message, response)
     return serveRelayed(dataPath, { maxBodyBytes: options.maxBodyBytes, isStopping: callerServer.isStopping }, message, response)
   })
+  limitParsing(peerServer)
 
   const callerUrl = await callerServer.listen(options.caller)
   const peerUrl = await listen(peerServer, options.peer)
