--- a/packages/knapweedshunt-router/src/readEngineStream.ts
+++ b/packages/knapweedshunt-router/src/readEngineStream.ts
@@ -6,7 +6,6 @@
 import { z } from 'zod'
 import type { AttemptCall } from './attemptCall.ts'
 import { EndpointError } from './endpointError.ts'
-import { EventPacer } from './eventPacer.ts'
 import { EventSplitter } from './eventSplitter.ts'
 import type { StallTimer } from './stallTimer.ts'
 
@@ -16,9 +15,6 @@
 /** Longest server-sent event, with the comments before it, in bytes. */
 const MAX_EVENT_BYTES = 1024 * 1024
 
-/** Characters of a stream that are parsed at a time. */
-const SLICE_CHARS = 2 * 1024
-
 /** Memory that a kept token takes beside its text, in bytes. */
 const KEPT_TOKEN_OVERHEAD_BYTES = 16
 
@@ -50,10 +46,8 @@
   let tokenCount = 0
   let keptBytes = 0
   const splitter = new EventSplitter()
-  const pacer = new EventPacer()
   const parser = createParser({
     onEvent (event) {
-      pacer.recordEvent()
       if (hasEnded) return
       if (event.data === END_OF_STREAM_DATA) hasEnded = true
       else if (emitEvent(call, event)) {
@@ -64,17 +58,14 @@
   })
   try {
     for await (const chunk of message) {
-      const text = splitter.add(chunk as Buffer)
+      const previousTokenCount = tokenCount
+      parser.feed(splitter.add(chunk as Buffer))
       if (splitter.length > MAX_EVENT_BYTES) throw new EndpointError(`An event exceeds ${MAX_EVENT_BYTES} bytes.`)
-      for (let start = 0; start < text.length; start += SLICE_CHARS) {
-        const previousTokenCount = tokenCount
-        await pacer.run(() => parser.feed(text.slice(start, start + SLICE_CHARS)))
-        if (tokenCount === previousTokenCount) continue
-        timer.stop()
-        await call.waitDrain()
-        if (!hasEnded) timer.start('between-tokens')
-      }
       if (!call.share.tryResize(keptBytes + splitter.capacity)) throw new NoRoomError('The router has no room for the response.')
+      if (tokenCount === previousTokenCount) continue
+      timer.stop()
+      await call.waitDrain()
+      if (!hasEnded) timer.start('between-tokens')
     }
   } catch (error) {
     // Nothing of the stream is missing if its connection fails behind `[DONE]`.
