--- a/packages/knapweedshunt-utils/src/joinParts.ts
+++ b/packages/knapweedshunt-utils/src/joinParts.ts
@@ -20,7 +20,7 @@
     socket.on(event, handleParsed)
     stop = () => socket.removeListener(event, handleParsed)
   })
-  // Before listeners of the socket event add theirs: each part is progress, also if it is not handed on.
+  // Not within the listener above: one that counts parts as progress and is added after this call must get them before they are joined.
   request.once('response', response => {
     const { socket } = response
     const recordPart = (bytes: number) => {
