--- a/packages/knapweedshunt-utils/src/sliceSize.ts
+++ b/packages/knapweedshunt-utils/src/sliceSize.ts
@@ -1,6 +1,6 @@
 /** Sizes of slices, in bytes: the first one and those with small parts, and others. */
 const MIN_BYTES = 2 * 1024
-const MAX_BYTES = 4 * 1024
+const MAX_BYTES = 16 * 1024
 
 /** Parts of a slice from which on they count as small, if their mean size is below this, in bytes. */
 const MIN_SMALL_PARTS = 32
