--- a/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
+++ b/packages/knapweedshunt-gateway/src/endpoints/attempt.ts
@@ -1,6 +1,6 @@
 import http from 'node:http'
 import type { Readable } from 'node:stream'
-import { CONNECTION_END, ConnectionResetError, isFinalStatus, SHARED_READ, startTimeout, watchBodyEnd, watchFraming, watchInformationalHeads } from 'knapweedshunt-utils'
+import { CONNECTION_END, ConnectionResetError, isFinalStatus, limitResponse, ResponseAgent, startTimeout, watchBodyEnd } from 'knapweedshunt-utils'
 import type { ConnectionEnd } from 'knapweedshunt-utils'
 import type { PoolName } from 'knapweedshunt-types'
 import { decodeRelayAnswer } from '../peers/relayHeaders.ts'
@@ -99,7 +99,7 @@
     const [host, port] = address.split(':')
     try {
       const needsOwnConnection = agent.hasCarried(host, Number(port), requestId)
-      this.#request = http.request({ host, port: Number(port), method, path: target, headers: this.#buildHeaders(headers), agent: needsOwnConnection ? new http.Agent(SHARED_READ) : agent, setHost: false })
+      this.#request = http.request({ host, port: Number(port), method, path: target, headers: this.#buildHeaders(headers), agent: needsOwnConnection ? new ResponseAgent() : agent, setHost: false })
     } catch (error) {
       this.#settle({ type: 'unsent', reason: (error as Error).message })
       return
@@ -113,8 +113,7 @@
         this.#handleConnected(agent.findOpenedAtMs(socket))
       })
     })
-    watchInformationalHeads(this.#request, error => this.#rejectResponse(error.message))
-    watchFraming(this.#request, error => this.#handleFramingTooLong(error))
+    limitResponse(this.#request, error => this.#handleMalformed(error), bytes => agent.recordPart(bytes))
     this.#request.once('response', response => this.#handleResponse(response))
     this.#request.once('upgrade', response => this.#handleResponse(response))
     this.#request.on('error', error => this.#handleError(error))
@@ -192,7 +191,7 @@
     return outcome.type === 'answered' && error ? { type: 'lost', loss: this.bodyLoss, reason: error.message } : outcome
   }
 
-  #handleFramingTooLong (error: Error): void {
+  #handleMalformed (error: Error): void {
     this.#isBodyGarbled = true
     this.#response?.destroy(error)
     this.#rejectResponse(error.message)
--- a/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
+++ b/packages/knapweedshunt-gateway/src/shared/callerResponse.ts
@@ -3,6 +3,11 @@
 import { isFollowed, ResponseHold } from './responseHold.ts'
 import type { ResponseStart, WholeResponse } from './responseStart.ts'
 
+/** Writes that may wait for the connection of the caller; each costs objects beyond its bytes. */
+const MAX_UNSENT_WRITES = 64
+
+const NO_BYTES = Buffer.alloc(0)
+
 /** How far the response to a caller has got. */
 export type ResponsePhase = 'waiting' | 'begun' | 'ended'
 
@@ -21,6 +26,8 @@
   /** Head that is written with the first bytes of the body; null without one. */
   #preparedStart: ResponseStart | null = null
   #hasWritten = false
+  /** Writes since the connection had taken all. */
+  #unsentWrites = 0
   #isUnanswered = false
 
   constructor (response: http.ServerResponse) {
@@ -125,7 +132,13 @@
     this.#beginPrepared()
     if (this.#phase !== 'begun' || this.hasCallerLeft) return true
     this.#hasWritten = true
-    return this.#hold === null ? this.#response.write(bytes) : this.#hold.add(() => this.#response.write(bytes), bytes.length)
+    return this.#hold === null ? this.#writePart(bytes) : this.#hold.add(() => this.#writePart(bytes), bytes.length)
+  }
+
+  #writePart (bytes: Buffer): boolean {
+    if (this.#response.writableLength === 0) this.#unsentWrites = 0
+    this.#unsentWrites++
+    return this.#response.write(bytes) && this.#unsentWrites < MAX_UNSENT_WRITES
   }
 
   /** Ends a response whose body is complete. */
@@ -176,6 +189,8 @@
         resolve(!this.hasCallerLeft)
       }
       this.#response.once('drain', settle)
+      // Many small writes make the response wait before Node.js would.
+      if (this.#hold === null && !this.#response.writableNeedDrain) this.#response.write(NO_BYTES, settle)
       for (const one of [signal, leaveSignal]) one.addEventListener('abort', settle)
     })
   }
--- a/packages/knapweedshunt-gateway/src/shared/responseHold.ts
+++ b/packages/knapweedshunt-gateway/src/shared/responseHold.ts
@@ -3,6 +3,9 @@
 /** Event of a response behind which another request of its connection was accepted, so that it is not the last one any more. */
 const FOLLOWED_EVENT = 'followed'
 
+/** Number of actions that may be held; each costs objects beyond its bytes. */
+const MAX_HELD_ACTIONS = 64
+
 const followedResponses = new WeakSet<http.ServerResponse>()
 
 /** Records that another request of its connection was accepted behind a response. */
@@ -42,7 +45,7 @@
   add (action: () => void, bytes = 0): boolean {
     this.#actions.push(action)
     this.#heldBytes += bytes
-    this.#needsDrain = this.#heldBytes >= this.#response.writableHighWaterMark
+    this.#needsDrain = this.#heldBytes >= this.#response.writableHighWaterMark || this.#actions.length >= MAX_HELD_ACTIONS
     return !this.#needsDrain
   }
 
