--- a/packages/knapweedshunt-utils/src/pacedSocket.ts
+++ b/packages/knapweedshunt-utils/src/pacedSocket.ts
@@ -5,18 +5,28 @@
 import type { ParsingConnection, ParsingTurns } from './parsingTurns.ts'
 import { SliceSize } from './sliceSize.ts'
 
-/** Size of the buffer into which all connections read, in bytes. */
-const READ_BUFFER_BYTES = 16 * 1024
+/** Most bytes that one read takes; a connection keeps as many while they wait for their turn. */
+const DEFAULT_READ_BYTES = 16 * 1024
 
-const READ_BUFFER = Buffer.allocUnsafeSlow(READ_BUFFER_BYTES)
+/** The same for a client that has few connections and reads long bodies. */
+export const LARGE_READ_BYTES = 64 * 1024
 
-const SHARED_READ: { onread: OnReadOpts } = {
+/** All connections read into this one. */
+const READ_BUFFER = Buffer.allocUnsafeSlow(LARGE_READ_BYTES)
+
+const buildSharedRead = (maxBytes: number): { onread: OnReadOpts } => ({
   onread: {
-    buffer: READ_BUFFER,
+    buffer: READ_BUFFER.subarray(0, maxBytes),
     callback (this: PacedSocket, byteCount: number, buffer: Uint8Array): boolean {
       return this.receive(buffer.subarray(0, byteCount))
     }
   }
+})
+
+/** Options of `node:net`, and how much one read takes. */
+export interface PacedSocketOptions extends SocketConstructorOpts {
+  /** Most bytes that one read takes, {@link LARGE_READ_BYTES} at most. */
+  maxReadBytes?: number
 }
 
 /** Event of a connection when the parser has handled what it was given, and gets no more in this turn. */
@@ -33,13 +43,14 @@
   readonly #turns: ParsingTurns
   /** Bytes that were read and not handed on. */
   #rest: Buffer = NO_BYTES
-  readonly #sliceSize = new SliceSize()
+  readonly #sliceSize: SliceSize
   #partCount = 0
   #usedMs = 0
 
-  constructor (options: SocketConstructorOpts = {}, turns: ParsingTurns = PROCESS_TURNS) {
-    super({ ...options, ...SHARED_READ })
+  constructor ({ maxReadBytes = DEFAULT_READ_BYTES, ...options }: PacedSocketOptions = {}, turns: ParsingTurns = PROCESS_TURNS) {
+    super({ ...options, ...buildSharedRead(maxReadBytes) })
     this.#turns = turns
+    this.#sliceSize = new SliceSize(maxReadBytes)
     this.on('resume', () => this.#readOn())
     this.once('close', () => {
       turns.remove(this)
