Product's own router: streams of costly events take turns

What callers saw: sound requests without an answer within 5 s, while engines sent numbered tokens without an end in long chunks ('whole events without end'): the router parsed them as fast as they came. Cause: only connections with very small chunks take turns. A read of whole tokens is hundreds of events, each parsed, checked and written, in one turn of the event loop for each stream. Change: events are parsed 2 KiB at a time, and a stream whose last slice took 0.2 ms or more waits for a turn among all connections that cost much. It goes by time, so that the size of events makes no difference; a lone token never waits.

--- a/packages/knapweedshunt-router/src/__tests__/smallChunkEngines.test.ts
+++ b/packages/knapweedshunt-router/src/__tests__/smallChunkEngines.test.ts
@@ -25,6 +25,7 @@
   status?: number
   headers?: string
   buildBlock (n: number): string
+  headersOfCallers?: Record<string, string>
 }
 
 function splitIntoChunks (text: string): string {
@@ -51,6 +52,7 @@
 const CHUNK_COUNT = 10_000
 const PLAIN = { path: '/v1/services/faulty', body: 'b' } as const
 const STREAM = { path: '/v1/completions', headers: EVENT_STREAM, body: JSON.stringify({ model: 'm', prompt: 'p', stream: true }) } as const
+const WHOLE = { ...STREAM, body: JSON.stringify({ model: 'm', prompt: 'p', stream: false }) } as const
 
 function repeat (text: string): (n: number) => string {
   return keepBlocks(() => text.repeat(Math.ceil(CHUNK_COUNT * 6 / text.length)))
@@ -64,7 +66,11 @@
   'one event of many lines': { ...STREAM, buildBlock: repeat(frame('data:xy\n'.repeat(500))) },
   'one event of many lines and comments': { ...STREAM, buildBlock: repeat(frame(`data:${'x'.repeat(13)}\n:${'c'.repeat(500)}\n`.repeat(10))) },
   comments: { ...STREAM, buildBlock: repeat(splitIntoChunks(':\n')) },
-  tokens: { ...STREAM, buildBlock: keepBlocks(n => splitIntoChunks(buildTokens(n, 'xy'))) }
+  tokens: { ...STREAM, buildBlock: keepBlocks(n => splitIntoChunks(buildTokens(n, 'xy'))) },
+  'tokens in long chunks': { ...STREAM, buildBlock: keepBlocks(n => frame(buildTokens(n, 'xy'))) },
+  'longer tokens in long chunks': { ...STREAM, buildBlock: keepBlocks(n => frame(buildTokens(n, 'x'.repeat(150)))) },
+  'tokens of a completion in one piece': { ...WHOLE, buildBlock: keepBlocks(n => frame(buildTokens(n, 'xy'))) },
+  'tokens of an order': { ...STREAM, headersOfCallers: { 'x-repeatable': 'false' }, buildBlock: keepBlocks(n => frame(buildTokens(n, 'xy'))) }
 }
 
 async function startEndpoint (t: ExecutionContext, answer: (socket: net.Socket) => void): Promise<string> {
@@ -109,12 +115,12 @@
   ]
 }
 
-function callFaulty (t: ExecutionContext, callerUrl: string, { path, body }: EndlessForm, reading: Reading, n: number): void {
+function callFaulty (t: ExecutionContext, callerUrl: string, { path, body, headersOfCallers = {} }: EndlessForm, reading: Reading, n: number): void {
   const { hostname, port } = new URL(callerUrl)
   const socket = net.connect(Number(port), hostname)
   t.teardown(() => socket.destroy())
   socket.on('error', () => {})
-  const headers = { host: 'h', authorization: `Bearer ${ACCESS_KEY}`, 'content-type': 'application/json', 'content-length': body.length, 'idempotency-key': `key-${n}` }
+  const headers = { host: 'h', authorization: `Bearer ${ACCESS_KEY}`, 'content-type': 'application/json', 'content-length': body.length, 'idempotency-key': `key-${n}`, ...headersOfCallers }
   socket.write(`POST ${path} HTTP/1.1\r\n${Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')}\r\n${body}`)
   if (reading === 'read') socket.resume()
 }
@@ -143,7 +149,12 @@
   ['one event of many lines', 'read'],
   ['one event of many lines and comments', 'not read'],
   ['comments', 'read'],
-  ['tokens', 'not read']
+  ['tokens', 'not read'],
+  ['tokens in long chunks', 'read'],
+  ['tokens in long chunks', 'not read'],
+  ['longer tokens in long chunks', 'read'],
+  ['tokens of a completion in one piece', 'read'],
+  ['tokens of an order', 'not read']
 ]
 
 for (const [name, reading] of PLAYS) {
--- a/packages/knapweedshunt-router/src/readEngineStream.ts
+++ b/packages/knapweedshunt-router/src/readEngineStream.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from 'node:http'
 import type { Usage } from 'knapweedshunt-attempts'
-import { NoRoomError } from 'knapweedshunt-utils'
+import { NoRoomError, PROCESS_TURNS } from 'knapweedshunt-utils'
 import { createParser } from 'eventsource-parser'
 import type { EventSourceMessage } from 'eventsource-parser'
 import { z } from 'zod'
@@ -15,6 +15,12 @@
 /** Longest server-sent event, with the comments before it, in bytes. */
 const MAX_EVENT_BYTES = 1024 * 1024
 
+/** Length of the parts in which events are parsed, in characters. */
+const SLICE_CHARS = 2 * 1024
+
+/** Time from which on a slice counts as costly, in milliseconds: its events are many, and the next slice takes its turn. */
+const COSTLY_SLICE_MS = 0.2
+
 /** Memory that a kept token takes beside its text, in bytes. */
 const KEPT_TOKEN_OVERHEAD_BYTES = 16
 
@@ -56,16 +62,25 @@
       }
     }
   })
+  const pace = { usedMs: 0, sliceMs: 0 }
   try {
     for await (const chunk of message) {
-      const previousTokenCount = tokenCount
-      parser.feed(splitter.add(chunk as Buffer))
+      const text = splitter.add(chunk as Buffer)
       if (splitter.length > MAX_EVENT_BYTES) throw new EndpointError(`An event exceeds ${MAX_EVENT_BYTES} bytes.`)
+      for (let start = 0; start < text.length; start += SLICE_CHARS) {
+        if (pace.sliceMs >= COSTLY_SLICE_MS) await PROCESS_TURNS.wait(pace.usedMs, pace.sliceMs, call.signal)
+        call.signal.throwIfAborted()
+        const previousTokenCount = tokenCount
+        const startedAtMs = performance.now()
+        parser.feed(text.slice(start, start + SLICE_CHARS))
+        pace.sliceMs = performance.now() - startedAtMs
+        pace.usedMs += pace.sliceMs
+        if (tokenCount === previousTokenCount) continue
+        timer.stop()
+        await call.waitDrain()
+        if (!hasEnded) timer.start('between-tokens')
+      }
       if (!call.share.tryResize(keptBytes + splitter.capacity)) throw new NoRoomError('The router has no room for the response.')
-      if (tokenCount === previousTokenCount) continue
-      timer.stop()
-      await call.waitDrain()
-      if (!hasEnded) timer.start('between-tokens')
     }
   } catch (error) {
     // Nothing of the stream is missing if its connection fails behind `[DONE]`.
