Streams: nothing of an endpoint's stream is written once another endpoint has taken over

Callers of resumable streams could miss events: a stream that is moved holds its events back, and what was read is handled in slices since. When another endpoint took over between two slices of one read, the held events were dropped and the slices behind them written, so that the rest of the new endpoint's events counted as old.

Cause: the loop ended with its response before; slices of a chunk that was read go on behind it. It is asked before each slice now.

supersededSlices.test: 4 of 9 cases fail before (events 3 to 17 missing), 9 of 9 pass on and with the change.

--- a/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
+++ b/packages/knapweedshunt-gateway/src/flow/streamRelay.ts
@@ -147,6 +147,8 @@
     try {
       restartStallTimeout()
       for await (const chunk of this.#isResumable ? readSlices(response, sliceSize) : response as AsyncIterable<Buffer>) {
+        // Slices of a chunk that was read before go on behind the end of their response.
+        if (this.#isSuperseded) return { type: 'superseded' }
         let startedAtMs = performance.now()
         options.onChunk()
         if (this.#callerResponse.hasCallerLeft) return { type: 'callerLeft' }
