Answers of the store and of other VMs need room for their values, not for their text only

A VM whose store answers with 5 MB of small values, or of rows without a value, ended, and the requests of all its callers with it.

Cause: a bound in bytes for what costs objects. The memory that these answers share counted their text; 'a value that is parsed from JSON takes many times its text' was named as open in the postmortem.

requestJson asks for room for an estimate of the values as well, where a memory is given: 64 bytes (an empty object of V8 and its place in a list) for each bracket, brace, comma and colon. A page of the store (500 rows) needs about 0.4 MB; another VM's table has room with 7,000 rows of 50 marks.

--- a/packages/knapweedshunt-utils/src/__tests__/requestJson.test.ts
+++ b/packages/knapweedshunt-utils/src/__tests__/requestJson.test.ts
@@ -2,7 +2,7 @@
 import { startUnframedServer, UNFRAMED_END } from 'knapweedshunt-fakes'
 import type { UnframedAnswer, UnframedServer } from 'knapweedshunt-fakes'
 import type { ExecutionContext } from 'ava'
-import { HttpError, requestJson } from '../index.ts'
+import { BodyMemory, HttpError, requestJson } from '../index.ts'
 
 const TIMEOUT_MS = 10_000
 const SHORT_TIMEOUT_MS = 200
@@ -44,3 +44,17 @@
   const server = await startServer(t, { status: 204, body: '', end: UNFRAMED_END.resetAtOnce })
   t.like(await requestJson({ method: 'POST', url: server.url, body: {}, timeoutMs: TIMEOUT_MS }), { status: 204, body: undefined })
 })
+
+// Guards against an answer that has room as text, and takes many times as much once it is parsed.
+test('values have room as well as their text', async t => {
+  const memory = new BodyMemory({ maxBytes: 1024 * 1024, uncountedBytes: 64 * 1024 })
+  const call = async (body: string) => {
+    const server = await startServer(t, { body, end: UNFRAMED_END.closed })
+    return await requestJson({ method: 'GET', url: server.url, timeoutMs: TIMEOUT_MS, memory })
+  }
+  const error = await t.throwsAsync(call(`[${Array(30_000).fill('[]').join()}]`), { instanceOf: HttpError })
+  t.regex(String(error?.stack), /no memory/)
+  t.like(await call(`["${'x'.repeat(90_000)}"]`), { status: 200 })
+  t.like(await call(`[${Array(500).fill('{"key":"k","value":"v"}').join()}]`), { status: 200 })
+  t.is(memory.takenBytes, 0)
+})
--- /dev/null
+++ b/packages/knapweedshunt-utils/src/estimateParsedBytes.ts
@@ -0,0 +1,11 @@
+/** What a value takes once it is parsed, for each mark of its text, in bytes: an object without fields takes 56, and its place in a list 8. */
+const MARK_BYTES = 64
+
+const MARKS = new Set([...'[]{},:'].map(mark => mark.charCodeAt(0)))
+
+/** Estimates what JSON takes while it is parsed, in bytes: small values take many times their text. */
+export function estimateParsedBytes (text: string): number {
+  let markCount = 0
+  for (let offset = 0; offset < text.length; offset++) if (MARKS.has(text.charCodeAt(offset))) markCount++
+  return text.length + markCount * MARK_BYTES
+}
--- a/packages/knapweedshunt-utils/src/requestJson.ts
+++ b/packages/knapweedshunt-utils/src/requestJson.ts
@@ -1,7 +1,8 @@
 import http from 'node:http'
 import type { BodyMemory } from './bodyMemory.ts'
 import { buildCausedError } from './buildCausedError.ts'
-import { HttpError } from './httpErrors.ts'
+import { estimateParsedBytes } from './estimateParsedBytes.ts'
+import { HttpError, NoRoomError } from './httpErrors.ts'
 import { parseJson } from './parseJson.ts'
 import { readBody } from './readBody.ts'
 import { ResponseAgent } from './responseAgent.ts'
@@ -23,7 +24,7 @@
   agent?: http.Agent
   /** Size above which the response is given up, in bytes; {@link DEFAULT_MAX_RESPONSE_BYTES} if not set. */
   maxResponseBytes?: number
-  /** Memory that responses share until they are parsed; not limited if not set. */
+  /** Memory that responses share until they are parsed, with an estimate of their values; not limited if not set. */
   memory?: BodyMemory
 }
 
@@ -46,6 +47,7 @@
       try {
         const message = await sendRequest(call, bodyText, signal)
         const responseText = await readBody(message, call.maxResponseBytes ?? DEFAULT_MAX_RESPONSE_BYTES, sizeBytes => share?.tryResize(sizeBytes) ?? true)
+        if (share?.tryResize(estimateParsedBytes(responseText)) === false) throw new NoRoomError(`There is no memory for the values of ${responseText.length} characters of JSON.`)
         return { status: message.statusCode ?? 0, headers: message.headers, body: responseText === '' ? undefined : parseJson(responseText) }
       } catch (error) {
         throw signal.aborted ? signal.reason : error
