Product's own router: a caller's body needs room for its values, and names one thing that is wrong

One caller ended the router with one body of 4 MB, below the longest it may send: a list of messages or parts that are numbers or empty objects. All other callers lost their requests.

Cause: a bound in bytes for what costs objects. The schema made an object of hundreds of bytes for each item that did not match, and 1.3 million empty objects take a heap of 96 MB by themselves.

Messages and parts end at the first item that does not match (400, as before). A body whose values are estimated at over 32 MiB, a third of that heap, is refused with 413: half a million brackets, braces, commas and colons outside strings. The estimate does not count text in strings, here and for answers of the store and of other VMs.

--- a/packages/knapweedshunt-router/src/completionSchema.ts
+++ b/packages/knapweedshunt-router/src/completionSchema.ts
@@ -1,7 +1,8 @@
+import { arrayOf } from 'knapweedshunt-platform'
 import { z } from 'zod'
 
 const textPart = z.object({ type: z.literal('text'), text: z.string() })
-const message = z.looseObject({ role: z.string().min(1), content: z.union([z.string(), z.array(textPart)]) })
+const message = z.looseObject({ role: z.string().min(1), content: z.union([z.string(), arrayOf(textPart)]) })
 const common = {
   model: z.string().min(1),
   stream: z.boolean().default(false),
@@ -13,4 +14,4 @@
 export const completionSchema = z.looseObject({ ...common, prompt: z.string().min(1) })
 
 /** Body of `/v1/chat/completions`. */
-export const chatCompletionSchema = z.looseObject({ ...common, messages: z.array(message).min(1) })
+export const chatCompletionSchema = z.looseObject({ ...common, messages: arrayOf(message).refine(messages => messages.length > 0, 'expected at least one message') })
--- a/packages/knapweedshunt-router/src/parseCallerRequest.ts
+++ b/packages/knapweedshunt-router/src/parseCallerRequest.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http'
 import { buildPrefixLevels } from 'knapweedshunt-placement'
 import type { ModelPoolSpec, OrganisationName, ResourceOf } from 'knapweedshunt-types'
-import { createIncarnation, hashText, parseJson } from 'knapweedshunt-utils'
+import { createIncarnation, estimateParsedBytes, hashText, parseJson } from 'knapweedshunt-utils'
 import type { z } from 'zod'
 import { authenticate } from './authenticate.ts'
 import { createCallerError } from './callerError.ts'
@@ -21,6 +21,9 @@
 /** Length of the hash by which a part of prompts is recognised. */
 const PART_HASH_CHARS = 32
 
+/** What the values of one body may take, in bytes: a third of the heap that a small VM has. */
+const MAX_PARSED_BYTES = 32 * 1024 * 1024
+
 /** Reads, authenticates, routes and validates a request. Throws CallerError. */
 export async function parseCallerRequest (message: IncomingMessage, index: ResourceIndex, maxBodyBytes: number): Promise<CallerRequest> {
   const organisation = authenticate(message.headers, index)
@@ -97,6 +100,7 @@
 }
 
 function parseBody (text: string): unknown {
+  if (estimateParsedBytes(text) > MAX_PARSED_BYTES) throw createCallerError('body_too_large', 'The body has too many values: send fewer.')
   try {
     return parseJson(text)
   } catch (error) {
