Product's own router: an event of an engine with too many values is malformed

The router stood still beside engines whose events are each within 1 MiB and hold hundreds of thousands of values: no sound request was answered within 5 s.

Cause: a bound in bytes for what costs objects and time. Parsing such an event takes some 50 ms and tens of MB.

An event whose values are estimated at more than its text may take, 1 MiB, counts as malformed before it is parsed.

--- a/packages/knapweedshunt-router/src/__tests__/smallChunkEngines.test.ts
+++ b/packages/knapweedshunt-router/src/__tests__/smallChunkEngines.test.ts
@@ -58,6 +58,10 @@
   return keepBlocks(() => text.repeat(Math.ceil(CHUNK_COUNT * 6 / text.length)))
 }
 
+const SMALL_VALUES = Array(330_000).fill('{}').join()
+const NESTED_VALUES = '['.repeat(400_000) + ']'.repeat(400_000)
+const USAGE = '"usage":{"prompt_tokens":1,"completion_tokens":1,"prompt_tokens_details":{"cached_tokens":0}}'
+
 const FORMS: Record<string, EndlessForm> = {
   'plain body': { ...PLAIN, buildBlock: repeat('1\r\nx\r\n') },
   'body of a 500': { ...STREAM, status: 500, buildBlock: repeat('1\r\nx\r\n') },
@@ -70,7 +74,9 @@
   'tokens in long chunks': { ...STREAM, buildBlock: keepBlocks(n => frame(buildTokens(n, 'xy'))) },
   'longer tokens in long chunks': { ...STREAM, buildBlock: keepBlocks(n => frame(buildTokens(n, 'x'.repeat(150)))) },
   'tokens of a completion in one piece': { ...WHOLE, buildBlock: keepBlocks(n => frame(buildTokens(n, 'xy'))) },
-  'tokens of an order': { ...STREAM, headersOfCallers: { 'x-repeatable': 'false' }, buildBlock: keepBlocks(n => frame(buildTokens(n, 'xy'))) }
+  'tokens of an order': { ...STREAM, headersOfCallers: { 'x-repeatable': 'false' }, buildBlock: keepBlocks(n => frame(buildTokens(n, 'xy'))) },
+  'usage of small values': { ...STREAM, buildBlock: keepBlocks(() => frame(`data: {${USAGE},"a":[${SMALL_VALUES}]}\n\n`)) },
+  'tokens of nested values': { ...STREAM, buildBlock: n => frame(`id: ${n}\ndata: {"text":"x","a":${NESTED_VALUES}}\n\n`) }
 }
 
 async function startEndpoint (t: ExecutionContext, answer: (socket: net.Socket) => void): Promise<string> {
@@ -154,7 +160,9 @@
   ['tokens in long chunks', 'not read'],
   ['longer tokens in long chunks', 'read'],
   ['tokens of a completion in one piece', 'read'],
-  ['tokens of an order', 'not read']
+  ['tokens of an order', 'not read'],
+  ['usage of small values', 'read'],
+  ['tokens of nested values', 'read']
 ]
 
 for (const [name, reading] of PLAYS) {
--- a/packages/knapweedshunt-router/src/readEngineStream.ts
+++ b/packages/knapweedshunt-router/src/readEngineStream.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from 'node:http'
 import type { Usage } from 'knapweedshunt-attempts'
-import { NoRoomError, PROCESS_TURNS } from 'knapweedshunt-utils'
+import { estimateParsedBytes, NoRoomError, PROCESS_TURNS } from 'knapweedshunt-utils'
 import { createParser } from 'eventsource-parser'
 import type { EventSourceMessage } from 'eventsource-parser'
 import { z } from 'zod'
@@ -21,6 +21,9 @@
 /** Time from which on a slice counts as costly, in milliseconds: its events are many, and the next slice takes its turn. */
 const COSTLY_SLICE_MS = 0.2
 
+/** What an event may take once it is parsed, in bytes: its text, and as much for its values. */
+const MAX_PARSED_EVENT_BYTES = 2 * MAX_EVENT_BYTES
+
 /** Memory that a kept token takes beside its text, in bytes. */
 const KEPT_TOKEN_OVERHEAD_BYTES = 16
 
@@ -110,6 +113,7 @@
 }
 
 function parseData (text: string): unknown {
+  if (estimateParsedBytes(text) > MAX_PARSED_EVENT_BYTES) throw new EndpointError('An event has too many values.')
   try {
     return JSON.parse(text)
   } catch (cause) {
