Endpoints that turn a request away one after the other do not make it wait anew each time

Cause: the longest wait for an endpoint, half of the objective, was counted for each attempt. Up to three more attempts follow refusals that say not run; where rests end 140 ms after each other a request waits four times.

Change: the waits before the attempts of a request add up to that bound, as long as nothing may have run it. What may have run waits as before.

--- a/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
+++ b/packages/knapweedshunt-gateway/src/flow/finalResponse.ts
@@ -54,6 +54,11 @@
     return this.#isSettled
   }
 
+  /** Whether an endpoint may have run the request. */
+  get mayHaveRun (): boolean {
+    return this.#mayHaveRun
+  }
+
   /** Records that an endpoint may have run the request; from now on no response says that it did not run. */
   recordMayHaveRun (): void {
     this.#mayHaveRun = true
--- a/packages/knapweedshunt-gateway/src/flow/requestTask.ts
+++ b/packages/knapweedshunt-gateway/src/flow/requestTask.ts
@@ -47,6 +47,8 @@
   readonly #parts: SuccessorParts
   readonly #responseForwarder: ResponseForwarder
   #unsentCount = 0
+  /** Time for which the request has waited until it could be sent, before all of its attempts, in milliseconds. */
+  #waitedMs = 0
 
   constructor (dependencies: FlowDependencies, plan: RequestPlan, callerResponse: CallerResponse) {
     this.#dependencies = dependencies
@@ -143,7 +145,9 @@
   /** Selects where the request goes next; null if it has its final response. */
   async #selectTarget (): Promise<NextTarget | null> {
     const { triedEndpoints, triedPeers, softwareVersion } = this.#attemptRunner
-    const selection = await selectTarget(this.#dependencies, this.#plan, { triedEndpoints: [...triedEndpoints], scope: this.#permits.scope, triedPeers: [...triedPeers], softwareVersion, maxWaitMs: computeMaxWaitMs(this.#plan.route, this.#callerResponse.phase === 'begun'), isCancelled: () => this.#finalResponse.isSettled })
+    const startedAtMs = performance.now()
+    const selection = await selectTarget(this.#dependencies, this.#plan, { triedEndpoints: [...triedEndpoints], scope: this.#permits.scope, triedPeers: [...triedPeers], softwareVersion, maxWaitMs: this.#computeMaxWaitMs(), isCancelled: () => this.#finalResponse.isSettled })
+    this.#waitedMs += performance.now() - startedAtMs
     if (this.#finalResponse.isSettled) return null
     if (selection.type === 'target') return selection.target
     match(selection)
@@ -158,6 +162,12 @@
     return null
   }
 
+  /** Maximum wait before the next attempt, in milliseconds. A request that endpoint after endpoint turns away waits no longer in all than before one; what may have run is better late than refused. */
+  #computeMaxWaitMs (): number {
+    const maxWaitMs = computeMaxWaitMs(this.#plan.route, this.#callerResponse.phase === 'begun')
+    return this.#finalResponse.mayHaveRun ? maxWaitMs : Math.max(0, maxWaitMs - this.#waitedMs)
+  }
+
   /** Goes on with the successor, whose response has begun. `outcome` is that of the attempt before; null if it is still silent. */
   async #followSuccessor (previous: RunningAttempt, outcome: AttemptOutcome | null, { runningAttempt, outcome: answered, body }: TakenSuccession): Promise<NextStep> {
     if (outcome === null) {
