Product's own router: answers of other routers need room for their values

A router ended once another router answered a call with 10 MB of small values.

Cause: a bound in bytes for what costs objects, as for the store; the calls of peers had a limit of 32 MiB and no memory.

Answers of the exchange with peers share 1 MiB, with 64 KiB of each not counted, in which each sound one has room.

--- a/packages/knapweedshunt-router/src/__tests__/routerProcess.ts
+++ b/packages/knapweedshunt-router/src/__tests__/routerProcess.ts
@@ -3,8 +3,8 @@
 import { once } from 'node:events'
 import { fileURLToPath } from 'node:url'
 
-/** What {@link RouterProcess} starts: resources of the router and limit of its heap. */
-export interface RouterProcessOptions { resources: unknown[], maxHeapMb: number }
+/** What {@link RouterProcess} starts: resources of the router, views of VMs, none if not set, and limit of its heap. */
+export interface RouterProcessOptions { resources: unknown[], vms?: unknown[], maxHeapMb: number }
 
 /** Report of the process: most memory and longest hold-up so far. */
 export interface RouterProcessReport { callerUrl: string, mostHeapMb: number, mostBuffersMb: number, mostResidentMb: number, mostHeldUpMs: number }
@@ -14,9 +14,9 @@
   readonly #child: ChildProcess
   #report: RouterProcessReport | null = null
 
-  private constructor ({ resources, maxHeapMb }: RouterProcessOptions) {
+  private constructor ({ resources, vms = [], maxHeapMb }: RouterProcessOptions) {
     const execArgv = ['--import=tsx', '--conditions=source', `--max-old-space-size=${maxHeapMb}`]
-    this.#child = fork(fileURLToPath(new URL('runRouterProcess.ts', import.meta.url)), [JSON.stringify(resources)], { execArgv, stdio: ['ignore', 'ignore', 'inherit', 'ipc'] })
+    this.#child = fork(fileURLToPath(new URL('runRouterProcess.ts', import.meta.url)), [JSON.stringify(resources), JSON.stringify(vms)], { execArgv, stdio: ['ignore', 'ignore', 'inherit', 'ipc'] })
     this.#child.on('message', report => { this.#report = report as RouterProcessReport })
   }
 
--- a/packages/knapweedshunt-router/src/peerExchange.ts
+++ b/packages/knapweedshunt-router/src/peerExchange.ts
@@ -2,7 +2,7 @@
 import type { SuspectMark } from 'knapweedshunt-attempts'
 import { createRpcClient } from 'knapweedshunt-rpc'
 import type { Liveness, PoolName, VmId, VmView } from 'knapweedshunt-types'
-import { runEvery } from 'knapweedshunt-utils'
+import { BodyMemory, runEvery } from 'knapweedshunt-utils'
 import type { Peer } from './peer.ts'
 import type { PeerExchangeOptions } from './peerExchangeOptions.ts'
 import { demandMessageSchema, limitsMessageSchema, marksMessageSchema, MAX_DEMANDS, MAX_HOT_KEYS, partsMessageSchema, versionsQuerySchema, versionsResultSchema } from './peerMessages.ts'
@@ -23,12 +23,17 @@
 const PEERS_PER_QUESTION = 4
 
 const CALL_TIMEOUT_MS = 1_000
+
+/** Memory for the answers of peers until they are parsed. Sound ones have at most 64 texts of 255 characters, and always have room. */
+const RESPONSE_MEMORY = { maxBytes: 1024 * 1024, uncountedBytes: 64 * 1024 }
+
 const REACHABLE_STATES: Liveness[] = ['live', 'suspect']
 
 /** Sends marks of suspect requests, evidence about crashing parts of prompts and reports about rate limits of endpoints to all peer routers immediately, and exchanges demand with a few peers each round. */
 export class PeerExchange {
   readonly #options: PeerExchangeOptions
   readonly #peers = new Map<VmId, Peer>()
+  readonly #responseMemory = new BodyMemory(RESPONSE_MEMORY)
   readonly #stopping = new AbortController()
   readonly #rounds: Promise<void>
   #limitReport: EndpointLimitReport | null = null
@@ -223,7 +228,7 @@
     const existing = this.#peers.get(view.vm)
     if (existing?.view.incarnation === view.incarnation && existing.view.routerUrl === view.routerUrl) return
     if (existing !== undefined) this.#removePeer(view.vm, existing)
-    const client = createRpcClient({ url: view.routerUrl, sharedKey: this.#options.peerKey, timeoutMs: CALL_TIMEOUT_MS })
+    const client = createRpcClient({ url: view.routerUrl, sharedKey: this.#options.peerKey, timeoutMs: CALL_TIMEOUT_MS, memory: this.#responseMemory })
     const peer: Peer = { view, client, unacknowledgedMarks: new UnacknowledgedMarks(), isSending: false, needsParts: true, needsLimits: true }
     this.#peers.set(view.vm, peer)
     for (const mark of this.#options.registry.listMarks()) peer.unacknowledgedMarks.add(mark, performance.now())
