--- a/packages/knapweedshunt-router/src/__tests__/slowCaller.test.ts
+++ b/packages/knapweedshunt-router/src/__tests__/slowCaller.test.ts
@@ -23,6 +23,7 @@
     attempt: 'a',
     request: buildRequest('r', true),
     share: buildShare(),
+    signal: new AbortController().signal,
     emit: (event: AttemptEvent) => events.push(event),
     waitDrain: () => isSlow ? new Promise<void>(resolve => { drain = resolve }) : null
   } as unknown as AttemptCall
@@ -40,3 +41,18 @@
   t.is(events.at(-1)?.type, 'end')
   t.deepEqual(stalls, [])
 })
+
+// Guards against tokens of an attempt that was given up, while slices of what was read from it wait.
+test('nothing of a chunk is passed on once its attempt is given up', async t => {
+  const abort = new AbortController()
+  const events: AttemptEvent[] = []
+  const chunk = Buffer.from(Array.from({ length: TOKENS }, (_, n) => `id: ${n}\ndata: {"text":"w"}\n\n`).join(''))
+  const message = Object.assign(Readable.from([chunk]), { headers: { 'content-type': 'text/event-stream' }, statusCode: 200 })
+  const emit = (event: AttemptEvent) => {
+    events.push(event)
+    if (event.type === 'token') abort.abort()
+  }
+  const call = { attempt: 'a', request: buildRequest('r', true), share: buildShare(), signal: abort.signal, emit, waitDrain: () => null } as unknown as AttemptCall
+  await t.throwsAsync(readEngineStream(call, message as unknown as IncomingMessage, new StallTimer(null, () => {})), { name: 'AbortError' })
+  t.true(events.length < TOKENS / 4, `${events.length} events`)
+})
