--- a/packages/knapweedshunt-router/src/__tests__/slowCaller.test.ts
+++ b/packages/knapweedshunt-router/src/__tests__/slowCaller.test.ts
@@ -53,6 +53,6 @@
     if (event.type === 'token') abort.abort()
   }
   const call = { attempt: 'a', request: buildRequest('r', true), share: buildShare(), signal: abort.signal, emit, waitDrain: () => null } as unknown as AttemptCall
-  await t.throwsAsync(readEngineStream(call, message as unknown as IncomingMessage, new StallTimer(null, () => {})), { name: 'AbortError' })
+  await t.throwsAsync(readEngineStream(call, message as unknown as IncomingMessage, new StallTimer(null, () => {})), { any: true, name: 'AbortError' })
   t.true(events.length < TOKENS / 4, `${events.length} events`)
 })
