--- a/packages/knapweedshunt-rpc/src/rpcClient.ts
+++ b/packages/knapweedshunt-rpc/src/rpcClient.ts
@@ -1,19 +1,21 @@
 import { isJSONRPCResponse, JSONRPCClient } from 'json-rpc-2.0'
-import { buildCausedError, requestJson, ResponseAgent } from 'knapweedshunt-utils'
-import type { BodyMemory } from 'knapweedshunt-utils'
+import { BodyMemory, buildCausedError, requestJson, ResponseAgent } from 'knapweedshunt-utils'
 import { RpcError } from './rpcError.ts'
 import { RPC_PATH } from './rpcServer.ts'
 
 /** Size of a response, in bytes: a snapshot of all resources, or whole tables. */
 const MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 
+/** Memory for one response until it is parsed, where calls share none. */
+const RESPONSE_MEMORY = { maxBytes: MAX_RESPONSE_BYTES, uncountedBytes: 64 * 1024 }
+
 /** Options of {@link createRpcClient}. */
 export interface RpcClientOptions {
   /** Base URL of the peer, without {@link RPC_PATH}. */
   url: string
   sharedKey: string
   timeoutMs: number
-  /** Memory that responses share until they are parsed; not limited if not set. */
+  /** Memory that responses share until they are parsed; if not set, each may take as much as the longest. */
   memory?: BodyMemory
 }
 
@@ -34,7 +36,7 @@
   const agent = new ResponseAgent({ keepAlive: true })
   const headers = { authorization: `Bearer ${options.sharedKey}` }
   const client: JSONRPCClient<CallState> = new JSONRPCClient<CallState>(async (request, state) => {
-    const response = await requestJson({ method: 'POST', url: options.url + RPC_PATH, body: request, headers, timeoutMs: options.timeoutMs, agent, maxResponseBytes: MAX_RESPONSE_BYTES, ...options.memory && { memory: options.memory } }).catch((error: unknown) => {
+    const response = await requestJson({ method: 'POST', url: options.url + RPC_PATH, body: request, headers, timeoutMs: options.timeoutMs, agent, maxResponseBytes: MAX_RESPONSE_BYTES, memory: options.memory ?? new BodyMemory(RESPONSE_MEMORY) }).catch((error: unknown) => {
       state.failure = error
       throw error
     })
--- a/packages/knapweedshunt-rpc/src/rpcServer.ts
+++ b/packages/knapweedshunt-rpc/src/rpcServer.ts
@@ -1,13 +1,16 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { JSONRPCServer } from 'json-rpc-2.0'
 import type { JSONRPCRequest } from 'json-rpc-2.0'
-import { isSameSecret, parseJson, readBody, sendJsonResponse } from 'knapweedshunt-utils'
+import { estimateParsedBytes, isSameSecret, parseJson, readBody, sendJsonResponse } from 'knapweedshunt-utils'
 
 /** HTTP path that accepts JSON-RPC calls. */
 export const RPC_PATH = '/rpc'
 
 const MAX_REQUEST_BYTES = 16 * 1024 * 1024
 
+/** What a request may take once it is parsed, in bytes: its text, and as much for its values. */
+const MAX_PARSED_BYTES = 2 * MAX_REQUEST_BYTES
+
 /** HTTP handler for JSON-RPC calls. An unknown method gets a JSON-RPC error. */
 export type RpcHandler = (request: IncomingMessage, response: ServerResponse) => Promise<void>
 
@@ -22,7 +25,9 @@
     const authorization = request.headers.authorization ?? ''
     if (!isSameSecret(authorization, `Bearer ${sharedKey}`)) return sendJsonResponse(response, 401, { error: 'The shared key is wrong.' })
     try {
-      const body = parseJson(await readBody(request, MAX_REQUEST_BYTES))
+      const text = await readBody(request, MAX_REQUEST_BYTES)
+      if (estimateParsedBytes(text) > MAX_PARSED_BYTES) return sendJsonResponse(response, 413, { error: 'The call has too many values: send fewer.' })
+      const body = parseJson(text)
       const rpcResponse = await server.receive(body as JSONRPCRequest)
       if (rpcResponse) sendJsonResponse(response, 200, rpcResponse)
       else response.writeHead(204).end()
