Product's own router: the text of events counts while their slices wait

Since the events of a read, up to 1 MiB of a stream, stay while they wait for turns, and counted towards no bound. They take room of the router's memory for responses now.

--- a/packages/knapweedshunt-router/src/__tests__/smallChunkEngines.test.ts
+++ b/packages/knapweedshunt-router/src/__tests__/smallChunkEngines.test.ts
@@ -76,6 +76,7 @@
   'tokens of a completion in one piece': { ...WHOLE, buildBlock: keepBlocks(n => frame(buildTokens(n, 'xy'))) },
   'tokens of an order': { ...STREAM, headersOfCallers: { 'x-repeatable': 'false' }, buildBlock: keepBlocks(n => frame(buildTokens(n, 'xy'))) },
   'usage of small values': { ...STREAM, buildBlock: keepBlocks(() => frame(`data: {${USAGE},"a":[${SMALL_VALUES}]}\n\n`)) },
+  'long tokens': { ...STREAM, buildBlock: n => frame(`id: ${n}\ndata: {"text":"${'x'.repeat(900_000)}"}\n\n`) },
   'tokens of nested values': { ...STREAM, buildBlock: n => frame(`id: ${n}\ndata: {"text":"x","a":${NESTED_VALUES}}\n\n`) }
 }
 
@@ -162,6 +163,8 @@
   ['tokens of a completion in one piece', 'read'],
   ['tokens of an order', 'not read'],
   ['usage of small values', 'read'],
+  ['long tokens', 'read'],
+  ['long tokens', 'not read'],
   ['tokens of nested values', 'read']
 ]
 
--- a/packages/knapweedshunt-router/src/readEngineStream.ts
+++ b/packages/knapweedshunt-router/src/readEngineStream.ts
@@ -66,10 +66,15 @@
     }
   })
   const pace = { usedMs: 0, sliceMs: 0 }
+  const takeRoom = (waitingLength: number) => {
+    if (!call.share.tryResize(keptBytes + splitter.capacity + waitingLength)) throw new NoRoomError('The router has no room for the response.')
+  }
   try {
     for await (const chunk of message) {
       const text = splitter.add(chunk as Buffer)
       if (splitter.length > MAX_EVENT_BYTES) throw new EndpointError(`An event exceeds ${MAX_EVENT_BYTES} bytes.`)
+      // It stays while its slices wait.
+      takeRoom(text.length)
       for (let start = 0; start < text.length; start += SLICE_CHARS) {
         if (pace.sliceMs >= COSTLY_SLICE_MS) await PROCESS_TURNS.wait(pace.usedMs, pace.sliceMs, call.signal)
         call.signal.throwIfAborted()
@@ -83,7 +88,7 @@
         await call.waitDrain()
         if (!hasEnded) timer.start('between-tokens')
       }
-      if (!call.share.tryResize(keptBytes + splitter.capacity)) throw new NoRoomError('The router has no room for the response.')
+      takeRoom(0)
     }
   } catch (error) {
     // Nothing of the stream is missing if its connection fails behind `[DONE]`.
