--- a/packages/knapweedshunt-gateway/src/limits/usageMessages.ts
+++ b/packages/knapweedshunt-gateway/src/limits/usageMessages.ts
@@ -1,4 +1,4 @@
-import { arrayOf } from 'knapweedshunt-platform'
+import { buildArraySchema } from 'knapweedshunt-platform'
 import { z } from 'zod'
 
 /** Maximum number of organisations in one message. */
@@ -18,13 +18,13 @@
 export const exchangeParamsSchema = z.object({ vm: text, organisations: z.array(z.object({ organisation: text, handedOver: units, refused: units, amounts: z.array(units).max(MAX_MESSAGE_REQUESTS) })).max(MAX_MESSAGE_ORGANISATIONS) })
 
 /** Result of `usage.exchange`: for each request in the order asked the time to wait, in milliseconds, or 0 if it is admitted. */
-export const exchangeResultSchema = z.object({ hasMajority: z.boolean(), vmCount, organisations: arrayOf(z.object({ organisation: text, waitsMs: arrayOf(z.number().nonnegative().finite()) })) })
+export const exchangeResultSchema = z.object({ hasMajority: z.boolean(), vmCount, organisations: buildArraySchema(z.object({ organisation: text, waitsMs: buildArraySchema(z.number().nonnegative().finite()) })) })
 
 /** Params of `usage.collect`: the organisations in use. */
 export const collectParamsSchema = z.object({ hasMajority: z.boolean(), vmCount, organisations: z.array(text).max(MAX_MESSAGE_ORGANISATIONS) })
 
 /** Result of `usage.collect`: the units that the VM hands over and for how much longer it lends its share, in milliseconds, in the order asked. `incarnation` changes with each start of the VM. */
-export const collectResultSchema = z.object({ incarnation: text, shares: arrayOf(z.object({ units, lentMs: z.number().nonnegative().max(MAX_LENT_MS) })) })
+export const collectResultSchema = z.object({ incarnation: text, shares: buildArraySchema(z.object({ units, lentMs: z.number().nonnegative().max(MAX_LENT_MS) })) })
 
 /** Output type of {@link exchangeParamsSchema}. */
 export type ExchangeParams = z.output<typeof exchangeParamsSchema>
--- a/packages/knapweedshunt-platform/src/__tests__/arrayOf.test.ts
+++ b/packages/knapweedshunt-platform/src/__tests__/buildArraySchema.test.ts
@@ -1,8 +1,8 @@
 import test from 'ava'
 import { z } from 'zod'
-import { arrayOf, sharedPollResultSchema } from '../index.ts'
+import { buildArraySchema, sharedPollResultSchema } from '../index.ts'
 
-const schema = z.object({ rows: arrayOf(z.object({ key: z.string(), count: z.number().default(1) })) })
+const schema = z.object({ rows: buildArraySchema(z.object({ key: z.string(), count: z.number().default(1) })) })
 
 test('items that match are parsed', t => {
   t.deepEqual(schema.parse({ rows: [{ key: 'a', other: 0 }, { key: 'b', count: 2 }] }), { rows: [{ key: 'a', count: 1 }, { key: 'b', count: 2 }] })
--- a/packages/knapweedshunt-platform/src/index.ts
+++ b/packages/knapweedshunt-platform/src/index.ts
@@ -1,5 +1,5 @@
 /** Client of the platform: table service, object store and VM list. */
-export * from './arrayOf.ts'
+export * from './buildArraySchema.ts'
 export * from './backoff.ts'
 export * from './circuitBreaker.ts'
 export * from './createPlatformClient.ts'
--- a/packages/knapweedshunt-platform/src/sharedTableMessages.ts
+++ b/packages/knapweedshunt-platform/src/sharedTableMessages.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod'
-import { arrayOf } from './arrayOf.ts'
+import { buildArraySchema } from './buildArraySchema.ts'
 
 /** Maximum number of tables in one message. */
 const MAX_TABLES = 10
@@ -19,7 +19,7 @@
 
 const tableAnswer = z.discriminatedUnion('type', [
   /** `ageMs` is the time since the store confirmed the table. */
-  z.object({ type: z.literal('changes'), table: text, rows: arrayOf(changedRow), version, era, ageMs: z.number().nonnegative() }),
+  z.object({ type: z.literal('changes'), table: text, rows: buildArraySchema(changedRow), version, era, ageMs: z.number().nonnegative() }),
   /** The answering VM cannot say what changed; `mustLeave` if it is not to be asked again soon. */
   z.object({ type: z.literal('unavailable'), table: text, reason: z.string().max(255), mustLeave: z.boolean() })
 ])
@@ -28,7 +28,7 @@
 export type SharedTableAnswer = z.output<typeof tableAnswer>
 
 /** Result of `tables.changes`. `heldMs` is the time for which the poll was held; earlier builds do not state it. */
-export const sharedPollResultSchema = z.object({ tables: arrayOf(tableAnswer), heldMs: z.number().nonnegative().optional() })
+export const sharedPollResultSchema = z.object({ tables: buildArraySchema(tableAnswer), heldMs: z.number().nonnegative().optional() })
 
 /** Output type of {@link sharedPollResultSchema}. */
 export type SharedPollResult = z.output<typeof sharedPollResultSchema>
--- a/packages/knapweedshunt-router/src/completionSchema.ts
+++ b/packages/knapweedshunt-router/src/completionSchema.ts
@@ -1,8 +1,8 @@
-import { arrayOf } from 'knapweedshunt-platform'
+import { buildArraySchema } from 'knapweedshunt-platform'
 import { z } from 'zod'
 
 const textPart = z.object({ type: z.literal('text'), text: z.string() })
-const message = z.looseObject({ role: z.string().min(1), content: z.union([z.string(), arrayOf(textPart)]) })
+const message = z.looseObject({ role: z.string().min(1), content: z.union([z.string(), buildArraySchema(textPart)]) })
 const common = {
   model: z.string().min(1),
   stream: z.boolean().default(false),
@@ -14,4 +14,4 @@
 export const completionSchema = z.looseObject({ ...common, prompt: z.string().min(1) })
 
 /** Body of `/v1/chat/completions`. */
-export const chatCompletionSchema = z.looseObject({ ...common, messages: arrayOf(message).refine(messages => messages.length > 0, 'expected at least one message') })
+export const chatCompletionSchema = z.looseObject({ ...common, messages: buildArraySchema(message).refine(messages => messages.length > 0, 'expected at least one message') })
